--- /dev/null
+++ b/agent/command/attach.go
@@ -0,0 +1,122 @@
+package command
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agent/session"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// Attach streams the frames of a generation from the position asked for.
+func (g *Generations) Attach(w http.ResponseWriter, r *http.Request) {
+	s, err := g.find(r)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	from, parseErr := strconv.ParseUint(r.URL.Query().Get("from"), 10, 32)
+	if parseErr != nil {
+		problem.Write(w, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepResume, "malformed position"))
+		return
+	}
+	g.stream(w, r, s, wigeonfork.Position(from))
+}
+
+// Release shortens the life of a generation that nobody reads.
+func (g *Generations) Release(w http.ResponseWriter, r *http.Request) {
+	s, err := g.find(r)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	linger, _ := strconv.ParseInt(r.URL.Query().Get("linger_ms"), 10, 64)
+	s.Release(time.Duration(max(linger, 0)) * time.Millisecond)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (g *Generations) find(r *http.Request) (*session.Session, *problem.Error) {
+	number, err := strconv.ParseUint(r.PathValue("generation"), 10, 32)
+	if err != nil {
+		return nil, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepResume, "malformed generation")
+	}
+	key := session.Key{RequestID: wigeonfork.RequestID(r.PathValue("request")), Generation: wigeonfork.Generation(number)}
+	if s := g.Table.Get(key); s != nil {
+		return s, nil
+	}
+	return nil, problem.New(problem.CodeNotFound, problem.RunUnknown, problem.StepResume, "generation is not held here").For(key.RequestID)
+}
+
+// writer sends the frames of one reader.
+type writer struct {
+	out     http.ResponseWriter
+	control *http.ResponseController
+	frame   frame.Frame
+	buf     []byte
+}
+
+// writeTimeout bounds one write to an entry.
+const writeTimeout = 5 * time.Second
+
+func (w *writer) send() error {
+	w.buf = frame.Append(w.buf[:0], &w.frame)
+	_, err := w.out.Write(w.buf)
+	return err
+}
+
+func (w *writer) flush() error {
+	// Deadlines are not supported by recorders in tests; the write decides.
+	_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return w.control.Flush()
+}
+
+// stream sends the frames of s from position from on until the generation ends
+// or the entry goes away.
+func (g *Generations) stream(out http.ResponseWriter, r *http.Request, s *session.Session, from wigeonfork.Position) {
+	reader, wake := s.Attach()
+	defer func() { s.Detach(reader, time.Now()) }()
+	out.Header().Set("Content-Type", "application/octet-stream")
+	out.WriteHeader(http.StatusOK)
+	w := &writer{out: out, control: http.NewResponseController(out)}
+	heartbeat := time.NewTicker(agentapi.HeartbeatInterval)
+	defer heartbeat.Stop()
+	for {
+		ended, err := w.sendAvailable(s, reader, &from)
+		if err != nil || ended {
+			return
+		}
+		select {
+		case <-wake:
+		case <-heartbeat.C:
+			s.Heartbeat(&w.frame)
+			if w.send() != nil || w.flush() != nil {
+				return
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// sendAvailable sends all that is new and reports whether that was the end.
+func (w *writer) sendAvailable(s *session.Session, reader uint64, from *wigeonfork.Position) (bool, error) {
+	sent := false
+	for s.Next(reader, *from, &w.frame) {
+		if err := w.send(); err != nil {
+			return false, err
+		}
+		sent = true
+		*from += wigeonfork.Position(len(w.frame.Tokens))
+		if w.frame.Kind != frame.KindTokens {
+			return true, w.flush()
+		}
+	}
+	if !sent {
+		return false, nil
+	}
+	return false, w.flush()
+}
--- /dev/null
+++ b/agent/command/generate.go
@@ -0,0 +1,182 @@
+// Package command holds what changes an agent's state: beginning, reading and
+// ending generations, running plain service calls, orders and leaving.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/agent/session"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// maxOrphanLimit bounds how long a generation goes on without a reader.
+const maxOrphanLimit = 2 * time.Minute
+
+// engineResumes bounds the attempts to take up a broken engine stream.
+const engineResumes = 2
+
+// Generations serves the generations of one agent.
+type Generations struct {
+	Engine  backend.Engine
+	Table   *session.Table
+	Metrics telemetry.Registry
+	Log     *telemetry.Logger
+	// Background ends when the agent stops; generations run under it.
+	Background context.Context
+}
+
+// Begin starts a generation and streams its frames.
+func (g *Generations) Begin(w http.ResponseWriter, r *http.Request) {
+	var call agentapi.Generate
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, agentapi.MaxBodyBytes)).Decode(&call); err != nil {
+		problem.Write(w, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepDispatch, "malformed generate call"))
+		return
+	}
+	s, err := g.start(&call)
+	if err != nil {
+		problem.Write(w, err.For(call.RequestID))
+		return
+	}
+	g.stream(w, r, s, s.First)
+}
+
+func (g *Generations) start(call *agentapi.Generate) (*session.Session, *problem.Error) {
+	ctx, cancel := context.WithCancel(g.Background)
+	key := session.Key{RequestID: call.RequestID, Generation: call.Generation}
+	orphanLimit := min(time.Duration(call.OrphanMillis)*time.Millisecond, maxOrphanLimit)
+	s := session.New(key, call.Prefix, orphanLimit, time.Now(), cancel)
+	s.Workspace = call.Workspace
+	s.Class = call.Class
+	s.Version = call.Version
+	switch err := g.Table.Add(s); {
+	case errors.Is(err, session.ErrClosed):
+		cancel()
+		return nil, problem.New(problem.CodeDraining, problem.RunNot, problem.StepDispatch, "agent is leaving")
+	case err != nil:
+		cancel()
+		return nil, problem.New(problem.CodeConflict, problem.RunUnknown, problem.StepDispatch, "generation %d exists", call.Generation)
+	}
+	telemetry.Counter(g.Metrics, "agent.generations").Inc(1)
+	go g.produce(ctx, s, engineRequest(call))
+	return s, nil
+}
+
+func engineRequest(call *agentapi.Generate) backend.GenerateRequest {
+	request := backend.GenerateRequest{
+		StreamID:  string(call.RequestID) + "." + strconv.FormatUint(uint64(call.Generation), 10),
+		Workspace: call.Workspace,
+		Model:     call.Model,
+		Version:   call.Version,
+		Adapter:   call.Adapter,
+		Prompt:    call.Prompt,
+		Seed:      call.Seed,
+		MaxTokens: call.MaxTokens,
+		Priority:  call.Priority,
+	}
+	for _, token := range call.Prefix {
+		request.Prefix = append(request.Prefix, token.ID)
+	}
+	return request
+}
+
+// produce moves tokens from the engine into s until the answer ends.
+func (g *Generations) produce(ctx context.Context, s *session.Session, request backend.GenerateRequest) {
+	defer s.Cancel()
+	stream, err := g.Engine.Generate(ctx, request)
+	for attempt := 0; ; attempt++ {
+		if err == nil {
+			before := s.Len()
+			err = g.consume(ctx, s, stream)
+			if err == nil {
+				return
+			}
+			if s.Len() > before {
+				attempt = 0
+			}
+		}
+		if ctx.Err() != nil {
+			g.abandon(s, request.StreamID)
+			return
+		}
+		if attempt >= engineResumes || !g.resumable(err) {
+			g.fail(s, err)
+			return
+		}
+		stream, err = g.Engine.Resume(ctx, request.StreamID, s.Len())
+	}
+}
+
+// resumable reports whether the engine may still hold the stream.
+func (g *Generations) resumable(err error) bool {
+	return g.Engine.Capabilities().ResumeStream && platform.OutcomeOf(err) != platform.OutcomeNotDone
+}
+
+func (g *Generations) consume(ctx context.Context, s *session.Session, stream backend.Stream) error {
+	defer func() { _ = stream.Close() }()
+	for {
+		chunk, err := stream.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if !s.Append(chunk) {
+			return errors.Newf("tokens missing before position %d", chunk.Position)
+		}
+		telemetry.Counter(g.Metrics, "agent.tokens").Inc(int64(len(chunk.Tokens)))
+		if !chunk.Done {
+			continue
+		}
+		if !s.End(chunk, time.Now()) {
+			return errors.Newf("engine counts %d tokens, sent %d", chunk.Position, s.Len())
+		}
+		return nil
+	}
+}
+
+func (g *Generations) abandon(s *session.Session, streamID string) {
+	s.Fail(frame.FailureEngineDead, "cancelled", time.Now())
+	if !g.Engine.Capabilities().Cancel {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.Background), cancelTimeout)
+	defer cancel()
+	if err := g.Engine.Cancel(ctx, streamID); err != nil {
+		g.Log.Debug().Str("step", "cancel").Err(err).Msg("cancel_failed")
+	}
+}
+
+// cancelTimeout bounds the call that frees an engine.
+const cancelTimeout = time.Second
+
+func (g *Generations) fail(s *session.Session, err error) {
+	failure := frame.FailureEngineDead
+	var answered *problem.Error
+	if errors.As(err, &answered) {
+		failure = failureOf(answered.Code)
+	}
+	telemetry.Counter(g.Metrics, "agent.failures."+failure.String()).Inc(1)
+	g.Log.Warn().Str("request", string(s.Key.RequestID)).Uint32("generation", uint32(s.Key.Generation)).
+		Str("failure", failure.String()).Err(err).Msg("generation_failed")
+	s.Fail(failure, "", time.Now())
+}
+
+func failureOf(code problem.Code) frame.Failure {
+	switch code {
+	case problem.CodeInvalidRequest, problem.CodeTooLarge:
+		return frame.FailureRejected
+	case problem.CodeOverloaded:
+		return frame.FailureOverloaded
+	default:
+		return frame.FailureEngineDead
+	}
+}
--- /dev/null
+++ b/agent/session/session.go
@@ -0,0 +1,214 @@
+// Package session holds the generations that run on the backend server beside
+// an agent: their tokens, the entry that reads them, and their end.
+//
+// Lock order: Table, then Session. Neither is held over I/O.
+package session
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/generation"
+)
+
+// Key names one generation of one request.
+type Key struct {
+	RequestID  wigeonfork.RequestID
+	Generation wigeonfork.Generation
+}
+
+// Session is one generation on this agent. Its methods are safe for concurrent
+// use.
+type Session struct {
+	Key       Key
+	Workspace wigeonfork.Workspace
+	Class     wigeonfork.Class
+	Version   wigeonfork.Version
+	// First is the position of the first token that this generation produces.
+	First wigeonfork.Position
+
+	cancel func()
+
+	mu          sync.Mutex
+	log         generation.Log
+	prompt      uint32
+	cached      uint32
+	stop        backend.StopReason
+	ended       bool
+	failure     frame.Failure
+	message     string
+	reader      uint64
+	wake        chan struct{}
+	detachedAt  time.Time
+	orphanLimit time.Duration
+	endedAt     time.Time
+}
+
+// New returns a session whose log begins with prefix. cancel stops the
+// production of tokens.
+func New(key Key, prefix []backend.Token, orphanLimit time.Duration, now time.Time, cancel func()) *Session {
+	s := &Session{Key: key, cancel: cancel, orphanLimit: orphanLimit, detachedAt: now}
+	for _, token := range prefix {
+		s.log.Append(token)
+	}
+	s.First = s.log.Len()
+	return s
+}
+
+// Append adds the tokens of a chunk. Tokens that are known already are skipped;
+// it returns false if tokens are missing before the chunk.
+func (s *Session) Append(chunk backend.Chunk) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.log.Len()
+	if chunk.Position > next {
+		return false
+	}
+	known := int(next - chunk.Position)
+	if known < len(chunk.Tokens) {
+		for _, token := range chunk.Tokens[known:] {
+			s.log.Append(token)
+		}
+	}
+	if chunk.PromptTokens > 0 {
+		s.prompt = chunk.PromptTokens
+		s.cached = chunk.CachedTokens
+	}
+	s.notify()
+	return true
+}
+
+// End notes that the answer is whole. It returns false if the engine's count
+// of tokens differs from what it sent.
+func (s *Session) End(chunk backend.Chunk, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if chunk.Position != s.log.Len() || s.ended {
+		return false
+	}
+	if chunk.PromptTokens > 0 {
+		s.prompt = chunk.PromptTokens
+		s.cached = chunk.CachedTokens
+	}
+	s.stop = chunk.Stop
+	s.finish(now)
+	return true
+}
+
+// Fail notes that this generation yields no further token.
+func (s *Session) Fail(failure frame.Failure, message string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.failure = failure
+	s.message = message
+	s.finish(now)
+}
+
+func (s *Session) finish(now time.Time) {
+	s.ended = true
+	s.endedAt = now
+	s.notify()
+}
+
+func (s *Session) notify() {
+	if s.wake == nil {
+		return
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Len returns the next position to produce.
+func (s *Session) Len() wigeonfork.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.Len()
+}
+
+// Cancel stops the production of tokens.
+func (s *Session) Cancel() { s.cancel() }
+
+// Attach makes a new reader the only one and returns its number and the
+// channel that wakes it. An earlier reader finds itself displaced.
+func (s *Session) Attach() (uint64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notify()
+	s.reader++
+	s.wake = make(chan struct{}, 1)
+	s.wake <- struct{}{}
+	s.detachedAt = time.Time{}
+	return s.reader, s.wake
+}
+
+// Detach notes that a reader went away.
+func (s *Session) Detach(reader uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reader == reader {
+		s.wake = nil
+		s.detachedAt = now
+	}
+}
+
+// Release shortens the time that the session goes on without a reader.
+func (s *Session) Release(linger time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orphanLimit = min(s.orphanLimit, linger)
+}
+
+// Next fills f with what a reader at position from is to send next. It returns
+// false if there is nothing new. The tokens of f stay valid.
+func (s *Session) Next(reader uint64, from wigeonfork.Position, f *frame.Frame) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*f = frame.Frame{Generation: s.Key.Generation, Tokens: f.Tokens[:0]}
+	if s.reader != reader {
+		f.Kind = frame.KindFailure
+		f.Failure = frame.FailureDisplaced
+		return true
+	}
+	if from < s.log.Len() {
+		f.Kind = frame.KindTokens
+		f.Position = from
+		f.PromptTokens = s.prompt
+		f.CachedTokens = s.cached
+		f.Tokens = s.log.AppendTokens(f.Tokens, from, frame.MaxTokens)
+		return true
+	}
+	if !s.ended {
+		return false
+	}
+	s.fillEnd(f)
+	return true
+}
+
+func (s *Session) fillEnd(f *frame.Frame) {
+	f.Position = s.log.Len()
+	if s.failure != frame.FailureNone {
+		f.Kind = frame.KindFailure
+		f.Failure = s.failure
+		f.Message = s.message
+		return
+	}
+	f.Kind = frame.KindEnd
+	f.Stop = s.stop
+	f.PromptTokens = s.prompt
+	f.CachedTokens = s.cached
+}
+
+// Heartbeat fills f with a heartbeat.
+func (s *Session) Heartbeat(f *frame.Frame) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*f = frame.Frame{Kind: frame.KindHeartbeat, Generation: s.Key.Generation, Position: s.log.Len(), Tokens: f.Tokens[:0]}
+}
--- /dev/null
+++ b/agentapi/agentapi.go
@@ -0,0 +1,69 @@
+// Package agentapi is the protocol by which entries use agents: requests as
+// JSON over HTTP, and the tokens of a generation as a stream of frames.
+package agentapi
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+// The paths that an agent serves.
+const (
+	PathGenerate = "/v1/generate"
+	PathAttach   = "/v1/generations"
+	PathDispatch = "/v1/actions/dispatch"
+	PathResolve  = "/v1/actions/resolve"
+	PathStatus   = "/v1/status"
+)
+
+// HeartbeatInterval is the longest time between two frames of a stream.
+const HeartbeatInterval = 200 * time.Millisecond
+
+// MaxBodyBytes bounds the body of a request to an agent.
+const MaxBodyBytes = 8 << 20
+
+// Generate asks an agent to begin a generation. The answer is a stream of
+// frames from position len(Prefix) on.
+type Generate struct {
+	RequestID  wigeonfork.RequestID  `json:"request_id"`
+	Generation wigeonfork.Generation `json:"generation"`
+	Workspace  wigeonfork.Workspace  `json:"workspace"`
+	Class      wigeonfork.Class      `json:"class"`
+	Model      wigeonfork.Model      `json:"model"`
+	Version    wigeonfork.Version    `json:"version"`
+	Adapter    string                `json:"adapter,omitempty"`
+	Prompt     string                `json:"prompt"`
+	Seed       uint64                `json:"seed"`
+	MaxTokens  uint32                `json:"max_tokens"`
+	Priority   int                   `json:"priority"`
+	Prefix     []backend.Token       `json:"prefix,omitempty"`
+	// OrphanMillis is how long the generation goes on without an entry.
+	OrphanMillis int64 `json:"orphan_ms"`
+}
+
+// Status is what an agent says of itself and its backend server.
+type Status struct {
+	Host          wigeonfork.HostID          `json:"host"`
+	BackendServer wigeonfork.BackendServerID `json:"backend_server"`
+	Domain        wigeonfork.FailureDomain   `json:"failure_domain"`
+	// Incarnation changes with each start of the agent.
+	Incarnation string `json:"incarnation"`
+	// Sequence grows with each status of one incarnation.
+	Sequence uint64 `json:"sequence"`
+	Leaving  bool   `json:"leaving"`
+	// EngineUp is false while the backend server does not answer.
+	EngineUp bool                `json:"engine_up"`
+	Load     backend.LoadReport  `json:"load"`
+	Revision wigeonfork.Revision `json:"revision"`
+	// CacheEvents are the events since the last status.
+	CacheEvents []backend.CacheEvent `json:"cache_events,omitempty"`
+}
+
+// GenerationPath returns the path of one generation.
+func GenerationPath(id wigeonfork.RequestID, g wigeonfork.Generation) string {
+	return PathAttach + "/" + url.PathEscape(string(id)) + "/" + strconv.FormatUint(uint64(g), 10)
+}
--- /dev/null
+++ b/agentapi/client.go
@@ -0,0 +1,161 @@
+package agentapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// dialTimeout bounds the time to connect to an agent.
+const dialTimeout = 300 * time.Millisecond
+
+// maxErrorBytes bounds the body of an error answer.
+const maxErrorBytes = 64 << 10
+
+// maxIdlePerAgent bounds the idle connections to one agent.
+const maxIdlePerAgent = 64
+
+// Client speaks to agents.
+type Client struct {
+	http       *http.Client
+	transport  *http.Transport
+	credential string
+}
+
+// NewClient returns a client that proves itself with credential.
+func NewClient(credential string) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerAgent,
+		DisableCompression:  true,
+		ReadBufferSize:      4 << 10,
+		WriteBufferSize:     4 << 10,
+	}
+	return &Client{http: &http.Client{Transport: transport}, transport: transport, credential: credential}
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Stream is the stream of frames of one generation.
+type Stream struct {
+	body   io.ReadCloser
+	reader *frame.Reader
+}
+
+// Read reads the next frame into f; see frame.Reader.
+func (s *Stream) Read(f *frame.Frame) error { return s.reader.Read(f) }
+
+// Buffered reports whether a frame can be read without blocking.
+func (s *Stream) Buffered() bool { return s.reader.Buffered() }
+
+// Close ends the connection of the stream.
+func (s *Stream) Close() error { return s.body.Close() }
+
+// Generate begins a generation at the agent. The error is a *problem.Error if
+// the agent answered, else a *platform.Error.
+func (c *Client) Generate(ctx context.Context, agent string, call *Generate) (*Stream, error) {
+	body, err := json.Marshal(call)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode generate call")
+	}
+	return c.stream(ctx, http.MethodPost, agent, PathGenerate, body)
+}
+
+// Attach takes up a generation at position from.
+func (c *Client) Attach(ctx context.Context, agent string, id wigeonfork.RequestID, g wigeonfork.Generation, from wigeonfork.Position) (*Stream, error) {
+	path := GenerationPath(id, g) + "?from=" + strconv.FormatUint(uint64(from), 10)
+	return c.stream(ctx, http.MethodGet, agent, path, nil)
+}
+
+// Release tells the agent that nobody reads a generation any more. It is
+// stopped after linger.
+func (c *Client) Release(ctx context.Context, agent string, id wigeonfork.RequestID, g wigeonfork.Generation, linger time.Duration) error {
+	path := GenerationPath(id, g) + "?linger_ms=" + strconv.FormatInt(linger.Milliseconds(), 10)
+	response, err := c.do(ctx, http.MethodDelete, agent, path, nil)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// Post sends a JSON request and decodes the JSON answer.
+func (c *Client) Post(ctx context.Context, agent, path string, request, answer any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	response, err := c.do(ctx, http.MethodPost, agent, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return platform.NewError(platform.OutcomeUnknown, path, agent, err)
+	}
+	return nil
+}
+
+func (c *Client) stream(ctx context.Context, method, agent, path string, body []byte) (*Stream, error) {
+	response, err := c.do(ctx, method, agent, path, body)
+	if err != nil {
+		return nil, err
+	}
+	return &Stream{body: response.Body, reader: frame.NewReader(response.Body)}, nil
+}
+
+// do sends one request once. Bytes that may have left make the outcome of a
+// failure unknown.
+func (c *Client) do(ctx context.Context, method, agent, path string, body []byte) (*http.Response, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, "http://"+agent+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, platform.NewError(platform.OutcomeNotDone, path, agent, err)
+	}
+	// Without GetBody the transport never sends a request a second time.
+	request.GetBody = nil
+	request.Header.Set("Authorization", "Bearer "+c.credential)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, platform.NewError(failureOutcome(sent.Load()), path, agent, err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return nil, readProblem(response, agent)
+	}
+	return response, nil
+}
+
+func failureOutcome(sent bool) platform.Outcome {
+	if sent {
+		return platform.OutcomeUnknown
+	}
+	return platform.OutcomeNotDone
+}
+
+func readProblem(response *http.Response, agent string) error {
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err == nil {
+		if typed := problem.Unmarshal(body); typed != nil {
+			return typed.At(agent)
+		}
+	}
+	return platform.NewError(platform.OutcomeUnknown, "status "+strconv.Itoa(response.StatusCode), agent, err)
+}
--- /dev/null
+++ b/frame/frame.go
@@ -0,0 +1,137 @@
+// Package frame encodes what an agent tells an entry about one generation:
+// tokens, heartbeats, the end and failures, as length-prefixed frames inside a
+// streamed HTTP response. Field encoding is that of protocol buffers.
+package frame
+
+import (
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+// Kind tells what a frame says.
+type Kind uint8
+
+// The kinds of frame.
+const (
+	// KindTokens carries tokens from Position on.
+	KindTokens Kind = 1
+	// KindHeartbeat says that the agent lives; Position is the next token that
+	// it has not produced yet.
+	KindHeartbeat Kind = 2
+	// KindEnd says that the answer has Position tokens and why it ended.
+	KindEnd Kind = 3
+	// KindFailure says that this generation yields no further token.
+	KindFailure Kind = 4
+)
+
+// Failure tells why a generation can't go on.
+type Failure uint8
+
+// The failures.
+const (
+	FailureNone Failure = 0
+	// FailureEngineDead: the engine died or lost the generation.
+	FailureEngineDead Failure = 1
+	// FailureStalled: the engine lives but makes no progress.
+	FailureStalled Failure = 2
+	// FailureHandover: the agent leaves and hands the generation over.
+	FailureHandover Failure = 3
+	// FailureDisplaced: another entry has attached to the generation.
+	FailureDisplaced Failure = 4
+	// FailureRejected: the engine refused the request as invalid.
+	FailureRejected Failure = 5
+	// FailureOverloaded: the engine has no room for the request.
+	FailureOverloaded Failure = 6
+)
+
+// String returns the name of f for logs and metrics.
+func (f Failure) String() string {
+	names := [...]string{"none", "engine_dead", "stalled", "handover", "displaced", "rejected", "overloaded"}
+	if int(f) >= len(names) {
+		return "unknown"
+	}
+	return names[f]
+}
+
+// MaxBytes is the largest encoded frame without its length prefix.
+const MaxBytes = 32 << 10
+
+// MaxTokens is the largest number of tokens that a writer puts in one frame.
+const MaxTokens = 256
+
+const lengthBytes = 4
+
+// Frame is one message about a generation.
+type Frame struct {
+	Kind         Kind
+	Generation   wigeonfork.Generation
+	Position     wigeonfork.Position
+	Tokens       []backend.Token
+	Stop         backend.StopReason
+	PromptTokens uint32
+	CachedTokens uint32
+	Failure      Failure
+	Message      string
+}
+
+const (
+	fieldKind       protowire.Number = 1
+	fieldGeneration protowire.Number = 2
+	fieldPosition   protowire.Number = 3
+	fieldTokenID    protowire.Number = 4
+	fieldTokenText  protowire.Number = 5
+	fieldStop       protowire.Number = 6
+	fieldPrompt     protowire.Number = 7
+	fieldCached     protowire.Number = 8
+	fieldFailure    protowire.Number = 9
+	fieldMessage    protowire.Number = 10
+)
+
+// ErrMalformed is the cause of every error about bytes that are no frame.
+var ErrMalformed = errors.New("malformed frame")
+
+// Append appends the encoded frame with its length prefix to buf.
+func Append(buf []byte, f *Frame) []byte {
+	start := len(buf)
+	buf = append(buf, 0, 0, 0, 0)
+	buf = appendVarint(buf, fieldKind, uint64(f.Kind))
+	buf = appendVarint(buf, fieldGeneration, uint64(f.Generation))
+	buf = appendVarint(buf, fieldPosition, uint64(f.Position))
+	for i := range f.Tokens {
+		buf = appendVarint(buf, fieldTokenID, uint64(f.Tokens[i].ID))
+		buf = protowire.AppendTag(buf, fieldTokenText, protowire.BytesType)
+		buf = protowire.AppendBytes(buf, f.Tokens[i].Text)
+	}
+	buf = appendString(buf, fieldStop, string(f.Stop))
+	buf = appendNonZero(buf, fieldPrompt, uint64(f.PromptTokens))
+	buf = appendNonZero(buf, fieldCached, uint64(f.CachedTokens))
+	buf = appendNonZero(buf, fieldFailure, uint64(f.Failure))
+	buf = appendString(buf, fieldMessage, f.Message)
+	binary.BigEndian.PutUint32(buf[start:], uint32(len(buf)-start-lengthBytes))
+	return buf
+}
+
+func appendVarint(buf []byte, field protowire.Number, value uint64) []byte {
+	buf = protowire.AppendTag(buf, field, protowire.VarintType)
+	return protowire.AppendVarint(buf, value)
+}
+
+func appendNonZero(buf []byte, field protowire.Number, value uint64) []byte {
+	if value == 0 {
+		return buf
+	}
+	return appendVarint(buf, field, value)
+}
+
+func appendString(buf []byte, field protowire.Number, value string) []byte {
+	if value == "" {
+		return buf
+	}
+	buf = protowire.AppendTag(buf, field, protowire.BytesType)
+	return protowire.AppendString(buf, value)
+}
--- /dev/null
+++ b/generation/handle.go
@@ -0,0 +1,104 @@
+package generation
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Handle names an answer under way and where its tokens are held, so that any
+// entry can go on with it.
+type Handle struct {
+	RequestID  wigeonfork.RequestID  `cbor:"1,keyasint"`
+	Workspace  wigeonfork.Workspace  `cbor:"2,keyasint"`
+	Model      wigeonfork.Model      `cbor:"3,keyasint"`
+	Version    wigeonfork.Version    `cbor:"4,keyasint"`
+	Generation wigeonfork.Generation `cbor:"5,keyasint"`
+	// Agent is the address of the agent that holds the tokens.
+	Agent string `cbor:"6,keyasint"`
+	// Chat tells the shape of the callers' interface that the answer has.
+	Chat bool `cbor:"7,keyasint,omitempty"`
+}
+
+// macBytes is the length of the truncated authentication code.
+const macBytes = 16
+
+// MinKeyBytes is the shortest key that a Sealer takes.
+const MinKeyBytes = 16
+
+// ErrHandle is the cause of every error about a handle that is not ours.
+var ErrHandle = errors.New("invalid resume handle")
+
+// Sealer seals and opens handles with a key that all entries share.
+type Sealer struct {
+	key []byte
+}
+
+// NewSealer returns a Sealer. It fails on a key shorter than MinKeyBytes.
+func NewSealer(key []byte) (*Sealer, error) {
+	if len(key) < MinKeyBytes {
+		return nil, errors.Newf("handle key has %d bytes, at least %d are needed", len(key), MinKeyBytes)
+	}
+	return &Sealer{key: append([]byte(nil), key...)}, nil
+}
+
+// Seal returns the text of h, authenticated.
+func (s *Sealer) Seal(h Handle) (string, error) {
+	body, err := cbor.Marshal(h)
+	if err != nil {
+		return "", errors.Wrap(err, "encode resume handle")
+	}
+	return base64.RawURLEncoding.EncodeToString(append(body, s.mac(body)...)), nil
+}
+
+// Open returns the handle in text. It fails with ErrHandle if the text was not
+// sealed with the same key.
+func (s *Sealer) Open(text string) (Handle, error) {
+	var h Handle
+	data, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(data) <= macBytes {
+		return h, ErrHandle
+	}
+	body, mac := data[:len(data)-macBytes], data[len(data)-macBytes:]
+	if !hmac.Equal(mac, s.mac(body)) {
+		return h, ErrHandle
+	}
+	if cbor.Unmarshal(body, &h) != nil {
+		return h, ErrHandle
+	}
+	return h, nil
+}
+
+func (s *Sealer) mac(body []byte) []byte {
+	code := hmac.New(sha256.New, s.key)
+	code.Write(body)
+	return code.Sum(nil)[:macBytes]
+}
+
+// AppendEventID appends the event id of position p of a sealed handle.
+func AppendEventID(buf []byte, sealed string, p wigeonfork.Position) []byte {
+	buf = append(buf, sealed...)
+	buf = append(buf, '.')
+	return strconv.AppendUint(buf, uint64(p), 10)
+}
+
+// ParseEventID splits an event id into the sealed handle and the position of
+// the next token to deliver.
+func ParseEventID(id string) (string, wigeonfork.Position, error) {
+	cut := strings.LastIndexByte(id, '.')
+	if cut < 0 {
+		return "", 0, ErrHandle
+	}
+	position, err := strconv.ParseUint(id[cut+1:], 10, 32)
+	if err != nil {
+		return "", 0, ErrHandle
+	}
+	return id[:cut], wigeonfork.Position(position), nil
+}
--- /dev/null
+++ b/generation/interval.go
@@ -0,0 +1,34 @@
+package generation
+
+import "time"
+
+// intervalWeight is the inverse weight of one observation in the mean.
+const intervalWeight = 8
+
+// intervalEstimate follows the mean and the mean deviation of the time between
+// tokens, as retransmission timers do.
+type intervalEstimate struct {
+	mean      time.Duration
+	deviation time.Duration
+}
+
+// observe takes the time in which some tokens arrived together.
+func (e *intervalEstimate) observe(elapsed time.Duration, tokens int) {
+	sample := elapsed / time.Duration(max(tokens, 1))
+	if e.mean == 0 {
+		e.mean = sample
+		e.deviation = sample / 2
+		return
+	}
+	difference := sample - e.mean
+	e.mean += difference / intervalWeight
+	if difference < 0 {
+		difference = -difference
+	}
+	e.deviation += (difference - e.deviation) / (intervalWeight / 2)
+}
+
+// usual returns the mean plus its deviation.
+func (e *intervalEstimate) usual() time.Duration {
+	return e.mean + e.deviation
+}
--- /dev/null
+++ b/generation/lifecycle.go
@@ -0,0 +1,49 @@
+package generation
+
+import (
+	"context"
+
+	"github.com/looplab/fsm"
+)
+
+// The states of an answer.
+const (
+	StateNew         = "new"
+	StateDispatched  = "dispatched"
+	StateStreaming   = "streaming"
+	StateInterrupted = "interrupted"
+	StateComplete    = "complete"
+	StateFailed      = "failed"
+	StateAbandoned   = "abandoned"
+)
+
+// The events of an answer.
+const (
+	eventDispatch = "dispatch"
+	eventToken    = "token"
+	eventLose     = "lose"
+	eventEnd      = "end"
+	eventFail     = "fail"
+	eventAbandon  = "abandon"
+)
+
+// lifecycleEvents is the table of an answer's life cycle. It stands in
+// docs/DESIGN.md too.
+var lifecycleEvents = fsm.Events{
+	{Name: eventDispatch, Src: []string{StateNew, StateInterrupted}, Dst: StateDispatched},
+	{Name: eventToken, Src: []string{StateDispatched}, Dst: StateStreaming},
+	{Name: eventLose, Src: []string{StateDispatched, StateStreaming}, Dst: StateInterrupted},
+	{Name: eventEnd, Src: []string{StateDispatched, StateStreaming}, Dst: StateComplete},
+	{Name: eventFail, Src: []string{StateNew, StateDispatched, StateStreaming, StateInterrupted}, Dst: StateFailed},
+	{Name: eventAbandon, Src: []string{StateNew, StateDispatched, StateStreaming, StateInterrupted}, Dst: StateAbandoned},
+}
+
+func newLifecycle() *fsm.FSM {
+	return fsm.NewFSM(StateNew, lifecycleEvents, fsm.Callbacks{})
+}
+
+// fire applies event if the present state allows it and reports whether it
+// did.
+func fire(machine *fsm.FSM, event string) bool {
+	return machine.Event(context.Background(), event) == nil
+}
--- /dev/null
+++ b/generation/query.go
@@ -0,0 +1,47 @@
+package generation
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/frame"
+)
+
+// Log returns the tokens of the answer so far.
+func (r *Relay) Log() *Log { return &r.log }
+
+// Generation returns the current generation.
+func (r *Relay) Generation() wigeonfork.Generation { return r.generation }
+
+// State returns the state of the answer's life cycle.
+func (r *Relay) State() string { return r.machine.Current() }
+
+// Ended reports whether the answer is complete, failed or abandoned.
+func (r *Relay) Ended() bool {
+	switch r.machine.Current() {
+	case StateComplete, StateFailed, StateAbandoned:
+		return true
+	}
+	return false
+}
+
+// Stop returns why the answer ended. It is empty before the end.
+func (r *Relay) Stop() backend.StopReason { return r.stop }
+
+// Usage returns the numbers of prompt, cached and answer tokens.
+func (r *Relay) Usage() (prompt, cached, answer uint32) {
+	return r.promptTokens, r.cachedTokens, uint32(r.log.Len())
+}
+
+// Failure returns what the source last said of its failure.
+func (r *Relay) Failure() frame.Failure { return r.failure }
+
+// Attempts returns the number of generations begun.
+func (r *Relay) Attempts() int { return r.attempts }
+
+// Counters returns what r met so far.
+func (r *Relay) Counters() Counters { return r.counters }
+
+// LastProgress returns the time of the last token or attempt.
+func (r *Relay) LastProgress() time.Time { return r.lastToken }
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,196 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// dialTimeout bounds the time to connect to a peer.
+const dialTimeout = 500 * time.Millisecond
+
+// codeTyped is the JSON-RPC error code of an error that carries a
+// problem.Error as its data.
+const codeTyped = -32001
+
+// Notification is a message that a server sent on its own.
+type Notification struct {
+	Method string
+	Params json.RawMessage
+}
+
+// Client is one connection to another process.
+type Client struct {
+	Address string
+	conn    *jsonrpc2.Conn
+}
+
+// Dial connects to address and says hello. onNotification may be nil; it is
+// called in order, from one goroutine.
+func Dial(ctx context.Context, address string, hello Hello, onNotification func(Notification)) (*Client, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	netConn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, platform.NewError(platform.OutcomeNotDone, "dial", address, err)
+	}
+	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{})
+	client := &Client{Address: address}
+	client.conn = jsonrpc2.NewConn(context.Background(), stream, notificationHandler{onNotification})
+	if err := client.Call(ctx, MethodHello, hello, nil); err != nil {
+		_ = client.Close()
+		return nil, err
+	}
+	return client, nil
+}
+
+// Call sends a request and waits for its answer in result, which may be nil.
+// An answered error is a *problem.Error; others state their outcome.
+func (c *Client) Call(ctx context.Context, method string, request, result any) error {
+	err := c.conn.Call(ctx, method, request, result)
+	if err == nil {
+		return nil
+	}
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		return decodeError(answered).At(c.Address)
+	}
+	return platform.NewError(platform.OutcomeUnknown, method, c.Address, err)
+}
+
+// Notify sends a message without an answer.
+func (c *Client) Notify(ctx context.Context, method string, message any) error {
+	if err := c.conn.Notify(ctx, method, message); err != nil {
+		return platform.NewError(platform.OutcomeUnknown, method, c.Address, err)
+	}
+	return nil
+}
+
+// Done is closed when the connection ends.
+func (c *Client) Done() <-chan struct{} { return c.conn.DisconnectNotify() }
+
+// Close ends the connection.
+func (c *Client) Close() error { return c.conn.Close() }
+
+type notificationHandler struct {
+	handle func(Notification)
+}
+
+// Handle implements jsonrpc2.Handler.
+func (h notificationHandler) Handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if h.handle == nil || !req.Notif || req.Params == nil {
+		return
+	}
+	h.handle(Notification{Method: req.Method, Params: *req.Params})
+}
+
+func encodeError(err error) *jsonrpc2.Error {
+	typed := problem.From(err, problem.StepAccept)
+	data := json.RawMessage(problem.Marshal(typed))
+	return &jsonrpc2.Error{Code: codeTyped, Message: typed.Error(), Data: &data}
+}
+
+func decodeError(err *jsonrpc2.Error) *problem.Error {
+	if err.Data != nil {
+		if typed := problem.Unmarshal(*err.Data); typed != nil {
+			return typed
+		}
+	}
+	return problem.New(problem.CodeInternal, problem.RunUnknown, problem.StepAccept, "%s", err.Message)
+}
+
+// Pool holds one connection to each of the peers last spoken to.
+type Pool struct {
+	hello Hello
+	limit int
+
+	mu      sync.Mutex
+	clients map[string]*pooled
+	closed  bool
+}
+
+type pooled struct {
+	client *Client
+	used   time.Time
+}
+
+// NewPool returns a pool of at most limit connections.
+func NewPool(hello Hello, limit int) *Pool {
+	return &Pool{hello: hello, limit: limit, clients: map[string]*pooled{}}
+}
+
+// Get returns a connection to address, dialling if there is none.
+func (p *Pool) Get(ctx context.Context, address string) (*Client, error) {
+	if client := p.lookup(address); client != nil {
+		return client, nil
+	}
+	client, err := Dial(ctx, address, p.hello, nil)
+	if err != nil {
+		return nil, err
+	}
+	return p.keep(address, client)
+}
+
+func (p *Pool) lookup(address string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held, ok := p.clients[address]
+	if !ok {
+		return nil
+	}
+	select {
+	case <-held.client.Done():
+		delete(p.clients, address)
+		return nil
+	default:
+		held.used = time.Now()
+		return held.client
+	}
+}
+
+func (p *Pool) keep(address string, client *Client) (*Client, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = client.Close()
+		return nil, platform.NewError(platform.OutcomeNotDone, "dial", address, net.ErrClosed)
+	}
+	if held, ok := p.clients[address]; ok {
+		_ = client.Close()
+		return held.client, nil
+	}
+	if len(p.clients) >= p.limit {
+		p.dropOldest()
+	}
+	p.clients[address] = &pooled{client: client, used: time.Now()}
+	return client, nil
+}
+
+func (p *Pool) dropOldest() {
+	var oldest string
+	for address, held := range p.clients {
+		if oldest == "" || held.used.Before(p.clients[oldest].used) {
+			oldest = address
+		}
+	}
+	_ = p.clients[oldest].client.Close()
+	delete(p.clients, oldest)
+}
+
+// Close ends all connections of the pool.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for address, held := range p.clients {
+		_ = held.client.Close()
+		delete(p.clients, address)
+	}
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// MaxMessageBytes is the largest message that a process reads.
+const MaxMessageBytes = 4 << 20
+
+// maxHeaderLines bounds the header lines before a message.
+const maxHeaderLines = 8
+
+const lengthHeader = "Content-Length: "
+
+// limitedCodec is the header codec of the library with bounds on what a peer
+// can make this process read.
+type limitedCodec struct {
+	jsonrpc2.VSCodeObjectCodec
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (limitedCodec) ReadObject(stream *bufio.Reader, v any) error {
+	size, err := readLength(stream)
+	if err != nil {
+		return err
+	}
+	body := io.LimitReader(stream, int64(size))
+	if err := json.NewDecoder(body).Decode(v); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, body)
+	return err
+}
+
+func readLength(stream *bufio.Reader) (int, error) {
+	size := 0
+	for range maxHeaderLines {
+		// ReadSlice fails on a line longer than the reader's buffer.
+		line, err := stream.ReadSlice('\n')
+		if err != nil {
+			return 0, err
+		}
+		text := strings.TrimSpace(string(line))
+		if text == "" {
+			return checkLength(size)
+		}
+		if value, ok := strings.CutPrefix(text, lengthHeader); ok {
+			if size, err = strconv.Atoi(value); err != nil {
+				return 0, errors.Wrap(err, "read message length")
+			}
+		}
+	}
+	return 0, errors.New("message header has too many lines")
+}
+
+func checkLength(size int) (int, error) {
+	if size <= 0 || size > MaxMessageBytes {
+		return 0, errors.Newf("message of %d bytes", size)
+	}
+	return size, nil
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,260 @@
+// Package peer carries control messages between the system's own processes and
+// from operators, as JSON-RPC over TCP. Each connection begins with a hello
+// that proves the role of the side that dialled.
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// Role is what the far side of a connection may do.
+type Role string
+
+// The roles. An operator may call what a peer may not, and the reverse.
+const (
+	RolePeer     Role = "peer"
+	RoleOperator Role = "operator"
+)
+
+// Credentials are the secrets that prove a role.
+type Credentials struct {
+	Peer     string
+	Operator string
+}
+
+// Hello is the first message on a connection.
+type Hello struct {
+	ID         string `json:"id"`
+	Role       Role   `json:"role"`
+	Credential string `json:"credential"`
+}
+
+// MethodHello is the method of a Hello.
+const MethodHello = "hello"
+
+// helloTimeout bounds the time until the hello of a new connection.
+const helloTimeout = 2 * time.Second
+
+// None is the empty request or response.
+type None struct{}
+
+// Session is one authenticated connection at the server's side.
+type Session struct {
+	ID   string
+	Role Role
+	conn *jsonrpc2.Conn
+}
+
+// Notify sends a message without an answer.
+func (s *Session) Notify(ctx context.Context, method string, message any) error {
+	return s.conn.Notify(ctx, method, message)
+}
+
+// Done is closed when the connection ends.
+func (s *Session) Done() <-chan struct{} { return s.conn.DisconnectNotify() }
+
+// handler serves one method.
+type handler struct {
+	role  Role
+	serve func(ctx context.Context, session *Session, params *json.RawMessage) (any, error)
+}
+
+// Server answers control messages.
+type Server struct {
+	credentials Credentials
+	handlers    map[string]handler
+
+	mu       sync.Mutex
+	conns    map[*jsonrpc2.Conn]struct{}
+	listener net.Listener
+	closed   bool
+	wait     sync.WaitGroup
+}
+
+// NewServer returns a server. Methods are registered with Handle before Serve.
+func NewServer(credentials Credentials) *Server {
+	return &Server{
+		credentials: credentials,
+		handlers:    map[string]handler{},
+		conns:       map[*jsonrpc2.Conn]struct{}{},
+	}
+}
+
+// Handle registers fn for method, which only connections of role may call.
+func Handle[Request, Response any](s *Server, method string, role Role, fn func(context.Context, *Session, Request) (Response, error)) {
+	s.handlers[method] = handler{role: role, serve: func(ctx context.Context, session *Session, params *json.RawMessage) (any, error) {
+		var request Request
+		if params != nil {
+			if err := json.Unmarshal(*params, &request); err != nil {
+				return nil, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept, "malformed %s message", method)
+			}
+		}
+		return fn(ctx, session, request)
+	}}
+}
+
+// Serve accepts connections until Close. It returns nil after Close.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if s.isClosed() {
+				return nil
+			}
+			return errors.Wrap(err, "accept control connection")
+		}
+		s.start(conn)
+	}
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) start(netConn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = netConn.Close()
+		return
+	}
+	session := &Session{}
+	ready := make(chan struct{})
+	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{})
+	route := &router{server: s, session: session, ready: ready}
+	session.conn = jsonrpc2.NewConn(context.Background(), stream, route)
+	close(ready)
+	s.conns[session.conn] = struct{}{}
+	s.wait.Add(1)
+	go s.watch(session, route)
+}
+
+// watch closes a connection that says no hello in time and forgets it at its
+// end.
+func (s *Server) watch(session *Session, route *router) {
+	defer s.wait.Done()
+	timer := time.NewTimer(helloTimeout)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		if !route.greeted() {
+			_ = session.conn.Close()
+		}
+		<-session.Done()
+	case <-session.Done():
+	}
+	s.mu.Lock()
+	delete(s.conns, session.conn)
+	s.mu.Unlock()
+}
+
+// Close stops the server and ends all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+}
+
+// router hands the messages of one connection to the server's handlers.
+type router struct {
+	server  *Server
+	session *Session
+	ready   chan struct{}
+
+	mu      sync.Mutex
+	welcome bool
+}
+
+func (r *router) greeted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.welcome
+}
+
+// Handle implements jsonrpc2.Handler. Requests run side by side; notifications
+// run in the order in which they arrive.
+func (r *router) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	<-r.ready
+	if req.Method == MethodHello {
+		r.hello(ctx, conn, req)
+		return
+	}
+	if req.Notif {
+		_, _ = r.dispatch(ctx, req)
+		return
+	}
+	go func() {
+		result, err := r.dispatch(ctx, req)
+		reply(ctx, conn, req, result, err)
+	}()
+}
+
+func (r *router) hello(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var hello Hello
+	if req.Params == nil || json.Unmarshal(*req.Params, &hello) != nil || !r.server.accepts(hello) {
+		reply(ctx, conn, req, nil, problem.New(problem.CodeUnauthorized, problem.RunNot, problem.StepAccept, "credential is not valid for role %q", hello.Role))
+		return
+	}
+	r.mu.Lock()
+	r.session.ID = hello.ID
+	r.session.Role = hello.Role
+	r.welcome = true
+	r.mu.Unlock()
+	reply(ctx, conn, req, None{}, nil)
+}
+
+func (s *Server) accepts(hello Hello) bool {
+	var secret string
+	switch hello.Role {
+	case RolePeer:
+		secret = s.credentials.Peer
+	case RoleOperator:
+		secret = s.credentials.Operator
+	}
+	return secret != "" && subtle.ConstantTimeCompare([]byte(secret), []byte(hello.Credential)) == 1
+}
+
+func (r *router) dispatch(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	r.mu.Lock()
+	role := r.session.Role
+	r.mu.Unlock()
+	h, ok := r.server.handlers[req.Method]
+	if !ok {
+		return nil, problem.New(problem.CodeNotFound, problem.RunNot, problem.StepAccept, "unknown method %q", req.Method)
+	}
+	if role != h.role {
+		return nil, problem.New(problem.CodeUnauthorized, problem.RunNot, problem.StepAccept, "method %q needs role %q", req.Method, h.role)
+	}
+	return h.serve(ctx, r.session, req.Params)
+}
+
+func reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, result any, err error) {
+	// A send error means that the connection is gone; its end is seen elsewhere.
+	if err == nil {
+		_ = conn.Reply(ctx, req.ID, result)
+		return
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, encodeError(err))
+}
--- /dev/null
+++ b/telemetry/log.go
@@ -0,0 +1,60 @@
+// Package telemetry gives the daemons their logs and metrics: one line of
+// key=value pairs for each event, and counters that collectors can read.
+package telemetry
+
+import (
+	"io"
+	"strconv"
+
+	"github.com/phuslu/log"
+)
+
+// Logger writes one key=value line for each event.
+type Logger = log.Logger
+
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// NewLogger returns a logger that writes events of at least level to out. Each
+// line carries the role and id of the process. An unknown level means trace.
+func NewLogger(out io.Writer, level, role, id string) *Logger {
+	return &Logger{
+		Level:      log.ParseLevel(level),
+		TimeFormat: logTimeFormat,
+		Context:    log.NewContext(nil).Str("role", role).Str("id", id).Value(),
+		Writer: &log.ConsoleWriter{
+			Writer:    out,
+			Formatter: formatKeyValues,
+		},
+	}
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	return NewLogger(io.Discard, "fatal", "none", "none")
+}
+
+// formatKeyValues writes one event as key=value pairs. The message is the
+// event's name. The library's own logfmt writes the message without a key.
+func formatKeyValues(out io.Writer, args *log.FormatterArgs) (int, error) {
+	line := append([]byte("time="), args.Time...)
+	line = append(append(line, " level="...), args.Level...)
+	line = append(append(line, " event="...), args.Message...)
+	for _, pair := range args.KeyValues {
+		line = append(append(append(line, ' '), pair.Key...), '=')
+		line = appendValue(line, pair.Value)
+	}
+	return out.Write(append(line, '\n'))
+}
+
+// appendValue quotes a value only where it would not read as one word.
+func appendValue(line []byte, value string) []byte {
+	quoted := strconv.Quote(value)
+	plain := len(quoted) == len(value)+2
+	for i := 0; plain && i < len(value); i++ {
+		plain = value[i] != ' ' && value[i] != '='
+	}
+	if plain && value != "" {
+		return append(line, value...)
+	}
+	return append(line, quoted...)
+}
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,84 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Registry holds the metrics of one process.
+type Registry = metrics.Registry
+
+// NewRegistry returns an empty registry.
+func NewRegistry() Registry {
+	return metrics.NewRegistry()
+}
+
+// Counter returns the counter called name, made on first use.
+func Counter(r Registry, name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, r)
+}
+
+// Gauge returns the gauge called name, made on first use.
+func Gauge(r Registry, name string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(name, r)
+}
+
+// histogramSamples is the size of the sample that a histogram keeps.
+const histogramSamples = 1028
+
+// histogramDecay weighs recent observations of a histogram.
+const histogramDecay = 0.015
+
+// Histogram returns the histogram called name, made on first use.
+func Histogram(r Registry, name string) metrics.Histogram {
+	return r.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSamples, histogramDecay))
+	}).(metrics.Histogram)
+}
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// MetricsHandler answers with all metrics in the text exposition format.
+func MetricsHandler(r Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		writeMetrics(w, r)
+	})
+}
+
+func writeMetrics(w io.Writer, r Registry) {
+	var lines []string
+	r.Each(func(name string, metric any) {
+		lines = append(lines, exposition("wigeonfork_"+strings.ReplaceAll(name, ".", "_"), metric))
+	})
+	sort.Strings(lines)
+	for _, line := range lines {
+		// The collector may be gone; there is nobody left to tell.
+		_, _ = io.WriteString(w, line)
+	}
+}
+
+func exposition(name string, metric any) string {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, m.Count())
+	case metrics.Gauge:
+		return fmt.Sprintf("# TYPE %s gauge\n%s %d\n", name, name, m.Value())
+	case metrics.Histogram:
+		return summary(name, m.Snapshot())
+	}
+	return ""
+}
+
+func summary(name string, h metrics.Histogram) string {
+	text := fmt.Sprintf("# TYPE %s summary\n", name)
+	for i, value := range h.Percentiles(quantiles) {
+		text += fmt.Sprintf("%s{quantile=\"%g\"} %g\n", name, quantiles[i], value)
+	}
+	return text + fmt.Sprintf("%s_sum %d\n%s_count %d\n", name, h.Sum(), name, h.Count())
+}
