--- /dev/null
+++ b/template/snapshot.go
@@ -0,0 +1,217 @@
+package template
+
+import (
+	"slices"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Snapshot is an immutable view of the configuration at one revision. It is
+// safe for concurrent use, and its lookups allocate nothing.
+type Snapshot struct {
+	revision    wigeonfork.Revision
+	deployments map[DeploymentName]*resolved
+	routes      map[routeKey]*Route
+	workspaces  map[wigeonfork.Workspace]struct{}
+}
+
+type routeKey struct {
+	workspace wigeonfork.Workspace
+	model     wigeonfork.Model
+}
+
+// resolved is a deployment with what its routes share.
+type resolved struct {
+	deployment Deployment
+	servers    *ServerSet
+	versions   []VersionShare
+}
+
+// Route is what a request needs from the configuration. It is resolved once;
+// later steps act on it and on its revision. Its parts must not be changed.
+type Route struct {
+	Revision      wigeonfork.Revision
+	Deployment    DeploymentName
+	Workspace     wigeonfork.Workspace
+	Model         wigeonfork.Model
+	Versions      []VersionShare
+	Servers       *ServerSet
+	Values        Values
+	ChecksFencing bool
+}
+
+// ServerSet is an immutable set of backend servers.
+type ServerSet struct {
+	ordered []wigeonfork.BackendServerID
+	index   map[wigeonfork.BackendServerID]struct{}
+}
+
+// Contains tells whether id is in the set.
+func (s *ServerSet) Contains(id wigeonfork.BackendServerID) bool {
+	_, found := s.index[id]
+	return found
+}
+
+// Len returns the number of backend servers in the set.
+func (s *ServerSet) Len() int { return len(s.ordered) }
+
+// At returns the backend server at position i in order of its id.
+func (s *ServerSet) At(i int) wigeonfork.BackendServerID { return s.ordered[i] }
+
+func newServerSet(ids []wigeonfork.BackendServerID) *ServerSet {
+	set := &ServerSet{
+		ordered: slices.Sorted(slices.Values(ids)),
+		index:   make(map[wigeonfork.BackendServerID]struct{}, len(ids)),
+	}
+	for _, id := range ids {
+		set.index[id] = struct{}{}
+	}
+	return set
+}
+
+// NewSnapshot returns the view of config with stops in force beside those
+// that config records. A stopped version takes no traffic.
+func NewSnapshot(config Config, stops []Stop) *Snapshot {
+	s := &Snapshot{
+		revision:    config.Revision,
+		deployments: make(map[DeploymentName]*resolved, len(config.Deployments)),
+		routes:      make(map[routeKey]*Route),
+		workspaces:  make(map[wigeonfork.Workspace]struct{}),
+	}
+	for i := range config.Deployments {
+		d := &config.Deployments[i]
+		s.add(d, config.Template(d.Template), stops)
+	}
+	return s
+}
+
+func (s *Snapshot) add(d *Deployment, t *Template, stops []Stop) {
+	r := &resolved{
+		deployment: *d,
+		servers:    newServerSet(d.BackendServers),
+		versions:   serving(d, stops),
+	}
+	s.deployments[d.Name] = r
+	for i := range d.Workspaces {
+		b := &d.Workspaces[i]
+		s.workspaces[b.Workspace] = struct{}{}
+		s.routes[routeKey{b.Workspace, d.Model}] = &Route{
+			Revision:      s.revision,
+			Deployment:    d.Name,
+			Workspace:     b.Workspace,
+			Model:         d.Model,
+			Versions:      r.versions,
+			Servers:       r.servers,
+			Values:        effective(t, d.Values, b.Values),
+			ChecksFencing: d.ChecksFencing,
+		}
+	}
+}
+
+// serving returns the versions of d that take traffic.
+func serving(d *Deployment, stops []Stop) []VersionShare {
+	versions := make([]VersionShare, 0, len(d.Versions))
+	for _, v := range d.Versions {
+		if v.Share > 0 && !d.Stopped(v.Version) && !stopped(stops, d.Name, v.Version) {
+			versions = append(versions, v)
+		}
+	}
+	return versions
+}
+
+func stopped(stops []Stop, name DeploymentName, version wigeonfork.Version) bool {
+	return slices.ContainsFunc(stops, func(s Stop) bool {
+		return s.Deployment == name && s.Version == version
+	})
+}
+
+// effective merges defaults, deployment values and workspace values.
+func effective(t *Template, layers ...Values) Values {
+	merged := Values{}
+	if t != nil {
+		for _, p := range t.Parameters {
+			if p.Default != nil {
+				merged[p.Name] = *p.Default
+			}
+		}
+	}
+	for _, layer := range layers {
+		for name, value := range layer {
+			merged[name] = value
+		}
+	}
+	return merged
+}
+
+// Revision returns the revision of the configuration that s shows.
+func (s *Snapshot) Revision() wigeonfork.Revision { return s.revision }
+
+// Resolve returns the route of a request, or false if no deployment serves
+// model to workspace.
+func (s *Snapshot) Resolve(workspace wigeonfork.Workspace, model wigeonfork.Model) (Route, bool) {
+	route, found := s.routes[routeKey{workspace, model}]
+	if !found {
+		return Route{}, false
+	}
+	return *route, true
+}
+
+// KnowsWorkspace tells whether any deployment serves workspace.
+func (s *Snapshot) KnowsWorkspace(workspace wigeonfork.Workspace) bool {
+	_, found := s.workspaces[workspace]
+	return found
+}
+
+// Deployment returns the deployment called name, which must not be changed.
+func (s *Snapshot) Deployment(name DeploymentName) (*Deployment, bool) {
+	r, found := s.deployments[name]
+	if !found {
+		return nil, false
+	}
+	return &r.deployment, true
+}
+
+// WithStops returns s with further stops in force. It shares all other parts.
+func (s *Snapshot) WithStops(stops []Stop) *Snapshot {
+	next := &Snapshot{
+		revision:    s.revision,
+		deployments: s.deployments,
+		routes:      make(map[routeKey]*Route, len(s.routes)),
+		workspaces:  s.workspaces,
+	}
+	for key, route := range s.routes {
+		next.routes[key] = route.without(stops)
+	}
+	return next
+}
+
+func (r *Route) without(stops []Stop) *Route {
+	hit := func(v VersionShare) bool { return stopped(stops, r.Deployment, v.Version) }
+	if !slices.ContainsFunc(r.Versions, hit) {
+		return r
+	}
+	reduced := *r
+	reduced.Versions = slices.DeleteFunc(slices.Clone(r.Versions), hit)
+	return &reduced
+}
+
+// Pick returns the version for a request whose key hashes to hash, by the
+// shares of the versions that take traffic. It returns false if none does.
+func (r *Route) Pick(hash uint64) (wigeonfork.Version, bool) {
+	var sum uint64
+	for i := range r.Versions {
+		sum += uint64(r.Versions[i].Share)
+	}
+	if sum == 0 {
+		return "", false
+	}
+	point := hash % sum
+	for i := range r.Versions {
+		share := uint64(r.Versions[i].Share)
+		if point < share {
+			return r.Versions[i].Version, true
+		}
+		point -= share
+	}
+	return "", false
+}
