Add the agent as a library

Cause: an agent is the only way to its backend server. Change: generations, single reader, drain with handover, status reports, dump. Conclusion: the entry can be built against it.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,151 @@
+// Package agent is the daemon in the slot of a backend server host as a
+// library. It is the only way to its backend server: entries reach it over
+// HTTP, peers and operators over the control connection.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/justinas/alice"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agent/command"
+	"github.com/wigeonfork/wigeonfork/agent/query"
+	"github.com/wigeonfork/wigeonfork/agent/session"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// Options describe one agent.
+type Options struct {
+	Host          wigeonfork.HostID
+	Domain        wigeonfork.FailureDomain
+	BackendServer wigeonfork.BackendServerID
+	// Engine is the model engine beside the agent; nil beside a plain service.
+	Engine backend.Engine
+	// Service is the plain service beside the agent; nil beside an engine.
+	Service     backend.Service
+	Credentials peer.Credentials
+	Log         *telemetry.Logger
+	Metrics     telemetry.Registry
+	// DrainLimit bounds the time that a leaving agent waits for its streams.
+	DrainLimit time.Duration
+}
+
+// Agent is one agent.
+type Agent struct {
+	options     Options
+	sessions    *session.Table
+	generations *command.Generations
+	status      *query.Reporter
+	control     *peer.Server
+	server      *http.Server
+	background  context.Context
+	stop        context.CancelFunc
+	wait        sync.WaitGroup
+}
+
+// reapInterval is the time between two searches for orphaned generations.
+const reapInterval = 250 * time.Millisecond
+
+// New returns an agent. It fails on options that do not fit together.
+func New(options Options) (*Agent, error) {
+	if (options.Engine == nil) == (options.Service == nil) {
+		return nil, errors.New("an agent needs either an engine or a plain service")
+	}
+	background, stop := context.WithCancel(context.Background())
+	a := &Agent{options: options, sessions: session.NewTable(), background: background, stop: stop}
+	a.generations = &command.Generations{
+		Engine:     options.Engine,
+		Table:      a.sessions,
+		Metrics:    options.Metrics,
+		Log:        options.Log,
+		Background: background,
+	}
+	a.status = query.NewReporter(query.ReporterOptions{
+		Host:          options.Host,
+		Domain:        options.Domain,
+		BackendServer: options.BackendServer,
+		Incarnation:   uuid.NewString(),
+		Engine:        options.Engine,
+		Table:         a.sessions,
+		Log:           options.Log,
+	})
+	a.control = peer.NewServer(options.Credentials)
+	a.registerControl()
+	a.server = httpserver.New(a.routes())
+	return a, nil
+}
+
+func (a *Agent) routes() http.Handler {
+	mux := http.NewServeMux()
+	if a.options.Engine != nil {
+		mux.HandleFunc("POST "+agentapi.PathGenerate, a.generations.Begin)
+		mux.HandleFunc("GET "+agentapi.PathAttach+"/{request}/{generation}", a.generations.Attach)
+		mux.HandleFunc("DELETE "+agentapi.PathAttach+"/{request}/{generation}", a.generations.Release)
+	}
+	return alice.New(httpserver.RequireBearer(a.options.Credentials.Peer)).Then(mux)
+}
+
+func (a *Agent) registerControl() {
+	peer.Handle(a.control, peer.MethodStatusSubscribe, peer.RolePeer, a.status.Subscribe)
+	peer.Handle(a.control, peer.MethodDump, peer.RoleOperator, a.status.Dump)
+	peer.Handle(a.control, peer.MethodDrain, peer.RoleOperator, a.drainOnRequest)
+}
+
+// Start serves on the two listeners until Stop. It returns at once.
+func (a *Agent) Start(serve, control net.Listener) {
+	a.spawn(func() { httpserver.Serve(a.server, serve, a.options.Log) })
+	a.spawn(func() { a.logError("control_ended", a.control.Serve(control)) })
+	a.spawn(func() { a.status.Run(a.background) })
+	a.spawn(a.reap)
+	a.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).
+		Str("backend_server", string(a.options.BackendServer)).Msg("agent_started")
+}
+
+func (a *Agent) spawn(run func()) {
+	a.wait.Add(1)
+	go func() {
+		defer a.wait.Done()
+		run()
+	}()
+}
+
+func (a *Agent) logError(event string, err error) {
+	if err != nil {
+		a.options.Log.Error().Err(err).Msg(event)
+	}
+}
+
+func (a *Agent) reap() {
+	ticker := time.NewTicker(reapInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if n := a.sessions.Reap(now); n > 0 {
+				telemetry.Counter(a.options.Metrics, "agent.orphans_cancelled").Inc(int64(n))
+			}
+		case <-a.background.Done():
+			return
+		}
+	}
+}
+
+// Stop ends the agent at once.
+func (a *Agent) Stop() {
+	a.stop()
+	a.control.Close()
+	_ = a.server.Close()
+	a.wait.Wait()
+	a.generations.Wait()
+}
--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,7 @@
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -34,12 +36,22 @@
 	Log     *telemetry.Logger
 	// Background ends when the agent stops; generations run under it.
 	Background context.Context
+
+	running sync.WaitGroup
 }
 
+// Wait returns when no generation runs any more.
+func (g *Generations) Wait() { g.running.Wait() }
+
 // Begin starts a generation and streams its frames.
 func (g *Generations) Begin(w http.ResponseWriter, r *http.Request) {
+	body, readErr := httpserver.ReadBody(w, r, agentapi.MaxBodyBytes)
+	if readErr != nil {
+		problem.Write(w, readErr)
+		return
+	}
 	var call agentapi.Generate
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, agentapi.MaxBodyBytes)).Decode(&call); err != nil {
+	if json.Unmarshal(body, &call) != nil {
 		problem.Write(w, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepDispatch, "malformed generate call"))
 		return
 	}
@@ -68,7 +80,11 @@
 		return nil, problem.New(problem.CodeConflict, problem.RunUnknown, problem.StepDispatch, "generation %d exists", call.Generation)
 	}
 	telemetry.Counter(g.Metrics, "agent.generations").Inc(1)
-	go g.produce(ctx, s, engineRequest(call))
+	g.running.Add(1)
+	go func() {
+		defer g.running.Done()
+		g.produce(ctx, s, engineRequest(call))
+	}()
 	return s, nil
 }
 
--- /dev/null
+++ b/agent/drain.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/peer"
+)
+
+// drainPoll is the time between two looks at the remaining generations.
+const drainPoll = 20 * time.Millisecond
+
+// handoverGrace is the time in which entries take up what is handed over.
+const handoverGrace = 2 * time.Second
+
+// Drain stops taking new work, waits for the generations under way up to the
+// drain limit and hands over the rest with their positions.
+func (a *Agent) Drain(ctx context.Context) {
+	a.status.SetLeaving()
+	a.sessions.CloseToNew()
+	a.options.Log.Info().Int("generations", len(a.sessions.All())).Msg("drain_started")
+	limited, cancel := context.WithTimeout(ctx, a.options.DrainLimit)
+	defer cancel()
+	a.waitForSessions(limited)
+	handed := a.handOver()
+	if handed > 0 {
+		grace, cancelGrace := context.WithTimeout(ctx, handoverGrace)
+		defer cancelGrace()
+		a.waitForSessions(grace)
+	}
+	a.options.Log.Info().Int("handed_over", handed).Msg("drain_ended")
+}
+
+func (a *Agent) waitForSessions(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for a.sessions.Unread() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// handOver ends the generations under way so that their entries go on
+// elsewhere. It returns their number.
+func (a *Agent) handOver() int {
+	handed := 0
+	for _, s := range a.sessions.All() {
+		if s.Fail(frame.FailureHandover, "", time.Now()) {
+			s.Cancel()
+			handed++
+		}
+	}
+	return handed
+}
+
+func (a *Agent) drainOnRequest(context.Context, *peer.Session, peer.None) (peer.None, error) {
+	a.spawn(func() { a.Drain(a.background) })
+	return peer.None{}, nil
+}
--- a/agent/session/session.go
+++ b/agent/session/session.go
@@ -42,6 +42,7 @@
 	message     string
 	reader      uint64
 	wake        chan struct{}
+	read        bool
 	detachedAt  time.Time
 	orphanLimit time.Duration
 	endedAt     time.Time
@@ -98,16 +99,18 @@
 	return true
 }
 
-// Fail notes that this generation yields no further token.
-func (s *Session) Fail(failure frame.Failure, message string, now time.Time) {
+// Fail notes that this generation yields no further token. It returns false if
+// the generation has ended before.
+func (s *Session) Fail(failure frame.Failure, message string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
-		return
+		return false
 	}
 	s.failure = failure
 	s.message = message
 	s.finish(now)
+	return true
 }
 
 func (s *Session) finish(now time.Time) {
@@ -188,6 +191,7 @@
 	if !s.ended {
 		return false
 	}
+	s.read = true
 	s.fillEnd(f)
 	return true
 }
--- a/agent/session/table.go
+++ b/agent/session/table.go
@@ -70,6 +70,23 @@
 	return all
 }
 
+// Unread returns the number of sessions whose end no reader has been sent.
+func (t *Table) Unread() int {
+	unread := 0
+	for _, s := range t.All() {
+		if !s.wasRead() {
+			unread++
+		}
+	}
+	return unread
+}
+
+func (s *Session) wasRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read
+}
+
 // Reap cancels sessions without a reader beyond their limit and forgets ended
 // ones. It returns the number of sessions cancelled.
 func (t *Table) Reap(now time.Time) int {
--- /dev/null
+++ b/httpserver/httpserver.go
@@ -0,0 +1,76 @@
+// Package httpserver holds what the HTTP listeners of all daemons share:
+// limits on headers and time, credentials and a graceful end.
+package httpserver
+
+import (
+	"crypto/subtle"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// Limits of every listener. Writes are bounded by the handlers, since streams
+// last for minutes.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readBodyTimeout   = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+)
+
+// New returns a server of handler with the limits of every listener.
+func New(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Serve serves until the server is closed and logs any other end.
+func Serve(server *http.Server, listener net.Listener, log *telemetry.Logger) {
+	err := server.Serve(listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		log.Error().Str("listener", listener.Addr().String()).Err(err).Msg("listener_failed")
+	}
+}
+
+// RequireBearer refuses requests without the bearer credential.
+func RequireBearer(credential string) func(http.Handler) http.Handler {
+	expected := []byte("Bearer " + credential)
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			given := []byte(r.Header.Get("Authorization"))
+			if credential == "" || subtle.ConstantTimeCompare(given, expected) != 1 {
+				problem.Write(w, problem.New(problem.CodeUnauthorized, problem.RunNot, problem.StepAccept, "credential is missing or wrong"))
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// ReadBody reads a request's body of at most limit bytes. The time to send it
+// is bounded; the time to answer is not, since streams last for minutes.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem.Error) {
+	control := http.NewResponseController(w)
+	// Recorders in tests know no deadlines; the size limit holds all the same.
+	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, problem.New(problem.CodeTooLarge, problem.RunNot, problem.StepAccept, "body has more than %d bytes", limit)
+	case err != nil:
+		return nil, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept, "body could not be read").Because(err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/peer/methods.go
@@ -0,0 +1,13 @@
+package peer
+
+// The methods that processes serve to each other and to operators.
+const (
+	// MethodStatusSubscribe asks an agent for its status now and from now on.
+	MethodStatusSubscribe = "status.subscribe"
+	// MethodStatus notifies an entry of an agent's status.
+	MethodStatus = "status"
+	// MethodDump asks a process for its state.
+	MethodDump = "state.dump"
+	// MethodDrain makes a process leave without cutting a request.
+	MethodDrain = "drain"
+)
