Add routing.Router and admission.Controller

Cause: the entry daemon needs both decisions before it can serve. Change: Router chooses by predicted time to the whole answer among a bounded sample and the believed holders of the prefix. Controller shares a capacity by class weight and workspace, with deadlines, a bounded queue, a reserve for resumes and spread retry-after times.

--- /dev/null
+++ b/admission/tick.go
@@ -0,0 +1,203 @@
+package admission
+
+import (
+	"time"
+)
+
+// Tick returns the decisions on queued requests that are due: those that can
+// start now and those that can no longer make their deadline. It is called
+// after Release and SetCapacity and at least every few tens of milliseconds.
+// The slice is valid until the next call.
+func (c *Controller) Tick(now time.Time) []Decision {
+	c.out = c.out[:0]
+	c.expire(now)
+	c.admit(now)
+	c.shed(now)
+	return c.out
+}
+
+// expire refuses the entries whose last useful start has passed.
+func (c *Controller) expire(now time.Time) {
+	for len(c.latest) > 0 && !now.Before(c.latest[0].latest) {
+		c.refuseQueued(c.latest[0])
+	}
+}
+
+func (c *Controller) refuseQueued(e *entry) {
+	reason := ReasonWait
+	if !e.request.Deadline.IsZero() && e.latest.Add(c.serviceOf(e.request)).Equal(e.request.Deadline) {
+		reason = ReasonTooLate
+	}
+	q := e.queue
+	wait := c.queueWait(q)
+	q.remove(e)
+	c.out = append(c.out, c.refuse(&e.request, reason, wait))
+	c.drop(e)
+}
+
+// admit starts queued entries while there is room: resumes first, then the
+// class with the earliest virtual time.
+func (c *Controller) admit(now time.Time) {
+	for {
+		q := c.next()
+		if q == nil {
+			return
+		}
+		e := q.pop()
+		c.start(now, q, e.request)
+		c.out = append(c.out, Decision{ID: e.request.ID, Action: Admit})
+		c.drop(e)
+	}
+}
+
+func (c *Controller) next() *classQueue {
+	if q := c.heaviestResume(); q != nil {
+		if c.canStart(q, q.peek().request.Cost) {
+			return q
+		}
+		return nil
+	}
+	var best *classQueue
+	for _, q := range c.fresh {
+		if q.count == 0 || !c.canStart(q, q.peek().request.Cost) {
+			continue
+		}
+		if best == nil || c.before(q, best) {
+			best = q
+		}
+	}
+	return best
+}
+
+// before orders classes by virtual time, and by weight where that is equal.
+func (c *Controller) before(a, b *classQueue) bool {
+	tagA, tagB := max(a.virtual, c.virtual), max(b.virtual, c.virtual)
+	if tagA != tagB {
+		return tagA < tagB
+	}
+	return c.weight(a) > c.weight(b)
+}
+
+// heaviestResume is the queue of resumes whose class weighs most.
+func (c *Controller) heaviestResume() *classQueue {
+	var best *classQueue
+	for _, q := range c.resumes {
+		if q.count == 0 {
+			continue
+		}
+		if best == nil || c.weight(q) > c.weight(best) {
+			best = q
+		}
+	}
+	return best
+}
+
+func (c *Controller) weight(q *classQueue) float64 {
+	return c.options.Policy[q.class].Weight
+}
+
+// expectedWait predicts the time that a request of q would queue.
+func (c *Controller) expectedWait(q *classQueue, req Request) time.Duration {
+	ahead := q.cost
+	if l := q.lanes[req.Workspace]; l != nil && len(q.active) > 0 {
+		ahead = min(ahead, l.cost*float64(len(q.active)))
+	}
+	return c.waitFor(q, ahead+req.Cost)
+}
+
+func (c *Controller) queueWait(q *classQueue) time.Duration {
+	return c.waitFor(q, q.cost)
+}
+
+// waitFor is the time until cost has been drained from q, behind the resumes
+// and beside the other classes that have requests queued.
+func (c *Controller) waitFor(q *classQueue, cost float64) time.Duration {
+	rate := c.drainRate()
+	if rate <= 0 {
+		return maxRetryAfter
+	}
+	if q.resume {
+		return time.Duration((c.resumesBefore(q) + cost) / rate * float64(time.Second))
+	}
+	own := c.weight(q)
+	all := own
+	for _, other := range c.fresh {
+		if other != q && other.count > 0 {
+			all += c.weight(other)
+		}
+	}
+	wait := (c.resumesBefore(nil) + cost*all/own) / rate
+	return min(maxRetryAfter, time.Duration(wait*float64(time.Second)))
+}
+
+// resumesBefore is the cost of the queued resumes that go before q.
+func (c *Controller) resumesBefore(q *classQueue) float64 {
+	var cost float64
+	for _, other := range c.resumes {
+		if q == nil || (other != q && c.weight(other) >= c.weight(q)) {
+			cost += other.cost
+		}
+	}
+	return cost
+}
+
+// drainRate is the cost that ends per second when the capacity is full.
+func (c *Controller) drainRate() float64 {
+	return c.capacity / max(c.mean, minServicePrediction).Seconds()
+}
+
+// shed refuses, from the tail of each workspace, the entries whose predicted
+// wait passes their last useful start, as after a loss of capacity.
+func (c *Controller) shed(now time.Time) {
+	for _, q := range c.fresh {
+		if q.count > 0 {
+			c.shedQueue(now, q)
+		}
+	}
+}
+
+func (c *Controller) shedQueue(now time.Time, q *classQueue) {
+	for i := len(q.active) - 1; i >= 0; i-- {
+		if i < len(q.active) {
+			c.shedLane(now, q, q.active[i])
+		}
+	}
+	q.sweep()
+}
+
+func (c *Controller) shedLane(now time.Time, q *classQueue, l *lane) {
+	for l.tail != nil {
+		ahead := min(q.cost, l.cost*float64(len(q.active)))
+		if !now.Add(c.waitFor(q, ahead)).After(l.tail.latest.Add(shedTolerance)) {
+			return
+		}
+		c.refuseQueued(l.tail)
+	}
+}
+
+const shedTolerance = 500 * time.Millisecond
+
+// refuse returns a refusal whose retry-after grows with the expected wait and
+// is spread, so that the resends do not come together.
+func (c *Controller) refuse(req *Request, reason Reason, wait time.Duration) Decision {
+	base := min(max(wait, minRetryAfter), maxRetryAfter)
+	spread := c.options.RetrySpread
+	factor := 1 - spread/2 + spread*c.random.Float64()
+	return Decision{
+		ID: req.ID, Action: Refuse, Reason: reason, Resume: req.Resume, ExpectedWait: wait,
+		RetryAfter: time.Duration(factor * float64(base)),
+	}
+}
+
+// Stats is a count of what a Controller holds.
+type Stats struct {
+	Running  int
+	Queued   int
+	Used     float64
+	Capacity float64
+}
+
+// Stats returns the present counts.
+func (c *Controller) Stats() Stats {
+	return Stats{Running: len(c.running), Queued: len(c.queued), Used: c.used, Capacity: c.capacity}
+}
--- /dev/null
+++ b/routing/choose.go
@@ -0,0 +1,253 @@
+package routing
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+const (
+	boundedLoadFactor = 1.25
+	adapterLoadTime   = 0.5 // seconds
+	defaultMaxTokens  = 512
+	sampleAttempts    = 3 // draws per wanted sample before the group is scanned
+)
+
+// candidate is one server under consideration with its predicted times.
+type candidate struct {
+	server      int32
+	outstanding float64
+	cached      uint32
+	saved       float64 // believed cached tokens, scaled by trust
+	wait        float64 // seconds to the first token
+	total       float64 // seconds to the last token
+	avoided     bool
+	probe       bool
+}
+
+var (
+	errUnknownVersion = problem.New(problem.CodeUnknownModel, problem.RunNot, problem.StepRoute, "no backend server holds the wanted version")
+	errNoServer       = problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepRoute, "no backend server is ready for the request")
+)
+
+// Choose returns the server with the least predicted time to the whole
+// answer. The error is a *problem.Error that says the request was not run; it
+// is shared and must not be changed.
+func (r *Router) Choose(now time.Time, req Request) (Decision, error) {
+	group := r.groups[Deployment{Model: req.Model, Version: req.Version}]
+	if len(group) == 0 {
+		return Decision{}, errUnknownVersion
+	}
+	r.sample = r.sample[:0]
+	r.draw(now, &req, group)
+	r.addHolders(now, &req)
+	if len(r.sample) == 0 {
+		r.scan(now, &req, group)
+	}
+	if len(r.sample) == 0 {
+		return Decision{}, errNoServer
+	}
+	best := r.best(now, &req)
+	return r.decide(now, &req, best), nil
+}
+
+// draw samples servers of group without replacement where that is cheap.
+func (r *Router) draw(now time.Time, req *Request, group []int32) {
+	if len(group) <= r.options.Choices {
+		r.scan(now, req, group)
+		return
+	}
+	for range r.options.Choices * sampleAttempts {
+		if len(r.sample) >= r.options.Choices {
+			return
+		}
+		r.consider(now, req, group[r.random.IntN(len(group))])
+	}
+}
+
+func (r *Router) scan(now time.Time, req *Request, group []int32) {
+	for _, i := range group {
+		r.consider(now, req, i)
+	}
+}
+
+// addHolders considers the servers believed to hold the longest known prefix.
+func (r *Router) addHolders(now time.Time, req *Request) {
+	if r.options.Without&TermPrefix != 0 {
+		return
+	}
+	for k := len(req.Prefixes) - 1; k >= 0; k-- {
+		entry := r.prefix.find(req.Prefixes[k].Hash)
+		if entry == nil || entry.count == 0 {
+			continue
+		}
+		entry.used = true
+		for _, h := range entry.holders[:entry.count] {
+			if r.holds(h.server, req) {
+				r.consider(now, req, h.server)
+			}
+		}
+		return
+	}
+}
+
+func (r *Router) holds(i int32, req *Request) bool {
+	for _, d := range r.servers[i].Versions {
+		if d.Model == req.Model && d.Version == req.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// consider adds a server to the sample if it may take the request.
+func (r *Router) consider(now time.Time, req *Request, i int32) {
+	s := &r.servers[i]
+	if s.state >= StateLeaving || !fits(s, req) {
+		return
+	}
+	for k := range r.sample {
+		if r.sample[k].server == i {
+			return
+		}
+	}
+	if slices.Contains(req.Exclude, s.ID) {
+		return
+	}
+	c := candidate{server: i, avoided: slices.Contains(req.Avoid, s.ID)}
+	if s.state == StateSuspect && r.options.Without&TermSuspect == 0 {
+		c.probe = now.Sub(s.probedAt) >= r.options.ProbeInterval
+	}
+	c.outstanding = s.outstanding(now, r.options.Without)
+	if r.options.Without&TermPrefix == 0 {
+		c.cached, c.saved = r.prefix.cached(now, req.Prefixes, i, r.options.CacheBelief)
+	}
+	r.sample = append(r.sample, c)
+}
+
+func fits(s *server, req *Request) bool {
+	return s.Role == "" || req.Role == "" || s.Role == req.Role
+}
+
+// best predicts the times of every candidate and returns the cheapest.
+func (r *Router) best(now time.Time, req *Request) *candidate {
+	limit := r.loadLimit()
+	answer := r.expectedTokens(now, req)
+	best, bestScore := 0, math.Inf(1)
+	for k := range r.sample {
+		c := &r.sample[k]
+		s := &r.servers[c.server]
+		if c.outstanding/s.slots() > limit {
+			c.saved = 0
+		}
+		r.predict(now, req, c, answer)
+		score := r.score(s, c)
+		if score < bestScore {
+			best, bestScore = k, score
+		}
+	}
+	return &r.sample[best]
+}
+
+// loadLimit is the relative load above which a cached prefix draws no more
+// requests to a server.
+func (r *Router) loadLimit() float64 {
+	if r.options.Without&TermBound != 0 {
+		return math.Inf(1)
+	}
+	var outstanding, slots float64
+	for k := range r.sample {
+		outstanding += r.sample[k].outstanding
+		slots += r.servers[r.sample[k].server].slots()
+	}
+	return boundedLoadFactor*(outstanding+1)/slots + 1/slots
+}
+
+func (r *Router) expectedTokens(now time.Time, req *Request) float64 {
+	limit := float64(req.MaxTokens)
+	if limit == 0 {
+		limit = defaultMaxTokens
+	}
+	fill := &r.fill[req.Class%wigeonfork.NumClasses]
+	return limit * fill.read(now, expectedFillDefault, r.options.SpeedBelief)
+}
+
+// predict fills in the times that c would need for the request.
+func (r *Router) predict(now time.Time, req *Request, c *candidate, answer float64) {
+	s := &r.servers[c.server]
+	gap, rate, service := r.speed(now, s)
+	slots := s.slots()
+	var queue float64
+	if r.options.Without&TermWait == 0 {
+		queue = math.Max(0, c.outstanding+1-slots) / slots * service
+	}
+	fresh := math.Max(0, float64(req.PromptTokens)-c.saved)
+	c.wait = s.distance(&r.options) + queue + fresh/rate + adapterTime(s, req)
+	load := c.outstanding + 1
+	if r.options.Without&TermWait != 0 {
+		load = 0
+	}
+	c.total = c.wait + answer*gap*s.slowdown(load)
+}
+
+func adapterTime(s *server, req *Request) float64 {
+	if req.Adapter == "" || slices.Contains(s.Adapters, req.Adapter) {
+		return 0
+	}
+	return adapterLoadTime
+}
+
+// speed returns the learned inter-token time, prefill rate and service time.
+func (r *Router) speed(now time.Time, s *server) (gap, rate, service float64) {
+	gap, rate, service = priorGap.Seconds(), priorPrefillRate, priorService.Seconds()
+	if r.options.Without&TermSpeed != 0 {
+		return gap, rate, service
+	}
+	half := r.options.SpeedBelief
+	gap = s.gap.read(now, gap, half)
+	rate = s.rate.read(now, rate, half)
+	service = s.service.read(now, service, half)
+	return gap, rate, service
+}
+
+// score is the predicted total time; avoided and suspect servers come after
+// all others, except that a suspect one whose probe is due comes first.
+func (r *Router) score(s *server, c *candidate) float64 {
+	score := c.total
+	if c.avoided {
+		score += time.Hour.Seconds()
+	}
+	if s.state != StateSuspect || r.options.Without&TermSuspect != 0 {
+		return score
+	}
+	if c.probe && !c.avoided {
+		return 0
+	}
+	return score*suspectMultiplier + time.Minute.Seconds()
+}
+
+func (r *Router) decide(now time.Time, req *Request, c *candidate) Decision {
+	s := &r.servers[c.server]
+	if c.probe {
+		s.probedAt = now
+	}
+	total := seconds(c.total)
+	return Decision{
+		ID:             s.ID,
+		Host:           s.Host,
+		Domain:         s.Domain,
+		ExpectedWait:   seconds(c.wait),
+		ExpectedTotal:  total,
+		CachedTokens:   c.cached,
+		Probe:          c.probe,
+		Avoided:        c.avoided,
+		MissesDeadline: !req.Deadline.IsZero() && now.Add(total).After(req.Deadline),
+	}
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/routing/prefix.go
@@ -0,0 +1,130 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+const holdersPerPrefix = 4
+
+// holder is a server believed to hold a prefix.
+type holder struct {
+	server int32
+	at     time.Time
+}
+
+type prefixEntry struct {
+	hash    uint64
+	tokens  uint32
+	count   uint8
+	used    bool
+	holders [holdersPerPrefix]holder
+}
+
+// prefixTable remembers which servers are believed to hold which prefixes. Its
+// size is fixed; a clock hand drops entries that were not used since it last
+// came by.
+type prefixTable struct {
+	index   map[uint64]int32
+	entries []prefixEntry
+	hand    int
+	limit   int
+}
+
+func newPrefixTable(limit int) prefixTable {
+	return prefixTable{index: make(map[uint64]int32), limit: limit}
+}
+
+func (t *prefixTable) find(hash uint64) *prefixEntry {
+	i, ok := t.index[hash]
+	if !ok {
+		return nil
+	}
+	return &t.entries[i]
+}
+
+func (t *prefixTable) slot() int32 {
+	if len(t.entries) < t.limit {
+		t.entries = append(t.entries, prefixEntry{})
+		return int32(len(t.entries) - 1)
+	}
+	for t.entries[t.hand].used {
+		t.entries[t.hand].used = false
+		t.hand = (t.hand + 1) % len(t.entries)
+	}
+	i := t.hand
+	t.hand = (t.hand + 1) % len(t.entries)
+	delete(t.index, t.entries[i].hash)
+	return int32(i)
+}
+
+func (t *prefixTable) add(now time.Time, p Prefix, server int32) {
+	entry := t.find(p.Hash)
+	if entry == nil {
+		i := t.slot()
+		t.entries[i] = prefixEntry{hash: p.Hash, tokens: p.Tokens}
+		t.index[p.Hash] = i
+		entry = &t.entries[i]
+	}
+	entry.used = true
+	entry.put(now, server)
+}
+
+func (e *prefixEntry) put(now time.Time, server int32) {
+	oldest := 0
+	for i := range e.holders[:e.count] {
+		if e.holders[i].server == server {
+			e.holders[i].at = now
+			return
+		}
+		if e.holders[i].at.Before(e.holders[oldest].at) {
+			oldest = i
+		}
+	}
+	if int(e.count) < holdersPerPrefix {
+		oldest = int(e.count)
+		e.count++
+	}
+	e.holders[oldest] = holder{server: server, at: now}
+}
+
+func (e *prefixEntry) drop(server int32) {
+	for i := range e.holders[:e.count] {
+		if e.holders[i].server == server {
+			e.count--
+			e.holders[i] = e.holders[e.count]
+			return
+		}
+	}
+}
+
+func (t *prefixTable) remove(hash uint64, server int32) {
+	if entry := t.find(hash); entry != nil {
+		entry.drop(server)
+	}
+}
+
+// forget drops every belief in a server, whose cache is lost.
+func (t *prefixTable) forget(server int32) {
+	for i := range t.entries {
+		t.entries[i].drop(server)
+	}
+}
+
+// cached returns the tokens of prefixes believed to be cached at a server,
+// scaled by how far the belief is trusted.
+func (t *prefixTable) cached(now time.Time, prefixes []Prefix, server int32, halfLife time.Duration) (uint32, float64) {
+	for i := len(prefixes) - 1; i >= 0; i-- {
+		entry := t.find(prefixes[i].Hash)
+		if entry == nil {
+			continue
+		}
+		for _, h := range entry.holders[:entry.count] {
+			if h.server == server {
+				trust := math.Exp2(-float64(now.Sub(h.at)) / float64(halfLife))
+				return entry.tokens, trust * float64(entry.tokens)
+			}
+		}
+	}
+	return 0, 0
+}
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,230 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+const expectedFillDefault = 0.5
+
+// Router holds what an entry believes of its backend servers.
+type Router struct {
+	options Options
+	random  *rand.Rand
+	servers []server
+	index   map[ID]int32
+	groups  map[Deployment][]int32
+	prefix  prefixTable
+	fill    [wigeonfork.NumClasses]learned // answer length as a part of MaxTokens
+	free    []int32
+	sample  []candidate
+}
+
+// New returns an empty Router.
+func New(options Options) *Router {
+	options = options.withDefaults()
+	return &Router{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
+		index:   make(map[ID]int32),
+		groups:  make(map[Deployment][]int32),
+		prefix:  newPrefixTable(options.MaxPrefixes),
+		sample:  make([]candidate, 0, options.Choices+2*holdersPerPrefix),
+	}
+}
+
+// SetServers makes servers the whole set; those not named are removed.
+func (r *Router) SetServers(servers []Server) {
+	keep := make(map[ID]bool, len(servers))
+	for i := range servers {
+		keep[servers[i].ID] = true
+		r.Upsert(servers[i])
+	}
+	for id := range r.index {
+		if !keep[id] {
+			r.Remove(id)
+		}
+	}
+}
+
+// Upsert adds a server or updates its description. What was learned of it and
+// its state are kept.
+func (r *Router) Upsert(desc Server) {
+	i, known := r.index[desc.ID]
+	if !known {
+		i = r.allocate()
+		r.servers[i] = server{}
+		r.index[desc.ID] = i
+	} else {
+		r.leaveGroups(i)
+	}
+	r.servers[i].Server = desc
+	for _, deployment := range desc.Versions {
+		r.groups[deployment] = append(r.groups[deployment], i)
+	}
+}
+
+func (r *Router) allocate() int32 {
+	if n := len(r.free); n > 0 {
+		i := r.free[n-1]
+		r.free = r.free[:n-1]
+		return i
+	}
+	r.servers = append(r.servers, server{})
+	return int32(len(r.servers) - 1)
+}
+
+// Remove forgets a server.
+func (r *Router) Remove(id ID) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	r.leaveGroups(i)
+	r.prefix.forget(i)
+	delete(r.index, id)
+	r.servers[i] = server{}
+	r.free = append(r.free, i)
+}
+
+func (r *Router) leaveGroups(i int32) {
+	for _, deployment := range r.servers[i].Versions {
+		group := r.groups[deployment]
+		for k, member := range group {
+			if member == i {
+				group[k] = group[len(group)-1]
+				group = group[:len(group)-1]
+				break
+			}
+		}
+		if len(group) == 0 {
+			delete(r.groups, deployment)
+		} else {
+			r.groups[deployment] = group
+		}
+	}
+}
+
+func (r *Router) find(id ID) *server {
+	i, ok := r.index[id]
+	if !ok {
+		return nil
+	}
+	return &r.servers[i]
+}
+
+// SetState records a server's health. Its cache is taken as lost with its
+// death.
+func (r *Router) SetState(now time.Time, id ID, state State) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	s := &r.servers[i]
+	if s.state == state {
+		return
+	}
+	s.state, s.stateAt = state, now
+	if state == StateDead {
+		r.lost(now, i)
+	}
+}
+
+// lost drops what died with an engine: its outstanding work and its cache.
+func (r *Router) lost(now time.Time, i int32) {
+	s := &r.servers[i]
+	s.others, s.prefill = 0, 0
+	s.addOwn(now, -s.own)
+	r.prefix.forget(i)
+}
+
+// Report takes in a load report. Reports older than the newest are ignored,
+// and a new incarnation empties what is believed of the cache.
+func (r *Router) Report(now time.Time, id ID, load backend.LoadReport) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	s := &r.servers[i]
+	if s.restarted != "" && load.Incarnation != s.restarted {
+		r.prefix.forget(i)
+	}
+	s.report(now, load)
+}
+
+// CacheEvent takes in a change of a server's prefix cache.
+func (r *Router) CacheEvent(now time.Time, id ID, event backend.CacheEvent) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	if event.Removed {
+		r.prefix.remove(event.Prefix, i)
+		return
+	}
+	r.prefix.add(now, Prefix{Hash: event.Prefix, Tokens: event.Tokens}, i)
+}
+
+// Started charges a server with a request that was sent to it.
+func (r *Router) Started(now time.Time, id ID, work Work) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	s := &r.servers[i]
+	s.addOwn(now, 1)
+	for _, p := range work.Prefixes {
+		r.prefix.add(now, p, i)
+	}
+}
+
+// FirstToken takes in the first token of a stream.
+func (r *Router) FirstToken(now time.Time, id ID, seen FirstToken) {
+	s := r.find(id)
+	if s == nil {
+		return
+	}
+	fresh := float64(seen.PromptTokens) - float64(seen.CachedTokens)
+	if fresh < 1 || seen.Wait <= 0 {
+		return
+	}
+	if float64(s.own) <= s.slots() {
+		s.rate.observe(now, fresh/seen.Wait.Seconds())
+	}
+}
+
+// Progress takes in the mean inter-token time of a stream over tokens tokens.
+func (r *Router) Progress(now time.Time, id ID, tokens int, gap time.Duration) {
+	s := r.find(id)
+	if s == nil || tokens <= 0 || gap <= 0 || gap > maxSaneGap {
+		return
+	}
+	n := s.outstanding(now, 0)
+	s.gap.observe(now, gap.Seconds()/s.slowdown(n))
+}
+
+// Finished takes a finished request off a server.
+func (r *Router) Finished(now time.Time, id ID, work Work, result Result) {
+	s := r.find(id)
+	if s == nil {
+		return
+	}
+	s.addOwn(now, -1)
+	if result.Duration > 0 {
+		s.service.observe(now, result.Duration.Seconds())
+	}
+	if work.MaxTokens > 0 {
+		r.fill[work.Class%wigeonfork.NumClasses].observe(now, float64(result.Tokens)/float64(work.MaxTokens))
+	}
+}
+
+// Failed takes a request off a server that did not finish it. The health of
+// the server is told apart through SetState.
+func (r *Router) Failed(now time.Time, id ID, _ Work) {
+	if s := r.find(id); s != nil {
+		s.addOwn(now, -1)
+	}
+}
--- /dev/null
+++ b/routing/router_test.go
@@ -0,0 +1,168 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+var (
+	start   = time.Unix(1_800_000_000, 0)
+	current = Deployment{Model: "m", Version: "v1"}
+)
+
+func fleet(n int) []Server {
+	servers := make([]Server, n)
+	for i := range servers {
+		servers[i] = Server{
+			ID: ID(fmt.Sprintf("b%d", i)), Host: wigeonfork.HostID(fmt.Sprintf("h%d", i)),
+			Domain:   wigeonfork.FailureDomain(fmt.Sprintf("d%d", i%3)),
+			Versions: []Deployment{current}, Slots: 8,
+		}
+	}
+	return servers
+}
+
+func newRouter(n int, options Options) *Router {
+	r := New(options)
+	r.SetServers(fleet(n))
+	return r
+}
+
+func ask() Request {
+	return Request{Model: current.Model, Version: current.Version, PromptTokens: 1000, MaxTokens: 200}
+}
+
+// spread routes n requests without ending them and counts them by server.
+func spread(r *Router, n int, req Request) map[ID]int {
+	counts := map[ID]int{}
+	for i := range n {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		d, err := r.Choose(now, req)
+		So(err, ShouldBeNil)
+		r.Started(now, d.ID, Work{Prefixes: req.Prefixes})
+		counts[d.ID]++
+	}
+	return counts
+}
+
+func TestEligibility(t *testing.T) {
+	Convey("Only ready servers that hold the version and are not excluded are chosen", t, func() {
+		r := newRouter(4, Options{})
+		r.Upsert(Server{ID: "b0", Versions: []Deployment{{Model: "m", Version: "v2"}}, Slots: 8})
+		r.SetState(start, "b1", StateLeaving)
+		req := ask()
+		req.Exclude = []ID{"b2"}
+		So(spread(r, 30, req), ShouldResemble, map[ID]int{"b3": 30})
+		r.SetState(start, "b3", StateDead)
+		_, err := r.Choose(start, req)
+		So(err, ShouldEqual, errNoServer)
+		req.Version = "v3"
+		_, err = r.Choose(start, req)
+		So(err, ShouldEqual, errUnknownVersion)
+		r.SetServers(nil)
+		_, err = r.Choose(start, ask())
+		So(err, ShouldEqual, errUnknownVersion)
+	})
+	Convey("An avoided server is chosen only when no other is left", t, func() {
+		r := newRouter(2, Options{})
+		req := ask()
+		req.Avoid = []ID{"b0"}
+		So(spread(r, 40, req), ShouldResemble, map[ID]int{"b1": 40})
+		r.SetState(start, "b1", StateDead)
+		d, err := r.Choose(start, req)
+		So(err, ShouldBeNil)
+		So(d.Avoided, ShouldBeTrue)
+	})
+}
+
+func TestLagAndSpeed(t *testing.T) {
+	Convey("A report counts the load of others once, whatever its lag", t, func() {
+		r := newRouter(1, Options{})
+		r.Started(start, "b0", Work{})
+		later := start.Add(500 * time.Millisecond)
+		r.Started(later, "b0", Work{})
+		r.Report(later.Add(100*time.Millisecond), "b0", backend.LoadReport{Running: 4, MeasuredAt: start.Add(200 * time.Millisecond)})
+		So(r.find("b0").outstanding(later, 0), ShouldEqual, 5)
+		r.Report(later.Add(200*time.Millisecond), "b0", backend.LoadReport{Running: 9, MeasuredAt: start.Add(100 * time.Millisecond)})
+		So(r.find("b0").outstanding(later, 0), ShouldEqual, 5)
+	})
+	Convey("A slow server gets less, and is tried again when what was learned is old", t, func() {
+		r := newRouter(2, Options{})
+		for i := range 20 {
+			r.Progress(start.Add(time.Duration(i)*time.Millisecond), "b0", 10, 250*time.Millisecond)
+		}
+		So(spread(r, 8, ask())["b0"], ShouldEqual, 0)
+		d, err := r.Choose(start.Add(10*time.Minute), ask())
+		So(err, ShouldBeNil)
+		So(d.ID, ShouldEqual, ID("b0"))
+	})
+	Convey("A suspect server is probed, not used", t, func() {
+		r := newRouter(3, Options{ProbeInterval: time.Second})
+		r.SetState(start, "b0", StateSuspect)
+		So(spread(r, 20, ask())["b0"], ShouldEqual, 1)
+	})
+}
+
+func TestPrefix(t *testing.T) {
+	Convey("A cached prefix draws requests until its server carries more than its share", t, func() {
+		req := ask()
+		req.Prefixes = []Prefix{{Hash: 1, Tokens: 300}, {Hash: 2, Tokens: 900}}
+		r := newRouter(6, Options{})
+		r.CacheEvent(start, "b4", backend.CacheEvent{Prefix: 2, Tokens: 900})
+		d, err := r.Choose(start, req)
+		So(err, ShouldBeNil)
+		So(d.ID, ShouldEqual, ID("b4"))
+		So(d.CachedTokens, ShouldEqual, 900)
+		bounded := spread(r, 36, req)
+		So(len(bounded), ShouldEqual, 6)
+		for _, n := range bounded {
+			So(n, ShouldBeLessThanOrEqualTo, 9)
+		}
+		r.SetState(start, "b4", StateDead)
+		r.SetState(start, "b4", StateReady)
+		d, err = r.Choose(start, req)
+		So(err, ShouldBeNil)
+		So(d.CachedTokens == 0 || d.ID != "b4", ShouldBeTrue)
+	})
+	Convey("The prefix table keeps its bound", t, func() {
+		r := newRouter(2, Options{MaxPrefixes: 100})
+		for n := range 1000 {
+			r.Started(start, "b0", Work{Prefixes: []Prefix{{Hash: uint64(n), Tokens: 10}}})
+		}
+		So(len(r.prefix.entries), ShouldEqual, 100)
+		So(len(r.prefix.index), ShouldEqual, 100)
+	})
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []struct{ known, subset int }{{100, 25}, {1000, 100}, {10000, 200}, {10000, 1000}} {
+		b.Run(fmt.Sprintf("known=%d/subset=%d", size.known, size.subset), func(b *testing.B) {
+			servers := fleet(size.known)
+			for i := size.subset; i < len(servers); i++ {
+				servers[i].Versions = []Deployment{{Model: "m", Version: wigeonfork.Version(fmt.Sprint(i % 40))}}
+			}
+			r := New(Options{})
+			r.SetServers(servers)
+			req := ask()
+			req.Prefixes = []Prefix{{Hash: 1, Tokens: 300}, {Hash: 2, Tokens: 900}}
+			req.Exclude = []ID{"b1"}
+			for i := range size.subset {
+				id := servers[i].ID
+				r.Progress(start, id, 10, time.Duration(20+i%40)*time.Millisecond)
+				r.Started(start, id, Work{Prefixes: req.Prefixes})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if _, err := r.Choose(start, req); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/server.go
@@ -0,0 +1,149 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+const (
+	priorGap          = 25 * time.Millisecond
+	priorPrefillRate  = 4000.0 // tokens per second
+	priorService      = 5 * time.Second
+	priorSlots        = 16
+	otherDomainTrip   = time.Millisecond
+	sampleWeight      = 0.2
+	historyLength     = 16
+	historyStep       = 100 * time.Millisecond
+	maxBatchSlowdown  = 1.0 // growth of the inter-token time from an empty to a full batch
+	maxSaneGap        = time.Minute
+	reportValidity    = 10 * time.Second
+	suspectMultiplier = 8.0
+)
+
+// learned is an exponentially weighted mean that drifts back to a prior while
+// it is not confirmed.
+type learned struct {
+	value float64
+	at    time.Time
+}
+
+func (l *learned) observe(now time.Time, sample float64) {
+	if l.at.IsZero() {
+		l.value = sample
+	} else {
+		l.value += sampleWeight * (sample - l.value)
+	}
+	l.at = now
+}
+
+func (l *learned) read(now time.Time, prior float64, halfLife time.Duration) float64 {
+	if l.at.IsZero() {
+		return prior
+	}
+	age := now.Sub(l.at)
+	if age < halfLife/8 {
+		return l.value
+	}
+	trust := math.Exp2(-float64(age) / float64(halfLife))
+	return prior + trust*(l.value-prior)
+}
+
+// server is the router's record of one backend server.
+type server struct {
+	Server
+	state     State
+	stateAt   time.Time
+	probedAt  time.Time
+	own       int
+	prefill   float64 // own prompt tokens that are not yet prefilled
+	others    float64 // requests of other entries, from the last report
+	reportAt  time.Time
+	gap       learned // inter-token time in an empty batch, seconds
+	rate      learned // prefill tokens per second
+	service   learned // duration of a request, seconds
+	history   [historyLength]uint16
+	historyAt int64 // step of the newest sample in history
+	restarted string
+}
+
+func (s *server) slots() float64 {
+	if s.Slots > 0 {
+		return float64(s.Slots)
+	}
+	return priorSlots
+}
+
+// outstanding estimates the requests at the server, own and foreign.
+func (s *server) outstanding(now time.Time, without Term) float64 {
+	n := float64(s.own)
+	if without&TermReports != 0 || s.reportAt.IsZero() {
+		return n
+	}
+	if now.Sub(s.reportAt) > reportValidity {
+		return n + s.others/2
+	}
+	return n + s.others
+}
+
+// record keeps the count of own requests over time, so that a lagging report
+// can be compared with the count at the time of its measurement.
+func (s *server) record(now time.Time) {
+	step := now.UnixNano() / int64(historyStep)
+	if step-s.historyAt > historyLength {
+		s.historyAt = step - historyLength
+	}
+	last := s.history[((s.historyAt%historyLength)+historyLength)%historyLength]
+	for s.historyAt < step {
+		s.historyAt++
+		s.history[s.historyAt%historyLength] = last
+	}
+}
+
+func (s *server) addOwn(now time.Time, delta int) {
+	s.record(now)
+	s.own = max(0, s.own+delta)
+	s.history[((s.historyAt%historyLength)+historyLength)%historyLength] = uint16(min(s.own, math.MaxUint16))
+}
+
+// ownAt returns the count of own requests at a time in the recent past.
+func (s *server) ownAt(now, then time.Time) int {
+	s.record(now)
+	step := then.UnixNano() / int64(historyStep)
+	step = min(max(step, s.historyAt-historyLength+1), s.historyAt)
+	return int(s.history[((step%historyLength)+historyLength)%historyLength])
+}
+
+func (s *server) report(now time.Time, load backend.LoadReport) {
+	if !s.reportAt.IsZero() && load.MeasuredAt.Before(s.reportAt) {
+		return
+	}
+	if load.Slots > 0 {
+		s.Slots = load.Slots
+	}
+	if load.Incarnation != s.restarted {
+		s.restarted = load.Incarnation
+	}
+	total := load.Running + load.Waiting
+	s.others = math.Max(0, float64(total-s.ownAt(now, load.MeasuredAt)))
+	s.reportAt = load.MeasuredAt
+}
+
+// slowdown is the growth of the inter-token time in a batch of n requests.
+func (s *server) slowdown(n float64) float64 {
+	return 1 + maxBatchSlowdown*math.Min(1, n/s.slots())
+}
+
+func (s *server) distance(o *Options) float64 {
+	if o.Without&TermDomain != 0 {
+		return 0
+	}
+	if s.RoundTrip > 0 {
+		return s.RoundTrip.Seconds()
+	}
+	if s.Domain == o.Domain {
+		return 0
+	}
+	return otherDomainTrip.Seconds()
+}
