Add the interface of at-most-once actions and the agent's ledger

Cause: calls to plain services may not be repeated; entries and agents need the types and seams to run them at most once.

--- /dev/null
+++ b/action/fakes_test.go
@@ -0,0 +1,134 @@
+package action
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// fault tells how a fake service fails one access.
+type fault int
+
+const (
+	faultNone fault = iota
+	// faultRefused: not done, and known to be.
+	faultRefused
+	// faultLostBefore: not done, but the caller can not know.
+	faultLostBefore
+	// faultLostAfter: done, but the answer is lost.
+	faultLostAfter
+)
+
+var errInjected = errors.New("injected")
+
+// fakeTable is a table in memory whose accesses fail as fail says.
+type fakeTable struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	outcomes map[string]platform.Commit
+	revision platform.Revision
+	commits  int
+	gets     int
+	// fail is asked with the mutex held.
+	fail func(operation string) fault
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]platform.Row{}, outcomes: map[string]platform.Commit{}}
+}
+
+func (t *fakeTable) fault(operation string) fault {
+	if t.fail == nil {
+		return faultNone
+	}
+	return t.fail(operation)
+}
+
+func injected(f fault, operation string) error {
+	outcome := platform.OutcomeUnknown
+	if f == faultRefused {
+		outcome = platform.OutcomeNotDone
+	}
+	return platform.NewError(outcome, operation, "table", errInjected)
+}
+
+func (t *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gets++
+	if f := t.fault("get"); f != faultNone {
+		return platform.Row{}, injected(f, "get")
+	}
+	row := t.rows[key]
+	row.Key = key
+	return row, nil
+}
+
+func (t *fakeTable) Scan(_ context.Context, query platform.ScanQuery) (platform.Page, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f := t.fault("scan"); f != faultNone {
+		return platform.Page{}, injected(f, "scan")
+	}
+	var keys []string
+	for key := range t.rows {
+		if strings.HasPrefix(key, query.Prefix) && key >= query.From {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	page := platform.Page{Revision: t.revision}
+	for _, key := range keys {
+		if len(page.Rows) == query.Limit {
+			page.Next = key
+			break
+		}
+		page.Rows = append(page.Rows, t.rows[key])
+	}
+	return page, nil
+}
+
+func (t *fakeTable) Commit(_ context.Context, tx platform.Transaction) (platform.Commit, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	f := t.fault("commit")
+	if f == faultRefused || f == faultLostBefore {
+		return platform.Commit{}, injected(f, "commit")
+	}
+	commit := t.apply(tx)
+	if f == faultLostAfter {
+		return platform.Commit{}, injected(f, "commit")
+	}
+	return commit, nil
+}
+
+func (t *fakeTable) apply(tx platform.Transaction) platform.Commit {
+	if past, ok := t.outcomes[tx.OperationID]; ok {
+		return past
+	}
+	var commit platform.Commit
+	for _, condition := range tx.Conditions {
+		if row := t.rows[condition.Key]; row.Revision != condition.Revision {
+			row.Key = condition.Key
+			commit.Conflicts = append(commit.Conflicts, row)
+		}
+	}
+	if len(commit.Conflicts) == 0 {
+		t.revision++
+		commit = platform.Commit{Applied: true, Revision: t.revision}
+		for _, write := range tx.Writes {
+			if write.Delete {
+				delete(t.rows, write.Key)
+				continue
+			}
+			t.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Revision: t.revision}
+		}
+	}
+	t.outcomes[tx.OperationID] = commit
+	return commit
+}
--- /dev/null
+++ b/action/key.go
@@ -0,0 +1,68 @@
+package action
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+// Key is an idempotency key: a UUIDv7 in its canonical lower-case form. It
+// carries its issue time, so that a key older than the retention is told from
+// a new one after its row is gone.
+type Key string
+
+// ErrBadKey is the cause of an error about a key that is not a UUIDv7.
+var ErrBadKey = errors.New("idempotency key is not a UUID of version 7")
+
+const (
+	uuidTextLength      = 36
+	uuidTimestampBytes  = 6
+	uuidVersion7        = 7
+	bitsPerByte         = 8
+	uint64Bytes         = 8
+	timestampShiftBytes = uint64Bytes - uuidTimestampBytes
+)
+
+// NewKey returns a new key issued at now, with millisecond resolution.
+func NewKey(now time.Time) (Key, error) {
+	id, err := uuid.NewRandomFromReader(rand.Reader)
+	if err != nil {
+		return "", errors.Wrap(err, "generate key")
+	}
+	var stamp [uint64Bytes]byte
+	binary.BigEndian.PutUint64(stamp[:], uint64(now.UnixMilli())<<(timestampShiftBytes*bitsPerByte))
+	copy(id[:uuidTimestampBytes], stamp[:uuidTimestampBytes])
+	id[uuidTimestampBytes] = id[uuidTimestampBytes]&0x0f | uuidVersion7<<4
+	return Key(id.String()), nil
+}
+
+// ParseKey returns the key that text holds. Letter case does not matter; any
+// other spelling than the canonical one fails with ErrBadKey, so that one key
+// has one row.
+func ParseKey(text string) (Key, error) {
+	if len(text) != uuidTextLength {
+		return "", ErrBadKey
+	}
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return "", errors.Mark(err, ErrBadKey)
+	}
+	if id.Version() != uuidVersion7 || id.Variant() != uuid.RFC4122 {
+		return "", ErrBadKey
+	}
+	return Key(id.String()), nil
+}
+
+// IssuedAt returns the issue time of k, or the zero time if k is malformed.
+func (k Key) IssuedAt() time.Time {
+	id, err := uuid.Parse(string(k))
+	if err != nil {
+		return time.Time{}
+	}
+	var stamp [uint64Bytes]byte
+	copy(stamp[timestampShiftBytes:], id[:uuidTimestampBytes])
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(stamp[:])))
+}
--- /dev/null
+++ b/action/ledger/command.go
@@ -0,0 +1,177 @@
+package ledger
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+// New returns an empty Ledger.
+func New(config Config) *Ledger {
+	return &Ledger{config: config, entries: make(map[action.ClaimID]*entry)}
+}
+
+// Dispatch decides about a dispatched claim.
+func (l *Ledger) Dispatch(now time.Time, claim action.Claim) Decision {
+	l.prune(now)
+	if claim.Target.Incarnation != l.config.Incarnation {
+		return Decision{Verdict: VerdictUnknown, Reason: ReasonIncarnation}
+	}
+	if known, ok := l.entries[claim.ID]; ok {
+		return known.decision()
+	}
+	reason := l.refusal(now, claim)
+	if reason == ReasonNone {
+		l.add(&entry{state: stateRunning, claim: claim})
+		return Decision{Verdict: VerdictRun}
+	}
+	if !l.bar(now, claim) {
+		return Decision{Verdict: VerdictUnknown, Reason: reason}
+	}
+	return Decision{Verdict: VerdictNotRun, Reason: reason}
+}
+
+// refusal returns why an unseen claim is not run.
+func (l *Ledger) refusal(now time.Time, claim action.Claim) Reason {
+	switch {
+	case !now.Before(claim.Expires):
+		return ReasonExpired
+	case claim.Expires.Sub(now) > l.config.MaxWindow:
+		return ReasonWindow
+	case !claim.Expires.After(l.barredUntil):
+		return ReasonResolved
+	case l.draining:
+		return ReasonDraining
+	case l.full():
+		return ReasonFull
+	default:
+		return ReasonNone
+	}
+}
+
+// bar makes sure that an unseen claim never runs in this incarnation. It
+// returns false if that is not certain: the claim may have been forgotten, or
+// it expires too late to be remembered until then.
+func (l *Ledger) bar(now time.Time, claim action.Claim) bool {
+	if !claim.Expires.After(l.forgotten) {
+		return false
+	}
+	if !now.Before(claim.Expires) || !claim.Expires.After(l.barredUntil) {
+		return true
+	}
+	if claim.Expires.Sub(now) > l.config.MaxWindow {
+		return false
+	}
+	if len(l.entries) >= l.config.MaxClaims {
+		l.barredUntil = claim.Expires
+		return true
+	}
+	l.add(&entry{state: stateBarred, claim: claim})
+	return true
+}
+
+// Finished notes the end of a call that Dispatch said to run. A nil reply
+// stands for an outcome that is not known.
+func (l *Ledger) Finished(now time.Time, id action.ClaimID, reply *backend.Reply) {
+	known, ok := l.entries[id]
+	if !ok || known.state != stateRunning {
+		return
+	}
+	known.state = stateUnknown
+	if reply != nil {
+		known.state = stateDone
+		known.reply = *reply
+		l.replyBytes += len(reply.Body)
+	}
+	known.recordAt = now.Add(l.config.RecordDelay)
+	l.unrecorded = append(l.unrecorded, known)
+}
+
+// Resolve answers what became of a claim. A claim that was never seen is
+// barred, so that it can never run, unless the query only peeks.
+func (l *Ledger) Resolve(now time.Time, query action.ResolveQuery) action.Resolution {
+	l.prune(now)
+	if query.Incarnation != l.config.Incarnation {
+		return action.Resolution{State: action.ResolvedUnknown}
+	}
+	if known, ok := l.entries[query.ClaimID]; ok {
+		return known.resolution()
+	}
+	if !query.Expires.After(l.forgotten) {
+		return action.Resolution{State: action.ResolvedUnknown}
+	}
+	claim := action.Claim{ID: query.ClaimID, Expires: query.Expires}
+	if query.Peek || !l.bar(now, claim) {
+		return action.Resolution{State: action.ResolvedUnseen}
+	}
+	return action.Resolution{State: action.ResolvedNotRun}
+}
+
+// Recorded notes that the outcomes of claims are in the table. They are
+// forgotten once the claims have expired.
+func (l *Ledger) Recorded(now time.Time, ids ...action.ClaimID) {
+	for _, id := range ids {
+		if known, ok := l.entries[id]; ok && known.ended() {
+			known.recorded = true
+		}
+	}
+	l.prune(now)
+}
+
+// Unrecorded returns up to limit outcomes that no entry has acknowledged for
+// the record delay. Each is returned again after another delay, until
+// Recorded is called for it.
+func (l *Ledger) Unrecorded(now time.Time, limit int) []Outcome {
+	var due []Outcome
+	for len(l.unrecorded) > 0 && len(due) < limit {
+		first := l.unrecorded[0]
+		if !first.recorded && now.Before(first.recordAt) {
+			break
+		}
+		l.unrecorded = l.unrecorded[1:]
+		if first.recorded {
+			continue
+		}
+		due = append(due, first.outcome())
+		first.recordAt = now.Add(l.config.RecordDelay)
+		l.unrecorded = append(l.unrecorded, first)
+	}
+	return due
+}
+
+// Drain refuses all claims that were not seen before, for the rest of this
+// incarnation.
+func (l *Ledger) Drain() { l.draining = true }
+
+// add remembers an unseen claim until it expires.
+func (l *Ledger) add(e *entry) {
+	e.forgetAt = e.claim.Expires
+	l.entries[e.claim.ID] = e
+	heap.Push(&l.expiring, e)
+}
+
+// prune forgets the claims that have expired and need no record. A running or
+// unrecorded claim is looked at again later.
+func (l *Ledger) prune(now time.Time) {
+	for len(l.expiring) > 0 && !now.Before(l.expiring[0].forgetAt) {
+		first := l.expiring[0]
+		if first.needed() {
+			first.forgetAt = now.Add(l.config.RecordDelay)
+			heap.Fix(&l.expiring, 0)
+			continue
+		}
+		heap.Pop(&l.expiring)
+		l.forget(first)
+	}
+}
+
+// forget removes an entry.
+func (l *Ledger) forget(e *entry) {
+	delete(l.entries, e.claim.ID)
+	l.replyBytes -= len(e.reply.Body)
+	if e.claim.Expires.After(l.forgotten) {
+		l.forgotten = e.claim.Expires
+	}
+}
--- /dev/null
+++ b/action/ledger/entry.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+type state int
+
+const (
+	stateRunning state = iota
+	stateDone
+	stateUnknown
+	stateBarred
+)
+
+// entry is what is known of one claim.
+type entry struct {
+	state    state
+	claim    action.Claim
+	reply    backend.Reply
+	recorded bool
+	// recordAt is when the agent next tries to record the outcome itself.
+	recordAt time.Time
+	// forgetAt is when the entry is next looked at for forgetting.
+	forgetAt time.Time
+}
+
+// decision returns the answer to another copy of a known dispatch.
+func (e *entry) decision() Decision {
+	switch e.state {
+	case stateRunning:
+		return Decision{Verdict: VerdictRunning}
+	case stateDone:
+		return Decision{Verdict: VerdictDone, Reply: e.reply}
+	case stateUnknown:
+		return Decision{Verdict: VerdictUnknown, Reason: ReasonLost}
+	default:
+		return Decision{Verdict: VerdictNotRun, Reason: ReasonResolved}
+	}
+}
+
+// resolution returns the answer to a question about a known claim.
+func (e *entry) resolution() action.Resolution {
+	switch e.state {
+	case stateRunning:
+		return action.Resolution{State: action.ResolvedRunning}
+	case stateDone:
+		return action.Resolution{State: action.ResolvedDone, Reply: e.reply}
+	case stateUnknown:
+		return action.Resolution{State: action.ResolvedUnknown}
+	default:
+		return action.Resolution{State: action.ResolvedNotRun}
+	}
+}
+
+// ended tells whether the call has ended, with a known outcome or not.
+func (e *entry) ended() bool { return e.state == stateDone || e.state == stateUnknown }
+
+// needed tells whether the entry must be kept beyond the claim's expiry.
+func (e *entry) needed() bool {
+	return e.state == stateRunning || e.ended() && !e.recorded
+}
+
+// outcome returns the end of the call.
+func (e *entry) outcome() Outcome {
+	outcome := Outcome{Claim: e.claim}
+	if e.state == stateDone {
+		reply := e.reply
+		outcome.Reply = &reply
+	}
+	return outcome
+}
+
+// expiryHeap orders entries by forgetAt.
+type expiryHeap []*entry
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].forgetAt.Before(h[j].forgetAt) }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	*h = append(*h, x.(*entry))
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/action/limits.go
@@ -0,0 +1,48 @@
+package action
+
+import "time"
+
+// Limits holds the times and sizes of the protocol.
+type Limits struct {
+	// Retention is how long a key can be used after its issue.
+	Retention time.Duration
+	// FutureTolerance is how far in the future a key's issue time may lie.
+	FutureTolerance time.Duration
+	// PruneMargin is how long a row is kept beyond Retention. It covers the
+	// difference between clocks and the longest life of a claim.
+	PruneMargin time.Duration
+	// DispatchWindow is how long a claim can be dispatched.
+	DispatchWindow time.Duration
+	// ResolveDelay is how long a claim of another entry is left alone before
+	// its agent is asked, which bars a claim that has not arrived.
+	ResolveDelay time.Duration
+	// PollInterval is the time between two questions to an agent.
+	PollInterval time.Duration
+	// StoreRetry is the time between two attempts at the table.
+	StoreRetry time.Duration
+	// StoreTimeout bounds one access to the table.
+	StoreTimeout time.Duration
+	// RecordFor is how long an entry tries to record an outcome.
+	RecordFor time.Duration
+	// RetryAfter is what a refused caller is told to wait.
+	RetryAfter time.Duration
+	// MaxReplyBytes is the largest body of a reply that is recorded.
+	MaxReplyBytes int
+}
+
+// DefaultLimits returns the limits for the users' deployments.
+func DefaultLimits() Limits {
+	return Limits{
+		Retention:       48 * time.Hour,
+		FutureTolerance: 5 * time.Minute,
+		PruneMargin:     time.Hour,
+		DispatchWindow:  2 * time.Minute,
+		ResolveDelay:    100 * time.Millisecond,
+		PollInterval:    200 * time.Millisecond,
+		StoreRetry:      100 * time.Millisecond,
+		StoreTimeout:    time.Second,
+		RecordFor:       30 * time.Second,
+		RetryAfter:      time.Second,
+		MaxReplyBytes:   64 << 10,
+	}
+}
--- /dev/null
+++ b/action/record.go
@@ -0,0 +1,101 @@
+package action
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// State is the state of an action. A key without a row is StateAbsent.
+type State string
+
+// The states of an action.
+const (
+	StateAbsent  State = "absent"
+	StateClaimed State = "claimed"
+	StateDone    State = "done"
+	StateUnknown State = "unknown"
+	StateNotRun  State = "not_run"
+)
+
+// Record is the value of an action's row.
+type Record struct {
+	State       State                `json:"state" cbor:"1,keyasint"`
+	ClaimID     ClaimID              `json:"claim_id" cbor:"2,keyasint"`
+	Fingerprint Fingerprint          `json:"fingerprint" cbor:"3,keyasint"`
+	Target      Target               `json:"target" cbor:"4,keyasint"`
+	ClaimedAt   int64                `json:"claimed_at_ns" cbor:"5,keyasint"`
+	Expires     int64                `json:"expires_ns" cbor:"6,keyasint"`
+	RequestID   wigeonfork.RequestID `json:"request_id" cbor:"7,keyasint"`
+	// Reply is set in StateDone. Its body is left out if ReplyOmitted.
+	Status       int    `json:"status,omitempty" cbor:"8,keyasint,omitempty"`
+	ContentType  string `json:"content_type,omitempty" cbor:"9,keyasint,omitempty"`
+	Body         []byte `json:"-" cbor:"10,keyasint,omitempty"`
+	ReplyOmitted bool   `json:"reply_omitted,omitempty" cbor:"11,keyasint,omitempty"`
+}
+
+// RowPrefix is the start of the keys of all rows of actions.
+const RowPrefix = "action/"
+
+// WorkspacePrefix returns the start of the keys of all rows of workspace. The
+// rows under it are in order of the issue time of their idempotency keys.
+func WorkspacePrefix(workspace wigeonfork.Workspace) string {
+	return RowPrefix + string(workspace) + "/"
+}
+
+// RowKey returns the key of the row of an action.
+func RowKey(workspace wigeonfork.Workspace, key Key) string {
+	return WorkspacePrefix(workspace) + string(key)
+}
+
+// recordOf returns the record of a claim in StateClaimed.
+func recordOf(claim Claim) Record {
+	return Record{
+		State:       StateClaimed,
+		ClaimID:     claim.ID,
+		Fingerprint: claim.Fingerprint,
+		Target:      claim.Target,
+		ClaimedAt:   claim.ClaimedAt.UnixNano(),
+		Expires:     claim.Expires.UnixNano(),
+		RequestID:   claim.RequestID,
+	}
+}
+
+// withReply returns r in StateDone with reply, whose body is left out if it
+// has more than maxBody bytes.
+func (r Record) withReply(reply backend.Reply, maxBody int) Record {
+	r.State = StateDone
+	r.Status = reply.Status
+	r.ContentType = reply.ContentType
+	r.Body = reply.Body
+	if len(reply.Body) > maxBody {
+		r.Body = nil
+		r.ReplyOmitted = true
+	}
+	return r
+}
+
+// reply returns the recorded reply.
+func (r Record) reply() backend.Reply {
+	return backend.Reply{Status: r.Status, ContentType: r.ContentType, Body: r.Body}
+}
+
+// encode returns the value of r's row.
+func (r Record) encode() ([]byte, error) {
+	value, err := cbor.Marshal(r)
+	return value, errors.Wrap(err, "encode action record")
+}
+
+// DecodeRow returns the record in row; a missing row gives StateAbsent.
+func DecodeRow(row platform.Row) (Record, error) {
+	if row.Revision == 0 || row.Deleted {
+		return Record{State: StateAbsent}, nil
+	}
+	var record Record
+	if err := cbor.Unmarshal(row.Value, &record); err != nil {
+		return Record{}, errors.Wrapf(err, "decode action record %s", row.Key)
+	}
+	return record, nil
+}
--- /dev/null
+++ b/action/request.go
@@ -0,0 +1,46 @@
+package action
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// Request asks to run Call at most once under Key.
+type Request struct {
+	Workspace wigeonfork.Workspace
+	// Key is the caller's Idempotency-Key as received.
+	Key string
+	// Call is what to run; its ClaimID is set by the coordinator.
+	Call backend.Call
+	// Target is the agent to run it at.
+	Target Target
+	// Deadline is when the caller gets its final answer at the latest.
+	Deadline  time.Time
+	RequestID wigeonfork.RequestID
+	// First states that the caller never sent this key before. Without it, a
+	// refusal while the table cannot be read does not say that the request was
+	// not run, because an earlier copy of it may have been.
+	First bool
+}
+
+// checkKey returns the parsed key of a request, or why it is refused at now.
+func checkKey(now time.Time, limits Limits, text string) (Key, *problem.Error) {
+	key, err := ParseKey(text)
+	if err != nil {
+		return "", problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept,
+			"Idempotency-Key must be a UUID of version 7").Because(err)
+	}
+	issued := key.IssuedAt()
+	if now.Sub(issued) > limits.Retention {
+		return "", problem.New(problem.CodeKeyExpired, problem.RunUnknown, problem.StepAccept,
+			"Idempotency-Key is older than %s; its outcome is no longer kept", limits.Retention)
+	}
+	if issued.Sub(now) > limits.FutureTolerance {
+		return "", problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept,
+			"Idempotency-Key is issued more than %s in the future", limits.FutureTolerance)
+	}
+	return key, nil
+}
