--- a/agent/agent.go
+++ b/agent/agent.go
@@ -91,6 +91,7 @@
 	if a.options.Engine != nil {
 		mux.HandleFunc("POST "+agentapi.PathGenerate, a.generations.Begin)
 		mux.HandleFunc("GET "+agentapi.PathAttach+"/{request}/{generation}", a.generations.Attach)
+		mux.HandleFunc("GET "+agentapi.PathAttach+"/{request}/{generation}"+agentapi.PathCall, a.generations.Call)
 		mux.HandleFunc("DELETE "+agentapi.PathAttach+"/{request}/{generation}", a.generations.Release)
 	}
 	return alice.New(httpserver.RequireBearer(a.options.Credentials.Peer)).Then(mux)
--- a/agent/command/attach.go
+++ b/agent/command/attach.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,6 +28,19 @@
 	g.stream(w, r, s, wigeonfork.Position(from))
 }
 
+// Call answers with the call that began a generation, so that another entry
+// can go on with it elsewhere.
+func (g *Generations) Call(w http.ResponseWriter, r *http.Request) {
+	s, err := g.find(r)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The entry may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(&s.Call)
+}
+
 // Release shortens the life of a generation that nobody reads.
 func (g *Generations) Release(w http.ResponseWriter, r *http.Request) {
 	s, err := g.find(r)
--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -22,9 +22,6 @@
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
-// maxOrphanLimit bounds how long a generation goes on without a reader.
-const maxOrphanLimit = 2 * time.Minute
-
 // engineResumes bounds the attempts to take up a broken engine stream.
 const engineResumes = 2
 
@@ -65,12 +62,7 @@
 
 func (g *Generations) start(call *agentapi.Generate) (*session.Session, *problem.Error) {
 	ctx, cancel := context.WithCancel(g.Background)
-	key := session.Key{RequestID: call.RequestID, Generation: call.Generation}
-	orphanLimit := min(time.Duration(call.OrphanMillis)*time.Millisecond, maxOrphanLimit)
-	s := session.New(key, call.Prefix, orphanLimit, time.Now(), cancel)
-	s.Workspace = call.Workspace
-	s.Class = call.Class
-	s.Version = call.Version
+	s := session.New(call, time.Now(), cancel)
 	switch err := g.Table.Add(s); {
 	case errors.Is(err, session.ErrClosed):
 		cancel()
--- a/agent/query/reporter.go
+++ b/agent/query/reporter.go
@@ -53,6 +53,7 @@
 			Domain:        options.Domain,
 			Incarnation:   options.Incarnation,
 			EngineUp:      options.Engine == nil,
+			Plain:         options.Engine == nil,
 		},
 		subscribers: map[*peer.Session]struct{}{},
 		changed:     make(chan struct{}, 1),
--- a/agent/session/session.go
+++ b/agent/session/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/generation"
@@ -23,12 +24,11 @@
 // Session is one generation on this agent. Its methods are safe for concurrent
 // use.
 type Session struct {
-	Key       Key
-	Workspace wigeonfork.Workspace
-	Class     wigeonfork.Class
-	Version   wigeonfork.Version
+	Key Key
 	// First is the position of the first token that this generation produces.
 	First wigeonfork.Position
+	// Call began the generation. Its prefix is in the log instead.
+	Call agentapi.Generate
 
 	cancel func()
 
@@ -48,11 +48,21 @@
 	endedAt     time.Time
 }
 
-// New returns a session whose log begins with prefix. cancel stops the
-// production of tokens.
-func New(key Key, prefix []backend.Token, orphanLimit time.Duration, now time.Time, cancel func()) *Session {
-	s := &Session{Key: key, cancel: cancel, orphanLimit: orphanLimit, detachedAt: now}
-	for _, token := range prefix {
+// maxOrphanLimit bounds how long a generation goes on without a reader.
+const maxOrphanLimit = 2 * time.Minute
+
+// New returns the session of a call, whose log begins with the call's prefix.
+// cancel stops the production of tokens.
+func New(call *agentapi.Generate, now time.Time, cancel func()) *Session {
+	s := &Session{
+		Key:         Key{RequestID: call.RequestID, Generation: call.Generation},
+		Call:        *call,
+		cancel:      cancel,
+		orphanLimit: min(time.Duration(call.OrphanMillis)*time.Millisecond, maxOrphanLimit),
+		detachedAt:  now,
+	}
+	s.Call.Prefix = nil
+	for _, token := range call.Prefix {
 		s.log.Append(token)
 	}
 	s.First = s.log.Len()
--- a/agent/session/table.go
+++ b/agent/session/table.go
@@ -145,8 +145,8 @@
 	out := Summary{
 		RequestID:  s.Key.RequestID,
 		Generation: s.Key.Generation,
-		Class:      s.Class.String(),
-		Version:    s.Version,
+		Class:      s.Call.Class.String(),
+		Version:    s.Call.Version,
 		Tokens:     s.log.Len(),
 		Attached:   s.detachedAt.IsZero(),
 		Ended:      s.ended,
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -55,6 +55,8 @@
 	// Sequence grows with each status of one incarnation.
 	Sequence uint64 `json:"sequence"`
 	Leaving  bool   `json:"leaving"`
+	// Plain tells that the backend server is a plain service.
+	Plain bool `json:"plain,omitempty"`
 	// EngineUp is false while the backend server does not answer.
 	EngineUp bool                `json:"engine_up"`
 	Load     backend.LoadReport  `json:"load"`
@@ -63,6 +65,10 @@
 	CacheEvents []backend.CacheEvent `json:"cache_events,omitempty"`
 }
 
+// PathCall is the end of the path that answers with the Generate call of a
+// generation, without its prefix.
+const PathCall = "/call"
+
 // GenerationPath returns the path of one generation.
 func GenerationPath(id wigeonfork.RequestID, g wigeonfork.Generation) string {
 	return PathAttach + "/" + url.PathEscape(string(id)) + "/" + strconv.FormatUint(uint64(g), 10)
--- a/agentapi/client.go
+++ b/agentapi/client.go
@@ -82,6 +82,21 @@
 	return c.stream(ctx, http.MethodGet, agent, path, nil)
 }
 
+// Call returns the call that began a generation, without its prefix.
+func (c *Client) Call(ctx context.Context, agent string, id wigeonfork.RequestID, g wigeonfork.Generation) (*Generate, error) {
+	path := GenerationPath(id, g) + PathCall
+	response, err := c.do(ctx, http.MethodGet, agent, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var call Generate
+	if err := json.NewDecoder(response.Body).Decode(&call); err != nil {
+		return nil, platform.NewError(platform.OutcomeNotDone, path, agent, err)
+	}
+	return &call, nil
+}
+
 // Release tells the agent that nobody reads a generation any more. It is
 // stopped after linger.
 func (c *Client) Release(ctx context.Context, agent string, id wigeonfork.RequestID, g wigeonfork.Generation, linger time.Duration) error {
--- /dev/null
+++ b/entry/command/relay.go
@@ -0,0 +1,364 @@
+package command
+
+import (
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/entry/fleet"
+	"github.com/wigeonfork/wigeonfork/entry/session"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+const (
+	// orphanLimit is how long an agent goes on with a generation that no entry
+	// reads, so that the caller can come back through another entry.
+	orphanLimit = 30 * time.Second
+	// callerLinger is the same after the caller itself went away.
+	callerLinger = 3 * time.Second
+	// configRetry is when to come back after a refusal for want of a
+	// configuration or of a version that takes traffic.
+	configRetry = time.Second
+	// backendRetry is when to come back after all backend servers failed.
+	backendRetry = 2 * time.Second
+	// placeRetryInterval is the time between two looks for a backend server
+	// for an answer that is under way.
+	placeRetryInterval = 50 * time.Millisecond
+	// placeRetryLimit bounds that search.
+	placeRetryLimit = 5 * time.Second
+	// releaseTimeout bounds the call that frees a generation.
+	releaseTimeout = time.Second
+)
+
+// sink takes an answer on its way to the caller. Its errors mean that the
+// caller is gone.
+type sink interface {
+	// deliver writes the text of the tokens before next.
+	deliver(text []byte, next wigeonfork.Position) error
+	// source tells where the tokens are held from now on.
+	source(handle string)
+	finish(r *generation.Relay) error
+	fail(err *problem.Error)
+}
+
+// Relayer relays answers from agents to callers.
+type Relayer struct {
+	Fleet   *fleet.Fleet
+	Agents  *agentapi.Client
+	Answers *session.Table
+	Sealer  *generation.Sealer
+	Limits  generation.Limits
+	Metrics telemetry.Registry
+	Log     *telemetry.Logger
+}
+
+// errCallerGone ends a relay whose caller went away.
+var errCallerGone = errors.New("caller is gone")
+
+// run is the relay of one answer.
+type run struct {
+	*Relayer
+	ctx       context.Context
+	answer    *session.Answer
+	route     template.Route
+	sink      sink
+	chat      bool
+	delivered wigeonfork.Position
+	place     *fleet.Place
+	failed    []wigeonfork.BackendServerID
+	stream    *agentapi.Stream
+	frame     frame.Frame
+	lastToken time.Time
+}
+
+// relay drives the answer to its end.
+func (r *run) relay() {
+	adopted := r.answer.Relay().Generation() > 0
+	for {
+		var err error
+		if adopted {
+			err = r.reattach()
+			adopted = false
+		}
+		if err == nil {
+			err = r.attempt()
+		}
+		if err == nil {
+			r.complete()
+			return
+		}
+		if r.ctx.Err() != nil || errors.Is(err, errCallerGone) {
+			r.abandon()
+			return
+		}
+		if final := r.goOn(err); final != nil {
+			r.answer.Fail()
+			r.sink.fail(final.For(r.answer.Call.RequestID))
+			return
+		}
+	}
+}
+
+// attempt reads the present source to its end, or begins one if there is none.
+// It returns nil when the answer is whole.
+func (r *run) attempt() error {
+	if r.stream == nil {
+		if err := r.begin(); err != nil {
+			return err
+		}
+	}
+	defer r.closeStream()
+	for {
+		if err := r.stream.Read(&r.frame); err != nil {
+			return err
+		}
+		now := time.Now()
+		verdict, interrupted := r.answer.Accept(now, &r.frame)
+		if interrupted > 0 {
+			r.noteResumed(interrupted)
+		}
+		switch verdict {
+		case generation.VerdictAppended:
+			r.noteTokens(now)
+			if err := r.deliver(); err != nil {
+				return err
+			}
+		case generation.VerdictEnd:
+			return nil
+		case generation.VerdictGap, generation.VerdictFailure:
+			return errors.Newf("source ended: %s", r.answer.Relay().Failure())
+		}
+	}
+}
+
+func (r *run) closeStream() {
+	_ = r.stream.Close()
+	r.stream = nil
+}
+
+// begin starts the next generation at a chosen backend server.
+func (r *run) begin() error {
+	now := time.Now()
+	place, err := r.choose(now)
+	if err != nil {
+		return err
+	}
+	r.place = place
+	ctx, cancel := context.WithCancel(r.ctx)
+	call := r.answer.Begin(now, place.Agent, cancel)
+	r.announce(&call)
+	r.lastToken = now
+	stream, err := r.Agents.Generate(ctx, place.Agent, &call)
+	if err != nil {
+		cancel()
+		return err
+	}
+	r.stream = stream
+	return nil
+}
+
+// choose returns a place. For an answer that is under way it waits for one; a
+// new request is refused at once.
+func (r *run) choose(now time.Time) (*fleet.Place, error) {
+	query := fleet.Query{
+		Route:     &r.route,
+		Version:   r.answer.Call.Version,
+		Class:     r.answer.Call.Class,
+		Adapter:   r.answer.Call.Adapter,
+		Prompt:    r.answer.Call.Prompt,
+		MaxTokens: r.answer.Call.MaxTokens,
+		Exclude:   r.failed,
+	}
+	giveUpAt := now.Add(placeRetryLimit)
+	for {
+		place, err := r.Fleet.Choose(now, query)
+		if err == nil || r.delivered == 0 || now.After(giveUpAt) {
+			return place, err
+		}
+		select {
+		case <-time.After(placeRetryInterval):
+			now = time.Now()
+		case <-r.ctx.Done():
+			return nil, r.ctx.Err()
+		}
+	}
+}
+
+func (r *run) announce(call *agentapi.Generate) {
+	handle, err := r.Sealer.Seal(generation.Handle{
+		RequestID:  call.RequestID,
+		Workspace:  call.Workspace,
+		Model:      call.Model,
+		Version:    call.Version,
+		Generation: call.Generation,
+		Agent:      r.answer.Agent(),
+		Chat:       r.chat,
+	})
+	if err != nil {
+		r.Log.Error().Str("step", "relay").Err(err).Msg("handle_failed")
+		return
+	}
+	r.sink.source(handle)
+}
+
+func (r *run) noteTokens(now time.Time) {
+	if r.place != nil {
+		r.Fleet.Progress(now, r.place, len(r.frame.Tokens), now.Sub(r.lastToken))
+	}
+	r.lastToken = now
+}
+
+// deliver writes what the caller does not have yet, unless more can be read
+// without blocking.
+func (r *run) deliver() error {
+	if r.stream != nil && r.stream.Buffered() {
+		return nil
+	}
+	log := r.answer.Relay().Log()
+	next := log.RuneBoundary(r.delivered)
+	if next <= r.delivered {
+		return nil
+	}
+	return r.write(log.Text(r.delivered, next), next)
+}
+
+func (r *run) write(text []byte, next wigeonfork.Position) error {
+	r.answer.Busy(time.Time{}, true)
+	err := r.sink.deliver(text, next)
+	r.answer.Busy(time.Now(), false)
+	if err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	telemetry.Counter(r.Metrics, "relay.tokens").Inc(int64(next - r.delivered))
+	r.delivered = next
+	return nil
+}
+
+// complete delivers the rest and the end.
+func (r *run) complete() {
+	relay := r.answer.Relay()
+	end := relay.Log().Len()
+	if r.delivered < end {
+		if r.write(relay.Log().Text(r.delivered, end), end) != nil {
+			return
+		}
+	}
+	if r.place != nil {
+		r.Fleet.Finished(time.Now(), r.place, uint32(end))
+	}
+	if r.sink.finish(relay) == nil {
+		telemetry.Counter(r.Metrics, "relay.completed").Inc(1)
+	}
+}
+
+// goOn decides how an interrupted answer goes on. It returns the final error
+// if it does not.
+func (r *run) goOn(cause error) *problem.Error {
+	var answered *problem.Error
+	reachable := !errors.As(cause, &answered) && platform.OutcomeOf(cause) != platform.OutcomeNotDone
+	if answered != nil && answered.Step == problem.StepRoute {
+		return r.interrupted(answered)
+	}
+	step, suspicion := r.answer.Lose(reachable)
+	r.noteLost(cause, suspicion)
+	if step == generation.StepReattach {
+		if r.reattach() == nil {
+			return nil
+		}
+		step, _ = r.answer.Lose(false)
+	}
+	r.leavePlace()
+	if step == generation.StepGiveUp {
+		return r.interrupted(nil)
+	}
+	return nil
+}
+
+// reattach takes up the same generation at the next position.
+func (r *run) reattach() error {
+	ctx, cancel := context.WithCancel(r.ctx)
+	g, from := r.answer.Reattach(time.Now(), cancel)
+	stream, err := r.Agents.Attach(ctx, r.answer.Agent(), r.answer.Call.RequestID, g, from)
+	if err != nil {
+		cancel()
+		return err
+	}
+	r.stream = stream
+	return nil
+}
+
+func (r *run) leavePlace() {
+	if r.place == nil {
+		return
+	}
+	now := time.Now()
+	r.Fleet.Failed(now, r.place)
+	r.Fleet.Suspect(now, r.place.Server)
+	if !slices.Contains(r.failed, r.place.Server) {
+		r.failed = append(r.failed, r.place.Server)
+	}
+	r.place = nil
+}
+
+// interrupted returns the final error of an answer that cannot go on. Before
+// the first attempt nothing was run.
+func (r *run) interrupted(cause *problem.Error) *problem.Error {
+	relay := r.answer.Relay()
+	if relay.Attempts() == 0 && cause != nil {
+		refusal := *cause
+		return refusal.After(backendRetry)
+	}
+	if relay.Failure() == frame.FailureRejected {
+		return problem.New(problem.CodeInvalidRequest, problem.RunUnknown, problem.StepDispatch, "backend server refused the request").At(r.answer.Agent())
+	}
+	return problem.New(problem.CodeInterrupted, problem.RunUnknown, problem.StepResume, "answer was interrupted after %d tokens and %d attempts", relay.Log().Len(), relay.Attempts()).
+		At(r.answer.Agent()).After(backendRetry)
+}
+
+func (r *run) noteLost(cause error, suspicion generation.Suspicion) {
+	telemetry.Counter(r.Metrics, "relay.losses").Inc(1)
+	failure := r.answer.Relay().Failure()
+	event := r.Log.Info().Str("request", string(r.answer.Call.RequestID)).Str("peer", r.answer.Agent()).
+		Str("failure", failure.String()).Uint32("position", uint32(r.delivered)).Uint32("suspicion", uint32(suspicion))
+	if !errors.Is(cause, io.EOF) {
+		event = event.Err(cause)
+	}
+	event.Msg("source_lost")
+}
+
+func (r *run) noteResumed(interrupted time.Duration) {
+	telemetry.Counter(r.Metrics, "relay.resumed").Inc(1)
+	telemetry.Histogram(r.Metrics, "relay.resume_ms").Update(interrupted.Milliseconds())
+	r.Log.Info().Str("request", string(r.answer.Call.RequestID)).Str("peer", r.answer.Agent()).
+		Int64("interrupted_ms", interrupted.Milliseconds()).Msg("answer_resumed")
+}
+
+// abandon frees the engine of an answer whose caller went away. The agent
+// keeps it for a moment in case the caller comes back.
+func (r *run) abandon() {
+	r.answer.Abandon()
+	telemetry.Counter(r.Metrics, "relay.abandoned").Inc(1)
+	if r.place != nil {
+		r.Fleet.Failed(time.Now(), r.place)
+	}
+	agent := r.answer.Agent()
+	if agent == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), releaseTimeout)
+	defer cancel()
+	err := r.Agents.Release(ctx, agent, r.answer.Call.RequestID, r.answer.Relay().Generation(), callerLinger)
+	if err != nil {
+		r.Log.Debug().Str("step", "relay").Str("peer", agent).Err(err).Msg("release_failed")
+	}
+}
--- /dev/null
+++ b/entry/command/request.go
@@ -0,0 +1,202 @@
+// Package command holds what changes an entry's state: accepting requests,
+// relaying answers, running actions, and leaving.
+package command
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// The headers of the callers' interface.
+const (
+	HeaderWorkspace   = "X-Workspace"
+	HeaderClass       = "X-Class"
+	HeaderRequestID   = "X-Request-Id"
+	HeaderLastEventID = "Last-Event-ID"
+)
+
+// Limits of a request for a generation.
+const (
+	maxRequestBytes  = 4 << 20
+	defaultMaxTokens = 256
+	maxMaxTokens     = 32768
+)
+
+// message is one message of a chat request.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// generationRequest is the body of a completions or chat completions request.
+type generationRequest struct {
+	Model     wigeonfork.Model `json:"model"`
+	Prompt    string           `json:"prompt"`
+	Messages  []message        `json:"messages"`
+	MaxTokens *uint32          `json:"max_tokens"`
+	Seed      *uint64          `json:"seed"`
+	Stream    bool             `json:"stream"`
+	Adapter   string           `json:"adapter"`
+}
+
+// accepted is a checked request with its route.
+type accepted struct {
+	call   agentapi.Generate
+	route  template.Route
+	stream bool
+	chat   bool
+}
+
+func badRequest(format string, args ...any) *problem.Error {
+	return problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept, format, args...)
+}
+
+// parse checks a request and resolves its route. The later steps act on the
+// route and its revision.
+func parse(w http.ResponseWriter, r *http.Request, snapshot *template.Snapshot, chat bool) (*accepted, *problem.Error) {
+	body, err := httpserver.ReadBody(w, r, maxRequestBytes)
+	if err != nil {
+		return nil, err
+	}
+	var request generationRequest
+	if len(body) == 0 {
+		return nil, badRequest("request has no body")
+	}
+	if json.Unmarshal(body, &request) != nil {
+		return nil, badRequest("body is not a JSON object of the documented shape")
+	}
+	prompt, err := request.prompt(chat)
+	if err != nil {
+		return nil, err
+	}
+	route, err := resolve(snapshot, r, request.Model)
+	if err != nil {
+		return nil, err
+	}
+	class, err := classOf(r, &route)
+	if err != nil {
+		return nil, err
+	}
+	maxTokens, err := request.maxTokens()
+	if err != nil {
+		return nil, err
+	}
+	a := &accepted{route: route, stream: request.Stream, chat: chat}
+	a.call = agentapi.Generate{
+		RequestID:    newRequestID(),
+		Workspace:    route.Workspace,
+		Class:        class,
+		Model:        request.Model,
+		Adapter:      request.Adapter,
+		Prompt:       prompt,
+		Seed:         request.seed(),
+		MaxTokens:    maxTokens,
+		OrphanMillis: orphanLimit.Milliseconds(),
+	}
+	return a, nil
+}
+
+func (r *generationRequest) prompt(chat bool) (string, *problem.Error) {
+	prompt := r.Prompt
+	if chat {
+		var text strings.Builder
+		for _, m := range r.Messages {
+			text.WriteString(m.Role + ": " + m.Content + "\n")
+		}
+		prompt = text.String()
+	}
+	if prompt == "" {
+		return "", badRequest("prompt is empty")
+	}
+	if !utf8.ValidString(prompt) {
+		return "", badRequest("prompt is not valid UTF-8")
+	}
+	return prompt, nil
+}
+
+func (r *generationRequest) maxTokens() (uint32, *problem.Error) {
+	if r.MaxTokens == nil {
+		return defaultMaxTokens, nil
+	}
+	if *r.MaxTokens == 0 || *r.MaxTokens > maxMaxTokens {
+		return 0, badRequest("max_tokens must be from 1 to %d", maxMaxTokens)
+	}
+	return *r.MaxTokens, nil
+}
+
+// seed returns the caller's seed or a random one. A continued generation uses
+// the same seed as the one before.
+func (r *generationRequest) seed() uint64 {
+	if r.Seed != nil {
+		return *r.Seed
+	}
+	var random [8]byte
+	// Read never fails; see crypto/rand.
+	_, _ = rand.Read(random[:])
+	return binary.LittleEndian.Uint64(random[:])
+}
+
+func resolve(snapshot *template.Snapshot, r *http.Request, model wigeonfork.Model) (template.Route, *problem.Error) {
+	return resolveRoute(snapshot, wigeonfork.Workspace(r.Header.Get(HeaderWorkspace)), model)
+}
+
+func resolveRoute(snapshot *template.Snapshot, workspace wigeonfork.Workspace, model wigeonfork.Model) (template.Route, *problem.Error) {
+	if snapshot == nil {
+		return template.Route{}, problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepRoute, "no configuration yet").After(configRetry)
+	}
+	if !snapshot.KnowsWorkspace(workspace) {
+		return template.Route{}, problem.New(problem.CodeUnknownWorkspace, problem.RunNot, problem.StepAccept, "workspace %q is not served", workspace)
+	}
+	route, ok := snapshot.Resolve(workspace, model)
+	if !ok {
+		return template.Route{}, problem.New(problem.CodeUnknownModel, problem.RunNot, problem.StepAccept, "model %q is not served to workspace %q", model, workspace)
+	}
+	return route, nil
+}
+
+// classOf returns the class in the request's header, else the one that the
+// deployment sets, else lookup.
+func classOf(r *http.Request, route *template.Route) (wigeonfork.Class, *problem.Error) {
+	name := r.Header.Get(HeaderClass)
+	if name == "" {
+		name = route.Values["class"].Text()
+	}
+	if name == "" {
+		return wigeonfork.ClassLookup, nil
+	}
+	class, err := wigeonfork.ParseClass(name)
+	if err != nil {
+		return class, badRequest("class %q is unknown", name)
+	}
+	return class, nil
+}
+
+func newRequestID() wigeonfork.RequestID {
+	id, err := uuid.NewV7()
+	if err != nil {
+		id = uuid.New()
+	}
+	return wigeonfork.RequestID(id.String())
+}
+
+// pickVersion chooses the version for a request by the deployment's shares.
+func pickVersion(route *template.Route, id wigeonfork.RequestID) (wigeonfork.Version, *problem.Error) {
+	version, ok := route.Pick(xxhash.Sum64String(string(id)))
+	if !ok {
+		return "", problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepRoute, "deployment %q has no version that takes traffic", route.Deployment).After(configRetry)
+	}
+	return version, nil
+}
--- /dev/null
+++ b/entry/command/serve.go
@@ -0,0 +1,112 @@
+package command
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/entry/session"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Configuration gives the snapshot in force, or nil if there is none yet.
+type Configuration interface {
+	Snapshot() *template.Snapshot
+}
+
+// Callers serves the callers' interface for generations.
+type Callers struct {
+	*Relayer
+	Configuration Configuration
+}
+
+// Completions serves a completions request.
+func (c *Callers) Completions(w http.ResponseWriter, r *http.Request) {
+	c.generate(w, r, false)
+}
+
+// ChatCompletions serves a chat completions request.
+func (c *Callers) ChatCompletions(w http.ResponseWriter, r *http.Request) {
+	c.generate(w, r, true)
+}
+
+func (c *Callers) generate(w http.ResponseWriter, r *http.Request, chat bool) {
+	request, err := parse(w, r, c.Configuration.Snapshot(), chat)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	id := request.call.RequestID
+	w.Header().Set(HeaderRequestID, string(id))
+	version, err := pickVersion(&request.route, id)
+	if err != nil {
+		problem.Write(w, err.For(id))
+		return
+	}
+	request.call.Version = version
+	telemetry.Counter(c.Metrics, "entry.requests").Inc(1)
+	answer := session.NewAnswer(request.call, c.Limits, time.Now())
+	c.serve(w, r, answer, request.route, shape{chat: chat, stream: request.stream}, 0)
+}
+
+// serve relays an answer to the caller from position from on.
+func (c *Callers) serve(w http.ResponseWriter, r *http.Request, answer *session.Answer, route template.Route, s shape, from wigeonfork.Position) {
+	if !c.Answers.Add(answer) {
+		problem.Write(w, problem.New(problem.CodeDraining, problem.RunNot, problem.StepAccept, "entry is leaving").For(answer.Call.RequestID).After(configRetry))
+		return
+	}
+	defer c.Answers.Remove(answer)
+	relay := &run{
+		Relayer:   c.Relayer,
+		ctx:       r.Context(),
+		answer:    answer,
+		route:     route,
+		chat:      s.chat,
+		sink:      newSink(w, answer, s),
+		delivered: from,
+	}
+	relay.relay()
+}
+
+// Resume goes on with an answer behind the event id that the caller has last
+// received, through whichever entry it comes.
+func (c *Callers) Resume(w http.ResponseWriter, r *http.Request) {
+	sealed, from, err := generation.ParseEventID(r.Header.Get(HeaderLastEventID))
+	if err != nil {
+		problem.Write(w, badRequest("header %s is missing or malformed", HeaderLastEventID))
+		return
+	}
+	handle, err := c.Sealer.Open(sealed)
+	if err != nil {
+		problem.Write(w, problem.New(problem.CodeUnauthorized, problem.RunNot, problem.StepResume, "resume handle is not valid"))
+		return
+	}
+	if wigeonfork.Workspace(r.Header.Get(HeaderWorkspace)) != handle.Workspace {
+		problem.Write(w, problem.New(problem.CodeUnauthorized, problem.RunNot, problem.StepResume, "resume handle belongs to another workspace"))
+		return
+	}
+	c.resume(w, r, handle, from)
+}
+
+func (c *Callers) resume(w http.ResponseWriter, r *http.Request, handle generation.Handle, from wigeonfork.Position) {
+	call, err := c.Agents.Call(r.Context(), handle.Agent, handle.RequestID, handle.Generation)
+	if err != nil {
+		c.Log.Info().Str("request", string(handle.RequestID)).Str("peer", handle.Agent).Err(err).Msg("handle_lost")
+		problem.Write(w, problem.New(problem.CodeInterrupted, problem.RunUnknown, problem.StepResume, "the tokens of this answer are no longer held; send the request again").
+			At(handle.Agent).For(handle.RequestID).After(backendRetry))
+		return
+	}
+	route, problemErr := resolveRoute(c.Configuration.Snapshot(), call.Workspace, call.Model)
+	if problemErr != nil {
+		problem.Write(w, problemErr.For(handle.RequestID))
+		return
+	}
+	w.Header().Set(HeaderRequestID, string(handle.RequestID))
+	telemetry.Counter(c.Metrics, "entry.resumes").Inc(1)
+	answer := session.NewAnswer(*call, c.Limits, time.Now())
+	answer.Adopt(time.Now(), handle.Agent, handle.Generation)
+	c.serve(w, r, answer, route, shape{chat: handle.Chat, stream: true}, from)
+}
--- /dev/null
+++ b/entry/command/sink.go
@@ -0,0 +1,210 @@
+package command
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/entry/session"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// callerWriteTimeout bounds one write to a caller. A caller that takes nothing
+// for so long counts as gone.
+const callerWriteTimeout = 20 * time.Second
+
+// shape tells the form in which the caller wants the answer.
+type shape struct {
+	chat   bool
+	stream bool
+}
+
+func newSink(w http.ResponseWriter, answer *session.Answer, s shape) sink {
+	body := bodyWriter{
+		id:      string(answer.Call.RequestID),
+		model:   string(answer.Call.Model),
+		created: answer.Began.Unix(),
+		chat:    s.chat,
+	}
+	if s.stream {
+		return &eventSink{out: w, control: http.NewResponseController(w), body: body}
+	}
+	return &wholeSink{out: w, body: body}
+}
+
+// eventSink writes an answer as server-sent events.
+type eventSink struct {
+	out     http.ResponseWriter
+	control *http.ResponseController
+	body    bodyWriter
+	handle  string
+	begun   bool
+	buf     []byte
+}
+
+func (s *eventSink) source(handle string) { s.handle = handle }
+
+func (s *eventSink) begin() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	header := s.out.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	s.out.WriteHeader(http.StatusOK)
+}
+
+func (s *eventSink) deliver(text []byte, next wigeonfork.Position) error {
+	s.begin()
+	s.buf = append(s.buf[:0], "id: "...)
+	s.buf = generation.AppendEventID(s.buf, s.handle, next)
+	s.buf = append(s.buf, "\ndata: "...)
+	s.buf = s.body.appendChunk(s.buf, text)
+	s.buf = append(s.buf, "\n\n"...)
+	return s.write()
+}
+
+func (s *eventSink) finish(r *generation.Relay) error {
+	s.begin()
+	s.buf = append(s.buf[:0], "data: "...)
+	s.buf = s.body.appendEnd(s.buf, r)
+	s.buf = append(s.buf, "\n\ndata: [DONE]\n\n"...)
+	return s.write()
+}
+
+// fail tells the error as the status if nothing is written yet, else as an
+// event.
+func (s *eventSink) fail(err *problem.Error) {
+	if !s.begun {
+		problem.Write(s.out, err)
+		return
+	}
+	s.buf = append(s.buf[:0], "event: error\ndata: "...)
+	s.buf = append(s.buf, problem.Marshal(err)...)
+	s.buf = append(s.buf, "\n\n"...)
+	// The caller may be gone; there is nobody left to tell.
+	_ = s.write()
+}
+
+func (s *eventSink) write() error {
+	// Recorders in tests know no deadlines; the write decides.
+	_ = s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	if _, err := s.out.Write(s.buf); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
+
+// wholeSink writes an answer as one JSON body.
+type wholeSink struct {
+	out  http.ResponseWriter
+	body bodyWriter
+	text []byte
+}
+
+func (s *wholeSink) source(string) {}
+
+func (s *wholeSink) deliver(text []byte, _ wigeonfork.Position) error {
+	s.text = append(s.text, text...)
+	return nil
+}
+
+func (s *wholeSink) finish(r *generation.Relay) error {
+	s.out.Header().Set("Content-Type", "application/json")
+	_, err := s.out.Write(s.body.appendWhole(nil, s.text, r))
+	return err
+}
+
+func (s *wholeSink) fail(err *problem.Error) { problem.Write(s.out, err) }
+
+// bodyWriter writes the JSON objects of the callers' interface.
+type bodyWriter struct {
+	id      string
+	model   string
+	created int64
+	chat    bool
+}
+
+func (b *bodyWriter) appendHead(buf []byte, object string) []byte {
+	buf = append(buf, `{"id":`...)
+	buf = appendJSONString(buf, []byte(b.id))
+	buf = append(buf, `,"object":"`...)
+	buf = append(buf, object...)
+	buf = append(buf, `","created":`...)
+	buf = strconv.AppendInt(buf, b.created, 10)
+	buf = append(buf, `,"model":`...)
+	return appendJSONString(buf, []byte(b.model))
+}
+
+func (b *bodyWriter) object(chunk bool) string {
+	switch {
+	case b.chat && chunk:
+		return "chat.completion.chunk"
+	case b.chat:
+		return "chat.completion"
+	default:
+		return "text_completion"
+	}
+}
+
+func (b *bodyWriter) appendChunk(buf, text []byte) []byte {
+	buf = b.appendHead(buf, b.object(true))
+	if b.chat {
+		buf = append(buf, `,"choices":[{"index":0,"delta":{"content":`...)
+		buf = appendJSONString(buf, text)
+		return append(buf, `},"finish_reason":null}]}`...)
+	}
+	buf = append(buf, `,"choices":[{"index":0,"text":`...)
+	buf = appendJSONString(buf, text)
+	return append(buf, `,"finish_reason":null}]}`...)
+}
+
+func (b *bodyWriter) appendEnd(buf []byte, r *generation.Relay) []byte {
+	buf = b.appendHead(buf, b.object(true))
+	if b.chat {
+		buf = append(buf, `,"choices":[{"index":0,"delta":{},"finish_reason":`...)
+	} else {
+		buf = append(buf, `,"choices":[{"index":0,"text":"","finish_reason":`...)
+	}
+	buf = appendStop(buf, r.Stop())
+	buf = append(buf, `}]`...)
+	return appendUsage(buf, r)
+}
+
+func (b *bodyWriter) appendWhole(buf, text []byte, r *generation.Relay) []byte {
+	buf = b.appendHead(buf, b.object(false))
+	if b.chat {
+		buf = append(buf, `,"choices":[{"index":0,"message":{"role":"assistant","content":`...)
+		buf = appendJSONString(buf, text)
+		buf = append(buf, '}')
+	} else {
+		buf = append(buf, `,"choices":[{"index":0,"text":`...)
+		buf = appendJSONString(buf, text)
+	}
+	buf = append(buf, `,"finish_reason":`...)
+	buf = appendStop(buf, r.Stop())
+	buf = append(buf, `}]`...)
+	return appendUsage(buf, r)
+}
+
+func appendStop(buf []byte, stop backend.StopReason) []byte {
+	return appendJSONString(buf, []byte(stop))
+}
+
+// appendUsage counts the whole answer, also after a resume.
+func appendUsage(buf []byte, r *generation.Relay) []byte {
+	prompt, cached, answer := r.Usage()
+	buf = append(buf, `,"usage":{"prompt_tokens":`...)
+	buf = strconv.AppendUint(buf, uint64(prompt), 10)
+	buf = append(buf, `,"completion_tokens":`...)
+	buf = strconv.AppendUint(buf, uint64(answer), 10)
+	buf = append(buf, `,"total_tokens":`...)
+	buf = strconv.AppendUint(buf, uint64(prompt)+uint64(answer), 10)
+	buf = append(buf, `,"prompt_tokens_details":{"cached_tokens":`...)
+	buf = strconv.AppendUint(buf, uint64(cached), 10)
+	return append(buf, `}}}`...)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,192 @@
+// Package entry is the daemon on an entry host as a library: callers reach it
+// over HTTP, peers and operators over the control connection.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/justinas/alice"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/entry/command"
+	"github.com/wigeonfork/wigeonfork/entry/fleet"
+	"github.com/wigeonfork/wigeonfork/entry/query"
+	"github.com/wigeonfork/wigeonfork/entry/session"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// Options describe one entry.
+type Options struct {
+	Host        wigeonfork.HostID
+	Domain      wigeonfork.FailureDomain
+	Table       platform.Table
+	Hosts       platform.HostList
+	HandleKey   []byte
+	Credentials peer.Credentials
+	Limits      generation.Limits
+	Log         *telemetry.Logger
+	Metrics     telemetry.Registry
+	// DrainLimit bounds the time that a leaving entry waits for its answers.
+	DrainLimit time.Duration
+}
+
+// Entry is one entry.
+type Entry struct {
+	options    Options
+	answers    *session.Table
+	fleet      *fleet.Fleet
+	config     *configuration
+	callers    *command.Callers
+	agents     *agentapi.Client
+	status     *query.Status
+	control    *peer.Server
+	server     *http.Server
+	background context.Context
+	stop       context.CancelFunc
+	wait       sync.WaitGroup
+}
+
+// checkInterval is the time between two searches for lost sources.
+const checkInterval = 50 * time.Millisecond
+
+// New returns an entry. It fails on a handle key that is too short.
+func New(options Options) (*Entry, error) {
+	sealer, err := generation.NewSealer(options.HandleKey)
+	if err != nil {
+		return nil, err
+	}
+	background, stop := context.WithCancel(context.Background())
+	e := &Entry{options: options, answers: session.NewTable(), background: background, stop: stop}
+	e.agents = agentapi.NewClient(options.Credentials.Peer)
+	e.fleet = fleet.New(fleet.Options{
+		Domain:  options.Domain,
+		Hosts:   options.Hosts,
+		Hello:   peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer},
+		Log:     options.Log,
+		Metrics: options.Metrics,
+	})
+	e.config = newConfiguration(options.Table, options.Log, e.fleet.Install)
+	e.callers = &command.Callers{
+		Configuration: e.config,
+		Relayer: &command.Relayer{
+			Fleet:   e.fleet,
+			Agents:  e.agents,
+			Answers: e.answers,
+			Sealer:  sealer,
+			Limits:  options.Limits,
+			Metrics: options.Metrics,
+			Log:     options.Log,
+		},
+	}
+	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Configuration: e.config}
+	e.control = peer.NewServer(options.Credentials)
+	e.registerControl()
+	e.server = httpserver.New(e.routes())
+	return e, nil
+}
+
+func (e *Entry) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.callers.Completions)
+	mux.HandleFunc("POST /v1/chat/completions", e.callers.ChatCompletions)
+	mux.HandleFunc("GET /v1/streams", e.callers.Resume)
+	mux.HandleFunc("GET /healthz", e.health)
+	return alice.New().Then(mux)
+}
+
+// health tells the balancer whether to send new callers here.
+func (e *Entry) health(w http.ResponseWriter, _ *http.Request) {
+	if e.status.Leaving() || e.config.Snapshot() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) registerControl() {
+	peer.Handle(e.control, peer.MethodDump, peer.RoleOperator, e.status.Dump)
+	peer.Handle(e.control, peer.MethodDrain, peer.RoleOperator, e.drainOnRequest)
+}
+
+// Start serves on the two listeners until Stop. It returns at once.
+func (e *Entry) Start(serve, control net.Listener) {
+	e.spawn(func() { httpserver.Serve(e.server, serve, e.options.Log) })
+	e.spawn(func() {
+		if err := e.control.Serve(control); err != nil {
+			e.options.Log.Error().Err(err).Msg("control_ended")
+		}
+	})
+	e.spawn(func() { e.fleet.Run(e.background) })
+	e.spawn(func() { e.config.run(e.background) })
+	e.spawn(e.check)
+	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
+}
+
+func (e *Entry) spawn(run func()) {
+	e.wait.Add(1)
+	go func() {
+		defer e.wait.Done()
+		run()
+	}()
+}
+
+func (e *Entry) check() {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if n := e.answers.Check(now); n > 0 {
+				telemetry.Counter(e.options.Metrics, "relay.suspects").Inc(int64(n))
+			}
+		case <-e.background.Done():
+			return
+		}
+	}
+}
+
+// drainPoll is the time between two looks at the remaining answers.
+const drainPoll = 20 * time.Millisecond
+
+// Drain stops taking new requests and waits for the answers under way up to
+// the drain limit.
+func (e *Entry) Drain(ctx context.Context) {
+	e.status.SetLeaving()
+	e.answers.CloseToNew()
+	e.options.Log.Info().Int("answers", e.answers.Len()).Msg("drain_started")
+	limited, cancel := context.WithTimeout(ctx, e.options.DrainLimit)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for e.answers.Len() > 0 && limited.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-limited.Done():
+		}
+	}
+	e.options.Log.Info().Int("unfinished", e.answers.Len()).Msg("drain_ended")
+}
+
+func (e *Entry) drainOnRequest(context.Context, *peer.Session, peer.None) (peer.None, error) {
+	e.spawn(func() { e.Drain(e.background) })
+	return peer.None{}, nil
+}
+
+// Stop ends the entry at once.
+func (e *Entry) Stop() {
+	e.stop()
+	e.control.Close()
+	_ = e.server.Close()
+	e.wait.Wait()
+	e.fleet.Wait()
+	e.agents.Close()
+}
--- /dev/null
+++ b/entry/fleet/fleet.go
@@ -0,0 +1,171 @@
+// Package fleet holds what an entry knows of the backend servers: where their
+// agents are, what they report, and which of them is to serve a request.
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/routing"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// The limits on an agent's silence.
+const (
+	suspectAfter = time.Second
+	deadAfter    = 2500 * time.Millisecond
+)
+
+// Options describe a fleet.
+type Options struct {
+	Domain wigeonfork.FailureDomain
+	Hosts  platform.HostList
+	// Hello introduces the entry to agents.
+	Hello   peer.Hello
+	Log     *telemetry.Logger
+	Metrics telemetry.Registry
+}
+
+// Fleet is safe for concurrent use. Its lock is not held over I/O.
+type Fleet struct {
+	options Options
+
+	mu       sync.Mutex
+	router   *routing.Router
+	snapshot *template.Snapshot
+	servers  map[wigeonfork.BackendServerID]*server
+
+	watchers sync.WaitGroup
+}
+
+// server is one backend server with its agent.
+type server struct {
+	host   platform.Host
+	status agentapi.Status
+	heard  time.Time
+	state  routing.State
+	stop   func()
+}
+
+// New returns an empty fleet.
+func New(options Options) *Fleet {
+	return &Fleet{
+		options: options,
+		router:  routing.New(routing.Options{Seed: xxhash.Sum64String(options.Hello.ID), Domain: options.Domain}),
+		servers: map[wigeonfork.BackendServerID]*server{},
+	}
+}
+
+// Place is where an attempt runs.
+type Place struct {
+	Server        wigeonfork.BackendServerID
+	Agent         string
+	Incarnation   string
+	ExpectedWait  time.Duration
+	work          routing.Work
+	dispatched    time.Time
+	firstTokenHad bool
+}
+
+// Query is what Choose is asked. Exclude holds servers that have failed the
+// request already.
+type Query struct {
+	Route     *template.Route
+	Version   wigeonfork.Version
+	Class     wigeonfork.Class
+	Adapter   string
+	Prompt    string
+	MaxTokens uint32
+	Exclude   []wigeonfork.BackendServerID
+}
+
+// promptBytesPerToken is the usual length of a prompt's token.
+const promptBytesPerToken = 4
+
+// Choose returns the place for a request and charges its server with it.
+// Finished or Failed must follow.
+func (f *Fleet) Choose(now time.Time, q Query) (*Place, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	promptTokens := uint32(len(q.Prompt)/promptBytesPerToken + 1)
+	decision, err := f.router.Choose(now, routing.Request{
+		Workspace:    q.Route.Workspace,
+		Model:        wigeonfork.Model(q.Route.Deployment),
+		Version:      q.Version,
+		Adapter:      q.Adapter,
+		Class:        q.Class,
+		PromptTokens: promptTokens,
+		MaxTokens:    q.MaxTokens,
+		Avoid:        q.Exclude,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s, ok := f.servers[decision.ID]
+	if !ok {
+		return nil, problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepRoute, "backend server %s has no agent", decision.ID)
+	}
+	work := routing.Work{Class: q.Class, PromptTokens: promptTokens, MaxTokens: q.MaxTokens}
+	f.router.Started(now, decision.ID, work)
+	return &Place{
+		Server:       decision.ID,
+		Agent:        s.host.ServeAddress,
+		Incarnation:  s.status.Incarnation,
+		ExpectedWait: decision.ExpectedWait,
+		work:         work,
+		dispatched:   now,
+	}, nil
+}
+
+// Progress tells of tokens that arrived from p after gap.
+func (f *Fleet) Progress(now time.Time, p *Place, tokens int, gap time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !p.firstTokenHad {
+		p.firstTokenHad = true
+		f.router.FirstToken(now, p.Server, routing.FirstToken{Wait: now.Sub(p.dispatched), PromptTokens: p.work.PromptTokens})
+		return
+	}
+	f.router.Progress(now, p.Server, tokens, gap)
+}
+
+// Finished takes a finished request off its server.
+func (f *Fleet) Finished(now time.Time, p *Place, tokens uint32) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Finished(now, p.Server, p.work, routing.Result{Tokens: tokens, Duration: now.Sub(p.dispatched)})
+}
+
+// Failed takes a request off a server that did not finish it.
+func (f *Fleet) Failed(now time.Time, p *Place) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Failed(now, p.Server, p.work)
+}
+
+// Suspect holds a server back until its next status.
+func (f *Fleet) Suspect(now time.Time, id wigeonfork.BackendServerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.servers[id]; ok && s.state == routing.StateReady {
+		f.setState(now, s, routing.StateSuspect)
+	}
+}
+
+func (f *Fleet) setState(now time.Time, s *server, state routing.State) {
+	if s.state == state {
+		return
+	}
+	s.state = state
+	f.router.SetState(now, s.host.BackendServer, state)
+	f.options.Log.Info().Str("backend_server", string(s.host.BackendServer)).
+		Str("state", state.String()).Msg("backend_server_state")
+}
--- /dev/null
+++ b/entry/fleet/query.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+// Summary is what a dump tells of a backend server.
+type Summary struct {
+	BackendServer wigeonfork.BackendServerID `json:"backend_server"`
+	Agent         string                     `json:"agent"`
+	Domain        wigeonfork.FailureDomain   `json:"failure_domain"`
+	State         string                     `json:"state"`
+	Incarnation   string                     `json:"incarnation"`
+	Versions      []backend.LoadedVersion    `json:"versions"`
+	Running       int                        `json:"running"`
+}
+
+// Summaries returns what a dump tells of all backend servers, by id.
+func (f *Fleet) Summaries() []Summary {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make([]Summary, 0, len(f.servers))
+	for id, s := range f.servers {
+		all = append(all, Summary{
+			BackendServer: id,
+			Agent:         s.host.ServeAddress,
+			Domain:        s.host.Domain,
+			State:         s.state.String(),
+			Incarnation:   s.status.Incarnation,
+			Versions:      s.status.Load.Versions,
+			Running:       s.status.Load.Running,
+		})
+	}
+	slices.SortFunc(all, func(a, b Summary) int { return cmp.Compare(a.BackendServer, b.BackendServer) })
+	return all
+}
--- /dev/null
+++ b/entry/session/answer.go
@@ -0,0 +1,150 @@
+// Package session holds the answers that an entry relays to callers.
+//
+// Lock order: Table, then Answer. Neither is held over I/O.
+package session
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/generation"
+)
+
+// Answer is one answer under way. One goroutine relays it; others only check
+// and read it.
+type Answer struct {
+	// Call is what agents are asked; Generation and Prefix change with each
+	// attempt.
+	Call  agentapi.Generate
+	Began time.Time
+
+	mu        sync.Mutex
+	relay     *generation.Relay
+	agent     string
+	busy      bool
+	detach    context.CancelFunc
+	suspicion generation.Suspicion
+	lostAt    time.Time
+}
+
+// NewAnswer returns an answer without tokens.
+func NewAnswer(call agentapi.Generate, limits generation.Limits, now time.Time) *Answer {
+	return &Answer{Call: call, Began: now, relay: generation.NewRelay(limits)}
+}
+
+// Begin starts the next generation at the agent at address and returns its
+// call. detach ends the connection when the source is held to be lost.
+func (a *Answer) Begin(now time.Time, agent string, detach context.CancelFunc) agentapi.Generate {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attach(agent, detach)
+	call := a.Call
+	call.Generation = a.relay.Begin(now)
+	call.Prefix = a.relay.Log().AppendTokens(nil, 0, int(a.relay.Log().Len()))
+	return call
+}
+
+// Adopt goes on with a generation that another entry began.
+func (a *Answer) Adopt(now time.Time, agent string, g wigeonfork.Generation) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.agent = agent
+	a.relay.Adopt(now, g)
+}
+
+// Reattach takes up the current generation again. It returns the generation
+// and the next position.
+func (a *Answer) Reattach(now time.Time, detach context.CancelFunc) (wigeonfork.Generation, wigeonfork.Position) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attach(a.agent, detach)
+	a.relay.Reattach(now)
+	return a.relay.Generation(), a.relay.Log().Len()
+}
+
+func (a *Answer) attach(agent string, detach context.CancelFunc) {
+	a.agent = agent
+	a.detach = detach
+	a.suspicion = generation.SuspicionNone
+}
+
+// Accept judges a frame; see generation.Relay. It reports the time since the
+// loss of the last source with the first frame that makes progress.
+func (a *Answer) Accept(now time.Time, f *frame.Frame) (generation.Verdict, time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	verdict := a.relay.Accept(now, f)
+	progress := verdict == generation.VerdictAppended || verdict == generation.VerdictEnd
+	if !progress || a.lostAt.IsZero() {
+		return verdict, 0
+	}
+	interrupted := now.Sub(a.lostAt)
+	a.lostAt = time.Time{}
+	return verdict, interrupted
+}
+
+// Busy notes whether the relaying goroutine writes to the caller, in which
+// time the source's silence says nothing.
+func (a *Answer) Busy(now time.Time, busy bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.busy = busy
+	if !busy {
+		a.relay.Resume(now)
+	}
+}
+
+// Check detaches the answer from a source that is held to be lost.
+func (a *Answer) Check(now time.Time) generation.Suspicion {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.busy || a.detach == nil || a.suspicion != generation.SuspicionNone {
+		return generation.SuspicionNone
+	}
+	a.suspicion = a.relay.Check(now)
+	if a.suspicion != generation.SuspicionNone {
+		a.detach()
+	}
+	return a.suspicion
+}
+
+// Lose notes that the source is lost and returns how to go on and why the
+// source was held to be lost. The time of the loss counts from the last
+// progress.
+func (a *Answer) Lose(reachable bool) (generation.NextStep, generation.Suspicion) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.lostAt.IsZero() {
+		a.lostAt = a.relay.LastProgress()
+	}
+	a.detach = nil
+	return a.relay.Lose(reachable && a.suspicion != generation.SuspicionEngineStalled), a.suspicion
+}
+
+// Fail ends the answer as failed, Abandon because the caller went away.
+func (a *Answer) Fail() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.relay.Fail()
+}
+
+// Abandon ends the answer because its caller went away.
+func (a *Answer) Abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.relay.Abandon()
+}
+
+// Relay returns the relay for reading by the goroutine that relays the answer.
+func (a *Answer) Relay() *generation.Relay { return a.relay }
+
+// Agent returns the address of the agent that holds the current generation.
+func (a *Answer) Agent() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.agent
+}
--- /dev/null
+++ b/entry/session/table.go
@@ -0,0 +1,106 @@
+package session
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/generation"
+)
+
+// Table holds the answers under way at one entry.
+type Table struct {
+	mu      sync.Mutex
+	answers map[*Answer]struct{}
+	closed  bool
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{answers: map[*Answer]struct{}{}}
+}
+
+// Add takes a new answer. It returns false if the entry is leaving.
+func (t *Table) Add(a *Answer) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.answers[a] = struct{}{}
+	return true
+}
+
+// Remove forgets an answer.
+func (t *Table) Remove(a *Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.answers, a)
+}
+
+// CloseToNew makes Add fail from now on.
+func (t *Table) CloseToNew() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+}
+
+// Len returns the number of answers under way.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.answers)
+}
+
+// All returns the answers at this moment.
+func (t *Table) All() []*Answer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]*Answer, 0, len(t.answers))
+	for a := range t.answers {
+		all = append(all, a)
+	}
+	return all
+}
+
+// Check detaches all answers from sources that are held to be lost. It returns
+// their number.
+func (t *Table) Check(now time.Time) int {
+	suspects := 0
+	for _, a := range t.All() {
+		if a.Check(now) != generation.SuspicionNone {
+			suspects++
+		}
+	}
+	return suspects
+}
+
+// Summary is what a dump tells of an answer.
+type Summary struct {
+	RequestID  wigeonfork.RequestID  `json:"request_id"`
+	Workspace  wigeonfork.Workspace  `json:"workspace"`
+	Class      string                `json:"class"`
+	Version    wigeonfork.Version    `json:"version"`
+	Generation wigeonfork.Generation `json:"generation"`
+	State      string                `json:"state"`
+	Agent      string                `json:"agent"`
+	Tokens     wigeonfork.Position   `json:"tokens"`
+	Counters   generation.Counters   `json:"counters"`
+}
+
+// Summary returns what a dump tells of a. It holds no text.
+func (a *Answer) Summary() Summary {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Summary{
+		RequestID:  a.Call.RequestID,
+		Workspace:  a.Call.Workspace,
+		Class:      a.Call.Class.String(),
+		Version:    a.Call.Version,
+		Generation: a.relay.Generation(),
+		State:      a.relay.State(),
+		Agent:      a.agent,
+		Tokens:     a.relay.Log().Len(),
+		Counters:   a.relay.Counters(),
+	}
+}
--- a/template/snapshot.go
+++ b/template/snapshot.go
@@ -215,3 +215,12 @@
 	}
 	return "", false
 }
+
+// EachServedBy calls visit for each deployment that names server.
+func (s *Snapshot) EachServedBy(server wigeonfork.BackendServerID, visit func(*Deployment)) {
+	for _, r := range s.deployments {
+		if r.servers.Contains(server) {
+			visit(&r.deployment)
+		}
+	}
+}
