Wire the daemons, the embedded system and the demo

Cause: the whole path needs processes. Change: settings, daemon, cmd programs, embedded system, demo. Conclusion: needs the stand-ins to build.

--- /dev/null
+++ b/cmd/wigeon-demo/main.go
@@ -0,0 +1,18 @@
+// Command wigeon-demo runs an entry, agents and stand-ins in one process,
+// streams an answer, kills the engine midway and shows the answer whole. It
+// exits with 0 only if it compared every token.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/wigeonfork/wigeonfork/demo"
+)
+
+func main() {
+	if err := demo.Run(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/wigeonfork-agent/main.go
@@ -0,0 +1,52 @@
+// Command wigeonfork-agent is the daemon in the slot of a backend server host:
+// the only way to that backend server.
+package main
+
+import (
+	"os"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agent"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/daemon"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/settings"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+func main() {
+	var s settings.Agent
+	os.Exit(daemon.Main("agent", &s, func(log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
+		return build(&s, log, metrics)
+	}))
+}
+
+func build(s *settings.Agent, log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
+	options := agent.Options{
+		Host:          wigeonfork.HostID(s.Host),
+		Domain:        wigeonfork.FailureDomain(s.Domain),
+		BackendServer: wigeonfork.BackendServerID(s.BackendServer),
+		Credentials:   peer.Credentials{Peer: s.PeerKey, Operator: s.OperatorKey},
+		Log:           log,
+		Metrics:       metrics,
+		DrainLimit:    s.DrainLimit,
+	}
+	if s.BackendKind == "service" {
+		options.Service = httpbackend.NewService(httpbackend.ServiceOptions{Address: s.BackendAddress})
+	} else {
+		options.Engine = httpbackend.NewEngine(httpbackend.Options{Address: s.BackendAddress, Capabilities: capabilities(s)})
+	}
+	return agent.New(options)
+}
+
+func capabilities(s *settings.Agent) backend.Capabilities {
+	return backend.Capabilities{
+		ResumeStream:   !s.Lacks("resume"),
+		ContinuePrefix: !s.Lacks("continue"),
+		Cancel:         !s.Lacks("cancel"),
+		Priority:       !s.Lacks("priority"),
+		CacheEvents:    !s.Lacks("cache-events"),
+		ChecksFencing:  !s.Lacks("fencing"),
+	}
+}
--- /dev/null
+++ b/cmd/wigeonfork-entry/main.go
@@ -0,0 +1,38 @@
+// Command wigeonfork-entry is the daemon on an entry host: it takes callers'
+// requests, routes them to backend servers and relays the answers whole.
+package main
+
+import (
+	"os"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/daemon"
+	"github.com/wigeonfork/wigeonfork/entry"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/settings"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+func main() {
+	var s settings.Entry
+	os.Exit(daemon.Main("entry", &s, func(log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
+		return build(&s, log, metrics)
+	}))
+}
+
+func build(s *settings.Entry, log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
+	return entry.New(entry.Options{
+		Host:        wigeonfork.HostID(s.Host),
+		Domain:      wigeonfork.FailureDomain(s.Domain),
+		Table:       httpplatform.NewTable(httpplatform.Options{Address: s.TableAddress}),
+		Hosts:       httpplatform.NewHostList(httpplatform.Options{Address: s.HostsAddress}),
+		HandleKey:   []byte(s.HandleKey),
+		Credentials: peer.Credentials{Peer: s.PeerKey, Operator: s.OperatorKey},
+		Limits:      generation.DefaultLimits(),
+		Log:         log,
+		Metrics:     metrics,
+		DrainLimit:  s.DrainLimit,
+	})
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,118 @@
+// Package daemon wires a process: listeners, signals, logs and metrics. The
+// programs under cmd call it with what they serve.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/settings"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// The exit codes of the daemons.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+// Service is what a process serves.
+type Service interface {
+	Start(serve, control net.Listener)
+	// Drain returns when no request is left or the drain limit is reached.
+	Drain(ctx context.Context)
+	Stop()
+}
+
+// Build makes the service of a process.
+type Build func(log *telemetry.Logger, metrics telemetry.Registry) (Service, error)
+
+// Configured is settings that hold those of every process.
+type Configured interface {
+	Validate() error
+	Shared() *settings.Process
+}
+
+// Main runs a daemon to its end and returns its exit code. SIGTERM and SIGINT
+// drain it; a second signal stops it at once.
+func Main(role string, configured Configured, build Build) int {
+	if err := settings.Parse(configured, os.Args[1:]); err != nil {
+		if settings.IsHelp(err) {
+			fmt.Println(err)
+			return ExitOK
+		}
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
+	process := configured.Shared()
+	log := telemetry.NewLogger(os.Stderr, process.LogLevel, role, process.Host)
+	if err := run(process, log, build); err != nil {
+		log.Error().Err(err).Msg("process_failed")
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+func run(process *settings.Process, log *telemetry.Logger, build Build) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	metrics := telemetry.NewRegistry()
+	service, err := build(log, metrics)
+	if err != nil {
+		return err
+	}
+	listeners, err := listen(process)
+	if err != nil {
+		return err
+	}
+	metricsServer := httpserver.New(telemetry.MetricsHandler(metrics))
+	go httpserver.Serve(metricsServer, listeners.metrics, log)
+	service.Start(listeners.serve, listeners.control)
+	announce(listeners)
+	log.Info().Str("signal", (<-signals).String()).Msg("stop_requested")
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		cancel()
+	}()
+	service.Drain(ctx)
+	service.Stop()
+	return closeServer(metricsServer)
+}
+
+func closeServer(server *http.Server) error {
+	return errors.Wrap(server.Close(), "close metrics listener")
+}
+
+type listeners struct {
+	serve, control, metrics net.Listener
+}
+
+func listen(process *settings.Process) (listeners, error) {
+	var l listeners
+	var err error
+	if l.serve, err = net.Listen("tcp", process.Listen); err != nil {
+		return l, errors.Wrap(err, "listen")
+	}
+	if l.control, err = net.Listen("tcp", process.ControlListen); err != nil {
+		return l, errors.Wrap(err, "control-listen")
+	}
+	if l.metrics, err = net.Listen("tcp", process.MetricsListen); err != nil {
+		return l, errors.Wrap(err, "metrics-listen")
+	}
+	return l, nil
+}
+
+// announce prints the addresses, since ports may be chosen by the system.
+func announce(l listeners) {
+	fmt.Printf("serve=%s control=%s metrics=%s\n", l.serve.Addr(), l.control.Addr(), l.metrics.Addr())
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,163 @@
+// Package demo streams an answer through an embedded system, kills the engine
+// midway and compares every token with the answer of an undisturbed engine.
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/embedded"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+)
+
+const (
+	engines         = 3
+	tokensPerSecond = 60
+	maxTokens       = 120
+	killAfterTokens = 30
+	seed            = 7
+	prompt          = "Summarise the ascents of the north ridge."
+	timeout         = 30 * time.Second
+)
+
+// Run runs the demo and writes what happens to out. It returns nil only if
+// every token of the answer was compared and none was missing or repeated.
+func Run(out io.Writer) error {
+	var options []engine.Options
+	for range engines {
+		options = append(options, engine.Options{TokensPerSecond: tokensPerSecond, BufferFor: time.Minute})
+	}
+	system, err := embedded.Start(embedded.Options{Engines: options})
+	if err != nil {
+		return err
+	}
+	defer system.Close()
+	fmt.Fprintf(out, "entry at http://%s with %d agents and engines; streaming %d tokens\n", system.Entries[0].Address, engines, maxTokens)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	got, err := stream(ctx, out, system)
+	if err != nil {
+		return err
+	}
+	return compare(out, got)
+}
+
+func compare(out io.Writer, got string) error {
+	expected := engine.Answer(embedded.Model, embedded.Version, prompt, seed, maxTokens)
+	var want strings.Builder
+	for _, token := range expected {
+		want.Write(token.Text)
+	}
+	if got != want.String() {
+		return errors.Newf("answer differs: got %d bytes, want %d", len(got), want.Len())
+	}
+	fmt.Fprintf(out, "whole answer: all %d tokens compared, none missing, none repeated\n", len(expected))
+	return nil
+}
+
+// chunk is what the demo reads of an event.
+type chunk struct {
+	Choices []struct {
+		Text         string `json:"text"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+	Error json.RawMessage `json:"error"`
+}
+
+func stream(ctx context.Context, out io.Writer, system *embedded.System) (string, error) {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"seed":%d,"stream":true}`, embedded.Model, prompt, maxTokens, seed)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+system.Entries[0].Address+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	request.Header.Set("X-Workspace", string(embedded.Workspace))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body)
+		return "", errors.Newf("status %d: %s", response.StatusCode, text)
+	}
+	return read(out, system, response.Body)
+}
+
+// read collects the text and kills the engine that produces it midway.
+func read(out io.Writer, system *embedded.System, body io.Reader) (string, error) {
+	var text strings.Builder
+	events := 0
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			return text.String(), nil
+		}
+		var c chunk
+		if err := json.Unmarshal(data, &c); err != nil {
+			return "", errors.Wrap(err, "decode event")
+		}
+		if len(c.Choices) == 0 {
+			return "", errors.Newf("error event: %s", c.Error)
+		}
+		text.WriteString(c.Choices[0].Text)
+		if c.Usage != nil {
+			fmt.Fprintf(out, "finish_reason=%s completion_tokens=%d\n", c.Choices[0].FinishReason, c.Usage.CompletionTokens)
+		}
+		if events++; events == killAfterTokens {
+			kill(out, system)
+		}
+	}
+	return "", errors.New("stream ended without [DONE]")
+}
+
+// kill kills the engine that runs a stream.
+func kill(out io.Writer, system *embedded.System) {
+	for i, running := range system.World.Engines {
+		if loadOf(running) > 0 {
+			fmt.Fprintf(out, "killing %s midway\n", embedded.ServerID(i))
+			running.Kill()
+			return
+		}
+	}
+}
+
+func loadOf(running *engine.Running) int {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	report, err := loadReport(ctx, running.Addr())
+	if err != nil {
+		return 0
+	}
+	return report.Running
+}
+
+func loadReport(ctx context.Context, address string) (backend.LoadReport, error) {
+	var report backend.LoadReport
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	if err != nil {
+		return report, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return report, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return report, json.NewDecoder(response.Body).Decode(&report)
+}
--- /dev/null
+++ b/embedded/embedded.go
@@ -0,0 +1,258 @@
+// Package embedded runs entries, agents and stand-ins in one process on
+// loopback, for the demo, the experiments and tests.
+package embedded
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agent"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/entry"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+	"github.com/wigeonfork/wigeonfork/standin/world"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Names of the deployment that every system starts with.
+const (
+	Workspace  wigeonfork.Workspace    = "demo"
+	Model      wigeonfork.Model        = "narrator"
+	Version    wigeonfork.Version      = "v1"
+	Deployment template.DeploymentName = "narrator"
+)
+
+// Secrets of the embedded system. They protect nothing beyond loopback.
+const (
+	peerKey     = "embedded-peer-key-0"
+	operatorKey = "embedded-operator-key-0"
+	handleKey   = "embedded-handle-key-0"
+)
+
+// failureDomains is the number of failure domains over which hosts are spread.
+const failureDomains = 3
+
+// readyTimeout bounds the time until the system serves.
+const readyTimeout = 10 * time.Second
+
+const readyPoll = 10 * time.Millisecond
+
+// Options describe a System.
+type Options struct {
+	Entries int
+	Engines []engine.Options
+	// Limits of the relays; the zero value takes the defaults.
+	Limits generation.Limits
+	Log    *telemetry.Logger
+}
+
+// System is a running system with its stand-ins.
+type System struct {
+	World   *world.World
+	Entries []*Node[*entry.Entry]
+	Agents  []*Node[*agent.Agent]
+	options Options
+}
+
+// Node is one process of the system.
+type Node[T any] struct {
+	Process T
+	Address string
+	Control string
+	Metrics telemetry.Registry
+}
+
+// Credentials returns the credentials of the embedded system.
+func Credentials() peer.Credentials {
+	return peer.Credentials{Peer: peerKey, Operator: operatorKey}
+}
+
+// Start starts a system and waits until its entries serve the deployment.
+func Start(options Options) (*System, error) {
+	if options.Log == nil {
+		options.Log = telemetry.Discard()
+	}
+	if options.Limits == (generation.Limits{}) {
+		options.Limits = generation.DefaultLimits()
+	}
+	for i := range options.Engines {
+		if options.Engines[i].Versions == nil {
+			options.Engines[i].Versions = []backend.LoadedVersion{{Model: Model, Version: Version, Ready: true}}
+		}
+	}
+	w, err := world.Start(world.Options{Engines: options.Engines})
+	if err != nil {
+		return nil, err
+	}
+	s := &System{World: w, options: options}
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start() error {
+	for i := range s.World.Engines {
+		if err := s.AddAgent(i); err != nil {
+			return err
+		}
+	}
+	if err := s.configure(); err != nil {
+		return err
+	}
+	for range max(s.options.Entries, 1) {
+		if err := s.AddEntry(); err != nil {
+			return err
+		}
+	}
+	return s.waitReady()
+}
+
+func domainOf(i int) wigeonfork.FailureDomain {
+	return wigeonfork.FailureDomain(fmt.Sprintf("domain-%d", i%failureDomains))
+}
+
+// ServerID returns the name of the backend server with engine i.
+func ServerID(i int) wigeonfork.BackendServerID {
+	return wigeonfork.BackendServerID(fmt.Sprintf("engine-%d", i))
+}
+
+// AddAgent starts an agent beside engine i.
+func (s *System) AddAgent(i int) error {
+	metrics := telemetry.NewRegistry()
+	host := wigeonfork.HostID(fmt.Sprintf("agent-%d", i))
+	a, err := agent.New(agent.Options{
+		Host:          host,
+		Domain:        domainOf(i),
+		BackendServer: ServerID(i),
+		Engine:        httpbackend.NewEngine(httpbackend.Options{Address: s.World.Engines[i].Addr(), Capabilities: allCapabilities()}),
+		Credentials:   Credentials(),
+		Log:           s.options.Log,
+		Metrics:       metrics,
+		DrainLimit:    time.Minute,
+	})
+	if err != nil {
+		return err
+	}
+	serve, control, err := listen()
+	if err != nil {
+		return err
+	}
+	a.Start(serve, control)
+	node := &Node[*agent.Agent]{Process: a, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: metrics}
+	s.Agents = append(s.Agents, node)
+	s.World.Hosts.Put(platform.Host{
+		ID: host, Role: platform.RoleAgent, State: platform.HostLive, Region: "local", Domain: domainOf(i),
+		ServeAddress: node.Address, ControlAddress: node.Control, BackendServer: ServerID(i),
+	})
+	return nil
+}
+
+func allCapabilities() backend.Capabilities {
+	return backend.Capabilities{ResumeStream: true, ContinuePrefix: true, Cancel: true, Priority: true, CacheEvents: true}
+}
+
+// AddEntry starts an entry.
+func (s *System) AddEntry() error {
+	i := len(s.Entries)
+	metrics := telemetry.NewRegistry()
+	host := wigeonfork.HostID(fmt.Sprintf("entry-%d", i))
+	e, err := entry.New(entry.Options{
+		Host:        host,
+		Domain:      domainOf(i),
+		Table:       httpplatform.NewTable(httpplatform.Options{Address: s.World.TableServer.Addr()}),
+		Hosts:       httpplatform.NewHostList(httpplatform.Options{Address: s.World.HostsServer.Addr()}),
+		HandleKey:   []byte(handleKey),
+		Credentials: Credentials(),
+		Limits:      s.options.Limits,
+		Log:         s.options.Log,
+		Metrics:     metrics,
+		DrainLimit:  time.Minute,
+	})
+	if err != nil {
+		return err
+	}
+	serve, control, err := listen()
+	if err != nil {
+		return err
+	}
+	e.Start(serve, control)
+	node := &Node[*entry.Entry]{Process: e, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: metrics}
+	s.Entries = append(s.Entries, node)
+	s.World.Hosts.Put(platform.Host{
+		ID: host, Role: platform.RoleEntry, State: platform.HostLive, Region: "local", Domain: domainOf(i),
+		ServeAddress: node.Address, ControlAddress: node.Control,
+	})
+	return nil
+}
+
+func listen() (serve, control net.Listener, err error) {
+	if serve, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, nil, errors.Wrap(err, "listen")
+	}
+	if control, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, nil, errors.Wrap(err, "listen")
+	}
+	return serve, control, nil
+}
+
+func (s *System) configure() error {
+	var servers []wigeonfork.BackendServerID
+	for i := range s.World.Engines {
+		servers = append(servers, ServerID(i))
+	}
+	config := template.Config{Revision: 1, Deployments: []template.Deployment{{
+		Name:           Deployment,
+		Model:          Model,
+		Workspaces:     []template.Binding{{Workspace: Workspace}},
+		BackendServers: servers,
+		Versions:       []template.VersionShare{{Version: Version, Share: template.WholeTraffic}},
+	}}}
+	value, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	_, err = s.World.Table.Commit(context.Background(), platform.Transaction{
+		OperationID: uuid.NewString(),
+		Writes:      []platform.Write{{Key: entry.RowConfiguration, Value: value}},
+	})
+	return err
+}
+
+func (s *System) waitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, node := range s.Entries {
+		for !node.Process.Ready(len(s.Agents)) {
+			if time.Now().After(deadline) {
+				return errors.Newf("entry at %s is not ready after %s", node.Address, readyTimeout)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+// Close stops everything.
+func (s *System) Close() {
+	for _, node := range s.Entries {
+		node.Process.Stop()
+	}
+	for _, node := range s.Agents {
+		node.Process.Stop()
+	}
+	s.World.Close()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -190,3 +190,9 @@
 	e.fleet.Wait()
 	e.agents.Close()
 }
+
+// Ready reports whether the entry has a configuration and at least servers
+// backend servers that take work.
+func (e *Entry) Ready(servers int) bool {
+	return e.config.Snapshot() != nil && e.fleet.Usable() >= servers
+}
--- a/entry/fleet/query.go
+++ b/entry/fleet/query.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/routing"
 )
 
 // Summary is what a dump tells of a backend server.
@@ -38,3 +39,16 @@
 	slices.SortFunc(all, func(a, b Summary) int { return cmp.Compare(a.BackendServer, b.BackendServer) })
 	return all
 }
+
+// Usable returns the number of backend servers that take work.
+func (f *Fleet) Usable() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usable := 0
+	for _, s := range f.servers {
+		if s.state == routing.StateReady {
+			usable++
+		}
+	}
+	return usable
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,154 @@
+// Package settings defines the settings of the daemons. Each is a flag and an
+// environment variable of the same name: --drain-limit is WIGEON_DRAIN_LIMIT.
+package settings
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Process holds the settings that all daemons share.
+type Process struct {
+	Host           string        `long:"host" env:"WIGEON_HOST" description:"name of this host" required:"true"`
+	Domain         string        `long:"failure-domain" env:"WIGEON_FAILURE_DOMAIN" description:"failure domain of this host" required:"true"`
+	Region         string        `long:"region" env:"WIGEON_REGION" description:"region of this host" default:"local"`
+	Listen         string        `long:"listen" env:"WIGEON_LISTEN" description:"IP address and port to serve on" default:"127.0.0.1:0"`
+	ControlListen  string        `long:"control-listen" env:"WIGEON_CONTROL_LISTEN" description:"IP address and port for peers and operators" default:"127.0.0.1:0"`
+	MetricsListen  string        `long:"metrics-listen" env:"WIGEON_METRICS_LISTEN" description:"IP address and port for metrics" default:"127.0.0.1:0"`
+	PeerKey        string        `long:"peer-key" env:"WIGEON_PEER_KEY" description:"secret that all processes of the system share, 16 bytes or more" required:"true"`
+	OperatorKey    string        `long:"operator-key" env:"WIGEON_OPERATOR_KEY" description:"secret of the operators, 16 bytes or more" required:"true"`
+	TableAddress   string        `long:"table-address" env:"WIGEON_TABLE_ADDRESS" description:"IP address and port of the table service" required:"true"`
+	ObjectsAddress string        `long:"objects-address" env:"WIGEON_OBJECTS_ADDRESS" description:"IP address and port of the object store"`
+	WeightsAddress string        `long:"weights-address" env:"WIGEON_WEIGHTS_ADDRESS" description:"IP address and port of the weight store"`
+	HostsAddress   string        `long:"hosts-address" env:"WIGEON_HOSTS_ADDRESS" description:"IP address and port of the list of hosts" required:"true"`
+	DrainLimit     time.Duration `long:"drain-limit" env:"WIGEON_DRAIN_LIMIT" description:"longest time to wait for answers under way when leaving" default:"10m"`
+	LogLevel       string        `long:"log-level" env:"WIGEON_LOG_LEVEL" description:"least level of events to log" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	Process
+	HandleKey string `long:"handle-key" env:"WIGEON_HANDLE_KEY" description:"secret that seals resume handles, shared by all entries, 16 bytes or more" required:"true"`
+}
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Process
+	BackendServer  string   `long:"backend-server" env:"WIGEON_BACKEND_SERVER" description:"name of the backend server beside this agent" required:"true"`
+	BackendAddress string   `long:"backend-address" env:"WIGEON_BACKEND_ADDRESS" description:"IP address and port of the backend server" required:"true"`
+	BackendKind    string   `long:"backend-kind" env:"WIGEON_BACKEND_KIND" description:"kind of the backend server" choice:"engine" choice:"service" default:"engine"`
+	Without        []string `long:"without" env:"WIGEON_WITHOUT" env-delim:"," description:"capability that the engine lacks" choice:"resume" choice:"continue" choice:"cancel" choice:"priority" choice:"cache-events" choice:"fencing"`
+}
+
+// minKeyBytes is the shortest secret that is accepted.
+const minKeyBytes = 16
+
+// maxDrainLimit bounds the drain limit.
+const maxDrainLimit = 24 * time.Hour
+
+// Parse reads args and the environment into s, which is a pointer to one of
+// the types of this package, and checks it. An error names the setting. For
+// --help it is the help text; see IsHelp.
+func Parse(s interface{ Validate() error }, args []string) error {
+	parser := flags.NewParser(s, flags.HelpFlag|flags.PassDoubleDash)
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
+		return err
+	}
+	if len(rest) > 0 {
+		return errors.Newf("unexpected argument %q", rest[0])
+	}
+	return s.Validate()
+}
+
+// IsHelp reports whether err is the help text that the user asked for.
+func IsHelp(err error) bool {
+	var flagsError *flags.Error
+	return errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp
+}
+
+// Validate checks the settings that all daemons share.
+func (p *Process) Validate() error {
+	addresses := []struct{ name, value string }{
+		{"listen", p.Listen},
+		{"control-listen", p.ControlListen},
+		{"metrics-listen", p.MetricsListen},
+		{"table-address", p.TableAddress},
+		{"objects-address", p.ObjectsAddress},
+		{"weights-address", p.WeightsAddress},
+		{"hosts-address", p.HostsAddress},
+	}
+	for _, address := range addresses {
+		if err := checkAddress(address.name, address.value); err != nil {
+			return err
+		}
+	}
+	if err := checkKey("peer-key", p.PeerKey); err != nil {
+		return err
+	}
+	if err := checkKey("operator-key", p.OperatorKey); err != nil {
+		return err
+	}
+	if p.PeerKey == p.OperatorKey {
+		return errors.New("operator-key must differ from peer-key")
+	}
+	if p.DrainLimit < 0 || p.DrainLimit > maxDrainLimit {
+		return errors.Newf("drain-limit must be from 0 to %s", maxDrainLimit)
+	}
+	return nil
+}
+
+// Validate checks the settings of an entry.
+func (e *Entry) Validate() error {
+	if err := e.Process.Validate(); err != nil {
+		return err
+	}
+	return checkKey("handle-key", e.HandleKey)
+}
+
+// Validate checks the settings of an agent.
+func (a *Agent) Validate() error {
+	if err := a.Process.Validate(); err != nil {
+		return err
+	}
+	return checkAddress("backend-address", a.BackendAddress)
+}
+
+// Lacks reports whether the engine lacks a capability.
+func (a *Agent) Lacks(capability string) bool {
+	for _, name := range a.Without {
+		if name == capability {
+			return true
+		}
+	}
+	return false
+}
+
+// checkAddress accepts an empty address: required ones are checked by the
+// parser.
+func checkAddress(name, value string) error {
+	if value == "" {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(value)
+	if err != nil {
+		return errors.Newf("%s: %q is not an IP address and port", name, value)
+	}
+	if net.ParseIP(host) == nil {
+		return errors.Newf("%s: %q is not an IP address", name, host)
+	}
+	return nil
+}
+
+func checkKey(name, value string) error {
+	if len(value) < minKeyBytes {
+		return errors.Newf("%s must have at least %d bytes", name, minKeyBytes)
+	}
+	return nil
+}
+
+// Shared returns the settings that all daemons share.
+func (p *Process) Shared() *Process { return p }
