--- /dev/null
+++ b/backend/httpbackend/engine.go
@@ -0,0 +1,201 @@
+package httpbackend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// ErrStaleFencing is the cause of an error about an order that the engine
+// refused for its old fencing number.
+var ErrStaleFencing = errors.New("stale fencing number")
+
+const maxControlBody = 8 << 20
+
+// Options are the settings of an Engine.
+type Options struct {
+	// Address is the IP and port of the engine.
+	Address string
+	// Capabilities is what the engine is known to do.
+	Capabilities backend.Capabilities
+	// DialTimeout bounds the connection set-up; 0 means 2 s.
+	DialTimeout time.Duration
+	// HeaderTimeout bounds the wait for the head of an answer; 0 means 10 s.
+	HeaderTimeout time.Duration
+	// MaxConnections bounds the open streams; 0 sets no bound.
+	MaxConnections int
+	// MaxEventBytes bounds one event of a stream; 0 means 1 MiB.
+	MaxEventBytes int
+}
+
+// Engine is a model engine reached over HTTP. It implements backend.Engine.
+type Engine struct {
+	options Options
+	streams *http.Transport
+	control *http.Transport
+}
+
+var _ backend.Engine = (*Engine)(nil)
+
+// NewEngine returns an Engine. It connects on the first call.
+func NewEngine(options Options) *Engine {
+	if options.HeaderTimeout <= 0 {
+		options.HeaderTimeout = defaultHeaderTimeout
+	}
+	if options.MaxEventBytes <= 0 {
+		options.MaxEventBytes = defaultMaxEventBytes
+	}
+	base := transportOptions{dialTimeout: options.DialTimeout, headerTimeout: options.HeaderTimeout}
+	streams := base
+	streams.maxConns = options.MaxConnections
+	control := base
+	control.keepAlive = true
+	return &Engine{options: options, streams: newTransport(streams), control: newTransport(control)}
+}
+
+// Close drops idle connections. Open streams go on.
+func (e *Engine) Close() {
+	e.streams.CloseIdleConnections()
+	e.control.CloseIdleConnections()
+}
+
+// Capabilities implements backend.Engine.
+func (e *Engine) Capabilities() backend.Capabilities { return e.options.Capabilities }
+
+// Generate implements backend.Engine. Cancelling ctx ends the stream.
+func (e *Engine) Generate(ctx context.Context, req backend.GenerateRequest) (backend.Stream, error) {
+	x := e.exchange(e.streams, "generate")
+	body, err := json.Marshal(CompletionRequest{
+		Model: req.Model, Version: req.Version, Adapter: req.Adapter, User: req.Workspace,
+		Prompt: req.Prompt, Seed: req.Seed, MaxTokens: req.MaxTokens, Priority: req.Priority,
+		Stream: true, StreamID: req.StreamID, PrefixTokens: req.Prefix,
+	})
+	if err != nil {
+		return nil, x.fail(platform.OutcomeNotDone, err)
+	}
+	return e.open(ctx, x, http.MethodPost, PathCompletions, body)
+}
+
+// Resume implements backend.Engine. Cancelling ctx ends the stream.
+func (e *Engine) Resume(ctx context.Context, streamID string, from wigeonfork.Position) (backend.Stream, error) {
+	x := e.exchange(e.streams, "resume")
+	path := PathStreams + url.PathEscape(streamID) + "?from=" + strconv.FormatUint(uint64(from), 10)
+	return e.open(ctx, x, http.MethodGet, path, nil)
+}
+
+// Cancel implements backend.Engine. Cancelling a stream that is unknown to the
+// engine succeeds.
+func (e *Engine) Cancel(ctx context.Context, streamID string) error {
+	x := e.exchange(e.control, "cancel")
+	resp, err := x.send(ctx, http.MethodDelete, e.url(PathStreams+url.PathEscape(streamID)), nil, nil)
+	if err != nil {
+		return err
+	}
+	defer drop(resp.Body)
+	if resp.StatusCode == http.StatusNotFound || resp.StatusCode < http.StatusMultipleChoices {
+		return nil
+	}
+	return x.refusal(resp)
+}
+
+// Load implements backend.Engine.
+func (e *Engine) Load(ctx context.Context) (backend.LoadReport, error) {
+	var report backend.LoadReport
+	err := e.query(ctx, "load", PathLoad, &report)
+	return report, err
+}
+
+// CacheEvents implements backend.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, since uint64) ([]backend.CacheEvent, error) {
+	var answer CacheEvents
+	err := e.query(ctx, "cache events", PathCacheEvents+"?since="+strconv.FormatUint(since, 10), &answer)
+	return answer.Events, err
+}
+
+// Order implements backend.Engine.
+func (e *Engine) Order(ctx context.Context, order backend.Order) error {
+	x := e.exchange(e.control, "order")
+	body, err := json.Marshal(order)
+	if err != nil {
+		return x.fail(platform.OutcomeNotDone, err)
+	}
+	resp, err := x.send(ctx, http.MethodPost, e.url(PathOrders), body, jsonHeader())
+	if err != nil {
+		return err
+	}
+	defer drop(resp.Body)
+	if resp.StatusCode == http.StatusConflict {
+		return x.fail(platform.OutcomeNotDone, ErrStaleFencing)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return x.refusal(resp)
+	}
+	return nil
+}
+
+func (e *Engine) exchange(transport *http.Transport, operation string) exchange {
+	return exchange{transport: transport, operation: operation, peer: e.options.Address}
+}
+
+func (e *Engine) url(path string) string { return "http://" + e.options.Address + path }
+
+func (e *Engine) open(ctx context.Context, x exchange, method, path string, body []byte) (backend.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := x.send(ctx, method, e.url(path), body, jsonHeader())
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer cancel()
+		defer drop(resp.Body)
+		return nil, x.refusal(resp)
+	}
+	return newStream(x, resp.Body, cancel, e.options.MaxEventBytes), nil
+}
+
+// query reads one JSON answer. A failed query has no effect, so that its
+// outcome is always OutcomeNotDone.
+func (e *Engine) query(ctx context.Context, operation, path string, answer any) error {
+	x := e.exchange(e.control, operation)
+	resp, err := x.send(ctx, http.MethodGet, e.url(path), nil, nil)
+	if err != nil {
+		return x.fail(platform.OutcomeNotDone, err)
+	}
+	defer drop(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return x.fail(platform.OutcomeNotDone, x.refusal(resp))
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBody)).Decode(answer); err != nil {
+		return x.fail(platform.OutcomeNotDone, err)
+	}
+	return nil
+}
+
+// refusal returns the error for an answer that is not a success. Answers that
+// state a refusal before the work began have the outcome OutcomeNotDone.
+func (e exchange) refusal(resp *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	cause := errors.Newf("status %d: %s", resp.StatusCode, text)
+	if resp.StatusCode == http.StatusNotFound {
+		cause = errors.Wrapf(platform.ErrNotFound, "%s", text)
+	}
+	refused := resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable
+	if refused {
+		return e.fail(platform.OutcomeNotDone, cause)
+	}
+	return e.fail(platform.OutcomeUnknown, cause)
+}
+
+func jsonHeader() http.Header {
+	return http.Header{"Content-Type": []string{"application/json"}}
+}
--- /dev/null
+++ b/backend/httpbackend/engine_test.go
@@ -0,0 +1,326 @@
+package httpbackend_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+)
+
+const testLimit = 20 * time.Second
+
+var request = backend.GenerateRequest{
+	StreamID: "s1", Workspace: "w", Model: "m", Version: "v1",
+	Prompt: "tokens=200 summarise", Seed: 7, MaxTokens: 150,
+}
+
+func expected(r backend.GenerateRequest) []backend.Token {
+	return engine.Answer(r.Model, r.Version, r.Prompt, r.Seed, r.MaxTokens)
+}
+
+func startEngine(t *testing.T, options engine.Options) (*engine.Running, *httpbackend.Engine, context.Context) {
+	options.AnyVersion = true
+	running, err := engine.Start("127.0.0.1:0", options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := httpbackend.NewEngine(httpbackend.Options{Address: running.Addr()})
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	Reset(func() {
+		cancel()
+		client.Close()
+		running.Close()
+	})
+	return running, client, ctx
+}
+
+// read takes tokens from stream until its end, or until limit of them.
+func read(ctx context.Context, stream backend.Stream, from, limit int) ([]backend.Token, backend.Chunk, error) {
+	var tokens []backend.Token
+	for limit < 0 || len(tokens) < limit {
+		chunk, err := stream.Next(ctx)
+		if err != nil {
+			return tokens, chunk, err
+		}
+		if chunk.Done {
+			return tokens, chunk, nil
+		}
+		if int(chunk.Position) != from+len(tokens) {
+			return tokens, chunk, errors.Newf("position %d after %d", chunk.Position, from+len(tokens))
+		}
+		tokens = append(tokens, chunk.Tokens...)
+	}
+	return tokens, backend.Chunk{}, nil
+}
+
+func TestAnswer(t *testing.T) {
+	Convey("Answers are valid text, with tokens that split runes, and differ between versions", t, func() {
+		split := 0
+		var text []byte
+		for _, token := range expected(request) {
+			if !utf8.Valid(token.Text) {
+				split++
+			}
+			text = append(text, token.Text...)
+		}
+		So(split, ShouldBeGreaterThan, 0)
+		So(utf8.Valid(text), ShouldBeTrue)
+		other := request
+		other.Version = "v2"
+		So(expected(other), ShouldNotResemble, expected(request))
+		for n := uint32(1); n < 60; n++ {
+			other.MaxTokens = n
+			text = text[:0]
+			for _, token := range expected(other) {
+				text = append(text, token.Text...)
+			}
+			So(utf8.Valid(text), ShouldBeTrue)
+		}
+	})
+}
+
+func TestGenerate(t *testing.T) {
+	Convey("Given an engine", t, func() {
+		running, client, ctx := startEngine(t, engine.Options{TokensPerChunk: 7, BufferFor: time.Minute, CacheBlocks: 8})
+
+		Convey("a stream brings every token, its usage and then io.EOF", func() {
+			stream, err := client.Generate(ctx, request)
+			So(err, ShouldBeNil)
+			tokens, last, err := read(ctx, stream, 0, -1)
+			So(err, ShouldBeNil)
+			So(tokens, ShouldResemble, expected(request))
+			So(last.Position, ShouldEqual, 150)
+			So(last.Stop, ShouldEqual, backend.StopLength)
+			So(last.PromptTokens, ShouldEqual, 5)
+			_, err = stream.Next(ctx)
+			So(err, ShouldEqual, io.EOF)
+			So(stream.Close(), ShouldBeNil)
+		})
+
+		Convey("a prefix brings exactly the rest, and a wrong one is refused", func() {
+			whole := expected(request)
+			for _, from := range []int{1, 77, 149, 150} {
+				rest := request
+				rest.StreamID += string(rune('a' + from%26))
+				rest.Prefix = nil
+				for _, token := range whole[:from] {
+					rest.Prefix = append(rest.Prefix, token.ID)
+				}
+				stream, err := client.Generate(ctx, rest)
+				So(err, ShouldBeNil)
+				tokens, last, err := read(ctx, stream, from, -1)
+				So(err, ShouldBeNil)
+				So(append(whole[:from:from], tokens...), ShouldResemble, whole)
+				So(last.Position, ShouldEqual, 150)
+				So(stream.Close(), ShouldBeNil)
+			}
+			wrong := request
+			wrong.Prefix = []uint32{whole[0].ID, whole[1].ID + 1}
+			_, err := client.Generate(ctx, wrong)
+			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+		})
+
+		Convey("a broken stream goes on at its position, and one that is unknown is not found", func() {
+			running.Update(func(o *engine.Options) { o.TokensPerSecond = 2000 })
+			stream, err := client.Generate(ctx, request)
+			So(err, ShouldBeNil)
+			tokens, _, err := read(ctx, stream, 0, 30)
+			So(err, ShouldBeNil)
+			So(stream.Close(), ShouldBeNil)
+			stream, err = client.Resume(ctx, "s1", wigeonfork.Position(len(tokens)))
+			So(err, ShouldBeNil)
+			rest, _, err := read(ctx, stream, len(tokens), -1)
+			So(err, ShouldBeNil)
+			So(append(tokens, rest...), ShouldResemble, expected(request))
+			So(stream.Close(), ShouldBeNil)
+			So(len(running.Runs()), ShouldEqual, 1)
+			_, err = client.Resume(ctx, "other", 0)
+			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+		})
+
+		Convey("a kill ends a stream at once, later calls are not done, and a restart has forgotten it", func() {
+			running.Update(func(o *engine.Options) { o.TokensPerSecond = 20 })
+			stream, err := client.Generate(ctx, request)
+			So(err, ShouldBeNil)
+			_, _, err = read(ctx, stream, 0, 1)
+			So(err, ShouldBeNil)
+			before, err := client.Load(ctx)
+			So(err, ShouldBeNil)
+			running.Kill()
+			_, _, err = read(ctx, stream, 1, -1)
+			So(err, ShouldNotBeNil)
+			So(err, ShouldNotEqual, io.EOF)
+			So(ctx.Err(), ShouldBeNil)
+			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			_, err = client.Generate(ctx, request)
+			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(running.Restart(), ShouldBeNil)
+			after, err := client.Load(ctx)
+			So(err, ShouldBeNil)
+			So(after.Incarnation, ShouldNotEqual, before.Incarnation)
+			_, err = client.Resume(ctx, "s1", 1)
+			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+		})
+
+		Convey("a pause ends with the caller's patience, not before", func() {
+			running.Pause()
+			short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancel()
+			_, err := client.Generate(short, request)
+			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			running.Continue()
+			other := request
+			other.StreamID = "s2"
+			stream, err := client.Generate(ctx, other)
+			So(err, ShouldBeNil)
+			tokens, _, err := read(ctx, stream, 0, -1)
+			So(err, ShouldBeNil)
+			So(tokens, ShouldResemble, expected(other))
+			So(stream.Close(), ShouldBeNil)
+		})
+
+		Convey("a poison prompt resets its neighbours too, and the engine comes back", func() {
+			running.Update(func(o *engine.Options) {
+				o.TokensPerSecond = 20
+				o.Poison = "venom"
+				o.RestartAfter = time.Millisecond
+			})
+			neighbour, err := client.Generate(ctx, request)
+			So(err, ShouldBeNil)
+			poison := request
+			poison.StreamID, poison.Prompt = "p", "some venom"
+			stream, err := client.Generate(ctx, poison)
+			if err == nil {
+				_, _, err = read(ctx, stream, 0, -1)
+			}
+			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			_, _, err = read(ctx, neighbour, 0, -1)
+			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			for err != nil && ctx.Err() == nil {
+				_, err = client.Load(ctx)
+			}
+			So(err, ShouldBeNil)
+		})
+	})
+}
+
+func TestQueueAndFaults(t *testing.T) {
+	Convey("Given an engine with one slot that makes no progress", t, func() {
+		running, client, ctx := startEngine(t, engine.Options{Slots: 1, Stuck: true, TokensPerSecond: 1e6})
+
+		Convey("the urgent one of two waiting streams runs first, and a cancelled one never", func() {
+			streams := map[string]backend.Stream{}
+			for _, queued := range []struct {
+				id       string
+				priority int
+			}{{"first", 0}, {"low", 1}, {"gone", 9}, {"high", 5}} {
+				req := request
+				req.StreamID, req.Priority = queued.id, queued.priority
+				stream, err := client.Generate(ctx, req)
+				So(err, ShouldBeNil)
+				streams[queued.id] = stream
+			}
+			So(client.Cancel(ctx, "gone"), ShouldBeNil)
+			_, _, err := read(ctx, streams["gone"], 0, -1)
+			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			load, err := client.Load(ctx)
+			So(err, ShouldBeNil)
+			So([]int{load.Running, load.Waiting}, ShouldResemble, []int{1, 2})
+			running.Update(func(o *engine.Options) { o.Stuck = false })
+			_, _, err = read(ctx, streams["high"], 0, -1)
+			So(err, ShouldBeNil)
+			So(running.RunsEnded(engine.RunCancelled), ShouldEqual, 1)
+			_, _, err = read(ctx, streams["low"], 0, -1)
+			So(err, ShouldBeNil)
+			order := map[string]int{}
+			for _, run := range running.Runs() {
+				order[run.StreamID] = run.Start
+			}
+			So(order, ShouldResemble, map[string]int{"first": 1, "high": 2, "low": 3, "gone": 0})
+			So(running.MaxConcurrency(), ShouldEqual, 1)
+			for _, stream := range streams {
+				So(stream.Close(), ShouldBeNil)
+			}
+		})
+	})
+
+	Convey("Faults of a version hit only the requests that match them", t, func() {
+		_, client, ctx := startEngine(t, engine.Options{Faults: []engine.VersionFault{
+			{Version: "bad", Workspace: "w", FailRate: 1, FailAtToken: 20},
+			{Version: "short", WrongStopRate: 1},
+			{Version: "dead", FailRate: 1},
+		}})
+		ends := map[wigeonfork.Version]int{}
+		for _, version := range []wigeonfork.Version{"good", "bad", "short"} {
+			req := request
+			req.StreamID, req.Version = string(version), version
+			stream, err := client.Generate(ctx, req)
+			So(err, ShouldBeNil)
+			tokens, last, err := read(ctx, stream, 0, -1)
+			So(err == nil, ShouldEqual, version != "bad")
+			So(err != nil || last.Stop != "", ShouldBeTrue)
+			ends[version] = len(tokens)
+			So(stream.Close(), ShouldBeNil)
+		}
+		So(ends, ShouldResemble, map[wigeonfork.Version]int{"good": 150, "bad": 20, "short": 75})
+		req := request
+		req.Version = "dead"
+		_, err := client.Generate(ctx, req)
+		So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+		req.StreamID, req.Version, req.Workspace = "other", "bad", "x"
+		stream, err := client.Generate(ctx, req)
+		So(err, ShouldBeNil)
+		_, _, err = read(ctx, stream, 0, -1)
+		So(err, ShouldBeNil)
+		So(stream.Close(), ShouldBeNil)
+	})
+}
+
+func TestOrdersAndCache(t *testing.T) {
+	Convey("An engine that checks fencing numbers refuses an old one; one that does not carries it out", t, func() {
+		for _, checks := range []bool{true, false} {
+			running, client, ctx := startEngine(t, engine.Options{ChecksFencing: checks})
+			order := backend.Order{Kind: backend.OrderLoad, Scope: "d", Fencing: 5, Model: "m", Version: "v9"}
+			So(client.Order(ctx, order), ShouldBeNil)
+			order.Fencing = 4
+			err := client.Order(ctx, order)
+			So(errors.Is(err, httpbackend.ErrStaleFencing), ShouldEqual, checks)
+			So(err == nil, ShouldEqual, !checks)
+			So(len(running.RefusedOrders()) == 1, ShouldEqual, checks)
+			for ready := false; !ready; {
+				load, err := client.Load(ctx)
+				So(err, ShouldBeNil)
+				ready = len(load.Versions) == 1 && load.Versions[0].Ready
+			}
+		}
+	})
+	Convey("A prompt's blocks enter the cache, serve the next prompt, and leave with events", t, func() {
+		_, client, ctx := startEngine(t, engine.Options{CacheBlocks: 2})
+		req := request
+		req.Prompt = "tokens=1 " + string(make([]byte, 2*httpbackend.PrefixBlockBytes))
+		cached := []uint32{}
+		for _, id := range []string{"a", "b"} {
+			req.StreamID = id
+			stream, err := client.Generate(ctx, req)
+			So(err, ShouldBeNil)
+			_, last, err := read(ctx, stream, 0, -1)
+			So(err, ShouldBeNil)
+			So(stream.Close(), ShouldBeNil)
+			cached = append(cached, last.CachedTokens)
+		}
+		So(cached, ShouldResemble, []uint32{0, 2 * httpbackend.PrefixBlockTokens})
+		events, err := client.CacheEvents(ctx, 1)
+		So(err, ShouldBeNil)
+		So(len(events), ShouldEqual, 1)
+		So(events[0].Prefix, ShouldEqual, httpbackend.PrefixHashes("m", "v1", "", req.Prompt)[0])
+	})
+}
--- /dev/null
+++ b/backend/httpbackend/stream.go
@@ -0,0 +1,183 @@
+package httpbackend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+const (
+	defaultMaxEventBytes = 1 << 20
+	readBufferBytes      = 4 << 10
+)
+
+var (
+	dataField  = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
+
+// decoder reads the chunks of one event stream.
+type decoder struct {
+	reader   *bufio.Reader
+	maxEvent int
+	long     []byte
+	finished bool
+}
+
+func newDecoder(r io.Reader, maxEvent int) *decoder {
+	return &decoder{reader: bufio.NewReaderSize(r, readBufferBytes), maxEvent: maxEvent}
+}
+
+// next returns the next chunk. It fails with io.EOF only after the last one.
+func (d *decoder) next() (backend.Chunk, error) {
+	if d.finished {
+		return backend.Chunk{}, io.EOF
+	}
+	for {
+		line, err := d.line()
+		if err != nil {
+			return backend.Chunk{}, err
+		}
+		data, isData := bytes.CutPrefix(line, dataField)
+		data = bytes.TrimSpace(data)
+		if !isData || len(data) == 0 {
+			continue
+		}
+		if bytes.Equal(data, doneMarker) {
+			return backend.Chunk{}, errors.New("stream ended without a finish reason")
+		}
+		return d.chunk(data)
+	}
+}
+
+func (d *decoder) chunk(data []byte) (backend.Chunk, error) {
+	var event CompletionChunk
+	if err := json.Unmarshal(data, &event); err != nil {
+		return backend.Chunk{}, errors.Wrap(err, "event")
+	}
+	if event.Error != nil {
+		return backend.Chunk{}, errors.Newf("engine failed: %s", event.Error.Message)
+	}
+	chunk := backend.Chunk{Position: event.Position, Tokens: event.Tokens}
+	if event.FinishReason == "" {
+		return chunk, nil
+	}
+	return d.last(chunk, event)
+}
+
+func (d *decoder) last(chunk backend.Chunk, event CompletionChunk) (backend.Chunk, error) {
+	if event.FinishReason != backend.StopEnd && event.FinishReason != backend.StopLength {
+		return backend.Chunk{}, errors.Newf("unknown finish reason %q", event.FinishReason)
+	}
+	if event.Usage == nil {
+		return backend.Chunk{}, errors.New("finish reason without usage")
+	}
+	if len(event.Tokens) > 0 {
+		return backend.Chunk{}, errors.New("finish reason beside tokens")
+	}
+	d.finished = true
+	chunk.Done = true
+	chunk.Stop = event.FinishReason
+	chunk.Position = wigeonfork.Position(event.Usage.CompletionTokens)
+	chunk.PromptTokens = event.Usage.PromptTokens
+	chunk.CachedTokens = event.Usage.CachedTokens
+	return chunk, nil
+}
+
+// line returns the next line, which is valid until the next call.
+func (d *decoder) line() ([]byte, error) {
+	part, err := d.reader.ReadSlice('\n')
+	if err == nil {
+		return part, nil
+	}
+	d.long = d.long[:0]
+	for errors.Is(err, bufio.ErrBufferFull) {
+		d.long = append(d.long, part...)
+		if len(d.long) > d.maxEvent {
+			return nil, errors.Newf("event over %d bytes", d.maxEvent)
+		}
+		part, err = d.reader.ReadSlice('\n')
+	}
+	if err == io.EOF {
+		return nil, io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	d.long = append(d.long, part...)
+	return d.long, nil
+}
+
+// stream implements backend.Stream.
+type stream struct {
+	exchange exchange
+	body     io.ReadCloser
+	cancel   context.CancelFunc
+	decoder  *decoder
+
+	mu      sync.Mutex
+	watched <-chan struct{}
+	unwatch func() bool
+	closed  bool
+}
+
+func newStream(x exchange, body io.ReadCloser, cancel context.CancelFunc, maxEvent int) *stream {
+	return &stream{exchange: x, body: body, cancel: cancel, decoder: newDecoder(body, maxEvent)}
+}
+
+// Next implements backend.Stream. Cancelling ctx ends the stream. Next must
+// not be called by two goroutines at once.
+func (s *stream) Next(ctx context.Context) (backend.Chunk, error) {
+	s.watch(ctx)
+	chunk, err := s.decoder.next()
+	if err == nil || err == io.EOF {
+		return chunk, err
+	}
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	return backend.Chunk{}, s.exchange.fail(platform.OutcomeUnknown, err)
+}
+
+// Close implements backend.Stream. It may be called beside Next.
+func (s *stream) Close() error {
+	s.mu.Lock()
+	closed := s.closed
+	s.closed = true
+	s.stopWatching()
+	s.mu.Unlock()
+	if closed {
+		return nil
+	}
+	s.cancel()
+	return s.body.Close()
+}
+
+// watch makes the end of ctx end the stream, once for each different ctx.
+func (s *stream) watch(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || ctx.Done() == s.watched {
+		return
+	}
+	s.stopWatching()
+	s.watched = ctx.Done()
+	if s.watched != nil {
+		s.unwatch = context.AfterFunc(ctx, s.cancel)
+	}
+}
+
+func (s *stream) stopWatching() {
+	if s.unwatch != nil {
+		s.unwatch()
+		s.unwatch = nil
+	}
+}
--- /dev/null
+++ b/backend/httpbackend/transport.go
@@ -0,0 +1,97 @@
+// Package httpbackend reaches backend servers over HTTP: model engines that
+// stream completions as server-sent events, and plain services.
+//
+// No request is repeated by this package. An error states through
+// platform.OutcomeOf whether the backend server may have received the request.
+package httpbackend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+const (
+	defaultDialTimeout   = 2 * time.Second
+	defaultHeaderTimeout = 10 * time.Second
+	maxIdlePerHost       = 4
+	idleTimeout          = 30 * time.Second
+	maxErrorBody         = 4 << 10
+)
+
+type transportOptions struct {
+	dialTimeout   time.Duration
+	headerTimeout time.Duration
+	maxConns      int
+	keepAlive     bool
+}
+
+func newTransport(o transportOptions) *http.Transport {
+	if o.dialTimeout <= 0 {
+		o.dialTimeout = defaultDialTimeout
+	}
+	dialer := &net.Dialer{Timeout: o.dialTimeout}
+	return &http.Transport{
+		DialContext:           dialer.DialContext,
+		DisableKeepAlives:     !o.keepAlive,
+		DisableCompression:    true,
+		MaxConnsPerHost:       o.maxConns,
+		MaxIdleConnsPerHost:   maxIdlePerHost,
+		IdleConnTimeout:       idleTimeout,
+		ResponseHeaderTimeout: o.headerTimeout,
+	}
+}
+
+// exchange sends one request and records whether a connection was handed to
+// it, after which its bytes may have left.
+type exchange struct {
+	transport *http.Transport
+	operation string
+	peer      string
+}
+
+func (e exchange) send(ctx context.Context, method, url string, body []byte, header http.Header) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, bodyReader(body))
+	if err != nil {
+		return nil, e.fail(platform.OutcomeNotDone, err)
+	}
+	// Without GetBody the transport cannot send the body a second time.
+	req.GetBody = nil
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := e.transport.RoundTrip(req)
+	if err == nil {
+		return resp, nil
+	}
+	if connected.Load() {
+		return nil, e.fail(platform.OutcomeUnknown, err)
+	}
+	return nil, e.fail(platform.OutcomeNotDone, err)
+}
+
+func (e exchange) fail(outcome platform.Outcome, cause error) error {
+	return platform.NewError(outcome, e.operation, e.peer, cause)
+}
+
+func bodyReader(body []byte) io.Reader {
+	if len(body) == 0 {
+		return nil
+	}
+	return bytes.NewReader(body)
+}
+
+// drop reads the rest of a short answer so that its connection can be reused.
+func drop(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxErrorBody)
+	_ = body.Close()
+}
--- /dev/null
+++ b/standin/engine/accept.go
@@ -0,0 +1,123 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+)
+
+// bytesPerToken is the size of a prompt token.
+const bytesPerToken = httpbackend.PrefixBlockBytes / httpbackend.PrefixBlockTokens
+
+// refusal is an answer that starts no stream.
+type refusal struct {
+	status int
+	err    error
+}
+
+func refuse(status int, format string, args ...any) *refusal {
+	return &refusal{status: status, err: errors.Newf(format, args...)}
+}
+
+// accept starts a stream for req.
+func (s *Server) accept(req httpbackend.CompletionRequest) (*stream, *refusal) {
+	st := &stream{
+		req:     req,
+		key:     xxhash.Sum64String(req.StreamID),
+		answer:  newAnswer(req.Model, req.Version, req.Prompt, req.Seed, req.MaxTokens),
+		readers: make(map[chan struct{}]struct{}),
+	}
+	if req.StreamID == "" {
+		return nil, refuse(http.StatusBadRequest, "no stream id")
+	}
+	if !st.answer.prefixMatches(req.PrefixTokens) {
+		return nil, refuse(http.StatusUnprocessableEntity, "prefix does not belong to the answer")
+	}
+	st.progress.until = st.from()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.admit(st); r != nil {
+		return nil, r
+	}
+	s.start(st)
+	return st, nil
+}
+
+// admit checks what depends on the state of the engine. s.mu is held.
+func (s *Server) admit(st *stream) *refusal {
+	options := s.options.Load()
+	life := s.life
+	if life.ctx.Err() != nil {
+		return refuse(http.StatusServiceUnavailable, "engine is closed")
+	}
+	if life.streams[st.req.StreamID] != nil {
+		return refuse(http.StatusConflict, "stream %s exists", st.req.StreamID)
+	}
+	if !options.AnyVersion && !life.versions[versionKey{st.req.Model, st.req.Version}] {
+		return refuse(http.StatusNotFound, "version %s of %s is not loaded", st.req.Version, st.req.Model)
+	}
+	if len(life.queue) >= options.maxQueue() {
+		return refuse(http.StatusTooManyRequests, "queue is full")
+	}
+	st.life = life
+	for _, fault := range s.activeFaults(st, options) {
+		if fault.FailAtToken == 0 && chance(st.key, saltFail, fault.FailRate) {
+			s.log.close(s.log.open(st.asRun()), RunFailed)
+			return refuse(http.StatusInternalServerError, "generation failed")
+		}
+	}
+	return nil
+}
+
+// start queues st and begins its worker. s.mu is held.
+func (s *Server) start(st *stream) {
+	life := st.life
+	st.ctx, st.cancel = context.WithCancel(life.ctx)
+	st.run = s.log.open(st.asRun())
+	life.streams[st.req.StreamID] = st
+	w := life.enqueue(st.req.Priority, s.options.Load())
+	s.workers.Add(1)
+	go s.generate(st, w)
+}
+
+func (st *stream) asRun() Run {
+	from := wigeonfork.Position(st.from())
+	return Run{
+		StreamID: st.req.StreamID, Incarnation: st.life.id,
+		Model: st.req.Model, Version: st.req.Version,
+		Adapter: st.req.Adapter, Workspace: st.req.User,
+		From: from, Until: from,
+	}
+}
+
+// find returns the stream called id.
+func (s *Server) find(id string) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.life.streams[id]
+}
+
+// abandon cancels st and forgets it, unless a reader has come.
+func (s *Server) abandon(st *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st.readerless() {
+		s.forget(st)
+	}
+}
+
+// forget cancels st and removes it. s.mu is held.
+func (s *Server) forget(st *stream) {
+	st.cancel()
+	if st.life.streams[st.req.StreamID] == st {
+		delete(st.life.streams, st.req.StreamID)
+	}
+}
+
+func prefixHashes(req httpbackend.CompletionRequest) []uint64 {
+	return httpbackend.PrefixHashes(req.Model, req.Version, req.Adapter, req.Prompt)
+}
--- /dev/null
+++ b/standin/engine/answer.go
@@ -0,0 +1,118 @@
+package engine
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+const (
+	minAnswerTokens  = 48
+	answerTokenRange = 208
+	lengthDirective  = "tokens="
+	splitEvery       = 3
+)
+
+var syllables = [...]string{
+	"van", "tønde", "regn", "måle", "ær", "ø", "til", "skud", "be", "løb",
+	"top", "varde", "sti", "山", "頂", "路", "🏔", "é", "gård", "års",
+}
+
+// answer is the deterministic answer to one request, cut at its bound.
+type answer struct {
+	key  uint64
+	n    int
+	stop backend.StopReason
+}
+
+// Answer returns the tokens that an engine generates. They depend on all its
+// arguments but maxTokens, which bounds their number; 0 sets no bound. Some
+// tokens end in the middle of a UTF-8 rune; the whole text is valid UTF-8.
+//
+// A prompt that starts with "tokens=N " has an unbounded answer of N tokens.
+func Answer(model wigeonfork.Model, version wigeonfork.Version, prompt string, seed uint64, maxTokens uint32) []backend.Token {
+	a := newAnswer(model, version, prompt, seed, maxTokens)
+	tokens := make([]backend.Token, a.n)
+	for i := range tokens {
+		tokens[i] = a.token(i)
+	}
+	return tokens
+}
+
+// AnswerStop returns the stop reason that belongs to Answer.
+func AnswerStop(model wigeonfork.Model, version wigeonfork.Version, prompt string, seed uint64, maxTokens uint32) backend.StopReason {
+	return newAnswer(model, version, prompt, seed, maxTokens).stop
+}
+
+func newAnswer(model wigeonfork.Model, version wigeonfork.Version, prompt string, seed uint64, maxTokens uint32) answer {
+	digest := xxhash.NewWithSeed(seed)
+	for _, part := range []string{string(model), string(version), prompt} {
+		// Writes to a digest never fail.
+		_, _ = digest.WriteString(part)
+		_, _ = digest.WriteString("\x00")
+	}
+	a := answer{key: digest.Sum64(), n: naturalLength(prompt), stop: backend.StopEnd}
+	if maxTokens > 0 && int(maxTokens) < a.n {
+		a.n = int(maxTokens)
+		a.stop = backend.StopLength
+	}
+	return a
+}
+
+func naturalLength(prompt string) int {
+	if rest, ok := strings.CutPrefix(prompt, lengthDirective); ok {
+		digits, _, _ := strings.Cut(rest, " ")
+		if n, err := strconv.ParseUint(digits, 10, 31); err == nil && n > 0 {
+			return int(n)
+		}
+	}
+	return minAnswerTokens + int(xxhash.Sum64String(prompt)%answerTokenRange)
+}
+
+// id returns the token id at position i.
+func (a answer) id(i int) uint32 { return uint32(mix(a.key, i) >> 32) }
+
+// token returns the token at position i. Every third token but the last gives
+// its last byte to the next one where that splits a rune.
+func (a answer) token(i int) backend.Token {
+	text := a.text(i)
+	if a.splits(i) {
+		text = text[:len(text)-1]
+	}
+	if i > 0 && a.splits(i-1) {
+		before := a.text(i - 1)
+		text = before[len(before)-1:] + text
+	}
+	return backend.Token{ID: a.id(i), Text: []byte(text)}
+}
+
+func (a answer) text(i int) string {
+	h := mix(a.key, i)
+	return " " + syllables[h%uint64(len(syllables))] + syllables[(h>>16)%uint64(len(syllables))]
+}
+
+func (a answer) splits(i int) bool { return i%splitEvery == 0 && i != a.n-1 }
+
+// prefixMatches tells whether ids are the first token ids of a.
+func (a answer) prefixMatches(ids []uint32) bool {
+	if len(ids) > a.n {
+		return false
+	}
+	for i, id := range ids {
+		if id != a.id(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// mix is the finalizer of splitmix64 over key and i.
+func mix(key uint64, i int) uint64 {
+	z := key + (uint64(i)+1)*0x9e3779b97f4a7c15
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
--- /dev/null
+++ b/standin/engine/control.go
@@ -0,0 +1,166 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+)
+
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.loadReport(time.Now()))
+}
+
+// loadReport returns the present report, which is at most LoadReportLag old.
+func (s *Server) loadReport(now time.Time) backend.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	options := s.options.Load()
+	life := s.life
+	fresh := !life.report.MeasuredAt.IsZero() && now.Sub(life.report.MeasuredAt) < options.LoadReportLag
+	if !fresh {
+		life.report = life.measure(options, now)
+	}
+	return life.report
+}
+
+// measure returns the load of the engine. Server.mu is held.
+func (l *incarnation) measure(options *Options, now time.Time) backend.LoadReport {
+	running := int(l.running.Load())
+	report := backend.LoadReport{
+		Running: running, Waiting: len(l.queue), Slots: options.slots(),
+		CacheUsed:   l.cache.used(options.CacheBlocks),
+		MeasuredAt:  now,
+		Incarnation: l.id,
+	}
+	if perToken := options.tokenTime(running-1, 1); running > 0 && perToken > 0 {
+		report.TokensPerSecond = float64(running) / perToken.Seconds()
+	}
+	for key, ready := range l.versions {
+		report.Versions = append(report.Versions, backend.LoadedVersion{Model: key.model, Version: key.version, Ready: ready})
+	}
+	sort.Slice(report.Versions, func(i, j int) bool {
+		a, b := report.Versions[i], report.Versions[j]
+		return a.Model < b.Model || a.Model == b.Model && a.Version < b.Version
+	})
+	return report
+}
+
+func (s *Server) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad sequence number", http.StatusBadRequest)
+		return
+	}
+	options := s.options.Load()
+	s.mu.Lock()
+	events := s.life.cache.since(since, options.CacheEventLag, options.CacheEventGap, time.Now())
+	s.mu.Unlock()
+	writeJSON(w, httpbackend.CacheEvents{Events: events})
+}
+
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order backend.Order
+	if err := decodeBody(w, r, &order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if refused := s.order(order); refused != nil {
+		http.Error(w, refused.err.Error(), refused.status)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (s *Server) order(order backend.Order) *refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	life := s.life
+	if life.ctx.Err() != nil {
+		return refuse(http.StatusServiceUnavailable, "engine is closed")
+	}
+	if s.options.Load().ChecksFencing && order.Fencing < life.fencing[order.Scope] {
+		s.refused = append(s.refused, order)
+		return refuse(http.StatusConflict, "fencing number %d is below %d", order.Fencing, life.fencing[order.Scope])
+	}
+	key := versionKey{order.Model, order.Version}
+	switch order.Kind {
+	case backend.OrderLoad:
+		s.load(life, key)
+	case backend.OrderUnload:
+		delete(life.versions, key)
+	case backend.OrderChangeRole:
+	default:
+		return refuse(http.StatusBadRequest, "unknown order %q", order.Kind)
+	}
+	life.fencing[order.Scope] = max(life.fencing[order.Scope], order.Fencing)
+	s.orders = append(s.orders, order)
+	return nil
+}
+
+// load begins to load a version that is not yet held. s.mu is held.
+func (s *Server) load(life *incarnation, key versionKey) {
+	if _, held := life.versions[key]; held {
+		return
+	}
+	life.versions[key] = false
+	s.workers.Add(1)
+	go func() {
+		defer s.workers.Done()
+		loaded := s.fetch(life.ctx, key)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if _, wanted := life.versions[key]; !wanted {
+			return
+		}
+		if loaded {
+			life.versions[key] = true
+			return
+		}
+		delete(life.versions, key)
+	}()
+}
+
+// fetch reads the weights of a version and tells whether it got them all.
+func (s *Server) fetch(ctx context.Context, key versionKey) bool {
+	options := s.options.Load()
+	if options.WeightsAddress == "" {
+		return wait(ctx, options.LoadDuration)
+	}
+	url := "http://" + options.WeightsAddress + "/v1/weights/" + string(key.model) + "/" + string(key.version) + "/data"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	read, err := io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK && read == resp.ContentLength
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The connection may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/engine/generate.go
@@ -0,0 +1,234 @@
+package engine
+
+import (
+	"strings"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+const (
+	// maxCatchUp bounds the time that a stream may lie behind its pace.
+	maxCatchUp = 100 * time.Millisecond
+	// burstTokens are generated at once where there is no pacing.
+	burstTokens = 16
+	// The salts of the chances.
+	saltFail      = 1
+	saltWrongStop = 2
+)
+
+// generate runs st from its queue slot to its end.
+func (s *Server) generate(st *stream, w *waiter) {
+	defer s.workers.Done()
+	defer st.cancel()
+	if !s.acquire(st.ctx, st.life, w) {
+		s.stopped(st)
+		return
+	}
+	defer s.release(st.life)
+	s.log.start(st.run)
+	if s.pass(st) && s.sleep(st, s.prefill(st)) {
+		s.produce(st)
+	}
+	s.stopped(st)
+}
+
+// prefill fills the prompt into the cache and returns the time it takes.
+func (s *Server) prefill(st *stream) time.Duration {
+	options := s.options.Load()
+	prompt := uint32((len(st.req.Prompt) + bytesPerToken - 1) / bytesPerToken)
+	s.mu.Lock()
+	cached := min(prompt, st.life.cache.use(prefixHashes(st.req), options.CacheBlocks, time.Now()))
+	s.mu.Unlock()
+	st.change(func(p *progress) {
+		p.promptTokens = prompt
+		p.cachedTokens = cached
+	})
+	return time.Duration(int(prompt-cached)+st.from()) * options.PrefillPerToken
+}
+
+func (s *Server) produce(st *stream) {
+	next := time.Now()
+	end := s.endPosition(st)
+	for position := st.from(); position < end; {
+		if !s.pass(st) {
+			return
+		}
+		options := s.options.Load()
+		if s.breaks(st, options, position) {
+			return
+		}
+		wait := options.tokenTime(int(st.life.running.Load())-1, s.slowFactor(st, options))
+		step := 1
+		if wait == 0 {
+			step = min(burstTokens, end-position, s.untilBreak(st, options, position))
+		} else {
+			next = next.Add(wait)
+			if late := time.Now().Add(-maxCatchUp); next.Before(late) {
+				next = late
+			}
+			if !s.sleep(st, time.Until(next)) || !s.pass(st) {
+				return
+			}
+		}
+		position += step
+		s.log.generated(st.run, position)
+		st.change(func(p *progress) { p.until = position })
+	}
+	s.finish(st, end)
+}
+
+func (s *Server) finish(st *stream, end int) {
+	stop := st.answer.stop
+	if end < st.answer.n {
+		stop = backend.StopEnd
+	}
+	s.log.close(st.run, RunFinished)
+	st.change(func(p *progress) {
+		p.end = RunFinished
+		p.stop = stop
+	})
+}
+
+// stopped records the end of a stream that did not end by itself.
+func (s *Server) stopped(st *stream) {
+	if st.snapshot().end != RunOpen {
+		return
+	}
+	end := RunCancelled
+	if st.life.ctx.Err() != nil {
+		end = RunKilled
+	}
+	s.log.close(st.run, end)
+	st.change(func(p *progress) {
+		p.end = end
+		p.message = "generation " + string(end)
+	})
+}
+
+// pass waits while the engine is paused or stuck. It returns false if st ended.
+func (s *Server) pass(st *stream) bool {
+	for {
+		if !s.gate.Wait(st.ctx.Done()) {
+			return false
+		}
+		if !s.options.Load().Stuck {
+			return st.ctx.Err() == nil
+		}
+		updates := s.updates()
+		if !s.options.Load().Stuck {
+			continue
+		}
+		select {
+		case <-updates:
+		case <-st.ctx.Done():
+			return false
+		}
+	}
+}
+
+func (s *Server) sleep(st *stream, d time.Duration) bool {
+	if d <= 0 {
+		return st.ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-st.ctx.Done():
+		return false
+	}
+}
+
+// endPosition returns where the answer ends, a wrong stop included.
+func (s *Server) endPosition(st *stream) int {
+	for _, fault := range s.activeFaults(st, s.options.Load()) {
+		if chance(st.key, saltWrongStop, fault.WrongStopRate) {
+			return max(st.from(), (st.answer.n+1)/2)
+		}
+	}
+	return st.answer.n
+}
+
+// breaks tells whether a poison prompt or a version's fault ends st here.
+func (s *Server) breaks(st *stream, options *Options, position int) bool {
+	if isPoison(st, options) && position-st.from() >= options.PoisonAfterTokens {
+		s.die(st.life)
+		return true
+	}
+	for _, fault := range s.activeFaults(st, options) {
+		if position >= fault.FailAtToken && chance(st.key, saltFail, fault.FailRate) {
+			s.fail(st)
+			return true
+		}
+	}
+	return false
+}
+
+// untilBreak returns how many tokens may be generated before breaks has to be
+// asked again.
+func (s *Server) untilBreak(st *stream, options *Options, position int) int {
+	steps := burstTokens
+	if isPoison(st, options) {
+		steps = min(steps, options.PoisonAfterTokens-(position-st.from()))
+	}
+	for _, fault := range options.Faults {
+		if fault.FailAtToken > position {
+			steps = min(steps, fault.FailAtToken-position)
+		}
+	}
+	return max(steps, 1)
+}
+
+func (s *Server) fail(st *stream) {
+	s.log.close(st.run, RunFailed)
+	st.change(func(p *progress) {
+		p.end = RunFailed
+		p.message = "generation failed"
+	})
+}
+
+func (s *Server) slowFactor(st *stream, options *Options) float64 {
+	factor := 1.0
+	for _, fault := range s.activeFaults(st, options) {
+		if fault.SlowFactor > 0 {
+			factor *= fault.SlowFactor
+		}
+	}
+	return factor
+}
+
+// activeFaults returns the faults that now apply to st.
+func (s *Server) activeFaults(st *stream, options *Options) []VersionFault {
+	var active []VersionFault
+	for _, fault := range options.Faults {
+		if fault.matches(st) {
+			active = append(active, fault)
+		}
+	}
+	return active
+}
+
+func (f *VersionFault) matches(st *stream) bool {
+	if f.Model != "" && f.Model != st.req.Model {
+		return false
+	}
+	if f.Version != "" && f.Version != st.req.Version {
+		return false
+	}
+	if f.Adapter != "" && f.Adapter != st.req.Adapter {
+		return false
+	}
+	if f.Workspace != "" && f.Workspace != st.req.User {
+		return false
+	}
+	if f.AboveRunning > 0 && int(st.life.running.Load()) <= f.AboveRunning {
+		return false
+	}
+	return time.Since(st.life.started) >= f.After
+}
+
+func isPoison(st *stream, options *Options) bool {
+	return options.Poison != "" && strings.Contains(st.req.Prompt, options.Poison)
+}
--- /dev/null
+++ b/standin/engine/incarnation.go
@@ -0,0 +1,143 @@
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+type versionKey struct {
+	model   wigeonfork.Model
+	version wigeonfork.Version
+}
+
+// incarnation is the state of an engine between two restarts. Its fields are
+// guarded by Server.mu, but for running and ctx.
+type incarnation struct {
+	id      string
+	ctx     context.Context
+	end     context.CancelFunc
+	started time.Time
+	running atomic.Int64
+
+	streams  map[string]*stream
+	queue    waiters
+	sequence uint64
+	versions map[versionKey]bool
+	fencing  map[string]wigeonfork.FencingNumber
+	cache    *prefixCache
+	report   backend.LoadReport
+}
+
+// newIncarnation is called with s.mu held, or before s is shared.
+func (s *Server) newIncarnation() *incarnation {
+	s.lives++
+	ctx, cancel := context.WithCancel(context.Background())
+	options := s.options.Load()
+	life := &incarnation{
+		id:       strconv.Itoa(s.lives) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36),
+		ctx:      ctx,
+		end:      cancel,
+		started:  time.Now(),
+		streams:  make(map[string]*stream),
+		versions: make(map[versionKey]bool),
+		fencing:  make(map[string]wigeonfork.FencingNumber),
+		cache:    newPrefixCache(),
+	}
+	for _, v := range options.Versions {
+		life.versions[versionKey{v.Model, v.Version}] = true
+	}
+	return life
+}
+
+// waiter is a stream that waits for a slot.
+type waiter struct {
+	priority int
+	sequence uint64
+	granted  chan struct{}
+	index    int
+}
+
+// waiters is a heap of waiters, the most urgent first.
+type waiters []*waiter
+
+func (w waiters) Len() int { return len(w) }
+func (w waiters) Less(i, j int) bool {
+	if w[i].priority != w[j].priority {
+		return w[i].priority > w[j].priority
+	}
+	return w[i].sequence < w[j].sequence
+}
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (w *waiters) Push(x any) {
+	added := x.(*waiter)
+	added.index = len(*w)
+	*w = append(*w, added)
+}
+
+// Pop implements heap.Interface.
+func (w *waiters) Pop() any {
+	last := len(*w) - 1
+	x := (*w)[last]
+	(*w)[last] = nil
+	*w = (*w)[:last]
+	return x
+}
+
+// enqueue adds a waiter. Server.mu is held.
+func (l *incarnation) enqueue(priority int, options *Options) *waiter {
+	l.sequence++
+	w := &waiter{priority: priority, sequence: l.sequence, granted: make(chan struct{})}
+	heap.Push(&l.queue, w)
+	l.grant(options)
+	return w
+}
+
+// grant gives free slots to waiters. Server.mu is held.
+func (l *incarnation) grant(options *Options) {
+	for len(l.queue) > 0 && int(l.running.Load()) < options.slots() {
+		w := heap.Pop(&l.queue).(*waiter)
+		l.running.Add(1)
+		close(w.granted)
+	}
+}
+
+// acquire waits for a slot. It returns false if ctx ended first.
+func (s *Server) acquire(ctx context.Context, life *incarnation, w *waiter) bool {
+	select {
+	case <-w.granted:
+		s.log.concurrency(int(life.running.Load()))
+		return true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-w.granted:
+		s.releaseLocked(life)
+	default:
+		heap.Remove(&life.queue, w.index)
+	}
+	return false
+}
+
+func (s *Server) release(life *incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releaseLocked(life)
+}
+
+func (s *Server) releaseLocked(life *incarnation) {
+	life.running.Add(-1)
+	life.grant(s.options.Load())
+}
--- /dev/null
+++ b/standin/engine/stream.go
@@ -0,0 +1,92 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+)
+
+// stream is one generation. Tokens are a function of their position, so that
+// the buffer of a stream is a count.
+type stream struct {
+	req    httpbackend.CompletionRequest
+	key    uint64
+	answer answer
+	life   *incarnation
+	run    *Run
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	progress progress
+	readers  map[chan struct{}]struct{}
+	orphan   *time.Timer
+}
+
+// progress is how far a stream has come.
+type progress struct {
+	until        int
+	end          RunEnd
+	message      string
+	stop         backend.StopReason
+	promptTokens uint32
+	cachedTokens uint32
+}
+
+func (st *stream) from() int { return len(st.req.PrefixTokens) }
+
+func (st *stream) snapshot() progress {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.progress
+}
+
+// change applies f and wakes the readers.
+func (st *stream) change(f func(*progress)) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	f(&st.progress)
+	for wake := range st.readers {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// attach adds a reader, which is woken at each change.
+func (st *stream) attach() chan struct{} {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	wake := make(chan struct{}, 1)
+	st.readers[wake] = struct{}{}
+	if st.orphan != nil {
+		st.orphan.Stop()
+		st.orphan = nil
+	}
+	return wake
+}
+
+// detach removes a reader and calls abandon once no reader came for keep.
+func (st *stream) detach(wake chan struct{}, keep time.Duration, abandon func()) {
+	st.mu.Lock()
+	delete(st.readers, wake)
+	orphaned := len(st.readers) == 0
+	if orphaned && keep > 0 {
+		st.orphan = time.AfterFunc(keep, abandon)
+	}
+	st.mu.Unlock()
+	if orphaned && keep <= 0 {
+		abandon()
+	}
+}
+
+// readerless tells whether nobody reads st.
+func (st *stream) readerless() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return len(st.readers) == 0
+}
--- /dev/null
+++ b/standin/hosts/hosts.go
@@ -0,0 +1,127 @@
+// Package hosts is a small stand-in for the platform's lagging list of live
+// and leaving hosts: GET /v1/hosts answers a httpplatform.HostsAnswer.
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
+)
+
+// ErrDown is the cause of every error of a list that is down.
+var ErrDown = errors.New("host list is down")
+
+// state is the list at one time.
+type state struct {
+	hosts []platform.Host
+	at    time.Time
+}
+
+// List is the host list. A change is seen only after its lag.
+type List struct {
+	mu     sync.Mutex
+	lag    time.Duration
+	down   bool
+	states []state
+}
+
+var _ platform.HostList = (*List)(nil)
+
+// New returns an empty List that shows each change after lag.
+func New(lag time.Duration) *List { return &List{lag: lag, states: []state{{}}} }
+
+// Set replaces the list.
+func (l *List) Set(hosts []platform.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.append(append([]platform.Host(nil), hosts...))
+}
+
+// Put adds host, or replaces the one with its id.
+func (l *List) Put(host platform.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.append(append(l.without(host.ID), host))
+}
+
+// Remove takes a host off the list.
+func (l *List) Remove(id wigeonfork.HostID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.append(l.without(id))
+}
+
+// SetLag changes the lag.
+func (l *List) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
+// SetDown makes every call fail.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// Hosts implements platform.HostList. The time is the one that the list shows.
+func (l *List) Hosts(context.Context) ([]platform.Host, time.Time, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, time.Time{}, platform.NewError(platform.OutcomeNotDone, "hosts", "host list", ErrDown)
+	}
+	shown := time.Now().Add(-l.lag)
+	for len(l.states) > 1 && !l.states[1].at.After(shown) {
+		l.states = l.states[1:]
+	}
+	return append([]platform.Host{}, l.states[0].hosts...), shown, nil
+}
+
+// Handler returns the HTTP interface of l.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+httpplatform.PathHosts, l.serve)
+	return mux
+}
+
+// Start serves l on addr, such as 127.0.0.1:0.
+func (l *List) Start(addr string) (*loopback.Server, error) {
+	return loopback.Start(addr, l.Handler())
+}
+
+func (l *List) serve(w http.ResponseWriter, r *http.Request) {
+	hosts, at, err := l.Hosts(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The connection may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(httpplatform.HostsAnswer{Hosts: hosts, AsOf: at})
+}
+
+func (l *List) append(hosts []platform.Host) {
+	l.states = append(l.states, state{hosts: hosts, at: time.Now()})
+}
+
+// without returns the newest list but for the host called id.
+func (l *List) without(id wigeonfork.HostID) []platform.Host {
+	newest := l.states[len(l.states)-1].hosts
+	kept := make([]platform.Host, 0, len(newest)+1)
+	for _, host := range newest {
+		if host.ID != id {
+			kept = append(kept, host)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/standin/loopback/conn.go
@@ -0,0 +1,68 @@
+package loopback
+
+import (
+	"net"
+	"net/http"
+	"sync"
+)
+
+type gatedListener struct {
+	net.Listener
+	server *Server
+	http   *http.Server
+}
+
+// Accept implements net.Listener.
+func (l *gatedListener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &gatedConn{Conn: inner, server: l.server, closed: make(chan struct{})}
+		if l.server.add(c, l.http) {
+			return c, nil
+		}
+		c.reset()
+	}
+}
+
+// gatedConn holds back its bytes while the server is paused.
+type gatedConn struct {
+	net.Conn
+	server *Server
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.server.gate.Wait(c.closed) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if !c.server.gate.Wait(c.closed) {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *gatedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	c.server.remove(c)
+	return c.Conn.Close()
+}
+
+// reset closes c so that the peer receives a TCP reset.
+func (c *gatedConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/standin/loopback/server.go
@@ -0,0 +1,162 @@
+// Package loopback runs an HTTP handler on a loopback port and lets a test
+// kill, restart, pause and continue it as if it were a process.
+package loopback
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	listenAttempts = 50
+	listenRetry    = 20 * time.Millisecond
+)
+
+type lifeKey struct{}
+
+// Killed returns a channel that is closed when the server that a request's
+// context belongs to is killed. The end of the connection does not close it.
+func Killed(request context.Context) <-chan struct{} {
+	life, ok := request.Value(lifeKey{}).(context.Context)
+	if !ok {
+		return nil
+	}
+	return life.Done()
+}
+
+// Server serves one handler on one port.
+type Server struct {
+	handler http.Handler
+	gate    Gate
+
+	mu     sync.Mutex
+	addr   string
+	http   *http.Server
+	conns  map[*gatedConn]struct{}
+	cancel context.CancelFunc
+	served chan struct{}
+}
+
+// Start listens on addr, such as 127.0.0.1:0, and serves handler.
+func Start(addr string, handler http.Handler) (*Server, error) {
+	s := &Server{handler: handler, conns: make(map[*gatedConn]struct{})}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s.addr = listener.Addr().String()
+	s.serve(listener)
+	return s, nil
+}
+
+// Addr returns the IP and port that the server listens on, also while it is
+// dead.
+func (s *Server) Addr() string { return s.addr }
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.addr }
+
+// Kill resets all connections and refuses new ones. It is safe to call from a
+// handler, and does nothing to a dead server.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	server := s.http
+	s.http = nil
+	conns := s.conns
+	s.conns = make(map[*gatedConn]struct{})
+	cancel := s.cancel
+	s.mu.Unlock()
+	if server == nil {
+		return
+	}
+	cancel()
+	for c := range conns {
+		c.reset()
+	}
+	_ = server.Close()
+	s.gate.Open()
+}
+
+// Close kills the server and waits until it accepts nothing any more.
+func (s *Server) Close() {
+	s.Kill()
+	<-s.served
+}
+
+// Restart serves again on the same port. It does nothing to a live server.
+func (s *Server) Restart() error {
+	s.mu.Lock()
+	alive := s.http != nil
+	s.mu.Unlock()
+	if alive {
+		return nil
+	}
+	<-s.served
+	listener, err := s.listenAgain()
+	if err != nil {
+		return err
+	}
+	s.serve(listener)
+	return nil
+}
+
+// Pause stops all reading and answering; connections stay open.
+func (s *Server) Pause() { s.gate.Shut() }
+
+// Continue ends a pause.
+func (s *Server) Continue() { s.gate.Open() }
+
+func (s *Server) listenAgain() (net.Listener, error) {
+	var err error
+	for range listenAttempts {
+		var listener net.Listener
+		listener, err = net.Listen("tcp", s.addr)
+		if err == nil {
+			return listener, nil
+		}
+		time.Sleep(listenRetry)
+	}
+	return nil, errors.Wrap(err, "listen again")
+}
+
+func (s *Server) serve(listener net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext: func(net.Listener) context.Context {
+			return context.WithValue(ctx, lifeKey{}, ctx)
+		},
+	}
+	served := make(chan struct{})
+	s.mu.Lock()
+	s.http, s.cancel, s.served = server, cancel, served
+	s.mu.Unlock()
+	go func() {
+		defer close(served)
+		_ = server.Serve(&gatedListener{Listener: listener, server: s, http: server})
+	}()
+}
+
+// add registers c, or returns false if the server that accepted it is dead.
+func (s *Server) add(c *gatedConn, accepter *http.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != accepter {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c *gatedConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
--- /dev/null
+++ b/standin/objects/objects.go
@@ -0,0 +1,144 @@
+// Package objects is a small stand-in for the platform's object store, in
+// memory. It serves platform.Objects over HTTP:
+//
+//	PUT    /v1/objects/{name}    writes an object once; 409 for other content
+//	GET    /v1/objects/{name}    its bytes, or 404
+//	DELETE /v1/objects/{name}    removes it
+//	GET    /v1/objects?prefix=P  httpplatform.ObjectNames, sorted
+package objects
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
+)
+
+const maxObjectBytes = 64 << 20
+
+// Faults are the knobs of a Store.
+type Faults struct {
+	// Down answers 503 to every call.
+	Down bool
+	// Delay is how long every call takes.
+	Delay time.Duration
+	// LoseNext makes the next n changes take effect without an answer.
+	LoseNext int
+}
+
+// Store is the object store.
+type Store struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+	faults  Faults
+}
+
+// New returns an empty Store without faults.
+func New() *Store { return &Store{objects: make(map[string][]byte)} }
+
+// Update changes the faults.
+func (s *Store) Update(change func(*Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
+// Handler returns the HTTP interface of s.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+httpplatform.PathObjects+"/{name}", s.servePut)
+	mux.HandleFunc("GET "+httpplatform.PathObjects+"/{name}", s.serveGet)
+	mux.HandleFunc("DELETE "+httpplatform.PathObjects+"/{name}", s.serveDelete)
+	mux.HandleFunc("GET "+httpplatform.PathObjects, s.serveList)
+	return s.withFaults(mux)
+}
+
+// Start serves s on addr, such as 127.0.0.1:0. The objects outlive a kill.
+func (s *Store) Start(addr string) (*loopback.Server, error) {
+	return loopback.Start(addr, s.Handler())
+}
+
+func (s *Store) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		faults := s.faults
+		s.mu.Unlock()
+		time.Sleep(faults.Delay)
+		if faults.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := r.PathValue("name")
+	if old, exists := s.objects[name]; exists && !bytes.Equal(old, data) {
+		http.Error(w, "object exists", http.StatusConflict)
+		return
+	}
+	s.objects[name] = data
+	s.loseAnswer()
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	data, exists := s.objects[r.PathValue("name")]
+	s.mu.Unlock()
+	if !exists {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	// The connection may be gone; there is nobody left to tell.
+	_, _ = w.Write(data)
+}
+
+func (s *Store) serveDelete(_ http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.objects, r.PathValue("name"))
+	s.loseAnswer()
+}
+
+func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
+	answer := httpplatform.ObjectNames{Names: s.list(r.URL.Query().Get("prefix"))}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (s *Store) list(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{}
+	for name := range s.objects {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// loseAnswer aborts the connection if a lost answer is due. s.mu is held.
+func (s *Store) loseAnswer() {
+	if s.faults.LoseNext > 0 {
+		s.faults.LoseNext--
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,138 @@
+// Package service is a small stand-in for a plain service. It takes calls on
+// any path, records each execution with its claim, and fails in the ways that
+// services fail.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
+)
+
+const maxBodyBytes = 16 << 20
+
+// Execution is one call that was carried out.
+type Execution struct {
+	Sequence int       `json:"sequence"`
+	Method   string    `json:"method"`
+	Path     string    `json:"path"`
+	ClaimID  string    `json:"claim_id"`
+	Body     []byte    `json:"body"`
+	At       time.Time `json:"at"`
+}
+
+// Faults are the knobs of a Service.
+type Faults struct {
+	// Delay is how long a call takes before it is carried out.
+	Delay time.Duration
+	// Down answers 503 to every call without carrying it out.
+	Down bool
+	// FailNext refuses the next n calls with 503.
+	FailNext int
+	// LoseNext carries out the next n calls and closes the connection without
+	// an answer.
+	LoseNext int
+}
+
+// Service is the plain service.
+type Service struct {
+	mu         sync.Mutex
+	faults     Faults
+	executions []Execution
+	received   int
+}
+
+// New returns a Service without faults.
+func New() *Service { return &Service{} }
+
+// Update changes the faults.
+func (s *Service) Update(change func(*Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
+// Executions returns what was carried out, in order.
+func (s *Service) Executions() []Execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Execution(nil), s.executions...)
+}
+
+// Received returns how many calls came in, carried out or not.
+func (s *Service) Received() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.received
+}
+
+// Handler returns the HTTP interface of s.
+func (s *Service) Handler() http.Handler { return http.HandlerFunc(s.serve) }
+
+// Start serves s on addr, such as 127.0.0.1:0. The record outlives a kill.
+func (s *Service) Start(addr string) (*loopback.Server, error) {
+	return loopback.Start(addr, s.Handler())
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	delay, refused := s.receive()
+	if refused {
+		http.Error(w, "not available", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case <-time.After(delay):
+	case <-loopback.Killed(r.Context()):
+		panic(http.ErrAbortHandler)
+	}
+	execution, lost := s.execute(r, body)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The connection may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(execution)
+}
+
+func (s *Service) receive() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received++
+	if s.faults.Down {
+		return 0, true
+	}
+	if s.faults.FailNext > 0 {
+		s.faults.FailNext--
+		return 0, true
+	}
+	return s.faults.Delay, false
+}
+
+func (s *Service) execute(r *http.Request, body []byte) (Execution, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	execution := Execution{
+		Sequence: len(s.executions) + 1,
+		Method:   r.Method,
+		Path:     r.URL.Path,
+		ClaimID:  r.Header.Get(httpbackend.HeaderClaimID),
+		Body:     body,
+		At:       time.Now(),
+	}
+	s.executions = append(s.executions, execution)
+	lost := s.faults.LoseNext > 0
+	if lost {
+		s.faults.LoseNext--
+	}
+	return execution, lost
+}
--- /dev/null
+++ b/standin/table/faults.go
@@ -0,0 +1,95 @@
+package table
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// SetDown makes every call fail as not done.
+func (t *Table) SetDown(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down = down
+}
+
+// SetDelay makes every call take at least delay.
+func (t *Table) SetDelay(delay time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.delay = delay
+}
+
+// LoseNextAnswers makes the next n commits take effect without an answer.
+func (t *Table) LoseNextAnswers(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loseNext = n
+}
+
+// SetLimits bounds the calls per second; 0 sets no bound. Calls over the bound
+// fail as not done.
+func (t *Table) SetLimits(writes, reads float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writeLimit = newLimit(writes)
+	t.readLimit = newLimit(reads)
+}
+
+// Counters returns what was counted so far.
+func (t *Table) Counters() Counters {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counters
+}
+
+func newLimit(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1))
+}
+
+// begin counts a call and applies the faults that hold it up or refuse it.
+func (t *Table) begin(ctx context.Context, operation string, writes bool) error {
+	delay, err := t.admit(operation, writes)
+	if err != nil {
+		return err
+	}
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return refuse(operation, err)
+	}
+	return nil
+}
+
+func (t *Table) admit(operation string, writes bool) (time.Duration, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit := t.readLimit
+	if writes {
+		limit = t.writeLimit
+	}
+	if t.down {
+		t.counters.Refused++
+		return 0, refuse(operation, ErrDown)
+	}
+	if limit != nil && !limit.Allow() {
+		t.counters.Refused++
+		return 0, refuse(operation, ErrRate)
+	}
+	if writes {
+		t.counters.Writes++
+	} else {
+		t.counters.Reads++
+	}
+	return t.delay, nil
+}
--- /dev/null
+++ b/standin/table/http.go
@@ -0,0 +1,99 @@
+package table
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
+)
+
+const maxBodyBytes = 16 << 20
+
+// Handler returns the HTTP interface of t.
+func (t *Table) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+httpplatform.PathRows, t.serveGet)
+	mux.HandleFunc("GET "+httpplatform.PathScan, t.serveScan)
+	mux.HandleFunc("POST "+httpplatform.PathCommit, t.serveCommit)
+	return mux
+}
+
+// Start serves t on addr, such as 127.0.0.1:0. The rows outlive a kill.
+func (t *Table) Start(addr string) (*loopback.Server, error) {
+	return loopback.Start(addr, t.Handler())
+}
+
+func (t *Table) serveGet(w http.ResponseWriter, r *http.Request) {
+	row, err := t.Get(r.Context(), r.URL.Query().Get("key"))
+	answer(w, row, err)
+}
+
+func (t *Table) serveScan(w http.ResponseWriter, r *http.Request) {
+	query, err := parseScan(r)
+	if err != nil {
+		answer(w, nil, refuse("scan", err))
+		return
+	}
+	page, err := t.Scan(r.Context(), query)
+	answer(w, page, err)
+}
+
+func parseScan(r *http.Request) (platform.ScanQuery, error) {
+	values := r.URL.Query()
+	since, err := strconv.ParseUint(values.Get("since"), 10, 64)
+	if err != nil && values.Has("since") {
+		return platform.ScanQuery{}, errors.Wrap(ErrBadRequest, "since")
+	}
+	limit, err := strconv.Atoi(values.Get("limit"))
+	if err != nil && values.Has("limit") {
+		return platform.ScanQuery{}, errors.Wrap(ErrBadRequest, "limit")
+	}
+	return platform.ScanQuery{
+		Prefix: values.Get("prefix"),
+		Since:  platform.Revision(since),
+		From:   values.Get("from"),
+		Limit:  limit,
+	}, nil
+}
+
+func (t *Table) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var tx platform.Transaction
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&tx); err != nil {
+		answer(w, nil, refuse("commit", errors.Wrap(ErrBadRequest, err.Error())))
+		return
+	}
+	// A commit that has begun does not depend on its caller staying.
+	commit, err := t.Commit(context.WithoutCancel(r.Context()), tx)
+	answer(w, commit, err)
+}
+
+// answer writes value, or the refusal err; an unknown outcome aborts the
+// connection.
+func answer(w http.ResponseWriter, value any, err error) {
+	if err == nil {
+		w.Header().Set("Content-Type", "application/json")
+		// The connection may be gone; there is nobody left to tell.
+		_ = json.NewEncoder(w).Encode(value)
+		return
+	}
+	if platform.OutcomeOf(err) != platform.OutcomeNotDone {
+		panic(http.ErrAbortHandler)
+	}
+	http.Error(w, err.Error(), status(err))
+}
+
+func status(err error) int {
+	switch {
+	case errors.Is(err, ErrRate):
+		return http.StatusTooManyRequests
+	case errors.Is(err, ErrBadRequest):
+		return http.StatusBadRequest
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/standin/weights/weights.go
@@ -0,0 +1,148 @@
+// Package weights is a small stand-in for the platform's rate-limited weight
+// store:
+//
+//	GET /v1/weights/{model}/{version}/info  a platform.WeightInfo
+//	GET /v1/weights/{model}/{version}/data  the bytes, at the shared rate
+package weights
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
+	"golang.org/x/time/rate"
+)
+
+const blockBytes = 16 << 10
+
+type key struct {
+	model   wigeonfork.Model
+	version wigeonfork.Version
+}
+
+// Store is the weight store. All its readers share one rate.
+type Store struct {
+	limiter *rate.Limiter
+
+	mu    sync.Mutex
+	rate  int64
+	sizes map[key]int64
+	down  bool
+	read  int64
+}
+
+// New returns an empty Store that delivers rateBytesPerSecond in all.
+func New(rateBytesPerSecond int64) *Store {
+	return &Store{
+		limiter: rate.NewLimiter(rate.Limit(rateBytesPerSecond), blockBytes),
+		rate:    rateBytesPerSecond,
+		sizes:   make(map[key]int64),
+	}
+}
+
+// Set stores a version with weights of sizeBytes.
+func (s *Store) Set(model wigeonfork.Model, version wigeonfork.Version, sizeBytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sizes[key{model, version}] = sizeBytes
+}
+
+// SetRate changes the shared rate.
+func (s *Store) SetRate(bytesPerSecond int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate = bytesPerSecond
+	s.limiter.SetLimit(rate.Limit(bytesPerSecond))
+}
+
+// SetDown makes every call answer 503.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// BytesRead returns what all readers read so far.
+func (s *Store) BytesRead() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read
+}
+
+// Handler returns the HTTP interface of s.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	path := "GET " + httpplatform.PathWeights + "/{model}/{version}"
+	mux.HandleFunc(path+"/info", s.serveInfo)
+	mux.HandleFunc(path+"/data", s.serveData)
+	return mux
+}
+
+// Start serves s on addr, such as 127.0.0.1:0.
+func (s *Store) Start(addr string) (*loopback.Server, error) {
+	return loopback.Start(addr, s.Handler())
+}
+
+// find returns the weights that r names, or answers that there are none.
+func (s *Store) find(w http.ResponseWriter, r *http.Request) (platform.WeightInfo, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	info := platform.WeightInfo{
+		Model:              wigeonfork.Model(r.PathValue("model")),
+		Version:            wigeonfork.Version(r.PathValue("version")),
+		RateBytesPerSecond: s.rate,
+	}
+	if s.down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return info, false
+	}
+	size, stored := s.sizes[key{info.Model, info.Version}]
+	if !stored {
+		http.Error(w, "no such version", http.StatusNotFound)
+		return info, false
+	}
+	info.SizeBytes = size
+	return info, true
+}
+
+func (s *Store) serveInfo(w http.ResponseWriter, r *http.Request) {
+	info, found := s.find(w, r)
+	if !found {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The connection may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(info)
+}
+
+func (s *Store) serveData(w http.ResponseWriter, r *http.Request) {
+	info, found := s.find(w, r)
+	if !found {
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(info.SizeBytes, 10))
+	block := make([]byte, blockBytes)
+	for left := info.SizeBytes; left > 0; {
+		n := min(left, blockBytes)
+		if s.limiter.WaitN(r.Context(), int(n)) != nil {
+			return
+		}
+		if _, err := w.Write(block[:n]); err != nil {
+			return
+		}
+		left -= n
+		s.count(n)
+	}
+}
+
+func (s *Store) count(n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read += n
+}
