Run the whole path: an answer whose engine is killed midway arrives whole

Cause: first end-to-end run of entry, agents and stand-ins. Conclusion: the thin path stands; failures are proved one by one from here.

--- /dev/null
+++ b/demo/demo_test.go
@@ -0,0 +1,17 @@
+package demo
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestAnswerIsWholeWhenItsEngineDiesMidway(t *testing.T) {
+	Convey("The demo compares every token after the engine was killed", t, func() {
+		var out bytes.Buffer
+		So(Run(&out), ShouldBeNil)
+		So(out.String(), ShouldContainSubstring, "killing engine")
+		So(out.String(), ShouldContainSubstring, "all 120 tokens compared")
+	})
+}
