Tell a rejected and an overloaded request from a dead engine

Cause: the agent reported every refusal as a dead engine, so that an invalid request would have been tried on every backend server. Change: two marked causes in package backend, set by the HTTP adapter. Conclusion: rejected requests end at once.

--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -167,22 +167,18 @@
 const cancelTimeout = time.Second
 
 func (g *Generations) fail(s *session.Session, err error) {
-	failure := frame.FailureEngineDead
-	var answered *problem.Error
-	if errors.As(err, &answered) {
-		failure = failureOf(answered.Code)
-	}
+	failure := failureOf(err)
 	telemetry.Counter(g.Metrics, "agent.failures."+failure.String()).Inc(1)
 	g.Log.Warn().Str("request", string(s.Key.RequestID)).Uint32("generation", uint32(s.Key.Generation)).
 		Str("failure", failure.String()).Err(err).Msg("generation_failed")
 	s.Fail(failure, "", time.Now())
 }
 
-func failureOf(code problem.Code) frame.Failure {
-	switch code {
-	case problem.CodeInvalidRequest, problem.CodeTooLarge:
+func failureOf(err error) frame.Failure {
+	switch {
+	case errors.Is(err, backend.ErrRejected):
 		return frame.FailureRejected
-	case problem.CodeOverloaded:
+	case errors.Is(err, backend.ErrOverloaded):
 		return frame.FailureOverloaded
 	default:
 		return frame.FailureEngineDead
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -7,6 +7,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wigeonfork/wigeonfork"
 )
 
@@ -156,3 +158,11 @@
 type Service interface {
 	Call(ctx context.Context, call Call) (Reply, error)
 }
+
+// ErrRejected is the cause of an error about a request that the backend server
+// refused as invalid: it would refuse it again.
+var ErrRejected = errors.New("request rejected")
+
+// ErrOverloaded is the cause of an error about a request for which the backend
+// server has no room at present.
+var ErrOverloaded = errors.New("backend server is overloaded")
--- a/backend/httpbackend/engine.go
+++ b/backend/httpbackend/engine.go
@@ -186,8 +186,13 @@
 func (e exchange) refusal(resp *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 	cause := errors.Newf("status %d: %s", resp.StatusCode, text)
-	if resp.StatusCode == http.StatusNotFound {
-		cause = errors.Wrapf(platform.ErrNotFound, "%s", text)
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		cause = errors.Mark(cause, platform.ErrNotFound)
+	case http.StatusTooManyRequests:
+		cause = errors.Mark(cause, backend.ErrOverloaded)
+	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge:
+		cause = errors.Mark(cause, backend.ErrRejected)
 	}
 	refused := resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable
 	if refused {
