--- /dev/null
+++ b/caller/whole.go
@@ -0,0 +1,99 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// reconnectDelay is the time before the next attempt to reach an entry.
+const reconnectDelay = 50 * time.Millisecond
+
+// Whole reads an answer to its end. When a stream breaks it goes on behind the
+// last event through the next of entries. onEvent may be nil. It returns the
+// text and the last event.
+func (c *Client) Whole(ctx context.Context, entries []string, request Request, onEvent func(Event)) (string, Event, error) {
+	reading := whole{client: c, entries: entries, request: request, onEvent: onEvent}
+	for {
+		err := reading.attempt(ctx)
+		var typed *problem.Error
+		switch {
+		case err == nil:
+			return string(reading.text), reading.last, nil
+		case errors.As(err, &typed) && !retryable(typed):
+			return string(reading.text), reading.last, typed
+		}
+		select {
+		case <-time.After(max(reconnectDelay, retryAfter(typed))):
+		case <-ctx.Done():
+			return string(reading.text), reading.last, errors.CombineErrors(ctx.Err(), err)
+		}
+	}
+}
+
+func retryAfter(typed *problem.Error) time.Duration {
+	if typed == nil {
+		return 0
+	}
+	return typed.RetryAfter
+}
+
+// retryable reports whether the same request may be sent again: it was not
+// run, and the refusal says when to come back.
+func retryable(typed *problem.Error) bool {
+	return typed.Run == problem.RunNot && typed.RetryAfter > 0
+}
+
+// whole is the reading of one answer.
+type whole struct {
+	client   *Client
+	entries  []string
+	request  Request
+	onEvent  func(Event)
+	attempts int
+	lastID   string
+	text     []byte
+	last     Event
+}
+
+func (w *whole) attempt(ctx context.Context) error {
+	entry := w.entries[w.attempts%len(w.entries)]
+	w.attempts++
+	stream, err := w.open(ctx, entry)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		w.take(event)
+	}
+}
+
+func (w *whole) open(ctx context.Context, entry string) (*Stream, error) {
+	if w.lastID == "" {
+		return w.client.Start(ctx, entry, w.request)
+	}
+	return w.client.Resume(ctx, entry, w.request.Workspace, w.lastID)
+}
+
+func (w *whole) take(event Event) {
+	if event.ID != "" {
+		w.lastID = event.ID
+	}
+	w.text = append(w.text, event.Text...)
+	w.last = event
+	if w.onEvent != nil {
+		w.onEvent(event)
+	}
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -3,8 +3,6 @@
 package demo
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/caller"
 	"github.com/wigeonfork/wigeonfork/embedded"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
 )
@@ -65,66 +64,21 @@
 	return nil
 }
 
-// chunk is what the demo reads of an event.
-type chunk struct {
-	Choices []struct {
-		Text         string `json:"text"`
-		FinishReason string `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *struct {
-		CompletionTokens int `json:"completion_tokens"`
-	} `json:"usage"`
-	Error json.RawMessage `json:"error"`
-}
-
+// stream reads the answer and kills the engine that produces it midway.
 func stream(ctx context.Context, out io.Writer, system *embedded.System) (string, error) {
-	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"seed":%d,"stream":true}`, embedded.Model, prompt, maxTokens, seed)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+system.Entries[0].Address+"/v1/completions", strings.NewReader(body))
-	if err != nil {
-		return "", err
-	}
-	request.Header.Set("X-Workspace", string(embedded.Workspace))
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(response.Body)
-		return "", errors.Newf("status %d: %s", response.StatusCode, text)
-	}
-	return read(out, system, response.Body)
-}
-
-// read collects the text and kills the engine that produces it midway.
-func read(out io.Writer, system *embedded.System, body io.Reader) (string, error) {
-	var text strings.Builder
+	client := caller.Client{HTTP: http.DefaultClient}
+	request := caller.Request{Workspace: embedded.Workspace, Model: embedded.Model, Prompt: prompt, MaxTokens: maxTokens, Seed: seed}
 	events := 0
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
-		if !ok {
-			continue
-		}
-		if string(data) == "[DONE]" {
-			return text.String(), nil
-		}
-		var c chunk
-		if err := json.Unmarshal(data, &c); err != nil {
-			return "", errors.Wrap(err, "decode event")
-		}
-		if len(c.Choices) == 0 {
-			return "", errors.Newf("error event: %s", c.Error)
-		}
-		text.WriteString(c.Choices[0].Text)
-		if c.Usage != nil {
-			fmt.Fprintf(out, "finish_reason=%s completion_tokens=%d\n", c.Choices[0].FinishReason, c.Usage.CompletionTokens)
-		}
+	text, last, err := client.Whole(ctx, []string{system.Entries[0].Address}, request, func(caller.Event) {
 		if events++; events == killAfterTokens {
 			kill(out, system)
 		}
+	})
+	if err != nil {
+		return "", err
 	}
-	return "", errors.New("stream ended without [DONE]")
+	fmt.Fprintf(out, "finish_reason=%s completion_tokens=%d\n", last.Finish, last.CompletionTokens)
+	return text, nil
 }
 
 // kill kills the engine that runs a stream.
--- a/generation/handle.go
+++ b/generation/handle.go
@@ -27,6 +27,9 @@
 	Chat bool `cbor:"7,keyasint,omitempty"`
 }
 
+// encoding refuses any spelling of a handle but the one that Seal returns.
+var encoding = base64.RawURLEncoding.Strict()
+
 // macBytes is the length of the truncated authentication code.
 const macBytes = 16
 
@@ -55,14 +58,14 @@
 	if err != nil {
 		return "", errors.Wrap(err, "encode resume handle")
 	}
-	return base64.RawURLEncoding.EncodeToString(append(body, s.mac(body)...)), nil
+	return encoding.EncodeToString(append(body, s.mac(body)...)), nil
 }
 
 // Open returns the handle in text. It fails with ErrHandle if the text was not
 // sealed with the same key.
 func (s *Sealer) Open(text string) (Handle, error) {
 	var h Handle
-	data, err := base64.RawURLEncoding.DecodeString(text)
+	data, err := encoding.DecodeString(text)
 	if err != nil || len(data) <= macBytes {
 		return h, ErrHandle
 	}
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -256,7 +256,9 @@
 	if now.Sub(r.lastFrame) > r.limits.PathSilence {
 		return SuspicionPathSilent
 	}
-	if now.Sub(r.lastToken) > r.progressLimit() {
+	// Only a frame that came without a token says that the engine is slow and
+	// not the path.
+	if r.lastFrame.Sub(r.lastToken) > r.progressLimit() {
 		return SuspicionEngineStalled
 	}
 	return SuspicionNone
