--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -56,7 +56,9 @@
 	Engines []engine.Options
 	// Limits of the relays; the zero value takes the defaults.
 	Limits generation.Limits
-	Log    *telemetry.Logger
+	// AgentDrainLimit is the drain limit of the agents; 0 means a minute.
+	AgentDrainLimit time.Duration
+	Log             *telemetry.Logger
 }
 
 // System is a running system with its stand-ins.
@@ -85,6 +87,9 @@
 	if options.Log == nil {
 		options.Log = telemetry.Discard()
 	}
+	if options.AgentDrainLimit == 0 {
+		options.AgentDrainLimit = time.Minute
+	}
 	if options.Limits == (generation.Limits{}) {
 		options.Limits = generation.DefaultLimits()
 	}
@@ -143,7 +148,7 @@
 		Credentials:   Credentials(),
 		Log:           s.options.Log,
 		Metrics:       metrics,
-		DrainLimit:    time.Minute,
+		DrainLimit:    s.options.AgentDrainLimit,
 	})
 	if err != nil {
 		return err
