Free the engine of a generation that is held to be lost

Cause: after a stall the entry went on elsewhere, but the old generation ran on as an orphan for 30 s: tokens generated twice, and the resume experiment struck the wrong engine because the abandoned run was still open. Change: leaving a place releases its generation at once, from a bounded pool; the agent sends the head of a stream before the first token, so that the time to reach it is told from the time to the first token; resume experiment.

--- a/agent/command/attach.go
+++ b/agent/command/attach.go
@@ -96,6 +96,10 @@
 	out.Header().Set("Content-Type", "application/octet-stream")
 	out.WriteHeader(http.StatusOK)
 	w := &writer{out: out, control: http.NewResponseController(out)}
+	// The head tells the entry that the agent is reached, before any token.
+	if w.flush() != nil {
+		return
+	}
 	heartbeat := time.NewTicker(agentapi.HeartbeatInterval)
 	defer heartbeat.Stop()
 	for {
--- a/agent/session/session.go
+++ b/agent/session/session.go
@@ -172,11 +172,15 @@
 	}
 }
 
-// Release shortens the time that the session goes on without a reader.
+// Release shortens the time that the session goes on without a reader. With
+// no time left it ends the production of tokens at once.
 func (s *Session) Release(linger time.Duration) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.orphanLimit = min(s.orphanLimit, linger)
+	s.mu.Unlock()
+	if linger <= 0 {
+		s.cancel()
+	}
 }
 
 // Next fills f with what a reader at position from is to send next. It returns
--- /dev/null
+++ b/cmd/wigeon-experiment/main.go
@@ -0,0 +1,80 @@
+// Command wigeon-experiment measures the system and its decisions, prints the
+// targets beside the figures and exits with 1 if one is missed.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/wigeonfork/wigeonfork/experiment/relay"
+	"github.com/wigeonfork/wigeonfork/experiment/resume"
+)
+
+// options are the settings of every experiment.
+type options struct {
+	Quick bool   `long:"quick" description:"small sizes, to try the experiment out"`
+	Seed  uint64 `long:"seed" description:"seed of the random sequences" default:"1"`
+	CSV   string `long:"csv" description:"file to write the rows to"`
+
+	Relay  relayCommand  `command:"relay" description:"cost of relaying tokens, on real daemons over stand-ins"`
+	Resume resumeCommand `command:"resume" description:"time until an interrupted answer goes on, by kind of loss"`
+}
+
+var settings options
+
+// errMissed is returned when a target is missed.
+var errMissed = errors.New("a target is missed")
+
+// run opens the CSV file, runs an experiment and judges its targets.
+func run(experiment func(out, csv io.Writer) (int, error)) error {
+	var data io.Writer
+	if settings.CSV != "" {
+		file, err := os.Create(settings.CSV)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		data = file
+	}
+	missed, err := experiment(os.Stdout, data)
+	if err != nil {
+		return err
+	}
+	if missed > 0 {
+		return errors.Wrapf(errMissed, "%d", missed)
+	}
+	return nil
+}
+
+type relayCommand struct{}
+
+// Execute implements flags.Commander.
+func (*relayCommand) Execute([]string) error {
+	return run(func(out, csv io.Writer) (int, error) {
+		return relay.Run(out, relay.Options{Quick: settings.Quick, CSV: csv})
+	})
+}
+
+type resumeCommand struct{}
+
+// Execute implements flags.Commander.
+func (*resumeCommand) Execute([]string) error {
+	return run(func(out, csv io.Writer) (int, error) {
+		return resume.Run(out, resume.Options{Quick: settings.Quick, CSV: csv})
+	})
+}
+
+func main() {
+	if _, err := flags.NewParser(&settings, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			fmt.Println(err)
+			return
+		}
+		fmt.Fprintln(os.Stderr, "wigeon-experiment:", err)
+		os.Exit(1)
+	}
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,7 +12,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/caller"
 	"github.com/wigeonfork/wigeonfork/embedded"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
@@ -81,37 +79,12 @@
 	return text, nil
 }
 
-// kill kills the engine that runs a stream.
+// kill kills the engine that runs the stream.
 func kill(out io.Writer, system *embedded.System) {
-	for i, running := range system.World.Engines {
-		if loadOf(running) > 0 {
-			fmt.Fprintf(out, "killing %s midway\n", embedded.ServerID(i))
-			running.Kill()
-			return
-		}
-	}
-}
-
-func loadOf(running *engine.Running) int {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	report, err := loadReport(ctx, running.Addr())
-	if err != nil {
-		return 0
-	}
-	return report.Running
-}
-
-func loadReport(ctx context.Context, address string) (backend.LoadReport, error) {
-	var report backend.LoadReport
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
-	if err != nil {
-		return report, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return report, err
+	i := system.RunningEngine()
+	if i < 0 {
+		return
 	}
-	defer func() { _ = response.Body.Close() }()
-	return report, json.NewDecoder(response.Body).Decode(&report)
+	fmt.Fprintf(out, "killing %s midway\n", embedded.ServerID(i))
+	system.World.Engines[i].Kill()
 }
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -124,7 +124,7 @@
 			return err
 		}
 	}
-	return s.waitReady()
+	return s.WaitReady()
 }
 
 func domainOf(i int) wigeonfork.FailureDomain {
@@ -138,6 +138,24 @@
 
 // AddAgent starts an agent beside engine i.
 func (s *System) AddAgent(i int) error {
+	node, err := s.newAgent(i)
+	if err == nil {
+		s.Agents = append(s.Agents, node)
+	}
+	return err
+}
+
+// ReplaceAgent starts a new agent in place of the one beside engine i, at
+// other ports.
+func (s *System) ReplaceAgent(i int) error {
+	node, err := s.newAgent(i)
+	if err == nil {
+		s.Agents[i] = node
+	}
+	return err
+}
+
+func (s *System) newAgent(i int) (*Node[*agent.Agent], error) {
 	metrics := telemetry.NewRegistry()
 	host := wigeonfork.HostID(fmt.Sprintf("agent-%d", i))
 	a, err := agent.New(agent.Options{
@@ -151,20 +169,19 @@
 		DrainLimit:    s.options.AgentDrainLimit,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	serve, control, err := listen()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	a.Start(serve, control)
 	node := &Node[*agent.Agent]{Process: a, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: metrics}
-	s.Agents = append(s.Agents, node)
 	s.World.Hosts.Put(platform.Host{
 		ID: host, Role: platform.RoleAgent, State: platform.HostLive, Region: "local", Domain: domainOf(i),
 		ServeAddress: node.Address, ControlAddress: node.Control, BackendServer: ServerID(i),
 	})
-	return nil
+	return node, nil
 }
 
 func allCapabilities() backend.Capabilities {
@@ -238,7 +255,8 @@
 	return err
 }
 
-func (s *System) waitReady() error {
+// WaitReady waits until each entry sees all backend servers take work.
+func (s *System) WaitReady() error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, node := range s.Entries {
 		for !node.Process.Ready(len(s.Agents)) {
@@ -251,6 +269,18 @@
 	return nil
 }
 
+// RunningEngine returns the index of an engine that runs a stream, or -1.
+func (s *System) RunningEngine() int {
+	for i, e := range s.World.Engines {
+		for _, run := range e.Runs() {
+			if run.End == engine.RunOpen {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
 // Close stops everything.
 func (s *System) Close() {
 	for _, node := range s.Entries {
--- a/embedded/serving_test.go
+++ b/embedded/serving_test.go
@@ -52,18 +52,6 @@
 	return text.String()
 }
 
-// running returns the index of the engine that runs a stream, or -1.
-func running(s *System) int {
-	for i, e := range s.World.Engines {
-		for _, run := range e.Runs() {
-			if run.End == engine.RunOpen {
-				return i
-			}
-		}
-	}
-	return -1
-}
-
 // disturb reads an answer whole and calls fault once after some events with
 // the index of the engine that runs it.
 func disturb(s *System, prompt string, fault func(engine int)) (string, caller.Event, error) {
@@ -77,7 +65,7 @@
 	events := 0
 	return client.Whole(ctx, entries, testRequest(prompt), func(caller.Event) {
 		if events++; events == 20 {
-			fault(running(s))
+			fault(s.RunningEngine())
 		}
 	})
 }
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
+	"github.com/wigeonfork/wigeonfork/workpool"
 )
 
 const (
@@ -58,6 +59,8 @@
 	Answers *session.Table
 	Sealer  *generation.Sealer
 	Limits  generation.Limits
+	// Pool runs what no caller waits for.
+	Pool    *workpool.Pool
 	Metrics telemetry.Registry
 	Log     *telemetry.Logger
 }
@@ -79,6 +82,15 @@
 	stream    *agentapi.Stream
 	frame     frame.Frame
 	lastToken time.Time
+	loss      loss
+}
+
+// loss holds the times of an interruption: when the source was found lost and
+// when another was reached.
+type loss struct {
+	lastProgress time.Time
+	detected     time.Time
+	reached      time.Time
 }
 
 // relay drives the answer to its end.
@@ -123,9 +135,9 @@
 			return err
 		}
 		now := time.Now()
-		verdict, interrupted := r.answer.Accept(now, &r.frame)
-		if interrupted > 0 {
-			r.noteResumed(interrupted)
+		verdict := r.answer.Accept(now, &r.frame)
+		if progress := verdict == generation.VerdictAppended || verdict == generation.VerdictEnd; progress {
+			r.noteResumed(now)
 		}
 		switch verdict {
 		case generation.VerdictAppended:
@@ -164,6 +176,7 @@
 		return err
 	}
 	r.stream = stream
+	r.loss.reached = time.Now()
 	return nil
 }
 
@@ -294,6 +307,7 @@
 		return err
 	}
 	r.stream = stream
+	r.loss.reached = time.Now()
 	return nil
 }
 
@@ -301,6 +315,8 @@
 	if r.place == nil {
 		return
 	}
+	// The engine may be alive and only held to be lost.
+	r.release(0)
 	now := time.Now()
 	r.Fleet.Failed(now, r.place)
 	r.Fleet.Suspect(now, r.place.Server)
@@ -326,6 +342,10 @@
 }
 
 func (r *run) noteLost(cause error, suspicion generation.Suspicion) {
+	if r.loss.detected.IsZero() {
+		r.loss.detected = time.Now()
+		r.loss.lastProgress = r.answer.Relay().LastProgress()
+	}
 	telemetry.Counter(r.Metrics, "relay.losses").Inc(1)
 	failure := r.answer.Relay().Failure()
 	event := r.Log.Info().Str("request", string(r.answer.Call.RequestID)).Str("peer", r.answer.Agent()).
@@ -336,13 +356,33 @@
 	event.Msg("source_lost")
 }
 
-func (r *run) noteResumed(interrupted time.Duration) {
+// noteResumed measures the parts of an interruption that has ended.
+func (r *run) noteResumed(now time.Time) {
+	if r.loss.detected.IsZero() {
+		return
+	}
+	detection := r.loss.detected.Sub(r.loss.lastProgress)
+	choice := r.loss.reached.Sub(r.loss.detected)
+	firstToken := now.Sub(r.loss.reached)
 	telemetry.Counter(r.Metrics, "relay.resumed").Inc(1)
-	telemetry.Histogram(r.Metrics, "relay.resume_ms").Update(interrupted.Milliseconds())
+	telemetry.Histogram(r.Metrics, MetricDetection).Update(detection.Microseconds())
+	telemetry.Histogram(r.Metrics, MetricChoice).Update(choice.Microseconds())
+	telemetry.Histogram(r.Metrics, MetricFirstToken).Update(firstToken.Microseconds())
 	r.Log.Info().Str("request", string(r.answer.Call.RequestID)).Str("peer", r.answer.Agent()).
-		Int64("interrupted_ms", interrupted.Milliseconds()).Msg("answer_resumed")
+		Int64("detection_us", detection.Microseconds()).Int64("choice_us", choice.Microseconds()).
+		Int64("first_token_us", firstToken.Microseconds()).Msg("answer_resumed")
+	r.loss = loss{}
 }
 
+// The histograms of the parts of an interruption, in microseconds: from the
+// last token to the detection of the loss, from there to the next source, and
+// from there to its first token.
+const (
+	MetricDetection  = "relay.resume_detection_us"
+	MetricChoice     = "relay.resume_choice_us"
+	MetricFirstToken = "relay.resume_first_token_us"
+)
+
 // abandon frees the engine of an answer whose caller went away. The agent
 // keeps it for a moment in case the caller comes back.
 func (r *run) abandon() {
@@ -351,14 +391,24 @@
 	if r.place != nil {
 		r.Fleet.Failed(time.Now(), r.place)
 	}
+	r.release(callerLinger)
+}
+
+// release frees the engine of the current generation after linger.
+func (r *run) release(linger time.Duration) {
 	agent := r.answer.Agent()
 	if agent == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), releaseTimeout)
-	defer cancel()
-	err := r.Agents.Release(ctx, agent, r.answer.Call.RequestID, r.answer.Relay().Generation(), callerLinger)
-	if err != nil {
-		r.Log.Debug().Str("step", "relay").Str("peer", agent).Err(err).Msg("release_failed")
+	id, g := r.answer.Call.RequestID, r.answer.Relay().Generation()
+	submitted := r.Pool.Submit(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := r.Agents.Release(ctx, agent, id, g, linger); err != nil {
+			r.Log.Debug().Str("step", "relay").Str("peer", agent).Err(err).Msg("release_failed")
+		}
+	})
+	if !submitted {
+		telemetry.Counter(r.Metrics, "relay.releases_dropped").Inc(1)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/workpool"
 )
 
 // Options describe one entry.
@@ -47,6 +48,7 @@
 	config     *configuration
 	callers    *command.Callers
 	agents     *agentapi.Client
+	pool       *workpool.Pool
 	status     *query.Status
 	control    *peer.Server
 	server     *http.Server
@@ -58,6 +60,12 @@
 // checkInterval is the time between two searches for lost sources.
 const checkInterval = 50 * time.Millisecond
 
+// Sizes of the pool for what no caller waits for.
+const (
+	poolWorkers = 8
+	poolQueue   = 4096
+)
+
 // New returns an entry. It fails on a handle key that is too short.
 func New(options Options) (*Entry, error) {
 	sealer, err := generation.NewSealer(options.HandleKey)
@@ -66,6 +74,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	e := &Entry{options: options, answers: session.NewTable(), background: background, stop: stop}
+	e.pool = workpool.New(poolWorkers, poolQueue)
 	e.agents = agentapi.NewClient(options.Credentials.Peer)
 	e.fleet = fleet.New(fleet.Options{
 		Domain:  options.Domain,
@@ -83,6 +92,7 @@
 			Answers: e.answers,
 			Sealer:  sealer,
 			Limits:  options.Limits,
+			Pool:    e.pool,
 			Metrics: options.Metrics,
 			Log:     options.Log,
 		},
@@ -188,6 +198,7 @@
 	_ = e.server.Close()
 	e.wait.Wait()
 	e.fleet.Wait()
+	e.pool.Close()
 	e.agents.Close()
 }
 
--- a/entry/session/answer.go
+++ b/entry/session/answer.go
@@ -28,7 +28,6 @@
 	busy      bool
 	detach    context.CancelFunc
 	suspicion generation.Suspicion
-	lostAt    time.Time
 }
 
 // NewAnswer returns an answer without tokens.
@@ -72,19 +71,11 @@
 	a.suspicion = generation.SuspicionNone
 }
 
-// Accept judges a frame; see generation.Relay. It reports the time since the
-// loss of the last source with the first frame that makes progress.
-func (a *Answer) Accept(now time.Time, f *frame.Frame) (generation.Verdict, time.Duration) {
+// Accept judges a frame; see generation.Relay.
+func (a *Answer) Accept(now time.Time, f *frame.Frame) generation.Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	verdict := a.relay.Accept(now, f)
-	progress := verdict == generation.VerdictAppended || verdict == generation.VerdictEnd
-	if !progress || a.lostAt.IsZero() {
-		return verdict, 0
-	}
-	interrupted := now.Sub(a.lostAt)
-	a.lostAt = time.Time{}
-	return verdict, interrupted
+	return a.relay.Accept(now, f)
 }
 
 // Busy notes whether the relaying goroutine writes to the caller, in which
@@ -113,14 +104,10 @@
 }
 
 // Lose notes that the source is lost and returns how to go on and why the
-// source was held to be lost. The time of the loss counts from the last
-// progress.
+// source was held to be lost.
 func (a *Answer) Lose(reachable bool) (generation.NextStep, generation.Suspicion) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.lostAt.IsZero() {
-		a.lostAt = a.relay.LastProgress()
-	}
 	a.detach = nil
 	return a.relay.Lose(reachable && a.suspicion != generation.SuspicionEngineStalled), a.suspicion
 }
--- /dev/null
+++ b/experiment/report/report.go
@@ -0,0 +1,107 @@
+// Package report prints the figures of an experiment as a table, with targets
+// beside them, and writes the rows as CSV.
+package report
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Report collects the figures of one experiment.
+type Report struct {
+	out     io.Writer
+	csv     *csv.Writer
+	columns []string
+	rows    [][]string
+	targets []target
+}
+
+// target is one figure beside the bound that it has to keep.
+type target struct {
+	name   string
+	figure float64
+	bound  float64
+	unit   string
+	met    bool
+}
+
+// New returns a report that prints to out and, unless it is nil, writes CSV to
+// data.
+func New(out, data io.Writer, columns ...string) *Report {
+	r := &Report{out: out, columns: columns}
+	if data != nil {
+		r.csv = csv.NewWriter(data)
+	}
+	return r
+}
+
+// Row adds a row.
+func (r *Report) Row(values ...any) {
+	row := make([]string, 0, len(values))
+	for _, value := range values {
+		row = append(row, format(value))
+	}
+	r.rows = append(r.rows, row)
+}
+
+func format(value any) string {
+	if number, ok := value.(float64); ok {
+		return fmt.Sprintf("%.3g", number)
+	}
+	return fmt.Sprint(value)
+}
+
+// AtMost adds a target that figure must not exceed.
+func (r *Report) AtMost(name string, figure, bound float64, unit string) {
+	r.targets = append(r.targets, target{name, figure, bound, unit, figure <= bound})
+}
+
+// AtLeast adds a target that figure must reach.
+func (r *Report) AtLeast(name string, figure, bound float64, unit string) {
+	r.targets = append(r.targets, target{name, figure, bound, unit, figure >= bound})
+}
+
+// Print prints all and returns the number of targets missed.
+func (r *Report) Print() (int, error) {
+	if err := r.writeCSV(); err != nil {
+		return 0, err
+	}
+	table := tabwriter.NewWriter(r.out, 0, 0, 2, ' ', 0)
+	printRow(table, r.columns)
+	for _, row := range r.rows {
+		printRow(table, row)
+	}
+	missed := 0
+	fmt.Fprintln(table)
+	for _, t := range r.targets {
+		verdict := "met"
+		if !t.met {
+			verdict = "MISSED"
+			missed++
+		}
+		fmt.Fprintf(table, "target %s\t%.4g %s\tbound %.4g %s\t%s\n", t.name, t.figure, t.unit, t.bound, t.unit, verdict)
+	}
+	return missed, table.Flush()
+}
+
+func printRow(out io.Writer, row []string) {
+	for i, cell := range row {
+		if i > 0 {
+			fmt.Fprint(out, "\t")
+		}
+		fmt.Fprint(out, cell)
+	}
+	fmt.Fprintln(out)
+}
+
+func (r *Report) writeCSV() error {
+	if r.csv == nil {
+		return nil
+	}
+	if err := r.csv.Write(r.columns); err != nil {
+		return err
+	}
+	return r.csv.WriteAll(r.rows)
+}
--- /dev/null
+++ b/experiment/report/samples.go
@@ -0,0 +1,40 @@
+package report
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The range and precision of Samples.
+const (
+	largestMicros     = int64(10 * time.Minute / time.Microsecond)
+	significantDigits = 3
+)
+
+// Samples holds durations with microsecond resolution.
+type Samples struct {
+	histogram *hdrhistogram.Histogram
+}
+
+// NewSamples returns an empty set.
+func NewSamples() *Samples {
+	return &Samples{hdrhistogram.New(1, largestMicros, significantDigits)}
+}
+
+// Add adds a duration; one beyond the range counts as the largest.
+func (s *Samples) Add(d time.Duration) {
+	// The value is clamped to the range, so that recording can't fail.
+	_ = s.histogram.RecordValue(min(max(d.Microseconds(), 1), largestMicros))
+}
+
+// Count returns the number of durations.
+func (s *Samples) Count() int64 { return s.histogram.TotalCount() }
+
+// Millis returns a quantile, from 0 to 100, in milliseconds.
+func (s *Samples) Millis(quantile float64) float64 {
+	return float64(s.histogram.ValueAtQuantile(quantile)) / float64(time.Millisecond/time.Microsecond)
+}
+
+// Merge adds all of other.
+func (s *Samples) Merge(other *Samples) { s.histogram.Merge(other.histogram) }
