Measure what relaying costs, over real processes

Cause: the bounds on added time and on tokens per core were not measured. Change: test/process builds and runs the daemons, test/realsystem puts them over stand-ins, wigeon-experiment relay compares direct with through.

--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -93,11 +93,7 @@
 	if options.Limits == (generation.Limits{}) {
 		options.Limits = generation.DefaultLimits()
 	}
-	for i := range options.Engines {
-		if options.Engines[i].Versions == nil {
-			options.Engines[i].Versions = []backend.LoadedVersion{{Model: Model, Version: Version, Ready: true}}
-		}
-	}
+	LoadDefaultVersion(options.Engines)
 	w, err := world.Start(world.Options{Engines: options.Engines})
 	if err != nil {
 		return nil, err
@@ -110,13 +106,23 @@
 	return s, nil
 }
 
+// LoadDefaultVersion gives the version that every system starts with to those
+// engines that hold none.
+func LoadDefaultVersion(engines []engine.Options) {
+	for i := range engines {
+		if engines[i].Versions == nil {
+			engines[i].Versions = []backend.LoadedVersion{{Model: Model, Version: Version, Ready: true}}
+		}
+	}
+}
+
 func (s *System) start() error {
 	for i := range s.World.Engines {
 		if err := s.AddAgent(i); err != nil {
 			return err
 		}
 	}
-	if err := s.configure(); err != nil {
+	if err := Configure(context.Background(), s.World.Table, len(s.World.Engines)); err != nil {
 		return err
 	}
 	for range max(s.options.Entries, 1) {
@@ -232,9 +238,11 @@
 	return serve, control, nil
 }
 
-func (s *System) configure() error {
+// Configure writes the configuration with the deployment that every system
+// starts with, for engines backend servers.
+func Configure(ctx context.Context, table platform.Table, engines int) error {
 	var servers []wigeonfork.BackendServerID
-	for i := range s.World.Engines {
+	for i := range engines {
 		servers = append(servers, ServerID(i))
 	}
 	config := template.Config{Revision: 1, Deployments: []template.Deployment{{
@@ -248,7 +256,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.World.Table.Commit(context.Background(), platform.Transaction{
+	_, err = table.Commit(ctx, platform.Transaction{
 		OperationID: uuid.NewString(),
 		Writes:      []platform.Write{{Key: entry.RowConfiguration, Value: value}},
 	})
--- a/experiment/relay/relay.go
+++ b/experiment/relay/relay.go
@@ -1,13 +1,286 @@
-// Package relay measures what relaying costs.
+// Package relay measures what relaying tokens costs: processor time of an entry
+// and an agent for each token, and the time that the system adds to the first
+// and to later tokens, over real processes.
 package relay
 
-import "io"
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/caller"
+	"github.com/wigeonfork/wigeonfork/embedded"
+	"github.com/wigeonfork/wigeonfork/experiment/report"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+	"github.com/wigeonfork/wigeonfork/test/process"
+	"github.com/wigeonfork/wigeonfork/test/realsystem"
+)
+
+// The users' bounds.
+const (
+	boundFirstTokenAdded = 10.0   // milliseconds at p95
+	boundLaterTokenAdded = 1.0    // milliseconds at p99
+	boundEntryRate       = 33_000 // tokens a second with one core
+	boundAgentRate       = 3_600  // tokens a second with a tenth of a core
+	agentShare           = 0.1
+)
+
+// Sizes of the experiment.
+const (
+	agents          = 4
+	slots           = 256
+	tokensPerSecond = 50
+	loadStreams     = 400
+	loadTokens      = 300
+	pacedStreams    = 200
+	pacedTokens     = 40
+	pacedParallel   = 4
+	quickDivisor    = 10
+	timeout         = 2 * time.Minute
+)
 
 // Options describe a run.
 type Options struct {
+	// Quick runs a tenth of the load, to try the experiment out.
 	Quick bool
 	CSV   io.Writer
 }
 
-// Run is written next.
-func Run(io.Writer, Options) (int, error) { return 0, nil }
+// Run measures and returns the number of targets missed.
+func Run(out io.Writer, options Options) (int, error) {
+	binaries, err := process.Build()
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = binaries.Remove() }()
+	var engines []engine.Options
+	for range agents {
+		engines = append(engines, engine.Options{TokensPerSecond: tokensPerSecond, Slots: slots})
+	}
+	system, err := realsystem.Start(realsystem.Options{Binaries: binaries, Engines: engines, Environment: []string{"WIGEON_LOG_LEVEL=warn"}})
+	if err != nil {
+		return 0, err
+	}
+	defer system.Close()
+	divisor := 1
+	if options.Quick {
+		divisor = quickDivisor
+	}
+	r := report.New(out, options.CSV, "measure", "samples", "direct", "through", "unit")
+	if err := latency(r, system, pacedStreams/divisor); err != nil {
+		return 0, err
+	}
+	if err := throughput(r, system, loadStreams/divisor); err != nil {
+		return 0, err
+	}
+	return r.Print()
+}
+
+// times are the first-token and inter-token times of many streams.
+type times struct {
+	mu    sync.Mutex
+	first *report.Samples
+	later *report.Samples
+}
+
+func newTimes() *times {
+	return &times{first: report.NewSamples(), later: report.NewSamples()}
+}
+
+// clock takes the times of one stream.
+type clock struct {
+	times *times
+	last  time.Time
+	begun bool
+}
+
+func (c *clock) token() {
+	now := time.Now()
+	c.times.mu.Lock()
+	defer c.times.mu.Unlock()
+	if c.begun {
+		c.times.later.Add(now.Sub(c.last))
+	} else {
+		c.times.first.Add(now.Sub(c.last))
+	}
+	c.begun = true
+	c.last = now
+}
+
+// latency compares streams asked of an engine directly with streams through
+// the system, in turns.
+func latency(r *report.Report, system *realsystem.System, streams int) error {
+	direct, through := newTimes(), newTimes()
+	err := parallel(streams, pacedParallel, func(i int) error {
+		if err := askEngine(system, direct, i); err != nil {
+			return err
+		}
+		return askEntry(system, through, i, pacedTokens)
+	})
+	if err != nil {
+		return err
+	}
+	for _, quantile := range []float64{50, 95, 99} {
+		r.Row(fmt.Sprintf("first token p%g", quantile), through.first.Count(), direct.first.Millis(quantile), through.first.Millis(quantile), "ms")
+	}
+	for _, quantile := range []float64{50, 95, 99} {
+		r.Row(fmt.Sprintf("later tokens p%g", quantile), through.later.Count(), direct.later.Millis(quantile), through.later.Millis(quantile), "ms")
+	}
+	r.AtMost("first token added p95", through.first.Millis(95)-direct.first.Millis(95), boundFirstTokenAdded, "ms")
+	r.AtMost("later token added p99", through.later.Millis(99)-direct.later.Millis(99), boundLaterTokenAdded, "ms")
+	return nil
+}
+
+func askEngine(system *realsystem.System, t *times, i int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	direct := httpbackend.NewEngine(httpbackend.Options{Address: system.World.Engines[i%agents].Addr()})
+	defer direct.Close()
+	c := clock{times: t, last: time.Now()}
+	stream, err := direct.Generate(ctx, backend.GenerateRequest{
+		StreamID: fmt.Sprintf("direct-%d", i), Model: embedded.Model, Version: embedded.Version,
+		Prompt: fmt.Sprintf("direct %d", i), MaxTokens: pacedTokens,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	return readDirect(ctx, stream, &c)
+}
+
+// readDirect counts a token when the text up to it can be shown: a caller
+// waits for the rest of a cut rune whichever way it asks.
+func readDirect(ctx context.Context, stream backend.Stream, c *clock) error {
+	var log generation.Log
+	var shown wigeonfork.Position
+	for {
+		chunk, err := stream.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if chunk.Done {
+			return nil
+		}
+		for _, token := range chunk.Tokens {
+			log.Append(token)
+		}
+		if next := log.RuneBoundary(shown); next > shown {
+			shown = next
+			c.token()
+		}
+	}
+}
+
+// askEntry reads one answer through an entry. t may be nil.
+func askEntry(system *realsystem.System, t *times, i, tokens int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	client := caller.Client{HTTP: http.DefaultClient}
+	c := clock{times: t, last: time.Now()}
+	request := caller.Request{Workspace: embedded.Workspace, Model: embedded.Model, Prompt: fmt.Sprintf("through %d", i), MaxTokens: uint32(tokens), Seed: uint64(i)}
+	_, last, err := client.Whole(ctx, []string{system.Entries[0].Serve}, request, func(event caller.Event) {
+		if t != nil && event.Text != "" {
+			c.token()
+		}
+	})
+	if err == nil && last.Finish == "" {
+		return errors.New("answer has no end")
+	}
+	return err
+}
+
+// throughput measures the processor time for each token under many streams.
+func throughput(r *report.Report, system *realsystem.System, streams int) error {
+	before, err := usage(system)
+	if err != nil {
+		return err
+	}
+	tokensBefore := generated(system)
+	if err := parallel(streams, streams, func(i int) error {
+		return askEntry(system, nil, i, loadTokens)
+	}); err != nil {
+		return err
+	}
+	after, err := usage(system)
+	if err != nil {
+		return err
+	}
+	tokens := float64(generated(system) - tokensBefore)
+	entryRate := tokens / (after.entry - before.entry).Seconds()
+	agentRate := tokens / (after.agents - before.agents).Seconds()
+	r.Row("entry tokens per core second", int(tokens), "", entryRate, "tokens/s")
+	r.Row("agent tokens per core second", int(tokens), "", agentRate, "tokens/s")
+	r.AtLeast("entry with one core", entryRate, boundEntryRate, "tokens/s")
+	r.AtLeast("agent with a tenth of a core", agentRate*agentShare, boundAgentRate, "tokens/s")
+	return nil
+}
+
+func generated(system *realsystem.System) uint64 {
+	var tokens uint64
+	for _, e := range system.World.Engines {
+		tokens += e.TokensGenerated()
+	}
+	return tokens
+}
+
+type processorTime struct {
+	entry, agents time.Duration
+}
+
+func usage(system *realsystem.System) (processorTime, error) {
+	var u processorTime
+	var err error
+	if u.entry, err = system.Entries[0].CPU(); err != nil {
+		return u, err
+	}
+	for _, a := range system.Agents {
+		used, err := a.CPU()
+		if err != nil {
+			return u, err
+		}
+		u.agents += used
+	}
+	return u, nil
+}
+
+// parallel calls do for each of n indexes, some at a time, and returns the
+// first error.
+func parallel(n, atOnce int, do func(i int) error) error {
+	indexes := make(chan int)
+	failures := make(chan error, atOnce)
+	var wait sync.WaitGroup
+	for range atOnce {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range indexes {
+				if err := do(i); err != nil {
+					select {
+					case failures <- err:
+					default:
+					}
+				}
+			}
+		}()
+	}
+	for i := range n {
+		indexes <- i
+	}
+	close(indexes)
+	wait.Wait()
+	select {
+	case err := <-failures:
+		return err
+	default:
+		return nil
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -43,7 +43,7 @@
 	}
 	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{})
 	client := &Client{Address: address}
-	client.conn = jsonrpc2.NewConn(context.Background(), stream, notificationHandler{onNotification})
+	client.conn = jsonrpc2.NewConn(context.Background(), stream, notificationHandler{onNotification}, silent)
 	if err := client.Call(ctx, MethodHello, hello, nil); err != nil {
 		_ = client.Close()
 		return nil, err
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -66,3 +66,12 @@
 	}
 	return size, nil
 }
+
+// silentLogger drops what the library says of broken connections: their ends
+// are seen and logged elsewhere.
+type silentLogger struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (silentLogger) Printf(string, ...any) {}
+
+var silent = jsonrpc2.SetLogger(silentLogger{})
--- a/peer/server.go
+++ b/peer/server.go
@@ -137,7 +137,7 @@
 	ready := make(chan struct{})
 	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{})
 	route := &router{server: s, session: session, ready: ready}
-	session.conn = jsonrpc2.NewConn(context.Background(), stream, route)
+	session.conn = jsonrpc2.NewConn(context.Background(), stream, route, silent)
 	close(ready)
 	s.conns[session.conn] = struct{}{}
 	s.wait.Add(1)
--- /dev/null
+++ b/test/process/process.go
@@ -0,0 +1,167 @@
+// Package process builds the daemons and runs them as real processes, for the
+// fault matrix and the experiments. The daemons themselves start no process.
+package process
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// startTimeout bounds the time until a process announces its addresses.
+const startTimeout = 10 * time.Second
+
+// modulePath is the import path under which the daemons are built.
+const modulePath = "github.com/wigeonfork/wigeonfork"
+
+// Binaries are the built daemons.
+type Binaries struct {
+	folder string
+}
+
+// Build builds the daemons into a temporary folder. Further arguments go to go
+// build.
+func Build(arguments ...string) (*Binaries, error) {
+	folder, err := os.MkdirTemp("", "wigeonfork-bin-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make folder")
+	}
+	command := append([]string{"build", "-o", folder + string(filepath.Separator)}, arguments...)
+	command = append(command, modulePath+"/cmd/wigeonfork-entry", modulePath+"/cmd/wigeonfork-agent", modulePath+"/cmd/wigeonctl")
+	if output, err := exec.Command("go", command...).CombinedOutput(); err != nil {
+		return nil, errors.CombineErrors(errors.Wrapf(err, "build daemons: %s", output), os.RemoveAll(folder))
+	}
+	return &Binaries{folder: folder}, nil
+}
+
+// Remove removes the binaries.
+func (b *Binaries) Remove() error { return os.RemoveAll(b.folder) }
+
+// Path returns the path of a program.
+func (b *Binaries) Path(program string) string { return filepath.Join(b.folder, program) }
+
+// Process is one running daemon.
+type Process struct {
+	Serve   string
+	Control string
+	Metrics string
+
+	command *exec.Cmd
+	ended   chan struct{}
+	mu      sync.Mutex
+	log     bytes.Buffer
+	waitErr error
+}
+
+// Start starts a program with settings in the environment and waits until it
+// announces its addresses.
+func (b *Binaries) Start(program string, environment ...string) (*Process, error) {
+	command := exec.Command(b.Path(program))
+	command.Env = append(os.Environ(), environment...)
+	p := &Process{command: command, ended: make(chan struct{})}
+	command.Stderr = logWriter{p}
+	out, err := command.StdoutPipe()
+	if err != nil {
+		return nil, errors.Wrap(err, "open pipe")
+	}
+	if err := command.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", program)
+	}
+	announced := make(chan string, 1)
+	go p.watch(out, announced)
+	select {
+	case line := <-announced:
+		p.readAddresses(line)
+		return p, nil
+	case <-p.ended:
+		return nil, errors.Newf("%s ended at start: %s", program, p.Log())
+	case <-time.After(startTimeout):
+		p.Kill()
+		return nil, errors.Newf("%s announced no address: %s", program, p.Log())
+	}
+}
+
+// logWriter collects what a process logs.
+type logWriter struct{ p *Process }
+
+// Write implements io.Writer.
+func (w logWriter) Write(data []byte) (int, error) {
+	w.p.mu.Lock()
+	defer w.p.mu.Unlock()
+	return w.p.log.Write(data)
+}
+
+func (p *Process) watch(out io.Reader, announced chan<- string) {
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		select {
+		case announced <- lines.Text():
+		default:
+		}
+	}
+	err := p.command.Wait()
+	p.mu.Lock()
+	p.waitErr = err
+	p.mu.Unlock()
+	close(p.ended)
+}
+
+func (p *Process) readAddresses(line string) {
+	for _, pair := range strings.Fields(line) {
+		name, value, _ := strings.Cut(pair, "=")
+		switch name {
+		case "serve":
+			p.Serve = value
+		case "control":
+			p.Control = value
+		case "metrics":
+			p.Metrics = value
+		}
+	}
+}
+
+// Log returns what the process has logged.
+func (p *Process) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	// A process that has ended already can't be signalled; that is as good.
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+// Pause stops the process until Continue.
+func (p *Process) Pause() error { return p.command.Process.Signal(syscall.SIGSTOP) }
+
+// Continue lets a paused process go on.
+func (p *Process) Continue() error { return p.command.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to drain and leave.
+func (p *Process) Terminate() error { return p.command.Process.Signal(syscall.SIGTERM) }
+
+// Ended is closed at the end of the process.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Err returns how the process ended; call it after Ended.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waitErr
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
