Serve actions: claims through the table, ledger at the agent

Cause: calls to plain services must run at most once under their key. Change: entry endpoint, lookup and key service over action.Executor; the agent runs a claimed call apart from the connection that brought it and records what no entry has acknowledged; metrics counters are looked up once per stream; write deadlines move in steps; experiment processes have one core each.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/justinas/alice"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/agent/command"
 	"github.com/wigeonfork/wigeonfork/agent/query"
 	"github.com/wigeonfork/wigeonfork/agent/session"
@@ -22,6 +22,7 @@
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -33,7 +34,9 @@
 	// Engine is the model engine beside the agent; nil beside a plain service.
 	Engine backend.Engine
 	// Service is the plain service beside the agent; nil beside an engine.
-	Service     backend.Service
+	Service backend.Service
+	// Table keeps the outcomes of actions; only needed with a Service.
+	Table       platform.Table
 	Credentials peer.Credentials
 	Log         *telemetry.Logger
 	Metrics     telemetry.Registry
@@ -46,6 +49,7 @@
 	options     Options
 	sessions    *session.Table
 	generations *command.Generations
+	actions     *command.Actions
 	status      *query.Reporter
 	control     *peer.Server
 	server      *http.Server
@@ -62,6 +66,7 @@
 	if (options.Engine == nil) == (options.Service == nil) {
 		return nil, errors.New("an agent needs either an engine or a plain service")
 	}
+	incarnation := action.NewIncarnation()
 	background, stop := context.WithCancel(context.Background())
 	a := &Agent{options: options, sessions: session.NewTable(), background: background, stop: stop}
 	a.generations = &command.Generations{
@@ -71,15 +76,23 @@
 		Log:        options.Log,
 		Background: background,
 	}
-	a.status = query.NewReporter(query.ReporterOptions{
+	if options.Service != nil {
+		recorder := action.NewExecutor(action.Config{Table: options.Table, Limits: action.DefaultLimits()})
+		a.actions = command.NewActions(options.Service, recorder, incarnation, background, options.Log, options.Metrics)
+	}
+	reporter := query.ReporterOptions{
 		Host:          options.Host,
 		Domain:        options.Domain,
 		BackendServer: options.BackendServer,
-		Incarnation:   uuid.NewString(),
+		Incarnation:   string(incarnation),
 		Engine:        options.Engine,
 		Table:         a.sessions,
 		Log:           options.Log,
-	})
+	}
+	if a.actions != nil {
+		reporter.Actions = a.actions
+	}
+	a.status = query.NewReporter(reporter)
 	a.control = peer.NewServer(options.Credentials)
 	a.registerControl()
 	a.server = httpserver.New(a.routes())
@@ -94,6 +107,11 @@
 		mux.HandleFunc("GET "+agentapi.PathAttach+"/{request}/{generation}"+agentapi.PathCall, a.generations.Call)
 		mux.HandleFunc("DELETE "+agentapi.PathAttach+"/{request}/{generation}", a.generations.Release)
 	}
+	if a.actions != nil {
+		mux.HandleFunc("POST "+agentapi.PathDispatch, a.actions.Dispatch)
+		mux.HandleFunc("POST "+agentapi.PathResolve, a.actions.Resolve)
+		mux.HandleFunc("POST "+agentapi.PathRecorded, a.actions.Acknowledge)
+	}
 	return alice.New(httpserver.RequireBearer(a.options.Credentials.Peer)).Then(mux)
 }
 
@@ -109,6 +127,9 @@
 	a.spawn(func() { a.logError("control_ended", a.control.Serve(control)) })
 	a.spawn(func() { a.status.Run(a.background) })
 	a.spawn(a.reap)
+	if a.actions != nil {
+		a.spawn(func() { a.actions.Record(a.background) })
+	}
 	a.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).
 		Str("backend_server", string(a.options.BackendServer)).Msg("agent_started")
 }
@@ -149,4 +170,7 @@
 	_ = a.server.Close()
 	a.wait.Wait()
 	a.generations.Wait()
+	if a.actions != nil {
+		a.actions.Wait()
+	}
 }
--- /dev/null
+++ b/agent/command/actions.go
@@ -0,0 +1,260 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/action/ledger"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+const (
+	// callTimeout bounds a call to a plain service.
+	callTimeout = 30 * time.Second
+	// recordInterval is the time between two looks for outcomes that no entry
+	// has recorded.
+	recordInterval = time.Second
+	// recordBatch bounds the outcomes recorded at each look.
+	recordBatch = 32
+	// recordTimeout bounds the recording of one outcome.
+	recordTimeout = 5 * time.Second
+	// drainRetry is when a call that a leaving agent refused is worth sending
+	// again.
+	drainRetry = 500 * time.Millisecond
+)
+
+// Recorder writes the outcome of a claim into the table.
+type Recorder interface {
+	Record(ctx context.Context, claim action.Claim, reply *backend.Reply) error
+}
+
+// Actions serves the calls to the plain service beside an agent, each at most
+// once.
+type Actions struct {
+	Service  backend.Service
+	Recorder Recorder
+	Log      *telemetry.Logger
+	Metrics  telemetry.Registry
+	// Background ends when the agent stops.
+	Background context.Context
+
+	started time.Time
+	mu      sync.Mutex
+	ledger  *ledger.Ledger
+	waiters map[action.ClaimID]chan struct{}
+	running sync.WaitGroup
+}
+
+// NewActions returns the actions of one incarnation.
+func NewActions(service backend.Service, recorder Recorder, incarnation action.Incarnation, background context.Context, log *telemetry.Logger, metrics telemetry.Registry) *Actions {
+	return &Actions{
+		Service:    service,
+		Recorder:   recorder,
+		Log:        log,
+		Metrics:    metrics,
+		Background: background,
+		started:    time.Now(),
+		ledger:     ledger.New(ledger.DefaultConfig(incarnation)),
+		waiters:    map[action.ClaimID]chan struct{}{},
+	}
+}
+
+// now returns a time that does not go back within the incarnation, also when
+// the host's clock is set.
+func (a *Actions) now() time.Time { return a.started.Add(time.Since(a.started)) }
+
+// Dispatch runs a claimed call once and answers with its reply. The call does
+// not end with the entry's connection.
+func (a *Actions) Dispatch(w http.ResponseWriter, r *http.Request) {
+	var dispatch agentapi.Dispatch
+	if err := readJSON(w, r, &dispatch); err != nil {
+		problem.Write(w, err)
+		return
+	}
+	claim := dispatch.Claim
+	a.mu.Lock()
+	decision := a.ledger.Dispatch(a.now(), claim)
+	if decision.Verdict == ledger.VerdictRun {
+		a.waiters[claim.ID] = make(chan struct{})
+	}
+	done := a.waiters[claim.ID]
+	a.mu.Unlock()
+	switch decision.Verdict {
+	case ledger.VerdictRun:
+		a.start(claim, dispatch.Call)
+		a.wait(w, r, claim, done)
+	case ledger.VerdictRunning:
+		a.wait(w, r, claim, done)
+	case ledger.VerdictDone:
+		writeJSON(w, decision.Reply)
+	case ledger.VerdictNotRun:
+		problem.Write(w, problem.New(problem.CodeDraining, problem.RunNot, problem.StepDispatch, "agent does not run the call: %s", decision.Reason).
+			For(claim.RequestID).After(drainRetry))
+	default:
+		problem.Write(w, outcomeUnknown(claim))
+	}
+}
+
+func outcomeUnknown(claim action.Claim) *problem.Error {
+	return problem.New(problem.CodeOutcomeUnknown, problem.RunUnknown, problem.StepDispatch, "the service's answer was lost").For(claim.RequestID)
+}
+
+// start runs the call apart from the request that brought it.
+func (a *Actions) start(claim action.Claim, call backend.Call) {
+	telemetry.Counter(a.Metrics, "agent.actions").Inc(1)
+	a.running.Add(1)
+	go func() {
+		defer a.running.Done()
+		a.run(claim, call)
+	}()
+}
+
+func (a *Actions) run(claim action.Claim, call backend.Call) {
+	ctx, cancel := context.WithTimeout(a.Background, callTimeout)
+	defer cancel()
+	call.ClaimID = string(claim.ID)
+	reply, err := a.Service.Call(ctx, call)
+	var outcome *backend.Reply
+	switch {
+	case err == nil:
+		outcome = &reply
+	default:
+		telemetry.Counter(a.Metrics, "agent.actions_failed").Inc(1)
+		a.Log.Warn().Str("request", string(claim.RequestID)).Str("step", string(problem.StepDispatch)).
+			Str("outcome", platform.OutcomeOf(err).String()).Err(err).Msg("action_failed")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Finished(a.now(), claim.ID, outcome)
+	close(a.waiters[claim.ID])
+	delete(a.waiters, claim.ID)
+}
+
+// wait answers with the outcome of a call under way.
+func (a *Actions) wait(w http.ResponseWriter, r *http.Request, claim action.Claim, done <-chan struct{}) {
+	if done != nil {
+		select {
+		case <-done:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	a.mu.Lock()
+	decision := a.ledger.Dispatch(a.now(), claim)
+	a.mu.Unlock()
+	if decision.Verdict == ledger.VerdictDone {
+		writeJSON(w, decision.Reply)
+		return
+	}
+	problem.Write(w, outcomeUnknown(claim))
+}
+
+// Resolve answers what became of a claim.
+func (a *Actions) Resolve(w http.ResponseWriter, r *http.Request) {
+	var query action.ResolveQuery
+	if err := readJSON(w, r, &query); err != nil {
+		problem.Write(w, err)
+		return
+	}
+	a.mu.Lock()
+	resolution := a.ledger.Resolve(a.now(), query)
+	a.mu.Unlock()
+	writeJSON(w, resolution)
+}
+
+// Acknowledge notes that outcomes are in the table.
+func (a *Actions) Acknowledge(w http.ResponseWriter, r *http.Request) {
+	var claims []action.ClaimID
+	if err := readJSON(w, r, &claims); err != nil {
+		problem.Write(w, err)
+		return
+	}
+	a.mu.Lock()
+	a.ledger.Recorded(a.now(), claims...)
+	a.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+// Drain refuses claims that were not seen before.
+func (a *Actions) Drain() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Drain()
+}
+
+// Unfinished returns the number of calls that run or whose outcomes are not
+// in the table.
+func (a *Actions) Unfinished() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	status := a.ledger.Status()
+	return status.Running + status.Unrecorded
+}
+
+// Status returns a summary for dumps.
+func (a *Actions) Status() ledger.Status {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ledger.Status()
+}
+
+// Record records outcomes that no entry has acknowledged, until ctx ends.
+func (a *Actions) Record(ctx context.Context) {
+	ticker := time.NewTicker(recordInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			a.recordDue(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Actions) recordDue(ctx context.Context) {
+	a.mu.Lock()
+	due := a.ledger.Unrecorded(a.now(), recordBatch)
+	a.mu.Unlock()
+	for _, outcome := range due {
+		limited, cancel := context.WithTimeout(ctx, recordTimeout)
+		err := a.Recorder.Record(limited, outcome.Claim, outcome.Reply)
+		cancel()
+		if err != nil {
+			a.Log.Warn().Str("request", string(outcome.Claim.RequestID)).Str("step", string(problem.StepOutcome)).Err(err).Msg("record_failed")
+			continue
+		}
+		a.mu.Lock()
+		a.ledger.Recorded(a.now(), outcome.Claim.ID)
+		a.mu.Unlock()
+	}
+}
+
+// Wait returns when no call runs any more.
+func (a *Actions) Wait() { a.running.Wait() }
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) *problem.Error {
+	body, err := httpserver.ReadBody(w, r, agentapi.MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	if json.Unmarshal(body, into) != nil {
+		return problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepDispatch, "malformed message")
+	}
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The entry may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/agent/command/attach.go
+++ b/agent/command/attach.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonfork/wigeonfork/agent/session"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -67,10 +68,9 @@
 
 // writer sends the frames of one reader.
 type writer struct {
-	out     http.ResponseWriter
-	control *http.ResponseController
-	frame   frame.Frame
-	buf     []byte
+	out   *httpserver.StreamWriter
+	frame frame.Frame
+	buf   []byte
 }
 
 // writeTimeout bounds one write to an entry.
@@ -82,12 +82,6 @@
 	return err
 }
 
-func (w *writer) flush() error {
-	// Deadlines are not supported by recorders in tests; the write decides.
-	_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return w.control.Flush()
-}
-
 // stream sends the frames of s from position from on until the generation ends
 // or the entry goes away.
 func (g *Generations) stream(out http.ResponseWriter, r *http.Request, s *session.Session, from wigeonfork.Position) {
@@ -95,9 +89,9 @@
 	defer func() { s.Detach(reader, time.Now()) }()
 	out.Header().Set("Content-Type", "application/octet-stream")
 	out.WriteHeader(http.StatusOK)
-	w := &writer{out: out, control: http.NewResponseController(out)}
+	w := &writer{out: httpserver.NewStreamWriter(out, writeTimeout)}
 	// The head tells the entry that the agent is reached, before any token.
-	if w.flush() != nil {
+	if w.out.Flush() != nil {
 		return
 	}
 	heartbeat := time.NewTicker(agentapi.HeartbeatInterval)
@@ -111,7 +105,7 @@
 		case <-wake:
 		case <-heartbeat.C:
 			s.Heartbeat(&w.frame)
-			if w.send() != nil || w.flush() != nil {
+			if w.send() != nil || w.out.Flush() != nil {
 				return
 			}
 		case <-r.Context().Done():
@@ -130,11 +124,11 @@
 		sent = true
 		*from += wigeonfork.Position(len(w.frame.Tokens))
 		if w.frame.Kind != frame.KindTokens {
-			return true, w.flush()
+			return true, w.out.Flush()
 		}
 	}
 	if !sent {
 		return false, nil
 	}
-	return false, w.flush()
+	return false, w.out.Flush()
 }
--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -132,6 +132,7 @@
 
 func (g *Generations) consume(ctx context.Context, s *session.Session, stream backend.Stream) error {
 	defer func() { _ = stream.Close() }()
+	tokens := telemetry.Counter(g.Metrics, "agent.tokens")
 	for {
 		chunk, err := stream.Next(ctx)
 		if err != nil {
@@ -140,7 +141,7 @@
 		if !s.Append(chunk) {
 			return errors.Newf("tokens missing before position %d", chunk.Position)
 		}
-		telemetry.Counter(g.Metrics, "agent.tokens").Inc(int64(len(chunk.Tokens)))
+		tokens.Inc(int64(len(chunk.Tokens)))
 		if !chunk.Done {
 			continue
 		}
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -19,23 +19,26 @@
 func (a *Agent) Drain(ctx context.Context) {
 	a.status.SetLeaving()
 	a.sessions.CloseToNew()
+	if a.actions != nil {
+		a.actions.Drain()
+	}
 	a.options.Log.Info().Int("generations", len(a.sessions.All())).Msg("drain_started")
 	limited, cancel := context.WithTimeout(ctx, a.options.DrainLimit)
 	defer cancel()
-	a.waitForSessions(limited)
+	a.waitForWork(limited)
 	handed := a.handOver()
 	if handed > 0 {
 		grace, cancelGrace := context.WithTimeout(ctx, handoverGrace)
 		defer cancelGrace()
-		a.waitForSessions(grace)
+		a.waitForWork(grace)
 	}
 	a.options.Log.Info().Int("handed_over", handed).Msg("drain_ended")
 }
 
-func (a *Agent) waitForSessions(ctx context.Context) {
+func (a *Agent) waitForWork(ctx context.Context) {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for a.sessions.Unread() > 0 {
+	for a.unfinished() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -44,6 +47,16 @@
 	}
 }
 
+// unfinished counts the generations whose end no entry has read and the actions
+// whose outcome is not recorded.
+func (a *Agent) unfinished() int {
+	count := a.sessions.Unread()
+	if a.actions != nil {
+		count += a.actions.Unfinished()
+	}
+	return count
+}
+
 // handOver ends the generations under way so that their entries go on
 // elsewhere. It returns their number.
 func (a *Agent) handOver() int {
--- a/agent/query/reporter.go
+++ b/agent/query/reporter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/action/ledger"
 	"github.com/wigeonfork/wigeonfork/agent/session"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
@@ -29,7 +30,14 @@
 	Incarnation   string
 	Engine        backend.Engine
 	Table         *session.Table
-	Log           *telemetry.Logger
+	// Actions is nil beside a model engine.
+	Actions ActionStatus
+	Log     *telemetry.Logger
+}
+
+// ActionStatus tells of the actions of an agent.
+type ActionStatus interface {
+	Status() ledger.Status
 }
 
 // Reporter reports the state of an agent and its backend server.
@@ -168,6 +176,7 @@
 	Status      agentapi.Status   `json:"status"`
 	Subscribers int               `json:"subscribers"`
 	Generations []session.Summary `json:"generations"`
+	Actions     *ledger.Status    `json:"actions,omitempty"`
 }
 
 // Dump returns the state of the agent.
@@ -178,5 +187,9 @@
 	for _, s := range r.options.Table.All() {
 		dump.Generations = append(dump.Generations, s.Summary())
 	}
+	if r.options.Actions != nil {
+		status := r.options.Actions.Status()
+		dump.Actions = &status
+	}
 	return dump, nil
 }
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/backend"
 )
 
@@ -17,7 +18,7 @@
 	PathAttach   = "/v1/generations"
 	PathDispatch = "/v1/actions/dispatch"
 	PathResolve  = "/v1/actions/resolve"
-	PathStatus   = "/v1/status"
+	PathRecorded = "/v1/actions/recorded"
 )
 
 // HeartbeatInterval is the longest time between two frames of a stream.
@@ -65,6 +66,12 @@
 	CacheEvents []backend.CacheEvent `json:"cache_events,omitempty"`
 }
 
+// Dispatch asks an agent to run a claimed call once.
+type Dispatch struct {
+	Claim action.Claim `json:"claim"`
+	Call  backend.Call `json:"call"`
+}
+
 // PathCall is the end of the path that answers with the Generate call of a
 // generation, without its prefix.
 const PathCall = "/call"
--- a/cmd/wigeonfork-agent/main.go
+++ b/cmd/wigeonfork-agent/main.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
 	"github.com/wigeonfork/wigeonfork/daemon"
 	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/settings"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
@@ -33,6 +34,7 @@
 		DrainLimit:    s.DrainLimit,
 	}
 	if s.BackendKind == "service" {
+		options.Table = httpplatform.NewTable(httpplatform.Options{Address: s.TableAddress})
 		options.Service = httpbackend.NewService(httpbackend.ServiceOptions{Address: s.BackendAddress})
 	} else {
 		options.Engine = httpbackend.NewEngine(httpbackend.Options{Address: s.BackendAddress, Capabilities: capabilities(s)})
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -27,12 +27,14 @@
 	"github.com/wigeonfork/wigeonfork/template"
 )
 
-// Names of the deployment that every system starts with.
+// Names of the deployments that every system starts with.
 const (
-	Workspace  wigeonfork.Workspace    = "demo"
-	Model      wigeonfork.Model        = "narrator"
-	Version    wigeonfork.Version      = "v1"
-	Deployment template.DeploymentName = "narrator"
+	Service           wigeonfork.Model        = "register"
+	ServiceDeployment template.DeploymentName = "register"
+	Workspace         wigeonfork.Workspace    = "demo"
+	Model             wigeonfork.Model        = "narrator"
+	Version           wigeonfork.Version      = "v1"
+	Deployment        template.DeploymentName = "narrator"
 )
 
 // Secrets of the embedded system. They protect nothing beyond loopback.
@@ -54,6 +56,8 @@
 type Options struct {
 	Entries int
 	Engines []engine.Options
+	// Services is the number of plain services.
+	Services int
 	// Limits of the relays; the zero value takes the defaults.
 	Limits generation.Limits
 	// AgentDrainLimit is the drain limit of the agents; 0 means a minute.
@@ -66,7 +70,9 @@
 	World   *world.World
 	Entries []*Node[*entry.Entry]
 	Agents  []*Node[*agent.Agent]
-	options Options
+	// ServiceAgents stand beside the plain services.
+	ServiceAgents []*Node[*agent.Agent]
+	options       Options
 }
 
 // Node is one process of the system.
@@ -94,7 +100,7 @@
 		options.Limits = generation.DefaultLimits()
 	}
 	LoadDefaultVersion(options.Engines)
-	w, err := world.Start(world.Options{Engines: options.Engines})
+	w, err := world.Start(world.Options{Engines: options.Engines, Services: options.Services})
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +128,12 @@
 			return err
 		}
 	}
-	if err := Configure(context.Background(), s.World.Table, len(s.World.Engines)); err != nil {
+	for i := range s.World.Services {
+		if err := s.AddServiceAgent(i); err != nil {
+			return err
+		}
+	}
+	if err := Configure(context.Background(), s.World.Table, len(s.World.Engines), len(s.World.Services)); err != nil {
 		return err
 	}
 	for range max(s.options.Entries, 1) {
@@ -142,6 +153,11 @@
 	return wigeonfork.BackendServerID(fmt.Sprintf("engine-%d", i))
 }
 
+// ServiceID returns the name of the backend server that is plain service i.
+func ServiceID(i int) wigeonfork.BackendServerID {
+	return wigeonfork.BackendServerID(fmt.Sprintf("service-%d", i))
+}
+
 // AddAgent starts an agent beside engine i.
 func (s *System) AddAgent(i int) error {
 	node, err := s.newAgent(i)
@@ -161,19 +177,36 @@
 	return err
 }
 
+// AddServiceAgent starts an agent beside plain service i.
+func (s *System) AddServiceAgent(i int) error {
+	node, err := s.startAgent(agent.Options{
+		Host:          wigeonfork.HostID(fmt.Sprintf("service-agent-%d", i)),
+		Domain:        domainOf(i),
+		BackendServer: ServiceID(i),
+		Service:       httpbackend.NewService(httpbackend.ServiceOptions{Address: s.World.ServiceServers[i].Addr()}),
+		Table:         httpplatform.NewTable(httpplatform.Options{Address: s.World.TableServer.Addr()}),
+	})
+	if err == nil {
+		s.ServiceAgents = append(s.ServiceAgents, node)
+	}
+	return err
+}
+
 func (s *System) newAgent(i int) (*Node[*agent.Agent], error) {
-	metrics := telemetry.NewRegistry()
-	host := wigeonfork.HostID(fmt.Sprintf("agent-%d", i))
-	a, err := agent.New(agent.Options{
-		Host:          host,
+	return s.startAgent(agent.Options{
+		Host:          wigeonfork.HostID(fmt.Sprintf("agent-%d", i)),
 		Domain:        domainOf(i),
 		BackendServer: ServerID(i),
 		Engine:        httpbackend.NewEngine(httpbackend.Options{Address: s.World.Engines[i].Addr(), Capabilities: allCapabilities()}),
-		Credentials:   Credentials(),
-		Log:           s.options.Log,
-		Metrics:       metrics,
-		DrainLimit:    s.options.AgentDrainLimit,
 	})
+}
+
+func (s *System) startAgent(options agent.Options) (*Node[*agent.Agent], error) {
+	options.Credentials = Credentials()
+	options.Log = s.options.Log
+	options.Metrics = telemetry.NewRegistry()
+	options.DrainLimit = s.options.AgentDrainLimit
+	a, err := agent.New(options)
 	if err != nil {
 		return nil, err
 	}
@@ -182,10 +215,10 @@
 		return nil, err
 	}
 	a.Start(serve, control)
-	node := &Node[*agent.Agent]{Process: a, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: metrics}
+	node := &Node[*agent.Agent]{Process: a, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: options.Metrics}
 	s.World.Hosts.Put(platform.Host{
-		ID: host, Role: platform.RoleAgent, State: platform.HostLive, Region: "local", Domain: domainOf(i),
-		ServeAddress: node.Address, ControlAddress: node.Control, BackendServer: ServerID(i),
+		ID: options.Host, Role: platform.RoleAgent, State: platform.HostLive, Region: "local", Domain: options.Domain,
+		ServeAddress: node.Address, ControlAddress: node.Control, BackendServer: options.BackendServer,
 	})
 	return node, nil
 }
@@ -238,20 +271,16 @@
 	return serve, control, nil
 }
 
-// Configure writes the configuration with the deployment that every system
-// starts with, for engines backend servers.
-func Configure(ctx context.Context, table platform.Table, engines int) error {
-	var servers []wigeonfork.BackendServerID
-	for i := range engines {
-		servers = append(servers, ServerID(i))
+// Configure writes the configuration with the deployments that every system
+// starts with.
+func Configure(ctx context.Context, table platform.Table, engines, services int) error {
+	config := template.Config{Revision: 1}
+	if engines > 0 {
+		config.Deployments = append(config.Deployments, deployment(Deployment, Model, engines, ServerID))
+	}
+	if services > 0 {
+		config.Deployments = append(config.Deployments, deployment(ServiceDeployment, Service, services, ServiceID))
 	}
-	config := template.Config{Revision: 1, Deployments: []template.Deployment{{
-		Name:           Deployment,
-		Model:          Model,
-		Workspaces:     []template.Binding{{Workspace: Workspace}},
-		BackendServers: servers,
-		Versions:       []template.VersionShare{{Version: Version, Share: template.WholeTraffic}},
-	}}}
 	value, err := json.Marshal(config)
 	if err != nil {
 		return err
@@ -263,11 +292,24 @@
 	return err
 }
 
+func deployment(name template.DeploymentName, model wigeonfork.Model, servers int, id func(int) wigeonfork.BackendServerID) template.Deployment {
+	d := template.Deployment{
+		Name:       name,
+		Model:      model,
+		Workspaces: []template.Binding{{Workspace: Workspace}},
+		Versions:   []template.VersionShare{{Version: Version, Share: template.WholeTraffic}},
+	}
+	for i := range servers {
+		d.BackendServers = append(d.BackendServers, id(i))
+	}
+	return d
+}
+
 // WaitReady waits until each entry sees all backend servers take work.
 func (s *System) WaitReady() error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, node := range s.Entries {
-		for !node.Process.Ready(len(s.Agents)) {
+		for !node.Process.Ready(len(s.Agents) + len(s.ServiceAgents)) {
 			if time.Now().After(deadline) {
 				return errors.Newf("entry at %s is not ready after %s", node.Address, readyTimeout)
 			}
@@ -294,7 +336,7 @@
 	for _, node := range s.Entries {
 		node.Process.Stop()
 	}
-	for _, node := range s.Agents {
+	for _, node := range append(append([]*Node[*agent.Agent]{}, s.Agents...), s.ServiceAgents...) {
 		node.Process.Stop()
 	}
 	s.World.Close()
--- /dev/null
+++ b/entry/command/actions.go
@@ -0,0 +1,191 @@
+package command
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/entry/fleet"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// The headers of the callers' interface for actions.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderFirst set to "true" states that the key was never sent before.
+	HeaderFirst = "X-First-Attempt"
+	// HeaderDeadline is how long the caller waits, in milliseconds.
+	HeaderDeadline = "X-Deadline-Ms"
+)
+
+// Limits of an action.
+const (
+	maxActionBytes        = 1 << 20
+	defaultActionDeadline = 10 * time.Second
+	maxActionDeadline     = 60 * time.Second
+	// acknowledgeTimeout bounds the message that an outcome is recorded.
+	acknowledgeTimeout = time.Second
+)
+
+// Actions serves calls to plain services, each at most once under its key.
+type Actions struct {
+	Executor      *action.Executor
+	Fleet         *fleet.Fleet
+	Configuration Configuration
+	Metrics       telemetry.Registry
+	Log           *telemetry.Logger
+	// Accept takes note of a new request; it returns false if the entry is
+	// leaving. The function that it returns is called at the end.
+	Accept func() (func(), bool)
+}
+
+// Run serves POST /v1/actions/{service}/{path...}.
+func (a *Actions) Run(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	w.Header().Set(HeaderRequestID, string(id))
+	end, accepted := a.Accept()
+	if !accepted {
+		problem.Write(w, problem.New(problem.CodeDraining, problem.RunNot, problem.StepAccept, "entry is leaving").For(id).After(configRetry))
+		return
+	}
+	defer end()
+	telemetry.Counter(a.Metrics, "entry.actions").Inc(1)
+	reply, err := a.run(w, r, id)
+	if err != nil {
+		if err.RequestID == "" {
+			err.RequestID = id
+		}
+		telemetry.Counter(a.Metrics, "entry.actions_"+string(err.Run)).Inc(1)
+		problem.Write(w, err)
+		return
+	}
+	writeReply(w, reply)
+}
+
+func (a *Actions) run(w http.ResponseWriter, r *http.Request, id wigeonfork.RequestID) (backend.Reply, *problem.Error) {
+	body, err := httpserver.ReadBody(w, r, maxActionBytes)
+	if err != nil {
+		return backend.Reply{}, err
+	}
+	deadline, err := deadlineOf(r)
+	if err != nil {
+		return backend.Reply{}, err
+	}
+	service := wigeonfork.Model(r.PathValue("service"))
+	route, err := resolve(a.Configuration.Snapshot(), r, service)
+	if err != nil {
+		return backend.Reply{}, err
+	}
+	place, err := a.place(&route, id)
+	if err != nil {
+		return backend.Reply{}, err
+	}
+	defer func() { a.Fleet.Finished(time.Now(), place, 0) }()
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	return a.Executor.Do(ctx, action.Request{
+		Workspace: route.Workspace,
+		Key:       r.Header.Get(HeaderIdempotencyKey),
+		Call:      backend.Call{Method: r.Method, Path: "/" + r.PathValue("path"), Body: body},
+		Target:    action.Target{AgentAddress: place.Agent, Incarnation: action.Incarnation(place.Incarnation)},
+		Deadline:  deadline,
+		RequestID: id,
+		First:     r.Header.Get(HeaderFirst) == "true",
+	})
+}
+
+func (a *Actions) place(route *template.Route, id wigeonfork.RequestID) (*fleet.Place, *problem.Error) {
+	version, err := pickVersion(route, id)
+	if err != nil {
+		return nil, err
+	}
+	place, chooseErr := a.Fleet.Choose(time.Now(), fleet.Query{Route: route, Version: version, Class: wigeonfork.ClassDisbursement})
+	if chooseErr != nil {
+		refusal := *problem.From(chooseErr, problem.StepRoute)
+		return nil, refusal.After(backendRetry)
+	}
+	return place, nil
+}
+
+func deadlineOf(r *http.Request) (time.Time, *problem.Error) {
+	text := r.Header.Get(HeaderDeadline)
+	if text == "" {
+		return time.Now().Add(defaultActionDeadline), nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	limit := time.Duration(millis) * time.Millisecond
+	if err != nil || limit <= 0 || limit > maxActionDeadline {
+		return time.Time{}, badRequest("header %s must be from 1 to %d", HeaderDeadline, maxActionDeadline.Milliseconds())
+	}
+	return time.Now().Add(limit), nil
+}
+
+// Lookup serves GET /v1/actions with an Idempotency-Key: it tells the outcome
+// without running anything.
+func (a *Actions) Lookup(w http.ResponseWriter, r *http.Request) {
+	workspace := wigeonfork.Workspace(r.Header.Get(HeaderWorkspace))
+	reply, err := a.Executor.Lookup(r.Context(), workspace, r.Header.Get(HeaderIdempotencyKey))
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	writeReply(w, reply)
+}
+
+// NewKey serves POST /v1/action-keys: it gives out a key that carries its issue
+// time.
+func (a *Actions) NewKey(w http.ResponseWriter, _ *http.Request) {
+	key, err := action.NewKey(time.Now())
+	if err != nil {
+		problem.Write(w, problem.From(err, problem.StepAccept))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The caller may be gone; there is nobody left to tell.
+	_, _ = w.Write([]byte(`{"idempotency_key":"` + string(key) + `"}`))
+}
+
+func writeReply(w http.ResponseWriter, reply backend.Reply) {
+	if reply.ContentType != "" {
+		w.Header().Set("Content-Type", reply.ContentType)
+	}
+	w.WriteHeader(reply.Status)
+	// The caller may be gone; there is nobody left to tell.
+	_, _ = w.Write(reply.Body)
+}
+
+// Dispatcher carries claims to agents.
+type Dispatcher struct {
+	Agents *agentapi.Client
+}
+
+// Dispatch implements action.Dispatcher.
+func (d Dispatcher) Dispatch(ctx context.Context, claim action.Claim, call backend.Call) (backend.Reply, error) {
+	var reply backend.Reply
+	err := d.Agents.Post(ctx, claim.Target.AgentAddress, agentapi.PathDispatch, agentapi.Dispatch{Claim: claim, Call: call}, &reply)
+	return reply, err
+}
+
+// Resolve implements action.Dispatcher.
+func (d Dispatcher) Resolve(ctx context.Context, address string, query action.ResolveQuery) (action.Resolution, error) {
+	var resolution action.Resolution
+	err := d.Agents.Post(ctx, address, agentapi.PathResolve, query, &resolution)
+	return resolution, err
+}
+
+// Acknowledge implements action.Dispatcher.
+func (d Dispatcher) Acknowledge(ctx context.Context, target action.Target, claims []action.ClaimID) {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), acknowledgeTimeout)
+	defer cancel()
+	var answer struct{}
+	// The agent records the outcome itself if this message is lost.
+	_ = d.Agents.Post(limited, target.AgentAddress, agentapi.PathRecorded, claims, &answer)
+}
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agentapi"
@@ -83,6 +84,7 @@
 	frame     frame.Frame
 	lastToken time.Time
 	loss      loss
+	tokens    metrics.Counter
 }
 
 // loss holds the times of an interruption: when the source was found lost and
@@ -252,7 +254,7 @@
 	if err != nil {
 		return errors.Mark(err, errCallerGone)
 	}
-	telemetry.Counter(r.Metrics, "relay.tokens").Inc(int64(next - r.delivered))
+	r.tokens.Inc(int64(next - r.delivered))
 	r.delivered = next
 	return nil
 }
--- a/entry/command/serve.go
+++ b/entry/command/serve.go
@@ -67,6 +67,7 @@
 		chat:      s.chat,
 		sink:      newSink(w, answer, s),
 		delivered: from,
+		tokens:    telemetry.Counter(c.Metrics, "relay.tokens"),
 	}
 	relay.relay()
 }
--- a/entry/command/sink.go
+++ b/entry/command/sink.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -30,19 +31,19 @@
 		chat:    s.chat,
 	}
 	if s.stream {
-		return &eventSink{out: w, control: http.NewResponseController(w), body: body}
+		return &eventSink{out: w, stream: httpserver.NewStreamWriter(w, callerWriteTimeout), body: body}
 	}
 	return &wholeSink{out: w, body: body}
 }
 
 // eventSink writes an answer as server-sent events.
 type eventSink struct {
-	out     http.ResponseWriter
-	control *http.ResponseController
-	body    bodyWriter
-	handle  string
-	begun   bool
-	buf     []byte
+	out    http.ResponseWriter
+	stream *httpserver.StreamWriter
+	body   bodyWriter
+	handle string
+	begun  bool
+	buf    []byte
 }
 
 func (s *eventSink) source(handle string) { s.handle = handle }
@@ -91,12 +92,10 @@
 }
 
 func (s *eventSink) write() error {
-	// Recorders in tests know no deadlines; the write decides.
-	_ = s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	if _, err := s.out.Write(s.buf); err != nil {
+	if _, err := s.stream.Write(s.buf); err != nil {
 		return err
 	}
-	return s.control.Flush()
+	return s.stream.Flush()
 }
 
 // wholeSink writes an answer as one JSON body.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/justinas/alice"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/entry/command"
 	"github.com/wigeonfork/wigeonfork/entry/fleet"
@@ -47,6 +48,8 @@
 	fleet      *fleet.Fleet
 	config     *configuration
 	callers    *command.Callers
+	actions    *command.Actions
+	executor   *action.Executor
 	agents     *agentapi.Client
 	pool       *workpool.Pool
 	status     *query.Status
@@ -97,6 +100,19 @@
 			Log:     options.Log,
 		},
 	}
+	e.executor = action.NewExecutor(action.Config{
+		Table:      options.Table,
+		Dispatcher: command.Dispatcher{Agents: e.agents},
+		Limits:     action.DefaultLimits(),
+	})
+	e.actions = &command.Actions{
+		Executor:      e.executor,
+		Fleet:         e.fleet,
+		Configuration: e.config,
+		Metrics:       options.Metrics,
+		Log:           options.Log,
+		Accept:        e.answers.Hold,
+	}
 	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Configuration: e.config}
 	e.control = peer.NewServer(options.Credentials)
 	e.registerControl()
@@ -109,6 +125,9 @@
 	mux.HandleFunc("POST /v1/completions", e.callers.Completions)
 	mux.HandleFunc("POST /v1/chat/completions", e.callers.ChatCompletions)
 	mux.HandleFunc("GET /v1/streams", e.callers.Resume)
+	mux.HandleFunc("POST /v1/actions/{service}/{path...}", e.actions.Run)
+	mux.HandleFunc("GET /v1/actions", e.actions.Lookup)
+	mux.HandleFunc("POST /v1/action-keys", e.actions.NewKey)
 	mux.HandleFunc("GET /healthz", e.health)
 	return alice.New().Then(mux)
 }
@@ -183,6 +202,9 @@
 		case <-limited.Done():
 		}
 	}
+	if err := e.executor.Close(limited); err != nil {
+		e.options.Log.Warn().Str("step", "drain").Err(err).Msg("outcomes_unrecorded")
+	}
 	e.options.Log.Info().Int("unfinished", e.answers.Len()).Msg("drain_ended")
 }
 
--- a/entry/session/table.go
+++ b/entry/session/table.go
@@ -12,6 +12,7 @@
 type Table struct {
 	mu      sync.Mutex
 	answers map[*Answer]struct{}
+	held    int
 	closed  bool
 }
 
@@ -45,11 +46,29 @@
 	t.closed = true
 }
 
-// Len returns the number of answers under way.
+// Hold notes a request that is no generation, until the function that it
+// returns is called. It returns false if the entry is leaving.
+func (t *Table) Hold() (func(), bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, false
+	}
+	t.held++
+	return t.release, true
+}
+
+func (t *Table) release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held--
+}
+
+// Len returns the number of requests under way.
 func (t *Table) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.answers)
+	return len(t.answers) + t.held
 }
 
 // All returns the answers at this moment.
--- a/experiment/relay/relay.go
+++ b/experiment/relay/relay.go
@@ -55,7 +55,8 @@
 	CSV   io.Writer
 }
 
-// Run measures and returns the number of targets missed.
+// Run measures over processes that have one core each. It returns the number of
+// targets missed.
 func Run(out io.Writer, options Options) (int, error) {
 	binaries, err := process.Build()
 	if err != nil {
@@ -66,7 +67,7 @@
 	for range agents {
 		engines = append(engines, engine.Options{TokensPerSecond: tokensPerSecond, Slots: slots})
 	}
-	system, err := realsystem.Start(realsystem.Options{Binaries: binaries, Engines: engines, Environment: []string{"WIGEON_LOG_LEVEL=warn"}})
+	system, err := realsystem.Start(realsystem.Options{Binaries: binaries, Engines: engines, Environment: []string{"WIGEON_LOG_LEVEL=warn", "GOMAXPROCS=1"}})
 	if err != nil {
 		return 0, err
 	}
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -74,3 +74,44 @@
 	}
 	return body, nil
 }
+
+// deadlineStep is how far a write deadline may lie behind before it is moved.
+const deadlineStep = time.Second
+
+// StreamWriter flushes a streamed answer, each write within a limit.
+type StreamWriter struct {
+	out     http.ResponseWriter
+	control *http.ResponseController
+	limit   time.Duration
+	moved   time.Time
+}
+
+// NewStreamWriter returns a writer to w. A write that takes longer than limit,
+// give or take a second, fails.
+func NewStreamWriter(w http.ResponseWriter, limit time.Duration) *StreamWriter {
+	return &StreamWriter{out: w, control: http.NewResponseController(w), limit: limit}
+}
+
+// Write buffers data.
+func (s *StreamWriter) Write(data []byte) (int, error) {
+	s.moveDeadline()
+	return s.out.Write(data)
+}
+
+// Flush sends what is buffered.
+func (s *StreamWriter) Flush() error {
+	s.moveDeadline()
+	return s.control.Flush()
+}
+
+// moveDeadline moves the deadline in steps, since moving it costs a timer
+// change.
+func (s *StreamWriter) moveDeadline() {
+	now := time.Now()
+	if now.Sub(s.moved) < deadlineStep {
+		return
+	}
+	s.moved = now
+	// Recorders in tests know no deadlines; the write itself decides.
+	_ = s.control.SetWriteDeadline(now.Add(s.limit + deadlineStep))
+}
--- a/test/realsystem/realsystem.go
+++ b/test/realsystem/realsystem.go
@@ -62,7 +62,7 @@
 }
 
 func (s *System) start() error {
-	if err := embedded.Configure(context.Background(), s.World.Table, len(s.World.Engines)); err != nil {
+	if err := embedded.Configure(context.Background(), s.World.Table, len(s.World.Engines), 0); err != nil {
 		return err
 	}
 	for i := range s.World.Engines {
