Add a TCP proxy that injects network faults between test processes

Change: test/faultproxy with knobs at run time. A black hole holds bytes back and delivers them at its end, as TCP does; a cut fires once unless told else.

--- /dev/null
+++ b/test/faultproxy/faults.go
@@ -0,0 +1,143 @@
+package faultproxy
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// SetTarget sends later connections to target.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
+// ResetAll resets all open connections on both sides.
+func (p *Proxy) ResetAll() {
+	p.mu.Lock()
+	links := make([]*link, 0, len(p.links))
+	for l := range p.links {
+		links = append(links, l)
+	}
+	p.mu.Unlock()
+	for _, l := range links {
+		l.reset()
+	}
+}
+
+// SetBlackHole holds back, or lets go on, all bytes in the given directions.
+func (p *Proxy) SetBlackHole(directions Direction, on bool) {
+	for _, l := range p.lanesOf(directions) {
+		if on {
+			l.gate.Shut()
+		} else {
+			l.gate.Open()
+		}
+	}
+}
+
+// SetDelay delays all later bytes in the given directions.
+func (p *Proxy) SetDelay(directions Direction, delay time.Duration) {
+	lanes := p.lanesOf(directions)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range lanes {
+		l.delay = delay
+	}
+}
+
+// DuplicateNext repeats the bytes of the next n chunks in the given
+// directions. A chunk is what one read from the sender brings.
+func (p *Proxy) DuplicateNext(directions Direction, n int) {
+	lanes := p.lanesOf(directions)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range lanes {
+		l.duplicate = n
+	}
+}
+
+// Arm sets the cut, in place of an earlier one.
+func (p *Proxy) Arm(cut Cut) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = &cut
+	p.cutID++
+}
+
+// Disarm takes the cut off.
+func (p *Proxy) Disarm() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = nil
+}
+
+// SetHalfOpen makes later connections open without ever being forwarded.
+func (p *Proxy) SetHalfOpen(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.halfOpen = on
+}
+
+// Refuse makes the system refuse new connections; open ones go on.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	listener := p.listener
+	p.listener = nil
+	p.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+}
+
+// Admit ends Refuse.
+func (p *Proxy) Admit() error {
+	var err error
+	for range listenAttempts {
+		err = p.listenAgain()
+		if err == nil {
+			return nil
+		}
+		time.Sleep(listenRetry)
+	}
+	return errors.Wrap(err, "listen again")
+}
+
+func (p *Proxy) listenAgain() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	p.workers.Add(1)
+	go p.accept(listener)
+	return nil
+}
+
+// Counters returns what was counted so far.
+func (p *Proxy) Counters() Counters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counters := p.counters
+	counters.Open = len(p.links)
+	counters.BytesToServer = p.lanes[ToServer].bytes
+	counters.BytesToClient = p.lanes[ToClient].bytes
+	return counters
+}
+
+func (p *Proxy) lanesOf(directions Direction) []*lane {
+	var lanes []*lane
+	for _, d := range []Direction{ToServer, ToClient} {
+		if directions&d != 0 {
+			lanes = append(lanes, p.lanes[d])
+		}
+	}
+	return lanes
+}
--- /dev/null
+++ b/test/faultproxy/plan.go
@@ -0,0 +1,57 @@
+package faultproxy
+
+import "time"
+
+// meter counts the bytes of one direction of one link against the cut.
+type meter struct {
+	cutID  int
+	passed int64
+}
+
+// writePlan is what to do with one chunk.
+type writePlan struct {
+	data []byte
+	cut  *Cut
+}
+
+func (p *Proxy) delay(d Direction) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lanes[d].delay
+}
+
+// plan applies the duplication and the cut to a chunk and counts it.
+func (p *Proxy) plan(d Direction, m *meter, data []byte) writePlan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lane := p.lanes[d]
+	if lane.duplicate > 0 {
+		lane.duplicate--
+		p.counters.Duplicated++
+		data = append(data[:len(data):len(data)], data...)
+	}
+	plan := writePlan{data: data}
+	if p.cut != nil && p.cut.Direction&d != 0 {
+		plan = p.applyCut(m, data)
+	}
+	lane.bytes += int64(len(plan.data))
+	return plan
+}
+
+// applyCut shortens data at the cut. p.mu is held.
+func (p *Proxy) applyCut(m *meter, data []byte) writePlan {
+	if m.cutID != p.cutID {
+		*m = meter{cutID: p.cutID}
+	}
+	left := p.cut.After - m.passed
+	if int64(len(data)) < left {
+		m.passed += int64(len(data))
+		return writePlan{data: data}
+	}
+	plan := writePlan{data: data[:max(left, 0)], cut: p.cut}
+	p.counters.Cuts++
+	if !p.cut.Every {
+		p.cut = nil
+	}
+	return plan
+}
--- /dev/null
+++ b/test/faultproxy/proxy.go
@@ -0,0 +1,153 @@
+// Package faultproxy is a small TCP proxy for tests that injects the faults of
+// a network between two processes.
+//
+// A black hole holds bytes back and delivers them when it ends, as TCP does
+// after a partition; it also holds back the end of a connection. Connections
+// that are opened meanwhile are accepted, since the proxy stands in for the
+// server's listener.
+package faultproxy
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
+)
+
+// Direction is a set of the directions of a connection.
+type Direction uint8
+
+// The directions.
+const (
+	ToServer Direction = 1 << iota
+	ToClient
+	Both = ToServer | ToClient
+)
+
+const (
+	dialTimeout    = 2 * time.Second
+	listenAttempts = 50
+	listenRetry    = 20 * time.Millisecond
+)
+
+// Cut breaks a connection behind a number of bytes.
+type Cut struct {
+	// Direction is the one whose bytes count.
+	Direction Direction
+	// After is the number of bytes that still pass, counted from the arming or
+	// the start of the connection, whichever is later.
+	After int64
+	// Silent holds both directions back for good in place of a reset.
+	Silent bool
+	// Every cuts each connection; else only the first one that gets there.
+	Every bool
+}
+
+// Counters counts what went through a Proxy.
+type Counters struct {
+	Accepted      int
+	Open          int
+	Cuts          int
+	Duplicated    int
+	BytesToServer int64
+	BytesToClient int64
+}
+
+// lane is the state of one direction over all connections.
+type lane struct {
+	gate      loopback.Gate
+	delay     time.Duration
+	duplicate int
+	bytes     int64
+}
+
+// Proxy forwards connections to its target.
+type Proxy struct {
+	addr    string
+	workers sync.WaitGroup
+
+	mu       sync.Mutex
+	target   string
+	listener net.Listener
+	links    map[*link]struct{}
+	lanes    map[Direction]*lane
+	halfOpen bool
+	closed   bool
+	cut      *Cut
+	cutID    int
+	counters Counters
+}
+
+// New returns a Proxy to target on a loopback port of the system's choice.
+func New(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	p := &Proxy{
+		addr:     listener.Addr().String(),
+		target:   target,
+		listener: listener,
+		links:    make(map[*link]struct{}),
+		lanes:    map[Direction]*lane{ToServer: {}, ToClient: {}},
+	}
+	p.workers.Add(1)
+	go p.accept(listener)
+	return p, nil
+}
+
+// Addr returns the IP and port that clients connect to.
+func (p *Proxy) Addr() string { return p.addr }
+
+// Close resets all connections and waits for all goroutines.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	p.closed = true
+	listener := p.listener
+	p.listener = nil
+	p.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+	p.ResetAll()
+	p.workers.Wait()
+}
+
+func (p *Proxy) accept(listener net.Listener) {
+	defer p.workers.Done()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		p.open(conn.(*net.TCPConn))
+	}
+}
+
+// open begins to forward client, unless the proxy has been closed.
+func (p *Proxy) open(client *net.TCPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		reset(client)
+		return
+	}
+	p.counters.Accepted++
+	l := &link{proxy: p, client: client, done: make(chan struct{}), frozen: make(chan struct{})}
+	p.links[l] = struct{}{}
+	p.workers.Add(1)
+	if p.halfOpen {
+		go l.hold()
+		return
+	}
+	go l.run(p.target)
+}
+
+// drop forgets l.
+func (p *Proxy) drop(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.links, l)
+}
--- /dev/null
+++ b/test/faultproxy/proxy_test.go
@@ -0,0 +1,241 @@
+package faultproxy
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+)
+
+const testLimit = 20 * time.Second
+
+// echo is a server that answers each byte it reads, upper-cased by one bit.
+type echo struct {
+	listener net.Listener
+	workers  sync.WaitGroup
+	mu       sync.Mutex
+	received []byte
+}
+
+func newEcho() *echo {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	e := &echo{listener: listener}
+	e.workers.Add(1)
+	go func() {
+		defer e.workers.Done()
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			e.workers.Add(1)
+			go e.serve(conn)
+		}
+	}()
+	return e
+}
+
+func (e *echo) serve(conn net.Conn) {
+	defer e.workers.Done()
+	defer func() { _ = conn.Close() }()
+	buffer := make([]byte, 1024)
+	for {
+		n, err := conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.received = append(e.received, buffer[:n]...)
+		e.mu.Unlock()
+		if _, err := conn.Write(bytes.ToUpper(buffer[:n])); err != nil {
+			return
+		}
+	}
+}
+
+func (e *echo) got() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return string(e.received)
+}
+
+func (e *echo) close() {
+	_ = e.listener.Close()
+	e.workers.Wait()
+}
+
+func dial(p *Proxy) net.Conn {
+	conn, err := net.Dial("tcp", p.Addr())
+	So(err, ShouldBeNil)
+	So(conn.SetDeadline(time.Now().Add(testLimit)), ShouldBeNil)
+	Reset(func() { _ = conn.Close() })
+	return conn
+}
+
+func send(conn net.Conn, text string) {
+	_, err := conn.Write([]byte(text))
+	So(err, ShouldBeNil)
+}
+
+func receive(conn net.Conn, n int) string {
+	buffer := make([]byte, n)
+	_, err := io.ReadFull(conn, buffer)
+	So(err, ShouldBeNil)
+	return string(buffer)
+}
+
+// silent tells whether nothing comes from conn for a short time.
+func silent(conn net.Conn) bool {
+	So(conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)), ShouldBeNil)
+	n, err := conn.Read(make([]byte, 1))
+	So(conn.SetReadDeadline(time.Now().Add(testLimit)), ShouldBeNil)
+	var timeout net.Error
+	return n == 0 && errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// wait polls until cond holds; the test's own limit ends a fruitless wait.
+func wait(cond func() bool) {
+	for !cond() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestProxy(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	Convey("Given a proxy before a server", t, func() {
+		server := newEcho()
+		p, err := New(server.listener.Addr().String())
+		So(err, ShouldBeNil)
+		Reset(func() {
+			p.Close()
+			server.close()
+		})
+		conn := dial(p)
+		send(conn, "a")
+		So(receive(conn, 1), ShouldEqual, "A")
+
+		Convey("an end in order reaches the other side", func() {
+			So(conn.(*net.TCPConn).CloseWrite(), ShouldBeNil)
+			_, err := conn.Read(make([]byte, 1))
+			So(err, ShouldEqual, io.EOF)
+			wait(func() bool { return p.Counters().Open == 0 })
+		})
+		Convey("a reset is seen as one, and new connections work", func() {
+			p.ResetAll()
+			_, err := conn.Read(make([]byte, 1))
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+			again := dial(p)
+			send(again, "b")
+			So(receive(again, 1), ShouldEqual, "B")
+		})
+		Convey("a black hole holds one direction back and loses nothing", func() {
+			p.SetBlackHole(ToClient, true)
+			send(conn, "bc")
+			wait(func() bool { return server.got() == "abc" })
+			So(silent(conn), ShouldBeTrue)
+			p.SetBlackHole(ToClient, false)
+			So(receive(conn, 2), ShouldEqual, "BC")
+			p.SetBlackHole(Both, true)
+			send(conn, "d")
+			So(silent(conn), ShouldBeTrue)
+			So(server.got(), ShouldEqual, "abc")
+			p.SetBlackHole(Both, false)
+			So(receive(conn, 1), ShouldEqual, "D")
+		})
+		Convey("a reset passes no black hole", func() {
+			p.SetBlackHole(ToServer, true)
+			So(conn.(*net.TCPConn).SetLinger(0), ShouldBeNil)
+			So(conn.Close(), ShouldBeNil)
+			time.Sleep(20 * time.Millisecond)
+			So(p.Counters().Open, ShouldEqual, 1)
+			p.SetBlackHole(ToServer, false)
+			wait(func() bool { return p.Counters().Open == 0 })
+		})
+		Convey("a delay holds each byte at least that long", func() {
+			p.SetDelay(ToServer, 30*time.Millisecond)
+			start := time.Now()
+			send(conn, "b")
+			So(receive(conn, 1), ShouldEqual, "B")
+			So(time.Since(start), ShouldBeGreaterThanOrEqualTo, 30*time.Millisecond)
+		})
+		Convey("a cut lets exactly its bytes pass, then resets, once", func() {
+			p.Arm(Cut{Direction: ToClient, After: 3})
+			send(conn, "bcdef")
+			So(receive(conn, 3), ShouldEqual, "BCD")
+			_, err := conn.Read(make([]byte, 1))
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+			again := dial(p)
+			send(again, "ghijkl")
+			So(receive(again, 6), ShouldEqual, "GHIJKL")
+			So(p.Counters().Cuts, ShouldEqual, 1)
+		})
+		Convey("a silent cut leaves the connection open and mute for good", func() {
+			p.Arm(Cut{Direction: ToServer, After: 1, Silent: true, Every: true})
+			send(conn, "bcd")
+			wait(func() bool { return server.got() == "ab" })
+			So(silent(conn), ShouldBeTrue)
+			again := dial(p)
+			send(again, "xyz")
+			wait(func() bool { return server.got() == "abx" })
+			p.Disarm()
+			send(conn, "e")
+			So(silent(conn), ShouldBeTrue)
+			So(silent(again), ShouldBeTrue)
+			So(server.got(), ShouldEqual, "abx")
+			So(p.Counters().Cuts, ShouldEqual, 2)
+		})
+		Convey("refused connections are refused, open ones go on, until they are admitted", func() {
+			p.Refuse()
+			_, err := net.Dial("tcp", p.Addr())
+			So(errors.Is(err, syscall.ECONNREFUSED), ShouldBeTrue)
+			send(conn, "b")
+			So(receive(conn, 1), ShouldEqual, "B")
+			So(p.Admit(), ShouldBeNil)
+			again := dial(p)
+			send(again, "c")
+			So(receive(again, 1), ShouldEqual, "C")
+		})
+		Convey("a half-open connection is accepted and reaches nobody", func() {
+			p.SetHalfOpen(true)
+			mute := dial(p)
+			send(mute, "zz")
+			So(silent(mute), ShouldBeTrue)
+			So(server.got(), ShouldEqual, "a")
+			p.SetHalfOpen(false)
+			again := dial(p)
+			send(again, "b")
+			So(receive(again, 1), ShouldEqual, "B")
+		})
+		Convey("a chunk is repeated as often as told", func() {
+			p.DuplicateNext(ToClient, 1)
+			send(conn, "bc")
+			So(receive(conn, 4), ShouldEqual, "BCBC")
+			send(conn, "d")
+			So(receive(conn, 1), ShouldEqual, "D")
+			So(silent(conn), ShouldBeTrue)
+			So(p.Counters().Duplicated, ShouldEqual, 1)
+		})
+		Convey("later connections go to a new target", func() {
+			other := newEcho()
+			Reset(func() {
+				p.ResetAll()
+				other.close()
+			})
+			p.SetTarget(other.listener.Addr().String())
+			again := dial(p)
+			send(again, "q")
+			So(receive(again, 1), ShouldEqual, "Q")
+			So(other.got(), ShouldEqual, "q")
+		})
+	})
+}
