--- a/backend/httpbackend/engine_test.go
+++ b/backend/httpbackend/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"testing"
 	"time"
 	"unicode/utf8"
@@ -253,6 +254,22 @@
 		})
 	})
 
+	Convey("A reader that goes away frees the slot at once, or after the time that the stream is kept", t, func() {
+		for _, keep := range []time.Duration{0, 20 * time.Millisecond} {
+			running, client, ctx := startEngine(t, engine.Options{Slots: 1, TokensPerSecond: 10, BufferFor: keep})
+			stream, err := client.Generate(ctx, request)
+			So(err, ShouldBeNil)
+			So(stream.Close(), ShouldBeNil)
+			for load := (backend.LoadReport{Running: 1}); load.Running > 0; {
+				load, err = client.Load(ctx)
+				So(err, ShouldBeNil)
+			}
+			So(running.RunsEnded(engine.RunCancelled), ShouldEqual, 1)
+			_, err = client.Resume(ctx, request.StreamID, 0)
+			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+		}
+	})
+
 	Convey("Faults of a version hit only the requests that match them", t, func() {
 		_, client, ctx := startEngine(t, engine.Options{Faults: []engine.VersionFault{
 			{Version: "bad", Workspace: "w", FailRate: 1, FailAtToken: 20},
@@ -324,3 +341,26 @@
 		So(events[0].Prefix, ShouldEqual, httpbackend.PrefixHashes("m", "v1", "", req.Prompt)[0])
 	})
 }
+
+func BenchmarkGenerate(b *testing.B) {
+	running, err := engine.Start("127.0.0.1:0", engine.Options{AnyVersion: true})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer running.Close()
+	client := httpbackend.NewEngine(httpbackend.Options{Address: running.Addr()})
+	defer client.Close()
+	req := request
+	req.Prompt = "tokens=" + strconv.Itoa(b.N) + " p"
+	req.MaxTokens = 0
+	b.ReportAllocs()
+	b.ResetTimer()
+	stream, err := client.Generate(context.Background(), req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	tokens, _, err := read(context.Background(), stream, 0, -1)
+	if err != nil || len(tokens) != b.N {
+		b.Fatal(len(tokens), err)
+	}
+}
--- a/backend/httpbackend/stream.go
+++ b/backend/httpbackend/stream.go
@@ -17,6 +17,8 @@
 const (
 	defaultMaxEventBytes = 1 << 20
 	readBufferBytes      = 4 << 10
+	// maxTokensAhead bounds the tokens that room is made for in advance.
+	maxTokensAhead = 64
 )
 
 var (
@@ -30,6 +32,9 @@
 	maxEvent int
 	long     []byte
 	finished bool
+	// event is decoded into again for each event; its tokens are not.
+	event     CompletionChunk
+	lastCount int
 }
 
 func newDecoder(r io.Reader, maxEvent int) *decoder {
@@ -54,15 +59,21 @@
 		if bytes.Equal(data, doneMarker) {
 			return backend.Chunk{}, errors.New("stream ended without a finish reason")
 		}
-		return d.chunk(data)
+		chunk, err := d.chunk(data)
+		if err == nil && !chunk.Done && len(chunk.Tokens) == 0 {
+			continue
+		}
+		return chunk, err
 	}
 }
 
 func (d *decoder) chunk(data []byte) (backend.Chunk, error) {
-	var event CompletionChunk
-	if err := json.Unmarshal(data, &event); err != nil {
+	event := &d.event
+	*event = CompletionChunk{Tokens: make([]backend.Token, 0, d.lastCount)}
+	if err := json.Unmarshal(data, event); err != nil {
 		return backend.Chunk{}, errors.Wrap(err, "event")
 	}
+	d.lastCount = min(len(event.Tokens), maxTokensAhead)
 	if event.Error != nil {
 		return backend.Chunk{}, errors.Newf("engine failed: %s", event.Error.Message)
 	}
@@ -73,7 +84,7 @@
 	return d.last(chunk, event)
 }
 
-func (d *decoder) last(chunk backend.Chunk, event CompletionChunk) (backend.Chunk, error) {
+func (d *decoder) last(chunk backend.Chunk, event *CompletionChunk) (backend.Chunk, error) {
 	if event.FinishReason != backend.StopEnd && event.FinishReason != backend.StopLength {
 		return backend.Chunk{}, errors.Newf("unknown finish reason %q", event.FinishReason)
 	}
@@ -84,6 +95,7 @@
 		return backend.Chunk{}, errors.New("finish reason beside tokens")
 	}
 	d.finished = true
+	chunk.Tokens = nil
 	chunk.Done = true
 	chunk.Stop = event.FinishReason
 	chunk.Position = wigeonfork.Position(event.Usage.CompletionTokens)
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -95,8 +95,12 @@
 	return nil
 }
 
-// AddEngine starts one more engine.
+// AddEngine starts one more engine. It loads from the weight store of w unless
+// the options name another one or a load duration.
 func (w *World) AddEngine(options engine.Options) error {
+	if options.WeightsAddress == "" && options.LoadDuration == 0 {
+		options.WeightsAddress = w.WeightsServer.Addr()
+	}
 	running, err := engine.Start(loopbackAny, options)
 	if err != nil {
 		return err
--- /dev/null
+++ b/standin/world/world_test.go
@@ -0,0 +1,109 @@
+package world
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+	"go.uber.org/goleak"
+)
+
+const testLimit = 20 * time.Second
+
+func TestWorld(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	Convey("Given a world with two engines", t, func() {
+		w, err := Start(Options{Engines: []engine.Options{{}, {}}, Services: 1})
+		So(err, ShouldBeNil)
+		Reset(w.Close)
+		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+		Reset(cancel)
+		client := httpbackend.NewEngine(httpbackend.Options{Address: w.Engines[0].Addr()})
+		Reset(client.Close)
+
+		Convey("engines load a version from the weight store and share its rate", func() {
+			const size = 64 << 10
+			w.Weights.Set("m", "v2", size)
+			order := backend.Order{Kind: backend.OrderLoad, Scope: "d", Fencing: 1, Model: "m", Version: "v2"}
+			req := backend.GenerateRequest{StreamID: "s", Model: "m", Version: "v2", Prompt: "p"}
+			_, err := client.Generate(ctx, req)
+			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			second := httpbackend.NewEngine(httpbackend.Options{Address: w.Engines[1].Addr()})
+			Reset(second.Close)
+			w.Weights.SetRate(4 * size)
+			start := time.Now()
+			for _, e := range []*httpbackend.Engine{client, second} {
+				So(e.Order(ctx, order), ShouldBeNil)
+			}
+			for _, e := range []*httpbackend.Engine{client, second} {
+				So(waitReady(ctx, e), ShouldBeNil)
+			}
+			So(w.Weights.BytesRead(), ShouldEqual, 2*size)
+			// All but the limiter's burst passes at the shared rate.
+			So(time.Since(start), ShouldBeGreaterThan, 400*time.Millisecond)
+			stream, err := client.Generate(ctx, req)
+			So(err, ShouldBeNil)
+			So(stream.Close(), ShouldBeNil)
+			order.Kind = backend.OrderUnload
+			So(client.Order(ctx, order), ShouldBeNil)
+			req.StreamID = "s2"
+			_, err = client.Generate(ctx, req)
+			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+		})
+		Convey("a version that the weight store lacks never becomes ready", func() {
+			w.Engines[0].Update(func(o *engine.Options) { o.WeightsAddress = w.WeightsServer.Addr() })
+			So(client.Order(ctx, backend.Order{Kind: backend.OrderLoad, Model: "m", Version: "none"}), ShouldBeNil)
+			for {
+				load, err := client.Load(ctx)
+				So(err, ShouldBeNil)
+				if len(load.Versions) == 0 {
+					break
+				}
+				So(load.Versions[0].Ready, ShouldBeFalse)
+			}
+		})
+		Convey("an engine killed while paused with open streams leaves nothing behind, and comes back running", func() {
+			w.Engines[0].Update(func(o *engine.Options) {
+				o.AnyVersion = true
+				o.TokensPerSecond = 10
+				o.BufferFor = time.Hour
+			})
+			stream, err := client.Generate(ctx, backend.GenerateRequest{StreamID: "s", Prompt: "p"})
+			So(err, ShouldBeNil)
+			w.Engines[0].Pause()
+			w.Engines[0].Kill()
+			for err == nil {
+				_, err = stream.Next(ctx)
+			}
+			So(ctx.Err(), ShouldBeNil)
+			So(stream.Close(), ShouldBeNil)
+			_, err = net.Dial("tcp", w.Engines[0].Addr())
+			So(err, ShouldNotBeNil)
+			So(w.Engines[0].Restart(), ShouldBeNil)
+			w.Engines[0].Update(func(o *engine.Options) { o.TokensPerSecond = 0 })
+			stream, err = client.Generate(ctx, backend.GenerateRequest{StreamID: "s", Prompt: "p"})
+			So(err, ShouldBeNil)
+			_, err = stream.Next(ctx)
+			So(err, ShouldBeNil)
+			So(stream.Close(), ShouldBeNil)
+		})
+	})
+}
+
+func waitReady(ctx context.Context, e *httpbackend.Engine) error {
+	for {
+		load, err := e.Load(ctx)
+		if err != nil {
+			return err
+		}
+		if len(load.Versions) == 1 && load.Versions[0].Ready {
+			return nil
+		}
+	}
+}
