Add quarantine.Detector for requests that crash engines

Cause: a batch dies together; the request that kills engines has to be told from its victims, and from requests whose engines die for other reasons. Change: every resident of a death is a suspect; suspects are spread alike at all entries; a suspect is refused when the deaths of its later runs, on other servers and one after the other, came too soon to be ordinary ones. The rate of ordinary deaths counts the long term, bursts and the server's own history. Completion clears. Entries exchange deaths, clearances, convictions and attempts; merging is idempotent.

--- /dev/null
+++ b/quarantine/detector_test.go
@@ -0,0 +1,324 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const version = wigeonfork.Version("v1")
+
+func key(n int) Key {
+	k := Key{Version: version}
+	binary.BigEndian.PutUint64(k.Fingerprint[:8], mix(uint64(n)+1))
+	return k
+}
+
+// death is the death of server n with residents that ran equally long.
+func death(server int, at time.Time, ran time.Duration, residents ...int) Death {
+	d := Death{ID: DeathID{Server: name(server), Incarnation: fmt.Sprint(at.UnixNano())}, At: at}
+	for _, r := range residents {
+		d.Residents = append(d.Residents, Resident{Key: key(r), Ran: ran})
+	}
+	return d
+}
+
+func name(server int) wigeonfork.BackendServerID {
+	return wigeonfork.BackendServerID(fmt.Sprintf("b%d", server))
+}
+
+func after(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func calm() *Detector {
+	d := New(Options{})
+	d.SetServers(25)
+	return d
+}
+
+func TestConviction(t *testing.T) {
+	Convey("A request whose engines die on three servers, soon after each resume, is refused", t, func() {
+		d := calm()
+		d.Died(after(0), death(0, after(0), 20*time.Second, 1, 2, 3, 4))
+		So(d.Check(after(0), key(1)).Action, ShouldEqual, Run)
+		d.Died(after(1), death(1, after(1), time.Second, 1, 5, 6))
+		So(d.Check(after(1), key(1)).Action, ShouldEqual, Run)
+		d.Died(after(2.5), death(2, after(2.5), time.Second, 1, 7))
+		So(d.Check(after(2.5), key(1)).Action, ShouldEqual, Hold)
+		So(d.Check(after(2.7), key(1)), ShouldResemble, Verdict{Action: Refuse, Charges: 3})
+		Convey("its co-residents are cleared of the deaths it explains", func() {
+			So(d.Stats().Suspects, ShouldEqual, 0)
+		})
+		Convey("a peer refuses it too, and passes that on", func() {
+			second, third := calm(), calm()
+			m, _ := d.Delta(0)
+			second.Merge(m)
+			So(second.Check(after(3), key(1)).Action, ShouldEqual, Refuse)
+			m, _ = second.Delta(0)
+			third.Merge(m)
+			So(third.Check(after(3), key(1)).Action, ShouldEqual, Refuse)
+		})
+		Convey("it may run on another version, and here once its version is gone", func() {
+			next := key(1)
+			next.Version = "v2"
+			So(d.Check(after(3), next).Action, ShouldEqual, Run)
+			m := d.Snapshot()
+			d.Retain([]wigeonfork.Version{"v2"})
+			So(d.Check(after(3), key(1)).Action, ShouldEqual, Run)
+			d.Merge(m)
+			So(d.Check(after(3), key(1)).Action, ShouldEqual, Run)
+		})
+	})
+}
+
+func TestInnocents(t *testing.T) {
+	// Each case kills three engines under request 1 in a way that an ordinary
+	// fault can.
+	cases := map[string]func(d *Detector){
+		"long runs between the deaths": func(d *Detector) {
+			for i := range 3 {
+				d.Died(after(300*float64(i)), death(i, after(300*float64(i)), 290*time.Second, 1))
+			}
+		},
+		"one server that dies again and again": func(d *Detector) {
+			for i := range 3 {
+				d.Died(after(2*float64(i)), death(0, after(2*float64(i)), time.Second, 1))
+			}
+		},
+		"a rack that is lost while many callers ask the same": func(d *Detector) {
+			for i := range 3 {
+				d.Died(after(0), death(i, after(0), time.Second, 1))
+			}
+		},
+		"engines that die in a row all over the fleet": func(d *Detector) {
+			for i := range 18 {
+				at := after(0.5 * float64(i))
+				if i%6 == 5 {
+					d.Died(at, death(i, at, 200*time.Millisecond, 1))
+				} else {
+					d.Died(at, death(i, at, time.Minute, 100+i))
+				}
+			}
+		},
+		"two suspects that were together all the time": func(d *Detector) {
+			for i := range 3 {
+				d.Died(after(2*float64(i)), death(i, after(2*float64(i)), time.Second, 1, 2))
+			}
+		},
+		"a completion between the deaths": func(d *Detector) {
+			d.Died(after(0), death(0, after(0), time.Second, 1))
+			d.Died(after(2), death(1, after(2), time.Second, 1))
+			d.Completed(after(3), key(1))
+			d.Died(after(4), death(2, after(4), time.Second, 1))
+		},
+	}
+	for what, happen := range cases {
+		Convey("A request is not refused after "+what, t, func() {
+			d := calm()
+			happen(d)
+			So(d.Check(after(1000), key(1)).Action, ShouldEqual, Run)
+		})
+	}
+}
+
+func TestSpread(t *testing.T) {
+	servers := make([]wigeonfork.BackendServerID, 24)
+	for i := range servers {
+		servers[i] = name(i + 1)
+	}
+	Convey("Given the residents of one death, at two entries", t, func() {
+		first, second := calm(), calm()
+		residents := []int{1, 2, 3, 4, 5, 6, 7, 8}
+		first.Died(start, death(0, start, time.Second, residents...))
+		m, _ := first.Delta(0)
+		second.Merge(m)
+		Convey("both resume them on different servers", func() {
+			used := map[wigeonfork.BackendServerID]bool{}
+			for i, r := range residents {
+				d := []*Detector{first, second}[i%2]
+				avoid := d.Avoid(start, key(r), servers, nil)
+				So(len(avoid), ShouldBeLessThan, len(servers))
+				for _, s := range servers {
+					if !contains(avoid, s) {
+						used[s] = true
+						d.Started(start, key(r), s)
+						break
+					}
+				}
+			}
+			So(len(used), ShouldEqual, len(residents))
+		})
+		Convey("a server that runs a suspect is avoided until the run ends", func() {
+			first.Started(start, key(1), name(1))
+			So(first.Avoid(start, key(2), servers[:2], nil), ShouldContain, name(1))
+			first.Stopped(start, key(1), name(1))
+			first.Stopped(start, key(1), name(1))
+			So(first.runs, ShouldBeEmpty)
+		})
+		Convey("a suspect with two charges runs at one entry at a time", func() {
+			second.Died(after(1), death(1, after(1), time.Second, 1))
+			second.Started(after(1), key(1), name(2))
+			m, _ := second.Delta(0)
+			first.Merge(m)
+			So(first.Check(after(2), key(1)).Action, ShouldEqual, Hold)
+			So(first.Check(after(7), key(1)).Action, ShouldEqual, Run)
+		})
+	})
+}
+
+func contains(list []wigeonfork.BackendServerID, s wigeonfork.BackendServerID) bool {
+	for _, one := range list {
+		if one == s {
+			return true
+		}
+	}
+	return false
+}
+
+func TestKeyOf(t *testing.T) {
+	Convey("The key depends on what is asked, not on who asks", t, func() {
+		req := backend.GenerateRequest{StreamID: "a", Workspace: "w", Model: "m", Version: "v", Prompt: "pq", MaxTokens: 9, Seed: 1}
+		other := req
+		other.StreamID, other.Workspace, other.Seed = "b", "x", 2
+		So(KeyOf(&other), ShouldResemble, KeyOf(&req))
+		other.Adapter, other.Prompt = "p", "q"
+		So(KeyOf(&other), ShouldNotResemble, KeyOf(&req))
+	})
+}
+
+// TestMergeOrder feeds the same messages to two detectors in different order,
+// repeatedly and through JSON: they agree on every request.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var messages []Message
+		for i := range rapid.IntRange(1, 12).Draw(t, "events") {
+			at := after(float64(i))
+			r := rapid.IntRange(0, 3).Draw(t, "request")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				messages = append(messages, Message{Clearances: []Clearance{{Key: key(r), At: at}}})
+			default:
+				d := death(rapid.IntRange(0, 4).Draw(t, "server"), at, 500*time.Millisecond, r, rapid.IntRange(4, 6).Draw(t, "other"))
+				messages = append(messages, Message{Deaths: []Death{d}})
+			}
+		}
+		first, second := calm(), calm()
+		for _, m := range messages {
+			first.Merge(m)
+			first.Merge(m)
+		}
+		for _, i := range rapid.Permutation(indexes(len(messages))).Draw(t, "order") {
+			body, err := json.Marshal(messages[i])
+			if err != nil {
+				t.Fatal(err)
+			}
+			var m Message
+			if err := json.Unmarshal(body, &m); err != nil {
+				t.Fatal(err)
+			}
+			second.Merge(m)
+		}
+		for r := range 7 {
+			a, b := first.Check(after(100), key(r)), second.Check(after(100), key(r))
+			if a != b {
+				t.Fatalf("request %d: %+v and %+v", r, a, b)
+			}
+		}
+		_, before := second.Delta(0)
+		for _, m := range messages {
+			second.Merge(m)
+		}
+		if _, again := second.Delta(0); again != before {
+			t.Fatal("merging what is known was passed on")
+		}
+	})
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+func TestBounds(t *testing.T) {
+	Convey("Memory stays bounded under a flood of deaths, and the most charged suspects are kept", t, func() {
+		d := New(Options{MaxSuspects: 100, MaxDeaths: 20, MaxConvictions: 5, MaxCompleted: 10})
+		d.SetServers(25)
+		for i := range 2 {
+			at := after(float64(i))
+			d.Died(at, death(i, at, time.Second, 1))
+		}
+		for n := range 1000 {
+			d.Died(after(100), death(n, after(100), time.Second, 10*n+10, 10*n+11, 10*n+12))
+			d.Completed(after(100), key(10*n+13))
+		}
+		So(len(d.suspects), ShouldBeLessThanOrEqualTo, 100)
+		So(len(d.deaths), ShouldEqual, 20)
+		So(len(d.recent), ShouldEqual, 20)
+		So(len(d.completed.times), ShouldEqual, 10)
+		So(d.Check(after(101), key(1)).Charges, ShouldEqual, 2)
+	})
+}
+
+func BenchmarkDied(b *testing.B) {
+	for _, suspects := range []int{64, 1024, 4096} {
+		b.Run(fmt.Sprintf("suspects=%d", suspects), func(b *testing.B) {
+			d := calm()
+			for n := range suspects / 16 {
+				d.Died(start, death(n, start, time.Second, sixteen(n)...))
+			}
+			deaths := make([]Death, 1024)
+			for n := range deaths {
+				deaths[n] = death(n, after(float64(n)), time.Second, sixteen(n%(suspects/16))...)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				one := deaths[n%len(deaths)]
+				one.At = one.At.Add(time.Duration(n))
+				one.ID.Incarnation = one.At.String()
+				d.Died(one.At, one)
+			}
+		})
+	}
+}
+
+func sixteen(base int) []int {
+	out := make([]int, 16)
+	for i := range out {
+		out[i] = base*16 + i
+	}
+	return out
+}
+
+func BenchmarkCheck(b *testing.B) {
+	for _, suspects := range []int{64, 1024, 4096} {
+		b.Run(fmt.Sprintf("suspects=%d", suspects), func(b *testing.B) {
+			d := calm()
+			for n := range suspects / 16 {
+				d.Died(start, death(n, start, time.Second, sixteen(n)...))
+			}
+			keys := make([]Key, 8192)
+			for n := range keys {
+				keys[n] = key(n)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				d.Check(start, keys[n%len(keys)])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/quarantine/evidence.go
@@ -0,0 +1,149 @@
+package quarantine
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+const (
+	rateWindow   = 10 * time.Minute // over which the ordinary death rate is taken
+	burstWindow  = 10 * time.Second // over which deaths count as one event
+	burstDeaths  = 2                // deaths within burstWindow that are no burst
+	serverWindow = time.Minute      // repeats of one server's deaths are taken to come within it
+	minRun       = 50 * time.Millisecond
+	minEvidence  = 2 // deaths after the first that are needed to convict
+)
+
+// charge is one engine death that a suspect was part of.
+type charge struct {
+	death DeathID
+	at    time.Time
+	ran   time.Duration
+}
+
+// suspect is a request that was part of an engine death and has not completed
+// since.
+type suspect struct {
+	charges []charge // by time
+	// running counts the runs under way by server, as far as known here.
+	running []wigeonfork.BackendServerID
+	// elsewhere is when a peer last said that it runs the request.
+	elsewhere time.Time
+	order     uint64
+}
+
+// runs tells whether a run of the suspect is under way, here or at a peer.
+func (s *suspect) runs(now time.Time) bool {
+	return len(s.running) > 0 || now.Sub(s.elsewhere) < elsewhereIsValid
+}
+
+func (s *suspect) charged(id DeathID) bool {
+	for i := range s.charges {
+		if s.charges[i].death == id {
+			return true
+		}
+	}
+	return false
+}
+
+// add inserts a charge in order of time.
+func (s *suspect) add(c charge) {
+	i := len(s.charges)
+	s.charges = append(s.charges, c)
+	for i > 0 && s.charges[i-1].at.After(c.at) {
+		s.charges[i] = s.charges[i-1]
+		i--
+	}
+	s.charges[i] = c
+}
+
+func (s *suspect) drop(id DeathID) {
+	for i := range s.charges {
+		if s.charges[i].death == id {
+			s.charges = append(s.charges[:i], s.charges[i+1:]...)
+			return
+		}
+	}
+}
+
+// sequence returns the charges that count: each on another server than those
+// before, in a run that began after the one before had ended.
+func (s *suspect) sequence(dst []charge) []charge {
+	for _, c := range s.charges {
+		if len(dst) > 0 && c.at.Add(-c.ran).Before(dst[len(dst)-1].at) {
+			continue
+		}
+		if !onServer(dst, c.death.Server) {
+			dst = append(dst, c)
+		}
+	}
+	return dst
+}
+
+func onServer(charges []charge, server wigeonfork.BackendServerID) bool {
+	for i := range charges {
+		if charges[i].death.Server == server {
+			return true
+		}
+	}
+	return false
+}
+
+// chance returns the probability that ordinary deaths alone would have ended
+// the later runs of a sequence as soon as they did. The first death is left
+// out, since it is what made the request a suspect.
+func (d *Detector) chance(sequence []charge) float64 {
+	logarithm := 0.0
+	for i := range sequence[1:] {
+		c := &sequence[i+1]
+		run := max(c.ran, minRun).Seconds()
+		logarithm += math.Log(-math.Expm1(-d.hazard(sequence, c) * run))
+	}
+	return fisher(logarithm, len(sequence)-1)
+}
+
+// fisher is the probability that the product of n uniform variables is at
+// most exp(logarithm).
+func fisher(logarithm float64, n int) float64 {
+	term, sum := 1.0, 1.0
+	for k := 1; k < n; k++ {
+		term *= -logarithm / float64(k)
+		sum += term
+	}
+	return math.Exp(logarithm) * sum
+}
+
+// hazard is the rate, per second, at which the engine of c was dying anyway:
+// the highest of the long-term rate, that of a burst around c and that of the
+// same server. Deaths of the sequence itself are left out.
+func (d *Detector) hazard(sequence []charge, c *charge) float64 {
+	var long, burst, same float64
+	for _, death := range d.deaths {
+		age := c.at.Sub(death.At)
+		if age > rateWindow || age < -burstWindow || death.explained || inSequence(sequence, death.ID) {
+			continue
+		}
+		long++
+		if age < burstWindow {
+			burst++
+		}
+		if death.ID.Server == c.death.Server {
+			same++
+		}
+	}
+	servers := float64(max(1, d.servers))
+	rate := (long + 1) / (servers * rateWindow.Seconds())
+	rate = max(rate, (burst-burstDeaths)/(servers*burstWindow.Seconds()))
+	return max(rate, same/serverWindow.Seconds())
+}
+
+func inSequence(sequence []charge, id DeathID) bool {
+	for i := range sequence {
+		if sequence[i].death == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/quarantine/exchange.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import "time"
+
+// changesKept bounds the changes that Delta can give; a peer that is further
+// behind receives everything.
+const changesKept = 1024
+
+// change is one thing to tell peers; exactly one field is set.
+type change struct {
+	death      Death
+	clearance  Clearance
+	conviction Conviction
+	attempt    Attempt
+}
+
+// changes is a numbered log of bounded length. The first change is number 1.
+type changes struct {
+	last uint64
+	kept [changesKept]change
+}
+
+func (c *changes) add(one change) {
+	c.last++
+	c.kept[c.last%changesKept] = one
+}
+
+// Delta returns what changed after a cursor, and the cursor for the next
+// call. The cursor 0 stands for the beginning. What was learned from peers is
+// passed on, and what a peer already knows changes nothing there.
+func (d *Detector) Delta(after uint64) (Message, uint64) {
+	if after > d.log.last || d.log.last-after > changesKept {
+		return d.Snapshot(), d.log.last
+	}
+	var m Message
+	for n := after + 1; n <= d.log.last; n++ {
+		m.add(&d.log.kept[n%changesKept])
+	}
+	return m, d.log.last
+}
+
+func (m *Message) add(c *change) {
+	switch {
+	case c.death.ID != DeathID{}:
+		m.Deaths = append(m.Deaths, c.death)
+	case c.clearance.Key != Key{}:
+		m.Clearances = append(m.Clearances, c.clearance)
+	case c.attempt.Key != Key{}:
+		m.Attempts = append(m.Attempts, c.attempt)
+	default:
+		m.Convictions = append(m.Convictions, c.conviction)
+	}
+}
+
+// Snapshot returns all that a new peer has to know.
+func (d *Detector) Snapshot() Message {
+	var m Message
+	for _, id := range d.recent {
+		m.Deaths = append(m.Deaths, d.deaths[id].Death)
+	}
+	for _, key := range d.convicted.order {
+		m.Convictions = append(m.Convictions, Conviction{Key: key, At: d.convicted.times[key]})
+	}
+	m.Clearances = d.clearances()
+	return m
+}
+
+// clearances are those of the residents of remembered deaths.
+func (d *Detector) clearances() []Clearance {
+	var out []Clearance
+	for _, id := range d.recent {
+		for _, r := range d.deaths[id].Residents {
+			if at, ok := d.completed.times[r.Key]; ok {
+				out = append(out, Clearance{Key: r.Key, At: at})
+			}
+		}
+	}
+	return out
+}
+
+// Merge takes in what a peer tells.
+func (d *Detector) Merge(m Message) {
+	for _, c := range m.Clearances {
+		if d.keeps(c.Key) && d.completed.put(c.Key, c.At) {
+			d.clear(c.Key, c.At)
+		}
+	}
+	for _, c := range m.Convictions {
+		if d.keeps(c.Key) {
+			d.convict(c.Key, c.At)
+		}
+	}
+	for _, death := range m.Deaths {
+		d.apply(death)
+	}
+	for _, run := range m.Attempts {
+		if s := d.suspects[run.Key]; s != nil && run.At.After(s.elsewhere) && !s.chargedSince(run.At) {
+			s.elsewhere = run.At
+		}
+	}
+}
+
+func (s *suspect) chargedSince(at time.Time) bool {
+	n := len(s.charges)
+	return n > 0 && s.charges[n-1].at.After(at)
+}
--- /dev/null
+++ b/quarantine/spread.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Avoid appends to dst the servers that a request should not run on: those
+// that died under it, those known to run another suspect, and those that fall
+// to another suspect of the same death. Which servers fall to which suspect
+// depends on nothing but the death, so that processes spread suspects alike
+// without talking to each other. It never appends every server.
+func (d *Detector) Avoid(_ time.Time, key Key, servers []wigeonfork.BackendServerID, dst []wigeonfork.BackendServerID) []wigeonfork.BackendServerID {
+	s := d.suspects[key]
+	if s == nil {
+		return dst
+	}
+	base := len(dst)
+	dst = d.appendBarred(dst, s, servers)
+	if len(dst)-base >= len(servers) {
+		return d.appendDied(dst[:base], s, servers)
+	}
+	barred := len(dst)
+	dst = d.appendOthers(dst, key, s, servers, base)
+	if len(dst)-base >= len(servers) {
+		dst = dst[:barred]
+	}
+	return dst
+}
+
+func (d *Detector) appendDied(dst []wigeonfork.BackendServerID, s *suspect, servers []wigeonfork.BackendServerID) []wigeonfork.BackendServerID {
+	for _, server := range servers {
+		if onServer(s.charges, server) {
+			dst = append(dst, server)
+		}
+	}
+	if len(dst) >= len(servers) {
+		return dst[:0]
+	}
+	return dst
+}
+
+// appendBarred appends the servers that died under the request or run another
+// suspect.
+func (d *Detector) appendBarred(dst []wigeonfork.BackendServerID, s *suspect, servers []wigeonfork.BackendServerID) []wigeonfork.BackendServerID {
+	for _, server := range servers {
+		if onServer(s.charges, server) || d.runsOther(server, s) {
+			dst = append(dst, server)
+		}
+	}
+	return dst
+}
+
+// runsOther tells whether a server runs a suspect other than s.
+func (d *Detector) runsOther(server wigeonfork.BackendServerID, s *suspect) bool {
+	own := 0
+	for _, used := range s.running {
+		if used == server {
+			own++
+		}
+	}
+	return d.runs[server] > own
+}
+
+// appendOthers appends the servers that fall to another suspect of the newest
+// death.
+func (d *Detector) appendOthers(dst []wigeonfork.BackendServerID, key Key, s *suspect, servers []wigeonfork.BackendServerID, base int) []wigeonfork.BackendServerID {
+	death := d.deaths[s.charges[len(s.charges)-1].death]
+	if death == nil {
+		return dst
+	}
+	barred := dst[base:]
+	for _, server := range servers {
+		if !slices.Contains(barred, server) && d.owner(death, server) != key {
+			dst = append(dst, server)
+		}
+	}
+	return dst
+}
+
+// owner is the resident of a death to which a server falls.
+func (d *Detector) owner(death *record, server wigeonfork.BackendServerID) Key {
+	var best Key
+	var highest uint64
+	salt := xxhash.Sum64String(string(server) + death.ID.Incarnation)
+	for i := range death.Residents {
+		key := death.Residents[i].Key
+		hash := mix(salt ^ binary.LittleEndian.Uint64(key.Fingerprint[:8]))
+		if hash >= highest {
+			best, highest = key, hash
+		}
+	}
+	return best
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
