--- a/admission/controller.go
+++ b/admission/controller.go
@@ -30,6 +30,8 @@
 	virtual  float64
 	service  [wigeonfork.NumClasses]time.Duration
 	mean     time.Duration // running time over all classes, weighted by cost
+	shedNow  bool
+	shedAt   time.Time
 	spare    []*entry
 	out      []Decision
 }
@@ -239,5 +241,6 @@
 // SetCapacity changes the capacity, for example when backend servers are lost.
 // Tick then refuses what can no longer make its deadline.
 func (c *Controller) SetCapacity(capacity float64) {
+	c.shedNow = c.shedNow || capacity < c.capacity
 	c.capacity = max(0, capacity)
 }
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -190,3 +190,34 @@
 		}
 	})
 }
+
+func BenchmarkOffer(b *testing.B) {
+	for _, workspaces := range []int{10, 330, 3300} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			c := New(Options{Capacity: 256, QueueLimit: 4096, Policy: RegnsamlerPolicy(), RetrySpread: 0.5})
+			requests := make([]Request, 16384)
+			for n := range requests {
+				requests[n] = request(n, fmt.Sprint(n%workspaces), wigeonfork.Class(1+n%5))
+			}
+			var started []wigeonfork.RequestID
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				now := start.Add(time.Duration(n) * time.Millisecond)
+				r := requests[n%len(requests)]
+				if c.Offer(now, r).Action == Admit {
+					started = append(started, r.ID)
+				}
+				if n%2 == 0 && len(started) > 0 {
+					c.Release(now, started[0])
+					started = started[1:]
+				}
+				for _, d := range c.Tick(now) {
+					if d.Action == Admit {
+						started = append(started, d.ID)
+					}
+				}
+			}
+		})
+	}
+}
--- a/admission/tick.go
+++ b/admission/tick.go
@@ -146,13 +146,25 @@
 	return c.capacity / max(c.mean, minServicePrediction).Seconds()
 }
 
+// shedInterval is the time between two searches for entries that wait in vain,
+// unless capacity is lost meanwhile.
+const shedInterval = 250 * time.Millisecond
+
 // shed refuses, from the tail of each workspace, the entries whose predicted
 // wait passes their last useful start, as after a loss of capacity.
 func (c *Controller) shed(now time.Time) {
+	if !c.shedNow && now.Sub(c.shedAt) < shedInterval {
+		return
+	}
+	c.shedNow, c.shedAt = false, now
 	for _, q := range c.fresh {
 		if q.count > 0 {
 			c.shedQueue(now, q)
 		}
+		q.sweep()
+	}
+	for _, q := range c.resumes {
+		q.sweep()
 	}
 }
 
@@ -162,7 +174,6 @@
 			c.shedLane(now, q, q.active[i])
 		}
 	}
-	q.sweep()
 }
 
 func (c *Controller) shedLane(now time.Time, q *classQueue, l *lane) {
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,181 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Level names the budget that denied an attempt.
+type Level uint8
+
+// The levels of budgets, from the narrowest.
+const (
+	LevelNone Level = iota
+	LevelCaller
+	LevelWorkspace
+	LevelOverall
+)
+
+// String returns the name of l.
+func (l Level) String() string {
+	switch l {
+	case LevelCaller:
+		return "caller"
+	case LevelWorkspace:
+		return "workspace"
+	case LevelOverall:
+		return "overall"
+	default:
+		return "none"
+	}
+}
+
+// Limit configures the budgets of one level. A budget holds at most Burst
+// attempts; each success adds Ratio and each second adds PerSecond.
+type Limit struct {
+	Ratio     float64
+	PerSecond float64
+	Burst     float64
+}
+
+// Options configures Budgets. Zero limits take the defaults.
+type Options struct {
+	Seed      uint64
+	Caller    Limit
+	Workspace Limit
+	Overall   Limit
+	// MaxCallers bounds the callers remembered; the one longest unused is
+	// forgotten first.
+	MaxCallers int
+	// MaxWorkspaces bounds the workspaces remembered.
+	MaxWorkspaces int
+}
+
+// Defaults of Options.
+var (
+	DefaultCaller    = Limit{Ratio: 0.2, PerSecond: 0.2, Burst: 5}
+	DefaultWorkspace = Limit{Ratio: 0.1, PerSecond: 1, Burst: 20}
+	DefaultOverall   = Limit{Ratio: 0.1, PerSecond: 5, Burst: 100}
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxCallers    = 16384
+	DefaultMaxWorkspaces = 4096
+)
+
+// Origin tells who an attempt is made for.
+type Origin struct {
+	Workspace wigeonfork.Workspace
+	Caller    string
+}
+
+// Decision is the outcome of Take.
+type Decision struct {
+	Allowed bool
+	// Denied is the level whose budget is used up.
+	Denied Level
+	// RetryAfter is when an attempt is worth making again, spread.
+	RetryAfter time.Duration
+}
+
+// bucket is the budget of one caller, one workspace or all.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+func (b *bucket) refill(now time.Time, l *Limit) {
+	if b.at.IsZero() {
+		b.tokens = l.Burst
+	} else if passed := now.Sub(b.at); passed > 0 {
+		b.tokens = min(l.Burst, b.tokens+passed.Seconds()*l.PerSecond)
+	}
+	if now.After(b.at) {
+		b.at = now
+	}
+}
+
+func (b *bucket) wait(l *Limit) time.Duration {
+	if l.PerSecond <= 0 {
+		return maxBackoff
+	}
+	return time.Duration((1 - b.tokens) / l.PerSecond * float64(time.Second))
+}
+
+// Budgets decides whether another attempt may be made.
+type Budgets struct {
+	options    Options
+	backoff    *Backoff
+	overall    bucket
+	workspaces table[wigeonfork.Workspace, bucket]
+	callers    table[Origin, bucket]
+}
+
+// NewBudgets returns full budgets.
+func NewBudgets(options Options) *Budgets {
+	options = options.withDefaults()
+	return &Budgets{
+		options:    options,
+		backoff:    NewBackoff(options.Seed, minBackoff, maxBackoff),
+		workspaces: newTable[wigeonfork.Workspace, bucket](options.MaxWorkspaces),
+		callers:    newTable[Origin, bucket](options.MaxCallers),
+	}
+}
+
+func (o Options) withDefaults() Options {
+	if o.Caller == (Limit{}) {
+		o.Caller = DefaultCaller
+	}
+	if o.Workspace == (Limit{}) {
+		o.Workspace = DefaultWorkspace
+	}
+	if o.Overall == (Limit{}) {
+		o.Overall = DefaultOverall
+	}
+	if o.MaxCallers <= 0 {
+		o.MaxCallers = DefaultMaxCallers
+	}
+	if o.MaxWorkspaces <= 0 {
+		o.MaxWorkspaces = DefaultMaxWorkspaces
+	}
+	return o
+}
+
+// Succeeded credits the budgets with an attempt that succeeded.
+func (b *Budgets) Succeeded(now time.Time, from Origin) {
+	credit(now, b.callers.get(from), &b.options.Caller)
+	credit(now, b.workspaces.get(from.Workspace), &b.options.Workspace)
+	credit(now, &b.overall, &b.options.Overall)
+}
+
+func credit(now time.Time, one *bucket, l *Limit) {
+	one.refill(now, l)
+	one.tokens = min(l.Burst, one.tokens+l.Ratio)
+}
+
+// Take asks for one more attempt after a failed one. An attempt that is
+// allowed is charged to all three budgets, one that is denied to none.
+func (b *Budgets) Take(now time.Time, from Origin) Decision {
+	caller, workspace := b.callers.get(from), b.workspaces.get(from.Workspace)
+	caller.refill(now, &b.options.Caller)
+	workspace.refill(now, &b.options.Workspace)
+	b.overall.refill(now, &b.options.Overall)
+	switch {
+	case caller.tokens < 1:
+		return b.deny(LevelCaller, caller.wait(&b.options.Caller))
+	case workspace.tokens < 1:
+		return b.deny(LevelWorkspace, workspace.wait(&b.options.Workspace))
+	case b.overall.tokens < 1:
+		return b.deny(LevelOverall, b.overall.wait(&b.options.Overall))
+	}
+	caller.tokens--
+	workspace.tokens--
+	b.overall.tokens--
+	return Decision{Allowed: true}
+}
+
+func (b *Budgets) deny(level Level, wait time.Duration) Decision {
+	return Decision{Denied: level, RetryAfter: b.backoff.Spread(wait)}
+}
--- /dev/null
+++ b/retry/table.go
@@ -0,0 +1,48 @@
+package retry
+
+// table is a map of bounded size; a clock hand replaces an entry that was not
+// used since it last came by.
+type table[K comparable, V any] struct {
+	index   map[K]int
+	entries []tableEntry[K, V]
+	hand    int
+	limit   int
+}
+
+type tableEntry[K comparable, V any] struct {
+	key   K
+	value V
+	used  bool
+}
+
+func newTable[K comparable, V any](limit int) table[K, V] {
+	return table[K, V]{index: make(map[K]int), limit: limit}
+}
+
+// get returns the value of key, adding a zero one if it is unknown. The
+// pointer is valid until the next get.
+func (t *table[K, V]) get(key K) *V {
+	i, ok := t.index[key]
+	if !ok {
+		i = t.slot()
+		t.entries[i] = tableEntry[K, V]{key: key}
+		t.index[key] = i
+	}
+	t.entries[i].used = true
+	return &t.entries[i].value
+}
+
+func (t *table[K, V]) slot() int {
+	if len(t.entries) < t.limit {
+		t.entries = append(t.entries, tableEntry[K, V]{})
+		return len(t.entries) - 1
+	}
+	for t.entries[t.hand].used {
+		t.entries[t.hand].used = false
+		t.hand = (t.hand + 1) % len(t.entries)
+	}
+	i := t.hand
+	t.hand = (t.hand + 1) % len(t.entries)
+	delete(t.index, t.entries[i].key)
+	return i
+}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -111,14 +111,14 @@
 func TestPrefix(t *testing.T) {
 	Convey("A cached prefix draws requests until its server carries more than its share", t, func() {
 		req := ask()
-		req.PromptTokens = 8000
-		req.Prefixes = []Prefix{{Hash: 1, Tokens: 300}, {Hash: 2, Tokens: 7900}}
+		req.PromptTokens = 32000
+		req.Prefixes = []Prefix{{Hash: 1, Tokens: 300}, {Hash: 2, Tokens: 31000}}
 		r := newRouter(6, Options{})
-		r.CacheEvent(start, "b4", backend.CacheEvent{Prefix: 2, Tokens: 7900})
+		r.CacheEvent(start, "b4", backend.CacheEvent{Prefix: 2, Tokens: 31000})
 		d, err := r.Choose(start, req)
 		So(err, ShouldBeNil)
 		So(d.ID, ShouldEqual, ID("b4"))
-		So(d.CachedTokens, ShouldEqual, 7900)
+		So(d.CachedTokens, ShouldEqual, 31000)
 		bounded := spread(r, 24, req)
 		So(len(bounded), ShouldBeGreaterThanOrEqualTo, 4)
 		for _, n := range bounded {
