Correct the test of the budgets' bound and sharpen that of shedding

The property itself is unchanged; it starts at the first event. The shedding test had stayed green with the guard taken out, since the first tick always sheds. Checked: both guards are now seen red on a scratch edit.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -115,6 +115,7 @@
 		Convey("a loss of capacity sheds what now waits too long", func() {
 			c.mean = 100 * time.Millisecond
 			So(c.Offer(start, request(1, "w", wigeonfork.ClassLookup)).Action, ShouldEqual, Queue)
+			So(c.Tick(start), ShouldBeEmpty)
 			c.SetCapacity(0)
 			out := c.Tick(start)
 			So(len(out), ShouldEqual, 1)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -77,10 +77,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := Limit{Ratio: 0.25, PerSecond: 0.5, Burst: 4}
 		b := NewBudgets(Options{Caller: limit, Workspace: limit, Overall: limit})
-		now, latest, earned, taken := start, start, limit.Burst, 0.0
+		now, earned, taken := start, limit.Burst, 0.0
+		var latest time.Time
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			step := time.Duration(rapid.IntRange(-200, 800).Draw(t, "ms")) * time.Millisecond
 			now = now.Add(step)
+			if latest.IsZero() {
+				latest = now
+			}
 			if now.After(latest) {
 				earned += now.Sub(latest).Seconds() * limit.PerSecond
 				latest = now
