Add routing.Watch and the doubt of slow and silent servers

Cause: an engine that is alive but slow, stalled or deaf has to be found within 2 s for streams under way, get little new work, and not be lost for good. Change: Watch judges one stream by the usual inter-token time of its server; Router.Unhealthy makes the server suspect, which leaves it probes only, until a stream on it goes at its usual speed. Learned values now weigh samples by time, so that many streams on a server do not speed up forgetting. Checked: a stalled stream is found within 1.5 s and one at a tenth of its speed within 2 s at usual gaps of 10, 25 and 100 ms; half the speed is left alone.

--- /dev/null
+++ b/routing/health.go
@@ -0,0 +1,46 @@
+package routing
+
+import "time"
+
+// recoveredFactor is how many times the prior inter-token time a suspect
+// server may take on a probe and count as recovered.
+const recoveredFactor = 2
+
+// ExpectedGap is the inter-token time expected of a server at its present
+// load.
+func (r *Router) ExpectedGap(now time.Time, id ID) time.Duration {
+	s := r.find(id)
+	if s == nil {
+		return priorGap
+	}
+	gap := s.usual.read(now, priorGap.Seconds(), r.options.SpeedBelief)
+	return seconds(gap * s.slowdown(s.outstanding(now, 0)))
+}
+
+// Unhealthy records what a Watch found of a stream on a server. The server is
+// suspect until a stream on it goes at a normal speed again.
+func (r *Router) Unhealthy(now time.Time, id ID, health Health) {
+	s := r.find(id)
+	if s == nil || health == HealthGood || s.state != StateReady {
+		return
+	}
+	s.state, s.stateAt, s.probedAt = StateSuspect, now, now
+	s.doubted = true
+	s.normal = s.usual.read(now, priorGap.Seconds(), r.options.SpeedBelief)
+}
+
+// recovered makes a server that was doubted here ready again when a stream
+// that began after the doubt goes at its normal speed.
+func (s *server) recovered(gap float64) {
+	if s.doubted && s.state == StateSuspect && gap <= recoveredFactor*s.normal {
+		s.state, s.doubted = StateReady, false
+	}
+}
+
+// State returns what is believed of a server's health.
+func (r *Router) State(id ID) State {
+	if s := r.find(id); s != nil {
+		return s.state
+	}
+	return StateDead
+}
--- /dev/null
+++ b/routing/health_test.go
@@ -0,0 +1,102 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// longestSilence bounds the detection, so that output goes on within 2 s.
+const longestSilence = 1500 * time.Millisecond
+
+// watchUntil feeds a Watch with a token every gap and returns when it first
+// finds the stream unhealthy, or the whole time.
+func watchUntil(w *Watch, from time.Time, gap, whole time.Duration) (time.Duration, Health) {
+	next := gap
+	for at := time.Duration(0); at < whole; at += 50 * time.Millisecond {
+		for next <= at {
+			w.Tokens(from.Add(next), 1)
+			next += gap
+		}
+		if health := w.Check(from.Add(at)); health != HealthGood {
+			return at, health
+		}
+	}
+	return whole, HealthGood
+}
+
+func TestWatch(t *testing.T) {
+	for _, normal := range []time.Duration{10 * time.Millisecond, 25 * time.Millisecond, 100 * time.Millisecond} {
+		Convey("With a normal gap of "+normal.String(), t, func() {
+			w := NewWatch(start, normal, 100*time.Millisecond)
+			at, health := watchUntil(&w, start, normal, 10*time.Second)
+			So(health, ShouldEqual, HealthGood)
+			now := start.Add(at)
+
+			Convey("a stream that stops is found", func() {
+				at, health := watchUntil(&w, now, time.Hour, 10*time.Second)
+				So(health, ShouldEqual, HealthSilent)
+				So(at, ShouldBeLessThanOrEqualTo, longestSilence)
+			})
+			Convey("a stream at a tenth of the speed is found", func() {
+				at, health := watchUntil(&w, now, 10*max(normal, slowMinGap), 10*time.Second)
+				So(health, ShouldNotEqual, HealthGood)
+				So(at, ShouldBeLessThanOrEqualTo, 2*time.Second)
+			})
+			Convey("a stream at half the speed is left alone", func() {
+				_, health := watchUntil(&w, now, 2*normal, 10*time.Second)
+				So(health, ShouldEqual, HealthGood)
+			})
+		})
+	}
+	Convey("A stream that never begins is found", t, func() {
+		w := NewWatch(start, 20*time.Millisecond, 200*time.Millisecond)
+		So(w.Check(start.Add(900*time.Millisecond)), ShouldEqual, HealthGood)
+		So(w.Check(start.Add(longestSilence)), ShouldEqual, HealthSilent)
+		So(w.NextCheck(), ShouldHappenOnOrBefore, start.Add(longestSilence))
+	})
+}
+
+func TestDoubt(t *testing.T) {
+	Convey("A server found slow gets probes only, and work again once a probe goes well", t, func() {
+		r := newRouter(2, Options{ProbeInterval: time.Second})
+		at := start
+		step := func(gap time.Duration) {
+			at = at.Add(100 * time.Millisecond)
+			r.Progress(at, "b0", 4, gap)
+			r.Progress(at, "b1", 4, 20*time.Millisecond)
+		}
+		for range 300 {
+			step(20 * time.Millisecond)
+		}
+		for range 10 {
+			step(200 * time.Millisecond)
+		}
+		r.Unhealthy(at, "b0", HealthSlow)
+		So(r.State("b0"), ShouldEqual, StateSuspect)
+		probes := 0
+		for range 100 {
+			step(200 * time.Millisecond)
+			d, err := r.Choose(at, ask())
+			So(err, ShouldBeNil)
+			if d.ID == "b0" {
+				So(d.Probe, ShouldBeTrue)
+				probes++
+			}
+		}
+		So(probes, ShouldBeBetweenOrEqual, 8, 10)
+		So(r.State("b0"), ShouldEqual, StateSuspect)
+		step(22 * time.Millisecond)
+		So(r.State("b0"), ShouldEqual, StateReady)
+	})
+	Convey("What the owner says of a server's state goes before what was seen", t, func() {
+		r := newRouter(1, Options{})
+		r.SetState(start, "b0", StateSuspect)
+		r.Progress(start, "b0", 4, 20*time.Millisecond)
+		So(r.State("b0"), ShouldEqual, StateSuspect)
+		r.SetState(start, "b0", StateLeaving)
+		r.Unhealthy(start, "b0", HealthSilent)
+		So(r.State("b0"), ShouldEqual, StateLeaving)
+	})
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -127,7 +127,7 @@
 	if s.state == state {
 		return
 	}
-	s.state, s.stateAt = state, now
+	s.state, s.stateAt, s.doubted = state, now, false
 	if state == StateDead {
 		r.lost(now, i)
 	}
@@ -192,7 +192,7 @@
 		return
 	}
 	if float64(s.own) <= s.slots() {
-		s.rate.observe(now, fresh/seen.Wait.Seconds())
+		s.rate.observe(now, fresh/seen.Wait.Seconds(), quick, minSampleWeight)
 	}
 }
 
@@ -203,7 +203,12 @@
 		return
 	}
 	n := s.outstanding(now, 0)
-	s.gap.observe(now, gap.Seconds()/s.slowdown(n))
+	normalised := gap.Seconds() / s.slowdown(n)
+	s.recovered(normalised)
+	if s.state != StateSuspect {
+		s.gap.observe(now, normalised, quick, minSampleWeight)
+		s.usual.observe(now, normalised, steady, 0)
+	}
 }
 
 // Finished takes a finished request off a server.
@@ -214,10 +219,10 @@
 	}
 	s.addOwn(now, -1)
 	if result.Duration > 0 {
-		s.service.observe(now, result.Duration.Seconds())
+		s.service.observe(now, result.Duration.Seconds(), steady, minSampleWeight)
 	}
 	if work.MaxTokens > 0 {
-		r.fill[work.Class%wigeonfork.NumClasses].observe(now, float64(result.Tokens)/float64(work.MaxTokens))
+		r.fill[work.Class%wigeonfork.NumClasses].observe(now, float64(result.Tokens)/float64(work.MaxTokens), steady, minSampleWeight)
 	}
 }
 
--- a/routing/server.go
+++ b/routing/server.go
@@ -13,7 +13,10 @@
 	priorService      = 5 * time.Second
 	priorSlots        = 16
 	otherDomainTrip   = time.Millisecond
-	sampleWeight      = 0.2
+	quick             = 2 * time.Second // time over which a changed value is learned
+	steady            = time.Minute     // the same for the usual value
+	minSampleWeight   = 0.02
+	maxSampleWeight   = 0.5
 	historyLength     = 16
 	historyStep       = 100 * time.Millisecond
 	maxBatchSlowdown  = 1.0 // growth of the inter-token time from an empty to a full batch
@@ -29,12 +32,17 @@
 	at    time.Time
 }
 
-func (l *learned) observe(now time.Time, sample float64) {
+// observe takes in a sample. Samples count by the time that passes between
+// them, so that many streams do not speed up learning; least bounds the weight
+// of one sample from below.
+func (l *learned) observe(now time.Time, sample float64, over time.Duration, least float64) {
 	if l.at.IsZero() {
-		l.value = sample
-	} else {
-		l.value += sampleWeight * (sample - l.value)
+		l.value, l.at = sample, now
+		return
 	}
+	passed := max(0, now.Sub(l.at))
+	weight := -math.Expm1(-float64(passed) / float64(over))
+	l.value += min(max(weight, least), maxSampleWeight) * (sample - l.value)
 	l.at = now
 }
 
@@ -66,6 +74,9 @@
 	history   [historyLength]uint16
 	historyAt int64 // step of the newest sample in history
 	restarted string
+	doubted   bool    // suspect by what was seen here
+	usual     learned // gap over a longer time
+	normal    float64 // usual gap before the doubt, seconds
 }
 
 func (s *server) slots() float64 {
--- /dev/null
+++ b/routing/watch.go
@@ -0,0 +1,106 @@
+package routing
+
+import "time"
+
+// Health is what a Watch finds of a stream.
+type Health uint8
+
+// The findings, from the least grave.
+const (
+	HealthGood Health = iota
+	// HealthSlow: tokens come at a fraction of the expected rate.
+	HealthSlow
+	// HealthSilent: no token has come for far too long.
+	HealthSilent
+)
+
+// String returns the name of h.
+func (h Health) String() string {
+	switch h {
+	case HealthSlow:
+		return "slow"
+	case HealthSilent:
+		return "silent"
+	default:
+		return "good"
+	}
+}
+
+const (
+	silentGaps     = 20 // expected inter-token times without a token
+	minSilent      = 400 * time.Millisecond
+	maxSilent      = 1200 * time.Millisecond
+	firstWaits     = 4 // expected waits for the first token
+	minFirstSilent = time.Second
+	slowWindow     = time.Second
+	slowFactor     = 4 // times slower than expected
+	slowMinGap     = 15 * time.Millisecond
+)
+
+// Watch follows the tokens of one stream from one backend server and tells
+// when it has stalled. It is a small value to be held beside the stream; the
+// zero Watch is not usable.
+type Watch struct {
+	gap      time.Duration // expected inter-token time
+	first    time.Duration // time allowed for the first token
+	last     time.Time
+	begun    bool
+	windowAt time.Time
+	tokens   int
+}
+
+// NewWatch returns a Watch for a stream that was sent off now, with the
+// expected inter-token time and the expected wait for the first token.
+func NewWatch(now time.Time, gap, wait time.Duration) Watch {
+	return Watch{
+		gap:   max(gap, slowMinGap),
+		first: max(minFirstSilent, firstWaits*wait),
+		last:  now,
+	}
+}
+
+// Tokens records that n tokens have come.
+func (w *Watch) Tokens(now time.Time, n int) {
+	if n <= 0 {
+		return
+	}
+	if !w.begun {
+		w.begun = true
+		w.windowAt, w.tokens = now, 0
+	} else {
+		w.tokens += n
+	}
+	w.last = now
+}
+
+// Limit is the time without a token after which the stream is silent.
+func (w *Watch) Limit() time.Duration {
+	if !w.begun {
+		return w.first
+	}
+	return min(max(minSilent, silentGaps*w.gap), maxSilent)
+}
+
+// NextCheck is the time at which Check can first find the stream silent.
+func (w *Watch) NextCheck() time.Time { return w.last.Add(w.Limit()) }
+
+// Check judges the stream.
+func (w *Watch) Check(now time.Time) Health {
+	if now.Sub(w.last) >= w.Limit() {
+		return HealthSilent
+	}
+	if !w.begun {
+		return HealthGood
+	}
+	window := now.Sub(w.windowAt)
+	if window < slowWindow {
+		return HealthGood
+	}
+	expected := int(window / (slowFactor * w.gap))
+	slow := w.tokens < expected
+	w.windowAt, w.tokens = now, 0
+	if slow {
+		return HealthSlow
+	}
+	return HealthGood
+}
