Add experiment/policy, the measurement of the decisions

Cause: every policy is to be measured against baselines before it is kept. Change: a seeded event stream in virtual time from a queueing model of engine batches feeds routing, admission and quarantine as the daemons use them. Tables of load, left-out terms, overload, recovery and quarantine for both deployments print the targets beside the figures; CSV on demand.

--- /dev/null
+++ b/experiment/policy/engine.go
@@ -0,0 +1,213 @@
+package policy
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+const (
+	batchGrowth     = 0.8 // growth of the inter-token time from an empty to a full batch
+	prefillDrag     = 1.2 // growth of the inter-token time while a prompt is prefilled
+	slotsPerEngine  = 16
+	cacheTokens     = 60_000
+	stoppedSpeed    = 1e-9
+	minPrefillTime  = 2 * time.Millisecond
+	poisonedAtToken = 3
+)
+
+// engine is the source of events of one model engine: a batch that decodes
+// together, prompts that are prefilled one after the other, a prefix cache of
+// limited size and a queue by priority.
+type engine struct {
+	id          wigeonfork.BackendServerID
+	domain      wigeonfork.FailureDomain
+	gap         float64 // inter-token time in an empty batch, seconds
+	prefillRate float64 // tokens per second
+	speed       float64 // 1 is normal
+	deaf        bool    // accepts requests and runs none
+	alive       bool
+	incarnation int
+
+	waiting []*stream
+	prefill []*stream // the first is under way
+	decode  []*stream
+
+	at          time.Duration
+	tokens      float64 // tokens that a stream of the batch has had since the start
+	prefillLeft float64 // seconds at normal speed
+
+	cache   []cached // least recently used first
+	cacheN  int
+	version uint64 // of the pending event
+}
+
+type cached struct {
+	hash   uint64
+	tokens int
+}
+
+func (e *engine) batch() int { return len(e.prefill) + len(e.decode) }
+
+// rate is the tokens per second of each stream.
+func (e *engine) rate() float64 {
+	gap := e.gap * (1 + batchGrowth*float64(e.batch())/slotsPerEngine)
+	if len(e.prefill) > 0 {
+		gap *= prefillDrag
+	}
+	return e.speed / gap
+}
+
+// advance moves the engine's state to a time.
+func (e *engine) advance(now time.Duration) {
+	passed := (now - e.at).Seconds()
+	e.at = now
+	if !e.alive || passed <= 0 {
+		return
+	}
+	e.tokens += passed * e.rate()
+	if len(e.prefill) > 0 {
+		e.prefillLeft -= passed * e.speed
+	}
+}
+
+// next returns the time of the engine's next event.
+func (e *engine) next() (time.Duration, bool) {
+	if !e.alive || e.speed <= stoppedSpeed {
+		return 0, false
+	}
+	wait := math.Inf(1)
+	if len(e.prefill) > 0 {
+		wait = max(0, e.prefillLeft) / e.speed
+	}
+	for _, s := range e.decode {
+		wait = min(wait, max(0, s.endAt()-e.tokens)/e.rate())
+	}
+	if math.IsInf(wait, 1) {
+		return 0, false
+	}
+	return e.at + time.Duration(wait*float64(time.Second)) + 1, true
+}
+
+// add gives the engine a request.
+func (e *engine) add(s *stream) {
+	i := len(e.waiting)
+	for i > 0 && e.waiting[i-1].priority < s.priority {
+		i--
+	}
+	e.waiting = slices.Insert(e.waiting, i, s)
+	e.fill()
+}
+
+func (e *engine) fill() {
+	for !e.deaf && len(e.waiting) > 0 && e.batch() < slotsPerEngine {
+		s := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		s.batchedAt = e.at
+		e.prefill = append(e.prefill, s)
+		if len(e.prefill) == 1 {
+			e.beginPrefill()
+		}
+	}
+}
+
+func (e *engine) beginPrefill() {
+	s := e.prefill[0]
+	hit := e.lookup(s)
+	s.cached = hit
+	fresh := s.prompt + int(s.delivered) - hit
+	e.prefillLeft = max(minPrefillTime.Seconds(), float64(fresh)/e.prefillRate)
+}
+
+// step carries out the events that are due and returns the streams that had
+// their first token and those that ended.
+func (e *engine) step(now time.Duration) (begun, ended []*stream) {
+	e.advance(now)
+	for len(e.prefill) > 0 && e.prefillLeft <= 1e-9 {
+		s := e.prefill[0]
+		e.prefill = e.prefill[1:]
+		s.tokensBase = e.tokens - s.delivered
+		s.decoding = true
+		e.decode = append(e.decode, s)
+		begun = append(begun, s)
+		if len(e.prefill) > 0 {
+			e.beginPrefill()
+		}
+	}
+	for i := 0; i < len(e.decode); {
+		s := e.decode[i]
+		if e.tokens+1e-6 >= s.endAt() {
+			s.delivered = s.endAt() - s.tokensBase
+			ended = append(ended, s)
+			e.decode = slices.Delete(e.decode, i, i+1)
+			continue
+		}
+		i++
+	}
+	e.fill()
+	return begun, ended
+}
+
+// remove takes a stream off the engine, as when it is cancelled.
+func (e *engine) remove(s *stream) {
+	same := func(o *stream) bool { return o == s }
+	e.waiting = slices.DeleteFunc(e.waiting, same)
+	e.decode = slices.DeleteFunc(e.decode, same)
+	if i := slices.Index(e.prefill, s); i >= 0 {
+		e.prefill = slices.Delete(e.prefill, i, i+1)
+		if i == 0 && len(e.prefill) > 0 {
+			e.beginPrefill()
+		}
+	}
+	s.decoding = false
+	e.fill()
+}
+
+// die returns the streams that were lost.
+func (e *engine) die() []*stream {
+	lost := slices.Concat(e.decode, e.prefill, e.waiting)
+	for _, s := range lost {
+		if s.decoding {
+			s.delivered = min(s.wanted, math.Floor(e.tokens-s.tokensBase))
+		}
+		s.decoding = false
+	}
+	e.alive = false
+	e.waiting, e.prefill, e.decode, e.cache, e.cacheN = nil, nil, nil, nil, 0
+	return lost
+}
+
+func (e *engine) restart(now time.Duration) {
+	e.at, e.alive, e.speed, e.deaf = now, true, 1, false
+	e.incarnation++
+}
+
+// lookup returns the cached tokens of a stream's prompt and caches all of it.
+func (e *engine) lookup(s *stream) int {
+	hit := 0
+	for _, p := range s.prefixes {
+		i := slices.IndexFunc(e.cache, func(c cached) bool { return c.hash == p.Hash })
+		if i >= 0 {
+			hit = int(p.Tokens)
+			e.cache = slices.Delete(e.cache, i, i+1)
+			e.cacheN -= int(p.Tokens)
+		}
+		e.cache = append(e.cache, cached{hash: p.Hash, tokens: int(p.Tokens)})
+		e.cacheN += int(p.Tokens)
+	}
+	for e.cacheN > cacheTokens && len(e.cache) > 0 {
+		e.cacheN -= e.cache[0].tokens
+		e.cache = e.cache[1:]
+	}
+	return hit
+}
+
+func (e *engine) load(at time.Time) backend.LoadReport {
+	return backend.LoadReport{
+		Running: e.batch(), Waiting: len(e.waiting), Slots: slotsPerEngine,
+		MeasuredAt: at, Incarnation: incarnationName(e.incarnation),
+	}
+}
--- /dev/null
+++ b/experiment/policy/policy_test.go
@@ -0,0 +1,103 @@
+package policy
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork/routing"
+)
+
+func shortRun(seed uint64) scenario {
+	return scenario{
+		deployment: regnsamler(), seed: seed, capacity: 15_000, load: steady(0.8),
+		warmup: 5 * time.Second, length: 25 * time.Second, deathsPerMin: 20,
+		poisons: []time.Duration{6 * time.Second},
+	}
+}
+
+func TestSimulation(t *testing.T) {
+	Convey("The same seed gives the same figures, another seed others", t, func() {
+		a, b, c := simulate(shortRun(1)), simulate(shortRun(1)), simulate(shortRun(2))
+		So(a.goodTokens, ShouldEqual, b.goodTokens)
+		So(quantile(a.resume, 99), ShouldEqual, quantile(b.resume, 99))
+		So(a.goodTokens, ShouldNotEqual, c.goodTokens)
+	})
+	Convey("A run with deaths finishes what it is offered, and counts the work done again", t, func() {
+		s := shortRun(3)
+		offeredFor := s.end() - 10*time.Second
+		s.load = func(at time.Duration) float64 {
+			if at < offeredFor {
+				return 0.5
+			}
+			return 1e-6
+		}
+		s.length += 3 * time.Minute
+		s.poisons = nil
+		r := simulate(s)
+		offered, finished := 0, 0
+		for i := range r.classes {
+			offered += r.classes[i].offered
+			finished += r.classes[i].finished + r.classes[i].refused
+		}
+		So(offered, ShouldBeGreaterThan, 100)
+		So(finished, ShouldEqual, offered)
+		So(r.deaths, ShouldBeGreaterThan, 0)
+		So(r.resume.TotalCount(), ShouldBeGreaterThan, 0)
+		So(r.prefillAgain, ShouldBeGreaterThan, 0)
+	})
+	Convey("Leaving out a term of the score changes the decisions", t, func() {
+		for _, term := range []routing.Term{routing.TermWait, routing.TermReports, routing.TermPrefix, routing.TermSpeed} {
+			s := shortRun(1)
+			s.without = term
+			So(simulate(s).goodTokens, ShouldNotEqual, simulate(shortRun(1)).goodTokens)
+		}
+	})
+}
+
+func TestEngine(t *testing.T) {
+	Convey("A lone stream takes its prefill and its tokens, and less with a cached prefix", t, func() {
+		d := regnsamler()
+		e := newEngines(&d)[0]
+		one := func(from time.Duration) (first, last time.Duration) {
+			s := &stream{prompt: 1000, wanted: 100}
+			s.prefixes = append(s.prefixes, (&generator{deployment: &d}).prefixes(s, &d.kinds[1], 0, 0)...)
+			e.advance(from)
+			e.add(s)
+			for {
+				at, ok := e.next()
+				So(ok, ShouldBeTrue)
+				begun, ended := e.step(at)
+				if len(begun) > 0 {
+					first = at - from
+				}
+				if len(ended) > 0 {
+					return first, at - from
+				}
+			}
+		}
+		first, last := one(0)
+		So(first.Seconds(), ShouldAlmostEqual, 1145/prefillFastest, 0.001)
+		decode := 100 * emptyGapFastest * (1 + batchGrowth/slotsPerEngine)
+		So((last - first).Seconds(), ShouldAlmostEqual, decode, 0.001)
+		again, _ := one(time.Hour)
+		So(again, ShouldBeLessThan, first/2)
+	})
+}
+
+func TestReport(t *testing.T) {
+	Convey("A missed target is said in the table, in the figures and in the result", t, func() {
+		var text, figures bytes.Buffer
+		r := newReport(&text, &figures)
+		r.begin("table", "a table")
+		r.row("case", timing("wait", 3*time.Second, most(2)), percent("goodput", 0.95, least(0.9)), number("free", 1, nil))
+		r.end()
+		result, err := r.close()
+		So(err, ShouldBeNil)
+		So(result.Targets, ShouldEqual, 2)
+		So(result.Missed, ShouldHaveLength, 1)
+		So(text.String(), ShouldContainSubstring, "3s (<=2s MISSED)")
+		So(figures.String(), ShouldContainSubstring, "table,case,wait,3,<=2s,false")
+	})
+}
--- /dev/null
+++ b/experiment/policy/report.go
@@ -0,0 +1,165 @@
+package policy
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+	"time"
+)
+
+// Options configures Run.
+type Options struct {
+	// Seed makes the events; the same seed gives the same tables.
+	Seed uint64
+	// Quick shortens the runs for a first look; its figures are trials.
+	Quick bool
+	// CSV receives every figure, one a line; nil writes none.
+	CSV io.Writer
+}
+
+// Result tells how the targets were met.
+type Result struct {
+	Targets int
+	Missed  []string
+}
+
+// cell is one figure of a table with its target.
+type cell struct {
+	column string
+	value  float64
+	format func(float64) string
+	target *target
+}
+
+// target is a bound on a figure.
+type target struct {
+	bound float64
+	least bool // the bound is a least value, else a greatest one
+}
+
+func (t *target) met(value float64) bool {
+	if t.least {
+		return value >= t.bound
+	}
+	return value <= t.bound
+}
+
+func most(bound float64) *target  { return &target{bound: bound} }
+func least(bound float64) *target { return &target{bound: bound, least: true} }
+
+// report prints tables and keeps account of the targets.
+type report struct {
+	out    io.Writer
+	csv    *csv.Writer
+	result Result
+	table  string
+	tab    *tabwriter.Writer
+	header bool
+	err    error
+}
+
+func newReport(out io.Writer, figures io.Writer) *report {
+	r := &report{out: out}
+	if figures != nil {
+		r.csv = csv.NewWriter(figures)
+		r.note(r.csv.Write([]string{"table", "case", "figure", "value", "target", "met"}))
+	}
+	return r
+}
+
+func (r *report) note(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+func (r *report) begin(table, text string) {
+	r.table, r.header = table, false
+	_, err := fmt.Fprintf(r.out, "\n%s: %s\n", table, text)
+	r.note(err)
+	r.tab = tabwriter.NewWriter(r.out, 0, 0, 2, ' ', 0)
+}
+
+func (r *report) end() { r.note(r.tab.Flush()) }
+
+func (r *report) row(name string, cells ...cell) {
+	if !r.header {
+		r.header = true
+		r.line("", cells, func(c *cell) string { return c.column })
+	}
+	r.line(name, cells, func(c *cell) string { return r.judge(name, c) })
+}
+
+func (r *report) line(name string, cells []cell, text func(*cell) string) {
+	_, err := fmt.Fprint(r.tab, name)
+	r.note(err)
+	for i := range cells {
+		_, err = fmt.Fprint(r.tab, "\t", text(&cells[i]))
+		r.note(err)
+	}
+	_, err = fmt.Fprintln(r.tab)
+	r.note(err)
+}
+
+// judge gives a figure as text beside its target, and counts a missed one.
+func (r *report) judge(name string, c *cell) string {
+	text := c.format(c.value)
+	if c.target == nil {
+		r.figure(name, c, "", "")
+		return text
+	}
+	sign := "<="
+	if c.target.least {
+		sign = ">="
+	}
+	bound := sign + c.format(c.target.bound)
+	met := c.target.met(c.value)
+	r.figure(name, c, bound, strconv.FormatBool(met))
+	r.result.Targets++
+	if met {
+		return text + " (" + bound + ")"
+	}
+	r.result.Missed = append(r.result.Missed, fmt.Sprintf("%s, %s, %s: %s, target %s", r.table, name, c.column, text, bound))
+	return text + " (" + bound + " MISSED)"
+}
+
+func (r *report) figure(name string, c *cell, bound, met string) {
+	if r.csv == nil {
+		return
+	}
+	value := strconv.FormatFloat(c.value, 'g', 6, 64)
+	r.note(r.csv.Write([]string{r.table, name, c.column, value, bound, met}))
+}
+
+func (r *report) close() (Result, error) {
+	if r.csv != nil {
+		r.csv.Flush()
+		r.note(r.csv.Error())
+	}
+	_, err := fmt.Fprintf(r.out, "\n%d targets, %d missed\n", r.result.Targets, len(r.result.Missed))
+	r.note(err)
+	for _, missed := range r.result.Missed {
+		_, err = fmt.Fprintln(r.out, "missed:", missed)
+		r.note(err)
+	}
+	return r.result, r.err
+}
+
+func asTime(v float64) string {
+	return time.Duration(v * float64(time.Second)).Round(100 * time.Microsecond).String()
+}
+func asPercent(v float64) string { return fmt.Sprintf("%.2f%%", 100*v) }
+func asNumber(v float64) string  { return strconv.FormatFloat(v, 'f', -1, 64) }
+func asRate(v float64) string    { return fmt.Sprintf("%.0f/s", v) }
+
+func timing(column string, d time.Duration, t *target) cell {
+	return cell{column: column, value: d.Seconds(), format: asTime, target: t}
+}
+func percent(column string, v float64, t *target) cell {
+	return cell{column: column, value: v, format: asPercent, target: t}
+}
+func number(column string, v int, t *target) cell {
+	return cell{column: column, value: float64(v), format: asNumber, target: t}
+}
--- /dev/null
+++ b/experiment/policy/run.go
@@ -0,0 +1,282 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/admission"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/quarantine"
+)
+
+const (
+	tickInterval   = 20 * time.Millisecond
+	reportInterval = 500 * time.Millisecond
+	gossipInterval = 500 * time.Millisecond
+	reportLagLeast = 100 * time.Millisecond
+	reportLagMost  = 700 * time.Millisecond
+	cacheLagMost   = 2 * time.Second
+	lostMessages   = 0.1
+	deathSeenAfter = 20 * time.Millisecond
+	restartTime    = 10 * time.Second
+	resendShare    = 0.5 // of the refused callers
+	maxResends     = 3
+	poisonResends  = 6
+	sameDomainTrip = 300 * time.Microsecond
+	otherTrip      = 1300 * time.Microsecond
+)
+
+// run is one scenario under way.
+type run struct {
+	clock
+	scenario scenario
+	random   *rand.Rand
+	source   generator
+	engines  []*engine
+	ids      []wigeonfork.BackendServerID
+	byID     map[wigeonfork.BackendServerID]*engine
+	indexes  map[*engine]int
+	entries  []*entry
+	result   *result
+	sends    map[quarantine.Key]int
+}
+
+// simulate carries a scenario out.
+func simulate(s scenario) *result {
+	r := &run{
+		scenario: s, random: rand.New(rand.NewPCG(s.seed, 1)),
+		byID:    make(map[wigeonfork.BackendServerID]*engine),
+		indexes: make(map[*engine]int), result: newResult(&s),
+		sends: make(map[quarantine.Key]int),
+	}
+	r.source = generator{deployment: &r.scenario.deployment, random: rand.New(rand.NewPCG(s.seed, 2))}
+	r.engines = newEngines(&r.scenario.deployment)
+	for i, e := range r.engines {
+		r.ids = append(r.ids, e.id)
+		r.byID[e.id], r.indexes[e] = e, i
+	}
+	for i := range s.deployment.entries {
+		r.entries = append(r.entries, newEntry(r, i))
+	}
+	r.schedule()
+	r.run(s.end())
+	return r.result
+}
+
+func (r *run) schedule() {
+	r.arrivals()
+	for _, e := range r.entries {
+		r.every(tickInterval, e.tick)
+		r.every(lookInterval, e.look)
+		r.every(gossipInterval, e.gossip)
+	}
+	for _, e := range r.engines {
+		r.after(time.Duration(r.random.Int64N(int64(reportInterval))), func() {
+			r.every(reportInterval, func() { r.report(e) })
+		})
+	}
+	for _, f := range r.scenario.faults {
+		r.at(f.at, func() { r.bringAbout(f) })
+	}
+	for _, at := range r.scenario.poisons {
+		r.at(at, r.poison)
+	}
+	r.nextDeath()
+}
+
+func (r *run) indexOf(e *engine) int { return r.indexes[e] }
+
+func (r *run) entryCapacity() float64 {
+	slots := 0
+	for _, e := range r.engines {
+		if e.alive {
+			slots += slotsPerEngine
+		}
+	}
+	return float64(slots) / float64(r.scenario.deployment.entries)
+}
+
+func (r *run) arrivals() {
+	load := r.scenario.load(r.now)
+	rate := load * r.scenario.capacity / r.scenario.deployment.meanTokens()
+	wait := time.Duration(r.random.ExpFloat64() / rate * float64(time.Second))
+	r.after(wait, func() {
+		s := r.source.next(r.now)
+		r.result.offered(s)
+		r.send(s)
+		r.arrivals()
+	})
+}
+
+// send gives a request to a random entry, as the balancer does.
+func (r *run) send(s *stream) { r.entries[r.random.IntN(len(r.entries))].arrive(s) }
+
+func (r *run) poison() {
+	s := r.source.next(r.now)
+	s.poison = true
+	r.result.poisons[s.key] = 0
+	r.send(s)
+}
+
+// again is the caller's resend of a request under another id.
+func (r *run) again(s *stream, wait time.Duration, most int) {
+	r.sends[s.key]++
+	n := r.sends[s.key]
+	if n > most {
+		return
+	}
+	next := *s
+	next.id = resendID(s, n)
+	next.delivered, next.seen, next.interrupts, next.attempts = 0, 0, 0, 0
+	next.resumeFrom, next.firstAt, next.exclude, next.ended = 0, 0, nil, false
+	r.after(wait, func() {
+		next.arrived = r.now
+		if s.deadline > 0 {
+			next.deadline = r.now + s.deadline - s.arrived
+		}
+		r.send(&next)
+	})
+}
+
+// barred ends or holds a request by the verdict of the quarantine.
+func (r *run) barred(s *stream, v quarantine.Verdict) {
+	wait := max(v.RetryAfter, time.Second) + time.Duration(r.random.Int64N(int64(2*time.Second)))
+	if v.Action == quarantine.Hold {
+		r.result.held++
+		r.again(s, wait, poisonResends)
+		return
+	}
+	s.ended = true
+	if s.poison {
+		r.again(s, wait, poisonResends)
+		return
+	}
+	r.result.innocentsRefused++
+}
+
+func (r *run) refused(s *stream, d admission.Decision) {
+	s.ended = true
+	r.result.refused(s, d)
+	if s.poison {
+		r.again(s, d.RetryAfter, poisonResends)
+		return
+	}
+	if !d.Resume && r.random.Float64() < resendShare {
+		r.again(s, d.RetryAfter, maxResends)
+	}
+}
+
+func (r *run) trip(e *entry, engine *engine) time.Duration {
+	if e.domain == engine.domain {
+		return sameDomainTrip
+	}
+	return otherTrip
+}
+
+// give hands a stream to an engine after the way there.
+func (r *run) give(e *engine, s *stream) {
+	attempt := s.attempts
+	r.after(r.trip(s.entry, e), func() {
+		if s.ended || s.attempts != attempt || s.engine != e {
+			return
+		}
+		if !e.alive {
+			return // lost with the engine; the death report covers it
+		}
+		e.advance(r.now)
+		e.add(s)
+		r.reschedule(e)
+	})
+}
+
+func (r *run) reschedule(e *engine) {
+	e.version++
+	version := e.version
+	when, ok := e.next()
+	if !ok {
+		return
+	}
+	r.at(when, func() {
+		if e.version == version {
+			r.stepEngine(e)
+		}
+	})
+}
+
+func (r *run) stepEngine(e *engine) {
+	begun, ended := e.step(r.now)
+	for _, s := range begun {
+		r.begin(e, s)
+	}
+	for _, s := range ended {
+		if s.poison {
+			e.decode = append(e.decode, s)
+			r.kill(e)
+			return
+		}
+	}
+	for _, s := range ended {
+		s.decoding, s.ended = false, true
+		r.result.finished(r.now, s)
+		s.entry.finished(s)
+	}
+	r.reschedule(e)
+}
+
+func (r *run) begin(e *engine, s *stream) {
+	trip := r.trip(s.entry, e)
+	fresh := s.prompt + int(s.delivered) - s.cached
+	r.result.prefilled(s, fresh)
+	s.seen = s.delivered
+	if s.firstAt == 0 {
+		s.firstAt = r.now + trip
+		r.result.first(s)
+	}
+	if s.resumeFrom > 0 {
+		r.result.resumed(s, r.now+trip-s.resumeFrom)
+		s.resumeFrom = 0
+	}
+	s.watch.Tokens(r.time(), 1)
+	s.entry.firstToken(e, s, r.now+trip-s.sentAt)
+	for _, p := range s.prefixes {
+		for _, peer := range r.entries {
+			if peer != s.entry && r.random.Float64() >= lostMessages {
+				r.after(time.Duration(r.random.Int64N(int64(cacheLagMost))), func() {
+					peer.router.CacheEvent(r.time(), e.id, backend.CacheEvent{Prefix: p.Hash, Tokens: p.Tokens})
+				})
+			}
+		}
+	}
+}
+
+// moved takes a stream off an engine that goes on without it.
+func (r *run) moved(s *stream) {
+	e := s.engine
+	e.advance(r.now)
+	if s.decoding {
+		s.delivered = s.seen
+	}
+	if s.resumeFrom == 0 && s.firstAt > 0 {
+		s.resumeFrom = r.now - s.entry.silence(s)
+	}
+	s.interrupts++
+	s.attempts++
+	e.remove(s)
+	r.result.moves++
+	r.reschedule(e)
+}
+
+func (r *run) report(e *engine) {
+	if !e.alive || e.speed <= stoppedSpeed {
+		return
+	}
+	load := e.load(r.time())
+	for _, peer := range r.entries {
+		if r.random.Float64() < lostMessages {
+			continue
+		}
+		lag := reportLagLeast + time.Duration(r.random.Int64N(int64(reportLagMost-reportLagLeast)))
+		r.after(lag, func() { peer.router.Report(r.time(), e.id, load) })
+	}
+}
--- /dev/null
+++ b/experiment/policy/scenario.go
@@ -0,0 +1,65 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/routing"
+)
+
+// chooser is the policy that picks an engine.
+type chooser uint8
+
+const (
+	byScore chooser = iota
+	byRoundRobin
+	byLeastOutstanding
+)
+
+func (c chooser) String() string {
+	return [...]string{"score", "round robin", "least outstanding"}[c]
+}
+
+// fault is something done to the engines at a time.
+type fault struct {
+	at     time.Duration
+	lasts  time.Duration
+	change faultKind
+	// engines are the indexes of the engines; empty means a random one.
+	engines []int
+}
+
+type faultKind uint8
+
+const (
+	faultDeath faultKind = iota
+	faultSlow
+	faultStop
+	faultDeaf
+)
+
+// scenario is one run.
+type scenario struct {
+	deployment deployment
+	seed       uint64
+	chooser    chooser
+	without    routing.Term
+	choices    int
+	// load is the offered part of the capacity, by time.
+	load           func(at time.Duration) float64
+	capacity       float64 // tokens per second
+	warmup, length time.Duration
+	unlimited      bool // no admission control
+	deathsPerMin   float64
+	poisons        []time.Duration // arrivals of requests that crash engines
+	faults         []fault
+	// tailFrom is the time from which arrivals count for the recovery.
+	tailFrom time.Duration
+	// window is the width of the windows in which goodput is counted.
+	window time.Duration
+}
+
+func steady(load float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return load }
+}
+
+func (s *scenario) end() time.Duration { return s.warmup + s.length }
--- a/routing/health_test.go
+++ b/routing/health_test.go
@@ -92,6 +92,10 @@
 	})
 	Convey("What the owner says of a server's state goes before what was seen", t, func() {
 		r := newRouter(1, Options{})
+		r.Progress(start, "b0", 4, 20*time.Millisecond)
+		r.Unhealthy(start, "b0", HealthSlow)
+		r.Progress(start, "b0", 4, 20*time.Millisecond)
+		So(r.State("b0"), ShouldEqual, StateReady)
 		r.SetState(start, "b0", StateSuspect)
 		r.Progress(start, "b0", 4, 20*time.Millisecond)
 		So(r.State("b0"), ShouldEqual, StateSuspect)
