Weigh time in an engine's queue above time spent decoding

Cause: by predicted total time a fast engine with a queue beats a free slow one for long answers, so requests queued at fast engines beside free slots. Change: a second of expected queueing outweighs ten of decoding. First tokens still wait for the prefill of others.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -13,7 +13,8 @@
 	boundedLoadFactor = 1.25
 	adapterLoadTime   = 0.5 // seconds
 	defaultMaxTokens  = 512
-	sampleAttempts    = 3 // draws per wanted sample before the group is scanned
+	queueWeight       = 10 // seconds of decoding that outweigh one in the queue
+	sampleAttempts    = 3  // draws per wanted sample before the group is scanned
 )
 
 // candidate is one server under consideration with its predicted times.
@@ -22,6 +23,7 @@
 	outstanding float64
 	cached      uint32
 	saved       float64 // believed cached tokens, scaled by trust
+	queue       float64 // seconds in the engine's queue
 	wait        float64 // seconds to the first token
 	total       float64 // seconds to the last token
 	avoided     bool
@@ -180,12 +182,12 @@
 	s := &r.servers[c.server]
 	gap, rate, service := r.speed(now, s)
 	slots := s.slots()
-	var queue float64
+	c.queue = 0
 	if r.options.Without&TermWait == 0 {
-		queue = math.Max(0, c.outstanding+1-slots) / slots * service
+		c.queue = math.Max(0, c.outstanding+1-slots) / slots * service
 	}
 	fresh := math.Max(0, float64(req.PromptTokens)-c.saved)
-	c.wait = s.distance(&r.options) + queue + fresh/rate + adapterTime(s, req)
+	c.wait = s.distance(&r.options) + c.queue + fresh/rate + adapterTime(s, req)
 	load := c.outstanding + 1
 	if r.options.Without&TermWait != 0 {
 		load = 0
@@ -216,7 +218,7 @@
 // score is the predicted total time; avoided and suspect servers come after
 // all others, except that a suspect one whose probe is due comes first.
 func (r *Router) score(s *server, c *candidate) float64 {
-	score := c.total
+	score := c.total + queueWeight*c.queue
 	if c.avoided {
 		score += time.Hour.Seconds()
 	}
