Let requests in by class, workspace and capacity; tell engine deaths by their agent

Change: entry/gate over admission, retry and quarantine; the agent tells deaths apart by epochs and names exactly the requests that the engine was running; entries share what they learn.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -93,6 +93,8 @@
 		reporter.Actions = a.actions
 	}
 	a.status = query.NewReporter(reporter)
+	a.generations.EngineIncarnation = a.status.EngineIncarnation
+	a.generations.Deaths = &command.Deaths{Server: options.BackendServer, Incarnation: string(incarnation), Table: a.sessions}
 	a.control = peer.NewServer(options.Credentials)
 	a.registerControl()
 	a.server = httpserver.New(a.routes())
--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -33,6 +32,9 @@
 	Log     *telemetry.Logger
 	// Background ends when the agent stops; generations run under it.
 	Background context.Context
+	// EngineIncarnation returns the engine's incarnation as last reported.
+	EngineIncarnation func() string
+	Deaths            *Deaths
 
 	running sync.WaitGroup
 }
@@ -63,6 +65,8 @@
 func (g *Generations) start(call *agentapi.Generate) (*session.Session, *problem.Error) {
 	ctx, cancel := context.WithCancel(g.Background)
 	s := session.New(call, time.Now(), cancel)
+	s.EngineIncarnation = g.EngineIncarnation()
+	s.Epoch = g.Deaths.Epoch()
 	switch err := g.Table.Add(s); {
 	case errors.Is(err, session.ErrClosed):
 		cancel()
@@ -75,33 +79,18 @@
 	g.running.Add(1)
 	go func() {
 		defer g.running.Done()
-		g.produce(ctx, s, engineRequest(call))
+		g.produce(ctx, s, call.EngineRequest())
 	}()
 	return s, nil
 }
 
-func engineRequest(call *agentapi.Generate) backend.GenerateRequest {
-	request := backend.GenerateRequest{
-		StreamID:  string(call.RequestID) + "." + strconv.FormatUint(uint64(call.Generation), 10),
-		Workspace: call.Workspace,
-		Model:     call.Model,
-		Version:   call.Version,
-		Adapter:   call.Adapter,
-		Prompt:    call.Prompt,
-		Seed:      call.Seed,
-		MaxTokens: call.MaxTokens,
-		Priority:  call.Priority,
-	}
-	for _, token := range call.Prefix {
-		request.Prefix = append(request.Prefix, token.ID)
-	}
-	return request
-}
-
 // produce moves tokens from the engine into s until the answer ends.
 func (g *Generations) produce(ctx context.Context, s *session.Session, request backend.GenerateRequest) {
 	defer s.Cancel()
 	stream, err := g.Engine.Generate(ctx, request)
+	if err == nil {
+		s.Accepted(time.Now())
+	}
 	for attempt := 0; ; attempt++ {
 		if err == nil {
 			before := s.Len()
@@ -153,7 +142,7 @@
 }
 
 func (g *Generations) abandon(s *session.Session, streamID string) {
-	s.Fail(frame.FailureEngineDead, "cancelled", time.Now())
+	s.Fail(frame.FailureCancelled, "", time.Now())
 	if !g.Engine.Capabilities().Cancel {
 		return
 	}
@@ -168,20 +157,34 @@
 const cancelTimeout = time.Second
 
 func (g *Generations) fail(s *session.Session, err error) {
-	failure := failureOf(err)
+	failure := g.failureOf(s, err)
 	telemetry.Counter(g.Metrics, "agent.failures."+failure.String()).Inc(1)
 	g.Log.Warn().Str("request", string(s.Key.RequestID)).Uint32("generation", uint32(s.Key.Generation)).
 		Str("failure", failure.String()).Err(err).Msg("generation_failed")
-	s.Fail(failure, "", time.Now())
+	message := ""
+	if failure == frame.FailureEngineDead {
+		message = g.Deaths.Note(s, time.Now())
+	}
+	s.Fail(failure, message, time.Now())
 }
 
-func failureOf(err error) frame.Failure {
+// failureOf tells why a generation failed. An engine that answers in the same
+// incarnation has failed only this generation.
+func (g *Generations) failureOf(s *session.Session, err error) frame.Failure {
 	switch {
 	case errors.Is(err, backend.ErrRejected):
 		return frame.FailureRejected
 	case errors.Is(err, backend.ErrOverloaded):
 		return frame.FailureOverloaded
-	default:
-		return frame.FailureEngineDead
 	}
+	ctx, cancel := context.WithTimeout(g.Background, probeTimeout)
+	defer cancel()
+	load, err := g.Engine.Load(ctx)
+	if err == nil && load.Incarnation == s.EngineIncarnation {
+		return frame.FailureStream
+	}
+	return frame.FailureEngineDead
 }
+
+// probeTimeout bounds the question whether an engine lives.
+const probeTimeout = 200 * time.Millisecond
--- a/agent/query/reporter.go
+++ b/agent/query/reporter.go
@@ -171,6 +171,13 @@
 	}
 }
 
+// EngineIncarnation returns the engine's incarnation as last reported.
+func (r *Reporter) EngineIncarnation() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.status.Load.Incarnation
+}
+
 // Dump is the state of an agent. It holds no prompts, answers or secrets.
 type Dump struct {
 	Status      agentapi.Status   `json:"status"`
--- a/agent/session/session.go
+++ b/agent/session/session.go
@@ -29,6 +29,10 @@
 	First wigeonfork.Position
 	// Call began the generation. Its prefix is in the log instead.
 	Call agentapi.Generate
+	// EngineIncarnation and Epoch are those of the engine when the generation
+	// began.
+	EngineIncarnation string
+	Epoch             uint64
 
 	cancel func()
 
@@ -43,6 +47,7 @@
 	reader      uint64
 	wake        chan struct{}
 	read        bool
+	acceptedAt  time.Time
 	detachedAt  time.Time
 	orphanLimit time.Duration
 	endedAt     time.Time
@@ -139,6 +144,21 @@
 	}
 }
 
+// Accepted notes that the engine has taken the generation.
+func (s *Session) Accepted(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acceptedAt = now
+}
+
+// Ran returns how long the engine has been running the generation, and whether
+// it still is.
+func (s *Session) Ran(now time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.acceptedAt), !s.ended && !s.acceptedAt.IsZero()
+}
+
 // Len returns the next position to produce.
 func (s *Session) Len() wigeonfork.Position {
 	s.mu.Lock()
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -46,6 +46,25 @@
 	OrphanMillis int64 `json:"orphan_ms"`
 }
 
+// EngineRequest returns what the engine is asked.
+func (g *Generate) EngineRequest() backend.GenerateRequest {
+	request := backend.GenerateRequest{
+		StreamID:  string(g.RequestID) + "." + strconv.FormatUint(uint64(g.Generation), 10),
+		Workspace: g.Workspace,
+		Model:     g.Model,
+		Version:   g.Version,
+		Adapter:   g.Adapter,
+		Prompt:    g.Prompt,
+		Seed:      g.Seed,
+		MaxTokens: g.MaxTokens,
+		Priority:  g.Priority,
+	}
+	for _, token := range g.Prefix {
+		request.Prefix = append(request.Prefix, token.ID)
+	}
+	return request
+}
+
 // Status is what an agent says of itself and its backend server.
 type Status struct {
 	Host          wigeonfork.HostID          `json:"host"`
--- /dev/null
+++ b/embedded/poison_test.go
@@ -0,0 +1,100 @@
+package embedded
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/caller"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+)
+
+// maxEngineDeaths is the users' bound on the engines that one request kills.
+const maxEngineDeaths = 3
+
+func TestARequestThatCrashesEnginesIsStopped(t *testing.T) {
+	Convey("Given engines that die of one request, with innocents beside it", t, func() {
+		options := Options{Entries: 2}
+		for range 6 {
+			options.Engines = append(options.Engines, engine.Options{
+				TokensPerSecond: 40, BufferFor: time.Minute,
+				Poison: "POISON", PoisonAfterTokens: 5, RestartAfter: 100 * time.Millisecond,
+			})
+		}
+		system, err := Start(options)
+		So(err, ShouldBeNil)
+		defer system.Close()
+		Convey("at most three engines die, whoever sends it again, and every innocent is answered whole", func() {
+			innocents := startInnocents(system, 8)
+			var last *problem.Error
+			for round := range 8 {
+				last = sendPoison(system, round)
+			}
+			So(last, ShouldNotBeNil)
+			So(last.Code, ShouldEqual, problem.CodeQuarantined)
+			So(deaths(system), ShouldBeBetweenOrEqual, 1, maxEngineDeaths)
+			for err := range innocents {
+				So(err, ShouldBeNil)
+			}
+		})
+	})
+}
+
+// startInnocents streams answers and returns what became of each.
+func startInnocents(system *System, n int) <-chan error {
+	results := make(chan error, n)
+	var wait sync.WaitGroup
+	for i := range n {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			prompt := fmt.Sprintf("innocent %d", i)
+			text, _, err := disturb(system, prompt, func(int) {})
+			if err == nil && text != expected(prompt) {
+				err = errors.Newf("answer %d differs", i)
+			}
+			results <- err
+		}()
+	}
+	go func() {
+		wait.Wait()
+		close(results)
+	}()
+	return results
+}
+
+// sendPoison sends the request through one entry after the other until it gets
+// a final answer.
+func sendPoison(system *System, round int) *problem.Error {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	client := caller.Client{HTTP: http.DefaultClient}
+	request := testRequest("POISON summary")
+	request.Seed = uint64(round)
+	_, _, err := client.Whole(ctx, []string{system.Entries[round%2].Address}, request, nil)
+	var typed *problem.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return nil
+}
+
+// deaths counts the incarnations that ended.
+func deaths(system *System) int {
+	incarnations := map[string]bool{}
+	for _, e := range system.World.Engines {
+		for _, run := range e.Runs() {
+			if run.End == engine.RunKilled {
+				incarnations[run.Incarnation] = true
+			}
+		}
+	}
+	return len(incarnations)
+}
--- a/entry/command/actions.go
+++ b/entry/command/actions.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
@@ -22,8 +21,6 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderFirst set to "true" states that the key was never sent before.
 	HeaderFirst = "X-First-Attempt"
-	// HeaderDeadline is how long the caller waits, in milliseconds.
-	HeaderDeadline = "X-Deadline-Ms"
 )
 
 // Limits of an action.
@@ -75,10 +72,13 @@
 	if err != nil {
 		return backend.Reply{}, err
 	}
-	deadline, err := deadlineOf(r)
+	deadline, err := deadlineOf(r, maxActionDeadline)
 	if err != nil {
 		return backend.Reply{}, err
 	}
+	if deadline.IsZero() {
+		deadline = time.Now().Add(defaultActionDeadline)
+	}
 	service := wigeonfork.Model(r.PathValue("service"))
 	route, err := resolve(a.Configuration.Snapshot(), r, service)
 	if err != nil {
@@ -115,19 +115,6 @@
 	return place, nil
 }
 
-func deadlineOf(r *http.Request) (time.Time, *problem.Error) {
-	text := r.Header.Get(HeaderDeadline)
-	if text == "" {
-		return time.Now().Add(defaultActionDeadline), nil
-	}
-	millis, err := strconv.ParseInt(text, 10, 64)
-	limit := time.Duration(millis) * time.Millisecond
-	if err != nil || limit <= 0 || limit > maxActionDeadline {
-		return time.Time{}, badRequest("header %s must be from 1 to %d", HeaderDeadline, maxActionDeadline.Milliseconds())
-	}
-	return time.Now().Add(limit), nil
-}
-
 // Lookup serves GET /v1/actions with an Idempotency-Key: it tells the outcome
 // without running anything.
 func (a *Actions) Lookup(w http.ResponseWriter, r *http.Request) {
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -7,16 +7,20 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/entry/fleet"
+	"github.com/wigeonfork/wigeonfork/entry/gate"
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/quarantine"
+	"github.com/wigeonfork/wigeonfork/retry"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
 	"github.com/wigeonfork/wigeonfork/workpool"
@@ -59,6 +63,7 @@
 	Agents  *agentapi.Client
 	Answers *session.Table
 	Sealer  *generation.Sealer
+	Gate    *gate.Gate
 	Limits  generation.Limits
 	// Pool runs what no caller waits for.
 	Pool    *workpool.Pool
@@ -79,6 +84,7 @@
 	chat      bool
 	delivered wigeonfork.Position
 	place     *fleet.Place
+	key       quarantine.Key
 	failed    []wigeonfork.BackendServerID
 	stream    *agentapi.Stream
 	frame     frame.Frame
@@ -168,6 +174,7 @@
 		return err
 	}
 	r.place = place
+	r.Gate.Started(now, r.key, place.Server)
 	ctx, cancel := context.WithCancel(r.ctx)
 	call := r.answer.Begin(now, place.Agent, cancel)
 	r.announce(&call)
@@ -192,7 +199,7 @@
 		Adapter:   r.answer.Call.Adapter,
 		Prompt:    r.answer.Call.Prompt,
 		MaxTokens: r.answer.Call.MaxTokens,
-		Exclude:   r.failed,
+		Exclude:   r.excluded(now),
 	}
 	giveUpAt := now.Add(placeRetryLimit)
 	for {
@@ -209,6 +216,20 @@
 	}
 }
 
+// excluded returns the servers that failed the request and, for one that is
+// suspected to crash engines, those that it should not share.
+func (r *run) excluded(now time.Time) []wigeonfork.BackendServerID {
+	suspect, _ := r.Gate.Admissible(now, r.key)
+	if !suspect {
+		return r.failed
+	}
+	servers := make([]wigeonfork.BackendServerID, r.route.Servers.Len())
+	for i := range servers {
+		servers[i] = r.route.Servers.At(i)
+	}
+	return append(r.Gate.Avoid(now, r.key, servers), r.failed...)
+}
+
 func (r *run) announce(call *agentapi.Generate) {
 	handle, err := r.Sealer.Seal(generation.Handle{
 		RequestID:  call.RequestID,
@@ -269,7 +290,10 @@
 		}
 	}
 	if r.place != nil {
-		r.Fleet.Finished(time.Now(), r.place, uint32(end))
+		now := time.Now()
+		r.Fleet.Finished(now, r.place, uint32(end))
+		r.Gate.Completed(now, r.key)
+		r.Gate.Succeeded(now, r.origin())
 	}
 	if r.sink.finish(relay) == nil {
 		telemetry.Counter(r.Metrics, "relay.completed").Inc(1)
@@ -286,6 +310,7 @@
 	}
 	step, suspicion := r.answer.Lose(reachable)
 	r.noteLost(cause, suspicion)
+	r.noteEngineDeath()
 	if step == generation.StepReattach {
 		if r.reattach() == nil {
 			return nil
@@ -293,10 +318,67 @@
 		step, _ = r.answer.Lose(false)
 	}
 	r.leavePlace()
-	if step == generation.StepGiveUp {
+	switch step {
+	case generation.StepGiveUp:
 		return r.interrupted(nil)
+	case generation.StepRestart:
+		return r.mayRestart()
+	default:
+		return r.mayContinue()
+	}
+}
+
+func (r *run) origin() retry.Origin {
+	return retry.Origin{Workspace: r.answer.Call.Workspace}
+}
+
+// noteEngineDeath takes in the engine's death that the agent reported.
+func (r *run) noteEngineDeath() {
+	if r.answer.Relay().Failure() != frame.FailureEngineDead || r.frame.Message == "" {
+		return
+	}
+	var death quarantine.Death
+	if err := cbor.Unmarshal([]byte(r.frame.Message), &death); err != nil {
+		r.Log.Warn().Str("step", "resume").Str("peer", r.answer.Agent()).Err(err).Msg("death_malformed")
+		return
+	}
+	r.Gate.EngineDied(time.Now(), death)
+}
+
+// mayRestart asks the retry budgets for an attempt from the start, since the
+// caller has received nothing and can as well come back.
+func (r *run) mayRestart() *problem.Error {
+	if refusal := r.mayContinue(); refusal != nil {
+		return refusal
+	}
+	allowed, after := r.Gate.MayRetry(time.Now(), r.origin())
+	if allowed {
+		return nil
+	}
+	return problem.New(problem.CodeOverloaded, problem.RunUnknown, problem.StepResume, "retry budget is used up").After(after)
+}
+
+// mayContinue waits while the request is examined for engine deaths under it.
+// It returns the final error if it is quarantined or the wait is too long.
+func (r *run) mayContinue() *problem.Error {
+	giveUpAt := time.Now().Add(placeRetryLimit)
+	for {
+		now := time.Now()
+		_, refusal := r.Gate.Admissible(now, r.key)
+		if refusal == nil {
+			return nil
+		}
+		if refusal.RetryAfter == 0 || now.After(giveUpAt) {
+			refusal.Run = problem.RunUnknown
+			refusal.Step = problem.StepResume
+			return refusal
+		}
+		select {
+		case <-time.After(min(refusal.RetryAfter, placeRetryInterval)):
+		case <-r.ctx.Done():
+			return nil
+		}
 	}
-	return nil
 }
 
 // reattach takes up the same generation at the next position.
@@ -321,6 +403,7 @@
 	r.release(0)
 	now := time.Now()
 	r.Fleet.Failed(now, r.place)
+	r.Gate.Stopped(now, r.key, r.place.Server)
 	r.Fleet.Suspect(now, r.place.Server)
 	if !slices.Contains(r.failed, r.place.Server) {
 		r.failed = append(r.failed, r.place.Server)
@@ -391,7 +474,9 @@
 	r.answer.Abandon()
 	telemetry.Counter(r.Metrics, "relay.abandoned").Inc(1)
 	if r.place != nil {
-		r.Fleet.Failed(time.Now(), r.place)
+		now := time.Now()
+		r.Fleet.Failed(now, r.place)
+		r.Gate.Stopped(now, r.key, r.place.Server)
 	}
 	r.release(callerLinger)
 }
--- a/entry/command/request.go
+++ b/entry/command/request.go
@@ -7,7 +7,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +28,9 @@
 	HeaderClass       = "X-Class"
 	HeaderRequestID   = "X-Request-Id"
 	HeaderLastEventID = "Last-Event-ID"
+	// HeaderDeadline is how long the caller waits for the whole answer, in
+	// milliseconds.
+	HeaderDeadline = "X-Deadline-Ms"
 )
 
 // Limits of a request for a generation.
@@ -33,6 +38,8 @@
 	maxRequestBytes  = 4 << 20
 	defaultMaxTokens = 256
 	maxMaxTokens     = 32768
+	// maxGenerationDeadline bounds the deadline that a caller may set.
+	maxGenerationDeadline = time.Hour
 )
 
 // message is one message of a chat request.
@@ -58,6 +65,8 @@
 	route  template.Route
 	stream bool
 	chat   bool
+	// deadline is zero if the caller sets none.
+	deadline time.Time
 }
 
 func badRequest(format string, args ...any) *problem.Error {
@@ -94,7 +103,11 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &accepted{route: route, stream: request.Stream, chat: chat}
+	deadline, err := deadlineOf(r, maxGenerationDeadline)
+	if err != nil {
+		return nil, err
+	}
+	a := &accepted{route: route, stream: request.Stream, chat: chat, deadline: deadline}
 	a.call = agentapi.Generate{
 		RequestID:    newRequestID(),
 		Workspace:    route.Workspace,
@@ -184,6 +197,21 @@
 	return class, nil
 }
 
+// deadlineOf returns the time by which the caller wants the answer, or the zero
+// time if it sets none.
+func deadlineOf(r *http.Request, longest time.Duration) (time.Time, *problem.Error) {
+	text := r.Header.Get(HeaderDeadline)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 32)
+	limit := time.Duration(millis) * time.Millisecond
+	if err != nil || limit <= 0 || limit > longest {
+		return time.Time{}, badRequest("header %s must be from 1 to %d", HeaderDeadline, longest.Milliseconds())
+	}
+	return time.Now().Add(limit), nil
+}
+
 func newRequestID() wigeonfork.RequestID {
 	id, err := uuid.NewV7()
 	if err != nil {
--- a/entry/command/serve.go
+++ b/entry/command/serve.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
 )
@@ -47,9 +49,14 @@
 		return
 	}
 	request.call.Version = version
+	engineRequest := request.call.EngineRequest()
+	if _, refusal := c.Gate.Admissible(time.Now(), quarantine.KeyOf(&engineRequest)); refusal != nil {
+		problem.Write(w, refusal.For(id))
+		return
+	}
 	telemetry.Counter(c.Metrics, "entry.requests").Inc(1)
 	answer := session.NewAnswer(request.call, c.Limits, time.Now())
-	c.serve(w, r, answer, request.route, shape{chat: chat, stream: request.stream}, 0)
+	c.serve(w, r, answer, request.route, shape{chat: chat, stream: request.stream, deadline: request.deadline}, 0)
 }
 
 // serve relays an answer to the caller from position from on.
@@ -59,11 +66,23 @@
 		return
 	}
 	defer c.Answers.Remove(answer)
+	resume := answer.Relay().Generation() > 0
+	id := answer.Call.RequestID
+	refusal := c.Gate.Enter(r.Context(), admission.Request{
+		ID: id, Workspace: answer.Call.Workspace, Class: answer.Call.Class, Deadline: s.deadline, Resume: resume,
+	})
+	if refusal != nil {
+		problem.Write(w, refusal.For(id))
+		return
+	}
+	defer c.Gate.Leave(id)
+	engineRequest := answer.Call.EngineRequest()
 	relay := &run{
 		Relayer:   c.Relayer,
 		ctx:       r.Context(),
 		answer:    answer,
 		route:     route,
+		key:       quarantine.KeyOf(&engineRequest),
 		chat:      s.chat,
 		sink:      newSink(w, answer, s),
 		delivered: from,
--- a/entry/command/sink.go
+++ b/entry/command/sink.go
@@ -17,10 +17,12 @@
 // for so long counts as gone.
 const callerWriteTimeout = 20 * time.Second
 
-// shape tells the form in which the caller wants the answer.
+// shape tells the form in which the caller wants the answer and by when.
 type shape struct {
 	chat   bool
 	stream bool
+	// deadline is zero if the caller sets none.
+	deadline time.Time
 }
 
 func newSink(w http.ResponseWriter, answer *session.Answer, s shape) sink {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,13 +9,16 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/justinas/alice"
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/entry/command"
 	"github.com/wigeonfork/wigeonfork/entry/fleet"
+	"github.com/wigeonfork/wigeonfork/entry/gate"
 	"github.com/wigeonfork/wigeonfork/entry/query"
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/generation"
@@ -35,8 +38,10 @@
 	HandleKey   []byte
 	Credentials peer.Credentials
 	Limits      generation.Limits
-	Log         *telemetry.Logger
-	Metrics     telemetry.Registry
+	// Policy is the treatment of the classes.
+	Policy  admission.Policy
+	Log     *telemetry.Logger
+	Metrics telemetry.Registry
 	// DrainLimit bounds the time that a leaving entry waits for its answers.
 	DrainLimit time.Duration
 }
@@ -46,6 +51,8 @@
 	options    Options
 	answers    *session.Table
 	fleet      *fleet.Fleet
+	gate       *gate.Gate
+	peers      *peer.Pool
 	config     *configuration
 	callers    *command.Callers
 	actions    *command.Actions
@@ -58,11 +65,16 @@
 	background context.Context
 	stop       context.CancelFunc
 	wait       sync.WaitGroup
+	// shared counts the deltas told, by shareGate alone.
+	shared int
 }
 
 // checkInterval is the time between two searches for lost sources.
 const checkInterval = 50 * time.Millisecond
 
+// maxPeers bounds the connections to other entries.
+const maxPeers = 32
+
 // Sizes of the pool for what no caller waits for.
 const (
 	poolWorkers = 8
@@ -79,13 +91,10 @@
 	e := &Entry{options: options, answers: session.NewTable(), background: background, stop: stop}
 	e.pool = workpool.New(poolWorkers, poolQueue)
 	e.agents = agentapi.NewClient(options.Credentials.Peer)
-	e.fleet = fleet.New(fleet.Options{
-		Domain:  options.Domain,
-		Hosts:   options.Hosts,
-		Hello:   peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer},
-		Log:     options.Log,
-		Metrics: options.Metrics,
-	})
+	hello := peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer}
+	e.peers = peer.NewPool(hello, maxPeers)
+	e.gate = gate.New(gate.Options{Seed: xxhash.Sum64String(string(options.Host)), Policy: options.Policy, Metrics: options.Metrics})
+	e.fleet = fleet.New(fleet.Options{Domain: options.Domain, Hosts: options.Hosts, Hello: hello, Log: options.Log, Metrics: options.Metrics})
 	e.config = newConfiguration(options.Table, options.Log, e.fleet.Install)
 	e.callers = &command.Callers{
 		Configuration: e.config,
@@ -94,6 +103,7 @@
 			Agents:  e.agents,
 			Answers: e.answers,
 			Sealer:  sealer,
+			Gate:    e.gate,
 			Limits:  options.Limits,
 			Pool:    e.pool,
 			Metrics: options.Metrics,
@@ -113,7 +123,7 @@
 		Log:           options.Log,
 		Accept:        e.answers.Hold,
 	}
-	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Configuration: e.config}
+	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Gate: e.gate, Configuration: e.config}
 	e.control = peer.NewServer(options.Credentials)
 	e.registerControl()
 	e.server = httpserver.New(e.routes())
@@ -134,7 +144,7 @@
 
 // health tells the balancer whether to send new callers here.
 func (e *Entry) health(w http.ResponseWriter, _ *http.Request) {
-	if e.status.Leaving() || e.config.Snapshot() == nil {
+	if e.status.Leaving() || !e.Ready(1) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -142,6 +152,7 @@
 }
 
 func (e *Entry) registerControl() {
+	peer.Handle(e.control, peer.MethodQuarantine, peer.RolePeer, e.mergeQuarantine)
 	peer.Handle(e.control, peer.MethodDump, peer.RoleOperator, e.status.Dump)
 	peer.Handle(e.control, peer.MethodDrain, peer.RoleOperator, e.drainOnRequest)
 }
@@ -157,6 +168,8 @@
 	e.spawn(func() { e.fleet.Run(e.background) })
 	e.spawn(func() { e.config.run(e.background) })
 	e.spawn(e.check)
+	e.spawn(func() { e.gate.Run(e.background) })
+	e.spawn(e.shareGate)
 	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
 }
 
@@ -221,11 +234,17 @@
 	e.wait.Wait()
 	e.fleet.Wait()
 	e.pool.Close()
+	e.peers.Close()
 	e.agents.Close()
 }
 
-// Ready reports whether the entry has a configuration and at least servers
-// backend servers that take work.
+// Ready reports whether the entry has a configuration, at least servers backend
+// servers that take work, and a capacity if engines are among them.
 func (e *Entry) Ready(servers int) bool {
-	return e.config.Snapshot() != nil && e.fleet.Usable() >= servers
+	if e.config.Snapshot() == nil || e.fleet.Usable() < servers {
+		return false
+	}
+	admission, _ := e.gate.Stats()
+	_, engines, _ := e.fleet.Capacity()
+	return engines == 0 || admission.Capacity > 0
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -42,6 +42,8 @@
 	router   *routing.Router
 	snapshot *template.Snapshot
 	servers  map[wigeonfork.BackendServerID]*server
+	// entries are the entries in the platform's list, this one included.
+	entries map[wigeonfork.HostID]platform.Host
 
 	watchers sync.WaitGroup
 }
--- a/entry/fleet/query.go
+++ b/entry/fleet/query.go
@@ -40,6 +40,34 @@
 	return all
 }
 
+// Capacity returns the number of requests that the engines which take work run
+// at once, the number of those engines, and of the entries that share them.
+func (f *Fleet) Capacity() (slots, engines, entries int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if s.state == routing.StateReady && !s.status.Plain {
+			engines++
+			slots += s.status.Load.Slots
+		}
+	}
+	return slots, engines, max(1, len(f.entries))
+}
+
+// OtherEntries returns the control addresses of the other listed entries.
+func (f *Fleet) OtherEntries() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for id, host := range f.entries {
+		if string(id) != f.options.Hello.ID {
+			addresses = append(addresses, host.ControlAddress)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 // Usable returns the number of backend servers that take work.
 func (f *Fleet) Usable() int {
 	f.mu.Lock()
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -60,7 +60,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	listed := map[wigeonfork.BackendServerID]bool{}
+	f.entries = map[wigeonfork.HostID]platform.Host{}
 	for _, host := range hosts {
+		if host.Role == platform.RoleEntry {
+			f.entries[host.ID] = host
+		}
 		if host.Role != platform.RoleAgent {
 			continue
 		}
--- /dev/null
+++ b/entry/gate/crash.go
@@ -0,0 +1,98 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/quarantine"
+	"github.com/wigeonfork/wigeonfork/retry"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// Admissible decides whether a request may run as far as engine deaths under it
+// go. A request that may not run now, but later, is refused with the time to
+// come back. It also tells whether the request is suspect.
+func (g *Gate) Admissible(now time.Time, key quarantine.Key) (suspect bool, refusal *problem.Error) {
+	g.mu.Lock()
+	verdict := g.quarantine.Check(now, key)
+	g.mu.Unlock()
+	switch verdict.Action {
+	case quarantine.Refuse:
+		telemetry.Counter(g.metrics, "gate.quarantined").Inc(1)
+		return true, problem.New(problem.CodeQuarantined, problem.RunNot, problem.StepAdmit, "engines died %d times under this request", verdict.Charges)
+	case quarantine.Hold:
+		telemetry.Counter(g.metrics, "gate.held").Inc(1)
+		return true, problem.New(problem.CodeOverloaded, problem.RunNot, problem.StepAdmit, "engines died under this request; it is being examined").After(verdict.RetryAfter)
+	default:
+		return verdict.Charges > 0, nil
+	}
+}
+
+// Avoid returns the servers on which a request should not run.
+func (g *Gate) Avoid(now time.Time, key quarantine.Key, servers []wigeonfork.BackendServerID) []wigeonfork.BackendServerID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Avoid(now, key, servers, nil)
+}
+
+// Started notes that a request runs on a server.
+func (g *Gate) Started(now time.Time, key quarantine.Key, server wigeonfork.BackendServerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.Started(now, key, server)
+}
+
+// Stopped notes that a request left a server without completing.
+func (g *Gate) Stopped(now time.Time, key quarantine.Key, server wigeonfork.BackendServerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.Stopped(now, key, server)
+}
+
+// Completed notes that a request ran to its end.
+func (g *Gate) Completed(now time.Time, key quarantine.Key) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.Completed(now, key)
+}
+
+// EngineDied notes the death of an engine as its agent tells it. Every stream
+// that ran there may report it; the death counts once.
+func (g *Gate) EngineDied(now time.Time, death quarantine.Death) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.Died(now, death)
+}
+
+// Delta returns what peers have not been told yet.
+func (g *Gate) Delta() quarantine.Message {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	message, cursor := g.quarantine.Delta(g.shared)
+	g.shared = cursor
+	return message
+}
+
+// Merge takes in what a peer tells.
+func (g *Gate) Merge(message quarantine.Message) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.Merge(message)
+}
+
+// MayRetry asks the budgets for one more attempt. It returns when to come back
+// if none is left.
+func (g *Gate) MayRetry(now time.Time, origin retry.Origin) (bool, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	decision := g.budgets.Take(now, origin)
+	return decision.Allowed, decision.RetryAfter
+}
+
+// Succeeded credits the budgets.
+func (g *Gate) Succeeded(now time.Time, origin retry.Origin) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budgets.Succeeded(now, origin)
+}
--- a/entry/query/status.go
+++ b/entry/query/status.go
@@ -6,9 +6,12 @@
 	"sync/atomic"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/entry/fleet"
+	"github.com/wigeonfork/wigeonfork/entry/gate"
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/template"
 )
 
@@ -23,6 +26,7 @@
 	Domain        wigeonfork.FailureDomain
 	Answers       *session.Table
 	Fleet         *fleet.Fleet
+	Gate          *gate.Gate
 	Configuration Configuration
 
 	leaving atomic.Bool
@@ -40,6 +44,8 @@
 	Domain         wigeonfork.FailureDomain `json:"failure_domain"`
 	Leaving        bool                     `json:"leaving"`
 	Revision       wigeonfork.Revision      `json:"revision"`
+	Admission      admission.Stats          `json:"admission"`
+	Quarantine     quarantine.Stats         `json:"quarantine"`
 	BackendServers []fleet.Summary          `json:"backend_servers"`
 	Answers        []session.Summary        `json:"answers"`
 }
@@ -47,6 +53,7 @@
 // Dump returns the state of the entry.
 func (s *Status) Dump(context.Context, *peer.Session, peer.None) (Dump, error) {
 	dump := Dump{Host: s.Host, Domain: s.Domain, Leaving: s.Leaving(), BackendServers: s.Fleet.Summaries()}
+	dump.Admission, dump.Quarantine = s.Gate.Stats()
 	if snapshot := s.Configuration.Snapshot(); snapshot != nil {
 		dump.Revision = snapshot.Revision()
 	}
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -47,11 +47,16 @@
 	FailureRejected Failure = 5
 	// FailureOverloaded: the engine has no room for the request.
 	FailureOverloaded Failure = 6
+	// FailureCancelled: the generation was cancelled on request or for want of
+	// a reader.
+	FailureCancelled Failure = 7
+	// FailureStream: the engine lives but failed this generation.
+	FailureStream Failure = 8
 )
 
 // String returns the name of f for logs and metrics.
 func (f Failure) String() string {
-	names := [...]string{"none", "engine_dead", "stalled", "handover", "displaced", "rejected", "overloaded"}
+	names := [...]string{"none", "engine_dead", "stalled", "handover", "displaced", "rejected", "overloaded", "cancelled", "stream_failed"}
 	if int(f) >= len(names) {
 		return "unknown"
 	}
@@ -76,7 +81,8 @@
 	PromptTokens uint32
 	CachedTokens uint32
 	Failure      Failure
-	Message      string
+	// Message is an encoded quarantine.Death, with FailureEngineDead.
+	Message string
 }
 
 const (
--- a/peer/methods.go
+++ b/peer/methods.go
@@ -6,6 +6,9 @@
 	MethodStatusSubscribe = "status.subscribe"
 	// MethodStatus notifies an entry of an agent's status.
 	MethodStatus = "status"
+	// MethodQuarantine notifies an entry of what another learned of requests that
+	// crash engines.
+	MethodQuarantine = "quarantine"
 	// MethodDump asks a process for its state.
 	MethodDump = "state.dump"
 	// MethodDrain makes a process leave without cutting a request.
--- a/test/realsystem/realsystem.go
+++ b/test/realsystem/realsystem.go
@@ -147,7 +147,7 @@
 
 func ready(p *process.Process, servers int) bool {
 	var dump entryquery.Dump
-	if Dump(p.Control, &dump) != nil || dump.Revision == 0 {
+	if Dump(p.Control, &dump) != nil || dump.Revision == 0 || dump.Admission.Capacity == 0 {
 		return false
 	}
 	count := 0
