Serialise restarts of a loopback server, keep a closed one closed

Cause: a trial run of 20 callers against an engine that is killed, paused and poisoned at random showed a data race: a restart by the engine's own timer and one by the test read and replaced the same fields, and both listened.

Change: Restart and Close hold a lock of their own, taken before the state lock; Restart fails for a closed server.

Conclusion: engines can be killed and restarted from several sides at once.

--- a/standin/loopback/server.go
+++ b/standin/loopback/server.go
@@ -34,9 +34,13 @@
 type Server struct {
 	handler http.Handler
 	gate    Gate
+	addr    string
+
+	// restarting is held by Restart and Close, and taken before mu.
+	restarting sync.Mutex
+	closed     bool
 
 	mu     sync.Mutex
-	addr   string
 	http   *http.Server
 	conns  map[*gatedConn]struct{}
 	cancel context.CancelFunc
@@ -83,21 +87,28 @@
 	s.gate.Open()
 }
 
-// Close kills the server and waits until it accepts nothing any more.
+// Close kills the server for good and waits until it accepts nothing any more.
 func (s *Server) Close() {
+	s.restarting.Lock()
+	defer s.restarting.Unlock()
+	s.closed = true
 	s.Kill()
-	<-s.served
+	<-s.state().served
 }
 
-// Restart serves again on the same port. It does nothing to a live server.
+// Restart serves again on the same port. It does nothing to a live server and
+// fails for a closed one.
 func (s *Server) Restart() error {
-	s.mu.Lock()
-	alive := s.http != nil
-	s.mu.Unlock()
-	if alive {
+	s.restarting.Lock()
+	defer s.restarting.Unlock()
+	if s.closed {
+		return errors.New("server is closed")
+	}
+	state := s.state()
+	if state.alive {
 		return nil
 	}
-	<-s.served
+	<-state.served
 	listener, err := s.listenAgain()
 	if err != nil {
 		return err
@@ -112,6 +123,17 @@
 // Continue ends a pause.
 func (s *Server) Continue() { s.gate.Open() }
 
+type state struct {
+	alive  bool
+	served <-chan struct{}
+}
+
+func (s *Server) state() state {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return state{alive: s.http != nil, served: s.served}
+}
+
 func (s *Server) listenAgain() (net.Listener, error) {
 	var err error
 	for range listenAttempts {
