End the delayed work of a killed stand-in, wait on events in its tests

Change: delayed work ends with the stand-in, not with its caller; the tests give a call up when its request has been sent. The service test makes a successful call before each lost one, so that a connection kept open by mistake would be used again.

Conclusion: stand-ins close clean, and no verdict hangs on a 50 ms wait.

--- a/backend/httpbackend/engine_test.go
+++ b/backend/httpbackend/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http/httptrace"
 	"strconv"
 	"testing"
 	"time"
@@ -172,11 +173,12 @@
 			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
 		})
 
-		Convey("a pause ends with the caller's patience, not before", func() {
+		Convey("a pause keeps a request unanswered until its caller gives it up", func() {
 			running.Pause()
-			short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
-			defer cancel()
-			_, err := client.Generate(short, request)
+			sent, cancel := context.WithCancel(ctx)
+			_, err := client.Generate(httptrace.WithClientTrace(sent, &httptrace.ClientTrace{
+				WroteRequest: func(httptrace.WroteRequestInfo) { cancel() },
+			}), request)
 			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
 			running.Continue()
 			other := request
--- a/backend/httpbackend/service_test.go
+++ b/backend/httpbackend/service_test.go
@@ -35,10 +35,14 @@
 		})
 		Convey("a lost answer has an unknown outcome and is not sent again, whatever the method", func() {
 			for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodPut} {
+				// A connection that were kept open would be used again, and the
+				// transport repeats some requests that fail on such a one.
+				_, err := client.Call(ctx, backend.Call{Method: http.MethodGet, Path: "/status"})
+				So(err, ShouldBeNil)
 				before := standin.Received()
 				standin.Update(func(f *service.Faults) { f.LoseNext = 1 })
 				call.Method, call.Body = method, nil
-				_, err := client.Call(ctx, call)
+				_, err = client.Call(ctx, call)
 				So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
 				So(standin.Received(), ShouldEqual, before+1)
 			}
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
 )
 
 func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
@@ -131,7 +132,7 @@
 func (s *Server) fetch(ctx context.Context, key versionKey) bool {
 	options := s.options.Load()
 	if options.WeightsAddress == "" {
-		return wait(ctx, options.LoadDuration)
+		return loopback.Sleep(ctx, options.LoadDuration)
 	}
 	url := "http://" + options.WeightsAddress + "/v1/weights/" + string(key.model) + "/" + string(key.version) + "/data"
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -148,17 +149,6 @@
 	return err == nil && resp.StatusCode == http.StatusOK && read == resp.ContentLength
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	// The connection may be gone; there is nobody left to tell.
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
 )
 
 const (
@@ -27,7 +28,7 @@
 	}
 	defer s.release(st.life)
 	s.log.start(st.run)
-	if s.pass(st) && s.sleep(st, s.prefill(st)) {
+	if s.pass(st) && loopback.Sleep(st.ctx, s.prefill(st)) {
 		s.produce(st)
 	}
 	s.stopped(st)
@@ -67,7 +68,7 @@
 			if late := time.Now().Add(-maxCatchUp); next.Before(late) {
 				next = late
 			}
-			if !s.sleep(st, time.Until(next)) || !s.pass(st) {
+			if !loopback.Sleep(st.ctx, time.Until(next)) || !s.pass(st) {
 				return
 			}
 		}
@@ -127,20 +128,6 @@
 	}
 }
 
-func (s *Server) sleep(st *stream, d time.Duration) bool {
-	if d <= 0 {
-		return st.ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-st.ctx.Done():
-		return false
-	}
-}
-
 // endPosition returns where the answer ends, a wrong stop included.
 func (s *Server) endPosition(st *stream) int {
 	for _, fault := range s.activeFaults(st, s.options.Load()) {
--- a/standin/loopback/server.go
+++ b/standin/loopback/server.go
@@ -20,14 +20,29 @@
 
 type lifeKey struct{}
 
-// Killed returns a channel that is closed when the server that a request's
-// context belongs to is killed. The end of the connection does not close it.
-func Killed(request context.Context) <-chan struct{} {
+// Life returns the context that ends when the server of a request is killed,
+// for work that goes on without its caller.
+func Life(request context.Context) context.Context {
 	life, ok := request.Value(lifeKey{}).(context.Context)
 	if !ok {
-		return nil
+		return context.WithoutCancel(request)
+	}
+	return life
+}
+
+// Sleep waits for d. It returns false if ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return life.Done()
 }
 
 // Server serves one handler on one port.
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -70,7 +70,9 @@
 		s.mu.Lock()
 		faults := s.faults
 		s.mu.Unlock()
-		time.Sleep(faults.Delay)
+		if !loopback.Sleep(loopback.Life(r.Context()), faults.Delay) {
+			panic(http.ErrAbortHandler)
+		}
 		if faults.Down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -90,9 +90,7 @@
 		http.Error(w, "not available", http.StatusServiceUnavailable)
 		return
 	}
-	select {
-	case <-time.After(delay):
-	case <-loopback.Killed(r.Context()):
+	if !loopback.Sleep(loopback.Life(r.Context()), delay) {
 		panic(http.ErrAbortHandler)
 	}
 	execution, lost := s.execute(r, body)
--- a/standin/table/faults.go
+++ b/standin/table/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
 	"golang.org/x/time/rate"
 )
 
@@ -57,16 +58,8 @@
 	if err != nil {
 		return err
 	}
-	if delay > 0 {
-		timer := time.NewTimer(delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-	}
-	if err := ctx.Err(); err != nil {
-		return refuse(operation, err)
+	if !loopback.Sleep(ctx, delay) {
+		return refuse(operation, ctx.Err())
 	}
 	return nil
 }
--- a/standin/table/http.go
+++ b/standin/table/http.go
@@ -1,7 +1,6 @@
 package table
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -68,7 +67,7 @@
 		return
 	}
 	// A commit that has begun does not depend on its caller staying.
-	commit, err := t.Commit(context.WithoutCancel(r.Context()), tx)
+	commit, err := t.Commit(loopback.Life(r.Context()), tx)
 	answer(w, commit, err)
 }
 
--- a/standin/world/world_test.go
+++ b/standin/world/world_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -10,7 +12,10 @@
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
 	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
+	"github.com/wigeonfork/wigeonfork/standin/objects"
+	"github.com/wigeonfork/wigeonfork/standin/service"
 	"go.uber.org/goleak"
 )
 
@@ -68,6 +73,27 @@
 				So(load.Versions[0].Ready, ShouldBeFalse)
 			}
 		})
+		Convey("calls to slow services that are given up on leave nothing behind", func() {
+			w.Table.SetDelay(time.Hour)
+			w.Objects.Update(func(f *objects.Faults) { f.Delay = time.Hour })
+			w.Services[0].Update(func(f *service.Faults) { f.Delay = time.Hour })
+			table := httpplatform.NewTable(httpplatform.Options{Address: w.TableServer.Addr()})
+			store := httpplatform.NewObjects(httpplatform.Options{Address: w.ObjectsServer.Addr()})
+			plain := httpbackend.NewService(httpbackend.ServiceOptions{Address: w.ServiceServers[0].Addr()})
+			failed := make(chan error)
+			go func() {
+				_, err := table.Commit(untilSent(ctx), platform.Transaction{OperationID: "o"})
+				failed <- err
+			}()
+			go func() { failed <- store.Put(untilSent(ctx), "n", []byte("x")) }()
+			go func() {
+				_, err := plain.Call(untilSent(ctx), backend.Call{Method: http.MethodPost, Path: "/"})
+				failed <- err
+			}()
+			for range 3 {
+				So(platform.OutcomeOf(<-failed), ShouldEqual, platform.OutcomeUnknown)
+			}
+		})
 		Convey("an engine killed while paused with open streams leaves nothing behind, and comes back running", func() {
 			w.Engines[0].Update(func(o *engine.Options) {
 				o.AnyVersion = true
@@ -96,6 +122,14 @@
 	})
 }
 
+// untilSent returns a context that ends once a request under it is sent.
+func untilSent(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(httptrace.WroteRequestInfo) { cancel() },
+	})
+}
+
 func waitReady(ctx context.Context, e *httpbackend.Engine) error {
 	for {
 		load, err := e.Load(ctx)
