--- /dev/null
+++ b/embedded/embedded.go
@@ -0,0 +1,343 @@
+// Package embedded runs entries, agents and stand-ins in one process on
+// loopback, for the demo, the experiments and tests.
+package embedded
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agent"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/entry"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+	"github.com/wigeonfork/wigeonfork/standin/world"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Names of the deployments that every system starts with.
+const (
+	Service           wigeonfork.Model        = "register"
+	ServiceDeployment template.DeploymentName = "register"
+	Workspace         wigeonfork.Workspace    = "demo"
+	Model             wigeonfork.Model        = "narrator"
+	Version           wigeonfork.Version      = "v1"
+	Deployment        template.DeploymentName = "narrator"
+)
+
+// Secrets of the embedded system. They protect nothing beyond loopback.
+const (
+	peerKey     = "embedded-peer-key-0"
+	operatorKey = "embedded-operator-key-0"
+	handleKey   = "embedded-handle-key-0"
+)
+
+// failureDomains is the number of failure domains over which hosts are spread.
+const failureDomains = 3
+
+// readyTimeout bounds the time until the system serves.
+const readyTimeout = 10 * time.Second
+
+const readyPoll = 10 * time.Millisecond
+
+// Options describe a System.
+type Options struct {
+	Entries int
+	Engines []engine.Options
+	// Services is the number of plain services.
+	Services int
+	// Limits of the relays; the zero value takes the defaults.
+	Limits generation.Limits
+	// AgentDrainLimit is the drain limit of the agents; 0 means a minute.
+	AgentDrainLimit time.Duration
+	Log             *telemetry.Logger
+}
+
+// System is a running system with its stand-ins.
+type System struct {
+	World   *world.World
+	Entries []*Node[*entry.Entry]
+	Agents  []*Node[*agent.Agent]
+	// ServiceAgents stand beside the plain services.
+	ServiceAgents []*Node[*agent.Agent]
+	options       Options
+}
+
+// Node is one process of the system.
+type Node[T any] struct {
+	Process T
+	Address string
+	Control string
+	Metrics telemetry.Registry
+}
+
+// Credentials returns the credentials of the embedded system.
+func Credentials() peer.Credentials {
+	return peer.Credentials{Peer: peerKey, Operator: operatorKey}
+}
+
+// Start starts a system and waits until its entries serve the deployment.
+func Start(options Options) (*System, error) {
+	if options.Log == nil {
+		options.Log = telemetry.Discard()
+	}
+	if options.AgentDrainLimit == 0 {
+		options.AgentDrainLimit = time.Minute
+	}
+	if options.Limits == (generation.Limits{}) {
+		options.Limits = generation.DefaultLimits()
+	}
+	LoadDefaultVersion(options.Engines)
+	w, err := world.Start(world.Options{Engines: options.Engines, Services: options.Services})
+	if err != nil {
+		return nil, err
+	}
+	s := &System{World: w, options: options}
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// LoadDefaultVersion gives the version that every system starts with to those
+// engines that hold none.
+func LoadDefaultVersion(engines []engine.Options) {
+	for i := range engines {
+		if engines[i].Versions == nil {
+			engines[i].Versions = []backend.LoadedVersion{{Model: Model, Version: Version, Ready: true}}
+		}
+	}
+}
+
+func (s *System) start() error {
+	for i := range s.World.Engines {
+		if err := s.AddAgent(i); err != nil {
+			return err
+		}
+	}
+	for i := range s.World.Services {
+		if err := s.AddServiceAgent(i); err != nil {
+			return err
+		}
+	}
+	if err := Configure(context.Background(), s.World.Table, len(s.World.Engines), len(s.World.Services)); err != nil {
+		return err
+	}
+	for range max(s.options.Entries, 1) {
+		if err := s.AddEntry(); err != nil {
+			return err
+		}
+	}
+	return s.WaitReady()
+}
+
+func domainOf(i int) wigeonfork.FailureDomain {
+	return wigeonfork.FailureDomain(fmt.Sprintf("domain-%d", i%failureDomains))
+}
+
+// ServerID returns the name of the backend server with engine i.
+func ServerID(i int) wigeonfork.BackendServerID {
+	return wigeonfork.BackendServerID(fmt.Sprintf("engine-%d", i))
+}
+
+// ServiceID returns the name of the backend server that is plain service i.
+func ServiceID(i int) wigeonfork.BackendServerID {
+	return wigeonfork.BackendServerID(fmt.Sprintf("service-%d", i))
+}
+
+// AddAgent starts an agent beside engine i.
+func (s *System) AddAgent(i int) error {
+	node, err := s.newAgent(i)
+	if err == nil {
+		s.Agents = append(s.Agents, node)
+	}
+	return err
+}
+
+// ReplaceAgent starts a new agent in place of the one beside engine i, at
+// other ports.
+func (s *System) ReplaceAgent(i int) error {
+	node, err := s.newAgent(i)
+	if err == nil {
+		s.Agents[i] = node
+	}
+	return err
+}
+
+// AddServiceAgent starts an agent beside plain service i.
+func (s *System) AddServiceAgent(i int) error {
+	node, err := s.startAgent(agent.Options{
+		Host:          wigeonfork.HostID(fmt.Sprintf("service-agent-%d", i)),
+		Domain:        domainOf(i),
+		BackendServer: ServiceID(i),
+		Service:       httpbackend.NewService(httpbackend.ServiceOptions{Address: s.World.ServiceServers[i].Addr()}),
+		Table:         httpplatform.NewTable(httpplatform.Options{Address: s.World.TableServer.Addr()}),
+	})
+	if err == nil {
+		s.ServiceAgents = append(s.ServiceAgents, node)
+	}
+	return err
+}
+
+func (s *System) newAgent(i int) (*Node[*agent.Agent], error) {
+	return s.startAgent(agent.Options{
+		Host:          wigeonfork.HostID(fmt.Sprintf("agent-%d", i)),
+		Domain:        domainOf(i),
+		BackendServer: ServerID(i),
+		Engine:        httpbackend.NewEngine(httpbackend.Options{Address: s.World.Engines[i].Addr(), Capabilities: allCapabilities()}),
+	})
+}
+
+func (s *System) startAgent(options agent.Options) (*Node[*agent.Agent], error) {
+	options.Credentials = Credentials()
+	options.Log = s.options.Log
+	options.Metrics = telemetry.NewRegistry()
+	options.DrainLimit = s.options.AgentDrainLimit
+	a, err := agent.New(options)
+	if err != nil {
+		return nil, err
+	}
+	serve, control, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	a.Start(serve, control)
+	node := &Node[*agent.Agent]{Process: a, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: options.Metrics}
+	s.World.Hosts.Put(platform.Host{
+		ID: options.Host, Role: platform.RoleAgent, State: platform.HostLive, Region: "local", Domain: options.Domain,
+		ServeAddress: node.Address, ControlAddress: node.Control, BackendServer: options.BackendServer,
+	})
+	return node, nil
+}
+
+func allCapabilities() backend.Capabilities {
+	return backend.Capabilities{ResumeStream: true, ContinuePrefix: true, Cancel: true, Priority: true, CacheEvents: true}
+}
+
+// AddEntry starts an entry.
+func (s *System) AddEntry() error {
+	i := len(s.Entries)
+	metrics := telemetry.NewRegistry()
+	host := wigeonfork.HostID(fmt.Sprintf("entry-%d", i))
+	e, err := entry.New(entry.Options{
+		Host:        host,
+		Domain:      domainOf(i),
+		Table:       httpplatform.NewTable(httpplatform.Options{Address: s.World.TableServer.Addr()}),
+		Hosts:       httpplatform.NewHostList(httpplatform.Options{Address: s.World.HostsServer.Addr()}),
+		HandleKey:   []byte(handleKey),
+		Credentials: Credentials(),
+		Limits:      s.options.Limits,
+		Log:         s.options.Log,
+		Metrics:     metrics,
+		DrainLimit:  time.Minute,
+	})
+	if err != nil {
+		return err
+	}
+	serve, control, err := listen()
+	if err != nil {
+		return err
+	}
+	e.Start(serve, control)
+	node := &Node[*entry.Entry]{Process: e, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: metrics}
+	s.Entries = append(s.Entries, node)
+	s.World.Hosts.Put(platform.Host{
+		ID: host, Role: platform.RoleEntry, State: platform.HostLive, Region: "local", Domain: domainOf(i),
+		ServeAddress: node.Address, ControlAddress: node.Control,
+	})
+	return nil
+}
+
+func listen() (serve, control net.Listener, err error) {
+	if serve, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, nil, errors.Wrap(err, "listen")
+	}
+	if control, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, nil, errors.Wrap(err, "listen")
+	}
+	return serve, control, nil
+}
+
+// Configure writes the configuration with the deployments that every system
+// starts with.
+func Configure(ctx context.Context, table platform.Table, engines, services int) error {
+	config := template.Config{Revision: 1}
+	if engines > 0 {
+		config.Deployments = append(config.Deployments, deployment(Deployment, Model, engines, ServerID))
+	}
+	if services > 0 {
+		config.Deployments = append(config.Deployments, deployment(ServiceDeployment, Service, services, ServiceID))
+	}
+	value, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	_, err = table.Commit(ctx, platform.Transaction{
+		OperationID: uuid.NewString(),
+		Writes:      []platform.Write{{Key: entry.RowConfiguration, Value: value}},
+	})
+	return err
+}
+
+func deployment(name template.DeploymentName, model wigeonfork.Model, servers int, id func(int) wigeonfork.BackendServerID) template.Deployment {
+	d := template.Deployment{
+		Name:       name,
+		Model:      model,
+		Workspaces: []template.Binding{{Workspace: Workspace}},
+		Versions:   []template.VersionShare{{Version: Version, Share: template.WholeTraffic}},
+	}
+	for i := range servers {
+		d.BackendServers = append(d.BackendServers, id(i))
+	}
+	return d
+}
+
+// WaitReady waits until each entry sees all backend servers take work.
+func (s *System) WaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, node := range s.Entries {
+		for !node.Process.Ready(len(s.Agents) + len(s.ServiceAgents)) {
+			if time.Now().After(deadline) {
+				return errors.Newf("entry at %s is not ready after %s", node.Address, readyTimeout)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+// RunningEngine returns the index of an engine that runs a stream, or -1.
+func (s *System) RunningEngine() int {
+	for i, e := range s.World.Engines {
+		for _, run := range e.Runs() {
+			if run.End == engine.RunOpen {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// Close stops everything.
+func (s *System) Close() {
+	for _, node := range s.Entries {
+		node.Process.Stop()
+	}
+	for _, node := range append(append([]*Node[*agent.Agent]{}, s.Agents...), s.ServiceAgents...) {
+		node.Process.Stop()
+	}
+	s.World.Close()
+}
