Test the conditions of engine faults and the lag of what engines report

Cause: faults above a load, after a time or on one route, and late reports with gaps, had no test of their own.

Change: tests of the stand-in's fault conditions, token times, prefix cache and load report, with given times.

--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+)
+
+func TestFaultConditions(t *testing.T) {
+	Convey("A fault applies only to its model, version, route, load and time", t, func() {
+		life := &incarnation{started: time.Now().Add(-time.Minute)}
+		st := &stream{life: life, req: httpbackend.CompletionRequest{Model: "m", Version: "v", Adapter: "a", User: "w"}}
+		life.running.Store(3)
+		matching := VersionFault{Model: "m", Version: "v", Adapter: "a", Workspace: "w", AboveRunning: 2, After: time.Second}
+		So(matching.matches(st), ShouldBeTrue)
+		So((&VersionFault{}).matches(st), ShouldBeTrue)
+		for _, change := range []func(*VersionFault){
+			func(f *VersionFault) { f.Model = "n" },
+			func(f *VersionFault) { f.Version = "w" },
+			func(f *VersionFault) { f.Adapter = "b" },
+			func(f *VersionFault) { f.Workspace = "x" },
+			func(f *VersionFault) { f.AboveRunning = 3 },
+			func(f *VersionFault) { f.After = time.Hour },
+		} {
+			other := matching
+			change(&other)
+			So(other.matches(st), ShouldBeFalse)
+		}
+	})
+	Convey("A chance comes about as often as its rate says", t, func() {
+		hits := 0
+		for key := range uint64(10000) {
+			if chance(mix(key, 0), saltFail, 0.05) {
+				hits++
+			}
+		}
+		So(hits, ShouldBeBetween, 400, 600)
+		So(chance(1, saltFail, 0), ShouldBeFalse)
+		So(chance(1, saltFail, 1), ShouldBeTrue)
+	})
+	Convey("A token's time grows with the batch and the slow factors", t, func() {
+		options := Options{TokensPerSecond: 100, BatchSlowdown: 0.5, SlowFactor: 3}
+		So(options.tokenTime(2, 1), ShouldEqual, 60*time.Millisecond)
+		So(options.tokenTime(0, 2), ShouldEqual, 60*time.Millisecond)
+		So((&Options{}).tokenTime(5, 9), ShouldEqual, 0)
+	})
+}
+
+func TestReports(t *testing.T) {
+	Convey("Cache events come late, with gaps, and tell of evictions", t, func() {
+		cache := newPrefixCache()
+		now := time.Unix(1000, 0)
+		So(cache.use([]uint64{1, 2, 3}, 3, now), ShouldEqual, 0)
+		So(cache.use([]uint64{1, 2, 9}, 3, now.Add(time.Second)), ShouldEqual, 2*httpbackend.PrefixBlockTokens)
+		events := cache.since(0, 0, 0, now.Add(time.Second))
+		So(len(events), ShouldEqual, 5)
+		So(events[4], ShouldResemble, backend.CacheEvent{Sequence: 5, Prefix: 3, Tokens: 3 * httpbackend.PrefixBlockTokens, Removed: true})
+		So(len(cache.since(0, time.Second, 0, now.Add(time.Second))), ShouldEqual, 3)
+		kept := []uint64{}
+		for _, event := range cache.since(1, 0, 2, now.Add(time.Second)) {
+			kept = append(kept, event.Sequence)
+		}
+		So(kept, ShouldResemble, []uint64{3, 5})
+		So(cache.used(3), ShouldEqual, 1)
+	})
+	Convey("A load report stands until it is older than its lag", t, func() {
+		s := New(Options{LoadReportLag: time.Second})
+		Reset(s.Close)
+		now := time.Unix(1000, 0)
+		So(s.loadReport(now).Slots, ShouldEqual, defaultSlots)
+		s.Update(func(o *Options) { o.Slots = 2 })
+		So(s.loadReport(now.Add(time.Second-1)).Slots, ShouldEqual, defaultSlots)
+		So(s.loadReport(now.Add(time.Second)).Slots, ShouldEqual, 2)
+	})
+}
