Stop a request that crashes engines across entries

Cause: three faults found by the poison test. (1) The death's time was sent through CBOR, which keeps whole seconds, so that the runs of one request seemed to overlap and it was never convicted: 8 deaths in one request (trace of source_lost events). (2) An entry told what it learned only to entries that it had read from the list, and counted it as told: a resend through an entry that started later killed three more engines. (3) A dying engine still answered the probe, so that its streams were reported as failed by a live engine. Ruled out: the detector itself (its own tables convict after 3). Change: the entry stamps deaths by its own clock; each other entry has its own cursor, moved only by an acknowledged call, and is greeted at first sight, which makes a new entry known at once; answers under way are interrupted when a peer convicts their request; the agent asks a second time before it calls an engine alive.

--- a/agent/command/death.go
+++ b/agent/command/death.go
@@ -54,7 +54,6 @@
 func (d *Deaths) end(now time.Time) {
 	death := quarantine.Death{
 		ID: quarantine.DeathID{Server: d.Server, Incarnation: d.Incarnation + "/" + strconv.FormatUint(d.epoch, 10)},
-		At: now,
 	}
 	for _, s := range d.Table.All() {
 		ran, running := s.Ran(now)
--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -177,14 +177,31 @@
 	case errors.Is(err, backend.ErrOverloaded):
 		return frame.FailureOverloaded
 	}
+	if g.engineLives(s) {
+		// An engine that is just dying may still answer.
+		select {
+		case <-time.After(probeAgain):
+		case <-g.Background.Done():
+		}
+		if g.engineLives(s) {
+			return frame.FailureStream
+		}
+	}
+	return frame.FailureEngineDead
+}
+
+// engineLives reports whether the engine answers in the incarnation in which
+// the generation began.
+func (g *Generations) engineLives(s *session.Session) bool {
 	ctx, cancel := context.WithTimeout(g.Background, probeTimeout)
 	defer cancel()
 	load, err := g.Engine.Load(ctx)
-	if err == nil && load.Incarnation == s.EngineIncarnation {
-		return frame.FailureStream
-	}
-	return frame.FailureEngineDead
+	return err == nil && load.Incarnation == s.EngineIncarnation
 }
 
-// probeTimeout bounds the question whether an engine lives.
-const probeTimeout = 200 * time.Millisecond
+const (
+	// probeTimeout bounds the question whether an engine lives.
+	probeTimeout = 200 * time.Millisecond
+	// probeAgain is the time to the second such question.
+	probeAgain = 20 * time.Millisecond
+)
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -84,7 +84,6 @@
 	chat      bool
 	delivered wigeonfork.Position
 	place     *fleet.Place
-	key       quarantine.Key
 	failed    []wigeonfork.BackendServerID
 	stream    *agentapi.Stream
 	frame     frame.Frame
@@ -174,7 +173,7 @@
 		return err
 	}
 	r.place = place
-	r.Gate.Started(now, r.key, place.Server)
+	r.Gate.Started(now, r.answer.Key, place.Server)
 	ctx, cancel := context.WithCancel(r.ctx)
 	call := r.answer.Begin(now, place.Agent, cancel)
 	r.announce(&call)
@@ -219,7 +218,7 @@
 // excluded returns the servers that failed the request and, for one that is
 // suspected to crash engines, those that it should not share.
 func (r *run) excluded(now time.Time) []wigeonfork.BackendServerID {
-	suspect, _ := r.Gate.Admissible(now, r.key)
+	suspect, _ := r.Gate.Admissible(now, r.answer.Key)
 	if !suspect {
 		return r.failed
 	}
@@ -227,7 +226,7 @@
 	for i := range servers {
 		servers[i] = r.route.Servers.At(i)
 	}
-	return append(r.Gate.Avoid(now, r.key, servers), r.failed...)
+	return append(r.Gate.Avoid(now, r.answer.Key, servers), r.failed...)
 }
 
 func (r *run) announce(call *agentapi.Generate) {
@@ -292,7 +291,7 @@
 	if r.place != nil {
 		now := time.Now()
 		r.Fleet.Finished(now, r.place, uint32(end))
-		r.Gate.Completed(now, r.key)
+		r.Gate.Completed(now, r.answer.Key)
 		r.Gate.Succeeded(now, r.origin())
 	}
 	if r.sink.finish(relay) == nil {
@@ -342,7 +341,9 @@
 		r.Log.Warn().Str("step", "resume").Str("peer", r.answer.Agent()).Err(err).Msg("death_malformed")
 		return
 	}
-	r.Gate.EngineDied(time.Now(), death)
+	// The agent's clock may be off; deaths are put in order by this entry's.
+	death.At = time.Now()
+	r.Gate.EngineDied(death.At, death)
 }
 
 // mayRestart asks the retry budgets for an attempt from the start, since the
@@ -364,7 +365,7 @@
 	giveUpAt := time.Now().Add(placeRetryLimit)
 	for {
 		now := time.Now()
-		_, refusal := r.Gate.Admissible(now, r.key)
+		_, refusal := r.Gate.Admissible(now, r.answer.Key)
 		if refusal == nil {
 			return nil
 		}
@@ -403,7 +404,7 @@
 	r.release(0)
 	now := time.Now()
 	r.Fleet.Failed(now, r.place)
-	r.Gate.Stopped(now, r.key, r.place.Server)
+	r.Gate.Stopped(now, r.answer.Key, r.place.Server)
 	r.Fleet.Suspect(now, r.place.Server)
 	if !slices.Contains(r.failed, r.place.Server) {
 		r.failed = append(r.failed, r.place.Server)
@@ -476,7 +477,7 @@
 	if r.place != nil {
 		now := time.Now()
 		r.Fleet.Failed(now, r.place)
-		r.Gate.Stopped(now, r.key, r.place.Server)
+		r.Gate.Stopped(now, r.answer.Key, r.place.Server)
 	}
 	r.release(callerLinger)
 }
--- a/entry/command/serve.go
+++ b/entry/command/serve.go
@@ -9,7 +9,6 @@
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/problem"
-	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
 )
@@ -49,13 +48,12 @@
 		return
 	}
 	request.call.Version = version
-	engineRequest := request.call.EngineRequest()
-	if _, refusal := c.Gate.Admissible(time.Now(), quarantine.KeyOf(&engineRequest)); refusal != nil {
+	telemetry.Counter(c.Metrics, "entry.requests").Inc(1)
+	answer := session.NewAnswer(request.call, c.Limits, time.Now())
+	if _, refusal := c.Gate.Admissible(answer.Began, answer.Key); refusal != nil {
 		problem.Write(w, refusal.For(id))
 		return
 	}
-	telemetry.Counter(c.Metrics, "entry.requests").Inc(1)
-	answer := session.NewAnswer(request.call, c.Limits, time.Now())
 	c.serve(w, r, answer, request.route, shape{chat: chat, stream: request.stream, deadline: request.deadline}, 0)
 }
 
@@ -76,13 +74,11 @@
 		return
 	}
 	defer c.Gate.Leave(id)
-	engineRequest := answer.Call.EngineRequest()
 	relay := &run{
 		Relayer:   c.Relayer,
 		ctx:       r.Context(),
 		answer:    answer,
 		route:     route,
-		key:       quarantine.KeyOf(&engineRequest),
 		chat:      s.chat,
 		sink:      newSink(w, answer, s),
 		delivered: from,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,8 +65,9 @@
 	background context.Context
 	stop       context.CancelFunc
 	wait       sync.WaitGroup
-	// shared counts the deltas told, by shareGate alone.
-	shared int
+	sharer     *sharer
+	// self is how other entries reach this one.
+	self platform.Host
 }
 
 // checkInterval is the time between two searches for lost sources.
@@ -124,6 +125,7 @@
 		Accept:        e.answers.Hold,
 	}
 	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Gate: e.gate, Configuration: e.config}
+	e.sharer = newSharer(e)
 	e.control = peer.NewServer(options.Credentials)
 	e.registerControl()
 	e.server = httpserver.New(e.routes())
@@ -159,6 +161,10 @@
 
 // Start serves on the two listeners until Stop. It returns at once.
 func (e *Entry) Start(serve, control net.Listener) {
+	e.self = platform.Host{
+		ID: e.options.Host, Role: platform.RoleEntry, State: platform.HostLive, Domain: e.options.Domain,
+		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(),
+	}
 	e.spawn(func() { httpserver.Serve(e.server, serve, e.options.Log) })
 	e.spawn(func() {
 		if err := e.control.Serve(control); err != nil {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -44,6 +44,8 @@
 	servers  map[wigeonfork.BackendServerID]*server
 	// entries are the entries in the platform's list, this one included.
 	entries map[wigeonfork.HostID]platform.Host
+	// noted counts the readings of the list since an entry was last in it.
+	noted map[wigeonfork.HostID]int
 
 	watchers sync.WaitGroup
 }
@@ -63,6 +65,8 @@
 		options: options,
 		router:  routing.New(routing.Options{Seed: xxhash.Sum64String(options.Hello.ID), Domain: options.Domain}),
 		servers: map[wigeonfork.BackendServerID]*server{},
+		entries: map[wigeonfork.HostID]platform.Host{},
+		noted:   map[wigeonfork.HostID]int{},
 	}
 }
 
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -60,10 +60,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	listed := map[wigeonfork.BackendServerID]bool{}
-	f.entries = map[wigeonfork.HostID]platform.Host{}
+	for id := range f.entries {
+		if f.noted[id]++; f.noted[id] > listLag {
+			delete(f.entries, id)
+			delete(f.noted, id)
+		}
+	}
 	for _, host := range hosts {
 		if host.Role == platform.RoleEntry {
 			f.entries[host.ID] = host
+			f.noted[host.ID] = 0
 		}
 		if host.Role != platform.RoleAgent {
 			continue
@@ -80,6 +86,18 @@
 	}
 }
 
+// listLag is how many readings of the list may lack an entry that has spoken
+// before it is forgotten.
+const listLag = 10
+
+// NoteEntry takes in an entry that has spoken, which the list may lack yet.
+func (f *Fleet) NoteEntry(host platform.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries[host.ID] = host
+	f.noted[host.ID] = 0
+}
+
 func (f *Fleet) track(ctx context.Context, host platform.Host) {
 	known, ok := f.servers[host.BackendServer]
 	if ok && known.host.ControlAddress == host.ControlAddress && known.host.ServeAddress == host.ServeAddress {
--- a/entry/gate/crash.go
+++ b/entry/gate/crash.go
@@ -15,8 +15,13 @@
 // come back. It also tells whether the request is suspect.
 func (g *Gate) Admissible(now time.Time, key quarantine.Key) (suspect bool, refusal *problem.Error) {
 	g.mu.Lock()
+	before := g.quarantine.Stats().Convictions
 	verdict := g.quarantine.Check(now, key)
+	convicted := g.quarantine.Stats().Convictions != before
 	g.mu.Unlock()
+	if convicted {
+		g.signal()
+	}
 	switch verdict.Action {
 	case quarantine.Refuse:
 		telemetry.Counter(g.metrics, "gate.quarantined").Inc(1)
@@ -29,6 +34,13 @@
 	}
 }
 
+// Quarantined reports whether a request is known to crash engines.
+func (g *Gate) Quarantined(now time.Time, key quarantine.Key) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Check(now, key).Action == quarantine.Refuse
+}
+
 // Avoid returns the servers on which a request should not run.
 func (g *Gate) Avoid(now time.Time, key quarantine.Key, servers []wigeonfork.BackendServerID) []wigeonfork.BackendServerID {
 	g.mu.Lock()
@@ -63,15 +75,25 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quarantine.Died(now, death)
+	g.signal()
+}
+
+// News is signalled when there is something to tell other entries.
+func (g *Gate) News() <-chan struct{} { return g.news }
+
+func (g *Gate) signal() {
+	select {
+	case g.news <- struct{}{}:
+	default:
+	}
 }
 
-// Delta returns what peers have not been told yet.
-func (g *Gate) Delta() quarantine.Message {
+// Delta returns what is known beyond a cursor, and the next cursor. The cursor
+// 0 stands for the beginning.
+func (g *Gate) Delta(after uint64) (quarantine.Message, uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	message, cursor := g.quarantine.Delta(g.shared)
-	g.shared = cursor
-	return message
+	return g.quarantine.Delta(after)
 }
 
 // Merge takes in what a peer tells.
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -36,7 +36,7 @@
 	waiting    map[wigeonfork.RequestID]chan admission.Decision
 	budgets    *retry.Budgets
 	quarantine *quarantine.Detector
-	shared     uint64
+	news       chan struct{}
 }
 
 // New returns a gate without capacity; see SetCapacity.
@@ -47,6 +47,7 @@
 		waiting:    map[wigeonfork.RequestID]chan admission.Decision{},
 		budgets:    retry.NewBudgets(retry.Options{Seed: options.Seed}),
 		quarantine: quarantine.New(quarantine.Options{}),
+		news:       make(chan struct{}, 1),
 	}
 }
 
--- a/entry/session/answer.go
+++ b/entry/session/answer.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/quarantine"
 )
 
 // Answer is one answer under way. One goroutine relays it; others only check
@@ -21,6 +22,8 @@
 	// attempt.
 	Call  agentapi.Generate
 	Began time.Time
+	// Key names what is asked, whoever asks it.
+	Key quarantine.Key
 
 	mu        sync.Mutex
 	relay     *generation.Relay
@@ -32,7 +35,8 @@
 
 // NewAnswer returns an answer without tokens.
 func NewAnswer(call agentapi.Generate, limits generation.Limits, now time.Time) *Answer {
-	return &Answer{Call: call, Began: now, relay: generation.NewRelay(limits)}
+	request := call.EngineRequest()
+	return &Answer{Call: call, Began: now, Key: quarantine.KeyOf(&request), relay: generation.NewRelay(limits)}
 }
 
 // Begin starts the next generation at the agent at address and returns its
@@ -103,13 +107,26 @@
 	return a.suspicion
 }
 
+// Interrupt detaches the answer from its source because the request is held to
+// crash engines.
+func (a *Answer) Interrupt() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.detach == nil || a.suspicion != generation.SuspicionNone {
+		return
+	}
+	a.suspicion = generation.SuspicionRequest
+	a.detach()
+}
+
 // Lose notes that the source is lost and returns how to go on and why the
 // source was held to be lost.
 func (a *Answer) Lose(reachable bool) (generation.NextStep, generation.Suspicion) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.detach = nil
-	return a.relay.Lose(reachable && a.suspicion != generation.SuspicionEngineStalled), a.suspicion
+	pathLost := a.suspicion == generation.SuspicionNone || a.suspicion == generation.SuspicionPathSilent
+	return a.relay.Lose(reachable && pathLost), a.suspicion
 }
 
 // Fail ends the answer as failed, Abandon because the caller went away.
--- a/entry/share.go
+++ b/entry/share.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 )
 
@@ -31,40 +33,84 @@
 			slots, engines, entries := e.fleet.Capacity()
 			e.gate.SetCapacity(now, admissionFactor*float64(slots)/float64(entries), engines)
 			e.shareQuarantine()
+		case <-e.gate.News():
+			e.shareQuarantine()
 		case <-e.background.Done():
 			return
 		}
 	}
 }
 
+// shareQuarantine tells some of the other entries what each does not know yet.
+// A different entry begins each time, so that a bounded fan-out reaches all.
 func (e *Entry) shareQuarantine() {
-	message := e.gate.Delta()
-	if message.Empty() {
-		return
-	}
 	addresses := e.fleet.OtherEntries()
 	for i := range min(shareFanout, len(addresses)) {
-		// Each delta begins at another entry, so that a bounded fan-out reaches
-		// all over time.
-		address := addresses[(e.shared+i)%len(addresses)]
-		e.pool.Submit(func() { e.tell(address, message) })
+		e.sharer.share(addresses[(e.sharer.turn+i)%len(addresses)])
 	}
-	e.shared++
+	e.sharer.turn++
+}
+
+// news is what one entry tells another. The first one is sent even if it is
+// empty, so that entries that are listed later are known at once.
+type news struct {
+	From    platform.Host      `json:"from"`
+	Message quarantine.Message `json:"message"`
 }
 
-func (e *Entry) tell(address string, message quarantine.Message) {
+// sharer holds how much of the quarantine each other entry has acknowledged.
+type sharer struct {
+	entry *Entry
+	turn  int
+
+	mu      sync.Mutex
+	cursors map[string]uint64
+	busy    map[string]bool
+}
+
+func newSharer(e *Entry) *sharer {
+	return &sharer{entry: e, cursors: map[string]uint64{}, busy: map[string]bool{}}
+}
+
+// share tells the entry at address what is new to it, unless it is being told.
+func (s *sharer) share(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	after, greeted := s.cursors[address]
+	message, cursor := s.entry.gate.Delta(after)
+	if (greeted && message.Empty()) || s.busy[address] {
+		return
+	}
+	s.busy[address] = s.entry.pool.Submit(func() { s.tell(address, message, cursor) })
+}
+
+func (s *sharer) tell(address string, message quarantine.Message, cursor uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
 	defer cancel()
-	client, err := e.peers.Get(ctx, address)
+	client, err := s.entry.peers.Get(ctx, address)
 	if err == nil {
-		err = client.Notify(ctx, peer.MethodQuarantine, message)
+		err = client.Call(ctx, peer.MethodQuarantine, news{From: s.entry.self, Message: message}, nil)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy[address] = false
 	if err != nil {
-		e.options.Log.Debug().Str("step", "share").Str("peer", address).Err(err).Msg("share_failed")
+		s.entry.options.Log.Debug().Str("step", "share").Str("peer", address).Err(err).Msg("share_failed")
+		return
 	}
+	s.cursors[address] = cursor
 }
 
-func (e *Entry) mergeQuarantine(_ context.Context, _ *peer.Session, message quarantine.Message) (peer.None, error) {
-	e.gate.Merge(message)
+// mergeQuarantine takes in what another entry knows and interrupts requests
+// under way that are now known to crash engines.
+func (e *Entry) mergeQuarantine(_ context.Context, _ *peer.Session, told news) (peer.None, error) {
+	e.fleet.NoteEntry(told.From)
+	e.gate.Merge(told.Message)
+	now := time.Now()
+	for _, answer := range e.answers.All() {
+		if e.gate.Quarantined(now, answer.Key) {
+			answer.Interrupt()
+		}
+	}
 	return peer.None{}, nil
 }
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -76,6 +76,8 @@
 	SuspicionNone Suspicion = iota
 	SuspicionPathSilent
 	SuspicionEngineStalled
+	// SuspicionRequest: the request itself is held to crash engines.
+	SuspicionRequest
 )
 
 // NextStep tells how an interrupted answer goes on.
