Count prompts that wait for prefill, and weigh the first token

Cause: prompts are prefilled one after the other, which the predicted wait did not know, and the first token counted no more than any other second. Change: a server's own prefill backlog, scaled to all entries, is part of the expected wait; a second before the first token outweighs two of decoding.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -13,6 +13,7 @@
 	boundedLoadFactor = 1.25
 	adapterLoadTime   = 0.5 // seconds
 	defaultMaxTokens  = 512
+	firstWeight       = 2  // seconds of decoding that outweigh one before the first token
 	queueWeight       = 10 // seconds of decoding that outweigh one in the queue
 	sampleAttempts    = 3  // draws per wanted sample before the group is scanned
 )
@@ -183,11 +184,13 @@
 	gap, rate, service := r.speed(now, s)
 	slots := s.slots()
 	c.queue = 0
+	backlog := 0.0
 	if r.options.Without&TermWait == 0 {
 		c.queue = math.Max(0, c.outstanding+1-slots) / slots * service
+		backlog = s.backlog(now, rate, c.outstanding)
 	}
 	fresh := math.Max(0, float64(req.PromptTokens)-c.saved)
-	c.wait = s.distance(&r.options) + c.queue + fresh/rate + adapterTime(s, req)
+	c.wait = s.distance(&r.options) + c.queue + (backlog+fresh)/rate + adapterTime(s, req)
 	load := c.outstanding + 1
 	if r.options.Without&TermWait != 0 {
 		load = 0
@@ -218,7 +221,7 @@
 // score is the predicted total time; avoided and suspect servers come after
 // all others, except that a suspect one whose probe is due comes first.
 func (r *Router) score(s *server, c *candidate) float64 {
-	score := c.total + queueWeight*c.queue
+	score := c.total + queueWeight*c.queue + firstWeight*c.wait
 	if c.avoided {
 		score += time.Hour.Seconds()
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -176,6 +176,9 @@
 	}
 	s := &r.servers[i]
 	s.addOwn(now, 1)
+	_, saved := r.prefix.cached(now, work.Prefixes, i, r.options.CacheBelief)
+	rate := s.rate.read(now, priorPrefillRate, r.options.SpeedBelief)
+	s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-saved))
 	for _, p := range work.Prefixes {
 		r.prefix.add(now, p, i)
 	}
--- a/routing/server.go
+++ b/routing/server.go
@@ -20,6 +20,7 @@
 	historyLength     = 16
 	historyStep       = 100 * time.Millisecond
 	maxBatchSlowdown  = 1.0 // growth of the inter-token time from an empty to a full batch
+	maxEntryShare     = 4.0 // load of all entries, in loads of one
 	maxSaneGap        = time.Minute
 	reportValidity    = 10 * time.Second
 	suspectMultiplier = 8.0
@@ -65,7 +66,8 @@
 	stateAt   time.Time
 	probedAt  time.Time
 	own       int
-	prefill   float64 // own prompt tokens that are not yet prefilled
+	prefill   float64 // own prompt tokens not yet prefilled at prefillAt
+	prefillAt time.Time
 	others    float64 // requests of other entries, from the last report
 	reportAt  time.Time
 	gap       learned // inter-token time in an empty batch, seconds
@@ -98,6 +100,21 @@
 	return n + s.others
 }
 
+// backlog estimates the prompt tokens that go before a new prompt, when the
+// engine prefills rate tokens per second. Entries are taken to be alike.
+func (s *server) backlog(now time.Time, rate, outstanding float64) float64 {
+	left := s.prefill - rate*now.Sub(s.prefillAt).Seconds()
+	if left <= 0 {
+		return 0
+	}
+	return left * min(maxEntryShare, outstanding/float64(max(1, s.own)))
+}
+
+func (s *server) addPrefill(now time.Time, rate, tokens float64) {
+	s.prefill = max(0, s.prefill-rate*now.Sub(s.prefillAt).Seconds()) + tokens
+	s.prefillAt = now
+}
+
 // record keeps the count of own requests over time, so that a lagging report
 // can be compared with the count at the time of its measurement.
 func (s *server) record(now time.Time) {
