Allow for load that came since the last report

Cause: entries that see the same free slot in lagging reports fill it twice, so fast engines had a queue while others had free slots. Change: a fifth of the load of other entries is added before the queue at a server is predicted.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -13,9 +13,10 @@
 	boundedLoadFactor = 1.25
 	adapterLoadTime   = 0.5 // seconds
 	defaultMaxTokens  = 512
-	firstWeight       = 2  // seconds of decoding that outweigh one before the first token
-	queueWeight       = 10 // seconds of decoding that outweigh one in the queue
-	sampleAttempts    = 3  // draws per wanted sample before the group is scanned
+	firstWeight       = 2   // seconds of decoding that outweigh one before the first token
+	queueWeight       = 10  // seconds of decoding that outweigh one in the queue
+	foreignMargin     = 0.2 // part of the reported load that may have come since
+	sampleAttempts    = 3   // draws per wanted sample before the group is scanned
 )
 
 // candidate is one server under consideration with its predicted times.
@@ -186,7 +187,9 @@
 	c.queue = 0
 	backlog := 0.0
 	if r.options.Without&TermWait == 0 {
-		c.queue = math.Max(0, c.outstanding+1-slots) / slots * service
+		foreign := c.outstanding - float64(s.own)
+		expected := c.outstanding + 1 + foreignMargin*math.Max(0, foreign)
+		c.queue = math.Max(0, expected-slots) / slots * service
 		backlog = s.backlog(now, rate, c.outstanding)
 	}
 	fresh := math.Max(0, float64(req.PromptTokens)-c.saved)
