Choose for a resume by the time to its first token

Cause: a resume went to a server that would decode fast but prefill late. Change: routing.Request.Resume weighs a second before the first token as twenty of decoding.

--- a/experiment/policy/engine.go
+++ b/experiment/policy/engine.go
@@ -107,10 +107,19 @@
 		s := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		s.batchedAt = e.at
-		e.prefill = append(e.prefill, s)
-		if len(e.prefill) == 1 {
-			e.beginPrefill()
-		}
+		e.queuePrefill(s)
+	}
+}
+
+// queuePrefill puts a prompt behind those of at least its priority.
+func (e *engine) queuePrefill(s *stream) {
+	i := len(e.prefill)
+	for i > 1 && e.prefill[i-1].priority < s.priority {
+		i--
+	}
+	e.prefill = slices.Insert(e.prefill, i, s)
+	if len(e.prefill) == 1 {
+		e.beginPrefill()
 	}
 }
 
--- a/experiment/policy/entry.go
+++ b/experiment/policy/entry.go
@@ -138,7 +138,7 @@
 	decision, err := e.router.Choose(e.run.time(), routing.Request{
 		Workspace: s.workspace, Class: s.class, Prefixes: s.prefixes,
 		PromptTokens: uint32(s.prompt) + uint32(s.delivered), MaxTokens: s.maxTokens,
-		Exclude: s.exclude, Avoid: e.avoidList,
+		Exclude: s.exclude, Avoid: e.avoidList, Resume: s.interrupts > 0,
 	})
 	if err != nil {
 		return nil
--- a/experiment/policy/measure.go
+++ b/experiment/policy/measure.go
@@ -161,6 +161,23 @@
 	return (r.prefillAgain + r.generatedTwice) / useful
 }
 
+// merge adds the figures of another run that the recovery's table shows.
+func (r *result) merge(other *result) {
+	r.resume.Merge(other.resume)
+	r.goodTokens += other.goodTokens
+	r.prompts += other.prompts
+	r.prefillAgain += other.prefillAgain
+	r.generatedTwice += other.generatedTwice
+	r.moves += other.moves
+	r.deaths += other.deaths
+	r.resumesRefused += other.resumesRefused
+	r.innocentsRefused += other.innocentsRefused
+	for i := range r.classes {
+		r.classes[i].offered += other.classes[i].offered
+		r.classes[i].refused += other.classes[i].refused
+	}
+}
+
 func quantile(h *hdrhistogram.Histogram, percent float64) time.Duration {
 	return time.Duration(h.ValueAtQuantile(percent)) * time.Microsecond
 }
--- a/experiment/policy/policy.go
+++ b/experiment/policy/policy.go
@@ -18,6 +18,7 @@
 	extraBound      = 0.02
 	goodputBound    = 0.90
 	poisonBound     = 3
+	pooledPart      = 4 // quarantine runs for each run that is pooled
 )
 
 // suite carries out the experiments of one deployment.
@@ -36,7 +37,7 @@
 	for _, d := range []deployment{regnsamler(), cairnmark()} {
 		s := suite{report: r, deployment: d, seed: o.Seed, length: 10 * time.Minute, seeds: 40}
 		if o.Quick {
-			s.length, s.seeds = 2*time.Minute, 5
+			s.length, s.seeds = 2*time.Minute, 8
 		}
 		s.run()
 	}
@@ -231,7 +232,7 @@
 	} {
 		run := s.base()
 		run.deathsPerMin, run.faults = c.deaths, c.faults
-		r := simulate(run)
+		r := s.pooled(run)
 		var extra *target
 		if c.deaths > 0 {
 			extra = most(extraBound)
@@ -241,6 +242,22 @@
 	s.report.end()
 }
 
+// pooled adds up runs of several seeds, so that rare events have a tail.
+func (s *suite) pooled(run scenario) *result {
+	run.length = 2 * time.Minute
+	var sum *result
+	for n := range max(1, s.seeds/pooledPart) {
+		run.seed = s.seed + uint64(n)
+		r := simulate(run)
+		if sum == nil {
+			sum = r
+		} else {
+			sum.merge(r)
+		}
+	}
+	return sum
+}
+
 func (s *suite) recoveryCells(r *result, extra *target) []cell {
 	cells := []cell{
 		number("resumed", int(r.resume.TotalCount()), nil),
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -13,10 +13,11 @@
 	boundedLoadFactor = 1.25
 	adapterLoadTime   = 0.5 // seconds
 	defaultMaxTokens  = 512
-	firstWeight       = 2   // seconds of decoding that outweigh one before the first token
-	queueWeight       = 10  // seconds of decoding that outweigh one in the queue
-	foreignMargin     = 0.2 // part of the reported load that may have come since
-	sampleAttempts    = 3   // draws per wanted sample before the group is scanned
+	firstWeight       = 2.0  // seconds of decoding that outweigh one before the first token
+	resumeWeight      = 20.0 // the same for a resume
+	queueWeight       = 10   // seconds of decoding that outweigh one in the queue
+	foreignMargin     = 0.2  // part of the reported load that may have come since
+	sampleAttempts    = 3    // draws per wanted sample before the group is scanned
 )
 
 // candidate is one server under consideration with its predicted times.
@@ -148,7 +149,7 @@
 			c.saved = 0
 		}
 		r.predict(now, req, c, answer)
-		score := r.score(s, c)
+		score := r.score(req, s, c)
 		if score < bestScore {
 			best, bestScore = k, score
 		}
@@ -223,8 +224,12 @@
 
 // score is the predicted total time; avoided and suspect servers come after
 // all others, except that a suspect one whose probe is due comes first.
-func (r *Router) score(s *server, c *candidate) float64 {
-	score := c.total + queueWeight*c.queue + firstWeight*c.wait
+func (r *Router) score(req *Request, s *server, c *candidate) float64 {
+	first := firstWeight
+	if req.Resume {
+		first = resumeWeight
+	}
+	score := c.total + queueWeight*c.queue + first*c.wait
 	if c.avoided {
 		score += time.Hour.Seconds()
 	}
--- a/routing/types.go
+++ b/routing/types.go
@@ -76,6 +76,9 @@
 	Exclude []ID
 	// Avoid lists servers that are chosen only if no other is left.
 	Avoid []ID
+	// Resume marks the continuation of an interrupted answer, for which the time
+	// to the first token counts more.
+	Resume bool
 	// Deadline is the time by which the answer is due; zero means none.
 	Deadline time.Time
 }
