Tell a busy server from a deaf one, and find silence sooner

Cause: a stream that waited for its first token behind others was moved, which made it wait again; a deaf server was taken back as soon as one of its old streams went on; the time allowed without a token was most of a stopped engine's resume time. Change: a stream without a first token is given its time once more while its server gives others theirs; a doubted server is ready again only by a stream sent off after the doubt; silence is found after 12 usual gaps, at least 0.3 and at most 0.9 s (20, 0.4 and 1.2 s before).

--- a/experiment/policy/entry.go
+++ b/experiment/policy/entry.go
@@ -208,9 +208,14 @@
 			}
 		}
 		health := s.watch.Check(now)
-		if health != routing.HealthGood && e.run.scenario.chooser == byScore {
-			e.move(s, health)
+		if health == routing.HealthGood || e.run.scenario.chooser != byScore {
+			continue
+		}
+		if !s.watch.Begun() && e.router.BeganSince(s.engine.id, epoch.Add(s.sentAt)) {
+			s.watch.Extend(now)
+			continue
 		}
+		e.move(s, health)
 	}
 }
 
--- a/routing/health.go
+++ b/routing/health.go
@@ -25,18 +25,26 @@
 		return
 	}
 	s.state, s.stateAt, s.probedAt = StateSuspect, now, now
-	s.doubted = true
+	s.doubted, s.probed = true, false
 	s.normal = s.usual.read(now, priorGap.Seconds(), r.options.SpeedBelief)
 }
 
 // recovered makes a server that was doubted here ready again when a stream
 // that began after the doubt goes at its normal speed.
 func (s *server) recovered(gap float64) {
-	if s.doubted && s.state == StateSuspect && gap <= recoveredFactor*s.normal {
+	if s.doubted && s.probed && s.state == StateSuspect && gap <= recoveredFactor*s.normal {
 		s.state, s.doubted = StateReady, false
 	}
 }
 
+// BeganSince tells whether a server has given any stream its first token after
+// a time. A stream without a first token that was sent off then is waiting
+// behind others; the server is not deaf.
+func (r *Router) BeganSince(id ID, sent time.Time) bool {
+	s := r.find(id)
+	return s != nil && s.firstAt.After(sent)
+}
+
 // State returns what is believed of a server's health.
 func (r *Router) State(id ID) State {
 	if s := r.find(id); s != nil {
--- a/routing/router.go
+++ b/routing/router.go
@@ -190,6 +190,10 @@
 	if s == nil {
 		return
 	}
+	s.firstAt = now
+	if now.Add(-seen.Wait).After(s.stateAt) {
+		s.probed = true
+	}
 	fresh := float64(seen.PromptTokens) - float64(seen.CachedTokens)
 	if fresh < 1 || seen.Wait <= 0 {
 		return
--- a/routing/server.go
+++ b/routing/server.go
@@ -78,6 +78,8 @@
 	restarted string
 	doubted   bool    // suspect by what was seen here
 	usual     learned // gap over a longer time
+	probed    bool    // a stream sent off after the doubt has begun
+	firstAt   time.Time
 	normal    float64 // usual gap before the doubt, seconds
 }
 
--- a/routing/watch.go
+++ b/routing/watch.go
@@ -27,9 +27,9 @@
 }
 
 const (
-	silentGaps     = 20 // expected inter-token times without a token
-	minSilent      = 400 * time.Millisecond
-	maxSilent      = 1200 * time.Millisecond
+	silentGaps     = 12 // expected inter-token times without a token
+	minSilent      = 300 * time.Millisecond
+	maxSilent      = 900 * time.Millisecond
 	firstWaits     = 4 // expected waits for the first token
 	minFirstSilent = time.Second
 	slowWindow     = time.Second
@@ -73,6 +73,12 @@
 	w.last = now
 }
 
+// Begun tells whether the first token has come.
+func (w *Watch) Begun() bool { return w.begun }
+
+// Extend allows a stream without a first token the same time once more.
+func (w *Watch) Extend(now time.Time) { w.last = now }
+
 // Limit is the time without a token after which the stream is silent.
 func (w *Watch) Limit() time.Duration {
 	if !w.begun {
