Learn the prefill rate from the best times

Cause: the time to a first token holds the wait behind other prompts, so the rate learned from it was too low where a server was busy. Change: a higher rate than the one known counts at once, a lower one slowly.

--- a/routing/router.go
+++ b/routing/router.go
@@ -199,7 +199,7 @@
 		return
 	}
 	if float64(s.own) <= s.slots() {
-		s.rate.observe(now, fresh/seen.Wait.Seconds(), quick, minSampleWeight)
+		s.learnRate(now, fresh/seen.Wait.Seconds())
 	}
 }
 
--- a/routing/server.go
+++ b/routing/server.go
@@ -117,6 +117,16 @@
 	s.prefillAt = now
 }
 
+// learnRate takes in a prefill rate. A prompt may have waited behind others, so
+// a higher rate than the one known counts at once and a lower one slowly.
+func (s *server) learnRate(now time.Time, rate float64) {
+	if rate > s.rate.value {
+		s.rate.observe(now, rate, quick, maxSampleWeight)
+		return
+	}
+	s.rate.observe(now, rate, steady, 0)
+}
+
 // record keeps the count of own requests over time, so that a lagging report
 // can be compared with the count at the time of its measurement.
 func (s *server) record(now time.Time) {
