Keep the last slots of each server for resumes

Cause: the reserve of the admission was free on slow servers only, since new requests filled the fast ones to the last slot; resumes queued there. Change: for a new request the last two slots of a server count as taken, as long as another server has more free.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -17,6 +17,7 @@
 	resumeWeight      = 20.0 // the same for a resume
 	queueWeight       = 10   // seconds of decoding that outweigh one in the queue
 	foreignMargin     = 0.2  // part of the reported load that may have come since
+	reservedSlots     = 2.0  // of each server, left to resumes while others are free
 	sampleAttempts    = 3    // draws per wanted sample before the group is scanned
 )
 
@@ -190,7 +191,11 @@
 	if r.options.Without&TermWait == 0 {
 		foreign := c.outstanding - float64(s.own)
 		expected := c.outstanding + 1 + foreignMargin*math.Max(0, foreign)
-		c.queue = math.Max(0, expected-slots) / slots * service
+		free := slots
+		if !req.Resume {
+			free -= reservedSlots
+		}
+		c.queue = math.Max(0, expected-free) / slots * service
 		backlog = s.backlog(now, rate, c.outstanding)
 	}
 	fresh := math.Max(0, float64(req.PromptTokens)-c.saved)
