--- a/routing/choose.go
+++ b/routing/choose.go
@@ -13,8 +13,12 @@
 	boundedLoadFactor = 1.25
 	adapterLoadTime   = 0.5 // seconds
 	defaultMaxTokens  = 512
-	queueWeight       = 10 // seconds of decoding that outweigh one in the queue
-	sampleAttempts    = 3  // draws per wanted sample before the group is scanned
+	firstWeight       = 2.0  // seconds of decoding that outweigh one before the first token
+	resumeWeight      = 20.0 // the same for a resume
+	queueWeight       = 10   // seconds of decoding that outweigh one in the queue
+	foreignMargin     = 0.2  // part of the reported load that may have come since
+	reservedSlots     = 2.0  // of each server, left to resumes while others are free
+	sampleAttempts    = 3    // draws per wanted sample before the group is scanned
 )
 
 // candidate is one server under consideration with its predicted times.
@@ -146,7 +150,7 @@
 			c.saved = 0
 		}
 		r.predict(now, req, c, answer)
-		score := r.score(s, c)
+		score := r.score(req, s, c)
 		if score < bestScore {
 			best, bestScore = k, score
 		}
@@ -183,11 +187,19 @@
 	gap, rate, service := r.speed(now, s)
 	slots := s.slots()
 	c.queue = 0
+	backlog := 0.0
 	if r.options.Without&TermWait == 0 {
-		c.queue = math.Max(0, c.outstanding+1-slots) / slots * service
+		foreign := c.outstanding - float64(s.own)
+		expected := c.outstanding + 1 + foreignMargin*math.Max(0, foreign)
+		free := slots
+		if !req.Resume {
+			free -= reservedSlots
+		}
+		c.queue = math.Max(0, expected-free) / slots * service
+		backlog = s.backlog(now, rate, c.outstanding)
 	}
 	fresh := math.Max(0, float64(req.PromptTokens)-c.saved)
-	c.wait = s.distance(&r.options) + c.queue + fresh/rate + adapterTime(s, req)
+	c.wait = s.distance(&r.options) + c.queue + (backlog+fresh)/rate + adapterTime(s, req)
 	load := c.outstanding + 1
 	if r.options.Without&TermWait != 0 {
 		load = 0
@@ -217,8 +229,12 @@
 
 // score is the predicted total time; avoided and suspect servers come after
 // all others, except that a suspect one whose probe is due comes first.
-func (r *Router) score(s *server, c *candidate) float64 {
-	score := c.total + queueWeight*c.queue
+func (r *Router) score(req *Request, s *server, c *candidate) float64 {
+	first := firstWeight
+	if req.Resume {
+		first = resumeWeight
+	}
+	score := c.total + queueWeight*c.queue + first*c.wait
 	if c.avoided {
 		score += time.Hour.Seconds()
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -176,6 +176,9 @@
 	}
 	s := &r.servers[i]
 	s.addOwn(now, 1)
+	_, saved := r.prefix.cached(now, work.Prefixes, i, r.options.CacheBelief)
+	rate := s.rate.read(now, priorPrefillRate, r.options.SpeedBelief)
+	s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-saved))
 	for _, p := range work.Prefixes {
 		r.prefix.add(now, p, i)
 	}
@@ -187,12 +190,16 @@
 	if s == nil {
 		return
 	}
+	s.firstAt = now
+	if now.Add(-seen.Wait).After(s.stateAt) {
+		s.probed = true
+	}
 	fresh := float64(seen.PromptTokens) - float64(seen.CachedTokens)
 	if fresh < 1 || seen.Wait <= 0 {
 		return
 	}
 	if float64(s.own) <= s.slots() {
-		s.rate.observe(now, fresh/seen.Wait.Seconds(), quick, minSampleWeight)
+		s.learnRate(now, fresh/seen.Wait.Seconds())
 	}
 }
 
