Add the deterministic spread of configuration revisions

Cause: every process must hear of an accepted change within seconds while the table is read a few times a second by the whole fleet, and must never go back. Change: package revision. Node takes time, messages and table reads and returns sends, reads and installs. Pushes to a bounded number of random peers, regular pulls, a send budget, facts that spread without the table, a start that waits for the highest revision of the table or of several peers, and a survey that tells where a revision is not in force. Seen red with the guard taken out on a scratch edit: the check that a starting node holds the highest answer, the refusal of old and of gapped deltas, the range check of items, the retired facts, the need for a serving peer, the timeout of a hanging read, the second asking of silent groups and the check against counting a late group twice.

--- /dev/null
+++ b/revision/fact.go
@@ -0,0 +1,139 @@
+package revision
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Fact is something that became true and never becomes untrue, such as the
+// stop of a version. Of several facts with one key the earliest is kept.
+type Fact struct {
+	Key    string            `json:"key" cbor:"1,keyasint"`
+	At     time.Time         `json:"at" cbor:"2,keyasint"`
+	Origin wigeonfork.HostID `json:"origin" cbor:"3,keyasint"`
+	Value  []byte            `json:"value,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// Limits on facts, in facts and bytes.
+const (
+	MaxFacts         = 1024
+	MaxFactBytes     = 1024
+	maxRetiredFacts  = 4096
+	factFixedBytes   = 32
+	factsPerMessage  = 64
+	factHashTimeSize = 8
+)
+
+// ErrTooManyFacts is returned where a fact is refused for lack of room.
+var ErrTooManyFacts = errors.New("too many facts that the configuration does not record yet")
+
+// ErrFactTooLarge is returned for a fact above MaxFactBytes.
+var ErrFactTooLarge = errors.New("fact is too large")
+
+// facts is a union of facts, those excepted that the configuration records.
+type facts struct {
+	known   map[string]Fact
+	retired map[string]struct{}
+	order   []string
+	digest  uint64
+}
+
+func newFacts() facts {
+	return facts{known: make(map[string]Fact), retired: make(map[string]struct{})}
+}
+
+func (f *Fact) size() int { return len(f.Key) + len(f.Value) + len(f.Origin) + factFixedBytes }
+
+func (f *Fact) hash() uint64 {
+	var at [factHashTimeSize]byte
+	binary.BigEndian.PutUint64(at[:], uint64(f.At.UnixNano()))
+	d := xxhash.New()
+	// A hash never fails to write.
+	_, _ = d.WriteString(f.Key)
+	_, _ = d.Write(at[:])
+	_, _ = d.WriteString(string(f.Origin))
+	_, _ = d.Write(f.Value)
+	return d.Sum64()
+}
+
+// before orders facts with one key.
+func (f *Fact) before(other *Fact) bool {
+	return cmp.Or(
+		f.At.Compare(other.At),
+		cmp.Compare(f.Origin, other.Origin),
+		bytes.Compare(f.Value, other.Value),
+	) < 0
+}
+
+// add merges fact and tells whether that changed the set, and whether the key
+// was not known before.
+func (s *facts) add(fact Fact) (changed, fresh bool, err error) {
+	if fact.size() > MaxFactBytes {
+		return false, false, ErrFactTooLarge
+	}
+	if _, done := s.retired[fact.Key]; done {
+		return false, false, nil
+	}
+	old, found := s.known[fact.Key]
+	if found && !fact.before(&old) {
+		return false, false, nil
+	}
+	if !found && len(s.known) >= MaxFacts {
+		return false, false, ErrTooManyFacts
+	}
+	if found {
+		s.digest ^= old.hash()
+	}
+	s.known[fact.Key] = fact
+	s.digest ^= fact.hash()
+	return true, !found, nil
+}
+
+// retire drops a fact that the installed configuration records.
+func (s *facts) retire(key string) {
+	if old, found := s.known[key]; found {
+		s.digest ^= old.hash()
+		delete(s.known, key)
+	}
+	if _, done := s.retired[key]; done {
+		return
+	}
+	s.retired[key] = struct{}{}
+	s.order = append(s.order, key)
+	if len(s.order) > maxRetiredFacts {
+		delete(s.retired, s.order[0])
+		s.order = slices.Delete(s.order, 0, 1)
+	}
+}
+
+// list returns the facts in order of key.
+func (s *facts) list() []Fact {
+	if len(s.known) == 0 {
+		return nil
+	}
+	all := make([]Fact, 0, len(s.known))
+	for _, fact := range s.known {
+		all = append(all, fact)
+	}
+	slices.SortFunc(all, func(a, b Fact) int { return cmp.Compare(a.Key, b.Key) })
+	return all
+}
+
+// batch returns at most factsPerMessage facts, a different part each time
+// that turn differs.
+func (s *facts) batch(turn uint64) []Fact {
+	all := s.list()
+	if len(all) <= factsPerMessage {
+		return all
+	}
+	start := int(turn % uint64(len(all)))
+	wrapped := append(slices.Clone(all[start:]), all[:start]...)
+	return wrapped[:factsPerMessage]
+}
--- /dev/null
+++ b/revision/item.go
@@ -0,0 +1,169 @@
+package revision
+
+import (
+	"slices"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Item is one part of the configuration as it stands since Revision. A
+// deleted item has no value.
+type Item struct {
+	Key      string              `json:"key" cbor:"1,keyasint"`
+	Value    []byte              `json:"value,omitempty" cbor:"2,keyasint,omitempty"`
+	Revision wigeonfork.Revision `json:"revision" cbor:"3,keyasint"`
+	Deleted  bool                `json:"deleted,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// Delta holds the items that changed after From and up to To, as they stand
+// at To. It can be applied to any state from From on. A delta with From 0
+// holds every item, and the deletions after Floor, and replaces the state.
+type Delta struct {
+	From  wigeonfork.Revision `json:"from" cbor:"1,keyasint"`
+	To    wigeonfork.Revision `json:"to" cbor:"2,keyasint"`
+	Floor wigeonfork.Revision `json:"floor,omitempty" cbor:"3,keyasint,omitempty"`
+	Items []Item              `json:"items,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// Full tells whether d replaces the whole state.
+func (d *Delta) Full() bool { return d.From == 0 }
+
+// sound tells whether every item lies in the range that d states.
+func (d *Delta) sound() bool {
+	for i := range d.Items {
+		r := d.Items[i].Revision
+		if r <= d.From || r > d.To {
+			return false
+		}
+	}
+	return true
+}
+
+// size returns about the number of bytes that d takes in a message.
+func (d *Delta) size() int {
+	total := 0
+	for i := range d.Items {
+		total += len(d.Items[i].Key) + len(d.Items[i].Value) + itemOverheadBytes
+	}
+	return total
+}
+
+// itemOverheadBytes is what the encoding of an item adds to key and value.
+const itemOverheadBytes = 12
+
+// items is the state: the latest form of every item, in order of revision.
+type items struct {
+	revision wigeonfork.Revision
+	floor    wigeonfork.Revision
+	entries  []Item
+	live     []bool
+	position map[string]int
+	dead     int
+	deleted  int
+}
+
+func newItems() items {
+	return items{position: make(map[string]int)}
+}
+
+// apply installs d if it continues from the state and is newer. It tells
+// whether it did.
+func (s *items) apply(d *Delta) bool {
+	if d.To <= s.revision || d.From > s.revision || !d.sound() {
+		return false
+	}
+	if d.Full() {
+		*s = newItems()
+		s.floor = d.Floor
+	}
+	ordered := slices.Clone(d.Items)
+	slices.SortStableFunc(ordered, func(a, b Item) int { return compareRevision(a.Revision, b.Revision) })
+	for _, item := range ordered {
+		if item.Revision > s.revision {
+			s.put(item)
+		}
+	}
+	s.revision = d.To
+	s.trim()
+	return true
+}
+
+func compareRevision(a, b wigeonfork.Revision) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (s *items) put(item Item) {
+	if old, found := s.position[item.Key]; found {
+		s.kill(old)
+	}
+	if item.Deleted {
+		s.deleted++
+	}
+	s.position[item.Key] = len(s.entries)
+	s.entries = append(s.entries, item)
+	s.live = append(s.live, true)
+}
+
+func (s *items) kill(i int) {
+	if s.entries[i].Deleted {
+		s.deleted--
+	}
+	s.live[i] = false
+	s.entries[i] = Item{Revision: s.entries[i].Revision}
+	s.dead++
+}
+
+// trim forgets the oldest deletions above the limit, and drops dead entries
+// once they outnumber the others. A state below the floor needs a full delta.
+func (s *items) trim() {
+	for i := 0; s.deleted > maxDeletedItems && i < len(s.entries); i++ {
+		if s.live[i] && s.entries[i].Deleted {
+			delete(s.position, s.entries[i].Key)
+			s.floor = max(s.floor, s.entries[i].Revision)
+			s.kill(i)
+		}
+	}
+	if s.dead <= len(s.entries)/2 {
+		return
+	}
+	kept := make([]Item, 0, len(s.entries)-s.dead)
+	for i := range s.entries {
+		if s.live[i] {
+			s.position[s.entries[i].Key] = len(kept)
+			kept = append(kept, s.entries[i])
+		}
+	}
+	s.entries = kept
+	s.live = slices.Repeat([]bool{true}, len(kept))
+	s.dead = 0
+}
+
+// maxDeletedItems bounds the deletions that are remembered.
+const maxDeletedItems = 4096
+
+// since returns what a state at revision from lacks.
+func (s *items) since(from wigeonfork.Revision) Delta {
+	if from < s.floor {
+		from = 0
+	}
+	start, _ := slices.BinarySearchFunc(s.entries, from+1, func(item Item, r wigeonfork.Revision) int {
+		return compareRevision(item.Revision, r)
+	})
+	d := Delta{From: from, To: s.revision}
+	if d.Full() {
+		d.Floor = s.floor
+	}
+	for i := start; i < len(s.entries); i++ {
+		if s.live[i] {
+			d.Items = append(d.Items, s.entries[i])
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/revision/node_test.go
@@ -0,0 +1,449 @@
+package revision
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork"
+	"pgregory.net/rapid"
+)
+
+var errTable = errors.New("table is out")
+
+// group drives nodes by hand: messages wait in a list until a test delivers
+// or drops them.
+type group struct {
+	now     time.Time
+	peers   []Peer
+	nodes   map[wigeonfork.HostID]*Node
+	table   []Item
+	out     bool
+	waiting []envelope
+	reads   int
+	cut     func(from, to wigeonfork.HostID) bool
+	learned map[wigeonfork.HostID][]Fact
+	surveys []SurveyResult
+	lives   uint64
+}
+
+type envelope struct {
+	from, to wigeonfork.HostID
+	message  Message
+}
+
+func newGroup(size int) *group {
+	g := &group{
+		now:     time.Unix(1000, 0),
+		nodes:   make(map[wigeonfork.HostID]*Node),
+		cut:     func(_, _ wigeonfork.HostID) bool { return false },
+		learned: make(map[wigeonfork.HostID][]Fact),
+	}
+	for i := range size {
+		g.peers = append(g.peers, Peer{
+			ID:     wigeonfork.HostID(fmt.Sprintf("h%03d", i)),
+			Domain: wigeonfork.FailureDomain(fmt.Sprintf("d%d", i%3)),
+		})
+	}
+	for _, peer := range g.peers {
+		g.start(peer)
+	}
+	return g
+}
+
+func (g *group) start(peer Peer) *Node {
+	g.lives++
+	n := New(Options{ID: peer.ID, Domain: peer.Domain, Seed: g.lives})
+	n.PeersChanged(g.peers)
+	g.nodes[peer.ID] = n
+	return n
+}
+
+func (g *group) commit(key, value string) {
+	g.table = append(g.table, Item{Key: key, Value: []byte(value), Revision: wigeonfork.Revision(len(g.table) + 1), Deleted: value == ""})
+}
+
+func (g *group) head() wigeonfork.Revision { return wigeonfork.Revision(len(g.table)) }
+
+// state returns the items at revision r, by key.
+func (g *group) state(r wigeonfork.Revision) map[string]string {
+	state := make(map[string]string)
+	for _, item := range g.table[:r] {
+		if item.Deleted {
+			delete(state, item.Key)
+			continue
+		}
+		state[item.Key] = string(item.Value)
+	}
+	return state
+}
+
+func (g *group) do(id wigeonfork.HostID, a Actions) {
+	for _, s := range a.Sends {
+		if !g.cut(id, s.To) {
+			g.waiting = append(g.waiting, envelope{id, s.To, s.Message})
+		}
+	}
+	g.learned[id] = append(g.learned[id], a.Learned...)
+	g.surveys = append(g.surveys, a.Surveys...)
+	if len(a.Reads) > 0 {
+		g.reads++
+		g.read(id, a.Reads[0].Since, g.head())
+	}
+}
+
+// read answers a table read with the state at revision upTo.
+func (g *group) read(id wigeonfork.HostID, since, upTo wigeonfork.Revision) {
+	if g.out {
+		g.do(id, g.nodes[id].TableRead(g.now, Delta{}, errTable))
+		return
+	}
+	delta := Delta{From: since, To: max(upTo, since)}
+	delta.Items = append(delta.Items, g.table[since:delta.To]...)
+	g.do(id, g.nodes[id].TableRead(g.now, delta, nil))
+}
+
+func (g *group) deliver(e envelope) {
+	if n := g.nodes[e.to]; n != nil {
+		g.do(e.to, n.Receive(g.now, e.from, e.message))
+	}
+}
+
+// run lets time pass and delivers everything.
+func (g *group) run(d time.Duration) {
+	for end := g.now.Add(d); g.now.Before(end); g.now = g.now.Add(50 * time.Millisecond) {
+		for _, peer := range g.peers {
+			if n := g.nodes[peer.ID]; n != nil {
+				g.do(peer.ID, n.Tick(g.now))
+			}
+		}
+		batch := g.waiting
+		g.waiting = nil
+		for _, e := range batch {
+			g.deliver(e)
+		}
+	}
+}
+
+func contents(n *Node) map[string]string {
+	state := make(map[string]string)
+	for _, item := range n.State().Items {
+		if !item.Deleted {
+			state[item.Key] = string(item.Value)
+		}
+	}
+	return state
+}
+
+func sameContents(a, b map[string]string) bool { return fmt.Sprint(a) == fmt.Sprint(b) }
+
+// TestRevisionOnlyGrows lets messages be lost, repeated, reordered and kept
+// for later lives of a host, tables answer with old states or not at all, and
+// hosts restart. Each node's state must be the table's at its revision, its
+// revision must never fall, and in the end all hold the head.
+func TestRevisionOnlyGrows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(4)
+		held := make(map[*Node]wigeonfork.Revision)
+		check := func() {
+			for id, n := range g.nodes {
+				if n.Revision() < held[n] {
+					t.Fatalf("%s fell from %d to %d", id, held[n], n.Revision())
+				}
+				held[n] = n.Revision()
+				if !sameContents(contents(n), g.state(n.Revision())) {
+					t.Fatalf("%s mixes states at %d: %v, not %v", id, n.Revision(), contents(n), g.state(n.Revision()))
+				}
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			peer := g.peers[rapid.IntRange(0, len(g.peers)-1).Draw(t, "host")]
+			switch rapid.SampledFrom([]string{"commit", "tick", "deliver", "repeat", "drop", "stale", "restart", "store"}).Draw(t, "event") {
+			case "commit":
+				g.commit(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "value"))
+			case "tick":
+				g.now = g.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				g.do(peer.ID, g.nodes[peer.ID].Tick(g.now))
+			case "deliver", "repeat", "drop":
+				if len(g.waiting) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(g.waiting)-1).Draw(t, "message")
+				e := g.waiting[i]
+				choice := rapid.IntRange(0, 2).Draw(t, "fate")
+				if choice != 1 {
+					g.waiting = append(g.waiting[:i:i], g.waiting[i+1:]...)
+				}
+				if choice != 2 {
+					g.deliver(e)
+				}
+			case "stale":
+				since := g.nodes[peer.ID].Revision()
+				g.read(peer.ID, min(since, g.head()), wigeonfork.Revision(rapid.IntRange(0, int(g.head())).Draw(t, "upTo")))
+			case "restart":
+				g.start(peer)
+			case "store":
+				g.out = !g.out
+			}
+			check()
+		}
+		g.out = false
+		g.run(20 * time.Second)
+		check()
+		for id, n := range g.nodes {
+			if n.Revision() != g.head() || !n.Serving() {
+				t.Fatalf("%s holds %d of %d, serving %v", id, n.Revision(), g.head(), n.Serving())
+			}
+		}
+	})
+}
+
+func TestStartWhileTheStoreIsOut(t *testing.T) {
+	Convey("Given five serving hosts, of which one alone holds the newest revision", t, func() {
+		g := newGroup(5)
+		g.commit("a", "1")
+		g.run(3 * time.Second)
+		g.out = true
+		g.waiting = nil
+		g.commit("a", "2")
+		g.cut = func(from, _ wigeonfork.HostID) bool { return from == "h004" }
+		g.out = false
+		g.read("h004", 1, 2)
+		g.out = true
+		restarted := g.start(g.peers[0])
+		Convey("a host that starts serves nothing before it holds what the highest answer told", func() {
+			g.run(100 * time.Millisecond)
+			So(restarted.Serving(), ShouldBeFalse)
+			g.do("h000", restarted.Receive(g.now, "h004", Message{Kind: KindState, Revision: 2, Serving: true}))
+			g.run(3 * time.Second)
+			So(restarted.Revision(), ShouldEqual, 1)
+			So(restarted.Serving(), ShouldBeFalse)
+			g.cut = func(_, _ wigeonfork.HostID) bool { return false }
+			g.run(5 * time.Second)
+			So(restarted.Revision(), ShouldEqual, 2)
+			So(restarted.Serving(), ShouldBeTrue)
+		})
+		Convey("a revision that died with its only holder does not keep it from serving for ever", func() {
+			g.do("h000", restarted.Receive(g.now, "h004", Message{Kind: KindState, Revision: 2, Serving: true}))
+			g.nodes["h004"] = nil
+			g.run(12 * time.Second)
+			So(restarted.Serving(), ShouldBeTrue)
+		})
+	})
+	Convey("Hosts that all start while the store is out serve nothing until it is back", t, func() {
+		g := newGroup(5)
+		g.commit("a", "1")
+		g.out = true
+		g.run(20 * time.Second)
+		for _, n := range g.nodes {
+			So(n.Serving(), ShouldBeFalse)
+		}
+		g.out = false
+		g.run(10 * time.Second)
+		for _, n := range g.nodes {
+			So(n.Serving(), ShouldBeTrue)
+			So(n.Revision(), ShouldEqual, 1)
+		}
+	})
+	Convey("A table read that hangs at the start counts as out", t, func() {
+		n := New(Options{ID: "h000", Seed: 1})
+		n.PeersChanged([]Peer{{ID: "h000"}, {ID: "h001"}, {ID: "h002"}, {ID: "h003"}})
+		now := time.Unix(1000, 0)
+		asked := false
+		for range 100 {
+			now = now.Add(50 * time.Millisecond)
+			asked = len(n.Tick(now).Reads) > 0 || asked
+			for _, id := range []wigeonfork.HostID{"h001", "h002", "h003"} {
+				n.Receive(now, id, Message{Kind: KindState, Serving: true})
+			}
+		}
+		So(asked, ShouldBeTrue)
+		So(n.Serving(), ShouldBeTrue)
+	})
+}
+
+func TestDeltasThatDoNotFit(t *testing.T) {
+	Convey("A node at revision 2", t, func() {
+		s := newItems()
+		So(s.apply(&Delta{To: 2, Items: []Item{{Key: "a", Revision: 2}}}), ShouldBeTrue)
+		Convey("refuses a gap, an old state and items out of the stated range", func() {
+			So(s.apply(&Delta{From: 3, To: 4, Items: []Item{{Key: "a", Revision: 4}}}), ShouldBeFalse)
+			So(s.apply(&Delta{From: 0, To: 1, Items: []Item{{Key: "a", Revision: 1}}}), ShouldBeFalse)
+			So(s.apply(&Delta{From: 2, To: 3, Items: []Item{{Key: "a", Revision: 9}}}), ShouldBeFalse)
+			So(s.revision, ShouldEqual, 2)
+		})
+		Convey("remembers a bounded number of deletions and then gives the whole state", func() {
+			for r := wigeonfork.Revision(3); r < 3+2*maxDeletedItems; r++ {
+				s.apply(&Delta{From: r - 1, To: r, Items: []Item{{Key: fmt.Sprint("k", r), Revision: r, Deleted: true}}})
+			}
+			So(len(s.entries), ShouldBeLessThanOrEqualTo, 2*maxDeletedItems+2)
+			late := newItems()
+			late.apply(&Delta{To: 3, Items: []Item{{Key: "a", Revision: 2}, {Key: "k3", Revision: 3}}})
+			delta := s.since(3)
+			So(delta.Full(), ShouldBeTrue)
+			So(late.apply(&delta), ShouldBeTrue)
+			_, kept := late.position["k3"]
+			So(kept, ShouldBeFalse)
+		})
+	})
+}
+
+func TestFactsSpreadWithoutTheTable(t *testing.T) {
+	Convey("Given 40 serving hosts and a store that is out", t, func() {
+		g := newGroup(40)
+		g.run(3 * time.Second)
+		g.out = true
+		stop := Fact{Key: "letters/v2", At: g.now, Origin: "h007", Value: []byte("errors")}
+		a, err := g.nodes["h007"].AddFact(g.now, stop)
+		So(err, ShouldBeNil)
+		g.do("h007", a)
+		g.run(time.Second)
+		Convey("all know a fact within a second, each is told once, and it stays", func() {
+			for _, peer := range g.peers {
+				So(g.nodes[peer.ID].Facts(), ShouldResemble, []Fact{stop})
+				if peer.ID != "h007" {
+					So(len(g.learned[peer.ID]), ShouldEqual, 1)
+				}
+			}
+		})
+		Convey("a host that starts holds it before it serves", func() {
+			n := g.start(g.peers[3])
+			for !n.Serving() {
+				g.run(50 * time.Millisecond)
+			}
+			So(len(n.Facts()), ShouldEqual, 1)
+		})
+		Convey("an earlier fact of the same key wins everywhere", func() {
+			earlier := stop
+			earlier.At = stop.At.Add(-time.Second)
+			earlier.Origin = "h030"
+			a, err := g.nodes["h030"].AddFact(g.now, earlier)
+			So(err, ShouldBeNil)
+			g.do("h030", a)
+			g.run(15 * time.Second)
+			for _, n := range g.nodes {
+				So(n.Facts(), ShouldResemble, []Fact{earlier})
+			}
+		})
+		Convey("once recorded it is dropped and not learned again", func() {
+			n := g.nodes["h000"]
+			n.Retire(stop.Key)
+			before := len(g.learned["h000"])
+			g.run(5 * time.Second)
+			So(n.Facts(), ShouldBeEmpty)
+			So(len(g.learned["h000"]), ShouldEqual, before)
+		})
+	})
+	Convey("Facts are refused rather than dropped where there is no room", t, func() {
+		n := New(Options{ID: "h", Seed: 1})
+		for i := range MaxFacts {
+			_, err := n.AddFact(time.Unix(1, 0), Fact{Key: fmt.Sprint(i)})
+			So(err, ShouldBeNil)
+		}
+		_, err := n.AddFact(time.Unix(1, 0), Fact{Key: "more"})
+		So(err, ShouldEqual, ErrTooManyFacts)
+		_, err = n.AddFact(time.Unix(1, 0), Fact{Key: "large", Value: make([]byte, MaxFactBytes)})
+		So(err, ShouldEqual, ErrFactTooLarge)
+		So(len(n.Facts()), ShouldEqual, MaxFacts)
+	})
+}
+
+func TestSurvey(t *testing.T) {
+	for _, size := range []int{9, 200} {
+		Convey(fmt.Sprintf("Among %d hosts, a survey tells where a revision is not in force", size), t, func() {
+			g := newGroup(size)
+			g.commit("a", "1")
+			g.run(5 * time.Second)
+			g.out = true
+			g.commit("a", "2")
+			behind := wigeonfork.HostID("h004")
+			g.cut = func(_, to wigeonfork.HostID) bool { return to == behind }
+			g.out = false
+			g.read("h000", 1, 2)
+			g.run(5 * time.Second)
+			g.out = true
+			late := g.nodes[behind].State()
+			g.start(g.peers[4])
+			g.nodes[behind].items.apply(&Delta{To: 1, Items: g.table[:1]})
+			So(late.To, ShouldBeGreaterThan, 0)
+			g.nodes["h001"] = nil
+			lost := 0
+			g.cut = func(from, to wigeonfork.HostID) bool {
+				lost++
+				return lost%5 == 0
+			}
+			// Only messages of surveys travel, so that the host stays behind.
+			g.waiting = nil
+			_, a, ok := g.nodes["h000"].Survey(g.now, 2)
+			So(ok, ShouldBeTrue)
+			g.do("h000", a)
+			for step := 0; step < 60 && len(g.surveys) == 0; step++ {
+				g.now = g.now.Add(50 * time.Millisecond)
+				for _, peer := range g.peers {
+					if n := g.nodes[peer.ID]; n != nil {
+						n.out.reset()
+						n.surveys.tick(n, g.now)
+						g.do(peer.ID, n.out)
+					}
+				}
+				batch := g.waiting
+				g.waiting = nil
+				for _, e := range batch {
+					late := e.from == "h016" && e.to == "h000" && step < 32
+					switch {
+					case late:
+						g.waiting = append(g.waiting, e)
+					case e.message.Survey != nil:
+						g.deliver(e)
+					}
+				}
+			}
+			So(len(g.surveys), ShouldEqual, 1)
+			result := g.surveys[0]
+			So(result.InForce(), ShouldBeFalse)
+			var inForce int
+			var lagging []wigeonfork.HostID
+			for _, d := range result.Domains {
+				inForce += d.InForce
+				lagging = append(lagging, d.Lagging...)
+			}
+			So(inForce, ShouldEqual, size-2)
+			So(len(lagging), ShouldEqual, 2)
+			So(lagging, ShouldContain, behind)
+			So(lagging, ShouldContain, wigeonfork.HostID("h001"))
+		})
+	}
+}
+
+func FuzzReceive(f *testing.F) {
+	for _, m := range []Message{
+		{Kind: KindPull, Revision: 3},
+		{Kind: KindState, Revision: 2, Delta: &Delta{To: 2, Items: []Item{{Key: "a", Value: []byte("b"), Revision: 2}}}},
+		{Kind: KindSurvey, Survey: &Survey{ID: 1, Revision: 1, Peers: []Peer{{ID: "x"}}}},
+		{Kind: KindState, FactList: []Fact{{Key: "k", At: time.Unix(1, 0)}}},
+	} {
+		data, err := Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		n := New(Options{ID: "h", Seed: 1})
+		n.PeersChanged([]Peer{{ID: "h"}, {ID: "x"}})
+		now := time.Unix(1000, 0)
+		n.Tick(now)
+		n.TableRead(now, Delta{To: 5, Items: []Item{{Key: "a", Revision: 5}}}, nil)
+		n.Receive(now, "x", m)
+		n.Tick(now.Add(time.Second))
+		if n.Revision() < 5 {
+			t.Fatal("revision fell")
+		}
+	})
+}
--- /dev/null
+++ b/revision/options.go
@@ -0,0 +1,83 @@
+package revision
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Options are the settings of a Node. A zero field takes its default.
+type Options struct {
+	// ID is the host of this process.
+	ID wigeonfork.HostID
+	// Domain is the failure domain of this process.
+	Domain wigeonfork.FailureDomain
+	// Seed makes the random choices; processes need different seeds.
+	Seed uint64
+	// Fanout is the number of peers that one push goes to.
+	Fanout int
+	// PushRounds is the number of pushes after an installation. The last of
+	// several only tells the revision.
+	PushRounds int
+	// PushInterval is the least time between two pushes.
+	PushInterval time.Duration
+	// PullInterval is the mean time between two pulls.
+	PullInterval time.Duration
+	// ReadsPerSecond is the rate of table reads of all processes together.
+	ReadsPerSecond float64
+	// StartReadsPerSecond bounds the table reads of processes that start at
+	// the same time.
+	StartReadsPerSecond float64
+	// StartPeers is the number of serving peers that must have answered
+	// before a process serves without the table.
+	StartPeers int
+	// BytesPerSecond bounds what is sent on average. Pushes wait while pulls
+	// and answers have used it up.
+	BytesPerSecond float64
+}
+
+// The defaults of Options.
+const (
+	DefaultFanout              = 4
+	DefaultPushRounds          = 3
+	DefaultPushInterval        = 150 * time.Millisecond
+	DefaultPullInterval        = 250 * time.Millisecond
+	DefaultReadsPerSecond      = 8
+	DefaultStartReadsPerSecond = 200
+	DefaultStartPeers          = 3
+	DefaultBytesPerSecond      = 1300
+)
+
+// Fixed times and limits of the protocol.
+const (
+	probeInterval     = 200 * time.Millisecond
+	slowProbeInterval = 2 * time.Second
+	fastProbeRounds   = 25
+	probesPerRound    = 6
+	pullTimeout       = 200 * time.Millisecond
+	readTimeout       = 2 * time.Second
+	answerLifetime    = 5 * time.Second
+	pushWindow        = time.Second
+	maxPushBytes      = 4096
+	maxWindow         = 64
+	messageOverhead   = 64
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Fanout, DefaultFanout)
+	setDefault(&o.PushRounds, DefaultPushRounds)
+	setDefault(&o.PushInterval, DefaultPushInterval)
+	setDefault(&o.PullInterval, DefaultPullInterval)
+	setDefault(&o.ReadsPerSecond, DefaultReadsPerSecond)
+	setDefault(&o.StartReadsPerSecond, DefaultStartReadsPerSecond)
+	setDefault(&o.StartPeers, DefaultStartPeers)
+	setDefault(&o.BytesPerSecond, DefaultBytesPerSecond)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
