--- /dev/null
+++ b/template/items.go
@@ -0,0 +1,170 @@
+package template
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/revision"
+)
+
+// Keys of items. A template is one item. A deployment is one item for itself
+// and one for each workspace and backend server, so that a change of one of
+// them stays small.
+const (
+	templatePrefix   = "t/"
+	deploymentPrefix = "d/"
+	workspacePart    = "w"
+	serverPart       = "s"
+)
+
+// core returns d without what stands in items of its own.
+func (d Deployment) core() Deployment {
+	d.Workspaces = nil
+	d.BackendServers = nil
+	return d
+}
+
+// encoded holds items by key.
+type encoded map[string][]byte
+
+func (e encoded) add(key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", key)
+	}
+	e[key] = data
+	return nil
+}
+
+func (e encoded) template(t *Template) error {
+	if t == nil {
+		return nil
+	}
+	return e.add(templatePrefix+string(t.Name), t)
+}
+
+func (e encoded) deployment(d *Deployment) error {
+	if d == nil {
+		return nil
+	}
+	key := deploymentPrefix + string(d.Name)
+	if err := e.add(key, d.core()); err != nil {
+		return err
+	}
+	for _, id := range d.BackendServers {
+		e[key+"/"+serverPart+"/"+string(id)] = nil
+	}
+	for i := range d.Workspaces {
+		b := &d.Workspaces[i]
+		path := key + "/" + workspacePart + "/" + string(b.Workspace)
+		if len(b.Values) == 0 {
+			e[path] = nil
+			continue
+		}
+		if err := e.add(path, b.Values); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Changes returns the items that change from current to next, in order of
+// key, where next came from current by change.
+func Changes(current, next *Config, change Change) ([]revision.Item, error) {
+	old, err := current.touched(change)
+	if err != nil {
+		return nil, err
+	}
+	now, err := next.touched(change)
+	if err != nil {
+		return nil, err
+	}
+	var items []revision.Item
+	for key, value := range now {
+		before, found := old[key]
+		if !found || string(before) != string(value) {
+			items = append(items, revision.Item{Key: key, Value: value, Revision: next.Revision})
+		}
+	}
+	for key := range old {
+		if _, kept := now[key]; !kept {
+			items = append(items, revision.Item{Key: key, Revision: next.Revision, Deleted: true})
+		}
+	}
+	slices.SortFunc(items, func(a, b revision.Item) int { return strings.Compare(a.Key, b.Key) })
+	return items, nil
+}
+
+// touched encodes what change puts or deletes, as it stands in c.
+func (c *Config) touched(change Change) (encoded, error) {
+	e := make(encoded)
+	templates, deployments := change.Names()
+	for _, name := range templates {
+		if err := e.template(c.Template(name)); err != nil {
+			return nil, err
+		}
+	}
+	for _, name := range deployments {
+		if err := e.deployment(c.Deployment(name)); err != nil {
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+// Names returns the templates and deployments that c puts or deletes.
+func (c *Change) Names() ([]Name, []DeploymentName) {
+	templates := slices.Clone(c.DeleteTemplates)
+	for i := range c.PutTemplates {
+		templates = append(templates, c.PutTemplates[i].Name)
+	}
+	deployments := slices.Clone(c.DeleteDeployments)
+	for i := range c.PutDeployments {
+		deployments = append(deployments, c.PutDeployments[i].Name)
+	}
+	return templates, deployments
+}
+
+// Owner tells which template or deployment an item belongs to. Both are empty
+// if the key is none of this package.
+func Owner(key string) (Name, DeploymentName) {
+	parts := strings.SplitN(key, "/", 3)
+	if len(parts) < 2 {
+		return "", ""
+	}
+	switch parts[0] + "/" {
+	case templatePrefix:
+		return Name(parts[1]), ""
+	case deploymentPrefix:
+		return "", DeploymentName(parts[1])
+	default:
+		return "", ""
+	}
+}
+
+// part is what a key of a deployment names.
+type part struct {
+	deployment DeploymentName
+	server     wigeonfork.BackendServerID
+	workspace  wigeonfork.Workspace
+}
+
+func parsePart(key string) (part, bool) {
+	fields := strings.Split(strings.TrimPrefix(key, deploymentPrefix), "/")
+	p := part{deployment: DeploymentName(fields[0])}
+	switch {
+	case len(fields) == 1:
+		return p, true
+	case len(fields) == 3 && fields[1] == serverPart:
+		p.server = wigeonfork.BackendServerID(fields[2])
+		return p, true
+	case len(fields) == 3 && fields[1] == workspacePart:
+		p.workspace = wigeonfork.Workspace(fields[2])
+		return p, true
+	default:
+		return part{}, false
+	}
+}
--- /dev/null
+++ b/template/store/compact.go
@@ -0,0 +1,123 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// deletesPerCommit bounds the rows that one transaction deletes.
+const deletesPerCommit = 128
+
+// Compact moves all but the last keep log entries to the object store, if
+// there are at least twice as many. The state and the history go there first
+// and the table's pointer after them; only then are rows deleted. It may fail
+// or stop at any point, and be run by several hosts at once, without loss.
+// It returns the number of log rows that it deleted.
+func (s *Store) Compact(ctx context.Context, operationID string, keep int) (int, error) {
+	keep = max(keep, 1)
+	entries, err := s.scanLog(ctx, 0)
+	if err != nil || len(entries) < 2*keep {
+		return 0, err
+	}
+	if err := s.fetchItems(ctx, entries); err != nil {
+		return 0, err
+	}
+	old := entries[:len(entries)-keep]
+	if err := s.moveState(ctx, operationID, old); err != nil {
+		return 0, err
+	}
+	return s.deleteLog(ctx, operationID, old)
+}
+
+// moveState stores the state and the history of old and points the table to
+// the state, unless that is done already.
+func (s *Store) moveState(ctx context.Context, operationID string, old []Entry) error {
+	row, err := s.table.Get(ctx, snapshotKey)
+	if err != nil {
+		return err
+	}
+	base, err := s.base(ctx, row)
+	if err != nil {
+		return err
+	}
+	last := old[len(old)-1].Revision
+	if base.revision >= last {
+		return nil
+	}
+	fresh := old
+	for len(fresh) > 0 && fresh[0].Revision <= base.revision {
+		fresh = fresh[1:]
+	}
+	state, err := base.next(fresh)
+	if err != nil {
+		return err
+	}
+	suffix := "-" + operationID
+	if err := s.putJSON(ctx, objectName(historyPrefix, last, suffix), fresh); err != nil {
+		return err
+	}
+	name := objectName(snapshotPrefix, last, suffix)
+	if err := s.putJSON(ctx, name, state.snapshot()); err != nil {
+		return err
+	}
+	return s.point(ctx, operationID, row.Revision, snapshotRow{Revision: last, Object: name})
+}
+
+func (s *Store) base(ctx context.Context, row platform.Row) (*view, error) {
+	if row.Revision == 0 {
+		return emptyView(), nil
+	}
+	pointer, err := decode[snapshotRow](snapshotKey, row.Value)
+	if err != nil {
+		return nil, err
+	}
+	return s.readSnapshot(ctx, pointer.Object)
+}
+
+// point makes the table name the new state, unless another host did.
+func (s *Store) point(ctx context.Context, operationID string, at platform.Revision, pointer snapshotRow) error {
+	data, err := json.Marshal(pointer)
+	if err != nil {
+		return errors.Wrap(err, "encode snapshot row")
+	}
+	commit, err := s.commit(ctx, platform.Transaction{
+		OperationID: fmt.Sprintf("config/compact/%s/%d", operationID, pointer.Revision),
+		Conditions:  []platform.Condition{{Key: snapshotKey, Revision: at}},
+		Writes:      []platform.Write{{Key: snapshotKey, Value: data}},
+	})
+	if err != nil {
+		return commitError(operationID, err)
+	}
+	if !commit.Applied {
+		return errHeadMoved
+	}
+	return nil
+}
+
+// deleteLog deletes the rows of old, which the stored state covers.
+func (s *Store) deleteLog(ctx context.Context, operationID string, old []Entry) (int, error) {
+	deleted := 0
+	for start := 0; start < len(old); start += deletesPerCommit {
+		tx := platform.Transaction{OperationID: fmt.Sprintf("config/compact/%s/delete/%d", operationID, old[start].Revision)}
+		for _, e := range old[start:min(start+deletesPerCommit, len(old))] {
+			tx.Writes = append(tx.Writes, platform.Write{Key: logKey(e.Revision), Delete: true})
+		}
+		if _, err := s.commit(ctx, tx); err != nil {
+			return deleted, commitError(operationID, err)
+		}
+		deleted += len(tx.Writes)
+	}
+	return deleted, nil
+}
+
+func (s *Store) putJSON(ctx context.Context, name string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", name)
+	}
+	return s.putOnce(ctx, object{name, data})
+}
--- /dev/null
+++ b/template/store/errors.go
@@ -0,0 +1,60 @@
+package store
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// ConflictError tells that another change of the same template or deployment
+// was accepted first, by whom and with what.
+type ConflictError struct {
+	Winner  Entry
+	Changes []Difference
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	texts := make([]string, len(e.Changes))
+	for i := range e.Changes {
+		texts[i] = e.Changes[i].String()
+	}
+	return fmt.Sprintf("%s changed it at revision %d (%s): %s",
+		e.Winner.Author, e.Winner.Revision, e.Winner.At.UTC().Format(time.RFC3339), strings.Join(texts, "; "))
+}
+
+// Problem returns e as the typed error that operators receive.
+func (e *ConflictError) Problem() *problem.Error {
+	return problem.New(problem.CodeConflict, problem.RunNot, problem.StepConfig, "%s", e.Error()).Because(e)
+}
+
+const (
+	storeRetryAfter = 2 * time.Second
+	peerTable       = "table"
+	peerObjects     = "object store"
+)
+
+// unavailable is the error of a change that was certainly not made.
+func unavailable(peer string, err error) *problem.Error {
+	return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepConfig, "the change was not made").
+		At(peer).After(storeRetryAfter).Because(err)
+}
+
+// unknown is the error of a change of which it is not known whether it was
+// made. The same operation id can be sent again.
+func unknown(id string, err error) *problem.Error {
+	return problem.New(problem.CodeOutcomeUnknown, problem.RunUnknown, problem.StepConfig,
+		"whether the change was made is not known; send operation %s again", id).
+		At(peerTable).After(storeRetryAfter).Because(err)
+}
+
+// commitError returns the error of a transaction that failed.
+func commitError(id string, err error) error {
+	if platform.OutcomeOf(err) == platform.OutcomeNotDone {
+		return unavailable(peerTable, err)
+	}
+	return unknown(id, err)
+}
--- /dev/null
+++ b/template/store/fake_test.go
@@ -0,0 +1,156 @@
+package store
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+var errDown = errors.New("down")
+
+// fakeTable is a table in memory. before and after, if set, may fail a call
+// before and after it takes effect.
+type fakeTable struct {
+	mutex    sync.Mutex
+	revision platform.Revision
+	rows     map[string]platform.Row
+	done     map[string]platform.Commit
+	before   func(operation string) error
+	after    func(operation string) error
+	scans    int
+}
+
+func newFakeTable() *fakeTable {
+	pass := func(string) error { return nil }
+	return &fakeTable{rows: make(map[string]platform.Row), done: make(map[string]platform.Commit), before: pass, after: pass}
+}
+
+func notDone(operation string) error {
+	return platform.NewError(platform.OutcomeNotDone, operation, "table", errDown)
+}
+
+func notKnown(operation string) error {
+	return platform.NewError(platform.OutcomeUnknown, operation, "table", errDown)
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	if err := f.before("get"); err != nil {
+		return platform.Row{}, err
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.rows[key], nil
+}
+
+func (f *fakeTable) Scan(_ context.Context, q platform.ScanQuery) (platform.Page, error) {
+	if err := f.before("scan"); err != nil {
+		return platform.Page{}, err
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.scans++
+	page := platform.Page{Revision: f.revision}
+	for _, key := range slices.Sorted(maps.Keys(f.rows)) {
+		if !strings.HasPrefix(key, q.Prefix) || key < q.From {
+			continue
+		}
+		if len(page.Rows) == q.Limit {
+			page.Next = key
+			break
+		}
+		page.Rows = append(page.Rows, f.rows[key])
+	}
+	return page, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, tx platform.Transaction) (platform.Commit, error) {
+	if err := f.before(tx.OperationID); err != nil {
+		return platform.Commit{}, err
+	}
+	commit := f.apply(tx)
+	if err := f.after(tx.OperationID); err != nil {
+		return platform.Commit{}, err
+	}
+	return commit, nil
+}
+
+func (f *fakeTable) apply(tx platform.Transaction) platform.Commit {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if commit, found := f.done[tx.OperationID]; found {
+		return commit
+	}
+	commit := platform.Commit{Applied: true}
+	for _, c := range tx.Conditions {
+		if f.rows[c.Key].Revision != c.Revision {
+			commit.Applied = false
+			commit.Conflicts = append(commit.Conflicts, platform.Row{Key: c.Key, Revision: f.rows[c.Key].Revision})
+		}
+	}
+	if commit.Applied {
+		f.revision++
+		for _, w := range tx.Writes {
+			if w.Delete {
+				delete(f.rows, w.Key)
+				continue
+			}
+			f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: f.revision}
+		}
+	}
+	commit.Revision = f.revision
+	f.done[tx.OperationID] = commit
+	return commit
+}
+
+// fakeObjects is an object store in memory that refuses a second Put.
+type fakeObjects struct {
+	mutex sync.Mutex
+	data  map[string][]byte
+	fail  func(operation, name string) error
+}
+
+func newFakeObjects() *fakeObjects {
+	return &fakeObjects{data: make(map[string][]byte), fail: func(_, _ string) error { return nil }}
+}
+
+func (f *fakeObjects) Put(_ context.Context, name string, data []byte) error {
+	if err := f.fail("put", name); err != nil {
+		return err
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if _, found := f.data[name]; found {
+		return errors.New("exists")
+	}
+	f.data[name] = slices.Clone(data)
+	return nil
+}
+
+func (f *fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	data, found := f.data[name]
+	if !found {
+		return nil, platform.NewError(platform.OutcomeNotDone, "get", "objects", platform.ErrNotFound)
+	}
+	return data, nil
+}
+
+func (f *fakeObjects) List(_ context.Context, prefix string) ([]string, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	names := slices.Sorted(maps.Keys(f.data))
+	return slices.DeleteFunc(names, func(name string) bool { return !strings.HasPrefix(name, prefix) }), nil
+}
+
+func (f *fakeObjects) Delete(_ context.Context, name string) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	delete(f.data, name)
+	return nil
+}
--- /dev/null
+++ b/template/store/history.go
@@ -0,0 +1,245 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/revision"
+)
+
+// Difference is one field that differs. Old or New is empty where the field
+// was added or removed. Both are JSON.
+type Difference struct {
+	Field string `json:"field"`
+	Old   string `json:"old,omitempty"`
+	New   string `json:"new,omitempty"`
+}
+
+// String returns d for people.
+func (d *Difference) String() string {
+	switch {
+	case d.Old == "" && d.New == "":
+		return d.Field
+	case d.Old == "":
+		return fmt.Sprintf("%s = %s", d.Field, d.New)
+	case d.New == "":
+		return fmt.Sprintf("%s removed, was %s", d.Field, d.Old)
+	default:
+		return fmt.Sprintf("%s = %s, was %s", d.Field, d.New, d.Old)
+	}
+}
+
+// History returns up to limit accepted changes, the newest first, that are
+// not newer than revision before; 0 stands for the head.
+func (s *Store) History(ctx context.Context, before wigeonfork.Revision, limit int) ([]Entry, error) {
+	entries, err := s.scanLog(ctx, 0)
+	if err != nil {
+		return nil, err
+	}
+	if before == 0 && len(entries) > 0 {
+		before = entries[len(entries)-1].Revision
+	}
+	var list []Entry
+	segments, listed := []string(nil), false
+	for {
+		for i := len(entries) - 1; i >= 0 && len(list) < limit; i-- {
+			if entries[i].Revision <= before {
+				list = append(list, entries[i])
+				before = entries[i].Revision - 1
+			}
+		}
+		if len(list) >= limit || before == 0 {
+			break
+		}
+		if !listed {
+			if segments, err = s.objects.List(ctx, historyPrefix); err != nil {
+				return nil, err
+			}
+			slices.Sort(segments)
+			listed = true
+		}
+		if len(segments) == 0 {
+			break
+		}
+		last := segments[len(segments)-1]
+		segments = segments[:len(segments)-1]
+		if entries, err = s.readSegment(ctx, last); err != nil {
+			return nil, err
+		}
+	}
+	return list, s.fetchItems(ctx, list)
+}
+
+func (s *Store) readSegment(ctx context.Context, name string) ([]Entry, error) {
+	data, err := s.objects.Get(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return decode[[]Entry](name, data)
+}
+
+// At returns the state at an earlier revision.
+func (s *Store) at(ctx context.Context, r wigeonfork.Revision) (*view, error) {
+	v, err := s.snapshotBefore(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if r == v.revision {
+		return v, nil
+	}
+	entries, err := s.History(ctx, r, int(r-v.revision))
+	if err != nil {
+		return nil, err
+	}
+	slices.Reverse(entries)
+	next, err := v.next(entries)
+	if err != nil {
+		return nil, err
+	}
+	if next.revision != r {
+		return nil, errors.Wrapf(platform.ErrNotFound, "revision %d", r)
+	}
+	return next, nil
+}
+
+// snapshotBefore returns the last state in the object store that is not newer
+// than r.
+func (s *Store) snapshotBefore(ctx context.Context, r wigeonfork.Revision) (*view, error) {
+	names, err := s.objects.List(ctx, snapshotPrefix)
+	if err != nil {
+		return nil, err
+	}
+	slices.Sort(names)
+	limit := objectName(snapshotPrefix, r+1, "")
+	i, _ := slices.BinarySearch(names, limit)
+	if i == 0 {
+		return emptyView(), nil
+	}
+	return s.readSnapshot(ctx, names[i-1])
+}
+
+func objectName(prefix string, r wigeonfork.Revision, suffix string) string {
+	return fmt.Sprintf("%s%020d%s", prefix, r, suffix)
+}
+
+// Diff returns what differs between two revisions, in order of field.
+func (s *Store) Diff(ctx context.Context, from, to wigeonfork.Revision) ([]Difference, error) {
+	old, err := s.at(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	now, err := s.at(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	var list []Difference
+	for _, key := range slices.Sorted(maps.Keys(union(old.items, now.items))) {
+		list = append(list, differences(key, live(old, key), live(now, key))...)
+	}
+	return list, nil
+}
+
+func union(a, b map[string]revision.Item) map[string]struct{} {
+	keys := make(map[string]struct{}, len(a))
+	for key := range a {
+		keys[key] = struct{}{}
+	}
+	for key := range b {
+		keys[key] = struct{}{}
+	}
+	return keys
+}
+
+// live returns the item at key, or nil if there is none or it is deleted.
+func live(v *view, key string) *revision.Item {
+	item, found := v.items[key]
+	if !found || item.Deleted {
+		return nil
+	}
+	return &item
+}
+
+// differencesOf returns what an entry set, without what was there before.
+func differencesOf(e *Entry) []Difference {
+	var list []Difference
+	for i := range e.Items {
+		item := &e.Items[i]
+		if item.Deleted {
+			list = append(list, Difference{Field: fieldName(item.Key) + " removed"})
+			continue
+		}
+		list = append(list, differences(item.Key, nil, item)...)
+	}
+	return list
+}
+
+// differences compares an item field by field.
+func differences(key string, old, now *revision.Item) []Difference {
+	if old == nil && now == nil {
+		return nil
+	}
+	before, after := fields(old), fields(now)
+	name := fieldName(key)
+	if len(before) == 0 && len(after) == 0 {
+		if (old == nil) == (now == nil) {
+			return nil
+		}
+		return []Difference{presence(name, now != nil)}
+	}
+	var list []Difference
+	names := maps.Clone(before)
+	maps.Copy(names, after)
+	for _, field := range slices.Sorted(maps.Keys(names)) {
+		if before[field] != after[field] {
+			list = append(list, Difference{Field: name + "." + field, Old: before[field], New: after[field]})
+		}
+	}
+	return list
+}
+
+func presence(name string, added bool) Difference {
+	if added {
+		return Difference{Field: name, New: "true"}
+	}
+	return Difference{Field: name, Old: "true"}
+}
+
+// fields returns the top-level fields of an item's JSON.
+func fields(item *revision.Item) map[string]string {
+	if item == nil || len(item.Value) == 0 {
+		return map[string]string{}
+	}
+	var raw map[string]json.RawMessage
+	if json.Unmarshal(item.Value, &raw) != nil {
+		return map[string]string{"value": string(item.Value)}
+	}
+	texts := make(map[string]string, len(raw))
+	for name, value := range raw {
+		texts[name] = string(value)
+	}
+	return texts
+}
+
+// fieldName returns the name of an item for people.
+func fieldName(key string) string {
+	parts := strings.Split(key, "/")
+	switch {
+	case len(parts) == 2 && parts[0] == "t":
+		return "templates." + parts[1]
+	case len(parts) == 2:
+		return "deployments." + parts[1]
+	case len(parts) == 4 && parts[2] == "w":
+		return "deployments." + parts[1] + ".workspaces." + parts[3]
+	case len(parts) == 4:
+		return "deployments." + parts[1] + ".backend_servers." + parts[3]
+	default:
+		return key
+	}
+}
--- /dev/null
+++ b/template/store/plan.go
@@ -0,0 +1,210 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Request asks for a change. Base is the revision that the author looked at:
+// if what Change touches was changed after it, the request is refused. Base 0
+// stands for the present revision. Conditions must hold too; with the row of
+// a lease only its holder's changes are accepted. The same OperationID may be
+// sent again until the outcome is known, with Resent set.
+type Request struct {
+	OperationID string
+	Resent      bool
+	Author      string
+	Base        wigeonfork.Revision
+	Change      template.Change
+	Conditions  []platform.Condition
+	Now         time.Time
+	Weights     []platform.WeightInfo
+	Settle      time.Duration
+}
+
+// Accepted tells the revision at which a change is in the configuration.
+// Repeated tells that it was accepted before.
+type Accepted struct {
+	Revision wigeonfork.Revision `json:"revision"`
+	Repeated bool                `json:"repeated"`
+}
+
+func (r *Request) digest() (uint64, error) {
+	data, err := json.Marshal(r.Change)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode change")
+	}
+	return xxhash.Sum64(data), nil
+}
+
+// object is a payload that must be stored before the transaction.
+type object struct {
+	name string
+	data []byte
+}
+
+// plan is a decided change: what to store and what to commit.
+type plan struct {
+	entry       Entry
+	objects     []object
+	transaction platform.Transaction
+}
+
+// repeated tells whether request was accepted before. It fails if another
+// change was accepted under its operation id.
+func repeated(v *view, request *Request) (Accepted, bool, error) {
+	known, found := v.operation(request.OperationID)
+	if !found {
+		return Accepted{}, false, nil
+	}
+	digest, err := request.digest()
+	if err != nil {
+		return Accepted{}, false, err
+	}
+	if known.Digest != digest {
+		return Accepted{}, false, problem.New(problem.CodeKeyReused, problem.RunNot, problem.StepConfig,
+			"operation %s was another change, accepted at revision %d", request.OperationID, known.Revision)
+	}
+	return Accepted{Revision: known.Revision, Repeated: true}, true, nil
+}
+
+// decide checks request against the state v and returns what to commit. head
+// is the table's revision of the row config/head at v.
+func decide(v *view, head platform.Revision, request *Request) (plan, error) {
+	current, err := v.config()
+	if err != nil {
+		return plan{}, err
+	}
+	checks := template.Checks{Now: request.Now, Weights: request.Weights, Settle: request.Settle}
+	if err := template.Validate(current, request.Change, checks); err != nil {
+		return plan{}, err
+	}
+	next := current.Apply(request.Change)
+	items, err := template.Changes(&current, &next, request.Change)
+	if err != nil {
+		return plan{}, err
+	}
+	digest, err := request.digest()
+	if err != nil {
+		return plan{}, err
+	}
+	p := plan{entry: Entry{
+		Revision:    next.Revision,
+		OperationID: request.OperationID,
+		Digest:      digest,
+		Author:      request.Author,
+		At:          request.Now,
+		Summary:     summarize(&request.Change),
+		Items:       items,
+	}}
+	return p, p.build(&next, head, request)
+}
+
+func summarize(change *template.Change) []string {
+	var list []string
+	for i := range change.PutTemplates {
+		list = append(list, "put template "+string(change.PutTemplates[i].Name))
+	}
+	for _, name := range change.DeleteTemplates {
+		list = append(list, "delete template "+string(name))
+	}
+	for i := range change.PutDeployments {
+		list = append(list, "put deployment "+string(change.PutDeployments[i].Name))
+	}
+	for _, name := range change.DeleteDeployments {
+		list = append(list, "delete deployment "+string(name))
+	}
+	return list
+}
+
+// build fills in the transaction. Its operation id names the revision too, so
+// that an attempt that lost a race is not taken for a later one.
+func (p *plan) build(next *template.Config, head platform.Revision, request *Request) error {
+	tx := &p.transaction
+	tx.OperationID = fmt.Sprintf("config/%s/%d", request.OperationID, next.Revision)
+	tx.Conditions = append([]platform.Condition{{Key: headKey, Revision: head}}, request.Conditions...)
+	if err := p.writeDocuments(next, &request.Change); err != nil {
+		return err
+	}
+	if err := p.writeEntry(); err != nil {
+		return err
+	}
+	return p.write(headKey, headRow{next.Revision, request.OperationID, request.Author})
+}
+
+func (p *plan) writeDocuments(next *template.Config, change *template.Change) error {
+	for _, name := range change.DeleteTemplates {
+		p.remove(templateKey(name))
+	}
+	for i := range change.PutTemplates {
+		name := change.PutTemplates[i].Name
+		if err := p.writeDocument(templateKey(name), next.Template(name)); err != nil {
+			return err
+		}
+	}
+	for _, name := range change.DeleteDeployments {
+		p.remove(deploymentKey(name))
+	}
+	for i := range change.PutDeployments {
+		name := change.PutDeployments[i].Name
+		if err := p.writeDocument(deploymentKey(name), next.Deployment(name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *plan) remove(key string) {
+	p.transaction.Writes = append(p.transaction.Writes, platform.Write{Key: key, Delete: true})
+}
+
+func (p *plan) write(key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", key)
+	}
+	p.transaction.Writes = append(p.transaction.Writes, platform.Write{Key: key, Value: data})
+	return nil
+}
+
+func (p *plan) writeDocument(key string, document any) error {
+	data, err := json.Marshal(document)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", key)
+	}
+	row := documentRow{Revision: p.entry.Revision, Body: data}
+	if len(data) > maxRowBytes {
+		row.Body = nil
+		row.Object = p.store(key, data)
+	}
+	return p.write(key, row)
+}
+
+func (p *plan) writeEntry() error {
+	data, err := json.Marshal(p.entry.Items)
+	if err != nil {
+		return errors.Wrap(err, "encode items")
+	}
+	row := p.entry
+	if len(data) > maxRowBytes {
+		row.Items = nil
+		row.Object = p.store("items", data)
+	}
+	return p.write(logKey(p.entry.Revision), row)
+}
+
+// store plans an object. Its name holds the operation and the revision, so
+// that an attempt never overwrites what another refers to.
+func (p *plan) store(part string, data []byte) string {
+	name := fmt.Sprintf("%s%s/%d/%s", payloadPrefix, p.entry.OperationID, p.entry.Revision, part)
+	p.objects = append(p.objects, object{name, data})
+	return name
+}
--- /dev/null
+++ b/template/store/read.go
@@ -0,0 +1,183 @@
+package store
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/revision"
+)
+
+// scanLimit is the number of rows asked for at once.
+const scanLimit = 256
+
+// cache holds the last state that was read.
+type cache struct {
+	mutex sync.Mutex
+	last  *view
+}
+
+func (c *cache) get() *view {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.last
+}
+
+func (c *cache) put(v *view) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if v.revision > c.last.revision {
+		c.last = v
+	}
+}
+
+// Since returns what changed after revision from, or the whole state where
+// the log no longer reaches back to it. It is the table read of a
+// revision.Node and takes one read of the table in the ordinary case.
+func (s *Store) Since(ctx context.Context, from wigeonfork.Revision) (revision.Delta, error) {
+	v, err := s.load(ctx)
+	if err != nil {
+		return revision.Delta{}, err
+	}
+	if v.revision < from {
+		return revision.Delta{From: from, To: from}, nil
+	}
+	return v.delta(from), nil
+}
+
+// load brings the cached state up to the head of the log.
+func (s *Store) load(ctx context.Context) (*view, error) {
+	for range s.options.Attempts {
+		v, err := s.loadOnce(ctx)
+		if !errors.Is(err, errHeadMoved) {
+			return v, err
+		}
+	}
+	return nil, errHeadMoved
+}
+
+func (s *Store) loadOnce(ctx context.Context) (*view, error) {
+	v := s.cache.get()
+	entries, err := s.scanLog(ctx, v.revision)
+	if err != nil {
+		return nil, err
+	}
+	if len(entries) > 0 && entries[0].Revision == v.revision {
+		entries = entries[1:]
+	} else if len(entries) > 0 && entries[0].Revision != v.revision+1 {
+		v, err = s.loadSnapshot(ctx)
+		if err != nil {
+			return nil, err
+		}
+		entries = slices.DeleteFunc(entries, func(e Entry) bool { return e.Revision <= v.revision })
+		if len(entries) > 0 && entries[0].Revision != v.revision+1 {
+			return nil, errHeadMoved
+		}
+	}
+	if err := s.fetchItems(ctx, entries); err != nil {
+		return nil, err
+	}
+	next, err := v.next(entries)
+	if err != nil {
+		return nil, err
+	}
+	s.cache.put(next)
+	return next, nil
+}
+
+// scanLog returns the entries from revision from on. The log only grows at
+// its end, so that pages read one after another fit together.
+func (s *Store) scanLog(ctx context.Context, from wigeonfork.Revision) ([]Entry, error) {
+	query := platform.ScanQuery{Prefix: logPrefix, From: logKey(from), Limit: scanLimit}
+	var entries []Entry
+	for {
+		page, err := s.table.Scan(ctx, query)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range page.Rows {
+			entry, err := decode[Entry](row.Key, row.Value)
+			if err != nil {
+				return nil, err
+			}
+			entries = append(entries, entry)
+		}
+		if page.Next == "" {
+			return entries, nil
+		}
+		query.From = page.Next
+	}
+}
+
+func (s *Store) loadSnapshot(ctx context.Context) (*view, error) {
+	row, err := s.table.Get(ctx, snapshotKey)
+	if err != nil {
+		return nil, err
+	}
+	if row.Revision == 0 {
+		return nil, errors.New("the log starts late and there is no snapshot")
+	}
+	pointer, err := decode[snapshotRow](snapshotKey, row.Value)
+	if err != nil {
+		return nil, err
+	}
+	return s.readSnapshot(ctx, pointer.Object)
+}
+
+func (s *Store) readSnapshot(ctx context.Context, name string) (*view, error) {
+	data, err := s.objects.Get(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	state, err := decode[snapshotObject](name, data)
+	if err != nil {
+		return nil, err
+	}
+	return viewOf(&state), nil
+}
+
+// fetchItems reads the items that stand in the object store.
+func (s *Store) fetchItems(ctx context.Context, entries []Entry) error {
+	for i := range entries {
+		e := &entries[i]
+		if e.Object == "" || len(e.Items) > 0 {
+			continue
+		}
+		data, err := s.objects.Get(ctx, e.Object)
+		if err != nil {
+			return err
+		}
+		if e.Items, err = decode[[]revision.Item](e.Object, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// present returns the state at the head, and the table's revision of the row
+// config/head, on which a change is conditional.
+func (s *Store) present(ctx context.Context) (*view, platform.Revision, error) {
+	for range s.options.Attempts {
+		row, err := s.table.Get(ctx, headKey)
+		if err != nil {
+			return nil, 0, err
+		}
+		var head headRow
+		if row.Revision > 0 {
+			if head, err = decode[headRow](headKey, row.Value); err != nil {
+				return nil, 0, err
+			}
+		}
+		v, err := s.load(ctx)
+		if err != nil {
+			return nil, 0, err
+		}
+		if v.revision == head.Revision {
+			return v, row.Revision, nil
+		}
+	}
+	return nil, 0, errHeadMoved
+}
--- /dev/null
+++ b/template/store/rows.go
@@ -0,0 +1,88 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/revision"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Keys of rows and names of objects.
+const (
+	headKey          = "config/head"
+	snapshotKey      = "config/snapshot"
+	templatePrefix   = "config/template/"
+	deploymentPrefix = "config/deployment/"
+	logPrefix        = "config/log/"
+	payloadPrefix    = "config/payload/"
+	snapshotPrefix   = "config/snapshot/"
+	historyPrefix    = "config/history/"
+)
+
+// maxRowBytes is the size from which a payload goes to the object store.
+const maxRowBytes = 64 << 10
+
+// headRow is the value of the row config/head.
+type headRow struct {
+	Revision    wigeonfork.Revision `json:"revision"`
+	OperationID string              `json:"operation_id"`
+	Author      string              `json:"author"`
+}
+
+// Entry is one accepted change. Items holds what it changed; Object names the
+// object that holds the items instead.
+type Entry struct {
+	Revision    wigeonfork.Revision `json:"revision"`
+	OperationID string              `json:"operation_id"`
+	Digest      uint64              `json:"digest"`
+	Author      string              `json:"author"`
+	At          time.Time           `json:"at"`
+	Summary     []string            `json:"summary"`
+	Items       []revision.Item     `json:"items,omitempty"`
+	Object      string              `json:"object,omitempty"`
+}
+
+// documentRow is the value of the row of a template or deployment. Body is
+// empty where Object names the object that holds it.
+type documentRow struct {
+	Revision wigeonfork.Revision `json:"revision"`
+	Body     json.RawMessage     `json:"body,omitempty"`
+	Object   string              `json:"object,omitempty"`
+}
+
+// snapshotRow names the object with the state that the log continues from.
+type snapshotRow struct {
+	Revision wigeonfork.Revision `json:"revision"`
+	Object   string              `json:"object"`
+}
+
+// snapshotObject is a whole state.
+type snapshotObject struct {
+	Revision   wigeonfork.Revision `json:"revision"`
+	Floor      wigeonfork.Revision `json:"floor"`
+	Items      []revision.Item     `json:"items"`
+	Operations []operation         `json:"operations"`
+}
+
+// operation is a change that was accepted, so that a repeated one is known.
+type operation struct {
+	ID       string              `json:"id"`
+	Digest   uint64              `json:"digest"`
+	Revision wigeonfork.Revision `json:"revision"`
+}
+
+func logKey(r wigeonfork.Revision) string { return fmt.Sprintf("%s%020d", logPrefix, r) }
+
+func templateKey(name template.Name) string { return templatePrefix + string(name) }
+
+func deploymentKey(name template.DeploymentName) string { return deploymentPrefix + string(name) }
+
+func decode[T any](key string, data []byte) (T, error) {
+	var value T
+	err := json.Unmarshal(data, &value)
+	return value, errors.Wrapf(err, "decode %s", key)
+}
--- /dev/null
+++ b/template/store/store.go
@@ -0,0 +1,218 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Options are the settings of a Store. A zero field takes its default.
+type Options struct {
+	// Attempts bounds how often a transaction is sent while its outcome is
+	// not known, and how often a lost race is run again.
+	Attempts int
+	// Backoff is the wait before the second attempt; it doubles each time.
+	Backoff time.Duration
+}
+
+// The defaults of Options.
+const (
+	DefaultAttempts = 5
+	DefaultBackoff  = 100 * time.Millisecond
+)
+
+// Store accepts and reads changes. It is safe for concurrent use.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+	options Options
+	cache   cache
+}
+
+// New returns a Store over the platform's services.
+func New(table platform.Table, objects platform.Objects, options Options) *Store {
+	if options.Attempts == 0 {
+		options.Attempts = DefaultAttempts
+	}
+	if options.Backoff == 0 {
+		options.Backoff = DefaultBackoff
+	}
+	return &Store{table: table, objects: objects, options: options, cache: cache{last: emptyView()}}
+}
+
+// Accept makes the change that request asks for. Its error is a
+// *template.InvalidError, a *ConflictError or a *problem.Error whose run
+// state says whether the change was made.
+func (s *Store) Accept(ctx context.Context, request Request) (Accepted, error) {
+	if request.OperationID == "" {
+		return Accepted{}, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepConfig, "the operation id is missing")
+	}
+	for range s.options.Attempts {
+		accepted, done, err := s.attempt(ctx, &request)
+		if done || err != nil {
+			return accepted, err
+		}
+	}
+	return Accepted{}, problem.New(problem.CodeConflict, problem.RunNot, problem.StepConfig,
+		"other changes were accepted first %d times", s.options.Attempts).After(storeRetryAfter)
+}
+
+// attempt decides the change on the present state and commits it. It is not
+// done where another change was committed in between.
+func (s *Store) attempt(ctx context.Context, request *Request) (Accepted, bool, error) {
+	v, head, err := s.present(ctx)
+	if err != nil {
+		return Accepted{}, false, undecided(request, err)
+	}
+	accepted, found, err := repeated(v, request)
+	if found || err != nil {
+		return accepted, found, err
+	}
+	if err := s.checkBase(ctx, v, request); err != nil {
+		return Accepted{}, false, err
+	}
+	p, err := decide(v, head, request)
+	if err != nil {
+		return Accepted{}, false, err
+	}
+	for _, o := range p.objects {
+		if err := s.putOnce(ctx, o); err != nil {
+			return Accepted{}, false, unavailable(peerObjects, err)
+		}
+	}
+	commit, err := s.commit(ctx, p.transaction)
+	if err != nil {
+		return s.settle(ctx, request, p.entry.Revision, err)
+	}
+	if !commit.Applied {
+		return Accepted{}, false, lostCondition(commit, request)
+	}
+	return Accepted{Revision: p.entry.Revision}, true, nil
+}
+
+// undecided is the error of a request whose state could not be read. Where
+// the same operation may have been sent before, its outcome is not known.
+func undecided(request *Request, err error) error {
+	if request.Resent {
+		return unknown(request.OperationID, err)
+	}
+	return unavailable(peerTable, err)
+}
+
+// settle looks in the table for the outcome of a commit that failed. Where
+// another change took the revision, the commit can no longer apply.
+func (s *Store) settle(ctx context.Context, request *Request, planned wigeonfork.Revision, cause error) (Accepted, bool, error) {
+	failed := commitError(request.OperationID, cause)
+	if platform.OutcomeOf(cause) == platform.OutcomeNotDone {
+		return Accepted{}, false, failed
+	}
+	v, err := s.load(ctx)
+	if err != nil {
+		return Accepted{}, false, failed
+	}
+	accepted, found, err := repeated(v, request)
+	if found || err != nil {
+		return accepted, found, err
+	}
+	if v.revision >= planned {
+		return Accepted{}, false, nil
+	}
+	return Accepted{}, false, failed
+}
+
+// putOnce stores an object, or finds that an earlier attempt has stored it.
+func (s *Store) putOnce(ctx context.Context, o object) error {
+	err := s.objects.Put(ctx, o.name, o.data)
+	if err == nil {
+		return nil
+	}
+	stored, getErr := s.objects.Get(ctx, o.name)
+	if getErr == nil && bytes.Equal(stored, o.data) {
+		return nil
+	}
+	return err
+}
+
+// lostCondition returns an error if another condition than that on the head
+// did not hold; only the head is worth another attempt.
+func lostCondition(commit platform.Commit, request *Request) error {
+	for _, row := range commit.Conflicts {
+		for _, condition := range request.Conditions {
+			if row.Key == condition.Key {
+				return problem.New(problem.CodeStaleOrder, problem.RunNot, problem.StepConfig,
+					"row %s is at revision %d, not %d", row.Key, row.Revision, condition.Revision)
+			}
+		}
+	}
+	return nil
+}
+
+// checkBase refuses a request whose author has not seen the last change of
+// what it touches.
+func (s *Store) checkBase(ctx context.Context, v *view, request *Request) error {
+	last := v.lastChange(&request.Change)
+	if request.Base == 0 || last <= request.Base {
+		return nil
+	}
+	conflict := &ConflictError{Winner: Entry{Revision: last}}
+	history, err := s.History(ctx, last, 1)
+	if err != nil || len(history) == 0 {
+		return conflict
+	}
+	conflict.Winner = history[0]
+	conflict.Changes = differencesOf(&history[0])
+	return conflict
+}
+
+// commit sends tx until its outcome is known. The table applies a repeated
+// operation id once.
+func (s *Store) commit(ctx context.Context, tx platform.Transaction) (platform.Commit, error) {
+	wait := s.options.Backoff
+	var unclear error
+	for range s.options.Attempts {
+		commit, err := s.table.Commit(ctx, tx)
+		if err == nil {
+			return commit, nil
+		}
+		if platform.OutcomeOf(err) != platform.OutcomeNotDone {
+			unclear = err
+		}
+		if unclear == nil {
+			return platform.Commit{}, err
+		}
+		if !sleep(ctx, wait) {
+			break
+		}
+		wait *= 2
+	}
+	return platform.Commit{}, unclear
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Config returns the configuration at the head of the table.
+func (s *Store) Config(ctx context.Context) (template.Config, error) {
+	v, err := s.load(ctx)
+	if err != nil {
+		return template.Config{}, err
+	}
+	return v.config()
+}
+
+// errHeadMoved tells that the log went on while it was read.
+var errHeadMoved = errors.New("the head moved while it was read")
--- /dev/null
+++ b/template/store/store_test.go
@@ -0,0 +1,335 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/revision"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+var (
+	ctx = context.Background()
+	now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+func letters(name template.Name) template.Template {
+	minimum, maximum := 1.0, 8192.0
+	length := template.Number(256)
+	return template.Template{Name: name, Parameters: []template.Parameter{
+		{Name: "max_tokens", Type: template.TypeInteger, Default: &length, Minimum: &minimum, Maximum: &maximum},
+	}}
+}
+
+func deployment(name string, tokens float64, servers int) template.Deployment {
+	d := template.Deployment{
+		Name:       template.DeploymentName(name),
+		Template:   "letters",
+		Model:      "m",
+		Workspaces: []template.Binding{{Workspace: wigeonfork.Workspace("w-" + name), Values: template.Values{"max_tokens": template.Number(tokens)}}},
+		Versions:   []template.VersionShare{{Version: "v1", Share: template.WholeTraffic}},
+	}
+	for i := range servers {
+		d.BackendServers = append(d.BackendServers, wigeonfork.BackendServerID(fmt.Sprintf("server-%05d", i)))
+	}
+	return d
+}
+
+func put(id, author string, base wigeonfork.Revision, d template.Deployment) Request {
+	return Request{OperationID: id, Author: author, Base: base, Now: now,
+		Change: template.Change{PutDeployments: []template.Deployment{d}}}
+}
+
+// prepared returns a table with a template and the deployment "a".
+func prepared() (*fakeTable, *fakeObjects, *Store) {
+	table, objects := newFakeTable(), newFakeObjects()
+	s := New(table, objects, Options{Backoff: time.Nanosecond})
+	_, err := s.Accept(ctx, Request{OperationID: "t", Author: "ane", Now: now,
+		Change: template.Change{PutTemplates: []template.Template{letters("letters")}}})
+	So(err, ShouldBeNil)
+	accepted, err := s.Accept(ctx, put("d", "ane", 0, deployment("a", 10, 2)))
+	So(err, ShouldBeNil)
+	So(accepted.Revision, ShouldEqual, 2)
+	return table, objects, s
+}
+
+func runState(err error) problem.RunState {
+	var typed *problem.Error
+	if !errors.As(err, &typed) {
+		return ""
+	}
+	return typed.Run
+}
+
+func TestAnswersOfTheTableThatAreLost(t *testing.T) {
+	Convey("Given an accepted deployment", t, func() {
+		table, _, s := prepared()
+		change := put("op", "ane", 2, deployment("a", 20, 2))
+		Convey("an answer that is lost once after the write does no harm", func() {
+			lost := false
+			table.after = func(id string) error {
+				if lost || !strings.Contains(id, "op") {
+					return nil
+				}
+				lost = true
+				return notKnown(id)
+			}
+			accepted, err := s.Accept(ctx, change)
+			So(err, ShouldBeNil)
+			So(accepted.Revision, ShouldEqual, 3)
+			So(lost, ShouldBeTrue)
+		})
+		Convey("answers that are lost every time are cleared up by reading back", func() {
+			table.after = notKnown
+			accepted, err := s.Accept(ctx, change)
+			So(err, ShouldBeNil)
+			So(accepted, ShouldResemble, Accepted{Revision: 3, Repeated: true})
+		})
+		Convey("where nothing can be read either, the outcome is not known, and sending it again tells", func() {
+			table.after = func(id string) error {
+				table.before = notKnown
+				return notKnown(id)
+			}
+			_, err := s.Accept(ctx, change)
+			So(runState(err), ShouldEqual, problem.RunUnknown)
+			change.Resent = true
+			_, err = s.Accept(ctx, change)
+			So(runState(err), ShouldEqual, problem.RunUnknown)
+			table.before = func(string) error { return nil }
+			table.after = table.before
+			accepted, err := New(table, newFakeObjects(), Options{}).Accept(ctx, change)
+			So(err, ShouldBeNil)
+			So(accepted, ShouldResemble, Accepted{Revision: 3, Repeated: true})
+			So(len(table.rows), ShouldEqual, 6)
+		})
+		Convey("a store that goes down after a lost answer does not make the change not run", func() {
+			table.after = func(id string) error {
+				table.before = notDone
+				return notKnown(id)
+			}
+			_, err := s.Accept(ctx, change)
+			So(runState(err), ShouldEqual, problem.RunUnknown)
+		})
+		Convey("a log with a gap is refused rather than read over", func() {
+			_, err := emptyView().next([]Entry{{Revision: 1}, {Revision: 3}})
+			So(err, ShouldNotBeNil)
+		})
+		Convey("a write that was not done is said to be not run, and was not", func() {
+			table.before = func(id string) error {
+				if strings.Contains(id, "op") {
+					return notDone(id)
+				}
+				return nil
+			}
+			_, err := s.Accept(ctx, change)
+			So(runState(err), ShouldEqual, problem.RunNot)
+			table.before = func(string) error { return nil }
+			config, err := s.Config(ctx)
+			So(err, ShouldBeNil)
+			So(config.Revision, ShouldEqual, 2)
+		})
+		Convey("an operation id is not taken for another change", func() {
+			_, err := s.Accept(ctx, change)
+			So(err, ShouldBeNil)
+			change.Change.PutDeployments[0] = deployment("a", 99, 2)
+			_, err = s.Accept(ctx, change)
+			var typed *problem.Error
+			So(errors.As(err, &typed), ShouldBeTrue)
+			So(typed.Code, ShouldEqual, problem.CodeKeyReused)
+		})
+	})
+}
+
+func TestRacingOperators(t *testing.T) {
+	Convey("Of two who change one deployment, the second is told who won and with what", t, func() {
+		_, _, s := prepared()
+		_, err := s.Accept(ctx, put("x", "bo", 2, deployment("a", 30, 2)))
+		So(err, ShouldBeNil)
+		_, err = s.Accept(ctx, put("y", "ane", 2, deployment("a", 40, 2)))
+		var conflict *ConflictError
+		So(errors.As(err, &conflict), ShouldBeTrue)
+		So(conflict.Winner.Author, ShouldEqual, "bo")
+		So(conflict.Winner.Revision, ShouldEqual, 3)
+		So(conflict.Error(), ShouldContainSubstring, "max_tokens = 30")
+		So(conflict.Problem().Run, ShouldEqual, problem.RunNot)
+		_, err = s.Accept(ctx, put("z", "ane", 2, deployment("b", 40, 2)))
+		So(err, ShouldBeNil)
+	})
+	Convey("Many at once each get a revision of their own, and nothing is lost", t, func() {
+		table, objects, _ := prepared()
+		const operators = 8
+		var group sync.WaitGroup
+		revisions := make([]wigeonfork.Revision, operators)
+		for i := range operators {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				s := New(table, objects, Options{Attempts: 100, Backoff: time.Nanosecond})
+				accepted, err := s.Accept(ctx, put(fmt.Sprint("op", i), "ane", 2, deployment(fmt.Sprint("n", i), 5, 1)))
+				if err == nil {
+					revisions[i] = accepted.Revision
+				}
+			}()
+		}
+		group.Wait()
+		seen := make(map[wigeonfork.Revision]bool)
+		for _, r := range revisions {
+			So(r, ShouldBeBetween, 2, 3+operators)
+			seen[r] = true
+		}
+		So(len(seen), ShouldEqual, operators)
+		config, err := New(table, objects, Options{}).Config(ctx)
+		So(err, ShouldBeNil)
+		So(len(config.Deployments), ShouldEqual, operators+1)
+	})
+	Convey("A change that is conditional on a lease is refused once the lease has moved", t, func() {
+		table, _, s := prepared()
+		table.apply(platform.Transaction{OperationID: "lease", Writes: []platform.Write{{Key: "lease/a", Value: []byte("1")}}})
+		request := put("op", "controller", 0, deployment("a", 20, 2))
+		request.Conditions = []platform.Condition{{Key: "lease/a", Revision: table.revision - 1}}
+		_, err := s.Accept(ctx, request)
+		var typed *problem.Error
+		So(errors.As(err, &typed), ShouldBeTrue)
+		So(typed.Code, ShouldEqual, problem.CodeStaleOrder)
+		So(typed.Run, ShouldEqual, problem.RunNot)
+	})
+	Convey("A change that is not valid is refused with the field at fault", t, func() {
+		_, _, s := prepared()
+		_, err := s.Accept(ctx, put("op", "ane", 0, deployment("a", 0, 2)))
+		var invalid *template.InvalidError
+		So(errors.As(err, &invalid), ShouldBeTrue)
+		So(invalid.Fields[0].Field, ShouldEqual, "deployments.a.workspaces.w-a.values.max_tokens")
+	})
+}
+
+func TestCompactionLosesNothing(t *testing.T) {
+	Convey("Given a long log with a large payload in it", t, func() {
+		table, objects, s := prepared()
+		for i := range 20 {
+			_, err := s.Accept(ctx, put(fmt.Sprint("op", i), "ane", 0, deployment("a", float64(i+1), 2)))
+			So(err, ShouldBeNil)
+		}
+		_, err := s.Accept(ctx, put("large", "ane", 0, deployment("b", 5, 5000)))
+		So(err, ShouldBeNil)
+		for _, row := range table.rows {
+			So(len(row.Value), ShouldBeLessThanOrEqualTo, maxRowBytes+1024)
+		}
+		before, err := s.Config(ctx)
+		So(err, ShouldBeNil)
+		check := func() {
+			fresh := New(table, objects, Options{Backoff: time.Nanosecond})
+			config, err := fresh.Config(ctx)
+			So(err, ShouldBeNil)
+			So(config, ShouldResemble, before)
+			history, err := fresh.History(ctx, 0, 100)
+			So(err, ShouldBeNil)
+			So(len(history), ShouldEqual, 23)
+			for i := range history {
+				So(history[i].Revision, ShouldEqual, 23-i)
+			}
+			differences, err := fresh.Diff(ctx, 3, 22)
+			So(err, ShouldBeNil)
+			So(len(differences), ShouldEqual, 1)
+			So(differences[0].String(), ShouldEqual, "deployments.a.workspaces.w-a.max_tokens = 20, was 1")
+			accepted, err := fresh.Accept(ctx, Request{OperationID: "op0", Resent: true, Author: "ane", Now: now,
+				Change: template.Change{PutDeployments: []template.Deployment{deployment("a", 1, 2)}}})
+			So(err, ShouldBeNil)
+			So(accepted, ShouldResemble, Accepted{Revision: 3, Repeated: true})
+		}
+		check()
+		Convey("a compaction, and one more after it, keep state, history and operation ids", func() {
+			deleted, err := s.Compact(ctx, "c1", 5)
+			So(err, ShouldBeNil)
+			So(deleted, ShouldEqual, 18)
+			check()
+			_, err = s.Compact(ctx, "c2", 2)
+			So(err, ShouldBeNil)
+			check()
+			old, err := s.Since(ctx, 3)
+			So(err, ShouldBeNil)
+			So(old.To, ShouldEqual, 23)
+		})
+		Convey("so does one that fails at any of its steps and is run again", func() {
+			for step := range 6 {
+				calls := 0
+				table.before = func(id string) error {
+					if strings.HasPrefix(id, "config/compact") {
+						if calls++; calls > step {
+							return notDone(id)
+						}
+					}
+					return nil
+				}
+				objects.fail = func(_, name string) error {
+					if calls++; calls > step {
+						return errDown
+					}
+					return nil
+				}
+				_, _ = s.Compact(ctx, fmt.Sprint("c", step), 5)
+				table.before = func(string) error { return nil }
+				objects.fail = func(_, _ string) error { return nil }
+				check()
+			}
+			_, err := s.Compact(ctx, "last", 5)
+			So(err, ShouldBeNil)
+			check()
+		})
+		Convey("two hosts at once do no harm", func() {
+			var group sync.WaitGroup
+			for i := range 4 {
+				group.Add(1)
+				go func() {
+					defer group.Done()
+					_, _ = New(table, objects, Options{Backoff: time.Nanosecond}).Compact(ctx, fmt.Sprint("c", i), 4)
+				}()
+			}
+			group.Wait()
+			check()
+		})
+	})
+}
+
+func TestReadsFeedNodes(t *testing.T) {
+	Convey("A node that follows the table holds the configuration, with one scan a read", t, func() {
+		table, _, s := prepared()
+		node := revision.New(revision.Options{ID: "h", Seed: 1})
+		assembler := template.NewAssembler()
+		follow := func() {
+			delta, err := s.Since(ctx, node.Revision())
+			So(err, ShouldBeNil)
+			for _, installed := range node.TableRead(now, delta, nil).Installs {
+				So(assembler.Install(installed), ShouldBeNil)
+			}
+		}
+		follow()
+		_, err := s.Accept(ctx, put("op", "ane", 0, deployment("a", 77, 3)))
+		So(err, ShouldBeNil)
+		_, err = s.Accept(ctx, Request{OperationID: "del", Author: "ane", Now: now,
+			Change: template.Change{PutDeployments: []template.Deployment{deployment("b", 1, 1)}}})
+		So(err, ShouldBeNil)
+		_, err = s.Accept(ctx, Request{OperationID: "del2", Author: "ane", Now: now,
+			Change: template.Change{DeleteDeployments: []template.DeploymentName{"b"}}})
+		So(err, ShouldBeNil)
+		scans := table.scans
+		follow()
+		So(table.scans, ShouldEqual, scans+1)
+		config, err := s.Config(ctx)
+		So(err, ShouldBeNil)
+		So(assembler.Config(), ShouldResemble, config)
+		So(assembler.Records(template.Stop{Deployment: "b", Version: "v1"}), ShouldBeTrue)
+		So(assembler.Records(template.Stop{Deployment: "unheard", Version: "v1"}), ShouldBeFalse)
+		route, found := template.NewSnapshot(config, nil).Resolve("w-a", "m")
+		So(found, ShouldBeTrue)
+		So(route.Values["max_tokens"].Int(), ShouldEqual, 77)
+	})
+}
--- /dev/null
+++ b/template/store/view.go
@@ -0,0 +1,136 @@
+package store
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/revision"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Limits of what is remembered beside the configuration in force.
+const (
+	maxOperations = 4096
+	maxDeletions  = 4096
+)
+
+// view is the state at one revision. It is not changed once it is shared.
+type view struct {
+	revision   wigeonfork.Revision
+	floor      wigeonfork.Revision
+	items      map[string]revision.Item
+	operations []operation
+}
+
+func emptyView() *view { return &view{items: make(map[string]revision.Item)} }
+
+func viewOf(s *snapshotObject) *view {
+	v := emptyView()
+	v.revision = s.Revision
+	v.floor = s.Floor
+	v.operations = s.Operations
+	for _, item := range s.Items {
+		v.items[item.Key] = item
+	}
+	return v
+}
+
+// next returns the state after entries, which must follow without a gap.
+func (v *view) next(entries []Entry) (*view, error) {
+	if len(entries) == 0 {
+		return v, nil
+	}
+	n := &view{
+		revision:   v.revision,
+		floor:      v.floor,
+		items:      maps.Clone(v.items),
+		operations: slices.Clone(v.operations),
+	}
+	for i := range entries {
+		e := &entries[i]
+		if e.Revision != n.revision+1 {
+			return nil, errors.Newf("log entry %d follows %d", e.Revision, n.revision)
+		}
+		for _, item := range e.Items {
+			n.items[item.Key] = item
+		}
+		n.operations = append(n.operations, operation{e.OperationID, e.Digest, e.Revision})
+		n.revision = e.Revision
+	}
+	n.trim()
+	return n, nil
+}
+
+func (v *view) trim() {
+	v.operations = v.operations[max(0, len(v.operations)-maxOperations):]
+	var deleted []revision.Item
+	for _, item := range v.items {
+		if item.Deleted {
+			deleted = append(deleted, item)
+		}
+	}
+	slices.SortFunc(deleted, func(a, b revision.Item) int { return int(a.Revision) - int(b.Revision) })
+	for _, item := range deleted[:max(0, len(deleted)-maxDeletions)] {
+		v.floor = max(v.floor, item.Revision)
+		delete(v.items, item.Key)
+	}
+}
+
+// operation returns the accepted change with the id.
+func (v *view) operation(id string) (operation, bool) {
+	for i := len(v.operations) - 1; i >= 0; i-- {
+		if v.operations[i].ID == id {
+			return v.operations[i], true
+		}
+	}
+	return operation{}, false
+}
+
+// delta returns what changed after from.
+func (v *view) delta(from wigeonfork.Revision) revision.Delta {
+	if from < v.floor || from > v.revision {
+		from = 0
+	}
+	d := revision.Delta{From: from, To: v.revision}
+	if from == 0 {
+		d.Floor = v.floor
+	}
+	for _, item := range v.items {
+		if item.Revision > from {
+			d.Items = append(d.Items, item)
+		}
+	}
+	slices.SortFunc(d.Items, func(a, b revision.Item) int { return strings.Compare(a.Key, b.Key) })
+	return d
+}
+
+func (v *view) snapshot() snapshotObject {
+	d := v.delta(0)
+	return snapshotObject{Revision: v.revision, Floor: v.floor, Items: d.Items, Operations: v.operations}
+}
+
+// config returns the configuration that the items make up.
+func (v *view) config() (template.Config, error) {
+	a := template.NewAssembler()
+	if err := a.Install(v.delta(0)); err != nil {
+		return template.Config{}, err
+	}
+	return a.Config(), nil
+}
+
+// lastChange returns the highest revision at which a template or deployment
+// that change touches was changed.
+func (v *view) lastChange(change *template.Change) wigeonfork.Revision {
+	templates, deployments := change.Names()
+	var last wigeonfork.Revision
+	for key, item := range v.items {
+		t, d := template.Owner(key)
+		if slices.Contains(templates, t) || slices.Contains(deployments, d) {
+			last = max(last, item.Revision)
+		}
+	}
+	return last
+}
