Add lease: holder core, keeper over the table, fencing guard

Cause: one process at a time may give orders for a deployment, and orders of a former holder must not be carried out, whether or not the backend server checks fencing numbers.

Change: Holder is a deterministic core over one lease row. It compares times of its own process only: the holder counts from the moment a write was first sent, an observer from the moment an unchanged row was first received. Lost answers are cleared up by operation id, or by the operation named in the row where the table has forgotten the id. Keeper carries its actions out over platform.Table. Guard refuses old numbers, and every number until it has learned the scope's number after a restart; orders of a scope run one at a time.

--- /dev/null
+++ b/lease/guard.go
@@ -0,0 +1,147 @@
+package lease
+
+import (
+	"sync"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// DefaultGuardScopes bounds the scopes that a Guard remembers.
+const DefaultGuardScopes = 1024
+
+// Guard refuses orders whose fencing number is lower than one seen before in
+// the same scope. A scope of which nothing has been learned since the process
+// started is refused too, until Learn is called with the number in the lease
+// row, or the one that the backend server reports. That read must have been
+// sent after the start of the process.
+//
+// A Guard is safe for concurrent use. Orders of one scope must be carried out
+// one after another, each under Do.
+type Guard struct {
+	mu      sync.Mutex
+	limit   int
+	uses    uint64
+	highest map[string]*guardScope
+}
+
+type guardScope struct {
+	order   sync.Mutex
+	number  wigeonfork.FencingNumber
+	lastUse uint64
+	running int
+}
+
+// NewGuard returns a Guard that remembers up to limit scopes, and those with
+// running orders beyond it. The scope that
+// was used least recently is forgotten, and has to be learned again.
+func NewGuard(limit int) *Guard {
+	return &Guard{limit: max(limit, 1), highest: make(map[string]*guardScope)}
+}
+
+// Learn notes that scope has reached number.
+func (g *Guard) Learn(scope string, number wigeonfork.FencingNumber) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.highest[scope]
+	if s == nil {
+		g.evict()
+		s = &guardScope{}
+		g.highest[scope] = s
+	}
+	g.touch(s)
+	s.number = max(s.number, number)
+}
+
+// Learned says whether the scope's number is known, so that orders in it can
+// be judged.
+func (g *Guard) Learned(scope string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.highest[scope] != nil
+}
+
+// Highest returns the highest number known in scope, or 0.
+func (g *Guard) Highest(scope string) wigeonfork.FencingNumber {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.highest[scope]; s != nil {
+		return s.number
+	}
+	return 0
+}
+
+// Check returns nil if an order with number may be carried out in scope, and
+// remembers the number. The error is a *problem.Error that states not run.
+func (g *Guard) Check(scope string, number wigeonfork.FencingNumber) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.highest[scope]
+	if s == nil {
+		return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepOrder,
+			"the fencing number of scope %q has not been learned since the start", scope)
+	}
+	g.touch(s)
+	if number < s.number {
+		return problem.New(problem.CodeStaleOrder, problem.RunNot, problem.StepOrder,
+			"fencing number %d of scope %q is older than %d", number, scope, s.number)
+	}
+	s.number = number
+	return nil
+}
+
+// Do checks the number and runs apply, with no other order of the scope
+// between the check and the end of apply.
+func (g *Guard) Do(scope string, number wigeonfork.FencingNumber, apply func() error) error {
+	if s := g.enter(scope); s != nil {
+		defer g.leave(s)
+	}
+	if err := g.Check(scope, number); err != nil {
+		return err
+	}
+	return apply()
+}
+
+// enter waits for the scope's turn. A scope with running orders is not
+// forgotten.
+func (g *Guard) enter(scope string) *guardScope {
+	g.mu.Lock()
+	s := g.highest[scope]
+	if s != nil {
+		s.running++
+	}
+	g.mu.Unlock()
+	if s != nil {
+		s.order.Lock()
+	}
+	return s
+}
+
+func (g *Guard) leave(s *guardScope) {
+	s.order.Unlock()
+	g.mu.Lock()
+	s.running--
+	g.mu.Unlock()
+}
+
+func (g *Guard) touch(s *guardScope) {
+	g.uses++
+	s.lastUse = g.uses
+}
+
+func (g *Guard) evict() {
+	if len(g.highest) < g.limit {
+		return
+	}
+	var oldest string
+	var oldestUse uint64
+	for scope, s := range g.highest {
+		if s.running > 0 {
+			continue
+		}
+		if oldest == "" || s.lastUse < oldestUse {
+			oldest, oldestUse = scope, s.lastUse
+		}
+	}
+	delete(g.highest, oldest)
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,235 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// memoryTable is a table whose next answers can be made to fail.
+type memoryTable struct {
+	mu sync.Mutex
+	world
+	loseAnswers int
+	down        bool
+	forgets     bool
+}
+
+func newMemoryTable() *memoryTable { return &memoryTable{} }
+
+func (m *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.Row{}, platform.NewError(platform.OutcomeNotDone, "get", "table", errLost)
+	}
+	row := m.row
+	row.Key = key
+	return row, nil
+}
+
+func (m *memoryTable) Scan(context.Context, platform.ScanQuery) (platform.Page, error) {
+	return platform.Page{}, errors.New("not used")
+}
+
+func (m *memoryTable) Commit(_ context.Context, tx platform.Transaction) (platform.Commit, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.Commit{}, platform.NewError(platform.OutcomeNotDone, "commit", "table", errLost)
+	}
+	if m.forgets {
+		m.applied = nil
+	}
+	m.row.Key = tx.Writes[0].Key
+	commit := m.commit(tx)
+	if m.loseAnswers > 0 {
+		m.loseAnswers--
+		return platform.Commit{}, platform.NewError(platform.OutcomeUnknown, "commit", "table", errLost)
+	}
+	return commit, nil
+}
+
+// process runs one Keeper by hand on a clock of its own.
+type process struct {
+	*Keeper
+	clock    *manualClock
+	acquired []wigeonfork.FencingNumber
+	lost     []wigeonfork.FencingNumber
+}
+
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time                          { return c.now }
+func (c *manualClock) Wait(_ context.Context, d time.Duration) { c.now = c.now.Add(d) }
+
+func (p *process) LeaseAcquired(n wigeonfork.FencingNumber) { p.acquired = append(p.acquired, n) }
+func (p *process) LeaseLost(n wigeonfork.FencingNumber)     { p.lost = append(p.lost, n) }
+
+func newProcess(owner string, offset time.Duration, table platform.Table) *process {
+	p := &process{clock: &manualClock{now: time.Unix(1000, 0).Add(offset)}}
+	keeper, err := NewKeeper(Config{Scope: "d", Owner: owner}, table, p.clock, p)
+	if err != nil {
+		panic(err)
+	}
+	p.Keeper = keeper
+	return p
+}
+
+func (p *process) tick() { p.handle(context.Background(), Tick{}) }
+
+// pass lets d go by for all processes; those in awake step every half second.
+func pass(d time.Duration, all []*process, awake ...*process) {
+	const stride = 500 * time.Millisecond
+	for ; d > 0; d -= stride {
+		for _, p := range all {
+			p.clock.now = p.clock.now.Add(stride)
+		}
+		for _, p := range awake {
+			p.tick()
+		}
+	}
+}
+
+func TestLeaseUnderFaults(t *testing.T) {
+	Convey("Given two processes whose clocks differ by a minute", t, func() {
+		table := newMemoryTable()
+		a := newProcess("a", 0, table)
+		b := newProcess("b", time.Minute, table)
+		both := []*process{a, b}
+		a.tick()
+		b.tick()
+		first, holds := a.Fencing()
+		So(holds, ShouldBeTrue)
+		So(first, ShouldEqual, 1)
+
+		Convey("renewal keeps the lease and its number, and the other stays out", func() {
+			pass(time.Minute, both, a, b)
+			again, holds := a.Fencing()
+			So(holds, ShouldBeTrue)
+			So(again, ShouldEqual, first)
+			So(b.acquired, ShouldBeEmpty)
+		})
+		Convey("a paused holder that wakes finds the lease lapsed before it can order", func() {
+			pass(DefaultDuration, both, b)
+			_, holds := a.Fencing()
+			So(holds, ShouldBeFalse)
+			pass(2*DefaultDuration, both, b)
+			So(b.acquired, ShouldResemble, []wigeonfork.FencingNumber{2})
+			a.tick()
+			So(a.lost, ShouldResemble, []wigeonfork.FencingNumber{1})
+			So(a.acquired, ShouldHaveLength, 1)
+		})
+		Convey("the lost answer of a renewal is cleared up under its operation id", func() {
+			table.loseAnswers = 2
+			pass(time.Minute, both, a, b)
+			So(table.loseAnswers, ShouldEqual, 0)
+			So(a.lost, ShouldBeEmpty)
+			So(b.acquired, ShouldBeEmpty)
+		})
+		Convey("the lost answer of a renewal is cleared up by the row if the table forgot the id", func() {
+			table.loseAnswers = 1
+			table.forgets = true
+			pass(time.Minute, both, a, b)
+			So(a.lost, ShouldBeEmpty)
+		})
+		Convey("an outage of the table ends the lease by the holder's own clock, and one takes it after", func() {
+			table.down = true
+			pass(DefaultDuration, both, a, b)
+			_, holds := a.Fencing()
+			So(holds, ShouldBeFalse)
+			table.down = false
+			pass(3*DefaultDuration, both, a, b)
+			So(len(a.acquired)+len(b.acquired), ShouldEqual, 2)
+			_, aHolds := a.Fencing()
+			_, bHolds := b.Fencing()
+			So(aHolds, ShouldNotEqual, bHolds)
+		})
+		Convey("a released lease is taken without waiting, with a higher number", func() {
+			ended, end := context.WithCancel(context.Background())
+			end()
+			a.Run(ended)
+			_, holds := a.Fencing()
+			So(holds, ShouldBeFalse)
+			pass(DefaultDuration/2, both, b)
+			So(b.acquired, ShouldResemble, []wigeonfork.FencingNumber{2})
+		})
+		Convey("a process that starts again does not go on under its old number", func() {
+			c := newProcess("a2", 0, table)
+			pass(2*DefaultDuration, []*process{a, b, c}, c)
+			So(c.acquired, ShouldResemble, []wigeonfork.FencingNumber{2})
+		})
+	})
+	Convey("The lost answer of the first write gives the lease under one number", t, func() {
+		table := newMemoryTable()
+		table.loseAnswers = 1
+		a := newProcess("a", 0, table)
+		pass(DefaultDuration/2, []*process{a}, a)
+		number, holds := a.Fencing()
+		So(holds, ShouldBeTrue)
+		So(number, ShouldEqual, 1)
+	})
+	Convey("A row that cannot be read is not taken over", t, func() {
+		table := newMemoryTable()
+		table.row = platform.Row{Key: Key("d"), Value: []byte("?"), Revision: 7}
+		a := newProcess("a", 0, table)
+		pass(10*DefaultDuration, []*process{a}, a)
+		So(a.acquired, ShouldBeEmpty)
+	})
+}
+
+func TestGuard(t *testing.T) {
+	code := func(err error) problem.Code { return problem.From(err, problem.StepOrder).Code }
+	Convey("A guard refuses numbers older than the highest of the scope, as not run", t, func() {
+		g := NewGuard(2)
+		g.Learn("d", 3)
+		So(g.Check("d", 4), ShouldBeNil)
+		err := g.Check("d", 3)
+		So(code(err), ShouldEqual, problem.CodeStaleOrder)
+		So(problem.From(err, problem.StepOrder).Run, ShouldEqual, problem.RunNot)
+		So(g.Check("d", 4), ShouldBeNil)
+	})
+	Convey("A restarted guard refuses every order until it has learned the number", t, func() {
+		g := NewGuard(2)
+		applied := 0
+		apply := func() error { applied++; return nil }
+		So(code(g.Do("d", 9, apply)), ShouldEqual, problem.CodeStoreUnavailable)
+		g.Learn("d", 10)
+		So(code(g.Do("d", 9, apply)), ShouldEqual, problem.CodeStaleOrder)
+		So(g.Do("d", 10, apply), ShouldBeNil)
+		So(applied, ShouldEqual, 1)
+	})
+	Convey("A scope that is forgotten has to be learned again", t, func() {
+		g := NewGuard(2)
+		g.Learn("a", 5)
+		g.Learn("b", 5)
+		So(g.Check("a", 5), ShouldBeNil)
+		g.Learn("c", 5)
+		So(g.Learned("b"), ShouldBeFalse)
+		So(code(g.Check("b", 9)), ShouldEqual, problem.CodeStoreUnavailable)
+		So(g.Check("a", 5), ShouldBeNil)
+	})
+}
+
+func TestConfigValidate(t *testing.T) {
+	Convey("A config that cannot give a safe lease is refused", t, func() {
+		valid := Config{Scope: "d", Owner: "a"}.WithDefaults()
+		So(valid.Validate(), ShouldBeNil)
+		for _, change := range []func(*Config){
+			func(c *Config) { c.Owner = "" },
+			func(c *Config) { c.Margin = -1 },
+			func(c *Config) { c.RenewInterval = c.Duration },
+		} {
+			broken := valid
+			change(&broken)
+			So(broken.Validate(), ShouldNotBeNil)
+		}
+	})
+}
--- /dev/null
+++ b/lease/record.go
@@ -0,0 +1,62 @@
+// Package lease gives one process at a time the right to give orders for a
+// scope, by a row in the platform's table, with a fencing number that grows
+// each time the right is taken.
+//
+// Holder is the deterministic core: it takes the time and an event and returns
+// actions. Keeper carries the actions out over platform.Table. Guard is the
+// check at the receiving side, which refuses orders with an old number.
+//
+// Times are only ever compared with other times of the same process, so clocks
+// of different processes may differ by any amount. They must run at nearly the
+// same rate; Config.Margin covers the difference.
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// Record is the value of a lease row. The row is never deleted, because the
+// fencing number must not start again.
+type Record struct {
+	// Owner names the holding process. It is unique to one process start.
+	Owner string `json:"owner"`
+	// Fencing grows each time the lease is taken.
+	Fencing wigeonfork.FencingNumber `json:"fencing"`
+	// Duration is the time for which the row must stay unchanged before
+	// another process may take the lease.
+	Duration time.Duration `json:"duration"`
+	// Operation is the id of the transaction that wrote this value.
+	Operation string `json:"operation"`
+	// Released says that the lease may be taken at once.
+	Released bool `json:"released,omitempty"`
+}
+
+// Encode returns the row value for r.
+func (r Record) Encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode lease record"))
+	}
+	return value
+}
+
+// Decode returns the record in row. A row that does not exist gives the zero
+// Record.
+func Decode(row platform.Row) (Record, error) {
+	var r Record
+	if row.Revision == 0 || row.Deleted {
+		return r, nil
+	}
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return Record{}, errors.Wrapf(err, "decode lease row %q", row.Key)
+	}
+	return r, nil
+}
+
+// Key returns the key of the lease row of scope.
+func Key(scope string) string { return "lease/" + scope }
