--- /dev/null
+++ b/rollout/collector.go
@@ -0,0 +1,199 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+const (
+	// DefaultWarmUp is the time for which first tokens of a version that is
+	// new on a backend server are not counted, as its prefix cache is empty.
+	DefaultWarmUp = 90 * time.Second
+	// DefaultMaxStrata bounds the strata in one report or window.
+	DefaultMaxStrata = 16384
+
+	minQuantileValues = 20
+	scaleQuantile     = 0.5
+	slowQuantile      = 0.8
+	numLatencies      = 2
+)
+
+// Pair names the versions of a move.
+type Pair struct {
+	Old wigeonfork.Version
+	New wigeonfork.Version
+}
+
+// Collector turns what one process sees of two versions into Evidence.
+//
+// A latency is divided by the old version's median on the same backend server
+// at the same load, and counts as slow if it lies above the old version's
+// slowQuantile on its route. It is not safe for concurrent use.
+type Collector struct {
+	source    string
+	versions  Pair
+	warmUp    time.Duration
+	maxStrata int
+	sequence  uint64
+	cells     map[Stratum]*Cell
+	deaths    map[wigeonfork.BackendServerID]Death
+	newSince  map[wigeonfork.BackendServerID]time.Time
+	scales    map[scaleKey]*[numLatencies]quantile
+	limits    map[limitKey]*[numLatencies]quantile
+	dropped   uint64
+}
+
+type scaleKey struct {
+	server wigeonfork.BackendServerID
+	load   LoadLevel
+}
+
+type limitKey struct {
+	route Route
+	load  LoadLevel
+}
+
+// NewCollector returns a Collector. Source must be unique to this process
+// start.
+func NewCollector(source string, versions Pair) *Collector {
+	return &Collector{
+		source:    source,
+		versions:  versions,
+		warmUp:    DefaultWarmUp,
+		maxStrata: DefaultMaxStrata,
+		cells:     make(map[Stratum]*Cell),
+		deaths:    make(map[wigeonfork.BackendServerID]Death),
+		newSince:  make(map[wigeonfork.BackendServerID]time.Time),
+		scales:    make(map[scaleKey]*[numLatencies]quantile),
+		limits:    make(map[limitKey]*[numLatencies]quantile),
+	}
+}
+
+// Started counts a request that was sent.
+func (c *Collector) Started(now time.Time, s Start) {
+	counts := c.counts(s)
+	if counts == nil {
+		return
+	}
+	counts.Starts++
+	if s.Version != c.versions.New {
+		return
+	}
+	if _, known := c.newSince[s.Stratum.Server]; !known {
+		c.newSince[s.Stratum.Server] = now
+	}
+}
+
+// Observed counts how a request went.
+func (c *Collector) Observed(now time.Time, s Sample) {
+	counts := c.counts(s.Start)
+	if counts == nil {
+		return
+	}
+	switch s.Outcome {
+	case OutcomeError:
+		counts.Errors++
+	case OutcomeWrongStop:
+		counts.WrongStops++
+	case OutcomeEngineDeath:
+		c.deaths[s.Stratum.Server] = Death{Server: s.Stratum.Server, Host: s.Host, Domain: s.Domain}
+	}
+	if s.FirstToken > 0 && !c.warmingUp(now, s) {
+		if slow, known := c.slow(s, 0, s.FirstToken); known {
+			counts.FirstTokens++
+			counts.SlowFirst += slow
+		}
+	}
+	if s.InterToken > 0 {
+		if slow, known := c.slow(s, 1, s.InterToken); known {
+			counts.InterTokens++
+			counts.SlowInter += slow
+		}
+	}
+}
+
+// Flush returns what was counted since the last call and starts anew.
+func (c *Collector) Flush() Evidence {
+	c.sequence++
+	e := Evidence{Source: c.source, Sequence: c.sequence, Cells: make([]Cell, 0, len(c.cells))}
+	for _, cell := range c.cells {
+		e.Cells = append(e.Cells, *cell)
+	}
+	for _, death := range c.deaths {
+		e.Deaths = append(e.Deaths, death)
+	}
+	clear(c.cells)
+	clear(c.deaths)
+	sortEvidence(&e)
+	return e
+}
+
+// Dropped returns how many observations found no room.
+func (c *Collector) Dropped() uint64 { return c.dropped }
+
+func (c *Collector) counts(s Start) *Counts {
+	if s.Version != c.versions.Old && s.Version != c.versions.New {
+		return nil
+	}
+	cell := c.cells[s.Stratum]
+	if cell == nil {
+		if len(c.cells) >= c.maxStrata {
+			c.dropped++
+			return nil
+		}
+		cell = &Cell{Stratum: s.Stratum, Host: s.Host, Domain: s.Domain}
+		c.cells[s.Stratum] = cell
+	}
+	if s.Version == c.versions.New {
+		return &cell.New
+	}
+	return &cell.Old
+}
+
+func (c *Collector) warmingUp(now time.Time, s Sample) bool {
+	if s.Version != c.versions.New {
+		return false
+	}
+	since, known := c.newSince[s.Stratum.Server]
+	return !known || now.Sub(since) < c.warmUp
+}
+
+// slow judges one latency by the old version's, and learns from it if it is
+// the old version's own.
+func (c *Collector) slow(s Sample, kind int, latency time.Duration) (uint32, bool) {
+	scale := c.scale(scaleKey{s.Stratum.Server, s.Stratum.Load}, kind)
+	limit := c.limit(limitKey{s.Stratum.Route, s.Stratum.Load}, kind)
+	known := scale.n >= minQuantileValues
+	ratio := latency.Seconds() / scale.value()
+	judged := known && limit.n >= minQuantileValues
+	isSlow := judged && ratio > limit.value()
+	if s.Version == c.versions.Old {
+		scale.add(latency.Seconds(), scaleQuantile)
+		if known {
+			limit.add(ratio, slowQuantile)
+		}
+	}
+	if isSlow {
+		return 1, true
+	}
+	return 0, judged
+}
+
+func (c *Collector) scale(key scaleKey, kind int) *quantile {
+	q := c.scales[key]
+	if q == nil {
+		q = new([numLatencies]quantile)
+		c.scales[key] = q
+	}
+	return &q[kind]
+}
+
+func (c *Collector) limit(key limitKey, kind int) *quantile {
+	q := c.limits[key]
+	if q == nil {
+		q = new([numLatencies]quantile)
+		c.limits[key] = q
+	}
+	return &q[kind]
+}
--- /dev/null
+++ b/rollout/fleet.go
@@ -0,0 +1,187 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+const (
+	// orderRetry is the time before an order that failed is given again.
+	orderRetry = 5 * time.Second
+	// loadPatience is how many planned load times a load may take before
+	// it is ordered again.
+	loadPatience = 8
+	// unloadLimit is how long a backend server that does not carry out an
+	// unload can keep a move from closing.
+	unloadLimit = 2 * time.Minute
+)
+
+// fleet is what a Move knows of its backend servers.
+type fleet struct {
+	members    []member
+	index      map[wigeonfork.BackendServerID]int
+	starts     []time.Time
+	unloadFrom time.Time
+}
+
+type member struct {
+	server    Server
+	down      bool
+	newReady  bool
+	nextOrder time.Time
+	inFlight  bool
+	unloaded  bool
+}
+
+func newFleet(plan Plan) fleet {
+	f := fleet{index: make(map[wigeonfork.BackendServerID]int), starts: plan.loadStarts()}
+	for _, s := range plan.Servers {
+		f.add(s)
+	}
+	return f
+}
+
+func (f *fleet) add(s Server) {
+	if _, known := f.index[s.ID]; known {
+		return
+	}
+	f.index[s.ID] = len(f.members)
+	f.members = append(f.members, member{server: s})
+}
+
+func (f *fleet) report(now time.Time, e ServerReport) {
+	i, known := f.index[e.Server]
+	if !known {
+		return
+	}
+	m := &f.members[i]
+	if m.down && !e.Down {
+		m.nextOrder = now
+	}
+	m.down = e.Down
+	m.newReady = e.NewReady && !e.Down
+}
+
+// orderDone notes the end of an order. It says whether the order was refused
+// because another holder has given one.
+func (f *fleet) orderDone(now time.Time, e OrderDone) bool {
+	i, known := f.index[e.Server]
+	if !known {
+		return false
+	}
+	m := &f.members[i]
+	m.inFlight = false
+	if e.Err != nil {
+		m.nextOrder = now.Add(orderRetry)
+		return problem.From(e.Err, problem.StepOrder).Code == problem.CodeStaleOrder
+	}
+	if e.Kind == backend.OrderUnload {
+		m.unloaded = true
+	}
+	return false
+}
+
+// ready returns how many backend servers hold the new version, and how many
+// are up.
+func (f *fleet) ready() (ready, up int) {
+	for i := range f.members {
+		if f.members[i].down {
+			continue
+		}
+		up++
+		if f.members[i].newReady {
+			ready++
+		}
+	}
+	return ready, up
+}
+
+// readyFor says whether enough backend servers hold the new version for it to
+// get share.
+func (f *fleet) readyFor(plan Plan, share PerMille) bool {
+	ready, up := f.ready()
+	return ready > 0 && ready >= min(plan.serversFor(share), up)
+}
+
+// loads orders the loads that are due. A backend server that is down has its
+// place taken by the next one.
+func (f *fleet) loads(now time.Time, plan Plan, fencing wigeonfork.FencingNumber) []Action {
+	due := 0
+	for _, start := range f.starts {
+		if !now.Before(start) {
+			due++
+		}
+	}
+	if due == len(f.starts) {
+		due = len(f.members)
+	}
+	var actions []Action
+	for i := range f.members {
+		m := &f.members[i]
+		if due == 0 {
+			break
+		}
+		if m.down {
+			continue
+		}
+		due--
+		if m.newReady || m.inFlight || now.Before(m.nextOrder) {
+			continue
+		}
+		m.inFlight = true
+		m.unloaded = false
+		m.nextOrder = now.Add(loadPatience * plan.loadTime())
+		actions = append(actions, giveOrder(m, plan, backend.OrderLoad, plan.To, fencing))
+	}
+	return actions
+}
+
+// unloads orders every backend server that is up to drop version.
+func (f *fleet) unloads(now time.Time, plan Plan, version wigeonfork.Version, fencing wigeonfork.FencingNumber) []Action {
+	if f.unloadFrom.IsZero() {
+		f.unloadFrom = now
+		for i := range f.members {
+			f.members[i].nextOrder = now
+		}
+	}
+	var actions []Action
+	for i := range f.members {
+		m := &f.members[i]
+		if m.down || m.unloaded || m.inFlight || now.Before(m.nextOrder) {
+			continue
+		}
+		m.inFlight = true
+		m.nextOrder = now.Add(orderRetry)
+		actions = append(actions, giveOrder(m, plan, backend.OrderUnload, version, fencing))
+	}
+	return actions
+}
+
+// unloaded says whether every backend server has dropped the version, is down,
+// or has had long enough.
+func (f *fleet) unloaded(now time.Time) bool {
+	if f.unloadFrom.IsZero() {
+		return false
+	}
+	if now.Sub(f.unloadFrom) >= unloadLimit {
+		return true
+	}
+	for i := range f.members {
+		if !f.members[i].down && !f.members[i].unloaded {
+			return false
+		}
+	}
+	return true
+}
+
+func giveOrder(m *member, plan Plan, kind backend.OrderKind, version wigeonfork.Version, fencing wigeonfork.FencingNumber) Action {
+	return GiveOrder{
+		Server: m.server.ID,
+		Order: backend.Order{
+			Kind: kind, Scope: plan.Scope, Fencing: fencing, Model: plan.Model, Version: version,
+		},
+	}
+}
--- /dev/null
+++ b/rollout/judge_test.go
@@ -0,0 +1,210 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork"
+)
+
+var (
+	testVersions = Pair{Old: "v1", New: "v2"}
+	testStart    = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// feed makes both versions' requests on twelve backend servers in three
+// failure domains, every second, and returns the last verdict and when it came.
+type feed struct {
+	r         *rand.Rand
+	collector *Collector
+	judge     *Judge
+	canaries  int
+	// shape changes a sample before it is counted.
+	shape func(now time.Duration, server int, s *Sample)
+}
+
+func newFeed() *feed {
+	return &feed{
+		r:         rand.New(rand.NewPCG(1, 2)),
+		collector: NewCollector("e1", testVersions),
+		judge:     NewJudge(JudgeConfig{}),
+		canaries:  3,
+		shape:     func(time.Duration, int, *Sample) {},
+	}
+}
+
+func testServerStart(version wigeonfork.Version, route Route, server int) Start {
+	return Start{
+		Version: version,
+		Stratum: Stratum{Route: route, Server: wigeonfork.BackendServerID(fmt.Sprintf("b%d", server))},
+		Host:    wigeonfork.HostID(fmt.Sprintf("h%d", server)),
+		Domain:  wigeonfork.FailureDomain(fmt.Sprintf("d%d", server%3)),
+	}
+}
+
+func (f *feed) run(duration time.Duration) (Verdict, time.Duration) {
+	var verdict Verdict
+	for now := time.Duration(0); now < duration; now += time.Second {
+		for server := range 12 {
+			for _, route := range []Route{"a", "b"} {
+				f.request(now, "v1", route, server)
+				if server < f.canaries {
+					f.request(now, "v2", route, server)
+				}
+			}
+		}
+		f.judge.Merge(testStart.Add(now), f.collector.Flush())
+		verdict = f.judge.Advance(testStart.Add(now))
+		if verdict.Stop {
+			return verdict, now
+		}
+	}
+	return verdict, duration
+}
+
+func (f *feed) request(now time.Duration, version wigeonfork.Version, route Route, server int) {
+	s := Sample{Start: testServerStart(version, route, server)}
+	s.FirstToken = time.Duration((0.5 + f.r.Float64()) * float64(time.Second))
+	s.InterToken = time.Duration((0.5 + f.r.Float64()) * float64(time.Second) / 20)
+	if f.r.Float64() < 0.01 {
+		s.Outcome = OutcomeError
+	}
+	f.shape(now, server, &s)
+	f.collector.Started(testStart.Add(now), s.Start)
+	f.collector.Observed(testStart.Add(now), s)
+}
+
+func TestJudge(t *testing.T) {
+	const trial = 20 * time.Minute
+	isNew := func(s *Sample) bool { return s.Version == "v2" }
+	Convey("Given requests on both versions at the same time", t, func() {
+		f := newFeed()
+		Convey("a good version is not stopped", func() {
+			verdict, _ := f.run(trial)
+			So(verdict.Stop, ShouldBeFalse)
+			So(verdict.NewStarts, ShouldBeGreaterThan, 1000)
+		})
+		Convey("one that fails is stopped within seconds, and stays stopped", func() {
+			f.shape = func(_ time.Duration, _ int, s *Sample) {
+				if isNew(s) {
+					s.Outcome = OutcomeError
+				}
+			}
+			verdict, after := f.run(trial)
+			So(verdict.Stop, ShouldBeTrue)
+			So(after, ShouldBeLessThan, 10*time.Second)
+			So(verdict.Reasons[0].Criterion, ShouldEqual, CriterionErrors)
+			f.shape = func(time.Duration, int, *Sample) {}
+			f.judge.stop = verdict.Stop
+			So(f.judge.Advance(testStart.Add(time.Hour)).Stop, ShouldBeTrue)
+		})
+		Convey("one that turns bad late is found as fast as one that is bad at once", func() {
+			f.shape = func(now time.Duration, _ int, s *Sample) {
+				if isNew(s) && now > 10*time.Minute {
+					s.Outcome = OutcomeError
+				}
+			}
+			_, after := f.run(trial)
+			So(after, ShouldBeBetween, 10*time.Minute, 10*time.Minute+10*time.Second)
+		})
+		Convey("one that is slow is stopped", func() {
+			f.shape = func(_ time.Duration, _ int, s *Sample) {
+				if isNew(s) {
+					s.InterToken *= 2
+				}
+			}
+			verdict, _ := f.run(trial)
+			So(verdict.Stop, ShouldBeTrue)
+			So(verdict.Reasons[0].Criterion, ShouldEqual, CriterionInterToken)
+		})
+		Convey("one that fails on a route is stopped, and the reason names the route", func() {
+			f.shape = func(_ time.Duration, _ int, s *Sample) {
+				if isNew(s) && s.Stratum.Route == "b" && f.r.Float64() < 0.3 {
+					s.Outcome = OutcomeError
+				}
+			}
+			verdict, _ := f.run(trial)
+			So(verdict.Stop, ShouldBeTrue)
+			text := fmt.Sprint(verdict.Reasons)
+			So(text, ShouldContainSubstring, "errors on route b")
+			So(text, ShouldNotContainSubstring, "errors on route a")
+		})
+		Convey("a backend server that fails and is slow for both versions is not charged", func() {
+			f.shape = func(now time.Duration, server int, s *Sample) {
+				if server == 0 && now > 5*time.Minute {
+					s.FirstToken *= 4
+					if f.r.Float64() < 0.5 {
+						s.Outcome = OutcomeError
+					}
+				}
+			}
+			verdict, _ := f.run(trial)
+			So(verdict.Stop, ShouldBeFalse)
+		})
+		Convey("a host whose engine dies again and again is not charged", func() {
+			f.shape = func(now time.Duration, server int, s *Sample) {
+				if server == 0 && now%(30*time.Second) == 0 {
+					s.Outcome = OutcomeEngineDeath
+				}
+			}
+			verdict, _ := f.run(trial)
+			So(verdict.Stop, ShouldBeFalse)
+		})
+		Convey("two of the hosts that run the version and die again and again do not stop it", func() {
+			f.shape = func(now time.Duration, server int, s *Sample) {
+				if server < 2 && now > time.Minute && now%time.Minute == time.Duration(server)*15*time.Second {
+					s.Outcome = OutcomeEngineDeath
+				}
+			}
+			verdict, _ := f.run(3 * trial)
+			So(verdict.Stop, ShouldBeFalse)
+			So(verdict.Reasons[0].Criterion, ShouldEqual, CriterionDeaths)
+		})
+		Convey("the loss of a failure domain is not charged", func() {
+			f.shape = func(now time.Duration, server int, s *Sample) {
+				if server%3 == 0 && now == 5*time.Minute {
+					s.Outcome = OutcomeEngineDeath
+				}
+			}
+			verdict, _ := f.run(trial)
+			So(verdict.Stop, ShouldBeFalse)
+		})
+		Convey("engine deaths on all hosts that run the version stop it", func() {
+			f.shape = func(now time.Duration, server int, s *Sample) {
+				if server < 3 && now > time.Minute && now%(time.Minute) == time.Duration(server)*15*time.Second {
+					s.Outcome = OutcomeEngineDeath
+				}
+			}
+			verdict, _ := f.run(3 * trial)
+			So(verdict.Stop, ShouldBeTrue)
+			So(verdict.Reasons[0].Criterion, ShouldEqual, CriterionDeaths)
+		})
+	})
+	Convey("Deaths in one failure domain at one time are charged once", t, func() {
+		d := newDeathTest(100)
+		for server := range 6 {
+			start := testServerStart("v2", "a", server)
+			cell := &Cell{Stratum: start.Stratum, Host: start.Host, Domain: start.Domain}
+			cell.New.Starts = 1
+			d.used(testStart, cell)
+		}
+		d.newTime, d.oldTime = 100, 100
+		for server := range 6 {
+			start := testServerStart("v2", "a", server)
+			d.died(testStart, 0, Death{Server: start.Stratum.Server, Host: start.Host, Domain: start.Domain})
+		}
+		So(d.test.new.bad, ShouldEqual, 3)
+	})
+	Convey("A report that arrives twice counts once", t, func() {
+		j := NewJudge(JudgeConfig{})
+		c := NewCollector("e1", testVersions)
+		c.Started(testStart, testServerStart("v2", "a", 0))
+		e := c.Flush()
+		j.Merge(testStart, e)
+		j.Merge(testStart, e)
+		So(j.Verdict().NewStarts, ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/rollout/move.go
@@ -0,0 +1,399 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/looplab/fsm"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+const (
+	recordRetry = time.Second
+	// holdAt is the suspicion from which no share is raised, and holdPart
+	// for how long at most, as a part of the time to the deadline.
+	holdAt   = 0.5
+	holdPart = 0.05
+	// stagePart is the least time at a share, as a part of the time to the
+	// deadline, when a move has to catch up.
+	stagePart = 0.01
+)
+
+// The events of a move's life cycle.
+const (
+	eventStart    = "start"
+	eventRaise    = "raise"
+	eventFinish   = "finish"
+	eventTakeBack = "take_back"
+	eventReverted = "reverted"
+)
+
+// lifeCycle is the table of a move's states.
+var lifeCycle = fsm.Events{
+	{Name: eventStart, Src: []string{string(StatePlanned)}, Dst: string(StateCanary)},
+	{Name: eventRaise, Src: []string{string(StateCanary), string(StateRamp)}, Dst: string(StateRamp)},
+	{Name: eventFinish, Src: []string{string(StateCanary), string(StateRamp)}, Dst: string(StateDone)},
+	{
+		Name: eventTakeBack,
+		Src:  []string{string(StatePlanned), string(StateCanary), string(StateRamp), string(StateDone)},
+		Dst:  string(StateReverting),
+	},
+	{Name: eventReverted, Src: []string{string(StateReverting)}, Dst: string(StateReverted)},
+}
+
+// eventTo names the event that leads to a state.
+var eventTo = map[State]string{
+	StateCanary:    eventStart,
+	StateRamp:      eventRaise,
+	StateDone:      eventFinish,
+	StateReverting: eventTakeBack,
+	StateReverted:  eventReverted,
+}
+
+// Move is the life cycle of one move as the holder of its lease drives it. A
+// step forward is taken only once it is in the table; a step back at once,
+// with the record to follow. It is not safe for concurrent use.
+type Move struct {
+	plan       Plan
+	fencing    wigeonfork.FencingNumber
+	machine    *fsm.FSM
+	fleet      fleet
+	verdict    Verdict
+	record     Record
+	revision   platform.Revision
+	sharesSent uint64
+	why        string
+	announced  bool
+
+	pending   *Record
+	inFlight  string
+	nextWrite time.Time
+	writes    uint64
+	deposed   bool
+}
+
+// NewMove returns a Move that goes on from the recorded row, which does not
+// exist for a new move. Fencing is the number of the lease just acquired; only
+// one Move may be made of a plan under one number.
+func NewMove(plan Plan, row platform.Row, fencing wigeonfork.FencingNumber) (*Move, error) {
+	plan = plan.WithDefaults()
+	record, err := DecodeRecord(row)
+	if err != nil {
+		return nil, err
+	}
+	if record.Fencing > fencing {
+		return nil, errors.Newf("move %s: fencing number %d is older than the record's %d", plan.ID, fencing, record.Fencing)
+	}
+	m := &Move{
+		plan:     plan,
+		fencing:  fencing,
+		machine:  fsm.NewFSM(string(record.State), lifeCycle, nil),
+		fleet:    newFleet(plan),
+		record:   record,
+		revision: row.Revision,
+	}
+	m.write(record)
+	return m, nil
+}
+
+// Step takes one event and returns what has to be done.
+func (m *Move) Step(now time.Time, event Event) []Action {
+	if m.deposed {
+		return nil
+	}
+	var actions []Action
+	switch e := event.(type) {
+	case Judged:
+		m.verdict = e.Verdict
+		if e.Verdict.Stop {
+			actions = m.takeBack(now, reasonText(e.Verdict))
+		}
+	case StopRequested:
+		actions = m.takeBack(now, e.Why)
+	case RecordDone:
+		actions = m.recordDone(now, e)
+	case OrderDone:
+		m.deposed = m.fleet.orderDone(now, e)
+	case ServerReport:
+		m.fleet.report(now, e)
+	case ServerAdded:
+		m.fleet.add(e.Server)
+	}
+	if m.deposed {
+		return nil
+	}
+	return append(actions, m.proceed(now)...)
+}
+
+func reasonText(v Verdict) string {
+	if len(v.Reasons) == 0 {
+		return "stopped by the judge"
+	}
+	return v.Reasons[0].String()
+}
+
+// takeBack stops the new version at once. The record follows. Once the old
+// version is being unloaded there is nothing to go back to.
+func (m *Move) takeBack(now time.Time, why string) []Action {
+	if !m.machine.Can(eventTakeBack) || (m.state() == StateDone && m.watched(now)) {
+		return nil
+	}
+	m.transition(eventTakeBack)
+	m.why = why
+	m.write(m.stoppedRecord())
+	return []Action{m.shares()}
+}
+
+// stoppedRecord is what the table has to say of a move that is taken back.
+func (m *Move) stoppedRecord() Record {
+	next := m.record
+	next.State = StateReverting
+	next.Share = 0
+	next.Why = m.why
+	return next
+}
+
+func (m *Move) transition(event string) {
+	if err := m.machine.Event(context.Background(), event); err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "move %s", m.plan.ID))
+	}
+}
+
+func (m *Move) state() State { return State(m.machine.Current()) }
+
+func (m *Move) stopped() bool {
+	return m.state() == StateReverting || m.state() == StateReverted
+}
+
+// shares tells what the new version may get at present.
+func (m *Move) shares() SetShares {
+	m.sharesSent++
+	m.announced = true
+	share := m.record.Share
+	if m.stopped() {
+		share = 0
+	}
+	return SetShares{Shares: Shares{
+		Move: m.plan.ID, Fencing: m.fencing, Sequence: m.sharesSent,
+		Old: m.plan.From, New: m.plan.To, NewShare: share, Stopped: m.stopped(),
+	}}
+}
+
+// write makes next the record to be put into the table, in place of one that
+// is not on its way yet.
+func (m *Move) write(next Record) {
+	m.writes++
+	next.Fencing = m.fencing
+	next.Sequence = m.record.Sequence + 1
+	next.Operation = operationID(m.plan.ID, m.fencing, m.writes)
+	m.pending = &next
+	m.nextWrite = time.Time{}
+}
+
+// send asks for the pending record's transaction if it is due.
+func (m *Move) send(now time.Time) []Action {
+	if m.pending == nil || m.inFlight != "" || now.Before(m.nextWrite) {
+		return nil
+	}
+	tx, err := m.pending.transaction(m.plan.ID, m.revision)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "move %s", m.plan.ID))
+	}
+	m.inFlight = tx.OperationID
+	return []Action{WriteRecord{Transaction: tx}}
+}
+
+func (m *Move) recordDone(now time.Time, e RecordDone) []Action {
+	if e.OperationID != m.inFlight {
+		return nil
+	}
+	m.inFlight = ""
+	switch {
+	case e.Err != nil:
+		m.nextWrite = now.Add(recordRetry)
+	case e.Commit.Applied:
+		return m.recorded(e.OperationID, e.Commit.Revision)
+	default:
+		return m.conflict(e)
+	}
+	return nil
+}
+
+// recorded takes the step that is now in the table. A record that was replaced
+// while it was on its way only moves the revision on.
+func (m *Move) recorded(operation string, revision platform.Revision) []Action {
+	m.revision = revision
+	if m.pending == nil || m.pending.Operation != operation {
+		return nil
+	}
+	before := m.state()
+	m.record = *m.pending
+	m.pending = nil
+	if m.record.State != before {
+		m.transition(eventTo[m.record.State])
+	}
+	return []Action{m.shares()}
+}
+
+// conflict looks at the row that stands in the way: this holder's own write
+// whose answer was lost, or that of another holder.
+func (m *Move) conflict(e RecordDone) []Action {
+	for _, row := range e.Commit.Conflicts {
+		if row.Key != RecordKey(m.plan.ID) {
+			continue
+		}
+		found, err := DecodeRecord(row)
+		if err != nil || found.Fencing > m.fencing {
+			m.deposed = true
+			return nil
+		}
+		if found.Operation == e.OperationID {
+			return m.recorded(e.OperationID, row.Revision)
+		}
+		m.adopt(found, row.Revision)
+	}
+	return nil
+}
+
+// adopt goes on from a record found in the table. A stop on either side stays.
+func (m *Move) adopt(found Record, revision platform.Revision) {
+	stopped := m.stopped()
+	m.record = found
+	m.revision = revision
+	if stopped && !found.Stopped() {
+		m.write(m.stoppedRecord())
+		return
+	}
+	m.machine.SetState(string(found.State))
+	m.write(found)
+}
+
+// proceed takes the steps that are due at now.
+func (m *Move) proceed(now time.Time) []Action {
+	var actions []Action
+	if m.stopped() && !m.announced {
+		actions = append(actions, m.shares())
+	}
+	if m.pending == nil {
+		m.decide(now)
+	}
+	if m.overdue(now) {
+		actions = append(actions, m.takeBack(now, "not finished by the deadline")...)
+	}
+	actions = append(actions, m.send(now)...)
+	if m.record.Fencing != m.fencing {
+		return actions
+	}
+	return append(actions, m.orders(now)...)
+}
+
+func (m *Move) overdue(now time.Time) bool {
+	switch m.state() {
+	case StatePlanned, StateCanary, StateRamp:
+		return !now.Before(m.plan.Deadline)
+	default:
+		return false
+	}
+}
+
+// decide puts the next step forward, if one is due, into the pending record.
+func (m *Move) decide(now time.Time) {
+	switch m.state() {
+	case StatePlanned:
+		if m.fleet.readyFor(m.plan, m.plan.CanaryShare) {
+			m.raise(now, StateCanary, m.plan.CanaryShare)
+		}
+	case StateCanary, StateRamp:
+		m.decideRaise(now)
+	case StateDone:
+		if !m.record.Closed && m.watched(now) && m.fleet.unloaded(now) {
+			m.close(now, StateDone)
+		}
+	case StateReverting:
+		if m.fleet.unloaded(now) {
+			m.close(now, StateReverted)
+		}
+	}
+}
+
+func (m *Move) decideRaise(now time.Time) {
+	stage, due, found := m.nextStage()
+	if !found || now.Before(due) || m.holding(now, due) {
+		return
+	}
+	least := time.Duration(stagePart * float64(m.plan.Deadline.Sub(m.plan.Start)))
+	if now.Sub(m.record.Raised) < least || m.verdict.NewStarts < m.plan.MinStarts {
+		return
+	}
+	if !m.fleet.readyFor(m.plan, stage.share) {
+		return
+	}
+	next := StateRamp
+	if stage.share >= AllTraffic {
+		next = StateDone
+	}
+	m.raise(now, next, stage.share)
+}
+
+// nextStage returns the stage after the recorded share and when it is due.
+func (m *Move) nextStage() (stageAt, time.Time, bool) {
+	for i, stage := range laterStages {
+		if stage.share > m.record.Share {
+			return stage, m.plan.stageTime(i), true
+		}
+	}
+	return stageAt{}, time.Time{}, false
+}
+
+// holding says that the evidence is too strong to raise the share for now.
+func (m *Move) holding(now, due time.Time) bool {
+	limit := time.Duration(holdPart * float64(m.plan.Deadline.Sub(m.plan.Start)))
+	return m.verdict.Suspicion >= holdAt && now.Sub(due) < limit
+}
+
+func (m *Move) raise(now time.Time, state State, share PerMille) {
+	next := m.record
+	next.State = state
+	next.Share = share
+	next.Raised = now
+	if state == StateDone {
+		next.Finished = now
+	}
+	m.write(next)
+}
+
+func (m *Move) close(now time.Time, state State) {
+	next := m.record
+	next.State = state
+	next.Closed = true
+	if state == StateReverted {
+		next.Finished = now
+	}
+	m.write(next)
+}
+
+func (m *Move) watched(now time.Time) bool {
+	return now.Sub(m.record.Finished) >= m.plan.Watch
+}
+
+// orders returns the orders that are due.
+func (m *Move) orders(now time.Time) []Action {
+	switch m.state() {
+	case StatePlanned, StateCanary, StateRamp:
+		return m.fleet.loads(now, m.plan, m.fencing)
+	case StateDone:
+		if m.record.Closed {
+			return nil
+		}
+		if !m.watched(now) {
+			return m.fleet.loads(now, m.plan, m.fencing)
+		}
+		return m.fleet.unloads(now, m.plan, m.plan.From, m.fencing)
+	case StateReverting:
+		return m.fleet.unloads(now, m.plan, m.plan.To, m.fencing)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/rollout/move_test.go
@@ -0,0 +1,360 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"pgregory.net/rapid"
+)
+
+func testPlan() Plan {
+	p := Plan{
+		ID: "m", Scope: "d", Model: "m", From: "v1", To: "v2",
+		Start: testStart, Deadline: testStart.Add(30 * time.Minute),
+		WeightBytes: 10e9, RateBytesPerSecond: 1e9,
+	}
+	for i := range 9 {
+		p.Servers = append(p.Servers, Server{
+			ID:     wigeonfork.BackendServerID(fmt.Sprintf("b%d", i)),
+			Host:   wigeonfork.HostID(fmt.Sprintf("h%d", i)),
+			Domain: wigeonfork.FailureDomain(fmt.Sprintf("d%d", i/3)),
+		})
+	}
+	return p
+}
+
+// stage is what the moves of a test act on: a table, backend servers behind
+// fencing numbers, and an entry.
+type stage struct {
+	now     time.Time
+	row     platform.Row
+	applied map[string]platform.Revision
+	out     bool
+	lose    int
+	loaded  map[wigeonfork.BackendServerID]bool
+	orders  map[wigeonfork.FencingNumber]int
+	highest wigeonfork.FencingNumber
+	gate    *Gate
+}
+
+func newStage() *stage {
+	return &stage{
+		now:     testStart,
+		applied: make(map[string]platform.Revision),
+		loaded:  make(map[wigeonfork.BackendServerID]bool),
+		orders:  make(map[wigeonfork.FencingNumber]int),
+		gate:    NewGate("m", testVersions),
+	}
+}
+
+func (s *stage) holder(fencing wigeonfork.FencingNumber) *Move {
+	m, err := NewMove(testPlan(), s.row, fencing)
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func (s *stage) commit(tx platform.Transaction) RecordDone {
+	done := RecordDone{OperationID: tx.OperationID}
+	if s.out {
+		done.Err = platform.NewError(platform.OutcomeNotDone, "commit", "table", errors.New("out"))
+		return done
+	}
+	if revision, known := s.applied[tx.OperationID]; known {
+		done.Commit = platform.Commit{Applied: true, Revision: revision}
+	} else if tx.Conditions[0].Revision != s.row.Revision {
+		done.Commit = platform.Commit{Conflicts: []platform.Row{s.row}}
+	} else {
+		s.row = platform.Row{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: s.row.Revision + 1}
+		s.applied[tx.OperationID] = s.row.Revision
+		done.Commit = platform.Commit{Applied: true, Revision: s.row.Revision}
+	}
+	if s.lose > 0 {
+		s.lose--
+		done.Commit = platform.Commit{}
+		done.Err = platform.NewError(platform.OutcomeUnknown, "commit", "table", errors.New("lost"))
+	}
+	return done
+}
+
+func (s *stage) order(a GiveOrder) error {
+	if a.Order.Fencing < s.highest {
+		return problem.New(problem.CodeStaleOrder, problem.RunNot, problem.StepOrder, "stale")
+	}
+	s.highest = a.Order.Fencing
+	s.orders[a.Order.Fencing]++
+	if a.Order.Version == "v2" {
+		s.loaded[a.Server] = a.Order.Kind == backend.OrderLoad
+	}
+	return nil
+}
+
+// step gives the move an event and carries out all that follows.
+func (s *stage) step(m *Move, event Event) {
+	queue := m.Step(s.now, event)
+	for len(queue) > 0 {
+		action := queue[0]
+		queue = queue[1:]
+		switch a := action.(type) {
+		case SetShares:
+			s.gate.Apply(a.Shares)
+		case WriteRecord:
+			queue = append(queue, m.Step(s.now, s.commit(a.Transaction))...)
+		case GiveOrder:
+			done := OrderDone{Server: a.Server, Kind: a.Order.Kind, Err: s.order(a)}
+			queue = append(queue, m.Step(s.now, done)...)
+		}
+	}
+}
+
+// pass lets time go by with a good verdict.
+func (s *stage) pass(m *Move, d time.Duration) {
+	const stride = 5 * time.Second
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(stride) {
+		for _, server := range testPlan().Servers {
+			s.step(m, ServerReport{Server: server.ID, OldReady: true, NewReady: s.loaded[server.ID]})
+		}
+		s.step(m, Judged{Verdict: Verdict{NewStarts: 1000}})
+	}
+}
+
+func (s *stage) record() Record {
+	r, err := DecodeRecord(s.row)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+func TestMove(t *testing.T) {
+	Convey("Given a move", t, func() {
+		s := newStage()
+		m := s.holder(1)
+
+		Convey("a good version finishes in time and the old one is unloaded after the watch", func() {
+			s.pass(m, 30*time.Minute)
+			So(m.State(), ShouldEqual, StateDone)
+			So(s.gate.NewShare(), ShouldEqual, AllTraffic)
+			s.pass(m, 5*time.Minute)
+			So(m.Closed(), ShouldBeTrue)
+		})
+		Convey("a stop takes the version back at once and for ever", func() {
+			s.pass(m, 20*time.Minute)
+			So(m.State(), ShouldEqual, StateRamp)
+			s.step(m, Judged{Verdict: Verdict{Stop: true}})
+			So(s.gate.NewShare(), ShouldEqual, 0)
+			s.pass(m, time.Minute)
+			So(s.record().State, ShouldEqual, StateReverted)
+			So(s.loaded, ShouldNotContainKey, true)
+			s.pass(m, 20*time.Minute)
+			So(s.gate.NewShare(), ShouldEqual, 0)
+		})
+		Convey("a version that turns bad after done is taken back while it is watched", func() {
+			s.pass(m, 28*time.Minute)
+			So(m.State(), ShouldEqual, StateDone)
+			s.step(m, StopRequested{Why: "operator"})
+			So(s.gate.NewShare(), ShouldEqual, 0)
+			s.pass(m, time.Minute)
+			So(s.record().State, ShouldEqual, StateReverted)
+		})
+		Convey("while the store is out no step forward is taken, but a step back is", func() {
+			s.pass(m, 10*time.Minute)
+			So(m.State(), ShouldEqual, StateCanary)
+			s.out = true
+			s.pass(m, 10*time.Minute)
+			So(s.gate.NewShare(), ShouldEqual, DefaultCanaryShare)
+			So(m.State(), ShouldEqual, StateCanary)
+			s.step(m, StopRequested{Why: "errors"})
+			So(s.gate.NewShare(), ShouldEqual, 0)
+			So(s.record().State, ShouldEqual, StateCanary)
+			s.out = false
+			s.pass(m, time.Minute)
+			So(s.record().State, ShouldEqual, StateReverted)
+			So(s.record().Why, ShouldEqual, "errors")
+		})
+		Convey("a store that comes back in time does not make a good version late", func() {
+			s.pass(m, 14*time.Minute)
+			s.out = true
+			s.pass(m, 10*time.Minute)
+			s.out = false
+			s.pass(m, 6*time.Minute)
+			So(m.State(), ShouldEqual, StateDone)
+		})
+		Convey("a move that cannot finish by its deadline is taken back", func() {
+			s.pass(m, 20*time.Minute)
+			s.out = true
+			s.pass(m, 11*time.Minute)
+			So(m.State(), ShouldEqual, StateReverting)
+			So(s.gate.NewShare(), ShouldEqual, 0)
+		})
+		Convey("a holder that is replaced and wakes up can neither record nor order", func() {
+			s.pass(m, 10*time.Minute)
+			next := s.holder(2)
+			s.pass(next, time.Minute)
+			s.step(next, StopRequested{Why: "errors"})
+			s.pass(next, time.Minute)
+			before := s.orders[1]
+			s.pass(m, 15*time.Minute)
+			So(m.Deposed(), ShouldBeTrue)
+			So(s.orders[1], ShouldEqual, before)
+			So(s.record().Fencing, ShouldEqual, 2)
+			So(s.record().State, ShouldEqual, StateReverted)
+			So(s.gate.NewShare(), ShouldEqual, 0)
+		})
+		Convey("a holder that is replaced cannot write over the record, even to stop", func() {
+			s.pass(m, 10*time.Minute)
+			s.pass(s.holder(2), time.Minute)
+			s.step(m, StopRequested{Why: "errors"})
+			So(m.Deposed(), ShouldBeTrue)
+			So(s.record().Fencing, ShouldEqual, 2)
+		})
+		Convey("a stop that meets a step forward whose answer was lost is kept", func() {
+			s.pass(m, 10*time.Minute)
+			s.lose = 1
+			for s.record().State == StateCanary {
+				s.pass(m, time.Second)
+			}
+			So(m.State(), ShouldEqual, StateCanary)
+			s.step(m, StopRequested{Why: "errors"})
+			s.pass(m, time.Minute)
+			So(s.record().State, ShouldEqual, StateReverted)
+			So(s.gate.NewShare(), ShouldEqual, 0)
+		})
+		Convey("a holder with an older number than the record's is refused", func() {
+			s.pass(s.holder(5), time.Minute)
+			_, err := NewMove(testPlan(), s.row, 4)
+			So(err, ShouldNotBeNil)
+		})
+		Convey("the status says what the move waits for and why it is taken back", func() {
+			s.pass(m, 5*time.Minute)
+			So(m.Status(s.now).Waiting, ShouldContainSubstring, "the stage at")
+			s.step(m, StopRequested{Why: "operator"})
+			So(m.Status(s.now).Why, ShouldEqual, "operator")
+		})
+	})
+	for minute := range 34 {
+		Convey(fmt.Sprintf("Another holder that takes over in minute %d finishes or takes back", minute), t, func() {
+			for _, bad := range []bool{false, true} {
+				s := newStage()
+				m := s.holder(1)
+				s.pass(m, time.Duration(minute)*time.Minute)
+				if bad {
+					// The stop is made known, but its record is lost with the holder.
+					s.out = true
+					s.step(m, StopRequested{Why: "errors"})
+					s.out = false
+				}
+				next := s.holder(2)
+				if s.gate.Stopped() {
+					s.step(next, StopRequested{Why: "stopped by an entry"})
+				}
+				s.pass(next, 40*time.Minute)
+				watched := minute <= 29
+				So(s.record().Closed, ShouldBeTrue)
+				So(s.record().State == StateReverted, ShouldEqual, bad && watched)
+				So(s.gate.NewShare() == AllTraffic, ShouldEqual, !bad || !watched)
+			}
+		})
+	}
+}
+
+func TestMoveProperties(t *testing.T) {
+	Convey("A stop never un-happens, whatever answers are lost and whoever holds", t, func() {
+		rapid.Check(t, func(rt *rapid.T) {
+			s := newStage()
+			moves := []*Move{s.holder(1)}
+			stopped := false
+			for range rapid.IntRange(5, 40).Draw(rt, "steps") {
+				m := moves[rapid.IntRange(0, len(moves)-1).Draw(rt, "holder")]
+				switch rapid.IntRange(0, 5).Draw(rt, "event") {
+				case 0:
+					moves = append(moves, s.holder(wigeonfork.FencingNumber(len(moves)+1)))
+				case 1:
+					s.lose = rapid.IntRange(1, 3).Draw(rt, "lost")
+				case 2:
+					s.out = !s.out
+				case 3:
+					s.step(m, Judged{Verdict: Verdict{Stop: true}})
+				default:
+					s.pass(m, time.Duration(rapid.IntRange(1, 8).Draw(rt, "minutes"))*time.Minute)
+				}
+				if s.gate.Stopped() && s.gate.NewShare() != 0 {
+					rt.Fatalf("a stopped version gets %d", s.gate.NewShare())
+				}
+				if stopped && !s.record().Stopped() {
+					rt.Fatalf("the record went from stopped to %s", s.record().State)
+				}
+				stopped = stopped || s.record().Stopped()
+			}
+		})
+	})
+	Convey("A gate keeps each route to the share within one request, and to a stop for ever", t, func() {
+		rapid.Check(t, func(rt *rapid.T) {
+			g := NewGate("m", testVersions)
+			share := PerMille(rapid.IntRange(0, 1000).Draw(rt, "share"))
+			g.Apply(Shares{Move: "m", Fencing: 2, Sequence: 1, Old: "v1", New: "v2", NewShare: share})
+			g.Apply(Shares{Move: "m", Fencing: 1, Sequence: 9, Old: "v1", New: "v2", NewShare: AllTraffic})
+			requests := rapid.IntRange(1, 500).Draw(rt, "requests")
+			sent := 0
+			for range requests {
+				if g.Choose("r") == "v2" {
+					sent++
+				}
+			}
+			if want := requests * int(share) / int(AllTraffic); sent != want {
+				rt.Fatalf("%d of %d sent, want %d", sent, requests, want)
+			}
+			g.Apply(Shares{Move: "m", Fencing: 1, Sequence: 1, Stopped: true})
+			g.Apply(Shares{Move: "m", Fencing: 3, Sequence: 1, Old: "v1", New: "v2", NewShare: AllTraffic})
+			if g.Choose("r") == "v2" {
+				rt.Fatalf("sent to a stopped version")
+			}
+		})
+	})
+}
+
+func TestPlan(t *testing.T) {
+	Convey("Each stage's loads fit the weight store's rate, one after another", t, func() {
+		rapid.Check(t, func(rt *rapid.T) {
+			p := testPlan()
+			p.WeightBytes = rapid.Int64Range(1e9, 1e11).Draw(rt, "bytes")
+			p.CanaryShare = DefaultCanaryShare
+			p.Deadline = p.EarliestDeadline().Add(time.Duration(rapid.IntRange(0, 3600).Draw(rt, "slack")) * time.Second)
+			p = p.WithDefaults()
+			if err := p.Validate(); err != nil {
+				rt.Fatal(err)
+			}
+			starts := p.loadStarts()
+			free := p.Start
+			for i, start := range starts {
+				if start.After(free) {
+					free = start
+				}
+				free = free.Add(p.loadTime())
+				if free.After(p.readyBy(i).Add(time.Second)) {
+					rt.Fatalf("server %d is ready %s after its stage", i, free.Sub(p.readyBy(i)))
+				}
+			}
+		})
+	})
+	Convey("A deadline that the weight store cannot meet is refused with the earliest that it can", t, func() {
+		p := testPlan()
+		p.Deadline = p.Start.Add(time.Minute)
+		err := p.Validate()
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, p.EarliestDeadline().Format(time.RFC3339))
+	})
+	Convey("Neighbouring backend servers are in different failure domains", t, func() {
+		servers := testPlan().WithDefaults().Servers
+		So(servers[0].Domain, ShouldNotEqual, servers[1].Domain)
+		So(servers[1].Domain, ShouldNotEqual, servers[2].Domain)
+	})
+}
--- /dev/null
+++ b/rollout/plan.go
@@ -0,0 +1,198 @@
+package rollout
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Server is a backend server that takes part in a move.
+type Server struct {
+	ID     wigeonfork.BackendServerID `json:"id"`
+	Host   wigeonfork.HostID          `json:"host"`
+	Domain wigeonfork.FailureDomain   `json:"failure_domain"`
+}
+
+// Plan describes a move as it was accepted.
+type Plan struct {
+	// ID names the move and is unique for ever.
+	ID string `json:"id"`
+	// Scope is the lease's scope, which orders carry.
+	Scope    string             `json:"scope"`
+	Model    wigeonfork.Model   `json:"model"`
+	From     wigeonfork.Version `json:"from"`
+	To       wigeonfork.Version `json:"to"`
+	Start    time.Time          `json:"start"`
+	Deadline time.Time          `json:"deadline"`
+	Servers  []Server           `json:"servers"`
+	// WeightBytes is the size of To's weights. RateBytesPerSecond is what
+	// the weight store delivers to all readers together.
+	WeightBytes        int64 `json:"weight_bytes"`
+	RateBytesPerSecond int64 `json:"rate_bytes_per_second"`
+	// CanaryShare is the most that To gets before it has been judged.
+	CanaryShare PerMille `json:"canary_share"`
+	// MinStarts is the number of requests that To must have been sent
+	// before its share is raised.
+	MinStarts uint64 `json:"min_starts"`
+	// Watch is the time after the finish for which From stays loaded.
+	Watch time.Duration `json:"watch"`
+}
+
+// Defaults of a Plan.
+const (
+	DefaultCanaryShare PerMille = 50
+	DefaultMinStarts   uint64   = 200
+)
+
+const (
+	canaryServers = 3
+	watchPart     = 0.05
+
+	// spareServers is how many more backend servers hold the new version
+	// than its share of the traffic needs.
+	spareServers = 1.25
+	// loadAllowance is the planned time of a load over the time that the
+	// weight store's rate gives, to leave room for loads that fail.
+	loadAllowance = 1.25
+)
+
+// stageAt says when, as a part of the time to the deadline, the new version's
+// share is raised.
+type stageAt struct {
+	share PerMille
+	part  float64
+}
+
+// The canary stage is long, because few backend servers hold two versions in
+// it and a version that turns bad harms few requests. The stage before the
+// last one keeps some of the old version's traffic for comparison.
+var laterStages = [...]stageAt{{100, 0.50}, {250, 0.58}, {500, 0.66}, {900, 0.74}, {AllTraffic, 0.92}}
+
+// WithDefaults returns p with its unset fields filled in.
+func (p Plan) WithDefaults() Plan {
+	if p.CanaryShare == 0 {
+		p.CanaryShare = DefaultCanaryShare
+	}
+	if p.MinStarts == 0 {
+		p.MinStarts = DefaultMinStarts
+	}
+	if p.Watch == 0 {
+		p.Watch = time.Duration(watchPart * float64(p.Deadline.Sub(p.Start)))
+	}
+	p.Servers = spread(p.Servers)
+	return p
+}
+
+// Validate fails if the move cannot be made. A deadline that the weight store
+// cannot meet is refused with the earliest one that it can.
+func (p Plan) Validate() error {
+	switch {
+	case p.ID == "" || p.Scope == "" || p.Model == "" || p.From == "" || p.To == "":
+		return errors.New("move: id, scope, model and versions must be set")
+	case p.From == p.To:
+		return errors.New("move: the versions are the same")
+	case len(p.Servers) == 0:
+		return errors.New("move: no backend servers")
+	case p.WeightBytes <= 0 || p.RateBytesPerSecond <= 0:
+		return errors.New("move: weight size and rate must be positive")
+	case p.CanaryShare < 0 || p.CanaryShare >= laterStages[0].share:
+		return errors.Newf("move: canary share must be under %d per mille", laterStages[0].share)
+	}
+	if earliest := p.EarliestDeadline(); p.Deadline.Before(earliest) {
+		return errors.Newf("move: weights cannot be loaded in time; earliest deadline is %s", earliest.UTC().Format(time.RFC3339))
+	}
+	return nil
+}
+
+// loadTime returns the planned time of one load that has the store's rate for
+// itself.
+func (p Plan) loadTime() time.Duration {
+	seconds := float64(p.WeightBytes) / float64(p.RateBytesPerSecond)
+	return time.Duration(seconds * loadAllowance * float64(time.Second))
+}
+
+// EarliestDeadline returns the earliest deadline at which each stage's loads
+// fit before it, one after another.
+func (p Plan) EarliestDeadline() time.Time {
+	var least time.Duration
+	for _, stage := range laterStages {
+		loads := time.Duration(p.serversFor(stage.share)) * p.loadTime()
+		least = max(least, time.Duration(float64(loads)/stage.part))
+	}
+	return p.Start.Add(least)
+}
+
+// serversFor returns how many backend servers must hold the new version
+// before it gets share of the traffic.
+func (p Plan) serversFor(share PerMille) int {
+	total := len(p.Servers)
+	if share >= AllTraffic {
+		return total
+	}
+	needed := math.Ceil(float64(total) * float64(share) / float64(AllTraffic) * spareServers)
+	return min(total, max(int(needed), canaryServers))
+}
+
+// stageTime returns when the stage with index i of laterStages is due.
+func (p Plan) stageTime(i int) time.Time {
+	window := float64(p.Deadline.Sub(p.Start))
+	return p.Start.Add(time.Duration(laterStages[i].part * window))
+}
+
+// loadStarts returns when the load on each backend server is due, in order of
+// Servers. The canary's come first; the others start as late as their stage
+// allows, because a backend server that holds two versions is paid for both.
+func (p Plan) loadStarts() []time.Time {
+	starts := make([]time.Time, len(p.Servers))
+	loadTime := p.loadTime()
+	next := p.Deadline
+	for i := len(starts) - 1; i >= 0; i-- {
+		ready := p.readyBy(i)
+		if next.Before(ready) {
+			ready = next
+		}
+		next = ready.Add(-loadTime)
+		starts[i] = next
+	}
+	for i := range min(len(starts), p.serversFor(p.CanaryShare)) {
+		starts[i] = p.Start
+	}
+	return starts
+}
+
+// readyBy returns when the backend server with index i must hold the version.
+func (p Plan) readyBy(i int) time.Time {
+	for s, stage := range laterStages {
+		if i < p.serversFor(stage.share) {
+			return p.stageTime(s)
+		}
+	}
+	return p.Deadline
+}
+
+// spread orders servers so that neighbours are in different failure domains.
+func spread(servers []Server) []Server {
+	byDomain := make(map[wigeonfork.FailureDomain][]Server)
+	for _, s := range servers {
+		byDomain[s.Domain] = append(byDomain[s.Domain], s)
+	}
+	var domains []wigeonfork.FailureDomain
+	for domain, group := range byDomain {
+		domains = append(domains, domain)
+		slices.SortFunc(group, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	slices.Sort(domains)
+	ordered := make([]Server, 0, len(servers))
+	for rank := 0; len(ordered) < len(servers); rank++ {
+		for _, domain := range domains {
+			if rank < len(byDomain[domain]) {
+				ordered = append(ordered, byDomain[domain][rank])
+			}
+		}
+	}
+	return ordered
+}
--- /dev/null
+++ b/rollout/sample.go
@@ -0,0 +1,100 @@
+// Package rollout moves a model's traffic from one version to another by a
+// set time, or takes the new version back.
+//
+// Collector turns what one process sees into small counts. Judge merges the
+// counts of many processes and compares the new version with the old one.
+// Gate chooses a version for each request and never sends to a stopped one.
+// Move is the life cycle of one move: it plans the loads of weights, raises
+// the share, and reverts. All of them are deterministic: the time and the
+// events are arguments.
+package rollout
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Route labels requests that are served alike, such as those of one adapter,
+// workspace and class.
+type Route string
+
+// LoadLevel is a coarse measure of how busy a backend server is.
+type LoadLevel uint8
+
+// The load levels.
+const (
+	LoadLow LoadLevel = iota
+	LoadMedium
+	LoadHigh
+	anyLoad
+)
+
+const (
+	mediumLoadFrom = 0.5
+	highLoadFrom   = 0.8
+)
+
+// LevelOf returns the load level of a backend server with the given number of
+// running requests and slots.
+func LevelOf(running, slots int) LoadLevel {
+	load := float64(running) / float64(max(slots, 1))
+	switch {
+	case load >= highLoadFrom:
+		return LoadHigh
+	case load >= mediumLoadFrom:
+		return LoadMedium
+	default:
+		return LoadLow
+	}
+}
+
+// String returns the name of l.
+func (l LoadLevel) String() string {
+	switch l {
+	case LoadLow:
+		return "low"
+	case LoadMedium:
+		return "medium"
+	case LoadHigh:
+		return "high"
+	default:
+		return "any"
+	}
+}
+
+// Outcome tells how a request ended.
+type Outcome uint8
+
+// The outcomes. OutcomeEngineDeath is for a request that ended because the
+// whole engine did.
+const (
+	OutcomeOK Outcome = iota
+	OutcomeError
+	OutcomeWrongStop
+	OutcomeEngineDeath
+)
+
+// Stratum names requests that are compared with one another.
+type Stratum struct {
+	Route  Route                      `json:"route"`
+	Load   LoadLevel                  `json:"load"`
+	Server wigeonfork.BackendServerID `json:"server"`
+}
+
+// Start says that a request was sent to a version.
+type Start struct {
+	Version wigeonfork.Version
+	Stratum Stratum
+	Host    wigeonfork.HostID
+	Domain  wigeonfork.FailureDomain
+}
+
+// Sample says how a request went. FirstToken and InterToken are 0 if there was
+// no first token or no second one.
+type Sample struct {
+	Start
+	Outcome    Outcome
+	FirstToken time.Duration
+	InterToken time.Duration
+}
--- /dev/null
+++ b/rollout/status.go
@@ -0,0 +1,102 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Status is what an operator is told of a move.
+type Status struct {
+	Move     string                   `json:"move"`
+	From     wigeonfork.Version       `json:"from"`
+	To       wigeonfork.Version       `json:"to"`
+	State    State                    `json:"state"`
+	Share    PerMille                 `json:"share"`
+	Deadline time.Time                `json:"deadline"`
+	Fencing  wigeonfork.FencingNumber `json:"fencing"`
+	// Recorded says whether the table knows the state.
+	Recorded bool `json:"recorded"`
+	// Why says why the version is taken back.
+	Why string `json:"why,omitempty"`
+	// Waiting says what the next step waits for.
+	Waiting string `json:"waiting,omitempty"`
+	// Loaded of Up backend servers hold the new version.
+	Loaded int `json:"loaded"`
+	Up     int `json:"up"`
+	// Suspicion is the strongest evidence as a part of what stops.
+	Suspicion float64 `json:"suspicion"`
+	// Evidence lists what speaks against the new version, strongest first.
+	Evidence []string `json:"evidence,omitempty"`
+}
+
+// Status returns the present state of the move.
+func (m *Move) Status(now time.Time) Status {
+	loaded, up := m.fleet.ready()
+	s := Status{
+		Move: m.plan.ID, From: m.plan.From, To: m.plan.To, State: m.state(), Share: m.record.Share,
+		Deadline: m.plan.Deadline, Fencing: m.fencing, Recorded: m.pending == nil, Why: m.why,
+		Waiting: m.waiting(now), Loaded: loaded, Up: up, Suspicion: m.verdict.Suspicion,
+	}
+	if m.stopped() {
+		s.Share = 0
+	}
+	if s.Why == "" {
+		s.Why = m.record.Why
+	}
+	for _, reason := range m.verdict.Reasons {
+		s.Evidence = append(s.Evidence, reason.String())
+	}
+	return s
+}
+
+// State returns the present state of the move.
+func (m *Move) State() State { return m.state() }
+
+// Deposed says that another holder has taken the move over. A deposed Move
+// takes no further step.
+func (m *Move) Deposed() bool { return m.deposed }
+
+// Closed says that nothing is left to be done.
+func (m *Move) Closed() bool { return m.record.Closed && m.pending == nil }
+
+// waiting says what the next step waits for.
+func (m *Move) waiting(now time.Time) string {
+	if m.pending != nil {
+		return "the table, to record " + string(m.pending.State)
+	}
+	switch m.state() {
+	case StatePlanned:
+		return fmt.Sprintf("%d backend servers to load the version", m.plan.serversFor(m.plan.CanaryShare))
+	case StateCanary, StateRamp:
+		return m.waitingToRaise(now)
+	case StateDone:
+		if m.record.Closed {
+			return ""
+		}
+		return "the end of the watch and the old version's unloads"
+	case StateReverting:
+		return "the new version's unloads"
+	default:
+		return ""
+	}
+}
+
+func (m *Move) waitingToRaise(now time.Time) string {
+	stage, due, found := m.nextStage()
+	switch {
+	case !found:
+		return ""
+	case now.Before(due):
+		return "the stage at " + due.UTC().Format(time.RFC3339)
+	case m.holding(now, due):
+		return "more evidence, because what there is speaks against the version"
+	case m.verdict.NewStarts < m.plan.MinStarts:
+		return fmt.Sprintf("requests on the new version: %d of %d", m.verdict.NewStarts, m.plan.MinStarts)
+	case !m.fleet.readyFor(m.plan, stage.share):
+		return fmt.Sprintf("%d backend servers to load the version", m.plan.serversFor(stage.share))
+	default:
+		return "the least time at a share"
+	}
+}
