Add experiment/moves: seeded version moves beside two baselines

Change: streams of samples in virtual time are fed to Collector, Judge, Gate and Move, with engine deaths, lost reports, lost table answers, a takeover in three of ten moves, and a disturbance beside half of the bad versions. The baselines are a fixed timetable and a threshold on the error rate.

--- /dev/null
+++ b/experiment/moves/kind.go
@@ -0,0 +1,151 @@
+package moves
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/rollout"
+)
+
+// kind is what a move is about: a good version, a good one beside a
+// disturbance, or a version that is bad in one way.
+type kind string
+
+const (
+	kindGood         kind = "good"
+	kindBadHosts     kind = "good, bad hosts dying"
+	kindSlowDomain   kind = "good, slow failure domain"
+	kindStoreOutage  kind = "good, store outage"
+	kindTrafficShift kind = "good, traffic shift"
+	kindFailsAtOnce  kind = "fails at once"
+	kindSlowAtOnce   kind = "slow at once"
+	kindFailsLate    kind = "fails late"
+	kindSlowLate     kind = "slow late"
+	kindFailsOnLoad  kind = "fails under load"
+	kindSlowOnLoad   kind = "slow under load"
+	kindOneRoute     kind = "fails on one route"
+	kindWrongStop    kind = "rare wrong stop"
+	kindKillsEngines kind = "kills engines"
+)
+
+var goodKinds = []kind{kindGood, kindBadHosts, kindSlowDomain, kindStoreOutage, kindTrafficShift}
+
+var badKinds = []kind{
+	kindFailsAtOnce, kindSlowAtOnce, kindFailsLate, kindSlowLate, kindFailsOnLoad,
+	kindSlowOnLoad, kindOneRoute, kindWrongStop, kindKillsEngines,
+}
+
+var allKinds = append(append([]kind(nil), goodKinds...), badKinds...)
+
+// fault is how a new version is bad.
+type fault struct {
+	// from is when it begins, from the start of the move.
+	from time.Duration
+	// onLoad limits it to backend servers at a high load level.
+	onLoad bool
+	// route limits it to one route; -1 is all.
+	route int
+	// Chances for each request, and the factor on latencies.
+	errorRate, wrongStopRate, deathRate float64
+	slowdown                            float64
+}
+
+// disturbance is what goes wrong beside the version.
+type disturbance struct {
+	badHosts     map[int]bool
+	slowDomain   int
+	outageFrom   time.Duration
+	outageUntil  time.Duration
+	shiftFrom    time.Duration
+	shiftedRoute int
+	from, until  time.Duration
+}
+
+const (
+	// A version is bad if it fails at least this part of its requests.
+	leastErrorRate = 0.05
+	// Late faults begin within these parts of the time to the deadline.
+	earliestLate = 0.05
+	latestLate   = 0.90
+	// The chance of each request to end its engine.
+	engineDeathRate = 0.005
+	minOutage       = 30 * time.Second
+	maxOutage       = 4 * time.Minute
+	badHostCount    = 2
+)
+
+func logUniform(r *rand.Rand, low, high float64) float64 {
+	return low * math.Exp(r.Float64()*math.Log(high/low))
+}
+
+func uniform(r *rand.Rand, low, high float64) float64 { return low + r.Float64()*(high-low) }
+
+// makeFault draws the fault of a kind.
+func makeFault(r *rand.Rand, k kind, routes *routeMix) fault {
+	f := fault{route: -1, slowdown: 1}
+	late := time.Duration(uniform(r, earliestLate, latestLate) * float64(moveTime))
+	switch k {
+	case kindFailsAtOnce:
+		f.errorRate = logUniform(r, leastErrorRate, 1)
+	case kindSlowAtOnce:
+		f.slowdown = uniform(r, 1.5, 3)
+	case kindFailsLate:
+		f.from = late
+		f.errorRate = logUniform(r, leastErrorRate, 1)
+	case kindSlowLate:
+		f.from = late
+		f.slowdown = uniform(r, 1.5, 3)
+	case kindFailsOnLoad:
+		f.onLoad = true
+		f.errorRate = logUniform(r, leastErrorRate, 0.5)
+	case kindSlowOnLoad:
+		f.onLoad = true
+		f.slowdown = uniform(r, 1.5, 3)
+	case kindOneRoute:
+		f.route = r.IntN(routes.len())
+		f.errorRate = logUniform(r, 0.2, 1)
+	case kindWrongStop:
+		f.wrongStopRate = logUniform(r, 0.003, 0.01)
+	case kindKillsEngines:
+		f.deathRate = engineDeathRate
+	}
+	return f
+}
+
+// makeDisturbance draws what goes wrong beside the version. Half of the moves
+// of bad versions have a disturbance too.
+func makeDisturbance(r *rand.Rand, k kind, routes *routeMix) disturbance {
+	d := disturbance{slowDomain: -1, shiftedRoute: -1}
+	chosen := k
+	if slices.Contains(badKinds, k) && r.IntN(2) == 0 {
+		chosen = goodKinds[1+r.IntN(len(goodKinds)-1)]
+	}
+	d.from = time.Duration(r.Float64() * float64(moveTime))
+	d.until = d.from + moveTime/4
+	switch chosen {
+	case kindBadHosts:
+		d.badHosts = make(map[int]bool)
+		for range badHostCount {
+			d.badHosts[r.IntN(serverCount)] = true
+		}
+	case kindSlowDomain:
+		d.slowDomain = r.IntN(domainCount)
+	case kindStoreOutage:
+		d.outageFrom = d.from
+		d.outageUntil = d.from + minOutage + time.Duration(r.Float64()*float64(maxOutage-minOutage))
+	case kindTrafficShift:
+		d.shiftFrom = d.from
+		d.shiftedRoute = r.IntN(routes.len())
+	}
+	return d
+}
+
+// active says whether the fault touches a request.
+func (f fault) active(now time.Duration, route int, load rollout.LoadLevel) bool {
+	if now < f.from || (f.route >= 0 && f.route != route) {
+		return false
+	}
+	return !f.onLoad || load == rollout.LoadHigh
+}
--- /dev/null
+++ b/experiment/moves/moves_test.go
@@ -0,0 +1,69 @@
+package moves
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestRunMove(t *testing.T) {
+	Convey("A move's result depends on its seed only", t, func() {
+		key := resultKey{kindFailsLate, policyRollout}
+		first := runMove(7, key, 3)
+		So(runMove(7, key, 3), ShouldResemble, first)
+		So(runMove(8, key, 3), ShouldNotResemble, first)
+		So(first.takenBack, ShouldBeTrue)
+		So(first.harmed, ShouldBeGreaterThan, 0)
+	})
+	Convey("Baselines see the same fault", t, func() {
+		timetable := runMove(7, resultKey{kindFailsAtOnce, policyTimetable}, 3)
+		threshold := runMove(7, resultKey{kindFailsAtOnce, policyThreshold}, 3)
+		So(timetable.doneInTime, ShouldBeTrue)
+		So(threshold.takenBack, ShouldBeTrue)
+		So(timetable.harmed, ShouldBeGreaterThan, threshold.harmed)
+	})
+}
+
+// perfect returns totals that meet every target.
+func perfect() map[resultKey]*totals {
+	results := make(map[resultKey]*totals)
+	for _, k := range allKinds {
+		for _, p := range allPolicies {
+			results[resultKey{k, p}] = &totals{moves: 200}
+		}
+	}
+	for _, k := range goodKinds {
+		results[resultKey{k, policyRollout}].done = 200
+	}
+	for _, k := range badKinds {
+		results[resultKey{k, policyRollout}].takenBack = 200
+	}
+	return results
+}
+
+func TestReportTargets(t *testing.T) {
+	judge := func(kind kind, change func(*totals)) error {
+		results := perfect()
+		change(results[resultKey{kind, policyRollout}])
+		r := report{w: &bytes.Buffer{}, options: Options{Moves: 200}, results: results}
+		return r.print(0)
+	}
+	Convey("Figures on target pass", t, func() {
+		So(judge(kindGood, func(t *totals) { t.done = 198 }), ShouldBeNil)
+		So(judge(kindSlowLate, func(t *totals) { t.takenBack = 190 }), ShouldBeNil)
+	})
+	Convey("Each figure off target fails the run", t, func() {
+		for kind, change := range map[kind]func(*totals){
+			kindGood:        func(t *totals) { t.done = 197 },
+			kindBadHosts:    func(t *totals) { t.takenBack = 10 },
+			kindSlowLate:    func(t *totals) { t.takenBack = 189 },
+			kindFailsAtOnce: func(t *totals) { t.takenBack = 199 },
+			kindWrongStop:   func(t *totals) { t.worstShare = 0.051 },
+			kindOneRoute:    func(t *totals) { t.afterStop = 1 },
+		} {
+			So(errors.Is(judge(kind, change), ErrTargetMissed), ShouldBeTrue)
+		}
+	})
+}
--- /dev/null
+++ b/experiment/moves/policy.go
@@ -0,0 +1,216 @@
+package moves
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/rollout"
+
+	"github.com/cockroachdb/errors"
+)
+
+// policy is a way to drive a move.
+type policy string
+
+const (
+	policyRollout   policy = "rollout"
+	policyTimetable policy = "timetable"
+	policyThreshold policy = "threshold"
+)
+
+var allPolicies = []policy{policyRollout, policyTimetable, policyThreshold}
+
+const (
+	moveID                = "m"
+	weightBytes     int64 = 40_000_000_000
+	weightRate      int64 = 2_500_000_000
+	localInterval         = 2 * time.Second
+	evidenceLoss          = 0.05
+	takeoverChance        = 0.3
+	takeoverGap           = 8 * time.Second
+	answerLossPart        = 0.05
+	serverReportGap       = 3 * time.Second
+)
+
+func newDriver(p policy, t *trial) driver {
+	if p == policyRollout {
+		return newController(t)
+	}
+	return newTimetable(t, p == policyThreshold)
+}
+
+// controller drives a rollout.Move over a table that can be out and loses
+// answers, and hands the lease over once in some of the moves.
+type controller struct {
+	t        *trial
+	plan     rollout.Plan
+	judge    *rollout.Judge
+	move     *rollout.Move
+	fencing  wigeonfork.FencingNumber
+	row      platform.Row
+	applied  map[string]platform.Revision
+	takeover time.Duration
+	finished time.Duration
+}
+
+func newController(t *trial) *controller {
+	plan := rollout.Plan{
+		ID: moveID, Scope: "d", Model: "m", From: oldVersion, To: newVersion,
+		Start: clockStart, Deadline: at(moveTime), WeightBytes: weightBytes, RateBytesPerSecond: weightRate,
+	}
+	for _, v := range t.servers {
+		plan.Servers = append(plan.Servers, v.Server)
+	}
+	c := &controller{t: t, plan: plan, applied: make(map[string]platform.Revision), takeover: -1}
+	if t.r.Float64() < takeoverChance {
+		c.takeover = time.Duration(t.r.Float64() * float64(moveTime))
+	}
+	c.take()
+	return c
+}
+
+// take makes this the work of a new holder, which knows the row only.
+func (c *controller) take() {
+	c.fencing++
+	c.judge = rollout.NewJudge(rollout.JudgeConfig{FalseStop: rollout.DefaultFalseStop / 2, Horizon: moveTime})
+	move, err := rollout.NewMove(c.plan, c.row, c.fencing)
+	if err != nil {
+		panic(err)
+	}
+	c.move = move
+}
+
+func (c *controller) state() (rollout.State, time.Duration) {
+	return c.move.State(), c.finished
+}
+
+func (c *controller) step(now time.Duration) {
+	if c.takeover >= 0 && now >= c.takeover && now < c.takeover+takeoverGap {
+		c.local(now)
+		return
+	}
+	if c.takeover >= 0 && now >= c.takeover+takeoverGap {
+		c.takeover = -1
+		c.take()
+	}
+	c.local(now)
+	if now%serverReportGap == 0 {
+		c.report(now)
+	}
+	c.drive(now, rollout.Judged{Verdict: c.judge.Advance(at(now))})
+	c.drive(now, rollout.Tick{})
+}
+
+// local gathers the entries' evidence and lets each judge by its own.
+func (c *controller) local(now time.Duration) {
+	for _, e := range c.t.entries {
+		evidence := e.collector.Flush()
+		e.local.Merge(at(now), evidence)
+		if !e.gate.Stopped() && now%localInterval == 0 && e.local.Advance(at(now)).Stop {
+			e.gate.Stop()
+			c.t.noteStop(now)
+		}
+		if c.t.r.Float64() < evidenceLoss {
+			continue
+		}
+		c.judge.Merge(at(now), evidence)
+		if e.gate.Stopped() {
+			c.drive(now, rollout.StopRequested{Why: "stopped by an entry"})
+		}
+	}
+}
+
+// report tells what the backend servers hold.
+func (c *controller) report(now time.Duration) {
+	for i := range c.t.servers {
+		v := &c.t.servers[i]
+		c.drive(now, rollout.ServerReport{Server: v.ID, Down: v.down, OldReady: v.old, NewReady: v.new})
+	}
+}
+
+// drive steps the move and carries out what it asks for.
+func (c *controller) drive(now time.Duration, event rollout.Event) {
+	queue := c.move.Step(at(now), event)
+	for len(queue) > 0 {
+		action := queue[0]
+		queue = queue[1:]
+		switch a := action.(type) {
+		case rollout.SetShares:
+			c.t.setShares(now, a.Shares)
+		case rollout.WriteRecord:
+			queue = append(queue, c.move.Step(at(now), c.commit(now, a.Transaction))...)
+		case rollout.GiveOrder:
+			err := c.t.order(a.Server, a.Order)
+			queue = append(queue, c.move.Step(at(now), rollout.OrderDone{Server: a.Server, Kind: a.Order.Kind, Err: err})...)
+		}
+	}
+}
+
+// noteFinish reads from the table when the move was finished.
+func (c *controller) noteFinish() {
+	record, err := rollout.DecodeRecord(c.row)
+	if err != nil {
+		panic(err)
+	}
+	c.finished = record.Finished.Sub(clockStart)
+}
+
+var (
+	errStoreOut   = errors.New("store is out")
+	errAnswerLost = errors.New("answer lost")
+	errDown       = errors.New("backend server is down")
+)
+
+func (c *controller) commit(now time.Duration, tx platform.Transaction) rollout.RecordDone {
+	done := rollout.RecordDone{OperationID: tx.OperationID}
+	d := &c.t.disturb
+	if now >= d.outageFrom && now < d.outageUntil {
+		done.Err = platform.NewError(platform.OutcomeNotDone, "commit", "table", errStoreOut)
+		return done
+	}
+	revision, known := c.applied[tx.OperationID]
+	switch {
+	case known:
+		done.Commit = platform.Commit{Applied: true, Revision: revision}
+	case tx.Conditions[0].Revision != c.row.Revision:
+		done.Commit = platform.Commit{Conflicts: []platform.Row{c.row}}
+	default:
+		c.row = platform.Row{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: c.row.Revision + 1}
+		c.applied[tx.OperationID] = c.row.Revision
+		done.Commit = platform.Commit{Applied: true, Revision: c.row.Revision}
+		c.noteFinish()
+	}
+	if c.t.r.Float64() < answerLossPart {
+		done.Err = platform.NewError(platform.OutcomeUnknown, "commit", "table", errAnswerLost)
+	}
+	return done
+}
+
+// order carries out an order on a backend server.
+func (t *trial) order(id wigeonfork.BackendServerID, order backend.Order) error {
+	for i := range t.servers {
+		v := &t.servers[i]
+		if v.ID != id {
+			continue
+		}
+		if v.down {
+			return platform.NewError(platform.OutcomeNotDone, "order", string(id), errDown)
+		}
+		t.apply(v, order)
+	}
+	return nil
+}
+
+func (t *trial) apply(v *server, order backend.Order) {
+	switch {
+	case order.Kind == backend.OrderLoad && !v.new && v.remaining <= 0:
+		v.remaining = float64(weightBytes)
+	case order.Kind == backend.OrderUnload && order.Version == newVersion:
+		v.new = false
+		v.remaining = 0
+	case order.Kind == backend.OrderUnload:
+		v.old = false
+	}
+}
--- /dev/null
+++ b/experiment/moves/report.go
@@ -0,0 +1,140 @@
+package moves
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// totals are the results of all moves of one kind under one policy.
+type totals struct {
+	moves, done, takenBack int
+	harmed                 int
+	afterStop              int
+	worstShare             float64
+	serverHours            float64
+}
+
+func (t *totals) add(r result) {
+	t.moves++
+	if r.doneInTime {
+		t.done++
+	}
+	if r.takenBack {
+		t.takenBack++
+	}
+	t.harmed += r.harmed
+	t.afterStop += r.afterStop
+	t.worstShare = max(t.worstShare, r.canaryShare)
+	t.serverHours += r.serverHours
+}
+
+func percent(part, whole int) float64 { return 100 * float64(part) / float64(max(whole, 1)) }
+
+// The targets, in percent unless said otherwise.
+const (
+	targetGoodDone    = 99.0
+	targetGoodTaken   = 1.0
+	targetBadTaken    = 95.0
+	targetAtOnceTaken = 100.0
+	targetCanaryShare = 5.0
+	targetAfterStop   = 0
+)
+
+type report struct {
+	w       io.Writer
+	csv     io.Writer
+	options Options
+	results map[resultKey]*totals
+	missed  []string
+}
+
+func (r *report) print(took time.Duration) error {
+	fmt.Fprintf(r.w, "seed %d, %d moves of each kind and policy, %d backend servers, %s to the deadline, in virtual time (%s of real time)\n",
+		r.options.Seed, r.options.Moves, serverCount, moveTime, took.Round(time.Second))
+	r.table()
+	for _, k := range allKinds {
+		r.check(k)
+	}
+	r.checkMistakes()
+	if len(r.missed) == 0 {
+		fmt.Fprintln(r.w, "all targets met")
+		return nil
+	}
+	for _, line := range r.missed {
+		fmt.Fprintln(r.w, "missed:", line)
+	}
+	return ErrTargetMissed
+}
+
+func (r *report) table() {
+	tw := tabwriter.NewWriter(r.w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "kind\tpolicy\tdone in time\ttaken back\tharmed/move\tcanary share\tafter stop\tboth versions, server hours/move")
+	if r.csv != nil {
+		fmt.Fprintln(r.csv, "kind,policy,moves,done_percent,taken_back_percent,harmed_per_move,canary_share_percent,after_stop,server_hours_per_move")
+	}
+	for _, k := range allKinds {
+		for _, p := range allPolicies {
+			r.line(tw, k, p)
+		}
+	}
+	_ = tw.Flush()
+}
+
+func (r *report) line(tw io.Writer, k kind, p policy) {
+	t := r.results[resultKey{k, p}]
+	n := float64(max(t.moves, 1))
+	done, taken := percent(t.done, t.moves), percent(t.takenBack, t.moves)
+	harmed, hours := float64(t.harmed)/n, t.serverHours/n
+	fmt.Fprintf(tw, "%s\t%s\t%.1f%%\t%.1f%%\t%.1f\t%.2f%%\t%d\t%.2f\n",
+		k, p, done, taken, harmed, 100*t.worstShare, t.afterStop, hours)
+	if r.csv != nil {
+		fmt.Fprintf(r.csv, "%q,%s,%d,%.2f,%.2f,%.2f,%.3f,%d,%.3f\n",
+			string(k), p, t.moves, done, taken, harmed, 100*t.worstShare, t.afterStop, hours)
+	}
+}
+
+func (r *report) miss(format string, args ...any) {
+	r.missed = append(r.missed, fmt.Sprintf(format, args...))
+}
+
+// check holds the figures of one kind against their targets.
+func (r *report) check(k kind) {
+	t := r.results[resultKey{k, policyRollout}]
+	if slices.Contains(goodKinds, k) {
+		if done := percent(t.done, t.moves); done < targetGoodDone {
+			r.miss("%s: %.1f%% done in time, target %.0f%%", k, done, targetGoodDone)
+		}
+	} else {
+		target := targetBadTaken
+		if k == kindFailsAtOnce {
+			target = targetAtOnceTaken
+		}
+		if taken := percent(t.takenBack, t.moves); taken < target {
+			r.miss("%s: %.1f%% taken back, target %.0f%%", k, taken, target)
+		}
+	}
+	if share := 100 * t.worstShare; share > targetCanaryShare {
+		r.miss("%s: canary share %.2f%%, target %.0f%%", k, share, targetCanaryShare)
+	}
+	if t.afterStop > targetAfterStop {
+		r.miss("%s: %d requests sent more than %s after the stop", k, t.afterStop, afterStopLimit)
+	}
+}
+
+// checkMistakes holds the good versions taken back against the target.
+func (r *report) checkMistakes() {
+	moves, taken := 0, 0
+	for _, k := range goodKinds {
+		t := r.results[resultKey{k, policyRollout}]
+		moves += t.moves
+		taken += t.takenBack
+	}
+	share := percent(taken, moves)
+	fmt.Fprintf(r.w, "good versions taken back: %d of %d (%.2f%%, target under %.0f%%)\n", taken, moves, share, targetGoodTaken)
+	if share >= targetGoodTaken {
+		r.miss("good versions: %.2f%% taken back, target under %.0f%%", share, targetGoodTaken)
+	}
+}
--- /dev/null
+++ b/experiment/moves/run.go
@@ -0,0 +1,339 @@
+package moves
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/rollout"
+)
+
+// result is the outcome of one move.
+type result struct {
+	doneInTime  bool
+	takenBack   bool
+	requests    int
+	harmed      int
+	afterStop   int
+	canaryShare float64
+	serverHours float64
+}
+
+// clockStart is the date at which virtual time begins.
+var clockStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(now time.Duration) time.Time { return clockStart.Add(now) }
+
+// entry is one process that routes requests.
+type entry struct {
+	gate      *rollout.Gate
+	collector *rollout.Collector
+	local     *rollout.Judge
+	// updates are shares on their way.
+	updates []update
+}
+
+type update struct {
+	at     time.Duration
+	shares rollout.Shares
+}
+
+// trial is one move under one policy.
+type trial struct {
+	*stream
+	entries []*entry
+	driver  driver
+	result  result
+	stopped time.Duration
+	canary  shareCount
+	// counted is what the baselines go by.
+	counted    errorCount
+	collecting bool
+}
+
+type errorCount struct{ starts, errors int }
+
+type shareCount struct{ new, all int }
+
+// driver is a policy that drives a move.
+type driver interface {
+	// step is called each virtual second.
+	step(now time.Duration)
+	// state tells where the move stands.
+	state() (state rollout.State, finished time.Duration)
+}
+
+const (
+	// Shares reach an entry after a time between these.
+	leastSpread = 200 * time.Millisecond
+	mostSpread  = 1500 * time.Millisecond
+	// afterStopLimit is when the last request may go to a stopped version.
+	afterStopLimit = 2 * time.Second
+	// settleTime is longer than any request.
+	settleTime = 200 * time.Second
+	// extraTime is watched after the deadline.
+	extraTime = 4 * time.Minute
+)
+
+func runMove(seed uint64, key resultKey, index int) result {
+	t := &trial{stream: newStream(seed, key.kind, index), stopped: -1, collecting: key.policy == policyRollout}
+	versions := rollout.Pair{Old: oldVersion, New: newVersion}
+	for i := range entryCount {
+		t.entries = append(t.entries, &entry{
+			gate:      rollout.NewGate(moveID, versions),
+			collector: rollout.NewCollector(fmt.Sprintf("e%d", i), versions),
+			local:     rollout.NewJudge(rollout.JudgeConfig{FalseStop: rollout.DefaultFalseStop / (2 * entryCount), Horizon: moveTime}),
+		})
+	}
+	t.driver = newDriver(key.policy, t)
+	t.run()
+	return t.result
+}
+
+func (t *trial) run() {
+	steps := int((moveTime + extraTime) / stepTime)
+	second := int(time.Second / stepTime)
+	for step := range steps {
+		now := time.Duration(step) * stepTime
+		t.spread(now)
+		t.kill(now)
+		t.loadWeights(now)
+		t.observe(step, now)
+		t.send(step, now)
+		if step%second == 0 {
+			t.driver.step(now)
+		}
+		t.count(now)
+		if t.settled(now) {
+			break
+		}
+	}
+	t.finish()
+}
+
+// settled says that a version was taken back and its last request has ended.
+func (t *trial) settled(now time.Duration) bool {
+	state, _ := t.driver.state()
+	return state == rollout.StateReverted && now > t.stopped+settleTime
+}
+
+// spread hands shares on to the entries that they have reached.
+func (t *trial) spread(now time.Duration) {
+	for _, e := range t.entries {
+		kept := e.updates[:0]
+		for _, u := range e.updates {
+			if u.at > now {
+				kept = append(kept, u)
+				continue
+			}
+			e.gate.Apply(u.shares)
+		}
+		e.updates = kept
+	}
+}
+
+// setShares sends shares to all entries.
+func (t *trial) setShares(now time.Duration, shares rollout.Shares) {
+	if shares.Stopped {
+		t.noteStop(now)
+	}
+	for _, e := range t.entries {
+		delay := time.Duration(uniform(t.r, float64(leastSpread), float64(mostSpread)))
+		e.updates = append(e.updates, update{at: now + delay, shares: shares})
+	}
+}
+
+func (t *trial) noteStop(now time.Duration) {
+	if t.stopped < 0 {
+		t.stopped = now
+	}
+}
+
+// kill ends engines that die of themselves or by their host.
+func (t *trial) kill(now time.Duration) {
+	for i := range t.servers {
+		v := &t.servers[i]
+		if v.down && now >= v.downUntil {
+			v.down = false
+			v.old = v.old || !v.new
+		}
+		if now >= v.nextDeath {
+			t.die(now, i, false)
+			v.nextDeath = now + t.deathGap(i)
+		}
+	}
+}
+
+// die ends an engine and all requests on it. It forgets the new version.
+func (t *trial) die(now time.Duration, i int, byVersion bool) {
+	v := &t.servers[i]
+	if v.down {
+		return
+	}
+	v.down = true
+	v.downUntil = now + restartTime
+	v.new = false
+	v.remaining = 0
+	for slot := range t.ring {
+		for k := range t.ring[slot] {
+			q := &t.ring[slot][k]
+			if q.server != i || q.dead || !q.isEnd {
+				continue
+			}
+			q.dead = true
+			t.ended(now, q, rollout.OutcomeEngineDeath, byVersion)
+		}
+	}
+}
+
+// loadWeights shares the weight store's rate between the loads under way.
+func (t *trial) loadWeights(now time.Duration) {
+	active := 0
+	for i := range t.servers {
+		if t.servers[i].remaining > 0 {
+			active++
+		}
+	}
+	if active == 0 {
+		return
+	}
+	part := float64(weightRate) * stepTime.Seconds() / float64(active)
+	for i := range t.servers {
+		v := &t.servers[i]
+		if v.remaining <= 0 {
+			continue
+		}
+		v.remaining -= part
+		if v.remaining <= 0 {
+			v.new = true
+			v.newSince = now
+		}
+	}
+}
+
+// observe tells the entries what has become of requests.
+func (t *trial) observe(step int, now time.Duration) {
+	slot := step % ringSize
+	for k := range t.ring[slot] {
+		q := &t.ring[slot][k]
+		if q.dead {
+			continue
+		}
+		if !q.isEnd {
+			t.firstToken(now, q)
+			continue
+		}
+		q.dead = true
+		if q.end == rollout.OutcomeEngineDeath {
+			t.ended(now, q, q.end, true)
+			t.die(now, q.server, true)
+			continue
+		}
+		t.ended(now, q, q.end, false)
+	}
+	t.ring[slot] = t.ring[slot][:0]
+}
+
+func (t *trial) firstToken(now time.Duration, q *request) {
+	if !t.collecting {
+		return
+	}
+	s := t.sample(q)
+	s.FirstToken = q.first
+	t.entries[q.entry].collector.Observed(at(now), s)
+}
+
+func (t *trial) ended(now time.Duration, q *request, outcome rollout.Outcome, byVersion bool) {
+	if q.harmed || byVersion {
+		t.result.harmed++
+	}
+	if q.isNew && outcome != rollout.OutcomeOK {
+		t.counted.errors++
+	}
+	if !t.collecting {
+		return
+	}
+	s := t.sample(q)
+	s.Outcome = outcome
+	if outcome == rollout.OutcomeOK {
+		s.InterToken = q.inter
+	}
+	t.entries[q.entry].collector.Observed(at(now), s)
+}
+
+func (t *trial) sample(q *request) rollout.Sample {
+	v := &t.servers[q.server]
+	version := oldVersion
+	if q.isNew {
+		version = newVersion
+	}
+	return rollout.Sample{Start: rollout.Start{
+		Version: version,
+		Stratum: rollout.Stratum{Route: t.routes.names[q.route], Load: q.load, Server: v.ID},
+		Host:    v.Host,
+		Domain:  v.Domain,
+	}}
+}
+
+// send starts the requests that arrive in a step.
+func (t *trial) send(step int, now time.Duration) {
+	for range t.arrivals(now) {
+		q := request{entry: t.r.IntN(entryCount), route: t.pickRoute(now)}
+		e := t.entries[q.entry]
+		q.isNew = e.gate.Choose(t.routes.names[q.route]) == newVersion
+		q.server = t.pickServer(q.isNew)
+		if q.server < 0 {
+			q.isNew = !q.isNew && !e.gate.Stopped()
+			q.server = t.pickServer(q.isNew)
+		}
+		t.result.requests++
+		t.countShare(now, &q)
+		if q.server < 0 {
+			continue
+		}
+		t.shape(now, &q)
+		if q.isNew {
+			t.counted.starts++
+		}
+		if t.collecting {
+			e.collector.Started(at(now), t.sample(&q).Start)
+		}
+		if q.end != rollout.OutcomeError {
+			t.later(step, q.first, q)
+		}
+		duration := t.duration(&q)
+		q.isEnd = true
+		t.later(step, duration, q)
+	}
+}
+
+func (t *trial) countShare(now time.Duration, q *request) {
+	state, _ := t.driver.state()
+	if state == rollout.StateCanary {
+		t.canary.all++
+		if q.isNew {
+			t.canary.new++
+		}
+	}
+	if q.isNew && t.stopped >= 0 && now > t.stopped+afterStopLimit {
+		t.result.afterStop++
+	}
+}
+
+// count adds up the time for which servers hold both versions.
+func (t *trial) count(time.Duration) {
+	for i := range t.servers {
+		v := &t.servers[i]
+		if v.old && (v.new || v.remaining > 0) {
+			t.result.serverHours += stepTime.Hours()
+		}
+	}
+}
+
+func (t *trial) finish() {
+	state, finished := t.driver.state()
+	t.result.takenBack = state == rollout.StateReverting || state == rollout.StateReverted
+	t.result.doneInTime = state == rollout.StateDone && finished <= moveTime
+	if t.canary.all > 0 {
+		t.result.canaryShare = float64(t.canary.new) / float64(t.canary.all)
+	}
+}
--- /dev/null
+++ b/experiment/moves/stream.go
@@ -0,0 +1,302 @@
+package moves
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/rollout"
+)
+
+const (
+	moveTime    = 30 * time.Minute
+	stepTime    = 500 * time.Millisecond
+	serverCount = 25
+	domainCount = 3
+	routeCount  = 12
+	entryCount  = 3
+
+	peakRequestsPerSecond = 60.0
+	baseErrorRate         = 0.002
+	baseWrongStopRate     = 0.0001
+	shiftedErrorRate      = 0.05
+	shiftedShare          = 0.4
+	slowDomainFactor      = 3.0
+	coldFactor            = 1.6
+	coldTime              = 60 * time.Second
+
+	meanDeathGap    = 3 * time.Hour
+	badHostDeathGap = 90 * time.Second
+	restartTime     = 20 * time.Second
+
+	firstTokenMedian = 0.35
+	interTokenMedian = 0.03
+	latencySpread    = 0.35
+	meanDuration     = 8.0
+	longPart         = 0.05
+	longestDuration  = 180.0
+	ringSize         = 1 << 10
+)
+
+const (
+	oldVersion wigeonfork.Version = "v1"
+	newVersion wigeonfork.Version = "v2"
+)
+
+// routeMix is the traffic's spread over routes.
+type routeMix struct {
+	names   []rollout.Route
+	weights []float64
+	sum     float64
+	slow    []float64
+}
+
+func newRouteMix(r *rand.Rand) *routeMix {
+	m := &routeMix{}
+	for i := range routeCount {
+		weight := 1 / math.Pow(float64(i+1), 1.1)
+		m.names = append(m.names, rollout.Route(fmt.Sprintf("w%d/narrative", i)))
+		m.weights = append(m.weights, weight)
+		m.slow = append(m.slow, uniform(r, 0.6, 1.8))
+		m.sum += weight
+	}
+	return m
+}
+
+func (m *routeMix) len() int { return len(m.names) }
+
+func (m *routeMix) pick(r *rand.Rand) int {
+	x := r.Float64() * m.sum
+	for i, weight := range m.weights {
+		if x < weight {
+			return i
+		}
+		x -= weight
+	}
+	return len(m.weights) - 1
+}
+
+// server is what the stream needs to label and shape samples.
+type server struct {
+	rollout.Server
+	domain    int
+	speed     float64
+	bias      float64
+	downUntil time.Duration
+	down      bool
+	// What it holds, by the orders that it was given.
+	old, new  bool
+	newSince  time.Duration
+	remaining float64
+	nextDeath time.Duration
+}
+
+// request is one request under way.
+type request struct {
+	entry  int
+	route  int
+	server int
+	isNew  bool
+	load   rollout.LoadLevel
+	first  time.Duration
+	inter  time.Duration
+	end    rollout.Outcome
+	isEnd  bool
+	dead   bool
+	harmed bool
+}
+
+// stream makes the samples of one move.
+type stream struct {
+	r       *rand.Rand
+	routes  *routeMix
+	servers []server
+	fault   fault
+	disturb disturbance
+	phase   float64
+	ring    [ringSize][]request
+	carry   float64
+}
+
+func newStream(seed uint64, k kind, index int) *stream {
+	r := rand.New(rand.NewPCG(seed, uint64(index)<<8|uint64(kindNumber(k))))
+	s := &stream{r: r, routes: newRouteMix(r), phase: r.Float64() * 2 * math.Pi}
+	s.fault = makeFault(r, k, s.routes)
+	s.disturb = makeDisturbance(r, k, s.routes)
+	for i := range serverCount {
+		domain := i % domainCount
+		s.servers = append(s.servers, server{
+			Server: rollout.Server{
+				ID:     wigeonfork.BackendServerID(fmt.Sprintf("b%02d", i)),
+				Host:   wigeonfork.HostID(fmt.Sprintf("h%02d", i)),
+				Domain: wigeonfork.FailureDomain(fmt.Sprintf("d%d", domain)),
+			},
+			domain: domain, speed: uniform(r, 0.7, 2.8), bias: uniform(r, -0.15, 0.15), old: true,
+		})
+		s.servers[i].nextDeath = s.deathGap(i)
+	}
+	return s
+}
+
+func kindNumber(k kind) int {
+	for i, known := range allKinds {
+		if known == k {
+			return i
+		}
+	}
+	return len(allKinds)
+}
+
+func (s *stream) deathGap(i int) time.Duration {
+	mean := meanDeathGap
+	if s.disturb.badHosts[i] {
+		mean = badHostDeathGap
+	}
+	return time.Duration(s.r.ExpFloat64() * float64(mean))
+}
+
+// load returns how busy the fleet is, from 0 to 1. It peaks twice in a move.
+func (s *stream) load(now time.Duration) float64 {
+	turn := 4 * math.Pi * float64(now) / float64(moveTime)
+	load := 0.6 + 0.3*math.Sin(turn+s.phase)
+	if s.shifted(now) {
+		load += 0.1
+	}
+	return load
+}
+
+func (s *stream) shifted(now time.Duration) bool {
+	return s.disturb.shiftedRoute >= 0 && now >= s.disturb.shiftFrom
+}
+
+func (s *stream) levelOf(now time.Duration, i int) (float64, rollout.LoadLevel) {
+	const slots = 1000
+	load := min(max(s.load(now)+s.servers[i].bias, 0.05), 0.98)
+	return load, rollout.LevelOf(int(load*slots), slots)
+}
+
+func (s *stream) pickRoute(now time.Duration) int {
+	if s.shifted(now) && s.r.Float64() < shiftedShare {
+		return s.disturb.shiftedRoute
+	}
+	return s.routes.pick(s.r)
+}
+
+// pickServer returns a server that holds the version, by its speed, or -1.
+func (s *stream) pickServer(isNew bool) int {
+	sum := 0.0
+	for i := range s.servers {
+		if s.servers[i].serves(isNew) {
+			sum += s.servers[i].speed
+		}
+	}
+	x := s.r.Float64() * sum
+	last := -1
+	for i := range s.servers {
+		if !s.servers[i].serves(isNew) {
+			continue
+		}
+		last = i
+		if x < s.servers[i].speed {
+			return i
+		}
+		x -= s.servers[i].speed
+	}
+	return last
+}
+
+func (v *server) serves(isNew bool) bool {
+	if v.down {
+		return false
+	}
+	if isNew {
+		return v.new
+	}
+	return v.old
+}
+
+// arrivals returns how many requests arrive in one step.
+func (s *stream) arrivals(now time.Duration) int {
+	s.carry += s.load(now) * peakRequestsPerSecond * stepTime.Seconds()
+	whole := int(s.carry)
+	s.carry -= float64(whole)
+	return whole
+}
+
+// shape draws how a request goes.
+func (s *stream) shape(now time.Duration, q *request) {
+	load, level := s.levelOf(now, q.server)
+	v := &s.servers[q.server]
+	q.load = level
+	factor := 1 / (v.speed * (1.3 - load))
+	if v.domain == s.disturb.slowDomain && now >= s.disturb.from && now < s.disturb.until {
+		factor *= slowDomainFactor
+	}
+	bad := q.isNew && s.fault.active(now, q.route, level)
+	if bad {
+		factor *= s.fault.slowdown
+		q.harmed = s.fault.slowdown > 1
+	}
+	cold := 1.0
+	if q.isNew && now-v.newSince < coldTime {
+		cold = coldFactor
+	}
+	q.first = s.latency(firstTokenMedian * factor * cold * s.routes.slow[q.route])
+	q.inter = s.latency(interTokenMedian * factor)
+	q.end = s.outcome(now, q, bad)
+}
+
+func (s *stream) latency(median float64) time.Duration {
+	return time.Duration(median * math.Exp(latencySpread*s.r.NormFloat64()) * float64(time.Second))
+}
+
+func (s *stream) outcome(now time.Duration, q *request, bad bool) rollout.Outcome {
+	errorRate := baseErrorRate
+	if s.shifted(now) && q.route == s.disturb.shiftedRoute {
+		errorRate = shiftedErrorRate
+	}
+	x := s.r.Float64()
+	if x < errorRate {
+		return rollout.OutcomeError
+	}
+	if x > 1-baseWrongStopRate {
+		return rollout.OutcomeWrongStop
+	}
+	if !bad {
+		return rollout.OutcomeOK
+	}
+	switch x := s.r.Float64(); {
+	case x < s.fault.errorRate:
+		q.harmed = true
+		return rollout.OutcomeError
+	case x < s.fault.errorRate+s.fault.wrongStopRate:
+		q.harmed = true
+		return rollout.OutcomeWrongStop
+	case x < s.fault.errorRate+s.fault.wrongStopRate+s.fault.deathRate:
+		q.harmed = true
+		return rollout.OutcomeEngineDeath
+	default:
+		return rollout.OutcomeOK
+	}
+}
+
+// duration draws how long a request runs.
+func (s *stream) duration(q *request) time.Duration {
+	if q.end == rollout.OutcomeError {
+		return time.Duration(uniform(s.r, 0.2, 2) * float64(time.Second))
+	}
+	seconds := min(s.r.ExpFloat64()*meanDuration, longestDuration)
+	if s.r.Float64() < longPart {
+		seconds = uniform(s.r, longestDuration/3, longestDuration)
+	}
+	return time.Duration(seconds*float64(time.Second)) + q.first
+}
+
+// later puts q into the step in which it is to be seen.
+func (s *stream) later(step int, after time.Duration, q request) {
+	ahead := min(max(int(after/stepTime), 1), ringSize-1)
+	slot := (step + ahead) % ringSize
+	s.ring[slot] = append(s.ring[slot], q)
+}
