rollout: end local stops with the move; expect deaths of hosts that died before

Cause: with bad hosts dying, good versions were taken back (a bad host dies as often under the new version as it did before, but its deaths were weighed as if all hosts were alike), and an entry that stopped by its own evidence after the old version was unloaded had nothing left to send to.

The end of the watch is made known (Shares.Final) before the old version is unloaded; from then on no process stops by itself.

--- a/experiment/moves/run.go
+++ b/experiment/moves/run.go
@@ -76,6 +76,11 @@
 
 func runMove(seed uint64, key resultKey, index int) result {
 	t := &trial{stream: newStream(seed, key.kind, index), stopped: -1, collecting: key.policy == policyRollout}
+	return runMoveTrial(t, key.policy)
+}
+
+// runMoveTrial drives t to its end under a policy.
+func runMoveTrial(t *trial, p policy) result {
 	versions := rollout.Pair{Old: oldVersion, New: newVersion}
 	for i := range entryCount {
 		t.entries = append(t.entries, &entry{
@@ -84,7 +89,7 @@
 			local:     rollout.NewJudge(rollout.JudgeConfig{FalseStop: rollout.DefaultFalseStop / (2 * entryCount), Horizon: moveTime}),
 		})
 	}
-	t.driver = newDriver(key.policy, t)
+	t.driver = newDriver(p, t)
 	t.run()
 	return t.result
 }
--- a/rollout/deaths.go
+++ b/rollout/deaths.go
@@ -10,42 +10,47 @@
 	// deathWindow joins deaths that have one cause: reports of one death
 	// by several processes, and deaths in one failure domain.
 	deathWindow = 10 * time.Second
+	// deathEpoch is the time between the moments at which the test starts
+	// again if it has found nothing.
+	deathEpoch = 10 * time.Minute
 	// activeFor is how long after a request a backend server counts as
 	// running its version.
 	activeFor = time.Minute
 	// maxHostPart bounds what one host can add to the evidence, as a part
-	// of what stops, so that no two bad hosts stop a version.
-	maxHostPart = 0.45
-	// maxOldDeaths bounds the deaths of one host without the version.
-	maxOldDeaths = 5
-	// minDeathHosts and minDeathDomains are how far deaths must be spread.
-	minDeathHosts   = 2
+	// of what stops, so that it takes three hosts to stop a version.
+	maxHostPart = 0.34
+	// maxOldDeaths bounds the deaths of one host that speak for a version.
+	maxOldDeaths = 2
+	// frailtyPrior is the number of deaths that a host is taken to have had
+	// before it was seen. The smaller it is, the more a host's own deaths
+	// make further ones expected of it.
+	frailtyPrior = 0.5
+	// minDeathDomains is how far deaths must be spread.
 	minDeathDomains = 2
 )
 
-// deathTest compares the rate of engine deaths on backend servers that run
-// the new version with that on those that do not.
+// deathTest compares engine deaths on backend servers that run the new version
+// with those on the others. A host that has died before, with either version,
+// is expected to die more often than the rest.
 type deathTest struct {
 	test       oddsTest
-	servers    map[wigeonfork.BackendServerID]*serverUse
 	limit      float64
+	servers    map[wigeonfork.BackendServerID]*serverUse
 	hosts      map[wigeonfork.HostID]*hostDeaths
 	lastDomain map[wigeonfork.FailureDomain]time.Time
-	newHosts   map[wigeonfork.HostID]struct{}
 	newDomains map[wigeonfork.FailureDomain]struct{}
-	advanced   time.Time
-	// newTime and oldTime are server-seconds with and without the version.
-	newTime, oldTime float64
 }
 
 type serverUse struct {
+	host             wigeonfork.HostID
 	domain           wigeonfork.FailureDomain
 	lastOld, lastNew time.Time
 	lastDeath        time.Time
 }
 
-// hostDeaths is what was charged for one host.
+// hostDeaths is what is known of one host's deaths.
 type hostDeaths struct {
+	total    int
 	old      int
 	evidence float64
 }
@@ -57,7 +62,6 @@
 		servers:    make(map[wigeonfork.BackendServerID]*serverUse),
 		hosts:      make(map[wigeonfork.HostID]*hostDeaths),
 		lastDomain: make(map[wigeonfork.FailureDomain]time.Time),
-		newHosts:   make(map[wigeonfork.HostID]struct{}),
 		newDomains: make(map[wigeonfork.FailureDomain]struct{}),
 	}
 }
@@ -66,7 +70,7 @@
 func (d *deathTest) used(now time.Time, c *Cell) {
 	use := d.servers[c.Stratum.Server]
 	if use == nil {
-		use = &serverUse{domain: c.Domain}
+		use = &serverUse{host: c.Host, domain: c.Domain}
 		d.servers[c.Stratum.Server] = use
 	}
 	if c.Old.Starts > 0 {
@@ -77,23 +81,6 @@
 	}
 }
 
-// advance counts the time since the last call for all servers in use.
-func (d *deathTest) advance(now time.Time) {
-	passed := now.Sub(d.advanced).Seconds()
-	if d.advanced.IsZero() {
-		passed = 0
-	}
-	d.advanced = now
-	for _, use := range d.servers {
-		switch {
-		case now.Sub(use.lastNew) < activeFor:
-			d.newTime += passed
-		case now.Sub(use.lastOld) < activeFor:
-			d.oldTime += passed
-		}
-	}
-}
-
 // died takes one reported death.
 func (d *deathTest) died(now time.Time, epoch int64, death Death) {
 	use := d.servers[death.Server]
@@ -105,38 +92,60 @@
 		return
 	}
 	d.lastDomain[death.Domain] = now
-	if d.newTime == 0 || d.oldTime == 0 {
+	newWeight, oldWeight := d.expected(now)
+	host := d.host(death.Host)
+	host.total++
+	if newWeight == 0 || oldWeight == 0 {
 		return
 	}
 	d.test.startEpoch(epoch)
 	if now.Sub(use.lastNew) < activeFor {
-		d.chargeNew(death)
+		d.newDomains[death.Domain] = struct{}{}
+		d.chargeNew(host, newWeight, oldWeight)
 		return
 	}
-	d.chargeOld(death)
+	d.chargeOld(host, newWeight, oldWeight)
 }
 
-func (d *deathTest) chargeNew(death Death) {
-	host := d.host(death.Host)
-	most := d.test.largestStep(toleratedErrorOdds, d.newTime, d.oldTime)
-	if host.evidence+most > maxHostPart*d.limit {
-		return
+// expected returns the rates of deaths to be expected, in any one unit, on the
+// backend servers that run the new version and on the others.
+func (d *deathTest) expected(now time.Time) (newWeight, oldWeight float64) {
+	newHosts, oldHosts, newDeaths, oldDeaths := 0, 0, 0, 0
+	for _, use := range d.servers {
+		deaths := 0
+		if host := d.hosts[use.host]; host != nil {
+			deaths = host.total
+		}
+		switch {
+		case now.Sub(use.lastNew) < activeFor:
+			newHosts++
+			newDeaths += deaths
+		case now.Sub(use.lastOld) < activeFor:
+			oldHosts++
+			oldDeaths += deaths
+		}
 	}
-	host.evidence += most
-	d.newHosts[death.Host] = struct{}{}
-	d.newDomains[death.Domain] = struct{}{}
+	newWeight = frailtyPrior*float64(newHosts) + float64(newDeaths)
+	oldWeight = frailtyPrior*float64(oldHosts) + float64(oldDeaths)
+	return newWeight, oldWeight
+}
+
+func (d *deathTest) chargeNew(host *hostDeaths, newWeight, oldWeight float64) {
 	d.test.new.bad++
-	d.test.weigh(toleratedErrorOdds, 1, 0, d.newTime, d.oldTime)
+	most := largestStep(toleratedErrorOdds, newWeight, oldWeight)
+	room := max(0, maxHostPart*d.limit-host.evidence)
+	part := min(1, room/most)
+	host.evidence += part * most
+	d.test.weigh(toleratedErrorOdds, part, 0, newWeight, oldWeight)
 }
 
-func (d *deathTest) chargeOld(death Death) {
-	host := d.host(death.Host)
-	if host.old >= maxOldDeaths {
+func (d *deathTest) chargeOld(host *hostDeaths, newWeight, oldWeight float64) {
+	d.test.old.bad++
+	host.old++
+	if host.old > maxOldDeaths {
 		return
 	}
-	host.old++
-	d.test.old.bad++
-	d.test.weigh(toleratedErrorOdds, 0, 1, d.newTime, d.oldTime)
+	d.test.weigh(toleratedErrorOdds, 0, 1, newWeight, oldWeight)
 }
 
 func (d *deathTest) host(id wigeonfork.HostID) *hostDeaths {
@@ -149,15 +158,15 @@
 }
 
 // evidence returns the logarithm of the evidence, or 0 while the deaths are
-// not spread over several hosts and failure domains.
+// not spread over several failure domains.
 func (d *deathTest) evidence() float64 {
-	if len(d.newHosts) < minDeathHosts || len(d.newDomains) < min(minDeathDomains, d.domains()) {
+	if len(d.newDomains) < min(minDeathDomains, d.domains()) {
 		return 0
 	}
 	return d.test.evidence()
 }
 
-// domains returns the number of failure domains that run the new version.
+// domains returns the number of failure domains that have run the new version.
 func (d *deathTest) domains() int {
 	known := make(map[wigeonfork.FailureDomain]struct{})
 	for _, use := range d.servers {
@@ -167,3 +176,15 @@
 	}
 	return len(known)
 }
+
+// running returns how many backend servers have and have not run the version.
+func (d *deathTest) running() (newServers, oldServers uint64) {
+	for _, use := range d.servers {
+		if use.lastNew.IsZero() {
+			oldServers++
+			continue
+		}
+		newServers++
+	}
+	return newServers, oldServers
+}
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -22,6 +22,9 @@
 	NewShare PerMille `json:"new_share"`
 	// Stopped says that New is bad. It never becomes false again.
 	Stopped bool `json:"stopped,omitempty"`
+	// Final says that the move is over and Old is about to be unloaded, so
+	// that New cannot be stopped any more.
+	Final bool `json:"final,omitempty"`
 }
 
 func (s Shares) newerThan(o Shares) bool {
@@ -31,12 +34,14 @@
 	return s.Sequence > o.Sequence
 }
 
-// Gate chooses the version of each request of one move. A stop, whether it
-// arrives in Shares or is set by Stop, holds for ever. It is not safe for
-// concurrent use.
+// Gate chooses the version of each request of one move. A stop that arrives in
+// Shares holds for ever. So does one set by Stop, unless the move turns out to
+// be over: then the old version is gone, and there is nothing else to send to.
+// It is not safe for concurrent use.
 type Gate struct {
 	shares  Shares
 	stopped bool
+	local   bool
 	debts   map[Route]PerMille
 }
 
@@ -58,17 +63,27 @@
 	if s.newerThan(g.shares) {
 		g.shares = s
 	}
+	if g.shares.Final {
+		g.local = false
+	}
 }
 
-// Stop ends sending to the new version.
-func (g *Gate) Stop() { g.stopped = true }
+// Stop ends sending to the new version on this process's own evidence. It is
+// false if the move is over.
+func (g *Gate) Stop() bool {
+	if g.shares.Final {
+		return false
+	}
+	g.local = true
+	return true
+}
 
-// Stopped says whether the new version is sent nothing for ever.
-func (g *Gate) Stopped() bool { return g.stopped }
+// Stopped says whether the new version is sent nothing.
+func (g *Gate) Stopped() bool { return g.stopped || g.local }
 
 // NewShare returns the share of traffic that the new version is sent.
 func (g *Gate) NewShare() PerMille {
-	if g.stopped {
+	if g.Stopped() {
 		return 0
 	}
 	return g.shares.NewShare
--- a/rollout/move.go
+++ b/rollout/move.go
@@ -19,6 +19,10 @@
 	// stagePart is the least time at a share, as a part of the time to the
 	// deadline, when a move has to catch up.
 	stagePart = 0.01
+	// finalDelay is the time between the end of the watch, which is made
+	// known to all, and the first unload of the old version. A stop is
+	// still taken in it.
+	finalDelay = 10 * time.Second
 )
 
 // The events of a move's life cycle.
@@ -66,6 +70,7 @@
 	sharesSent uint64
 	why        string
 	announced  bool
+	final      bool
 
 	pending   *Record
 	inFlight  string
@@ -137,10 +142,11 @@
 // takeBack stops the new version at once. The record follows. Once the old
 // version is being unloaded there is nothing to go back to.
 func (m *Move) takeBack(now time.Time, why string) []Action {
-	if !m.machine.Can(eventTakeBack) || (m.state() == StateDone && m.watched(now)) {
+	if !m.machine.Can(eventTakeBack) || (m.state() == StateDone && m.unloading(now)) {
 		return nil
 	}
 	m.transition(eventTakeBack)
+	m.final = false
 	m.why = why
 	m.write(m.stoppedRecord())
 	return []Action{m.shares()}
@@ -177,7 +183,7 @@
 	}
 	return SetShares{Shares: Shares{
 		Move: m.plan.ID, Fencing: m.fencing, Sequence: m.sharesSent,
-		Old: m.plan.From, New: m.plan.To, NewShare: share, Stopped: m.stopped(),
+		Old: m.plan.From, New: m.plan.To, NewShare: share, Stopped: m.stopped(), Final: m.final,
 	}}
 }
 
@@ -276,6 +282,10 @@
 	if m.stopped() && !m.announced {
 		actions = append(actions, m.shares())
 	}
+	if m.state() == StateDone && m.watched(now) && !m.final {
+		m.final = true
+		actions = append(actions, m.shares())
+	}
 	if m.pending == nil {
 		m.decide(now)
 	}
@@ -308,7 +318,7 @@
 	case StateCanary, StateRamp:
 		m.decideRaise(now)
 	case StateDone:
-		if !m.record.Closed && m.watched(now) && m.fleet.unloaded(now) {
+		if !m.record.Closed && m.unloading(now) && m.fleet.unloaded(now) {
 			m.close(now, StateDone)
 		}
 	case StateReverting:
@@ -378,6 +388,12 @@
 	return now.Sub(m.record.Finished) >= m.plan.Watch
 }
 
+// unloading says that the old version is being unloaded, so that there is
+// nothing to go back to.
+func (m *Move) unloading(now time.Time) bool {
+	return now.Sub(m.record.Finished) >= m.plan.Watch+finalDelay
+}
+
 // orders returns the orders that are due.
 func (m *Move) orders(now time.Time) []Action {
 	switch m.state() {
@@ -387,7 +403,7 @@
 		if m.record.Closed {
 			return nil
 		}
-		if !m.watched(now) {
+		if !m.unloading(now) {
 			return m.fleet.loads(now, m.plan, m.fencing)
 		}
 		return m.fleet.unloads(now, m.plan, m.plan.From, m.fencing)
--- a/rollout/move_test.go
+++ b/rollout/move_test.go
@@ -165,6 +165,16 @@
 			s.pass(m, time.Minute)
 			So(s.record().State, ShouldEqual, StateReverted)
 		})
+		Convey("an entry cannot stop the new version by itself once the old one is being unloaded", func() {
+			s.pass(m, 27*time.Minute)
+			So(s.gate.Stop(), ShouldBeTrue)
+			So(s.gate.NewShare(), ShouldEqual, 0)
+			s.pass(m, 5*time.Minute)
+			So(m.Closed(), ShouldBeTrue)
+			So(s.gate.NewShare(), ShouldEqual, AllTraffic)
+			So(s.gate.Stop(), ShouldBeFalse)
+			So(s.gate.NewShare(), ShouldEqual, AllTraffic)
+		})
 		Convey("while the store is out no step forward is taken, but a step back is", func() {
 			s.pass(m, 10*time.Minute)
 			So(m.State(), ShouldEqual, StateCanary)
--- a/rollout/oddstest.go
+++ b/rollout/oddstest.go
@@ -67,7 +67,7 @@
 
 // largestStep returns the most that one bad request of the new version can
 // add to the evidence.
-func (t *oddsTest) largestStep(tolerated, newWeight, oldWeight float64) float64 {
+func largestStep(tolerated, newWeight, oldWeight float64) float64 {
 	weight := newWeight * tolerated
 	ratio := oddsRatios[len(oddsRatios)-1]
 	return math.Log(ratio * (weight + oldWeight) / (weight*ratio + oldWeight))
