rollout: treat a restarted engine's prefix cache as cold

Cause: a good version on a host whose engine died was taken back for slow first tokens: each restart leaves the prefix cache empty, but only the first load was given time to warm up.

Change: Collector.Restarted, also called on an engine death, starts the warm-up of that backend server again.

--- a/experiment/moves/run.go
+++ b/experiment/moves/run.go
@@ -178,6 +178,9 @@
 	v.downUntil = now + restartTime
 	v.new = false
 	v.remaining = 0
+	for _, e := range t.entries {
+		e.collector.Restarted(v.ID)
+	}
 	for slot := range t.ring {
 		for k := range t.ring[slot] {
 			q := &t.ring[slot][k]
--- a/rollout/collector.go
+++ b/rollout/collector.go
@@ -98,6 +98,7 @@
 		counts.WrongStops++
 	case OutcomeEngineDeath:
 		c.deaths[s.Stratum.Server] = Death{Server: s.Stratum.Server, Host: s.Host, Domain: s.Domain}
+		c.Restarted(s.Stratum.Server)
 	}
 	if s.FirstToken > 0 && !c.warmingUp(now, s) {
 		if slow, known := c.slow(s, 0, s.FirstToken); known {
@@ -113,6 +114,12 @@
 	}
 }
 
+// Restarted says that the engine of a backend server has started anew, so that
+// its prefix cache is empty.
+func (c *Collector) Restarted(server wigeonfork.BackendServerID) {
+	delete(c.newSince, server)
+}
+
 // Flush returns what was counted since the last call and starts anew.
 func (c *Collector) Flush() Evidence {
 	c.sequence++
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -183,6 +183,24 @@
 			So(verdict.Reasons[0].Criterion, ShouldEqual, CriterionDeaths)
 		})
 	})
+	Convey("First tokens on the cold cache of a new or restarted engine are not counted", t, func() {
+		c := NewCollector("e1", testVersions)
+		start := testServerStart("v2", "a", 0)
+		counted := func(at time.Duration) uint32 {
+			now := testStart.Add(at)
+			for range 2 * minQuantileValues {
+				c.Observed(now, Sample{Start: testServerStart("v1", "a", 0), FirstToken: time.Second})
+			}
+			c.Started(now, start)
+			c.Observed(now, Sample{Start: start, FirstToken: time.Second})
+			return c.Flush().Cells[0].New.FirstTokens
+		}
+		So(counted(0), ShouldEqual, 0)
+		So(counted(DefaultWarmUp), ShouldEqual, 1)
+		c.Restarted(start.Stratum.Server)
+		So(counted(DefaultWarmUp+time.Second), ShouldEqual, 0)
+		So(counted(2*DefaultWarmUp+time.Second), ShouldEqual, 1)
+	})
 	Convey("Deaths in one failure domain at one time are charged once", t, func() {
 		d := newDeathTest(100)
 		for server := range 6 {
