rollout: compare errors and wrong stops over whole failure domains too

Cause: on one backend server the canary's requests are a third of the traffic, so a rare wrong stop of the new version says little; over a failure domain they are a twentieth, and each one says much more.

Change: a second test of errors and wrong stops pools the backend servers of a failure domain, per route.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -97,6 +97,7 @@
 	groups    map[limitKey]*group
 	routes    map[Route]struct{}
 	sources   map[string]uint64
+	pool      pool
 	deaths    deathTest
 	began     time.Time
 	newStarts uint64
@@ -120,6 +121,7 @@
 		groups:  make(map[limitKey]*group),
 		routes:  make(map[Route]struct{}),
 		sources: make(map[string]uint64),
+		pool:    newPool(),
 	}
 	j.deaths = newDeathTest(j.limit(j.config.FalseStop*deathPart, 1, deathEpoch))
 	return j
@@ -152,6 +154,9 @@
 	j.newStarts += uint64(c.New.Starts)
 	key := c.Stratum
 	key.Route = j.route(key.Route)
+	if !j.pool.add(now, key.Route, c, j.config.MaxStrata) {
+		j.dropped++
+	}
 	w := j.windows[key]
 	if w == nil {
 		if len(j.windows) >= j.config.MaxStrata {
@@ -183,6 +188,7 @@
 		j.closeWindow(now, key, j.windows[key])
 		delete(j.windows, key)
 	}
+	j.pool.advance(now, j.epoch(now, testEpoch), j.matchedLimit())
 	return j.Verdict()
 }
 
@@ -247,8 +253,9 @@
 
 // matchedLimit takes account of the routes that there are.
 func (j *Judge) matchedLimit() float64 {
-	groups := (len(j.routes) + 1) * int(anyLoad+1)
-	return j.limit(j.config.FalseStop*(1-deathPart), groups*numMatched, testEpoch)
+	routes := len(j.routes) + 1
+	tests := routes*int(anyLoad+1)*numMatched + routes*len(pooledCriteria)
+	return j.limit(j.config.FalseStop*(1-deathPart), tests, testEpoch)
 }
 
 // Verdict returns the state of the comparison.
@@ -278,6 +285,7 @@
 			}
 		}
 	}
+	found = append(found, j.pool.reasons(limit)...)
 	if evidence := j.deaths.evidence(); evidence > 0 {
 		r := reason(CriterionDeaths, limitKey{allRoutes, anyLoad}, &j.deaths.test, evidence, j.deaths.limit)
 		r.NewTotal, r.OldTotal = j.deaths.running()
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -132,6 +132,17 @@
 			So(text, ShouldContainSubstring, "errors on route b")
 			So(text, ShouldNotContainSubstring, "errors on route a")
 		})
+		Convey("a rare wrong stop is found while few requests go to the version", func() {
+			f.shape = func(_ time.Duration, _ int, s *Sample) {
+				if isNew(s) && f.r.Float64() < 0.005 {
+					s.Outcome = OutcomeWrongStop
+				}
+			}
+			verdict, _ := f.run(trial)
+			So(verdict.Stop, ShouldBeTrue)
+			So(verdict.NewStarts, ShouldBeLessThan, 5000)
+			So(verdict.Reasons[0].Criterion, ShouldEqual, CriterionWrongStops)
+		})
 		Convey("a backend server that fails and is slow for both versions is not charged", func() {
 			f.shape = func(now time.Duration, server int, s *Sample) {
 				if server == 0 && now > 5*time.Minute {
