rollout: stay longer at a quarter of the traffic than at a half or nine tenths

Cause: at nine tenths a bad request of the new version says little against it, and harms the most; at a quarter it says as much per second as at a half.

Change: stages at 0.42, 0.48, 0.72, 0.80 and 0.92 of the time to the deadline in place of 0.50, 0.58, 0.66, 0.74 and 0.92.

--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -68,9 +68,11 @@
 }
 
 // The canary stage is long, because few backend servers hold two versions in
-// it and a version that turns bad harms few requests. The stage before the
-// last one keeps some of the old version's traffic for comparison.
-var laterStages = [...]stageAt{{100, 0.50}, {250, 0.58}, {500, 0.66}, {900, 0.74}, {AllTraffic, 0.92}}
+// it and a version that turns bad harms few requests. So is the one at a
+// quarter, where a bad request of the new version says the most for what it
+// harms. The stage before the last one keeps some of the old version's traffic
+// for comparison.
+var laterStages = [...]stageAt{{100, 0.42}, {250, 0.48}, {500, 0.72}, {900, 0.80}, {AllTraffic, 0.92}}
 
 // WithDefaults returns p with its unset fields filled in.
 func (p Plan) WithDefaults() Plan {
