Spread the configuration through revision nodes in every process

Cause: the thin path read one whole row from each process. Change: configuration.Keeper drives revision.Node over control connections and the table store in entries and agents; operators' methods over the store; the list of hosts is read in one place.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/justinas/alice"
 
@@ -20,10 +21,13 @@
 	"github.com/wigeonfork/wigeonfork/agent/session"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/configuration"
 	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+	"github.com/wigeonfork/wigeonfork/template/store"
 )
 
 // Options describe one agent.
@@ -34,9 +38,10 @@
 	// Engine is the model engine beside the agent; nil beside a plain service.
 	Engine backend.Engine
 	// Service is the plain service beside the agent; nil beside an engine.
-	Service backend.Service
-	// Table keeps the outcomes of actions; only needed with a Service.
+	Service     backend.Service
 	Table       platform.Table
+	Objects     platform.Objects
+	Hosts       platform.HostList
 	Credentials peer.Credentials
 	Log         *telemetry.Logger
 	Metrics     telemetry.Registry
@@ -50,6 +55,7 @@
 	sessions    *session.Table
 	generations *command.Generations
 	actions     *command.Actions
+	config      *configuration.Keeper
 	status      *query.Reporter
 	control     *peer.Server
 	server      *http.Server
@@ -80,6 +86,16 @@
 		recorder := action.NewExecutor(action.Config{Table: options.Table, Limits: action.DefaultLimits()})
 		a.actions = command.NewActions(options.Service, recorder, incarnation, background, options.Log, options.Metrics)
 	}
+	a.config = configuration.New(configuration.Options{
+		Host:    options.Host,
+		Domain:  options.Domain,
+		Seed:    xxhash.Sum64String(string(options.Host)),
+		Reader:  store.New(options.Table, options.Objects, store.Options{}),
+		Hello:   peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer},
+		Install: func(*template.Snapshot) {},
+		Log:     options.Log,
+		Metrics: options.Metrics,
+	})
 	reporter := query.ReporterOptions{
 		Host:          options.Host,
 		Domain:        options.Domain,
@@ -87,6 +103,7 @@
 		Incarnation:   string(incarnation),
 		Engine:        options.Engine,
 		Table:         a.sessions,
+		Revision:      a.config.Revision,
 		Log:           options.Log,
 	}
 	if a.actions != nil {
@@ -118,6 +135,7 @@
 }
 
 func (a *Agent) registerControl() {
+	a.config.Register(a.control)
 	peer.Handle(a.control, peer.MethodStatusSubscribe, peer.RolePeer, a.status.Subscribe)
 	peer.Handle(a.control, peer.MethodDump, peer.RoleOperator, a.status.Dump)
 	peer.Handle(a.control, peer.MethodDrain, peer.RoleOperator, a.drainOnRequest)
@@ -129,6 +147,12 @@
 	a.spawn(func() { a.logError("control_ended", a.control.Serve(control)) })
 	a.spawn(func() { a.status.Run(a.background) })
 	a.spawn(a.reap)
+	a.config.SetSelf(platform.Host{
+		ID: a.options.Host, Role: platform.RoleAgent, State: platform.HostLive, Domain: a.options.Domain,
+		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(), BackendServer: a.options.BackendServer,
+	})
+	a.spawn(func() { a.config.Run(a.background) })
+	a.spawn(func() { configuration.WatchHosts(a.background, a.options.Hosts, a.options.Log, a.config.SetPeers) })
 	if a.actions != nil {
 		a.spawn(func() { a.actions.Record(a.background) })
 	}
@@ -171,6 +195,7 @@
 	a.control.Close()
 	_ = a.server.Close()
 	a.wait.Wait()
+	a.config.Close()
 	a.generations.Wait()
 	if a.actions != nil {
 		a.actions.Wait()
--- a/agent/query/reporter.go
+++ b/agent/query/reporter.go
@@ -32,7 +32,9 @@
 	Table         *session.Table
 	// Actions is nil beside a model engine.
 	Actions ActionStatus
-	Log     *telemetry.Logger
+	// Revision returns the revision of the configuration that the agent holds.
+	Revision func() wigeonfork.Revision
+	Log      *telemetry.Logger
 }
 
 // ActionStatus tells of the actions of an agent.
@@ -136,9 +138,11 @@
 }
 
 func (r *Reporter) next() (agentapi.Status, []*peer.Session) {
+	revision := r.options.Revision()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.status.Sequence++
+	r.status.Revision = revision
 	all := make([]*peer.Session, 0, len(r.subscribers))
 	for subscriber := range r.subscribers {
 		all = append(all, subscriber)
--- a/cmd/wigeonfork-agent/main.go
+++ b/cmd/wigeonfork-agent/main.go
@@ -28,13 +28,15 @@
 		Host:          wigeonfork.HostID(s.Host),
 		Domain:        wigeonfork.FailureDomain(s.Domain),
 		BackendServer: wigeonfork.BackendServerID(s.BackendServer),
+		Table:         httpplatform.NewTable(httpplatform.Options{Address: s.TableAddress}),
+		Objects:       httpplatform.NewObjects(httpplatform.Options{Address: s.ObjectsAddress}),
+		Hosts:         httpplatform.NewHostList(httpplatform.Options{Address: s.HostsAddress}),
 		Credentials:   peer.Credentials{Peer: s.PeerKey, Operator: s.OperatorKey},
 		Log:           log,
 		Metrics:       metrics,
 		DrainLimit:    s.DrainLimit,
 	}
 	if s.BackendKind == "service" {
-		options.Table = httpplatform.NewTable(httpplatform.Options{Address: s.TableAddress})
 		options.Service = httpbackend.NewService(httpbackend.ServiceOptions{Address: s.BackendAddress})
 	} else {
 		options.Engine = httpbackend.NewEngine(httpbackend.Options{Address: s.BackendAddress, Capabilities: capabilities(s)})
--- a/cmd/wigeonfork-entry/main.go
+++ b/cmd/wigeonfork-entry/main.go
@@ -27,6 +27,8 @@
 		Host:        wigeonfork.HostID(s.Host),
 		Domain:      wigeonfork.FailureDomain(s.Domain),
 		Table:       httpplatform.NewTable(httpplatform.Options{Address: s.TableAddress}),
+		Objects:     httpplatform.NewObjects(httpplatform.Options{Address: s.ObjectsAddress}),
+		Weights:     httpplatform.NewWeights(httpplatform.Options{Address: s.WeightsAddress}),
 		Hosts:       httpplatform.NewHostList(httpplatform.Options{Address: s.HostsAddress}),
 		HandleKey:   []byte(s.HandleKey),
 		Credentials: peer.Credentials{Peer: s.PeerKey, Operator: s.OperatorKey},
--- /dev/null
+++ b/configuration/keeper.go
@@ -0,0 +1,289 @@
+// Package configuration keeps the accepted configuration in one process: it
+// drives the spread among processes, reads the table when told to, and gives
+// out the snapshot in force, whose revision only grows.
+package configuration
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/revision"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+	"github.com/wigeonfork/wigeonfork/workpool"
+)
+
+const (
+	// tickInterval bounds how late the node is woken.
+	tickInterval = 25 * time.Millisecond
+	// readTimeout bounds one read of the table.
+	readTimeout = 2 * time.Second
+	// sendTimeout bounds one message to a peer.
+	sendTimeout = 500 * time.Millisecond
+	// surveyTimeout bounds the wait for the answer of a survey.
+	surveyTimeout = 4 * time.Second
+	// Sizes of the pool for messages and reads.
+	poolWorkers = 8
+	poolQueue   = 256
+	// maxPeers bounds the connections to peers.
+	maxPeers = 64
+)
+
+// Reader reads what changed in the table; store.Store is one.
+type Reader interface {
+	Since(ctx context.Context, from wigeonfork.Revision) (revision.Delta, error)
+}
+
+// Options describe a Keeper.
+type Options struct {
+	Host   wigeonfork.HostID
+	Domain wigeonfork.FailureDomain
+	Seed   uint64
+	Reader Reader
+	Hello  peer.Hello
+	// Install is told each snapshot that comes into force, in order.
+	Install func(*template.Snapshot)
+	Log     *telemetry.Logger
+	Metrics telemetry.Registry
+}
+
+// Keeper is safe for concurrent use. Its lock is not held over I/O.
+type Keeper struct {
+	options  Options
+	pool     *workpool.Pool
+	peers    *peer.Pool
+	snapshot atomic.Pointer[template.Snapshot]
+
+	mu        sync.Mutex
+	node      *revision.Node
+	assembler *template.Assembler
+	addresses map[wigeonfork.HostID]string
+	self      platform.Host
+	surveys   map[uint64]chan revision.SurveyResult
+}
+
+// envelope carries a message between two keepers. The sender's host tells its
+// address to a receiver whose list lacks it.
+type envelope struct {
+	From    platform.Host `json:"from"`
+	Message []byte        `json:"message"`
+}
+
+// New returns a Keeper that holds nothing yet.
+func New(options Options) *Keeper {
+	return &Keeper{
+		options: options,
+		pool:    workpool.New(poolWorkers, poolQueue),
+		peers:   peer.NewPool(options.Hello, maxPeers),
+		node: revision.New(revision.Options{
+			ID:     options.Host,
+			Domain: options.Domain,
+			Seed:   options.Seed,
+		}),
+		assembler: template.NewAssembler(),
+		addresses: map[wigeonfork.HostID]string{},
+		surveys:   map[uint64]chan revision.SurveyResult{},
+	}
+}
+
+// Register makes server take messages of peers.
+func (k *Keeper) Register(server *peer.Server) {
+	peer.Handle(server, peer.MethodRevision, peer.RolePeer, k.receive)
+}
+
+// SetSelf tells how peers reach this process.
+func (k *Keeper) SetSelf(self platform.Host) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.self = self
+}
+
+// SetPeers tells the processes that are believed alive.
+func (k *Keeper) SetPeers(hosts []platform.Host) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	peers := make([]revision.Peer, 0, len(hosts))
+	for _, host := range hosts {
+		if host.ID == k.options.Host {
+			continue
+		}
+		k.addresses[host.ID] = host.ControlAddress
+		peers = append(peers, revision.Peer{ID: host.ID, Domain: host.Domain})
+	}
+	k.node.PeersChanged(peers)
+}
+
+// Run drives the spread until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		k.wake(time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Close ends the messages under way. Run must have ended.
+func (k *Keeper) Close() {
+	k.pool.Close()
+	k.peers.Close()
+}
+
+func (k *Keeper) wake(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if wake := k.node.NextWake(); !wake.IsZero() && wake.After(now) {
+		return
+	}
+	k.carryOut(k.node.Tick(now))
+}
+
+// Refresh reads the table at once, after a change that was accepted here.
+func (k *Keeper) Refresh(ctx context.Context) error {
+	k.mu.Lock()
+	since := k.node.Revision()
+	k.mu.Unlock()
+	return k.read(ctx, since)
+}
+
+func (k *Keeper) read(ctx context.Context, since wigeonfork.Revision) error {
+	limited, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	telemetry.Counter(k.options.Metrics, "configuration.table_reads").Inc(1)
+	delta, err := k.options.Reader.Since(limited, since)
+	if err != nil {
+		k.options.Log.Debug().Str("step", "configuration").Err(err).Msg("table_read_failed")
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.carryOut(k.node.TableRead(time.Now(), delta, err))
+	return err
+}
+
+func (k *Keeper) receive(_ context.Context, _ *peer.Session, e envelope) (peer.None, error) {
+	message, err := revision.Decode(e.Message)
+	if err != nil {
+		return peer.None{}, errors.Wrapf(err, "message of %s", e.From.ID)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if e.From.ControlAddress != "" {
+		k.addresses[e.From.ID] = e.From.ControlAddress
+	}
+	k.carryOut(k.node.Receive(time.Now(), e.From.ID, message))
+	return peer.None{}, nil
+}
+
+// carryOut does what the node wants. The caller holds the lock; messages and
+// reads go to the pool.
+func (k *Keeper) carryOut(actions revision.Actions) {
+	for _, send := range actions.Sends {
+		k.send(send)
+	}
+	for _, read := range actions.Reads {
+		since := read.Since
+		// A read that finds no room is made up for by a later one.
+		k.pool.Submit(func() { _ = k.read(context.Background(), since) })
+	}
+	for _, delta := range actions.Installs {
+		if err := k.assembler.Install(delta); err != nil {
+			k.options.Log.Error().Str("step", "configuration").Err(err).Msg("configuration_malformed")
+		}
+	}
+	if len(actions.Installs) > 0 || len(actions.Learned) > 0 || k.snapshot.Load() == nil {
+		k.publish()
+	}
+	for _, survey := range actions.Surveys {
+		if wait, ok := k.surveys[survey.ID]; ok {
+			delete(k.surveys, survey.ID)
+			wait <- survey
+		}
+	}
+}
+
+func (k *Keeper) send(s revision.Send) {
+	address := k.addresses[s.To]
+	data, err := revision.Encode(s.Message)
+	if address == "" || err != nil {
+		return
+	}
+	telemetry.Counter(k.options.Metrics, "configuration.messages").Inc(1)
+	telemetry.Counter(k.options.Metrics, "configuration.message_bytes").Inc(int64(len(data)))
+	message := envelope{From: k.self, Message: data}
+	// A message that finds no room counts as lost, which does no harm.
+	k.pool.Submit(func() { k.deliver(address, message) })
+}
+
+func (k *Keeper) deliver(address string, message envelope) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	client, err := k.peers.Get(ctx, address)
+	if err == nil {
+		err = client.Notify(ctx, peer.MethodRevision, message)
+	}
+	if err != nil {
+		k.options.Log.Debug().Str("step", "configuration").Str("peer", address).Err(err).Msg("message_lost")
+	}
+}
+
+// publish makes the present state the snapshot in force, once the node may
+// serve, and retires facts that the configuration records.
+func (k *Keeper) publish() {
+	if !k.node.Serving() {
+		return
+	}
+	config := k.assembler.Config()
+	snapshot := template.NewSnapshot(config, k.stops())
+	previous := k.snapshot.Swap(snapshot)
+	k.options.Install(snapshot)
+	if previous == nil || previous.Revision() != snapshot.Revision() {
+		k.options.Log.Info().Uint64("revision", uint64(snapshot.Revision())).Msg("configuration_installed")
+	}
+}
+
+// stops returns the stops that the configuration does not record yet.
+func (k *Keeper) stops() []template.Stop {
+	var stops []template.Stop
+	for _, fact := range k.node.Facts() {
+		stop, err := template.StopOf(fact)
+		if err != nil {
+			k.options.Log.Error().Str("step", "configuration").Err(err).Msg("fact_malformed")
+			continue
+		}
+		if k.assembler.Records(stop) {
+			k.node.Retire(fact.Key)
+			continue
+		}
+		stops = append(stops, stop)
+	}
+	return stops
+}
+
+// Stop makes a version take no traffic anywhere, at once and without the
+// table. It never un-happens.
+func (k *Keeper) Stop(stop template.Stop) error {
+	fact, err := stop.Fact()
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	actions, err := k.node.AddFact(time.Now(), fact)
+	if err != nil {
+		return err
+	}
+	k.carryOut(actions)
+	k.publish()
+	return nil
+}
--- /dev/null
+++ b/configuration/query.go
@@ -0,0 +1,65 @@
+package configuration
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/revision"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Snapshot returns the snapshot in force, or nil while the process may not
+// serve yet.
+func (k *Keeper) Snapshot() *template.Snapshot { return k.snapshot.Load() }
+
+// Config returns the configuration as this process holds it.
+func (k *Keeper) Config() template.Config {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.assembler.Config()
+}
+
+// Revision returns the revision that this process holds.
+func (k *Keeper) Revision() wigeonfork.Revision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.node.Revision()
+}
+
+// Stops returns the stops that the configuration does not record yet.
+func (k *Keeper) Stops() []template.Stop {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stops()
+}
+
+// Survey asks on which hosts a revision is in force.
+func (k *Keeper) Survey(ctx context.Context, r wigeonfork.Revision) (revision.SurveyResult, error) {
+	wait, err := k.startSurvey(r)
+	if err != nil {
+		return revision.SurveyResult{}, err
+	}
+	limited, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	select {
+	case result := <-wait:
+		return result, nil
+	case <-limited.Done():
+		return revision.SurveyResult{}, problem.New(problem.CodeTooLate, problem.RunUnknown, problem.StepConfig, "survey got no answer in %s", surveyTimeout)
+	}
+}
+
+func (k *Keeper) startSurvey(r wigeonfork.Revision) (<-chan revision.SurveyResult, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	id, actions, ok := k.node.Survey(time.Now(), r)
+	if !ok {
+		return nil, problem.New(problem.CodeOverloaded, problem.RunNot, problem.StepConfig, "too many surveys are open").After(surveyTimeout)
+	}
+	wait := make(chan revision.SurveyResult, 1)
+	k.surveys[id] = wait
+	k.carryOut(actions)
+	return wait, nil
+}
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"time"
@@ -25,10 +24,12 @@
 	"github.com/wigeonfork/wigeonfork/standin/world"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
+	"github.com/wigeonfork/wigeonfork/template/store"
 )
 
 // Names of the deployments that every system starts with.
 const (
+	Template          template.Name           = "default"
 	Service           wigeonfork.Model        = "register"
 	ServiceDeployment template.DeploymentName = "register"
 	Workspace         wigeonfork.Workspace    = "demo"
@@ -133,7 +134,7 @@
 			return err
 		}
 	}
-	if err := Configure(context.Background(), s.World.Table, len(s.World.Engines), len(s.World.Services)); err != nil {
+	if err := Configure(context.Background(), s.World.Table, httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()}), len(s.World.Engines), len(s.World.Services)); err != nil {
 		return err
 	}
 	for range max(s.options.Entries, 1) {
@@ -184,7 +185,6 @@
 		Domain:        domainOf(i),
 		BackendServer: ServiceID(i),
 		Service:       httpbackend.NewService(httpbackend.ServiceOptions{Address: s.World.ServiceServers[i].Addr()}),
-		Table:         httpplatform.NewTable(httpplatform.Options{Address: s.World.TableServer.Addr()}),
 	})
 	if err == nil {
 		s.ServiceAgents = append(s.ServiceAgents, node)
@@ -203,6 +203,9 @@
 
 func (s *System) startAgent(options agent.Options) (*Node[*agent.Agent], error) {
 	options.Credentials = Credentials()
+	options.Table = httpplatform.NewTable(httpplatform.Options{Address: s.World.TableServer.Addr()})
+	options.Objects = httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()})
+	options.Hosts = httpplatform.NewHostList(httpplatform.Options{Address: s.World.HostsServer.Addr()})
 	options.Log = s.options.Log
 	options.Metrics = telemetry.NewRegistry()
 	options.DrainLimit = s.options.AgentDrainLimit
@@ -236,6 +239,8 @@
 		Host:        host,
 		Domain:      domainOf(i),
 		Table:       httpplatform.NewTable(httpplatform.Options{Address: s.World.TableServer.Addr()}),
+		Objects:     httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()}),
+		Weights:     httpplatform.NewWeights(httpplatform.Options{Address: s.World.WeightsServer.Addr()}),
 		Hosts:       httpplatform.NewHostList(httpplatform.Options{Address: s.World.HostsServer.Addr()}),
 		HandleKey:   []byte(handleKey),
 		Credentials: Credentials(),
@@ -271,23 +276,18 @@
 	return serve, control, nil
 }
 
-// Configure writes the configuration with the deployments that every system
-// starts with.
-func Configure(ctx context.Context, table platform.Table, engines, services int) error {
-	config := template.Config{Revision: 1}
+// Configure has the configuration accepted with the deployments that every
+// system starts with.
+func Configure(ctx context.Context, table platform.Table, objects platform.Objects, engines, services int) error {
+	change := template.Change{PutTemplates: []template.Template{{Name: Template}}}
 	if engines > 0 {
-		config.Deployments = append(config.Deployments, deployment(Deployment, Model, engines, ServerID))
+		change.PutDeployments = append(change.PutDeployments, deployment(Deployment, Model, engines, ServerID))
 	}
 	if services > 0 {
-		config.Deployments = append(config.Deployments, deployment(ServiceDeployment, Service, services, ServiceID))
+		change.PutDeployments = append(change.PutDeployments, deployment(ServiceDeployment, Service, services, ServiceID))
 	}
-	value, err := json.Marshal(config)
-	if err != nil {
-		return err
-	}
-	_, err = table.Commit(ctx, platform.Transaction{
-		OperationID: uuid.NewString(),
-		Writes:      []platform.Write{{Key: entry.RowConfiguration, Value: value}},
+	_, err := store.New(table, objects, store.Options{}).Accept(ctx, store.Request{
+		OperationID: uuid.NewString(), Author: "embedded", Change: change, Now: time.Now(),
 	})
 	return err
 }
@@ -295,6 +295,7 @@
 func deployment(name template.DeploymentName, model wigeonfork.Model, servers int, id func(int) wigeonfork.BackendServerID) template.Deployment {
 	d := template.Deployment{
 		Name:       name,
+		Template:   Template,
 		Model:      model,
 		Workspaces: []template.Binding{{Workspace: Workspace}},
 		Versions:   []template.VersionShare{{Version: Version, Share: template.WholeTraffic}},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/configuration"
 	"github.com/wigeonfork/wigeonfork/entry/command"
 	"github.com/wigeonfork/wigeonfork/entry/fleet"
 	"github.com/wigeonfork/wigeonfork/entry/gate"
@@ -23,9 +24,11 @@
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/operator"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template/store"
 	"github.com/wigeonfork/wigeonfork/workpool"
 )
 
@@ -34,6 +37,8 @@
 	Host        wigeonfork.HostID
 	Domain      wigeonfork.FailureDomain
 	Table       platform.Table
+	Objects     platform.Objects
+	Weights     platform.Weights
 	Hosts       platform.HostList
 	HandleKey   []byte
 	Credentials peer.Credentials
@@ -53,7 +58,8 @@
 	fleet      *fleet.Fleet
 	gate       *gate.Gate
 	peers      *peer.Pool
-	config     *configuration
+	config     *configuration.Keeper
+	operators  *operator.Server
 	callers    *command.Callers
 	actions    *command.Actions
 	executor   *action.Executor
@@ -73,6 +79,9 @@
 // checkInterval is the time between two searches for lost sources.
 const checkInterval = 50 * time.Millisecond
 
+// settleTime is the time that judging a version takes after its last load.
+const settleTime = time.Minute
+
 // maxPeers bounds the connections to other entries.
 const maxPeers = 32
 
@@ -94,9 +103,20 @@
 	e.agents = agentapi.NewClient(options.Credentials.Peer)
 	hello := peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer}
 	e.peers = peer.NewPool(hello, maxPeers)
-	e.gate = gate.New(gate.Options{Seed: xxhash.Sum64String(string(options.Host)), Policy: options.Policy, Metrics: options.Metrics})
-	e.fleet = fleet.New(fleet.Options{Domain: options.Domain, Hosts: options.Hosts, Hello: hello, Log: options.Log, Metrics: options.Metrics})
-	e.config = newConfiguration(options.Table, options.Log, e.fleet.Install)
+	e.gate = gate.New(gate.Options{Seed: seedOf(options.Host), Policy: options.Policy, Metrics: options.Metrics})
+	e.fleet = fleet.New(fleet.Options{Domain: options.Domain, Hello: hello, Log: options.Log, Metrics: options.Metrics})
+	changes := store.New(options.Table, options.Objects, store.Options{})
+	e.config = configuration.New(configuration.Options{
+		Host:    options.Host,
+		Domain:  options.Domain,
+		Seed:    seedOf(options.Host),
+		Reader:  changes,
+		Hello:   hello,
+		Install: e.fleet.Install,
+		Log:     options.Log,
+		Metrics: options.Metrics,
+	})
+	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: settleTime}
 	e.callers = &command.Callers{
 		Configuration: e.config,
 		Relayer: &command.Relayer{
@@ -132,6 +152,9 @@
 	return e, nil
 }
 
+// seedOf gives each host its own random sequence.
+func seedOf(host wigeonfork.HostID) uint64 { return xxhash.Sum64String(string(host)) }
+
 func (e *Entry) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.callers.Completions)
@@ -154,6 +177,8 @@
 }
 
 func (e *Entry) registerControl() {
+	e.config.Register(e.control)
+	e.operators.Register(e.control)
 	peer.Handle(e.control, peer.MethodQuarantine, peer.RolePeer, e.mergeQuarantine)
 	peer.Handle(e.control, peer.MethodDump, peer.RoleOperator, e.status.Dump)
 	peer.Handle(e.control, peer.MethodDrain, peer.RoleOperator, e.drainOnRequest)
@@ -172,13 +197,20 @@
 		}
 	})
 	e.spawn(func() { e.fleet.Run(e.background) })
-	e.spawn(func() { e.config.run(e.background) })
+	e.config.SetSelf(e.self)
+	e.spawn(func() { e.config.Run(e.background) })
+	e.spawn(func() { configuration.WatchHosts(e.background, e.options.Hosts, e.options.Log, e.applyHosts) })
 	e.spawn(e.check)
 	e.spawn(func() { e.gate.Run(e.background) })
 	e.spawn(e.shareGate)
 	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
 }
 
+func (e *Entry) applyHosts(hosts []platform.Host) {
+	e.fleet.ApplyHosts(e.background, hosts)
+	e.config.SetPeers(hosts)
+}
+
 func (e *Entry) spawn(run func()) {
 	e.wait.Add(1)
 	go func() {
@@ -241,6 +273,7 @@
 	e.fleet.Wait()
 	e.pool.Close()
 	e.peers.Close()
+	e.config.Close()
 	e.agents.Close()
 }
 
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -27,7 +27,6 @@
 // Options describe a fleet.
 type Options struct {
 	Domain wigeonfork.FailureDomain
-	Hosts  platform.HostList
 	// Hello introduces the entry to agents.
 	Hello   peer.Hello
 	Log     *telemetry.Logger
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -15,23 +15,17 @@
 
 // Intervals of the watch over hosts.
 const (
-	hostListInterval = time.Second
-	hostListTimeout  = 2 * time.Second
+	subscribeTimeout = 2 * time.Second
 	silenceInterval  = 100 * time.Millisecond
 	redialInterval   = 250 * time.Millisecond
 )
 
-// Run watches the list of hosts and their agents until ctx ends.
+// Run watches the agents until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
-	list := time.NewTicker(hostListInterval)
-	defer list.Stop()
 	silence := time.NewTicker(silenceInterval)
 	defer silence.Stop()
-	f.readHosts(ctx)
 	for {
 		select {
-		case <-list.C:
-			f.readHosts(ctx)
 		case now := <-silence.C:
 			f.checkSilence(now)
 		case <-ctx.Done():
@@ -43,20 +37,10 @@
 // Wait returns when no agent is watched any more. Run must have ended.
 func (f *Fleet) Wait() { f.watchers.Wait() }
 
-func (f *Fleet) readHosts(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, hostListTimeout)
-	defer cancel()
-	hosts, _, err := f.options.Hosts.Hosts(limited)
-	if err != nil {
-		f.options.Log.Warn().Str("step", "membership").Err(err).Msg("host_list_failed")
-		return
-	}
-	f.applyHosts(ctx, hosts)
-}
-
-// applyHosts begins to watch new agents and forgets those that are silent and
-// no longer listed. A listed host is not taken for alive until it speaks.
-func (f *Fleet) applyHosts(ctx context.Context, hosts []platform.Host) {
+// ApplyHosts begins to watch the agents that are new in the platform's list,
+// until ctx ends, and forgets those that are silent and no longer listed. A
+// listed host is not taken for alive until it speaks.
+func (f *Fleet) ApplyHosts(ctx context.Context, hosts []platform.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	listed := map[wigeonfork.BackendServerID]bool{}
@@ -130,7 +114,7 @@
 }
 
 func (f *Fleet) subscribe(ctx context.Context, s *server) {
-	limited, cancel := context.WithTimeout(ctx, hostListTimeout)
+	limited, cancel := context.WithTimeout(ctx, subscribeTimeout)
 	defer cancel()
 	client, err := peer.Dial(limited, s.host.ControlAddress, f.options.Hello, func(n peer.Notification) {
 		var status agentapi.Status
--- a/peer/methods.go
+++ b/peer/methods.go
@@ -9,6 +9,8 @@
 	// MethodQuarantine notifies an entry of what another learned of requests that
 	// crash engines.
 	MethodQuarantine = "quarantine"
+	// MethodRevision notifies a process of the spread of the configuration.
+	MethodRevision = "revision"
 	// MethodDump asks a process for its state.
 	MethodDump = "state.dump"
 	// MethodDrain makes a process leave without cutting a request.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,7 +21,7 @@
 	PeerKey        string        `long:"peer-key" env:"WIGEON_PEER_KEY" description:"secret that all processes of the system share, 16 bytes or more" required:"true"`
 	OperatorKey    string        `long:"operator-key" env:"WIGEON_OPERATOR_KEY" description:"secret of the operators, 16 bytes or more" required:"true"`
 	TableAddress   string        `long:"table-address" env:"WIGEON_TABLE_ADDRESS" description:"IP address and port of the table service" required:"true"`
-	ObjectsAddress string        `long:"objects-address" env:"WIGEON_OBJECTS_ADDRESS" description:"IP address and port of the object store"`
+	ObjectsAddress string        `long:"objects-address" env:"WIGEON_OBJECTS_ADDRESS" description:"IP address and port of the object store" required:"true"`
 	WeightsAddress string        `long:"weights-address" env:"WIGEON_WEIGHTS_ADDRESS" description:"IP address and port of the weight store"`
 	HostsAddress   string        `long:"hosts-address" env:"WIGEON_HOSTS_ADDRESS" description:"IP address and port of the list of hosts" required:"true"`
 	DrainLimit     time.Duration `long:"drain-limit" env:"WIGEON_DRAIN_LIMIT" description:"longest time to wait for answers under way when leaving" default:"10m"`
--- a/test/realsystem/realsystem.go
+++ b/test/realsystem/realsystem.go
@@ -15,6 +15,7 @@
 	entryquery "github.com/wigeonfork/wigeonfork/entry/query"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
 	"github.com/wigeonfork/wigeonfork/standin/world"
@@ -62,7 +63,7 @@
 }
 
 func (s *System) start() error {
-	if err := embedded.Configure(context.Background(), s.World.Table, len(s.World.Engines), 0); err != nil {
+	if err := embedded.Configure(context.Background(), s.World.Table, httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()}), len(s.World.Engines), 0); err != nil {
 		return err
 	}
 	for i := range s.World.Engines {
