rollout: match windows where requests are seen and report only likelihood ratios

Cause: an entry sent the counts of every route, load level and backend server it had seen; at 12 requests/s of its own that was 3342 bytes/s as JSON (mean of 900 reports over three moves), more than a node may spend on control, and it grows with the requests.

Change: Collector closes the windows itself and reports the logarithms of their likelihood ratios, which add up, and the bad requests per backend server that the pooled tests need for their cap. Judge only adds. The writes of a move's record are moved to a file of their own.

--- a/experiment/moves/policy.go
+++ b/experiment/moves/policy.go
@@ -99,16 +99,17 @@
 	if now%serverReportGap == 0 {
 		c.report(now)
 	}
-	c.drive(now, rollout.Judged{Verdict: c.judge.Advance(at(now))})
+	c.drive(now, rollout.Judged{Verdict: c.judge.Verdict()})
 	c.drive(now, rollout.Tick{})
 }
 
 // local gathers the entries' evidence and lets each judge by its own.
 func (c *controller) local(now time.Duration) {
 	for _, e := range c.t.entries {
-		evidence := e.collector.Flush()
+		evidence := e.collector.Flush(at(now))
+		c.t.measure(now, &evidence)
 		e.local.Merge(at(now), evidence)
-		if !e.gate.Stopped() && now%localInterval == 0 && e.local.Advance(at(now)).Stop && e.gate.Stop() {
+		if !e.gate.Stopped() && now%localInterval == 0 && e.local.Verdict().Stop && e.gate.Stop() {
 			c.t.noteStop(now)
 		}
 		if c.t.r.Float64() < evidenceLoss {
--- a/experiment/moves/report.go
+++ b/experiment/moves/report.go
@@ -15,6 +15,8 @@
 	afterStop              int
 	worstShare             float64
 	serverHours            float64
+	reportBytes            int
+	reportSeconds          int
 }
 
 func (t *totals) add(r result) {
@@ -29,6 +31,8 @@
 	t.afterStop += r.afterStop
 	t.worstShare = max(t.worstShare, r.canaryShare)
 	t.serverHours += r.serverHours
+	t.reportBytes += r.reportBytes
+	t.reportSeconds += r.reportSeconds
 }
 
 func percent(part, whole int) float64 { return 100 * float64(part) / float64(max(whole, 1)) }
@@ -134,6 +138,8 @@
 	}
 	share := percent(taken, moves)
 	fmt.Fprintf(r.w, "good versions taken back: %d of %d (%.2f%%, target under %.0f%%)\n", taken, moves, share, targetGoodTaken)
+	good := r.results[resultKey{kindGood, policyRollout}]
+	fmt.Fprintf(r.w, "evidence sent by an entry during a good move: %.0f bytes/s as JSON\n", float64(good.reportBytes)/float64(max(good.reportSeconds, 1)))
 	if share >= targetGoodTaken {
 		r.miss("good versions: %.2f%% taken back, target under %.0f%%", share, targetGoodTaken)
 	}
--- a/experiment/moves/run.go
+++ b/experiment/moves/run.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -16,6 +17,8 @@
 	afterStop   int
 	canaryShare float64
 	serverHours float64
+	// reportBytes in reportSeconds were sent by one entry as JSON.
+	reportBytes, reportSeconds int
 }
 
 // clockStart is the date at which virtual time begins.
@@ -115,6 +118,22 @@
 	t.finish()
 }
 
+// measure adds up the size of one entry's reports in one minute of ten.
+func (t *trial) measure(now time.Duration, evidence *rollout.Evidence) {
+	if now%(10*time.Minute) >= time.Minute || evidence.Source != "e0" {
+		return
+	}
+	t.result.reportSeconds++
+	if evidence.Empty() {
+		return
+	}
+	body, err := json.Marshal(evidence)
+	if err != nil {
+		panic(err)
+	}
+	t.result.reportBytes += len(body)
+}
+
 // settled says that a version was taken back and its last request has ended.
 func (t *trial) settled(now time.Duration) bool {
 	state, _ := t.driver.state()
--- a/rollout/collector.go
+++ b/rollout/collector.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
@@ -35,8 +36,9 @@
 	versions  Pair
 	warmUp    time.Duration
 	maxStrata int
+	matcher   matcher
 	sequence  uint64
-	cells     map[Stratum]*Cell
+	cells     map[Stratum]*cell
 	deaths    map[wigeonfork.BackendServerID]Death
 	newSince  map[wigeonfork.BackendServerID]time.Time
 	scales    map[scaleKey]*[numLatencies]quantile
@@ -62,7 +64,8 @@
 		versions:  versions,
 		warmUp:    DefaultWarmUp,
 		maxStrata: DefaultMaxStrata,
-		cells:     make(map[Stratum]*Cell),
+		matcher:   newMatcher(),
+		cells:     make(map[Stratum]*cell),
 		deaths:    make(map[wigeonfork.BackendServerID]Death),
 		newSince:  make(map[wigeonfork.BackendServerID]time.Time),
 		scales:    make(map[scaleKey]*[numLatencies]quantile),
@@ -76,7 +79,7 @@
 	if counts == nil {
 		return
 	}
-	counts.Starts++
+	counts.starts++
 	if s.Version != c.versions.New {
 		return
 	}
@@ -93,23 +96,23 @@
 	}
 	switch s.Outcome {
 	case OutcomeError:
-		counts.Errors++
+		counts.errors++
 	case OutcomeWrongStop:
-		counts.WrongStops++
+		counts.wrongStops++
 	case OutcomeEngineDeath:
 		c.deaths[s.Stratum.Server] = Death{Server: s.Stratum.Server, Host: s.Host, Domain: s.Domain}
 		c.Restarted(s.Stratum.Server)
 	}
 	if s.FirstToken > 0 && !c.warmingUp(now, s) {
 		if slow, known := c.slow(s, 0, s.FirstToken); known {
-			counts.FirstTokens++
-			counts.SlowFirst += slow
+			counts.firstTokens++
+			counts.slowFirst += slow
 		}
 	}
 	if s.InterToken > 0 {
 		if slow, known := c.slow(s, 1, s.InterToken); known {
-			counts.InterTokens++
-			counts.SlowInter += slow
+			counts.interTokens++
+			counts.slowInter += slow
 		}
 	}
 }
@@ -120,42 +123,46 @@
 	delete(c.newSince, server)
 }
 
-// Flush returns what was counted since the last call and starts anew.
-func (c *Collector) Flush() Evidence {
+// Flush returns what was found since the last call. It is to be called about
+// once a second.
+func (c *Collector) Flush(now time.Time) Evidence {
 	c.sequence++
-	e := Evidence{Source: c.source, Sequence: c.sequence, Cells: make([]Cell, 0, len(c.cells))}
+	e := Evidence{Source: c.source, Sequence: c.sequence}
 	for _, cell := range c.cells {
-		e.Cells = append(e.Cells, *cell)
+		if !c.matcher.add(now, cell, c.maxStrata) {
+			c.dropped++
+		}
 	}
 	for _, death := range c.deaths {
 		e.Deaths = append(e.Deaths, death)
 	}
+	slices.SortFunc(e.Deaths, compareDeaths)
 	clear(c.cells)
 	clear(c.deaths)
-	sortEvidence(&e)
+	c.matcher.flush(now, &e)
 	return e
 }
 
 // Dropped returns how many observations found no room.
 func (c *Collector) Dropped() uint64 { return c.dropped }
 
-func (c *Collector) counts(s Start) *Counts {
+func (c *Collector) counts(s Start) *counts {
 	if s.Version != c.versions.Old && s.Version != c.versions.New {
 		return nil
 	}
-	cell := c.cells[s.Stratum]
-	if cell == nil {
+	found := c.cells[s.Stratum]
+	if found == nil {
 		if len(c.cells) >= c.maxStrata {
 			c.dropped++
 			return nil
 		}
-		cell = &Cell{Stratum: s.Stratum, Host: s.Host, Domain: s.Domain}
-		c.cells[s.Stratum] = cell
+		found = &cell{stratum: s.Stratum, host: s.Host, domain: s.Domain}
+		c.cells[s.Stratum] = found
 	}
 	if s.Version == c.versions.New {
-		return &cell.New
+		return &found.new
 	}
-	return &cell.Old
+	return &found.old
 }
 
 func (c *Collector) warmingUp(now time.Time, s Sample) bool {
--- a/rollout/deaths.go
+++ b/rollout/deaths.go
@@ -67,16 +67,16 @@
 }
 
 // used notes the requests that a backend server was sent.
-func (d *deathTest) used(now time.Time, c *Cell) {
-	use := d.servers[c.Stratum.Server]
+func (d *deathTest) used(now time.Time, u Use) {
+	use := d.servers[u.Server]
 	if use == nil {
-		use = &serverUse{host: c.Host, domain: c.Domain}
-		d.servers[c.Stratum.Server] = use
+		use = &serverUse{host: u.Host, domain: u.Domain}
+		d.servers[u.Server] = use
 	}
-	if c.Old.Starts > 0 {
+	if u.Old {
 		use.lastOld = now
 	}
-	if c.New.Starts > 0 {
+	if u.New {
 		use.lastNew = now
 	}
 }
@@ -131,21 +131,21 @@
 }
 
 func (d *deathTest) chargeNew(host *hostDeaths, newWeight, oldWeight float64) {
-	d.test.new.bad++
-	most := largestStep(toleratedErrorOdds, newWeight, oldWeight)
+	d.test.totals.NewBad++
+	logs := logRatio(toleratedErrorOdds, 1, 0, newWeight, oldWeight)
 	room := max(0, maxHostPart*d.limit-host.evidence)
-	part := min(1, room/most)
-	host.evidence += part * most
-	d.test.weigh(toleratedErrorOdds, part, 0, newWeight, oldWeight)
+	part := min(1, room/logs.most())
+	host.evidence += part * logs.most()
+	d.test.logs.add(logs.scaled(part))
 }
 
 func (d *deathTest) chargeOld(host *hostDeaths, newWeight, oldWeight float64) {
-	d.test.old.bad++
+	d.test.totals.OldBad++
 	host.old++
 	if host.old > maxOldDeaths {
 		return
 	}
-	d.test.weigh(toleratedErrorOdds, 0, 1, newWeight, oldWeight)
+	d.test.logs.add(logRatio(toleratedErrorOdds, 0, 1, newWeight, oldWeight))
 }
 
 func (d *deathTest) host(id wigeonfork.HostID) *hostDeaths {
@@ -178,7 +178,7 @@
 }
 
 // running returns how many backend servers have and have not run the version.
-func (d *deathTest) running() (newServers, oldServers uint64) {
+func (d *deathTest) running() (newServers, oldServers uint32) {
 	for _, use := range d.servers {
 		if use.lastNew.IsZero() {
 			oldServers++
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -4,34 +4,71 @@
 	"github.com/wigeonfork/wigeonfork"
 )
 
-// Counts are what was seen of one version in one stratum.
-type Counts struct {
-	Starts      uint32 `json:"starts,omitempty"`
-	Errors      uint32 `json:"errors,omitempty"`
-	WrongStops  uint32 `json:"wrong_stops,omitempty"`
-	FirstTokens uint32 `json:"first_tokens,omitempty"`
-	SlowFirst   uint32 `json:"slow_first,omitempty"`
-	InterTokens uint32 `json:"inter_tokens,omitempty"`
-	SlowInter   uint32 `json:"slow_inter,omitempty"`
+// counts are what was seen of one version in one window.
+type counts struct {
+	starts      uint32
+	errors      uint32
+	wrongStops  uint32
+	firstTokens uint32
+	slowFirst   uint32
+	interTokens uint32
+	slowInter   uint32
 }
 
-func (c *Counts) add(o Counts) {
-	c.Starts += o.Starts
-	c.Errors += o.Errors
-	c.WrongStops += o.WrongStops
-	c.FirstTokens += o.FirstTokens
-	c.SlowFirst += o.SlowFirst
-	c.InterTokens += o.InterTokens
-	c.SlowInter += o.SlowInter
+func (c *counts) add(o counts) {
+	c.starts += o.starts
+	c.errors += o.errors
+	c.wrongStops += o.wrongStops
+	c.firstTokens += o.firstTokens
+	c.slowFirst += o.slowFirst
+	c.interTokens += o.interTokens
+	c.slowInter += o.slowInter
 }
 
-// Cell holds the counts of both versions in one stratum.
-type Cell struct {
-	Stratum Stratum                  `json:"stratum"`
-	Host    wigeonfork.HostID        `json:"host"`
-	Domain  wigeonfork.FailureDomain `json:"failure_domain"`
-	Old     Counts                   `json:"old"`
-	New     Counts                   `json:"new"`
+// Totals are the requests that were compared: Bad of Total of each version.
+type Totals struct {
+	NewBad   uint32 `json:"new_bad,omitempty"`
+	NewTotal uint32 `json:"new_total,omitempty"`
+	OldBad   uint32 `json:"old_bad,omitempty"`
+	OldTotal uint32 `json:"old_total,omitempty"`
+}
+
+func (t *Totals) add(o Totals) {
+	t.NewBad += o.NewBad
+	t.NewTotal += o.NewTotal
+	t.OldBad += o.OldBad
+	t.OldTotal += o.OldTotal
+}
+
+// Increment is what the windows that one process closed add to one test.
+// Windows without a bad request add nothing but totals.
+type Increment struct {
+	Criterion Criterion `json:"criterion"`
+	Route     Route     `json:"route"`
+	Load      LoadLevel `json:"load"`
+	// Pooled says that whole failure domains were compared instead of
+	// single backend servers. The new version's part is then in Charges.
+	Pooled bool     `json:"pooled,omitempty"`
+	Logs   LogRatio `json:"logs"`
+	Totals Totals   `json:"totals"`
+}
+
+// Charge is what the new version's bad requests on one backend server add to
+// a pooled test.
+type Charge struct {
+	Criterion Criterion                  `json:"criterion"`
+	Route     Route                      `json:"route"`
+	Server    wigeonfork.BackendServerID `json:"server"`
+	Logs      LogRatio                   `json:"logs"`
+}
+
+// Use says which versions a backend server was sent requests for.
+type Use struct {
+	Server wigeonfork.BackendServerID `json:"server"`
+	Host   wigeonfork.HostID          `json:"host"`
+	Domain wigeonfork.FailureDomain   `json:"failure_domain"`
+	Old    bool                       `json:"old,omitempty"`
+	New    bool                       `json:"new,omitempty"`
 }
 
 // Death says that the engine on a host died.
@@ -41,16 +78,25 @@
 	Domain wigeonfork.FailureDomain   `json:"failure_domain"`
 }
 
-// Evidence is what one process saw since its last report. Sequence grows by
-// one with each report of a Source, which is unique to a process start.
+// Evidence is what one process found since its last report. Its size grows
+// with the bad requests, not with all of them. Sequence grows with the reports
+// of a Source, which is unique to a process start. An empty report need not be
+// sent.
 type Evidence struct {
 	Source   string `json:"source"`
 	Sequence uint64 `json:"sequence"`
-	Cells    []Cell `json:"cells,omitempty"`
+	// NewStarts is the number of requests sent to the new version.
+	NewStarts  uint64      `json:"new_starts,omitempty"`
+	Increments []Increment `json:"increments,omitempty"`
+	Charges    []Charge    `json:"charges,omitempty"`
+	Uses       []Use       `json:"uses,omitempty"`
 	// Deaths are engine deaths that ended requests.
 	Deaths []Death `json:"deaths,omitempty"`
-	// Stopped says that the source has stopped sending to the new version.
-	Stopped bool `json:"stopped,omitempty"`
+}
+
+// Empty says that there is nothing to report.
+func (e *Evidence) Empty() bool {
+	return e.NewStarts == 0 && len(e.Increments)+len(e.Charges)+len(e.Uses)+len(e.Deaths) == 0
 }
 
 // Criterion is what two versions are compared by.
@@ -83,15 +129,31 @@
 }
 
 // of returns how many of how many were bad by the criterion.
-func (c Criterion) of(n Counts) (bad, total uint32) {
+func (c Criterion) of(n counts) (bad, total uint32) {
 	switch c {
 	case CriterionErrors:
-		return n.Errors, n.Starts
+		return n.errors, n.starts
 	case CriterionWrongStops:
-		return n.WrongStops, n.Starts
+		return n.wrongStops, n.starts
 	case CriterionFirstToken:
-		return n.SlowFirst, n.FirstTokens
+		return n.slowFirst, n.firstTokens
 	default:
-		return n.SlowInter, n.InterTokens
+		return n.slowInter, n.interTokens
+	}
+}
+
+// totals returns both versions' bad and all requests by the criterion.
+func (c Criterion) totals(newCounts, oldCounts counts) Totals {
+	var t Totals
+	t.NewBad, t.NewTotal = c.of(newCounts)
+	t.OldBad, t.OldTotal = c.of(oldCounts)
+	return t
+}
+
+// tolerated returns the odds ratio up to which a new version is good.
+func (c Criterion) tolerated() float64 {
+	if c == CriterionFirstToken || c == CriterionInterToken {
+		return toleratedLatencyOdds
 	}
+	return toleratedErrorOdds
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -18,8 +18,6 @@
 	Horizon time.Duration
 	// MaxRoutes bounds the routes told apart; the rest count as one.
 	MaxRoutes int
-	// MaxStrata bounds the open windows.
-	MaxStrata int
 }
 
 // Defaults of a JudgeConfig.
@@ -28,10 +26,6 @@
 	DefaultHorizon   = 4 * time.Hour
 	DefaultMaxRoutes = 128
 
-	// minWindow and maxWindow are the ages between which a window is
-	// closed once both versions were seen in it.
-	minWindow = 2 * time.Second
-	maxWindow = 3 * time.Minute
 	// deathPart is the part of FalseStop given to engine deaths.
 	deathPart = 0.5
 	// maxSources bounds the processes whose reports are told apart.
@@ -52,9 +46,6 @@
 	if c.MaxRoutes == 0 {
 		c.MaxRoutes = DefaultMaxRoutes
 	}
-	if c.MaxStrata == 0 {
-		c.MaxStrata = DefaultMaxStrata
-	}
 	return c
 }
 
@@ -63,10 +54,9 @@
 	Criterion Criterion
 	Route     Route
 	Load      LoadLevel
-	// NewBad of NewTotal and OldBad of OldTotal were compared. The totals
-	// are requests; for engine deaths they are backend servers.
-	NewBad, NewTotal uint64
-	OldBad, OldTotal uint64
+	// Totals are the requests compared; for engine deaths they are deaths
+	// and backend servers.
+	Totals Totals
 	// Evidence is the logarithm of the evidence and Limit what stops.
 	Evidence, Limit float64
 }
@@ -74,7 +64,7 @@
 // String explains r to an operator.
 func (r Reason) String() string {
 	return fmt.Sprintf("%s on route %s at load %s: %d of %d with the new version, %d of %d with the old one (evidence %.1f of %.1f)",
-		r.Criterion, r.Route, r.Load, r.NewBad, r.NewTotal, r.OldBad, r.OldTotal, r.Evidence, r.Limit)
+		r.Criterion, r.Route, r.Load, r.Totals.NewBad, r.Totals.NewTotal, r.Totals.OldBad, r.Totals.OldTotal, r.Evidence, r.Limit)
 }
 
 // Verdict is the state of the comparison.
@@ -89,15 +79,14 @@
 	Reasons []Reason
 }
 
-// Judge compares the new version with the old one in windows of the same
-// backend server, route and load level. It is not safe for concurrent use.
+// Judge adds up the evidence of many processes. It is not safe for concurrent
+// use.
 type Judge struct {
 	config    JudgeConfig
-	windows   map[Stratum]*window
 	groups    map[limitKey]*group
+	pooled    map[Route]*pooledGroup
 	routes    map[Route]struct{}
 	sources   map[string]uint64
-	pool      pool
 	deaths    deathTest
 	began     time.Time
 	newStarts uint64
@@ -106,22 +95,16 @@
 	dropped   uint64
 }
 
-type window struct {
-	opened   time.Time
-	old, new Counts
-}
-
-type group struct{ tests [numMatched]oddsTest }
+type group [numMatched]oddsTest
 
 // NewJudge returns a Judge.
 func NewJudge(config JudgeConfig) *Judge {
 	j := &Judge{
 		config:  config.WithDefaults(),
-		windows: make(map[Stratum]*window),
 		groups:  make(map[limitKey]*group),
+		pooled:  make(map[Route]*pooledGroup),
 		routes:  make(map[Route]struct{}),
 		sources: make(map[string]uint64),
-		pool:    newPool(),
 	}
 	j.deaths = newDeathTest(j.limit(j.config.FalseStop*deathPart, 1, deathEpoch))
 	return j
@@ -141,103 +124,77 @@
 	if j.began.IsZero() {
 		j.began = now
 	}
-	for i := range e.Cells {
-		j.mergeCell(now, &e.Cells[i])
+	j.newStarts += e.NewStarts
+	for _, use := range e.Uses {
+		j.deaths.used(now, use)
+	}
+	epoch := j.epoch(now, testEpoch)
+	for _, found := range e.Increments {
+		j.addIncrement(epoch, found)
+	}
+	for _, found := range e.Charges {
+		j.addCharge(epoch, found)
 	}
 	for _, death := range e.Deaths {
 		j.deaths.died(now, j.epoch(now, deathEpoch), death)
 	}
 }
 
-func (j *Judge) mergeCell(now time.Time, c *Cell) {
-	j.deaths.used(now, c)
-	j.newStarts += uint64(c.New.Starts)
-	key := c.Stratum
-	key.Route = j.route(key.Route)
-	if !j.pool.add(now, key.Route, c, j.config.MaxStrata) {
-		j.dropped++
-	}
-	w := j.windows[key]
-	if w == nil {
-		if len(j.windows) >= j.config.MaxStrata {
-			j.dropped++
-			return
+// addIncrement adds to the test of the route and load, and to those of all
+// routes, all loads, and both.
+func (j *Judge) addIncrement(epoch int64, found Increment) {
+	for _, route := range [...]Route{j.route(found.Route), allRoutes} {
+		if found.Pooled {
+			if test := j.pooledGroup(route).of(found.Criterion); test != nil {
+				test.add(epoch, found.Logs, found.Totals)
+			}
+			continue
 		}
-		w = &window{opened: now}
-		j.windows[key] = w
-	}
-	w.old.add(c.Old)
-	w.new.add(c.New)
-}
-
-// route returns the name under which a route is judged.
-func (j *Judge) route(r Route) Route {
-	if _, known := j.routes[r]; known {
-		return r
-	}
-	if len(j.routes) >= j.config.MaxRoutes {
-		return otherRoutes
-	}
-	j.routes[r] = struct{}{}
-	return r
-}
-
-// Advance closes the windows that are due and returns the verdict.
-func (j *Judge) Advance(now time.Time) Verdict {
-	for _, key := range j.dueWindows(now) {
-		j.closeWindow(now, key, j.windows[key])
-		delete(j.windows, key)
-	}
-	j.pool.advance(now, j.epoch(now, testEpoch), j.matchedLimit())
-	return j.Verdict()
-}
-
-// dueWindows drops the windows that saw one version only for too long, and
-// returns those to close in an order that does not depend on map iteration.
-func (j *Judge) dueWindows(now time.Time) []Stratum {
-	var due []Stratum
-	for key, w := range j.windows {
-		age := now.Sub(w.opened)
-		matched := w.new.Starts > 0 && w.old.Starts > 0
-		switch {
-		case matched && age >= minWindow:
-			due = append(due, key)
-		case age >= maxWindow:
-			delete(j.windows, key)
+		if int(found.Criterion) >= numMatched || found.Load >= anyLoad {
+			continue
+		}
+		for _, load := range [...]LoadLevel{found.Load, anyLoad} {
+			j.group(limitKey{route, load})[found.Criterion].add(epoch, found.Logs, found.Totals)
 		}
 	}
-	slices.SortFunc(due, compareStrata)
-	return due
 }
 
-func (j *Judge) closeWindow(now time.Time, key Stratum, w *window) {
-	for _, route := range [...]Route{key.Route, allRoutes} {
-		for _, load := range [...]LoadLevel{key.Load, anyLoad} {
-			j.addWindow(now, limitKey{route, load}, w)
+func (j *Judge) addCharge(epoch int64, found Charge) {
+	for _, route := range [...]Route{j.route(found.Route), allRoutes} {
+		if test := j.pooledGroup(route).of(found.Criterion); test != nil {
+			test.charge(epoch, j.matchedLimit(), found.Server, found.Logs)
 		}
 	}
 }
 
-func (j *Judge) addWindow(now time.Time, key limitKey, w *window) {
+func (j *Judge) group(key limitKey) *group {
 	g := j.groups[key]
 	if g == nil {
 		g = &group{}
 		j.groups[key] = g
 	}
-	epoch := j.epoch(now, testEpoch)
-	for i := range g.tests {
-		criterion := Criterion(i)
-		newBad, newTotal := criterion.of(w.new)
-		oldBad, oldTotal := criterion.of(w.old)
-		g.tests[i].add(epoch, tolerated(criterion), newBad, newTotal, oldBad, oldTotal)
+	return g
+}
+
+func (j *Judge) pooledGroup(route Route) *pooledGroup {
+	g := j.pooled[route]
+	if g == nil {
+		g = &pooledGroup{}
+		j.pooled[route] = g
 	}
+	return g
 }
 
-func tolerated(c Criterion) float64 {
-	if c == CriterionFirstToken || c == CriterionInterToken {
-		return toleratedLatencyOdds
+// route returns the name under which a route is judged.
+func (j *Judge) route(r Route) Route {
+	if _, known := j.routes[r]; known {
+		return r
+	}
+	if len(j.routes) >= j.config.MaxRoutes {
+		return otherRoutes
 	}
-	return toleratedErrorOdds
+	j.routes[r] = struct{}{}
+	return r
 }
 
 func (j *Judge) epoch(now time.Time, length time.Duration) int64 {
@@ -279,16 +236,22 @@
 	limit := j.matchedLimit()
 	var found []Reason
 	for key, g := range j.groups {
-		for i := range g.tests {
-			if evidence := g.tests[i].evidence(); evidence > 0 {
-				found = append(found, reason(Criterion(i), key, &g.tests[i], evidence, limit))
+		for i := range g {
+			if evidence := g[i].evidence(); evidence > 0 {
+				found = append(found, reason(Criterion(i), key, &g[i], evidence, limit))
+			}
+		}
+	}
+	for route, g := range j.pooled {
+		for i := range g {
+			if evidence := g[i].evidence(); evidence > 0 {
+				found = append(found, reason(pooledCriteria[i], limitKey{route, anyLoad}, &g[i].oddsTest, evidence, limit))
 			}
 		}
 	}
-	found = append(found, j.pool.reasons(limit)...)
 	if evidence := j.deaths.evidence(); evidence > 0 {
 		r := reason(CriterionDeaths, limitKey{allRoutes, anyLoad}, &j.deaths.test, evidence, j.deaths.limit)
-		r.NewTotal, r.OldTotal = j.deaths.running()
+		r.Totals.NewTotal, r.Totals.OldTotal = j.deaths.running()
 		found = append(found, r)
 	}
 	slices.SortFunc(found, compareReasons)
@@ -298,8 +261,7 @@
 func reason(c Criterion, key limitKey, t *oddsTest, evidence, limit float64) Reason {
 	return Reason{
 		Criterion: c, Route: key.route, Load: key.load,
-		NewBad: t.new.bad, NewTotal: t.new.total, OldBad: t.old.bad, OldTotal: t.old.total,
-		Evidence: evidence, Limit: limit,
+		Totals: t.totals, Evidence: evidence, Limit: limit,
 	}
 }
 
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -56,8 +56,8 @@
 				}
 			}
 		}
-		f.judge.Merge(testStart.Add(now), f.collector.Flush())
-		verdict = f.judge.Advance(testStart.Add(now))
+		f.judge.Merge(testStart.Add(now), f.collector.Flush(testStart.Add(now)))
+		verdict = f.judge.Verdict()
 		if verdict.Stop {
 			return verdict, now
 		}
@@ -98,8 +98,8 @@
 			So(after, ShouldBeLessThan, 10*time.Second)
 			So(verdict.Reasons[0].Criterion, ShouldEqual, CriterionErrors)
 			f.shape = func(time.Duration, int, *Sample) {}
-			f.judge.stop = verdict.Stop
-			So(f.judge.Advance(testStart.Add(time.Hour)).Stop, ShouldBeTrue)
+			later, _ := f.run(time.Hour)
+			So(later.Stop, ShouldBeTrue)
 		})
 		Convey("one that turns bad late is found as fast as one that is bad at once", func() {
 			f.shape = func(now time.Duration, _ int, s *Sample) {
@@ -199,12 +199,13 @@
 		start := testServerStart("v2", "a", 0)
 		counted := func(at time.Duration) uint32 {
 			now := testStart.Add(at)
+			c.Flush(now)
 			for range 2 * minQuantileValues {
 				c.Observed(now, Sample{Start: testServerStart("v1", "a", 0), FirstToken: time.Second})
 			}
 			c.Started(now, start)
 			c.Observed(now, Sample{Start: start, FirstToken: time.Second})
-			return c.Flush().Cells[0].New.FirstTokens
+			return c.cells[start.Stratum].new.firstTokens
 		}
 		So(counted(0), ShouldEqual, 0)
 		So(counted(DefaultWarmUp), ShouldEqual, 1)
@@ -216,23 +217,21 @@
 		d := newDeathTest(100)
 		for server := range 6 {
 			start := testServerStart("v2", "a", server)
-			cell := &Cell{Stratum: start.Stratum, Host: start.Host, Domain: start.Domain}
-			cell.New.Starts = 1
-			d.used(testStart, cell)
+			d.used(testStart, Use{Server: start.Stratum.Server, Host: start.Host, Domain: start.Domain, New: true})
 		}
 		old := testServerStart("v1", "a", 9)
-		d.used(testStart, &Cell{Stratum: old.Stratum, Host: old.Host, Domain: old.Domain, Old: Counts{Starts: 1}})
+		d.used(testStart, Use{Server: old.Stratum.Server, Host: old.Host, Domain: old.Domain, Old: true})
 		for server := range 6 {
 			start := testServerStart("v2", "a", server)
 			d.died(testStart, 0, Death{Server: start.Stratum.Server, Host: start.Host, Domain: start.Domain})
 		}
-		So(d.test.new.bad, ShouldEqual, 3)
+		So(d.test.totals.NewBad, ShouldEqual, 3)
 	})
 	Convey("A report that arrives twice counts once", t, func() {
 		j := NewJudge(JudgeConfig{})
 		c := NewCollector("e1", testVersions)
 		c.Started(testStart, testServerStart("v2", "a", 0))
-		e := c.Flush()
+		e := c.Flush(testStart)
 		j.Merge(testStart, e)
 		j.Merge(testStart, e)
 		So(j.Verdict().NewStarts, ShouldEqual, 1)
--- /dev/null
+++ b/rollout/move_record.go
@@ -0,0 +1,97 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// write makes next the record to be put into the table, in place of one that
+// is not on its way yet.
+func (m *Move) write(next Record) {
+	m.writes++
+	next.Fencing = m.fencing
+	next.Sequence = m.record.Sequence + 1
+	next.Operation = operationID(m.plan.ID, m.fencing, m.writes)
+	m.pending = &next
+	m.nextWrite = time.Time{}
+}
+
+// send asks for the pending record's transaction if it is due.
+func (m *Move) send(now time.Time) []Action {
+	if m.pending == nil || m.inFlight != "" || now.Before(m.nextWrite) {
+		return nil
+	}
+	tx, err := m.pending.transaction(m.plan.ID, m.revision)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "move %s", m.plan.ID))
+	}
+	m.inFlight = tx.OperationID
+	return []Action{WriteRecord{Transaction: tx}}
+}
+
+func (m *Move) recordDone(now time.Time, e RecordDone) []Action {
+	if e.OperationID != m.inFlight {
+		return nil
+	}
+	m.inFlight = ""
+	switch {
+	case e.Err != nil:
+		m.nextWrite = now.Add(recordRetry)
+	case e.Commit.Applied:
+		return m.recorded(e.OperationID, e.Commit.Revision)
+	default:
+		return m.conflict(e)
+	}
+	return nil
+}
+
+// recorded takes the step that is now in the table. A record that was replaced
+// while it was on its way only moves the revision on.
+func (m *Move) recorded(operation string, revision platform.Revision) []Action {
+	m.revision = revision
+	if m.pending == nil || m.pending.Operation != operation {
+		return nil
+	}
+	before := m.state()
+	m.record = *m.pending
+	m.pending = nil
+	if m.record.State != before {
+		m.transition(eventTo[m.record.State])
+	}
+	return []Action{m.shares()}
+}
+
+// conflict looks at the row that stands in the way: this holder's own write
+// whose answer was lost, or that of another holder.
+func (m *Move) conflict(e RecordDone) []Action {
+	for _, row := range e.Commit.Conflicts {
+		if row.Key != RecordKey(m.plan.ID) {
+			continue
+		}
+		found, err := DecodeRecord(row)
+		if err != nil || found.Fencing > m.fencing {
+			m.deposed = true
+			return nil
+		}
+		if found.Operation == e.OperationID {
+			return m.recorded(e.OperationID, row.Revision)
+		}
+		m.adopt(found, row.Revision)
+	}
+	return nil
+}
+
+// adopt goes on from a record found in the table. A stop on either side stays.
+func (m *Move) adopt(found Record, revision platform.Revision) {
+	stopped := m.stopped()
+	m.record = found
+	m.revision = revision
+	if stopped && !found.Stopped() {
+		m.write(m.stoppedRecord())
+		return
+	}
+	m.machine.SetState(string(found.State))
+	m.write(found)
+}
--- a/rollout/oddstest.go
+++ b/rollout/oddstest.go
@@ -7,9 +7,10 @@
 
 // oddsRatios are the alternatives that a test looks for: how many times the
 // odds of a bad request on the new version are those on the old one.
-var oddsRatios = [...]float64{2, 4, 16, 64}
+var oddsRatios = [numRatios]float64{2, 4, 16, 64}
 
 const (
+	numRatios = 4
 	// testEpoch is the time between the moments at which a test starts
 	// again if it has found nothing, so that it notices a version that
 	// turns bad late.
@@ -19,58 +20,61 @@
 	toleratedLatencyOdds = 1.5
 )
 
-// oddsTest is a sequential test of whether requests are bad more often on the
-// new version than on the old one in the same windows. Given how many of a
-// window's requests were bad, it looks at how many of them were the new
-// version's, so that it needs no model of how often requests are bad.
-//
-// For each alternative it keeps the logarithm of an e-process that starts
-// again at each epoch. Under the tolerated odds the chance that a given start
-// ever reaches log(1/a) is at most a.
-type oddsTest struct {
-	logs  [len(oddsRatios)]float64
-	old   windowTotals
-	new   windowTotals
-	epoch int64
-}
-
-// windowTotals are requests seen by a test, for explanations.
-type windowTotals struct{ bad, total uint64 }
+// LogRatio holds the logarithms of the likelihood ratios of bad requests, one
+// for each alternative. Those of independent requests add up.
+type LogRatio [numRatios]float32
 
-// add takes one window: bad of total requests of each version.
-func (t *oddsTest) add(epoch int64, tolerated float64, newBad, newTotal, oldBad, oldTotal uint32) {
-	if newTotal == 0 || oldTotal == 0 {
-		return
+func (l *LogRatio) add(o LogRatio) {
+	for i := range l {
+		l[i] += o[i]
 	}
-	t.startEpoch(epoch)
-	t.new.bad += uint64(newBad)
-	t.new.total += uint64(newTotal)
-	t.old.bad += uint64(oldBad)
-	t.old.total += uint64(oldTotal)
-	if newBad+oldBad == 0 {
-		return
+}
+
+// scaled returns l times part.
+func (l LogRatio) scaled(part float64) LogRatio {
+	for i := range l {
+		l[i] *= float32(part)
 	}
-	t.weigh(tolerated, float64(newBad), float64(oldBad), float64(newTotal), float64(oldTotal))
+	return l
 }
 
-// weigh multiplies the e-processes by the likelihood ratios of one window.
-// The binomial probabilities bound the exact ones of a draw without return.
-func (t *oddsTest) weigh(tolerated, newBad, oldBad, newWeight, oldWeight float64) {
+// most returns the part of l that its strongest alternative gets.
+func (l LogRatio) most() float64 { return float64(l[numRatios-1]) }
+
+// logRatio weighs bad requests of both versions, given the numbers or rates of
+// requests that could have been bad. The binomial probabilities bound the
+// exact ones of a draw without return.
+func logRatio(tolerated, newBad, oldBad, newWeight, oldWeight float64) LogRatio {
+	var logs LogRatio
 	expected := newWeight * tolerated / (newWeight*tolerated + oldWeight)
 	for i, ratio := range oddsRatios {
 		odds := newWeight * tolerated * ratio
 		alternative := odds / (odds + oldWeight)
-		t.logs[i] += newBad * math.Log(alternative/expected)
-		t.logs[i] += oldBad * math.Log((1-alternative)/(1-expected))
+		sum := newBad * math.Log(alternative/expected)
+		sum += oldBad * math.Log((1-alternative)/(1-expected))
+		logs[i] = float32(sum)
 	}
+	return logs
 }
 
-// largestStep returns the most that one bad request of the new version can
-// add to the evidence.
-func largestStep(tolerated, newWeight, oldWeight float64) float64 {
-	weight := newWeight * tolerated
-	ratio := oddsRatios[len(oddsRatios)-1]
-	return math.Log(ratio * (weight + oldWeight) / (weight*ratio + oldWeight))
+// oddsTest is a sequential test of whether requests are bad more often on the
+// new version than on the old one. Given how many of a window's requests were
+// bad, it looks at how many of them were the new version's, so that it needs
+// no model of how often requests are bad.
+//
+// For each alternative it keeps the logarithm of an e-process that starts
+// again at each epoch. Under the tolerated odds the chance that a given start
+// ever reaches log(1/a) is at most a.
+type oddsTest struct {
+	logs   LogRatio
+	totals Totals
+	epoch  int64
+}
+
+func (t *oddsTest) add(epoch int64, logs LogRatio, totals Totals) {
+	t.startEpoch(epoch)
+	t.totals.add(totals)
+	t.logs.add(logs)
 }
 
 func (t *oddsTest) startEpoch(epoch int64) {
@@ -89,5 +93,5 @@
 	for _, l := range t.logs[1:] {
 		best = max(best, l)
 	}
-	return best
+	return float64(best)
 }
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -1,15 +1,6 @@
 package rollout
 
-import (
-	"cmp"
-	"slices"
-)
-
-// sortEvidence puts e in an order that does not depend on map iteration.
-func sortEvidence(e *Evidence) {
-	slices.SortFunc(e.Cells, func(a, b Cell) int { return compareStrata(a.Stratum, b.Stratum) })
-	slices.SortFunc(e.Deaths, func(a, b Death) int { return cmp.Compare(a.Server, b.Server) })
-}
+import "cmp"
 
 func compareStrata(a, b Stratum) int {
 	return cmp.Or(
@@ -18,3 +9,39 @@
 		cmp.Compare(a.Load, b.Load),
 	)
 }
+
+func comparePooled(a, b pooledKey) int {
+	return cmp.Or(
+		cmp.Compare(a.domain, b.domain),
+		cmp.Compare(a.route, b.route),
+		cmp.Compare(a.load, b.load),
+	)
+}
+
+func compareIncrements(a, b Increment) int {
+	pooled := 0
+	if a.Pooled != b.Pooled {
+		pooled = 1
+		if b.Pooled {
+			pooled = -1
+		}
+	}
+	return cmp.Or(
+		cmp.Compare(a.Route, b.Route),
+		cmp.Compare(a.Load, b.Load),
+		cmp.Compare(a.Criterion, b.Criterion),
+		pooled,
+	)
+}
+
+func compareCharges(a, b Charge) int {
+	return cmp.Or(
+		cmp.Compare(a.Route, b.Route),
+		cmp.Compare(a.Criterion, b.Criterion),
+		cmp.Compare(a.Server, b.Server),
+	)
+}
+
+func compareUses(a, b Use) int { return cmp.Compare(a.Server, b.Server) }
+
+func compareDeaths(a, b Death) int { return cmp.Compare(a.Server, b.Server) }
