Decide at-most-once requests in a deterministic coordinator

Cause: the first version only covered the path without faults. Change: Coordinator takes answers and time and returns typed commands; Batcher groups writes and splits on conflict; Executor carries both out; Lookup, Record for agents and pruning in bounded batches. A repeated claim keeps its first expiry: a later one would outlive the agent's memory. An expired claim is only said not to have run by the row's condition. Conclusion: same signatures as before; Limits has new fields.

--- /dev/null
+++ b/action/answers.go
@@ -0,0 +1,96 @@
+package action
+
+import (
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// reply gives the caller its reply, once.
+func (c *Coordinator) reply(reply backend.Reply, omitted bool) []Command {
+	if omitted {
+		return c.refuse(c.replyOmitted())
+	}
+	if c.answered {
+		return nil
+	}
+	c.answered = true
+	return []Command{{Kind: CommandReply, Reply: reply}}
+}
+
+// refuse gives the caller a problem in place of a reply, once.
+func (c *Coordinator) refuse(refusal *problem.Error) []Command {
+	if c.answered {
+		return nil
+	}
+	c.answered = true
+	return []Command{{Kind: CommandRefuse, Problem: refusal.For(c.request.RequestID)}}
+}
+
+func (c *Coordinator) refuseAndEnd(refusal *problem.Error) []Command {
+	c.phase = phaseEnd
+	return c.refuse(refusal)
+}
+
+// unclaimedRun returns the run state of a request whose own claims have not
+// left. An earlier copy of it may have run, unless the row was seen without a
+// claim in force, or the caller states that there is no earlier copy.
+func (c *Coordinator) unclaimedRun() problem.RunState {
+	free := c.request.First
+	if c.rowKnown {
+		free = c.row.State == StateAbsent || c.row.State == StateNotRun
+	}
+	if free {
+		return problem.RunNot
+	}
+	return problem.RunUnknown
+}
+
+func (c *Coordinator) storeUnavailable() *problem.Error {
+	return problem.New(problem.CodeStoreUnavailable, c.unclaimedRun(), problem.StepClaim,
+		"the request cannot be claimed now; send it again with the same key").
+		Because(c.cause).After(c.limits.RetryAfter)
+}
+
+func (c *Coordinator) unreachable(err error) *problem.Error {
+	return problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepDispatch, "the agent cannot be reached").
+		At(c.own.Target.AgentAddress).Because(err).After(c.limits.RetryAfter)
+}
+
+func (c *Coordinator) tooLate() *problem.Error {
+	return problem.New(problem.CodeTooLate, problem.RunNot, problem.StepClaim, "the claim came too late to be run").
+		After(c.limits.RetryAfter)
+}
+
+func (c *Coordinator) deadlinePassed() *problem.Error {
+	return problem.New(problem.CodeTooLate, c.unclaimedRun(), problem.StepClaim, "the deadline passed before the claim").
+		After(c.limits.RetryAfter)
+}
+
+func (c *Coordinator) tooManyClaims() *problem.Error {
+	return problem.New(problem.CodeOverloaded, problem.RunNot, problem.StepClaim, "no claim reached its agent").
+		After(c.limits.RetryAfter)
+}
+
+func (c *Coordinator) keyReused() *problem.Error {
+	return problem.New(problem.CodeKeyReused, problem.RunNot, problem.StepClaim,
+		"Idempotency-Key was used with another method, path or body")
+}
+
+// outcomeUnknown says that the outcome may be known later.
+func (c *Coordinator) outcomeUnknown() *problem.Error {
+	return problem.New(problem.CodeOutcomeUnknown, problem.RunUnknown, problem.StepOutcome,
+		"the outcome is not known yet; ask again with the same key").
+		At(c.row.Target.AgentAddress).Because(c.cause).After(c.limits.RetryAfter)
+}
+
+// outcomeLost says that the outcome will not become known.
+func (c *Coordinator) outcomeLost() *problem.Error {
+	return problem.New(problem.CodeOutcomeUnknown, problem.RunUnknown, problem.StepOutcome,
+		"the outcome is lost; the request will not be run again under this key").
+		At(c.row.Target.AgentAddress)
+}
+
+func (c *Coordinator) replyOmitted() *problem.Error {
+	return problem.New(problem.CodeInterrupted, problem.RunDone, problem.StepOutcome,
+		"the request was run; its reply was too large to be kept")
+}
--- /dev/null
+++ b/action/batcher.go
@@ -0,0 +1,237 @@
+package action
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// BatchLimits holds the bounds of group commit.
+type BatchLimits struct {
+	// MaxItems is the most writes in one transaction; 1 turns grouping off.
+	MaxItems int
+	// MaxDelay is how long the first write waits for others.
+	MaxDelay time.Duration
+	// MaxFlights is the most transactions under way.
+	MaxFlights int
+	// Repeats is how often a transaction with an unclear outcome is sent again
+	// under its operation id.
+	Repeats int
+}
+
+// DefaultBatchLimits returns the limits for an entry.
+func DefaultBatchLimits() BatchLimits {
+	return BatchLimits{MaxItems: 64, MaxDelay: 5 * time.Millisecond, MaxFlights: 4, Repeats: 2}
+}
+
+// BatchItem is one conditional write of one row.
+type BatchItem struct {
+	ID        uint64
+	Condition platform.Condition
+	Write     platform.Write
+}
+
+// BatchResult is the end of one item: Err, or a Commit for this item alone.
+type BatchResult struct {
+	ID     uint64
+	Commit platform.Commit
+	Err    error
+}
+
+// errNotApplied is the cause of a transaction that the table did not apply
+// although it reports no conflict.
+var errNotApplied = errors.New("transaction not applied without a conflict")
+
+type queued struct {
+	item BatchItem
+	due  time.Time
+}
+
+type flight struct {
+	items   []queued
+	tx      platform.Transaction
+	repeats int
+}
+
+// Batcher groups conditional writes of single rows into transactions. A
+// conflict of one item fails this item only: the others are sent again. It
+// has no goroutine, clock or I/O.
+type Batcher struct {
+	limits  BatchLimits
+	prefix  string
+	serial  uint64
+	queue   []queued
+	flights map[string]*flight
+	repeats []*flight
+	// busy holds the rows that are being written. A second write of a row
+	// waits for the first.
+	busy map[string]struct{}
+}
+
+// NewBatcher returns a Batcher whose operation ids start with prefix, which
+// must be unique for ever.
+func NewBatcher(limits BatchLimits, prefix string) *Batcher {
+	return &Batcher{
+		limits:  limits,
+		prefix:  prefix,
+		flights: make(map[string]*flight),
+		busy:    make(map[string]struct{}),
+	}
+}
+
+// Add queues an item.
+func (b *Batcher) Add(now time.Time, item BatchItem) {
+	b.queue = append(b.queue, queued{item: item, due: now.Add(b.limits.MaxDelay)})
+}
+
+// Len returns the number of items that are queued or under way.
+func (b *Batcher) Len() int {
+	n := len(b.queue)
+	for _, f := range b.flights {
+		n += len(f.items)
+	}
+	return n
+}
+
+// Take returns the next transaction that is due. Its end must be given to
+// Answer.
+func (b *Batcher) Take(now time.Time) (platform.Transaction, bool) {
+	if len(b.repeats) > 0 {
+		f := b.repeats[0]
+		b.repeats = b.repeats[1:]
+		return f.tx, true
+	}
+	if len(b.flights) >= b.limits.MaxFlights || !b.due(now) {
+		return platform.Transaction{}, false
+	}
+	items := b.pick()
+	if len(items) == 0 {
+		return platform.Transaction{}, false
+	}
+	return b.launch(items), true
+}
+
+// WakeAt returns when Take is next worth calling, or the zero time if only an
+// answer or a new item can change that.
+func (b *Batcher) WakeAt() time.Time {
+	if len(b.flights) >= b.limits.MaxFlights {
+		return time.Time{}
+	}
+	first, _ := b.firstReady()
+	return first.due
+}
+
+func (b *Batcher) due(now time.Time) bool {
+	first, ok := b.firstReady()
+	return ok && (len(b.queue) >= b.limits.MaxItems || !now.Before(first.due))
+}
+
+// firstReady returns the first queued item whose row is not being written.
+func (b *Batcher) firstReady() (queued, bool) {
+	for _, q := range b.queue {
+		if _, taken := b.busy[q.item.Write.Key]; !taken {
+			return q, true
+		}
+	}
+	return queued{}, false
+}
+
+// Cancel removes an item that is still queued. It returns false if the item
+// has been sent, in which case it may be written.
+func (b *Batcher) Cancel(id uint64) bool {
+	for i, q := range b.queue {
+		if q.item.ID == id {
+			b.queue = append(b.queue[:i], b.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// pick removes the items of the next transaction from the queue.
+func (b *Batcher) pick() []queued {
+	picked := make([]queued, 0, min(len(b.queue), b.limits.MaxItems))
+	rest := b.queue[:0]
+	for _, q := range b.queue {
+		_, taken := b.busy[q.item.Write.Key]
+		if taken || len(picked) == b.limits.MaxItems {
+			rest = append(rest, q)
+			continue
+		}
+		b.busy[q.item.Write.Key] = struct{}{}
+		picked = append(picked, q)
+	}
+	clear(b.queue[len(rest):])
+	b.queue = rest
+	return picked
+}
+
+func (b *Batcher) launch(items []queued) platform.Transaction {
+	b.serial++
+	tx := platform.Transaction{
+		OperationID: b.prefix + strconv.FormatUint(b.serial, 10),
+		Conditions:  make([]platform.Condition, len(items)),
+		Writes:      make([]platform.Write, len(items)),
+	}
+	for i, q := range items {
+		tx.Conditions[i] = q.item.Condition
+		tx.Writes[i] = q.item.Write
+	}
+	b.flights[tx.OperationID] = &flight{items: items, tx: tx}
+	return tx
+}
+
+// Answer takes the end of a transaction and returns the items that ended.
+func (b *Batcher) Answer(operationID string, commit platform.Commit, err error) []BatchResult {
+	f, ok := b.flights[operationID]
+	if !ok {
+		return nil
+	}
+	if err != nil && platform.OutcomeOf(err) != platform.OutcomeNotDone && f.repeats < b.limits.Repeats {
+		f.repeats++
+		b.repeats = append(b.repeats, f)
+		return nil
+	}
+	delete(b.flights, operationID)
+	for _, q := range f.items {
+		delete(b.busy, q.item.Write.Key)
+	}
+	if err != nil || commit.Applied {
+		return f.all(commit, err)
+	}
+	return b.split(f, commit)
+}
+
+// all gives every item of f the same end.
+func (f *flight) all(commit platform.Commit, err error) []BatchResult {
+	results := make([]BatchResult, len(f.items))
+	for i, q := range f.items {
+		results[i] = BatchResult{ID: q.item.ID, Commit: commit, Err: err}
+	}
+	return results
+}
+
+// split ends the items of f that conflicted and queues the others first.
+func (b *Batcher) split(f *flight, commit platform.Commit) []BatchResult {
+	conflicts := make(map[string]platform.Row, len(commit.Conflicts))
+	for _, row := range commit.Conflicts {
+		conflicts[row.Key] = row
+	}
+	var results []BatchResult
+	var rest []queued
+	for _, q := range f.items {
+		row, met := conflicts[q.item.Write.Key]
+		if !met {
+			rest = append(rest, q)
+			continue
+		}
+		results = append(results, BatchResult{ID: q.item.ID, Commit: platform.Commit{Conflicts: []platform.Row{row}}})
+	}
+	if len(results) == 0 {
+		return f.all(platform.Commit{}, platform.NewError(platform.OutcomeNotDone, "commit", "table", errNotApplied))
+	}
+	b.queue = append(rest, b.queue...)
+	return results
+}
--- /dev/null
+++ b/action/committer.go
@@ -0,0 +1,106 @@
+package action
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// committer runs a Batcher over a table. Its one mutex guards the Batcher and
+// the waiters, and is not held over I/O.
+type committer struct {
+	table   platform.Table
+	timeout time.Duration
+	now     func() time.Time
+
+	mu      sync.Mutex
+	batcher *Batcher
+	waiters map[uint64]chan BatchResult
+	serial  uint64
+	timer   *time.Timer
+}
+
+func newCommitter(table platform.Table, limits BatchLimits, timeout time.Duration, now func() time.Time) *committer {
+	return &committer{
+		table:   table,
+		timeout: timeout,
+		now:     now,
+		batcher: NewBatcher(limits, string(NewClaimID())+"/"),
+		waiters: make(map[uint64]chan BatchResult),
+	}
+}
+
+// commit writes the one row of tx, together with other rows, and returns the
+// end of this write. After ctx the outcome is not known.
+func (c *committer) commit(ctx context.Context, tx platform.Transaction) (platform.Commit, error) {
+	id, done := c.add(tx)
+	select {
+	case result := <-done:
+		return result.Commit, result.Err
+	case <-ctx.Done():
+		return platform.Commit{}, platform.NewError(c.abandon(id), "commit", "table", ctx.Err())
+	}
+}
+
+// abandon gives up waiting for a write and returns what is known of it.
+func (c *committer) abandon(id uint64) platform.Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiters, id)
+	if c.batcher.Cancel(id) {
+		return platform.OutcomeNotDone
+	}
+	return platform.OutcomeUnknown
+}
+
+func (c *committer) add(tx platform.Transaction) (uint64, <-chan BatchResult) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serial++
+	done := make(chan BatchResult, 1)
+	c.waiters[c.serial] = done
+	c.batcher.Add(c.now(), BatchItem{ID: c.serial, Condition: tx.Conditions[0], Write: tx.Writes[0]})
+	c.launch()
+	return c.serial, done
+}
+
+// launch sends what is due and sets the timer for the rest; c.mu is held.
+func (c *committer) launch() {
+	for {
+		tx, ok := c.batcher.Take(c.now())
+		if !ok {
+			break
+		}
+		go c.send(tx)
+	}
+	at := c.batcher.WakeAt()
+	if at.IsZero() || c.timer != nil {
+		return
+	}
+	c.timer = time.AfterFunc(max(at.Sub(c.now()), 0), c.wake)
+}
+
+func (c *committer) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timer = nil
+	c.launch()
+}
+
+// send carries one transaction to the table.
+func (c *committer) send(tx platform.Transaction) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	defer cancel()
+	commit, err := c.table.Commit(ctx, tx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, result := range c.batcher.Answer(tx.OperationID, commit, err) {
+		if done, ok := c.waiters[result.ID]; ok {
+			delete(c.waiters, result.ID)
+			done <- result
+		}
+	}
+	c.launch()
+}
--- a/action/dispatcher.go
+++ b/action/dispatcher.go
@@ -30,7 +30,12 @@
 	// ResolvedUnknown: the agent does not know, and never will: the service's
 	// answer was lost, or the claim was for an earlier incarnation.
 	ResolvedUnknown ResolutionState = "unknown"
-	// ResolvedUnseen: the agent has not seen the claim yet; only after Peek.
+	// ResolvedExpired: the claim can no longer run, and the agent remembers
+	// nothing of it. Either it never ran, or its outcome is in the table: a
+	// write on the row that still holds the claim tells which.
+	ResolvedExpired ResolutionState = "expired"
+	// ResolvedUnseen: the agent has not seen the claim yet; after Peek, or if
+	// the claim expires too late to be barred.
 	ResolvedUnseen ResolutionState = "unseen"
 )
 
--- a/action/executor.go
+++ b/action/executor.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/wigeonfork/wigeonfork"
+	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
@@ -15,14 +17,22 @@
 	Table      platform.Table
 	Dispatcher Dispatcher
 	Limits     Limits
+	// Batch bounds group commit; the zero value stands for the defaults.
+	Batch BatchLimits
 	// Now returns the time; nil stands for time.Now.
 	Now func() time.Time
 }
 
-// Executor runs the decisions of this package over a table and agents. Its
-// methods may be called from many goroutines.
+// Executor runs Coordinators over a table and agents. Its methods may be
+// called from many goroutines.
 type Executor struct {
-	config Config
+	config    Config
+	committer *committer
+	base      context.Context
+	stop      context.CancelFunc
+	requests  sync.WaitGroup
+	underWay  atomic.Int64
+	recording atomic.Int64
 }
 
 // NewExecutor returns an Executor.
@@ -30,89 +40,178 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	return &Executor{config: config}
+	if config.Batch == (BatchLimits{}) {
+		config.Batch = DefaultBatchLimits()
+	}
+	base, stop := context.WithCancel(context.Background())
+	return &Executor{
+		config:    config,
+		committer: newCommitter(config.Table, config.Batch, config.Limits.StoreTimeout, config.Now),
+		base:      base,
+		stop:      stop,
+	}
+}
+
+// errCallerGone is the cause of a dispatch that is not made because the
+// caller has its final answer already.
+var errCallerGone = errors.New("the caller is gone")
+
+// run is one request on its way.
+type run struct {
+	executor    *Executor
+	coordinator Coordinator
+	deadline    time.Time
+	reply       backend.Reply
+	refusal     *problem.Error
 }
 
-// Do runs the request at most once and returns the reply of its call.
+// Do runs the request at most once. It returns by the request's deadline, or
+// when ctx ends; what is left to record then goes on in the background.
 func (e *Executor) Do(ctx context.Context, request Request) (backend.Reply, *problem.Error) {
-	now := e.config.Now()
-	key, refusal := checkKey(now, e.config.Limits, request.Key)
-	if refusal != nil {
-		return backend.Reply{}, refusal.For(request.RequestID)
+	e.requests.Add(1)
+	e.underWay.Add(1)
+	r := &run{
+		executor:    e,
+		coordinator: NewCoordinator(e.config.Limits, request, NewClaimID()),
+		deadline:    request.Deadline,
 	}
-	claim := Claim{
-		ID: NewClaimID(), Workspace: request.Workspace, Key: key, Fingerprint: FingerprintOf(request.Call),
-		Target: request.Target, RequestID: request.RequestID,
-		ClaimedAt: now, Expires: now.Add(e.config.Limits.DispatchWindow),
+	rest := r.drive(ctx, r.coordinator.Start(e.config.Now()), false)
+	e.underWay.Add(-1)
+	if r.coordinator.Ended() {
+		e.requests.Done()
+		return r.reply, r.refusal
 	}
-	record := recordOf(claim)
-	commit, err := e.write(ctx, claim, record)
-	if err != nil || !commit.Applied {
-		return backend.Reply{}, problem.New(problem.CodeStoreUnavailable, problem.RunUnknown, problem.StepClaim,
-			"claim not made").Because(err).For(request.RequestID).After(e.config.Limits.RetryAfter)
-	}
-	claim.Revision = commit.Revision
-	request.Call.ClaimID = string(claim.ID)
-	reply, err := e.config.Dispatcher.Dispatch(ctx, claim, request.Call)
-	if err != nil {
-		return backend.Reply{}, problem.New(problem.CodeOutcomeUnknown, problem.RunUnknown, problem.StepDispatch,
-			"outcome is not known").Because(err).For(request.RequestID).After(e.config.Limits.RetryAfter)
-	}
-	_, err = e.write(ctx, claim, record.withReply(reply, e.config.Limits.MaxReplyBytes))
-	if err == nil {
-		e.config.Dispatcher.Acknowledge(ctx, claim.Target, []ClaimID{claim.ID})
-	}
-	return reply, nil
+	reply, refusal := r.reply, r.refusal
+	go r.finish(rest)
+	return reply, refusal
+}
+
+// finish drives the request to its end after the caller was answered.
+func (r *run) finish(commands []Command) {
+	e := r.executor
+	defer e.requests.Done()
+	e.recording.Add(1)
+	defer e.recording.Add(-1)
+	limit := e.config.Limits.RecordFor + e.config.Limits.StoreTimeout
+	ctx, cancel := context.WithTimeout(e.base, limit)
+	defer cancel()
+	r.drive(ctx, commands, true)
 }
 
-func (e *Executor) write(ctx context.Context, claim Claim, record Record) (platform.Commit, error) {
-	value, err := record.encode()
-	if err != nil {
-		return platform.Commit{}, err
+// drive carries out commands until the request has ended or, in the
+// foreground, the caller's answer is there. It returns the commands left.
+func (r *run) drive(ctx context.Context, commands []Command, background bool) []Command {
+	for {
+		if ctx.Err() != nil {
+			if background {
+				return nil
+			}
+			commands = append(commands, r.coordinator.Cancel(r.executor.config.Now())...)
+		}
+		access := r.settle(ctx, commands)
+		if r.coordinator.Ended() || r.coordinator.Answered() && !background {
+			return access
+		}
+		if len(access) > 0 {
+			answer := r.perform(ctx, access[0], background)
+			commands = r.coordinator.Handle(r.executor.config.Now(), answer)
+			continue
+		}
+		r.sleep(ctx)
+		commands = r.coordinator.Tick(r.executor.config.Now())
 	}
-	rowKey := RowKey(claim.Workspace, claim.Key)
-	return e.config.Table.Commit(ctx, platform.Transaction{
-		OperationID: string(claim.ID) + "/" + string(record.State),
-		Conditions:  []platform.Condition{{Key: rowKey, Revision: claim.Revision}},
-		Writes:      []platform.Write{{Key: rowKey, Value: value}},
-	})
 }
 
-// Lookup returns what is known of the action under key, without changing it.
-func (e *Executor) Lookup(ctx context.Context, workspace wigeonfork.Workspace, text string) (backend.Reply, *problem.Error) {
-	key, refusal := checkKey(e.config.Now(), e.config.Limits, text)
-	if refusal != nil {
-		return backend.Reply{}, refusal
+// settle carries out the commands that are no accesses and returns the others.
+func (r *run) settle(ctx context.Context, commands []Command) []Command {
+	var access []Command
+	for _, command := range commands {
+		switch command.Kind {
+		case CommandReply:
+			r.reply = command.Reply
+		case CommandRefuse:
+			r.refusal = command.Problem
+		case CommandAcknowledge:
+			r.executor.config.Dispatcher.Acknowledge(ctx, command.Target, []ClaimID{command.Claim.ID})
+		default:
+			access = append(access, command)
+		}
 	}
-	row, err := e.config.Table.Get(ctx, RowKey(workspace, key))
-	if err != nil {
-		return backend.Reply{}, problem.New(problem.CodeStoreUnavailable, problem.RunUnknown, problem.StepOutcome,
-			"the table cannot be read").Because(err).After(e.config.Limits.RetryAfter)
+	return access
+}
+
+// sleep waits until the coordinator is due or ctx ends.
+func (r *run) sleep(ctx context.Context) {
+	timer := time.NewTimer(r.coordinator.WakeAt().Sub(r.executor.config.Now()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	record, err := DecodeRow(row)
-	if err != nil {
-		return backend.Reply{}, problem.From(err, problem.StepOutcome)
+}
+
+// perform carries out one access.
+func (r *run) perform(ctx context.Context, command Command, background bool) Answer {
+	e := r.executor
+	limits := e.config.Limits
+	switch command.Kind {
+	case CommandRead:
+		ctx, cancel := r.bounded(ctx, limits.StoreTimeout, background)
+		defer cancel()
+		row, err := e.config.Table.Get(ctx, command.RowKey)
+		return Answer{Row: row, Err: err}
+	case CommandCommit:
+		ctx, cancel := r.bounded(ctx, limits.StoreTimeout, background)
+		defer cancel()
+		commit, err := e.committer.commit(ctx, command.Transaction)
+		return Answer{Commit: commit, Err: err}
+	case CommandResolve:
+		ctx, cancel := r.bounded(ctx, limits.ResolveTimeout, background)
+		defer cancel()
+		resolution, err := e.config.Dispatcher.Resolve(ctx, command.Target.AgentAddress, command.Query)
+		return Answer{Resolution: resolution, Err: err}
+	default:
+		return r.dispatch(ctx, command, background)
 	}
-	if record.State == StateDone {
-		return record.reply(), nil
+}
+
+// dispatch sends the call, unless the caller is gone before it left.
+func (r *run) dispatch(ctx context.Context, command Command, background bool) Answer {
+	if background {
+		err := platform.NewError(platform.OutcomeNotDone, "dispatch", command.Claim.Target.AgentAddress, errCallerGone)
+		return Answer{Err: err}
 	}
-	return backend.Reply{}, problem.New(problem.CodeOutcomeUnknown, problem.RunUnknown, problem.StepOutcome,
-		"outcome is not known").After(e.config.Limits.RetryAfter)
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	reply, err := r.executor.config.Dispatcher.Dispatch(ctx, command.Claim, command.Call)
+	return Answer{Reply: reply, Err: err}
 }
 
-// Record writes the outcome of a claim into its row; nil reply stands for an
-// outcome that is not known. An agent uses it for the outcomes that no entry
-// has acknowledged. It succeeds if the row already holds an outcome.
-func (e *Executor) Record(ctx context.Context, claim Claim, reply *backend.Reply) error {
-	record := recordOf(claim)
-	record.State = StateUnknown
-	if reply != nil {
-		record = record.withReply(*reply, e.config.Limits.MaxReplyBytes)
+// bounded returns ctx bounded by timeout and, while the caller waits, by the
+// request's deadline.
+func (r *run) bounded(ctx context.Context, timeout time.Duration, background bool) (context.Context, context.CancelFunc) {
+	if left := r.deadline.Sub(r.executor.config.Now()); !background && left < timeout {
+		timeout = left
 	}
-	_, err := e.write(ctx, claim, record)
-	return err
+	return context.WithTimeout(ctx, timeout)
 }
 
-// Close stops new requests and waits until what is under way is recorded, or
-// until ctx ends.
-func (e *Executor) Close(ctx context.Context) error { return nil }
+// Close waits until all requests have ended and their outcomes are recorded.
+// When ctx ends first, it leaves the rest to the agents and returns an error.
+// No request may be started after Close.
+func (e *Executor) Close(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		e.requests.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		e.stop()
+		return nil
+	case <-ctx.Done():
+		e.stop()
+		<-done
+		return errors.Wrap(ctx.Err(), "record outcomes")
+	}
+}
--- a/action/ledger/command.go
+++ b/action/ledger/command.go
@@ -52,18 +52,15 @@
 }
 
 // bar makes sure that an unseen claim never runs in this incarnation. It
-// returns false if that is not certain: the claim may have been forgotten, or
-// it expires too late to be remembered until then.
+// returns false if it cannot: the claim has expired and may have run and been
+// forgotten, or it expires too late to be remembered until then.
 func (l *Ledger) bar(now time.Time, claim action.Claim) bool {
-	if !claim.Expires.After(l.forgotten) {
+	if !now.Before(claim.Expires) || claim.Expires.Sub(now) > l.config.MaxWindow {
 		return false
 	}
-	if !now.Before(claim.Expires) || !claim.Expires.After(l.barredUntil) {
+	if !claim.Expires.After(l.barredUntil) {
 		return true
 	}
-	if claim.Expires.Sub(now) > l.config.MaxWindow {
-		return false
-	}
 	if len(l.entries) >= l.config.MaxClaims {
 		l.barredUntil = claim.Expires
 		return true
@@ -99,8 +96,8 @@
 	if known, ok := l.entries[query.ClaimID]; ok {
 		return known.resolution()
 	}
-	if !query.Expires.After(l.forgotten) {
-		return action.Resolution{State: action.ResolvedUnknown}
+	if !now.Before(query.Expires) {
+		return action.Resolution{State: action.ResolvedExpired}
 	}
 	claim := action.Claim{ID: query.ClaimID, Expires: query.Expires}
 	if query.Peek || !l.bar(now, claim) {
@@ -171,7 +168,4 @@
 func (l *Ledger) forget(e *entry) {
 	delete(l.entries, e.claim.ID)
 	l.replyBytes -= len(e.reply.Body)
-	if e.claim.Expires.After(l.forgotten) {
-		l.forgotten = e.claim.Expires
-	}
 }
--- a/action/ledger/ledger.go
+++ b/action/ledger/ledger.go
@@ -4,6 +4,10 @@
 // A Ledger has no goroutine, clock or I/O and is not safe for concurrent use.
 // The time given to it must not go back within one incarnation: use the start
 // time plus the monotonic time since then.
+//
+// A claim is remembered until it expires, and longer while it runs or its
+// outcome is not recorded. So an unexpired claim that is not remembered has
+// never run, and an expired one has never run or has its outcome in the table.
 package ledger
 
 import (
@@ -90,9 +94,6 @@
 	entries    map[action.ClaimID]*entry
 	expiring   expiryHeap
 	unrecorded []*entry
-	// forgotten is the latest expiry of a claim that was forgotten: an unseen
-	// claim that expires later has certainly not run.
-	forgotten time.Time
 	// barredUntil bars every unseen claim that expires no later. It stands for
 	// single barred claims when there is no room for them.
 	barredUntil time.Time
--- a/action/limits.go
+++ b/action/limits.go
@@ -18,10 +18,17 @@
 	ResolveDelay time.Duration
 	// PollInterval is the time between two questions to an agent.
 	PollInterval time.Duration
+	// ClaimFor is how long a claim is tried while the table fails.
+	ClaimFor time.Duration
+	// ClaimAttempts bounds the claims that one request makes, each after the
+	// one before it is proved not to have run.
+	ClaimAttempts int
 	// StoreRetry is the time between two attempts at the table.
 	StoreRetry time.Duration
 	// StoreTimeout bounds one access to the table.
 	StoreTimeout time.Duration
+	// ResolveTimeout bounds one question to an agent.
+	ResolveTimeout time.Duration
 	// RecordFor is how long an entry tries to record an outcome.
 	RecordFor time.Duration
 	// RetryAfter is what a refused caller is told to wait.
@@ -39,8 +46,11 @@
 		DispatchWindow:  2 * time.Minute,
 		ResolveDelay:    100 * time.Millisecond,
 		PollInterval:    200 * time.Millisecond,
+		ClaimFor:        time.Second,
+		ClaimAttempts:   5,
 		StoreRetry:      100 * time.Millisecond,
-		StoreTimeout:    time.Second,
+		StoreTimeout:    500 * time.Millisecond,
+		ResolveTimeout:  time.Second,
 		RecordFor:       30 * time.Second,
 		RetryAfter:      time.Second,
 		MaxReplyBytes:   64 << 10,
--- /dev/null
+++ b/action/prune.go
@@ -0,0 +1,74 @@
+package action
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// PruneBatch returns the transaction that deletes the rows of page whose keys
+// are older than the retention and its margin, at most limit of them, and
+// whether rows may be left after it. The page must come from a scan under
+// WorkspacePrefix: its rows are in order of issue time, so that the first row
+// that is young enough ends the search. A row that has changed since the scan
+// makes the whole transaction fail, which is then planned anew.
+func PruneBatch(now time.Time, limits Limits, page platform.Page, limit int, operationID string) (platform.Transaction, bool) {
+	tx := platform.Transaction{OperationID: operationID}
+	oldest := now.Add(-limits.Retention - limits.PruneMargin)
+	for _, row := range page.Rows {
+		if len(tx.Writes) == limit {
+			return tx, true
+		}
+		key := Key(row.Key[strings.LastIndexByte(row.Key, '/')+1:])
+		issued := key.IssuedAt()
+		if issued.IsZero() || row.Deleted {
+			continue
+		}
+		if !issued.Before(oldest) {
+			return tx, false
+		}
+		tx.Conditions = append(tx.Conditions, platform.Condition{Key: row.Key, Revision: row.Revision})
+		tx.Writes = append(tx.Writes, platform.Write{Key: row.Key, Delete: true})
+	}
+	return tx, page.Next != ""
+}
+
+// Prune deletes the rows of workspace whose keys can no longer be used, in
+// transactions of at most limit rows and at most batches of them, and returns
+// the number of rows deleted. Any process may run it at any time.
+func (e *Executor) Prune(ctx context.Context, workspace wigeonfork.Workspace, limit, batches int) (int, error) {
+	deleted := 0
+	for range batches {
+		n, more, err := e.pruneOnce(ctx, workspace, limit)
+		deleted += n
+		if err != nil || !more {
+			return deleted, err
+		}
+	}
+	return deleted, nil
+}
+
+func (e *Executor) pruneOnce(ctx context.Context, workspace wigeonfork.Workspace, limit int) (int, bool, error) {
+	query := platform.ScanQuery{Prefix: WorkspacePrefix(workspace), Limit: limit}
+	page, err := e.config.Table.Scan(ctx, query)
+	if err != nil {
+		return 0, false, errors.Wrap(err, "scan actions")
+	}
+	operationID := "prune/" + string(NewClaimID())
+	tx, more := PruneBatch(e.config.Now(), e.config.Limits, page, limit, operationID)
+	if len(tx.Writes) == 0 {
+		return 0, false, nil
+	}
+	commit, err := e.config.Table.Commit(ctx, tx)
+	if err != nil {
+		return 0, false, errors.Wrap(err, "prune actions")
+	}
+	if !commit.Applied {
+		return 0, false, nil
+	}
+	return len(tx.Writes), more, nil
+}
--- a/action/record.go
+++ b/action/record.go
@@ -1,6 +1,8 @@
 package action
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/wigeonfork/wigeonfork"
@@ -82,6 +84,15 @@
 	return backend.Reply{Status: r.Status, ContentType: r.ContentType, Body: r.Body}
 }
 
+// query returns the question about r's claim.
+func (r Record) query() ResolveQuery {
+	return ResolveQuery{
+		ClaimID:     r.ClaimID,
+		Incarnation: r.Target.Incarnation,
+		Expires:     time.Unix(0, r.Expires),
+	}
+}
+
 // encode returns the value of r's row.
 func (r Record) encode() ([]byte, error) {
 	value, err := cbor.Marshal(r)
--- /dev/null
+++ b/action/record_command.go
@@ -0,0 +1,64 @@
+package action
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// maxRecordAttempts bounds the conflicts that one Record goes through: the
+// row of a claim changes at most from claimed to unknown to done.
+const maxRecordAttempts = 4
+
+// Record writes the outcome of a claim into its row; a nil reply stands for an
+// outcome that is not known. An agent uses it for the outcomes that no entry
+// has acknowledged, and calls it again after an error. It succeeds if the row
+// holds an outcome of the claim, or belongs to another claim or to none.
+func (e *Executor) Record(ctx context.Context, claim Claim, reply *backend.Reply) error {
+	w := outcomeWrite(claim, reply, e.config.Limits.MaxReplyBytes)
+	for range maxRecordAttempts {
+		tx, err := w.transaction()
+		if err != nil {
+			return err
+		}
+		commit, err := e.committer.commit(ctx, tx)
+		if err != nil {
+			return errors.Wrap(err, "record outcome")
+		}
+		var done bool
+		if w, done, err = w.afterCommit(commit); done || err != nil {
+			return err
+		}
+	}
+	return errors.Newf("record outcome of claim %s: the row keeps changing", claim.ID)
+}
+
+// outcomeWrite returns the write of a claim's outcome.
+func outcomeWrite(claim Claim, reply *backend.Reply, maxBody int) write {
+	record := recordOf(claim)
+	record.State = StateUnknown
+	if reply != nil {
+		record = record.withReply(*reply, maxBody)
+	}
+	return write{rowKey: RowKey(claim.Workspace, claim.Key), record: record, revision: claim.Revision}
+}
+
+// afterCommit returns whether the outcome is settled, or else the write to go
+// on with.
+func (w write) afterCommit(commit platform.Commit) (write, bool, error) {
+	if commit.Applied {
+		return w, true, nil
+	}
+	if len(commit.Conflicts) == 0 {
+		return w, false, errors.New("record outcome: not applied without a conflict")
+	}
+	row := commit.Conflicts[0]
+	present, err := DecodeRow(row)
+	if err != nil {
+		return w, false, err
+	}
+	again, result := w.afterConflict(present, row.Revision)
+	return again, result != recordingAgain, nil
+}
