Explore the claim protocol exhaustively and test its failures

Cause: at most once has to hold in every interleaving, not only in the tests that came to mind. Conclusion: no violation within the bound; two faults were not explored to the end.

--- a/action/batcher.go
+++ b/action/batcher.go
@@ -53,6 +53,8 @@
 	items   []queued
 	tx      platform.Transaction
 	repeats int
+	// unclear: a copy of the transaction has an outcome that is not known.
+	unclear bool
 }
 
 // Batcher groups conditional writes of single rows into transactions. A
@@ -189,7 +191,13 @@
 	if !ok {
 		return nil
 	}
-	if err != nil && platform.OutcomeOf(err) != platform.OutcomeNotDone && f.repeats < b.limits.Repeats {
+	unclear := err != nil && platform.OutcomeOf(err) != platform.OutcomeNotDone
+	f.unclear = f.unclear || unclear
+	if err != nil && f.unclear && !unclear {
+		// This copy was not done, but an earlier one may have been.
+		err = platform.NewError(platform.OutcomeUnknown, "commit", "table", err)
+	}
+	if err != nil && f.unclear && f.repeats < b.limits.Repeats {
 		f.repeats++
 		b.repeats = append(b.repeats, f)
 		return nil
--- /dev/null
+++ b/action/export_test.go
@@ -0,0 +1,64 @@
+package action
+
+import (
+	"strconv"
+
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+// AppendState appends all that decides c's further course.
+func (c *Coordinator) AppendState(buf []byte) []byte {
+	num := func(n int64) {
+		buf = strconv.AppendInt(buf, n, 36)
+		buf = append(buf, ' ')
+	}
+	flag := func(set bool) {
+		if set {
+			buf = append(buf, '1')
+			return
+		}
+		buf = append(buf, '0')
+	}
+	text := func(s string) {
+		buf = append(buf, s...)
+		buf = append(buf, ' ')
+	}
+	num(int64(c.phase))
+	num(int64(c.attempts))
+	flag(c.pending)
+	flag(c.dispatched)
+	flag(c.answered)
+	flag(c.rowKnown)
+	flag(c.proved)
+	flag(c.wakeAt.IsZero())
+	text(string(c.own.ID))
+	num(c.own.Expires.UnixNano())
+	num(int64(c.own.Revision))
+	num(int64(c.claimOn))
+	text(string(c.row.State))
+	text(string(c.row.ClaimID))
+	num(int64(c.revision))
+	text(c.out.operationID())
+	num(c.claimUntil.UnixNano())
+	if c.refusal != nil {
+		text(string(c.refusal.Code))
+	}
+	return buf
+}
+
+// RecordStep is one round of Executor.Record on an abstract table.
+func RecordStep(claim Claim, reply *backend.Reply, apply func(platform.Transaction) platform.Commit) {
+	w := outcomeWrite(claim, reply, DefaultLimits().MaxReplyBytes)
+	for range maxRecordAttempts {
+		tx, err := w.transaction()
+		if err != nil {
+			panic(err)
+		}
+		var done bool
+		w, done, err = w.afterCommit(apply(tx))
+		if done || err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/action/faults_test.go
@@ -0,0 +1,199 @@
+package action
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// scriptedAgent answers dispatches and questions as the test says.
+type scriptedAgent struct {
+	mu       sync.Mutex
+	runs     int
+	dispatch func(claim Claim) (backend.Reply, error)
+	resolve  func(query ResolveQuery) (Resolution, error)
+}
+
+func (a *scriptedAgent) Dispatch(_ context.Context, claim Claim, call backend.Call) (backend.Reply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.dispatch != nil {
+		return a.dispatch(claim)
+	}
+	a.runs++
+	return backend.Reply{Status: 200, Body: call.Body}, nil
+}
+
+func (a *scriptedAgent) Resolve(_ context.Context, _ string, query ResolveQuery) (Resolution, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.resolve(query)
+}
+
+func (a *scriptedAgent) Acknowledge(context.Context, Target, []ClaimID) {}
+
+type bench struct {
+	table    *fakeTable
+	agent    *scriptedAgent
+	executor *Executor
+	key      Key
+}
+
+func newBench() *bench {
+	limits := DefaultLimits()
+	limits.ResolveDelay, limits.PollInterval, limits.StoreRetry = time.Millisecond, time.Millisecond, time.Millisecond
+	limits.ClaimFor = 5 * time.Millisecond
+	limits.RecordFor = 5 * time.Millisecond
+	b := &bench{table: newFakeTable(), agent: &scriptedAgent{}}
+	b.executor = NewExecutor(Config{Table: b.table, Dispatcher: b.agent, Limits: limits, Batch: BatchLimits{MaxItems: 1, MaxFlights: 1}})
+	key, err := NewKey(time.Now())
+	So(err, ShouldBeNil)
+	b.key = key
+	return b
+}
+
+func (b *bench) do(body string, patience time.Duration) (backend.Reply, *problem.Error) {
+	return b.executor.Do(context.Background(), Request{
+		Workspace: "w", Key: string(b.key), Deadline: time.Now().Add(patience), Target: Target{AgentAddress: "A", Incarnation: "1"},
+		Call: backend.Call{Method: "POST", Path: "/pay", Body: []byte(body)},
+	})
+}
+
+func lostErr() error { return platform.NewError(platform.OutcomeUnknown, "dispatch", "A", errInjected) }
+
+func TestFailuresOfTheTable(t *testing.T) {
+	Convey("A table that is out is never followed by a dispatch", t, func() {
+		b := newBench()
+		b.table.fail = func(string) fault { return faultRefused }
+		_, refusal := b.do("5", time.Minute)
+		So(refusal.Code, ShouldEqual, problem.CodeStoreUnavailable)
+		So(refusal.Run, ShouldEqual, problem.RunUnknown)
+		So(refusal.RetryAfter, ShouldBeGreaterThan, 0)
+		So(b.agent.runs, ShouldEqual, 0)
+	})
+	Convey("A table that can be read but not written proves that nothing ran", t, func() {
+		b := newBench()
+		b.table.fail = func(operation string) fault {
+			if operation == "commit" {
+				return faultRefused
+			}
+			return faultNone
+		}
+		_, refusal := b.do("5", time.Minute)
+		So(refusal.Run, ShouldEqual, problem.RunNot)
+		So(b.agent.runs, ShouldEqual, 0)
+	})
+	Convey("A claim whose answer was lost is read back and run once", t, func() {
+		b := newBench()
+		first := true
+		b.table.fail = func(operation string) fault {
+			if operation == "commit" && first {
+				first = false
+				return faultLostAfter
+			}
+			return faultNone
+		}
+		reply, refusal := b.do("5", time.Minute)
+		So(refusal, ShouldBeNil)
+		So(string(reply.Body), ShouldEqual, "5")
+		So(b.agent.runs, ShouldEqual, 1)
+	})
+	Convey("A reply that cannot be recorded reaches its caller, and a resend does not run", t, func() {
+		b := newBench()
+		commits := 0
+		b.table.fail = func(operation string) fault {
+			if operation == "commit" {
+				commits++
+			}
+			if commits > 1 && operation == "commit" {
+				return faultRefused
+			}
+			return faultNone
+		}
+		_, refusal := b.do("5", time.Minute)
+		So(refusal, ShouldBeNil)
+		b.executor.requests.Wait()
+		b.agent.resolve = func(ResolveQuery) (Resolution, error) { return Resolution{}, lostErr() }
+		_, refusal = b.do("5", 20*time.Millisecond)
+		So(refusal.Code, ShouldEqual, problem.CodeOutcomeUnknown)
+		So(refusal.RetryAfter, ShouldBeGreaterThan, 0)
+		So(b.agent.runs, ShouldEqual, 1)
+	})
+}
+
+func TestResends(t *testing.T) {
+	Convey("A resend gets the recorded reply, another body is refused", t, func() {
+		b := newBench()
+		first, _ := b.do("5", time.Minute)
+		b.executor.requests.Wait()
+		again, refusal := b.do("5", time.Minute)
+		So(refusal, ShouldBeNil)
+		So(again, ShouldResemble, first)
+		_, refusal = b.do("6", time.Minute)
+		So(refusal.Code, ShouldEqual, problem.CodeKeyReused)
+		So(b.agent.runs, ShouldEqual, 1)
+	})
+	Convey("A lost service answer is recorded as unknown for good", t, func() {
+		b := newBench()
+		b.agent.dispatch = func(Claim) (backend.Reply, error) { return backend.Reply{}, lostErr() }
+		b.agent.resolve = func(ResolveQuery) (Resolution, error) { return Resolution{State: ResolvedUnknown}, nil }
+		_, refusal := b.do("5", time.Minute)
+		So(refusal.Code, ShouldEqual, problem.CodeOutcomeUnknown)
+		b.executor.requests.Wait()
+		b.agent.dispatch = nil
+		_, refusal = b.do("5", time.Minute)
+		So(refusal.Code, ShouldEqual, problem.CodeOutcomeUnknown)
+		So(refusal.Run, ShouldEqual, problem.RunUnknown)
+		So(b.agent.runs, ShouldEqual, 0)
+	})
+	Convey("A dispatch that never left releases the key, which may run later", t, func() {
+		b := newBench()
+		b.agent.dispatch = func(Claim) (backend.Reply, error) {
+			return backend.Reply{}, platform.NewError(platform.OutcomeNotDone, "dispatch", "A", errInjected)
+		}
+		_, refusal := b.do("5", time.Minute)
+		So(refusal.Run, ShouldEqual, problem.RunNot)
+		b.agent.dispatch = nil
+		_, refusal = b.do("5", time.Minute)
+		So(refusal, ShouldBeNil)
+		So(b.agent.runs, ShouldEqual, 1)
+	})
+	Convey("Pruned keys are refused as expired", t, func() {
+		b := newBench()
+		old, err := NewKey(time.Now().Add(-49 * time.Hour))
+		So(err, ShouldBeNil)
+		b.key = old
+		_, refusal := b.do("5", time.Minute)
+		So(refusal.Code, ShouldEqual, problem.CodeKeyExpired)
+		So(b.table.commits, ShouldEqual, 0)
+	})
+	Convey("Two callers with one key at once cause one run and get one reply", t, func() {
+		b := newBench()
+		b.agent.resolve = func(ResolveQuery) (Resolution, error) { return Resolution{State: ResolvedRunning}, nil }
+		release := make(chan struct{})
+		b.agent.dispatch = func(claim Claim) (backend.Reply, error) {
+			<-release
+			b.agent.runs++
+			b.agent.resolve = func(ResolveQuery) (Resolution, error) {
+				return Resolution{State: ResolvedDone, Reply: backend.Reply{Status: 200, Body: []byte(claim.ID)}}, nil
+			}
+			return backend.Reply{Status: 200, Body: []byte(claim.ID)}, nil
+		}
+		replies := make(chan string, 2)
+		for range 2 {
+			go func() {
+				reply, _ := b.do("5", time.Minute)
+				replies <- string(reply.Body)
+			}()
+		}
+		close(release)
+		So(<-replies, ShouldEqual, <-replies)
+		So(b.agent.runs, ShouldEqual, 1)
+	})
+}
--- a/action/ledger/command.go
+++ b/action/ledger/command.go
@@ -10,6 +10,7 @@
 
 // New returns an empty Ledger.
 func New(config Config) *Ledger {
+	config.RecordDelay = max(config.RecordDelay, minRecordDelay)
 	return &Ledger{config: config, entries: make(map[action.ClaimID]*entry)}
 }
 
@@ -122,7 +123,7 @@
 // Recorded is called for it.
 func (l *Ledger) Unrecorded(now time.Time, limit int) []Outcome {
 	var due []Outcome
-	for len(l.unrecorded) > 0 && len(due) < limit {
+	for n := len(l.unrecorded); n > 0 && len(due) < limit; n-- {
 		first := l.unrecorded[0]
 		if !first.recorded && now.Before(first.recordAt) {
 			break
--- a/action/ledger/ledger.go
+++ b/action/ledger/ledger.go
@@ -69,7 +69,7 @@
 	// MaxWindow bounds how far in the future a claim may expire.
 	MaxWindow time.Duration
 	// RecordDelay is how long a finished call waits for an acknowledgement
-	// before the agent records its outcome.
+	// before the agent records its outcome; at least a millisecond.
 	RecordDelay time.Duration
 	// MaxClaims bounds the claims that are remembered.
 	MaxClaims int
@@ -77,6 +77,9 @@
 	MaxReplyBytes int
 }
 
+// minRecordDelay keeps the ledger from looking at an entry twice at one time.
+const minRecordDelay = time.Millisecond
+
 // DefaultConfig returns the limits for an agent of the given incarnation.
 func DefaultConfig(incarnation action.Incarnation) Config {
 	return Config{
--- /dev/null
+++ b/action/model_explore_test.go
@@ -0,0 +1,180 @@
+package action_test
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+// stateHash identifies a state by two independent 64-bit hashes.
+type stateHash [2]uint64
+
+func hashOf(key []byte) stateHash {
+	second := xxhash.NewWithSeed(1)
+	_, _ = second.Write(key)
+	return stateHash{xxhash.Sum64(key), second.Sum64()}
+}
+
+// node is a state that is reached, with the way to it.
+type node struct {
+	world  *world
+	parent *node
+	label  string
+}
+
+func (n *node) path() string {
+	var labels []string
+	for ; n != nil && n.label != ""; n = n.parent {
+		labels = append([]string{n.label}, labels...)
+	}
+	return strings.Join(labels, "; ")
+}
+
+// exploration is the result of exploring all states.
+type exploration struct {
+	states    int
+	violation string
+	path      string
+	replies   int
+	notRun    int
+}
+
+// explore visits every state that is reached with at most faults faults, those
+// with fewer faults first. It stops at the first violation.
+func (m *modelConfig) explore(faults int) exploration {
+	var result exploration
+	seen := make(map[stateHash]struct{})
+	layers := make([][]*node, faults+1)
+	layers[0] = []*node{{world: m.initial()}}
+	var buf []byte
+	for f := 0; f <= faults; f++ {
+		for len(layers[f]) > 0 {
+			last := len(layers[f]) - 1
+			n := layers[f][last]
+			layers[f] = layers[f][:last]
+			buf = n.world.key(buf[:0])
+			hash := hashOf(buf)
+			if _, known := seen[hash]; known {
+				continue
+			}
+			seen[hash] = struct{}{}
+			result.count(n.world)
+			if result.violation = n.world.violation(); result.violation != "" {
+				result.path = n.path()
+				return result
+			}
+			for _, step := range m.moves(n.world) {
+				next := f + step.fault
+				if next > faults {
+					continue
+				}
+				layers[next] = append(layers[next], &node{world: step.to, parent: n, label: step.label})
+			}
+			n.world = nil
+		}
+	}
+	return result
+}
+
+func (r *exploration) count(w *world) {
+	r.states++
+	for i := range w.entries {
+		if w.entries[i].replied {
+			r.replies++
+		}
+		if w.entries[i].toldNotRun {
+			r.notRun++
+		}
+	}
+}
+
+func (m *modelConfig) initial() *world {
+	w := &world{entries: make([]*modelEntry, len(m.requests))}
+	for i := range w.entries {
+		w.entries[i] = &modelEntry{}
+	}
+	seen := map[string]bool{}
+	for _, r := range m.requests {
+		if !seen[r.target.AgentAddress] {
+			w.agents = append(w.agents, &modelAgent{target: r.target, alive: true, state: "0"})
+		}
+		seen[r.target.AgentAddress] = true
+	}
+	return w
+}
+
+// newModel returns a model with one request for each of the agents named. All
+// requests carry the same key and body.
+func newModel(broken breakage, agents ...string) *modelConfig {
+	key, err := action.NewKey(modelEpoch)
+	if err != nil {
+		panic(err)
+	}
+	limits := action.DefaultLimits()
+	limits.ClaimFor = modelClaimFor
+	limits.DispatchWindow = modelWindow
+	limits.ResolveDelay, limits.PollInterval, limits.StoreRetry = 0, 0, 0
+	limits.ClaimAttempts = 2
+	limits.RecordFor = time.Hour
+	m := &modelConfig{limits: limits, breakage: broken, steps: map[ledgerKey]ledgerResult{}}
+	for _, name := range agents {
+		target := action.Target{AgentAddress: name, Incarnation: action.Incarnation(name)}
+		m.requests = append(m.requests, modelRequest{target: target, request: action.Request{
+			Workspace: "w", Key: string(key), Target: target, Deadline: modelEpoch.Add(modelDeadline),
+			Call: backend.Call{Method: "POST", Path: "/pay", Body: []byte("5")},
+		}})
+	}
+	return m
+}
+
+func TestModelOfTheClaimProtocol(t *testing.T) {
+	sameAgentFaults := 0
+	if *fullModel {
+		sameAgentFaults = modelFaults
+	}
+	cases := []struct {
+		agents []string
+		faults int
+	}{{[]string{"A", "B"}, modelFaults}, {[]string{"A", "A"}, sameAgentFaults}}
+	Convey("No interleaving of two entries and their agents breaks a promise", t, func() {
+		for _, c := range cases {
+			began := time.Now()
+			result := newModel(breakNothing, c.agents...).explore(c.faults)
+			fmt.Printf("model %v: %d states with up to %d faults in %s\n", c.agents, result.states, c.faults, time.Since(began).Round(time.Millisecond))
+			So(result.path, ShouldBeEmpty)
+			So(result.violation, ShouldBeEmpty)
+			So(result.replies, ShouldBeGreaterThan, 0)
+			So(result.notRun, ShouldBeGreaterThan, 0)
+		}
+	})
+}
+
+// fullModel explores a fault also where both entries have the same agent.
+var fullModel = flag.Bool("model.full", false, "explore all cases of the model with a fault")
+
+// modelFaults bounds the faults on one way through the model, besides late and
+// repeated messages, which are free.
+const modelFaults = 1
+
+func TestModelFindsSeededErrors(t *testing.T) {
+	Convey("Each deliberate error is found by the same explorer", t, func() {
+		for broken, name := range map[breakage]string{
+			breakDispatchEarly:   "dispatch before the claim is durable",
+			breakNoBar:           "agent says not run without barring the claim",
+			breakSameIncarnation: "restarted agent keeps its incarnation",
+			breakTrustLoss:       "lost answer taken for not run",
+			breakLongExpiry:      "dispatch expires later than its row says",
+		} {
+			result := newModel(broken, "A", "B").explore(modelFaults)
+			fmt.Printf("model with %q: %d states: %s: %s\n", name, result.states, result.violation, result.path)
+			So(result.violation, ShouldNotBeEmpty)
+		}
+	})
+}
--- /dev/null
+++ b/action/model_test.go
@@ -0,0 +1,480 @@
+package action_test
+
+import (
+	"bytes"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/action/ledger"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// Clocks of the model. Each process has its own, which only stands at these.
+const (
+	modelClaimFor = 10 * time.Second
+	modelDeadline = 20 * time.Second
+	modelWindow   = 30 * time.Second
+	// modelExpired lies after the expiry of a claim made at the start, and
+	// before that of one made at modelClaimFor.
+	modelExpired = 35 * time.Second
+)
+
+var (
+	modelEpoch = time.Unix(1_800_000_000, 0)
+	errModel   = errors.New("fault")
+)
+
+// breakage is a deliberate error that the explorer must find.
+type breakage int
+
+const (
+	breakNothing breakage = iota
+	breakDispatchEarly
+	breakNoBar
+	breakSameIncarnation
+	breakTrustLoss
+	breakLongExpiry
+	breakExpiredProves
+)
+
+type modelRequest struct {
+	target  action.Target
+	request action.Request
+}
+
+type modelConfig struct {
+	limits   action.Limits
+	requests []modelRequest
+	breakage breakage
+	steps    map[ledgerKey]ledgerResult
+}
+
+type entryStatus int
+
+const (
+	entryIdle entryStatus = iota
+	entryRunning
+	entryGone
+)
+
+type modelEntry struct {
+	status       entryStatus
+	coordinator  action.Coordinator
+	access       action.Command
+	captured     *platform.Row
+	clock        time.Duration
+	runsAtStart  int
+	toldNotRun   bool
+	replied      bool
+	broughtReply string
+	// cached is the entry's part of the state's key, "" if not yet made.
+	cached string
+}
+
+type ledgerStep struct {
+	kind  byte
+	clock time.Duration
+	claim action.Claim
+	reply bool
+}
+
+// modelAgent is one process in an agent's slot. Its ledger is rebuilt from
+// the steps that changed it.
+type modelAgent struct {
+	target  action.Target
+	alive   bool
+	clock   time.Duration
+	steps   []ledgerStep
+	state   string
+	decided []action.Claim
+	called  []action.Claim
+}
+
+type appliedTx struct {
+	id     string
+	commit platform.Commit
+}
+
+type claimAnswer struct {
+	claim action.ClaimID
+	state action.ResolutionState
+}
+
+// world is one state of the model. Messages stay in their sets: they can be
+// late, lost or delivered again.
+type world struct {
+	entries    []*modelEntry
+	agents     []*modelAgent
+	row        platform.Row
+	revision   platform.Revision
+	applied    []appliedTx
+	commits    []platform.Transaction
+	dispatches []action.Claim
+	queries    []action.ResolveQuery
+	acks       []action.ClaimID
+	dispatched []claimAnswer
+	resolved   []claimAnswer
+	runs       []action.ClaimID
+}
+
+func (w *world) clone() *world {
+	c := *w
+	c.entries = slices.Clone(w.entries)
+	c.agents = slices.Clone(w.agents)
+	return &c
+}
+
+// entry returns entry i for a change in w.
+func (w *world) entry(i int) *modelEntry {
+	changed := *w.entries[i]
+	changed.cached = ""
+	w.entries[i] = &changed
+	return &changed
+}
+
+// agent returns agent i for a change in w.
+func (w *world) agent(i int) *modelAgent {
+	changed := *w.agents[i]
+	w.agents[i] = &changed
+	return &changed
+}
+
+func appended[T any](list []T, item T) []T { return append(slices.Clip(list), item) }
+
+func appendedOnce[T comparable](list []T, item T) []T {
+	if slices.Contains(list, item) {
+		return list
+	}
+	return appended(list, item)
+}
+
+func at(clock time.Duration) time.Time { return modelEpoch.Add(clock) }
+
+// key returns a text that is equal for equal states. Sets are written in the
+// order of their names, whatever the order in which they were filled.
+func (w *world) key(buf []byte) []byte {
+	for i := range w.entries {
+		buf = append(buf, w.entries[i].key()...)
+	}
+	for i := range w.agents {
+		buf = w.agents[i].key(buf)
+	}
+	buf = append(buf, w.row.Value...)
+	buf = strconv.AppendUint(buf, uint64(w.row.Revision), 36)
+	var names []string
+	for _, a := range w.applied {
+		if !w.running() {
+			break
+		}
+		names = append(names, "a"+a.id+strconv.FormatUint(uint64(a.commit.Revision), 36)+strconv.Itoa(len(a.commit.Conflicts)))
+		if len(a.commit.Conflicts) > 0 {
+			names = append(names, "c"+a.id+strconv.FormatUint(uint64(a.commit.Conflicts[0].Revision), 36))
+		}
+	}
+	for _, tx := range w.commits {
+		if !w.mayApply(tx) {
+			continue
+		}
+		names = append(names, "t"+tx.OperationID)
+	}
+	for _, claim := range w.dispatches {
+		names = append(names, "d"+string(claim.ID))
+	}
+	for _, query := range w.queries {
+		names = append(names, "q"+string(query.ClaimID))
+	}
+	for _, id := range w.acks {
+		names = append(names, "k"+string(id))
+	}
+	for _, answer := range w.dispatched {
+		if !w.running() {
+			break
+		}
+		names = append(names, "x"+string(answer.claim)+string(answer.state))
+	}
+	for _, answer := range w.resolved {
+		if !w.running() {
+			break
+		}
+		names = append(names, "y"+string(answer.claim)+string(answer.state))
+	}
+	for _, id := range w.runs {
+		names = append(names, "r"+string(id))
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		buf = append(buf, '|')
+		buf = append(buf, name...)
+	}
+	return buf
+}
+
+// running tells whether an entry may still take an answer.
+func (w *world) running() bool {
+	for _, e := range w.entries {
+		if e.status != entryGone {
+			return true
+		}
+	}
+	return false
+}
+
+// mayApply tells whether a transaction is still to be taken by the table and
+// that can be noticed: it has an effect, or an entry waits for it.
+func (w *world) mayApply(tx platform.Transaction) bool {
+	for _, a := range w.applied {
+		if a.id == tx.OperationID {
+			return false
+		}
+	}
+	if tx.Conditions[0].Revision == w.row.Revision {
+		return true
+	}
+	for _, e := range w.entries {
+		if e.status == entryRunning && e.access.Transaction.OperationID == tx.OperationID {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *modelEntry) key() string {
+	if e.cached == "" {
+		e.cached = string(e.describe(nil))
+	}
+	return e.cached
+}
+
+func (e *modelEntry) describe(buf []byte) []byte {
+	buf = append(buf, '{', byte('0'+e.status), byte('0'+e.runsAtStart))
+	if e.toldNotRun {
+		buf = append(buf, 'n')
+	}
+	if e.status != entryRunning {
+		return buf
+	}
+	buf = e.coordinator.AppendState(buf)
+	buf = append(buf, byte('0'+e.access.Kind))
+	if e.captured != nil {
+		buf = strconv.AppendUint(buf, uint64(e.captured.Revision), 36)
+	}
+	return strconv.AppendInt(buf, int64(e.clock), 36)
+}
+
+func (a *modelAgent) key(buf []byte) []byte {
+	buf = append(buf, '[')
+	if !a.alive {
+		return append(buf, 'x')
+	}
+	buf = append(buf, a.state...)
+	for _, claim := range a.decided {
+		buf = append(buf, 'd')
+		buf = append(buf, claim.ID...)
+	}
+	for _, claim := range a.called {
+		buf = append(buf, 'c')
+		buf = append(buf, claim.ID...)
+	}
+	return strconv.AppendInt(buf, int64(a.clock), 36)
+}
+
+// apply carries out a transaction as the table does.
+func (w *world) apply(tx platform.Transaction) platform.Commit {
+	for _, past := range w.applied {
+		if past.id == tx.OperationID {
+			return past.commit
+		}
+	}
+	commit := platform.Commit{Conflicts: []platform.Row{w.row}}
+	if w.row.Revision == tx.Conditions[0].Revision {
+		w.revision++
+		w.row = platform.Row{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: w.revision}
+		commit = platform.Commit{Applied: true, Revision: w.revision}
+	}
+	w.applied = appended(w.applied, appliedTx{id: tx.OperationID, commit: commit})
+	return commit
+}
+
+// ledger returns the agent's ledger.
+func (a *modelAgent) ledger() *ledger.Ledger {
+	config := ledger.DefaultConfig(a.target.Incarnation)
+	config.RecordDelay = time.Millisecond
+	l := ledger.New(config)
+	for _, step := range a.steps {
+		step.take(l)
+	}
+	return l
+}
+
+func (s ledgerStep) take(l *ledger.Ledger) {
+	switch s.kind {
+	case 'd':
+		l.Dispatch(at(s.clock), s.claim)
+	case 'r':
+		l.Resolve(at(s.clock), s.query())
+	case 'f':
+		l.Finished(at(s.clock), s.claim.ID, stepReply(s))
+	case 'k':
+		l.Recorded(at(s.clock), s.claim.ID)
+	}
+}
+
+func (s ledgerStep) query() action.ResolveQuery {
+	return action.ResolveQuery{
+		ClaimID: s.claim.ID, Incarnation: s.claim.Target.Incarnation, Expires: s.claim.Expires, Peek: s.kind == 'p',
+	}
+}
+
+func stepReply(s ledgerStep) *backend.Reply {
+	if !s.reply {
+		return nil
+	}
+	reply := replyOf(s.claim.ID)
+	return &reply
+}
+
+func replyOf(id action.ClaimID) backend.Reply {
+	return backend.Reply{Status: 200, Body: []byte("reply to " + string(id))}
+}
+
+// ledgerKey names a step from a state of a ledger.
+type ledgerKey struct {
+	incarnation action.Incarnation
+	state       string
+	clock       time.Duration
+	kind        byte
+	claim       action.ClaimID
+	reply       bool
+}
+
+// ledgerResult is what a step has led to.
+type ledgerResult struct {
+	verdict  ledger.Verdict
+	resolved action.ResolutionState
+	state    string
+	steps    []ledgerStep
+}
+
+// step returns what a step does to an agent's ledger. Steps from equal states
+// are taken once.
+func (m *modelConfig) step(w *world, a *modelAgent, s ledgerStep) ledgerResult {
+	s.clock = a.clock
+	key := ledgerKey{a.target.Incarnation, a.state, a.clock, s.kind, s.claim.ID, s.reply}
+	if known, ok := m.steps[key]; ok {
+		return known
+	}
+	l := a.ledger()
+	result := ledgerResult{steps: a.steps}
+	switch s.kind {
+	case 'd':
+		result.verdict = l.Dispatch(at(s.clock), s.claim).Verdict
+	case 'p', 'r':
+		result.resolved = l.Resolve(at(s.clock), s.query()).State
+	default:
+		s.take(l)
+	}
+	changed := *a
+	changed.steps = appended(a.steps, s)
+	result.state = changed.observe(w)
+	if result.state != a.state {
+		result.steps = changed.steps
+	}
+	m.steps[key] = result
+	return result
+}
+
+func (a *modelAgent) become(result ledgerResult) {
+	a.state = result.state
+	a.steps = result.steps
+}
+
+// observe describes what the agent's ledger knows of every claim there is.
+func (a *modelAgent) observe(w *world) string {
+	l := a.ledger()
+	var out bytes.Buffer
+	for _, claim := range w.claims() {
+		answer := l.Resolve(at(a.clock), action.ResolveQuery{
+			ClaimID: claim.ID, Incarnation: a.target.Incarnation, Expires: claim.Expires, Peek: true,
+		})
+		if answer.State != action.ResolvedUnseen && answer.State != action.ResolvedExpired {
+			out.WriteString(string(claim.ID) + string(answer.State) + ",")
+		}
+	}
+	for _, outcome := range l.Unrecorded(at(a.clock+time.Second), len(a.steps)) {
+		out.WriteString("u" + string(outcome.Claim.ID))
+	}
+	out.WriteString(strconv.Itoa(l.Status().Claims))
+	return out.String()
+}
+
+// claims returns all claims that agents may have heard of, in order of id.
+func (w *world) claims() []action.Claim {
+	claims := slices.Clone(w.dispatches)
+	for _, query := range w.queries {
+		known := slices.ContainsFunc(claims, func(c action.Claim) bool { return c.ID == query.ClaimID })
+		if !known {
+			claims = append(claims, action.Claim{ID: query.ClaimID, Expires: query.Expires})
+		}
+	}
+	slices.SortFunc(claims, func(a, b action.Claim) int { return bytes.Compare([]byte(a.ID), []byte(b.ID)) })
+	return claims
+}
+
+// violation returns what must not be and is, or "".
+func (w *world) violation() string {
+	if len(w.runs) > 1 {
+		return "the service ran twice"
+	}
+	record, err := action.DecodeRow(w.row)
+	if err != nil {
+		return err.Error()
+	}
+	for _, id := range w.runs {
+		if record.State == action.StateNotRun && record.ClaimID == id {
+			return "the row says not run, but it ran"
+		}
+		for i := range w.entries {
+			if w.entries[i].toldNotRun && claimOfEntry(id, i) {
+				return "a caller was told not run, and its claim ran"
+			}
+		}
+	}
+	if record.State == action.StateDone && !slices.Contains(w.runs, record.ClaimID) {
+		return "the row says done, but it did not run"
+	}
+	for i := range w.entries {
+		if problem := w.entries[i].violation(w); problem != "" {
+			return problem
+		}
+	}
+	return ""
+}
+
+func (e *modelEntry) violation(w *world) string {
+	if e.toldNotRun && e.runsAtStart > 0 {
+		return "a caller was told not run, though the key ran before it asked"
+	}
+	if e.replied && (len(w.runs) != 1 || e.broughtReply != string(replyOf(w.runs[0]).Body)) {
+		return "a caller got a reply that is not its own"
+	}
+	return ""
+}
+
+func claimOfEntry(id action.ClaimID, entry int) bool { return id[0] == byte('0'+entry) }
+
+func unknownErr() error {
+	return platform.NewError(platform.OutcomeUnknown, "model", "peer", errModel)
+}
+
+func notDoneErr() error {
+	return platform.NewError(platform.OutcomeNotDone, "model", "peer", errModel)
+}
+
+func agentRefusal() error {
+	return problem.New(problem.CodeDraining, problem.RunNot, problem.StepDispatch, "refused")
+}
