--- a/action/faults_test.go
+++ b/action/faults_test.go
@@ -127,6 +127,19 @@
 	})
 }
 
+func TestRepeatedClaimKeepsItsExpiry(t *testing.T) {
+	Convey("A claim that is written again later is the same claim", t, func() {
+		now := time.Now()
+		key, err := NewKey(now)
+		So(err, ShouldBeNil)
+		c := NewCoordinator(DefaultLimits(), Request{Workspace: "w", Key: string(key), Deadline: now.Add(time.Minute)}, "id")
+		first := c.Start(now)[0]
+		So(c.Handle(now, Answer{Err: lostErr()})[0].Kind, ShouldEqual, CommandRead)
+		again := c.Handle(now.Add(time.Second/2), Answer{})[0]
+		So(again.Transaction, ShouldResemble, first.Transaction)
+	})
+}
+
 func TestResends(t *testing.T) {
 	Convey("A resend gets the recorded reply, another body is refused", t, func() {
 		b := newBench()
--- /dev/null
+++ b/action/ledger/ledger_test.go
@@ -0,0 +1,103 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/backend"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func claimFor(id string, window time.Duration) action.Claim {
+	return action.Claim{ID: action.ClaimID(id), Target: action.Target{Incarnation: "1"}, Expires: start.Add(window)}
+}
+
+func queryFor(c action.Claim) action.ResolveQuery {
+	return action.ResolveQuery{ClaimID: c.ID, Incarnation: c.Target.Incarnation, Expires: c.Expires}
+}
+
+func TestLedger(t *testing.T) {
+	Convey("A ledger", t, func() {
+		config := DefaultConfig("1")
+		config.MaxClaims = 2
+		l := New(config)
+		c := claimFor("c", time.Minute)
+		Convey("runs a claim once and keeps an outcome that is not recorded", func() {
+			So(l.Dispatch(start, c).Verdict, ShouldEqual, VerdictRun)
+			So(l.Dispatch(start, c).Verdict, ShouldEqual, VerdictRunning)
+			l.Finished(start, c.ID, &backend.Reply{Status: 200, Body: []byte("ok")})
+			hours := start.Add(5 * time.Hour)
+			So(l.Dispatch(hours, c).Verdict, ShouldEqual, VerdictDone)
+			So(l.Resolve(hours, queryFor(c)).State, ShouldEqual, action.ResolvedDone)
+			So(l.Unrecorded(hours, 9), ShouldHaveLength, 1)
+			l.Recorded(hours, c.ID)
+			later := hours.Add(time.Minute)
+			So(l.Resolve(later, queryFor(c)).State, ShouldEqual, action.ResolvedExpired)
+			So(l.Dispatch(later, c).Verdict, ShouldEqual, VerdictUnknown)
+			So(l.Unrecorded(later, 9), ShouldBeEmpty)
+			So(l.Status(), ShouldResemble, Status{Incarnation: "1"})
+		})
+		Convey("never runs a claim that it has said not to run", func() {
+			So(l.Resolve(start, queryFor(c)).State, ShouldEqual, action.ResolvedNotRun)
+			So(l.Dispatch(start, c).Verdict, ShouldEqual, VerdictNotRun)
+		})
+		Convey("does not decide for another incarnation", func() {
+			other := c
+			other.Target.Incarnation = "2"
+			So(l.Dispatch(start, other).Reason, ShouldEqual, ReasonIncarnation)
+			So(l.Dispatch(start, other).Verdict, ShouldEqual, VerdictUnknown)
+			So(l.Resolve(start, queryFor(other)).State, ShouldEqual, action.ResolvedUnknown)
+		})
+		Convey("proves nothing of a claim that expires too late to be remembered", func() {
+			far := claimFor("far", time.Hour)
+			So(l.Dispatch(start, far).Verdict, ShouldEqual, VerdictUnknown)
+			So(l.Resolve(start, queryFor(far)).State, ShouldEqual, action.ResolvedUnseen)
+		})
+		Convey("refuses for good when it is full, though it cannot remember each claim", func() {
+			l.Dispatch(start, claimFor("a", time.Minute))
+			l.Dispatch(start, claimFor("b", time.Minute))
+			So(l.Dispatch(start, c).Verdict, ShouldEqual, VerdictNotRun)
+			for _, id := range []action.ClaimID{"a", "b"} {
+				l.Finished(start, id, nil)
+				l.Recorded(start, id)
+			}
+			So(l.Dispatch(start.Add(59*time.Second), c).Verdict, ShouldEqual, VerdictNotRun)
+		})
+		Convey("refuses new claims while it drains, and ends the others", func() {
+			l.Dispatch(start, c)
+			l.Drain()
+			So(l.Dispatch(start, claimFor("new", time.Minute)).Reason, ShouldEqual, ReasonDraining)
+			So(l.Dispatch(start, c).Verdict, ShouldEqual, VerdictRunning)
+		})
+	})
+}
+
+func BenchmarkDispatch(b *testing.B) {
+	for _, held := range []int{100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
+			config := DefaultConfig("1")
+			config.MaxClaims = 1 << 30
+			l := New(config)
+			now := start
+			gap := time.Minute / time.Duration(held)
+			b.ReportAllocs()
+			ids := make([]string, b.N+held)
+			for i := range ids {
+				ids[i] = fmt.Sprintf("claim-%d", i)
+			}
+			b.ResetTimer()
+			for _, id := range ids {
+				now = now.Add(gap)
+				c := action.Claim{ID: action.ClaimID(id), Target: action.Target{Incarnation: "1"}, Expires: now.Add(time.Minute)}
+				l.Dispatch(now, c)
+				l.Finished(now, c.ID, nil)
+				l.Recorded(now, c.ID)
+				l.Unrecorded(now, 8)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/action/lifecycle_test.go
@@ -0,0 +1,28 @@
+package action
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestLifecycleTable(t *testing.T) {
+	Convey("The page has each event of the machine, and the machine refuses others", t, func() {
+		page, err := os.ReadFile("../docs/design/actions.md")
+		So(err, ShouldBeNil)
+		for _, event := range lifecycleEvents() {
+			row := fmt.Sprintf("| %s | %s | %s |", event.Name, strings.Join(event.Src, ", "), event.Dst)
+			So(string(page), ShouldContainSubstring, row)
+		}
+		for _, ended := range []State{StateDone, StateUnknown} {
+			_, err := next(ended, EventClaim)
+			So(err, ShouldNotBeNil)
+		}
+		state, err := next(StateClaimed, EventReplace)
+		So(err, ShouldBeNil)
+		So(state, ShouldEqual, StateClaimed)
+	})
+}
--- /dev/null
+++ b/action/prune_test.go
@@ -0,0 +1,37 @@
+package action
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+func TestKeysAndPruning(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	Convey("A key carries its issue time, in one spelling only", t, func() {
+		key, err := NewKey(now)
+		So(err, ShouldBeNil)
+		So(key.IssuedAt(), ShouldEqual, now)
+		_, err = ParseKey("{" + string(key) + "}")
+		So(err, ShouldNotBeNil)
+		_, err = ParseKey("6ba7b810-9dad-11d1-80b4-00c04fd430c8")
+		So(err, ShouldNotBeNil)
+	})
+	Convey("Pruning deletes in bounded batches what can no longer be used, and no more", t, func() {
+		table := newFakeTable()
+		e := NewExecutor(Config{Table: table, Limits: DefaultLimits(), Now: func() time.Time { return now }})
+		for age := range 10 {
+			key, err := NewKey(now.Add(-time.Duration(45+age) * time.Hour))
+			So(err, ShouldBeNil)
+			row := RowKey("w", key)
+			table.apply(platform.Transaction{OperationID: row, Writes: []platform.Write{{Key: row, Value: []byte{0}}}})
+		}
+		deleted, err := e.Prune(context.Background(), "w", 2, 10)
+		So(err, ShouldBeNil)
+		So(deleted, ShouldEqual, 5)
+		So(table.rows, ShouldHaveLength, 5)
+	})
+}
