Test actions through two entries: one run whatever is sent again

Cause: the entry's actions ran on the interface alone until now. Change: tests of resends, races, reused keys, a table outage and a lost answer.

--- /dev/null
+++ b/embedded/actions_test.go
@@ -0,0 +1,131 @@
+package embedded
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/standin/service"
+)
+
+func startServices(t *testing.T, entries int) *System {
+	system, err := Start(Options{Entries: entries, Services: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return system
+}
+
+// act sends one action and returns its status and body, or the typed error.
+func act(address, key, body string) (int, string, *problem.Error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/actions/register/certificates", strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Header.Set("X-Workspace", string(Workspace))
+	// Set as a raw header so that the test's own transport doesn't repeat it.
+	request.Header.Set("Idempotency-Key", key)
+	request.GetBody = nil
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", problem.From(err, problem.StepAccept)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, "", problem.From(err, problem.StepAccept)
+	}
+	return response.StatusCode, string(text), problem.Unmarshal(text)
+}
+
+func executions(s *System) int {
+	count := 0
+	for _, plain := range s.World.Services {
+		count += len(plain.Executions())
+	}
+	return count
+}
+
+func newKey() string {
+	key, err := action.NewKey(time.Now())
+	if err != nil {
+		panic(err)
+	}
+	return string(key)
+}
+
+func TestActionsRunOnce(t *testing.T) {
+	Convey("Given two entries before two plain services", t, func() {
+		system := startServices(t, 2)
+		defer system.Close()
+		first, second := system.Entries[0].Address, system.Entries[1].Address
+		Convey("a resend through another entry gets the recorded reply", func() {
+			key := newKey()
+			status, body, typed := act(first, key, "ridge")
+			So(typed, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusOK)
+			_, again, typed := act(second, key, "ridge")
+			So(typed, ShouldBeNil)
+			So(again, ShouldEqual, body)
+			So(executions(system), ShouldEqual, 1)
+		})
+		Convey("the same key with another body is refused", func() {
+			key := newKey()
+			_, _, typed := act(first, key, "ridge")
+			So(typed, ShouldBeNil)
+			_, _, typed = act(first, key, "other ridge")
+			So(typed, ShouldNotBeNil)
+			So(typed.Code, ShouldEqual, problem.CodeKeyReused)
+			So(executions(system), ShouldEqual, 1)
+		})
+		Convey("many at once through both entries run one call", func() {
+			key := newKey()
+			var wait sync.WaitGroup
+			for i := range 10 {
+				wait.Add(1)
+				go func() {
+					defer wait.Done()
+					act([]string{first, second}[i%2], key, "ridge")
+				}()
+			}
+			wait.Wait()
+			So(executions(system), ShouldEqual, 1)
+		})
+		Convey("no key and a malformed key are refused as not run", func() {
+			for _, key := range []string{"", "not-a-key", strings.Repeat("x", 4096)} {
+				_, _, typed := act(first, key, "ridge")
+				So(typed, ShouldNotBeNil)
+				So(typed.Run, ShouldEqual, problem.RunNot)
+			}
+			So(executions(system), ShouldEqual, 0)
+		})
+		Convey("while the table is out a call is refused and nothing runs", func() {
+			system.World.Table.SetDown(true)
+			_, _, typed := act(first, newKey(), "ridge")
+			So(typed, ShouldNotBeNil)
+			So(typed.Code, ShouldEqual, problem.CodeStoreUnavailable)
+			So(typed.RetryAfter, ShouldBeGreaterThan, 0)
+			So(executions(system), ShouldEqual, 0)
+		})
+		Convey("a lost answer of the service is never run again", func() {
+			for _, plain := range system.World.Services {
+				plain.Update(func(f *service.Faults) { f.LoseNext = 1 })
+			}
+			key := newKey()
+			_, _, typed := act(first, key, "ridge")
+			So(typed, ShouldNotBeNil)
+			So(typed.Code, ShouldEqual, problem.CodeOutcomeUnknown)
+			_, _, typed = act(second, key, "ridge")
+			So(typed, ShouldNotBeNil)
+			So(typed.Code, ShouldEqual, problem.CodeOutcomeUnknown)
+			So(executions(system), ShouldEqual, 1)
+		})
+	})
+}
