Drive version moves from the entry that holds the deployment's lease

Cause: moves stood in the configuration, and nothing acted on them. Change: package moves: evidence from relays, local stops spread as facts, controller per deployment on lease and rollout; shares and states are accepted as configuration on condition of the move's row; agents pass orders under the fencing guard.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -136,6 +136,10 @@
 
 func (a *Agent) registerControl() {
 	a.config.Register(a.control)
+	if a.options.Engine != nil {
+		orders := command.NewOrders(a.options.Engine, a.options.Table, a.options.Log, a.options.Metrics)
+		peer.Handle(a.control, peer.MethodOrder, peer.RolePeer, orders.Order)
+	}
 	peer.Handle(a.control, peer.MethodStatusSubscribe, peer.RolePeer, a.status.Subscribe)
 	peer.Handle(a.control, peer.MethodDump, peer.RoleOperator, a.status.Dump)
 	peer.Handle(a.control, peer.MethodDrain, peer.RoleOperator, a.drainOnRequest)
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -17,10 +17,12 @@
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/moves"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/retry"
+	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
 	"github.com/wigeonfork/wigeonfork/workpool"
@@ -64,7 +66,9 @@
 	Answers *session.Table
 	Sealer  *generation.Sealer
 	Gate    *gate.Gate
-	Limits  generation.Limits
+	// Evidence takes note of how versions do.
+	Evidence *moves.Evidence
+	Limits   generation.Limits
 	// Pool runs what no caller waits for.
 	Pool    *workpool.Pool
 	Metrics telemetry.Registry
@@ -90,6 +94,7 @@
 	lastToken time.Time
 	loss      loss
 	tokens    metrics.Counter
+	pace      pace
 }
 
 // loss holds the times of an interruption: when the source was found lost and
@@ -174,6 +179,7 @@
 	}
 	r.place = place
 	r.Gate.Started(now, r.answer.Key, place.Server)
+	r.observeStart(now)
 	ctx, cancel := context.WithCancel(r.ctx)
 	call := r.answer.Begin(now, place.Agent, cancel)
 	r.announce(&call)
@@ -247,6 +253,7 @@
 }
 
 func (r *run) noteTokens(now time.Time) {
+	r.pace.tokens(now, len(r.frame.Tokens))
 	if r.place != nil {
 		r.Fleet.Progress(now, r.place, len(r.frame.Tokens), now.Sub(r.lastToken))
 	}
@@ -292,6 +299,7 @@
 		now := time.Now()
 		r.Fleet.Finished(now, r.place, uint32(end))
 		r.Gate.Completed(now, r.answer.Key)
+		r.observeEnd(now, rollout.OutcomeOK)
 		r.Gate.Succeeded(now, r.origin())
 	}
 	if r.sink.finish(relay) == nil {
@@ -310,6 +318,7 @@
 	step, suspicion := r.answer.Lose(reachable)
 	r.noteLost(cause, suspicion)
 	r.noteEngineDeath()
+	r.observeFailure()
 	if step == generation.StepReattach {
 		if r.reattach() == nil {
 			return nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 	"github.com/justinas/alice"
 
 	"github.com/wigeonfork/wigeonfork"
@@ -24,6 +25,7 @@
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/moves"
 	"github.com/wigeonfork/wigeonfork/operator"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/platform"
@@ -60,6 +62,8 @@
 	peers      *peer.Pool
 	config     *configuration.Keeper
 	operators  *operator.Server
+	evidence   *moves.Evidence
+	controller *moves.Controller
 	callers    *command.Callers
 	actions    *command.Actions
 	executor   *action.Executor
@@ -116,19 +120,34 @@
 		Log:     options.Log,
 		Metrics: options.Metrics,
 	})
-	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: settleTime}
+	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: settleTime, Progress: e.moveStatus}
+	owner := string(options.Host) + "/" + uuid.NewString()
+	e.evidence = moves.NewEvidence(owner)
+	e.controller = moves.NewController(moves.Options{
+		Host:       options.Host,
+		Owner:      owner,
+		Table:      options.Table,
+		Store:      changes,
+		Keeper:     e.config,
+		Weights:    options.Weights,
+		Servers:    &fleet.Orders{Fleet: e.fleet, Peers: e.peers},
+		Candidates: e.fleet.Entries,
+		Log:        options.Log,
+		Metrics:    options.Metrics,
+	})
 	e.callers = &command.Callers{
 		Configuration: e.config,
 		Relayer: &command.Relayer{
-			Fleet:   e.fleet,
-			Agents:  e.agents,
-			Answers: e.answers,
-			Sealer:  sealer,
-			Gate:    e.gate,
-			Limits:  options.Limits,
-			Pool:    e.pool,
-			Metrics: options.Metrics,
-			Log:     options.Log,
+			Fleet:    e.fleet,
+			Agents:   e.agents,
+			Answers:  e.answers,
+			Sealer:   sealer,
+			Gate:     e.gate,
+			Evidence: e.evidence,
+			Limits:   options.Limits,
+			Pool:     e.pool,
+			Metrics:  options.Metrics,
+			Log:      options.Log,
 		},
 	}
 	e.executor = action.NewExecutor(action.Config{
@@ -179,6 +198,7 @@
 func (e *Entry) registerControl() {
 	e.config.Register(e.control)
 	e.operators.Register(e.control)
+	peer.Handle(e.control, peer.MethodEvidence, peer.RolePeer, e.mergeEvidence)
 	peer.Handle(e.control, peer.MethodQuarantine, peer.RolePeer, e.mergeQuarantine)
 	peer.Handle(e.control, peer.MethodDump, peer.RoleOperator, e.status.Dump)
 	peer.Handle(e.control, peer.MethodDrain, peer.RoleOperator, e.drainOnRequest)
@@ -201,6 +221,9 @@
 	e.spawn(func() { e.config.Run(e.background) })
 	e.spawn(func() { configuration.WatchHosts(e.background, e.options.Hosts, e.options.Log, e.applyHosts) })
 	e.spawn(e.check)
+	e.controller.SetAddress(e.self.ControlAddress)
+	e.spawn(func() { e.controller.Run(e.background) })
+	e.spawn(e.reportEvidence)
 	e.spawn(func() { e.gate.Run(e.background) })
 	e.spawn(e.shareGate)
 	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -72,6 +73,9 @@
 // Place is where an attempt runs.
 type Place struct {
 	Server        wigeonfork.BackendServerID
+	Host          wigeonfork.HostID
+	Domain        wigeonfork.FailureDomain
+	Load          rollout.LoadLevel
 	Agent         string
 	Incarnation   string
 	ExpectedWait  time.Duration
@@ -122,6 +126,9 @@
 	f.router.Started(now, decision.ID, work)
 	return &Place{
 		Server:       decision.ID,
+		Host:         s.host.ID,
+		Domain:       s.host.Domain,
+		Load:         rollout.LevelOf(s.status.Load.Running, s.status.Load.Slots),
 		Agent:        s.host.ServeAddress,
 		Incarnation:  s.status.Incarnation,
 		ExpectedWait: decision.ExpectedWait,
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -233,21 +233,20 @@
 	f.router.Upsert(description)
 }
 
+// loadedOf returns the versions of d that s holds. Versions without a share are
+// among them, since answers under way go on where they began.
 func loadedOf(d *template.Deployment, status agentapi.Status) []routing.Deployment {
 	var versions []routing.Deployment
-	for _, share := range d.Versions {
-		if status.Plain || holds(status, d.Model, share.Version) {
+	if status.Plain {
+		for _, share := range d.Versions {
 			versions = append(versions, routing.Deployment{Model: wigeonfork.Model(d.Name), Version: share.Version})
 		}
+		return versions
 	}
-	return versions
-}
-
-func holds(status agentapi.Status, model wigeonfork.Model, version wigeonfork.Version) bool {
 	for _, loaded := range status.Load.Versions {
-		if loaded.Model == model && loaded.Version == version && loaded.Ready {
-			return true
+		if loaded.Model == d.Model && loaded.Ready {
+			versions = append(versions, routing.Deployment{Model: wigeonfork.Model(d.Name), Version: loaded.Version})
 		}
 	}
-	return false
+	return versions
 }
--- /dev/null
+++ b/moves/candidate.go
@@ -0,0 +1,24 @@
+package moves
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// isCandidate reports whether host is among the few of hosts that try for the
+// lease of name, by rendezvous hashing.
+func isCandidate(host wigeonfork.HostID, hosts []wigeonfork.HostID, name string) bool {
+	own := weight(host, name)
+	better := 0
+	for _, other := range hosts {
+		if other != host && weight(other, name) > own {
+			better++
+		}
+	}
+	return better < candidatesPerMove
+}
+
+func weight(host wigeonfork.HostID, name string) uint64 {
+	return xxhash.Sum64String(string(host) + "\x00" + name)
+}
--- /dev/null
+++ b/moves/controller.go
@@ -0,0 +1,154 @@
+package moves
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/configuration"
+	"github.com/wigeonfork/wigeonfork/lease"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/rollout"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+	"github.com/wigeonfork/wigeonfork/template/store"
+)
+
+// Servers tells of the backend servers that the controller gives orders to.
+type Servers interface {
+	// Describe returns a backend server and the versions of model that it holds
+	// ready; down tells that it does not serve.
+	Describe(id wigeonfork.BackendServerID) (server rollout.Server, loaded []backend.LoadedVersion, down bool)
+	// Order gives an order to the agent beside a backend server.
+	Order(ctx context.Context, id wigeonfork.BackendServerID, order backend.Order) error
+}
+
+// Options describe a Controller.
+type Options struct {
+	Host    wigeonfork.HostID
+	Owner   string
+	Address string
+	Table   platform.Table
+	Store   *store.Store
+	Keeper  *configuration.Keeper
+	Weights platform.Weights
+	Servers Servers
+	// Candidates returns the listed entries, by which a few are chosen for
+	// each deployment.
+	Candidates func() []wigeonfork.HostID
+	Log        *telemetry.Logger
+	Metrics    telemetry.Registry
+}
+
+const (
+	// candidatesPerMove is the number of entries that try for one lease.
+	candidatesPerMove = 3
+	// stepInterval is the time between two looks at a move.
+	stepInterval = 200 * time.Millisecond
+	// callTimeout bounds one access to the table or one order.
+	callTimeout = 5 * time.Second
+)
+
+// Controller drives the moves whose leases this entry holds.
+type Controller struct {
+	options Options
+
+	mu      sync.Mutex
+	drivers map[string]*driver
+	wait    sync.WaitGroup
+}
+
+// NewController returns a Controller without moves.
+func NewController(options Options) *Controller {
+	return &Controller{options: options, drivers: map[string]*driver{}}
+}
+
+// SetAddress tells where evidence for this controller is to be sent. It is
+// called before Run.
+func (c *Controller) SetAddress(address string) { c.options.Address = address }
+
+// Run tries for the leases of moves under way until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		config := c.options.Keeper.Config()
+		c.track(ctx, &config)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			c.wait.Wait()
+			return
+		}
+	}
+}
+
+// track starts a driver for each move that this entry is a candidate for.
+func (c *Controller) track(ctx context.Context, config *template.Config) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	candidates := c.options.Candidates()
+	present := map[string]bool{}
+	for i := range config.Deployments {
+		d := &config.Deployments[i]
+		if d.Move == nil || !isCandidate(c.options.Host, candidates, string(d.Name)) {
+			continue
+		}
+		id := ID(d)
+		present[id] = true
+		if known := c.drivers[id]; known != nil {
+			known.update(d)
+			continue
+		}
+		c.start(ctx, id, d)
+	}
+	for id, known := range c.drivers {
+		if !present[id] {
+			known.cancel()
+			delete(c.drivers, id)
+		}
+	}
+}
+
+func (c *Controller) start(ctx context.Context, id string, d *template.Deployment) {
+	running, cancel := context.WithCancel(ctx)
+	next := newDriver(c.options, id, d, cancel)
+	c.drivers[id] = next
+	c.wait.Add(1)
+	go func() {
+		defer c.wait.Done()
+		next.run(running)
+	}()
+}
+
+// Merge takes in the evidence of an entry.
+func (c *Controller) Merge(now time.Time, report Report) {
+	c.mu.Lock()
+	known := c.drivers[report.Move]
+	c.mu.Unlock()
+	if known != nil {
+		known.merge(now, report.Evidence)
+	}
+}
+
+// Status returns what the holder knows of a move, or false if this entry does
+// not hold its lease.
+func (c *Controller) Status(now time.Time, id string) (rollout.Status, bool) {
+	c.mu.Lock()
+	known := c.drivers[id]
+	c.mu.Unlock()
+	if known == nil {
+		return rollout.Status{}, false
+	}
+	return known.status(now)
+}
+
+// leaseConfig returns the lease of a move's deployment.
+func leaseConfig(d template.DeploymentName, owner string) lease.Config {
+	return lease.Config{Scope: Scope(d), Owner: owner}.WithDefaults()
+}
+
+// Scope returns the lease's scope of a deployment, which its orders carry.
+func Scope(d template.DeploymentName) string { return "deployment/" + string(d) }
--- /dev/null
+++ b/moves/driver.go
@@ -0,0 +1,261 @@
+package moves
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/lease"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/rollout"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// driver drives one move while this entry holds its lease.
+type driver struct {
+	options Options
+	id      string
+	cancel  context.CancelFunc
+	lease   *lease.Keeper
+	events  chan rollout.Event
+
+	mu         sync.Mutex
+	deployment template.Deployment
+	judge      *rollout.Judge
+	move       *rollout.Move
+	fencing    wigeonfork.FencingNumber
+	// wanted is what the configuration is to say, nil if it says so.
+	wanted *rollout.Shares
+	// recorded is the revision of the move's row as last written or read.
+	recorded platform.Revision
+	state    rollout.State
+}
+
+// eventQueue is the room for outcomes of actions under way.
+const eventQueue = 256
+
+func newDriver(options Options, id string, d *template.Deployment, cancel context.CancelFunc) *driver {
+	return &driver{
+		options:    options,
+		id:         id,
+		cancel:     cancel,
+		events:     make(chan rollout.Event, eventQueue),
+		deployment: *d,
+		judge:      rollout.NewJudge(rollout.JudgeConfig{}),
+	}
+}
+
+// update takes in the deployment as the configuration now has it.
+func (d *driver) update(next *template.Deployment) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.deployment = *next
+}
+
+func (d *driver) merge(now time.Time, evidence rollout.Evidence) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.judge.Merge(now, evidence)
+}
+
+func (d *driver) status(now time.Time) (rollout.Status, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.move == nil {
+		return rollout.Status{}, false
+	}
+	return d.move.Status(now), true
+}
+
+// LeaseAcquired implements lease.Listener.
+func (d *driver) LeaseAcquired(number wigeonfork.FencingNumber) {
+	d.options.Log.Info().Str("step", string(problem.StepLease)).Str("move", d.id).Uint64("fencing", uint64(number)).Msg("lease_acquired")
+}
+
+// LeaseLost implements lease.Listener.
+func (d *driver) LeaseLost(number wigeonfork.FencingNumber) {
+	d.options.Log.Info().Str("step", string(problem.StepLease)).Str("move", d.id).Uint64("fencing", uint64(number)).Msg("lease_lost")
+}
+
+// run tries for the lease and drives the move until ctx ends.
+func (d *driver) run(ctx context.Context) {
+	keeper, err := lease.NewKeeper(leaseConfig(d.deployment.Name, d.options.Owner), d.options.Table, lease.SystemClock{}, d)
+	if err != nil {
+		d.options.Log.Error().Str("step", string(problem.StepLease)).Err(err).Msg("lease_config_invalid")
+		return
+	}
+	d.lease = keeper
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		keeper.Run(ctx)
+	}()
+	defer wait.Wait()
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-d.events:
+			d.step(ctx, event)
+		case <-ticker.C:
+			d.tick(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick looks after the lease, the move and what the configuration is to say.
+func (d *driver) tick(ctx context.Context) {
+	fencing, held := d.lease.Fencing()
+	if !held {
+		d.drop()
+		return
+	}
+	if !d.ready(fencing) && !d.begin(ctx, fencing) {
+		return
+	}
+	for _, report := range d.reports() {
+		d.step(ctx, report)
+	}
+	if why, stopped := d.stopRequested(); stopped {
+		d.step(ctx, rollout.StopRequested{Why: why})
+	}
+	d.mu.Lock()
+	verdict := d.judge.Verdict()
+	d.mu.Unlock()
+	d.step(ctx, rollout.Judged{Verdict: verdict})
+	d.step(ctx, rollout.Tick{})
+	d.apply(ctx)
+}
+
+func (d *driver) drop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.move = nil
+	d.wanted = nil
+}
+
+// ready reports whether the move is driven under this number.
+func (d *driver) ready(fencing wigeonfork.FencingNumber) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.move != nil && d.fencing == fencing && !d.move.Deposed()
+}
+
+// begin takes up the move from its record under a new fencing number.
+func (d *driver) begin(ctx context.Context, fencing wigeonfork.FencingNumber) bool {
+	d.mu.Lock()
+	again := d.fencing == fencing
+	deployment := d.deployment
+	d.mu.Unlock()
+	if again {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	move, row, err := d.load(limited, &deployment, fencing)
+	if err != nil {
+		d.options.Log.Warn().Str("step", string(problem.StepMove)).Str("move", d.id).Err(err).Msg("move_not_taken_up")
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.move = move
+	d.fencing = fencing
+	d.recorded = row.Revision
+	d.state = move.State()
+	return true
+}
+
+func (d *driver) load(ctx context.Context, deployment *template.Deployment, fencing wigeonfork.FencingNumber) (*rollout.Move, platform.Row, error) {
+	info, err := d.options.Weights.Info(ctx, deployment.Model, deployment.Move.To)
+	if err != nil {
+		return nil, platform.Row{}, err
+	}
+	row, err := d.options.Table.Get(ctx, rollout.RecordKey(d.id))
+	if err != nil {
+		return nil, platform.Row{}, err
+	}
+	move, err := rollout.NewMove(d.plan(deployment, info), row, fencing)
+	return move, row, err
+}
+
+// The parameters of a template by which a deployment sets how it is moved.
+const (
+	parameterMinStarts template.ParameterName = "move_min_requests"
+	parameterWatch     template.ParameterName = "move_watch"
+)
+
+func (d *driver) plan(deployment *template.Deployment, info platform.WeightInfo) rollout.Plan {
+	plan := rollout.Plan{
+		ID:                 d.id,
+		Scope:              Scope(deployment.Name),
+		Model:              deployment.Model,
+		From:               deployment.Move.From,
+		To:                 deployment.Move.To,
+		Start:              deployment.Move.Started,
+		Deadline:           deployment.Move.Deadline,
+		WeightBytes:        info.SizeBytes,
+		RateBytesPerSecond: info.RateBytesPerSecond,
+		CanaryShare:        rollout.PerMille(deployment.Canary()),
+	}
+	if value, ok := deployment.Values[parameterMinStarts]; ok {
+		plan.MinStarts = uint64(max(1, value.Int()))
+	}
+	if value, ok := deployment.Values[parameterWatch]; ok {
+		plan.Watch = value.Length()
+	}
+	for _, id := range deployment.BackendServers {
+		server, _, _ := d.options.Servers.Describe(id)
+		plan.Servers = append(plan.Servers, server)
+	}
+	return plan.WithDefaults()
+}
+
+// reports returns what the backend servers hold.
+func (d *driver) reports() []rollout.Event {
+	d.mu.Lock()
+	deployment := d.deployment
+	d.mu.Unlock()
+	var events []rollout.Event
+	for _, id := range deployment.BackendServers {
+		_, loaded, down := d.options.Servers.Describe(id)
+		report := rollout.ServerReport{Server: id, Down: down}
+		for _, version := range loaded {
+			if version.Model != deployment.Model || !version.Ready {
+				continue
+			}
+			report.OldReady = report.OldReady || version.Version == deployment.Move.From
+			report.NewReady = report.NewReady || version.Version == deployment.Move.To
+		}
+		events = append(events, report)
+	}
+	return events
+}
+
+// stopRequested reports whether an operator or an entry has stopped the new
+// version.
+func (d *driver) stopRequested() (string, bool) {
+	d.mu.Lock()
+	deployment := d.deployment
+	d.mu.Unlock()
+	for _, stop := range append(d.options.Keeper.Stops(), withDeployment(deployment)...) {
+		if stop.Deployment == deployment.Name && stop.Version == deployment.Move.To {
+			return stop.Evidence, true
+		}
+	}
+	return "", false
+}
+
+func withDeployment(deployment template.Deployment) []template.Stop {
+	stops := make([]template.Stop, 0, len(deployment.Stops))
+	for _, stop := range deployment.Stops {
+		stop.Deployment = deployment.Name
+		stops = append(stops, stop)
+	}
+	return stops
+}
--- /dev/null
+++ b/moves/evidence.go
@@ -0,0 +1,142 @@
+// Package moves runs version moves in the entries: it collects evidence about
+// versions, stops a bad one at once on strong evidence, and, in the entry that
+// holds the lease of a deployment, drives the move.
+//
+// Lock order: Evidence or Controller, then configuration.Keeper. No lock is
+// held over I/O.
+package moves
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/rollout"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Evidence collects what one entry sees of the versions of moves under way.
+type Evidence struct {
+	source string
+
+	mu    sync.Mutex
+	moves map[string]*collected
+}
+
+// collected is the evidence about one move.
+type collected struct {
+	deployment template.DeploymentName
+	versions   rollout.Pair
+	collector  *rollout.Collector
+	// local judges by this entry's evidence alone.
+	local *rollout.Judge
+}
+
+// localFalseStop is the chance that a single entry stops a good version.
+const localFalseStop = rollout.DefaultFalseStop / 100
+
+// NewEvidence returns an empty Evidence. source is unique to a process start.
+func NewEvidence(source string) *Evidence {
+	return &Evidence{source: source, moves: map[string]*collected{}}
+}
+
+// ID names a move for ever.
+func ID(d *template.Deployment) string {
+	return string(d.Name) + "/" + string(d.Move.To) + "/" + d.Move.Started.UTC().Format(time.RFC3339Nano)
+}
+
+// Track follows the moves under way in a configuration and forgets others.
+func (e *Evidence) Track(config *template.Config) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	present := map[string]bool{}
+	for i := range config.Deployments {
+		d := &config.Deployments[i]
+		if d.Move == nil || d.Move.State == template.MoveReverted {
+			continue
+		}
+		id := ID(d)
+		present[id] = true
+		if e.moves[id] == nil {
+			versions := rollout.Pair{Old: d.Move.From, New: d.Move.To}
+			e.moves[id] = &collected{
+				deployment: d.Name,
+				versions:   versions,
+				collector:  rollout.NewCollector(e.source, versions),
+				local:      rollout.NewJudge(rollout.JudgeConfig{FalseStop: localFalseStop}),
+			}
+		}
+	}
+	for id := range e.moves {
+		if !present[id] {
+			delete(e.moves, id)
+		}
+	}
+}
+
+// Started notes a request that was sent to a version of a deployment.
+func (e *Evidence) Started(now time.Time, deployment template.DeploymentName, start rollout.Start) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.moves {
+		if c.concerns(deployment, start) {
+			c.collector.Started(now, start)
+		}
+	}
+}
+
+// Observed notes how a request went.
+func (e *Evidence) Observed(now time.Time, deployment template.DeploymentName, sample rollout.Sample) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.moves {
+		if c.concerns(deployment, sample.Start) {
+			c.collector.Observed(now, sample)
+		}
+	}
+}
+
+func (c *collected) concerns(deployment template.DeploymentName, start rollout.Start) bool {
+	return c.deployment == deployment && (start.Version == c.versions.Old || start.Version == c.versions.New)
+}
+
+// Report is the evidence about one move since the last flush.
+type Report struct {
+	Deployment template.DeploymentName `json:"deployment"`
+	Move       string                  `json:"move"`
+	Evidence   rollout.Evidence        `json:"evidence"`
+}
+
+// LocalStop says that this entry's evidence alone stops a version.
+type LocalStop struct {
+	Deployment template.DeploymentName
+	Versions   rollout.Pair
+	Why        string
+}
+
+// Flush returns what was found since the last call and the versions that are
+// to be stopped at once.
+func (e *Evidence) Flush(now time.Time) ([]Report, []LocalStop) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var reports []Report
+	var stops []LocalStop
+	for id, c := range e.moves {
+		evidence := c.collector.Flush(now)
+		if evidence.Empty() {
+			continue
+		}
+		reports = append(reports, Report{Deployment: c.deployment, Move: id, Evidence: evidence})
+		c.local.Merge(now, evidence)
+		if verdict := c.local.Verdict(); verdict.Stop {
+			stops = append(stops, LocalStop{Deployment: c.deployment, Versions: c.versions, Why: explain(verdict)})
+		}
+	}
+	return reports, stops
+}
+
+func explain(verdict rollout.Verdict) string {
+	if len(verdict.Reasons) == 0 {
+		return "evidence against the version"
+	}
+	return verdict.Reasons[0].String()
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/template"
 )
 
@@ -59,4 +60,6 @@
 	Versions   []template.VersionShare `json:"versions"`
 	Stops      []template.Stop         `json:"stops,omitempty"`
 	Now        time.Time               `json:"now"`
+	// Progress is set by the entry that drives the move.
+	Progress *rollout.Status `json:"progress,omitempty"`
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -26,6 +26,8 @@
 	Weights platform.Weights
 	// Settle is the time that judging a version takes after its last load.
 	Settle time.Duration
+	// Progress adds what this process knows of a move that it drives.
+	Progress func(*MoveStatus)
 }
 
 // Register makes control serve the methods of operators.
@@ -133,5 +135,6 @@
 			status.Stops = append(status.Stops, stop)
 		}
 	}
+	s.Progress(&status)
 	return status, nil
 }
--- a/peer/methods.go
+++ b/peer/methods.go
@@ -11,6 +11,10 @@
 	MethodQuarantine = "quarantine"
 	// MethodRevision notifies a process of the spread of the configuration.
 	MethodRevision = "revision"
+	// MethodOrder asks an agent to pass an order to its backend server.
+	MethodOrder = "order"
+	// MethodEvidence tells the entry that drives a move what another one saw.
+	MethodEvidence = "evidence"
 	// MethodDump asks a process for its state.
 	MethodDump = "state.dump"
 	// MethodDrain makes a process leave without cutting a request.
--- a/template/template.go
+++ b/template/template.go
@@ -105,7 +105,8 @@
 }
 
 // Move takes a deployment's traffic from one version to another by Deadline.
-// Reason explains why it was reverted.
+// Reason explains why it was reverted. Controller is the control address of
+// the entry that drives the move, to which evidence is sent.
 type Move struct {
 	From     wigeonfork.Version `json:"from"`
 	To       wigeonfork.Version `json:"to"`
@@ -114,6 +115,8 @@
 	Started  time.Time          `json:"started,omitzero"`
 	Changed  time.Time          `json:"changed,omitzero"`
 	Reason   string             `json:"reason,omitempty"`
+
+	Controller string `json:"controller,omitempty"`
 }
 
 // Stop records that a version of a deployment must take no traffic again.
