--- a/cmd/wigeonfork-entry/main.go
+++ b/cmd/wigeonfork-entry/main.go
@@ -36,5 +36,6 @@
 		Log:         log,
 		Metrics:     metrics,
 		DrainLimit:  s.DrainLimit,
+		MoveSettle:  s.MoveSettle,
 	})
 }
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -61,6 +61,8 @@
 	Services int
 	// Limits of the relays; the zero value takes the defaults.
 	Limits generation.Limits
+	// MoveSettle is the settle time of moves.
+	MoveSettle time.Duration
 	// AgentDrainLimit is the drain limit of the agents; 0 means a minute.
 	AgentDrainLimit time.Duration
 	Log             *telemetry.Logger
@@ -248,6 +250,7 @@
 		Log:         s.options.Log,
 		Metrics:     metrics,
 		DrainLimit:  time.Minute,
+		MoveSettle:  s.options.MoveSettle,
 	})
 	if err != nil {
 		return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,6 +51,9 @@
 	Metrics telemetry.Registry
 	// DrainLimit bounds the time that a leaving entry waits for its answers.
 	DrainLimit time.Duration
+	// MoveSettle is the time that judging a version takes after its last load;
+	// a move whose deadline leaves less is refused.
+	MoveSettle time.Duration
 }
 
 // Entry is one entry.
@@ -83,9 +86,6 @@
 // checkInterval is the time between two searches for lost sources.
 const checkInterval = 50 * time.Millisecond
 
-// settleTime is the time that judging a version takes after its last load.
-const settleTime = time.Minute
-
 // maxPeers bounds the connections to other entries.
 const maxPeers = 32
 
@@ -120,7 +120,7 @@
 		Log:     options.Log,
 		Metrics: options.Metrics,
 	})
-	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: settleTime, Progress: e.moveStatus}
+	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: options.MoveSettle, Progress: e.moveStatus}
 	owner := string(options.Host) + "/" + uuid.NewString()
 	e.evidence = moves.NewEvidence(owner)
 	e.controller = moves.NewController(moves.Options{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,7 +31,8 @@
 // Entry holds the settings of an entry.
 type Entry struct {
 	Process
-	HandleKey string `long:"handle-key" env:"WIGEON_HANDLE_KEY" description:"secret that seals resume handles, shared by all entries, 16 bytes or more" required:"true"`
+	MoveSettle time.Duration `long:"move-settle" env:"WIGEON_MOVE_SETTLE" description:"time that judging a version takes after its last load; a move whose deadline leaves less is refused" default:"1m"`
+	HandleKey  string        `long:"handle-key" env:"WIGEON_HANDLE_KEY" description:"secret that seals resume handles, shared by all entries, 16 bytes or more" required:"true"`
 }
 
 // Agent holds the settings of an agent.
@@ -46,6 +47,9 @@
 // minKeyBytes is the shortest secret that is accepted.
 const minKeyBytes = 16
 
+// maxMoveSettle bounds the settle time of moves.
+const maxMoveSettle = 24 * time.Hour
+
 // maxDrainLimit bounds the drain limit.
 const maxDrainLimit = 24 * time.Hour
 
@@ -106,6 +110,9 @@
 	if err := e.Process.Validate(); err != nil {
 		return err
 	}
+	if e.MoveSettle < 0 || e.MoveSettle > maxMoveSettle {
+		return errors.Newf("move-settle must be from 0 to %s", maxMoveSettle)
+	}
 	return checkKey("handle-key", e.HandleKey)
 }
 
