Add membership: who may get new work, and the subset of an entry

Cause: a leaving or silent backend server must get no new work within seconds, a paused one must not come back as it was, and the cost must not grow with the fleet. Change: package membership. Tracker (entry) and Identity (agent) with incarnations and sequence numbers, the platform's list behind the agent's own word, damping of members that flap, a bounded number of polls, and Choose, a subset by rendezvous hashing over all failure domains.

--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,427 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"pgregory.net/rapid"
+)
+
+const step = 250 * time.Millisecond
+
+// world drives one Tracker and the identities of the agents that it polls.
+type world struct {
+	now     time.Time
+	tracker *Tracker
+	agents  map[wigeonfork.BackendServerID]*Identity
+	hosts   []platform.Host
+	index   map[wigeonfork.BackendServerID]int
+	mute    func(platform.Host) bool
+	polls   int
+}
+
+func newWorld(servers, domains int, options Options) *world {
+	w := &world{
+		now:     time.Unix(10_000, 0),
+		tracker: NewTracker(options),
+		agents:  make(map[wigeonfork.BackendServerID]*Identity),
+		index:   make(map[wigeonfork.BackendServerID]int),
+		mute:    func(platform.Host) bool { return false },
+	}
+	for i := range servers {
+		id := wigeonfork.BackendServerID(fmt.Sprintf("b%05d", i))
+		w.agents[id] = NewIdentity(id, w.now, 0)
+		w.index[id] = i
+		w.hosts = append(w.hosts, platform.Host{
+			ID: wigeonfork.HostID(id), Role: platform.RoleAgent, State: platform.HostLive, BackendServer: id,
+			Domain: wigeonfork.FailureDomain(fmt.Sprintf("d%02d", i%domains)),
+		})
+	}
+	w.tracker.ListRead(w.now, w.hosts, w.now)
+	return w
+}
+
+func (w *world) host(id wigeonfork.BackendServerID) platform.Host {
+	return w.hosts[w.index[id]]
+}
+
+// run lets time pass. Agents that are mute are paused or cut off.
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(step)
+		polls := append([]wigeonfork.BackendServerID(nil), w.tracker.Tick(w.now).Polls...)
+		w.polls += len(polls)
+		for _, id := range polls {
+			if w.mute(w.host(id)) {
+				continue
+			}
+			agent := w.agents[id]
+			agent.Tick(w.now)
+			for _, r := range w.tracker.Heard(w.now, agent.Beat()).Refutes {
+				agent.Refuted(w.now, r)
+			}
+		}
+		for i := range w.hosts {
+			if !w.mute(w.hosts[i]) {
+				w.agents[w.hosts[i].BackendServer].Tick(w.now)
+			}
+		}
+	}
+}
+
+func TestLeaving(t *testing.T) {
+	Convey("Given three usable members", t, func() {
+		w := newWorld(3, 3, Options{Entry: "e"})
+		w.run(time.Second)
+		So(w.tracker.Count(w.now), ShouldEqual, 3)
+		agent := w.agents["b00000"]
+		Convey("the agent's own word holds at once, against the list and later heartbeats", func() {
+			before := agent.Beat()
+			before.Sequence += 5
+			agent.Leave()
+			w.tracker.Heard(w.now, agent.Beat())
+			So(w.tracker.Usable(w.now, "b00000"), ShouldBeFalse)
+			w.tracker.ListRead(w.now, w.hosts, w.now)
+			w.tracker.Heard(w.now, before)
+			So(w.tracker.State(w.now, "b00000"), ShouldEqual, StateLeaving)
+			So(len(w.tracker.Subset()), ShouldEqual, 2)
+		})
+		Convey("the list's word holds, unless a new life began after it", func() {
+			w.hosts[0].State = platform.HostLeaving
+			asOf := w.now
+			w.tracker.ListRead(w.now, w.hosts, asOf)
+			So(w.tracker.Usable(w.now, "b00000"), ShouldBeFalse)
+			w.now = w.now.Add(time.Second)
+			w.tracker.Heard(w.now, NewIdentity("b00000", w.now, 0).Beat())
+			w.tracker.ListRead(w.now, w.hosts, asOf)
+			So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
+		})
+		Convey("a list that is older than the last one changes nothing", func() {
+			w.tracker.ListRead(w.now, w.hosts, w.now.Add(2*time.Second))
+			w.hosts[0].State = platform.HostLeaving
+			w.tracker.ListRead(w.now, w.hosts, w.now.Add(time.Second))
+			So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
+		})
+	})
+}
+
+func TestSilenceAndPause(t *testing.T) {
+	Convey("Given three usable members, of which one falls silent", t, func() {
+		w := newWorld(3, 3, Options{Entry: "e"})
+		w.run(time.Second)
+		agent := w.agents["b00000"]
+		old := agent.Beat()
+		w.mute = func(h platform.Host) bool { return h.BackendServer == "b00000" }
+		w.run(SuspectAfter)
+		So(w.tracker.State(w.now, "b00000"), ShouldEqual, StateSuspect)
+		w.run(SilentAfter - SuspectAfter)
+		So(w.tracker.Usable(w.now, "b00000"), ShouldBeFalse)
+		w.run(time.Second)
+		So(w.tracker.State(w.now, "b00000"), ShouldEqual, StateSilent)
+		Convey("late heartbeats and frames of its old life do not bring it back", func() {
+			late := w.tracker.Heard(w.now, old).Refutes
+			So(len(late), ShouldEqual, 1)
+			w.tracker.Frame(w.now, "b00000", old.Incarnation)
+			So(w.tracker.Usable(w.now, "b00000"), ShouldBeFalse)
+		})
+		Convey("woken from a pause it knows by itself, and comes back as another", func() {
+			So(agent.Tick(w.now), ShouldBeTrue)
+			So(agent.Incarnation(), ShouldBeGreaterThan, old.Incarnation)
+			So(agent.Refuted(w.now, Refute{"b00000", old.Incarnation, old.Incarnation}), ShouldBeFalse)
+			w.tracker.Heard(w.now, agent.Beat())
+			So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
+		})
+		Convey("cut off but running it is told, and comes back as another", func() {
+			r := w.tracker.Heard(w.now, agent.Beat()).Refutes
+			So(agent.Refuted(w.now, r[0]), ShouldBeTrue)
+			w.tracker.Heard(w.now, agent.Beat())
+			So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
+		})
+		Convey("started anew with a clock that is a minute late it still gets in", func() {
+			again := NewIdentity("b00000", w.now.Add(-time.Minute), 0)
+			r := w.tracker.Heard(w.now, again.Beat()).Refutes
+			So(again.Refuted(w.now.Add(-time.Minute), r[0]), ShouldBeTrue)
+			w.tracker.Heard(w.now, again.Beat())
+			So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
+		})
+	})
+	Convey("A repeated heartbeat is no sign of life, a frame is", t, func() {
+		w := newWorld(1, 1, Options{Entry: "e"})
+		w.run(time.Second)
+		beat := w.agents["b00000"].Beat()
+		w.tracker.Heard(w.now, beat)
+		later := w.now.Add(SilentAfter)
+		w.tracker.Heard(later.Add(-time.Second), beat)
+		So(w.tracker.Usable(later, "b00000"), ShouldBeFalse)
+		w.tracker.Frame(later.Add(-time.Second), "b00000", beat.Incarnation)
+		So(w.tracker.Usable(later, "b00000"), ShouldBeTrue)
+	})
+}
+
+func TestFlappingIsDamped(t *testing.T) {
+	flap := func(w *world, times int) {
+		for range times {
+			w.now = w.now.Add(step)
+			w.tracker.Heard(w.now, NewIdentity("b00000", w.now, 0).Beat())
+		}
+	}
+	Convey("A member that restarts once is used at once, one that flaps only later", t, func() {
+		w := newWorld(20, 2, Options{Entry: "e"})
+		w.run(time.Second)
+		flap(w, 1)
+		So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
+		flap(w, 4)
+		So(w.tracker.State(w.now, "b00000"), ShouldEqual, StateDamped)
+		w.agents["b00000"] = NewIdentity("b00000", w.now, 0)
+		w.tracker.Want("b00000")
+		w.run(2 * maxDamping)
+		w.tracker.Want("b00000")
+		w.run(2 * time.Second)
+		So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
+	})
+	Convey("Damping gives way where too few others are left", t, func() {
+		w := newWorld(3, 1, Options{Entry: "e"})
+		w.run(time.Second)
+		flap(w, 5)
+		So(w.tracker.State(w.now, "b00000"), ShouldEqual, StateDamped)
+		w.mute = func(h platform.Host) bool { return h.BackendServer != "b00000" }
+		w.agents["b00000"] = NewIdentity("b00000", w.now, 0)
+		w.run(SilentAfter + time.Second)
+		So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
+	})
+}
+
+func TestMassLossLeavesEnough(t *testing.T) {
+	options := Options{Entry: "entry-7"}
+	enough := DefaultWarmSize / 2
+	Convey("Given 1,000 backend servers in 16 failure domains", t, func() {
+		w := newWorld(1000, 16, options)
+		w.run(5 * time.Second)
+		So(w.tracker.Count(w.now), ShouldBeGreaterThanOrEqualTo, DefaultWarmSize)
+		worst := func(d time.Duration) int {
+			least := DefaultSubsetSize
+			for end := w.now.Add(d); w.now.Before(end); {
+				w.run(step)
+				least = min(least, w.tracker.Count(w.now))
+			}
+			return least
+		}
+		Convey("the loss of a failure domain leaves enough, and its share is taken elsewhere", func() {
+			w.mute = func(h platform.Host) bool { return h.Domain == "d03" }
+			So(worst(5*time.Second), ShouldBeGreaterThanOrEqualTo, enough)
+			w.run(time.Minute)
+			So(w.tracker.Count(w.now), ShouldBeGreaterThanOrEqualTo, DefaultWarmSize)
+			So(len(w.tracker.Subset()), ShouldBeLessThanOrEqualTo, 2*DefaultSubsetSize)
+			elsewhere := 0
+			for _, id := range w.tracker.Subset() {
+				if w.host(id).Domain != "d03" {
+					elsewhere++
+				}
+			}
+			So(elsewhere, ShouldBeGreaterThanOrEqualTo, DefaultSubsetSize)
+		})
+		Convey("so does a partition in two halves, and both are used again after it", func() {
+			w.mute = func(h platform.Host) bool { return h.Domain < "d08" }
+			So(worst(30*time.Second), ShouldBeGreaterThanOrEqualTo, 1)
+			So(w.tracker.Count(w.now), ShouldBeGreaterThanOrEqualTo, enough)
+			w.mute = func(platform.Host) bool { return false }
+			w.run(3 * time.Minute)
+			So(len(w.tracker.Subset()), ShouldBeLessThanOrEqualTo, DefaultSubsetSize+16)
+			near := 0
+			for _, id := range w.tracker.Subset() {
+				if w.host(id).Domain < "d08" {
+					near++
+				}
+			}
+			So(near, ShouldBeGreaterThan, DefaultSubsetSize/3)
+		})
+		Convey("so does a restart of all agents", func() {
+			for id := range w.agents {
+				w.agents[id] = NewIdentity(id, w.now.Add(time.Second), 0)
+			}
+			So(worst(10*time.Second), ShouldBeGreaterThanOrEqualTo, enough)
+		})
+	})
+}
+
+func TestCostDoesNotGrow(t *testing.T) {
+	Convey("Polls depend on the idle members kept warm, not on the fleet", t, func() {
+		for _, servers := range []int{100, 1000, 4000} {
+			w := newWorld(servers, 16, Options{Entry: "e"})
+			w.run(5 * time.Second)
+			w.polls = 0
+			w.run(10 * time.Second)
+			So(w.polls, ShouldBeLessThanOrEqualTo, DefaultWarmSize*20)
+			So(w.tracker.Count(w.now), ShouldBeGreaterThanOrEqualTo, DefaultWarmSize)
+		}
+	})
+	Convey("Members with streams make room for others, and queries allocate nothing", t, func() {
+		w := newWorld(100, 4, Options{Entry: "e"})
+		w.run(2 * time.Second)
+		for _, id := range w.tracker.Subset() {
+			if w.tracker.Usable(w.now, id) {
+				w.tracker.Streams(id, 1)
+			}
+		}
+		w.run(2 * time.Second)
+		So(w.tracker.Count(w.now), ShouldBeGreaterThanOrEqualTo, 2*DefaultWarmSize)
+		So(testing.AllocsPerRun(100, func() { w.tracker.Usable(w.now, "b00001"); w.tracker.Count(w.now); w.tracker.Subset() }), ShouldEqual, 0)
+	})
+}
+
+func candidates(count, domains int) []Candidate {
+	list := make([]Candidate, count)
+	for i := range list {
+		list[i] = Candidate{
+			ID:     wigeonfork.BackendServerID(fmt.Sprintf("b%05d", i)),
+			Domain: wigeonfork.FailureDomain(fmt.Sprintf("d%02d", i%domains)),
+		}
+	}
+	return list
+}
+
+func TestChoose(t *testing.T) {
+	Convey("Subsets hold every domain, are bounded, and together use every backend server evenly", t, func() {
+		list := candidates(2000, 16)
+		domainOf := make(map[wigeonfork.BackendServerID]wigeonfork.FailureDomain)
+		for _, c := range list {
+			domainOf[c.ID] = c.Domain
+		}
+		held := make(map[wigeonfork.BackendServerID]int)
+		const entries = 220
+		total := 0
+		for e := range entries {
+			ids := Choose(wigeonfork.HostID(fmt.Sprintf("e%04d", e)), list, DefaultSubsetSize)
+			So(len(ids), ShouldBeBetweenOrEqual, DefaultSubsetSize, DefaultSubsetSize+16)
+			domains := make(map[wigeonfork.FailureDomain]bool)
+			for _, id := range ids {
+				held[id]++
+				total++
+				domains[domainOf[id]] = true
+			}
+			So(len(domains), ShouldEqual, 16)
+		}
+		most := 0
+		for _, count := range held {
+			most = max(most, count)
+		}
+		mean := float64(total) / float64(len(list))
+		t.Logf("held by %.1f entries on average, at most %d", mean, most)
+		So(len(held), ShouldEqual, len(list))
+		So(float64(most), ShouldBeLessThan, 2*mean)
+	})
+}
+
+// TestChoosePropertiesUnderChange checks that a subset covers all domains and
+// that the loss of one candidate replaces few others.
+func TestChoosePropertiesUnderChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.IntRange(1, 16).Draw(t, "domains")
+		list := candidates(rapid.IntRange(domains, 300).Draw(t, "servers"), domains)
+		size := rapid.IntRange(1, 200).Draw(t, "size")
+		before := Choose("e", list, size)
+		seen := make(map[wigeonfork.FailureDomain]bool)
+		domainOf := make(map[wigeonfork.BackendServerID]wigeonfork.FailureDomain)
+		for _, c := range list {
+			domainOf[c.ID] = c.Domain
+		}
+		kept := make(map[wigeonfork.BackendServerID]bool)
+		for _, id := range before {
+			seen[domainOf[id]] = true
+			kept[id] = true
+		}
+		if len(seen) != domains {
+			t.Fatalf("%d of %d domains", len(seen), domains)
+		}
+		gone := rapid.IntRange(0, len(list)-1).Draw(t, "gone")
+		after := Choose("e", append(list[:gone:gone], list[gone+1:]...), size)
+		added := 0
+		for _, id := range after {
+			if !kept[id] {
+				added++
+			}
+		}
+		if added > 1+domains {
+			t.Fatalf("%d new members after the loss of one", added)
+		}
+	})
+}
+
+// TestNoWorkAfterLeavingOrSilence mixes heartbeats of all ages, frames, lists
+// and time. A member is never usable after its word to leave, or more than
+// SilentAfter after the last fresh sign of the life that is current.
+func TestNoWorkAfterLeavingOrSilence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(2, 2, Options{Entry: "e"})
+		agent := w.agents["b00000"]
+		var beats []Heartbeat
+		var fresh time.Time
+		left := make(map[Incarnation]bool)
+		var current Incarnation
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			switch rapid.SampledFrom([]string{"beat", "late", "leave", "tick", "restart", "list"}).Draw(t, "event") {
+			case "beat":
+				h := agent.Beat()
+				beats = append(beats, h)
+				for _, r := range w.tracker.Heard(w.now, h).Refutes {
+					agent.Refuted(w.now, r)
+				}
+				fresh = w.now
+				current = max(current, h.Incarnation)
+				left[h.Incarnation] = left[h.Incarnation] || h.Leaving
+			case "late":
+				if len(beats) > 0 {
+					w.tracker.Heard(w.now, rapid.SampledFrom(beats).Draw(t, "beat"))
+				}
+			case "leave":
+				agent.Leave()
+			case "tick":
+				w.now = w.now.Add(time.Duration(rapid.IntRange(10, 4000).Draw(t, "ms")) * time.Millisecond)
+				w.tracker.Tick(w.now)
+			case "restart":
+				w.now = w.now.Add(time.Millisecond)
+				agent = NewIdentity("b00000", w.now, 0)
+			case "list":
+				w.tracker.ListRead(w.now, w.hosts, w.now.Add(-time.Second))
+			}
+			if !w.tracker.Usable(w.now, "b00000") {
+				continue
+			}
+			if w.now.Sub(fresh) >= SilentAfter {
+				t.Fatalf("usable %v after the last sign of life", w.now.Sub(fresh))
+			}
+			if left[current] {
+				t.Fatal("usable although it leaves")
+			}
+		}
+	})
+}
+
+func BenchmarkTracker(b *testing.B) {
+	for _, servers := range []int{100, 1000, 10_000} {
+		w := newWorld(servers, 16, Options{Entry: "e"})
+		w.run(5 * time.Second)
+		b.Run(fmt.Sprintf("Tick/%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.tracker.Tick(w.now)
+			}
+		})
+		b.Run(fmt.Sprintf("Usable/%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.tracker.Usable(w.now, "b00001")
+			}
+		})
+		b.Run(fmt.Sprintf("ListRead/%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.tracker.ListRead(w.now, w.hosts, w.now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/membership/options.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Options are the settings of a Tracker. A zero field takes its default.
+type Options struct {
+	// Entry is the host of this process. It seeds the choice of the subset.
+	Entry wigeonfork.HostID
+	// SubsetSize is the number of backend servers to keep in touch with.
+	SubsetSize int
+	// WarmSize is the number of idle members that are polled.
+	WarmSize int
+}
+
+// The defaults of Options, in members.
+const (
+	DefaultSubsetSize = 200
+	DefaultWarmSize   = 12
+)
+
+// Times after which a member that is not heard changes its state.
+const (
+	SuspectAfter = 1500 * time.Millisecond
+	SilentAfter  = 3 * time.Second
+)
+
+// Times and limits of polling, damping and replacement.
+const (
+	// PollInterval is the time between polls of a member that is not heard
+	// otherwise.
+	PollInterval     = 750 * time.Millisecond
+	lostPollInterval = 3 * time.Second
+	maxLostPolls     = 2
+	replaceAfter     = 10 * time.Second
+	reconsiderAfter  = time.Minute
+	giveUpAfter      = SilentAfter - PollInterval
+	penaltyHalfLife  = time.Minute
+	toleratedPenalty = 1.5
+	dampingUnit      = 2 * time.Second
+	maxDamping       = time.Minute
+	minUsableShare   = 0.5
+)
+
+func (o Options) withDefaults() Options {
+	if o.SubsetSize == 0 {
+		o.SubsetSize = DefaultSubsetSize
+	}
+	if o.WarmSize == 0 {
+		o.WarmSize = DefaultWarmSize
+	}
+	return o
+}
--- /dev/null
+++ b/membership/subset.go
@@ -0,0 +1,116 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Candidate is a backend server that a subset may hold.
+type Candidate struct {
+	ID     wigeonfork.BackendServerID
+	Domain wigeonfork.FailureDomain
+	// Lost is set for a backend server that has been silent for long.
+	Lost bool
+}
+
+// ranked is a candidate with its rank for one entry.
+type ranked struct {
+	Candidate
+	score uint64
+}
+
+// Choose returns about size candidates for an entry, in order of id, spread
+// over all failure domains by the number of candidates in each. It depends on
+// the entry and the candidates only, and a change of one candidate changes
+// about one choice. A lost candidate is replaced by another of its domain;
+// where most choices of a domain are lost the domain itself is taken to be
+// out, and the others take its share beside it until it is back.
+func Choose(entry wigeonfork.HostID, candidates []Candidate, size int) []wigeonfork.BackendServerID {
+	domains := rank(entry, candidates)
+	var chosen []wigeonfork.BackendServerID
+	var rest []ranked
+	missing := 0
+	for _, domain := range domains {
+		share := quota(len(domain), len(candidates), size)
+		top := domain[:share]
+		if lost := countLost(top); lost*2 > share {
+			missing += lost
+			chosen = appendIDs(chosen, top)
+			continue
+		}
+		alive := slices.DeleteFunc(slices.Clone(domain), func(r ranked) bool { return r.Lost })
+		share = min(share, len(alive))
+		chosen = appendIDs(chosen, alive[:share])
+		rest = append(rest, alive[share:]...)
+	}
+	slices.SortFunc(rest, compareRank)
+	chosen = appendIDs(chosen, rest[:min(missing, len(rest))])
+	slices.Sort(chosen)
+	return chosen
+}
+
+// quota returns the share of a domain with count of total candidates: rounded
+// up, so that every domain is in the subset.
+func quota(count, total, size int) int {
+	return min(count, (count*size+total-1)/total)
+}
+
+func rank(entry wigeonfork.HostID, candidates []Candidate) [][]ranked {
+	all := make([]ranked, len(candidates))
+	seed := xxhash.Sum64String(string(entry))
+	for i, c := range candidates {
+		all[i] = ranked{c, mix(seed ^ xxhash.Sum64String(string(c.ID)))}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), compareRank(a, b))
+	})
+	return slices.Collect(chunkByDomain(all))
+}
+
+func chunkByDomain(all []ranked) func(yield func([]ranked) bool) {
+	return func(yield func([]ranked) bool) {
+		for start := 0; start < len(all); {
+			end := start
+			for end < len(all) && all[end].Domain == all[start].Domain {
+				end++
+			}
+			if !yield(all[start:end]) {
+				return
+			}
+			start = end
+		}
+	}
+}
+
+func compareRank(a, b ranked) int {
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.ID, b.ID))
+}
+
+// mix spreads the bits of x, so that the ranks of two entries are unrelated.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func countLost(list []ranked) int {
+	lost := 0
+	for i := range list {
+		if list[i].Lost {
+			lost++
+		}
+	}
+	return lost
+}
+
+func appendIDs(ids []wigeonfork.BackendServerID, list []ranked) []wigeonfork.BackendServerID {
+	for i := range list {
+		ids = append(ids, list[i].ID)
+	}
+	return ids
+}
