--- a/membership/subset.go
+++ b/membership/subset.go
@@ -14,6 +14,8 @@
 	Domain wigeonfork.FailureDomain
 	// Lost is set for a backend server that has been silent for long.
 	Lost bool
+	// Live is set for one that was heard lately. Most are neither.
+	Live bool
 }
 
 // ranked is a candidate with its rank for one entry.
@@ -26,8 +28,9 @@
 // over all failure domains by the number of candidates in each. It depends on
 // the entry and the candidates only, and a change of one candidate changes
 // about one choice. A lost candidate is replaced by another of its domain;
-// where most choices of a domain are lost the domain itself is taken to be
-// out, and the others take its share beside it until it is back.
+// where a quarter of the choices of a domain are lost, and more than are live,
+// the domain itself is taken to be out, and the others take its share beside
+// it until it is back.
 func Choose(entry wigeonfork.HostID, candidates []Candidate, size int) []wigeonfork.BackendServerID {
 	domains := rank(entry, candidates)
 	var chosen []wigeonfork.BackendServerID
@@ -36,8 +39,8 @@
 	for _, domain := range domains {
 		share := quota(len(domain), len(candidates), size)
 		top := domain[:share]
-		if lost := countLost(top); lost*2 > share {
-			missing += lost
+		if out(top) {
+			missing += share
 			chosen = appendIDs(chosen, top)
 			continue
 		}
@@ -98,16 +101,23 @@
 	return x ^ x>>31
 }
 
-func countLost(list []ranked) int {
-	lost := 0
-	for i := range list {
-		if list[i].Lost {
+// out tells whether the choices of a domain show that it is out.
+func out(top []ranked) bool {
+	lost, live := 0, 0
+	for i := range top {
+		if top[i].Lost {
 			lost++
 		}
+		if top[i].Live {
+			live++
+		}
 	}
-	return lost
+	return lost > live && lost >= max(minLostOfDomain, len(top)/4)
 }
 
+// minLostOfDomain is the least number of lost choices of a domain that is out.
+const minLostOfDomain = 2
+
 func appendIDs(ids []wigeonfork.BackendServerID, list []ranked) []wigeonfork.BackendServerID {
 	for i := range list {
 		ids = append(ids, list[i].ID)
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -207,7 +207,8 @@
 	for _, m := range t.members {
 		m.counted = m.standing(now)
 		if !m.counted.leaving {
-			candidates = append(candidates, Candidate{ID: m.id, Domain: m.domain, Lost: m.counted.lost})
+			live := m.state(now) == StateLive
+			candidates = append(candidates, Candidate{ID: m.id, Domain: m.domain, Lost: m.counted.lost, Live: live})
 		}
 	}
 	ids := Choose(t.options.Entry, candidates, t.options.SubsetSize)
