Add the experiment of the spread of configuration

Cause: the time until a change is in force and its cost must be known for the size to design for. Change: experiment/configuration drives revision nodes in virtual time with a fifth of the messages lost and hosts restarting.

--- /dev/null
+++ b/experiment/configuration/configuration_test.go
@@ -0,0 +1,40 @@
+package configuration
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestSpread(t *testing.T) {
+	Convey("With a fifth of the messages lost and hosts restarting", t, func() {
+		few := measure(plan{20, 20 * time.Second, 1}, 1)
+		many := measure(plan{100, 20 * time.Second, 1}, 1)
+		Convey("every change gets in force everywhere, within the time allowed", func() {
+			So(few.Changes, ShouldBeGreaterThan, 10)
+			So(few.Unfinished+many.Unfinished, ShouldEqual, 0)
+			So(few.Max, ShouldBeLessThanOrEqualTo, targetFull)
+			So(many.Max, ShouldBeLessThanOrEqualTo, targetFull)
+		})
+		Convey("table reads do not grow with the number of hosts", func() {
+			So(few.Reads, ShouldBeLessThan, targetReads)
+			So(many.Reads, ShouldBeLessThan, targetReads)
+		})
+		Convey("the same seed gives the same figures", func() {
+			again := measure(plan{20, 20 * time.Second, 1}, 1)
+			So(again.Bytes, ShouldEqual, few.Bytes)
+			So(again.P99, ShouldEqual, few.P99)
+		})
+	})
+	Convey("A missed target is counted and printed", t, func() {
+		var out bytes.Buffer
+		rows := []Row{{Hosts: 50, Max: time.Minute}, {Hosts: 100, Unfinished: 1}}
+		missed, err := writeVerdicts(&out, rows)
+		So(err, ShouldBeNil)
+		So(missed, ShouldBeGreaterThanOrEqualTo, 2)
+		So(strings.Count(out.String(), "MISSED"), ShouldEqual, missed)
+	})
+}
--- /dev/null
+++ b/experiment/configuration/fleet.go
@@ -0,0 +1,254 @@
+package configuration
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/revision"
+)
+
+// Delays between instances and to the table.
+const (
+	minDelay     = time.Millisecond
+	maxDelay     = 50 * time.Millisecond
+	tableDelay   = 10 * time.Millisecond
+	restartDelay = time.Second
+)
+
+// packetOverheadBytes is what Ethernet, IP and UDP headers and a message
+// authentication code add to an encoded message.
+const packetOverheadBytes = 64
+
+// event is something that happens to one instance. A zero message is a wake
+// or, if read is set, the answer of the table.
+type event struct {
+	at       time.Duration
+	order    uint64
+	instance int
+	life     int
+	from     int
+	wire     []byte
+	read     *revision.Delta
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// instance is one node with the time of its next wake.
+type instance struct {
+	node *revision.Node
+	life int
+	down bool
+	wake time.Duration
+}
+
+// counters add up what the instances did.
+type counters struct {
+	sent      int
+	bytes     int
+	reads     int
+	processor time.Duration
+}
+
+// fleet drives nodes in virtual time.
+type fleet struct {
+	random    *rand.Rand
+	seed      uint64
+	start     time.Time
+	now       time.Duration
+	events    queue
+	order     uint64
+	instances []instance
+	peers     []revision.Peer
+	index     map[wigeonfork.HostID]int
+	loss      float64
+	table     []revision.Item
+	total     counters
+	installed func(instance int, to wigeonfork.Revision)
+}
+
+func newFleet(size, domains int, seed uint64, loss float64) *fleet {
+	f := &fleet{
+		random:    rand.New(rand.NewPCG(seed, uint64(size))),
+		seed:      seed,
+		start:     time.Unix(0, 0).UTC(),
+		instances: make([]instance, size),
+		peers:     makePeers(size, domains),
+		index:     make(map[wigeonfork.HostID]int, size),
+		loss:      loss,
+		installed: func(int, wigeonfork.Revision) {},
+	}
+	for i := range f.peers {
+		f.index[f.peers[i].ID] = i
+	}
+	return f
+}
+
+// boot starts every instance at a random time within a second.
+func (f *fleet) boot() {
+	for i := range f.instances {
+		f.begin(i)
+		f.instances[i].wake = f.now + time.Duration(f.random.Int64N(int64(time.Second)))
+		f.add(event{at: f.instances[i].wake, instance: i, life: f.instances[i].life})
+	}
+}
+
+// begin gives instance i a node with empty memory.
+func (f *fleet) begin(i int) {
+	in := &f.instances[i]
+	in.life++
+	in.down = false
+	in.node = revision.New(revision.Options{
+		ID:     f.peers[i].ID,
+		Domain: f.peers[i].Domain,
+		Seed:   f.seed + uint64(in.life)<<32,
+	})
+	in.node.PeersChanged(f.peers)
+}
+
+// restart ends instance i, which begins anew after restartDelay.
+func (f *fleet) restart(i int) {
+	f.instances[i].down = true
+	f.instances[i].life++
+	f.add(event{at: f.now + restartDelay, instance: i, life: f.instances[i].life})
+}
+
+// commit puts a change of one item into the table.
+func (f *fleet) commit(key string, value []byte) wigeonfork.Revision {
+	next := wigeonfork.Revision(len(f.table) + 1)
+	f.table = append(f.table, revision.Item{Key: key, Value: value, Revision: next})
+	return next
+}
+
+func (f *fleet) add(e event) {
+	f.order++
+	e.order = f.order
+	heap.Push(&f.events, e)
+}
+
+// run handles events until the virtual time end.
+func (f *fleet) run(end time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= end {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		f.handle(&e)
+	}
+	f.now = end
+}
+
+func (f *fleet) handle(e *event) {
+	in := &f.instances[e.instance]
+	if in.life != e.life && e.wire == nil {
+		return
+	}
+	if in.down {
+		if e.wire != nil {
+			return
+		}
+		f.begin(e.instance)
+		in.wake = f.now
+	}
+	began := time.Now()
+	actions, wire := f.call(in, e)
+	f.total.processor += time.Since(began)
+	f.act(e.instance, actions, wire)
+	f.schedule(e.instance)
+}
+
+// call gives e to the node, decoding what arrives and encoding what is sent.
+func (f *fleet) call(in *instance, e *event) (revision.Actions, [][]byte) {
+	now := f.start.Add(f.now)
+	var actions revision.Actions
+	switch {
+	case e.wire != nil:
+		m, err := revision.Decode(e.wire)
+		if err != nil {
+			panic(err)
+		}
+		actions = in.node.Receive(now, f.peers[e.from].ID, m)
+	case e.read != nil:
+		actions = in.node.TableRead(now, *e.read, nil)
+	case f.now < in.wake:
+		return actions, nil
+	default:
+		actions = in.node.Tick(now)
+	}
+	return actions, encode(actions.Sends)
+}
+
+func encode(sends []revision.Send) [][]byte {
+	wire := make([][]byte, len(sends))
+	for i := range sends {
+		data, err := revision.Encode(sends[i].Message)
+		if err != nil {
+			panic(err)
+		}
+		wire[i] = data
+	}
+	return wire
+}
+
+// act carries out what the node of instance i wants done.
+func (f *fleet) act(i int, actions revision.Actions, wire [][]byte) {
+	for k := range actions.Sends {
+		f.total.sent++
+		f.total.bytes += len(wire[k]) + packetOverheadBytes
+		if f.random.Float64() < f.loss {
+			continue
+		}
+		delay := minDelay + time.Duration(f.random.Int64N(int64(maxDelay-minDelay)))
+		to := f.index[actions.Sends[k].To]
+		f.add(event{at: f.now + delay, instance: to, from: i, wire: wire[k]})
+	}
+	for _, read := range actions.Reads {
+		f.total.reads++
+		delta := f.since(read.Since)
+		f.add(event{at: f.now + tableDelay, instance: i, life: f.instances[i].life, read: &delta})
+	}
+	for k := range actions.Installs {
+		f.installed(i, actions.Installs[k].To)
+	}
+}
+
+// since returns what the table holds after revision from, the latest form of
+// each item only.
+func (f *fleet) since(from wigeonfork.Revision) revision.Delta {
+	delta := revision.Delta{From: from, To: wigeonfork.Revision(len(f.table))}
+	seen := make(map[string]bool)
+	for i := len(f.table) - 1; i >= int(from); i-- {
+		if !seen[f.table[i].Key] {
+			seen[f.table[i].Key] = true
+			delta.Items = append(delta.Items, f.table[i])
+		}
+	}
+	return delta
+}
+
+// schedule plans the next wake of instance i, unless one is planned before.
+func (f *fleet) schedule(i int) {
+	in := &f.instances[i]
+	wake := max(in.node.NextWake().Sub(f.start), f.now)
+	if in.wake > f.now && in.wake <= wake {
+		return
+	}
+	in.wake = wake
+	f.add(event{at: wake, instance: i, life: in.life})
+}
--- /dev/null
+++ b/experiment/configuration/print.go
@@ -0,0 +1,127 @@
+package configuration
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"time"
+)
+
+const rowFormat = "%7d %8.2f %8d %8s %8s %8s %9.2f %9.0f %9.0f %9.0f %8.2f %9.1f %9.1f %9.1f\n"
+
+func writeHeader(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%7s %8s %8s %26s %9s %29s %8s %29s\n%7s %8s %8s %8s %8s %8s %9s %9s %9s %9s %8s %9s %9s %9s\n",
+		"", "changes", "", "in force everywhere", "messages", "bytes sent per host", "reads", "processor us per host",
+		"hosts", "/s", "changes", "p50", "p99", "max", "/host/s", "/s", "idle /s", "/change", "/s", "/s", "idle /s", "/change")
+	return err
+}
+
+func (r *Row) write(w io.Writer) error {
+	_, err := fmt.Fprintf(w, rowFormat, r.Hosts, r.Rate, r.Changes, short(r.P50), short(r.P99), short(r.Max), r.Messages,
+		r.Bytes, r.IdleBytes, r.BytesPerChange, r.Reads, r.Processor, r.IdleProcessor, r.ProcessorPerChange)
+	return err
+}
+
+func short(d time.Duration) string { return d.Round(time.Millisecond).String() }
+
+// fit is a least-squares line through points.
+type fit struct {
+	intercept float64
+	slope     float64
+	spread    float64
+}
+
+// fitLine returns the line and the standard deviation of what it leaves.
+func fitLine(x, y []float64) fit {
+	n := float64(len(x))
+	var sumX, sumY, sumXX, sumXY float64
+	for i := range x {
+		sumX += x[i]
+		sumY += y[i]
+		sumXX += x[i] * x[i]
+		sumXY += x[i] * y[i]
+	}
+	slope := (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)
+	intercept := (sumY - slope*sumX) / n
+	var squares float64
+	for i := range x {
+		rest := y[i] - intercept - slope*x[i]
+		squares += rest * rest
+	}
+	return fit{intercept, slope, math.Sqrt(squares / n)}
+}
+
+func (f fit) at(x float64) float64 { return f.intercept + f.slope*x }
+
+// writeVerdicts prints slopes over the number of hosts and every target, and
+// returns how many are missed.
+func writeVerdicts(w io.Writer, rows []Row) (int, error) {
+	v := &verdicts{w: w}
+	v.text("\nfits over log2(hosts), sizes up to 800; worked out for %d hosts\n", fullSize)
+	hosts := column(rows, func(r *Row) float64 { return math.Log2(float64(r.Hosts)) })
+	inForce := v.fit("p99 until in force, s", hosts, column(rows, func(r *Row) float64 { return r.P99.Seconds() }))
+	bytes := v.fit("bytes sent per host and s", hosts, column(rows, func(r *Row) float64 { return r.Bytes }))
+	processor := v.fit("processor us per host and s", hosts, column(rows, func(r *Row) float64 { return r.Processor }))
+	v.text("\ntargets\n")
+	for i := range rows {
+		v.row(&rows[i])
+	}
+	full := math.Log2(fullSize)
+	v.target("worked out for the full size: p99 until in force, s", inForce.at(full), targetFull.Seconds())
+	v.target("worked out for the full size: bytes sent and received per host and s", 2*bytes.at(full), targetBytes)
+	v.target("worked out for the full size: processor, % of a core", percent(processor.at(full)), targetProcessor)
+	v.text("\n%d targets missed\n", v.missed)
+	return v.missed, v.err
+}
+
+func column(rows []Row, value func(*Row) float64) []float64 {
+	var list []float64
+	for i := range rows {
+		if rows[i].Hosts < fullSize && rows[i].Rate == meanChangesRate {
+			list = append(list, value(&rows[i]))
+		}
+	}
+	return list
+}
+
+func percent(microsecondsPerSecond float64) float64 { return microsecondsPerSecond / 1e4 }
+
+type verdicts struct {
+	w      io.Writer
+	missed int
+	err    error
+}
+
+func (v *verdicts) text(format string, args ...any) {
+	if v.err == nil {
+		_, v.err = fmt.Fprintf(v.w, format, args...)
+	}
+}
+
+func (v *verdicts) fit(name string, x, y []float64) fit {
+	f := fitLine(x, y)
+	v.text("  %-30s %10.3f + %8.3f x log2(hosts), spread %.3f\n", name, f.intercept, f.slope, f.spread)
+	return f
+}
+
+func (v *verdicts) row(r *Row) {
+	name := fmt.Sprintf("%d hosts, %.2f changes/s: ", r.Hosts, r.Rate)
+	limit := targetFull
+	if r.Hosts <= todaySize {
+		limit = targetToday
+	}
+	v.target(name+"changes not in force everywhere at the end", float64(r.Unfinished), 0)
+	v.target(name+"max until in force, s", r.Max.Seconds(), limit.Seconds())
+	v.target(name+"table reads per s", r.Reads, targetReads)
+	v.target(name+"bytes sent and received per host and s", 2*r.Bytes, targetBytes)
+	v.target(name+"processor, % of a core", percent(r.Processor), targetProcessor)
+}
+
+func (v *verdicts) target(name string, value, limit float64) {
+	verdict := "met"
+	if value > limit {
+		verdict = "MISSED"
+		v.missed++
+	}
+	v.text("  %-88s %10.3f  at most %8.3f  %s\n", name, value, limit, verdict)
+}
--- a/revision/options.go
+++ b/revision/options.go
@@ -45,7 +45,7 @@
 	DefaultReadsPerSecond      = 8
 	DefaultStartReadsPerSecond = 200
 	DefaultStartPeers          = 3
-	DefaultBytesPerSecond      = 1300
+	DefaultBytesPerSecond      = 1200
 )
 
 // Fixed times and limits of the protocol.
