--- a/entry/command/serve.go
+++ b/entry/command/serve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/problem"
@@ -49,7 +50,11 @@
 	request.call.Version = version
 	telemetry.Counter(c.Metrics, "entry.requests").Inc(1)
 	answer := session.NewAnswer(request.call, c.Limits, time.Now())
-	c.serve(w, r, answer, request.route, shape{chat: chat, stream: request.stream}, 0)
+	if _, refusal := c.Gate.Admissible(answer.Began, answer.Key); refusal != nil {
+		problem.Write(w, refusal.For(id))
+		return
+	}
+	c.serve(w, r, answer, request.route, shape{chat: chat, stream: request.stream, deadline: request.deadline}, 0)
 }
 
 // serve relays an answer to the caller from position from on.
@@ -59,6 +64,16 @@
 		return
 	}
 	defer c.Answers.Remove(answer)
+	resume := answer.Relay().Generation() > 0
+	id := answer.Call.RequestID
+	refusal := c.Gate.Enter(r.Context(), admission.Request{
+		ID: id, Workspace: answer.Call.Workspace, Class: answer.Call.Class, Deadline: s.deadline, Resume: resume,
+	})
+	if refusal != nil {
+		problem.Write(w, refusal.For(id))
+		return
+	}
+	defer c.Gate.Leave(id)
 	relay := &run{
 		Relayer:   c.Relayer,
 		ctx:       r.Context(),
--- a/experiment/policy/entry.go
+++ b/experiment/policy/entry.go
@@ -116,6 +116,7 @@
 	now := e.run.time()
 	s.engine, s.sentAt, s.begun, s.seen = engine, e.run.now, false, s.delivered
 	s.attempts++
+	s.priority = e.run.scenario.deployment.policy.Priority(s.class, s.interrupts > 0)
 	s.work = routing.Work{Class: s.class, Prefixes: s.prefixes, PromptTokens: uint32(s.prompt), MaxTokens: s.maxTokens}
 	e.router.Started(now, engine.id, s.work)
 	e.detector.Started(now, s.key, engine.id)
@@ -137,7 +138,7 @@
 	decision, err := e.router.Choose(e.run.time(), routing.Request{
 		Workspace: s.workspace, Class: s.class, Prefixes: s.prefixes,
 		PromptTokens: uint32(s.prompt) + uint32(s.delivered), MaxTokens: s.maxTokens,
-		Exclude: s.exclude, Avoid: e.avoidList,
+		Exclude: s.exclude, Avoid: e.avoidList, Resume: s.interrupts > 0,
 	})
 	if err != nil {
 		return nil
@@ -207,9 +208,14 @@
 			}
 		}
 		health := s.watch.Check(now)
-		if health != routing.HealthGood && e.run.scenario.chooser == byScore {
-			e.move(s, health)
+		if health == routing.HealthGood || e.run.scenario.chooser != byScore {
+			continue
+		}
+		if !s.watch.Begun() && e.router.BeganSince(s.engine.id, epoch.Add(s.sentAt)) {
+			s.watch.Extend(now)
+			continue
 		}
+		e.move(s, health)
 	}
 }
 
