Test partitions with and without the store, charge surveys to the budget

Cause: halves that part, of which one reaches the table, had no test of their own, and the hosts named in a survey were not counted as sent.

--- a/revision/node_test.go
+++ b/revision/node_test.go
@@ -24,9 +24,11 @@
 	waiting []envelope
 	reads   int
 	cut     func(from, to wigeonfork.HostID) bool
-	learned map[wigeonfork.HostID][]Fact
-	surveys []SurveyResult
-	lives   uint64
+	// unreachable tells the hosts that do not reach the table.
+	unreachable func(wigeonfork.HostID) bool
+	learned     map[wigeonfork.HostID][]Fact
+	surveys     []SurveyResult
+	lives       uint64
 }
 
 type envelope struct {
@@ -36,10 +38,11 @@
 
 func newGroup(size int) *group {
 	g := &group{
-		now:     time.Unix(1000, 0),
-		nodes:   make(map[wigeonfork.HostID]*Node),
-		cut:     func(_, _ wigeonfork.HostID) bool { return false },
-		learned: make(map[wigeonfork.HostID][]Fact),
+		now:         time.Unix(1000, 0),
+		nodes:       make(map[wigeonfork.HostID]*Node),
+		cut:         func(_, _ wigeonfork.HostID) bool { return false },
+		unreachable: func(wigeonfork.HostID) bool { return false },
+		learned:     make(map[wigeonfork.HostID][]Fact),
 	}
 	for i := range size {
 		g.peers = append(g.peers, Peer{
@@ -96,7 +99,7 @@
 
 // read answers a table read with the state at revision upTo.
 func (g *group) read(id wigeonfork.HostID, since, upTo wigeonfork.Revision) {
-	if g.out {
+	if g.out || g.unreachable(id) {
 		g.do(id, g.nodes[id].TableRead(g.now, Delta{}, errTable))
 		return
 	}
@@ -447,3 +450,62 @@
 		}
 	})
 }
+
+func TestPartitionAndStoreOutage(t *testing.T) {
+	Convey("Given 20 serving hosts in two halves, of which one reaches the table", t, func() {
+		g := newGroup(20)
+		g.commit("a", "1")
+		g.run(5 * time.Second)
+		half := func(id wigeonfork.HostID) bool { return id < "h010" }
+		g.cut = func(from, to wigeonfork.HostID) bool { return half(from) != half(to) }
+		g.unreachable = func(id wigeonfork.HostID) bool { return !half(id) }
+		g.commit("a", "2")
+		g.run(30 * time.Second)
+		Convey("the half with the table goes on, the other keeps what it has and serves", func() {
+			for id, n := range g.nodes {
+				So(n.Serving(), ShouldBeTrue)
+				if half(id) {
+					So(n.Revision(), ShouldEqual, 2)
+				} else {
+					So(n.Revision(), ShouldEqual, 1)
+				}
+			}
+			stale := g.start(g.peers[15])
+			g.run(10 * time.Second)
+			So(stale.Serving(), ShouldBeTrue)
+			So(stale.Revision(), ShouldEqual, 1)
+		})
+		Convey("once they are joined again all hold the newest within seconds, the store being out", func() {
+			g.out = true
+			g.cut = func(_, _ wigeonfork.HostID) bool { return false }
+			g.run(3 * time.Second)
+			for _, n := range g.nodes {
+				So(n.Revision(), ShouldEqual, 2)
+				So(sameContents(contents(n), g.state(2)), ShouldBeTrue)
+			}
+		})
+	})
+}
+
+func BenchmarkNode(b *testing.B) {
+	for _, count := range []int{1000, 10_000, 40_000} {
+		full := Delta{To: 1}
+		for i := range count {
+			full.Items = append(full.Items, Item{Key: fmt.Sprintf("d/deployment/w/workspace-%05d", i), Value: []byte(`{"max_tokens":4096}`), Revision: 1})
+		}
+		now := time.Unix(1000, 0)
+		n := New(Options{ID: "h", Seed: 1})
+		n.PeersChanged([]Peer{{ID: "h"}, {ID: "x"}})
+		n.Tick(now)
+		n.TableRead(now, full, nil)
+		b.Run(fmt.Sprintf("Receive/%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r := n.Revision() + 1
+				delta := Delta{From: r - 1, To: r, Items: []Item{{Key: "d/deployment/w/workspace-00017", Revision: r}}}
+				now = now.Add(time.Second)
+				n.Receive(now, "x", Message{Kind: KindState, Revision: r, Delta: &delta})
+			}
+		})
+	}
+}
--- a/revision/push.go
+++ b/revision/push.go
@@ -28,6 +28,8 @@
 	factPushInterval = 50 * time.Millisecond
 	// sendBurst is the time over which unused bytes add up.
 	sendBurst = 16 * time.Second
+	// peerBytes is about what one host takes in a survey.
+	peerBytes = 24
 	// sendDebt bounds the time for which pushes wait after large answers.
 	sendDebt = 2 * time.Second
 )
@@ -97,6 +99,9 @@
 	for i := range m.FactList {
 		cost += m.FactList[i].size()
 	}
+	if m.Survey != nil {
+		cost += len(m.Survey.Peers) * peerBytes
+	}
 	p.tokens = max(p.tokens-float64(cost), -rate*sendDebt.Seconds())
 }
 
--- a/revision/survey.go
+++ b/revision/survey.go
@@ -76,7 +76,9 @@
 
 // Survey asks on which hosts revision is in force. The result comes with the
 // actions of a later event, after 3 s at most. It returns false where too
-// many surveys are open.
+// many surveys are open. A survey costs the asking host about 24 bytes for
+// every host, and each other host two or three messages; it is made for an
+// operator, not regularly.
 func (n *Node) Survey(now time.Time, revision wigeonfork.Revision) (uint64, Actions, bool) {
 	n.out.reset()
 	s := &n.surveys
