rollout: expect further deaths of a host less strongly after its first

Cause: a version that kills engines makes its first hosts die again and again; expecting that of the hosts themselves made the evidence grow slowly.

Change: a host is taken to have had one death before it was seen, not half.

--- a/rollout/deaths.go
+++ b/rollout/deaths.go
@@ -24,7 +24,7 @@
 	// frailtyPrior is the number of deaths that a host is taken to have had
 	// before it was seen. The smaller it is, the more a host's own deaths
 	// make further ones expected of it.
-	frailtyPrior = 0.5
+	frailtyPrior = 1
 	// minDeathDomains is how far deaths must be spread.
 	minDeathDomains = 2
 )
