rollout: carry one process's stop in its reports; bound the latency baselines

Cause: a process that stopped by its own evidence had to be heard once, over a path of its own; a lost message or a takeover left the record without it. The old version's latency baselines grew with routes and backend servers without bound.

Change: every later report of the process says that it has stopped, Judge takes it from any of them and names the process. Beyond the bound on strata the rest of the routes and backend servers share one baseline.

--- a/experiment/moves/policy.go
+++ b/experiment/moves/policy.go
@@ -110,15 +110,13 @@
 		c.t.measure(now, &evidence)
 		e.local.Merge(at(now), evidence)
 		if !e.gate.Stopped() && now%localInterval == 0 && e.local.Verdict().Stop && e.gate.Stop() {
+			e.collector.Stopped()
 			c.t.noteStop(now)
 		}
 		if c.t.r.Float64() < evidenceLoss {
 			continue
 		}
 		c.judge.Merge(at(now), evidence)
-		if e.gate.Stopped() {
-			c.drive(now, rollout.StopRequested{Why: "stopped by an entry"})
-		}
 	}
 }
 
--- a/rollout/collector.go
+++ b/rollout/collector.go
@@ -38,6 +38,7 @@
 	maxStrata int
 	matcher   matcher
 	sequence  uint64
+	stopped   bool
 	cells     map[Stratum]*cell
 	deaths    map[wigeonfork.BackendServerID]Death
 	newSince  map[wigeonfork.BackendServerID]time.Time
@@ -123,11 +124,14 @@
 	delete(c.newSince, server)
 }
 
+// Stopped says that this process has stopped sending to the new version.
+func (c *Collector) Stopped() { c.stopped = true }
+
 // Flush returns what was found since the last call. It is to be called about
 // once a second.
 func (c *Collector) Flush(now time.Time) Evidence {
 	c.sequence++
-	e := Evidence{Source: c.source, Sequence: c.sequence}
+	e := Evidence{Source: c.source, Sequence: c.sequence, Stopped: c.stopped}
 	for _, cell := range c.cells {
 		if !c.matcher.add(now, cell, c.maxStrata) {
 			c.dropped++
@@ -194,8 +198,14 @@
 	return 0, judged
 }
 
+// scale returns the old version's median on a backend server. Beyond the bound
+// on strata the rest share one.
 func (c *Collector) scale(key scaleKey, kind int) *quantile {
 	q := c.scales[key]
+	if q == nil && len(c.scales) >= c.maxStrata {
+		key.server = ""
+		q = c.scales[key]
+	}
 	if q == nil {
 		q = new([numLatencies]quantile)
 		c.scales[key] = q
@@ -203,8 +213,14 @@
 	return &q[kind]
 }
 
+// limit returns the old version's slow quantile on a route. Beyond the bound on
+// strata the rest share one.
 func (c *Collector) limit(key limitKey, kind int) *quantile {
 	q := c.limits[key]
+	if q == nil && len(c.limits) >= c.maxStrata {
+		key.route = otherRoutes
+		q = c.limits[key]
+	}
 	if q == nil {
 		q = new([numLatencies]quantile)
 		c.limits[key] = q
--- a/rollout/event.go
+++ b/rollout/event.go
@@ -15,8 +15,7 @@
 // Judged brings the latest verdict on the new version.
 type Judged struct{ Verdict Verdict }
 
-// StopRequested takes the new version back, whether an operator asks for it or
-// a process has stopped sending to it on its own evidence.
+// StopRequested takes the new version back because an operator asks for it.
 type StopRequested struct{ Why string }
 
 // RecordDone ends a WriteRecord.
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -92,11 +92,14 @@
 	Uses       []Use       `json:"uses,omitempty"`
 	// Deaths are engine deaths that ended requests.
 	Deaths []Death `json:"deaths,omitempty"`
+	// Stopped says that the source has stopped sending to the new version
+	// on its own evidence. Every later report says so again.
+	Stopped bool `json:"stopped,omitempty"`
 }
 
 // Empty says that there is nothing to report.
 func (e *Evidence) Empty() bool {
-	return e.NewStarts == 0 && len(e.Increments)+len(e.Charges)+len(e.Uses)+len(e.Deaths) == 0
+	return !e.Stopped && e.NewStarts == 0 && len(e.Increments)+len(e.Charges)+len(e.Uses)+len(e.Deaths) == 0
 }
 
 // Criterion is what two versions are compared by.
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -71,6 +71,8 @@
 type Verdict struct {
 	// Stop says that the new version is bad. It stays set.
 	Stop bool
+	// StoppedBy names the process that stopped by itself, if one did.
+	StoppedBy string
 	// Suspicion is the strongest evidence as a part of what stops.
 	Suspicion float64
 	// NewStarts is the number of requests that the new version was sent.
@@ -91,6 +93,7 @@
 	began     time.Time
 	newStarts uint64
 	stop      bool
+	stoppedBy string
 	reasons   []Reason
 	dropped   uint64
 }
@@ -124,6 +127,11 @@
 	if j.began.IsZero() {
 		j.began = now
 	}
+	if e.Stopped && !j.stop {
+		j.reasons = j.strongest()
+		j.stop = true
+		j.stoppedBy = e.Source
+	}
 	j.newStarts += e.NewStarts
 	for _, use := range e.Uses {
 		j.deaths.used(now, use)
@@ -221,7 +229,7 @@
 		j.reasons = j.strongest()
 		j.stop = len(j.reasons) > 0 && j.reasons[0].Evidence >= j.reasons[0].Limit
 	}
-	v := Verdict{Stop: j.stop, NewStarts: j.newStarts, Reasons: j.reasons}
+	v := Verdict{Stop: j.stop, StoppedBy: j.stoppedBy, NewStarts: j.newStarts, Reasons: j.reasons}
 	if len(j.reasons) > 0 {
 		v.Suspicion = j.reasons[0].Evidence / j.reasons[0].Limit
 	}
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -227,6 +227,16 @@
 		}
 		So(d.test.totals.NewBad, ShouldEqual, 3)
 	})
+	Convey("The stop of one process stops all, whichever of its reports arrives", t, func() {
+		j := NewJudge(JudgeConfig{})
+		c := NewCollector("e1", testVersions)
+		c.Stopped()
+		lost := c.Flush(testStart)
+		So(lost.Empty(), ShouldBeFalse)
+		j.Merge(testStart, c.Flush(testStart))
+		So(j.Verdict().Stop, ShouldBeTrue)
+		So(j.Verdict().StoppedBy, ShouldEqual, "e1")
+	})
 	Convey("A report that arrives twice counts once", t, func() {
 		j := NewJudge(JudgeConfig{})
 		c := NewCollector("e1", testVersions)
--- a/rollout/move.go
+++ b/rollout/move.go
@@ -133,6 +133,9 @@
 }
 
 func reasonText(v Verdict) string {
+	if v.StoppedBy != "" {
+		return "stopped by " + v.StoppedBy + " on its own evidence"
+	}
 	if len(v.Reasons) == 0 {
 		return "stopped by the judge"
 	}
--- a/rollout/move_test.go
+++ b/rollout/move_test.go
@@ -264,7 +264,7 @@
 				}
 				next := s.holder(2)
 				if s.gate.Stopped() {
-					s.step(next, StopRequested{Why: "stopped by an entry"})
+					s.step(next, Judged{Verdict: Verdict{Stop: true, StoppedBy: "e1"}})
 				}
 				s.pass(next, 40*time.Minute)
 				watched := minute <= 29
