--- /dev/null
+++ b/test/faultproxy/hold.go
@@ -0,0 +1,72 @@
+package faultproxy
+
+// Hold stops one connection in one direction in front of the bytes that it
+// waits for, so that a test can act at that step.
+type Hold struct {
+	direction Direction
+	matches   func(data []byte) bool
+	reached   chan struct{}
+	released  chan struct{}
+}
+
+// Reached is closed as soon as the awaited bytes have arrived and are held.
+func (h *Hold) Reached() <-chan struct{} { return h.reached }
+
+// Hold arms a hold in front of the next chunk that matches, in place of an
+// earlier hold in that direction. A chunk is what one read from the sender
+// brings. Other connections go on. Release must follow.
+func (p *Proxy) Hold(direction Direction, matches func(data []byte) bool) *Hold {
+	h := &Hold{direction: direction, matches: matches, reached: make(chan struct{}), released: make(chan struct{})}
+	lanes := p.lanesOf(direction)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range lanes {
+		l.hold = h
+	}
+	return h
+}
+
+// Release lets the held bytes go on and disarms the hold. It must be called
+// once.
+func (p *Proxy) Release(h *Hold) {
+	lanes := p.lanesOf(h.direction)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range lanes {
+		if l.hold == h {
+			l.hold = nil
+		}
+	}
+	close(h.released)
+}
+
+// held returns the hold that data has to wait for, or nil.
+func (p *Proxy) held(d Direction, data []byte) *Hold {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.lanes[d].hold
+	if h == nil || !h.matches(data) {
+		return nil
+	}
+	for _, l := range p.lanes {
+		if l.hold == h {
+			l.hold = nil
+		}
+	}
+	close(h.reached)
+	return h
+}
+
+// await waits while c is held. It returns false if the link ended.
+func (l *link) await(d Direction, c chunk) bool {
+	h := l.proxy.held(d, c.data)
+	if h == nil {
+		return true
+	}
+	select {
+	case <-h.released:
+		return true
+	case <-l.done:
+		return false
+	}
+}
--- a/test/faultproxy/link.go
+++ b/test/faultproxy/link.go
@@ -137,7 +137,7 @@
 		case <-l.done:
 			return
 		}
-		if !l.clear(d, c.due) {
+		if !l.await(d, c) || !l.clear(d, c.due) {
 			return
 		}
 		if c.broken {
--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -61,6 +61,7 @@
 	delay     time.Duration
 	duplicate int
 	bytes     int64
+	hold      *Hold
 }
 
 // Proxy forwards connections to its target.
