Add the frame of the fault matrix: real processes, proxies between all pairs, steps and faults

Cause: the properties were tested in one process only, without faults of the network between real daemons. Change: realsystem puts a proxy on each connection and starts plain services; test/matrix brings each fault about when a request is at a step (bytes held in a proxy, counts of events, log events; no fixed sleeps but the 2 s bound itself) and checks what callers received and stand-ins ran. A daemon ends with its test.

--- /dev/null
+++ b/test/matrix/actor_test.go
@@ -0,0 +1,137 @@
+package matrix
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/embedded"
+	"github.com/wigeonfork/wigeonfork/entry/command"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+// maxReplyBytes bounds the replies that a caller of actions reads.
+const maxReplyBytes = 1 << 20
+
+// actionPath is the path at the plain service.
+const actionPath = "/certificates"
+
+// performed is what a caller got for one action.
+type performed struct {
+	key, body string
+	// reply is the service's; done tells whether it came.
+	reply string
+	done  bool
+	// givenUp: the caller took a refusal as not run for its final answer.
+	givenUp bool
+	// lost: the caller was told for good that the outcome is not known.
+	lost     bool
+	refusals []*problem.Error
+	err      error
+}
+
+// actor is a caller that sends one action until it has a final answer.
+type actor struct {
+	client  *http.Client
+	entries []string
+	// givesUp: the caller does not send again what was refused as not run.
+	givesUp  bool
+	result   performed
+	attempts int
+}
+
+func newActor(entries []string, body string, givesUp bool) (*actor, error) {
+	key, err := action.NewKey(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return &actor{client: newActorClient(), entries: entries, givesUp: givesUp, result: performed{key: string(key), body: body}}, nil
+}
+
+// actionPatience is how long a caller waits for one attempt at an action.
+const actionPatience = 4 * time.Second
+
+func newActorClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: actionPatience}
+}
+
+// perform sends the action until its final answer or until ctx ends.
+func (a *actor) perform(ctx context.Context) performed {
+	for {
+		err := a.attempt(ctx)
+		if err == nil {
+			return a.result
+		}
+		wait := reconnectDelay
+		var typed *problem.Error
+		if errors.As(err, &typed) {
+			a.result.refusals = append(a.result.refusals, typed)
+			if a.final(typed) {
+				return a.result
+			}
+			wait = max(wait, typed.RetryAfter)
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			a.result.err = errors.CombineErrors(errors.New("no final answer in time"), err)
+			return a.result
+		}
+	}
+}
+
+// final notes a typed error and tells whether the caller stops there.
+func (a *actor) final(typed *problem.Error) bool {
+	switch {
+	case typed.Run == problem.RunNot && a.givesUp:
+		a.result.givenUp = true
+	case typed.RetryAfter > 0:
+		return false
+	case typed.Code == problem.CodeOutcomeUnknown:
+		a.result.lost = true
+	default:
+		a.result.err = typed
+	}
+	return true
+}
+
+func (a *actor) attempt(ctx context.Context) error {
+	entry := a.entries[a.attempts%len(a.entries)]
+	first := a.attempts == 0
+	a.attempts++
+	url := "http://" + entry + "/v1/actions/" + string(embedded.Service) + actionPath
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(a.result.body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set(command.HeaderWorkspace, string(embedded.Workspace))
+	// Without GetBody the transport does not repeat the request by itself.
+	request.GetBody = nil
+	request.Header.Set(command.HeaderIdempotencyKey, a.result.key)
+	if first {
+		request.Header.Set(command.HeaderFirst, "true")
+	}
+	response, err := a.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return err
+	}
+	if typed := problem.Unmarshal(body); typed != nil {
+		return typed
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("status %d without a typed error", response.StatusCode)
+	}
+	a.result.done = true
+	a.result.reply = string(body)
+	return nil
+}
--- /dev/null
+++ b/test/matrix/bench_test.go
@@ -0,0 +1,221 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/caller"
+	"github.com/wigeonfork/wigeonfork/embedded"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+	"github.com/wigeonfork/wigeonfork/template"
+	"github.com/wigeonfork/wigeonfork/test/process"
+	"github.com/wigeonfork/wigeonfork/test/realsystem"
+)
+
+const (
+	entries = 2
+	engines = 3
+	// tokens is the length of an answer.
+	tokens          = 90
+	tokensPerSecond = 100
+	// companions are the other requests under way while a fault comes.
+	companions = 2
+	// stepTimeout bounds the wait for a step that is never reached.
+	stepTimeout = 15 * time.Second
+	// drainLimit is the setting of all processes.
+	drainLimit = 5 * time.Second
+	pollEvery  = 5 * time.Millisecond
+)
+
+// The two versions that take traffic in equal shares, so that an answer from
+// two of them shows.
+const (
+	firstVersion  wigeonfork.Version = "v1"
+	secondVersion wigeonfork.Version = "v2"
+)
+
+// bench is one cell's system and what its callers got.
+type bench struct {
+	*realsystem.System
+	random *rand.Rand
+	name   string
+	// victim is the index of the engine or service, and its agent, that the
+	// fault is for.
+	victim int
+	// planned are the processes that were asked to stop.
+	planned []*planned
+	// killed are those that the fault ended.
+	killed map[*process.Process]bool
+	// givesUp: callers of actions do not send again what was not run.
+	givesUp bool
+	// sendsToLeaving breaks the rule for leaving backend servers on purpose.
+	sendsToLeaving bool
+	// spoil goes to the main reader; see there.
+	spoil func(index int, event caller.Event) []caller.Event
+	// heals undo faults, in their order.
+	heals []func() error
+
+	workers sync.WaitGroup
+	mu      sync.Mutex
+	answers []received
+	actions []performed
+}
+
+// versions are those of the model that every engine holds.
+func versions() []backend.LoadedVersion {
+	return []backend.LoadedVersion{
+		{Model: embedded.Model, Version: firstVersion, Ready: true},
+		{Model: embedded.Model, Version: secondVersion, Ready: true},
+	}
+}
+
+func configuration(engines, services int) *template.Config {
+	config := &template.Config{Revision: 1}
+	if engines > 0 {
+		d := template.Deployment{
+			Name: embedded.Deployment, Model: embedded.Model,
+			Workspaces: []template.Binding{{Workspace: embedded.Workspace}},
+			Versions: []template.VersionShare{
+				{Version: firstVersion, Share: template.WholeTraffic / 2},
+				{Version: secondVersion, Share: template.WholeTraffic / 2},
+			},
+		}
+		for i := range engines {
+			d.BackendServers = append(d.BackendServers, embedded.ServerID(i))
+		}
+		config.Deployments = append(config.Deployments, d)
+	}
+	if services > 0 {
+		d := template.Deployment{
+			Name: embedded.ServiceDeployment, Model: embedded.Service,
+			Workspaces: []template.Binding{{Workspace: embedded.Workspace}},
+			Versions:   []template.VersionShare{{Version: firstVersion, Share: template.WholeTraffic}},
+		}
+		for i := range services {
+			d.BackendServers = append(d.BackendServers, embedded.ServiceID(i))
+		}
+		config.Deployments = append(config.Deployments, d)
+	}
+	return config
+}
+
+// newBench starts a system for one cell.
+func newBench(name string, engineCount, services int) (*bench, error) {
+	options := realsystem.Options{
+		Binaries: binaries, Entries: entries, Services: services, Proxies: true,
+		Configuration: configuration(engineCount, services),
+		Environment:   []string{"WIGEON_DRAIN_LIMIT=" + drainLimit.String()},
+	}
+	for range engineCount {
+		options.Engines = append(options.Engines, engine.Options{
+			Versions: versions(), TokensPerSecond: tokensPerSecond, BufferFor: time.Minute,
+		})
+	}
+	system, err := realsystem.Start(options)
+	if err != nil {
+		return nil, err
+	}
+	return &bench{System: system, random: newRandom(name), name: name, killed: map[*process.Process]bool{}}, nil
+}
+
+// newRandom returns the generator of a cell's sizes. It depends on the seed of
+// the run and the cell alone.
+func newRandom(name string) *rand.Rand {
+	hash := uint64(14695981039346656037)
+	for _, b := range []byte(name) {
+		hash = (hash ^ uint64(b)) * 1099511628211
+	}
+	return rand.New(rand.NewPCG(uint64(*seed), hash))
+}
+
+func (b *bench) addresses() []string {
+	var addresses []string
+	for _, e := range b.Entries {
+		addresses = append(addresses, e.Address())
+	}
+	return addresses
+}
+
+// request returns a request whose prompt no other one of the cell has.
+func (b *bench) request(label string) caller.Request {
+	return caller.Request{
+		Workspace: embedded.Workspace, Model: embedded.Model, MaxTokens: tokens, Seed: uint64(*seed),
+		Prompt: fmt.Sprintf("tokens=%d %s of %s", tokens+10, label, b.name),
+	}
+}
+
+// ask has a caller read an answer and calls onEvent with the count of events.
+func (b *bench) ask(r *reader, onEvent func(int)) {
+	r.onEvent = onEvent
+	b.workers.Add(1)
+	go func() {
+		defer b.workers.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), cellTimeout)
+		defer cancel()
+		result := r.read(ctx)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.answers = append(b.answers, result)
+	}()
+}
+
+// askCompanions sends the other requests of the cell.
+func (b *bench) askCompanions() {
+	for i := range companions {
+		b.ask(newReader(b.addresses(), b.request(fmt.Sprintf("companion %d", i))), nil)
+	}
+}
+
+// running returns the index of the engine that generates, or -1. It is asked
+// while one request is under way.
+func (b *bench) running() int {
+	for i, e := range b.World.Engines {
+		for _, run := range e.Runs() {
+			if run.End == engine.RunOpen && run.Until > run.From {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// heal undoes all faults.
+func (b *bench) heal() error {
+	var failed error
+	for _, undo := range b.heals {
+		failed = errors.CombineErrors(failed, undo())
+	}
+	b.heals = nil
+	return failed
+}
+
+func (b *bench) onHeal(undo func() error) { b.heals = append(b.heals, undo) }
+
+// poll waits until cond holds.
+func poll(what string, cond func() bool) error {
+	deadline := time.Now().Add(stepTimeout)
+	for !cond() {
+		if time.Now().After(deadline) {
+			return errors.Newf("%s: not within %s", what, stepTimeout)
+		}
+		time.Sleep(pollEvery)
+	}
+	return nil
+}
+
+// await waits for an event.
+func await(what string, event <-chan struct{}) error {
+	select {
+	case <-event:
+		return nil
+	case <-time.After(stepTimeout):
+		return errors.Newf("%s: not within %s", what, stepTimeout)
+	}
+}
--- /dev/null
+++ b/test/matrix/cell_test.go
@@ -0,0 +1,121 @@
+package matrix
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// cell is one fault at one step.
+type cell struct {
+	step  string
+	fault string
+	// ci: the cell belongs to the part that CI holds.
+	ci    bool
+	allow allowance
+	run   func(c *cell) ([]string, error)
+}
+
+func (c *cell) name() string { return c.step + " / " + c.fault }
+
+// result is what came of a cell.
+type result struct {
+	cell  *cell
+	wrong []string
+	took  time.Duration
+}
+
+func (r result) passed() bool { return len(r.wrong) == 0 }
+
+// runCells runs cells, some at a time, and returns their results in order.
+func runCells(t *testing.T, cells []*cell) []result {
+	results := make([]result, len(cells))
+	indexes := make(chan int)
+	var workers sync.WaitGroup
+	for range *atOnce {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			for i := range indexes {
+				results[i] = cells[i].result()
+				t.Logf("%-6t %5.1fs %s %v", results[i].passed(), results[i].took.Seconds(), cells[i].name(), results[i].wrong)
+			}
+		}()
+	}
+	for i := range cells {
+		indexes <- i
+	}
+	close(indexes)
+	workers.Wait()
+	return results
+}
+
+func (c *cell) result() result {
+	began := time.Now()
+	wrong, err := c.run(c)
+	if err != nil {
+		wrong = append(wrong, fmt.Sprintf("cell not brought about: %v", err))
+	}
+	return result{cell: c, wrong: wrong, took: time.Since(began)}
+}
+
+// chosen returns the cells that the flags ask for.
+func chosen(cells []*cell) []*cell {
+	var some []*cell
+	for _, c := range cells {
+		if (*full || c.ci) && strings.Contains(c.name(), *only) {
+			some = append(some, c)
+		}
+	}
+	return some
+}
+
+// generationCell returns the cell of faults that come together at a step of a
+// generation.
+func generationCell(s step, allow allowance, faults ...fault) *cell {
+	return &cell{step: s.name, fault: names(faults), allow: allow, run: func(c *cell) ([]string, error) {
+		b, err := newBench(c.name(), engines, 0)
+		if err != nil {
+			return nil, err
+		}
+		defer b.Close()
+		return b.generate(s, faults, c.allow)
+	}}
+}
+
+func names(faults []fault) string {
+	var all []string
+	for _, f := range faults {
+		all = append(all, f.name)
+	}
+	return strings.Join(all, " + ")
+}
+
+// generate brings the faults about at the step of a generation and returns
+// what is wrong once all answers are there and all processes have stopped.
+func (b *bench) generate(s step, faults []fault, allow allowance) ([]string, error) {
+	release, err := s.arrive(b)
+	if err == nil {
+		b.askCompanions()
+		err = b.applyAll(faults)
+		release()
+	}
+	b.workers.Wait()
+	if healErr := b.heal(); err == nil {
+		err = healErr
+	}
+	b.stopAll()
+	wrong := append(b.plannedFailures(), b.violations(allow)...)
+	return wrong, err
+}
+
+func (b *bench) applyAll(faults []fault) error {
+	for _, f := range faults {
+		if err := f.apply(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/test/matrix/drain_test.go
@@ -0,0 +1,73 @@
+package matrix
+
+import (
+	"strings"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/test/process"
+)
+
+// stopTimeout bounds the time that a process asked to stop may take: the drain
+// limit, and what is far beyond the time to hand over and end.
+const stopTimeout = drainLimit + 30*time.Second
+
+// planned is a stop that was asked for.
+type planned struct {
+	process *process.Process
+	role    string
+}
+
+// drain asks a process to stop and waits until it has begun to leave.
+func (b *bench) drain(p *process.Process, role string) error {
+	if err := p.Terminate(); err != nil {
+		return err
+	}
+	b.planned = append(b.planned, &planned{process: p, role: role})
+	return poll(role+" begins to leave", func() bool { return strings.Contains(p.Log(), "drain_started") })
+}
+
+// stopAll asks the processes that still run to stop, after the answers, so
+// that all that they had under way is done.
+func (b *bench) stopAll() {
+	for _, e := range b.Entries {
+		b.stop(e.Process, "entry")
+	}
+	for _, a := range append(append(b.Agents[:0:0], b.Agents...), b.ServiceAgents...) {
+		b.stop(a.Process, "agent")
+	}
+}
+
+func (b *bench) stop(p *process.Process, role string) {
+	select {
+	case <-p.Ended():
+		return
+	default:
+	}
+	for _, s := range b.planned {
+		if s.process == p {
+			return
+		}
+	}
+	if p.Terminate() == nil {
+		b.planned = append(b.planned, &planned{process: p, role: role})
+	}
+}
+
+// plannedFailures waits for the ends of the planned stops and returns what was
+// wrong with them.
+func (b *bench) plannedFailures() []string {
+	var wrong []string
+	limit := time.After(stopTimeout)
+	for _, s := range b.planned {
+		select {
+		case <-s.process.Ended():
+		case <-limit:
+			wrong = append(wrong, s.role+" has not ended after it was asked to stop")
+			continue
+		}
+		if err := s.process.Err(); err != nil && !b.killed[s.process] {
+			wrong = append(wrong, s.role+" asked to stop ended with "+err.Error())
+		}
+	}
+	return wrong
+}
--- /dev/null
+++ b/test/matrix/faults_test.go
@@ -0,0 +1,241 @@
+package matrix
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+	"github.com/wigeonfork/wigeonfork/standin/table"
+	"github.com/wigeonfork/wigeonfork/test/faultproxy"
+	"github.com/wigeonfork/wigeonfork/test/process"
+	"github.com/wigeonfork/wigeonfork/test/realsystem"
+)
+
+// fault is something that goes wrong. apply brings it about and tells the
+// bench how to undo it.
+type fault struct {
+	name  string
+	apply func(b *bench) error
+}
+
+const (
+	// linkDelay is added to each byte on a slow link.
+	linkDelay = 150 * time.Millisecond
+	// storeDelay is how long a slow table takes for each call.
+	storeDelay = 700 * time.Millisecond
+	// maxCutBytes bounds the bytes that pass before a cut.
+	maxCutBytes = 1500
+	// duplicates is the number of chunks that are repeated.
+	duplicates = 3
+	// slowFactor multiplies the time of each token of a slow engine.
+	slowFactor = 4
+	// hostLag is the lag of a late list of hosts.
+	hostLag = 10 * time.Second
+)
+
+func (b *bench) agent() *realsystem.Agent {
+	if len(b.ServiceAgents) > 0 {
+		return b.ServiceAgents[b.victim]
+	}
+	return b.Agents[b.victim]
+}
+
+func (b *bench) allAgents() []*realsystem.Agent {
+	return append(append([]*realsystem.Agent{}, b.Agents...), b.ServiceAgents...)
+}
+
+func (b *bench) kill(p *process.Process) {
+	b.killed[p] = true
+	p.Kill()
+}
+
+func killEntry(b *bench) error { b.kill(b.Entries[0].Process); return nil }
+func killAgent(b *bench) error { b.kill(b.agent().Process); return nil }
+
+// killBackend kills the backend server and starts it again at the end.
+func killBackend(b *bench) error {
+	if len(b.ServiceAgents) > 0 {
+		b.World.ServiceServers[b.victim].Kill()
+		b.onHeal(b.World.ServiceServers[b.victim].Restart)
+		return nil
+	}
+	b.World.Engines[b.victim].Kill()
+	b.onHeal(b.World.Engines[b.victim].Restart)
+	return nil
+}
+
+func killHost(b *bench) error {
+	if err := killBackend(b); err != nil {
+		return err
+	}
+	return killAgent(b)
+}
+
+func restartEntry(b *bench) error {
+	b.kill(b.Entries[0].Process)
+	return b.Entries[0].Start()
+}
+
+func restartAgent(b *bench) error {
+	b.kill(b.agent().Process)
+	return b.agent().Start()
+}
+
+func restartBackend(b *bench) error {
+	if err := killBackend(b); err != nil {
+		return err
+	}
+	return b.heal()
+}
+
+func pauseEntry(b *bench) error { return b.pause(b.Entries[0].Process) }
+func pauseAgent(b *bench) error { return b.pause(b.agent().Process) }
+
+func (b *bench) pause(p *process.Process) error {
+	b.onHeal(p.Continue)
+	return p.Pause()
+}
+
+func pauseBackend(b *bench) error {
+	if len(b.ServiceAgents) > 0 {
+		b.World.ServiceServers[b.victim].Pause()
+		server := b.World.ServiceServers[b.victim]
+		b.onHeal(func() error { server.Continue(); return nil })
+		return nil
+	}
+	e := b.World.Engines[b.victim]
+	e.Pause()
+	b.onHeal(func() error { e.Continue(); return nil })
+	return nil
+}
+
+func (b *bench) updateEngine(change, back func(*engine.Options)) error {
+	e := b.World.Engines[b.victim]
+	e.Update(change)
+	b.onHeal(func() error { e.Update(back); return nil })
+	return nil
+}
+
+func slowEngine(b *bench) error {
+	return b.updateEngine(func(o *engine.Options) { o.SlowFactor = slowFactor }, func(o *engine.Options) { o.SlowFactor = 0 })
+}
+
+func stuckEngine(b *bench) error {
+	return b.updateEngine(func(o *engine.Options) { o.Stuck = true }, func(o *engine.Options) { o.Stuck = false })
+}
+
+// processFaults are those of processes and backend servers.
+var processFaults = []fault{
+	{"kill entry", killEntry},
+	{"kill agent", killAgent},
+	{"kill backend server", killBackend},
+	{"kill agent and backend server", killHost},
+	{"restart entry with empty memory", restartEntry},
+	{"restart agent with empty memory", restartAgent},
+	{"restart backend server with empty memory", restartBackend},
+	{"pause entry", pauseEntry},
+	{"pause agent", pauseAgent},
+	{"pause backend server", pauseBackend},
+}
+
+// engineFaults are those that only engines have.
+var engineFaults = []fault{
+	{"engine slow", slowEngine},
+	{"engine stuck", stuckEngine},
+}
+
+func (b *bench) updateTable(change, back func(*table.Table)) error {
+	change(b.World.Table)
+	b.onHeal(func() error { back(b.World.Table); return nil })
+	return nil
+}
+
+// platformFaults are those of the platform's services.
+var platformFaults = []fault{
+	{"store down", func(b *bench) error {
+		return b.updateTable(func(t *table.Table) { t.SetDown(true) }, func(t *table.Table) { t.SetDown(false) })
+	}},
+	{"store slow", func(b *bench) error {
+		return b.updateTable(func(t *table.Table) { t.SetDelay(storeDelay) }, func(t *table.Table) { t.SetDelay(0) })
+	}},
+	{"store answer lost after write", func(b *bench) error {
+		return b.updateTable(func(t *table.Table) { t.LoseNextAnswers(1) }, func(t *table.Table) { t.LoseNextAnswers(0) })
+	}},
+	{"host list down", func(b *bench) error {
+		b.World.Hosts.SetDown(true)
+		b.onHeal(func() error { b.World.Hosts.SetDown(false); return nil })
+		return nil
+	}},
+	{"host list late", func(b *bench) error {
+		b.World.Hosts.SetLag(hostLag)
+		b.onHeal(func() error { b.World.Hosts.SetLag(0); return nil })
+		return nil
+	}},
+}
+
+// link is a kind of connection between two processes.
+type link struct {
+	name  string
+	proxy func(b *bench) *faultproxy.Proxy
+}
+
+var links = []link{
+	{"caller-entry", func(b *bench) *faultproxy.Proxy { return b.Entries[0].Callers }},
+	{"entry-agent", func(b *bench) *faultproxy.Proxy { return b.agent().Requests }},
+	{"entry-agent control", func(b *bench) *faultproxy.Proxy { return b.agent().Peers }},
+	{"agent-backend server", func(b *bench) *faultproxy.Proxy { return b.agent().Backend }},
+	{"entry-table", func(b *bench) *faultproxy.Proxy { return b.Entries[0].Table }},
+	{"entry-hosts", func(b *bench) *faultproxy.Proxy { return b.Entries[0].Hosts }},
+}
+
+// agentTable is the link of agents beside plain services alone.
+var agentTable = link{"agent-table", func(b *bench) *faultproxy.Proxy { return b.agent().Table }}
+
+// faultsOf returns the faults of one link.
+func faultsOf(l link) []fault {
+	on := func(name string, apply func(b *bench, p *faultproxy.Proxy) error) fault {
+		return fault{name + " " + l.name, func(b *bench) error { return apply(b, l.proxy(b)) }}
+	}
+	return []fault{
+		on("reset", func(_ *bench, p *faultproxy.Proxy) error { p.ResetAll(); return nil }),
+		on("black hole to server on", blackHole(faultproxy.ToServer)),
+		on("black hole to client on", blackHole(faultproxy.ToClient)),
+		on("black hole both ways on", blackHole(faultproxy.Both)),
+		on("delay on", func(b *bench, p *faultproxy.Proxy) error {
+			p.SetDelay(faultproxy.Both, linkDelay)
+			b.onHeal(func() error { p.SetDelay(faultproxy.Both, 0); return nil })
+			return nil
+		}),
+		on("cut after n bytes on", cut(false)),
+		on("silent cut after n bytes on", cut(true)),
+		on("refuse connections on", func(b *bench, p *faultproxy.Proxy) error {
+			p.Refuse()
+			p.ResetAll()
+			b.onHeal(p.Admit)
+			return nil
+		}),
+	}
+}
+
+// duplicateOn repeats what goes to the server of a link, or to its client.
+func duplicateOn(l link, name string, direction faultproxy.Direction) fault {
+	return fault{"duplicate " + name + " on " + l.name, func(b *bench) error {
+		l.proxy(b).DuplicateNext(direction, duplicates)
+		return nil
+	}}
+}
+
+func blackHole(direction faultproxy.Direction) func(*bench, *faultproxy.Proxy) error {
+	return func(b *bench, p *faultproxy.Proxy) error {
+		p.SetBlackHole(direction, true)
+		b.onHeal(func() error { p.SetBlackHole(direction, false); return nil })
+		return nil
+	}
+}
+
+func cut(silent bool) func(*bench, *faultproxy.Proxy) error {
+	return func(b *bench, p *faultproxy.Proxy) error {
+		p.Arm(faultproxy.Cut{Direction: faultproxy.ToClient, After: b.random.Int64N(maxCutBytes), Silent: silent})
+		b.onHeal(func() error { p.Disarm(); return nil })
+		return nil
+	}
+}
--- /dev/null
+++ b/test/matrix/leaving_test.go
@@ -0,0 +1,115 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/embedded"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+)
+
+const (
+	// leavingGrace is the time after which a leaving backend server gets no new
+	// work.
+	leavingGrace = 2 * time.Second
+	// lateRequests are sent after that time.
+	lateRequests = 8
+	// lingerFactor slows the engines so that an answer outlasts the grace.
+	lingerFactor = 5
+)
+
+// leavingCell asks an agent to stop while a long answer keeps it alive, and
+// sends more requests once the grace is over.
+func leavingCell(faults ...fault) *cell {
+	return &cell{step: "leaving", fault: names(faults), run: func(c *cell) ([]string, error) {
+		b, err := newBench(c.name(), engines, 0)
+		if err != nil {
+			return nil, err
+		}
+		defer b.Close()
+		return b.leave(faults)
+	}}
+}
+
+func (b *bench) leave(faults []fault) ([]string, error) {
+	err := b.beginLeaving(faults)
+	var wrong []string
+	if err == nil {
+		wrong, err = b.sendLate()
+	}
+	b.workers.Wait()
+	if healErr := b.heal(); err == nil {
+		err = healErr
+	}
+	b.stopAll()
+	wrong = append(wrong, b.plannedFailures()...)
+	return append(wrong, b.violations(allowance{})...), err
+}
+
+func (b *bench) beginLeaving(faults []fault) error {
+	if err := b.arriveMid(); err != nil {
+		return err
+	}
+	for _, e := range b.World.Engines {
+		e.Update(func(o *engine.Options) { o.SlowFactor = lingerFactor })
+	}
+	if err := b.applyAll(faults); err != nil {
+		return err
+	}
+	return b.drain(b.Agents[b.victim].Process, "agent")
+}
+
+// sendLate sends requests after the grace and returns which of them reached
+// the leaving backend server.
+func (b *bench) sendLate() ([]string, error) {
+	// The grace is the stated bound itself.
+	time.Sleep(leavingGrace)
+	leaving := b.World.Engines[b.victim]
+	before := len(leaving.Runs())
+	for i := range lateRequests {
+		b.ask(newReader(b.addresses(), b.request(fmt.Sprintf("late %d", i))), nil)
+	}
+	if b.sendsToLeaving {
+		if err := b.runAt(leaving.Addr()); err != nil {
+			return nil, err
+		}
+	}
+	err := poll("late requests run", func() bool { return b.lateRuns(before) >= lateRequests })
+	if late := len(leaving.Runs()) - before; late > 0 {
+		return []string{fmt.Sprintf("leaving backend server got %d new requests after %s", late, leavingGrace)}, err
+	}
+	return nil, err
+}
+
+// lateRuns counts the runs of the late requests over all engines.
+func (b *bench) lateRuns(beforeAtLeaving int) int {
+	runs := 0
+	for i, e := range b.World.Engines {
+		for _, run := range e.Runs() {
+			if run.From == 0 {
+				runs++
+			}
+		}
+		if i == b.victim {
+			runs -= beforeAtLeaving
+		}
+	}
+	return runs
+}
+
+// runAt has the engine at address run a request apart from the system.
+func (b *bench) runAt(address string) error {
+	client := httpbackend.NewEngine(httpbackend.Options{Address: address})
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	stream, err := client.Generate(ctx, backend.GenerateRequest{
+		StreamID: "stray", Model: embedded.Model, Version: firstVersion, Prompt: "stray", MaxTokens: 1,
+	})
+	if err != nil {
+		return err
+	}
+	return stream.Close()
+}
--- /dev/null
+++ b/test/matrix/matrix_test.go
@@ -0,0 +1,21 @@
+package matrix
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestMatrix(t *testing.T) {
+	results := runCells(t, chosen(allCells()))
+	for _, r := range results {
+		Convey(r.cell.name(), t, func() {
+			So(r.wrong, ShouldBeEmpty)
+		})
+	}
+	if *writeTable && *full {
+		Convey("The report is written", t, func() {
+			So(saveReport(results), ShouldBeNil)
+		})
+	}
+}
--- /dev/null
+++ b/test/matrix/reader_test.go
@@ -0,0 +1,163 @@
+package matrix
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/caller"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/problem"
+)
+
+const (
+	// patience is how long a caller waits for the next event before it goes to
+	// another entry.
+	patience = 3 * time.Second
+	// reconnectDelay is the least time between two attempts of a caller.
+	reconnectDelay = 50 * time.Millisecond
+	// cellTimeout bounds what a caller waits for its whole answer.
+	cellTimeout = 40 * time.Second
+)
+
+// errSilent ends an attempt on which nothing came for the caller's patience.
+var errSilent = errors.New("no event within the caller's patience")
+
+// received is what a caller got for one request.
+type received struct {
+	request caller.Request
+	text    []byte
+	last    caller.Event
+	// positions are those of the events since the last start from nothing.
+	positions []wigeonfork.Position
+	// breaks counts the attempts that ended without a final event or error.
+	breaks int
+	// restarts counts the starts from nothing after tokens had come, or after
+	// an error that is no refusal.
+	restarts int
+	// refusals are the typed errors, each with what it says of the run.
+	refusals []*problem.Error
+	err      error
+}
+
+// reader is a caller that goes on with its answer through other entries.
+type reader struct {
+	client  *caller.Client
+	entries []string
+	onEvent func(count int)
+	// spoil replaces an event by others; it breaks answers on purpose to show
+	// that the checks find it. Nil leaves all as it is.
+	spoil func(index int, event caller.Event) []caller.Event
+
+	result   received
+	attempts int
+	events   int
+	lastID   string
+}
+
+func newReader(entries []string, request caller.Request) *reader {
+	client := &caller.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &reader{client: client, entries: entries, result: received{request: request}}
+}
+
+// read reads the answer to its end or until ctx ends.
+func (r *reader) read(ctx context.Context) received {
+	for {
+		err := r.attempt(ctx)
+		if err == nil {
+			return r.result
+		}
+		wait := reconnectDelay
+		var typed *problem.Error
+		if errors.As(err, &typed) {
+			r.result.refusals = append(r.result.refusals, typed)
+			if typed.RetryAfter == 0 {
+				r.result.err = typed
+				return r.result
+			}
+			r.refused(typed)
+			wait = max(wait, typed.RetryAfter)
+		} else {
+			r.result.breaks++
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			r.result.err = errors.CombineErrors(errors.New("answer is not whole in time"), err)
+			return r.result
+		}
+	}
+}
+
+// refused prepares the next attempt after a typed error: a resume that was not
+// run is sent again, all else begins from nothing.
+func (r *reader) refused(typed *problem.Error) {
+	if typed.Run == problem.RunNot {
+		return
+	}
+	r.result.restarts++
+	r.result.text = nil
+	r.result.positions = nil
+	r.lastID = ""
+}
+
+func (r *reader) attempt(ctx context.Context) error {
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(patience, func() { cancel(errSilent) })
+	defer silence.Stop()
+	entry := r.entries[r.attempts%len(r.entries)]
+	r.attempts++
+	stream, err := r.open(attempt, entry)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		silence.Reset(patience)
+		r.take(event)
+	}
+}
+
+func (r *reader) open(ctx context.Context, entry string) (*caller.Stream, error) {
+	if r.lastID == "" {
+		return r.client.Start(ctx, entry, r.result.request)
+	}
+	return r.client.Resume(ctx, entry, r.result.request.Workspace, r.lastID)
+}
+
+func (r *reader) take(event caller.Event) {
+	r.events++
+	events := []caller.Event{event}
+	if r.spoil != nil {
+		events = r.spoil(r.events, event)
+	}
+	for _, e := range events {
+		r.keep(e)
+	}
+	if r.onEvent != nil {
+		r.onEvent(r.events)
+	}
+}
+
+func (r *reader) keep(event caller.Event) {
+	if event.ID != "" {
+		r.lastID = event.ID
+		if _, position, err := generation.ParseEventID(event.ID); err == nil {
+			r.result.positions = append(r.result.positions, position)
+		}
+	}
+	r.result.text = append(r.result.text, event.Text...)
+	r.result.last = event
+}
--- a/test/process/process.go
+++ b/test/process/process.go
@@ -67,6 +67,8 @@
 func (b *Binaries) Start(program string, environment ...string) (*Process, error) {
 	command := exec.Command(b.Path(program))
 	command.Env = append(os.Environ(), environment...)
+	// A test that is ended by its time limit leaves no daemon behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p := &Process{command: command, ended: make(chan struct{})}
 	command.Stderr = logWriter{p}
 	out, err := command.StdoutPipe()
--- /dev/null
+++ b/test/realsystem/node.go
@@ -0,0 +1,185 @@
+package realsystem
+
+import (
+	"fmt"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/embedded"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/test/faultproxy"
+	"github.com/wigeonfork/wigeonfork/test/process"
+)
+
+// Entry is an entry with the proxies around it, which are nil in a system
+// without proxies.
+type Entry struct {
+	*process.Process
+	// Callers stands between callers and the entry.
+	Callers *faultproxy.Proxy
+	// Table and Hosts stand before the platform's services.
+	Table *faultproxy.Proxy
+	Hosts *faultproxy.Proxy
+
+	system *System
+	host   string
+	index  int
+}
+
+// Agent is an agent with the proxies around it, which are nil in a system
+// without proxies.
+type Agent struct {
+	*process.Process
+	// Requests and Peers stand between entries and the agent's two listeners.
+	Requests *faultproxy.Proxy
+	Peers    *faultproxy.Proxy
+	// Backend stands before the backend server, Table before the platform's
+	// service.
+	Backend *faultproxy.Proxy
+	Table   *faultproxy.Proxy
+
+	system *System
+	place  place
+}
+
+// place is where an agent stands.
+type place struct {
+	host    string
+	index   int
+	server  wigeonfork.BackendServerID
+	kind    string
+	backend string
+}
+
+func engineAgent(i int, backend string) place {
+	return place{host: fmt.Sprintf("agent-%d", i), index: i, server: embedded.ServerID(i), kind: "engine", backend: backend}
+}
+
+func serviceAgent(i int, backend string) place {
+	return place{host: fmt.Sprintf("service-agent-%d", i), index: i, server: embedded.ServiceID(i), kind: "service", backend: backend}
+}
+
+// proxied returns a proxy to target and the address to use for it: the
+// target's own in a system without proxies.
+func (s *System) proxied(proxy **faultproxy.Proxy, target string) (string, error) {
+	if !s.options.Proxies {
+		return target, nil
+	}
+	if *proxy != nil {
+		(*proxy).SetTarget(target)
+		return (*proxy).Addr(), nil
+	}
+	var err error
+	if *proxy, err = faultproxy.New(target); err != nil {
+		return "", err
+	}
+	return (*proxy).Addr(), nil
+}
+
+func (s *System) addEntry(i int) error {
+	e := &Entry{system: s, host: fmt.Sprintf("entry-%d", i), index: i}
+	s.Entries = append(s.Entries, e)
+	return e.Start()
+}
+
+// Start starts the entry's process, or a new one after its end. Its addresses
+// stay the same in a system with proxies.
+func (e *Entry) Start() error {
+	s := e.system
+	table, err := s.proxied(&e.Table, s.World.TableServer.Addr())
+	if err != nil {
+		return err
+	}
+	hosts, err := s.proxied(&e.Hosts, s.World.HostsServer.Addr())
+	if err != nil {
+		return err
+	}
+	environment := append(s.environment(e.host, e.index, table, hosts), "WIGEON_HANDLE_KEY="+handleKey)
+	if e.Process, err = s.options.Binaries.Start("wigeonfork-entry", environment...); err != nil {
+		return err
+	}
+	serve, err := s.proxied(&e.Callers, e.Serve)
+	if err != nil {
+		return err
+	}
+	s.World.Hosts.Put(platform.Host{
+		ID: wigeonfork.HostID(e.host), Role: platform.RoleEntry, State: platform.HostLive, Region: "local",
+		Domain: wigeonfork.FailureDomain(domainOf(e.index)), ServeAddress: serve, ControlAddress: e.Control,
+	})
+	return nil
+}
+
+// Address returns where callers reach the entry.
+func (e *Entry) Address() string {
+	if e.Callers != nil {
+		return e.Callers.Addr()
+	}
+	return e.Serve
+}
+
+func (e *Entry) close() {
+	if e.Process != nil {
+		e.Kill()
+	}
+	closeAll(e.Callers, e.Table, e.Hosts)
+}
+
+func (s *System) addAgent(to *[]*Agent, p place) error {
+	a := &Agent{system: s, place: p}
+	*to = append(*to, a)
+	return a.Start()
+}
+
+// Start starts the agent's process, or a new one after its end. Its addresses
+// stay the same in a system with proxies.
+func (a *Agent) Start() error {
+	s := a.system
+	table, err := s.proxied(&a.Table, s.World.TableServer.Addr())
+	if err != nil {
+		return err
+	}
+	backend, err := s.proxied(&a.Backend, a.place.backend)
+	if err != nil {
+		return err
+	}
+	environment := append(s.environment(a.place.host, a.place.index, table, s.World.HostsServer.Addr()),
+		"WIGEON_BACKEND_SERVER="+string(a.place.server),
+		"WIGEON_BACKEND_KIND="+a.place.kind,
+		"WIGEON_BACKEND_ADDRESS="+backend)
+	if a.Process, err = s.options.Binaries.Start("wigeonfork-agent", environment...); err != nil {
+		return err
+	}
+	return a.list()
+}
+
+func (a *Agent) list() error {
+	s := a.system
+	serve, err := s.proxied(&a.Requests, a.Serve)
+	if err != nil {
+		return err
+	}
+	control, err := s.proxied(&a.Peers, a.Control)
+	if err != nil {
+		return err
+	}
+	s.World.Hosts.Put(platform.Host{
+		ID: wigeonfork.HostID(a.place.host), Role: platform.RoleAgent, State: platform.HostLive, Region: "local",
+		Domain: wigeonfork.FailureDomain(domainOf(a.place.index)), ServeAddress: serve, ControlAddress: control,
+		BackendServer: a.place.server,
+	})
+	return nil
+}
+
+func (a *Agent) close() {
+	if a.Process != nil {
+		a.Kill()
+	}
+	closeAll(a.Requests, a.Peers, a.Backend, a.Table)
+}
+
+func closeAll(proxies ...*faultproxy.Proxy) {
+	for _, p := range proxies {
+		if p != nil {
+			p.Close()
+		}
+	}
+}
