--- a/action/ledger/command.go
+++ b/action/ledger/command.go
@@ -10,6 +10,7 @@
 
 // New returns an empty Ledger.
 func New(config Config) *Ledger {
+	config.RecordDelay = max(config.RecordDelay, minRecordDelay)
 	return &Ledger{config: config, entries: make(map[action.ClaimID]*entry)}
 }
 
@@ -52,18 +53,15 @@
 }
 
 // bar makes sure that an unseen claim never runs in this incarnation. It
-// returns false if that is not certain: the claim may have been forgotten, or
-// it expires too late to be remembered until then.
+// returns false if it cannot: the claim has expired and may have run and been
+// forgotten, or it expires too late to be remembered until then.
 func (l *Ledger) bar(now time.Time, claim action.Claim) bool {
-	if !claim.Expires.After(l.forgotten) {
+	if !now.Before(claim.Expires) || claim.Expires.Sub(now) > l.config.MaxWindow {
 		return false
 	}
-	if !now.Before(claim.Expires) || !claim.Expires.After(l.barredUntil) {
+	if !claim.Expires.After(l.barredUntil) {
 		return true
 	}
-	if claim.Expires.Sub(now) > l.config.MaxWindow {
-		return false
-	}
 	if len(l.entries) >= l.config.MaxClaims {
 		l.barredUntil = claim.Expires
 		return true
@@ -99,8 +97,8 @@
 	if known, ok := l.entries[query.ClaimID]; ok {
 		return known.resolution()
 	}
-	if !query.Expires.After(l.forgotten) {
-		return action.Resolution{State: action.ResolvedUnknown}
+	if !now.Before(query.Expires) {
+		return action.Resolution{State: action.ResolvedExpired}
 	}
 	claim := action.Claim{ID: query.ClaimID, Expires: query.Expires}
 	if query.Peek || !l.bar(now, claim) {
@@ -125,7 +123,7 @@
 // Recorded is called for it.
 func (l *Ledger) Unrecorded(now time.Time, limit int) []Outcome {
 	var due []Outcome
-	for len(l.unrecorded) > 0 && len(due) < limit {
+	for n := len(l.unrecorded); n > 0 && len(due) < limit; n-- {
 		first := l.unrecorded[0]
 		if !first.recorded && now.Before(first.recordAt) {
 			break
@@ -171,7 +169,4 @@
 func (l *Ledger) forget(e *entry) {
 	delete(l.entries, e.claim.ID)
 	l.replyBytes -= len(e.reply.Body)
-	if e.claim.Expires.After(l.forgotten) {
-		l.forgotten = e.claim.Expires
-	}
 }
--- /dev/null
+++ b/rollout/oddstest.go
@@ -0,0 +1,97 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+// oddsRatios are the alternatives that a test looks for: how many times the
+// odds of a bad request on the new version are those on the old one.
+var oddsRatios = [numRatios]float64{2, 4, 16, 64}
+
+const (
+	numRatios = 4
+	// testEpoch is the time between the moments at which a test starts
+	// again if it has found nothing, so that it notices a version that
+	// turns bad late.
+	testEpoch = time.Minute
+	// tolerated odds ratios: a new version up to this much worse is good.
+	toleratedErrorOdds   = 1.1
+	toleratedLatencyOdds = 1.5
+)
+
+// LogRatio holds the logarithms of the likelihood ratios of bad requests, one
+// for each alternative. Those of independent requests add up.
+type LogRatio [numRatios]float32
+
+func (l *LogRatio) add(o LogRatio) {
+	for i := range l {
+		l[i] += o[i]
+	}
+}
+
+// scaled returns l times part.
+func (l LogRatio) scaled(part float64) LogRatio {
+	for i := range l {
+		l[i] *= float32(part)
+	}
+	return l
+}
+
+// most returns the part of l that its strongest alternative gets.
+func (l LogRatio) most() float64 { return float64(l[numRatios-1]) }
+
+// logRatio weighs bad requests of both versions, given the numbers or rates of
+// requests that could have been bad. The binomial probabilities bound the
+// exact ones of a draw without return.
+func logRatio(tolerated, newBad, oldBad, newWeight, oldWeight float64) LogRatio {
+	var logs LogRatio
+	expected := newWeight * tolerated / (newWeight*tolerated + oldWeight)
+	for i, ratio := range oddsRatios {
+		odds := newWeight * tolerated * ratio
+		alternative := odds / (odds + oldWeight)
+		sum := newBad * math.Log(alternative/expected)
+		sum += oldBad * math.Log((1-alternative)/(1-expected))
+		logs[i] = float32(sum)
+	}
+	return logs
+}
+
+// oddsTest is a sequential test of whether requests are bad more often on the
+// new version than on the old one. Given how many of a window's requests were
+// bad, it looks at how many of them were the new version's, so that it needs
+// no model of how often requests are bad.
+//
+// For each alternative it keeps the logarithm of an e-process that starts
+// again at each epoch. Under the tolerated odds the chance that a given start
+// ever reaches log(1/a) is at most a.
+type oddsTest struct {
+	logs   LogRatio
+	totals Totals
+	epoch  int64
+}
+
+func (t *oddsTest) add(epoch int64, logs LogRatio, totals Totals) {
+	t.startEpoch(epoch)
+	t.totals.add(totals)
+	t.logs.add(logs)
+}
+
+func (t *oddsTest) startEpoch(epoch int64) {
+	if epoch == t.epoch {
+		return
+	}
+	t.epoch = epoch
+	for i := range t.logs {
+		t.logs[i] = max(t.logs[i], 0)
+	}
+}
+
+// evidence returns the largest logarithm.
+func (t *oddsTest) evidence() float64 {
+	best := t.logs[0]
+	for _, l := range t.logs[1:] {
+		best = max(best, l)
+	}
+	return float64(best)
+}
--- a/test/matrix/bench_test.go
+++ b/test/matrix/bench_test.go
@@ -76,42 +76,42 @@
 	}
 }
 
-func configuration(engines, services int) *template.Config {
-	config := &template.Config{Revision: 1}
+// configuration returns the change that makes a cell's first configuration.
+func configuration(engines, services int) *template.Change {
+	change := &template.Change{PutTemplates: []template.Template{{Name: embedded.Template}}}
 	if engines > 0 {
-		d := template.Deployment{
-			Name: embedded.Deployment, Model: embedded.Model,
-			Workspaces: []template.Binding{{Workspace: embedded.Workspace}},
-			Versions: []template.VersionShare{
-				{Version: firstVersion, Share: template.WholeTraffic / 2},
-				{Version: secondVersion, Share: template.WholeTraffic / 2},
-			},
+		d := deployment(embedded.Deployment, embedded.Model, engines, embedded.ServerID)
+		d.Versions = []template.VersionShare{
+			{Version: firstVersion, Share: template.WholeTraffic / 2},
+			{Version: secondVersion, Share: template.WholeTraffic / 2},
 		}
-		for i := range engines {
-			d.BackendServers = append(d.BackendServers, embedded.ServerID(i))
-		}
-		config.Deployments = append(config.Deployments, d)
+		change.PutDeployments = append(change.PutDeployments, d)
 	}
 	if services > 0 {
-		d := template.Deployment{
-			Name: embedded.ServiceDeployment, Model: embedded.Service,
-			Workspaces: []template.Binding{{Workspace: embedded.Workspace}},
-			Versions:   []template.VersionShare{{Version: firstVersion, Share: template.WholeTraffic}},
-		}
-		for i := range services {
-			d.BackendServers = append(d.BackendServers, embedded.ServiceID(i))
-		}
-		config.Deployments = append(config.Deployments, d)
+		d := deployment(embedded.ServiceDeployment, embedded.Service, services, embedded.ServiceID)
+		change.PutDeployments = append(change.PutDeployments, d)
+	}
+	return change
+}
+
+func deployment(name template.DeploymentName, model wigeonfork.Model, servers int, id func(int) wigeonfork.BackendServerID) template.Deployment {
+	d := template.Deployment{
+		Name: name, Template: embedded.Template, Model: model,
+		Workspaces: []template.Binding{{Workspace: embedded.Workspace}},
+		Versions:   []template.VersionShare{{Version: firstVersion, Share: template.WholeTraffic}},
+	}
+	for i := range servers {
+		d.BackendServers = append(d.BackendServers, id(i))
 	}
-	return config
+	return d
 }
 
 // newBench starts a system for one cell.
 func newBench(name string, engineCount, services int) (*bench, error) {
 	options := realsystem.Options{
 		Binaries: binaries, Entries: entries, Services: services, Proxies: true,
-		Configuration: configuration(engineCount, services),
-		Environment:   []string{"WIGEON_DRAIN_LIMIT=" + drainLimit.String()},
+		Change:      configuration(engineCount, services),
+		Environment: []string{"WIGEON_DRAIN_LIMIT=" + drainLimit.String()},
 	}
 	for range engineCount {
 		options.Engines = append(options.Engines, engine.Options{
--- a/test/realsystem/node.go
+++ b/test/realsystem/node.go
@@ -16,6 +16,8 @@
 	*process.Process
 	// Callers stands between callers and the entry.
 	Callers *faultproxy.Proxy
+	// Peers stands between other processes and the entry's control listener.
+	Peers *faultproxy.Proxy
 	// Table and Hosts stand before the platform's services.
 	Table *faultproxy.Proxy
 	Hosts *faultproxy.Proxy
@@ -101,9 +103,13 @@
 	if err != nil {
 		return err
 	}
+	control, err := s.proxied(&e.Peers, e.Control)
+	if err != nil {
+		return err
+	}
 	s.World.Hosts.Put(platform.Host{
 		ID: wigeonfork.HostID(e.host), Role: platform.RoleEntry, State: platform.HostLive, Region: "local",
-		Domain: wigeonfork.FailureDomain(domainOf(e.index)), ServeAddress: serve, ControlAddress: e.Control,
+		Domain: wigeonfork.FailureDomain(domainOf(e.index)), ServeAddress: serve, ControlAddress: control,
 	})
 	return nil
 }
@@ -120,7 +126,7 @@
 	if e.Process != nil {
 		e.Kill()
 	}
-	closeAll(e.Callers, e.Table, e.Hosts)
+	closeAll(e.Callers, e.Peers, e.Table, e.Hosts)
 }
 
 func (s *System) addAgent(to *[]*Agent, p place) error {
--- a/test/realsystem/realsystem.go
+++ b/test/realsystem/realsystem.go
@@ -5,17 +5,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/wigeonfork/wigeonfork/embedded"
-	"github.com/wigeonfork/wigeonfork/entry"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
 	"github.com/wigeonfork/wigeonfork/standin/world"
 	"github.com/wigeonfork/wigeonfork/template"
+	"github.com/wigeonfork/wigeonfork/template/store"
 	"github.com/wigeonfork/wigeonfork/test/process"
 )
 
@@ -31,9 +31,9 @@
 	Engines  []engine.Options
 	// Services is the number of plain services.
 	Services int
-	// Configuration is in force from the start; nil stands for that of
+	// Change makes the first configuration; nil stands for that of
 	// embedded.Configure.
-	Configuration *template.Config
+	Change *template.Change
 	// Proxies puts a proxy on each connection. The proxies before an agent
 	// stand between it and all entries.
 	Proxies bool
@@ -89,16 +89,13 @@
 }
 
 func (s *System) configure(ctx context.Context) error {
-	if s.options.Configuration == nil {
-		return embedded.Configure(ctx, s.World.Table, len(s.World.Engines), len(s.World.Services))
+	objects := httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()})
+	defer objects.Close()
+	if s.options.Change == nil {
+		return embedded.Configure(ctx, s.World.Table, objects, len(s.World.Engines), len(s.World.Services))
 	}
-	value, err := json.Marshal(s.options.Configuration)
-	if err != nil {
-		return err
-	}
-	_, err = s.World.Table.Commit(ctx, platform.Transaction{
-		OperationID: uuid.NewString(),
-		Writes:      []platform.Write{{Key: entry.RowConfiguration, Value: value}},
+	_, err := store.New(s.World.Table, objects, store.Options{}).Accept(ctx, store.Request{
+		OperationID: uuid.NewString(), Author: "realsystem", Change: *s.options.Change, Now: time.Now(),
 	})
 	return err
 }
