--- a/cmd/wigeon-experiment/main.go
+++ b/cmd/wigeon-experiment/main.go
@@ -10,6 +10,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/wigeonfork/wigeonfork/experiment/configuration"
+	"github.com/wigeonfork/wigeonfork/experiment/moves"
+	"github.com/wigeonfork/wigeonfork/experiment/policy"
 	"github.com/wigeonfork/wigeonfork/experiment/relay"
 	"github.com/wigeonfork/wigeonfork/experiment/resume"
 )
@@ -22,6 +25,10 @@
 
 	Relay  relayCommand  `command:"relay" description:"cost of relaying tokens, on real daemons over stand-ins"`
 	Resume resumeCommand `command:"resume" description:"time until an interrupted answer goes on, by kind of loss"`
+
+	Policy        policyCommand        `command:"policy" description:"routing, limits and resumes under load and loss, in virtual time"`
+	Moves         movesCommand         `command:"moves" description:"good and bad versions moved, in virtual time"`
+	Configuration configurationCommand `command:"configuration" description:"time until a change is in force, by number of processes, in virtual time"`
 }
 
 var settings options
@@ -68,6 +75,38 @@
 	})
 }
 
+type policyCommand struct{}
+
+// Execute implements flags.Commander.
+func (*policyCommand) Execute([]string) error {
+	return run(func(out, csv io.Writer) (int, error) {
+		result, err := policy.Run(out, policy.Options{Seed: settings.Seed, Quick: settings.Quick, CSV: csv})
+		return len(result.Missed), err
+	})
+}
+
+type movesCommand struct {
+	Count int `long:"count" description:"moves of each kind; 0 for the usual number"`
+}
+
+// Execute implements flags.Commander.
+func (c *movesCommand) Execute([]string) error {
+	return run(func(out, csv io.Writer) (int, error) {
+		err := moves.Run(out, moves.Options{Seed: settings.Seed, Quick: settings.Quick, Moves: c.Count, CSV: csv})
+		return 0, err
+	})
+}
+
+type configurationCommand struct{}
+
+// Execute implements flags.Commander.
+func (*configurationCommand) Execute([]string) error {
+	return run(func(out, csv io.Writer) (int, error) {
+		result, err := configuration.Run(out, configuration.Options{Seed: settings.Seed, Quick: settings.Quick, CSV: csv})
+		return result.Missed, err
+	})
+}
+
 func main() {
 	if _, err := flags.NewParser(&settings, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
 		if flags.WroteHelp(err) {
