Keep in touch with agents through membership.Tracker

Cause: each entry held a subscription of every agent, four reports a second; at the size to design for that is tens of KB/s a host. A paused agent that woke came back as it was. Two faults were found by the poison test on the way: an agent named a death for generations that its dead engine had never taken, which raised the ordinary death rate and hid the request at fault; an answer chose the same dead engine up to eight times in 30 ms, because nobody marked it until the next poll (trace of source_lost events). Change: polls of warm members and heartbeat frames with the engine's load; an agent that finds it was paused, or is told that it was given up, hands over what it did; the agent and the entry mark an engine that was found dead at once; an answer whose request was convicted is detached from any later source too.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -104,6 +104,7 @@
 		Engine:        options.Engine,
 		Table:         a.sessions,
 		Revision:      a.config.Revision,
+		GiveUp:        a.generations.GiveUp,
 		Log:           options.Log,
 	}
 	if a.actions != nil {
@@ -111,6 +112,8 @@
 	}
 	a.status = query.NewReporter(reporter)
 	a.generations.EngineIncarnation = a.status.EngineIncarnation
+	a.generations.EngineDown = a.status.EngineDown
+	a.generations.Load = a.status.Load
 	a.generations.Deaths = &command.Deaths{Server: options.BackendServer, Incarnation: string(incarnation), Table: a.sessions}
 	a.control = peer.NewServer(options.Credentials)
 	a.registerControl()
@@ -141,6 +144,7 @@
 		peer.Handle(a.control, peer.MethodOrder, peer.RolePeer, orders.Order)
 	}
 	peer.Handle(a.control, peer.MethodStatusSubscribe, peer.RolePeer, a.status.Subscribe)
+	peer.Handle(a.control, peer.MethodRefute, peer.RolePeer, a.status.Refute)
 	peer.Handle(a.control, peer.MethodDump, peer.RoleOperator, a.status.Dump)
 	peer.Handle(a.control, peer.MethodDrain, peer.RoleOperator, a.drainOnRequest)
 }
@@ -156,7 +160,7 @@
 		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(), BackendServer: a.options.BackendServer,
 	})
 	a.spawn(func() { a.config.Run(a.background) })
-	a.spawn(func() { configuration.WatchHosts(a.background, a.options.Hosts, a.options.Log, a.config.SetPeers) })
+	a.spawn(func() { configuration.WatchHosts(a.background, a.options.Hosts, a.options.Log, a.applyHosts) })
 	if a.actions != nil {
 		a.spawn(func() { a.actions.Record(a.background) })
 	}
@@ -164,6 +168,8 @@
 		Str("backend_server", string(a.options.BackendServer)).Msg("agent_started")
 }
 
+func (a *Agent) applyHosts(hosts []platform.Host, _ time.Time) { a.config.SetPeers(hosts) }
+
 func (a *Agent) spawn(run func()) {
 	a.wait.Add(1)
 	go func() {
--- a/agent/command/attach.go
+++ b/agent/command/attach.go
@@ -105,6 +105,7 @@
 		case <-wake:
 		case <-heartbeat.C:
 			s.Heartbeat(&w.frame)
+			w.frame.Load = g.Load()
 			if w.send() != nil || w.out.Flush() != nil {
 				return
 			}
--- a/agent/command/death.go
+++ b/agent/command/death.go
@@ -41,8 +41,13 @@
 	return d.epoch
 }
 
-// Note returns the encoded quarantine.Death that ended the epoch of s.
+// Note returns the encoded quarantine.Death that ended the epoch of s. It is
+// empty for a generation that the engine never took: that one only found the
+// engine dead.
 func (d *Deaths) Note(s *session.Session, now time.Time) string {
+	if _, running := s.Ran(now); !running {
+		return ""
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s.Epoch == d.epoch {
--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -35,6 +35,10 @@
 	// EngineIncarnation returns the engine's incarnation as last reported.
 	EngineIncarnation func() string
 	Deaths            *Deaths
+	// EngineDown notes that the engine is dead, until it answers again.
+	EngineDown func()
+	// Load returns what heartbeats tell of the engine.
+	Load func() frame.Load
 
 	running sync.WaitGroup
 }
@@ -84,6 +88,19 @@
 	return s, nil
 }
 
+// GiveUp hands all generations over, since entries take this agent for lost. It
+// returns their number.
+func (g *Generations) GiveUp() int {
+	given := 0
+	for _, s := range g.Table.All() {
+		if s.Fail(frame.FailureHandover, "", time.Now()) {
+			s.Cancel()
+			given++
+		}
+	}
+	return given
+}
+
 // produce moves tokens from the engine into s until the answer ends.
 func (g *Generations) produce(ctx context.Context, s *session.Session, request backend.GenerateRequest) {
 	defer s.Cancel()
@@ -164,6 +181,7 @@
 	message := ""
 	if failure == frame.FailureEngineDead {
 		message = g.Deaths.Note(s, time.Now())
+		g.EngineDown()
 	}
 	s.Fail(failure, message, time.Now())
 }
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/peer"
 )
 
@@ -26,7 +25,7 @@
 	limited, cancel := context.WithTimeout(ctx, a.options.DrainLimit)
 	defer cancel()
 	a.waitForWork(limited)
-	handed := a.handOver()
+	handed := a.generations.GiveUp()
 	if handed > 0 {
 		grace, cancelGrace := context.WithTimeout(ctx, handoverGrace)
 		defer cancelGrace()
@@ -57,19 +56,6 @@
 	return count
 }
 
-// handOver ends the generations under way so that their entries go on
-// elsewhere. It returns their number.
-func (a *Agent) handOver() int {
-	handed := 0
-	for _, s := range a.sessions.All() {
-		if s.Fail(frame.FailureHandover, "", time.Now()) {
-			s.Cancel()
-			handed++
-		}
-	}
-	return handed
-}
-
 func (a *Agent) drainOnRequest(context.Context, *peer.Session, peer.None) (peer.None, error) {
 	a.spawn(func() { a.Drain(a.background) })
 	return peer.None{}, nil
--- a/agent/query/reporter.go
+++ b/agent/query/reporter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,12 +13,18 @@
 	"github.com/wigeonfork/wigeonfork/agent/session"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/membership"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
-// reportInterval is the time between two status reports.
-const reportInterval = 250 * time.Millisecond
+// observeInterval is the time between two looks at the backend server.
+const observeInterval = 250 * time.Millisecond
+
+// maxCacheEvents bounds the cache events that a status carries. A gap does no
+// harm: what is believed of a cache decays.
+const maxCacheEvents = 16
 
 // engineTimeout bounds a query to the backend server.
 const engineTimeout = time.Second
@@ -34,7 +41,10 @@
 	Actions ActionStatus
 	// Revision returns the revision of the configuration that the agent holds.
 	Revision func() wigeonfork.Revision
-	Log      *telemetry.Logger
+	// GiveUp gives up what the agent did in the incarnation that is over and
+	// returns the number of generations.
+	GiveUp func() int
+	Log    *telemetry.Logger
 }
 
 // ActionStatus tells of the actions of an agent.
@@ -47,6 +57,7 @@
 	options ReporterOptions
 
 	mu          sync.Mutex
+	identity    *membership.Identity
 	status      agentapi.Status
 	cacheCursor uint64
 	subscribers map[*peer.Session]struct{}
@@ -56,7 +67,8 @@
 // NewReporter returns a Reporter.
 func NewReporter(options ReporterOptions) *Reporter {
 	return &Reporter{
-		options: options,
+		options:  options,
+		identity: membership.NewIdentity(options.BackendServer, time.Now(), 0),
 		status: agentapi.Status{
 			Host:          options.Host,
 			BackendServer: options.BackendServer,
@@ -70,27 +82,70 @@
 	}
 }
 
-// Run reports until ctx ends.
+// Run observes the backend server until ctx ends and tells subscribers of each
+// change that can't wait for their next poll.
 func (r *Reporter) Run(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
+	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
 	for {
-		r.observe(ctx)
-		r.publish(ctx)
+		r.tick(time.Now())
+		if r.observe(ctx) {
+			r.signal()
+		}
 		select {
 		case <-ticker.C:
 		case <-r.changed:
+			r.publish(ctx)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// observe asks the backend server for its load and cache events.
-func (r *Reporter) observe(ctx context.Context) {
+// tick finds out whether the agent was paused. Entries have given it up then,
+// so that it gives up what it did before.
+func (r *Reporter) tick(now time.Time) {
+	r.mu.Lock()
+	paused := r.identity.Tick(now)
+	r.mu.Unlock()
+	if paused {
+		r.giveUp("paused")
+	}
+}
+
+// Refute takes in that an entry has given up an incarnation of this agent.
+func (r *Reporter) Refute(_ context.Context, _ *peer.Session, refute membership.Refute) (peer.None, error) {
+	r.mu.Lock()
+	over := r.identity.Refuted(time.Now(), refute)
+	r.mu.Unlock()
+	if over {
+		r.giveUp("refuted")
+	}
+	return peer.None{}, nil
+}
+
+func (r *Reporter) giveUp(reason string) {
+	given := r.options.GiveUp()
+	r.options.Log.Warn().Str("reason", reason).Int("generations", given).Msg("incarnation_ended")
+	r.signal()
+}
+
+func (r *Reporter) signal() {
+	r.mu.Lock()
+	r.status.Changes++
+	r.mu.Unlock()
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// observe asks the backend server for its load and cache events. It reports
+// whether something changed that entries should not miss.
+func (r *Reporter) observe(ctx context.Context) bool {
 	engine := r.options.Engine
 	if engine == nil {
-		return
+		return false
 	}
 	limited, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
@@ -98,11 +153,17 @@
 	events := r.cacheEvents(limited, err == nil)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.status.EngineUp = err == nil
-	r.status.CacheEvents = events
-	if err == nil {
+	up := err == nil
+	changed := up != r.status.EngineUp || up && !slices.Equal(load.Versions, r.status.Load.Versions)
+	r.status.EngineUp = up
+	r.status.CacheEvents = append(r.status.CacheEvents, events...)
+	if excess := len(r.status.CacheEvents) - maxCacheEvents; excess > 0 {
+		r.status.CacheEvents = slices.Delete(r.status.CacheEvents, 0, excess)
+	}
+	if up {
 		r.status.Load = load
 	}
+	return changed
 }
 
 func (r *Reporter) cacheEvents(ctx context.Context, up bool) []backend.CacheEvent {
@@ -141,13 +202,23 @@
 	revision := r.options.Revision()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.status.Sequence++
-	r.status.Revision = revision
 	all := make([]*peer.Session, 0, len(r.subscribers))
 	for subscriber := range r.subscribers {
 		all = append(all, subscriber)
 	}
-	return r.status, all
+	return r.beat(revision), all
+}
+
+// beat returns the status with the next heartbeat. The caller holds the lock.
+func (r *Reporter) beat(revision wigeonfork.Revision) agentapi.Status {
+	heartbeat := r.identity.Beat()
+	r.status.Life = heartbeat.Incarnation
+	r.status.Sequence = heartbeat.Sequence
+	r.status.Leaving = heartbeat.Leaving
+	r.status.Revision = revision
+	status := r.status
+	status.CacheEvents = slices.Clone(r.status.CacheEvents)
+	return status
 }
 
 func (r *Reporter) unsubscribe(subscriber *peer.Session) {
@@ -156,22 +227,43 @@
 	delete(r.subscribers, subscriber)
 }
 
-// Subscribe makes a peer receive each status. It returns the present one.
+// Subscribe returns the present status and has the peer told of each change
+// that can't wait for its next poll.
 func (r *Reporter) Subscribe(_ context.Context, s *peer.Session, _ peer.None) (agentapi.Status, error) {
+	revision := r.options.Revision()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.subscribers[s] = struct{}{}
-	return r.status, nil
+	return r.beat(revision), nil
 }
 
-// SetLeaving notes that the agent takes no new work and reports it at once.
+// SetLeaving notes that the agent takes no new work and tells it at once.
 func (r *Reporter) SetLeaving() {
 	r.mu.Lock()
-	r.status.Leaving = true
+	r.identity.Leave()
 	r.mu.Unlock()
-	select {
-	case r.changed <- struct{}{}:
-	default:
+	r.signal()
+}
+
+// EngineDown notes that the engine was found dead, until it answers again.
+func (r *Reporter) EngineDown() {
+	r.mu.Lock()
+	up := r.status.EngineUp
+	r.status.EngineUp = false
+	r.mu.Unlock()
+	if up {
+		r.signal()
+	}
+}
+
+// Load returns what heartbeat frames tell of the engine.
+func (r *Reporter) Load() frame.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return frame.Load{
+		Running: uint32(r.status.Load.Running),
+		Waiting: uint32(r.status.Load.Waiting),
+		Changes: r.status.Changes,
 	}
 }
 
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/membership"
 )
 
 // The paths that an agent serves.
@@ -72,8 +73,13 @@
 	Domain        wigeonfork.FailureDomain   `json:"failure_domain"`
 	// Incarnation changes with each start of the agent.
 	Incarnation string `json:"incarnation"`
-	// Sequence grows with each status of one incarnation.
-	Sequence uint64 `json:"sequence"`
+	// Life changes with each start and each pause of the agent. Sequence grows
+	// with each status of one life.
+	Life     membership.Incarnation `json:"life"`
+	Sequence uint64                 `json:"sequence"`
+	// Changes counts what entries should not miss: it differs from the count in
+	// a heartbeat frame if the status is out of date.
+	Changes uint32 `json:"changes"`
 	Leaving  bool   `json:"leaving"`
 	// Plain tells that the backend server is a plain service.
 	Plain bool `json:"plain,omitempty"`
--- a/configuration/hosts.go
+++ b/configuration/hosts.go
@@ -16,17 +16,17 @@
 )
 
 // WatchHosts reads the platform's list of hosts until ctx ends and tells apply
-// each reading that succeeds.
-func WatchHosts(ctx context.Context, list platform.HostList, log *telemetry.Logger, apply func([]platform.Host)) {
+// each reading that succeeds, with the time at which the list stood so.
+func WatchHosts(ctx context.Context, list platform.HostList, log *telemetry.Logger, apply func(hosts []platform.Host, asOf time.Time)) {
 	ticker := time.NewTicker(hostListInterval)
 	defer ticker.Stop()
 	for {
 		limited, cancel := context.WithTimeout(ctx, hostListTimeout)
-		hosts, _, err := list.Hosts(limited)
+		hosts, asOf, err := list.Hosts(limited)
 		cancel()
 		switch {
 		case err == nil:
-			apply(hosts)
+			apply(hosts, asOf)
 		case ctx.Err() == nil:
 			log.Warn().Str("step", "membership").Err(err).Msg("host_list_failed")
 		}
--- a/configuration/keeper.go
+++ b/configuration/keeper.go
@@ -81,7 +81,7 @@
 	return &Keeper{
 		options: options,
 		pool:    workpool.New(poolWorkers, poolQueue),
-		peers:   peer.NewPool(options.Hello, maxPeers),
+		peers:   peer.NewPool(options.Hello, maxPeers, nil),
 		node: revision.New(revision.Options{
 			ID:     options.Host,
 			Domain: options.Domain,
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -157,6 +157,10 @@
 			if err := r.deliver(); err != nil {
 				return err
 			}
+		case generation.VerdictAlive:
+			if r.place != nil {
+				r.Fleet.Heartbeat(now, r.place, r.frame.Load)
+			}
 		case generation.VerdictEnd:
 			return nil
 		case generation.VerdictGap, generation.VerdictFailure:
@@ -414,7 +418,7 @@
 	now := time.Now()
 	r.Fleet.Failed(now, r.place)
 	r.Gate.Stopped(now, r.answer.Key, r.place.Server)
-	r.Fleet.Suspect(now, r.place.Server)
+	r.Fleet.Suspect(now, r.place.Server, r.answer.Relay().Failure() == frame.FailureEngineDead)
 	if !slices.Contains(r.failed, r.place.Server) {
 		r.failed = append(r.failed, r.place.Server)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -106,7 +106,7 @@
 	e.pool = workpool.New(poolWorkers, poolQueue)
 	e.agents = agentapi.NewClient(options.Credentials.Peer)
 	hello := peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer}
-	e.peers = peer.NewPool(hello, maxPeers)
+	e.peers = peer.NewPool(hello, maxPeers, nil)
 	e.gate = gate.New(gate.Options{Seed: seedOf(options.Host), Policy: options.Policy, Metrics: options.Metrics})
 	e.fleet = fleet.New(fleet.Options{Domain: options.Domain, Hello: hello, Log: options.Log, Metrics: options.Metrics})
 	changes := store.New(options.Table, options.Objects, store.Options{})
@@ -229,8 +229,8 @@
 	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
 }
 
-func (e *Entry) applyHosts(hosts []platform.Host) {
-	e.fleet.ApplyHosts(e.background, hosts)
+func (e *Entry) applyHosts(hosts []platform.Host, asOf time.Time) {
+	e.fleet.ApplyHosts(time.Now(), hosts, asOf)
 	e.config.SetPeers(hosts)
 }
 
@@ -293,7 +293,7 @@
 	e.control.Close()
 	_ = e.server.Close()
 	e.wait.Wait()
-	e.fleet.Wait()
+	e.fleet.Close()
 	e.pool.Close()
 	e.peers.Close()
 	e.config.Close()
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/membership"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
@@ -17,12 +18,7 @@
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
-)
-
-// The limits on an agent's silence.
-const (
-	suspectAfter = time.Second
-	deadAfter    = 2500 * time.Millisecond
+	"github.com/wigeonfork/wigeonfork/workpool"
 )
 
 // Options describe a fleet.
@@ -47,27 +43,34 @@
 	// noted counts the readings of the list since an entry was last in it.
 	noted map[wigeonfork.HostID]int
 
-	watchers sync.WaitGroup
+	tracker *membership.Tracker
+	pool    *workpool.Pool
+	peers   *peer.Pool
 }
 
 // server is one backend server with its agent.
 type server struct {
-	host   platform.Host
-	status agentapi.Status
-	heard  time.Time
-	state  routing.State
-	stop   func()
+	host    platform.Host
+	status  agentapi.Status
+	state   routing.State
+	streams int
+	// refused: nothing listened at the agent's address.
+	refused bool
 }
 
 // New returns an empty fleet.
 func New(options Options) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		options: options,
 		router:  routing.New(routing.Options{Seed: xxhash.Sum64String(options.Hello.ID), Domain: options.Domain}),
 		servers: map[wigeonfork.BackendServerID]*server{},
 		entries: map[wigeonfork.HostID]platform.Host{},
 		noted:   map[wigeonfork.HostID]int{},
+		tracker: membership.NewTracker(membership.Options{Entry: wigeonfork.HostID(options.Hello.ID)}),
+		pool:    workpool.New(poolWorkers, poolQueue),
 	}
+	f.peers = peer.NewPool(options.Hello, maxConnections, f.notified)
+	return f
 }
 
 // Place is where an attempt runs.
@@ -82,6 +85,8 @@
 	work          routing.Work
 	dispatched    time.Time
 	firstTokenHad bool
+	life          membership.Incarnation
+	heardAt       time.Time
 }
 
 // Query is what Choose is asked. Exclude holds servers that have failed the
@@ -124,6 +129,7 @@
 	}
 	work := routing.Work{Class: q.Class, PromptTokens: promptTokens, MaxTokens: q.MaxTokens}
 	f.router.Started(now, decision.ID, work)
+	s.streams++
 	return &Place{
 		Server:       decision.ID,
 		Host:         s.host.ID,
@@ -134,6 +140,7 @@
 		ExpectedWait: decision.ExpectedWait,
 		work:         work,
 		dispatched:   now,
+		life:         s.status.Life,
 	}, nil
 }
 
@@ -153,6 +160,7 @@
 func (f *Fleet) Finished(now time.Time, p *Place, tokens uint32) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.left(p)
 	f.router.Finished(now, p.Server, p.work, routing.Result{Tokens: tokens, Duration: now.Sub(p.dispatched)})
 }
 
@@ -160,16 +168,30 @@
 func (f *Fleet) Failed(now time.Time, p *Place) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.left(p)
 	f.router.Failed(now, p.Server, p.work)
 }
 
-// Suspect holds a server back until its next status.
-func (f *Fleet) Suspect(now time.Time, id wigeonfork.BackendServerID) {
+func (f *Fleet) left(p *Place) {
+	if s, ok := f.servers[p.Server]; ok && s.streams > 0 {
+		s.streams--
+	}
+}
+
+// Suspect asks a server's agent for its status at once. engineDead tells that
+// the agent found its engine dead: it gets no new work until that status.
+func (f *Fleet) Suspect(now time.Time, id wigeonfork.BackendServerID, engineDead bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s, ok := f.servers[id]; ok && s.state == routing.StateReady {
-		f.setState(now, s, routing.StateSuspect)
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	if engineDead {
+		s.status.EngineUp = false
+		f.refresh(now, s)
 	}
+	f.poll(id)
 }
 
 func (f *Fleet) setState(now time.Time, s *server, state routing.State) {
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -7,63 +7,161 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/membership"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/routing"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
 )
 
-// Intervals of the watch over hosts.
 const (
-	subscribeTimeout = 2 * time.Second
-	silenceInterval  = 100 * time.Millisecond
-	redialInterval   = 250 * time.Millisecond
+	// tickInterval is the time between two ticks of the tracker.
+	tickInterval = 100 * time.Millisecond
+	// pollTimeout bounds one poll of an agent.
+	pollTimeout = time.Second
+	// Sizes of the pool for polls.
+	poolWorkers = 8
+	poolQueue   = 512
+	// maxConnections bounds the control connections to agents.
+	maxConnections = 256
 )
 
-// Run watches the agents until ctx ends.
+// Run keeps in touch with the agents until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
-	silence := time.NewTicker(silenceInterval)
-	defer silence.Stop()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
 	for {
 		select {
-		case now := <-silence.C:
-			f.checkSilence(now)
+		case now := <-ticker.C:
+			f.tick(now)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// Wait returns when no agent is watched any more. Run must have ended.
-func (f *Fleet) Wait() { f.watchers.Wait() }
+// Close ends the polls under way. Run must have ended.
+func (f *Fleet) Close() {
+	f.pool.Close()
+	f.peers.Close()
+}
 
-// ApplyHosts begins to watch the agents that are new in the platform's list,
-// until ctx ends, and forgets those that are silent and no longer listed. A
-// listed host is not taken for alive until it speaks.
-func (f *Fleet) ApplyHosts(ctx context.Context, hosts []platform.Host) {
+func (f *Fleet) tick(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	listed := map[wigeonfork.BackendServerID]bool{}
-	for id := range f.entries {
-		if f.noted[id]++; f.noted[id] > listLag {
-			delete(f.entries, id)
-			delete(f.noted, id)
+	for id, s := range f.servers {
+		f.tracker.Streams(id, s.streams)
+	}
+	f.carryOut(now, f.tracker.Tick(now))
+	for _, s := range f.servers {
+		f.refresh(now, s)
+	}
+}
+
+// carryOut does what the tracker wants. The caller holds the lock.
+func (f *Fleet) carryOut(now time.Time, actions membership.Actions) {
+	for _, id := range actions.Polls {
+		f.poll(id)
+	}
+	for _, refute := range actions.Refutes {
+		f.refute(refute)
+	}
+	for _, change := range actions.Changes {
+		if s, ok := f.servers[change.BackendServer]; ok {
+			f.refresh(now, s)
+		}
+	}
+}
+
+// poll asks an agent for its status.
+func (f *Fleet) poll(id wigeonfork.BackendServerID) {
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	address := s.host.ControlAddress
+	// A poll that finds no room is made up for by the next one.
+	f.pool.Submit(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+		defer cancel()
+		var status agentapi.Status
+		client, err := f.peers.Get(ctx, address)
+		if err == nil {
+			err = client.Call(ctx, peer.MethodStatusSubscribe, peer.None{}, &status)
+		}
+		telemetry.Counter(f.options.Metrics, "fleet.polls").Inc(1)
+		if err != nil {
+			f.unreachable(time.Now(), id, platform.OutcomeOf(err))
+			return
+		}
+		f.apply(time.Now(), status)
+	})
+}
+
+// refute tells an agent that an incarnation of it is over.
+func (f *Fleet) refute(refute membership.Refute) {
+	s, ok := f.servers[refute.BackendServer]
+	if !ok {
+		return
+	}
+	address := s.host.ControlAddress
+	f.pool.Submit(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+		defer cancel()
+		client, err := f.peers.Get(ctx, address)
+		if err == nil {
+			err = client.Call(ctx, peer.MethodRefute, refute, nil)
+		}
+		if err != nil {
+			f.options.Log.Debug().Str("step", "membership").Str("peer", address).Err(err).Msg("refute_failed")
 		}
+	})
+}
+
+// unreachable gives an agent no new work until it is heard again, if it is
+// known that nothing listens at its address.
+func (f *Fleet) unreachable(now time.Time, id wigeonfork.BackendServerID, outcome platform.Outcome) {
+	if outcome != platform.OutcomeNotDone {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.servers[id]; ok {
+		s.refused = true
+		f.refresh(now, s)
+	}
+}
+
+// notified takes in a status that an agent sent on its own.
+func (f *Fleet) notified(n peer.Notification) {
+	var status agentapi.Status
+	if n.Method == peer.MethodStatus && json.Unmarshal(n.Params, &status) == nil {
+		f.apply(time.Now(), status)
 	}
+}
+
+// ApplyHosts takes in the platform's list as it stood at asOf. A listed host is
+// not taken for alive until it speaks.
+func (f *Fleet) ApplyHosts(now time.Time, hosts []platform.Host, asOf time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ageEntries()
+	listed := map[wigeonfork.BackendServerID]bool{}
 	for _, host := range hosts {
-		if host.Role == platform.RoleEntry {
+		switch host.Role {
+		case platform.RoleEntry:
 			f.entries[host.ID] = host
 			f.noted[host.ID] = 0
+		case platform.RoleAgent:
+			listed[host.BackendServer] = true
+			f.track(now, host)
 		}
-		if host.Role != platform.RoleAgent {
-			continue
-		}
-		listed[host.BackendServer] = true
-		f.track(ctx, host)
 	}
+	f.carryOut(now, f.tracker.ListRead(now, hosts, asOf))
 	for id, s := range f.servers {
 		if !listed[id] && s.state == routing.StateDead {
-			s.stop()
 			delete(f.servers, id)
 			f.router.Remove(id)
 		}
@@ -74,6 +172,15 @@
 // before it is forgotten.
 const listLag = 10
 
+func (f *Fleet) ageEntries() {
+	for id := range f.entries {
+		if f.noted[id]++; f.noted[id] > listLag {
+			delete(f.entries, id)
+			delete(f.noted, id)
+		}
+	}
+}
+
 // NoteEntry takes in an entry that has spoken, which the list may lack yet.
 func (f *Fleet) NoteEntry(host platform.Host) {
 	f.mu.Lock()
@@ -82,75 +189,43 @@
 	f.noted[host.ID] = 0
 }
 
-func (f *Fleet) track(ctx context.Context, host platform.Host) {
+// track takes in an agent of the list, or its new address.
+func (f *Fleet) track(now time.Time, host platform.Host) {
 	known, ok := f.servers[host.BackendServer]
-	if ok && known.host.ControlAddress == host.ControlAddress && known.host.ServeAddress == host.ServeAddress {
-		return
-	}
 	if ok {
-		known.stop()
-	}
-	watched, stop := context.WithCancel(ctx)
-	s := &server{host: host, stop: stop, state: routing.StateDead}
-	f.servers[host.BackendServer] = s
-	f.describe(s)
-	f.router.SetState(time.Now(), host.BackendServer, routing.StateDead)
-	f.watchers.Add(1)
-	go func() {
-		defer f.watchers.Done()
-		f.watch(watched, s)
-	}()
-}
-
-// watch keeps a status subscription at the agent of s.
-func (f *Fleet) watch(ctx context.Context, s *server) {
-	for ctx.Err() == nil {
-		f.subscribe(ctx, s)
-		select {
-		case <-time.After(redialInterval):
-		case <-ctx.Done():
-		}
-	}
-}
-
-func (f *Fleet) subscribe(ctx context.Context, s *server) {
-	limited, cancel := context.WithTimeout(ctx, subscribeTimeout)
-	defer cancel()
-	client, err := peer.Dial(limited, s.host.ControlAddress, f.options.Hello, func(n peer.Notification) {
-		var status agentapi.Status
-		if n.Method == peer.MethodStatus && json.Unmarshal(n.Params, &status) == nil {
-			f.apply(time.Now(), s, status)
+		if known.host.ControlAddress != host.ControlAddress {
+			known.refused = false
 		}
-	})
-	if err != nil {
+		known.host = host
 		return
 	}
-	defer func() { _ = client.Close() }()
-	var status agentapi.Status
-	if err := client.Call(limited, peer.MethodStatusSubscribe, peer.None{}, &status); err != nil {
-		return
-	}
-	f.apply(time.Now(), s, status)
-	select {
-	case <-client.Done():
-	case <-ctx.Done():
-	}
+	s := &server{host: host, state: routing.StateDead}
+	f.servers[host.BackendServer] = s
+	f.describe(s)
+	f.router.SetState(now, host.BackendServer, routing.StateDead)
 }
 
-// apply takes in a status. One that is older than the newest of its
-// incarnation is dropped.
-func (f *Fleet) apply(now time.Time, s *server, status agentapi.Status) {
+// apply takes in a status. One of an incarnation that is over is refuted, and
+// one that is older than the newest changes nothing.
+func (f *Fleet) apply(now time.Time, status agentapi.Status) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if status.BackendServer != s.host.BackendServer {
+	s, ok := f.servers[status.BackendServer]
+	if !ok {
 		return
 	}
-	if status.Incarnation == s.status.Incarnation && status.Sequence < s.status.Sequence {
+	f.carryOut(now, f.tracker.Heard(now, membership.Heartbeat{
+		BackendServer: status.BackendServer,
+		Incarnation:   status.Life,
+		Sequence:      status.Sequence,
+		Leaving:       status.Leaving,
+	}))
+	if status.Life < s.status.Life || status.Life == s.status.Life && status.Sequence < s.status.Sequence {
 		return
 	}
-	changed := !sameVersions(s.status, status) || s.heard.IsZero()
+	changed := !sameVersions(s.status, status) || s.status.Life == 0
 	s.status = status
-	s.heard = now
+	s.refused = false
 	if changed {
 		f.describe(s)
 	}
@@ -160,18 +235,66 @@
 	for _, event := range status.CacheEvents {
 		f.router.CacheEvent(now, s.host.BackendServer, event)
 	}
-	f.setState(now, s, stateOf(status))
+	f.refresh(now, s)
 }
 
-func stateOf(status agentapi.Status) routing.State {
-	switch {
-	case status.Leaving:
-		return routing.StateLeaving
-	case !status.EngineUp:
+// Heartbeat takes in a heartbeat frame of a stream at p. It says that the agent
+// lives and how busy its engine is, so that the agent need not be polled.
+func (f *Fleet) Heartbeat(now time.Time, p *Place, load frame.Load) {
+	if now.Sub(p.heardAt) < heartbeatInterval {
+		return
+	}
+	p.heardAt = now
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.servers[p.Server]
+	if !ok {
+		return
+	}
+	f.tracker.Frame(now, p.Server, p.life)
+	if load.Changes != s.status.Changes {
+		f.poll(p.Server)
+	}
+	if s.status.Life != p.life || !s.status.EngineUp {
+		return
+	}
+	report := s.status.Load
+	report.Running = int(load.Running)
+	report.Waiting = int(load.Waiting)
+	report.MeasuredAt = now
+	f.router.Report(now, p.Server, report)
+}
+
+// heartbeatInterval is the least time between two heartbeats of one stream
+// that are taken in.
+const heartbeatInterval = 500 * time.Millisecond
+
+// refresh brings the router's state of s up to what is known.
+func (f *Fleet) refresh(now time.Time, s *server) {
+	f.setState(now, s, f.stateOf(now, s))
+}
+
+func (f *Fleet) stateOf(now time.Time, s *server) routing.State {
+	if s.refused {
 		return routing.StateDead
+	}
+	switch f.tracker.State(now, s.host.BackendServer) {
+	case membership.StateLeaving:
+		return routing.StateLeaving
+	case membership.StateLive:
+		return engineState(s, routing.StateReady)
+	case membership.StateSuspect:
+		return engineState(s, routing.StateSuspect)
 	default:
-		return routing.StateReady
+		return routing.StateDead
+	}
+}
+
+func engineState(s *server, up routing.State) routing.State {
+	if !s.status.EngineUp {
+		return routing.StateDead
 	}
+	return up
 }
 
 func sameVersions(a, b agentapi.Status) bool {
@@ -186,20 +309,6 @@
 	return true
 }
 
-func (f *Fleet) checkSilence(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, s := range f.servers {
-		silence := now.Sub(s.heard)
-		switch {
-		case silence > deadAfter:
-			f.setState(now, s, routing.StateDead)
-		case silence > suspectAfter && s.state == routing.StateReady:
-			f.setState(now, s, routing.StateSuspect)
-		}
-	}
-}
-
 // Install makes a snapshot of the configuration the one in force.
 func (f *Fleet) Install(snapshot *template.Snapshot) {
 	f.mu.Lock()
--- a/entry/session/answer.go
+++ b/entry/session/answer.go
@@ -31,6 +31,8 @@
 	busy      bool
 	detach    context.CancelFunc
 	suspicion generation.Suspicion
+	// condemned: the request is known to crash engines.
+	condemned bool
 }
 
 // NewAnswer returns an answer without tokens.
@@ -73,6 +75,10 @@
 	a.agent = agent
 	a.detach = detach
 	a.suspicion = generation.SuspicionNone
+	if a.condemned {
+		a.suspicion = generation.SuspicionRequest
+		detach()
+	}
 }
 
 // Accept judges a frame; see generation.Relay.
@@ -107,11 +113,12 @@
 	return a.suspicion
 }
 
-// Interrupt detaches the answer from its source because the request is held to
-// crash engines.
+// Interrupt detaches the answer from its source, and from any later one, because
+// the request is known to crash engines.
 func (a *Answer) Interrupt() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.condemned = true
 	if a.detach == nil || a.suspicion != generation.SuspicionNone {
 		return
 	}
--- a/frame/decode.go
+++ b/frame/decode.go
@@ -138,6 +138,12 @@
 		f.PromptTokens = value
 	case fieldCached:
 		f.CachedTokens = value
+	case fieldRunning:
+		f.Load.Running = value
+	case fieldWaiting:
+		f.Load.Waiting = value
+	case fieldChanges:
+		f.Load.Changes = value
 	case fieldFailure:
 		f.Failure = Failure(min(value, math.MaxUint8))
 	}
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -81,10 +81,20 @@
 	PromptTokens uint32
 	CachedTokens uint32
 	Failure      Failure
+	// Load comes with heartbeats.
+	Load Load
 	// Message is an encoded quarantine.Death, with FailureEngineDead.
 	Message string
 }
 
+// Load is how busy the engine is. Changes counts the changes of the agent's
+// status that entries should not miss.
+type Load struct {
+	Running uint32
+	Waiting uint32
+	Changes uint32
+}
+
 const (
 	fieldKind       protowire.Number = 1
 	fieldGeneration protowire.Number = 2
@@ -96,6 +106,9 @@
 	fieldCached     protowire.Number = 8
 	fieldFailure    protowire.Number = 9
 	fieldMessage    protowire.Number = 10
+	fieldRunning    protowire.Number = 11
+	fieldWaiting    protowire.Number = 12
+	fieldChanges    protowire.Number = 13
 )
 
 // ErrMalformed is the cause of every error about bytes that are no frame.
@@ -118,6 +131,9 @@
 	buf = appendNonZero(buf, fieldCached, uint64(f.CachedTokens))
 	buf = appendNonZero(buf, fieldFailure, uint64(f.Failure))
 	buf = appendString(buf, fieldMessage, f.Message)
+	buf = appendNonZero(buf, fieldRunning, uint64(f.Load.Running))
+	buf = appendNonZero(buf, fieldWaiting, uint64(f.Load.Waiting))
+	buf = appendNonZero(buf, fieldChanges, uint64(f.Load.Changes))
 	binary.BigEndian.PutUint32(buf[start:], uint32(len(buf)-start-lengthBytes))
 	return buf
 }
--- a/frame/frame_test.go
+++ b/frame/frame_test.go
@@ -23,6 +23,7 @@
 		Failure:      Failure(rapid.IntRange(0, 6).Draw(t, "failure")),
 		Message:      rapid.StringN(0, 20, 60).Draw(t, "message"),
 	}
+	f.Load = Load{Running: rapid.Uint32().Draw(t, "running"), Changes: rapid.Uint32().Draw(t, "changes")}
 	for range rapid.IntRange(0, 5).Draw(t, "tokens") {
 		f.Tokens = append(f.Tokens, backend.Token{
 			ID:   rapid.Uint32().Draw(t, "id"),
@@ -43,7 +44,7 @@
 	}
 	a.Tokens, b.Tokens = nil, nil
 	return a.Kind == b.Kind && a.Generation == b.Generation && a.Position == b.Position &&
-		a.Stop == b.Stop && a.PromptTokens == b.PromptTokens && a.Failure == b.Failure && a.Message == b.Message
+		a.Stop == b.Stop && a.PromptTokens == b.PromptTokens && a.Failure == b.Failure && a.Load == b.Load && a.Message == b.Message
 }
 
 func TestFramesSurviveACutAtAnyByte(t *testing.T) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -108,8 +108,9 @@
 
 // Pool holds one connection to each of the peers last spoken to.
 type Pool struct {
-	hello Hello
-	limit int
+	hello          Hello
+	limit          int
+	onNotification func(Notification)
 
 	mu      sync.Mutex
 	clients map[string]*pooled
@@ -121,9 +122,10 @@
 	used   time.Time
 }
 
-// NewPool returns a pool of at most limit connections.
-func NewPool(hello Hello, limit int) *Pool {
-	return &Pool{hello: hello, limit: limit, clients: map[string]*pooled{}}
+// NewPool returns a pool of at most limit connections. onNotification takes
+// what peers send on their own; it may be nil.
+func NewPool(hello Hello, limit int, onNotification func(Notification)) *Pool {
+	return &Pool{hello: hello, limit: limit, onNotification: onNotification, clients: map[string]*pooled{}}
 }
 
 // Get returns a connection to address, dialling if there is none.
@@ -131,7 +133,7 @@
 	if client := p.lookup(address); client != nil {
 		return client, nil
 	}
-	client, err := Dial(ctx, address, p.hello, nil)
+	client, err := Dial(ctx, address, p.hello, p.onNotification)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/methods.go
+++ b/peer/methods.go
@@ -2,10 +2,13 @@
 
 // The methods that processes serve to each other and to operators.
 const (
-	// MethodStatusSubscribe asks an agent for its status now and from now on.
+	// MethodStatusSubscribe asks an agent for its status, and for a notification
+	// of each change that can't wait for the next poll.
 	MethodStatusSubscribe = "status.subscribe"
 	// MethodStatus notifies an entry of an agent's status.
 	MethodStatus = "status"
+	// MethodRefute tells an agent that an incarnation of it was given up.
+	MethodRefute = "refute"
 	// MethodQuarantine notifies an entry of what another learned of requests that
 	// crash engines.
 	MethodQuarantine = "quarantine"
