Run the store over the services as separate processes would

Cause: the store had only met a table in the same memory. Over HTTP, with the object store down after a large change, a small change was refused: the process had to read its own large change back. Change: an accepted change is kept by the process that made it; errors name the service at which they arose; a test over the HTTP stand-ins with lost answers, table down and object store down. Seen red before the change. Conclusion: go test -race ./template/... passes.

--- a/template/store/errors.go
+++ b/template/store/errors.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
@@ -31,16 +32,21 @@
 	return problem.New(problem.CodeConflict, problem.RunNot, problem.StepConfig, "%s", e.Error()).Because(e)
 }
 
-const (
-	storeRetryAfter = 2 * time.Second
-	peerTable       = "table"
-	peerObjects     = "object store"
-)
+const storeRetryAfter = 2 * time.Second
+
+// peerOf returns the service at which err arose, empty if it does not say.
+func peerOf(err error) string {
+	var stated *platform.Error
+	if errors.As(err, &stated) {
+		return stated.Peer
+	}
+	return ""
+}
 
 // unavailable is the error of a change that was certainly not made.
-func unavailable(peer string, err error) *problem.Error {
+func unavailable(err error) *problem.Error {
 	return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepConfig, "the change was not made").
-		At(peer).After(storeRetryAfter).Because(err)
+		At(peerOf(err)).After(storeRetryAfter).Because(err)
 }
 
 // unknown is the error of a change of which it is not known whether it was
@@ -48,13 +54,13 @@
 func unknown(id string, err error) *problem.Error {
 	return problem.New(problem.CodeOutcomeUnknown, problem.RunUnknown, problem.StepConfig,
 		"whether the change was made is not known; send operation %s again", id).
-		At(peerTable).After(storeRetryAfter).Because(err)
+		At(peerOf(err)).After(storeRetryAfter).Because(err)
 }
 
 // commitError returns the error of a transaction that failed.
 func commitError(id string, err error) error {
 	if platform.OutcomeOf(err) == platform.OutcomeNotDone {
-		return unavailable(peerTable, err)
+		return unavailable(err)
 	}
 	return unknown(id, err)
 }
--- /dev/null
+++ b/template/store/http_test.go
@@ -0,0 +1,70 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/standin/objects"
+	"github.com/wigeonfork/wigeonfork/standin/table"
+)
+
+// TestOverHTTP runs the store over the table and the object store as separate
+// services, whose answers are lost and which go down.
+func TestOverHTTP(t *testing.T) {
+	Convey("Given the services over HTTP, with a deployment accepted", t, func() {
+		rows, payloads := table.New(), objects.New()
+		tableServer, err := rows.Start("127.0.0.1:0")
+		So(err, ShouldBeNil)
+		objectServer, err := payloads.Start("127.0.0.1:0")
+		So(err, ShouldBeNil)
+		Reset(func() {
+			tableServer.Close()
+			objectServer.Close()
+		})
+		open := func() *Store {
+			return New(
+				httpplatform.NewTable(httpplatform.Options{Address: tableServer.Addr()}),
+				httpplatform.NewObjects(httpplatform.Options{Address: objectServer.Addr()}),
+				Options{Backoff: time.Millisecond},
+			)
+		}
+		s := open()
+		_, err = s.Accept(ctx, Request{OperationID: "t", Author: "ane", Now: now, Change: templateChange()})
+		So(err, ShouldBeNil)
+		rows.LoseNextAnswers(2)
+		accepted, err := s.Accept(ctx, put("d", "ane", 0, deployment("a", 10, 5000)))
+		So(err, ShouldBeNil)
+		So(accepted.Revision, ShouldEqual, 2)
+		So(rows.Counters().Lost, ShouldEqual, 2)
+		So(rows.Counters().Writes, ShouldBeGreaterThan, 2)
+		Convey("another process reads the same, before and after a compaction", func() {
+			before, err := s.Config(ctx)
+			So(err, ShouldBeNil)
+			So(len(before.Deployments[0].BackendServers), ShouldEqual, 5000)
+			_, err = s.Compact(ctx, "c", 1)
+			So(err, ShouldBeNil)
+			after, err := open().Config(ctx)
+			So(err, ShouldBeNil)
+			So(after, ShouldResemble, before)
+		})
+		Convey("with the table down a change is refused as not run, and was not", func() {
+			rows.SetDown(true)
+			_, err := s.Accept(ctx, put("e", "ane", 0, deployment("a", 11, 2)))
+			So(runState(err), ShouldEqual, problem.RunNot)
+			rows.SetDown(false)
+			config, err := open().Config(ctx)
+			So(err, ShouldBeNil)
+			So(config.Revision, ShouldEqual, 2)
+		})
+		Convey("with the object store down a large change is refused, a small one is accepted", func() {
+			objectServer.Close()
+			_, err := s.Accept(ctx, put("e", "ane", 0, deployment("b", 11, 4999)))
+			So(runState(err), ShouldEqual, problem.RunNot)
+			_, err = s.Accept(ctx, put("f", "ane", 0, deployment("c", 11, 2)))
+			So(err, ShouldBeNil)
+		})
+	})
+}
--- a/template/store/store.go
+++ b/template/store/store.go
@@ -83,7 +83,7 @@
 	}
 	for _, o := range p.objects {
 		if err := s.putOnce(ctx, o); err != nil {
-			return Accepted{}, false, unavailable(peerObjects, err)
+			return Accepted{}, false, unavailable(err)
 		}
 	}
 	commit, err := s.commit(ctx, p.transaction)
@@ -93,16 +93,26 @@
 	if !commit.Applied {
 		return Accepted{}, false, lostCondition(commit, request)
 	}
+	s.remember(v, p.entry)
 	return Accepted{Revision: p.entry.Revision}, true, nil
 }
 
+// remember keeps the state that an accepted change made of v, so that it need
+// not be read back.
+func (s *Store) remember(v *view, entry Entry) {
+	next, err := v.next([]Entry{entry})
+	if err == nil {
+		s.cache.put(next)
+	}
+}
+
 // undecided is the error of a request whose state could not be read. Where
 // the same operation may have been sent before, its outcome is not known.
 func undecided(request *Request, err error) error {
 	if request.Resent {
 		return unknown(request.OperationID, err)
 	}
-	return unavailable(peerTable, err)
+	return unavailable(err)
 }
 
 // settle looks in the table for the outcome of a commit that failed. Where
--- a/template/store/store_test.go
+++ b/template/store/store_test.go
@@ -30,6 +30,10 @@
 	}}
 }
 
+func templateChange() template.Change {
+	return template.Change{PutTemplates: []template.Template{letters("letters")}}
+}
+
 func deployment(name string, tokens float64, servers int) template.Deployment {
 	d := template.Deployment{
 		Name:       template.DeploymentName(name),
@@ -53,8 +57,7 @@
 func prepared() (*fakeTable, *fakeObjects, *Store) {
 	table, objects := newFakeTable(), newFakeObjects()
 	s := New(table, objects, Options{Backoff: time.Nanosecond})
-	_, err := s.Accept(ctx, Request{OperationID: "t", Author: "ane", Now: now,
-		Change: template.Change{PutTemplates: []template.Template{letters("letters")}}})
+	_, err := s.Accept(ctx, Request{OperationID: "t", Author: "ane", Now: now, Change: templateChange()})
 	So(err, ShouldBeNil)
 	accepted, err := s.Accept(ctx, put("d", "ane", 0, deployment("a", 10, 2)))
 	So(err, ShouldBeNil)
