Take a later stop of the same version as a new one

Cause: a key that had been retired was ignored for ever, so that the stop of a version in a deployment that was deleted and made anew would not have spread. Change: a retired fact keeps its time and hides only facts that are not later. The package page says what an embedding program must see to. Seen red with either half of the rule taken out. Conclusion: go test -race ./revision passes.

--- a/revision/doc.go
+++ b/revision/doc.go
@@ -11,4 +11,9 @@
 // asks one random peer for what it lacks. The revision that a Node holds only
 // grows. A Node also carries facts, such as the stop of a version, that spread
 // at once without the table and are never taken back.
+//
+// A program that embeds a Node must accept messages from its own processes
+// only: a revision that a peer makes up would be believed. Messages may be
+// lost, so that datagrams will do, but for the whole state, which can take
+// megabytes and is only sent to a process that asks for it.
 package revision
--- a/revision/fact.go
+++ b/revision/fact.go
@@ -38,15 +38,17 @@
 var ErrFactTooLarge = errors.New("fact is too large")
 
 // facts is a union of facts, those excepted that the configuration records.
+// Of these it keeps the time, so that a later fact with the same key, such as
+// for a deployment that was made anew, is taken as a new one.
 type facts struct {
 	known   map[string]Fact
-	retired map[string]struct{}
+	retired map[string]time.Time
 	order   []string
 	digest  uint64
 }
 
 func newFacts() facts {
-	return facts{known: make(map[string]Fact), retired: make(map[string]struct{})}
+	return facts{known: make(map[string]Fact), retired: make(map[string]time.Time)}
 }
 
 func (f *Fact) size() int { return len(f.Key) + len(f.Value) + len(f.Origin) + factFixedBytes }
@@ -78,7 +80,7 @@
 	if fact.size() > MaxFactBytes {
 		return false, false, ErrFactTooLarge
 	}
-	if _, done := s.retired[fact.Key]; done {
+	if at, done := s.retired[fact.Key]; done && !fact.At.After(at) {
 		return false, false, nil
 	}
 	old, found := s.known[fact.Key]
@@ -98,14 +100,17 @@
 
 // retire drops a fact that the installed configuration records.
 func (s *facts) retire(key string) {
-	if old, found := s.known[key]; found {
-		s.digest ^= old.hash()
-		delete(s.known, key)
+	old, found := s.known[key]
+	if !found {
+		return
 	}
-	if _, done := s.retired[key]; done {
+	s.digest ^= old.hash()
+	delete(s.known, key)
+	_, before := s.retired[key]
+	s.retired[key] = old.At
+	if before {
 		return
 	}
-	s.retired[key] = struct{}{}
 	s.order = append(s.order, key)
 	if len(s.order) > maxRetiredFacts {
 		delete(s.retired, s.order[0])
--- a/revision/node_test.go
+++ b/revision/node_test.go
@@ -337,6 +337,16 @@
 			g.run(5 * time.Second)
 			So(n.Facts(), ShouldBeEmpty)
 			So(len(g.learned["h000"]), ShouldEqual, before)
+			for _, other := range g.nodes {
+				other.Retire(stop.Key)
+			}
+			again := stop
+			again.At = g.now
+			a, err := g.nodes["h007"].AddFact(g.now, again)
+			So(err, ShouldBeNil)
+			g.do("h007", a)
+			g.run(5 * time.Second)
+			So(n.Facts(), ShouldResemble, []Fact{again})
 		})
 	})
 	Convey("Facts are refused rather than dropped where there is no room", t, func() {
