--- a/experiment/configuration/membership.go
+++ b/experiment/configuration/membership.go
@@ -112,18 +112,25 @@
 	}
 }
 
-// writeMembership prints what an entry spends on membership.
-func writeMembership(v *verdicts) {
+// writeMembership prints what an entry spends on membership, and returns the
+// bytes a second at the largest size, idle and loaded.
+func writeMembership(v *verdicts) (idle, loaded float64) {
 	v.text("\nmembership: one entry, subset of %d, list read every %s, bytes sent and received without frames\n",
 		membership.DefaultSubsetSize, listInterval)
 	v.text("  %8s %8s %8s %10s %16s\n", "servers", "streams", "usable", "bytes /s", "processor us /s")
 	for _, servers := range []int{100, 1000, 10_000} {
-		for _, loaded := range []bool{false, true} {
-			row := measureMembership(servers, loaded)
+		for _, streams := range []bool{false, true} {
+			row := measureMembership(servers, streams)
+			if streams {
+				loaded = row.bytes
+			} else {
+				idle = row.bytes
+			}
 			v.text("  %8d %8t %8d %10.0f %16.1f\n", row.servers, row.loaded, row.usable, row.bytes, row.processor)
-			name := fmt.Sprintf("  %d backend servers, streams %t: ", servers, loaded)
+			name := fmt.Sprintf("  %d backend servers, streams %t: ", servers, streams)
 			v.target(name+"bytes per s", row.bytes, targetBytes)
 			v.target(name+"processor, % of a core", percent(row.processor), targetProcessor)
 		}
 	}
+	return idle, loaded
 }
--- a/experiment/configuration/print.go
+++ b/experiment/configuration/print.go
@@ -70,11 +70,26 @@
 	v.target("worked out for the full size: p99 until in force, s", inForce.at(full), targetFull.Seconds())
 	v.target("worked out for the full size: bytes sent and received per host and s", 2*bytes.at(full), targetBytes)
 	v.target("worked out for the full size: processor, % of a core", percent(processor.at(full)), targetProcessor)
-	writeMembership(v)
+	idle, loaded := writeMembership(v)
+	spread := 2 * largest(rows, bytes.at(full))
+	v.text("\ncontrol of an entry together at the full size, bytes sent and received per s\n")
+	v.target("with a stream open at every member of the subset", spread+loaded, targetBytes)
+	v.target("with no stream open", spread+idle, targetBytes)
 	v.text("\n%d targets missed\n", v.missed)
 	return v.missed, v.err
 }
 
+// largest returns the bytes sent per host and second that were measured at the
+// full size, or what was worked out where it was not measured or is more.
+func largest(rows []Row, workedOut float64) float64 {
+	for i := range rows {
+		if rows[i].Hosts == fullSize {
+			return max(workedOut, rows[i].Bytes)
+		}
+	}
+	return workedOut
+}
+
 func column(rows []Row, value func(*Row) float64) []float64 {
 	var list []float64
 	for i := range rows {
