--- a/configuration/keeper.go
+++ b/configuration/keeper.go
@@ -243,8 +243,7 @@
 	if !k.node.Serving() {
 		return
 	}
-	config := k.assembler.Config()
-	snapshot := template.NewSnapshot(config, k.stops())
+	snapshot := k.assembler.Snapshot().WithStops(k.stops())
 	previous := k.snapshot.Swap(snapshot)
 	k.options.Install(snapshot)
 	if previous == nil || previous.Revision() != snapshot.Revision() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,8 @@
 	stop       context.CancelFunc
 	wait       sync.WaitGroup
 	sharer     *sharer
+	// owner names this process start in leases.
+	owner string
 	// self is how other entries reach this one.
 	self platform.Host
 }
@@ -121,11 +123,11 @@
 		Metrics: options.Metrics,
 	})
 	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: options.MoveSettle, Progress: e.moveStatus}
-	owner := string(options.Host) + "/" + uuid.NewString()
-	e.evidence = moves.NewEvidence(owner)
+	e.owner = string(options.Host) + "/" + uuid.NewString()
+	e.evidence = moves.NewEvidence(e.owner)
 	e.controller = moves.NewController(moves.Options{
 		Host:       options.Host,
-		Owner:      owner,
+		Owner:      e.owner,
 		Table:      options.Table,
 		Store:      changes,
 		Keeper:     e.config,
@@ -224,6 +226,7 @@
 	e.controller.SetAddress(e.self.ControlAddress)
 	e.spawn(func() { e.controller.Run(e.background) })
 	e.spawn(e.reportEvidence)
+	e.spawn(e.housekeeping)
 	e.spawn(func() { e.gate.Run(e.background) })
 	e.spawn(e.shareGate)
 	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
