Share capacity by work, not by number of requests

Cause: class weights and workspace shares counted requests, so that at twice the capacity long drafts took more than their share of the slots and lookups waited up to their bound. Change: virtual times, queue lengths and expected waits are in units of cost times expected running time. The event source no longer searches its list of streams for each look, which made runs without admission slow. Narratives alone are more than the capacity at 200%, so their wait is the bound of their class.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -62,7 +62,7 @@
 	}
 	q := c.queueOf(req.Class, req.Resume)
 	if c.canStart(q, req.Cost) && !c.mustWait(q) {
-		q.charge(req.Workspace, c.workspaceWeight(req.Workspace), req.Cost)
+		q.charge(req.Workspace, c.workspaceWeight(req.Workspace), c.workOf(req))
 		c.start(now, q, req)
 		return Decision{ID: req.ID, Action: Admit}
 	}
@@ -147,7 +147,7 @@
 		return c.refuse(&req, reason, wait)
 	}
 	e := c.newEntry()
-	e.request, e.latest = req, latest
+	e.request, e.latest, e.work = req, latest, c.workOf(req)
 	q.push(e, c.workspaceWeight(req.Workspace))
 	heap.Push(&c.latest, e)
 	c.queued[req.ID] = e
@@ -181,6 +181,17 @@
 	return minServicePrediction
 }
 
+// workOf is what a request takes of the capacity over its running time, in
+// units of cost times seconds. Shares are shares of work, since a class of long
+// answers takes more of the capacity than as many short ones.
+func (c *Controller) workOf(req Request) float64 {
+	service := c.serviceOf(req)
+	if service == minServicePrediction {
+		service = c.mean
+	}
+	return req.Cost * service.Seconds()
+}
+
 func (c *Controller) newEntry() *entry {
 	if n := len(c.spare); n > 0 {
 		e := c.spare[n-1]
@@ -204,7 +215,7 @@
 	c.fresh[q.class].running += req.Cost
 	c.running[req.ID] = running{class: q.class, resume: q.resume, cost: req.Cost, started: now}
 	c.virtual = max(q.virtual, c.virtual)
-	q.virtual = c.virtual + req.Cost/c.weight(q)
+	q.virtual = c.virtual + c.workOf(req)/c.weight(q)
 }
 
 // Release ends a running request, or withdraws a queued one whose caller has
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -10,6 +10,8 @@
 // entry is a queued request.
 type entry struct {
 	request Request
+	// work is the capacity taken multiplied by the seconds of running.
+	work float64
 	// latest is the last time at which starting is of use.
 	latest time.Time
 	queue  *classQueue
@@ -27,7 +29,7 @@
 	virtual   float64 // virtual start time for fair sharing
 	head      *entry
 	tail      *entry
-	cost      float64
+	work      float64
 	place     int // in the class's heap
 }
 
@@ -39,7 +41,6 @@
 		l.tail.next = e
 	}
 	l.tail = e
-	l.cost += e.request.Cost
 }
 
 func (l *lane) remove(e *entry) {
@@ -53,7 +54,6 @@
 	} else {
 		e.next.prev = e.prev
 	}
-	l.cost -= e.request.Cost
 	e.prev, e.next, e.lane = nil, nil, nil
 }
 
@@ -92,7 +92,7 @@
 	now     float64 // virtual time within the class
 	lanes   map[wigeonfork.Workspace]*lane
 	active  laneHeap
-	cost    float64
+	work    float64
 	count   int
 	running float64
 }
@@ -117,17 +117,18 @@
 		heap.Push(&q.active, l)
 	}
 	l.push(e)
+	l.work += e.work
+	q.work += e.work
 	e.queue = q
-	q.cost += e.request.Cost
 	q.count++
 }
 
-// charge moves a workspace's virtual time on by the cost of a request that
+// charge moves a workspace's virtual time on by the work of a request that
 // did not queue.
-func (q *classQueue) charge(workspace wigeonfork.Workspace, weight, cost float64) {
+func (q *classQueue) charge(workspace wigeonfork.Workspace, weight, work float64) {
 	l := q.lane(workspace, weight)
 	q.now = max(q.now, l.virtual)
-	l.virtual = q.now + cost/l.weight
+	l.virtual = q.now + work/l.weight
 	if l.head != nil {
 		heap.Fix(&q.active, l.place)
 	}
@@ -145,7 +146,7 @@
 	l := q.active[0]
 	e := l.head
 	q.now = max(q.now, l.virtual)
-	l.virtual += e.request.Cost / l.weight
+	l.virtual += e.work / l.weight
 	q.remove(e)
 	if l.head != nil {
 		heap.Fix(&q.active, l.place)
@@ -157,7 +158,8 @@
 func (q *classQueue) remove(e *entry) {
 	l := e.lane
 	l.remove(e)
-	q.cost -= e.request.Cost
+	l.work -= e.work
+	q.work -= e.work
 	q.count--
 	if l.head == nil {
 		heap.Remove(&q.active, l.place)
--- a/admission/tick.go
+++ b/admission/tick.go
@@ -98,26 +98,26 @@
 
 // expectedWait predicts the time that a request of q would queue.
 func (c *Controller) expectedWait(q *classQueue, req Request) time.Duration {
-	ahead := q.cost
+	ahead := q.work
 	if l := q.lanes[req.Workspace]; l != nil && len(q.active) > 0 {
-		ahead = min(ahead, l.cost*float64(len(q.active)))
+		ahead = min(ahead, l.work*float64(len(q.active)))
 	}
-	return c.waitFor(q, ahead+req.Cost)
+	return c.waitFor(q, ahead+c.workOf(req))
 }
 
 func (c *Controller) queueWait(q *classQueue) time.Duration {
-	return c.waitFor(q, q.cost)
+	return c.waitFor(q, q.work)
 }
 
-// waitFor is the time until cost has been drained from q, behind the resumes
+// waitFor is the time until work has been admitted from q, behind the resumes
 // and beside the other classes that have requests queued.
-func (c *Controller) waitFor(q *classQueue, cost float64) time.Duration {
-	rate := c.drainRate()
+func (c *Controller) waitFor(q *classQueue, work float64) time.Duration {
+	rate := c.capacity // work per second
 	if rate <= 0 {
 		return maxRetryAfter
 	}
 	if q.resume {
-		return time.Duration((c.resumesBefore(q) + cost) / rate * float64(time.Second))
+		return time.Duration((c.resumesBefore(q) + work) / rate * float64(time.Second))
 	}
 	own := c.weight(q)
 	all := own
@@ -126,24 +126,19 @@
 			all += c.weight(other)
 		}
 	}
-	wait := (c.resumesBefore(nil) + cost*all/own) / rate
+	wait := (c.resumesBefore(nil) + work*all/own) / rate
 	return min(maxRetryAfter, time.Duration(wait*float64(time.Second)))
 }
 
-// resumesBefore is the cost of the queued resumes that go before q.
+// resumesBefore is the work of the queued resumes that go before q.
 func (c *Controller) resumesBefore(q *classQueue) float64 {
-	var cost float64
+	var work float64
 	for _, other := range c.resumes {
 		if q == nil || (other != q && c.weight(other) >= c.weight(q)) {
-			cost += other.cost
+			work += other.work
 		}
 	}
-	return cost
-}
-
-// drainRate is the cost that ends per second when the capacity is full.
-func (c *Controller) drainRate() float64 {
-	return c.capacity / max(c.mean, minServicePrediction).Seconds()
+	return work
 }
 
 // shedInterval is the time between two searches for entries that wait in vain,
@@ -178,7 +173,7 @@
 
 func (c *Controller) shedLane(now time.Time, q *classQueue, l *lane) {
 	for l.tail != nil {
-		ahead := min(q.cost, l.cost*float64(len(q.active)))
+		ahead := min(q.work, l.work*float64(len(q.active)))
 		if !now.Add(c.waitFor(q, ahead)).After(l.tail.latest.Add(shedTolerance)) {
 			return
 		}
--- a/experiment/policy/entry.go
+++ b/experiment/policy/entry.go
@@ -122,6 +122,7 @@
 	e.detector.Started(now, s.key, engine.id)
 	e.own[e.run.indexOf(engine)]++
 	s.watch = routing.NewWatch(now, e.router.ExpectedGap(now, engine.id), s.decision.ExpectedWait)
+	s.sent = true
 	e.active = append(e.active, s)
 	e.run.give(engine, s)
 }
@@ -174,6 +175,7 @@
 }
 
 func (e *entry) leave(s *stream) {
+	s.sent = false
 	if i := slices.Index(e.active, s); i >= 0 {
 		e.active = slices.Delete(e.active, i, i+1)
 	}
@@ -195,7 +197,7 @@
 func (e *entry) look() {
 	now := e.run.time()
 	for _, s := range slices.Clone(e.active) {
-		if s.ended || s.engine == nil || !slices.Contains(e.active, s) {
+		if !s.sent {
 			continue
 		}
 		if s.decoding {
--- a/experiment/policy/run.go
+++ b/experiment/policy/run.go
@@ -130,6 +130,7 @@
 	next.id = resendID(s, n)
 	next.delivered, next.seen, next.interrupts, next.attempts = 0, 0, 0, 0
 	next.resumeFrom, next.firstAt, next.exclude, next.ended = 0, 0, nil, false
+	next.sent = false
 	r.after(wait, func() {
 		next.arrived = r.now
 		if s.deadline > 0 {
--- a/experiment/policy/workload.go
+++ b/experiment/policy/workload.go
@@ -128,6 +128,7 @@
 	exclude    []wigeonfork.BackendServerID
 	decoding   bool
 	begun      bool
+	sent       bool // held by an engine or on the way to one
 	ended      bool
 }
 
