Weigh a death by the phase of the run in which it came

Cause: where engines die often, a death within a second of a resume is weak evidence, so poison requests took more than three engines; most of that second is prefill, while the crash comes with the first tokens. Change: a resident says how long it has been decoding; its evidence is the time since the phase began, prefill or decoding, with both counted as chances for an ordinary death. Checked: the new test was seen red with the phase taken out.

--- a/experiment/policy/faults.go
+++ b/experiment/policy/faults.go
@@ -101,7 +101,11 @@
 	}
 	for _, s := range lost {
 		if s.batchedAt >= s.sentAt {
-			d.Residents = append(d.Residents, quarantine.Resident{Key: s.key, Ran: r.now - s.batchedAt})
+			resident := quarantine.Resident{Key: s.key, Ran: r.now - s.batchedAt}
+			if s.begunAt > s.batchedAt {
+				resident.Decoded = r.now - s.begunAt
+			}
+			d.Residents = append(d.Residents, resident)
 		}
 	}
 	return d
--- a/experiment/policy/run.go
+++ b/experiment/policy/run.go
@@ -229,7 +229,7 @@
 	trip := r.trip(s.entry, e)
 	fresh := s.prompt + int(s.delivered) - s.cached
 	r.result.prefilled(s, fresh)
-	s.seen = s.delivered
+	s.seen, s.begunAt = s.delivered, r.now
 	if s.firstAt == 0 {
 		s.firstAt = r.now + trip
 		r.result.first(s)
--- a/experiment/policy/workload.go
+++ b/experiment/policy/workload.go
@@ -117,6 +117,7 @@
 	arrived    time.Duration
 	sentAt     time.Duration
 	batchedAt  time.Duration
+	begunAt    time.Duration // first token of this run
 	firstAt    time.Duration
 	resumeFrom time.Duration // time of the loss that is not yet made up for
 	interrupts int
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -140,7 +140,7 @@
 		s = d.newSuspect(r.Key)
 	}
 	if len(s.charges) < maxCharges && !s.charged(death.ID) {
-		s.add(charge{death: death.ID, at: death.At, ran: r.Ran})
+		s.add(newCharge(death, r))
 	}
 	d.unplace(s, death.ID.Server)
 	if death.At.After(s.elsewhere) {
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -81,6 +81,26 @@
 	})
 }
 
+func TestBusyFleet(t *testing.T) {
+	// Twenty ordinary deaths in ten minutes, then three under request 1.
+	verdict := func(decoded time.Duration) Action {
+		d := calm()
+		for i := range 20 {
+			d.Died(after(30*float64(i)), death(i%25, after(30*float64(i)), time.Minute, 100+i))
+		}
+		for i := range 3 {
+			one := death(30+i, after(601+2*float64(i)), time.Second, 1)
+			one.Residents[0].Decoded = decoded
+			d.Died(one.At, one)
+		}
+		return d.Check(after(700), key(1)).Action
+	}
+	Convey("Where engines die often, deaths right after the first token convict, deaths a second into the run do not", t, func() {
+		So(verdict(60*time.Millisecond), ShouldEqual, Refuse)
+		So(verdict(0), ShouldEqual, Run)
+	})
+}
+
 func TestInnocents(t *testing.T) {
 	// Each case kills three engines under request 1 in a way that an ordinary
 	// fault can.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -13,6 +13,8 @@
 	burstDeaths  = 2                // deaths within burstWindow that are no burst
 	serverWindow = time.Minute      // repeats of one server's deaths are taken to come within it
 	minRun       = 50 * time.Millisecond
+	minDecoded   = 20 * time.Millisecond
+	phases       = 2 // of a run in which a request can crash its engine
 	minEvidence  = 2 // deaths after the first that are needed to convict
 )
 
@@ -21,6 +23,15 @@
 	death DeathID
 	at    time.Time
 	ran   time.Duration
+	phase time.Duration // time since the phase of the run began: prefill or decoding
+}
+
+func newCharge(death *record, r Resident) charge {
+	c := charge{death: death.ID, at: death.At, ran: r.Ran, phase: max(r.Ran, minRun)}
+	if r.Decoded > 0 {
+		c.phase = max(r.Decoded, minDecoded)
+	}
+	return c
 }
 
 // suspect is a request that was part of an engine death and has not completed
@@ -98,7 +109,9 @@
 	logarithm := 0.0
 	for i := range sequence[1:] {
 		c := &sequence[i+1]
-		run := max(c.ran, minRun).Seconds()
+		// A request may crash its engine early in either phase, so that the
+		// chance of an ordinary death is that of both.
+		run := phases * c.phase.Seconds()
 		logarithm += math.Log(-math.Expm1(-d.hazard(sequence, c) * run))
 	}
 	return fisher(logarithm, len(sequence)-1)
--- a/quarantine/types.go
+++ b/quarantine/types.go
@@ -47,6 +47,8 @@
 	Key Key `json:"key"`
 	// Ran is how long the engine had been running it.
 	Ran time.Duration `json:"ran"`
+	// Decoded is the time since the first token of that run; 0 before it.
+	Decoded time.Duration `json:"decoded,omitempty"`
 }
 
 // Death is the death of an engine, as seen by the agent beside it. The death
