Answer a lasting overload at once, let a burst wait

Cause: at twice the capacity every request of a prompt class waited up to the bound of its class before it was refused.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -148,6 +148,9 @@
 	}
 	e := c.newEntry()
 	e.request, e.latest, e.work = req, latest, c.workOf(req)
+	if q.count == 0 {
+		q.since = now
+	}
 	q.push(e, c.workspaceWeight(req.Workspace))
 	heap.Push(&c.latest, e)
 	c.queued[req.ID] = e
@@ -160,6 +163,8 @@
 	bound := now.Add(c.options.Policy[req.Class].MaxWait)
 	if req.Resume {
 		bound = now.Add(c.options.ResumeMaxWait)
+	} else if c.fresh[req.Class].overloaded(now) {
+		bound = now.Add(c.options.Policy[req.Class].OverloadWait)
 	}
 	if req.Deadline.IsZero() {
 		return bound, ReasonWait
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -121,6 +121,17 @@
 			So(len(out), ShouldEqual, 1)
 			So(out[0].Action, ShouldEqual, Refuse)
 		})
+		Convey("a burst may wait, and a lasting overload is answered at once", func() {
+			c.mean = 10 * time.Millisecond
+			c.options.Policy[wigeonfork.ClassLookup] = ClassPolicy{Weight: 1, MaxShare: 1, MaxWait: 5 * time.Second, OverloadWait: 100 * time.Millisecond}
+			So(c.Offer(start, request(1, "w", wigeonfork.ClassLookup)).Action, ShouldEqual, Queue)
+			later := start.Add(overloadAfter)
+			So(c.Offer(later, request(2, "w", wigeonfork.ClassLookup)).Action, ShouldEqual, Queue)
+			out := c.Tick(later.Add(100 * time.Millisecond))
+			So(len(out), ShouldEqual, 1)
+			So(out[0].ID, ShouldEqual, wigeonfork.RequestID("2"))
+			So(out[0].Reason, ShouldEqual, ReasonWait)
+		})
 		Convey("the retry-after times are spread", func() {
 			seen := map[time.Duration]bool{}
 			for n := range 50 {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -94,6 +94,7 @@
 	active  laneHeap
 	work    float64
 	count   int
+	since   time.Time // from which on requests have been queued without a break
 	running float64
 }
 
@@ -101,6 +102,11 @@
 	return &classQueue{class: class, resume: resume, lanes: make(map[wigeonfork.Workspace]*lane)}
 }
 
+// overloaded tells whether requests have been queued for long without a break.
+func (q *classQueue) overloaded(now time.Time) bool {
+	return q.count > 0 && now.Sub(q.since) >= overloadAfter
+}
+
 func (q *classQueue) lane(workspace wigeonfork.Workspace, weight float64) *lane {
 	l := q.lanes[workspace]
 	if l == nil {
--- a/admission/types.go
+++ b/admission/types.go
@@ -108,6 +108,10 @@
 	MaxShare float64
 	// MaxWait bounds the time in the queue; 0 takes the default.
 	MaxWait time.Duration
+	// OverloadWait takes the place of MaxWait once the class has had requests
+	// queued for a while without a break, so that a burst may wait and a lasting
+	// overload is answered at once; 0 takes MaxWait.
+	OverloadWait time.Duration
 }
 
 // Policy holds the treatment of each class.
@@ -134,7 +138,7 @@
 func RegnsamlerPolicy() Policy {
 	p := defaultPolicy()
 	p[wigeonfork.ClassDisbursement] = ClassPolicy{Weight: 16, MaxWait: 5 * time.Second}
-	p[wigeonfork.ClassLookup] = ClassPolicy{Weight: 8, MaxWait: 2 * time.Second}
+	p[wigeonfork.ClassLookup] = ClassPolicy{Weight: 8, MaxWait: 2 * time.Second, OverloadWait: shortWait}
 	p[wigeonfork.ClassDraft] = ClassPolicy{Weight: 2, MaxShare: 0.9, MaxWait: 30 * time.Second}
 	return p
 }
@@ -143,8 +147,8 @@
 // lowest.
 func CairnmarkPolicy() Policy {
 	p := defaultPolicy()
-	p[wigeonfork.ClassNarrative] = ClassPolicy{Weight: 16, MaxWait: 5 * time.Second}
-	p[wigeonfork.ClassCertificate] = ClassPolicy{Weight: 8, MaxWait: 5 * time.Second}
+	p[wigeonfork.ClassNarrative] = ClassPolicy{Weight: 16, MaxWait: 5 * time.Second, OverloadWait: shortWait}
+	p[wigeonfork.ClassCertificate] = ClassPolicy{Weight: 8, MaxWait: 5 * time.Second, OverloadWait: shortWait}
 	p[wigeonfork.ClassLookup] = ClassPolicy{Weight: 2, MaxShare: 0.9, MaxWait: 3 * time.Second}
 	return p
 }
@@ -161,6 +165,8 @@
 	defaultMaxWait       = 5 * time.Second
 	defaultResumeMaxWait = 10 * time.Second
 	defaultQueueLimit    = 4096
+	shortWait            = 500 * time.Millisecond
+	overloadAfter        = 2 * time.Second
 	defaultReserve       = 0.05
 	defaultOvercommit    = 1.15
 	defaultService       = 5 * time.Second
@@ -229,5 +235,8 @@
 	if p.MaxWait <= 0 {
 		p.MaxWait = defaultMaxWait
 	}
+	if p.OverloadWait <= 0 {
+		p.OverloadWait = p.MaxWait
+	}
 	return p
 }
