Do not convict on deaths that another suspect may have caused

One way to it: an ordinary death and two deaths beside the real cause looked like three of the innocent's own, since the other suspect was no part of the first. Change: a suspect is not refused while another was part of every death that is evidence against it; the first death is none. Checked: the new case was seen red with the change taken out.

--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -278,8 +278,8 @@
 	return Verdict{Action: Refuse, Charges: charges}
 }
 
-// shared tells whether another suspect was part of every death of a sequence,
-// so that either could be the cause.
+// shared tells whether another suspect was part of every death that is evidence
+// in a sequence, so that either could be the cause.
 func (d *Detector) shared(key Key, sequence []charge) bool {
 	last := d.deaths[sequence[len(sequence)-1].death]
 	if last == nil {
@@ -291,7 +291,7 @@
 		if other == key || s == nil {
 			continue
 		}
-		if s.chargedWithAll(sequence) {
+		if s.chargedWithAll(sequence[1:]) {
 			return true
 		}
 	}
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -135,6 +135,12 @@
 				d.Died(after(2*float64(i)), death(i, after(2*float64(i)), time.Second, 1, 2))
 			}
 		},
+		"an ordinary death and two that another suspect was part of": func(d *Detector) {
+			d.Died(after(0), death(0, after(0), time.Second, 1))
+			d.Died(after(1), death(5, after(1), time.Second, 2))
+			d.Died(after(3), death(1, after(3), 300*time.Millisecond, 1, 2))
+			d.Died(after(5), death(2, after(5), 300*time.Millisecond, 1, 2))
+		},
 		"a completion between the deaths": func(d *Detector) {
 			d.Died(after(0), death(0, after(0), time.Second, 1))
 			d.Died(after(2), death(1, after(2), time.Second, 1))
