rollout: keep some of the old version's traffic while the finish is watched

Cause: after the last step all traffic was on the new version, so one that turned bad between the last step and the unload of the old version could not be compared, and was not taken back.

Change: until the end of the watch, which comes before the deadline, the old version keeps a twentieth of the traffic; then the new one gets all, and the old one is unloaded. The experiment counts a move as done in time only if all entries send everything to the new version just after the deadline, and late faults begin up to 0.95 of the time to the deadline in place of 0.90.

--- a/experiment/moves/kind.go
+++ b/experiment/moves/kind.go
@@ -68,7 +68,7 @@
 	leastErrorRate = 0.05
 	// Late faults begin within these parts of the time to the deadline.
 	earliestLate = 0.05
-	latestLate   = 0.90
+	latestLate   = 0.95
 	// The chance of each request to end its engine.
 	engineDeathRate = 0.005
 	minOutage       = 30 * time.Second
--- a/experiment/moves/run.go
+++ b/experiment/moves/run.go
@@ -49,7 +49,10 @@
 	stopped time.Duration
 	canary  shareCount
 	// counted is what the baselines go by.
-	counted    errorCount
+	counted errorCount
+	// moved says that all entries sent everything to the new version just
+	// after the deadline.
+	moved      bool
 	collecting bool
 }
 
@@ -110,7 +113,10 @@
 		if step%second == 0 {
 			t.driver.step(now)
 		}
-		t.count(now)
+		t.count()
+		if now == moveTime+afterStopLimit {
+			t.moved = t.allMoved()
+		}
 		if t.settled(now) {
 			break
 		}
@@ -347,7 +353,7 @@
 }
 
 // count adds up the time for which servers hold both versions.
-func (t *trial) count(time.Duration) {
+func (t *trial) count() {
 	for i := range t.servers {
 		v := &t.servers[i]
 		if v.old && (v.new || v.remaining > 0) {
@@ -356,10 +362,19 @@
 	}
 }
 
+func (t *trial) allMoved() bool {
+	for _, e := range t.entries {
+		if e.gate.NewShare() != rollout.AllTraffic {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *trial) finish() {
 	state, finished := t.driver.state()
 	t.result.takenBack = state == rollout.StateReverting || state == rollout.StateReverted
-	t.result.doneInTime = state == rollout.StateDone && finished <= moveTime
+	t.result.doneInTime = state == rollout.StateDone && finished <= moveTime && t.moved
 	if t.canary.all > 0 {
 		t.result.canaryShare = float64(t.canary.new) / float64(t.canary.all)
 	}
--- a/rollout/move.go
+++ b/rollout/move.go
@@ -23,6 +23,8 @@
 	// known to all, and the first unload of the old version. A stop is
 	// still taken in it.
 	finalDelay = 10 * time.Second
+	// watchShare is what the new version gets while it is watched.
+	watchShare PerMille = 950
 )
 
 // The events of a move's life cycle.
@@ -70,7 +72,7 @@
 	sharesSent uint64
 	why        string
 	announced  bool
-	final      bool
+	finalSent  bool
 
 	pending   *Record
 	inFlight  string
@@ -149,10 +151,10 @@
 		return nil
 	}
 	m.transition(eventTakeBack)
-	m.final = false
+	m.finalSent = false
 	m.why = why
 	m.write(m.stoppedRecord())
-	return []Action{m.shares()}
+	return []Action{m.shares(now)}
 }
 
 // stoppedRecord is what the table has to say of a move that is taken back.
@@ -176,17 +178,23 @@
 	return m.state() == StateReverting || m.state() == StateReverted
 }
 
-// shares tells what the new version may get at present.
-func (m *Move) shares() SetShares {
+// shares tells what the new version may get at present. While it is watched
+// after the finish, some of the old version's traffic is kept for comparison.
+func (m *Move) shares(now time.Time) SetShares {
 	m.sharesSent++
 	m.announced = true
+	final := m.state() == StateDone && m.watched(now)
 	share := m.record.Share
-	if m.stopped() {
+	switch {
+	case m.stopped():
 		share = 0
+	case m.state() == StateDone && !final:
+		share = watchShare
 	}
+	m.finalSent = final
 	return SetShares{Shares: Shares{
 		Move: m.plan.ID, Fencing: m.fencing, Sequence: m.sharesSent,
-		Old: m.plan.From, New: m.plan.To, NewShare: share, Stopped: m.stopped(), Final: m.final,
+		Old: m.plan.From, New: m.plan.To, NewShare: share, Stopped: m.stopped(), Final: final,
 	}}
 }
 
@@ -194,11 +202,10 @@
 func (m *Move) proceed(now time.Time) []Action {
 	var actions []Action
 	if m.stopped() && !m.announced {
-		actions = append(actions, m.shares())
+		actions = append(actions, m.shares(now))
 	}
-	if m.state() == StateDone && m.watched(now) && !m.final {
-		m.final = true
-		actions = append(actions, m.shares())
+	if m.state() == StateDone && m.watched(now) && !m.finalSent {
+		actions = append(actions, m.shares(now))
 	}
 	if m.pending == nil {
 		m.decide(now)
@@ -298,14 +305,26 @@
 	m.write(next)
 }
 
-func (m *Move) watched(now time.Time) bool {
-	return now.Sub(m.record.Finished) >= m.plan.Watch
+// watchEnd returns when the watch after the finish ends. The new version has
+// all traffic by the deadline.
+func (m *Move) watchEnd() time.Time {
+	end := m.record.Finished.Add(m.plan.Watch)
+	latest := m.plan.Deadline.Add(-finalDelay)
+	if latest.Before(m.record.Finished) {
+		latest = m.record.Finished
+	}
+	if latest.Before(end) {
+		return latest
+	}
+	return end
 }
 
+func (m *Move) watched(now time.Time) bool { return !now.Before(m.watchEnd()) }
+
 // unloading says that the old version is being unloaded, so that there is
 // nothing to go back to.
 func (m *Move) unloading(now time.Time) bool {
-	return now.Sub(m.record.Finished) >= m.plan.Watch+finalDelay
+	return !now.Before(m.watchEnd().Add(finalDelay))
 }
 
 // orders returns the orders that are due.
--- a/rollout/move_record.go
+++ b/rollout/move_record.go
@@ -40,16 +40,16 @@
 	case e.Err != nil:
 		m.nextWrite = now.Add(recordRetry)
 	case e.Commit.Applied:
-		return m.recorded(e.OperationID, e.Commit.Revision)
+		return m.recorded(now, e.OperationID, e.Commit.Revision)
 	default:
-		return m.conflict(e)
+		return m.conflict(now, e)
 	}
 	return nil
 }
 
 // recorded takes the step that is now in the table. A record that was replaced
 // while it was on its way only moves the revision on.
-func (m *Move) recorded(operation string, revision platform.Revision) []Action {
+func (m *Move) recorded(now time.Time, operation string, revision platform.Revision) []Action {
 	m.revision = revision
 	if m.pending == nil || m.pending.Operation != operation {
 		return nil
@@ -60,12 +60,12 @@
 	if m.record.State != before {
 		m.transition(eventTo[m.record.State])
 	}
-	return []Action{m.shares()}
+	return []Action{m.shares(now)}
 }
 
 // conflict looks at the row that stands in the way: this holder's own write
 // whose answer was lost, or that of another holder.
-func (m *Move) conflict(e RecordDone) []Action {
+func (m *Move) conflict(now time.Time, e RecordDone) []Action {
 	for _, row := range e.Commit.Conflicts {
 		if row.Key != RecordKey(m.plan.ID) {
 			continue
@@ -76,7 +76,7 @@
 			return nil
 		}
 		if found.Operation == e.OperationID {
-			return m.recorded(e.OperationID, row.Revision)
+			return m.recorded(now, e.OperationID, row.Revision)
 		}
 		m.adopt(found, row.Revision)
 	}
--- a/rollout/move_test.go
+++ b/rollout/move_test.go
@@ -146,6 +146,17 @@
 			s.pass(m, 5*time.Minute)
 			So(m.Closed(), ShouldBeTrue)
 		})
+		Convey("while it is watched the old version keeps some traffic, also after a takeover", func() {
+			s.pass(m, 28*time.Minute)
+			So(s.gate.NewShare(), ShouldEqual, watchShare)
+			next := s.holder(2)
+			s.step(next, Tick{})
+			So(s.gate.NewShare(), ShouldEqual, watchShare)
+			s.pass(next, 110*time.Second)
+			So(s.gate.NewShare(), ShouldEqual, AllTraffic)
+			s.step(s.holder(3), Tick{})
+			So(s.gate.NewShare(), ShouldEqual, AllTraffic)
+		})
 		Convey("a stop takes the version back at once and for ever", func() {
 			s.pass(m, 20*time.Minute)
 			So(m.State(), ShouldEqual, StateRamp)
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -38,7 +38,8 @@
 	// MinStarts is the number of requests that To must have been sent
 	// before its share is raised.
 	MinStarts uint64 `json:"min_starts"`
-	// Watch is the time after the finish for which From stays loaded.
+	// Watch is the time after the finish for which From stays loaded and
+	// keeps a little traffic for comparison. It ends before the deadline.
 	Watch time.Duration `json:"watch"`
 }
 
