rollout: close windows of all routes together as well

Cause: at a small share a window of one route on one backend server takes minutes to see both versions, so a version that is bad on all routes was found late, at nine tenths of the traffic most of all.

Change: the tests of all routes have windows of their own, on one backend server with all routes together.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -148,22 +148,22 @@
 	}
 }
 
-// addIncrement adds to the test of the route and load, and to those of all
-// routes, all loads, and both.
+// addIncrement adds to the test of the route. Pooled ones add to that of all
+// routes too; for the others all routes have windows of their own.
 func (j *Judge) addIncrement(epoch int64, found Increment) {
-	for _, route := range [...]Route{j.route(found.Route), allRoutes} {
-		if found.Pooled {
+	if found.Pooled {
+		for _, route := range [...]Route{j.route(found.Route), allRoutes} {
 			if test := j.pooledGroup(route).of(found.Criterion); test != nil {
 				test.add(epoch, found.Logs, found.Totals)
 			}
-			continue
-		}
-		if int(found.Criterion) >= numMatched || found.Load >= anyLoad {
-			continue
-		}
-		for _, load := range [...]LoadLevel{found.Load, anyLoad} {
-			j.group(limitKey{route, load})[found.Criterion].add(epoch, found.Logs, found.Totals)
 		}
+		return
+	}
+	if int(found.Criterion) >= numMatched || found.Load >= anyLoad {
+		return
+	}
+	for _, load := range [...]LoadLevel{found.Load, anyLoad} {
+		j.group(limitKey{j.route(found.Route), load})[found.Criterion].add(epoch, found.Logs, found.Totals)
 	}
 }
 
@@ -195,6 +195,9 @@
 
 // route returns the name under which a route is judged.
 func (j *Judge) route(r Route) Route {
+	if r == allRoutes {
+		return r
+	}
 	if _, known := j.routes[r]; known {
 		return r
 	}
--- a/rollout/matcher.go
+++ b/rollout/matcher.go
@@ -34,7 +34,9 @@
 }
 
 // matcher closes windows in which both versions were seen, and turns them into
-// evidence. A window is on one backend server, or on a failure domain.
+// evidence. A window is on one backend server, for one route and for all, or on
+// a failure domain. Latencies of different routes can be counted together,
+// because each is held against its own route's.
 type matcher struct {
 	windows    map[Stratum]*window
 	pooled     map[pooledKey]*pooledWindow
@@ -113,24 +115,41 @@
 func (m *matcher) add(now time.Time, c *cell, maxWindows int) bool {
 	m.newStarts += uint64(c.new.starts)
 	m.use(c)
-	w := m.windows[c.stratum]
-	key := pooledKey{c.stratum.Route, c.stratum.Load, c.domain}
-	p := m.pooled[key]
-	if (w == nil && len(m.windows) >= maxWindows) || (p == nil && len(m.pooled) >= maxWindows) {
-		return false
-	}
+	all := c.stratum
+	all.Route = allRoutes
+	matched := m.addMatched(now, c.stratum, c, maxWindows)
+	matched = m.addMatched(now, all, c, maxWindows) && matched
+	return m.addPooled(now, c, maxWindows) && matched
+}
+
+// addMatched counts a cell in a window on one backend server.
+func (m *matcher) addMatched(now time.Time, key Stratum, c *cell, maxWindows int) bool {
+	w := m.windows[key]
 	if w == nil {
+		if len(m.windows) >= maxWindows {
+			return false
+		}
 		w = &window{opened: now}
-		m.windows[c.stratum] = w
+		m.windows[key] = w
 	}
-	if p == nil {
-		p = &pooledWindow{window: window{opened: now}}
-		m.pooled[key] = p
+	w.add(c)
+	return true
+}
+
+// addPooled counts a cell in a window on a failure domain.
+func (m *matcher) addPooled(now time.Time, c *cell, maxWindows int) bool {
+	key := pooledKey{c.stratum.Route, c.stratum.Load, c.domain}
+	w := m.pooled[key]
+	if w == nil {
+		if len(m.pooled) >= maxWindows {
+			return false
+		}
+		w = &pooledWindow{window: window{opened: now}}
+		m.pooled[key] = w
 	}
 	w.add(c)
-	p.add(c)
 	if c.new.errors+c.new.wrongStops > 0 {
-		p.bad = append(p.bad, serverBad{server: c.stratum.Server, counts: c.new})
+		w.bad = append(w.bad, serverBad{server: c.stratum.Server, counts: c.new})
 	}
 	return true
 }
