rollout: test lost and stubborn backend servers; count refused reports

Change: tests for a backend server that is down while loads are due, one that comes back after the finish, and one that never unloads; Judge.Dropped.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -208,6 +208,10 @@
 	return r
 }
 
+// Dropped returns how many reports came from more processes than are told
+// apart.
+func (j *Judge) Dropped() uint64 { return j.dropped }
+
 func (j *Judge) epoch(now time.Time, length time.Duration) int64 {
 	return int64(now.Sub(j.began) / length)
 }
--- a/rollout/move_test.go
+++ b/rollout/move_test.go
@@ -38,7 +38,9 @@
 	applied map[string]platform.Revision
 	out     bool
 	lose    int
+	refuse  bool
 	loaded  map[wigeonfork.BackendServerID]bool
+	down    map[wigeonfork.BackendServerID]bool
 	orders  map[wigeonfork.FencingNumber]int
 	highest wigeonfork.FencingNumber
 	gate    *Gate
@@ -49,6 +51,7 @@
 		now:     testStart,
 		applied: make(map[string]platform.Revision),
 		loaded:  make(map[wigeonfork.BackendServerID]bool),
+		down:    make(map[wigeonfork.BackendServerID]bool),
 		orders:  make(map[wigeonfork.FencingNumber]int),
 		gate:    NewGate("m", testVersions),
 	}
@@ -86,6 +89,9 @@
 }
 
 func (s *stage) order(a GiveOrder) error {
+	if s.down[a.Server] || (s.refuse && a.Server == "b1") {
+		return platform.NewError(platform.OutcomeNotDone, "order", string(a.Server), errors.New("down"))
+	}
 	if a.Order.Fencing < s.highest {
 		return problem.New(problem.CodeStaleOrder, problem.RunNot, problem.StepOrder, "stale")
 	}
@@ -120,7 +126,7 @@
 	const stride = 5 * time.Second
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(stride) {
 		for _, server := range testPlan().Servers {
-			s.step(m, ServerReport{Server: server.ID, OldReady: true, NewReady: s.loaded[server.ID]})
+			s.step(m, ServerReport{Server: server.ID, Down: s.down[server.ID], OldReady: true, NewReady: s.loaded[server.ID]})
 		}
 		s.step(m, Judged{Verdict: Verdict{NewStarts: 1000}})
 	}
@@ -186,6 +192,27 @@
 			So(s.gate.Stop(), ShouldBeFalse)
 			So(s.gate.NewShare(), ShouldEqual, AllTraffic)
 		})
+		Convey("a backend server that is down has its place taken, and is loaded when it comes back", func() {
+			s.down["b0"], s.down["b3"] = true, true
+			s.pass(m, 5*time.Minute)
+			So(m.State(), ShouldEqual, StateCanary)
+			So(s.loaded["b0"], ShouldBeFalse)
+			s.pass(m, 23*time.Minute)
+			So(m.State(), ShouldEqual, StateDone)
+			delete(s.down, "b0")
+			s.pass(m, time.Minute)
+			So(s.loaded["b0"], ShouldBeTrue)
+			So(s.loaded["b3"], ShouldBeFalse)
+		})
+		Convey("a backend server that never unloads does not keep a move from closing", func() {
+			s.pass(m, 5*time.Minute)
+			s.refuse = true
+			s.step(m, StopRequested{Why: "operator"})
+			s.pass(m, time.Minute)
+			So(s.record().State, ShouldEqual, StateReverting)
+			s.pass(m, 2*time.Minute)
+			So(s.record().State, ShouldEqual, StateReverted)
+		})
 		Convey("while the store is out no step forward is taken, but a step back is", func() {
 			s.pass(m, 10*time.Minute)
 			So(m.State(), ShouldEqual, StateCanary)
