--- /dev/null
+++ b/agent/command/generate.go
@@ -0,0 +1,207 @@
+// Package command holds what changes an agent's state: beginning, reading and
+// ending generations, running plain service calls, orders and leaving.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/agent/session"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// engineResumes bounds the attempts to take up a broken engine stream.
+const engineResumes = 2
+
+// Generations serves the generations of one agent.
+type Generations struct {
+	Engine  backend.Engine
+	Table   *session.Table
+	Metrics telemetry.Registry
+	Log     *telemetry.Logger
+	// Background ends when the agent stops; generations run under it.
+	Background context.Context
+	// EngineIncarnation returns the engine's incarnation as last reported.
+	EngineIncarnation func() string
+	Deaths            *Deaths
+
+	running sync.WaitGroup
+}
+
+// Wait returns when no generation runs any more.
+func (g *Generations) Wait() { g.running.Wait() }
+
+// Begin starts a generation and streams its frames.
+func (g *Generations) Begin(w http.ResponseWriter, r *http.Request) {
+	body, readErr := httpserver.ReadBody(w, r, agentapi.MaxBodyBytes)
+	if readErr != nil {
+		problem.Write(w, readErr)
+		return
+	}
+	var call agentapi.Generate
+	if json.Unmarshal(body, &call) != nil {
+		problem.Write(w, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepDispatch, "malformed generate call"))
+		return
+	}
+	s, err := g.start(&call)
+	if err != nil {
+		problem.Write(w, err.For(call.RequestID))
+		return
+	}
+	g.stream(w, r, s, s.First)
+}
+
+func (g *Generations) start(call *agentapi.Generate) (*session.Session, *problem.Error) {
+	ctx, cancel := context.WithCancel(g.Background)
+	s := session.New(call, time.Now(), cancel)
+	s.EngineIncarnation = g.EngineIncarnation()
+	s.Epoch = g.Deaths.Epoch()
+	switch err := g.Table.Add(s); {
+	case errors.Is(err, session.ErrClosed):
+		cancel()
+		return nil, problem.New(problem.CodeDraining, problem.RunNot, problem.StepDispatch, "agent is leaving")
+	case err != nil:
+		cancel()
+		return nil, problem.New(problem.CodeConflict, problem.RunUnknown, problem.StepDispatch, "generation %d exists", call.Generation)
+	}
+	telemetry.Counter(g.Metrics, "agent.generations").Inc(1)
+	g.running.Add(1)
+	go func() {
+		defer g.running.Done()
+		g.produce(ctx, s, call.EngineRequest())
+	}()
+	return s, nil
+}
+
+// produce moves tokens from the engine into s until the answer ends.
+func (g *Generations) produce(ctx context.Context, s *session.Session, request backend.GenerateRequest) {
+	defer s.Cancel()
+	stream, err := g.Engine.Generate(ctx, request)
+	if err == nil {
+		s.Accepted(time.Now())
+	}
+	for attempt := 0; ; attempt++ {
+		if err == nil {
+			before := s.Len()
+			err = g.consume(ctx, s, stream)
+			if err == nil {
+				return
+			}
+			if s.Len() > before {
+				attempt = 0
+			}
+		}
+		if ctx.Err() != nil {
+			g.abandon(s, request.StreamID)
+			return
+		}
+		if attempt >= engineResumes || !g.resumable(err) {
+			g.fail(s, err)
+			return
+		}
+		stream, err = g.Engine.Resume(ctx, request.StreamID, s.Len())
+	}
+}
+
+// resumable reports whether the engine may still hold the stream.
+func (g *Generations) resumable(err error) bool {
+	return g.Engine.Capabilities().ResumeStream && platform.OutcomeOf(err) != platform.OutcomeNotDone
+}
+
+func (g *Generations) consume(ctx context.Context, s *session.Session, stream backend.Stream) error {
+	defer func() { _ = stream.Close() }()
+	tokens := telemetry.Counter(g.Metrics, "agent.tokens")
+	for {
+		chunk, err := stream.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if !s.Append(chunk) {
+			return errors.Newf("tokens missing before position %d", chunk.Position)
+		}
+		tokens.Inc(int64(len(chunk.Tokens)))
+		if !chunk.Done {
+			continue
+		}
+		if !s.End(chunk, time.Now()) {
+			return errors.Newf("engine counts %d tokens, sent %d", chunk.Position, s.Len())
+		}
+		return nil
+	}
+}
+
+func (g *Generations) abandon(s *session.Session, streamID string) {
+	s.Fail(frame.FailureCancelled, "", time.Now())
+	if !g.Engine.Capabilities().Cancel {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.Background), cancelTimeout)
+	defer cancel()
+	if err := g.Engine.Cancel(ctx, streamID); err != nil {
+		g.Log.Debug().Str("step", "cancel").Err(err).Msg("cancel_failed")
+	}
+}
+
+// cancelTimeout bounds the call that frees an engine.
+const cancelTimeout = time.Second
+
+func (g *Generations) fail(s *session.Session, err error) {
+	failure := g.failureOf(s, err)
+	telemetry.Counter(g.Metrics, "agent.failures."+failure.String()).Inc(1)
+	g.Log.Warn().Str("request", string(s.Key.RequestID)).Uint32("generation", uint32(s.Key.Generation)).
+		Str("failure", failure.String()).Err(err).Msg("generation_failed")
+	message := ""
+	if failure == frame.FailureEngineDead {
+		message = g.Deaths.Note(s, time.Now())
+	}
+	s.Fail(failure, message, time.Now())
+}
+
+// failureOf tells why a generation failed. An engine that answers in the same
+// incarnation has failed only this generation.
+func (g *Generations) failureOf(s *session.Session, err error) frame.Failure {
+	switch {
+	case errors.Is(err, backend.ErrRejected):
+		return frame.FailureRejected
+	case errors.Is(err, backend.ErrOverloaded):
+		return frame.FailureOverloaded
+	}
+	if g.engineLives(s) {
+		// An engine that is just dying may still answer.
+		select {
+		case <-time.After(probeAgain):
+		case <-g.Background.Done():
+		}
+		if g.engineLives(s) {
+			return frame.FailureStream
+		}
+	}
+	return frame.FailureEngineDead
+}
+
+// engineLives reports whether the engine answers in the incarnation in which
+// the generation began.
+func (g *Generations) engineLives(s *session.Session) bool {
+	ctx, cancel := context.WithTimeout(g.Background, probeTimeout)
+	defer cancel()
+	load, err := g.Engine.Load(ctx)
+	return err == nil && load.Incarnation == s.EngineIncarnation
+}
+
+const (
+	// probeTimeout bounds the question whether an engine lives.
+	probeTimeout = 200 * time.Millisecond
+	// probeAgain is the time to the second such question.
+	probeAgain = 20 * time.Millisecond
+)
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,312 @@
+// Package entry is the daemon on an entry host as a library: callers reach it
+// over HTTP, peers and operators over the control connection.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/justinas/alice"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/admission"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/configuration"
+	"github.com/wigeonfork/wigeonfork/entry/command"
+	"github.com/wigeonfork/wigeonfork/entry/fleet"
+	"github.com/wigeonfork/wigeonfork/entry/gate"
+	"github.com/wigeonfork/wigeonfork/entry/query"
+	"github.com/wigeonfork/wigeonfork/entry/session"
+	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/moves"
+	"github.com/wigeonfork/wigeonfork/operator"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template/store"
+	"github.com/wigeonfork/wigeonfork/workpool"
+)
+
+// Options describe one entry.
+type Options struct {
+	Host        wigeonfork.HostID
+	Domain      wigeonfork.FailureDomain
+	Table       platform.Table
+	Objects     platform.Objects
+	Weights     platform.Weights
+	Hosts       platform.HostList
+	HandleKey   []byte
+	Credentials peer.Credentials
+	Limits      generation.Limits
+	// Policy is the treatment of the classes.
+	Policy  admission.Policy
+	Log     *telemetry.Logger
+	Metrics telemetry.Registry
+	// DrainLimit bounds the time that a leaving entry waits for its answers.
+	DrainLimit time.Duration
+	// MoveSettle is the time that judging a version takes after its last load;
+	// a move whose deadline leaves less is refused.
+	MoveSettle time.Duration
+}
+
+// Entry is one entry.
+type Entry struct {
+	options    Options
+	answers    *session.Table
+	fleet      *fleet.Fleet
+	gate       *gate.Gate
+	peers      *peer.Pool
+	config     *configuration.Keeper
+	operators  *operator.Server
+	evidence   *moves.Evidence
+	controller *moves.Controller
+	callers    *command.Callers
+	actions    *command.Actions
+	executor   *action.Executor
+	agents     *agentapi.Client
+	pool       *workpool.Pool
+	status     *query.Status
+	control    *peer.Server
+	server     *http.Server
+	background context.Context
+	stop       context.CancelFunc
+	wait       sync.WaitGroup
+	sharer     *sharer
+	// self is how other entries reach this one.
+	self platform.Host
+}
+
+// checkInterval is the time between two searches for lost sources.
+const checkInterval = 50 * time.Millisecond
+
+// maxPeers bounds the connections to other entries.
+const maxPeers = 32
+
+// Sizes of the pool for what no caller waits for.
+const (
+	poolWorkers = 8
+	poolQueue   = 4096
+)
+
+// New returns an entry. It fails on a handle key that is too short.
+func New(options Options) (*Entry, error) {
+	sealer, err := generation.NewSealer(options.HandleKey)
+	if err != nil {
+		return nil, err
+	}
+	background, stop := context.WithCancel(context.Background())
+	e := &Entry{options: options, answers: session.NewTable(), background: background, stop: stop}
+	e.pool = workpool.New(poolWorkers, poolQueue)
+	e.agents = agentapi.NewClient(options.Credentials.Peer)
+	hello := peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer}
+	e.peers = peer.NewPool(hello, maxPeers)
+	e.gate = gate.New(gate.Options{Seed: seedOf(options.Host), Policy: options.Policy, Metrics: options.Metrics})
+	e.fleet = fleet.New(fleet.Options{Domain: options.Domain, Hello: hello, Log: options.Log, Metrics: options.Metrics})
+	changes := store.New(options.Table, options.Objects, store.Options{})
+	e.config = configuration.New(configuration.Options{
+		Host:    options.Host,
+		Domain:  options.Domain,
+		Seed:    seedOf(options.Host),
+		Reader:  changes,
+		Hello:   hello,
+		Install: e.fleet.Install,
+		Log:     options.Log,
+		Metrics: options.Metrics,
+	})
+	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: options.MoveSettle, Progress: e.moveStatus}
+	owner := string(options.Host) + "/" + uuid.NewString()
+	e.evidence = moves.NewEvidence(owner)
+	e.controller = moves.NewController(moves.Options{
+		Host:       options.Host,
+		Owner:      owner,
+		Table:      options.Table,
+		Store:      changes,
+		Keeper:     e.config,
+		Weights:    options.Weights,
+		Servers:    &fleet.Orders{Fleet: e.fleet, Peers: e.peers},
+		Candidates: e.fleet.Entries,
+		Log:        options.Log,
+		Metrics:    options.Metrics,
+	})
+	e.callers = &command.Callers{
+		Configuration: e.config,
+		Relayer: &command.Relayer{
+			Fleet:    e.fleet,
+			Agents:   e.agents,
+			Answers:  e.answers,
+			Sealer:   sealer,
+			Gate:     e.gate,
+			Evidence: e.evidence,
+			Limits:   options.Limits,
+			Pool:     e.pool,
+			Metrics:  options.Metrics,
+			Log:      options.Log,
+		},
+	}
+	e.executor = action.NewExecutor(action.Config{
+		Table:      options.Table,
+		Dispatcher: command.Dispatcher{Agents: e.agents},
+		Limits:     action.DefaultLimits(),
+	})
+	e.actions = &command.Actions{
+		Executor:      e.executor,
+		Fleet:         e.fleet,
+		Configuration: e.config,
+		Metrics:       options.Metrics,
+		Log:           options.Log,
+		Accept:        e.answers.Hold,
+	}
+	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Gate: e.gate, Configuration: e.config}
+	e.sharer = newSharer(e)
+	e.control = peer.NewServer(options.Credentials)
+	e.registerControl()
+	e.server = httpserver.New(e.routes())
+	return e, nil
+}
+
+// seedOf gives each host its own random sequence.
+func seedOf(host wigeonfork.HostID) uint64 { return xxhash.Sum64String(string(host)) }
+
+func (e *Entry) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.callers.Completions)
+	mux.HandleFunc("POST /v1/chat/completions", e.callers.ChatCompletions)
+	mux.HandleFunc("GET /v1/streams", e.callers.Resume)
+	mux.HandleFunc("POST /v1/actions/{service}/{path...}", e.actions.Run)
+	mux.HandleFunc("GET /v1/actions", e.actions.Lookup)
+	mux.HandleFunc("POST /v1/action-keys", e.actions.NewKey)
+	mux.HandleFunc("GET /healthz", e.health)
+	return alice.New().Then(mux)
+}
+
+// health tells the balancer whether to send new callers here.
+func (e *Entry) health(w http.ResponseWriter, _ *http.Request) {
+	if e.status.Leaving() || !e.Ready(1) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) registerControl() {
+	e.config.Register(e.control)
+	e.operators.Register(e.control)
+	peer.Handle(e.control, peer.MethodEvidence, peer.RolePeer, e.mergeEvidence)
+	peer.Handle(e.control, peer.MethodQuarantine, peer.RolePeer, e.mergeQuarantine)
+	peer.Handle(e.control, peer.MethodDump, peer.RoleOperator, e.status.Dump)
+	peer.Handle(e.control, peer.MethodDrain, peer.RoleOperator, e.drainOnRequest)
+}
+
+// Start serves on the two listeners until Stop. It returns at once.
+func (e *Entry) Start(serve, control net.Listener) {
+	e.self = platform.Host{
+		ID: e.options.Host, Role: platform.RoleEntry, State: platform.HostLive, Domain: e.options.Domain,
+		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(),
+	}
+	e.spawn(func() { httpserver.Serve(e.server, serve, e.options.Log) })
+	e.spawn(func() {
+		if err := e.control.Serve(control); err != nil {
+			e.options.Log.Error().Err(err).Msg("control_ended")
+		}
+	})
+	e.spawn(func() { e.fleet.Run(e.background) })
+	e.config.SetSelf(e.self)
+	e.spawn(func() { e.config.Run(e.background) })
+	e.spawn(func() { configuration.WatchHosts(e.background, e.options.Hosts, e.options.Log, e.applyHosts) })
+	e.spawn(e.check)
+	e.controller.SetAddress(e.self.ControlAddress)
+	e.spawn(func() { e.controller.Run(e.background) })
+	e.spawn(e.reportEvidence)
+	e.spawn(func() { e.gate.Run(e.background) })
+	e.spawn(e.shareGate)
+	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
+}
+
+func (e *Entry) applyHosts(hosts []platform.Host) {
+	e.fleet.ApplyHosts(e.background, hosts)
+	e.config.SetPeers(hosts)
+}
+
+func (e *Entry) spawn(run func()) {
+	e.wait.Add(1)
+	go func() {
+		defer e.wait.Done()
+		run()
+	}()
+}
+
+func (e *Entry) check() {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if n := e.answers.Check(now); n > 0 {
+				telemetry.Counter(e.options.Metrics, "relay.suspects").Inc(int64(n))
+			}
+		case <-e.background.Done():
+			return
+		}
+	}
+}
+
+// drainPoll is the time between two looks at the remaining answers.
+const drainPoll = 20 * time.Millisecond
+
+// Drain stops taking new requests and waits for the answers under way up to
+// the drain limit.
+func (e *Entry) Drain(ctx context.Context) {
+	e.status.SetLeaving()
+	e.answers.CloseToNew()
+	e.options.Log.Info().Int("answers", e.answers.Len()).Msg("drain_started")
+	limited, cancel := context.WithTimeout(ctx, e.options.DrainLimit)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for e.answers.Len() > 0 && limited.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-limited.Done():
+		}
+	}
+	if err := e.executor.Close(limited); err != nil {
+		e.options.Log.Warn().Str("step", "drain").Err(err).Msg("outcomes_unrecorded")
+	}
+	e.options.Log.Info().Int("unfinished", e.answers.Len()).Msg("drain_ended")
+}
+
+func (e *Entry) drainOnRequest(context.Context, *peer.Session, peer.None) (peer.None, error) {
+	e.spawn(func() { e.Drain(e.background) })
+	return peer.None{}, nil
+}
+
+// Stop ends the entry at once.
+func (e *Entry) Stop() {
+	e.stop()
+	e.control.Close()
+	_ = e.server.Close()
+	e.wait.Wait()
+	e.fleet.Wait()
+	e.pool.Close()
+	e.peers.Close()
+	e.config.Close()
+	e.agents.Close()
+}
+
+// Ready reports whether the entry has a configuration, at least servers backend
+// servers that take work, and a capacity if engines are among them.
+func (e *Entry) Ready(servers int) bool {
+	if e.config.Snapshot() == nil || e.fleet.Usable() < servers {
+		return false
+	}
+	admission, _ := e.gate.Stats()
+	_, engines, _ := e.fleet.Capacity()
+	return engines == 0 || admission.Capacity > 0
+}
--- /dev/null
+++ b/standin/loopback/server.go
@@ -0,0 +1,199 @@
+// Package loopback runs an HTTP handler on a loopback port and lets a test
+// kill, restart, pause and continue it as if it were a process.
+package loopback
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	listenAttempts = 50
+	listenRetry    = 20 * time.Millisecond
+)
+
+type lifeKey struct{}
+
+// Life returns the context that ends when the server of a request is killed,
+// for work that goes on without its caller.
+func Life(request context.Context) context.Context {
+	life, ok := request.Value(lifeKey{}).(context.Context)
+	if !ok {
+		return context.WithoutCancel(request)
+	}
+	return life
+}
+
+// Sleep waits for d. It returns false if ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Server serves one handler on one port.
+type Server struct {
+	handler http.Handler
+	gate    Gate
+	addr    string
+
+	// restarting is held by Restart and Close, and taken before mu.
+	restarting sync.Mutex
+	closed     bool
+
+	mu     sync.Mutex
+	http   *http.Server
+	conns  map[*gatedConn]struct{}
+	cancel context.CancelFunc
+	served chan struct{}
+}
+
+// Start listens on addr, such as 127.0.0.1:0, and serves handler.
+func Start(addr string, handler http.Handler) (*Server, error) {
+	s := &Server{handler: handler, conns: make(map[*gatedConn]struct{})}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s.addr = listener.Addr().String()
+	s.serve(listener)
+	return s, nil
+}
+
+// Addr returns the IP and port that the server listens on, also while it is
+// dead.
+func (s *Server) Addr() string { return s.addr }
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.addr }
+
+// Kill resets all connections and refuses new ones. It is safe to call from a
+// handler, and does nothing to a dead server.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	server := s.http
+	s.http = nil
+	conns := s.conns
+	s.conns = make(map[*gatedConn]struct{})
+	cancel := s.cancel
+	s.mu.Unlock()
+	if server == nil {
+		return
+	}
+	cancel()
+	for c := range conns {
+		c.reset()
+	}
+	_ = server.Close()
+	s.gate.Open()
+}
+
+// Close kills the server for good and waits until it accepts nothing any more.
+func (s *Server) Close() {
+	s.restarting.Lock()
+	defer s.restarting.Unlock()
+	s.closed = true
+	s.Kill()
+	<-s.state().served
+}
+
+// Restart serves again on the same port. It does nothing to a live server and
+// fails for a closed one.
+func (s *Server) Restart() error {
+	s.restarting.Lock()
+	defer s.restarting.Unlock()
+	if s.closed {
+		return errors.New("server is closed")
+	}
+	state := s.state()
+	if state.alive {
+		return nil
+	}
+	<-state.served
+	listener, err := s.listenAgain()
+	if err != nil {
+		return err
+	}
+	s.serve(listener)
+	return nil
+}
+
+// Pause stops all reading and answering; connections stay open.
+func (s *Server) Pause() { s.gate.Shut() }
+
+// Continue ends a pause.
+func (s *Server) Continue() { s.gate.Open() }
+
+type state struct {
+	alive  bool
+	served <-chan struct{}
+}
+
+func (s *Server) state() state {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return state{alive: s.http != nil, served: s.served}
+}
+
+func (s *Server) listenAgain() (net.Listener, error) {
+	var err error
+	for range listenAttempts {
+		var listener net.Listener
+		listener, err = net.Listen("tcp", s.addr)
+		if err == nil {
+			return listener, nil
+		}
+		time.Sleep(listenRetry)
+	}
+	return nil, errors.Wrap(err, "listen again")
+}
+
+func (s *Server) serve(listener net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext: func(net.Listener) context.Context {
+			return context.WithValue(ctx, lifeKey{}, ctx)
+		},
+	}
+	served := make(chan struct{})
+	s.mu.Lock()
+	s.http, s.cancel, s.served = server, cancel, served
+	s.mu.Unlock()
+	go func() {
+		defer close(served)
+		_ = server.Serve(&gatedListener{Listener: listener, server: s, http: server})
+	}()
+}
+
+// add registers c, or returns false if the server that accepted it is dead.
+func (s *Server) add(c *gatedConn, accepter *http.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != accepter {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c *gatedConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
--- /dev/null
+++ b/test/realsystem/realsystem.go
@@ -0,0 +1,134 @@
+// Package realsystem runs entries and agents as real processes over stand-ins
+// in the calling process, if wanted with a fault-injecting proxy on each
+// connection between two of them.
+package realsystem
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/wigeonfork/wigeonfork/embedded"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+	"github.com/wigeonfork/wigeonfork/standin/world"
+	"github.com/wigeonfork/wigeonfork/template"
+	"github.com/wigeonfork/wigeonfork/template/store"
+	"github.com/wigeonfork/wigeonfork/test/process"
+)
+
+const (
+	domains   = 3
+	handleKey = "realsystem-handle-key"
+)
+
+// Options describe a system.
+type Options struct {
+	Binaries *process.Binaries
+	Entries  int
+	Engines  []engine.Options
+	// Services is the number of plain services.
+	Services int
+	// Change makes the first configuration; nil stands for that of
+	// embedded.Configure.
+	Change *template.Change
+	// Proxies puts a proxy on each connection. The proxies before an agent
+	// stand between it and all entries.
+	Proxies bool
+	// Environment holds further settings of all processes.
+	Environment []string
+}
+
+// System is a running system.
+type System struct {
+	World   *world.World
+	Entries []*Entry
+	// Agents stand beside the engines, ServiceAgents beside plain services.
+	Agents        []*Agent
+	ServiceAgents []*Agent
+	options       Options
+}
+
+// Start starts a system and waits until its entries see all agents.
+func Start(options Options) (*System, error) {
+	embedded.LoadDefaultVersion(options.Engines)
+	w, err := world.Start(world.Options{Engines: options.Engines, Services: options.Services})
+	if err != nil {
+		return nil, err
+	}
+	s := &System{World: w, options: options}
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start() error {
+	if err := s.configure(context.Background()); err != nil {
+		return err
+	}
+	for i := range s.World.Engines {
+		if err := s.addAgent(&s.Agents, engineAgent(i, s.World.Engines[i].Addr())); err != nil {
+			return err
+		}
+	}
+	for i := range s.World.Services {
+		if err := s.addAgent(&s.ServiceAgents, serviceAgent(i, s.World.ServiceServers[i].Addr())); err != nil {
+			return err
+		}
+	}
+	for i := range max(1, s.options.Entries) {
+		if err := s.addEntry(i); err != nil {
+			return err
+		}
+	}
+	return s.WaitReady(len(s.Agents) + len(s.ServiceAgents))
+}
+
+func (s *System) configure(ctx context.Context) error {
+	objects := httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()})
+	defer objects.Close()
+	if s.options.Change == nil {
+		return embedded.Configure(ctx, s.World.Table, objects, len(s.World.Engines), len(s.World.Services))
+	}
+	_, err := store.New(s.World.Table, objects, store.Options{}).Accept(ctx, store.Request{
+		OperationID: uuid.NewString(), Author: "realsystem", Change: *s.options.Change, Now: time.Now(),
+	})
+	return err
+}
+
+func domainOf(i int) string { return fmt.Sprintf("domain-%d", i%domains) }
+
+// environment returns the settings that all processes share.
+func (s *System) environment(host string, i int, table, hosts string) []string {
+	credentials := embedded.Credentials()
+	environment := []string{
+		"WIGEON_HOST=" + host,
+		"WIGEON_FAILURE_DOMAIN=" + domainOf(i),
+		"WIGEON_PEER_KEY=" + credentials.Peer,
+		"WIGEON_OPERATOR_KEY=" + credentials.Operator,
+		"WIGEON_TABLE_ADDRESS=" + table,
+		"WIGEON_OBJECTS_ADDRESS=" + s.World.ObjectsServer.Addr(),
+		"WIGEON_WEIGHTS_ADDRESS=" + s.World.WeightsServer.Addr(),
+		"WIGEON_HOSTS_ADDRESS=" + hosts,
+	}
+	return append(environment, s.options.Environment...)
+}
+
+// Close ends all processes, proxies and stand-ins.
+func (s *System) Close() {
+	for _, e := range s.Entries {
+		e.close()
+	}
+	for _, a := range s.allAgents() {
+		a.close()
+	}
+	s.World.Close()
+}
+
+func (s *System) allAgents() []*Agent {
+	return append(append([]*Agent{}, s.Agents...), s.ServiceAgents...)
+}
