--- a/test/matrix/check_test.go
+++ b/test/matrix/check_test.go
@@ -16,6 +16,8 @@
 	restarts int
 	// unknown: an action may end with an unknown outcome.
 	unknown bool
+	// unbroken: no attempt of a caller may break.
+	unbroken bool
 }
 
 // violations returns what the cell's answers and records show to be wrong.
@@ -61,6 +63,9 @@
 	if answer.last.Finish == "" || answer.last.CompletionTokens != int(answer.request.MaxTokens) {
 		add("end says %q after %d tokens", answer.last.Finish, answer.last.CompletionTokens)
 	}
+	if allow.unbroken && answer.breaks > 0 {
+		add("%d attempts broke", answer.breaks)
+	}
 	if answer.restarts > allow.restarts {
 		add("caller began anew %d times: %v", answer.restarts, answer.refusals)
 	}
--- a/test/matrix/matrix_test.go
+++ b/test/matrix/matrix_test.go
@@ -10,6 +10,7 @@
 	results := runCells(t, chosen(allCells()))
 	for _, r := range results {
 		Convey(r.cell.name(), t, func() {
+			So(r.notRun, ShouldBeFalse)
 			So(r.wrong, ShouldBeEmpty)
 		})
 	}
--- /dev/null
+++ b/test/matrix/proof_test.go
@@ -0,0 +1,185 @@
+package matrix
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/caller"
+	"github.com/wigeonfork/wigeonfork/entry/command"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+)
+
+// spoiledEvent is the event that a broken caller spoils.
+const spoiledEvent = 10
+
+// breakage is a property broken on purpose.
+type breakage struct {
+	property string
+	// finding is what the check must say.
+	finding string
+	run     func(b *bench) ([]string, error)
+	// services is the number of plain services; 0 stands for engines.
+	services int
+}
+
+var noFault = []fault{{"none", func(*bench) error { return nil }}}
+
+var breakages = []breakage{
+	{"no token is missing", "no whole answer", spoiled(func(_ *bench, index int, event caller.Event) []caller.Event {
+		if index == spoiledEvent {
+			return nil
+		}
+		return []caller.Event{event}
+	}), 0},
+	{"no token is repeated", "position", spoiled(func(_ *bench, index int, event caller.Event) []caller.Event {
+		if index == spoiledEvent {
+			return []caller.Event{event, event}
+		}
+		return []caller.Event{event}
+	}), 0},
+	{"two generations are not mixed", "no whole answer of one version", spoiled(mixVersions), 0},
+	{"an answer is whole", "end says", spoiled(func(_ *bench, _ int, event caller.Event) []caller.Event {
+		event.Finish = ""
+		return []caller.Event{event}
+	}), 0},
+	{"a caller gets its own answer", "no whole answer", spoiled(crossAnswers), 0},
+	{"what is refused as not run was not run", "refused as not run", refuseWhatRuns, 0},
+	{"an action refused as not run was not run", "refused as not run and ran", refuseActionThatRuns, services},
+	{"an action runs at most once", "ran 2 times", runTwice, services},
+	{"a leaving backend server gets no new work", "new requests after", func(b *bench) ([]string, error) {
+		b.sendsToLeaving = true
+		return b.leave(noFault)
+	}, 0},
+	{"a planned stop cuts no request", "attempts broke", func(b *bench) ([]string, error) {
+		second := fault{"second signal", func(b *bench) error { return b.Entries[0].Terminate() }}
+		return b.generate(step{"entry drain", arriveEntryDrain}, []fault{second}, allowance{unbroken: true})
+	}, 0},
+	{"a planned stop ends in order", "ended with", func(b *bench) ([]string, error) {
+		kill := fault{"kill", func(b *bench) error { b.Agents[b.victim].Kill(); return nil }}
+		return b.generate(step{"agent drain", arriveAgentDrain}, []fault{kill}, allowance{})
+	}, 0},
+}
+
+// spoiled returns a cell without faults whose main caller spoils its events.
+func spoiled(spoil func(b *bench, index int, event caller.Event) []caller.Event) func(*bench) ([]string, error) {
+	return func(b *bench) ([]string, error) {
+		b.spoil = func(index int, event caller.Event) []caller.Event { return spoil(b, index, event) }
+		return b.generate(step{"mid stream", arriveMidStream}, noFault, allowance{})
+	}
+}
+
+// mixVersions swaps the text of the later events for that of the other
+// version's tokens at the same positions.
+func mixVersions(b *bench, index int, event caller.Event) []caller.Event {
+	if index < spoiledEvent || event.ID == "" {
+		return []caller.Event{event}
+	}
+	request := b.request("main")
+	first := textAt(request, firstVersion, index-1)
+	second := textAt(request, secondVersion, index-1)
+	if event.Text == first {
+		event.Text = second
+	} else {
+		event.Text = first
+	}
+	return []caller.Event{event}
+}
+
+func textAt(request caller.Request, version wigeonfork.Version, position int) string {
+	answer := engine.Answer(request.Model, version, request.Prompt, request.Seed, request.MaxTokens)
+	return string(answer[min(position, len(answer)-1)].Text)
+}
+
+// crossAnswers gives the whole answer to another request.
+func crossAnswers(b *bench, index int, event caller.Event) []caller.Event {
+	event.Text = ""
+	if index == 1 {
+		event.Text = expected(b.request("other"), firstVersion)
+	}
+	return []caller.Event{event}
+}
+
+// liar stands before an entry. It passes the first request on, and answers that
+// it was not run.
+func liar(b *bench) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+b.Entries[0].Address()+r.URL.Path, r.Body)
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		request.Header = r.Header.Clone()
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		id := wigeonfork.RequestID(response.Header.Get(command.HeaderRequestID))
+		problem.Write(w, problem.New(problem.CodeOverloaded, problem.RunNot, problem.StepAdmit, "no room").For(id).After(reconnectDelay))
+	}))
+}
+
+func refuseWhatRuns(b *bench) ([]string, error) {
+	server := liar(b)
+	defer server.Close()
+	addresses := append([]string{strings.TrimPrefix(server.URL, "http://")}, b.addresses()...)
+	b.ask(newReader(addresses, b.request("main")), nil)
+	b.workers.Wait()
+	return b.violations(allowance{}), nil
+}
+
+func refuseActionThatRuns(b *bench) ([]string, error) {
+	server := liar(b)
+	defer server.Close()
+	b.givesUp = true
+	if err := b.perform(b.body("main"), []string{strings.TrimPrefix(server.URL, "http://")}); err != nil {
+		return nil, err
+	}
+	b.workers.Wait()
+	return b.actionViolations(allowance{}), nil
+}
+
+// runTwice makes the call once more, apart from the system.
+func runTwice(b *bench) ([]string, error) {
+	repeat := fault{"repeat call", func(b *bench) error {
+		address := b.World.ServiceServers[b.victim].Addr()
+		response, err := http.Post("http://"+address+actionPath, "application/json", strings.NewReader(b.body("main")))
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	}}
+	return b.act(step{"outcome record", arriveOutcome}, []fault{repeat}, allowance{})
+}
+
+func (k breakage) findings() ([]string, error) {
+	engineCount := engines
+	if k.services > 0 {
+		engineCount = 0
+	}
+	b, err := newBench("break: "+k.property, engineCount, k.services)
+	if err != nil {
+		return nil, err
+	}
+	defer b.Close()
+	return k.run(b)
+}
+
+func TestEachCheckFindsWhatBreaksItsProperty(t *testing.T) {
+	for _, k := range breakages {
+		Convey("A broken property is found: "+k.property, t, func() {
+			wrong, err := k.findings()
+			So(err, ShouldBeNil)
+			So(strings.Join(wrong, "; "), ShouldContainSubstring, k.finding)
+		})
+	}
+}
