Say that a call was not run when no byte of it left the agent

Change: the service client's proof that nothing left makes the ledger bar the claim, and the agent answers not run with a time to come back.

--- a/action/ledger/command.go
+++ b/action/ledger/command.go
@@ -87,6 +87,14 @@
 	l.unrecorded = append(l.unrecorded, known)
 }
 
+// NotRun notes that a call that Dispatch said to run has not left for the
+// service. The claim never runs any more.
+func (l *Ledger) NotRun(id action.ClaimID) {
+	if known, ok := l.entries[id]; ok && known.state == stateRunning {
+		known.state = stateBarred
+	}
+}
+
 // Resolve answers what became of a claim. A claim that was never seen is
 // barred, so that it can never run, unless the query only peeks.
 func (l *Ledger) Resolve(now time.Time, query action.ResolveQuery) action.Resolution {
--- a/agent/command/actions.go
+++ b/agent/command/actions.go
@@ -97,8 +97,7 @@
 	case ledger.VerdictDone:
 		writeJSON(w, decision.Reply)
 	case ledger.VerdictNotRun:
-		problem.Write(w, problem.New(problem.CodeDraining, problem.RunNot, problem.StepDispatch, "agent does not run the call: %s", decision.Reason).
-			For(claim.RequestID).After(drainRetry))
+		problem.Write(w, notRun(claim, decision.Reason))
 	default:
 		problem.Write(w, outcomeUnknown(claim))
 	}
@@ -108,6 +107,16 @@
 	return problem.New(problem.CodeOutcomeUnknown, problem.RunUnknown, problem.StepDispatch, "the service's answer was lost").For(claim.RequestID)
 }
 
+func notRun(claim action.Claim, reason ledger.Reason) *problem.Error {
+	return problem.New(problem.CodeDraining, problem.RunNot, problem.StepDispatch, "agent does not run the call: %s", reason).
+		For(claim.RequestID).After(drainRetry)
+}
+
+func serviceUnreachable(claim action.Claim) *problem.Error {
+	return problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepDispatch, "the service cannot be reached").
+		For(claim.RequestID).After(drainRetry)
+}
+
 // start runs the call apart from the request that brought it.
 func (a *Actions) start(claim action.Claim, call backend.Call) {
 	telemetry.Counter(a.Metrics, "agent.actions").Inc(1)
@@ -123,22 +132,30 @@
 	defer cancel()
 	call.ClaimID = string(claim.ID)
 	reply, err := a.Service.Call(ctx, call)
-	var outcome *backend.Reply
-	switch {
-	case err == nil:
-		outcome = &reply
-	default:
+	if err != nil {
 		telemetry.Counter(a.Metrics, "agent.actions_failed").Inc(1)
 		a.Log.Warn().Str("request", string(claim.RequestID)).Str("step", string(problem.StepDispatch)).
 			Str("outcome", platform.OutcomeOf(err).String()).Err(err).Msg("action_failed")
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ledger.Finished(a.now(), claim.ID, outcome)
+	a.note(claim.ID, reply, err)
 	close(a.waiters[claim.ID])
 	delete(a.waiters, claim.ID)
 }
 
+// note takes the end of a call into the ledger. a.mu is held.
+func (a *Actions) note(id action.ClaimID, reply backend.Reply, err error) {
+	switch {
+	case err == nil:
+		a.ledger.Finished(a.now(), id, &reply)
+	case platform.OutcomeOf(err) == platform.OutcomeNotDone:
+		a.ledger.NotRun(id)
+	default:
+		a.ledger.Finished(a.now(), id, nil)
+	}
+}
+
 // wait answers with the outcome of a call under way.
 func (a *Actions) wait(w http.ResponseWriter, r *http.Request, claim action.Claim, done <-chan struct{}) {
 	if done != nil {
@@ -151,11 +168,14 @@
 	a.mu.Lock()
 	decision := a.ledger.Dispatch(a.now(), claim)
 	a.mu.Unlock()
-	if decision.Verdict == ledger.VerdictDone {
+	switch decision.Verdict {
+	case ledger.VerdictDone:
 		writeJSON(w, decision.Reply)
-		return
+	case ledger.VerdictNotRun:
+		problem.Write(w, serviceUnreachable(claim))
+	default:
+		problem.Write(w, outcomeUnknown(claim))
 	}
-	problem.Write(w, outcomeUnknown(claim))
 }
 
 // Resolve answers what became of a claim.
