--- /dev/null
+++ b/standin/loopback/reserve.go
@@ -0,0 +1,76 @@
+package loopback
+
+import (
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// backlog bounds the connections that wait to be accepted.
+	backlog         = 512
+	reserveAttempts = 200
+	reserveRetry    = 2 * time.Millisecond
+)
+
+// Reservation holds a loopback port without listening on it: connections are
+// refused, and no other socket gets the port.
+type Reservation struct {
+	fd int
+}
+
+// Reserve takes the IPv4 address addr, such as 127.0.0.1:4000, from a listener
+// that was closed just now.
+func Reserve(addr string) (*Reservation, error) {
+	var err error
+	for range reserveAttempts {
+		var r *Reservation
+		if r, err = reserve(addr); err == nil {
+			return r, nil
+		}
+		// The accepting goroutine closes the listener's socket.
+		time.Sleep(reserveRetry)
+	}
+	return nil, err
+}
+
+func reserve(addr string) (*Reservation, error) {
+	resolved, err := net.ResolveTCPAddr("tcp4", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse address")
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, errors.Wrap(err, "open socket")
+	}
+	if err := bind(fd, resolved); err != nil {
+		return nil, errors.CombineErrors(err, syscall.Close(fd))
+	}
+	return &Reservation{fd: fd}, nil
+}
+
+func bind(fd int, addr *net.TCPAddr) error {
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return errors.Wrap(err, "reuse address")
+	}
+	to := &syscall.SockaddrInet4{Port: addr.Port}
+	copy(to.Addr[:], addr.IP.To4())
+	return errors.Wrap(syscall.Bind(fd, to), "bind")
+}
+
+// Listen ends the reservation and listens on its port.
+func (r *Reservation) Listen() (net.Listener, error) {
+	if err := syscall.Listen(r.fd, backlog); err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	file := os.NewFile(uintptr(r.fd), "reservation")
+	defer func() { _ = file.Close() }()
+	listener, err := net.FileListener(file)
+	return listener, errors.Wrap(err, "listen")
+}
+
+// Close gives the port back.
+func (r *Reservation) Close() error { return syscall.Close(r.fd) }
--- a/standin/loopback/server.go
+++ b/standin/loopback/server.go
@@ -60,6 +60,8 @@
 	conns  map[*gatedConn]struct{}
 	cancel context.CancelFunc
 	served chan struct{}
+	// reserved holds the port of a dead server.
+	reserved *Reservation
 }
 
 // Start listens on addr, such as 127.0.0.1:0, and serves handler.
@@ -99,9 +101,31 @@
 		c.reset()
 	}
 	_ = server.Close()
+	s.reserve()
 	s.gate.Open()
 }
 
+// reserve keeps the port of the dead server from others. Without it Restart
+// may find the port taken.
+func (s *Server) reserve() {
+	reserved, err := Reserve(s.addr)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reserved = reserved
+}
+
+// reservation takes the reservation out of s.
+func (s *Server) reservation() *Reservation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reserved := s.reserved
+	s.reserved = nil
+	return reserved
+}
+
 // Close kills the server for good and waits until it accepts nothing any more.
 func (s *Server) Close() {
 	s.restarting.Lock()
@@ -109,6 +133,10 @@
 	s.closed = true
 	s.Kill()
 	<-s.state().served
+	if reserved := s.reservation(); reserved != nil {
+		// The socket holds no data.
+		_ = reserved.Close()
+	}
 }
 
 // Restart serves again on the same port. It does nothing to a live server and
@@ -150,6 +178,9 @@
 }
 
 func (s *Server) listenAgain() (net.Listener, error) {
+	if reserved := s.reservation(); reserved != nil {
+		return reserved.Listen()
+	}
 	var err error
 	for range listenAttempts {
 		var listener net.Listener
--- a/test/faultproxy/faults.go
+++ b/test/faultproxy/faults.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
 )
 
 // SetTarget sends later connections to target.
@@ -87,9 +88,17 @@
 	listener := p.listener
 	p.listener = nil
 	p.mu.Unlock()
-	if listener != nil {
-		_ = listener.Close()
+	if listener == nil {
+		return
 	}
+	_ = listener.Close()
+	reserved, err := loopback.Reserve(p.addr)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reserved = reserved
 }
 
 // Admit ends Refuse.
@@ -111,7 +120,7 @@
 	if p.listener != nil || p.closed {
 		return nil
 	}
-	listener, err := net.Listen("tcp", p.addr)
+	listener, err := p.listen()
 	if err != nil {
 		return err
 	}
@@ -121,6 +130,16 @@
 	return nil
 }
 
+// listen listens on the proxy's port again. p.mu is held.
+func (p *Proxy) listen() (net.Listener, error) {
+	if p.reserved == nil {
+		return net.Listen("tcp", p.addr)
+	}
+	reserved := p.reserved
+	p.reserved = nil
+	return reserved.Listen()
+}
+
 // Counters returns what was counted so far.
 func (p *Proxy) Counters() Counters {
 	p.mu.Lock()
--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -72,6 +72,8 @@
 	mu       sync.Mutex
 	target   string
 	listener net.Listener
+	// reserved holds the port while connections are refused.
+	reserved *loopback.Reservation
 	links    map[*link]struct{}
 	lanes    map[Direction]*lane
 	halfOpen bool
@@ -106,12 +108,15 @@
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	p.closed = true
-	listener := p.listener
-	p.listener = nil
+	listener, reserved := p.listener, p.reserved
+	p.listener, p.reserved = nil, nil
 	p.mu.Unlock()
 	if listener != nil {
 		_ = listener.Close()
 	}
+	if reserved != nil {
+		_ = reserved.Close()
+	}
 	p.ResetAll()
 	p.workers.Wait()
 }
--- a/test/matrix/matrix_test.go
+++ b/test/matrix/matrix_test.go
@@ -9,9 +9,11 @@
 func TestMatrix(t *testing.T) {
 	results := runCells(t, chosen(allCells()))
 	for _, r := range results {
-		Convey(r.cell.name(), t, func() {
-			So(r.notRun, ShouldBeFalse)
-			So(r.wrong, ShouldBeEmpty)
+		t.Run(r.cell.step+": "+r.cell.fault, func(t *testing.T) {
+			Convey(r.cell.name(), t, func() {
+				So(r.notRun, ShouldBeFalse)
+				So(r.wrong, ShouldBeEmpty)
+			})
 		})
 	}
 	if *writeTable && *full {
