Take no reply from a stranger at an agent's address

Cause: in a run of the matrix another listener had got the port of a killed agent; its JSON without a status passed for the reply of a service, the entry panicked in WriteHeader and would have recorded it as the outcome. Change: an answer without a status has an unknown outcome.

--- a/entry/command/actions.go
+++ b/entry/command/actions.go
@@ -5,12 +5,15 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/entry/fleet"
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -154,10 +157,18 @@
 	Agents *agentapi.Client
 }
 
+// errNoReply is the cause when the answer to a dispatch holds no reply: something
+// else than an agent has the address now.
+var errNoReply = errors.New("answer holds no reply of a service")
+
 // Dispatch implements action.Dispatcher.
 func (d Dispatcher) Dispatch(ctx context.Context, claim action.Claim, call backend.Call) (backend.Reply, error) {
 	var reply backend.Reply
-	err := d.Agents.Post(ctx, claim.Target.AgentAddress, agentapi.PathDispatch, agentapi.Dispatch{Claim: claim, Call: call}, &reply)
+	address := claim.Target.AgentAddress
+	err := d.Agents.Post(ctx, address, agentapi.PathDispatch, agentapi.Dispatch{Claim: claim, Call: call}, &reply)
+	if err == nil && reply.Status < http.StatusContinue {
+		return backend.Reply{}, platform.NewError(platform.OutcomeUnknown, agentapi.PathDispatch, address, errNoReply)
+	}
 	return reply, err
 }
 
--- a/test/matrix/check_test.go
+++ b/test/matrix/check_test.go
@@ -92,13 +92,16 @@
 	return wrong
 }
 
+// maxLogExcerpt bounds what is told of a crash.
+const maxLogExcerpt = 2000
+
 // checkLogs finds the processes that crashed or raced.
 func (b *bench) checkLogs() []string {
 	var wrong []string
 	check := func(role, log string) {
 		for _, sign := range []string{"panic: ", "panic serving", "fatal error: ", "WARNING: DATA RACE"} {
 			if at := strings.Index(log, sign); at >= 0 {
-				wrong = append(wrong, role+" log: "+log[at:min(len(log), at+400)])
+				wrong = append(wrong, role+" log: "+log[at:min(len(log), at+maxLogExcerpt)])
 			}
 		}
 	}
