--- a/test/matrix/check_test.go
+++ b/test/matrix/check_test.go
@@ -16,6 +16,8 @@
 	restarts int
 	// unknown: an action may end with an unknown outcome.
 	unknown bool
+	// unbroken: no attempt of a caller may break.
+	unbroken bool
 }
 
 // violations returns what the cell's answers and records show to be wrong.
@@ -61,6 +63,9 @@
 	if answer.last.Finish == "" || answer.last.CompletionTokens != int(answer.request.MaxTokens) {
 		add("end says %q after %d tokens", answer.last.Finish, answer.last.CompletionTokens)
 	}
+	if allow.unbroken && answer.breaks > 0 {
+		add("%d attempts broke", answer.breaks)
+	}
 	if answer.restarts > allow.restarts {
 		add("caller began anew %d times: %v", answer.restarts, answer.refusals)
 	}
@@ -87,13 +92,16 @@
 	return wrong
 }
 
+// maxLogExcerpt bounds what is told of a crash.
+const maxLogExcerpt = 2000
+
 // checkLogs finds the processes that crashed or raced.
 func (b *bench) checkLogs() []string {
 	var wrong []string
 	check := func(role, log string) {
 		for _, sign := range []string{"panic: ", "panic serving", "fatal error: ", "WARNING: DATA RACE"} {
 			if at := strings.Index(log, sign); at >= 0 {
-				wrong = append(wrong, role+" log: "+log[at:min(len(log), at+400)])
+				wrong = append(wrong, role+" log: "+log[at:min(len(log), at+maxLogExcerpt)])
 			}
 		}
 	}
