--- a/cmd/wigeon-experiment/main.go
+++ b/cmd/wigeon-experiment/main.go
@@ -50,12 +50,14 @@
 	return nil
 }
 
-type relayCommand struct{}
+type relayCommand struct {
+	Part string `long:"part" description:"run only this part" choice:"latency" choice:"throughput"`
+}
 
 // Execute implements flags.Commander.
-func (*relayCommand) Execute([]string) error {
+func (c *relayCommand) Execute([]string) error {
 	return run(func(out, csv io.Writer) (int, error) {
-		return relay.Run(out, relay.Options{Quick: settings.Quick, CSV: csv})
+		return relay.Run(out, relay.Options{Quick: settings.Quick, Part: relay.Part(c.Part), CSV: csv})
 	})
 }
 
--- a/experiment/relay/relay.go
+++ b/experiment/relay/relay.go
@@ -48,11 +48,22 @@
 	timeout         = 2 * time.Minute
 )
 
+// Part is a part of the experiment.
+type Part string
+
+// The parts.
+const (
+	PartLatency    Part = "latency"
+	PartThroughput Part = "throughput"
+)
+
 // Options describe a run.
 type Options struct {
 	// Quick runs a tenth of the load, to try the experiment out.
 	Quick bool
-	CSV   io.Writer
+	// Part is the part to run; empty runs all.
+	Part Part
+	CSV  io.Writer
 }
 
 // Run measures over processes that have one core each. It returns the number of
@@ -77,15 +88,21 @@
 		divisor = quickDivisor
 	}
 	r := report.New(out, options.CSV, "measure", "samples", "direct", "through", "unit")
-	if err := latency(r, system, pacedStreams/divisor); err != nil {
-		return 0, err
+	if options.runs(PartLatency) {
+		if err := latency(r, system, pacedStreams/divisor); err != nil {
+			return 0, err
+		}
 	}
-	if err := throughput(r, system, loadStreams/divisor); err != nil {
-		return 0, err
+	if options.runs(PartThroughput) {
+		if err := throughput(r, system, loadStreams/divisor); err != nil {
+			return 0, err
+		}
 	}
 	return r.Print()
 }
 
+func (o *Options) runs(part Part) bool { return o.Part == "" || o.Part == part }
+
 // times are the first-token and inter-token times of many streams.
 type times struct {
 	mu    sync.Mutex
