Send heartbeats on silent streams only

Cause: each stream sent a heartbeat every 200 ms beside its tokens, a tenth of all writes of an agent and of all reads of an entry at 50 tokens a second. Change: a heartbeat is sent when nothing was sent for the interval.

--- a/agent/command/attach.go
+++ b/agent/command/attach.go
@@ -71,6 +71,8 @@
 	out   *httpserver.StreamWriter
 	frame frame.Frame
 	buf   []byte
+	// sent is the time of the last flush.
+	sent time.Time
 }
 
 // writeTimeout bounds one write to an entry.
@@ -82,6 +84,29 @@
 	return err
 }
 
+func (w *writer) flush() error {
+	w.sent = time.Now()
+	return w.out.Flush()
+}
+
+// untilHeartbeat returns how long the stream may stay silent from now on.
+func (w *writer) untilHeartbeat(now time.Time) time.Duration {
+	return agentapi.HeartbeatInterval - now.Sub(w.sent)
+}
+
+// heartbeat sends a heartbeat if the stream has been silent for the interval.
+// It returns the time to the next look.
+func (w *writer) heartbeat(s *session.Session) (time.Duration, error) {
+	if wait := w.untilHeartbeat(time.Now()); wait > 0 {
+		return wait, nil
+	}
+	s.Heartbeat(&w.frame)
+	if err := w.send(); err != nil {
+		return 0, err
+	}
+	return agentapi.HeartbeatInterval, w.flush()
+}
+
 // stream sends the frames of s from position from on until the generation ends
 // or the entry goes away.
 func (g *Generations) stream(out http.ResponseWriter, r *http.Request, s *session.Session, from wigeonfork.Position) {
@@ -91,10 +116,10 @@
 	out.WriteHeader(http.StatusOK)
 	w := &writer{out: httpserver.NewStreamWriter(out, writeTimeout)}
 	// The head tells the entry that the agent is reached, before any token.
-	if w.out.Flush() != nil {
+	if w.flush() != nil {
 		return
 	}
-	heartbeat := time.NewTicker(agentapi.HeartbeatInterval)
+	heartbeat := time.NewTimer(agentapi.HeartbeatInterval)
 	defer heartbeat.Stop()
 	for {
 		ended, err := w.sendAvailable(s, reader, &from)
@@ -104,10 +129,11 @@
 		select {
 		case <-wake:
 		case <-heartbeat.C:
-			s.Heartbeat(&w.frame)
-			if w.send() != nil || w.out.Flush() != nil {
+			next, err := w.heartbeat(s)
+			if err != nil {
 				return
 			}
+			heartbeat.Reset(next)
 		case <-r.Context().Done():
 			return
 		}
@@ -124,11 +150,11 @@
 		sent = true
 		*from += wigeonfork.Position(len(w.frame.Tokens))
 		if w.frame.Kind != frame.KindTokens {
-			return true, w.out.Flush()
+			return true, w.flush()
 		}
 	}
 	if !sent {
 		return false, nil
 	}
-	return false, w.out.Flush()
+	return false, w.flush()
 }
