Send new tokens from the goroutine that produces them

Cause: each token woke the goroutine of the reading entry's request, a switch for each token of an agent. Beside it a frame of up to 256 tokens had no bound on its bytes, so that long token texts made a frame that entries refuse. Change: the producer writes to the attached entry itself; the reader's own goroutine sends heartbeats and the end. A displaced reader's blocked write is cut short. A frame's text is bounded by frame.MaxText. Test: seen red with either guard taken out (the expiry, the bound of the text).

--- /dev/null
+++ b/agent/command/reader.go
@@ -0,0 +1,160 @@
+package command
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agent/session"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+)
+
+const (
+	// writeTimeout bounds one write to an entry.
+	writeTimeout = 5 * time.Second
+	// displacedTimeout bounds the writes to an entry that another one has
+	// displaced, since a blocked write holds up the new one's tokens.
+	displacedTimeout = 100 * time.Millisecond
+)
+
+// reader sends the frames of a session to one entry. The goroutine that
+// produces tokens sends them itself; the reader's own goroutine sends
+// heartbeats, the end and what could not be sent at once.
+type reader struct {
+	session *session.Session
+	number  uint64
+	wake    chan struct{}
+
+	// mu guards all below. It is held over writes to the entry.
+	mu    sync.Mutex
+	out   *httpserver.StreamWriter
+	from  wigeonfork.Position
+	frame frame.Frame
+	buf   []byte
+	// sent is the time of the last flush.
+	sent time.Time
+	done bool
+}
+
+// newReader returns a reader whose writes may take up to limit each.
+func newReader(out http.ResponseWriter, s *session.Session, from wigeonfork.Position, limit time.Duration) *reader {
+	r := &reader{session: s, out: httpserver.NewStreamWriter(out, limit), from: from, wake: make(chan struct{}, 1)}
+	r.wake <- struct{}{}
+	return r
+}
+
+// serve is the only reader of its session until the generation ends, the entry
+// goes away or another reader takes its place.
+func (r *reader) serve(ctx context.Context) {
+	// The head tells the entry that the agent is reached, before any token.
+	if r.flush() != nil {
+		return
+	}
+	r.mu.Lock()
+	r.number = r.session.Attach(r.wake, r.push)
+	r.mu.Unlock()
+	defer func() {
+		r.close()
+		r.session.Detach(r.number, time.Now())
+	}()
+	r.run(ctx)
+}
+
+// run sends until the generation ends or the entry goes away.
+func (r *reader) run(ctx context.Context) {
+	heartbeat := time.NewTimer(agentapi.HeartbeatInterval)
+	defer heartbeat.Stop()
+	for {
+		select {
+		case <-r.wake:
+			r.lock()
+			r.sendAvailable()
+		case <-heartbeat.C:
+			r.lock()
+			heartbeat.Reset(r.heartbeat())
+		case <-ctx.Done():
+			return
+		}
+		done := r.done
+		r.mu.Unlock()
+		if done {
+			return
+		}
+	}
+}
+
+// lock takes the lock from a write that is blocked, if the reader is displaced.
+func (r *reader) lock() {
+	if r.mu.TryLock() {
+		return
+	}
+	if r.session.Displaced(r.number) {
+		r.out.Expire(displacedTimeout)
+	}
+	r.mu.Lock()
+}
+
+// push sends what is new. If another goroutine is sending, it leaves that to
+// the reader's own.
+func (r *reader) push() {
+	if r.mu.TryLock() {
+		r.sendAvailable()
+		done := r.done
+		r.mu.Unlock()
+		if !done {
+			return
+		}
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// close makes later pushes do nothing: the response must not be used any more.
+func (r *reader) close() {
+	r.lock()
+	r.done = true
+	r.mu.Unlock()
+}
+
+// sendAvailable sends all that is new. The lock is held.
+func (r *reader) sendAvailable() {
+	sent := false
+	for !r.done && r.session.Next(r.number, r.from, &r.frame) {
+		sent = true
+		r.from += wigeonfork.Position(len(r.frame.Tokens))
+		r.done = r.send() != nil || r.frame.Kind != frame.KindTokens
+	}
+	if sent && r.flush() != nil {
+		r.done = true
+	}
+}
+
+// heartbeat sends a heartbeat if the stream has been silent for the interval.
+// It returns the time to the next look. The lock is held.
+func (r *reader) heartbeat() time.Duration {
+	if wait := agentapi.HeartbeatInterval - time.Since(r.sent); wait > 0 || r.done {
+		return wait
+	}
+	r.session.Heartbeat(&r.frame)
+	if r.send() != nil || r.flush() != nil {
+		r.done = true
+	}
+	return agentapi.HeartbeatInterval
+}
+
+func (r *reader) send() error {
+	r.buf = frame.Append(r.buf[:0], &r.frame)
+	_, err := r.out.Write(r.buf)
+	return err
+}
+
+func (r *reader) flush() error {
+	r.sent = time.Now()
+	return r.out.Flush()
+}
--- /dev/null
+++ b/agent/command/reader_test.go
@@ -0,0 +1,115 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agent/session"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/frame"
+)
+
+func TestHeartbeatFillsSilenceOnly(t *testing.T) {
+	Convey("A stream sends a heartbeat when it has been silent for the interval, and none behind tokens", t, func() {
+		out := httptest.NewRecorder()
+		r := newReader(out, session.New(&agentapi.Generate{Generation: 3}, time.Now(), func() {}), 0, writeTimeout)
+		r.sent = time.Now().Add(time.Hour)
+		So(r.heartbeat(), ShouldBeGreaterThan, time.Hour)
+		So(out.Body.Len(), ShouldEqual, 0)
+
+		r.sent = time.Now().Add(-agentapi.HeartbeatInterval)
+		So(r.heartbeat(), ShouldEqual, agentapi.HeartbeatInterval)
+		var f frame.Frame
+		So(frame.NewReader(bytes.NewReader(out.Body.Bytes())).Read(&f), ShouldBeNil)
+		So(f.Kind, ShouldEqual, frame.KindHeartbeat)
+		So(f.Generation, ShouldEqual, 3)
+	})
+}
+
+// stuckEntry is the response to an entry that takes nothing: a write blocks
+// until its deadline is moved into the near future.
+type stuckEntry struct {
+	http.ResponseWriter
+	writing chan struct{}
+	expired chan struct{}
+}
+
+func (e *stuckEntry) Write([]byte) (int, error) {
+	close(e.writing)
+	<-e.expired
+	return 0, io.ErrClosedPipe
+}
+
+func (e *stuckEntry) Flush() {}
+
+func (e *stuckEntry) SetWriteDeadline(deadline time.Time) error {
+	if time.Until(deadline) < time.Minute {
+		close(e.expired)
+	}
+	return nil
+}
+
+func TestBlockedReaderGivesWayToTheNext(t *testing.T) {
+	Convey("An entry that takes nothing holds up neither the tokens nor the entry that displaces it", t, func() {
+		const tokens = 400
+		s := session.New(&agentapi.Generate{Generation: 1}, time.Now(), func() {})
+		stuck := &stuckEntry{ResponseWriter: httptest.NewRecorder(), writing: make(chan struct{}), expired: make(chan struct{})}
+		left := make(chan struct{})
+		first := newReader(stuck, s, 0, time.Hour)
+		// Without the first wake-up it is the producer that sends.
+		<-first.wake
+		go func() {
+			defer close(left)
+			first.serve(context.Background())
+		}()
+		for !s.Summary().Attached {
+			runtime.Gosched()
+		}
+		produced := make(chan bool)
+		go func() {
+			text := bytes.Repeat([]byte("x"), frame.MaxText/3)
+			whole := true
+			for p := range tokens {
+				whole = s.Append(backend.Chunk{Position: wigeonfork.Position(p), Tokens: []backend.Token{{ID: 1, Text: text}}}) && whole
+			}
+			produced <- whole && s.End(backend.Chunk{Position: tokens, Stop: backend.StopEnd}, time.Now())
+		}()
+		<-stuck.writing
+		next := httptest.NewRecorder()
+		newReader(next, s, 0, time.Hour).serve(context.Background())
+		So(readToEnd(next.Body), ShouldEqual, tokens)
+		So(<-produced, ShouldBeTrue)
+		<-left
+	})
+}
+
+// readToEnd returns the number of tokens up to the end frame, or -1 if they do
+// not come in order.
+func readToEnd(body io.Reader) int {
+	in := frame.NewReader(body)
+	var f frame.Frame
+	next := wigeonfork.Position(0)
+	for {
+		if in.Read(&f) != nil || f.Position != next {
+			return -1
+		}
+		switch f.Kind {
+		case frame.KindTokens:
+			next += wigeonfork.Position(len(f.Tokens))
+		case frame.KindEnd:
+			return int(next)
+		case frame.KindFailure:
+			return -1
+		}
+	}
+}
--- a/agent/session/session.go
+++ b/agent/session/session.go
@@ -46,6 +46,7 @@
 	message     string
 	reader      uint64
 	wake        chan struct{}
+	push        func()
 	read        bool
 	acceptedAt  time.Time
 	detachedAt  time.Time
@@ -77,11 +78,20 @@
 // Append adds the tokens of a chunk. Tokens that are known already are skipped;
 // it returns false if tokens are missing before the chunk.
 func (s *Session) Append(chunk backend.Chunk) bool {
+	push, ok := s.append(chunk)
+	if push != nil {
+		push()
+	}
+	return ok
+}
+
+// append returns what sends the new tokens to the reader, if there is one.
+func (s *Session) append(chunk backend.Chunk) (func(), bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.log.Len()
 	if chunk.Position > next {
-		return false
+		return nil, false
 	}
 	known := int(next - chunk.Position)
 	if known < len(chunk.Tokens) {
@@ -93,8 +103,7 @@
 		s.prompt = chunk.PromptTokens
 		s.cached = chunk.CachedTokens
 	}
-	s.notify()
-	return true
+	return s.push, true
 }
 
 // End notes that the answer is whole. It returns false if the engine's count
@@ -169,17 +178,25 @@
 // Cancel stops the production of tokens.
 func (s *Session) Cancel() { s.cancel() }
 
-// Attach makes a new reader the only one and returns its number and the
-// channel that wakes it. An earlier reader finds itself displaced.
-func (s *Session) Attach() (uint64, <-chan struct{}) {
+// Attach makes a new reader the only one and returns its number. New tokens
+// are sent by calls of push; wake wakes the reader for all else. An earlier
+// reader finds itself displaced.
+func (s *Session) Attach(wake chan struct{}, push func()) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.notify()
 	s.reader++
-	s.wake = make(chan struct{}, 1)
-	s.wake <- struct{}{}
+	s.wake = wake
+	s.push = push
 	s.detachedAt = time.Time{}
-	return s.reader, s.wake
+	return s.reader
+}
+
+// Displaced reports whether another reader has taken the place of reader.
+func (s *Session) Displaced(reader uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reader != reader
 }
 
 // Detach notes that a reader went away.
@@ -188,6 +205,7 @@
 	defer s.mu.Unlock()
 	if s.reader == reader {
 		s.wake = nil
+		s.push = nil
 		s.detachedAt = now
 	}
 }
@@ -219,7 +237,7 @@
 		f.Position = from
 		f.PromptTokens = s.prompt
 		f.CachedTokens = s.cached
-		f.Tokens = s.log.AppendTokens(f.Tokens, from, frame.MaxTokens)
+		f.Tokens = s.log.AppendFrame(f.Tokens, from, frame.MaxTokens, frame.MaxText)
 		return true
 	}
 	if !s.ended {
--- a/generation/log.go
+++ b/generation/log.go
@@ -42,6 +42,22 @@
 	return to
 }
 
+// AppendFrame appends the tokens from position from up to limit of them whose
+// texts have maxText bytes together, but at least one.
+func (l *Log) AppendFrame(to []backend.Token, from wigeonfork.Position, limit, maxText int) []backend.Token {
+	text := 0
+	for p := from; p < l.Len() && limit > 0; p++ {
+		token := l.At(p)
+		text += len(token.Text)
+		if text > maxText && p > from {
+			break
+		}
+		to = append(to, token)
+		limit--
+	}
+	return to
+}
+
 // IDs returns the ids of all tokens. The slice must not be changed.
 func (l *Log) IDs() []uint32 {
 	return l.ids
