Leave a generation to the entry that displaced one, hand streams over at drain

Cause: an entry that another had displaced at the agent took that for a loss, freed the generation at the agent and began another one; the entry that had taken over lost its source. An entry whose drain limit was reached cut its streams without a word. Change: a displaced entry ends quietly and frees nothing. At its drain limit an entry sends the event resume with the last event id and ends the stream; the generation goes on at its agent. An answer in one piece gets a typed error.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -120,12 +120,21 @@
 	} `json:"usage"`
 }
 
-// Next returns the next event, io.EOF after a whole answer, a *problem.Error
+// ErrResume ends a stream whose entry leaves: the answer goes on behind the
+// event's id through another entry.
+var ErrResume = errors.New("answer goes on through another entry")
+
+// resumeEvent is the line that announces ErrResume.
+const resumeEvent = "event: resume"
+
+// Next returns the next event, ErrResume with the id to go on behind, io.EOF after a whole answer, a *problem.Error
 // if the answer was given up, and any other error if the stream broke.
 func (s *Stream) Next() (Event, error) {
 	var event Event
+	resume := false
 	for s.lines.Scan() {
 		line := s.lines.Bytes()
+		resume = resume || string(line) == resumeEvent
 		if id, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
 			event.ID = string(id)
 		}
@@ -136,6 +145,9 @@
 		if string(data) == "[DONE]" {
 			return event, io.EOF
 		}
+		if resume {
+			return event, ErrResume
+		}
 		return event, event.decode(data)
 	}
 	if err := s.lines.Err(); err != nil {
--- a/caller/whole.go
+++ b/caller/whole.go
@@ -73,6 +73,10 @@
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
+		if errors.Is(err, ErrResume) {
+			w.lastID = event.ID
+			return err
+		}
 		if err != nil {
 			return err
 		}
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -63,6 +63,8 @@
 	Limits generation.Limits
 	// AgentDrainLimit is the drain limit of the agents; 0 means a minute.
 	AgentDrainLimit time.Duration
+	// EntryDrainLimit is the drain limit of the entries; 0 means a minute.
+	EntryDrainLimit time.Duration
 	Log             *telemetry.Logger
 }
 
@@ -97,6 +99,9 @@
 	if options.AgentDrainLimit == 0 {
 		options.AgentDrainLimit = time.Minute
 	}
+	if options.EntryDrainLimit == 0 {
+		options.EntryDrainLimit = time.Minute
+	}
 	if options.Limits == (generation.Limits{}) {
 		options.Limits = generation.DefaultLimits()
 	}
@@ -247,7 +252,7 @@
 		Limits:      s.options.Limits,
 		Log:         s.options.Log,
 		Metrics:     metrics,
-		DrainLimit:  time.Minute,
+		DrainLimit:  s.options.EntryDrainLimit,
 	})
 	if err != nil {
 		return err
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/wigeonfork/wigeonfork"
@@ -18,10 +15,7 @@
 	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/moves"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
-	"github.com/wigeonfork/wigeonfork/quarantine"
-	"github.com/wigeonfork/wigeonfork/retry"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -57,6 +51,9 @@
 	source(handle string)
 	finish(r *generation.Relay) error
 	fail(err *problem.Error)
+	// handOver tells the caller to go on behind position next through another
+	// entry. It returns false if the caller can't.
+	handOver(next wigeonfork.Position) bool
 }
 
 // Relayer relays answers from agents to callers.
@@ -97,14 +94,6 @@
 	pace      pace
 }
 
-// loss holds the times of an interruption: when the source was found lost and
-// when another was reached.
-type loss struct {
-	lastProgress time.Time
-	detected     time.Time
-	reached      time.Time
-}
-
 // relay drives the answer to its end.
 func (r *run) relay() {
 	adopted := r.answer.Relay().Generation() > 0
@@ -117,13 +106,19 @@
 		if err == nil {
 			err = r.attempt()
 		}
-		if err == nil {
+		switch {
+		case err == nil:
 			r.complete()
 			return
-		}
-		if r.ctx.Err() != nil || errors.Is(err, errCallerGone) {
+		case r.ctx.Err() != nil || errors.Is(err, errCallerGone):
 			r.abandon()
 			return
+		case r.answer.Relay().Failure() == frame.FailureDisplaced:
+			r.leave("relay.displaced")
+			return
+		case r.answer.HandedOver():
+			r.handOver()
+			return
 		}
 		if final := r.goOn(err); final != nil {
 			r.answer.Fail()
@@ -307,188 +302,34 @@
 	}
 }
 
-// goOn decides how an interrupted answer goes on. It returns the final error
-// if it does not.
-func (r *run) goOn(cause error) *problem.Error {
-	var answered *problem.Error
-	reachable := !errors.As(cause, &answered) && platform.OutcomeOf(cause) != platform.OutcomeNotDone
-	if answered != nil && answered.Step == problem.StepRoute {
-		return r.interrupted(answered)
-	}
-	step, suspicion := r.answer.Lose(reachable)
-	r.noteLost(cause, suspicion)
-	r.noteEngineDeath()
-	r.observeFailure()
-	if step == generation.StepReattach {
-		if r.reattach() == nil {
-			return nil
-		}
-		step, _ = r.answer.Lose(false)
-	}
-	r.leavePlace()
-	switch step {
-	case generation.StepGiveUp:
-		return r.interrupted(nil)
-	case generation.StepRestart:
-		return r.mayRestart()
-	default:
-		return r.mayContinue()
-	}
-}
-
-func (r *run) origin() retry.Origin {
-	return retry.Origin{Workspace: r.answer.Call.Workspace}
-}
-
-// noteEngineDeath takes in the engine's death that the agent reported.
-func (r *run) noteEngineDeath() {
-	if r.answer.Relay().Failure() != frame.FailureEngineDead || r.frame.Message == "" {
-		return
-	}
-	var death quarantine.Death
-	if err := cbor.Unmarshal([]byte(r.frame.Message), &death); err != nil {
-		r.Log.Warn().Str("step", "resume").Str("peer", r.answer.Agent()).Err(err).Msg("death_malformed")
-		return
-	}
-	// The agent's clock may be off; deaths are put in order by this entry's.
-	death.At = time.Now()
-	r.Gate.EngineDied(death.At, death)
-}
-
-// mayRestart asks the retry budgets for an attempt from the start, since the
-// caller has received nothing and can as well come back.
-func (r *run) mayRestart() *problem.Error {
-	if refusal := r.mayContinue(); refusal != nil {
-		return refusal
-	}
-	allowed, after := r.Gate.MayRetry(time.Now(), r.origin())
-	if allowed {
-		return nil
-	}
-	return problem.New(problem.CodeOverloaded, problem.RunUnknown, problem.StepResume, "retry budget is used up").After(after)
-}
-
-// mayContinue waits while the request is examined for engine deaths under it.
-// It returns the final error if it is quarantined or the wait is too long.
-func (r *run) mayContinue() *problem.Error {
-	giveUpAt := time.Now().Add(placeRetryLimit)
-	for {
-		now := time.Now()
-		_, refusal := r.Gate.Admissible(now, r.answer.Key)
-		if refusal == nil {
-			return nil
-		}
-		if refusal.RetryAfter == 0 || now.After(giveUpAt) {
-			refusal.Run = problem.RunUnknown
-			refusal.Step = problem.StepResume
-			return refusal
-		}
-		select {
-		case <-time.After(min(refusal.RetryAfter, placeRetryInterval)):
-		case <-r.ctx.Done():
-			return nil
-		}
-	}
-}
-
-// reattach takes up the same generation at the next position.
-func (r *run) reattach() error {
-	ctx, cancel := context.WithCancel(r.ctx)
-	g, from := r.answer.Reattach(time.Now(), cancel)
-	stream, err := r.Agents.Attach(ctx, r.answer.Agent(), r.answer.Call.RequestID, g, from)
-	if err != nil {
-		cancel()
-		return err
-	}
-	r.stream = stream
-	r.loss.reached = time.Now()
-	return nil
-}
-
-func (r *run) leavePlace() {
-	if r.place == nil {
-		return
-	}
-	// The engine may be alive and only held to be lost.
-	r.release(0)
-	now := time.Now()
-	r.Fleet.Failed(now, r.place)
-	r.Gate.Stopped(now, r.answer.Key, r.place.Server)
-	r.Fleet.Suspect(now, r.place.Server)
-	if !slices.Contains(r.failed, r.place.Server) {
-		r.failed = append(r.failed, r.place.Server)
-	}
-	r.place = nil
-}
-
-// interrupted returns the final error of an answer that cannot go on. Before
-// the first attempt nothing was run.
-func (r *run) interrupted(cause *problem.Error) *problem.Error {
-	relay := r.answer.Relay()
-	if relay.Attempts() == 0 && cause != nil {
-		refusal := *cause
-		return refusal.After(backendRetry)
-	}
-	if relay.Failure() == frame.FailureRejected {
-		return problem.New(problem.CodeInvalidRequest, problem.RunUnknown, problem.StepDispatch, "backend server refused the request").At(r.answer.Agent())
-	}
-	return problem.New(problem.CodeInterrupted, problem.RunUnknown, problem.StepResume, "answer was interrupted after %d tokens and %d attempts", relay.Log().Len(), relay.Attempts()).
-		At(r.answer.Agent()).After(backendRetry)
-}
-
-func (r *run) noteLost(cause error, suspicion generation.Suspicion) {
-	if r.loss.detected.IsZero() {
-		r.loss.detected = time.Now()
-		r.loss.lastProgress = r.answer.Relay().LastProgress()
-	}
-	telemetry.Counter(r.Metrics, "relay.losses").Inc(1)
-	failure := r.answer.Relay().Failure()
-	event := r.Log.Info().Str("request", string(r.answer.Call.RequestID)).Str("peer", r.answer.Agent()).
-		Str("failure", failure.String()).Uint32("position", uint32(r.delivered)).Uint32("suspicion", uint32(suspicion))
-	if !errors.Is(cause, io.EOF) {
-		event = event.Err(cause)
-	}
-	event.Msg("source_lost")
-}
-
-// noteResumed measures the parts of an interruption that has ended.
-func (r *run) noteResumed(now time.Time) {
-	if r.loss.detected.IsZero() {
-		return
-	}
-	detection := r.loss.detected.Sub(r.loss.lastProgress)
-	choice := r.loss.reached.Sub(r.loss.detected)
-	firstToken := now.Sub(r.loss.reached)
-	telemetry.Counter(r.Metrics, "relay.resumed").Inc(1)
-	telemetry.Histogram(r.Metrics, MetricDetection).Update(detection.Microseconds())
-	telemetry.Histogram(r.Metrics, MetricChoice).Update(choice.Microseconds())
-	telemetry.Histogram(r.Metrics, MetricFirstToken).Update(firstToken.Microseconds())
-	r.Log.Info().Str("request", string(r.answer.Call.RequestID)).Str("peer", r.answer.Agent()).
-		Int64("detection_us", detection.Microseconds()).Int64("choice_us", choice.Microseconds()).
-		Int64("first_token_us", firstToken.Microseconds()).Msg("answer_resumed")
-	r.loss = loss{}
-}
-
-// The histograms of the parts of an interruption, in microseconds: from the
-// last token to the detection of the loss, from there to the next source, and
-// from there to its first token.
-const (
-	MetricDetection  = "relay.resume_detection_us"
-	MetricChoice     = "relay.resume_choice_us"
-	MetricFirstToken = "relay.resume_first_token_us"
-)
-
 // abandon frees the engine of an answer whose caller went away. The agent
 // keeps it for a moment in case the caller comes back.
 func (r *run) abandon() {
+	r.leave("relay.abandoned")
+	r.release(callerLinger)
+}
+
+// leave ends the relay of an answer and leaves its generation to whoever takes
+// it up. counter counts such ends.
+func (r *run) leave(counter string) {
 	r.answer.Abandon()
-	telemetry.Counter(r.Metrics, "relay.abandoned").Inc(1)
+	telemetry.Counter(r.Metrics, counter).Inc(1)
 	if r.place != nil {
 		now := time.Now()
 		r.Fleet.Failed(now, r.place)
 		r.Gate.Stopped(now, r.answer.Key, r.place.Server)
 	}
-	r.release(callerLinger)
+}
+
+// handOver sends the caller to another entry, since this one leaves.
+func (r *run) handOver() {
+	if r.sink.handOver(r.delivered) {
+		r.leave("relay.handed_over")
+		return
+	}
+	r.abandon()
+	final := problem.New(problem.CodeDraining, problem.RunUnknown, problem.StepDrain, "entry left before the answer was whole").After(configRetry)
+	r.sink.fail(final.For(r.answer.Call.RequestID))
 }
 
 // release frees the engine of the current generation after linger.
--- a/entry/command/sink.go
+++ b/entry/command/sink.go
@@ -93,6 +93,19 @@
 	_ = s.write()
 }
 
+func (s *eventSink) handOver(next wigeonfork.Position) bool {
+	if s.handle == "" {
+		return false
+	}
+	s.begin()
+	s.buf = append(s.buf[:0], "event: resume\nid: "...)
+	s.buf = generation.AppendEventID(s.buf, s.handle, next)
+	s.buf = append(s.buf, "\ndata: {}\n\n"...)
+	// A caller that is gone comes back behind the last event that it has.
+	_ = s.write()
+	return true
+}
+
 func (s *eventSink) write() error {
 	if _, err := s.stream.Write(s.buf); err != nil {
 		return err
@@ -122,6 +135,10 @@
 
 func (s *wholeSink) fail(err *problem.Error) { problem.Write(s.out, err) }
 
+// handOver implements sink: an answer that comes in one piece has no event id
+// to go on behind.
+func (s *wholeSink) handOver(wigeonfork.Position) bool { return false }
+
 // bodyWriter writes the JSON objects of the callers' interface.
 type bodyWriter struct {
 	id      string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -257,36 +257,6 @@
 	}
 }
 
-// drainPoll is the time between two looks at the remaining answers.
-const drainPoll = 20 * time.Millisecond
-
-// Drain stops taking new requests and waits for the answers under way up to
-// the drain limit.
-func (e *Entry) Drain(ctx context.Context) {
-	e.status.SetLeaving()
-	e.answers.CloseToNew()
-	e.options.Log.Info().Int("answers", e.answers.Len()).Msg("drain_started")
-	limited, cancel := context.WithTimeout(ctx, e.options.DrainLimit)
-	defer cancel()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for e.answers.Len() > 0 && limited.Err() == nil {
-		select {
-		case <-ticker.C:
-		case <-limited.Done():
-		}
-	}
-	if err := e.executor.Close(limited); err != nil {
-		e.options.Log.Warn().Str("step", "drain").Err(err).Msg("outcomes_unrecorded")
-	}
-	e.options.Log.Info().Int("unfinished", e.answers.Len()).Msg("drain_ended")
-}
-
-func (e *Entry) drainOnRequest(context.Context, *peer.Session, peer.None) (peer.None, error) {
-	e.spawn(func() { e.Drain(e.background) })
-	return peer.None{}, nil
-}
-
 // Stop ends the entry at once.
 func (e *Entry) Stop() {
 	e.stop()
--- a/entry/session/answer.go
+++ b/entry/session/answer.go
@@ -31,6 +31,7 @@
 	busy      bool
 	detach    context.CancelFunc
 	suspicion generation.Suspicion
+	handOver  bool
 }
 
 // NewAnswer returns an answer without tokens.
@@ -119,6 +120,24 @@
 	a.detach()
 }
 
+// HandOver makes the answer leave its source, so that its caller goes on
+// through another entry.
+func (a *Answer) HandOver() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.handOver = true
+	if a.detach != nil {
+		a.detach()
+	}
+}
+
+// HandedOver reports whether the caller is to go on through another entry.
+func (a *Answer) HandedOver() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.handOver
+}
+
 // Lose notes that the source is lost and returns how to go on and why the
 // source was held to be lost.
 func (a *Answer) Lose(reachable bool) (generation.NextStep, generation.Suspicion) {
--- a/entry/session/table.go
+++ b/entry/session/table.go
@@ -94,6 +94,15 @@
 	return suspects
 }
 
+// HandOver makes all answers leave their sources. It returns their number.
+func (t *Table) HandOver() int {
+	answers := t.All()
+	for _, a := range answers {
+		a.HandOver()
+	}
+	return len(answers)
+}
+
 // Summary is what a dump tells of an answer.
 type Summary struct {
 	RequestID  wigeonfork.RequestID  `json:"request_id"`
