Keep an entry that was paused from undoing what its successor does

Cause: an entry that was paused takes its source for lost when it goes on, attaches again or frees the generation, and so cuts the entry through which the caller has come back meanwhile. Change: agents number the readers of a generation; attaching again and releasing name the number, and a displaced reader is refused. The entry then ends its stream quietly. Test: seen red with the check of the number taken out.

--- a/agent/command/attach.go
+++ b/agent/command/attach.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agent/session"
+	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -23,6 +24,10 @@
 		problem.Write(w, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepResume, "malformed position"))
 		return
 	}
+	if !s.MayAttach(readerOf(r)) {
+		problem.Write(w, displaced(s))
+		return
+	}
 	g.stream(w, r, s, wigeonfork.Position(from))
 }
 
@@ -46,11 +51,28 @@
 		problem.Write(w, err)
 		return
 	}
+	if !s.MayAttach(readerOf(r)) {
+		problem.Write(w, displaced(s))
+		return
+	}
 	linger, _ := strconv.ParseInt(r.URL.Query().Get("linger_ms"), 10, 64)
 	s.Release(time.Duration(max(linger, 0)) * time.Millisecond)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// readerOf returns the reader that the asking entry was, or AnyReader.
+func readerOf(r *http.Request) uint64 {
+	number, err := strconv.ParseUint(r.Header.Get(agentapi.HeaderReader), 10, 64)
+	if err != nil {
+		return session.AnyReader
+	}
+	return number
+}
+
+func displaced(s *session.Session) *problem.Error {
+	return problem.New(problem.CodeConflict, problem.RunUnknown, problem.StepResume, "another entry reads generation %d", s.Key.Generation).For(s.Key.RequestID)
+}
+
 func (g *Generations) find(r *http.Request) (*session.Session, *problem.Error) {
 	number, err := strconv.ParseUint(r.PathValue("generation"), 10, 32)
 	if err != nil {
@@ -67,6 +89,5 @@
 // or the entry goes away.
 func (g *Generations) stream(out http.ResponseWriter, r *http.Request, s *session.Session, from wigeonfork.Position) {
 	out.Header().Set("Content-Type", "application/octet-stream")
-	out.WriteHeader(http.StatusOK)
 	newReader(out, s, from, writeTimeout).serve(r.Context())
 }
--- a/agent/command/reader.go
+++ b/agent/command/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 // heartbeats, the end and what could not be sent at once.
 type reader struct {
 	session *session.Session
+	head    http.Header
 	number  uint64
 	wake    chan struct{}
 
@@ -42,7 +44,7 @@
 
 // newReader returns a reader whose writes may take up to limit each.
 func newReader(out http.ResponseWriter, s *session.Session, from wigeonfork.Position, limit time.Duration) *reader {
-	r := &reader{session: s, out: httpserver.NewStreamWriter(out, limit), from: from, wake: make(chan struct{}, 1)}
+	r := &reader{session: s, head: out.Header(), out: httpserver.NewStreamWriter(out, limit), from: from, wake: make(chan struct{}, 1)}
 	r.wake <- struct{}{}
 	return r
 }
@@ -50,12 +52,11 @@
 // serve is the only reader of its session until the generation ends, the entry
 // goes away or another reader takes its place.
 func (r *reader) serve(ctx context.Context) {
-	// The head tells the entry that the agent is reached, before any token.
-	if r.flush() != nil {
-		return
-	}
 	r.mu.Lock()
 	r.number = r.session.Attach(r.wake, r.push)
+	// The head tells the entry that the agent is reached, before any token.
+	r.head.Set(agentapi.HeaderReader, strconv.FormatUint(r.number, 10))
+	r.done = r.flush() != nil
 	r.mu.Unlock()
 	defer func() {
 		r.close()
--- a/agent/command/reader_test.go
+++ b/agent/command/reader_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -93,6 +94,31 @@
 	})
 }
 
+func TestDisplacedReaderChangesNothing(t *testing.T) {
+	Convey("An entry that another has displaced can neither attach again nor free the generation", t, func() {
+		cancelled := false
+		s := session.New(&agentapi.Generate{RequestID: "r", Generation: 2, OrphanMillis: 1000}, time.Now(), func() { cancelled = true })
+		g := &Generations{Table: session.NewTable()}
+		So(g.Table.Add(s), ShouldBeNil)
+		first := s.Attach(make(chan struct{}, 1), func() {})
+		second := s.Attach(make(chan struct{}, 1), func() {})
+		ask := func(handler http.HandlerFunc, reader uint64) int {
+			r := httptest.NewRequest(http.MethodGet, "/?from=0", nil)
+			r.SetPathValue("request", "r")
+			r.SetPathValue("generation", "2")
+			r.Header.Set(agentapi.HeaderReader, strconv.FormatUint(reader, 10))
+			out := httptest.NewRecorder()
+			handler(out, r)
+			return out.Code
+		}
+		So(ask(g.Attach, first), ShouldEqual, http.StatusConflict)
+		So(ask(g.Release, first), ShouldEqual, http.StatusConflict)
+		So(cancelled, ShouldBeFalse)
+		So(ask(g.Release, second), ShouldEqual, http.StatusNoContent)
+		So(cancelled, ShouldBeTrue)
+	})
+}
+
 // readToEnd returns the number of tokens up to the end frame, or -1 if they do
 // not come in order.
 func readToEnd(body io.Reader) int {
--- a/agent/session/session.go
+++ b/agent/session/session.go
@@ -192,6 +192,15 @@
 	return s.reader
 }
 
+// AnyReader stands for a reader that may displace any other.
+const AnyReader uint64 = 0
+
+// MayAttach reports whether a reader that was attached as previous may attach
+// again: no other has taken its place since.
+func (s *Session) MayAttach(previous uint64) bool {
+	return previous == AnyReader || !s.Displaced(previous)
+}
+
 // Displaced reports whether another reader has taken the place of reader.
 func (s *Session) Displaced(reader uint64) bool {
 	s.mu.Lock()
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -95,6 +95,11 @@
 // generation, without its prefix.
 const PathCall = "/call"
 
+// HeaderReader names the reader that an entry is at a session. An entry that
+// attaches again or releases says which reader it was, so that it can't undo
+// the doing of an entry that displaced it.
+const HeaderReader = "X-Reader"
+
 // GenerationPath returns the path of one generation.
 func GenerationPath(id wigeonfork.RequestID, g wigeonfork.Generation) string {
 	return PathAttach + "/" + url.PathEscape(string(id)) + "/" + strconv.FormatUint(uint64(g), 10)
--- a/agentapi/client.go
+++ b/agentapi/client.go
@@ -55,8 +55,12 @@
 type Stream struct {
 	body   io.ReadCloser
 	reader *frame.Reader
+	number string
 }
 
+// Number names the reader that the stream is at the agent.
+func (s *Stream) Number() string { return s.number }
+
 // Read reads the next frame into f; see frame.Reader.
 func (s *Stream) Read(f *frame.Frame) error { return s.reader.Read(f) }
 
@@ -73,19 +77,20 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode generate call")
 	}
-	return c.stream(ctx, http.MethodPost, agent, PathGenerate, body)
+	return c.stream(ctx, http.MethodPost, agent, PathGenerate, body, "")
 }
 
-// Attach takes up a generation at position from.
-func (c *Client) Attach(ctx context.Context, agent string, id wigeonfork.RequestID, g wigeonfork.Generation, from wigeonfork.Position) (*Stream, error) {
+// Attach takes up a generation at position from. reader is the Number of the
+// stream that broke, or empty to displace any reader.
+func (c *Client) Attach(ctx context.Context, agent string, id wigeonfork.RequestID, g wigeonfork.Generation, from wigeonfork.Position, reader string) (*Stream, error) {
 	path := GenerationPath(id, g) + "?from=" + strconv.FormatUint(uint64(from), 10)
-	return c.stream(ctx, http.MethodGet, agent, path, nil)
+	return c.stream(ctx, http.MethodGet, agent, path, nil, reader)
 }
 
 // Call returns the call that began a generation, without its prefix.
 func (c *Client) Call(ctx context.Context, agent string, id wigeonfork.RequestID, g wigeonfork.Generation) (*Generate, error) {
 	path := GenerationPath(id, g) + PathCall
-	response, err := c.do(ctx, http.MethodGet, agent, path, nil)
+	response, err := c.do(ctx, http.MethodGet, agent, path, nil, "")
 	if err != nil {
 		return nil, err
 	}
@@ -98,10 +103,10 @@
 }
 
 // Release tells the agent that nobody reads a generation any more. It is
-// stopped after linger.
-func (c *Client) Release(ctx context.Context, agent string, id wigeonfork.RequestID, g wigeonfork.Generation, linger time.Duration) error {
+// stopped after linger, unless another reader displaced the one named.
+func (c *Client) Release(ctx context.Context, agent string, id wigeonfork.RequestID, g wigeonfork.Generation, linger time.Duration, reader string) error {
 	path := GenerationPath(id, g) + "?linger_ms=" + strconv.FormatInt(linger.Milliseconds(), 10)
-	response, err := c.do(ctx, http.MethodDelete, agent, path, nil)
+	response, err := c.do(ctx, http.MethodDelete, agent, path, nil, reader)
 	if err != nil {
 		return err
 	}
@@ -114,7 +119,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
-	response, err := c.do(ctx, http.MethodPost, agent, path, body)
+	response, err := c.do(ctx, http.MethodPost, agent, path, body, "")
 	if err != nil {
 		return err
 	}
@@ -125,17 +130,17 @@
 	return nil
 }
 
-func (c *Client) stream(ctx context.Context, method, agent, path string, body []byte) (*Stream, error) {
-	response, err := c.do(ctx, method, agent, path, body)
+func (c *Client) stream(ctx context.Context, method, agent, path string, body []byte, reader string) (*Stream, error) {
+	response, err := c.do(ctx, method, agent, path, body, reader)
 	if err != nil {
 		return nil, err
 	}
-	return &Stream{body: response.Body, reader: frame.NewReader(response.Body)}, nil
+	return &Stream{body: response.Body, reader: frame.NewReader(response.Body), number: response.Header.Get(HeaderReader)}, nil
 }
 
 // do sends one request once. Bytes that may have left make the outcome of a
 // failure unknown.
-func (c *Client) do(ctx context.Context, method, agent, path string, body []byte) (*http.Response, error) {
+func (c *Client) do(ctx context.Context, method, agent, path string, body []byte, reader string) (*http.Response, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
@@ -147,6 +152,9 @@
 	// Without GetBody the transport never sends a request a second time.
 	request.GetBody = nil
 	request.Header.Set("Authorization", "Bearer "+c.credential)
+	if reader != "" {
+		request.Header.Set(HeaderReader, reader)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, platform.NewError(failureOutcome(sent.Load()), path, agent, err)
--- a/entry/command/loss.go
+++ b/entry/command/loss.go
@@ -42,6 +42,9 @@
 		if r.reattach() == nil {
 			return nil
 		}
+		if r.displaced {
+			return nil
+		}
 		step, _ = r.answer.Lose(false)
 	}
 	r.leavePlace()
@@ -114,12 +117,15 @@
 func (r *run) reattach() error {
 	ctx, cancel := context.WithCancel(r.ctx)
 	g, from := r.answer.Reattach(time.Now(), cancel)
-	stream, err := r.Agents.Attach(ctx, r.answer.Agent(), r.answer.Call.RequestID, g, from)
+	stream, err := r.Agents.Attach(ctx, r.answer.Agent(), r.answer.Call.RequestID, g, from, r.reader)
 	if err != nil {
 		cancel()
+		var refusal *problem.Error
+		r.displaced = errors.As(err, &refusal) && refusal.Code == problem.CodeConflict
 		return err
 	}
 	r.stream = stream
+	r.reader = stream.Number()
 	r.loss.reached = time.Now()
 	return nil
 }
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -87,6 +87,10 @@
 	place     *fleet.Place
 	failed    []wigeonfork.BackendServerID
 	stream    *agentapi.Stream
+	// reader is the number of the latest stream at the agent; displaced says
+	// that another entry has taken its place.
+	reader    string
+	displaced bool
 	frame     frame.Frame
 	lastToken time.Time
 	loss      loss
@@ -98,6 +102,10 @@
 func (r *run) relay() {
 	adopted := r.answer.Relay().Generation() > 0
 	for {
+		if r.displaced {
+			r.leave("relay.displaced")
+			return
+		}
 		var err error
 		if adopted {
 			err = r.reattach()
@@ -175,6 +183,7 @@
 	r.place = place
 	r.Gate.Started(now, r.answer.Key, place.Server)
 	r.observeStart(now)
+	r.reader = ""
 	ctx, cancel := context.WithCancel(r.ctx)
 	call := r.answer.Begin(now, place.Agent, cancel)
 	r.announce(&call)
@@ -185,6 +194,7 @@
 		return err
 	}
 	r.stream = stream
+	r.reader = stream.Number()
 	r.loss.reached = time.Now()
 	return nil
 }
@@ -338,11 +348,11 @@
 	if agent == "" {
 		return
 	}
-	id, g := r.answer.Call.RequestID, r.answer.Relay().Generation()
+	id, g, reader := r.answer.Call.RequestID, r.answer.Relay().Generation(), r.reader
 	submitted := r.Pool.Submit(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		if err := r.Agents.Release(ctx, agent, id, g, linger); err != nil {
+		if err := r.Agents.Release(ctx, agent, id, g, linger, reader); err != nil {
 			r.Log.Debug().Str("step", "relay").Str("peer", agent).Err(err).Msg("release_failed")
 		}
 	})
