--- a/agent/command/attach.go
+++ b/agent/command/attach.go
@@ -9,8 +9,6 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agent/session"
 	"github.com/wigeonfork/wigeonfork/agentapi"
-	"github.com/wigeonfork/wigeonfork/frame"
-	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -26,6 +24,10 @@
 		problem.Write(w, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepResume, "malformed position"))
 		return
 	}
+	if !s.MayAttach(readerOf(r)) {
+		problem.Write(w, displaced(s))
+		return
+	}
 	g.stream(w, r, s, wigeonfork.Position(from))
 }
 
@@ -49,11 +51,28 @@
 		problem.Write(w, err)
 		return
 	}
+	if !s.MayAttach(readerOf(r)) {
+		problem.Write(w, displaced(s))
+		return
+	}
 	linger, _ := strconv.ParseInt(r.URL.Query().Get("linger_ms"), 10, 64)
 	s.Release(time.Duration(max(linger, 0)) * time.Millisecond)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// readerOf returns the reader that the asking entry was, or AnyReader.
+func readerOf(r *http.Request) uint64 {
+	number, err := strconv.ParseUint(r.Header.Get(agentapi.HeaderReader), 10, 64)
+	if err != nil {
+		return session.AnyReader
+	}
+	return number
+}
+
+func displaced(s *session.Session) *problem.Error {
+	return problem.New(problem.CodeConflict, problem.RunUnknown, problem.StepResume, "another entry reads generation %d", s.Key.Generation).For(s.Key.RequestID)
+}
+
 func (g *Generations) find(r *http.Request) (*session.Session, *problem.Error) {
 	number, err := strconv.ParseUint(r.PathValue("generation"), 10, 32)
 	if err != nil {
@@ -66,70 +85,9 @@
 	return nil, problem.New(problem.CodeNotFound, problem.RunUnknown, problem.StepResume, "generation is not held here").For(key.RequestID)
 }
 
-// writer sends the frames of one reader.
-type writer struct {
-	out   *httpserver.StreamWriter
-	frame frame.Frame
-	buf   []byte
-}
-
-// writeTimeout bounds one write to an entry.
-const writeTimeout = 5 * time.Second
-
-func (w *writer) send() error {
-	w.buf = frame.Append(w.buf[:0], &w.frame)
-	_, err := w.out.Write(w.buf)
-	return err
-}
-
 // stream sends the frames of s from position from on until the generation ends
 // or the entry goes away.
 func (g *Generations) stream(out http.ResponseWriter, r *http.Request, s *session.Session, from wigeonfork.Position) {
-	reader, wake := s.Attach()
-	defer func() { s.Detach(reader, time.Now()) }()
 	out.Header().Set("Content-Type", "application/octet-stream")
-	out.WriteHeader(http.StatusOK)
-	w := &writer{out: httpserver.NewStreamWriter(out, writeTimeout)}
-	// The head tells the entry that the agent is reached, before any token.
-	if w.out.Flush() != nil {
-		return
-	}
-	heartbeat := time.NewTicker(agentapi.HeartbeatInterval)
-	defer heartbeat.Stop()
-	for {
-		ended, err := w.sendAvailable(s, reader, &from)
-		if err != nil || ended {
-			return
-		}
-		select {
-		case <-wake:
-		case <-heartbeat.C:
-			s.Heartbeat(&w.frame)
-			w.frame.Load = g.Load()
-			if w.send() != nil || w.out.Flush() != nil {
-				return
-			}
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-// sendAvailable sends all that is new and reports whether that was the end.
-func (w *writer) sendAvailable(s *session.Session, reader uint64, from *wigeonfork.Position) (bool, error) {
-	sent := false
-	for s.Next(reader, *from, &w.frame) {
-		if err := w.send(); err != nil {
-			return false, err
-		}
-		sent = true
-		*from += wigeonfork.Position(len(w.frame.Tokens))
-		if w.frame.Kind != frame.KindTokens {
-			return true, w.out.Flush()
-		}
-	}
-	if !sent {
-		return false, nil
-	}
-	return false, w.out.Flush()
+	newReader(out, s, from, g.Load, writeTimeout).serve(r.Context())
 }
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -80,7 +80,7 @@
 	// Changes counts what entries should not miss: it differs from the count in
 	// a heartbeat frame if the status is out of date.
 	Changes uint32 `json:"changes"`
-	Leaving  bool   `json:"leaving"`
+	Leaving bool   `json:"leaving"`
 	// Plain tells that the backend server is a plain service.
 	Plain bool `json:"plain,omitempty"`
 	// EngineUp is false while the backend server does not answer.
@@ -101,6 +101,11 @@
 // generation, without its prefix.
 const PathCall = "/call"
 
+// HeaderReader names the reader that an entry is at a session. An entry that
+// attaches again or releases says which reader it was, so that it can't undo
+// the doing of an entry that displaced it.
+const HeaderReader = "X-Reader"
+
 // GenerationPath returns the path of one generation.
 func GenerationPath(id wigeonfork.RequestID, g wigeonfork.Generation) string {
 	return PathAttach + "/" + url.PathEscape(string(id)) + "/" + strconv.FormatUint(uint64(g), 10)
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -65,6 +65,8 @@
 	MoveSettle time.Duration
 	// AgentDrainLimit is the drain limit of the agents; 0 means a minute.
 	AgentDrainLimit time.Duration
+	// EntryDrainLimit is the drain limit of the entries; 0 means a minute.
+	EntryDrainLimit time.Duration
 	Log             *telemetry.Logger
 }
 
@@ -99,6 +101,9 @@
 	if options.AgentDrainLimit == 0 {
 		options.AgentDrainLimit = time.Minute
 	}
+	if options.EntryDrainLimit == 0 {
+		options.EntryDrainLimit = time.Minute
+	}
 	if options.Limits == (generation.Limits{}) {
 		options.Limits = generation.DefaultLimits()
 	}
@@ -249,8 +254,8 @@
 		Limits:      s.options.Limits,
 		Log:         s.options.Log,
 		Metrics:     metrics,
-		DrainLimit:  time.Minute,
 		MoveSettle:  s.options.MoveSettle,
+		DrainLimit:  s.options.EntryDrainLimit,
 	})
 	if err != nil {
 		return err
