--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -170,7 +170,7 @@
 func (j *Judge) addCharge(epoch int64, found Charge) {
 	for _, route := range [...]Route{j.route(found.Route), allRoutes} {
 		if test := j.pooledGroup(route).of(found.Criterion); test != nil {
-			test.charge(epoch, j.matchedLimit(), found.Server, found.Logs)
+			test.charge(epoch, j.pooledLimit(), found.Server, found.Logs)
 		}
 	}
 }
@@ -223,11 +223,17 @@
 	return math.Log(float64(tests*len(oddsRatios)) * epochs / part)
 }
 
-// matchedLimit takes account of the routes that there are.
+// matchedLimit and pooledLimit take account of the routes that there are. The
+// two kinds of test share alike in what engine deaths leave of FalseStop, as
+// the few pooled ones would else be held back by the many others.
 func (j *Judge) matchedLimit() float64 {
-	routes := len(j.routes) + 1
-	tests := routes*int(anyLoad+1)*numMatched + routes*len(pooledCriteria)
-	return j.limit(j.config.FalseStop*(1-deathPart), tests, testEpoch)
+	tests := (len(j.routes) + 1) * int(anyLoad+1) * numMatched
+	return j.limit(j.config.FalseStop*(1-deathPart)/2, tests, testEpoch)
+}
+
+func (j *Judge) pooledLimit() float64 {
+	tests := (len(j.routes) + 1) * len(pooledCriteria)
+	return j.limit(j.config.FalseStop*(1-deathPart)/2, tests, testEpoch)
 }
 
 // Verdict returns the state of the comparison.
@@ -257,6 +263,7 @@
 			}
 		}
 	}
+	limit = j.pooledLimit()
 	for route, g := range j.pooled {
 		for i := range g {
 			if evidence := g[i].evidence(); evidence > 0 {
