Tell the evidence of restarted engines and of this entry's own stops

Cause: a cold cache after a restart counted against the new version, and a local stop was told once only. Change: both are wired as the rollout package asks.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,10 +107,18 @@
 	e := &Entry{options: options, answers: session.NewTable(), background: background, stop: stop}
 	e.pool = workpool.New(poolWorkers, poolQueue)
 	e.agents = agentapi.NewClient(options.Credentials.Peer)
+	e.owner = string(options.Host) + "/" + uuid.NewString()
 	hello := peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer}
 	e.peers = peer.NewPool(hello, maxPeers, nil)
 	e.gate = gate.New(gate.Options{Seed: seedOf(options.Host), Policy: options.Policy, Metrics: options.Metrics})
-	e.fleet = fleet.New(fleet.Options{Domain: options.Domain, Hello: hello, Log: options.Log, Metrics: options.Metrics})
+	e.evidence = moves.NewEvidence(e.owner)
+	e.fleet = fleet.New(fleet.Options{
+		Domain:          options.Domain,
+		EngineRestarted: e.evidence.Restarted,
+		Hello:           hello,
+		Log:             options.Log,
+		Metrics:         options.Metrics,
+	})
 	changes := store.New(options.Table, options.Objects, store.Options{})
 	e.config = configuration.New(configuration.Options{
 		Host:    options.Host,
@@ -123,8 +131,6 @@
 		Metrics: options.Metrics,
 	})
 	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: options.MoveSettle, Progress: e.moveStatus}
-	e.owner = string(options.Host) + "/" + uuid.NewString()
-	e.evidence = moves.NewEvidence(e.owner)
 	e.controller = moves.NewController(moves.Options{
 		Host:       options.Host,
 		Owner:      e.owner,
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -24,6 +24,9 @@
 // Options describe a fleet.
 type Options struct {
 	Domain wigeonfork.FailureDomain
+	// EngineRestarted is told of each engine that began anew. It must not call
+	// the fleet.
+	EngineRestarted func(wigeonfork.BackendServerID)
 	// Hello introduces the entry to agents.
 	Hello   peer.Hello
 	Log     *telemetry.Logger
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -224,6 +224,9 @@
 		return
 	}
 	changed := !sameVersions(s.status, status) || s.status.Life == 0
+	if before := s.status.Load.Incarnation; before != "" && before != status.Load.Incarnation {
+		f.options.EngineRestarted(status.BackendServer)
+	}
 	s.status = status
 	s.refused = false
 	if changed {
--- a/moves/evidence.go
+++ b/moves/evidence.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/template"
 )
@@ -95,6 +96,16 @@
 	}
 }
 
+// Restarted notes that the engine of a backend server began anew, so that its
+// prefix cache is empty.
+func (e *Evidence) Restarted(server wigeonfork.BackendServerID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.moves {
+		c.collector.Restarted(server)
+	}
+}
+
 func (c *collected) concerns(deployment template.DeploymentName, start rollout.Start) bool {
 	return c.deployment == deployment && (start.Version == c.versions.Old || start.Version == c.versions.New)
 }
@@ -128,6 +139,8 @@
 		reports = append(reports, Report{Deployment: c.deployment, Move: id, Evidence: evidence})
 		c.local.Merge(now, evidence)
 		if verdict := c.local.Verdict(); verdict.Stop {
+			// From now on every report says so, whichever of them is lost.
+			c.collector.Stopped()
 			stops = append(stops, LocalStop{Deployment: c.deployment, Versions: c.versions, Why: explain(verdict)})
 		}
 	}
