Leave a slow engine; choose by cached prefixes; treat classes by a named policy

Cause: an engine at a tenth of its speed kept its streams, since each token came within the limit of a stall; the router was given no prefixes and the engines no priorities.

--- a/cmd/wigeonfork-entry/main.go
+++ b/cmd/wigeonfork-entry/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/daemon"
 	"github.com/wigeonfork/wigeonfork/entry"
 	"github.com/wigeonfork/wigeonfork/generation"
@@ -22,6 +23,13 @@
 	}))
 }
 
+// policies are the orders of the classes by name.
+var policies = map[string]admission.Policy{
+	"equal":    {},
+	"casework": admission.RegnsamlerPolicy(),
+	"register": admission.CairnmarkPolicy(),
+}
+
 func build(s *settings.Entry, log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
 	return entry.New(entry.Options{
 		Host:        wigeonfork.HostID(s.Host),
@@ -33,6 +41,7 @@
 		HandleKey:   []byte(s.HandleKey),
 		Credentials: peer.Credentials{Peer: s.PeerKey, Operator: s.OperatorKey},
 		Limits:      generation.DefaultLimits(),
+		Policy:      policies[s.ClassPolicy],
 		Log:         log,
 		Metrics:     metrics,
 		DrainLimit:  s.DrainLimit,
--- a/embedded/serving_test.go
+++ b/embedded/serving_test.go
@@ -83,6 +83,9 @@
 		{"the engine answers health checks but generates nothing", func(s *System, i int) {
 			s.World.Engines[i].Update(func(o *engine.Options) { o.Stuck = true })
 		}},
+		{"the engine goes at a tenth of its speed", func(s *System, i int) {
+			s.World.Engines[i].Update(func(o *engine.Options) { o.SlowFactor = 10 })
+		}},
 		{"the entry dies", func(s *System, _ int) { s.Entries[0].Process.Stop() }},
 		{"the agent drains", func(s *System, i int) { go s.Agents[i].Process.Drain(context.Background()) }},
 	}
@@ -103,6 +106,23 @@
 	}
 }
 
+func TestAnAnswerLeavesASlowEngine(t *testing.T) {
+	Convey("An answer goes on elsewhere when its engine goes at a tenth of its speed", t, func() {
+		system := startSystem(t, 1, 3)
+		defer system.Close()
+		slow := -1
+		text, _, err := disturb(system, "Slow engine", func(i int) {
+			slow = i
+			system.World.Engines[i].Update(func(o *engine.Options) { o.SlowFactor = 10 })
+		})
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, expected("Slow engine"))
+		So(engineRuns(system), ShouldEqual, 2)
+		So(slow, ShouldBeGreaterThanOrEqualTo, 0)
+		So(len(system.World.Engines[slow].Runs()), ShouldEqual, 1)
+	})
+}
+
 func TestDrainLimitHandsStreamsOver(t *testing.T) {
 	Convey("An agent whose drain limit nears hands its streams over with their position", t, func() {
 		options := Options{AgentDrainLimit: 50 * time.Millisecond}
--- a/entry/command/loss.go
+++ b/entry/command/loss.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/retry"
+	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -38,6 +39,7 @@
 	r.noteLost(cause, suspicion)
 	r.noteEngineDeath()
 	r.observeFailure()
+	r.noteHealth(suspicion)
 	if step == generation.StepReattach {
 		if r.reattach() == nil {
 			return nil
@@ -58,6 +60,20 @@
 	}
 }
 
+// noteHealth tells the fleet of an engine that was found slow or silent.
+func (r *run) noteHealth(suspicion generation.Suspicion) {
+	if r.place == nil {
+		return
+	}
+	switch suspicion {
+	case generation.SuspicionEngineStalled:
+		r.Fleet.Unhealthy(time.Now(), r.place.Server, routing.HealthSilent)
+	case generation.SuspicionEngineSlow:
+		r.Fleet.Unhealthy(time.Now(), r.place.Server, routing.HealthSlow)
+		r.movedForPace = true
+	}
+}
+
 func (r *run) origin() retry.Origin {
 	return retry.Origin{Workspace: r.answer.Call.Workspace}
 }
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/entry/fleet"
 	"github.com/wigeonfork/wigeonfork/entry/gate"
@@ -17,6 +18,7 @@
 	"github.com/wigeonfork/wigeonfork/moves"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/rollout"
+	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
 	"github.com/wigeonfork/wigeonfork/workpool"
@@ -66,6 +68,8 @@
 	// Evidence takes note of how versions do.
 	Evidence *moves.Evidence
 	Limits   generation.Limits
+	// Policy gives the engine's priority of each class.
+	Policy admission.Policy
 	// Pool runs what no caller waits for.
 	Pool    *workpool.Pool
 	Metrics telemetry.Registry
@@ -96,6 +100,8 @@
 	loss      loss
 	tokens    metrics.Counter
 	pace      pace
+	// movedForPace: an answer leaves a slow engine once only.
+	movedForPace bool
 }
 
 // relay drives the answer to its end.
@@ -189,6 +195,10 @@
 	r.reader = ""
 	ctx, cancel := context.WithCancel(r.ctx)
 	call := r.answer.Begin(now, place.Agent, cancel)
+	call.Priority = r.Policy.Priority(call.Class, r.answer.Relay().Attempts() > 1)
+	if !r.movedForPace && r.Fleet.Usable() > 1 {
+		r.answer.WatchPace(routing.NewWatch(now, place.Gap, place.ExpectedWait))
+	}
 	r.announce(&call)
 	r.lastToken = now
 	stream, err := r.Agents.Generate(ctx, place.Agent, &call)
@@ -207,7 +217,9 @@
 func (r *run) choose(now time.Time) (*fleet.Place, error) {
 	query := fleet.Query{
 		Route:     &r.route,
+		Model:     r.answer.Call.Model,
 		Version:   r.answer.Call.Version,
+		Resume:    r.answer.Relay().Attempts() > 0,
 		Class:     r.answer.Call.Class,
 		Adapter:   r.answer.Call.Adapter,
 		Prompt:    r.answer.Call.Prompt,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -151,6 +151,7 @@
 			Answers:  e.answers,
 			Sealer:   sealer,
 			Gate:     e.gate,
+			Policy:   options.Policy,
 			Evidence: e.evidence,
 			Limits:   options.Limits,
 			Pool:     e.pool,
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
 	"github.com/wigeonfork/wigeonfork/membership"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/platform"
@@ -88,20 +89,39 @@
 	work          routing.Work
 	dispatched    time.Time
 	firstTokenHad bool
-	life          membership.Incarnation
-	heardAt       time.Time
+	// Gap is the time between tokens that is expected there.
+	Gap     time.Duration
+	life    membership.Incarnation
+	heardAt time.Time
 }
 
 // Query is what Choose is asked. Exclude holds servers that have failed the
 // request already.
 type Query struct {
 	Route     *template.Route
+	Model     wigeonfork.Model
 	Version   wigeonfork.Version
 	Class     wigeonfork.Class
 	Adapter   string
 	Prompt    string
 	MaxTokens uint32
 	Exclude   []wigeonfork.BackendServerID
+	// Resume marks the continuation of an interrupted answer.
+	Resume bool
+}
+
+// maxPrefixes bounds the prefixes of a prompt that are looked for in caches.
+const maxPrefixes = 64
+
+// prefixes returns the prefixes of a prompt as cache events name them.
+func (q *Query) prefixes() []routing.Prefix {
+	hashes := httpbackend.PrefixHashes(q.Model, q.Version, q.Adapter, q.Prompt)
+	hashes = hashes[:min(len(hashes), maxPrefixes)]
+	prefixes := make([]routing.Prefix, 0, len(hashes))
+	for i, hash := range hashes {
+		prefixes = append(prefixes, routing.Prefix{Hash: hash, Tokens: uint32(i+1) * httpbackend.PrefixBlockTokens})
+	}
+	return prefixes
 }
 
 // promptBytesPerToken is the usual length of a prompt's token.
@@ -110,6 +130,7 @@
 // Choose returns the place for a request and charges its server with it.
 // Finished or Failed must follow.
 func (f *Fleet) Choose(now time.Time, q Query) (*Place, error) {
+	prefixes := q.prefixes()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	promptTokens := uint32(len(q.Prompt)/promptBytesPerToken + 1)
@@ -119,9 +140,11 @@
 		Version:      q.Version,
 		Adapter:      q.Adapter,
 		Class:        q.Class,
+		Prefixes:     prefixes,
 		PromptTokens: promptTokens,
 		MaxTokens:    q.MaxTokens,
 		Avoid:        q.Exclude,
+		Resume:       q.Resume,
 	})
 	if err != nil {
 		return nil, err
@@ -130,7 +153,7 @@
 	if !ok {
 		return nil, problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepRoute, "backend server %s has no agent", decision.ID)
 	}
-	work := routing.Work{Class: q.Class, PromptTokens: promptTokens, MaxTokens: q.MaxTokens}
+	work := routing.Work{Class: q.Class, Prefixes: prefixes, PromptTokens: promptTokens, MaxTokens: q.MaxTokens}
 	f.router.Started(now, decision.ID, work)
 	s.streams++
 	return &Place{
@@ -144,6 +167,7 @@
 		work:         work,
 		dispatched:   now,
 		life:         s.status.Life,
+		Gap:          f.router.ExpectedGap(now, decision.ID),
 	}, nil
 }
 
@@ -197,6 +221,14 @@
 	f.poll(id)
 }
 
+// Unhealthy notes what was found of a stream on a server whose agent lived. The
+// server gets little new work until a stream on it goes well again.
+func (f *Fleet) Unhealthy(now time.Time, id wigeonfork.BackendServerID, health routing.Health) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Unhealthy(now, id, health)
+}
+
 func (f *Fleet) setState(now time.Time, s *server, state routing.State) {
 	if s.state == state {
 		return
--- a/entry/session/answer.go
+++ b/entry/session/answer.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/quarantine"
+	"github.com/wigeonfork/wigeonfork/routing"
 )
 
 // Answer is one answer under way. One goroutine relays it; others only check
@@ -33,7 +34,9 @@
 	suspicion generation.Suspicion
 	// condemned: the request is known to crash engines.
 	condemned bool
-	handOver  bool
+	// watch finds a slow engine; it is nil while the answer stays where it is.
+	watch    *routing.Watch
+	handOver bool
 }
 
 // NewAnswer returns an answer without tokens.
@@ -76,6 +79,7 @@
 	a.agent = agent
 	a.detach = detach
 	a.suspicion = generation.SuspicionNone
+	a.watch = nil
 	if a.condemned {
 		a.suspicion = generation.SuspicionRequest
 		detach()
@@ -86,7 +90,19 @@
 func (a *Answer) Accept(now time.Time, f *frame.Frame) generation.Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.relay.Accept(now, f)
+	verdict := a.relay.Accept(now, f)
+	if verdict == generation.VerdictAppended && a.watch != nil {
+		a.watch.Tokens(now, len(f.Tokens))
+	}
+	return verdict
+}
+
+// WatchPace makes Check find an engine that is much slower than expected of it,
+// from now to the next attempt.
+func (a *Answer) WatchPace(watch routing.Watch) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.watch = &watch
 }
 
 // Busy notes whether the relaying goroutine writes to the caller, in which
@@ -108,6 +124,9 @@
 		return generation.SuspicionNone
 	}
 	a.suspicion = a.relay.Check(now)
+	if a.suspicion == generation.SuspicionNone && a.watch != nil && a.watch.Check(now) == routing.HealthSlow {
+		a.suspicion = generation.SuspicionEngineSlow
+	}
 	if a.suspicion != generation.SuspicionNone {
 		a.detach()
 	}
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -76,6 +76,8 @@
 	SuspicionNone Suspicion = iota
 	SuspicionPathSilent
 	SuspicionEngineStalled
+	// SuspicionEngineSlow: tokens come at a fraction of the expected rate.
+	SuspicionEngineSlow
 	// SuspicionRequest: the request itself is held to crash engines.
 	SuspicionRequest
 )
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,8 +31,9 @@
 // Entry holds the settings of an entry.
 type Entry struct {
 	Process
-	MoveSettle time.Duration `long:"move-settle" env:"WIGEON_MOVE_SETTLE" description:"time that judging a version takes after its last load; a move whose deadline leaves less is refused" default:"1m"`
-	HandleKey  string        `long:"handle-key" env:"WIGEON_HANDLE_KEY" description:"secret that seals resume handles, shared by all entries, 16 bytes or more" required:"true"`
+	ClassPolicy string        `long:"class-policy" env:"WIGEON_CLASS_POLICY" description:"order of the classes: casework answers lookups promptly and lets drafts wait, register puts narratives first" choice:"equal" choice:"casework" choice:"register" default:"equal"`
+	MoveSettle  time.Duration `long:"move-settle" env:"WIGEON_MOVE_SETTLE" description:"time that judging a version takes after its last load; a move whose deadline leaves less is refused" default:"1m"`
+	HandleKey   string        `long:"handle-key" env:"WIGEON_HANDLE_KEY" description:"secret that seals resume handles, shared by all entries, 16 bytes or more" required:"true"`
 }
 
 // Agent holds the settings of an agent.
