Judge an engine's pace by what the stream itself has shown

The watch expected the router's prior of an unknown server, four times of which was slower than the tenth of the speed to be found. Change: after ten tokens the watch expects the attempt's own pace.

--- a/entry/session/answer.go
+++ b/entry/session/answer.go
@@ -35,7 +35,9 @@
 	// condemned: the request is known to crash engines.
 	condemned bool
 	// watch finds a slow engine; it is nil while the answer stays where it is.
-	watch    *routing.Watch
+	watch *routing.Watch
+	// paced counts the tokens of the attempt that watch follows.
+	paced    int
 	handOver bool
 }
 
@@ -93,16 +95,31 @@
 	verdict := a.relay.Accept(now, f)
 	if verdict == generation.VerdictAppended && a.watch != nil {
 		a.watch.Tokens(now, len(f.Tokens))
+		a.learnPace(len(f.Tokens))
 	}
 	return verdict
 }
 
+// paceTokens is the number of tokens after which an attempt's own pace is known.
+const paceTokens = 10
+
+// learnPace has the watch expect the pace that the attempt has shown at its
+// beginning.
+func (a *Answer) learnPace(tokens int) {
+	before := a.paced
+	a.paced += tokens
+	if before < paceTokens && a.paced >= paceTokens {
+		a.watch.Expect(a.relay.Interval())
+	}
+}
+
 // WatchPace makes Check find an engine that is much slower than expected of it,
 // from now to the next attempt.
 func (a *Answer) WatchPace(watch routing.Watch) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.watch = &watch
+	a.paced = 0
 }
 
 // Busy notes whether the relaying goroutine writes to the caller, in which
