Check the pages against the code

Cause: pages and code drift apart unseen. Change: metrics and log events of the daemons' sources against OPERATIONS.md in both directions, every command on a page against its parser, the glossary's types against the sources, machine paths in files.

--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,322 @@
+// Package docs_test checks the pages against the code.
+package docs_test
+
+import (
+	"bytes"
+	"io/fs"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/ctl"
+	"github.com/wigeonfork/wigeonfork/settings"
+)
+
+// root is the top of the repository as seen from this package.
+const root = ".."
+
+type names = map[string]bool
+
+// files returns the text of the repository's files whose names end in suffix.
+func files(t *testing.T, suffix string) map[string]string {
+	found := map[string]string{}
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case entry.Name() == ".git" && !entry.IsDir():
+			// The pointer of a linked worktree is not a file of the repository.
+			return nil
+		case entry.IsDir() && (entry.Name() == ".git" || entry.Name() == "out"):
+			return fs.SkipDir
+		case entry.Type().IsRegular() && strings.HasSuffix(path, suffix):
+			text, err := os.ReadFile(path)
+			found[filepath.ToSlash(strings.TrimPrefix(path, root+"/"))] = string(text)
+			return err
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return found
+}
+
+// daemonSources returns the sources that run in a daemon.
+func daemonSources(t *testing.T) map[string]string {
+	sources := files(t, ".go")
+	maps.DeleteFunc(sources, func(path, _ string) bool {
+		outside := regexp.MustCompile(`_test\.go$|^(standin|experiment|embedded|demo|test|tools|telemetry)/`)
+		return outside.MatchString(path)
+	})
+	return sources
+}
+
+// section returns the part of a page under a heading of the second level.
+func section(page, heading string) string {
+	_, rest, _ := strings.Cut(page, "\n## "+heading+"\n")
+	text, _, _ := strings.Cut(rest, "\n## ")
+	return text
+}
+
+// documented returns the names in the first column of a section's tables.
+func documented(page, heading string) names {
+	found := names{}
+	for _, line := range strings.Split(section(page, heading), "\n") {
+		cells := strings.Split(line, "|")
+		if len(cells) < 3 {
+			continue
+		}
+		for _, name := range regexp.MustCompile("`([^`]+)`").FindAllStringSubmatch(cells[1], -1) {
+			found[name[1]] = true
+		}
+	}
+	return found
+}
+
+func missing(from, in names) []string {
+	var lacking []string
+	for name := range from {
+		if !in[name] {
+			lacking = append(lacking, name)
+		}
+	}
+	slices.Sort(lacking)
+	return lacking
+}
+
+var (
+	metricCall  = regexp.MustCompile(`telemetry\.(?:Counter|Gauge|Histogram)\([^,]+, (.+?)\)(?:\.|$|,)`)
+	metricName  = regexp.MustCompile(`^"([^"]+)"(.*)$`)
+	metricConst = regexp.MustCompile(`(?m)^\s*(Metric\w+)\s*=\s*"([^"]+)"`)
+	leaveCall   = regexp.MustCompile(`\.leave\("([^"]+)"\)`)
+	openName    = regexp.MustCompile(`[A-Z]+$`)
+	eventCall   = regexp.MustCompile(`\.Msg\("([^"]+)"\)|\.logError\("([^"]+)"|\.Msg\((\w+)\)`)
+)
+
+// metricsOf returns the names of metrics. One that ends in a value known only
+// at run time is cut before it.
+func metricsOf(sources map[string]string) (found names, unread []string) {
+	found = names{}
+	constants := map[string]string{}
+	for _, source := range sources {
+		for _, m := range metricConst.FindAllStringSubmatch(source, -1) {
+			constants[m[1]] = m[2]
+		}
+		for _, m := range leaveCall.FindAllStringSubmatch(source, -1) {
+			found[m[1]] = true
+		}
+	}
+	for path, source := range sources {
+		for _, line := range strings.Split(source, "\n") {
+			if !regexp.MustCompile(`telemetry\.(Counter|Gauge|Histogram)\(`).MatchString(line) {
+				continue
+			}
+			m := metricCall.FindStringSubmatch(line)
+			switch {
+			case m != nil && metricName.MatchString(m[1]):
+				found[metricName.FindStringSubmatch(m[1])[1]] = true
+			case m != nil && constants[m[1]] != "":
+				found[constants[m[1]]] = true
+			case m != nil && m[1] == "counter":
+				// The parameter of leave, whose calls were read above.
+			default:
+				unread = append(unread, path+": "+strings.TrimSpace(line))
+			}
+		}
+	}
+	return found, unread
+}
+
+func TestMetricsAreDocumented(t *testing.T) {
+	Convey("Each metric of the code stands on the operators' page, and the reverse", t, func() {
+		inCode, unread := metricsOf(daemonSources(t))
+		So(unread, ShouldBeEmpty)
+		So(len(inCode), ShouldBeGreaterThan, 20)
+		onPage := names{}
+		for name := range documented(files(t, "docs/OPERATIONS.md")["docs/OPERATIONS.md"], "Metrics") {
+			onPage[openName.ReplaceAllString(name, "")] = true
+		}
+		So(missing(inCode, onPage), ShouldBeEmpty)
+		So(missing(onPage, inCode), ShouldBeEmpty)
+	})
+}
+
+func TestLogEventsAreDocumented(t *testing.T) {
+	Convey("Each log event of the code stands on the operators' page, and the reverse", t, func() {
+		inCode := names{}
+		for path, source := range daemonSources(t) {
+			for _, m := range eventCall.FindAllStringSubmatch(source, -1) {
+				if m[3] != "" {
+					// logError's parameter, whose calls are read.
+					So(path+" "+m[3], ShouldEqual, "agent/agent.go event")
+					continue
+				}
+				inCode[m[1]+m[2]] = true
+			}
+		}
+		So(len(inCode), ShouldBeGreaterThan, 30)
+		onPage := documented(files(t, "docs/OPERATIONS.md")["docs/OPERATIONS.md"], "Log events")
+		So(missing(inCode, onPage), ShouldBeEmpty)
+		So(missing(onPage, inCode), ShouldBeEmpty)
+	})
+}
+
+// commands returns the shell commands of all pages, by page, with continued
+// lines joined.
+func commands(t *testing.T) map[string][]string {
+	found := map[string][]string{}
+	for path, page := range files(t, ".md") {
+		for _, block := range regexp.MustCompile("(?s)```(?:sh)?\n(.*?)```").FindAllStringSubmatch(page, -1) {
+			joined := strings.ReplaceAll(block[1], "\\\n", " ")
+			found[path] = append(found[path], strings.Split(joined, "\n")...)
+		}
+	}
+	return found
+}
+
+// words splits a command as a shell does that knows double quotes only.
+func words(command string) []string {
+	var split []string
+	for _, m := range regexp.MustCompile(`"([^"]*)"|(\S+)`).FindAllStringSubmatch(command, -1) {
+		split = append(split, m[1]+m[2])
+	}
+	return split
+}
+
+// refusing returns an address at which nothing listens.
+func refusing(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func TestCommandsOnThePagesParse(t *testing.T) {
+	Convey("Each example of a command is accepted by that command", t, func() {
+		address := refusing(t)
+		tried := map[string]int{}
+		for path, lines := range commands(t) {
+			for _, line := range lines {
+				if name, value, ok := strings.Cut(strings.TrimPrefix(line, "export "), "="); ok && strings.HasPrefix(line, "export WIGEON_") {
+					t.Setenv(name, value)
+				}
+			}
+			for _, line := range lines {
+				args := words(line)
+				if len(args) == 0 {
+					continue
+				}
+				tried[args[0]]++
+				example := path + ": " + line
+				switch args[0] {
+				case "wigeonctl":
+					So(example+runCtl(args[1:], address), ShouldEqual, example)
+				case "wigeonfork-entry":
+					So(example+problemOf(settings.Parse(&settings.Entry{}, args[1:])), ShouldEqual, example)
+				case "wigeonfork-agent":
+					So(example+problemOf(settings.Parse(&settings.Agent{}, args[1:])), ShouldEqual, example)
+				case "go":
+					if args[1] == "run" {
+						_, err := os.Stat(filepath.Join(root, args[2]))
+						So(err, ShouldBeNil)
+					}
+				}
+			}
+		}
+		So(tried["wigeonctl"], ShouldBeGreaterThan, 10)
+		So(tried["wigeonfork-entry"], ShouldBeGreaterThan, 0)
+		So(tried["wigeonfork-agent"], ShouldBeGreaterThan, 0)
+	})
+}
+
+func problemOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return " -> " + err.Error()
+}
+
+var anyAddress = regexp.MustCompile(`^\d+\.\d+\.\d+\.\d+:\d+$`)
+
+// runCtl runs wigeonctl against an address that refuses connections: a command
+// that parses fails only there or at a file that does not exist.
+func runCtl(args []string, address string) string {
+	local := []string{"--entry", address, "--operator-key", "any-key-of-operators"}
+	for _, arg := range args {
+		if anyAddress.MatchString(arg) {
+			arg = address
+		}
+		local = append(local, arg)
+	}
+	var out, problems bytes.Buffer
+	code := ctl.Run(local, &out, &problems)
+	if code == ctl.ExitFailure {
+		return ""
+	}
+	return " -> " + problems.String()
+}
+
+func TestGlossaryNamesWhatExists(t *testing.T) {
+	Convey("Each type or package in the glossary's last column exists", t, func() {
+		sources := files(t, ".go")
+		var lacking []string
+		checked := 0
+		for _, line := range strings.Split(files(t, "docs/GLOSSARY.md")["docs/GLOSSARY.md"], "\n") {
+			cells := strings.Split(line, "|")
+			if len(cells) != 5 {
+				continue
+			}
+			for _, m := range regexp.MustCompile("`([^`]+)`").FindAllStringSubmatch(cells[3], -1) {
+				checked++
+				if !exists(sources, m[1]) {
+					lacking = append(lacking, m[1])
+				}
+			}
+		}
+		So(checked, ShouldBeGreaterThan, 30)
+		So(lacking, ShouldBeEmpty)
+	})
+}
+
+// exists reports whether name is a package, or a declaration in one: pkg,
+// pkg.Type, pkg.Constant or pkg.Type.Method.
+func exists(sources map[string]string, name string) bool {
+	parts := strings.Split(name, ".")
+	dir := parts[0]
+	if dir == "wigeonfork" {
+		dir = "."
+	}
+	last := regexp.QuoteMeta(parts[len(parts)-1])
+	declared := regexp.MustCompile(`(?m)^(type ` + last + `\b|\s*` + last + `\s.*=|func \(\w+ \*?\w+\) ` + last + `\()`)
+	for path, source := range sources {
+		if filepath.ToSlash(filepath.Dir(path)) == dir && (len(parts) == 1 || declared.MatchString(source)) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestNoFileHoldsAPathOfAMachine(t *testing.T) {
+	Convey("No file names a directory of the machine that it was written on", t, func() {
+		machinePath := regexp.MustCompile(`(?:^|[\s"'=(])/(?:home|Users|root|work|mnt|private|var/folders)/\w`)
+		all := files(t, "")
+		So(len(all), ShouldBeGreaterThan, 100)
+		var holding []string
+		for path, text := range all {
+			if machinePath.MatchString(text) {
+				holding = append(holding, path)
+			}
+		}
+		So(holding, ShouldBeEmpty)
+	})
+}
