Check that the files named in the README exist

Cause: the README names pages that are not written yet. Change: a test of its own, apart from the others, so that it can be taken in once the pages are there.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -266,6 +266,21 @@
 	return " -> " + problems.String()
 }
 
+func TestFilesNamedInTheReadmeExist(t *testing.T) {
+	Convey("Each file that the README names exists", t, func() {
+		readme := files(t, "README.md")["README.md"]
+		var lacking []string
+		named := regexp.MustCompile("`(docs/[^`]+)`|\\]\\(([^):#]+)\\)").FindAllStringSubmatch(readme, -1)
+		So(len(named), ShouldBeGreaterThan, 5)
+		for _, m := range named {
+			if _, err := os.Stat(filepath.Join(root, m[1]+m[2])); err != nil {
+				lacking = append(lacking, m[1]+m[2])
+			}
+		}
+		So(lacking, ShouldBeEmpty)
+	})
+}
+
 func TestGlossaryNamesWhatExists(t *testing.T) {
 	Convey("Each type or package in the glossary's last column exists", t, func() {
 		sources := files(t, ".go")
