Take a move back without the weight store

Cause: a change that takes a move back asked the weight store, and the entry that takes a move up did too, so that an operator could not stop a version while the store was out (exit 1, store_unavailable; found on the embedded system). Change: the weights are asked for when a move begins and noted in it; metric names hold no spaces. Figures: go test -run MovesFinish ./embedded with the weight store down before the stop: red (no revert within 40 s), then green in 19 s.

--- a/embedded/moves_test.go
+++ b/embedded/moves_test.go
@@ -198,6 +198,7 @@
 		prepare(t, system)
 		code, out := wigeonctl(system, "move", "start", string(Deployment), string(newVersion), "--within", "10m")
 		SoMsg(out, code, ShouldEqual, ctl.ExitOK)
+		system.World.Weights.SetDown(true)
 		code, out = wigeonctl(system, "move", "stop", string(Deployment), "--reason", "wrong weights")
 		SoMsg(out, code, ShouldEqual, ctl.ExitOK)
 		code, out = wigeonctl(system, "move", "wait", string(Deployment))
--- a/moves/actions.go
+++ b/moves/actions.go
@@ -140,11 +140,6 @@
 	if recorded > 0 {
 		request.Conditions = []platform.Condition{{Key: rollout.RecordKey(d.id), Revision: recorded}}
 	}
-	info, err := d.options.Weights.Info(ctx, present.Model, present.Move.To)
-	if err != nil {
-		return err
-	}
-	request.Weights = []platform.WeightInfo{info}
 	if _, err := d.options.Store.Accept(ctx, request); err != nil {
 		return err
 	}
--- a/moves/driver.go
+++ b/moves/driver.go
@@ -172,7 +172,7 @@
 }
 
 func (d *driver) load(ctx context.Context, deployment *template.Deployment, fencing wigeonfork.FencingNumber) (*rollout.Move, platform.Row, error) {
-	info, err := d.options.Weights.Info(ctx, deployment.Model, deployment.Move.To)
+	info, err := d.weights(ctx, deployment)
 	if err != nil {
 		return nil, platform.Row{}, err
 	}
@@ -184,6 +184,15 @@
 	return move, row, err
 }
 
+// weights returns what the move notes of the weights of its new version. A move
+// that was accepted without it asks the weight store.
+func (d *driver) weights(ctx context.Context, deployment *template.Deployment) (platform.WeightInfo, error) {
+	if deployment.Move.Weights.SizeBytes > 0 {
+		return deployment.Move.Weights, nil
+	}
+	return d.options.Weights.Info(ctx, deployment.Model, deployment.Move.To)
+}
+
 // The parameters of a template by which a deployment sets how it is moved.
 const (
 	parameterMinStarts template.ParameterName = "move_min_requests"
--- a/operator/server.go
+++ b/operator/server.go
@@ -64,13 +64,14 @@
 	return accepted, nil
 }
 
-// weightsFor returns what the weight store says of the versions that the
-// change moves to.
+// weightsFor returns what the weight store says of the versions to which the
+// change begins a move, and notes it in the move. A move under way keeps its deadline, and one that is
+// taken back must not wait for the weight store.
 func (s *Server) weightsFor(ctx context.Context, change template.Change) ([]platform.WeightInfo, error) {
 	var weights []platform.WeightInfo
 	for i := range change.PutDeployments {
 		d := &change.PutDeployments[i]
-		if d.Move == nil || d.Move.State.Final() {
+		if d.Move == nil || d.Move.State != template.MovePlanned {
 			continue
 		}
 		info, err := s.Weights.Info(ctx, d.Model, d.Move.To)
@@ -80,6 +81,7 @@
 		if err != nil {
 			return nil, problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepConfig, "the weight store does not answer").Because(err).After(time.Second)
 		}
+		d.Move.Weights = info
 		weights = append(weights, info)
 	}
 	return weights, nil
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -54,7 +54,7 @@
 func writeMetrics(w io.Writer, r Registry) {
 	var lines []string
 	r.Each(func(name string, metric any) {
-		lines = append(lines, exposition("wigeonfork_"+strings.ReplaceAll(name, ".", "_"), metric))
+		lines = append(lines, exposition("wigeonfork_"+strings.Map(metricRune, name), metric))
 	})
 	sort.Strings(lines)
 	for _, line := range lines {
@@ -63,6 +63,16 @@
 	}
 }
 
+// metricRune replaces what a metric's name must not hold.
+func metricRune(r rune) rune {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return r
+	default:
+		return '_'
+	}
+}
+
 func exposition(name string, metric any) string {
 	switch m := metric.(type) {
 	case metrics.Counter:
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -25,10 +25,12 @@
 	Convey("Counters and histograms are listed by name", t, func() {
 		r := NewRegistry()
 		Counter(r, "relay.tokens").Inc(5)
+		Counter(r, "gate.refused_queue full").Inc(1)
 		Histogram(r, "resume.ms").Update(40)
 		recorder := httptest.NewRecorder()
 		MetricsHandler(r).ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 		So(recorder.Body.String(), ShouldContainSubstring, "wigeonfork_relay_tokens 5\n")
+		So(recorder.Body.String(), ShouldContainSubstring, "wigeonfork_gate_refused_queue_full 1\n")
 		So(recorder.Body.String(), ShouldContainSubstring, "wigeonfork_resume_ms_count 1\n")
 	})
 }
--- a/template/template.go
+++ b/template/template.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/platform"
 )
 
 // Name names a template.
@@ -117,6 +118,9 @@
 	Reason   string             `json:"reason,omitempty"`
 
 	Controller string `json:"controller,omitempty"`
+	// Weights is what the weight store said of To when the move was accepted,
+	// so that the move can be taken up and taken back without the store.
+	Weights platform.WeightInfo `json:"weights,omitzero"`
 }
 
 // Stop records that a version of a deployment must take no traffic again.
