Measure what each role costs and work it out for the size to design for

Cause: no page or command said what an entry, an agent, the holder of a lease and an operator's command cost at the size to design for. Change: package experiment/capacity measures the real types and codecs at three sizes or more, fits lines, and prints each role's state, messages and processor time beside the bounds; subcommand wigeon-experiment capacity.

--- a/cmd/wigeon-experiment/main.go
+++ b/cmd/wigeon-experiment/main.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/wigeonfork/wigeonfork/experiment/capacity"
 	"github.com/wigeonfork/wigeonfork/experiment/configuration"
 	"github.com/wigeonfork/wigeonfork/experiment/moves"
 	"github.com/wigeonfork/wigeonfork/experiment/policy"
@@ -29,6 +30,7 @@
 	Policy        policyCommand        `command:"policy" description:"routing, limits and resumes under load and loss, in virtual time"`
 	Moves         movesCommand         `command:"moves" description:"good and bad versions moved, in virtual time"`
 	Configuration configurationCommand `command:"configuration" description:"time until a change is in force, by number of processes, in virtual time"`
+	Capacity      capacityCommand      `command:"capacity" description:"cost of each role at the size to design for, from measured slopes"`
 }
 
 var settings options
@@ -107,6 +109,15 @@
 	})
 }
 
+type capacityCommand struct{}
+
+// Execute implements flags.Commander.
+func (*capacityCommand) Execute([]string) error {
+	return run(func(out, csv io.Writer) (int, error) {
+		return capacity.Run(out, capacity.Options{Seed: settings.Seed, Quick: settings.Quick, CSV: csv})
+	})
+}
+
 func main() {
 	if _, err := flags.NewParser(&settings, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
 		if flags.WroteHelp(err) {
--- /dev/null
+++ b/experiment/capacity/agent.go
@@ -0,0 +1,65 @@
+package capacity
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/action/ledger"
+)
+
+// Names of the costs of an agent's ledger.
+const (
+	costDispatch     = "dispatch, finish and forget a claim"
+	costLedgerMemory = "memory of a claim"
+)
+
+var claimSizes = []int{100, 1_000, 10_000}
+
+// filled returns a ledger that remembers claims, and does n more.
+func filled(claims, n int) *ledger.Ledger {
+	config := ledger.DefaultConfig("1")
+	config.MaxClaims = claims + n
+	l := ledger.New(config)
+	gap := time.Minute / time.Duration(claims)
+	now := began
+	for i := range claims + n {
+		now = now.Add(gap)
+		claim := action.Claim{
+			ID: action.ClaimID(strconv.Itoa(i)), Workspace: workspaceID(i % designWorkspaces),
+			Target: action.Target{Incarnation: "1"}, Expires: now.Add(time.Minute),
+		}
+		l.Dispatch(now, claim)
+		l.Finished(now, claim.ID, nil)
+		l.Recorded(now, claim.ID)
+	}
+	return l
+}
+
+func measureLedger(c *costs) {
+	s := series{role: roleAgent, name: costDispatch, unit: "us", size: "claims held", design: claimsHeld}
+	c.add(s, claimSizes, func(claims int) (float64, error) {
+		// The claims that fill the ledger cost what the later ones do.
+		return perClaim(c.meter, claims)
+	})
+	s = series{role: roleAgent, name: costLedgerMemory, unit: "bytes", size: "claims held", design: claimsHeld}
+	c.bytes(s, claimSizes, func(claims int) float64 {
+		return heapBytes(func() any { return filled(claims, 0) }) / float64(claims)
+	})
+}
+
+// perClaim returns the processor time of one claim, with the ledger filled a
+// few times over for each operation.
+func perClaim(m meter, claims int) (float64, error) {
+	const turns = 3
+	micros, err := m.micros(func(n int) {
+		for range n {
+			filled(claims, turns*claims)
+		}
+	})
+	return micros / float64((1+turns)*claims), err
+}
+
+// claimsHeld is a bound on the claims that an agent remembers, at a claim a
+// second that is kept for ten minutes.
+const claimsHeld = 600
--- /dev/null
+++ b/experiment/capacity/capacity.go
@@ -0,0 +1,85 @@
+// Package capacity measures what the decisions, codecs and messages of the
+// system cost, at several sizes in one process, fits a line to each cost and
+// works out each role's state, messages and processor time at the size to
+// design for, beside the users' bounds.
+//
+// Processor time is that of the whole process, garbage collection included.
+package capacity
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/wigeonfork/wigeonfork/experiment/report"
+)
+
+// Options describe a run.
+type Options struct {
+	// Quick measures each cost for a shorter time.
+	Quick bool
+	// Seed makes all random choices.
+	Seed uint64
+	// CSV receives the measured costs if it is not nil.
+	CSV io.Writer
+}
+
+// Run measures all costs and prints them and what follows from them. It
+// returns the number of bounds missed.
+func Run(w io.Writer, options Options) (missed int, err error) {
+	c := &costs{meter: newMeter(options.Quick)}
+	measureAll(c, options.Seed)
+	if c.err != nil {
+		return 0, c.err
+	}
+	s, err := measureSpread(options.Seed)
+	if err != nil {
+		return 0, err
+	}
+	return write(w, options, c, s)
+}
+
+func measureAll(c *costs, seed uint64) {
+	measureEntry(c)
+	measureFleet(c)
+	measureStreams(c)
+	measureWire(c)
+	measureState(c)
+	measureShare(c)
+	measureLedger(c)
+	measureClaims(c, seed)
+	measureHolder(c, seed)
+	measureOperator(c)
+}
+
+func write(w io.Writer, options Options, c *costs, s spread) (int, error) {
+	list := parts(c, s)
+	if err := writeParts(w, list); err != nil {
+		return 0, err
+	}
+	if err := writeClaims(w, loadOfTable(c, s).writes, options.Seed); err != nil {
+		return 0, err
+	}
+	writeRates(w, c, s)
+	r := report.New(w, options.CSV, columns...)
+	for i := range c.all {
+		c.all[i].addTo(r)
+	}
+	addTargets(r, c, s, list)
+	return r.Print()
+}
+
+// writeRates prints the figures that no bound is set for.
+func writeRates(w io.Writer, c *costs, s spread) {
+	lost := lossOfDomain(c)
+	load := loadOfTable(c, s)
+	starts := designRestartsDay / secondsPerDay
+	fmt.Fprintf(w, "\ntable without claims: %.2f writes/s, %.1f reads/s\n", load.writes, load.reads)
+	fmt.Fprintf(w, "spread measured at %.0f hosts: %.2f messages of %.0f bytes a host and s, p99 in force %.2f s\n",
+		s.hosts, s.messages, s.payload, s.inForce)
+	fmt.Fprintf(w, "open answers: %.0f, %.0f an entry, %.0f an agent, %.0f tokens held by one on average\n",
+		openStreams, streamsPerEntry, streamsPerAgent, heldTokens())
+	fmt.Fprintf(w, "loss of a domain: %.0f resumes at an entry at once, %.4f s of a core, %.0f bytes of calls\n",
+		lost.resumesPerEntry, lost.entrySeconds, lost.entryBytes)
+	fmt.Fprintf(w, "restarts: %.4f/s, each brings the whole configuration of %.0f bytes: %.0f bytes/s in all\n\n",
+		starts, c.at(costStateBytes), starts*c.at(costStateBytes))
+}
--- /dev/null
+++ b/experiment/capacity/claims.go
@@ -0,0 +1,122 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/action"
+	"github.com/wigeonfork/wigeonfork/platform"
+)
+
+const (
+	// tableLatency is the time that the table takes for a write.
+	tableLatency = 5 * time.Millisecond
+	// writesPerAction is the number of rows written: the claim and its outcome.
+	writesPerAction = 2
+)
+
+// costClaimWrites is the name of the cost of a claim.
+const costClaimWrites = "transactions for an action"
+
+// answer is a transaction under way.
+type answer struct {
+	at time.Time
+	id string
+}
+
+// grouping drives a batcher over a table that takes tableLatency.
+type grouping struct {
+	batcher      *action.Batcher
+	flights      []answer
+	transactions int
+}
+
+// run lets the time pass until now.
+func (g *grouping) run(now time.Time) {
+	for {
+		at := g.next()
+		if at.IsZero() || at.After(now) {
+			return
+		}
+		g.step(at)
+	}
+}
+
+// next returns the time of the next answer or transaction.
+func (g *grouping) next() time.Time {
+	at := g.batcher.WakeAt()
+	if len(g.flights) > 0 && (at.IsZero() || g.flights[0].at.Before(at)) {
+		at = g.flights[0].at
+	}
+	return at
+}
+
+func (g *grouping) step(at time.Time) {
+	for len(g.flights) > 0 && !at.Before(g.flights[0].at) {
+		g.batcher.Answer(g.flights[0].id, platform.Commit{Applied: true}, nil)
+		g.flights = g.flights[1:]
+	}
+	for tx, ok := g.batcher.Take(at); ok; tx, ok = g.batcher.Take(at) {
+		g.transactions++
+		g.flights = append(g.flights, answer{at.Add(tableLatency), tx.OperationID})
+	}
+}
+
+// transactionsPerAction returns the transactions of one entry with so many
+// actions a second, whose claims and outcomes come at random times.
+func transactionsPerAction(rate float64, seed uint64) float64 {
+	const most = 4_000
+	random := rand.New(rand.NewPCG(seed, uint64(rate*1000)))
+	g := &grouping{batcher: action.NewBatcher(action.DefaultBatchLimits(), "b/")}
+	now := began
+	for i := range most {
+		now = now.Add(time.Duration(random.ExpFloat64() / (rate * writesPerAction) * float64(time.Second)))
+		g.run(now)
+		g.batcher.Add(now, action.BatchItem{ID: uint64(i), Write: platform.Write{Key: strconv.Itoa(i)}})
+		g.step(now)
+	}
+	for g.batcher.Len() > 0 {
+		g.step(g.next())
+	}
+	return writesPerAction * float64(g.transactions) / most
+}
+
+func measureClaims(c *costs, seed uint64) {
+	s := series{role: roleEntry, name: costClaimWrites, unit: "transactions", size: "actions/s at an entry", design: 1}
+	c.bytes(s, []int{1, 10, 100, 1_000, 4_000}, func(rate int) float64 { return transactionsPerAction(float64(rate), seed) })
+}
+
+// possibleActions returns the most actions a second that writers entries can
+// claim with so many transactions a second, evenly spread.
+func possibleActions(writers int, transactions float64, seed uint64) float64 {
+	const steps = 40
+	low, high := 0.0, 200_000.0
+	for range steps {
+		middle := (low + high) / 2
+		rate := middle / float64(writers)
+		if rate*float64(writers)*transactionsPerAction(rate, seed) <= transactions {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// writeClaims prints the actions a second that the table carries beside the
+// leases and changes, by the number of entries that write.
+func writeClaims(out io.Writer, otherWrites float64, seed uint64) error {
+	budget := boundWrites - otherWrites
+	if _, err := fmt.Fprintf(out, "\nactions a second within %.0f table writes a second (%.1f of them for leases and changes), by entries that claim\n", boundWrites, otherWrites); err != nil {
+		return err
+	}
+	for _, writers := range []int{designEntries, 110, 16, 6, 2} {
+		if _, err := fmt.Fprintf(out, "  %5d entries: %8.0f actions/s\n", writers, possibleActions(writers, budget, seed)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/capacity/entry.go
@@ -0,0 +1,289 @@
+package capacity
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/admission"
+	"github.com/wigeonfork/wigeonfork/membership"
+	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/quarantine"
+	"github.com/wigeonfork/wigeonfork/routing"
+)
+
+// Names of the costs of an entry's decisions.
+const (
+	costChoose      = "route a request"
+	costRouter      = "router memory"
+	costOffer       = "admit and release a request"
+	costAdmission   = "admission memory"
+	costCheck       = "check a request for quarantine"
+	costDied        = "take in an engine death"
+	costQuarantine  = "quarantine memory"
+	costTick        = "membership tick"
+	costTracker     = "membership memory"
+	costPolls       = "polls while idle"
+	costListRead    = "take in the host list"
+	costListBytes   = "host list answer"
+	costListDecode  = "decode the host list"
+	costHostsMemory = "host list memory"
+)
+
+var (
+	began      = time.Unix(1_000_000_000, 0)
+	knownSizes = []int{100, 1_000, 10_000}
+)
+
+const (
+	subsetSize     = membership.DefaultSubsetSize
+	slotsPerServer = 32
+	entryCapacity  = 1_600
+)
+
+func measureEntry(c *costs) {
+	measureRouting(c)
+	measureAdmission(c)
+	measureQuarantine(c)
+	measureMembership(c)
+	measureHostList(c)
+}
+
+func newRouter(known int) *routing.Router {
+	r := routing.New(routing.Options{Seed: 1, Domain: domainOf(0)})
+	for i := range known {
+		desc := routing.Server{ID: serverID(i), Host: hostID(i), Domain: domainOf(i), Slots: slotsPerServer}
+		if i < subsetSize {
+			desc.Versions = []routing.Deployment{{Model: "model-00", Version: "v1"}}
+		}
+		r.Upsert(desc)
+	}
+	return r
+}
+
+func measureRouting(c *costs) {
+	s := series{role: roleEntry, name: costChoose, unit: "us", size: "servers known", design: designAgents}
+	c.add(s, knownSizes, func(known int) (float64, error) {
+		r := newRouter(known)
+		req := routing.Request{
+			Workspace: workspaceID(0), Model: "model-00", Version: "v1", Class: wigeonfork.Class(1), PromptTokens: 900,
+			Prefixes: []routing.Prefix{{Hash: 1, Tokens: 300}, {Hash: 2, Tokens: 900}},
+		}
+		var failed error
+		micros, err := c.meter.micros(func(n int) {
+			for range n {
+				if _, err := r.Choose(began, req); err != nil {
+					failed = err
+				}
+			}
+		})
+		if failed != nil {
+			return 0, failed
+		}
+		return micros, err
+	})
+	s = series{role: roleEntry, name: costRouter, unit: "bytes", size: "servers known", design: designAgents}
+	c.bytes(s, knownSizes, func(known int) float64 { return heapBytes(func() any { return newRouter(known) }) })
+}
+
+func offers(workspaces int) []admission.Request {
+	const count = 16_384
+	list := make([]admission.Request, count)
+	for i := range list {
+		list[i] = admission.Request{
+			ID:        wigeonfork.RequestID(hostID(i)),
+			Workspace: workspaceID(i % workspaces),
+			Class:     wigeonfork.Class(1 + i%(wigeonfork.NumClasses-1)),
+			Cost:      1,
+		}
+	}
+	return list
+}
+
+// admit offers and releases n requests with entryCapacity of them running.
+func admit(control *admission.Controller, list []admission.Request, n int) {
+	for i := range n {
+		now := began.Add(time.Duration(i) * 6 * time.Millisecond)
+		if i >= entryCapacity {
+			control.Release(now, list[(i-entryCapacity)%len(list)].ID)
+		}
+		control.Offer(now, list[i%len(list)])
+		control.Tick(now)
+	}
+}
+
+func newAdmission() *admission.Controller {
+	return admission.New(admission.Options{Seed: 1, Capacity: entryCapacity * 1.25, Policy: admission.RegnsamlerPolicy()})
+}
+
+func measureAdmission(c *costs) {
+	sizes := []int{33, 330, 3_300}
+	s := series{role: roleEntry, name: costOffer, unit: "us", size: "workspaces", design: designWorkspaces}
+	c.add(s, sizes, func(workspaces int) (float64, error) {
+		list := offers(workspaces)
+		return c.meter.micros(func(n int) { admit(newAdmission(), list, n) })
+	})
+	s = series{role: roleEntry, name: costAdmission, unit: "bytes", size: "workspaces", design: designWorkspaces}
+	c.bytes(s, sizes, func(workspaces int) float64 {
+		list := offers(workspaces)
+		return heapBytes(func() any {
+			control := newAdmission()
+			admit(control, list, len(list))
+			return control
+		})
+	})
+}
+
+func keyOf(i int) quarantine.Key {
+	var f quarantine.Fingerprint
+	f[0], f[1], f[2] = byte(i), byte(i>>8), byte(i>>16)
+	return quarantine.Key{Fingerprint: f, Version: "v1"}
+}
+
+// residents is the number of requests that an engine runs.
+const residents = 16
+
+func deathOf(i, suspects int) quarantine.Death {
+	at := began.Add(time.Duration(i) * time.Second)
+	d := quarantine.Death{At: at, ID: quarantine.DeathID{Server: serverID(i % designAgents), Incarnation: at.String()}}
+	for j := range residents {
+		d.Residents = append(d.Residents, quarantine.Resident{Key: keyOf((i*residents + j) % suspects), Ran: time.Second})
+	}
+	return d
+}
+
+func newDetector(suspects int) *quarantine.Detector {
+	d := quarantine.New(quarantine.Options{})
+	d.SetServers(designAgents)
+	for i := range suspects / residents {
+		d.Died(began, deathOf(i, suspects))
+	}
+	return d
+}
+
+func measureQuarantine(c *costs) {
+	sizes := []int{64, 1_024, 4_096}
+	limit := float64(quarantine.DefaultMaxSuspects)
+	s := series{role: roleEntry, name: costCheck, unit: "us", size: "suspects", design: limit}
+	c.add(s, sizes, func(suspects int) (float64, error) {
+		d := newDetector(suspects)
+		return c.meter.micros(func(n int) {
+			for i := range n {
+				d.Check(began, keyOf(i%(2*suspects)))
+			}
+		})
+	})
+	s = series{role: roleEntry, name: costDied, unit: "us", size: "suspects", design: limit}
+	c.add(s, sizes, func(suspects int) (float64, error) {
+		d := newDetector(suspects)
+		next := suspects
+		return c.meter.micros(func(n int) {
+			for range n {
+				one := deathOf(next, suspects)
+				d.Died(one.At, one)
+				next++
+			}
+		})
+	})
+	s = series{role: roleEntry, name: costQuarantine, unit: "bytes", size: "suspects", design: limit}
+	c.bytes(s, sizes, func(suspects int) float64 { return heapBytes(func() any { return newDetector(suspects) }) })
+}
+
+// idleEntry drives a tracker whose polls are all answered.
+type idleEntry struct {
+	now     time.Time
+	tracker *membership.Tracker
+	agents  map[wigeonfork.BackendServerID]*membership.Identity
+	polls   int
+}
+
+// trackerTick is the time between two ticks of an entry's tracker.
+const trackerTick = 100 * time.Millisecond
+
+func newIdleEntry(known int) *idleEntry {
+	e := &idleEntry{
+		now:     began,
+		tracker: membership.NewTracker(membership.Options{Entry: "entry"}),
+		agents:  make(map[wigeonfork.BackendServerID]*membership.Identity, known),
+	}
+	for i := range known {
+		e.agents[serverID(i)] = membership.NewIdentity(serverID(i), began, 0)
+	}
+	e.tracker.ListRead(e.now, hosts(known), e.now)
+	return e
+}
+
+func (e *idleEntry) tick() {
+	e.now = e.now.Add(trackerTick)
+	polls := append([]wigeonfork.BackendServerID(nil), e.tracker.Tick(e.now).Polls...)
+	e.polls += len(polls)
+	for _, id := range polls {
+		e.tracker.Heard(e.now, e.agents[id].Beat())
+	}
+}
+
+func measureMembership(c *costs) {
+	s := series{role: roleEntry, name: costTick, unit: "us", size: "servers known", design: designAgents}
+	c.add(s, knownSizes, func(known int) (float64, error) {
+		e := newIdleEntry(known)
+		return c.meter.micros(func(n int) {
+			for range n {
+				e.tick()
+			}
+		})
+	})
+	s = series{role: roleEntry, name: costPolls, unit: "polls/s", size: "servers known", design: designAgents}
+	c.bytes(s, knownSizes, func(known int) float64 {
+		const seconds = 60
+		e := newIdleEntry(known)
+		for e.now.Sub(began) < seconds*time.Second {
+			e.tick()
+		}
+		e.polls = 0
+		for e.now.Sub(began) < 2*seconds*time.Second {
+			e.tick()
+		}
+		return float64(e.polls) / seconds
+	})
+	s = series{role: roleEntry, name: costTracker, unit: "bytes", size: "servers known", design: designAgents}
+	c.bytes(s, knownSizes, func(known int) float64 {
+		return heapBytes(func() any {
+			tracker := membership.NewTracker(membership.Options{Entry: "entry"})
+			tracker.ListRead(began, hosts(known), began)
+			return tracker
+		})
+	})
+	s = series{role: roleEntry, name: costListRead, unit: "us", size: "servers known", design: designAgents}
+	c.add(s, knownSizes, func(known int) (float64, error) {
+		e, list := newIdleEntry(known), hosts(known)
+		return c.meter.micros(func(n int) {
+			for range n {
+				e.now = e.now.Add(time.Second)
+				e.tracker.ListRead(e.now, list, e.now)
+			}
+		})
+	})
+}
+
+func measureHostList(c *costs) {
+	s := series{role: roleAll, name: costListBytes, unit: "bytes", size: "hosts", design: designHosts}
+	c.add(s, knownSizes, func(n int) (float64, error) {
+		data, err := json.Marshal(httpplatform.HostsAnswer{Hosts: hosts(n), AsOf: began})
+		return float64(len(data)), err
+	})
+	s = series{role: roleAll, name: costListDecode, unit: "us", size: "hosts", design: designHosts}
+	c.add(s, knownSizes, func(n int) (float64, error) {
+		data, err := json.Marshal(httpplatform.HostsAnswer{Hosts: hosts(n), AsOf: began})
+		if err != nil {
+			return 0, err
+		}
+		return c.meter.micros(func(n int) {
+			for range n {
+				var answer httpplatform.HostsAnswer
+				err = json.Unmarshal(data, &answer)
+			}
+		})
+	})
+	s = series{role: roleAll, name: costHostsMemory, unit: "bytes", size: "hosts", design: designHosts}
+	c.bytes(s, knownSizes, func(n int) float64 { return heapBytes(func() any { return hosts(n) }) })
+}
--- /dev/null
+++ b/experiment/capacity/fleet.go
@@ -0,0 +1,104 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/entry/fleet"
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/template"
+)
+
+// Names of the costs of an entry's fleet.
+const (
+	costFleetRun     = "fleet kept in touch with"
+	costFleetHosts   = "host list taken into the fleet"
+	costFleetInstall = "snapshot taken into the fleet"
+	costFleetMemory  = "fleet memory"
+)
+
+// refusedAddress is one at which nothing listens.
+const refusedAddress = "127.0.0.1:1"
+
+func newFleet(known int) *fleet.Fleet {
+	f := fleet.New(fleet.Options{
+		Domain: domainOf(0), Hello: peer.Hello{ID: "entry", Role: peer.RolePeer, Credential: credential},
+		Log: telemetry.Discard(), Metrics: telemetry.NewRegistry(),
+	})
+	now := time.Now()
+	f.ApplyHosts(now, refusing(known), now)
+	return f
+}
+
+// refusing returns a list of n agents that refuse connections.
+func refusing(n int) []platform.Host {
+	list := hosts(n)
+	for i := range list {
+		list[i].ControlAddress = refusedAddress
+	}
+	return list
+}
+
+// fleetRun returns the processor time of a fleet in a second, in microseconds.
+func fleetRun(known int, length time.Duration) (float64, error) {
+	f := newFleet(known)
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	began := time.Now()
+	used, err := timed(func() { f.Run(ctx) })
+	return float64(used) / float64(time.Microsecond) / time.Since(began).Seconds(), err
+}
+
+func measureFleet(c *costs) {
+	length := 20 * c.meter.batch
+	s := series{role: roleEntry, name: costFleetRun, unit: "us/s", size: "servers known", design: designAgents}
+	c.add(s, knownSizes, func(known int) (float64, error) {
+		var values []float64
+		for range repeats {
+			used, err := fleetRun(known, length)
+			if err != nil {
+				return 0, err
+			}
+			values = append(values, used)
+		}
+		return median(values), nil
+	})
+	s = series{role: roleEntry, name: costFleetHosts, unit: "us", size: "servers known", design: designAgents}
+	c.add(s, knownSizes, func(known int) (float64, error) {
+		f := newFleet(known)
+		defer f.Close()
+		list := refusing(known)
+		return c.meter.micros(func(n int) {
+			for range n {
+				now := time.Now()
+				f.ApplyHosts(now, list, now)
+			}
+		})
+	})
+	s = series{role: roleEntry, name: costFleetInstall, unit: "us", size: "servers known", design: designAgents}
+	c.add(s, knownSizes, func(known int) (float64, error) {
+		f := newFleet(known)
+		defer f.Close()
+		snapshot := template.NewSnapshot(config(1, known/designModels), nil)
+		return c.meter.micros(func(n int) {
+			for range n {
+				f.Install(snapshot)
+			}
+		})
+	})
+	s = series{role: roleEntry, name: costFleetMemory, unit: "bytes", size: "servers known", design: designAgents}
+	c.bytes(s, knownSizes, func(known int) float64 {
+		var made []*fleet.Fleet
+		bytes := heapBytes(func() any {
+			made = append(made, newFleet(known))
+			return made
+		})
+		for _, f := range made {
+			f.Close()
+		}
+		return bytes
+	})
+}
--- /dev/null
+++ b/experiment/capacity/holder.go
@@ -0,0 +1,250 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/lease"
+	"github.com/wigeonfork/wigeonfork/moves"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/rollout"
+	"github.com/wigeonfork/wigeonfork/standin/table"
+)
+
+// Names of the costs of the holder of a lease.
+const (
+	costLeaseReads  = "lease reads"
+	costLeaseWrites = "lease writes"
+	costEvidence    = "evidence of an entry"
+	costMerge       = "merge the reports of a second"
+	costStep        = "one look at a move"
+	costMoveMemory  = "move and judge memory"
+)
+
+const (
+	// candidates is the number of entries that try for one lease.
+	candidates = 3
+	// looksPerSecond is how often a driver looks at its move.
+	looksPerSecond = 5
+)
+
+func measureHolder(c *costs, seed uint64) {
+	measureLeases(c)
+	measureEvidence(c, seed)
+	measureMerge(c, seed)
+	measureMove(c)
+}
+
+// contender is one process's part in a lease.
+type contender struct {
+	holder *lease.Holder
+	table  platform.Table
+}
+
+func (c *contender) step(now time.Time, event lease.Event) {
+	for _, action := range c.holder.Step(now, event) {
+		switch a := action.(type) {
+		case lease.Read:
+			row, err := c.table.Get(context.Background(), a.Key)
+			c.step(now, lease.ReadDone{Row: row, Err: err})
+		case lease.Commit:
+			commit, err := c.table.Commit(context.Background(), a.Transaction)
+			c.step(now, lease.CommitDone{OperationID: a.Transaction.OperationID, Commit: commit, Err: err})
+		}
+	}
+}
+
+// leaseLoad returns the table's reads and writes a second with so many leases.
+func leaseLoad(leases int) (reads, writes float64, err error) {
+	const (
+		seconds = 120
+		tick    = 100 * time.Millisecond
+	)
+	t := table.New()
+	var all []*contender
+	for i := range leases * candidates {
+		config := lease.Config{Scope: fmt.Sprint(i / candidates), Owner: fmt.Sprint(i)}
+		holder, err := lease.NewHolder(config)
+		if err != nil {
+			return 0, 0, err
+		}
+		all = append(all, &contender{holder, t})
+	}
+	run := func(from, to time.Time) {
+		for now := from; now.Before(to); now = now.Add(tick) {
+			for _, c := range all {
+				c.step(now, lease.Tick{})
+			}
+		}
+	}
+	warm := began.Add(seconds * time.Second)
+	run(began, warm)
+	before := t.Counters()
+	run(warm, warm.Add(seconds*time.Second))
+	after := t.Counters()
+	return float64(after.Reads-before.Reads) / seconds, float64(after.Writes-before.Writes) / seconds, nil
+}
+
+func measureLeases(c *costs) {
+	sizes := []int{1, 10, 100}
+	s := series{role: roleHolder, name: costLeaseReads, unit: "reads/s", size: "leases", design: designModels}
+	c.add(s, sizes, func(leases int) (float64, error) {
+		reads, _, err := leaseLoad(leases)
+		return reads, err
+	})
+	s.name, s.unit = costLeaseWrites, "writes/s"
+	c.add(s, sizes, func(leases int) (float64, error) {
+		_, writes, err := leaseLoad(leases)
+		return writes, err
+	})
+}
+
+// reports returns a minute's reports of an entry with so many requests a
+// second in one move: a tenth goes to the new version, one in a hundred fails.
+func reports(requests int, seed uint64) []rollout.Evidence {
+	const (
+		seconds   = 60
+		warmUp    = 120
+		newShare  = 0.1
+		errorRate = 0.01
+		routes    = 33
+	)
+	random := rand.New(rand.NewPCG(seed, uint64(requests)))
+	collector := rollout.NewCollector("entry", rollout.Pair{Old: "v1", New: "v2"})
+	var list []rollout.Evidence
+	for second := range warmUp + seconds {
+		for i := range requests {
+			now := began.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Second/time.Duration(requests))
+			server := random.IntN(subsetSize)
+			start := rollout.Start{Version: "v1", Host: hostID(server), Domain: domainOf(server), Stratum: rollout.Stratum{
+				Route: rollout.Route(workspaceID(random.IntN(routes))), Load: rollout.LoadMedium, Server: serverID(server)}}
+			if random.Float64() < newShare {
+				start.Version = "v2"
+			}
+			sample := rollout.Sample{Start: start, FirstToken: varied(random, 500*time.Millisecond), InterToken: varied(random, 40*time.Millisecond)}
+			if random.Float64() < errorRate {
+				sample.Outcome = rollout.OutcomeError
+			}
+			collector.Started(now, start)
+			collector.Observed(now, sample)
+		}
+		evidence := collector.Flush(began.Add(time.Duration(second+1) * time.Second))
+		if second >= warmUp {
+			list = append(list, evidence)
+		}
+	}
+	return list
+}
+
+func varied(random *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration((0.5 + random.Float64()) * float64(mean))
+}
+
+func measureEvidence(c *costs, seed uint64) {
+	s := series{role: roleHolder, name: costEvidence, unit: "bytes/s", size: "requests/s in moves", design: entryRequests}
+	c.add(s, []int{16, 50, 164}, func(requests int) (float64, error) {
+		total := 0
+		list := reports(requests, seed)
+		for _, evidence := range list {
+			if evidence.Empty() {
+				continue
+			}
+			data, err := json.Marshal(moves.Report{Deployment: "model-00", Move: "model-00/v2/2030-01-01T00:00:00Z", Evidence: evidence})
+			if err != nil {
+				return 0, err
+			}
+			total += len(data)
+		}
+		return float64(total) / float64(len(list)), nil
+	})
+}
+
+// requestsPerMove is what an entry sends of one model.
+const requestsPerMove = 16
+
+// judged merges n rounds of one report of each entry and gives a verdict.
+func judged(judge *rollout.Judge, list []rollout.Evidence, entries, n int) {
+	for round := range n {
+		now := began.Add(time.Duration(round) * time.Second)
+		for entry := range entries {
+			evidence := list[(round+entry)%len(list)]
+			evidence.Source = string(hostID(entry))
+			evidence.Sequence = uint64(round + 1)
+			judge.Merge(now, evidence)
+		}
+		judge.Verdict()
+	}
+}
+
+func measureMerge(c *costs, seed uint64) {
+	list := reports(requestsPerMove, seed)
+	s := series{role: roleHolder, name: costMerge, unit: "us", size: "entries", design: designEntries}
+	c.add(s, []int{10, 100, designEntries}, func(entries int) (float64, error) {
+		return c.meter.micros(func(n int) { judged(rollout.NewJudge(rollout.JudgeConfig{}), list, entries, n) })
+	})
+}
+
+func newMove(servers int) (*rollout.Move, error) {
+	plan := rollout.Plan{
+		ID: "model-00/v2", Scope: "deployment/model-00", Model: "model-00", From: "v1", To: "v2",
+		Start: began, Deadline: began.Add(4 * time.Hour), WeightBytes: 1 << 30, RateBytesPerSecond: 1 << 30,
+	}
+	for i := range servers {
+		plan.Servers = append(plan.Servers, rollout.Server{ID: serverID(i), Host: hostID(i), Domain: domainOf(i)})
+	}
+	return rollout.NewMove(plan, platform.Row{}, 1)
+}
+
+// look tells a move what its driver does at one look, with every record
+// written and every order carried out.
+func look(move *rollout.Move, now time.Time, servers int, judge *rollout.Judge) {
+	events := make([]rollout.Event, 0, servers+2)
+	for i := range servers {
+		events = append(events, rollout.ServerReport{Server: serverID(i), OldReady: true})
+	}
+	events = append(events, rollout.Judged{Verdict: judge.Verdict()}, rollout.Tick{})
+	for len(events) > 0 {
+		event := events[0]
+		events = events[1:]
+		for _, action := range move.Step(now, event) {
+			switch a := action.(type) {
+			case rollout.WriteRecord:
+				commit := platform.Commit{Applied: true, Revision: 1}
+				events = append(events, rollout.RecordDone{OperationID: a.Transaction.OperationID, Commit: commit})
+			case rollout.GiveOrder:
+				events = append(events, rollout.OrderDone{Server: a.Server, Kind: a.Order.Kind})
+			}
+		}
+	}
+}
+
+func measureMove(c *costs) {
+	sizes := []int{10, 100, serversPerModel}
+	s := series{role: roleHolder, name: costStep, unit: "us", size: "servers of the model", design: serversPerModel}
+	c.add(s, sizes, func(servers int) (float64, error) {
+		move, err := newMove(servers)
+		if err != nil {
+			return 0, err
+		}
+		judge := rollout.NewJudge(rollout.JudgeConfig{})
+		now := began
+		return c.meter.micros(func(n int) {
+			for range n {
+				now = now.Add(time.Second / looksPerSecond)
+				look(move, now, servers, judge)
+			}
+		})
+	})
+	s = series{role: roleHolder, name: costMoveMemory, unit: "bytes", size: "entries", design: designEntries}
+	c.bytes(s, []int{10, 100, designEntries}, func(entries int) float64 {
+		list := reports(requestsPerMove, 1)
+		return heapBytes(func() any {
+			judge := rollout.NewJudge(rollout.JudgeConfig{})
+			judged(judge, list, entries, len(list))
+			return judge
+		})
+	})
+}
--- /dev/null
+++ b/experiment/capacity/measure.go
@@ -0,0 +1,102 @@
+package capacity
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// repeats is the number of measurements whose median is taken.
+	repeats = 3
+	// batchTime is the least processor time of one measurement.
+	batchTime = 100 * time.Millisecond
+	// quickBatchTime is that of a quick run.
+	quickBatchTime = 5 * time.Millisecond
+	// maxOperations bounds the operations of one measurement.
+	maxOperations = 1 << 24
+)
+
+// meter measures costs in this process.
+type meter struct{ batch time.Duration }
+
+func newMeter(quick bool) meter {
+	if quick {
+		return meter{quickBatchTime}
+	}
+	return meter{batchTime}
+}
+
+// processorTime returns the processor time that this process has used, with
+// that of the garbage collector.
+func processorTime() (time.Duration, error) {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0, errors.Wrap(err, "read processor time")
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), nil
+}
+
+// micros returns the processor time of one operation in microseconds: the
+// median of several batches. do runs the operation n times.
+func (m meter) micros(do func(n int)) (float64, error) {
+	n := 1
+	values := make([]float64, 0, repeats)
+	for len(values) < repeats {
+		runtime.GC()
+		used, err := timed(func() { do(n) })
+		if err != nil {
+			return 0, err
+		}
+		if used < m.batch && n < maxOperations {
+			n = grow(n, used, m.batch)
+			continue
+		}
+		values = append(values, float64(used)/float64(n)/float64(time.Microsecond))
+	}
+	return median(values), nil
+}
+
+func timed(do func()) (time.Duration, error) {
+	before, err := processorTime()
+	if err != nil {
+		return 0, err
+	}
+	do()
+	after, err := processorTime()
+	return after - before, err
+}
+
+// grow returns the number of operations to try next.
+func grow(n int, used, batch time.Duration) int {
+	const (
+		most   = 100
+		excess = 1.2
+	)
+	factor := excess * float64(batch) / float64(max(used, time.Microsecond))
+	return min(max(int(float64(n)*min(factor, most)), n+1), maxOperations)
+}
+
+// heapBytes returns the bytes on the heap that what build returns keeps alive:
+// the median of several builds.
+func heapBytes(build func() any) float64 {
+	values := make([]float64, 0, repeats)
+	for range repeats {
+		before := liveBytes()
+		held := build()
+		after := liveBytes()
+		runtime.KeepAlive(held)
+		values = append(values, float64(after)-float64(before))
+	}
+	return median(values)
+}
+
+func liveBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/experiment/capacity/operator.go
@@ -0,0 +1,136 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/standin/table"
+	"github.com/wigeonfork/wigeonfork/template"
+	"github.com/wigeonfork/wigeonfork/template/store"
+)
+
+// Names of the costs of an operator's change.
+const (
+	costChangeReads  = "reads of the table by a change"
+	costColdReads    = "reads of the table by a process's first change"
+	costChangeWrites = "writes of the table by a change"
+	costChangeMicros = "check and accept a change"
+)
+
+// objects is an object store in memory.
+type objects map[string][]byte
+
+// Put implements platform.Objects.
+func (o objects) Put(_ context.Context, name string, data []byte) error {
+	o[name] = data
+	return nil
+}
+
+// Get implements platform.Objects.
+func (o objects) Get(_ context.Context, name string) ([]byte, error) {
+	data, ok := o[name]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return data, nil
+}
+
+// List implements platform.Objects.
+func (o objects) List(context.Context, string) ([]string, error) { return nil, nil }
+
+// Delete implements platform.Objects.
+func (o objects) Delete(_ context.Context, name string) error {
+	delete(o, name)
+	return nil
+}
+
+// accepting is a store with a configuration in it.
+type accepting struct {
+	table   *table.Table
+	objects objects
+	store   *store.Store
+	changes int
+	size    int
+}
+
+func newAccepting(workspaces int) (*accepting, error) {
+	a := &accepting{table: table.New(), objects: objects{}, size: workspaces}
+	a.store = a.open()
+	whole := config(workspaces, serversPerModel)
+	change := template.Change{PutTemplates: whole.Templates, PutDeployments: whole.Deployments}
+	_, err := a.store.Accept(context.Background(), store.Request{OperationID: "first", Author: "operator", Now: began, Change: change})
+	return a, err
+}
+
+// open returns the store of a process that has read nothing yet.
+func (a *accepting) open() *store.Store { return store.New(a.table, a.objects, store.Options{}) }
+
+// change accepts a change of one workspace of a deployment through s.
+func (a *accepting) change(s *store.Store) error {
+	a.changes++
+	next := deployment(3, a.size, serversPerModel)
+	next.Workspaces[0].Values = template.Values{"max_tokens": template.Number(float64(1 + a.changes%4000))}
+	_, err := s.Accept(context.Background(), store.Request{
+		OperationID: fmt.Sprint(a.changes), Author: "operator", Now: began,
+		Change: template.Change{PutDeployments: []template.Deployment{next}},
+	})
+	return err
+}
+
+// load returns the table's reads and writes by a change.
+func (a *accepting) load(s *store.Store, changes int) (reads, writes float64, err error) {
+	before := a.table.Counters()
+	for range changes {
+		if err := a.change(s); err != nil {
+			return 0, 0, err
+		}
+	}
+	after := a.table.Counters()
+	n := float64(changes)
+	return float64(after.Reads-before.Reads) / n, float64(after.Writes-before.Writes) / n, nil
+}
+
+func measureOperator(c *costs) {
+	sizes := []int{33, 330, designWorkspaces}
+	const changes = 10
+	add := func(name, unit string, cost func(a *accepting) (float64, error)) {
+		s := series{role: roleOperator, name: name, unit: unit, size: "workspaces", design: designWorkspaces}
+		c.add(s, sizes, func(workspaces int) (float64, error) {
+			a, err := newAccepting(workspaces)
+			if err != nil {
+				return 0, err
+			}
+			return cost(a)
+		})
+	}
+	add(costChangeReads, "reads", func(a *accepting) (float64, error) {
+		reads, _, err := a.load(a.store, changes)
+		return reads, err
+	})
+	add(costColdReads, "reads", func(a *accepting) (float64, error) {
+		if _, _, err := a.load(a.store, changes); err != nil {
+			return 0, err
+		}
+		reads, _, err := a.load(a.open(), 1)
+		return reads, err
+	})
+	add(costChangeWrites, "writes", func(a *accepting) (float64, error) {
+		_, writes, err := a.load(a.store, changes)
+		return writes, err
+	})
+	add(costChangeMicros, "us", func(a *accepting) (float64, error) {
+		var failed error
+		micros, err := c.meter.micros(func(n int) {
+			for range n {
+				if err := a.change(a.store); err != nil {
+					failed = err
+				}
+			}
+		})
+		if failed != nil {
+			return 0, failed
+		}
+		return micros, err
+	})
+}
--- /dev/null
+++ b/experiment/capacity/stream.go
@@ -0,0 +1,201 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/agent/session"
+	"github.com/wigeonfork/wigeonfork/agentapi"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/generation"
+)
+
+// Names of the costs of answers under way.
+const (
+	costRelayToken   = "decode a frame and relay its token"
+	costRelayMemory  = "memory of an open answer at the entry"
+	costAppendToken  = "append a token and encode its frame"
+	costSession      = "memory of a session at the agent"
+	costFrameBytes   = "frame of tokens"
+	costHeartbeat    = "heartbeat frame"
+	costResumeEncode = "encode the call of a resume"
+	costResumeBytes  = "call of a resume"
+)
+
+var tokenSizes = []int{100, 1_000, 3_000}
+
+func tokenOf(i int) backend.Token { return backend.Token{ID: uint32(i), Text: []byte(" token")} }
+
+// encodedFrames returns the frames of an answer, of one token each.
+func encodedFrames(tokens int) []byte {
+	var buf []byte
+	for i := range tokens {
+		f := frame.Frame{Kind: frame.KindTokens, Generation: 1, Position: wigeonfork.Position(i), Tokens: []backend.Token{tokenOf(i)}}
+		buf = frame.Append(buf, &f)
+	}
+	return buf
+}
+
+// relayed returns a relay that has taken encoded frames.
+func relayed(reader *frame.Reader, encoded []byte) (*generation.Relay, error) {
+	r := generation.NewRelay(generation.DefaultLimits())
+	r.Begin(began)
+	reader.Reset(bytes.NewReader(encoded))
+	var f frame.Frame
+	for {
+		err := reader.Read(&f)
+		if errors.Is(err, io.EOF) {
+			return r, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		r.Accept(began, &f)
+	}
+}
+
+func call() *agentapi.Generate {
+	return &agentapi.Generate{
+		RequestID: "01890a5d-ac96-774b-bcce-b302099a8057", Generation: 1, Workspace: workspaceID(0), Class: 1,
+		Model: "model-00", Version: "v1", Prompt: "prompt", Seed: 1, MaxTokens: 4096, OrphanMillis: 30_000,
+	}
+}
+
+func produced(tokens int, encode bool) *session.Session {
+	s := session.New(call(), began, func() {})
+	reader, _ := s.Attach()
+	var f frame.Frame
+	var buf []byte
+	for i := range tokens {
+		position := wigeonfork.Position(i)
+		s.Append(backend.Chunk{Position: position, Tokens: []backend.Token{tokenOf(i)}})
+		if encode && s.Next(reader, position, &f) {
+			buf = frame.Append(buf[:0], &f)
+		}
+	}
+	return s
+}
+
+func measureStreams(c *costs) {
+	measureRelay(c)
+	measureSession(c)
+	measureFrames(c)
+	measureResume(c)
+}
+
+func measureRelay(c *costs) {
+	s := series{role: roleEntry, name: costRelayToken, unit: "us", size: "tokens of the answer", design: heldTokens()}
+	c.add(s, tokenSizes, func(tokens int) (float64, error) {
+		encoded := encodedFrames(tokens)
+		reader := frame.NewReader(nil)
+		var failed error
+		micros, err := c.meter.micros(func(n int) {
+			for range n {
+				if _, err := relayed(reader, encoded); err != nil {
+					failed = err
+				}
+			}
+		})
+		if failed != nil {
+			return 0, failed
+		}
+		return micros / float64(tokens), err
+	})
+	s = series{role: roleEntry, name: costRelayMemory, unit: "bytes", size: "tokens held", design: heldTokens()}
+	c.bytes(s, tokenSizes, func(tokens int) float64 {
+		const answers = 20
+		encoded := encodedFrames(tokens)
+		reader := frame.NewReader(nil)
+		return heapBytes(func() any {
+			held := make([]*generation.Relay, answers)
+			for i := range held {
+				held[i], _ = relayed(reader, encoded)
+			}
+			return held
+		}) / answers
+	})
+}
+
+func measureSession(c *costs) {
+	s := series{role: roleAgent, name: costAppendToken, unit: "us", size: "tokens of the answer", design: heldTokens()}
+	c.add(s, tokenSizes, func(tokens int) (float64, error) {
+		micros, err := c.meter.micros(func(n int) {
+			for range n {
+				produced(tokens, true)
+			}
+		})
+		return micros / float64(tokens), err
+	})
+	s = series{role: roleAgent, name: costSession, unit: "bytes", size: "tokens held", design: heldTokens()}
+	c.bytes(s, tokenSizes, func(tokens int) float64 {
+		const answers = 20
+		return heapBytes(func() any {
+			held := make([]*session.Session, answers)
+			for i := range held {
+				held[i] = produced(tokens, false)
+			}
+			return held
+		}) / answers
+	})
+}
+
+func measureFrames(c *costs) {
+	s := series{role: roleAgent, name: costFrameBytes, unit: "bytes", size: "tokens in the frame", design: 1}
+	c.bytes(s, []int{1, 8, 64}, func(tokens int) float64 {
+		f := frame.Frame{Kind: frame.KindTokens, Generation: 1, Position: 1_000}
+		for i := range tokens {
+			f.Tokens = append(f.Tokens, tokenOf(1_000+i))
+		}
+		return float64(len(frame.Append(nil, &f)))
+	})
+	s = series{role: roleAgent, name: costHeartbeat, unit: "bytes", size: "position", design: heldTokens()}
+	c.bytes(s, tokenSizes, func(position int) float64 {
+		f := frame.Frame{
+			Kind: frame.KindHeartbeat, Generation: 1, Position: wigeonfork.Position(position),
+			Load: frame.Load{Running: residents, Waiting: residents, Changes: uint32(position)},
+		}
+		return float64(len(frame.Append(nil, &f)))
+	})
+}
+
+func resumeCall(tokens int) *agentapi.Generate {
+	resumed := call()
+	for i := range tokens {
+		resumed.Prefix = append(resumed.Prefix, tokenOf(i))
+	}
+	return resumed
+}
+
+func measureResume(c *costs) {
+	s := series{role: roleEntry, name: costResumeEncode, unit: "us", size: "tokens held", design: heldTokens()}
+	c.add(s, tokenSizes, func(tokens int) (float64, error) {
+		resumed := resumeCall(tokens)
+		var failed error
+		micros, err := c.meter.micros(func(n int) {
+			for range n {
+				if _, err := json.Marshal(resumed); err != nil {
+					failed = err
+				}
+			}
+		})
+		if failed != nil {
+			return 0, failed
+		}
+		return micros, err
+	})
+	s = series{role: roleEntry, name: costResumeBytes, unit: "bytes", size: "tokens held", design: heldTokens()}
+	c.add(s, tokenSizes, func(tokens int) (float64, error) {
+		data, err := json.Marshal(resumeCall(tokens))
+		return float64(len(data)), err
+	})
+}
+
+// heartbeatsPerSecond is the rate of heartbeat frames on a stream, which an
+// agent sends beside its tokens.
+const heartbeatsPerSecond = float64(time.Second) / float64(agentapi.HeartbeatInterval)
