Judge no engine by a single token

Cause: before the first time between two tokens was observed, the limit for the next token was the floor of 400 ms. An engine with 500 ms between tokens lost each stream behind its first token, at every engine anew, until all engines counted as suspect: 400 streams at 2 tokens a second made 457 losses in six seconds and none of the engines ready. Change: the ceiling holds until a time between tokens is known. Test: seen red before the change.

--- a/generation/interval.go
+++ b/generation/interval.go
@@ -28,6 +28,9 @@
 	e.deviation += (difference - e.deviation) / (intervalWeight / 2)
 }
 
+// known reports whether any time between tokens was observed.
+func (e *intervalEstimate) known() bool { return e.mean > 0 }
+
 // usual returns the mean plus its deviation.
 func (e *intervalEstimate) usual() time.Duration {
 	return e.mean + e.deviation
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -275,6 +275,9 @@
 		}
 		return r.limits.FirstToken
 	}
+	if !r.interval.known() {
+		return r.limits.StallCeiling
+	}
 	limit := r.interval.usual() * time.Duration(r.limits.StallFactor)
 	return min(max(limit, r.limits.StallFloor), r.limits.StallCeiling)
 }
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -153,6 +153,20 @@
 	})
 }
 
+func TestRelayDoesNotJudgeAnEngineByOneToken(t *testing.T) {
+	Convey("An engine with 500 ms between tokens is not held to be stalled after its first token", t, func() {
+		relay := NewRelay(DefaultLimits())
+		g := relay.Begin(start)
+		So(relay.Accept(start, tokensFrame(g, 0, 1)), ShouldEqual, VerdictAppended)
+		beat := func(after time.Duration) Suspicion {
+			relay.Accept(start.Add(after), &frame.Frame{Kind: frame.KindHeartbeat, Generation: g})
+			return relay.Check(start.Add(after))
+		}
+		So(beat(500*time.Millisecond), ShouldEqual, SuspicionNone)
+		So(beat(DefaultLimits().StallCeiling+time.Millisecond), ShouldEqual, SuspicionEngineStalled)
+	})
+}
+
 func TestRelayChoosesHowToGoOn(t *testing.T) {
 	Convey("Given a relay with tokens", t, func() {
 		relay := NewRelay(DefaultLimits())
