--- a/cmd/wigeon-experiment/main.go
+++ b/cmd/wigeon-experiment/main.go
@@ -51,13 +51,14 @@
 }
 
 type relayCommand struct {
-	Part string `long:"part" description:"run only this part" choice:"latency" choice:"throughput"`
+	Part    string `long:"part" description:"run only this part" choice:"latency" choice:"throughput" choice:"streams"`
+	Streams int    `long:"streams" description:"open streams of the part streams" default:"4000"`
 }
 
 // Execute implements flags.Commander.
 func (c *relayCommand) Execute([]string) error {
 	return run(func(out, csv io.Writer) (int, error) {
-		return relay.Run(out, relay.Options{Quick: settings.Quick, Part: relay.Part(c.Part), CSV: csv})
+		return relay.Run(out, relay.Options{Quick: settings.Quick, Part: relay.Part(c.Part), Streams: c.Streams, CSV: csv})
 	})
 }
 
--- a/experiment/relay/relay.go
+++ b/experiment/relay/relay.go
@@ -55,15 +55,18 @@
 const (
 	PartLatency    Part = "latency"
 	PartThroughput Part = "throughput"
+	PartStreams    Part = "streams"
 )
 
 // Options describe a run.
 type Options struct {
 	// Quick runs a tenth of the load, to try the experiment out.
 	Quick bool
-	// Part is the part to run; empty runs all.
+	// Part is the part to run; empty runs latency and throughput.
 	Part Part
-	CSV  io.Writer
+	// Streams is the number of open streams of PartStreams.
+	Streams int
+	CSV     io.Writer
 }
 
 // Run measures over processes that have one core each. It returns the number of
@@ -76,7 +79,7 @@
 	defer func() { _ = binaries.Remove() }()
 	var engines []engine.Options
 	for range agents {
-		engines = append(engines, engine.Options{TokensPerSecond: tokensPerSecond, Slots: slots})
+		engines = append(engines, options.engine())
 	}
 	system, err := realsystem.Start(realsystem.Options{Binaries: binaries, Engines: engines, Environment: []string{"WIGEON_LOG_LEVEL=warn", "GOMAXPROCS=1"}})
 	if err != nil {
@@ -98,11 +101,24 @@
 			return 0, err
 		}
 	}
+	if options.Part == PartStreams {
+		if err := openStreams(r, system, options.Streams/divisor); err != nil {
+			return 0, err
+		}
+	}
 	return r.Print()
 }
 
 func (o *Options) runs(part Part) bool { return o.Part == "" || o.Part == part }
 
+// engine returns the engine for the parts that run.
+func (o *Options) engine() engine.Options {
+	if o.Part == PartStreams {
+		return engine.Options{TokensPerSecond: heldTokensPerSecond, Slots: o.Streams}
+	}
+	return engine.Options{TokensPerSecond: tokensPerSecond, Slots: slots}
+}
+
 // times are the first-token and inter-token times of many streams.
 type times struct {
 	mu    sync.Mutex
