--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,8 @@
 
 import (
 	"net"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,7 +27,7 @@
 	WeightsAddress string        `long:"weights-address" env:"WIGEON_WEIGHTS_ADDRESS" description:"IP address and port of the weight store"`
 	HostsAddress   string        `long:"hosts-address" env:"WIGEON_HOSTS_ADDRESS" description:"IP address and port of the list of hosts" required:"true"`
 	DrainLimit     time.Duration `long:"drain-limit" env:"WIGEON_DRAIN_LIMIT" description:"longest time to wait for answers under way when leaving" default:"10m"`
-	LogLevel       string        `long:"log-level" env:"WIGEON_LOG_LEVEL" description:"least level of events to log" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
+	LogLevel       string        `long:"log-level" env:"WIGEON_LOG_LEVEL" value-name:"LEVEL" description:"least level of events to log: debug, info, warn or error" default:"info"`
 }
 
 // Entry holds the settings of an entry.
@@ -39,8 +41,8 @@
 	Process
 	BackendServer  string   `long:"backend-server" env:"WIGEON_BACKEND_SERVER" description:"name of the backend server beside this agent" required:"true"`
 	BackendAddress string   `long:"backend-address" env:"WIGEON_BACKEND_ADDRESS" description:"IP address and port of the backend server" required:"true"`
-	BackendKind    string   `long:"backend-kind" env:"WIGEON_BACKEND_KIND" description:"kind of the backend server" choice:"engine" choice:"service" default:"engine"`
-	Without        []string `long:"without" env:"WIGEON_WITHOUT" env-delim:"," description:"capability that the engine lacks" choice:"resume" choice:"continue" choice:"cancel" choice:"priority" choice:"cache-events" choice:"fencing"`
+	BackendKind    string   `long:"backend-kind" env:"WIGEON_BACKEND_KIND" value-name:"KIND" description:"kind of the backend server: engine or service" default:"engine"`
+	Without        []string `long:"without" env:"WIGEON_WITHOUT" env-delim:"," value-name:"CAPABILITY" description:"capability that the engine lacks: resume, continue, cancel, priority, cache-events or fencing"`
 }
 
 // minKeyBytes is the shortest secret that is accepted.
@@ -98,7 +100,7 @@
 	if p.DrainLimit < 0 || p.DrainLimit > maxDrainLimit {
 		return errors.Newf("drain-limit must be from 0 to %s", maxDrainLimit)
 	}
-	return nil
+	return checkChoice("log-level", p.LogLevel, "debug", "info", "warn", "error")
 }
 
 // Validate checks the settings of an entry.
@@ -114,6 +116,14 @@
 	if err := a.Process.Validate(); err != nil {
 		return err
 	}
+	if err := checkChoice("backend-kind", a.BackendKind, "engine", "service"); err != nil {
+		return err
+	}
+	for _, capability := range a.Without {
+		if err := checkChoice("without", capability, "resume", "continue", "cancel", "priority", "cache-events", "fencing"); err != nil {
+			return err
+		}
+	}
 	return checkAddress("backend-address", a.BackendAddress)
 }
 
@@ -143,6 +153,15 @@
 	return nil
 }
 
+// checkChoice does what the parser's own choices do; those would widen the
+// help text beyond what can be read.
+func checkChoice(name, value string, choices ...string) error {
+	if slices.Contains(choices, value) {
+		return nil
+	}
+	return errors.Newf("%s: %q is none of %s", name, value, strings.Join(choices, ", "))
+}
+
 func checkKey(name, value string) error {
 	if len(value) < minKeyBytes {
 		return errors.Newf("%s must have at least %d bytes", name, minKeyBytes)
