--- a/generation/lifecycle.go
+++ b/generation/lifecycle.go
@@ -27,8 +27,8 @@
 	eventAbandon  = "abandon"
 )
 
-// lifecycleEvents is the table of an answer's life cycle. It stands in
-// docs/DESIGN.md too.
+// lifecycleEvents is the table of the life cycle of an answer. It stands in
+// docs/design/serving.md too.
 var lifecycleEvents = fsm.Events{
 	{Name: eventDispatch, Src: []string{StateNew, StateInterrupted}, Dst: StateDispatched},
 	{Name: eventToken, Src: []string{StateDispatched}, Dst: StateStreaming},
