--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -65,7 +65,12 @@
 	AgentDrainLimit time.Duration
 	// EntryDrainLimit is the drain limit of the entries; 0 means a minute.
 	EntryDrainLimit time.Duration
-	Log             *telemetry.Logger
+	// AgentPath and EnginePath return the address at which an agent or an
+	// engine is reached instead of its own, such as that of a proxy. They may be
+	// nil.
+	AgentPath  func(host wigeonfork.HostID, address string) (string, error)
+	EnginePath func(engine int, address string) (string, error)
+	Log        *telemetry.Logger
 }
 
 // System is a running system with its stand-ins.
@@ -159,6 +164,11 @@
 	return wigeonfork.BackendServerID(fmt.Sprintf("engine-%d", i))
 }
 
+// AgentHost returns the name of the host of the agent beside engine i.
+func AgentHost(i int) wigeonfork.HostID {
+	return wigeonfork.HostID(fmt.Sprintf("agent-%d", i))
+}
+
 // ServiceID returns the name of the backend server that is plain service i.
 func ServiceID(i int) wigeonfork.BackendServerID {
 	return wigeonfork.BackendServerID(fmt.Sprintf("service-%d", i))
@@ -198,11 +208,18 @@
 }
 
 func (s *System) newAgent(i int) (*Node[*agent.Agent], error) {
+	address := s.World.Engines[i].Addr()
+	if s.options.EnginePath != nil {
+		var err error
+		if address, err = s.options.EnginePath(i, address); err != nil {
+			return nil, err
+		}
+	}
 	return s.startAgent(agent.Options{
-		Host:          wigeonfork.HostID(fmt.Sprintf("agent-%d", i)),
+		Host:          AgentHost(i),
 		Domain:        domainOf(i),
 		BackendServer: ServerID(i),
-		Engine:        httpbackend.NewEngine(httpbackend.Options{Address: s.World.Engines[i].Addr(), Capabilities: allCapabilities()}),
+		Engine:        httpbackend.NewEngine(httpbackend.Options{Address: address, Capabilities: allCapabilities()}),
 	})
 }
 
@@ -222,8 +239,14 @@
 	if err != nil {
 		return nil, err
 	}
+	address := serve.Addr().String()
+	if s.options.AgentPath != nil {
+		if address, err = s.options.AgentPath(options.Host, address); err != nil {
+			return nil, err
+		}
+	}
 	a.Start(serve, control)
-	node := &Node[*agent.Agent]{Process: a, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: options.Metrics}
+	node := &Node[*agent.Agent]{Process: a, Address: address, Control: control.Addr().String(), Metrics: options.Metrics}
 	s.World.Hosts.Put(platform.Host{
 		ID: options.Host, Role: platform.RoleAgent, State: platform.HostLive, Region: "local", Domain: options.Domain,
 		ServeAddress: node.Address, ControlAddress: node.Control, BackendServer: options.BackendServer,
@@ -237,7 +260,23 @@
 
 // AddEntry starts an entry.
 func (s *System) AddEntry() error {
-	i := len(s.Entries)
+	node, err := s.newEntry(len(s.Entries))
+	if err == nil {
+		s.Entries = append(s.Entries, node)
+	}
+	return err
+}
+
+// ReplaceEntry starts a new entry in place of entry i, at other ports.
+func (s *System) ReplaceEntry(i int) error {
+	node, err := s.newEntry(i)
+	if err == nil {
+		s.Entries[i] = node
+	}
+	return err
+}
+
+func (s *System) newEntry(i int) (*Node[*entry.Entry], error) {
 	metrics := telemetry.NewRegistry()
 	host := wigeonfork.HostID(fmt.Sprintf("entry-%d", i))
 	e, err := entry.New(entry.Options{
@@ -255,20 +294,19 @@
 		DrainLimit:  s.options.EntryDrainLimit,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	serve, control, err := listen()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	e.Start(serve, control)
 	node := &Node[*entry.Entry]{Process: e, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: metrics}
-	s.Entries = append(s.Entries, node)
 	s.World.Hosts.Put(platform.Host{
 		ID: host, Role: platform.RoleEntry, State: platform.HostLive, Region: "local", Domain: domainOf(i),
 		ServeAddress: node.Address, ControlAddress: node.Control,
 	})
-	return nil
+	return node, nil
 }
 
 func listen() (serve, control net.Listener, err error) {
