Test that logs and dumps hold no content and bad input harms no one

Garbage, half-sent and huge input at the serve and control listeners of entries and agents leaves another caller's answer whole and reaches no engine.

--- /dev/null
+++ b/embedded/reach_test.go
@@ -0,0 +1,119 @@
+package embedded
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// recorder collects what is logged.
+type recorder struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (r *recorder) Write(data []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(data)
+}
+
+func (r *recorder) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.String()
+}
+
+// dump returns the state dump of the process at a control address.
+func dump(address string) string {
+	hello := peer.Hello{ID: "test", Role: peer.RoleOperator, Credential: Credentials().Operator}
+	client, err := peer.Dial(context.Background(), address, hello, nil)
+	So(err, ShouldBeNil)
+	defer func() { _ = client.Close() }()
+	var raw json.RawMessage
+	So(client.Call(context.Background(), peer.MethodDump, peer.None{}, &raw), ShouldBeNil)
+	return string(raw)
+}
+
+func TestLogsAndDumpsHoldNoContent(t *testing.T) {
+	Convey("Neither logs at any level nor dumps hold prompts, answers or secrets", t, func() {
+		log := &recorder{}
+		options := Options{Entries: 2, Log: telemetry.NewLogger(log, "debug", "test", "test")}
+		for range 3 {
+			options.Engines = append(options.Engines, engine.Options{TokensPerSecond: 100, BufferFor: time.Minute})
+		}
+		system, err := Start(options)
+		So(err, ShouldBeNil)
+		defer system.Close()
+		const prompt = "Hardship-of-Applicant-4711"
+		var dumps strings.Builder
+		text, _, err := disturb(system, prompt, func(i int) {
+			for _, node := range system.Entries {
+				dumps.WriteString(dump(node.Control))
+			}
+			for _, node := range system.Agents {
+				dumps.WriteString(dump(node.Control))
+			}
+			system.World.Engines[i].Kill()
+		})
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, expected(prompt))
+		said := log.String() + dumps.String()
+		So(said, ShouldContainSubstring, "source_lost")
+		So(dumps.String(), ShouldContainSubstring, "streaming")
+		for _, secret := range []string{prompt, text[:20], text[len(text)-20:], peerKey, operatorKey, handleKey} {
+			So(strings.Contains(said, secret), ShouldBeFalse)
+		}
+	})
+}
+
+func TestMalformedInputHarmsNoOtherCaller(t *testing.T) {
+	Convey("Garbage, half-sent and huge input at every listener leaves other answers whole", t, func() {
+		system := startSystem(t, 1, 2)
+		defer system.Close()
+		inputs := []string{
+			"",
+			"\x00\xff\x00\xff",
+			"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Le",
+			"POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Workspace: demo\r\nContent-Length: 4000000\r\n\r\n{\"prompt\":",
+			"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+			"GET / HTTP/1.1\r\nX-Large: " + strings.Repeat("x", 1<<20),
+			"Content-Length: 99999999999\r\n\r\n{",
+			"Content-Length: 20\r\n\r\n{\"jsonrpc\":\"2.0\"",
+			strings.Repeat("{", 1<<20),
+		}
+		addresses := []string{system.Entries[0].Address, system.Entries[0].Control}
+		for _, node := range system.Agents {
+			addresses = append(addresses, node.Address, node.Control)
+		}
+		var open []net.Conn
+		for _, address := range addresses {
+			for _, input := range inputs {
+				conn, err := net.Dial("tcp", address)
+				So(err, ShouldBeNil)
+				So(conn.SetWriteDeadline(time.Now().Add(time.Second)), ShouldBeNil)
+				// The other side may refuse the rest; that is its right.
+				_, _ = conn.Write([]byte(input))
+				open = append(open, conn)
+			}
+		}
+		text, _, err := disturb(system, "Undisturbed", func(int) {})
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, expected("Undisturbed"))
+		So(engineRuns(system), ShouldEqual, 1)
+		for _, conn := range open {
+			So(conn.Close(), ShouldBeNil)
+		}
+	})
+}
