Decode engine events with one json.Decoder for each stream

Change: one json.Decoder reads the events of a stream, one at a time; an event that holds no object, half of one or more than one breaks the stream. null, which was passed over before, breaks it too.

--- a/backend/httpbackend/stream.go
+++ b/backend/httpbackend/stream.go
@@ -35,10 +35,34 @@
 	// event is decoded into again for each event; its tokens are not.
 	event     CompletionChunk
 	lastCount int
+	// data is what json reads: one event at a time.
+	data  bytes.Reader
+	json  *json.Decoder
+	taken int64
 }
 
 func newDecoder(r io.Reader, maxEvent int) *decoder {
-	return &decoder{reader: bufio.NewReaderSize(r, readBufferBytes), maxEvent: maxEvent}
+	d := &decoder{reader: bufio.NewReaderSize(r, readBufferBytes), maxEvent: maxEvent}
+	d.json = json.NewDecoder(&d.data)
+	return d
+}
+
+// unmarshal decodes data, which must hold one JSON object and nothing else. One
+// json.Decoder serves all events, since json.Unmarshal allocates its state for
+// each. After an error it stays unusable, as the stream does.
+func (d *decoder) unmarshal(data []byte, into *CompletionChunk) error {
+	if data[0] != '{' {
+		return errors.New("event is no JSON object")
+	}
+	d.data.Reset(data)
+	if err := d.json.Decode(into); err != nil {
+		return err
+	}
+	d.taken += int64(len(data))
+	if d.json.InputOffset() != d.taken {
+		return errors.New("event holds more than one JSON object")
+	}
+	return nil
 }
 
 // next returns the next chunk. It fails with io.EOF only after the last one.
@@ -70,7 +94,7 @@
 func (d *decoder) chunk(data []byte) (backend.Chunk, error) {
 	event := &d.event
 	*event = CompletionChunk{Tokens: make([]backend.Token, 0, d.lastCount)}
-	if err := json.Unmarshal(data, event); err != nil {
+	if err := d.unmarshal(data, event); err != nil {
 		return backend.Chunk{}, errors.Wrap(err, "event")
 	}
 	d.lastCount = min(len(event.Tokens), maxTokensAhead)
