--- a/agent/command/bench_test.go
+++ b/agent/command/bench_test.go
@@ -25,7 +25,7 @@
 // attached returns a session that one reader is attached to.
 func attached() *session.Session {
 	s := session.New(&agentapi.Generate{Generation: 1}, time.Now(), func() {})
-	r := newReader(discard{http.Header{}}, s, 0, writeTimeout)
+	r := newReader(discard{http.Header{}}, s, 0, noLoad, writeTimeout)
 	r.number = s.Attach(r.wake, r.push)
 	return s
 }
--- a/experiment/capacity/stream.go
+++ b/experiment/capacity/stream.go
@@ -69,7 +69,7 @@
 
 func produced(tokens int, encode bool) *session.Session {
 	s := session.New(call(), began, func() {})
-	reader, _ := s.Attach()
+	reader := s.Attach(make(chan struct{}, 1), func() {})
 	var f frame.Frame
 	var buf []byte
 	for i := range tokens {
