--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/membership"
 )
 
 // The paths that an agent serves.
@@ -72,9 +73,14 @@
 	Domain        wigeonfork.FailureDomain   `json:"failure_domain"`
 	// Incarnation changes with each start of the agent.
 	Incarnation string `json:"incarnation"`
-	// Sequence grows with each status of one incarnation.
-	Sequence uint64 `json:"sequence"`
-	Leaving  bool   `json:"leaving"`
+	// Life changes with each start and each pause of the agent. Sequence grows
+	// with each status of one life.
+	Life     membership.Incarnation `json:"life"`
+	Sequence uint64                 `json:"sequence"`
+	// Changes counts what entries should not miss: it differs from the count in
+	// a heartbeat frame if the status is out of date.
+	Changes uint32 `json:"changes"`
+	Leaving bool   `json:"leaving"`
 	// Plain tells that the backend server is a plain service.
 	Plain bool `json:"plain,omitempty"`
 	// EngineUp is false while the backend server does not answer.
@@ -95,6 +101,11 @@
 // generation, without its prefix.
 const PathCall = "/call"
 
+// HeaderReader names the reader that an entry is at a session. An entry that
+// attaches again or releases says which reader it was, so that it can't undo
+// the doing of an entry that displaced it.
+const HeaderReader = "X-Reader"
+
 // GenerationPath returns the path of one generation.
 func GenerationPath(id wigeonfork.RequestID, g wigeonfork.Generation) string {
 	return PathAttach + "/" + url.PathEscape(string(id)) + "/" + strconv.FormatUint(uint64(g), 10)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,8 @@
 	stop       context.CancelFunc
 	wait       sync.WaitGroup
 	sharer     *sharer
+	// owner names this process start in leases.
+	owner string
 	// self is how other entries reach this one.
 	self platform.Host
 }
@@ -105,10 +107,18 @@
 	e := &Entry{options: options, answers: session.NewTable(), background: background, stop: stop}
 	e.pool = workpool.New(poolWorkers, poolQueue)
 	e.agents = agentapi.NewClient(options.Credentials.Peer)
+	e.owner = string(options.Host) + "/" + uuid.NewString()
 	hello := peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer}
-	e.peers = peer.NewPool(hello, maxPeers)
+	e.peers = peer.NewPool(hello, maxPeers, nil)
 	e.gate = gate.New(gate.Options{Seed: seedOf(options.Host), Policy: options.Policy, Metrics: options.Metrics})
-	e.fleet = fleet.New(fleet.Options{Domain: options.Domain, Hello: hello, Log: options.Log, Metrics: options.Metrics})
+	e.evidence = moves.NewEvidence(e.owner)
+	e.fleet = fleet.New(fleet.Options{
+		Domain:          options.Domain,
+		EngineRestarted: e.evidence.Restarted,
+		Hello:           hello,
+		Log:             options.Log,
+		Metrics:         options.Metrics,
+	})
 	changes := store.New(options.Table, options.Objects, store.Options{})
 	e.config = configuration.New(configuration.Options{
 		Host:    options.Host,
@@ -121,11 +131,9 @@
 		Metrics: options.Metrics,
 	})
 	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: options.MoveSettle, Progress: e.moveStatus}
-	owner := string(options.Host) + "/" + uuid.NewString()
-	e.evidence = moves.NewEvidence(owner)
 	e.controller = moves.NewController(moves.Options{
 		Host:       options.Host,
-		Owner:      owner,
+		Owner:      e.owner,
 		Table:      options.Table,
 		Store:      changes,
 		Keeper:     e.config,
@@ -224,13 +232,14 @@
 	e.controller.SetAddress(e.self.ControlAddress)
 	e.spawn(func() { e.controller.Run(e.background) })
 	e.spawn(e.reportEvidence)
+	e.spawn(e.housekeeping)
 	e.spawn(func() { e.gate.Run(e.background) })
 	e.spawn(e.shareGate)
 	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
 }
 
-func (e *Entry) applyHosts(hosts []platform.Host) {
-	e.fleet.ApplyHosts(e.background, hosts)
+func (e *Entry) applyHosts(hosts []platform.Host, asOf time.Time) {
+	e.fleet.ApplyHosts(time.Now(), hosts, asOf)
 	e.config.SetPeers(hosts)
 }
 
@@ -257,43 +266,13 @@
 	}
 }
 
-// drainPoll is the time between two looks at the remaining answers.
-const drainPoll = 20 * time.Millisecond
-
-// Drain stops taking new requests and waits for the answers under way up to
-// the drain limit.
-func (e *Entry) Drain(ctx context.Context) {
-	e.status.SetLeaving()
-	e.answers.CloseToNew()
-	e.options.Log.Info().Int("answers", e.answers.Len()).Msg("drain_started")
-	limited, cancel := context.WithTimeout(ctx, e.options.DrainLimit)
-	defer cancel()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for e.answers.Len() > 0 && limited.Err() == nil {
-		select {
-		case <-ticker.C:
-		case <-limited.Done():
-		}
-	}
-	if err := e.executor.Close(limited); err != nil {
-		e.options.Log.Warn().Str("step", "drain").Err(err).Msg("outcomes_unrecorded")
-	}
-	e.options.Log.Info().Int("unfinished", e.answers.Len()).Msg("drain_ended")
-}
-
-func (e *Entry) drainOnRequest(context.Context, *peer.Session, peer.None) (peer.None, error) {
-	e.spawn(func() { e.Drain(e.background) })
-	return peer.None{}, nil
-}
-
 // Stop ends the entry at once.
 func (e *Entry) Stop() {
 	e.stop()
 	e.control.Close()
 	_ = e.server.Close()
 	e.wait.Wait()
-	e.fleet.Wait()
+	e.fleet.Close()
 	e.pool.Close()
 	e.peers.Close()
 	e.config.Close()
--- a/entry/session/answer.go
+++ b/entry/session/answer.go
@@ -31,6 +31,9 @@
 	busy      bool
 	detach    context.CancelFunc
 	suspicion generation.Suspicion
+	// condemned: the request is known to crash engines.
+	condemned bool
+	handOver  bool
 }
 
 // NewAnswer returns an answer without tokens.
@@ -73,6 +76,10 @@
 	a.agent = agent
 	a.detach = detach
 	a.suspicion = generation.SuspicionNone
+	if a.condemned {
+		a.suspicion = generation.SuspicionRequest
+		detach()
+	}
 }
 
 // Accept judges a frame; see generation.Relay.
@@ -107,11 +114,12 @@
 	return a.suspicion
 }
 
-// Interrupt detaches the answer from its source because the request is held to
-// crash engines.
+// Interrupt detaches the answer from its source, and from any later one, because
+// the request is known to crash engines.
 func (a *Answer) Interrupt() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.condemned = true
 	if a.detach == nil || a.suspicion != generation.SuspicionNone {
 		return
 	}
@@ -119,6 +127,24 @@
 	a.detach()
 }
 
+// HandOver makes the answer leave its source, so that its caller goes on
+// through another entry.
+func (a *Answer) HandOver() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.handOver = true
+	if a.detach != nil {
+		a.detach()
+	}
+}
+
+// HandedOver reports whether the caller is to go on through another entry.
+func (a *Answer) HandedOver() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.handOver
+}
+
 // Lose notes that the source is lost and returns how to go on and why the
 // source was held to be lost.
 func (a *Answer) Lose(reachable bool) (generation.NextStep, generation.Suspicion) {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -148,29 +148,29 @@
 	}
 }
 
-// addIncrement adds to the test of the route and load, and to those of all
-// routes, all loads, and both.
+// addIncrement adds to the test of the route. Pooled ones add to that of all
+// routes too; for the others all routes have windows of their own.
 func (j *Judge) addIncrement(epoch int64, found Increment) {
-	for _, route := range [...]Route{j.route(found.Route), allRoutes} {
-		if found.Pooled {
+	if found.Pooled {
+		for _, route := range [...]Route{j.route(found.Route), allRoutes} {
 			if test := j.pooledGroup(route).of(found.Criterion); test != nil {
 				test.add(epoch, found.Logs, found.Totals)
 			}
-			continue
-		}
-		if int(found.Criterion) >= numMatched || found.Load >= anyLoad {
-			continue
-		}
-		for _, load := range [...]LoadLevel{found.Load, anyLoad} {
-			j.group(limitKey{route, load})[found.Criterion].add(epoch, found.Logs, found.Totals)
 		}
+		return
+	}
+	if int(found.Criterion) >= numMatched || found.Load >= anyLoad {
+		return
+	}
+	for _, load := range [...]LoadLevel{found.Load, anyLoad} {
+		j.group(limitKey{j.route(found.Route), load})[found.Criterion].add(epoch, found.Logs, found.Totals)
 	}
 }
 
 func (j *Judge) addCharge(epoch int64, found Charge) {
 	for _, route := range [...]Route{j.route(found.Route), allRoutes} {
 		if test := j.pooledGroup(route).of(found.Criterion); test != nil {
-			test.charge(epoch, j.matchedLimit(), found.Server, found.Logs)
+			test.charge(epoch, j.pooledLimit(), found.Server, found.Logs)
 		}
 	}
 }
@@ -195,6 +195,9 @@
 
 // route returns the name under which a route is judged.
 func (j *Judge) route(r Route) Route {
+	if r == allRoutes {
+		return r
+	}
 	if _, known := j.routes[r]; known {
 		return r
 	}
@@ -205,6 +208,10 @@
 	return r
 }
 
+// Dropped returns how many reports came from more processes than are told
+// apart.
+func (j *Judge) Dropped() uint64 { return j.dropped }
+
 func (j *Judge) epoch(now time.Time, length time.Duration) int64 {
 	return int64(now.Sub(j.began) / length)
 }
@@ -216,11 +223,17 @@
 	return math.Log(float64(tests*len(oddsRatios)) * epochs / part)
 }
 
-// matchedLimit takes account of the routes that there are.
+// matchedLimit and pooledLimit take account of the routes that there are. The
+// two kinds of test share alike in what engine deaths leave of FalseStop, as
+// the few pooled ones would else be held back by the many others.
 func (j *Judge) matchedLimit() float64 {
-	routes := len(j.routes) + 1
-	tests := routes*int(anyLoad+1)*numMatched + routes*len(pooledCriteria)
-	return j.limit(j.config.FalseStop*(1-deathPart), tests, testEpoch)
+	tests := (len(j.routes) + 1) * int(anyLoad+1) * numMatched
+	return j.limit(j.config.FalseStop*(1-deathPart)/2, tests, testEpoch)
+}
+
+func (j *Judge) pooledLimit() float64 {
+	tests := (len(j.routes) + 1) * len(pooledCriteria)
+	return j.limit(j.config.FalseStop*(1-deathPart)/2, tests, testEpoch)
 }
 
 // Verdict returns the state of the comparison.
@@ -250,6 +263,7 @@
 			}
 		}
 	}
+	limit = j.pooledLimit()
 	for route, g := range j.pooled {
 		for i := range g {
 			if evidence := g[i].evidence(); evidence > 0 {
