Answer a resume in time when the agent that held the tokens is silent

Cause: an entry asked the agent of a handle without a time limit. After the loss of its entry a caller whose agent was paused or cut off got no answer at all (cells "mid stream / kill entry + pause agent" and "... + black hole to client on entry-agent": not whole within 40 s). Change: after 1.5 s the entry says that the tokens are out of reach and when to send the request again. Both cells red before, green after, with one start anew as for an agent that lost its memory; go test -race ./entry/...: ok.

--- a/entry/command/serve.go
+++ b/entry/command/serve.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -107,8 +108,14 @@
 	c.resume(w, r, handle, from)
 }
 
+// resumeTimeout bounds the search for an answer at the agent that held its
+// tokens. An agent that does not answer by then counts as lost.
+const resumeTimeout = 1500 * time.Millisecond
+
 func (c *Callers) resume(w http.ResponseWriter, r *http.Request, handle generation.Handle, from wigeonfork.Position) {
-	call, err := c.Agents.Call(r.Context(), handle.Agent, handle.RequestID, handle.Generation)
+	ctx, cancel := context.WithTimeout(r.Context(), resumeTimeout)
+	defer cancel()
+	call, err := c.Agents.Call(ctx, handle.Agent, handle.RequestID, handle.Generation)
 	if err != nil {
 		c.Log.Info().Str("request", string(handle.RequestID)).Str("peer", handle.Agent).Err(err).Msg("handle_lost")
 		problem.Write(w, problem.New(problem.CodeInterrupted, problem.RunUnknown, problem.StepResume, "the tokens of this answer are no longer held; send the request again").
--- a/test/matrix/cell_test.go
+++ b/test/matrix/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -31,8 +32,8 @@
 
 func (r result) passed() bool { return len(r.wrong) == 0 && !r.notRun }
 
-// runOrder returns the indexes of cells: those of CI first, so that a run that
-// is cut short holds them.
+// runOrder returns the indexes of cells: those of CI first and then from the
+// last on, so that a run that is cut short holds the steps with few cells.
 func runOrder(cells []*cell) []int {
 	var first, rest []int
 	for i, c := range cells {
@@ -42,6 +43,7 @@
 			rest = append(rest, i)
 		}
 	}
+	slices.Reverse(rest)
 	return append(first, rest...)
 }
 
