--- a/test/matrix/report_test.go
+++ b/test/matrix/report_test.go
@@ -21,32 +21,84 @@
 	"A passed action may have ended with a typed unknown outcome where its agent or service was lost after the claim; the page does not tell these from the others.",
 }
 
-// faultsReport returns the page with a line for every cell.
-func faultsReport(results []result) string {
-	var page strings.Builder
-	passed, notRun := 0, 0
+// outcomes of lines in the page.
+const (
+	passedText = "passed"
+	failedText = "FAILED: "
+	notRunText = "not run"
+)
+
+// faultsReport returns the page with a line for every cell. Cells that this run
+// did not reach keep the result that they have in the page before.
+func faultsReport(results []result, before string) string {
+	fresh := map[string]string{}
 	for _, r := range results {
-		if r.passed() {
-			passed++
+		if !r.notRun {
+			fresh[r.cell.name()] = outcome(r)
+		}
+	}
+	old := readResults(before)
+	var lines strings.Builder
+	counts := map[string]int{}
+	cells := allCells()
+	for _, c := range cells {
+		text := notRunText
+		if known, ok := old[c.name()]; ok {
+			text = known
 		}
-		if r.notRun {
-			notRun++
+		if known, ok := fresh[c.name()]; ok {
+			text = known
 		}
+		counts[kindOf(text)]++
+		fmt.Fprintf(&lines, "| %s | %s | %s | %s |\n", c.step, c.fault, mark(c.ci), text)
 	}
-	fmt.Fprintf(&page, "# Fault matrix\n\n"+
-		"Each line is one fault (or several at once) at one step, brought about between real entries\n"+
-		"and agents behind fault-injecting proxies, and checked from the outside. This page is written by\n\n"+
-		"    go test -timeout 60m ./test/matrix/ -args -full -report -seed %d\n\n"+
-		"Cells: %d, passed: %d, failed: %d, not run: %d. \"CI\" marks the cells that run without arguments.\n\n"+
-		"| step | fault | CI | result |\n| --- | --- | --- | --- |\n", *seed, len(results), passed, len(results)-passed-notRun, notRun)
-	for _, r := range results {
-		fmt.Fprintf(&page, "| %s | %s | %s | %s |\n", r.cell.step, r.cell.fault, mark(r.cell.ci), outcome(r))
+	return fmt.Sprintf(pageHead, *seed, len(cells), counts[passedText], counts[failedText], counts[notRunText]) + lines.String() + unprovedList()
+}
+
+const pageHead = `# Fault matrix
+
+Each line is one fault (or several at once) at one step, brought about between real entries
+and agents behind fault-injecting proxies, and checked from the outside. This page is written by
+
+    go test -timeout 60m ./test/matrix/ -args -full -report -seed %d
+
+With -cell TEXT only some cells are run again; the lines of the others stay.
+
+Cells: %d, passed: %d, failed: %d, not run: %d. "CI" marks the cells that run without arguments.
+
+| step | fault | CI | result |
+| --- | --- | --- | --- |
+`
+
+// readResults returns the results in a page by the names of their cells.
+func readResults(page string) map[string]string {
+	found := map[string]string{}
+	for _, line := range strings.Split(page, "\n") {
+		columns := strings.Split(strings.Trim(line, "|"), " | ")
+		if len(columns) == reportColumns {
+			found[strings.TrimSpace(columns[0])+" / "+columns[1]] = strings.TrimSpace(columns[3])
+		}
+	}
+	return found
+}
+
+// reportColumns is the number of columns of the table.
+const reportColumns = 4
+
+func kindOf(text string) string {
+	if strings.HasPrefix(text, failedText) {
+		return failedText
 	}
-	page.WriteString("\n## Not yet proved\n\n")
+	return text
+}
+
+func unprovedList() string {
+	var list strings.Builder
+	list.WriteString("\n## Not yet proved\n\n")
 	for _, point := range unproved {
-		fmt.Fprintf(&page, "- %s\n", point)
+		fmt.Fprintf(&list, "- %s\n", point)
 	}
-	return page.String()
+	return list.String()
 }
 
 func mark(ci bool) string {
@@ -62,17 +114,22 @@
 func outcome(r result) string {
 	switch {
 	case r.notRun:
-		return "not run"
+		return notRunText
 	case r.passed():
-		return "passed"
+		return passedText
 	}
 	text := strings.NewReplacer("|", "/", "\n", " ").Replace(strings.Join(r.wrong, "; "))
 	if len(text) > maxOutcome {
 		text = strings.ToValidUTF8(text[:maxOutcome], "")
 	}
-	return "FAILED: " + text
+	return failedText + text
 }
 
 func saveReport(results []result) error {
-	return os.WriteFile(reportPath, []byte(faultsReport(results)), 0o644)
+	// There is no page before the first run.
+	before, err := os.ReadFile(reportPath)
+	if err != nil && !os.IsNotExist(err) {
+		return err
+	}
+	return os.WriteFile(reportPath, []byte(faultsReport(results, string(before))), 0o644)
 }
