Cut what control costs with the number of hosts

Change: the reads of the list share a rate of 500/s; the fleet looks at its subset and describes what it has heard; a move is told of changes only.

--- a/configuration/hosts.go
+++ b/configuration/hosts.go
@@ -9,31 +9,44 @@
 )
 
 const (
-	// hostListInterval is the time between two readings of the list of hosts.
+	// hostListInterval is the least time between two readings of the list of
+	// hosts.
 	hostListInterval = time.Second
+	// hostListReads is the rate, per second, at which all hosts together may
+	// read the list.
+	hostListReads = 500
 	// hostListTimeout bounds one reading.
 	hostListTimeout = 2 * time.Second
 )
 
+// hostListWait returns the time to the next reading of a list of hosts, so that
+// the readings of all do not grow with their number.
+func hostListWait(hosts int) time.Duration {
+	return max(hostListInterval, time.Duration(hosts)*time.Second/hostListReads)
+}
+
 // WatchHosts reads the platform's list of hosts until ctx ends and tells apply
 // each reading that succeeds, with the time at which the list stood so.
 func WatchHosts(ctx context.Context, list platform.HostList, log *telemetry.Logger, apply func(hosts []platform.Host, asOf time.Time)) {
-	ticker := time.NewTicker(hostListInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	wait := hostListInterval
 	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
 		limited, cancel := context.WithTimeout(ctx, hostListTimeout)
 		hosts, asOf, err := list.Hosts(limited)
 		cancel()
 		switch {
 		case err == nil:
 			apply(hosts, asOf)
+			wait = hostListWait(len(hosts))
 		case ctx.Err() == nil:
 			log.Warn().Str("step", "membership").Err(err).Msg("host_list_failed")
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+		timer.Reset(wait)
 	}
 }
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -51,12 +51,16 @@
 func (f *Fleet) tick(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, s := range f.servers {
-		f.tracker.Streams(id, s.streams)
+	for _, id := range f.tracker.Subset() {
+		if s, ok := f.servers[id]; ok {
+			f.tracker.Streams(id, s.streams)
+		}
 	}
 	f.carryOut(now, f.tracker.Tick(now))
-	for _, s := range f.servers {
-		f.refresh(now, s)
+	for _, id := range f.tracker.Subset() {
+		if s, ok := f.servers[id]; ok {
+			f.refresh(now, s)
+		}
 	}
 }
 
@@ -68,6 +72,9 @@
 	for _, refute := range actions.Refutes {
 		f.refute(refute)
 	}
+	if actions.SubsetChanged {
+		f.refreshAll(now)
+	}
 	for _, change := range actions.Changes {
 		if s, ok := f.servers[change.BackendServer]; ok {
 			f.refresh(now, s)
@@ -272,6 +279,14 @@
 // that are taken in.
 const heartbeatInterval = 500 * time.Millisecond
 
+// refreshAll brings the states of all servers up to date, those included that
+// have left the subset.
+func (f *Fleet) refreshAll(now time.Time) {
+	for _, s := range f.servers {
+		f.refresh(now, s)
+	}
+}
+
 // refresh brings the router's state of s up to what is known.
 func (f *Fleet) refresh(now time.Time, s *server) {
 	f.setState(now, s, f.stateOf(now, s))
@@ -318,7 +333,10 @@
 	defer f.mu.Unlock()
 	f.snapshot = snapshot
 	for _, s := range f.servers {
-		f.describe(s)
+		// One that was never heard serves nothing that is known.
+		if s.status.Life != 0 {
+			f.describe(s)
+		}
 	}
 }
 
--- a/moves/driver.go
+++ b/moves/driver.go
@@ -31,6 +31,9 @@
 	// recorded is the revision of the move's row as last written or read.
 	recorded platform.Revision
 	state    rollout.State
+	// told is what the move was last told of each backend server. Only tick
+	// uses it.
+	told map[wigeonfork.BackendServerID]rollout.ServerReport
 }
 
 // eventQueue is the room for outcomes of actions under way.
@@ -166,6 +169,7 @@
 	defer d.mu.Unlock()
 	d.move = move
 	d.fencing = fencing
+	d.told = map[wigeonfork.BackendServerID]rollout.ServerReport{}
 	d.recorded = row.Revision
 	d.state = move.State()
 	return true
@@ -225,7 +229,8 @@
 	return plan.WithDefaults()
 }
 
-// reports returns what the backend servers hold.
+// reports returns what the backend servers hold, where it has changed since it
+// was last told to the move.
 func (d *driver) reports() []rollout.Event {
 	d.mu.Lock()
 	deployment := d.deployment
@@ -241,7 +246,10 @@
 			report.OldReady = report.OldReady || version.Version == deployment.Move.From
 			report.NewReady = report.NewReady || version.Version == deployment.Move.To
 		}
-		events = append(events, report)
+		if d.told[id] != report {
+			d.told[id] = report
+			events = append(events, report)
+		}
 	}
 	return events
 }
