--- a/agent/agent.go
+++ b/agent/agent.go
@@ -151,18 +151,18 @@
 
 // Start serves on the two listeners until Stop. It returns at once.
 func (a *Agent) Start(serve, control net.Listener) {
-	a.spawn(func() { httpserver.Serve(a.server, serve, a.options.Log) })
-	a.spawn(func() { a.logError("control_ended", a.control.Serve(control)) })
-	a.spawn(func() { a.status.Run(a.background) })
-	a.spawn(a.reap)
+	a.wait.Go(func() { httpserver.Serve(a.server, serve, a.options.Log) })
+	a.wait.Go(func() { a.logError("control_ended", a.control.Serve(control)) })
+	a.wait.Go(func() { a.status.Run(a.background) })
+	a.wait.Go(a.reap)
 	a.config.SetSelf(platform.Host{
 		ID: a.options.Host, Role: platform.RoleAgent, State: platform.HostLive, Domain: a.options.Domain,
 		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(), BackendServer: a.options.BackendServer,
 	})
-	a.spawn(func() { a.config.Run(a.background) })
-	a.spawn(func() { configuration.WatchHosts(a.background, a.options.Hosts, a.options.Log, a.applyHosts) })
+	a.wait.Go(func() { a.config.Run(a.background) })
+	a.wait.Go(func() { configuration.WatchHosts(a.background, a.options.Hosts, a.options.Log, a.applyHosts) })
 	if a.actions != nil {
-		a.spawn(func() { a.actions.Record(a.background) })
+		a.wait.Go(func() { a.actions.Record(a.background) })
 	}
 	a.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).
 		Str("backend_server", string(a.options.BackendServer)).Msg("agent_started")
@@ -170,14 +170,6 @@
 
 func (a *Agent) applyHosts(hosts []platform.Host, _ time.Time) { a.config.SetPeers(hosts) }
 
-func (a *Agent) spawn(run func()) {
-	a.wait.Add(1)
-	go func() {
-		defer a.wait.Done()
-		run()
-	}()
-}
-
 func (a *Agent) logError(event string, err error) {
 	if err != nil {
 		a.options.Log.Error().Err(err).Msg(event)
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -57,6 +57,6 @@
 }
 
 func (a *Agent) drainOnRequest(context.Context, *peer.Session, peer.None) (peer.None, error) {
-	a.spawn(func() { a.Drain(a.background) })
+	a.wait.Go(func() { a.Drain(a.background) })
 	return peer.None{}, nil
 }
--- a/ctl/move.go
+++ b/ctl/move.go
@@ -83,6 +83,12 @@
 	if m.Reason != "" {
 		text += ": " + m.Reason
 	}
+	if m.Controller != "" {
+		text += ", driven by " + m.Controller
+	}
+	if status.Progress != nil && status.Progress.Waiting != "" {
+		text += "\n  waiting: " + status.Progress.Waiting
+	}
 	for _, stop := range status.Stops {
 		text += fmt.Sprintf("\n  stopped %s by %s at %s: %s", stop.Version, stop.By, stop.At.Format(timeFormat), stop.Evidence)
 	}
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -46,6 +46,6 @@
 }
 
 func (e *Entry) drainOnRequest(context.Context, *peer.Session, peer.None) (peer.None, error) {
-	e.spawn(func() { e.Drain(e.background) })
+	e.wait.Go(func() { e.Drain(e.background) })
 	return peer.None{}, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -219,23 +219,23 @@
 		ID: e.options.Host, Role: platform.RoleEntry, State: platform.HostLive, Domain: e.options.Domain,
 		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(),
 	}
-	e.spawn(func() { httpserver.Serve(e.server, serve, e.options.Log) })
-	e.spawn(func() {
+	e.wait.Go(func() { httpserver.Serve(e.server, serve, e.options.Log) })
+	e.wait.Go(func() {
 		if err := e.control.Serve(control); err != nil {
 			e.options.Log.Error().Err(err).Msg("control_ended")
 		}
 	})
-	e.spawn(func() { e.fleet.Run(e.background) })
+	e.wait.Go(func() { e.fleet.Run(e.background) })
 	e.config.SetSelf(e.self)
-	e.spawn(func() { e.config.Run(e.background) })
-	e.spawn(func() { configuration.WatchHosts(e.background, e.options.Hosts, e.options.Log, e.applyHosts) })
-	e.spawn(e.check)
+	e.wait.Go(func() { e.config.Run(e.background) })
+	e.wait.Go(func() { configuration.WatchHosts(e.background, e.options.Hosts, e.options.Log, e.applyHosts) })
+	e.wait.Go(e.check)
 	e.controller.SetAddress(e.self.ControlAddress)
-	e.spawn(func() { e.controller.Run(e.background) })
-	e.spawn(e.reportEvidence)
-	e.spawn(e.housekeeping)
-	e.spawn(func() { e.gate.Run(e.background) })
-	e.spawn(e.shareGate)
+	e.wait.Go(func() { e.controller.Run(e.background) })
+	e.wait.Go(e.reportEvidence)
+	e.wait.Go(e.housekeeping)
+	e.wait.Go(func() { e.gate.Run(e.background) })
+	e.wait.Go(e.shareGate)
 	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
 }
 
@@ -244,14 +244,6 @@
 	e.config.SetPeers(hosts)
 }
 
-func (e *Entry) spawn(run func()) {
-	e.wait.Add(1)
-	go func() {
-		defer e.wait.Done()
-		run()
-	}()
-}
-
 func (e *Entry) check() {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
--- a/entry/housekeeping.go
+++ b/entry/housekeeping.go
@@ -52,7 +52,7 @@
 		e.options.Log.Error().Str("scope", housekeepingScope).Err(err).Msg("lease_config_invalid")
 		return
 	}
-	e.spawn(func() { keeper.Run(e.background) })
+	e.wait.Go(func() { keeper.Run(e.background) })
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
 	for {
