Measure resumes after losses of paths, of the entry and of both

Change: the resume experiment puts fault proxies before agents and engines and adds the entry's death, the death of entry and agent together, resets, silence in each direction, half-open connections, a cut frame and a slow engine.

--- a/experiment/resume/resume.go
+++ b/experiment/resume/resume.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,8 @@
 	rounds           = 25
 	quickRounds      = 3
 	timeout          = 30 * time.Second
+	// lanes is the number of systems that are measured at once.
+	lanes = 2
 )
 
 // Options describe a run.
@@ -45,56 +48,6 @@
 	CSV   io.Writer
 }
 
-// loss is one kind of loss.
-type loss struct {
-	name string
-	// seen tells that the agent sees the engine's death.
-	seen   bool
-	strike func(s *embedded.System, engine int)
-	heal   func(s *embedded.System, engine int) error
-}
-
-func losses() []loss {
-	return []loss{
-		{
-			name:   "engine death",
-			seen:   true,
-			strike: func(s *embedded.System, i int) { s.World.Engines[i].Kill() },
-			heal:   func(s *embedded.System, i int) error { return s.World.Engines[i].Restart() },
-		},
-		{
-			name:   "agent death",
-			strike: func(s *embedded.System, i int) { s.Agents[i].Process.Stop() },
-			heal:   func(s *embedded.System, i int) error { return s.ReplaceAgent(i) },
-		},
-		{
-			name: "host death",
-			strike: func(s *embedded.System, i int) {
-				s.World.Engines[i].Kill()
-				s.Agents[i].Process.Stop()
-			},
-			heal: func(s *embedded.System, i int) error {
-				return errors.CombineErrors(s.World.Engines[i].Restart(), s.ReplaceAgent(i))
-			},
-		},
-		{
-			name:   "engine pause",
-			strike: func(s *embedded.System, i int) { s.World.Engines[i].Pause() },
-			heal:   func(s *embedded.System, i int) error { s.World.Engines[i].Continue(); return nil },
-		},
-		{
-			name: "engine stuck",
-			strike: func(s *embedded.System, i int) {
-				s.World.Engines[i].Update(func(o *engine.Options) { o.Stuck = true })
-			},
-			heal: func(s *embedded.System, i int) error {
-				s.World.Engines[i].Update(func(o *engine.Options) { o.Stuck = false })
-				return nil
-			},
-		},
-	}
-}
-
 // Run measures all kinds of loss and returns the number of targets missed.
 func Run(out io.Writer, options Options) (int, error) {
 	r := report.New(out, options.CSV, "loss", "answers", "whole", "gap p50 ms", "gap p99 ms", "gap max ms",
@@ -103,12 +56,31 @@
 	if options.Quick {
 		count = quickRounds
 	}
-	for _, l := range losses() {
-		m, err := measure(l, count)
-		if err != nil {
-			return 0, errors.Wrap(err, l.name)
-		}
-		m.report(r, l)
+	kinds := losses()
+	results := make([]*measurement, len(kinds))
+	var group sync.WaitGroup
+	failures := make(chan error, len(kinds))
+	for lane := range lanes {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for i := lane; i < len(kinds); i += lanes {
+				m, err := measure(kinds[i], count)
+				if err != nil {
+					failures <- errors.Wrap(err, kinds[i].name)
+					return
+				}
+				results[i] = m
+			}
+		}()
+	}
+	group.Wait()
+	close(failures)
+	for err := range failures {
+		return 0, err
+	}
+	for i, m := range results {
+		m.report(r, kinds[i])
 	}
 	return r.Print()
 }
@@ -125,6 +97,9 @@
 	r.Row(l.name, m.answers, m.whole, m.gaps.Millis(50), m.gaps.Millis(99), m.gaps.Millis(100),
 		m.parts[0], m.parts[1], m.parts[2], fmt.Sprintf("%.2f%%", m.again))
 	r.AtLeast(l.name+": whole answers", float64(m.whole), float64(m.answers), "")
+	if m.whole == 0 {
+		return
+	}
 	r.AtMost(l.name+": gap p99", m.gaps.Millis(99), boundP99, "ms")
 	if l.seen {
 		r.AtMost(l.name+": gap p50", m.gaps.Millis(50), boundMedianHot, "ms")
@@ -132,38 +107,38 @@
 }
 
 func measure(l loss, rounds int) (*measurement, error) {
-	options := embedded.Options{}
-	for range engines {
-		options.Engines = append(options.Engines, engine.Options{TokensPerSecond: tokensPerSecond, BufferFor: time.Minute})
-	}
-	system, err := embedded.Start(options)
+	system, err := start()
 	if err != nil {
 		return nil, err
 	}
-	defer system.Close()
+	defer system.close()
 	m := &measurement{gaps: report.NewSamples()}
 	for round := range rounds {
 		if err := m.round(system, l, round); err != nil {
 			return nil, err
 		}
 	}
-	m.readParts(system.Entries[0].Metrics)
+	m.readParts(system.metrics)
 	m.again = tokensAgain(system, m.answers)
 	return m, nil
 }
 
 // round streams one answer with one loss in its middle. The interruption is
 // the longest time between two events.
-func (m *measurement) round(system *embedded.System, l loss, round int) error {
+func (m *measurement) round(system *faulty, l loss, round int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	prompt := fmt.Sprintf("%s %d", l.name, round)
 	request := caller.Request{Workspace: embedded.Workspace, Model: embedded.Model, Prompt: prompt, MaxTokens: maxTokens, Seed: uint64(round)}
 	client := caller.Client{HTTP: http.DefaultClient}
+	var entries []string
+	for _, e := range system.Entries {
+		entries = append(entries, e.Address)
+	}
 	struck, events := -1, 0
 	var gap time.Duration
 	last := time.Now()
-	text, _, err := client.Whole(ctx, []string{system.Entries[0].Address}, request, func(caller.Event) {
+	text, _, err := client.Whole(ctx, entries, request, func(caller.Event) {
 		now := time.Now()
 		if events > 0 {
 			gap = max(gap, now.Sub(last))
@@ -177,8 +152,8 @@
 	m.answers++
 	if err == nil && text == expected(prompt, uint64(round)) {
 		m.whole++
+		m.gaps.Add(gap)
 	}
-	m.gaps.Add(gap)
 	if struck < 0 {
 		return errors.New("no engine was running the answer")
 	}
@@ -196,9 +171,17 @@
 	return text.String()
 }
 
-func (m *measurement) readParts(metrics telemetry.Registry) {
+// readParts reads the parts of the interruptions from the entry that saw most
+// of them.
+func (m *measurement) readParts(entries []telemetry.Registry) {
+	most := entries[0]
+	for _, entry := range entries {
+		if telemetry.Counter(entry, "relay.resumed").Count() > telemetry.Counter(most, "relay.resumed").Count() {
+			most = entry
+		}
+	}
 	for i, name := range []string{command.MetricDetection, command.MetricChoice, command.MetricFirstToken} {
-		m.parts[i] = median(telemetry.Histogram(metrics, name))
+		m.parts[i] = median(telemetry.Histogram(most, name))
 	}
 }
 
@@ -208,12 +191,15 @@
 
 // tokensAgain returns the tokens generated beyond those of the answers, in
 // percent.
-func tokensAgain(system *embedded.System, answers int) float64 {
+func tokensAgain(system *faulty, answers int) float64 {
 	var generated uint64
 	for _, e := range system.World.Engines {
 		generated += e.TokensGenerated()
 	}
-	useful := float64(telemetry.Counter(system.Entries[0].Metrics, "relay.tokens").Count())
+	useful := 0.0
+	for _, metrics := range system.metrics {
+		useful += float64(telemetry.Counter(metrics, "relay.tokens").Count())
+	}
 	if useful == 0 || answers == 0 {
 		return 0
 	}
