Count objects and new connections of an entry's calls in the capacity figures

Cause: a change of a large deployment writes an object beside its row, and calls to all other entries in turn mostly need a new connection; neither was counted. Engine deaths were named after hosts that fail, which report none.

--- a/experiment/capacity/operator.go
+++ b/experiment/capacity/operator.go
@@ -15,6 +15,8 @@
 	costChangeReads  = "reads of the table by a change"
 	costColdReads    = "reads of the table by a process's first change"
 	costChangeWrites = "writes of the table by a change"
+	costObjectWrites = "objects written by a change"
+	costObjectBytes  = "bytes of objects written by a change"
 	costChangeMicros = "check and accept a change"
 )
 
@@ -45,6 +47,15 @@
 	return nil
 }
 
+// bytes returns the size of all objects.
+func (o objects) bytes() int {
+	total := 0
+	for _, data := range o {
+		total += len(data)
+	}
+	return total
+}
+
 // accepting is a store with a configuration in it.
 type accepting struct {
 	table   *table.Table
@@ -119,6 +130,16 @@
 		_, writes, err := a.load(a.store, changes)
 		return writes, err
 	})
+	add(costObjectWrites, "objects", func(a *accepting) (float64, error) {
+		before := len(a.objects)
+		_, _, err := a.load(a.store, changes)
+		return float64(len(a.objects)-before) / changes, err
+	})
+	add(costObjectBytes, "bytes", func(a *accepting) (float64, error) {
+		before := a.objects.bytes()
+		_, _, err := a.load(a.store, changes)
+		return float64(a.objects.bytes()-before) / changes, err
+	})
 	add(costChangeMicros, "us", func(a *accepting) (float64, error) {
 		var failed error
 		micros, err := c.meter.micros(func(n int) {
--- a/experiment/capacity/roles.go
+++ b/experiment/capacity/roles.go
@@ -29,18 +29,28 @@
 	// random hosts, need another one.
 	keptPeers    = 64
 	newPeerShare = 1 - keptPeers/float64(designHosts)
-	// hostDeaths a day.
-	hostDeaths = 91
+	// keptEntries is the number of connections that an entry keeps to others;
+	// newEntryShare of its calls to all in turn need another one.
+	keptEntries   = 32
+	newEntryShare = 1 - keptEntries/float64(designEntries)
+	// engineDeaths a day under an agent that lives on, taken to be as many as
+	// hosts fail.
+	engineDeaths = 91
 
 	streamsPerEntry = openStreams / designEntries
 	streamsPerAgent = openStreams / designAgents
 	changesPerSec   = designChangesPerDay / secondsPerDay
-	deathsPerSec    = hostDeaths / secondsPerDay
+	deathsPerSec    = engineDeaths / secondsPerDay
 )
 
 // callBytes returns what a call of a payload puts on the network.
 func callBytes(payload float64) float64 { return payload + segmentsPerCall*packetBytes }
 
+// connectBytes returns what a new connection puts on the network.
+func connectBytes(c *costs) float64 {
+	return c.line(costConnectBytes).slope + segmentsPerConnect*packetBytes
+}
+
 // parts works out what each role spends at the size to design for.
 func parts(c *costs, s spread) []part {
 	var list []part
@@ -59,8 +69,8 @@
 	return []part{
 		{role: roleEntry, name: "membership: ticks and polls", bytes: polls * callBytes(c.at(costPollBytes)),
 			micros: c.at(costFleetRun) + polls*c.at(costPollMicros), memory: c.at(costFleetMemory)},
-		{role: roleEntry, name: "engine deaths told to other entries", bytes: 2 * calls * callBytes(c.at(costShareBytes)),
-			micros: calls*c.line(costPollMicros).at(0) + deathsPerSec*c.at(costDied), memory: c.at(costQuarantine)},
+		{role: roleEntry, name: "engine deaths told to other entries", bytes: 2 * calls * (callBytes(c.at(costShareBytes)) + newEntryShare*connectBytes(c)),
+			micros: calls*(c.line(costPollMicros).at(0)+newEntryShare*c.line(costConnectMicros).slope) + deathsPerSec*c.at(costDied), memory: c.at(costQuarantine)},
 		{role: roleEntry, name: "evidence, all models moving", bytes: c.at(costEvidence) + designModels*callBytes(0)},
 		{role: roleEntry, name: "decisions on requests", micros: entryRequests * decisions, memory: c.at(costAdmission)},
 		{role: roleEntry, name: "heartbeats of open answers", bytes: streamsPerEntry * heartbeatsPerSecond * heartbeatWire(c)},
@@ -87,7 +97,7 @@
 // everyParts is what every process spends on the configuration and the list.
 func everyParts(c *costs, s spread, r role) []part {
 	message := c.line(costRevisionBytes).at(s.payload) + segmentsPerNotice*packetBytes
-	message += newPeerShare * (c.line(costConnectBytes).slope + segmentsPerConnect*packetBytes)
+	message += newPeerShare * connectBytes(c)
 	micros := c.line(costRevisionTime).at(s.payload) + newPeerShare*c.line(costConnectMicros).slope
 	list := part{role: r, name: "host list, read once a second", bytes: c.at(costListBytes), micros: c.at(costListDecode), memory: c.at(costHostsMemory)}
 	install := part{role: r, name: "changes installed", micros: changesPerSec * c.at(costInstall), memory: c.at(costSnapshot)}
