Take a finished request off its server also when its caller is gone

Cause: an answer whose last write failed stayed charged to its backend server and in the quarantine's runs, found by reading. Change: the accounting comes before the write; entry.New in short steps.

--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -308,25 +308,30 @@
 
 // complete delivers the rest and the end.
 func (r *run) complete() {
+	r.noteCompleted()
 	relay := r.answer.Relay()
 	end := relay.Log().Len()
-	if r.delivered < end {
-		if r.write(relay.Log().Text(r.delivered, end), end) != nil {
-			return
-		}
-	}
-	if r.place != nil {
-		now := time.Now()
-		r.Fleet.Finished(now, r.place, uint32(end))
-		r.Gate.Completed(now, r.answer.Key)
-		r.observeEnd(now, rollout.OutcomeOK)
-		r.Gate.Succeeded(now, r.origin())
+	if r.delivered < end && r.write(relay.Log().Text(r.delivered, end), end) != nil {
+		return
 	}
 	if r.sink.finish(relay) == nil {
 		telemetry.Counter(r.Metrics, "relay.completed").Inc(1)
 	}
 }
 
+// noteCompleted takes the request off its server, whether or not the caller is
+// still there.
+func (r *run) noteCompleted() {
+	if r.place == nil {
+		return
+	}
+	now := time.Now()
+	r.Fleet.Finished(now, r.place, uint32(r.answer.Relay().Log().Len()))
+	r.Gate.Completed(now, r.answer.Key)
+	r.observeEnd(now, rollout.OutcomeOK)
+	r.Gate.Succeeded(now, r.origin())
+}
+
 // abandon frees the engine of an answer whose caller went away. The agent
 // keeps it for a moment in case the caller comes back.
 func (r *run) abandon() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,45 +104,79 @@
 		return nil, err
 	}
 	background, stop := context.WithCancel(context.Background())
-	e := &Entry{options: options, answers: session.NewTable(), background: background, stop: stop}
-	e.pool = workpool.New(poolWorkers, poolQueue)
-	e.agents = agentapi.NewClient(options.Credentials.Peer)
-	e.owner = string(options.Host) + "/" + uuid.NewString()
+	e := &Entry{
+		options:    options,
+		owner:      string(options.Host) + "/" + uuid.NewString(),
+		answers:    session.NewTable(),
+		pool:       workpool.New(poolWorkers, poolQueue),
+		agents:     agentapi.NewClient(options.Credentials.Peer),
+		background: background,
+		stop:       stop,
+	}
 	hello := peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer}
+	e.provisionFleet(hello)
+	e.provisionConfiguration(hello)
+	e.provisionCallers(sealer)
+	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Gate: e.gate, Configuration: e.config}
+	e.sharer = newSharer(e)
+	e.control = peer.NewServer(options.Credentials)
+	e.registerControl()
+	e.server = httpserver.New(e.routes())
+	return e, nil
+}
+
+// provisionFleet makes what the entry knows of backend servers and requests.
+func (e *Entry) provisionFleet(hello peer.Hello) {
 	e.peers = peer.NewPool(hello, maxPeers, nil)
-	e.gate = gate.New(gate.Options{Seed: seedOf(options.Host), Policy: options.Policy, Metrics: options.Metrics})
+	e.gate = gate.New(gate.Options{Seed: seedOf(e.options.Host), Policy: e.options.Policy, Metrics: e.options.Metrics})
 	e.evidence = moves.NewEvidence(e.owner)
 	e.fleet = fleet.New(fleet.Options{
-		Domain:          options.Domain,
+		Domain:          e.options.Domain,
 		EngineRestarted: e.evidence.Restarted,
 		Hello:           hello,
-		Log:             options.Log,
-		Metrics:         options.Metrics,
+		Log:             e.options.Log,
+		Metrics:         e.options.Metrics,
 	})
-	changes := store.New(options.Table, options.Objects, store.Options{})
+}
+
+// provisionConfiguration makes what keeps, changes and acts on the
+// configuration. The fleet must have been made.
+func (e *Entry) provisionConfiguration(hello peer.Hello) {
+	changes := store.New(e.options.Table, e.options.Objects, store.Options{})
 	e.config = configuration.New(configuration.Options{
-		Host:    options.Host,
-		Domain:  options.Domain,
-		Seed:    seedOf(options.Host),
+		Host:    e.options.Host,
+		Domain:  e.options.Domain,
+		Seed:    seedOf(e.options.Host),
 		Reader:  changes,
 		Hello:   hello,
 		Install: e.fleet.Install,
-		Log:     options.Log,
-		Metrics: options.Metrics,
+		Log:     e.options.Log,
+		Metrics: e.options.Metrics,
 	})
-	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: options.MoveSettle, Progress: e.moveStatus}
+	e.operators = &operator.Server{
+		Store:    changes,
+		Keeper:   e.config,
+		Weights:  e.options.Weights,
+		Settle:   e.options.MoveSettle,
+		Progress: e.moveStatus,
+	}
 	e.controller = moves.NewController(moves.Options{
-		Host:       options.Host,
+		Host:       e.options.Host,
 		Owner:      e.owner,
-		Table:      options.Table,
+		Table:      e.options.Table,
 		Store:      changes,
 		Keeper:     e.config,
-		Weights:    options.Weights,
+		Weights:    e.options.Weights,
 		Servers:    &fleet.Orders{Fleet: e.fleet, Peers: e.peers},
 		Candidates: e.fleet.Entries,
-		Log:        options.Log,
-		Metrics:    options.Metrics,
+		Log:        e.options.Log,
+		Metrics:    e.options.Metrics,
 	})
+}
+
+// provisionCallers makes what serves callers. The fleet and the configuration
+// must have been made.
+func (e *Entry) provisionCallers(sealer *generation.Sealer) {
 	e.callers = &command.Callers{
 		Configuration: e.config,
 		Relayer: &command.Relayer{
@@ -151,16 +185,16 @@
 			Answers:  e.answers,
 			Sealer:   sealer,
 			Gate:     e.gate,
-			Policy:   options.Policy,
+			Policy:   e.options.Policy,
 			Evidence: e.evidence,
-			Limits:   options.Limits,
+			Limits:   e.options.Limits,
 			Pool:     e.pool,
-			Metrics:  options.Metrics,
-			Log:      options.Log,
+			Metrics:  e.options.Metrics,
+			Log:      e.options.Log,
 		},
 	}
 	e.executor = action.NewExecutor(action.Config{
-		Table:      options.Table,
+		Table:      e.options.Table,
 		Dispatcher: command.Dispatcher{Agents: e.agents},
 		Limits:     action.DefaultLimits(),
 	})
@@ -168,16 +202,10 @@
 		Executor:      e.executor,
 		Fleet:         e.fleet,
 		Configuration: e.config,
-		Metrics:       options.Metrics,
-		Log:           options.Log,
+		Metrics:       e.options.Metrics,
+		Log:           e.options.Log,
 		Accept:        e.answers.Hold,
 	}
-	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Gate: e.gate, Configuration: e.config}
-	e.sharer = newSharer(e)
-	e.control = peer.NewServer(options.Credentials)
-	e.registerControl()
-	e.server = httpserver.New(e.routes())
-	return e, nil
 }
 
 // seedOf gives each host its own random sequence.
