--- a/moves/controller.go
+++ b/moves/controller.go
@@ -57,12 +57,14 @@
 
 	mu      sync.Mutex
 	drivers map[string]*driver
-	wait    sync.WaitGroup
+	// ended holds the moves in the configuration of which nothing is left to do.
+	ended map[string]bool
+	wait  sync.WaitGroup
 }
 
 // NewController returns a Controller without moves.
 func NewController(options Options) *Controller {
-	return &Controller{options: options, drivers: map[string]*driver{}}
+	return &Controller{options: options, drivers: map[string]*driver{}, ended: map[string]bool{}}
 }
 
 // SetAddress tells where evidence for this controller is to be sent. It is
@@ -98,11 +100,21 @@
 		}
 		id := ID(d)
 		present[id] = true
-		if known := c.drivers[id]; known != nil {
+		known := c.drivers[id]
+		switch {
+		case c.ended[id]:
+		case known == nil:
+			c.start(ctx, id, d)
+		case known.closed():
+			c.end(id, known)
+		default:
 			known.update(d)
-			continue
 		}
-		c.start(ctx, id, d)
+	}
+	for id := range c.ended {
+		if !present[id] {
+			delete(c.ended, id)
+		}
 	}
 	for id, known := range c.drivers {
 		if !present[id] {
@@ -112,6 +124,13 @@
 	}
 }
 
+// end gives the lease of a move back of which nothing is left to do.
+func (c *Controller) end(id string, known *driver) {
+	known.cancel()
+	delete(c.drivers, id)
+	c.ended[id] = true
+}
+
 func (c *Controller) start(ctx context.Context, id string, d *template.Deployment) {
 	running, cancel := context.WithCancel(ctx)
 	next := newDriver(c.options, id, d, cancel)
--- a/moves/driver.go
+++ b/moves/driver.go
@@ -63,6 +63,14 @@
 	d.judge.Merge(now, evidence)
 }
 
+// closed reports whether nothing is left to be done, in the move and in what the
+// configuration is to say.
+func (d *driver) closed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.move != nil && d.move.Closed() && d.wanted == nil && d.deployment.Move.State == template.MoveState(d.move.State())
+}
+
 func (d *driver) status(now time.Time) (rollout.Status, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
