Provision an agent in short steps

Cause: agent.New had grown to sixty lines. Change: work, configuration and status are made one after another. Conclusion: reads better.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -52,6 +52,7 @@
 // Agent is one agent.
 type Agent struct {
 	options     Options
+	incarnation action.Incarnation
 	sessions    *session.Table
 	generations *command.Generations
 	actions     *command.Actions
@@ -72,40 +73,69 @@
 	if (options.Engine == nil) == (options.Service == nil) {
 		return nil, errors.New("an agent needs either an engine or a plain service")
 	}
-	incarnation := action.NewIncarnation()
 	background, stop := context.WithCancel(context.Background())
-	a := &Agent{options: options, sessions: session.NewTable(), background: background, stop: stop}
+	a := &Agent{
+		options:     options,
+		incarnation: action.NewIncarnation(),
+		sessions:    session.NewTable(),
+		background:  background,
+		stop:        stop,
+	}
+	a.provisionWork()
+	a.provisionConfiguration()
+	a.provisionStatus()
+	a.control = peer.NewServer(options.Credentials)
+	a.registerControl()
+	a.server = httpserver.New(a.routes())
+	return a, nil
+}
+
+// provisionWork makes what runs generations and actions.
+func (a *Agent) provisionWork() {
 	a.generations = &command.Generations{
-		Engine:     options.Engine,
+		Engine:     a.options.Engine,
 		Table:      a.sessions,
-		Metrics:    options.Metrics,
-		Log:        options.Log,
-		Background: background,
+		Metrics:    a.options.Metrics,
+		Log:        a.options.Log,
+		Background: a.background,
+		Deaths: &command.Deaths{
+			Server:      a.options.BackendServer,
+			Incarnation: string(a.incarnation),
+			Table:       a.sessions,
+		},
 	}
-	if options.Service != nil {
-		recorder := action.NewExecutor(action.Config{Table: options.Table, Limits: action.DefaultLimits()})
-		a.actions = command.NewActions(options.Service, recorder, incarnation, background, options.Log, options.Metrics)
+	if a.options.Service != nil {
+		recorder := action.NewExecutor(action.Config{Table: a.options.Table, Limits: action.DefaultLimits()})
+		a.actions = command.NewActions(a.options.Service, recorder, a.incarnation, a.background, a.options.Log, a.options.Metrics)
 	}
+}
+
+func (a *Agent) provisionConfiguration() {
 	a.config = configuration.New(configuration.Options{
-		Host:    options.Host,
-		Domain:  options.Domain,
-		Seed:    xxhash.Sum64String(string(options.Host)),
-		Reader:  store.New(options.Table, options.Objects, store.Options{}),
-		Hello:   peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer},
+		Host:    a.options.Host,
+		Domain:  a.options.Domain,
+		Seed:    xxhash.Sum64String(string(a.options.Host)),
+		Reader:  store.New(a.options.Table, a.options.Objects, store.Options{}),
+		Hello:   peer.Hello{ID: string(a.options.Host), Role: peer.RolePeer, Credential: a.options.Credentials.Peer},
 		Install: func(*template.Snapshot) {},
-		Log:     options.Log,
-		Metrics: options.Metrics,
+		Log:     a.options.Log,
+		Metrics: a.options.Metrics,
 	})
+}
+
+// provisionStatus makes the reports of the agent and ties the generations to
+// them. Work and configuration must have been made.
+func (a *Agent) provisionStatus() {
 	reporter := query.ReporterOptions{
-		Host:          options.Host,
-		Domain:        options.Domain,
-		BackendServer: options.BackendServer,
-		Incarnation:   string(incarnation),
-		Engine:        options.Engine,
+		Host:          a.options.Host,
+		Domain:        a.options.Domain,
+		BackendServer: a.options.BackendServer,
+		Incarnation:   string(a.incarnation),
+		Engine:        a.options.Engine,
 		Table:         a.sessions,
 		Revision:      a.config.Revision,
 		GiveUp:        a.generations.GiveUp,
-		Log:           options.Log,
+		Log:           a.options.Log,
 	}
 	if a.actions != nil {
 		reporter.Actions = a.actions
@@ -114,11 +144,6 @@
 	a.generations.EngineIncarnation = a.status.EngineIncarnation
 	a.generations.EngineDown = a.status.EngineDown
 	a.generations.Load = a.status.Load
-	a.generations.Deaths = &command.Deaths{Server: options.BackendServer, Incarnation: string(incarnation), Table: a.sessions}
-	a.control = peer.NewServer(options.Credentials)
-	a.registerControl()
-	a.server = httpserver.New(a.routes())
-	return a, nil
 }
 
 func (a *Agent) routes() http.Handler {
