--- a/agent/agent.go
+++ b/agent/agent.go
@@ -104,6 +104,7 @@
 		Engine:        options.Engine,
 		Table:         a.sessions,
 		Revision:      a.config.Revision,
+		GiveUp:        a.generations.GiveUp,
 		Log:           options.Log,
 	}
 	if a.actions != nil {
@@ -111,6 +112,8 @@
 	}
 	a.status = query.NewReporter(reporter)
 	a.generations.EngineIncarnation = a.status.EngineIncarnation
+	a.generations.EngineDown = a.status.EngineDown
+	a.generations.Load = a.status.Load
 	a.generations.Deaths = &command.Deaths{Server: options.BackendServer, Incarnation: string(incarnation), Table: a.sessions}
 	a.control = peer.NewServer(options.Credentials)
 	a.registerControl()
@@ -141,36 +144,31 @@
 		peer.Handle(a.control, peer.MethodOrder, peer.RolePeer, orders.Order)
 	}
 	peer.Handle(a.control, peer.MethodStatusSubscribe, peer.RolePeer, a.status.Subscribe)
+	peer.Handle(a.control, peer.MethodRefute, peer.RolePeer, a.status.Refute)
 	peer.Handle(a.control, peer.MethodDump, peer.RoleOperator, a.status.Dump)
 	peer.Handle(a.control, peer.MethodDrain, peer.RoleOperator, a.drainOnRequest)
 }
 
 // Start serves on the two listeners until Stop. It returns at once.
 func (a *Agent) Start(serve, control net.Listener) {
-	a.spawn(func() { httpserver.Serve(a.server, serve, a.options.Log) })
-	a.spawn(func() { a.logError("control_ended", a.control.Serve(control)) })
-	a.spawn(func() { a.status.Run(a.background) })
-	a.spawn(a.reap)
+	a.wait.Go(func() { httpserver.Serve(a.server, serve, a.options.Log) })
+	a.wait.Go(func() { a.logError("control_ended", a.control.Serve(control)) })
+	a.wait.Go(func() { a.status.Run(a.background) })
+	a.wait.Go(a.reap)
 	a.config.SetSelf(platform.Host{
 		ID: a.options.Host, Role: platform.RoleAgent, State: platform.HostLive, Domain: a.options.Domain,
 		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(), BackendServer: a.options.BackendServer,
 	})
-	a.spawn(func() { a.config.Run(a.background) })
-	a.spawn(func() { configuration.WatchHosts(a.background, a.options.Hosts, a.options.Log, a.config.SetPeers) })
+	a.wait.Go(func() { a.config.Run(a.background) })
+	a.wait.Go(func() { configuration.WatchHosts(a.background, a.options.Hosts, a.options.Log, a.applyHosts) })
 	if a.actions != nil {
-		a.spawn(func() { a.actions.Record(a.background) })
+		a.wait.Go(func() { a.actions.Record(a.background) })
 	}
 	a.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).
 		Str("backend_server", string(a.options.BackendServer)).Msg("agent_started")
 }
 
-func (a *Agent) spawn(run func()) {
-	a.wait.Add(1)
-	go func() {
-		defer a.wait.Done()
-		run()
-	}()
-}
+func (a *Agent) applyHosts(hosts []platform.Host, _ time.Time) { a.config.SetPeers(hosts) }
 
 func (a *Agent) logError(event string, err error) {
 	if err != nil {
--- a/agent/command/attach.go
+++ b/agent/command/attach.go
@@ -89,5 +89,5 @@
 // or the entry goes away.
 func (g *Generations) stream(out http.ResponseWriter, r *http.Request, s *session.Session, from wigeonfork.Position) {
 	out.Header().Set("Content-Type", "application/octet-stream")
-	newReader(out, s, from, writeTimeout).serve(r.Context())
+	newReader(out, s, from, g.Load, writeTimeout).serve(r.Context())
 }
--- a/agent/command/reader.go
+++ b/agent/command/reader.go
@@ -28,6 +28,7 @@
 type reader struct {
 	session *session.Session
 	head    http.Header
+	load    func() frame.Load
 	number  uint64
 	wake    chan struct{}
 
@@ -37,14 +38,15 @@
 	from  wigeonfork.Position
 	frame frame.Frame
 	buf   []byte
-	// sent is the time of the last flush.
+	// sent is the time of the last flush, told that of the last load told.
 	sent time.Time
+	told time.Time
 	done bool
 }
 
 // newReader returns a reader whose writes may take up to limit each.
-func newReader(out http.ResponseWriter, s *session.Session, from wigeonfork.Position, limit time.Duration) *reader {
-	r := &reader{session: s, head: out.Header(), out: httpserver.NewStreamWriter(out, limit), from: from, wake: make(chan struct{}, 1)}
+func newReader(out http.ResponseWriter, s *session.Session, from wigeonfork.Position, load func() frame.Load, limit time.Duration) *reader {
+	r := &reader{session: s, load: load, head: out.Header(), out: httpserver.NewStreamWriter(out, limit), from: from, wake: make(chan struct{}, 1)}
 	r.wake <- struct{}{}
 	return r
 }
@@ -129,6 +131,7 @@
 	for !r.done && r.session.Next(r.number, r.from, &r.frame) {
 		sent = true
 		r.from += wigeonfork.Position(len(r.frame.Tokens))
+		r.tellLoad()
 		r.done = r.send() != nil || r.frame.Kind != frame.KindTokens
 	}
 	if sent && r.flush() != nil {
@@ -143,12 +146,25 @@
 		return wait
 	}
 	r.session.Heartbeat(&r.frame)
+	r.tellLoad()
 	if r.send() != nil || r.flush() != nil {
 		r.done = true
 	}
 	return agentapi.HeartbeatInterval
 }
 
+// loadInterval is the least time between two frames that tell the load.
+const loadInterval = 500 * time.Millisecond
+
+// tellLoad adds the engine's load to the frame now and then, so that the entry
+// need not poll the agent.
+func (r *reader) tellLoad() {
+	if now := time.Now(); now.Sub(r.told) >= loadInterval {
+		r.told = now
+		r.frame.Load = r.load()
+	}
+}
+
 func (r *reader) send() error {
 	r.buf = frame.Append(r.buf[:0], &r.frame)
 	_, err := r.out.Write(r.buf)
--- a/configuration/keeper.go
+++ b/configuration/keeper.go
@@ -81,7 +81,7 @@
 	return &Keeper{
 		options: options,
 		pool:    workpool.New(poolWorkers, poolQueue),
-		peers:   peer.NewPool(options.Hello, maxPeers),
+		peers:   peer.NewPool(options.Hello, maxPeers, nil),
 		node: revision.New(revision.Options{
 			ID:     options.Host,
 			Domain: options.Domain,
@@ -243,8 +243,7 @@
 	if !k.node.Serving() {
 		return
 	}
-	config := k.assembler.Config()
-	snapshot := template.NewSnapshot(config, k.stops())
+	snapshot := k.assembler.Snapshot().WithStops(k.stops())
 	previous := k.snapshot.Swap(snapshot)
 	k.options.Install(snapshot)
 	if previous == nil || previous.Revision() != snapshot.Revision() {
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -61,6 +61,8 @@
 	Services int
 	// Limits of the relays; the zero value takes the defaults.
 	Limits generation.Limits
+	// MoveSettle is the settle time of moves.
+	MoveSettle time.Duration
 	// AgentDrainLimit is the drain limit of the agents; 0 means a minute.
 	AgentDrainLimit time.Duration
 	// EntryDrainLimit is the drain limit of the entries; 0 means a minute.
@@ -291,6 +293,7 @@
 		Limits:      s.options.Limits,
 		Log:         s.options.Log,
 		Metrics:     metrics,
+		MoveSettle:  s.options.MoveSettle,
 		DrainLimit:  s.options.EntryDrainLimit,
 	})
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,6 +51,9 @@
 	Metrics telemetry.Registry
 	// DrainLimit bounds the time that a leaving entry waits for its answers.
 	DrainLimit time.Duration
+	// MoveSettle is the time that judging a version takes after its last load;
+	// a move whose deadline leaves less is refused.
+	MoveSettle time.Duration
 }
 
 // Entry is one entry.
@@ -76,6 +79,8 @@
 	stop       context.CancelFunc
 	wait       sync.WaitGroup
 	sharer     *sharer
+	// owner names this process start in leases.
+	owner string
 	// self is how other entries reach this one.
 	self platform.Host
 }
@@ -83,9 +88,6 @@
 // checkInterval is the time between two searches for lost sources.
 const checkInterval = 50 * time.Millisecond
 
-// settleTime is the time that judging a version takes after its last load.
-const settleTime = time.Minute
-
 // maxPeers bounds the connections to other entries.
 const maxPeers = 32
 
@@ -102,39 +104,79 @@
 		return nil, err
 	}
 	background, stop := context.WithCancel(context.Background())
-	e := &Entry{options: options, answers: session.NewTable(), background: background, stop: stop}
-	e.pool = workpool.New(poolWorkers, poolQueue)
-	e.agents = agentapi.NewClient(options.Credentials.Peer)
+	e := &Entry{
+		options:    options,
+		owner:      string(options.Host) + "/" + uuid.NewString(),
+		answers:    session.NewTable(),
+		pool:       workpool.New(poolWorkers, poolQueue),
+		agents:     agentapi.NewClient(options.Credentials.Peer),
+		background: background,
+		stop:       stop,
+	}
 	hello := peer.Hello{ID: string(options.Host), Role: peer.RolePeer, Credential: options.Credentials.Peer}
-	e.peers = peer.NewPool(hello, maxPeers)
-	e.gate = gate.New(gate.Options{Seed: seedOf(options.Host), Policy: options.Policy, Metrics: options.Metrics})
-	e.fleet = fleet.New(fleet.Options{Domain: options.Domain, Hello: hello, Log: options.Log, Metrics: options.Metrics})
-	changes := store.New(options.Table, options.Objects, store.Options{})
+	e.provisionFleet(hello)
+	e.provisionConfiguration(hello)
+	e.provisionCallers(sealer)
+	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Gate: e.gate, Configuration: e.config}
+	e.sharer = newSharer(e)
+	e.control = peer.NewServer(options.Credentials)
+	e.registerControl()
+	e.server = httpserver.New(e.routes())
+	return e, nil
+}
+
+// provisionFleet makes what the entry knows of backend servers and requests.
+func (e *Entry) provisionFleet(hello peer.Hello) {
+	e.peers = peer.NewPool(hello, maxPeers, nil)
+	e.gate = gate.New(gate.Options{Seed: seedOf(e.options.Host), Policy: e.options.Policy, Metrics: e.options.Metrics})
+	e.evidence = moves.NewEvidence(e.owner)
+	e.fleet = fleet.New(fleet.Options{
+		Domain:          e.options.Domain,
+		EngineRestarted: e.evidence.Restarted,
+		Hello:           hello,
+		Log:             e.options.Log,
+		Metrics:         e.options.Metrics,
+	})
+}
+
+// provisionConfiguration makes what keeps, changes and acts on the
+// configuration. The fleet must have been made.
+func (e *Entry) provisionConfiguration(hello peer.Hello) {
+	changes := store.New(e.options.Table, e.options.Objects, store.Options{})
 	e.config = configuration.New(configuration.Options{
-		Host:    options.Host,
-		Domain:  options.Domain,
-		Seed:    seedOf(options.Host),
+		Host:    e.options.Host,
+		Domain:  e.options.Domain,
+		Seed:    seedOf(e.options.Host),
 		Reader:  changes,
 		Hello:   hello,
 		Install: e.fleet.Install,
-		Log:     options.Log,
-		Metrics: options.Metrics,
+		Log:     e.options.Log,
+		Metrics: e.options.Metrics,
 	})
-	e.operators = &operator.Server{Store: changes, Keeper: e.config, Weights: options.Weights, Settle: settleTime, Progress: e.moveStatus}
-	owner := string(options.Host) + "/" + uuid.NewString()
-	e.evidence = moves.NewEvidence(owner)
+	e.operators = &operator.Server{
+		Store:    changes,
+		Keeper:   e.config,
+		Weights:  e.options.Weights,
+		Settle:   e.options.MoveSettle,
+		Progress: e.moveStatus,
+	}
 	e.controller = moves.NewController(moves.Options{
-		Host:       options.Host,
-		Owner:      owner,
-		Table:      options.Table,
+		Host:       e.options.Host,
+		Owner:      e.owner,
+		Table:      e.options.Table,
 		Store:      changes,
 		Keeper:     e.config,
-		Weights:    options.Weights,
+		Weights:    e.options.Weights,
 		Servers:    &fleet.Orders{Fleet: e.fleet, Peers: e.peers},
 		Candidates: e.fleet.Entries,
-		Log:        options.Log,
-		Metrics:    options.Metrics,
+		Log:        e.options.Log,
+		Metrics:    e.options.Metrics,
 	})
+}
+
+// provisionCallers makes what serves callers. The fleet and the configuration
+// must have been made.
+func (e *Entry) provisionCallers(sealer *generation.Sealer) {
 	e.callers = &command.Callers{
 		Configuration: e.config,
 		Relayer: &command.Relayer{
@@ -143,15 +185,16 @@
 			Answers:  e.answers,
 			Sealer:   sealer,
 			Gate:     e.gate,
+			Policy:   e.options.Policy,
 			Evidence: e.evidence,
-			Limits:   options.Limits,
+			Limits:   e.options.Limits,
 			Pool:     e.pool,
-			Metrics:  options.Metrics,
-			Log:      options.Log,
+			Metrics:  e.options.Metrics,
+			Log:      e.options.Log,
 		},
 	}
 	e.executor = action.NewExecutor(action.Config{
-		Table:      options.Table,
+		Table:      e.options.Table,
 		Dispatcher: command.Dispatcher{Agents: e.agents},
 		Limits:     action.DefaultLimits(),
 	})
@@ -159,16 +202,10 @@
 		Executor:      e.executor,
 		Fleet:         e.fleet,
 		Configuration: e.config,
-		Metrics:       options.Metrics,
-		Log:           options.Log,
+		Metrics:       e.options.Metrics,
+		Log:           e.options.Log,
 		Accept:        e.answers.Hold,
 	}
-	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Gate: e.gate, Configuration: e.config}
-	e.sharer = newSharer(e)
-	e.control = peer.NewServer(options.Credentials)
-	e.registerControl()
-	e.server = httpserver.New(e.routes())
-	return e, nil
 }
 
 // seedOf gives each host its own random sequence.
@@ -210,38 +247,31 @@
 		ID: e.options.Host, Role: platform.RoleEntry, State: platform.HostLive, Domain: e.options.Domain,
 		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(),
 	}
-	e.spawn(func() { httpserver.Serve(e.server, serve, e.options.Log) })
-	e.spawn(func() {
+	e.wait.Go(func() { httpserver.Serve(e.server, serve, e.options.Log) })
+	e.wait.Go(func() {
 		if err := e.control.Serve(control); err != nil {
 			e.options.Log.Error().Err(err).Msg("control_ended")
 		}
 	})
-	e.spawn(func() { e.fleet.Run(e.background) })
+	e.wait.Go(func() { e.fleet.Run(e.background) })
 	e.config.SetSelf(e.self)
-	e.spawn(func() { e.config.Run(e.background) })
-	e.spawn(func() { configuration.WatchHosts(e.background, e.options.Hosts, e.options.Log, e.applyHosts) })
-	e.spawn(e.check)
+	e.wait.Go(func() { e.config.Run(e.background) })
+	e.wait.Go(func() { configuration.WatchHosts(e.background, e.options.Hosts, e.options.Log, e.applyHosts) })
+	e.wait.Go(e.check)
 	e.controller.SetAddress(e.self.ControlAddress)
-	e.spawn(func() { e.controller.Run(e.background) })
-	e.spawn(e.reportEvidence)
-	e.spawn(func() { e.gate.Run(e.background) })
-	e.spawn(e.shareGate)
+	e.wait.Go(func() { e.controller.Run(e.background) })
+	e.wait.Go(e.reportEvidence)
+	e.wait.Go(e.housekeeping)
+	e.wait.Go(func() { e.gate.Run(e.background) })
+	e.wait.Go(e.shareGate)
 	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
 }
 
-func (e *Entry) applyHosts(hosts []platform.Host) {
-	e.fleet.ApplyHosts(e.background, hosts)
+func (e *Entry) applyHosts(hosts []platform.Host, asOf time.Time) {
+	e.fleet.ApplyHosts(time.Now(), hosts, asOf)
 	e.config.SetPeers(hosts)
 }
 
-func (e *Entry) spawn(run func()) {
-	e.wait.Add(1)
-	go func() {
-		defer e.wait.Done()
-		run()
-	}()
-}
-
 func (e *Entry) check() {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -263,7 +293,7 @@
 	e.control.Close()
 	_ = e.server.Close()
 	e.wait.Wait()
-	e.fleet.Wait()
+	e.fleet.Close()
 	e.pool.Close()
 	e.peers.Close()
 	e.config.Close()
--- a/entry/session/answer.go
+++ b/entry/session/answer.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/quarantine"
+	"github.com/wigeonfork/wigeonfork/routing"
 )
 
 // Answer is one answer under way. One goroutine relays it; others only check
@@ -31,7 +32,13 @@
 	busy      bool
 	detach    context.CancelFunc
 	suspicion generation.Suspicion
-	handOver  bool
+	// condemned: the request is known to crash engines.
+	condemned bool
+	// watch finds a slow engine; it is nil while the answer stays where it is.
+	watch *routing.Watch
+	// paced counts the tokens of the attempt that watch follows.
+	paced    int
+	handOver bool
 }
 
 // NewAnswer returns an answer without tokens.
@@ -74,13 +81,45 @@
 	a.agent = agent
 	a.detach = detach
 	a.suspicion = generation.SuspicionNone
+	a.watch = nil
+	if a.condemned {
+		a.suspicion = generation.SuspicionRequest
+		detach()
+	}
 }
 
 // Accept judges a frame; see generation.Relay.
 func (a *Answer) Accept(now time.Time, f *frame.Frame) generation.Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.relay.Accept(now, f)
+	verdict := a.relay.Accept(now, f)
+	if verdict == generation.VerdictAppended && a.watch != nil {
+		a.watch.Tokens(now, len(f.Tokens))
+		a.learnPace(len(f.Tokens))
+	}
+	return verdict
+}
+
+// paceTokens is the number of tokens after which an attempt's own pace is known.
+const paceTokens = 10
+
+// learnPace has the watch expect the pace that the attempt has shown at its
+// beginning.
+func (a *Answer) learnPace(tokens int) {
+	before := a.paced
+	a.paced += tokens
+	if before < paceTokens && a.paced >= paceTokens {
+		a.watch.Expect(a.relay.Interval())
+	}
+}
+
+// WatchPace makes Check find an engine that is much slower than expected of it,
+// from now to the next attempt.
+func (a *Answer) WatchPace(watch routing.Watch) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.watch = &watch
+	a.paced = 0
 }
 
 // Busy notes whether the relaying goroutine writes to the caller, in which
@@ -102,17 +141,21 @@
 		return generation.SuspicionNone
 	}
 	a.suspicion = a.relay.Check(now)
+	if a.suspicion == generation.SuspicionNone && a.watch != nil && a.watch.Check(now) == routing.HealthSlow {
+		a.suspicion = generation.SuspicionEngineSlow
+	}
 	if a.suspicion != generation.SuspicionNone {
 		a.detach()
 	}
 	return a.suspicion
 }
 
-// Interrupt detaches the answer from its source because the request is held to
-// crash engines.
+// Interrupt detaches the answer from its source, and from any later one, because
+// the request is known to crash engines.
 func (a *Answer) Interrupt() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.condemned = true
 	if a.detach == nil || a.suspicion != generation.SuspicionNone {
 		return
 	}
--- a/experiment/policy/run.go
+++ b/experiment/policy/run.go
@@ -130,6 +130,7 @@
 	next.id = resendID(s, n)
 	next.delivered, next.seen, next.interrupts, next.attempts = 0, 0, 0, 0
 	next.resumeFrom, next.firstAt, next.exclude, next.ended = 0, 0, nil, false
+	next.sent = false
 	r.after(wait, func() {
 		next.arrived = r.now
 		if s.deadline > 0 {
@@ -228,7 +229,7 @@
 	trip := r.trip(s.entry, e)
 	fresh := s.prompt + int(s.delivered) - s.cached
 	r.result.prefilled(s, fresh)
-	s.seen = s.delivered
+	s.seen, s.begunAt = s.delivered, r.now
 	if s.firstAt == 0 {
 		s.firstAt = r.now + trip
 		r.result.first(s)
--- a/experiment/policy/workload.go
+++ b/experiment/policy/workload.go
@@ -117,6 +117,7 @@
 	arrived    time.Duration
 	sentAt     time.Duration
 	batchedAt  time.Duration
+	begunAt    time.Duration // first token of this run
 	firstAt    time.Duration
 	resumeFrom time.Duration // time of the loss that is not yet made up for
 	interrupts int
@@ -128,6 +129,7 @@
 	exclude    []wigeonfork.BackendServerID
 	decoding   bool
 	begun      bool
+	sent       bool // held by an engine or on the way to one
 	ended      bool
 }
 
--- a/moves/driver.go
+++ b/moves/driver.go
@@ -31,6 +31,9 @@
 	// recorded is the revision of the move's row as last written or read.
 	recorded platform.Revision
 	state    rollout.State
+	// told is what the move was last told of each backend server. Only tick
+	// uses it.
+	told map[wigeonfork.BackendServerID]rollout.ServerReport
 }
 
 // eventQueue is the room for outcomes of actions under way.
@@ -166,13 +169,14 @@
 	defer d.mu.Unlock()
 	d.move = move
 	d.fencing = fencing
+	d.told = map[wigeonfork.BackendServerID]rollout.ServerReport{}
 	d.recorded = row.Revision
 	d.state = move.State()
 	return true
 }
 
 func (d *driver) load(ctx context.Context, deployment *template.Deployment, fencing wigeonfork.FencingNumber) (*rollout.Move, platform.Row, error) {
-	info, err := d.options.Weights.Info(ctx, deployment.Model, deployment.Move.To)
+	info, err := d.weights(ctx, deployment)
 	if err != nil {
 		return nil, platform.Row{}, err
 	}
@@ -184,6 +188,15 @@
 	return move, row, err
 }
 
+// weights returns what the move notes of the weights of its new version. A move
+// that was accepted without it asks the weight store.
+func (d *driver) weights(ctx context.Context, deployment *template.Deployment) (platform.WeightInfo, error) {
+	if deployment.Move.Weights.SizeBytes > 0 {
+		return deployment.Move.Weights, nil
+	}
+	return d.options.Weights.Info(ctx, deployment.Model, deployment.Move.To)
+}
+
 // The parameters of a template by which a deployment sets how it is moved.
 const (
 	parameterMinStarts template.ParameterName = "move_min_requests"
@@ -216,7 +229,8 @@
 	return plan.WithDefaults()
 }
 
-// reports returns what the backend servers hold.
+// reports returns what the backend servers hold, where it has changed since it
+// was last told to the move.
 func (d *driver) reports() []rollout.Event {
 	d.mu.Lock()
 	deployment := d.deployment
@@ -232,7 +246,10 @@
 			report.OldReady = report.OldReady || version.Version == deployment.Move.From
 			report.NewReady = report.NewReady || version.Version == deployment.Move.To
 		}
-		events = append(events, report)
+		if d.told[id] != report {
+			d.told[id] = report
+			events = append(events, report)
+		}
 	}
 	return events
 }
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -140,7 +140,7 @@
 		s = d.newSuspect(r.Key)
 	}
 	if len(s.charges) < maxCharges && !s.charged(death.ID) {
-		s.add(charge{death: death.ID, at: death.At, ran: r.Ran})
+		s.add(newCharge(death, r))
 	}
 	d.unplace(s, death.ID.Server)
 	if death.At.After(s.elsewhere) {
@@ -278,8 +278,8 @@
 	return Verdict{Action: Refuse, Charges: charges}
 }
 
-// shared tells whether another suspect was part of every death of a sequence,
-// so that either could be the cause.
+// shared tells whether another suspect was part of every death that is evidence
+// in a sequence, so that either could be the cause.
 func (d *Detector) shared(key Key, sequence []charge) bool {
 	last := d.deaths[sequence[len(sequence)-1].death]
 	if last == nil {
@@ -291,7 +291,7 @@
 		if other == key || s == nil {
 			continue
 		}
-		if s.chargedWithAll(sequence) {
+		if s.chargedWithAll(sequence[1:]) {
 			return true
 		}
 	}
--- /dev/null
+++ b/test/matrix/matrix_test.go
@@ -0,0 +1,24 @@
+package matrix
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestMatrix(t *testing.T) {
+	results := runCells(t, chosen(allCells()))
+	for _, r := range results {
+		t.Run(r.cell.step+": "+r.cell.fault, func(t *testing.T) {
+			Convey(r.cell.name(), t, func() {
+				So(r.notRun, ShouldBeFalse)
+				So(r.wrong, ShouldBeEmpty)
+			})
+		})
+	}
+	if *writeTable && *full {
+		Convey("The report is written", t, func() {
+			So(saveReport(results), ShouldBeNil)
+		})
+	}
+}
