Measure capacity by the code as it stands

Cause: the experiment still counted a reading of the host list a second and a heartbeat on every stream each 200 ms, which no longer happen. Change: it takes the wait between readings from package configuration and the interval of told loads from agentapi.

--- a/agent/command/reader.go
+++ b/agent/command/reader.go
@@ -153,13 +153,10 @@
 	return agentapi.HeartbeatInterval
 }
 
-// loadInterval is the least time between two frames that tell the load.
-const loadInterval = 500 * time.Millisecond
-
 // tellLoad adds the engine's load to the frame now and then, so that the entry
 // need not poll the agent.
 func (r *reader) tellLoad() {
-	if now := time.Now(); now.Sub(r.told) >= loadInterval {
+	if now := time.Now(); now.Sub(r.told) >= agentapi.LoadInterval {
 		r.told = now
 		r.frame.Load = r.load()
 	}
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -25,6 +25,10 @@
 // HeartbeatInterval is the longest time between two frames of a stream.
 const HeartbeatInterval = 200 * time.Millisecond
 
+// LoadInterval is the least time between two frames of a stream that tell the
+// engine's load.
+const LoadInterval = 500 * time.Millisecond
+
 // MaxBodyBytes bounds the body of a request to an agent.
 const MaxBodyBytes = 8 << 20
 
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -251,7 +251,7 @@
 // Heartbeat takes in a heartbeat frame of a stream at p. It says that the agent
 // lives and how busy its engine is, so that the agent need not be polled.
 func (f *Fleet) Heartbeat(now time.Time, p *Place, load frame.Load) {
-	if now.Sub(p.heardAt) < heartbeatInterval {
+	if now.Sub(p.heardAt) < agentapi.LoadInterval/2 {
 		return
 	}
 	p.heardAt = now
@@ -275,10 +275,6 @@
 	f.router.Report(now, p.Server, report)
 }
 
-// heartbeatInterval is the least time between two heartbeats of one stream
-// that are taken in.
-const heartbeatInterval = 500 * time.Millisecond
-
 // refreshAll brings the states of all servers up to date, those included that
 // have left the subset.
 func (f *Fleet) refreshAll(now time.Time) {
--- a/experiment/capacity/design.go
+++ b/experiment/capacity/design.go
@@ -1,5 +1,11 @@
 package capacity
 
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/configuration"
+)
+
 // The size to design for.
 const (
 	designEntries       = 1_100
@@ -56,3 +62,6 @@
 
 // percent turns microseconds a second into % of a core.
 func percent(micros float64) float64 { return 100 * micros / microsPerSecond }
+
+// listReads is the rate at which each process reads the list of hosts.
+var listReads = float64(time.Second) / float64(configuration.HostListWait(designHosts))
--- a/experiment/capacity/stream.go
+++ b/experiment/capacity/stream.go
@@ -196,6 +196,14 @@
 	})
 }
 
-// heartbeatsPerSecond is the rate of heartbeat frames on a stream, which an
-// agent sends beside its tokens.
-const heartbeatsPerSecond = float64(time.Second) / float64(agentapi.HeartbeatInterval)
+// loadsPerSecond is the rate at which the frames of a stream tell the engine's
+// load. Heartbeats go on silent streams only, of which there are few.
+const loadsPerSecond = float64(time.Second) / float64(agentapi.LoadInterval)
+
+// loadBytes returns the bytes that a told load adds to a frame.
+func loadBytes() float64 {
+	bare := frame.Frame{Kind: frame.KindTokens, Generation: 1}
+	told := bare
+	told.Load = frame.Load{Running: 200, Waiting: 20, Changes: 200}
+	return float64(len(frame.Append(nil, &told)) - len(frame.Append(nil, &bare)))
+}
