Keep in touch with every agent of a small fleet

Cause: an entry polls eight idle agents only, which is right for ten thousand agents; with 25 runners and three applications it refused calls to an application that happened not to be among them (found by reading; no test had more than eight agents).

--- /dev/null
+++ b/embedded/fleet_test.go
@@ -0,0 +1,24 @@
+package embedded
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/standin/engine"
+)
+
+func TestASmallFleetIsUsableAsAWhole(t *testing.T) {
+	Convey("An idle entry keeps in touch with every backend server of a fleet of today's size", t, func() {
+		options := Options{Services: 3}
+		for range 25 {
+			options.Engines = append(options.Engines, engine.Options{})
+		}
+		system, err := Start(options)
+		So(err, ShouldBeNil)
+		defer system.Close()
+		So(system.Entries[0].Process.Ready(28), ShouldBeTrue)
+		_, _, typed := act(system.Entries[0].Address, newKey(), "ridge")
+		So(typed, ShouldBeNil)
+	})
+}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -147,6 +147,7 @@
 		Resume:       q.Resume,
 	})
 	if err != nil {
+		f.want(q.Route)
 		return nil, err
 	}
 	s, ok := f.servers[decision.ID]
