Name the set of stand-ins, the member's incarnation and a quarantined answer plainly

Cause: read as a newcomer, 'world', 'Life' and 'condemned' need explaining. Change: package standin/suite, Status.MemberIncarnation, quarantined. Conclusion: reads better.

--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -77,10 +77,10 @@
 	Domain        wigeonfork.FailureDomain   `json:"failure_domain"`
 	// Incarnation changes with each start of the agent.
 	Incarnation string `json:"incarnation"`
-	// Life changes with each start and each pause of the agent. Sequence grows
-	// with each status of one life.
-	Life     membership.Incarnation `json:"life"`
-	Sequence uint64                 `json:"sequence"`
+	// MemberIncarnation changes with each start and each pause of the agent.
+	// Sequence grows with each status of one of them.
+	MemberIncarnation membership.Incarnation `json:"member_incarnation"`
+	Sequence          uint64                 `json:"sequence"`
 	// Changes counts what entries should not miss: it differs from the count in
 	// a heartbeat frame if the status is out of date.
 	Changes uint32 `json:"changes"`
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -86,5 +86,5 @@
 		return
 	}
 	fmt.Fprintf(out, "killing %s midway\n", embedded.ServerID(i))
-	system.World.Engines[i].Kill()
+	system.Standins.Engines[i].Kill()
 }
--- a/embedded/actions_test.go
+++ b/embedded/actions_test.go
@@ -47,7 +47,7 @@
 
 func executions(s *System) int {
 	count := 0
-	for _, plain := range s.World.Services {
+	for _, plain := range s.Standins.Services {
 		count += len(plain.Executions())
 	}
 	return count
@@ -107,7 +107,7 @@
 			So(executions(system), ShouldEqual, 0)
 		})
 		Convey("while the table is out a call is refused and nothing runs", func() {
-			system.World.Table.SetDown(true)
+			system.Standins.Table.SetDown(true)
 			_, _, typed := act(first, newKey(), "ridge")
 			So(typed, ShouldNotBeNil)
 			So(typed.Code, ShouldEqual, problem.CodeStoreUnavailable)
@@ -115,7 +115,7 @@
 			So(executions(system), ShouldEqual, 0)
 		})
 		Convey("a lost answer of the service is never run again", func() {
-			for _, plain := range system.World.Services {
+			for _, plain := range system.Standins.Services {
 				plain.Update(func(f *service.Faults) { f.LoseNext = 1 })
 			}
 			key := newKey()
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -21,7 +21,7 @@
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
-	"github.com/wigeonfork/wigeonfork/standin/world"
+	"github.com/wigeonfork/wigeonfork/standin/suite"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
 	"github.com/wigeonfork/wigeonfork/template/store"
@@ -77,9 +77,9 @@
 
 // System is a running system with its stand-ins.
 type System struct {
-	World   *world.World
-	Entries []*Node[*entry.Entry]
-	Agents  []*Node[*agent.Agent]
+	Standins *suite.Suite
+	Entries  []*Node[*entry.Entry]
+	Agents   []*Node[*agent.Agent]
 	// ServiceAgents stand beside the plain services.
 	ServiceAgents []*Node[*agent.Agent]
 	options       Options
@@ -113,11 +113,11 @@
 		options.Limits = generation.DefaultLimits()
 	}
 	LoadDefaultVersion(options.Engines)
-	w, err := world.Start(world.Options{Engines: options.Engines, Services: options.Services})
+	w, err := suite.Start(suite.Options{Engines: options.Engines, Services: options.Services})
 	if err != nil {
 		return nil, err
 	}
-	s := &System{World: w, options: options}
+	s := &System{Standins: w, options: options}
 	if err := s.start(); err != nil {
 		s.Close()
 		return nil, err
@@ -136,17 +136,17 @@
 }
 
 func (s *System) start() error {
-	for i := range s.World.Engines {
+	for i := range s.Standins.Engines {
 		if err := s.AddAgent(i); err != nil {
 			return err
 		}
 	}
-	for i := range s.World.Services {
+	for i := range s.Standins.Services {
 		if err := s.AddServiceAgent(i); err != nil {
 			return err
 		}
 	}
-	if err := Configure(context.Background(), s.World.Table, httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()}), len(s.World.Engines), len(s.World.Services)); err != nil {
+	if err := Configure(context.Background(), s.Standins.Table, httpplatform.NewObjects(httpplatform.Options{Address: s.Standins.ObjectsServer.Addr()}), len(s.Standins.Engines), len(s.Standins.Services)); err != nil {
 		return err
 	}
 	for range max(s.options.Entries, 1) {
@@ -201,7 +201,7 @@
 		Host:          wigeonfork.HostID(fmt.Sprintf("service-agent-%d", i)),
 		Domain:        domainOf(i),
 		BackendServer: ServiceID(i),
-		Service:       httpbackend.NewService(httpbackend.ServiceOptions{Address: s.World.ServiceServers[i].Addr()}),
+		Service:       httpbackend.NewService(httpbackend.ServiceOptions{Address: s.Standins.ServiceServers[i].Addr()}),
 	})
 	if err == nil {
 		s.ServiceAgents = append(s.ServiceAgents, node)
@@ -210,7 +210,7 @@
 }
 
 func (s *System) newAgent(i int) (*Node[*agent.Agent], error) {
-	address := s.World.Engines[i].Addr()
+	address := s.Standins.Engines[i].Addr()
 	if s.options.EnginePath != nil {
 		var err error
 		if address, err = s.options.EnginePath(i, address); err != nil {
@@ -227,9 +227,9 @@
 
 func (s *System) startAgent(options agent.Options) (*Node[*agent.Agent], error) {
 	options.Credentials = Credentials()
-	options.Table = httpplatform.NewTable(httpplatform.Options{Address: s.World.TableServer.Addr()})
-	options.Objects = httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()})
-	options.Hosts = httpplatform.NewHostList(httpplatform.Options{Address: s.World.HostsServer.Addr()})
+	options.Table = httpplatform.NewTable(httpplatform.Options{Address: s.Standins.TableServer.Addr()})
+	options.Objects = httpplatform.NewObjects(httpplatform.Options{Address: s.Standins.ObjectsServer.Addr()})
+	options.Hosts = httpplatform.NewHostList(httpplatform.Options{Address: s.Standins.HostsServer.Addr()})
 	options.Log = s.options.Log
 	options.Metrics = telemetry.NewRegistry()
 	options.DrainLimit = s.options.AgentDrainLimit
@@ -249,7 +249,7 @@
 	}
 	a.Start(serve, control)
 	node := &Node[*agent.Agent]{Process: a, Address: address, Control: control.Addr().String(), Metrics: options.Metrics}
-	s.World.Hosts.Put(platform.Host{
+	s.Standins.Hosts.Put(platform.Host{
 		ID: options.Host, Role: platform.RoleAgent, State: platform.HostLive, Region: "local", Domain: options.Domain,
 		ServeAddress: node.Address, ControlAddress: node.Control, BackendServer: options.BackendServer,
 	})
@@ -284,10 +284,10 @@
 	e, err := entry.New(entry.Options{
 		Host:        host,
 		Domain:      domainOf(i),
-		Table:       httpplatform.NewTable(httpplatform.Options{Address: s.World.TableServer.Addr()}),
-		Objects:     httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()}),
-		Weights:     httpplatform.NewWeights(httpplatform.Options{Address: s.World.WeightsServer.Addr()}),
-		Hosts:       httpplatform.NewHostList(httpplatform.Options{Address: s.World.HostsServer.Addr()}),
+		Table:       httpplatform.NewTable(httpplatform.Options{Address: s.Standins.TableServer.Addr()}),
+		Objects:     httpplatform.NewObjects(httpplatform.Options{Address: s.Standins.ObjectsServer.Addr()}),
+		Weights:     httpplatform.NewWeights(httpplatform.Options{Address: s.Standins.WeightsServer.Addr()}),
+		Hosts:       httpplatform.NewHostList(httpplatform.Options{Address: s.Standins.HostsServer.Addr()}),
 		HandleKey:   []byte(handleKey),
 		Credentials: Credentials(),
 		Limits:      s.options.Limits,
@@ -305,7 +305,7 @@
 	}
 	e.Start(serve, control)
 	node := &Node[*entry.Entry]{Process: e, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: metrics}
-	s.World.Hosts.Put(platform.Host{
+	s.Standins.Hosts.Put(platform.Host{
 		ID: host, Role: platform.RoleEntry, State: platform.HostLive, Region: "local", Domain: domainOf(i),
 		ServeAddress: node.Address, ControlAddress: node.Control,
 	})
@@ -368,7 +368,7 @@
 
 // RunningEngine returns the index of an engine that runs a stream, or -1.
 func (s *System) RunningEngine() int {
-	for i, e := range s.World.Engines {
+	for i, e := range s.Standins.Engines {
 		for _, run := range e.Runs() {
 			if run.End == engine.RunOpen {
 				return i
@@ -386,5 +386,5 @@
 	for _, node := range append(append([]*Node[*agent.Agent]{}, s.Agents...), s.ServiceAgents...) {
 		node.Process.Stop()
 	}
-	s.World.Close()
+	s.Standins.Close()
 }
--- a/embedded/moves_test.go
+++ b/embedded/moves_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	system.World.Weights.Set(Model, newVersion, 1<<20)
+	system.Standins.Weights.Set(Model, newVersion, 1<<20)
 	return system
 }
 
@@ -144,7 +144,7 @@
 // runsOf counts the runs of a version.
 func runsOf(s *System, version wigeonfork.Version) int {
 	count := 0
-	for _, e := range s.World.Engines {
+	for _, e := range s.Standins.Engines {
 		for _, run := range e.Runs() {
 			if run.Version == version {
 				count++
@@ -198,7 +198,7 @@
 		prepare(t, system)
 		code, out := wigeonctl(system, "move", "start", string(Deployment), string(newVersion), "--within", "10m")
 		SoMsg(out, code, ShouldEqual, ctl.ExitOK)
-		system.World.Weights.SetDown(true)
+		system.Standins.Weights.SetDown(true)
 		code, out = wigeonctl(system, "move", "stop", string(Deployment), "--reason", "wrong weights")
 		SoMsg(out, code, ShouldEqual, ctl.ExitOK)
 		code, out = wigeonctl(system, "move", "wait", string(Deployment))
@@ -210,7 +210,7 @@
 		defer system.Close()
 		code, out := wigeonctl(system, "move", "start", string(Deployment), "v9")
 		SoMsg(out, code, ShouldEqual, ctl.ExitInvalid)
-		system.World.Weights.SetRate(1 << 10)
+		system.Standins.Weights.SetRate(1 << 10)
 		code, out = wigeonctl(system, "move", "start", string(Deployment), string(newVersion), "--within", "5s")
 		SoMsg(out, code, ShouldEqual, ctl.ExitInvalid)
 		So(out, ShouldContainSubstring, "earliest")
--- a/embedded/poison_test.go
+++ b/embedded/poison_test.go
@@ -89,7 +89,7 @@
 // deaths counts the incarnations that ended.
 func deaths(system *System) int {
 	incarnations := map[string]bool{}
-	for _, e := range system.World.Engines {
+	for _, e := range system.Standins.Engines {
 		for _, run := range e.Runs() {
 			if run.End == engine.RunKilled {
 				incarnations[run.Incarnation] = true
--- a/embedded/reach_test.go
+++ b/embedded/reach_test.go
@@ -65,7 +65,7 @@
 			for _, node := range system.Agents {
 				dumps.WriteString(dump(node.Control))
 			}
-			system.World.Engines[i].Kill()
+			system.Standins.Engines[i].Kill()
 		})
 		So(err, ShouldBeNil)
 		So(text, ShouldEqual, expected(prompt))
--- a/embedded/serving_test.go
+++ b/embedded/serving_test.go
@@ -76,15 +76,15 @@
 		name  string
 		fault func(s *System, engine int)
 	}{
-		{"the engine dies", func(s *System, i int) { s.World.Engines[i].Kill() }},
+		{"the engine dies", func(s *System, i int) { s.Standins.Engines[i].Kill() }},
 		{"the agent dies", func(s *System, i int) { s.Agents[i].Process.Stop() }},
-		{"the host dies", func(s *System, i int) { s.World.Engines[i].Kill(); s.Agents[i].Process.Stop() }},
-		{"the engine pauses", func(s *System, i int) { s.World.Engines[i].Pause() }},
+		{"the host dies", func(s *System, i int) { s.Standins.Engines[i].Kill(); s.Agents[i].Process.Stop() }},
+		{"the engine pauses", func(s *System, i int) { s.Standins.Engines[i].Pause() }},
 		{"the engine answers health checks but generates nothing", func(s *System, i int) {
-			s.World.Engines[i].Update(func(o *engine.Options) { o.Stuck = true })
+			s.Standins.Engines[i].Update(func(o *engine.Options) { o.Stuck = true })
 		}},
 		{"the engine goes at a tenth of its speed", func(s *System, i int) {
-			s.World.Engines[i].Update(func(o *engine.Options) { o.SlowFactor = 10 })
+			s.Standins.Engines[i].Update(func(o *engine.Options) { o.SlowFactor = 10 })
 		}},
 		{"the entry dies", func(s *System, _ int) { s.Entries[0].Process.Stop() }},
 		{"the agent drains", func(s *System, i int) { go s.Agents[i].Process.Drain(context.Background()) }},
@@ -113,13 +113,13 @@
 		slow := -1
 		text, _, err := disturb(system, "Slow engine", func(i int) {
 			slow = i
-			system.World.Engines[i].Update(func(o *engine.Options) { o.SlowFactor = 10 })
+			system.Standins.Engines[i].Update(func(o *engine.Options) { o.SlowFactor = 10 })
 		})
 		So(err, ShouldBeNil)
 		So(text, ShouldEqual, expected("Slow engine"))
 		So(engineRuns(system), ShouldEqual, 2)
 		So(slow, ShouldBeGreaterThanOrEqualTo, 0)
-		So(len(system.World.Engines[slow].Runs()), ShouldEqual, 1)
+		So(len(system.Standins.Engines[slow].Runs()), ShouldEqual, 1)
 	})
 }
 
@@ -148,7 +148,7 @@
 
 func engineRuns(s *System) int {
 	runs := 0
-	for _, e := range s.World.Engines {
+	for _, e := range s.Standins.Engines {
 		runs += len(e.Runs())
 	}
 	return runs
@@ -185,7 +185,7 @@
 	Convey("The engine's stream is cancelled when its caller is gone", t, func() {
 		system := startSystem(t, 1, 1)
 		defer system.Close()
-		system.World.Engines[0].Update(func(o *engine.Options) { o.TokensPerSecond = 5 })
+		system.Standins.Engines[0].Update(func(o *engine.Options) { o.TokensPerSecond = 5 })
 		client := caller.Client{HTTP: http.DefaultClient}
 		stream, err := client.Start(context.Background(), system.Entries[0].Address, testRequest("Go away"))
 		So(err, ShouldBeNil)
@@ -193,10 +193,10 @@
 		So(err, ShouldBeNil)
 		So(stream.Close(), ShouldBeNil)
 		deadline := time.Now().Add(testTimeout)
-		for system.World.Engines[0].RunsEnded(engine.RunCancelled) == 0 && time.Now().Before(deadline) {
+		for system.Standins.Engines[0].RunsEnded(engine.RunCancelled) == 0 && time.Now().Before(deadline) {
 			time.Sleep(readyPoll)
 		}
-		So(system.World.Engines[0].RunsEnded(engine.RunCancelled), ShouldEqual, 1)
+		So(system.Standins.Engines[0].RunsEnded(engine.RunCancelled), ShouldEqual, 1)
 	})
 }
 
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -90,9 +90,9 @@
 	dispatched    time.Time
 	firstTokenHad bool
 	// Gap is the time between tokens that is expected there.
-	Gap     time.Duration
-	life    membership.Incarnation
-	heardAt time.Time
+	Gap         time.Duration
+	incarnation membership.Incarnation
+	heardAt     time.Time
 }
 
 // Query is what Choose is asked. Exclude holds servers that have failed the
@@ -167,7 +167,7 @@
 		ExpectedWait: decision.ExpectedWait,
 		work:         work,
 		dispatched:   now,
-		life:         s.status.Life,
+		incarnation:  s.status.MemberIncarnation,
 		Gap:          f.router.ExpectedGap(now, decision.ID),
 	}, nil
 }
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -160,14 +160,14 @@
 	}
 	f.carryOut(now, f.tracker.Heard(now, membership.Heartbeat{
 		BackendServer: status.BackendServer,
-		Incarnation:   status.Life,
+		Incarnation:   status.MemberIncarnation,
 		Sequence:      status.Sequence,
 		Leaving:       status.Leaving,
 	}))
-	if status.Life < s.status.Life || status.Life == s.status.Life && status.Sequence < s.status.Sequence {
+	if status.MemberIncarnation < s.status.MemberIncarnation || status.MemberIncarnation == s.status.MemberIncarnation && status.Sequence < s.status.Sequence {
 		return
 	}
-	changed := !sameVersions(s.status, status) || s.status.Life == 0
+	changed := !sameVersions(s.status, status) || s.status.MemberIncarnation == 0
 	if before := s.status.Load.Incarnation; before != "" && before != status.Load.Incarnation {
 		f.options.EngineRestarted(status.BackendServer)
 	}
@@ -198,11 +198,11 @@
 	if !ok {
 		return
 	}
-	f.tracker.Frame(now, p.Server, p.life)
+	f.tracker.Frame(now, p.Server, p.incarnation)
 	if load.Changes != s.status.Changes {
 		f.poll(p.Server)
 	}
-	if s.status.Life != p.life || !s.status.EngineUp {
+	if s.status.MemberIncarnation != p.incarnation || !s.status.EngineUp {
 		return
 	}
 	report := s.status.Load
@@ -267,7 +267,7 @@
 	f.snapshot = snapshot
 	for _, s := range f.servers {
 		// One that was never heard serves nothing that is known.
-		if s.status.Life != 0 {
+		if s.status.MemberIncarnation != 0 {
 			f.describe(s)
 		}
 	}
--- a/entry/session/answer.go
+++ b/entry/session/answer.go
@@ -32,8 +32,8 @@
 	busy      bool
 	detach    context.CancelFunc
 	suspicion generation.Suspicion
-	// condemned: the request is known to crash engines.
-	condemned bool
+	// quarantined: the request is known to crash engines.
+	quarantined bool
 	// watch finds a slow engine; it is nil while the answer stays where it is.
 	watch *routing.Watch
 	// paced counts the tokens of the attempt that watch follows.
@@ -82,7 +82,7 @@
 	a.detach = detach
 	a.suspicion = generation.SuspicionNone
 	a.watch = nil
-	if a.condemned {
+	if a.quarantined {
 		a.suspicion = generation.SuspicionRequest
 		detach()
 	}
@@ -155,7 +155,7 @@
 func (a *Answer) Interrupt() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.condemned = true
+	a.quarantined = true
 	if a.detach == nil || a.suspicion != generation.SuspicionNone {
 		return
 	}
--- a/experiment/relay/relay.go
+++ b/experiment/relay/relay.go
@@ -177,7 +177,7 @@
 func askEngine(system *realsystem.System, t *times, i int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	direct := httpbackend.NewEngine(httpbackend.Options{Address: system.World.Engines[i%agents].Addr()})
+	direct := httpbackend.NewEngine(httpbackend.Options{Address: system.Standins.Engines[i%agents].Addr()})
 	defer direct.Close()
 	c := clock{times: t, last: time.Now()}
 	stream, err := direct.Generate(ctx, backend.GenerateRequest{
@@ -260,7 +260,7 @@
 
 func generated(system *realsystem.System) uint64 {
 	var tokens uint64
-	for _, e := range system.World.Engines {
+	for _, e := range system.Standins.Engines {
 		tokens += e.TokensGenerated()
 	}
 	return tokens
--- a/experiment/resume/losses.go
+++ b/experiment/resume/losses.go
@@ -100,8 +100,8 @@
 		{
 			name:   "engine death",
 			seen:   true,
-			strike: func(s *faulty, i int) { s.World.Engines[i].Kill() },
-			heal:   func(s *faulty, i int) error { return s.World.Engines[i].Restart() },
+			strike: func(s *faulty, i int) { s.Standins.Engines[i].Kill() },
+			heal:   func(s *faulty, i int) error { return s.Standins.Engines[i].Restart() },
 		},
 		{
 			name:   "agent death",
@@ -111,11 +111,11 @@
 		{
 			name: "host death",
 			strike: func(s *faulty, i int) {
-				s.World.Engines[i].Kill()
+				s.Standins.Engines[i].Kill()
 				s.Agents[i].Process.Stop()
 			},
 			heal: func(s *faulty, i int) error {
-				return errors.CombineErrors(s.World.Engines[i].Restart(), s.ReplaceAgent(i))
+				return errors.CombineErrors(s.Standins.Engines[i].Restart(), s.ReplaceAgent(i))
 			},
 		},
 		{
@@ -140,8 +140,8 @@
 	return []loss{
 		{
 			name:   "engine pause",
-			strike: func(s *faulty, i int) { s.World.Engines[i].Pause() },
-			heal:   func(s *faulty, i int) error { s.World.Engines[i].Continue(); return nil },
+			strike: func(s *faulty, i int) { s.Standins.Engines[i].Pause() },
+			heal:   func(s *faulty, i int) error { s.Standins.Engines[i].Continue(); return nil },
 		},
 		setting("engine stuck", func(o *engine.Options) { o.Stuck = true }, func(o *engine.Options) { o.Stuck = false }),
 		setting("engine at a tenth of its speed",
@@ -154,8 +154,8 @@
 func setting(name string, strike, heal func(*engine.Options)) loss {
 	return loss{
 		name:   name,
-		strike: func(s *faulty, i int) { s.World.Engines[i].Update(strike) },
-		heal:   func(s *faulty, i int) error { s.World.Engines[i].Update(heal); return nil },
+		strike: func(s *faulty, i int) { s.Standins.Engines[i].Update(strike) },
+		heal:   func(s *faulty, i int) error { s.Standins.Engines[i].Update(heal); return nil },
 	}
 }
 
--- a/experiment/resume/resume.go
+++ b/experiment/resume/resume.go
@@ -193,7 +193,7 @@
 // percent.
 func tokensAgain(system *faulty, answers int) float64 {
 	var generated uint64
-	for _, e := range system.World.Engines {
+	for _, e := range system.Standins.Engines {
 		generated += e.TokensGenerated()
 	}
 	useful := 0.0
--- a/standin/world/world.go
+++ b/standin/suite/suite.go
@@ -1,6 +1,6 @@
-// Package world starts a set of stand-ins on loopback ports and closes them
+// Package suite starts a set of stand-ins on loopback ports and closes them
 // together.
-package world
+package suite
 
 import (
 	"time"
@@ -17,7 +17,7 @@
 // loopbackAny is a port of the system's choice.
 const loopbackAny = "127.0.0.1:0"
 
-// Options tell what a World holds.
+// Options tell what a Suite holds.
 type Options struct {
 	// Engines has one entry for each engine.
 	Engines []engine.Options
@@ -32,8 +32,8 @@
 
 const defaultWeightRate = 1 << 30
 
-// World is a set of running stand-ins.
-type World struct {
+// Suite is a set of running stand-ins.
+type Suite struct {
 	Table   *table.Table
 	Objects *objects.Store
 	Weights *weights.Store
@@ -50,11 +50,11 @@
 }
 
 // Start starts the stand-ins. On an error none is left running.
-func Start(options Options) (*World, error) {
+func Start(options Options) (*Suite, error) {
 	if options.WeightRate <= 0 {
 		options.WeightRate = defaultWeightRate
 	}
-	w := &World{
+	w := &Suite{
 		Table:   table.New(),
 		Objects: objects.New(),
 		Weights: weights.New(options.WeightRate),
@@ -68,7 +68,7 @@
 	return w, nil
 }
 
-func (w *World) start(options Options) error {
+func (w *Suite) start(options Options) error {
 	var err error
 	if w.TableServer, err = w.Table.Start(loopbackAny); err != nil {
 		return err
@@ -97,7 +97,7 @@
 
 // AddEngine starts one more engine. It loads from the weight store of w unless
 // the options name another one or a load duration.
-func (w *World) AddEngine(options engine.Options) error {
+func (w *Suite) AddEngine(options engine.Options) error {
 	if options.WeightsAddress == "" && options.LoadDuration == 0 {
 		options.WeightsAddress = w.WeightsServer.Addr()
 	}
@@ -110,7 +110,7 @@
 }
 
 // AddService starts one more plain service.
-func (w *World) AddService() error {
+func (w *Suite) AddService() error {
 	s := service.New()
 	server, err := s.Start(loopbackAny)
 	if err != nil {
@@ -122,7 +122,7 @@
 }
 
 // Close closes all stand-ins.
-func (w *World) Close() {
+func (w *Suite) Close() {
 	for _, running := range w.Engines {
 		running.Close()
 	}
--- a/standin/world/world_test.go
+++ b/standin/suite/suite_test.go
@@ -1,4 +1,4 @@
-package world
+package suite
 
 import (
 	"context"
@@ -23,7 +23,7 @@
 
 func TestWorld(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	Convey("Given a world with two engines", t, func() {
+	Convey("Given a set with two engines", t, func() {
 		w, err := Start(Options{Engines: []engine.Options{{}, {}}, Services: 1})
 		So(err, ShouldBeNil)
 		Reset(w.Close)
--- a/test/matrix/action_test.go
+++ b/test/matrix/action_test.go
@@ -206,7 +206,7 @@
 // executions returns what the services carried out for an action.
 func executions(system *realsystem.System, body string) []service.Execution {
 	var all []service.Execution
-	for _, s := range system.World.Services {
+	for _, s := range system.Standins.Services {
 		for _, e := range s.Executions() {
 			if bytes.Equal(e.Body, []byte(body)) {
 				all = append(all, e)
--- a/test/matrix/bench_test.go
+++ b/test/matrix/bench_test.go
@@ -182,7 +182,7 @@
 // running returns the index of the engine that generates, or -1. It is asked
 // while one request is under way.
 func (b *bench) running() int {
-	for i, e := range b.World.Engines {
+	for i, e := range b.Standins.Engines {
 		for _, run := range e.Runs() {
 			if run.End == engine.RunOpen && run.Until > run.From {
 				return i
--- a/test/matrix/check_test.go
+++ b/test/matrix/check_test.go
@@ -81,7 +81,7 @@
 		if refusal.Run != problem.RunNot || refusal.Step == problem.StepResume {
 			continue
 		}
-		for i, e := range b.World.Engines {
+		for i, e := range b.Standins.Engines {
 			for _, run := range e.Runs() {
 				if strings.HasPrefix(run.StreamID, string(refusal.RequestID)+".") {
 					wrong = append(wrong, fmt.Sprintf("engine %d ran %s, which was refused as not run: %v", i, run.StreamID, refusal))
--- a/test/matrix/configuration_test.go
+++ b/test/matrix/configuration_test.go
@@ -38,9 +38,9 @@
 
 // accept has an operator's change accepted.
 func (b *bench) accept(change template.Change) (wigeonfork.Revision, error) {
-	tableClient := httpplatform.NewTable(httpplatform.Options{Address: b.World.TableServer.Addr()})
+	tableClient := httpplatform.NewTable(httpplatform.Options{Address: b.Standins.TableServer.Addr()})
 	defer tableClient.Close()
-	objects := httpplatform.NewObjects(httpplatform.Options{Address: b.World.ObjectsServer.Addr()})
+	objects := httpplatform.NewObjects(httpplatform.Options{Address: b.Standins.ObjectsServer.Addr()})
 	defer objects.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
 	defer cancel()
--- a/test/matrix/faults_test.go
+++ b/test/matrix/faults_test.go
@@ -97,11 +97,11 @@
 func killBackend(b *bench) error {
 	proxy := b.agent().Backend
 	if len(b.ServiceAgents) > 0 {
-		b.World.ServiceServers[b.victim].Kill()
-		b.onHeal(b.World.ServiceServers[b.victim].Restart)
+		b.Standins.ServiceServers[b.victim].Kill()
+		b.onHeal(b.Standins.ServiceServers[b.victim].Restart)
 	} else {
-		b.World.Engines[b.victim].Kill()
-		b.onHeal(b.World.Engines[b.victim].Restart)
+		b.Standins.Engines[b.victim].Kill()
+		b.onHeal(b.Standins.Engines[b.victim].Restart)
 	}
 	refuse(proxy)
 	b.onHeal(proxy.Admit)
@@ -149,19 +149,19 @@
 
 func pauseBackend(b *bench) error {
 	if len(b.ServiceAgents) > 0 {
-		b.World.ServiceServers[b.victim].Pause()
-		server := b.World.ServiceServers[b.victim]
+		b.Standins.ServiceServers[b.victim].Pause()
+		server := b.Standins.ServiceServers[b.victim]
 		b.onHeal(func() error { server.Continue(); return nil })
 		return nil
 	}
-	e := b.World.Engines[b.victim]
+	e := b.Standins.Engines[b.victim]
 	e.Pause()
 	b.onHeal(func() error { e.Continue(); return nil })
 	return nil
 }
 
 func (b *bench) updateEngine(change, back func(*engine.Options)) error {
-	e := b.World.Engines[b.victim]
+	e := b.Standins.Engines[b.victim]
 	e.Update(change)
 	b.onHeal(func() error { e.Update(back); return nil })
 	return nil
@@ -196,8 +196,8 @@
 }
 
 func (b *bench) updateTable(change, back func(*table.Table)) error {
-	change(b.World.Table)
-	b.onHeal(func() error { back(b.World.Table); return nil })
+	change(b.Standins.Table)
+	b.onHeal(func() error { back(b.Standins.Table); return nil })
 	return nil
 }
 
@@ -216,13 +216,13 @@
 		return b.updateTable(func(t *table.Table) { t.LoseNextAnswers(1) }, func(t *table.Table) { t.LoseNextAnswers(0) })
 	}},
 	{"host list down", func(b *bench) error {
-		b.World.Hosts.SetDown(true)
-		b.onHeal(func() error { b.World.Hosts.SetDown(false); return nil })
+		b.Standins.Hosts.SetDown(true)
+		b.onHeal(func() error { b.Standins.Hosts.SetDown(false); return nil })
 		return nil
 	}},
 	{"host list late", func(b *bench) error {
-		b.World.Hosts.SetLag(hostLag)
-		b.onHeal(func() error { b.World.Hosts.SetLag(0); return nil })
+		b.Standins.Hosts.SetLag(hostLag)
+		b.onHeal(func() error { b.Standins.Hosts.SetLag(0); return nil })
 		return nil
 	}},
 }
--- a/test/matrix/leaving_test.go
+++ b/test/matrix/leaving_test.go
@@ -53,7 +53,7 @@
 	if err := b.arriveMid(); err != nil {
 		return err
 	}
-	for _, e := range b.World.Engines {
+	for _, e := range b.Standins.Engines {
 		e.Update(func(o *engine.Options) { o.SlowFactor = lingerFactor })
 	}
 	if err := b.applyAll(faults); err != nil {
@@ -67,7 +67,7 @@
 func (b *bench) sendLate() ([]string, error) {
 	// The grace is the stated bound itself.
 	time.Sleep(leavingGrace)
-	leaving := b.World.Engines[b.victim]
+	leaving := b.Standins.Engines[b.victim]
 	before := len(leaving.Runs())
 	for i := range lateRequests {
 		b.ask(newReader(b.addresses(), b.request(fmt.Sprintf("late %d", i))), nil)
@@ -87,7 +87,7 @@
 // lateRuns counts the runs of the late requests over all engines.
 func (b *bench) lateRuns(beforeAtLeaving int) int {
 	runs := 0
-	for i, e := range b.World.Engines {
+	for i, e := range b.Standins.Engines {
 		for _, run := range e.Runs() {
 			if run.From == 0 {
 				runs++
--- a/test/matrix/poison_test.go
+++ b/test/matrix/poison_test.go
@@ -53,7 +53,7 @@
 }
 
 func (b *bench) poison(f fault) ([]string, error) {
-	for _, e := range b.World.Engines {
+	for _, e := range b.Standins.Engines {
 		e.Update(func(o *engine.Options) {
 			o.Poison, o.PoisonAfterTokens, o.RestartAfter = poison, poisonTokens, poisonRevival
 			o.SlowFactor = lingerFactor
@@ -98,7 +98,7 @@
 // deaths counts the engines' incarnations that ended with streams.
 func (b *bench) deaths() int {
 	incarnations := map[string]bool{}
-	for _, e := range b.World.Engines {
+	for _, e := range b.Standins.Engines {
 		for _, run := range e.Runs() {
 			if run.End == engine.RunKilled {
 				incarnations[run.Incarnation] = true
--- a/test/matrix/proof_test.go
+++ b/test/matrix/proof_test.go
@@ -155,7 +155,7 @@
 // runTwice makes the call once more, apart from the system.
 func runTwice(b *bench) ([]string, error) {
 	repeat := fault{"repeat call", func(b *bench) error {
-		address := b.World.ServiceServers[b.victim].Addr()
+		address := b.Standins.ServiceServers[b.victim].Addr()
 		response, err := http.Post("http://"+address+actionPath, "application/json", strings.NewReader(b.body("main")))
 		if err != nil {
 			return err
--- a/test/matrix/steps_test.go
+++ b/test/matrix/steps_test.go
@@ -162,7 +162,7 @@
 		return nil, err
 	}
 	h := holdAll(faultproxy.ToServer, holding("POST /v1/generate"), proxiesOf(b.Agents, requestsProxy)...)
-	b.World.Engines[b.victim].Kill()
+	b.Standins.Engines[b.victim].Kill()
 	index, release, err := h.wait()
 	b.victim = max(index, 0)
 	return release, err
@@ -172,7 +172,7 @@
 // bytes from the agent are held.
 func arriveEndFrame(b *bench) (func(), error) {
 	finished := func([]byte) bool {
-		for _, e := range b.World.Engines {
+		for _, e := range b.Standins.Engines {
 			if e.RunsEnded(engine.RunFinished) > 0 {
 				return true
 			}
--- a/test/realsystem/node.go
+++ b/test/realsystem/node.go
@@ -87,11 +87,11 @@
 // stay the same in a system with proxies.
 func (e *Entry) Start() error {
 	s := e.system
-	table, err := s.proxied(&e.Table, s.World.TableServer.Addr())
+	table, err := s.proxied(&e.Table, s.Standins.TableServer.Addr())
 	if err != nil {
 		return err
 	}
-	hosts, err := s.proxied(&e.Hosts, s.World.HostsServer.Addr())
+	hosts, err := s.proxied(&e.Hosts, s.Standins.HostsServer.Addr())
 	if err != nil {
 		return err
 	}
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	s.World.Hosts.Put(platform.Host{
+	s.Standins.Hosts.Put(platform.Host{
 		ID: wigeonfork.HostID(e.host), Role: platform.RoleEntry, State: platform.HostLive, Region: "local",
 		Domain: wigeonfork.FailureDomain(domainOf(e.index)), ServeAddress: serve, ControlAddress: control,
 	})
@@ -139,7 +139,7 @@
 // stay the same in a system with proxies.
 func (a *Agent) Start() error {
 	s := a.system
-	table, err := s.proxied(&a.Table, s.World.TableServer.Addr())
+	table, err := s.proxied(&a.Table, s.Standins.TableServer.Addr())
 	if err != nil {
 		return err
 	}
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	environment := append(s.environment(a.place.host, a.place.index, table, s.World.HostsServer.Addr()),
+	environment := append(s.environment(a.place.host, a.place.index, table, s.Standins.HostsServer.Addr()),
 		"WIGEON_BACKEND_SERVER="+string(a.place.server),
 		"WIGEON_BACKEND_KIND="+a.place.kind,
 		"WIGEON_BACKEND_ADDRESS="+backend)
@@ -167,7 +167,7 @@
 	if err != nil {
 		return err
 	}
-	s.World.Hosts.Put(platform.Host{
+	s.Standins.Hosts.Put(platform.Host{
 		ID: wigeonfork.HostID(a.place.host), Role: platform.RoleAgent, State: platform.HostLive, Region: "local",
 		Domain: wigeonfork.FailureDomain(domainOf(a.place.index)), ServeAddress: serve, ControlAddress: control,
 		BackendServer: a.place.server,
--- a/test/realsystem/realsystem.go
+++ b/test/realsystem/realsystem.go
@@ -13,7 +13,7 @@
 	"github.com/wigeonfork/wigeonfork/embedded"
 	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
-	"github.com/wigeonfork/wigeonfork/standin/world"
+	"github.com/wigeonfork/wigeonfork/standin/suite"
 	"github.com/wigeonfork/wigeonfork/template"
 	"github.com/wigeonfork/wigeonfork/template/store"
 	"github.com/wigeonfork/wigeonfork/test/process"
@@ -43,8 +43,8 @@
 
 // System is a running system.
 type System struct {
-	World   *world.World
-	Entries []*Entry
+	Standins *suite.Suite
+	Entries  []*Entry
 	// Agents stand beside the engines, ServiceAgents beside plain services.
 	Agents        []*Agent
 	ServiceAgents []*Agent
@@ -54,11 +54,11 @@
 // Start starts a system and waits until its entries see all agents.
 func Start(options Options) (*System, error) {
 	embedded.LoadDefaultVersion(options.Engines)
-	w, err := world.Start(world.Options{Engines: options.Engines, Services: options.Services})
+	w, err := suite.Start(suite.Options{Engines: options.Engines, Services: options.Services})
 	if err != nil {
 		return nil, err
 	}
-	s := &System{World: w, options: options}
+	s := &System{Standins: w, options: options}
 	if err := s.start(); err != nil {
 		s.Close()
 		return nil, err
@@ -70,13 +70,13 @@
 	if err := s.configure(context.Background()); err != nil {
 		return err
 	}
-	for i := range s.World.Engines {
-		if err := s.addAgent(&s.Agents, engineAgent(i, s.World.Engines[i].Addr())); err != nil {
+	for i := range s.Standins.Engines {
+		if err := s.addAgent(&s.Agents, engineAgent(i, s.Standins.Engines[i].Addr())); err != nil {
 			return err
 		}
 	}
-	for i := range s.World.Services {
-		if err := s.addAgent(&s.ServiceAgents, serviceAgent(i, s.World.ServiceServers[i].Addr())); err != nil {
+	for i := range s.Standins.Services {
+		if err := s.addAgent(&s.ServiceAgents, serviceAgent(i, s.Standins.ServiceServers[i].Addr())); err != nil {
 			return err
 		}
 	}
@@ -89,12 +89,12 @@
 }
 
 func (s *System) configure(ctx context.Context) error {
-	objects := httpplatform.NewObjects(httpplatform.Options{Address: s.World.ObjectsServer.Addr()})
+	objects := httpplatform.NewObjects(httpplatform.Options{Address: s.Standins.ObjectsServer.Addr()})
 	defer objects.Close()
 	if s.options.Change == nil {
-		return embedded.Configure(ctx, s.World.Table, objects, len(s.World.Engines), len(s.World.Services))
+		return embedded.Configure(ctx, s.Standins.Table, objects, len(s.Standins.Engines), len(s.Standins.Services))
 	}
-	_, err := store.New(s.World.Table, objects, store.Options{}).Accept(ctx, store.Request{
+	_, err := store.New(s.Standins.Table, objects, store.Options{}).Accept(ctx, store.Request{
 		OperationID: uuid.NewString(), Author: "realsystem", Change: *s.options.Change, Now: time.Now(),
 	})
 	return err
@@ -111,8 +111,8 @@
 		"WIGEON_PEER_KEY=" + credentials.Peer,
 		"WIGEON_OPERATOR_KEY=" + credentials.Operator,
 		"WIGEON_TABLE_ADDRESS=" + table,
-		"WIGEON_OBJECTS_ADDRESS=" + s.World.ObjectsServer.Addr(),
-		"WIGEON_WEIGHTS_ADDRESS=" + s.World.WeightsServer.Addr(),
+		"WIGEON_OBJECTS_ADDRESS=" + s.Standins.ObjectsServer.Addr(),
+		"WIGEON_WEIGHTS_ADDRESS=" + s.Standins.WeightsServer.Addr(),
 		"WIGEON_HOSTS_ADDRESS=" + hosts,
 	}
 	return append(environment, s.options.Environment...)
@@ -126,7 +126,7 @@
 	for _, a := range s.allAgents() {
 		a.close()
 	}
-	s.World.Close()
+	s.Standins.Close()
 }
 
 func (s *System) allAgents() []*Agent {
