Let the resume experiment go on while a struck agent is held back

Cause: the experiment waited for all agents after each loss; an agent that is struck again and again is damped as flapping for up to a minute, so that the run ended with 'not ready after 10s'. Change: it waits until half of the backend servers take work.

--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -354,9 +354,15 @@
 
 // WaitReady waits until each entry sees all backend servers take work.
 func (s *System) WaitReady() error {
+	return s.WaitUsable(len(s.Agents) + len(s.ServiceAgents))
+}
+
+// WaitUsable waits until each entry sees at least servers backend servers take
+// work. One that came back too often is held back for a while.
+func (s *System) WaitUsable(servers int) error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, node := range s.Entries {
-		for !node.Process.Ready(len(s.Agents) + len(s.ServiceAgents)) {
+		for !node.Process.Ready(servers) {
 			if time.Now().After(deadline) {
 				return errors.Newf("entry at %s is not ready after %s", node.Address, readyTimeout)
 			}
--- a/experiment/resume/resume.go
+++ b/experiment/resume/resume.go
@@ -31,6 +31,7 @@
 // Sizes of the experiment.
 const (
 	engines          = 4
+	minUsable        = 2
 	tokensPerSecond  = 100
 	maxTokens        = 80
 	faultAfterEvents = 15
@@ -160,7 +161,8 @@
 	if err := l.heal(system, struck); err != nil {
 		return err
 	}
-	return system.WaitReady()
+	// A backend server that is struck again and again is held back as flapping.
+	return system.WaitUsable(minUsable)
 }
 
 func expected(prompt string, seed uint64) string {
