--- a/action/batcher.go
+++ b/action/batcher.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // BatchLimits holds the bounds of group commit.
@@ -29,14 +29,14 @@
 // BatchItem is one conditional write of one row.
 type BatchItem struct {
 	ID        uint64
-	Condition platform.Condition
-	Write     platform.Write
+	Condition infra.Condition
+	Write     infra.Write
 }
 
 // BatchResult is the end of one item: Err, or a Commit for this item alone.
 type BatchResult struct {
 	ID     uint64
-	Commit platform.Commit
+	Commit infra.Commit
 	Err    error
 }
 
@@ -51,7 +51,7 @@
 
 type flight struct {
 	items   []queued
-	tx      platform.Transaction
+	tx      infra.Transaction
 	repeats int
 	// unclear: a copy of the transaction has an outcome that is not known.
 	unclear bool
@@ -99,18 +99,18 @@
 
 // Take returns the next transaction that is due. Its end must be given to
 // Answer.
-func (b *Batcher) Take(now time.Time) (platform.Transaction, bool) {
+func (b *Batcher) Take(now time.Time) (infra.Transaction, bool) {
 	if len(b.repeats) > 0 {
 		f := b.repeats[0]
 		b.repeats = b.repeats[1:]
 		return f.tx, true
 	}
 	if len(b.flights) >= b.limits.MaxFlights || !b.due(now) {
-		return platform.Transaction{}, false
+		return infra.Transaction{}, false
 	}
 	items := b.pick()
 	if len(items) == 0 {
-		return platform.Transaction{}, false
+		return infra.Transaction{}, false
 	}
 	return b.launch(items), true
 }
@@ -170,12 +170,12 @@
 	return picked
 }
 
-func (b *Batcher) launch(items []queued) platform.Transaction {
+func (b *Batcher) launch(items []queued) infra.Transaction {
 	b.serial++
-	tx := platform.Transaction{
+	tx := infra.Transaction{
 		OperationID: b.prefix + strconv.FormatUint(b.serial, 10),
-		Conditions:  make([]platform.Condition, len(items)),
-		Writes:      make([]platform.Write, len(items)),
+		Conditions:  make([]infra.Condition, len(items)),
+		Writes:      make([]infra.Write, len(items)),
 	}
 	for i, q := range items {
 		tx.Conditions[i] = q.item.Condition
@@ -186,16 +186,16 @@
 }
 
 // Answer takes the end of a transaction and returns the items that ended.
-func (b *Batcher) Answer(operationID string, commit platform.Commit, err error) []BatchResult {
+func (b *Batcher) Answer(operationID string, commit infra.Commit, err error) []BatchResult {
 	f, ok := b.flights[operationID]
 	if !ok {
 		return nil
 	}
-	unclear := err != nil && platform.OutcomeOf(err) != platform.OutcomeNotDone
+	unclear := err != nil && infra.OutcomeOf(err) != infra.OutcomeNotDone
 	f.unclear = f.unclear || unclear
 	if err != nil && f.unclear && !unclear {
 		// This copy was not done, but an earlier one may have been.
-		err = platform.NewError(platform.OutcomeUnknown, "commit", "table", err)
+		err = infra.NewError(infra.OutcomeUnknown, "commit", "table", err)
 	}
 	if err != nil && f.unclear && f.repeats < b.limits.Repeats {
 		f.repeats++
@@ -213,7 +213,7 @@
 }
 
 // all gives every item of f the same end.
-func (f *flight) all(commit platform.Commit, err error) []BatchResult {
+func (f *flight) all(commit infra.Commit, err error) []BatchResult {
 	results := make([]BatchResult, len(f.items))
 	for i, q := range f.items {
 		results[i] = BatchResult{ID: q.item.ID, Commit: commit, Err: err}
@@ -222,8 +222,8 @@
 }
 
 // split ends the items of f that conflicted and queues the others first.
-func (b *Batcher) split(f *flight, commit platform.Commit) []BatchResult {
-	conflicts := make(map[string]platform.Row, len(commit.Conflicts))
+func (b *Batcher) split(f *flight, commit infra.Commit) []BatchResult {
+	conflicts := make(map[string]infra.Row, len(commit.Conflicts))
 	for _, row := range commit.Conflicts {
 		conflicts[row.Key] = row
 	}
@@ -235,10 +235,10 @@
 			rest = append(rest, q)
 			continue
 		}
-		results = append(results, BatchResult{ID: q.item.ID, Commit: platform.Commit{Conflicts: []platform.Row{row}}})
+		results = append(results, BatchResult{ID: q.item.ID, Commit: infra.Commit{Conflicts: []infra.Row{row}}})
 	}
 	if len(results) == 0 {
-		return f.all(platform.Commit{}, platform.NewError(platform.OutcomeNotDone, "commit", "table", errNotApplied))
+		return f.all(infra.Commit{}, infra.NewError(infra.OutcomeNotDone, "commit", "table", errNotApplied))
 	}
 	b.queue = append(rest, b.queue...)
 	return results
--- a/action/batcher_test.go
+++ b/action/batcher_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"pgregory.net/rapid"
 )
 
@@ -23,7 +23,7 @@
 		count := rapid.IntRange(1, 12).Draw(t, "count")
 		for id := range count {
 			row := fmt.Sprintf("k%d", rapid.IntRange(0, 3).Draw(t, "row"))
-			b.Add(now, BatchItem{ID: uint64(id), Condition: platform.Condition{Key: row}, Write: platform.Write{Key: row, Value: fmt.Append(nil, id)}})
+			b.Add(now, BatchItem{ID: uint64(id), Condition: infra.Condition{Key: row}, Write: infra.Write{Key: row, Value: fmt.Append(nil, id)}})
 		}
 		ends := map[uint64]BatchResult{}
 		now = now.Add(limits.MaxDelay)
@@ -55,7 +55,7 @@
 		t.Fatalf("item %d is told applied %v, written %v", id, result.Commit.Applied, written)
 	case result.Err == nil && !written && len(result.Commit.Conflicts) != 1:
 		t.Fatalf("item %d conflicts with %d rows", id, len(result.Commit.Conflicts))
-	case platform.OutcomeOf(result.Err) == platform.OutcomeNotDone && written:
+	case infra.OutcomeOf(result.Err) == infra.OutcomeNotDone && written:
 		t.Fatalf("item %d is told not done, and is written", id)
 	}
 }
--- a/action/bench_test.go
+++ b/action/bench_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // BenchmarkCoordinator is one request without faults: claim, dispatch, record.
@@ -24,9 +24,9 @@
 			for b.Loop() {
 				c := NewCoordinator(DefaultLimits(), request, "0b9c7f7e-0000-4000-8000-000000000000")
 				c.Start(now)
-				c.Handle(now, Answer{Commit: platform.Commit{Applied: true, Revision: 1}})
+				c.Handle(now, Answer{Commit: infra.Commit{Applied: true, Revision: 1}})
 				c.Handle(now, Answer{Reply: backend.Reply{Status: 200, Body: request.Call.Body}})
-				c.Handle(now, Answer{Commit: platform.Commit{Applied: true, Revision: 2}})
+				c.Handle(now, Answer{Commit: infra.Commit{Applied: true, Revision: 2}})
 				if !c.Ended() {
 					b.Fatal("not ended")
 				}
@@ -79,10 +79,10 @@
 			take(at)
 		}
 		if i < n {
-			batcher.Add(now, BatchItem{ID: uint64(i), Write: platform.Write{Key: fmt.Sprint(i)}})
+			batcher.Add(now, BatchItem{ID: uint64(i), Write: infra.Write{Key: fmt.Sprint(i)}})
 		}
 		for len(answers) > 0 && !now.Before(answers[0].at) {
-			batcher.Answer(answers[0].id, platform.Commit{Applied: true}, nil)
+			batcher.Answer(answers[0].id, infra.Commit{Applied: true}, nil)
 			answers = answers[1:]
 		}
 		take(now)
--- a/action/claim.go
+++ b/action/claim.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // ClaimID names one claim on a key. It is unique for ever.
@@ -64,5 +64,5 @@
 	ClaimedAt time.Time `json:"claimed_at"`
 	Expires   time.Time `json:"expires"`
 	// Revision is that of the claim's row.
-	Revision platform.Revision `json:"revision"`
+	Revision infra.Revision `json:"revision"`
 }
--- a/action/committer.go
+++ b/action/committer.go
@@ -5,13 +5,13 @@
 	"sync"
 	"time"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // committer runs a Batcher over a table. Its one mutex guards the Batcher and
 // the waiters, and is not held over I/O.
 type committer struct {
-	table   platform.Table
+	table   infra.Table
 	timeout time.Duration
 	now     func() time.Time
 
@@ -22,7 +22,7 @@
 	timer   *time.Timer
 }
 
-func newCommitter(table platform.Table, limits BatchLimits, timeout time.Duration, now func() time.Time) *committer {
+func newCommitter(table infra.Table, limits BatchLimits, timeout time.Duration, now func() time.Time) *committer {
 	return &committer{
 		table:   table,
 		timeout: timeout,
@@ -34,28 +34,28 @@
 
 // commit writes the one row of tx, together with other rows, and returns the
 // end of this write. After ctx the outcome is not known.
-func (c *committer) commit(ctx context.Context, tx platform.Transaction) (platform.Commit, error) {
+func (c *committer) commit(ctx context.Context, tx infra.Transaction) (infra.Commit, error) {
 	id, done := c.add(tx)
 	select {
 	case result := <-done:
 		return result.Commit, result.Err
 	case <-ctx.Done():
-		return platform.Commit{}, platform.NewError(c.abandon(id), "commit", "table", ctx.Err())
+		return infra.Commit{}, infra.NewError(c.abandon(id), "commit", "table", ctx.Err())
 	}
 }
 
 // abandon gives up waiting for a write and returns what is known of it.
-func (c *committer) abandon(id uint64) platform.Outcome {
+func (c *committer) abandon(id uint64) infra.Outcome {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.waiters, id)
 	if c.batcher.Cancel(id) {
-		return platform.OutcomeNotDone
+		return infra.OutcomeNotDone
 	}
-	return platform.OutcomeUnknown
+	return infra.OutcomeUnknown
 }
 
-func (c *committer) add(tx platform.Transaction) (uint64, <-chan BatchResult) {
+func (c *committer) add(tx infra.Transaction) (uint64, <-chan BatchResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serial++
@@ -90,7 +90,7 @@
 }
 
 // send carries one transaction to the table.
-func (c *committer) send(tx platform.Transaction) {
+func (c *committer) send(tx infra.Transaction) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	commit, err := c.table.Commit(ctx, tx)
--- a/action/coordinator.go
+++ b/action/coordinator.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -32,7 +32,7 @@
 type Command struct {
 	Kind        CommandKind
 	RowKey      string
-	Transaction platform.Transaction
+	Transaction infra.Transaction
 	Claim       Claim
 	Call        backend.Call
 	Query       ResolveQuery
@@ -44,8 +44,8 @@
 // Answer is the end of the access under way. Err decides first; else the
 // field of the access is set.
 type Answer struct {
-	Row        platform.Row
-	Commit     platform.Commit
+	Row        infra.Row
+	Commit     infra.Commit
 	Reply      backend.Reply
 	Resolution Resolution
 	Err        error
@@ -92,9 +92,9 @@
 	rowKnown bool
 	own      Claim
 	// claimOn is the row's revision that the own claim is conditioned on.
-	claimOn  platform.Revision
+	claimOn  infra.Revision
 	row      Record
-	revision platform.Revision
+	revision infra.Revision
 	out      write
 	// refusal is what the caller gets once the release is written; proved
 	// tells that it holds even if the release is not.
--- a/action/coordinator_claim.go
+++ b/action/coordinator_claim.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // makeClaim writes a claim of the request's own over the row as last seen.
@@ -42,7 +42,7 @@
 
 // nextAttempt moves on to a claim on the row at revision. It returns false if
 // the claim that was tried last is on that revision already.
-func (c *Coordinator) nextAttempt(revision platform.Revision) bool {
+func (c *Coordinator) nextAttempt(revision infra.Revision) bool {
 	c.revision = revision
 	if c.claimOn == revision {
 		return false
@@ -82,7 +82,7 @@
 }
 
 // conflict goes on with the row that a write has met.
-func (c *Coordinator) conflict(now time.Time, commit platform.Commit) []Command {
+func (c *Coordinator) conflict(now time.Time, commit infra.Commit) []Command {
 	if len(commit.Conflicts) == 0 {
 		c.phase = phaseRead
 		return c.sleep(now, c.limits.StoreRetry)
@@ -110,7 +110,7 @@
 }
 
 // rowSeen goes on with the present row.
-func (c *Coordinator) rowSeen(now time.Time, row platform.Row) []Command {
+func (c *Coordinator) rowSeen(now time.Time, row infra.Row) []Command {
 	record, err := DecodeRow(row)
 	if err != nil {
 		return c.fail(err)
@@ -135,7 +135,7 @@
 
 // claimAgain makes a claim on a row that has none in force. A claim on
 // another revision than the last one gets an id of its own.
-func (c *Coordinator) claimAgain(now time.Time, revision platform.Revision) []Command {
+func (c *Coordinator) claimAgain(now time.Time, revision infra.Revision) []Command {
 	if c.answered {
 		return c.end()
 	}
@@ -149,7 +149,7 @@
 }
 
 // claimSeen goes on with a row that holds a claim in force.
-func (c *Coordinator) claimSeen(now time.Time, revision platform.Revision, changed bool) []Command {
+func (c *Coordinator) claimSeen(now time.Time, revision infra.Revision, changed bool) []Command {
 	c.revision = revision
 	if c.row.ClaimID == c.own.ID && !c.dispatched {
 		return c.claimed(now, revision)
@@ -166,7 +166,7 @@
 
 // claimed goes on with the own claim, which is durable and has not left. It
 // is given back if it comes too late for the caller or for its agent.
-func (c *Coordinator) claimed(now time.Time, revision platform.Revision) []Command {
+func (c *Coordinator) claimed(now time.Time, revision infra.Revision) []Command {
 	c.row = recordOf(c.own)
 	c.rowKnown = true
 	c.revision = revision
--- a/action/coordinator_outcome.go
+++ b/action/coordinator_outcome.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -35,7 +35,7 @@
 		}
 		return nil
 	}
-	if platform.OutcomeOf(err) == platform.OutcomeNotDone {
+	if infra.OutcomeOf(err) == infra.OutcomeNotDone {
 		return c.unreachable(err)
 	}
 	return nil
--- a/action/dispatcher.go
+++ b/action/dispatcher.go
@@ -53,7 +53,7 @@
 // header; the header must not travel to the agent. The call that the agent
 // makes must not end with the entry's connection. An error proves that the
 // call was not run only if it holds a *problem.Error with RunNot, which the
-// agent sent, or a *platform.Error with OutcomeNotDone, which says that no
+// agent sent, or a *infra.Error with OutcomeNotDone, which says that no
 // byte left for the agent.
 //
 // Acknowledge tells the agent that the outcomes of claims are recorded. It may
--- a/action/executor.go
+++ b/action/executor.go
@@ -8,13 +8,13 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
 // Config holds what an Executor works with.
 type Config struct {
-	Table      platform.Table
+	Table      infra.Table
 	Dispatcher Dispatcher
 	Limits     Limits
 	// Batch bounds group commit; the zero value stands for the defaults.
@@ -178,7 +178,7 @@
 // dispatch sends the call, unless the caller is gone before it left.
 func (r *run) dispatch(ctx context.Context, command Command, background bool) Answer {
 	if background {
-		err := platform.NewError(platform.OutcomeNotDone, "dispatch", command.Claim.Target.AgentAddress, errCallerGone)
+		err := infra.NewError(infra.OutcomeNotDone, "dispatch", command.Claim.Target.AgentAddress, errCallerGone)
 		return Answer{Err: err}
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
--- a/action/export_test.go
+++ b/action/export_test.go
@@ -4,7 +4,7 @@
 	"strconv"
 
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // AppendState appends all that decides c's further course.
@@ -48,7 +48,7 @@
 }
 
 // RecordStep is one round of Executor.Record on an abstract table.
-func RecordStep(claim Claim, reply *backend.Reply, apply func(platform.Transaction) platform.Commit) {
+func RecordStep(claim Claim, reply *backend.Reply, apply func(infra.Transaction) infra.Commit) {
 	w := outcomeWrite(claim, reply, DefaultLimits().MaxReplyBytes)
 	for range maxRecordAttempts {
 		tx, err := w.transaction()
--- a/action/fakes_test.go
+++ b/action/fakes_test.go
@@ -7,7 +7,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // fault tells how a fake service fails one access.
@@ -28,9 +28,9 @@
 // fakeTable is a table in memory whose accesses fail as fail says.
 type fakeTable struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
-	outcomes map[string]platform.Commit
-	revision platform.Revision
+	rows     map[string]infra.Row
+	outcomes map[string]infra.Commit
+	revision infra.Revision
 	commits  int
 	gets     int
 	// fail is asked with the mutex held.
@@ -38,7 +38,7 @@
 }
 
 func newFakeTable() *fakeTable {
-	return &fakeTable{rows: map[string]platform.Row{}, outcomes: map[string]platform.Commit{}}
+	return &fakeTable{rows: map[string]infra.Row{}, outcomes: map[string]infra.Commit{}}
 }
 
 func (t *fakeTable) fault(operation string) fault {
@@ -49,30 +49,30 @@
 }
 
 func injected(f fault, operation string) error {
-	outcome := platform.OutcomeUnknown
+	outcome := infra.OutcomeUnknown
 	if f == faultRefused {
-		outcome = platform.OutcomeNotDone
+		outcome = infra.OutcomeNotDone
 	}
-	return platform.NewError(outcome, operation, "table", errInjected)
+	return infra.NewError(outcome, operation, "table", errInjected)
 }
 
-func (t *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *fakeTable) Get(_ context.Context, key string) (infra.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.gets++
 	if f := t.fault("get"); f != faultNone {
-		return platform.Row{}, injected(f, "get")
+		return infra.Row{}, injected(f, "get")
 	}
 	row := t.rows[key]
 	row.Key = key
 	return row, nil
 }
 
-func (t *fakeTable) Scan(_ context.Context, query platform.ScanQuery) (platform.Page, error) {
+func (t *fakeTable) Scan(_ context.Context, query infra.ScanQuery) (infra.Page, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if f := t.fault("scan"); f != faultNone {
-		return platform.Page{}, injected(f, "scan")
+		return infra.Page{}, injected(f, "scan")
 	}
 	var keys []string
 	for key := range t.rows {
@@ -81,7 +81,7 @@
 		}
 	}
 	sort.Strings(keys)
-	page := platform.Page{Revision: t.revision}
+	page := infra.Page{Revision: t.revision}
 	for _, key := range keys {
 		if len(page.Rows) == query.Limit {
 			page.Next = key
@@ -92,26 +92,26 @@
 	return page, nil
 }
 
-func (t *fakeTable) Commit(_ context.Context, tx platform.Transaction) (platform.Commit, error) {
+func (t *fakeTable) Commit(_ context.Context, tx infra.Transaction) (infra.Commit, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
 	f := t.fault("commit")
 	if f == faultRefused || f == faultLostBefore {
-		return platform.Commit{}, injected(f, "commit")
+		return infra.Commit{}, injected(f, "commit")
 	}
 	commit := t.apply(tx)
 	if f == faultLostAfter {
-		return platform.Commit{}, injected(f, "commit")
+		return infra.Commit{}, injected(f, "commit")
 	}
 	return commit, nil
 }
 
-func (t *fakeTable) apply(tx platform.Transaction) platform.Commit {
+func (t *fakeTable) apply(tx infra.Transaction) infra.Commit {
 	if past, ok := t.outcomes[tx.OperationID]; ok {
 		return past
 	}
-	var commit platform.Commit
+	var commit infra.Commit
 	for _, condition := range tx.Conditions {
 		if row := t.rows[condition.Key]; row.Revision != condition.Revision {
 			row.Key = condition.Key
@@ -120,13 +120,13 @@
 	}
 	if len(commit.Conflicts) == 0 {
 		t.revision++
-		commit = platform.Commit{Applied: true, Revision: t.revision}
+		commit = infra.Commit{Applied: true, Revision: t.revision}
 		for _, write := range tx.Writes {
 			if write.Delete {
 				delete(t.rows, write.Key)
 				continue
 			}
-			t.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Revision: t.revision}
+			t.rows[write.Key] = infra.Row{Key: write.Key, Value: write.Value, Revision: t.revision}
 		}
 	}
 	t.outcomes[tx.OperationID] = commit
--- a/action/faults_test.go
+++ b/action/faults_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -65,7 +65,7 @@
 	})
 }
 
-func lostErr() error { return platform.NewError(platform.OutcomeUnknown, "dispatch", "A", errInjected) }
+func lostErr() error { return infra.NewError(infra.OutcomeUnknown, "dispatch", "A", errInjected) }
 
 func TestFailuresOfTheTable(t *testing.T) {
 	Convey("A table that is out is never followed by a dispatch", t, func() {
@@ -168,7 +168,7 @@
 	Convey("A dispatch that never left releases the key, which may run later", t, func() {
 		b := newBench()
 		b.agent.dispatch = func(Claim) (backend.Reply, error) {
-			return backend.Reply{}, platform.NewError(platform.OutcomeNotDone, "dispatch", "A", errInjected)
+			return backend.Reply{}, infra.NewError(infra.OutcomeNotDone, "dispatch", "A", errInjected)
 		}
 		_, refusal := b.do("5", time.Minute)
 		So(refusal.Run, ShouldEqual, problem.RunNot)
--- a/action/model_step_test.go
+++ b/action/model_step_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/action/ledger"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -122,7 +122,7 @@
 		m.send(w, e)
 	}
 	if m.breakage == breakDispatchEarly && e.access.Kind == action.CommandCommit && w.row.Revision == 0 {
-		m.answer(w, i, action.Answer{Commit: platform.Commit{Applied: true, Revision: 1}})
+		m.answer(w, i, action.Answer{Commit: infra.Commit{Applied: true, Revision: 1}})
 	}
 }
 
@@ -163,7 +163,7 @@
 		w.dispatches = slices.DeleteFunc(slices.Clone(w.dispatches), func(c action.Claim) bool { return c.ID == access.Claim.ID })
 	}
 	if access.Kind == action.CommandCommit {
-		w.commits = slices.DeleteFunc(slices.Clone(w.commits), func(tx platform.Transaction) bool {
+		w.commits = slices.DeleteFunc(slices.Clone(w.commits), func(tx infra.Transaction) bool {
 			return tx.OperationID == access.Transaction.OperationID
 		})
 	}
@@ -178,7 +178,7 @@
 		e.captured = &row
 	case action.CommandCommit:
 		tx := e.access.Transaction
-		known := slices.ContainsFunc(w.commits, func(t platform.Transaction) bool { return t.OperationID == tx.OperationID })
+		known := slices.ContainsFunc(w.commits, func(t infra.Transaction) bool { return t.OperationID == tx.OperationID })
 		if !known {
 			w.commits = appended(w.commits, tx)
 		}
--- a/action/model_test.go
+++ b/action/model_test.go
@@ -10,7 +10,7 @@
 	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/action/ledger"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -65,7 +65,7 @@
 	status       entryStatus
 	coordinator  action.Coordinator
 	access       action.Command
-	captured     *platform.Row
+	captured     *infra.Row
 	clock        time.Duration
 	runsAtStart  int
 	toldNotRun   bool
@@ -96,7 +96,7 @@
 
 type appliedTx struct {
 	id     string
-	commit platform.Commit
+	commit infra.Commit
 }
 
 type claimAnswer struct {
@@ -109,10 +109,10 @@
 type world struct {
 	entries    []*modelEntry
 	agents     []*modelAgent
-	row        platform.Row
-	revision   platform.Revision
+	row        infra.Row
+	revision   infra.Revision
 	applied    []appliedTx
-	commits    []platform.Transaction
+	commits    []infra.Transaction
 	dispatches []action.Claim
 	queries    []action.ResolveQuery
 	acks       []action.ClaimID
@@ -225,7 +225,7 @@
 
 // mayApply tells whether a transaction is still to be taken by the table and
 // that can be noticed: it has an effect, or an entry waits for it.
-func (w *world) mayApply(tx platform.Transaction) bool {
+func (w *world) mayApply(tx infra.Transaction) bool {
 	for _, a := range w.applied {
 		if a.id == tx.OperationID {
 			return false
@@ -283,17 +283,17 @@
 }
 
 // apply carries out a transaction as the table does.
-func (w *world) apply(tx platform.Transaction) platform.Commit {
+func (w *world) apply(tx infra.Transaction) infra.Commit {
 	for _, past := range w.applied {
 		if past.id == tx.OperationID {
 			return past.commit
 		}
 	}
-	commit := platform.Commit{Conflicts: []platform.Row{w.row}}
+	commit := infra.Commit{Conflicts: []infra.Row{w.row}}
 	if w.row.Revision == tx.Conditions[0].Revision {
 		w.revision++
-		w.row = platform.Row{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: w.revision}
-		commit = platform.Commit{Applied: true, Revision: w.revision}
+		w.row = infra.Row{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: w.revision}
+		commit = infra.Commit{Applied: true, Revision: w.revision}
 	}
 	w.applied = appended(w.applied, appliedTx{id: tx.OperationID, commit: commit})
 	return commit
@@ -467,11 +467,11 @@
 func claimOfEntry(id action.ClaimID, entry int) bool { return id[0] == byte('0'+entry) }
 
 func unknownErr() error {
-	return platform.NewError(platform.OutcomeUnknown, "model", "peer", errModel)
+	return infra.NewError(infra.OutcomeUnknown, "model", "peer", errModel)
 }
 
 func notDoneErr() error {
-	return platform.NewError(platform.OutcomeNotDone, "model", "peer", errModel)
+	return infra.NewError(infra.OutcomeNotDone, "model", "peer", errModel)
 }
 
 func agentRefusal() error {
--- a/action/prune.go
+++ b/action/prune.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // PruneBatch returns the transaction that deletes the rows of page whose keys
@@ -16,8 +16,8 @@
 // WorkspacePrefix: its rows are in order of issue time, so that the first row
 // that is young enough ends the search. A row that has changed since the scan
 // makes the whole transaction fail, which is then planned anew.
-func PruneBatch(now time.Time, limits Limits, page platform.Page, limit int, operationID string) (platform.Transaction, bool) {
-	tx := platform.Transaction{OperationID: operationID}
+func PruneBatch(now time.Time, limits Limits, page infra.Page, limit int, operationID string) (infra.Transaction, bool) {
+	tx := infra.Transaction{OperationID: operationID}
 	oldest := now.Add(-limits.Retention - limits.PruneMargin)
 	for _, row := range page.Rows {
 		if len(tx.Writes) == limit {
@@ -31,8 +31,8 @@
 		if !issued.Before(oldest) {
 			return tx, false
 		}
-		tx.Conditions = append(tx.Conditions, platform.Condition{Key: row.Key, Revision: row.Revision})
-		tx.Writes = append(tx.Writes, platform.Write{Key: row.Key, Delete: true})
+		tx.Conditions = append(tx.Conditions, infra.Condition{Key: row.Key, Revision: row.Revision})
+		tx.Writes = append(tx.Writes, infra.Write{Key: row.Key, Delete: true})
 	}
 	return tx, page.Next != ""
 }
@@ -53,7 +53,7 @@
 }
 
 func (e *Executor) pruneOnce(ctx context.Context, workspace wigeonfork.Workspace, limit int) (int, bool, error) {
-	query := platform.ScanQuery{Prefix: WorkspacePrefix(workspace), Limit: limit}
+	query := infra.ScanQuery{Prefix: WorkspacePrefix(workspace), Limit: limit}
 	page, err := e.config.Table.Scan(ctx, query)
 	if err != nil {
 		return 0, false, errors.Wrap(err, "scan actions")
--- a/action/prune_test.go
+++ b/action/prune_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 func TestKeysAndPruning(t *testing.T) {
@@ -27,7 +27,7 @@
 			key, err := NewKey(now.Add(-time.Duration(45+age) * time.Hour))
 			So(err, ShouldBeNil)
 			row := RowKey("w", key)
-			table.apply(platform.Transaction{OperationID: row, Writes: []platform.Write{{Key: row, Value: []byte{0}}}})
+			table.apply(infra.Transaction{OperationID: row, Writes: []infra.Write{{Key: row, Value: []byte{0}}}})
 		}
 		deleted, err := e.Prune(context.Background(), "w", 2, 10)
 		So(err, ShouldBeNil)
--- a/action/record.go
+++ b/action/record.go
@@ -7,7 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // State is the state of an action. A key without a row is StateAbsent.
@@ -100,7 +100,7 @@
 }
 
 // DecodeRow returns the record in row; a missing row gives StateAbsent.
-func DecodeRow(row platform.Row) (Record, error) {
+func DecodeRow(row infra.Row) (Record, error) {
 	if row.Revision == 0 || row.Deleted {
 		return Record{State: StateAbsent}, nil
 	}
--- a/action/record_command.go
+++ b/action/record_command.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // maxRecordAttempts bounds the conflicts that one Record goes through: the
@@ -47,7 +47,7 @@
 
 // afterCommit returns whether the outcome is settled, or else the write to go
 // on with.
-func (w write) afterCommit(commit platform.Commit) (write, bool, error) {
+func (w write) afterCommit(commit infra.Commit) (write, bool, error) {
 	if commit.Applied {
 		return w, true, nil
 	}
--- a/action/recording.go
+++ b/action/recording.go
@@ -3,27 +3,27 @@
 import (
 	"strconv"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // write is one conditional write of an action's row.
 type write struct {
 	rowKey   string
 	record   Record
-	revision platform.Revision
+	revision infra.Revision
 }
 
 // transaction returns the write as a transaction. Its operation id names the
 // claim, the new state and the condition, so that equal ids are equal writes.
-func (w write) transaction() (platform.Transaction, error) {
+func (w write) transaction() (infra.Transaction, error) {
 	value, err := w.record.encode()
 	if err != nil {
-		return platform.Transaction{}, err
+		return infra.Transaction{}, err
 	}
-	return platform.Transaction{
+	return infra.Transaction{
 		OperationID: w.operationID(),
-		Conditions:  []platform.Condition{{Key: w.rowKey, Revision: w.revision}},
-		Writes:      []platform.Write{{Key: w.rowKey, Value: value}},
+		Conditions:  []infra.Condition{{Key: w.rowKey, Revision: w.revision}},
+		Writes:      []infra.Write{{Key: w.rowKey, Value: value}},
 	}, nil
 }
 
@@ -45,7 +45,7 @@
 
 // afterConflict returns how to go on with an outcome when the row is present
 // at revision, and the write to go on with.
-func (w write) afterConflict(present Record, revision platform.Revision) (write, recordingResult) {
+func (w write) afterConflict(present Record, revision infra.Revision) (write, recordingResult) {
 	if present.ClaimID != w.record.ClaimID {
 		return w, recordingOther
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,8 +23,8 @@
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/configuration"
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
 	"github.com/wigeonfork/wigeonfork/template/store"
@@ -39,9 +39,9 @@
 	Engine backend.Engine
 	// Service is the plain service beside the agent; nil beside an engine.
 	Service     backend.Service
-	Table       platform.Table
-	Objects     platform.Objects
-	Hosts       platform.HostList
+	Table       infra.Table
+	Objects     infra.Objects
+	Hosts       infra.HostList
 	Credentials peer.Credentials
 	Log         *telemetry.Logger
 	Metrics     telemetry.Registry
@@ -180,8 +180,8 @@
 	a.wait.Go(func() { a.logError("control_ended", a.control.Serve(control)) })
 	a.wait.Go(func() { a.status.Run(a.background) })
 	a.wait.Go(a.reap)
-	a.config.SetSelf(platform.Host{
-		ID: a.options.Host, Role: platform.RoleAgent, State: platform.HostLive, Domain: a.options.Domain,
+	a.config.SetSelf(infra.Host{
+		ID: a.options.Host, Role: infra.RoleAgent, State: infra.HostLive, Domain: a.options.Domain,
 		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(), BackendServer: a.options.BackendServer,
 	})
 	a.wait.Go(func() { a.config.Run(a.background) })
@@ -193,7 +193,7 @@
 		Str("backend_server", string(a.options.BackendServer)).Msg("agent_started")
 }
 
-func (a *Agent) applyHosts(hosts []platform.Host, _ time.Time) { a.config.SetPeers(hosts) }
+func (a *Agent) applyHosts(hosts []infra.Host, _ time.Time) { a.config.SetPeers(hosts) }
 
 func (a *Agent) logError(event string, err error) {
 	if err != nil {
--- a/agent/command/actions.go
+++ b/agent/command/actions.go
@@ -12,7 +12,7 @@
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/httpserver"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
@@ -135,7 +135,7 @@
 	if err != nil {
 		telemetry.Counter(a.Metrics, "agent.actions_failed").Inc(1)
 		a.Log.Warn().Str("request", string(claim.RequestID)).Str("step", string(problem.StepDispatch)).
-			Str("outcome", platform.OutcomeOf(err).String()).Err(err).Msg("action_failed")
+			Str("outcome", infra.OutcomeOf(err).String()).Err(err).Msg("action_failed")
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -149,7 +149,7 @@
 	switch {
 	case err == nil:
 		a.ledger.Finished(a.now(), id, &reply)
-	case platform.OutcomeOf(err) == platform.OutcomeNotDone:
+	case infra.OutcomeOf(err) == infra.OutcomeNotDone:
 		a.ledger.NotRun(id)
 	default:
 		a.ledger.Finished(a.now(), id, nil)
--- a/agent/command/actions_test.go
+++ b/agent/command/actions_test.go
@@ -15,20 +15,20 @@
 	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 // failingService fails each call with the same outcome.
 type failingService struct {
-	outcome platform.Outcome
+	outcome infra.Outcome
 	calls   int
 }
 
 func (s *failingService) Call(context.Context, backend.Call) (backend.Reply, error) {
 	s.calls++
-	return backend.Reply{}, platform.NewError(s.outcome, "call", "service", errors.New("failed"))
+	return backend.Reply{}, infra.NewError(s.outcome, "call", "service", errors.New("failed"))
 }
 
 // answerOf returns how an agent beside service answers a dispatch and its copy.
@@ -51,14 +51,14 @@
 
 func TestFailedCallIsNotRunOnlyIfNothingLeft(t *testing.T) {
 	Convey("A call of which no byte left for the service is refused as not run", t, func() {
-		service := &failingService{outcome: platform.OutcomeNotDone}
+		service := &failingService{outcome: infra.OutcomeNotDone}
 		first, second := answerOf(service)
 		So(first.Run, ShouldEqual, problem.RunNot)
 		So(second.Run, ShouldEqual, problem.RunNot)
 		So(service.calls, ShouldEqual, 1)
 	})
 	Convey("A call that may have arrived has an unknown outcome", t, func() {
-		service := &failingService{outcome: platform.OutcomeUnknown}
+		service := &failingService{outcome: infra.OutcomeUnknown}
 		first, second := answerOf(service)
 		So(first.Run, ShouldEqual, problem.RunUnknown)
 		So(second.Run, ShouldEqual, problem.RunUnknown)
--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -16,7 +16,7 @@
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/httpserver"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
@@ -133,7 +133,7 @@
 
 // resumable reports whether the engine may still hold the stream.
 func (g *Generations) resumable(err error) bool {
-	return g.Engine.Capabilities().ResumeStream && platform.OutcomeOf(err) != platform.OutcomeNotDone
+	return g.Engine.Capabilities().ResumeStream && infra.OutcomeOf(err) != infra.OutcomeNotDone
 }
 
 func (g *Generations) consume(ctx context.Context, s *session.Session, stream backend.Stream) error {
--- a/agent/command/orders.go
+++ b/agent/command/orders.go
@@ -6,9 +6,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/lease"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
@@ -17,7 +17,7 @@
 // is refused here, whether or not the backend server checks it.
 type Orders struct {
 	Engine  backend.Engine
-	Table   platform.Table
+	Table   infra.Table
 	Guard   *lease.Guard
 	Log     *telemetry.Logger
 	Metrics telemetry.Registry
@@ -25,7 +25,7 @@
 
 // NewOrders returns the orders of an agent that has just started and knows no
 // fencing number yet.
-func NewOrders(engine backend.Engine, table platform.Table, log *telemetry.Logger, metrics telemetry.Registry) *Orders {
+func NewOrders(engine backend.Engine, table infra.Table, log *telemetry.Logger, metrics telemetry.Registry) *Orders {
 	return &Orders{Engine: engine, Table: table, Guard: lease.NewGuard(lease.DefaultGuardScopes), Log: log, Metrics: metrics}
 }
 
--- a/agentapi/client.go
+++ b/agentapi/client.go
@@ -16,7 +16,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/frame"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -71,7 +71,7 @@
 func (s *Stream) Close() error { return s.body.Close() }
 
 // Generate begins a generation at the agent. The error is a *problem.Error if
-// the agent answered, else a *platform.Error.
+// the agent answered, else a *infra.Error.
 func (c *Client) Generate(ctx context.Context, agent string, call *Generate) (*Stream, error) {
 	body, err := json.Marshal(call)
 	if err != nil {
@@ -97,7 +97,7 @@
 	defer func() { _ = response.Body.Close() }()
 	var call Generate
 	if err := json.NewDecoder(response.Body).Decode(&call); err != nil {
-		return nil, platform.NewError(platform.OutcomeNotDone, path, agent, err)
+		return nil, infra.NewError(infra.OutcomeNotDone, path, agent, err)
 	}
 	return &call, nil
 }
@@ -125,7 +125,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
-		return platform.NewError(platform.OutcomeUnknown, path, agent, err)
+		return infra.NewError(infra.OutcomeUnknown, path, agent, err)
 	}
 	return nil
 }
@@ -147,7 +147,7 @@
 	}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, "http://"+agent+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, platform.NewError(platform.OutcomeNotDone, path, agent, err)
+		return nil, infra.NewError(infra.OutcomeNotDone, path, agent, err)
 	}
 	// Without GetBody the transport never sends a request a second time.
 	request.GetBody = nil
@@ -157,7 +157,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, platform.NewError(failureOutcome(sent.Load()), path, agent, err)
+		return nil, infra.NewError(failureOutcome(sent.Load()), path, agent, err)
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return nil, readProblem(response, agent)
@@ -165,11 +165,11 @@
 	return response, nil
 }
 
-func failureOutcome(sent bool) platform.Outcome {
+func failureOutcome(sent bool) infra.Outcome {
 	if sent {
-		return platform.OutcomeUnknown
+		return infra.OutcomeUnknown
 	}
-	return platform.OutcomeNotDone
+	return infra.OutcomeNotDone
 }
 
 func readProblem(response *http.Response, agent string) error {
@@ -180,5 +180,5 @@
 			return typed.At(agent)
 		}
 	}
-	return platform.NewError(platform.OutcomeUnknown, "status "+strconv.Itoa(response.StatusCode), agent, err)
+	return infra.NewError(infra.OutcomeUnknown, "status "+strconv.Itoa(response.StatusCode), agent, err)
 }
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -127,7 +127,7 @@
 	Role    string                   `json:"role,omitempty"`
 }
 
-// Engine is a model engine. Errors are of type *platform.Error.
+// Engine is a model engine. Errors are of type *infra.Error.
 type Engine interface {
 	Capabilities() Capabilities
 	Generate(ctx context.Context, req GenerateRequest) (Stream, error)
--- a/backend/httpbackend/engine.go
+++ b/backend/httpbackend/engine.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // ErrStaleFencing is the cause of an error about an order that the engine
@@ -80,7 +80,7 @@
 		Stream: true, StreamID: req.StreamID, PrefixTokens: req.Prefix,
 	})
 	if err != nil {
-		return nil, x.fail(platform.OutcomeNotDone, err)
+		return nil, x.fail(infra.OutcomeNotDone, err)
 	}
 	return e.open(ctx, x, http.MethodPost, PathCompletions, body)
 }
@@ -126,7 +126,7 @@
 	x := e.exchange(e.control, "order")
 	body, err := json.Marshal(order)
 	if err != nil {
-		return x.fail(platform.OutcomeNotDone, err)
+		return x.fail(infra.OutcomeNotDone, err)
 	}
 	resp, err := x.send(ctx, http.MethodPost, e.url(PathOrders), body, jsonHeader())
 	if err != nil {
@@ -134,7 +134,7 @@
 	}
 	defer drop(resp.Body)
 	if resp.StatusCode == http.StatusConflict {
-		return x.fail(platform.OutcomeNotDone, ErrStaleFencing)
+		return x.fail(infra.OutcomeNotDone, ErrStaleFencing)
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return x.refusal(resp)
@@ -169,14 +169,14 @@
 	x := e.exchange(e.control, operation)
 	resp, err := x.send(ctx, http.MethodGet, e.url(path), nil, nil)
 	if err != nil {
-		return x.fail(platform.OutcomeNotDone, err)
+		return x.fail(infra.OutcomeNotDone, err)
 	}
 	defer drop(resp.Body)
 	if resp.StatusCode != http.StatusOK {
-		return x.fail(platform.OutcomeNotDone, x.refusal(resp))
+		return x.fail(infra.OutcomeNotDone, x.refusal(resp))
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBody)).Decode(answer); err != nil {
-		return x.fail(platform.OutcomeNotDone, err)
+		return x.fail(infra.OutcomeNotDone, err)
 	}
 	return nil
 }
@@ -188,7 +188,7 @@
 	cause := errors.Newf("status %d: %s", resp.StatusCode, text)
 	switch resp.StatusCode {
 	case http.StatusNotFound:
-		cause = errors.Mark(cause, platform.ErrNotFound)
+		cause = errors.Mark(cause, infra.ErrNotFound)
 	case http.StatusTooManyRequests:
 		cause = errors.Mark(cause, backend.ErrOverloaded)
 	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge:
@@ -196,9 +196,9 @@
 	}
 	refused := resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable
 	if refused {
-		return e.fail(platform.OutcomeNotDone, cause)
+		return e.fail(infra.OutcomeNotDone, cause)
 	}
-	return e.fail(platform.OutcomeUnknown, cause)
+	return e.fail(infra.OutcomeUnknown, cause)
 }
 
 func jsonHeader() http.Header {
--- a/backend/httpbackend/engine_test.go
+++ b/backend/httpbackend/engine_test.go
@@ -14,7 +14,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
 )
 
@@ -128,7 +128,7 @@
 			wrong := request
 			wrong.Prefix = []uint32{whole[0].ID, whole[1].ID + 1}
 			_, err := client.Generate(ctx, wrong)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 		})
 
 		Convey("a broken stream goes on at its position, and one that is unknown is not found", func() {
@@ -146,7 +146,7 @@
 			So(stream.Close(), ShouldBeNil)
 			So(len(running.Runs()), ShouldEqual, 1)
 			_, err = client.Resume(ctx, "other", 0)
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, infra.ErrNotFound), ShouldBeTrue)
 		})
 
 		Convey("a kill ends a stream at once, later calls are not done, and a restart has forgotten it", func() {
@@ -162,15 +162,15 @@
 			So(err, ShouldNotBeNil)
 			So(err, ShouldNotEqual, io.EOF)
 			So(ctx.Err(), ShouldBeNil)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 			_, err = client.Generate(ctx, request)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 			So(running.Restart(), ShouldBeNil)
 			after, err := client.Load(ctx)
 			So(err, ShouldBeNil)
 			So(after.Incarnation, ShouldNotEqual, before.Incarnation)
 			_, err = client.Resume(ctx, "s1", 1)
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, infra.ErrNotFound), ShouldBeTrue)
 		})
 
 		Convey("a pause keeps a request unanswered until its caller gives it up", func() {
@@ -179,7 +179,7 @@
 			_, err := client.Generate(httptrace.WithClientTrace(sent, &httptrace.ClientTrace{
 				WroteRequest: func(httptrace.WroteRequestInfo) { cancel() },
 			}), request)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 			running.Continue()
 			other := request
 			other.StreamID = "s2"
@@ -205,9 +205,9 @@
 			if err == nil {
 				_, _, err = read(ctx, stream, 0, -1)
 			}
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 			_, _, err = read(ctx, neighbour, 0, -1)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 			for err != nil && ctx.Err() == nil {
 				_, err = client.Load(ctx)
 			}
@@ -234,7 +234,7 @@
 			}
 			So(client.Cancel(ctx, "gone"), ShouldBeNil)
 			_, _, err := read(ctx, streams["gone"], 0, -1)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 			load, err := client.Load(ctx)
 			So(err, ShouldBeNil)
 			So([]int{load.Running, load.Waiting}, ShouldResemble, []int{1, 2})
@@ -268,7 +268,7 @@
 			}
 			So(running.RunsEnded(engine.RunCancelled), ShouldEqual, 1)
 			_, err = client.Resume(ctx, request.StreamID, 0)
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, infra.ErrNotFound), ShouldBeTrue)
 		}
 	})
 
@@ -294,7 +294,7 @@
 		req := request
 		req.Version = "dead"
 		_, err := client.Generate(ctx, req)
-		So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+		So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 		req.StreamID, req.Version, req.Workspace = "other", "bad", "x"
 		stream, err := client.Generate(ctx, req)
 		So(err, ShouldBeNil)
--- a/backend/httpbackend/service.go
+++ b/backend/httpbackend/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 const defaultMaxReplyBytes = 16 << 20
@@ -52,7 +52,7 @@
 func (s *Service) Call(ctx context.Context, call backend.Call) (backend.Reply, error) {
 	x := exchange{transport: s.transport, operation: "call", peer: s.options.Address}
 	if err := ctx.Err(); err != nil {
-		return backend.Reply{}, x.fail(platform.OutcomeNotDone, err)
+		return backend.Reply{}, x.fail(infra.OutcomeNotDone, err)
 	}
 	header := http.Header{}
 	if call.ClaimID != "" {
@@ -72,11 +72,11 @@
 func (s *Service) reply(x exchange, resp *http.Response) (backend.Reply, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.options.MaxReplyBytes+1))
 	if err != nil {
-		return backend.Reply{}, x.fail(platform.OutcomeUnknown, err)
+		return backend.Reply{}, x.fail(infra.OutcomeUnknown, err)
 	}
 	if int64(len(body)) > s.options.MaxReplyBytes {
 		cause := errors.Newf("reply over %d bytes", s.options.MaxReplyBytes)
-		return backend.Reply{}, x.fail(platform.OutcomeUnknown, cause)
+		return backend.Reply{}, x.fail(infra.OutcomeUnknown, cause)
 	}
 	return backend.Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/backend/httpbackend/service_test.go
+++ b/backend/httpbackend/service_test.go
@@ -10,7 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/standin/service"
 )
 
@@ -43,7 +43,7 @@
 				standin.Update(func(f *service.Faults) { f.LoseNext = 1 })
 				call.Method, call.Body = method, nil
 				_, err = client.Call(ctx, call)
-				So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+				So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 				So(standin.Received(), ShouldEqual, before+1)
 			}
 		})
@@ -57,11 +57,11 @@
 		Convey("a service that is gone, or a caller that is, means not done", func() {
 			server.Kill()
 			_, err := client.Call(ctx, call)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 			So(server.Restart(), ShouldBeNil)
 			cancel()
 			_, err = client.Call(ctx, call)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 			So(standin.Received(), ShouldEqual, 0)
 		})
 		Convey("a call that the killed service had not yet carried out is unknown to the caller", func() {
@@ -75,7 +75,7 @@
 				time.Sleep(time.Millisecond)
 			}
 			server.Kill()
-			So(platform.OutcomeOf(<-failed), ShouldEqual, platform.OutcomeUnknown)
+			So(infra.OutcomeOf(<-failed), ShouldEqual, infra.OutcomeUnknown)
 			So(standin.Executions(), ShouldBeEmpty)
 		})
 	})
--- a/backend/httpbackend/stream.go
+++ b/backend/httpbackend/stream.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 const (
@@ -180,7 +180,7 @@
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	return backend.Chunk{}, s.exchange.fail(platform.OutcomeUnknown, err)
+	return backend.Chunk{}, s.exchange.fail(infra.OutcomeUnknown, err)
 }
 
 // Close implements backend.Stream. It may be called beside Next.
--- a/backend/httpbackend/transport.go
+++ b/backend/httpbackend/transport.go
@@ -2,7 +2,7 @@
 // stream completions as server-sent events, and plain services.
 //
 // No request is repeated by this package. An error states through
-// platform.OutcomeOf whether the backend server may have received the request.
+// infra.OutcomeOf whether the backend server may have received the request.
 package httpbackend
 
 import (
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 const (
@@ -62,7 +62,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, bodyReader(body))
 	if err != nil {
-		return nil, e.fail(platform.OutcomeNotDone, err)
+		return nil, e.fail(infra.OutcomeNotDone, err)
 	}
 	// Without GetBody the transport cannot send the body a second time.
 	req.GetBody = nil
@@ -74,13 +74,13 @@
 		return resp, nil
 	}
 	if connected.Load() {
-		return nil, e.fail(platform.OutcomeUnknown, err)
+		return nil, e.fail(infra.OutcomeUnknown, err)
 	}
-	return nil, e.fail(platform.OutcomeNotDone, err)
+	return nil, e.fail(infra.OutcomeNotDone, err)
 }
 
-func (e exchange) fail(outcome platform.Outcome, cause error) error {
-	return platform.NewError(outcome, e.operation, e.peer, cause)
+func (e exchange) fail(outcome infra.Outcome, cause error) error {
+	return infra.NewError(outcome, e.operation, e.peer, cause)
 }
 
 func bodyReader(body []byte) io.Reader {
--- a/cmd/wigeonfork-agent/main.go
+++ b/cmd/wigeonfork-agent/main.go
@@ -10,8 +10,8 @@
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
 	"github.com/wigeonfork/wigeonfork/daemon"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/settings"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
@@ -28,9 +28,9 @@
 		Host:          wigeonfork.HostID(s.Host),
 		Domain:        wigeonfork.FailureDomain(s.Domain),
 		BackendServer: wigeonfork.BackendServerID(s.BackendServer),
-		Table:         httpplatform.NewTable(httpplatform.Options{Address: s.TableAddress}),
-		Objects:       httpplatform.NewObjects(httpplatform.Options{Address: s.ObjectsAddress}),
-		Hosts:         httpplatform.NewHostList(httpplatform.Options{Address: s.HostsAddress}),
+		Table:         httpinfra.NewTable(httpinfra.Options{Address: s.TableAddress}),
+		Objects:       httpinfra.NewObjects(httpinfra.Options{Address: s.ObjectsAddress}),
+		Hosts:         httpinfra.NewHostList(httpinfra.Options{Address: s.HostsAddress}),
 		Credentials:   peer.Credentials{Peer: s.PeerKey, Operator: s.OperatorKey},
 		Log:           log,
 		Metrics:       metrics,
--- a/cmd/wigeonfork-entry/main.go
+++ b/cmd/wigeonfork-entry/main.go
@@ -10,8 +10,8 @@
 	"github.com/wigeonfork/wigeonfork/daemon"
 	"github.com/wigeonfork/wigeonfork/entry"
 	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/settings"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
@@ -34,10 +34,10 @@
 	return entry.New(entry.Options{
 		Host:        wigeonfork.HostID(s.Host),
 		Domain:      wigeonfork.FailureDomain(s.Domain),
-		Table:       httpplatform.NewTable(httpplatform.Options{Address: s.TableAddress}),
-		Objects:     httpplatform.NewObjects(httpplatform.Options{Address: s.ObjectsAddress}),
-		Weights:     httpplatform.NewWeights(httpplatform.Options{Address: s.WeightsAddress}),
-		Hosts:       httpplatform.NewHostList(httpplatform.Options{Address: s.HostsAddress}),
+		Table:       httpinfra.NewTable(httpinfra.Options{Address: s.TableAddress}),
+		Objects:     httpinfra.NewObjects(httpinfra.Options{Address: s.ObjectsAddress}),
+		Weights:     httpinfra.NewWeights(httpinfra.Options{Address: s.WeightsAddress}),
+		Hosts:       httpinfra.NewHostList(httpinfra.Options{Address: s.HostsAddress}),
 		HandleKey:   []byte(s.HandleKey),
 		Credentials: peer.Credentials{Peer: s.PeerKey, Operator: s.OperatorKey},
 		Limits:      generation.DefaultLimits(),
--- a/configuration/hosts.go
+++ b/configuration/hosts.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -27,7 +27,7 @@
 
 // WatchHosts reads the platform's list of hosts until ctx ends and tells apply
 // each reading that succeeds, with the time at which the list stood so.
-func WatchHosts(ctx context.Context, list platform.HostList, log *telemetry.Logger, apply func(hosts []platform.Host, asOf time.Time)) {
+func WatchHosts(ctx context.Context, list infra.HostList, log *telemetry.Logger, apply func(hosts []infra.Host, asOf time.Time)) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	wait := hostListInterval
--- a/configuration/keeper.go
+++ b/configuration/keeper.go
@@ -12,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/revision"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -65,15 +65,15 @@
 	node      *revision.Node
 	assembler *template.Assembler
 	addresses map[wigeonfork.HostID]string
-	self      platform.Host
+	self      infra.Host
 	surveys   map[uint64]chan revision.SurveyResult
 }
 
 // envelope carries a message between two keepers. The sender's host tells its
 // address to a receiver whose list lacks it.
 type envelope struct {
-	From    platform.Host `json:"from"`
-	Message []byte        `json:"message"`
+	From    infra.Host `json:"from"`
+	Message []byte     `json:"message"`
 }
 
 // New returns a Keeper that holds nothing yet.
@@ -99,14 +99,14 @@
 }
 
 // SetSelf tells how peers reach this process.
-func (k *Keeper) SetSelf(self platform.Host) {
+func (k *Keeper) SetSelf(self infra.Host) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.self = self
 }
 
 // SetPeers tells the processes that are believed alive.
-func (k *Keeper) SetPeers(hosts []platform.Host) {
+func (k *Keeper) SetPeers(hosts []infra.Host) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	peers := make([]revision.Peer, 0, len(hosts))
--- a/ctl/change.go
+++ b/ctl/change.go
@@ -10,8 +10,8 @@
 	"github.com/google/uuid"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/operator"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/template"
 	"github.com/wigeonfork/wigeonfork/template/store"
@@ -51,7 +51,7 @@
 	if errors.As(err, &typed) {
 		return typed.Run == problem.RunUnknown
 	}
-	return platform.OutcomeOf(err) == platform.OutcomeUnknown
+	return infra.OutcomeOf(err) == infra.OutcomeUnknown
 }
 
 // readFile decodes the JSON file at path, or standard input for "-".
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -17,9 +17,9 @@
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
 	"github.com/wigeonfork/wigeonfork/entry"
 	"github.com/wigeonfork/wigeonfork/generation"
+	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
 	"github.com/wigeonfork/wigeonfork/standin/suite"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -146,7 +146,7 @@
 			return err
 		}
 	}
-	if err := Configure(context.Background(), s.Standins.Table, httpplatform.NewObjects(httpplatform.Options{Address: s.Standins.ObjectsServer.Addr()}), len(s.Standins.Engines), len(s.Standins.Services)); err != nil {
+	if err := Configure(context.Background(), s.Standins.Table, httpinfra.NewObjects(httpinfra.Options{Address: s.Standins.ObjectsServer.Addr()}), len(s.Standins.Engines), len(s.Standins.Services)); err != nil {
 		return err
 	}
 	for range max(s.options.Entries, 1) {
@@ -227,9 +227,9 @@
 
 func (s *System) startAgent(options agent.Options) (*Node[*agent.Agent], error) {
 	options.Credentials = Credentials()
-	options.Table = httpplatform.NewTable(httpplatform.Options{Address: s.Standins.TableServer.Addr()})
-	options.Objects = httpplatform.NewObjects(httpplatform.Options{Address: s.Standins.ObjectsServer.Addr()})
-	options.Hosts = httpplatform.NewHostList(httpplatform.Options{Address: s.Standins.HostsServer.Addr()})
+	options.Table = httpinfra.NewTable(httpinfra.Options{Address: s.Standins.TableServer.Addr()})
+	options.Objects = httpinfra.NewObjects(httpinfra.Options{Address: s.Standins.ObjectsServer.Addr()})
+	options.Hosts = httpinfra.NewHostList(httpinfra.Options{Address: s.Standins.HostsServer.Addr()})
 	options.Log = s.options.Log
 	options.Metrics = telemetry.NewRegistry()
 	options.DrainLimit = s.options.AgentDrainLimit
@@ -249,8 +249,8 @@
 	}
 	a.Start(serve, control)
 	node := &Node[*agent.Agent]{Process: a, Address: address, Control: control.Addr().String(), Metrics: options.Metrics}
-	s.Standins.Hosts.Put(platform.Host{
-		ID: options.Host, Role: platform.RoleAgent, State: platform.HostLive, Region: "local", Domain: options.Domain,
+	s.Standins.Hosts.Put(infra.Host{
+		ID: options.Host, Role: infra.RoleAgent, State: infra.HostLive, Region: "local", Domain: options.Domain,
 		ServeAddress: node.Address, ControlAddress: node.Control, BackendServer: options.BackendServer,
 	})
 	return node, nil
@@ -284,10 +284,10 @@
 	e, err := entry.New(entry.Options{
 		Host:        host,
 		Domain:      domainOf(i),
-		Table:       httpplatform.NewTable(httpplatform.Options{Address: s.Standins.TableServer.Addr()}),
-		Objects:     httpplatform.NewObjects(httpplatform.Options{Address: s.Standins.ObjectsServer.Addr()}),
-		Weights:     httpplatform.NewWeights(httpplatform.Options{Address: s.Standins.WeightsServer.Addr()}),
-		Hosts:       httpplatform.NewHostList(httpplatform.Options{Address: s.Standins.HostsServer.Addr()}),
+		Table:       httpinfra.NewTable(httpinfra.Options{Address: s.Standins.TableServer.Addr()}),
+		Objects:     httpinfra.NewObjects(httpinfra.Options{Address: s.Standins.ObjectsServer.Addr()}),
+		Weights:     httpinfra.NewWeights(httpinfra.Options{Address: s.Standins.WeightsServer.Addr()}),
+		Hosts:       httpinfra.NewHostList(httpinfra.Options{Address: s.Standins.HostsServer.Addr()}),
 		HandleKey:   []byte(handleKey),
 		Credentials: Credentials(),
 		Limits:      s.options.Limits,
@@ -305,8 +305,8 @@
 	}
 	e.Start(serve, control)
 	node := &Node[*entry.Entry]{Process: e, Address: serve.Addr().String(), Control: control.Addr().String(), Metrics: metrics}
-	s.Standins.Hosts.Put(platform.Host{
-		ID: host, Role: platform.RoleEntry, State: platform.HostLive, Region: "local", Domain: domainOf(i),
+	s.Standins.Hosts.Put(infra.Host{
+		ID: host, Role: infra.RoleEntry, State: infra.HostLive, Region: "local", Domain: domainOf(i),
 		ServeAddress: node.Address, ControlAddress: node.Control,
 	})
 	return node, nil
@@ -324,7 +324,7 @@
 
 // Configure has the configuration accepted with the deployments that every
 // system starts with.
-func Configure(ctx context.Context, table platform.Table, objects platform.Objects, engines, services int) error {
+func Configure(ctx context.Context, table infra.Table, objects infra.Objects, engines, services int) error {
 	change := template.Change{PutTemplates: []template.Template{{Name: Template}}}
 	if engines > 0 {
 		change.PutDeployments = append(change.PutDeployments, deployment(Deployment, Model, engines, ServerID))
--- a/entry/command/actions.go
+++ b/entry/command/actions.go
@@ -13,7 +13,7 @@
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/entry/fleet"
 	"github.com/wigeonfork/wigeonfork/httpserver"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -167,7 +167,7 @@
 	address := claim.Target.AgentAddress
 	err := d.Agents.Post(ctx, address, agentapi.PathDispatch, agentapi.Dispatch{Claim: claim, Call: call}, &reply)
 	if err == nil && reply.Status < http.StatusContinue {
-		return backend.Reply{}, platform.NewError(platform.OutcomeUnknown, agentapi.PathDispatch, address, errNoReply)
+		return backend.Reply{}, infra.NewError(infra.OutcomeUnknown, agentapi.PathDispatch, address, errNoReply)
 	}
 	return reply, err
 }
--- a/entry/command/dispatcher_test.go
+++ b/entry/command/dispatcher_test.go
@@ -12,7 +12,7 @@
 	"github.com/wigeonfork/wigeonfork/action"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 func TestDispatchTakesNoReplyWithoutStatus(t *testing.T) {
@@ -26,6 +26,6 @@
 		claim := action.Claim{Target: action.Target{AgentAddress: strings.TrimPrefix(stranger.URL, "http://")}}
 		_, err := Dispatcher{Agents: agents}.Dispatch(context.Background(), claim, backend.Call{})
 		So(err, ShouldNotBeNil)
-		So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+		So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 	})
 }
--- a/entry/command/loss.go
+++ b/entry/command/loss.go
@@ -11,7 +11,7 @@
 
 	"github.com/wigeonfork/wigeonfork/frame"
 	"github.com/wigeonfork/wigeonfork/generation"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/retry"
@@ -31,7 +31,7 @@
 // if it does not.
 func (r *run) goOn(cause error) *problem.Error {
 	var answered *problem.Error
-	reachable := !errors.As(cause, &answered) && platform.OutcomeOf(cause) != platform.OutcomeNotDone
+	reachable := !errors.As(cause, &answered) && infra.OutcomeOf(cause) != infra.OutcomeNotDone
 	if answered != nil && answered.Step == problem.StepRoute {
 		return r.interrupted(answered)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,10 +25,10 @@
 	"github.com/wigeonfork/wigeonfork/entry/session"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/moves"
 	"github.com/wigeonfork/wigeonfork/operator"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template/store"
 	"github.com/wigeonfork/wigeonfork/workpool"
@@ -38,10 +38,10 @@
 type Options struct {
 	Host        wigeonfork.HostID
 	Domain      wigeonfork.FailureDomain
-	Table       platform.Table
-	Objects     platform.Objects
-	Weights     platform.Weights
-	Hosts       platform.HostList
+	Table       infra.Table
+	Objects     infra.Objects
+	Weights     infra.Weights
+	Hosts       infra.HostList
 	HandleKey   []byte
 	Credentials peer.Credentials
 	Limits      generation.Limits
@@ -82,7 +82,7 @@
 	// owner names this process start in leases.
 	owner string
 	// self is how other entries reach this one.
-	self platform.Host
+	self infra.Host
 }
 
 // checkInterval is the time between two searches for lost sources.
@@ -243,8 +243,8 @@
 
 // Start serves on the two listeners until Stop. It returns at once.
 func (e *Entry) Start(serve, control net.Listener) {
-	e.self = platform.Host{
-		ID: e.options.Host, Role: platform.RoleEntry, State: platform.HostLive, Domain: e.options.Domain,
+	e.self = infra.Host{
+		ID: e.options.Host, Role: infra.RoleEntry, State: infra.HostLive, Domain: e.options.Domain,
 		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(),
 	}
 	e.wait.Go(func() { httpserver.Serve(e.server, serve, e.options.Log) })
@@ -267,7 +267,7 @@
 	e.options.Log.Info().Str("serve", serve.Addr().String()).Str("control", control.Addr().String()).Msg("entry_started")
 }
 
-func (e *Entry) applyHosts(hosts []platform.Host, asOf time.Time) {
+func (e *Entry) applyHosts(hosts []infra.Host, asOf time.Time) {
 	e.fleet.ApplyHosts(time.Now(), hosts, asOf)
 	e.config.SetPeers(hosts)
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -11,9 +11,9 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/membership"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routing"
@@ -43,7 +43,7 @@
 	snapshot *template.Snapshot
 	servers  map[wigeonfork.BackendServerID]*server
 	// entries are the entries in the platform's list, this one included.
-	entries map[wigeonfork.HostID]platform.Host
+	entries map[wigeonfork.HostID]infra.Host
 	// noted counts the readings of the list since an entry was last in it.
 	noted map[wigeonfork.HostID]int
 
@@ -54,7 +54,7 @@
 
 // server is one backend server with its agent.
 type server struct {
-	host    platform.Host
+	host    infra.Host
 	status  agentapi.Status
 	state   routing.State
 	streams int
@@ -68,7 +68,7 @@
 		options: options,
 		router:  routing.New(routing.Options{Seed: xxhash.Sum64String(options.Hello.ID), Domain: options.Domain}),
 		servers: map[wigeonfork.BackendServerID]*server{},
-		entries: map[wigeonfork.HostID]platform.Host{},
+		entries: map[wigeonfork.HostID]infra.Host{},
 		noted:   map[wigeonfork.HostID]int{},
 		tracker: membership.NewTracker(membership.Options{Entry: wigeonfork.HostID(options.Hello.ID)}),
 		pool:    workpool.New(poolWorkers, poolQueue),
--- a/entry/fleet/hosts.go
+++ b/entry/fleet/hosts.go
@@ -4,25 +4,25 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/membership"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/template"
 )
 
 // ApplyHosts takes in the platform's list as it stood at asOf. A listed host is
 // not taken for alive until it speaks.
-func (f *Fleet) ApplyHosts(now time.Time, hosts []platform.Host, asOf time.Time) {
+func (f *Fleet) ApplyHosts(now time.Time, hosts []infra.Host, asOf time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ageEntries()
 	listed := map[wigeonfork.BackendServerID]bool{}
 	for _, host := range hosts {
 		switch host.Role {
-		case platform.RoleEntry:
+		case infra.RoleEntry:
 			f.entries[host.ID] = host
 			f.noted[host.ID] = 0
-		case platform.RoleAgent:
+		case infra.RoleAgent:
 			listed[host.BackendServer] = true
 			f.track(now, host)
 		}
@@ -76,7 +76,7 @@
 }
 
 // NoteEntry takes in an entry that has spoken, which the list may lack yet.
-func (f *Fleet) NoteEntry(host platform.Host) {
+func (f *Fleet) NoteEntry(host infra.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries[host.ID] = host
@@ -84,7 +84,7 @@
 }
 
 // track takes in an agent of the list, or its new address.
-func (f *Fleet) track(now time.Time, host platform.Host) {
+func (f *Fleet) track(now time.Time, host infra.Host) {
 	known, ok := f.servers[host.BackendServer]
 	if ok {
 		if known.host.ControlAddress != host.ControlAddress {
--- a/entry/fleet/watch.go
+++ b/entry/fleet/watch.go
@@ -8,9 +8,9 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/frame"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/membership"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -100,7 +100,7 @@
 		}
 		telemetry.Counter(f.options.Metrics, "fleet.polls").Inc(1)
 		if err != nil {
-			f.unreachable(time.Now(), id, platform.OutcomeOf(err))
+			f.unreachable(time.Now(), id, infra.OutcomeOf(err))
 			return
 		}
 		f.apply(time.Now(), status)
@@ -129,8 +129,8 @@
 
 // unreachable gives an agent no new work until it is heard again, if it is
 // known that nothing listens at its address.
-func (f *Fleet) unreachable(now time.Time, id wigeonfork.BackendServerID, outcome platform.Outcome) {
-	if outcome != platform.OutcomeNotDone {
+func (f *Fleet) unreachable(now time.Time, id wigeonfork.BackendServerID, outcome infra.Outcome) {
+	if outcome != infra.OutcomeNotDone {
 		return
 	}
 	f.mu.Lock()
--- a/entry/share.go
+++ b/entry/share.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 )
 
@@ -54,7 +54,7 @@
 // news is what one entry tells another. The first one is sent even if it is
 // empty, so that entries that are listed later are known at once.
 type news struct {
-	From    platform.Host      `json:"from"`
+	From    infra.Host         `json:"from"`
 	Message quarantine.Message `json:"message"`
 }
 
--- a/experiment/capacity/claims.go
+++ b/experiment/capacity/claims.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/action"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 const (
@@ -56,7 +56,7 @@
 
 func (g *grouping) step(at time.Time) {
 	for len(g.flights) > 0 && !at.Before(g.flights[0].at) {
-		g.batcher.Answer(g.flights[0].id, platform.Commit{Applied: true}, nil)
+		g.batcher.Answer(g.flights[0].id, infra.Commit{Applied: true}, nil)
 		g.flights = g.flights[1:]
 	}
 	for tx, ok := g.batcher.Take(at); ok; tx, ok = g.batcher.Take(at) {
@@ -75,7 +75,7 @@
 	for i := range most {
 		now = now.Add(time.Duration(random.ExpFloat64() / (rate * writesPerAction) * float64(time.Second)))
 		g.run(now)
-		g.batcher.Add(now, action.BatchItem{ID: uint64(i), Write: platform.Write{Key: strconv.Itoa(i)}})
+		g.batcher.Add(now, action.BatchItem{ID: uint64(i), Write: infra.Write{Key: strconv.Itoa(i)}})
 		g.step(now)
 	}
 	for g.batcher.Len() > 0 {
--- a/experiment/capacity/entry.go
+++ b/experiment/capacity/entry.go
@@ -6,8 +6,8 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/admission"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/membership"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/routing"
 )
@@ -268,18 +268,18 @@
 func measureHostList(c *costs) {
 	s := series{role: roleAll, name: costListBytes, unit: "bytes", size: "hosts", design: designHosts}
 	c.add(s, knownSizes, func(n int) (float64, error) {
-		data, err := json.Marshal(httpplatform.HostsAnswer{Hosts: hosts(n), AsOf: began})
+		data, err := json.Marshal(httpinfra.HostsAnswer{Hosts: hosts(n), AsOf: began})
 		return float64(len(data)), err
 	})
 	s = series{role: roleAll, name: costListDecode, unit: "us", size: "hosts", design: designHosts}
 	c.add(s, knownSizes, func(n int) (float64, error) {
-		data, err := json.Marshal(httpplatform.HostsAnswer{Hosts: hosts(n), AsOf: began})
+		data, err := json.Marshal(httpinfra.HostsAnswer{Hosts: hosts(n), AsOf: began})
 		if err != nil {
 			return 0, err
 		}
 		return c.meter.micros(func(n int) {
 			for range n {
-				var answer httpplatform.HostsAnswer
+				var answer httpinfra.HostsAnswer
 				err = json.Unmarshal(data, &answer)
 			}
 		})
--- a/experiment/capacity/fleet.go
+++ b/experiment/capacity/fleet.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/entry/fleet"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
 )
@@ -33,7 +33,7 @@
 }
 
 // refusing returns a list of n agents that refuse connections.
-func refusing(n int) []platform.Host {
+func refusing(n int) []infra.Host {
 	list := hosts(n)
 	for i := range list {
 		list[i].ControlAddress = refusedAddress
--- a/experiment/capacity/holder.go
+++ b/experiment/capacity/holder.go
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/lease"
 	"github.com/wigeonfork/wigeonfork/moves"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/standin/table"
 )
@@ -41,7 +41,7 @@
 // contender is one process's part in a lease.
 type contender struct {
 	holder *lease.Holder
-	table  platform.Table
+	table  infra.Table
 }
 
 func (c *contender) step(now time.Time, event lease.Event) {
@@ -195,7 +195,7 @@
 	for i := range servers {
 		plan.Servers = append(plan.Servers, rollout.Server{ID: serverID(i), Host: hostID(i), Domain: domainOf(i)})
 	}
-	return rollout.NewMove(plan, platform.Row{}, 1)
+	return rollout.NewMove(plan, infra.Row{}, 1)
 }
 
 // look tells a move what its driver does at one look, with every record
@@ -212,7 +212,7 @@
 		for _, action := range move.Step(now, event) {
 			switch a := action.(type) {
 			case rollout.WriteRecord:
-				commit := platform.Commit{Applied: true, Revision: 1}
+				commit := infra.Commit{Applied: true, Revision: 1}
 				events = append(events, rollout.RecordDone{OperationID: a.Transaction.OperationID, Commit: commit})
 			case rollout.GiveOrder:
 				events = append(events, rollout.OrderDone{Server: a.Server, Kind: a.Order.Kind})
--- a/experiment/capacity/names.go
+++ b/experiment/capacity/names.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 func serverID(i int) wigeonfork.BackendServerID {
@@ -26,11 +26,11 @@
 }
 
 // hosts returns a list of n agents.
-func hosts(n int) []platform.Host {
-	list := make([]platform.Host, n)
+func hosts(n int) []infra.Host {
+	list := make([]infra.Host, n)
 	for i := range list {
-		list[i] = platform.Host{
-			ID: hostID(i), Role: platform.RoleAgent, State: platform.HostLive, Region: "region-1", Domain: domainOf(i),
+		list[i] = infra.Host{
+			ID: hostID(i), Role: infra.RoleAgent, State: infra.HostLive, Region: "region-1", Domain: domainOf(i),
 			ServeAddress:   fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250),
 			ControlAddress: fmt.Sprintf("10.0.%d.%d:7002", i/250, i%250),
 			BackendServer:  serverID(i),
--- a/experiment/capacity/operator.go
+++ b/experiment/capacity/operator.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/standin/table"
 	"github.com/wigeonfork/wigeonfork/template"
 	"github.com/wigeonfork/wigeonfork/template/store"
@@ -23,25 +23,25 @@
 // objects is an object store in memory.
 type objects map[string][]byte
 
-// Put implements platform.Objects.
+// Put implements infra.Objects.
 func (o objects) Put(_ context.Context, name string, data []byte) error {
 	o[name] = data
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements infra.Objects.
 func (o objects) Get(_ context.Context, name string) ([]byte, error) {
 	data, ok := o[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, infra.ErrNotFound
 	}
 	return data, nil
 }
 
-// List implements platform.Objects.
+// List implements infra.Objects.
 func (o objects) List(context.Context, string) ([]string, error) { return nil, nil }
 
-// Delete implements platform.Objects.
+// Delete implements infra.Objects.
 func (o objects) Delete(_ context.Context, name string) error {
 	delete(o, name)
 	return nil
--- a/experiment/capacity/share.go
+++ b/experiment/capacity/share.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 )
 
@@ -80,7 +80,7 @@
 
 // shared has the shape in which an entry tells another.
 type shared struct {
-	From    platform.Host      `json:"from"`
+	From    infra.Host         `json:"from"`
 	Message quarantine.Message `json:"message"`
 }
 
--- a/experiment/capacity/wire.go
+++ b/experiment/capacity/wire.go
@@ -7,8 +7,8 @@
 
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 )
 
 // Names of the costs of messages between processes.
@@ -59,8 +59,8 @@
 
 // revisionEnvelope has the shape in which configuration.Keeper sends a message.
 type revisionEnvelope struct {
-	From    platform.Host `json:"from"`
-	Message []byte        `json:"message"`
+	From    infra.Host `json:"from"`
+	Message []byte     `json:"message"`
 }
 
 // wire is a control connection on loopback with its bytes counted.
--- a/experiment/configuration/membership.go
+++ b/experiment/configuration/membership.go
@@ -6,8 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/membership"
-	"github.com/wigeonfork/wigeonfork/platform"
 )
 
 // Settings of the measurement of membership.
@@ -35,7 +35,7 @@
 	now       time.Time
 	tracker   *membership.Tracker
 	agents    map[wigeonfork.BackendServerID]*membership.Identity
-	hosts     []platform.Host
+	hosts     []infra.Host
 	bytes     int
 	processor time.Duration
 }
@@ -49,8 +49,8 @@
 	for i := range servers {
 		id := wigeonfork.BackendServerID(fmt.Sprintf("server-%05d", i))
 		r.agents[id] = membership.NewIdentity(id, r.now, 0)
-		r.hosts = append(r.hosts, platform.Host{
-			Role: platform.RoleAgent, State: platform.HostLive, BackendServer: id,
+		r.hosts = append(r.hosts, infra.Host{
+			Role: infra.RoleAgent, State: infra.HostLive, BackendServer: id,
 			Domain: wigeonfork.FailureDomain(fmt.Sprintf("domain-%02d", i%domainCount)),
 		})
 	}
--- a/experiment/moves/policy.go
+++ b/experiment/moves/policy.go
@@ -5,7 +5,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/rollout"
 
 	"github.com/cockroachdb/errors"
@@ -49,8 +49,8 @@
 	judge    *rollout.Judge
 	move     *rollout.Move
 	fencing  wigeonfork.FencingNumber
-	row      platform.Row
-	applied  map[string]platform.Revision
+	row      infra.Row
+	applied  map[string]infra.Revision
 	takeover time.Duration
 	finished time.Duration
 }
@@ -63,7 +63,7 @@
 	for _, v := range t.servers {
 		plan.Servers = append(plan.Servers, v.Server)
 	}
-	c := &controller{t: t, plan: plan, applied: make(map[string]platform.Revision), takeover: -1}
+	c := &controller{t: t, plan: plan, applied: make(map[string]infra.Revision), takeover: -1}
 	if t.r.Float64() < takeoverChance {
 		c.takeover = time.Duration(t.r.Float64() * float64(moveTime))
 	}
@@ -161,27 +161,27 @@
 	errDown       = errors.New("backend server is down")
 )
 
-func (c *controller) commit(now time.Duration, tx platform.Transaction) rollout.RecordDone {
+func (c *controller) commit(now time.Duration, tx infra.Transaction) rollout.RecordDone {
 	done := rollout.RecordDone{OperationID: tx.OperationID}
 	d := &c.t.disturb
 	if now >= d.outageFrom && now < d.outageUntil {
-		done.Err = platform.NewError(platform.OutcomeNotDone, "commit", "table", errStoreOut)
+		done.Err = infra.NewError(infra.OutcomeNotDone, "commit", "table", errStoreOut)
 		return done
 	}
 	revision, known := c.applied[tx.OperationID]
 	switch {
 	case known:
-		done.Commit = platform.Commit{Applied: true, Revision: revision}
+		done.Commit = infra.Commit{Applied: true, Revision: revision}
 	case tx.Conditions[0].Revision != c.row.Revision:
-		done.Commit = platform.Commit{Conflicts: []platform.Row{c.row}}
+		done.Commit = infra.Commit{Conflicts: []infra.Row{c.row}}
 	default:
-		c.row = platform.Row{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: c.row.Revision + 1}
+		c.row = infra.Row{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: c.row.Revision + 1}
 		c.applied[tx.OperationID] = c.row.Revision
-		done.Commit = platform.Commit{Applied: true, Revision: c.row.Revision}
+		done.Commit = infra.Commit{Applied: true, Revision: c.row.Revision}
 		c.noteFinish()
 	}
 	if c.t.r.Float64() < answerLossPart {
-		done.Err = platform.NewError(platform.OutcomeUnknown, "commit", "table", errAnswerLost)
+		done.Err = infra.NewError(infra.OutcomeUnknown, "commit", "table", errAnswerLost)
 	}
 	return done
 }
@@ -194,7 +194,7 @@
 			continue
 		}
 		if v.down {
-			return platform.NewError(platform.OutcomeNotDone, "order", string(id), errDown)
+			return infra.NewError(infra.OutcomeNotDone, "order", string(id), errDown)
 		}
 		t.apply(v, order)
 	}
--- a/platform/httpplatform/client.go
+++ b/infra/httpinfra/client.go
@@ -1,9 +1,9 @@
-// Package httpplatform reaches the platform's services over HTTP: the
+// Package httpinfra reaches the platform's services over HTTP: the
 // transactional table, the object store, the weight store and the host list.
 //
-// A call that changes something fails with platform.OutcomeNotDone only if no
+// A call that changes something fails with infra.OutcomeNotDone only if no
 // connection was made for it, or the service refused it; a read always does.
-package httpplatform
+package httpinfra
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 const (
@@ -88,7 +88,7 @@
 func (r call) reads() bool { return r.method == http.MethodGet }
 
 // do sends r and returns the body of its answer. Every error is a
-// *platform.Error.
+// *infra.Error.
 func (c *client) do(ctx context.Context, r call) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
@@ -116,7 +116,7 @@
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+c.options.Address+r.path, bytes.NewReader(r.body))
 	if err != nil {
-		return nil, c.fail(platform.OutcomeNotDone, r, err)
+		return nil, c.fail(infra.OutcomeNotDone, r, err)
 	}
 	if !r.reads() {
 		// Without GetBody the transport cannot send the body a second time.
@@ -129,7 +129,7 @@
 	if connected.Load() {
 		return nil, c.lost(r, err)
 	}
-	return nil, c.fail(platform.OutcomeNotDone, r, err)
+	return nil, c.fail(infra.OutcomeNotDone, r, err)
 }
 
 // refusal returns the error for an answer that is not a success.
@@ -137,11 +137,11 @@
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 	cause := errors.Newf("status %d: %s", resp.StatusCode, text)
 	if resp.StatusCode == http.StatusNotFound {
-		cause = errors.Wrapf(platform.ErrNotFound, "%s", text)
+		cause = errors.Wrapf(infra.ErrNotFound, "%s", text)
 	}
 	refused := resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable
 	if refused {
-		return c.fail(platform.OutcomeNotDone, r, cause)
+		return c.fail(infra.OutcomeNotDone, r, cause)
 	}
 	return c.lost(r, cause)
 }
@@ -149,13 +149,13 @@
 // lost returns the error for a call whose answer is missing.
 func (c *client) lost(r call, cause error) error {
 	if r.reads() {
-		return c.fail(platform.OutcomeNotDone, r, cause)
+		return c.fail(infra.OutcomeNotDone, r, cause)
 	}
-	return c.fail(platform.OutcomeUnknown, r, cause)
+	return c.fail(infra.OutcomeUnknown, r, cause)
 }
 
-func (c *client) fail(outcome platform.Outcome, r call, cause error) error {
-	return platform.NewError(outcome, r.operation, c.options.Address, cause)
+func (c *client) fail(outcome infra.Outcome, r call, cause error) error {
+	return infra.NewError(outcome, r.operation, c.options.Address, cause)
 }
 
 // decode reads the JSON answer to r.
--- a/platform/httpplatform/client_test.go
+++ b/infra/httpinfra/client_test.go
@@ -1,4 +1,4 @@
-package httpplatform_test
+package httpinfra_test
 
 import (
 	"context"
@@ -8,19 +8,19 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
-	"github.com/wigeonfork/wigeonfork/platform"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/standin/objects"
 	"github.com/wigeonfork/wigeonfork/standin/suite"
 )
 
 const testLimit = 20 * time.Second
 
-func put(operation, key, value string, conditions ...platform.Condition) platform.Transaction {
-	return platform.Transaction{
+func put(operation, key, value string, conditions ...infra.Condition) infra.Transaction {
+	return infra.Transaction{
 		OperationID: operation,
 		Conditions:  conditions,
-		Writes:      []platform.Write{{Key: key, Value: []byte(value)}},
+		Writes:      []infra.Write{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -31,30 +31,30 @@
 		Reset(w.Close)
 		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 		Reset(cancel)
-		table := httpplatform.NewTable(httpplatform.Options{Address: w.TableServer.Addr()})
+		table := httpinfra.NewTable(httpinfra.Options{Address: w.TableServer.Addr()})
 		Reset(table.Close)
 
 		Convey("a lost answer is unknown, and the same operation id brings the first outcome", func() {
-			tx := put("op1", "a/1", "x", platform.Condition{Key: "a/1"})
+			tx := put("op1", "a/1", "x", infra.Condition{Key: "a/1"})
 			w.Table.LoseNextAnswers(1)
 			_, err := table.Commit(ctx, tx)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 			commit, err := table.Commit(ctx, tx)
 			So(err, ShouldBeNil)
-			So(commit, ShouldResemble, platform.Commit{Applied: true, Revision: 1})
+			So(commit, ShouldResemble, infra.Commit{Applied: true, Revision: 1})
 			row, err := table.Get(ctx, "a/1")
 			So(err, ShouldBeNil)
-			So(row, ShouldResemble, platform.Row{Key: "a/1", Value: []byte("x"), Revision: 1})
+			So(row, ShouldResemble, infra.Row{Key: "a/1", Value: []byte("x"), Revision: 1})
 		})
 		Convey("a condition that does not hold changes nothing and tells the present row", func() {
-			_, err := table.Commit(ctx, put("op1", "a", "1", platform.Condition{Key: "a"}))
+			_, err := table.Commit(ctx, put("op1", "a", "1", infra.Condition{Key: "a"}))
 			So(err, ShouldBeNil)
-			tx := put("op2", "a", "2", platform.Condition{Key: "a"}, platform.Condition{Key: "b", Revision: 4})
+			tx := put("op2", "a", "2", infra.Condition{Key: "a"}, infra.Condition{Key: "b", Revision: 4})
 			commit, err := table.Commit(ctx, tx)
 			So(err, ShouldBeNil)
 			So(commit.Applied, ShouldBeFalse)
-			So(commit.Conflicts, ShouldResemble, []platform.Row{{Key: "a", Value: []byte("1"), Revision: 1}, {Key: "b"}})
-			commit, err = table.Commit(ctx, put("op3", "a", "3", platform.Condition{Key: "a", Revision: 1}))
+			So(commit.Conflicts, ShouldResemble, []infra.Row{{Key: "a", Value: []byte("1"), Revision: 1}, {Key: "b"}})
+			commit, err = table.Commit(ctx, put("op3", "a", "3", infra.Condition{Key: "a", Revision: 1}))
 			So(err, ShouldBeNil)
 			So(commit.Revision, ShouldEqual, 2)
 		})
@@ -63,39 +63,39 @@
 				_, err := table.Commit(ctx, put(key, key, string(rune('0'+i))))
 				So(err, ShouldBeNil)
 			}
-			first, err := table.Scan(ctx, platform.ScanQuery{Prefix: "p/", Limit: 2})
+			first, err := table.Scan(ctx, infra.ScanQuery{Prefix: "p/", Limit: 2})
 			So(err, ShouldBeNil)
 			So([]string{first.Rows[0].Key, first.Rows[1].Key, first.Next}, ShouldResemble, []string{"p/a", "p/b", "p/c"})
-			second, err := table.Scan(ctx, platform.ScanQuery{Prefix: "p/", From: first.Next, Limit: 2})
+			second, err := table.Scan(ctx, infra.ScanQuery{Prefix: "p/", From: first.Next, Limit: 2})
 			So(err, ShouldBeNil)
 			So([]string{second.Rows[0].Key, second.Next}, ShouldResemble, []string{"p/c", ""})
-			_, err = table.Commit(ctx, platform.Transaction{OperationID: "del", Writes: []platform.Write{{Key: "p/a", Delete: true}}})
+			_, err = table.Commit(ctx, infra.Transaction{OperationID: "del", Writes: []infra.Write{{Key: "p/a", Delete: true}}})
 			So(err, ShouldBeNil)
-			since, err := table.Scan(ctx, platform.ScanQuery{Prefix: "p/", Since: first.Revision})
+			since, err := table.Scan(ctx, infra.ScanQuery{Prefix: "p/", Since: first.Revision})
 			So(err, ShouldBeNil)
-			So(since.Rows, ShouldResemble, []platform.Row{{Key: "p/a", Revision: 5, Deleted: true}})
-			all, err := table.Scan(ctx, platform.ScanQuery{Prefix: "p/"})
+			So(since.Rows, ShouldResemble, []infra.Row{{Key: "p/a", Revision: 5, Deleted: true}})
+			all, err := table.Scan(ctx, infra.ScanQuery{Prefix: "p/"})
 			So(err, ShouldBeNil)
 			So(len(all.Rows), ShouldEqual, 2)
 			row, err := table.Get(ctx, "p/a")
 			So(err, ShouldBeNil)
-			So(row, ShouldResemble, platform.Row{Key: "p/a"})
+			So(row, ShouldResemble, infra.Row{Key: "p/a"})
 		})
 		Convey("down, over the limit or not reachable means not done", func() {
 			w.Table.SetDown(true)
 			_, err := table.Commit(ctx, put("o", "k", "v"))
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 			w.Table.SetDown(false)
 			w.Table.SetLimits(0.001, 0)
 			_, err = table.Commit(ctx, put("o1", "k", "v"))
 			So(err, ShouldBeNil)
 			_, err = table.Commit(ctx, put("o2", "k", "v"))
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 			w.Table.SetLimits(0, 0)
 			w.TableServer.Kill()
 			table.Close()
 			_, err = table.Commit(ctx, put("o3", "k", "v"))
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 			So(w.Table.Counters().Writes, ShouldEqual, 1)
 		})
 		Convey("a commit to a slow table that is given up on is unknown, a read not done", func() {
@@ -105,24 +105,24 @@
 				WroteRequest: func(httptrace.WroteRequestInfo) { cancel() },
 			})
 			_, err := table.Commit(traced, put("o", "k", "v"))
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 			_, err = table.Get(traced, "k")
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 			// The commit takes effect all the same.
-			for row := (platform.Row{}); row.Revision == 0; {
+			for row := (infra.Row{}); row.Revision == 0; {
 				row, err = table.Get(ctx, "k")
 				So(err, ShouldBeNil)
 			}
 		})
 		Convey("objects are written once under any name", func() {
-			store := httpplatform.NewObjects(httpplatform.Options{Address: w.ObjectsServer.Addr()})
+			store := httpinfra.NewObjects(httpinfra.Options{Address: w.ObjectsServer.Addr()})
 			Reset(store.Close)
 			So(store.Put(ctx, "x/1 %", []byte("one")), ShouldBeNil)
 			err := store.Put(ctx, "x/1 %", []byte("two"))
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 			w.Objects.Update(func(f *objects.Faults) { f.LoseNext = 1 })
 			err = store.Put(ctx, "x/2", []byte("two"))
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeUnknown)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 			data, err := store.Get(ctx, "x/1 %")
 			So(err, ShouldBeNil)
 			So(string(data), ShouldEqual, "one")
@@ -131,21 +131,21 @@
 			So(names, ShouldResemble, []string{"x/1 %", "x/2"})
 			So(store.Delete(ctx, "x/2"), ShouldBeNil)
 			_, err = store.Get(ctx, "x/2")
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, infra.ErrNotFound), ShouldBeTrue)
 		})
 		Convey("weights are described and hosts are listed after the lag", func() {
-			weights := httpplatform.NewWeights(httpplatform.Options{Address: w.WeightsServer.Addr()})
+			weights := httpinfra.NewWeights(httpinfra.Options{Address: w.WeightsServer.Addr()})
 			Reset(weights.Close)
 			w.Weights.Set("m", "v", 1<<20)
 			info, err := weights.Info(ctx, "m", "v")
 			So(err, ShouldBeNil)
-			So(info, ShouldResemble, platform.WeightInfo{Model: "m", Version: "v", SizeBytes: 1 << 20, RateBytesPerSecond: 1 << 30})
+			So(info, ShouldResemble, infra.WeightInfo{Model: "m", Version: "v", SizeBytes: 1 << 20, RateBytesPerSecond: 1 << 30})
 			_, err = weights.Info(ctx, "m", "none")
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
-			list := httpplatform.NewHostList(httpplatform.Options{Address: w.HostsServer.Addr()})
+			So(errors.Is(err, infra.ErrNotFound), ShouldBeTrue)
+			list := httpinfra.NewHostList(httpinfra.Options{Address: w.HostsServer.Addr()})
 			Reset(list.Close)
 			w.Hosts.SetLag(time.Hour)
-			w.Hosts.Put(platform.Host{ID: "h1", State: platform.HostLive})
+			w.Hosts.Put(infra.Host{ID: "h1", State: infra.HostLive})
 			hosts, asOf, err := list.Hosts(ctx)
 			So(err, ShouldBeNil)
 			So(hosts, ShouldBeEmpty)
@@ -153,10 +153,10 @@
 			w.Hosts.SetLag(0)
 			hosts, _, err = list.Hosts(ctx)
 			So(err, ShouldBeNil)
-			So(hosts, ShouldResemble, []platform.Host{{ID: "h1", State: platform.HostLive}})
+			So(hosts, ShouldResemble, []infra.Host{{ID: "h1", State: infra.HostLive}})
 			w.Hosts.SetDown(true)
 			_, _, err = list.Hosts(ctx)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 		})
 	})
 }
--- a/platform/httpplatform/lists.go
+++ b/infra/httpinfra/lists.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpinfra
 
 import (
 	"context"
@@ -7,37 +7,37 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Weights is the weight store reached over HTTP. It implements
-// platform.Weights.
+// infra.Weights.
 type Weights struct{ *client }
 
-var _ platform.Weights = (*Weights)(nil)
+var _ infra.Weights = (*Weights)(nil)
 
 // NewWeights returns a Weights. It connects on the first call.
 func NewWeights(options Options) *Weights { return &Weights{newClient(options)} }
 
-// Info implements platform.Weights.
-func (w *Weights) Info(ctx context.Context, model wigeonfork.Model, version wigeonfork.Version) (platform.WeightInfo, error) {
+// Info implements infra.Weights.
+func (w *Weights) Info(ctx context.Context, model wigeonfork.Model, version wigeonfork.Version) (infra.WeightInfo, error) {
 	path := PathWeights + "/" + url.PathEscape(string(model)) + "/" + url.PathEscape(string(version)) + "/info"
-	var info platform.WeightInfo
+	var info infra.WeightInfo
 	err := w.query(ctx, call{operation: "weight info", method: http.MethodGet, path: path}, &info)
 	return info, err
 }
 
 // HostList is the host list reached over HTTP. It implements
-// platform.HostList.
+// infra.HostList.
 type HostList struct{ *client }
 
-var _ platform.HostList = (*HostList)(nil)
+var _ infra.HostList = (*HostList)(nil)
 
 // NewHostList returns a HostList. It connects on the first call.
 func NewHostList(options Options) *HostList { return &HostList{newClient(options)} }
 
-// Hosts implements platform.HostList.
-func (h *HostList) Hosts(ctx context.Context) ([]platform.Host, time.Time, error) {
+// Hosts implements infra.HostList.
+func (h *HostList) Hosts(ctx context.Context) ([]infra.Host, time.Time, error) {
 	var answer HostsAnswer
 	err := h.query(ctx, call{operation: "host list", method: http.MethodGet, path: PathHosts}, &answer)
 	return answer.Hosts, answer.AsOf, err
--- a/platform/httpplatform/objects.go
+++ b/infra/httpinfra/objects.go
@@ -1,34 +1,34 @@
-package httpplatform
+package httpinfra
 
 import (
 	"context"
 	"net/http"
 	"net/url"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Objects is the object store reached over HTTP. It implements
-// platform.Objects.
+// infra.Objects.
 type Objects struct{ *client }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ infra.Objects = (*Objects)(nil)
 
 // NewObjects returns an Objects. It connects on the first call.
 func NewObjects(options Options) *Objects { return &Objects{newClient(options)} }
 
-// Put implements platform.Objects.
+// Put implements infra.Objects.
 func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
 	_, err := o.do(ctx, call{operation: "object put", method: http.MethodPut, path: objectPath(name), body: data})
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements infra.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	return o.do(ctx, call{operation: "object get", method: http.MethodGet, path: objectPath(name)})
 }
 
-// List implements platform.Objects.
+// List implements infra.Objects.
 func (o *Objects) List(ctx context.Context, prefix string) ([]string, error) {
 	var answer ObjectNames
 	path := PathObjects + "?" + url.Values{"prefix": {prefix}}.Encode()
@@ -36,7 +36,7 @@
 	return answer.Names, err
 }
 
-// Delete implements platform.Objects.
+// Delete implements infra.Objects.
 func (o *Objects) Delete(ctx context.Context, name string) error {
 	_, err := o.do(ctx, call{operation: "object delete", method: http.MethodDelete, path: objectPath(name)})
 	return err
--- a/platform/httpplatform/protocol.go
+++ b/infra/httpinfra/protocol.go
@@ -1,9 +1,9 @@
-package httpplatform
+package httpinfra
 
 import (
 	"time"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // The paths of the platform's services.
@@ -23,7 +23,7 @@
 
 // HostsAnswer is the answer to a GET of PathHosts.
 type HostsAnswer struct {
-	Hosts []platform.Host `json:"hosts"`
+	Hosts []infra.Host `json:"hosts"`
 	// AsOf is the time whose state the list shows.
 	AsOf time.Time `json:"as_of"`
 }
--- a/lease/event.go
+++ b/lease/event.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Event is something that a Holder is told.
@@ -13,14 +13,14 @@
 
 // ReadDone ends a Read.
 type ReadDone struct {
-	Row platform.Row
+	Row infra.Row
 	Err error
 }
 
-// CommitDone ends a Commit. The outcome of Err is read by platform.OutcomeOf.
+// CommitDone ends a Commit. The outcome of Err is read by infra.OutcomeOf.
 type CommitDone struct {
 	OperationID string
-	Commit      platform.Commit
+	Commit      infra.Commit
 	Err         error
 }
 
@@ -39,7 +39,7 @@
 type Read struct{ Key string }
 
 // Commit asks for a transaction; exactly one CommitDone must follow.
-type Commit struct{ Transaction platform.Transaction }
+type Commit struct{ Transaction infra.Transaction }
 
 // Acquired tells that orders may be given with Fencing while Holds says so.
 type Acquired struct{ Fencing wigeonfork.FencingNumber }
--- a/lease/explore_test.go
+++ b/lease/explore_test.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 const exploreScope = "d"
@@ -22,10 +22,10 @@
 // decoded remembers the records that rows hold.
 var decoded = map[string]Record{}
 
-func decode(row platform.Row) Record {
+func decode(row infra.Row) Record {
 	record, known := decoded[string(row.Value)]
 	if !known {
-		record, _ = Decode(platform.Row{Revision: 1, Value: row.Value})
+		record, _ = Decode(infra.Row{Revision: 1, Value: row.Value})
 		decoded[string(row.Value)] = record
 	}
 	return record
@@ -57,7 +57,7 @@
 
 type appliedOperation struct {
 	id       string
-	revision platform.Revision
+	revision infra.Revision
 }
 
 // world is one state of two holders, the table, and an agent before two
@@ -67,7 +67,7 @@
 	now     int
 	holders [2]Holder
 	starts  [2]int
-	row     platform.Row
+	row     infra.Row
 	applied []appliedOperation
 	flights []flight
 	orders  []wigeonfork.FencingNumber
@@ -86,7 +86,7 @@
 }
 
 func newWorld() *world {
-	w := &world{givenBy: map[wigeonfork.FencingNumber]string{}, row: platform.Row{Key: Key(exploreScope)}}
+	w := &world{givenBy: map[wigeonfork.FencingNumber]string{}, row: infra.Row{Key: Key(exploreScope)}}
 	for i := range w.holders {
 		h, err := NewHolder(exploreConfig(i, 0))
 		if err != nil {
@@ -139,19 +139,19 @@
 	}
 }
 
-func (w *world) commit(tx platform.Transaction) platform.Commit {
+func (w *world) commit(tx infra.Transaction) infra.Commit {
 	for _, done := range w.applied {
 		if done.id == tx.OperationID {
-			return platform.Commit{Applied: true, Revision: done.revision}
+			return infra.Commit{Applied: true, Revision: done.revision}
 		}
 	}
 	if tx.Conditions[0].Revision != w.row.Revision {
-		return platform.Commit{Revision: w.row.Revision, Conflicts: []platform.Row{w.row}}
+		return infra.Commit{Revision: w.row.Revision, Conflicts: []infra.Row{w.row}}
 	}
 	w.row.Revision++
 	w.row.Value = tx.Writes[0].Value
 	w.applied = append(w.applied, appliedOperation{id: tx.OperationID, revision: w.row.Revision})
-	return platform.Commit{Applied: true, Revision: w.row.Revision}
+	return infra.Commit{Applied: true, Revision: w.row.Revision}
 }
 
 func (w *world) drop(f int) { w.flights = append(w.flights[:f:f], w.flights[f+1:]...) }
@@ -296,7 +296,7 @@
 	}
 }
 
-func (k *keyWriter) row(row platform.Row) {
+func (k *keyWriter) row(row infra.Row) {
 	k.num(int64(k.w.row.Revision - row.Revision))
 	k.record(decode(row))
 }
@@ -340,7 +340,7 @@
 	if c, isCommit := f.action.(Commit); isCommit {
 		k.wasApplied(c.Transaction.OperationID)
 		k.num(int64(k.w.row.Revision - c.Transaction.Conditions[0].Revision))
-		k.row(platform.Row{Revision: k.w.row.Revision, Value: c.Transaction.Writes[0].Value})
+		k.row(infra.Row{Revision: k.w.row.Revision, Value: c.Transaction.Writes[0].Value})
 	}
 	switch e := f.answered.(type) {
 	case ReadDone:
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Config describes one process's interest in one lease.
@@ -76,7 +76,7 @@
 // pending is a transaction whose outcome is not known yet.
 type pending struct {
 	operation string
-	condition platform.Revision
+	condition infra.Revision
 	record    Record
 	firstSent time.Time
 }
@@ -93,7 +93,7 @@
 
 	// seen is the last row read, seenAt when its revision was first received.
 	seen     Record
-	revision platform.Revision
+	revision infra.Revision
 	seenAt   time.Time
 
 	fencing    wigeonfork.FencingNumber
@@ -170,7 +170,7 @@
 
 // observe notes the row and when its revision was first received. It is false
 // for a row that cannot be read, which is never taken over.
-func (h *Holder) observe(now time.Time, row platform.Row) bool {
+func (h *Holder) observe(now time.Time, row infra.Row) bool {
 	record, err := Decode(row)
 	if err != nil {
 		return false
@@ -212,7 +212,7 @@
 		return nil
 	}
 	if e.Err != nil {
-		h.failCommit(now, platform.OutcomeOf(e.Err))
+		h.failCommit(now, infra.OutcomeOf(e.Err))
 		return nil
 	}
 	if e.Commit.Applied {
@@ -223,16 +223,16 @@
 
 // failCommit keeps a transaction whose outcome is not known, to send it again
 // under its operation id. One that was not done is made anew.
-func (h *Holder) failCommit(now time.Time, outcome platform.Outcome) {
+func (h *Holder) failCommit(now time.Time, outcome infra.Outcome) {
 	h.nextTry = now.Add(h.config.RetryInterval)
-	if outcome == platform.OutcomeNotDone {
+	if outcome == infra.OutcomeNotDone {
 		h.pending = pending{}
 	}
 }
 
 // conflict clears up a transaction that did not apply. The table may have
 // forgotten the operation id of one that did; the row then names it.
-func (h *Holder) conflict(now time.Time, commit platform.Commit) []Action {
+func (h *Holder) conflict(now time.Time, commit infra.Commit) []Action {
 	operation := h.pending.operation
 	for _, row := range commit.Conflicts {
 		if row.Key != Key(h.config.Scope) || !h.observe(now, row) {
@@ -257,7 +257,7 @@
 }
 
 // written notes that the pending transaction is in the table.
-func (h *Holder) written(now time.Time, revision platform.Revision) []Action {
+func (h *Holder) written(now time.Time, revision infra.Revision) []Action {
 	done := h.pending
 	h.pending = pending{}
 	h.seen = done.record
@@ -329,12 +329,12 @@
 	h.pending = pending{}
 }
 
-func (h *Holder) transaction() platform.Transaction {
+func (h *Holder) transaction() infra.Transaction {
 	key := Key(h.config.Scope)
-	return platform.Transaction{
+	return infra.Transaction{
 		OperationID: h.pending.operation,
-		Conditions:  []platform.Condition{{Key: key, Revision: h.pending.condition}},
-		Writes:      []platform.Write{{Key: key, Value: h.pending.record.Encode()}},
+		Conditions:  []infra.Condition{{Key: key, Revision: h.pending.condition}},
+		Writes:      []infra.Write{{Key: key, Value: h.pending.record.Encode()}},
 	}
 }
 
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Listener hears of the changes of a lease. The methods are called by the
@@ -41,7 +41,7 @@
 
 // Keeper runs a Holder over a table. Fencing is safe for concurrent use.
 type Keeper struct {
-	table    platform.Table
+	table    infra.Table
 	clock    Clock
 	listener Listener
 	timeout  time.Duration
@@ -51,7 +51,7 @@
 }
 
 // NewKeeper returns a Keeper. It fails if config is not valid.
-func NewKeeper(config Config, table platform.Table, clock Clock, listener Listener) (*Keeper, error) {
+func NewKeeper(config Config, table infra.Table, clock Clock, listener Listener) (*Keeper, error) {
 	holder, err := NewHolder(config)
 	if err != nil {
 		return nil, err
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -24,26 +24,26 @@
 
 func newMemoryTable() *memoryTable { return &memoryTable{} }
 
-func (m *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (m *memoryTable) Get(_ context.Context, key string) (infra.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return platform.Row{}, platform.NewError(platform.OutcomeNotDone, "get", "table", errLost)
+		return infra.Row{}, infra.NewError(infra.OutcomeNotDone, "get", "table", errLost)
 	}
 	row := m.row
 	row.Key = key
 	return row, nil
 }
 
-func (m *memoryTable) Scan(context.Context, platform.ScanQuery) (platform.Page, error) {
-	return platform.Page{}, errors.New("not used")
+func (m *memoryTable) Scan(context.Context, infra.ScanQuery) (infra.Page, error) {
+	return infra.Page{}, errors.New("not used")
 }
 
-func (m *memoryTable) Commit(_ context.Context, tx platform.Transaction) (platform.Commit, error) {
+func (m *memoryTable) Commit(_ context.Context, tx infra.Transaction) (infra.Commit, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return platform.Commit{}, platform.NewError(platform.OutcomeNotDone, "commit", "table", errLost)
+		return infra.Commit{}, infra.NewError(infra.OutcomeNotDone, "commit", "table", errLost)
 	}
 	if m.forgets {
 		m.applied = nil
@@ -52,7 +52,7 @@
 	commit := m.commit(tx)
 	if m.loseAnswers > 0 {
 		m.loseAnswers--
-		return platform.Commit{}, platform.NewError(platform.OutcomeUnknown, "commit", "table", errLost)
+		return infra.Commit{}, infra.NewError(infra.OutcomeUnknown, "commit", "table", errLost)
 	}
 	return commit, nil
 }
@@ -73,7 +73,7 @@
 func (p *process) LeaseAcquired(n wigeonfork.FencingNumber) { p.acquired = append(p.acquired, n) }
 func (p *process) LeaseLost(n wigeonfork.FencingNumber)     { p.lost = append(p.lost, n) }
 
-func newProcess(owner string, offset time.Duration, table platform.Table) *process {
+func newProcess(owner string, offset time.Duration, table infra.Table) *process {
 	p := &process{clock: &manualClock{now: time.Unix(1000, 0).Add(offset)}}
 	keeper, err := NewKeeper(Config{Scope: "d", Owner: owner}, table, p.clock, p)
 	if err != nil {
@@ -178,7 +178,7 @@
 	})
 	Convey("A row that cannot be read is not taken over", t, func() {
 		table := newMemoryTable()
-		table.row = platform.Row{Key: Key("d"), Value: []byte("?"), Revision: 7}
+		table.row = infra.Row{Key: Key("d"), Value: []byte("?"), Revision: 7}
 		a := newProcess("a", 0, table)
 		pass(10*DefaultDuration, []*process{a}, a)
 		So(a.acquired, ShouldBeEmpty)
--- a/lease/record.go
+++ b/lease/record.go
@@ -3,7 +3,7 @@
 // each time the right is taken.
 //
 // Holder is the deterministic core: it takes the time and an event and returns
-// actions. Keeper carries the actions out over platform.Table. Guard is the
+// actions. Keeper carries the actions out over infra.Table. Guard is the
 // check at the receiving side, which refuses orders with an old number.
 //
 // Times are only ever compared with other times of the same process, so clocks
@@ -17,7 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Record is the value of a lease row. The row is never deleted, because the
@@ -47,7 +47,7 @@
 
 // Decode returns the record in row. A row that does not exist gives the zero
 // Record.
-func Decode(row platform.Row) (Record, error) {
+func Decode(row infra.Row) (Record, error) {
 	var r Record
 	if row.Revision == 0 || row.Deleted {
 		return r, nil
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"pgregory.net/rapid"
 )
 
@@ -18,9 +18,9 @@
 	now     time.Time
 	tracker *Tracker
 	agents  map[wigeonfork.BackendServerID]*Identity
-	hosts   []platform.Host
+	hosts   []infra.Host
 	index   map[wigeonfork.BackendServerID]int
-	mute    func(platform.Host) bool
+	mute    func(infra.Host) bool
 	polls   int
 }
 
@@ -30,14 +30,14 @@
 		tracker: NewTracker(options),
 		agents:  make(map[wigeonfork.BackendServerID]*Identity),
 		index:   make(map[wigeonfork.BackendServerID]int),
-		mute:    func(platform.Host) bool { return false },
+		mute:    func(infra.Host) bool { return false },
 	}
 	for i := range servers {
 		id := wigeonfork.BackendServerID(fmt.Sprintf("b%05d", i))
 		w.agents[id] = NewIdentity(id, w.now, 0)
 		w.index[id] = i
-		w.hosts = append(w.hosts, platform.Host{
-			ID: wigeonfork.HostID(id), Role: platform.RoleAgent, State: platform.HostLive, BackendServer: id,
+		w.hosts = append(w.hosts, infra.Host{
+			ID: wigeonfork.HostID(id), Role: infra.RoleAgent, State: infra.HostLive, BackendServer: id,
 			Domain: wigeonfork.FailureDomain(fmt.Sprintf("d%02d", i%domains)),
 		})
 	}
@@ -45,7 +45,7 @@
 	return w
 }
 
-func (w *world) host(id wigeonfork.BackendServerID) platform.Host {
+func (w *world) host(id wigeonfork.BackendServerID) infra.Host {
 	return w.hosts[w.index[id]]
 }
 
@@ -91,7 +91,7 @@
 			So(len(w.tracker.Subset()), ShouldEqual, 2)
 		})
 		Convey("the list's word holds, unless a new life began after it", func() {
-			w.hosts[0].State = platform.HostLeaving
+			w.hosts[0].State = infra.HostLeaving
 			asOf := w.now
 			w.tracker.ListRead(w.now, w.hosts, asOf)
 			So(w.tracker.Usable(w.now, "b00000"), ShouldBeFalse)
@@ -102,7 +102,7 @@
 		})
 		Convey("a list that is older than the last one changes nothing", func() {
 			w.tracker.ListRead(w.now, w.hosts, w.now.Add(2*time.Second))
-			w.hosts[0].State = platform.HostLeaving
+			w.hosts[0].State = infra.HostLeaving
 			w.tracker.ListRead(w.now, w.hosts, w.now.Add(time.Second))
 			So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
 		})
@@ -115,7 +115,7 @@
 		w.run(time.Second)
 		agent := w.agents["b00000"]
 		old := agent.Beat()
-		w.mute = func(h platform.Host) bool { return h.BackendServer == "b00000" }
+		w.mute = func(h infra.Host) bool { return h.BackendServer == "b00000" }
 		w.run(SuspectAfter)
 		So(w.tracker.State(w.now, "b00000"), ShouldEqual, StateSuspect)
 		w.run(SilentAfter - SuspectAfter)
@@ -188,7 +188,7 @@
 		w.run(time.Second)
 		flap(w, 5)
 		So(w.tracker.State(w.now, "b00000"), ShouldEqual, StateDamped)
-		w.mute = func(h platform.Host) bool { return h.BackendServer != "b00000" }
+		w.mute = func(h infra.Host) bool { return h.BackendServer != "b00000" }
 		w.agents["b00000"] = NewIdentity("b00000", w.now, 0)
 		w.run(SilentAfter + time.Second)
 		So(w.tracker.Usable(w.now, "b00000"), ShouldBeTrue)
@@ -214,7 +214,7 @@
 			for _, id := range w.tracker.Subset() {
 				w.tracker.Streams(id, 1)
 			}
-			w.mute = func(h platform.Host) bool { return h.Domain == "d03" }
+			w.mute = func(h infra.Host) bool { return h.Domain == "d03" }
 			So(worst(5*time.Second), ShouldBeGreaterThanOrEqualTo, enough)
 			w.run(time.Minute)
 			So(w.tracker.Count(w.now), ShouldBeGreaterThanOrEqualTo, DefaultWarmSize)
@@ -228,10 +228,10 @@
 			So(elsewhere, ShouldBeGreaterThanOrEqualTo, DefaultSubsetSize)
 		})
 		Convey("so does a partition in two halves, and both are used again after it", func() {
-			w.mute = func(h platform.Host) bool { return h.Domain < "d08" }
+			w.mute = func(h infra.Host) bool { return h.Domain < "d08" }
 			So(worst(30*time.Second), ShouldBeGreaterThanOrEqualTo, 1)
 			So(w.tracker.Count(w.now), ShouldBeGreaterThanOrEqualTo, enough)
-			w.mute = func(platform.Host) bool { return false }
+			w.mute = func(infra.Host) bool { return false }
 			w.run(3 * time.Minute)
 			So(len(w.tracker.Subset()), ShouldBeLessThanOrEqualTo, DefaultSubsetSize+16)
 			near := 0
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Tracker is the core of one entry. It is not safe for concurrent use.
@@ -64,7 +64,7 @@
 // ListRead takes in the platform's list as it stood at asOf. What an agent
 // said of itself after asOf goes before it. A member that is no longer listed
 // is forgotten once it is silent. A list older than the last one is ignored.
-func (t *Tracker) ListRead(now time.Time, hosts []platform.Host, asOf time.Time) Actions {
+func (t *Tracker) ListRead(now time.Time, hosts []infra.Host, asOf time.Time) Actions {
 	t.out.reset()
 	if asOf.Before(t.listed) {
 		return t.out
@@ -74,7 +74,7 @@
 		m.listed = false
 	}
 	for i := range hosts {
-		if hosts[i].Role == platform.RoleAgent && hosts[i].BackendServer != "" {
+		if hosts[i].Role == infra.RoleAgent && hosts[i].BackendServer != "" {
 			t.list(&hosts[i], asOf)
 		}
 	}
@@ -83,7 +83,7 @@
 	return t.out
 }
 
-func (t *Tracker) list(h *platform.Host, asOf time.Time) {
+func (t *Tracker) list(h *infra.Host, asOf time.Time) {
 	m, found := t.members[h.BackendServer]
 	if !found {
 		m = &member{id: h.BackendServer}
@@ -91,7 +91,7 @@
 	}
 	m.listed = true
 	m.domain = h.Domain
-	m.listLeaving = h.State == platform.HostLeaving && !m.begun.After(asOf)
+	m.listLeaving = h.State == infra.HostLeaving && !m.begun.After(asOf)
 }
 
 func (t *Tracker) forget(now time.Time) {
--- a/moves/actions.go
+++ b/moves/actions.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -47,7 +47,7 @@
 	}
 }
 
-func (d *driver) writeRecord(ctx context.Context, transaction platform.Transaction) {
+func (d *driver) writeRecord(ctx context.Context, transaction infra.Transaction) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	commit, err := d.options.Table.Commit(limited, transaction)
@@ -119,7 +119,7 @@
 	}
 }
 
-func (d *driver) accept(ctx context.Context, status rollout.Status, wanted *rollout.Shares, recorded platform.Revision) error {
+func (d *driver) accept(ctx context.Context, status rollout.Status, wanted *rollout.Shares, recorded infra.Revision) error {
 	held := d.options.Keeper.Config()
 	present := held.Deployment(d.deploymentName())
 	if present == nil || present.Move == nil || ID(present) != d.id {
@@ -138,7 +138,7 @@
 	}
 	// A holder that was deposed meanwhile finds the row changed.
 	if recorded > 0 {
-		request.Conditions = []platform.Condition{{Key: rollout.RecordKey(d.id), Revision: recorded}}
+		request.Conditions = []infra.Condition{{Key: rollout.RecordKey(d.id), Revision: recorded}}
 	}
 	if _, err := d.options.Store.Accept(ctx, request); err != nil {
 		return err
--- a/moves/controller.go
+++ b/moves/controller.go
@@ -8,8 +8,8 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/configuration"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/lease"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -30,10 +30,10 @@
 	Host    wigeonfork.HostID
 	Owner   string
 	Address string
-	Table   platform.Table
+	Table   infra.Table
 	Store   *store.Store
 	Keeper  *configuration.Keeper
-	Weights platform.Weights
+	Weights infra.Weights
 	Servers Servers
 	// Candidates returns the listed entries, by which a few are chosen for
 	// each deployment.
--- a/moves/driver.go
+++ b/moves/driver.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/lease"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -29,7 +29,7 @@
 	// wanted is what the configuration is to say, nil if it says so.
 	wanted *rollout.Shares
 	// recorded is the revision of the move's row as last written or read.
-	recorded platform.Revision
+	recorded infra.Revision
 	state    rollout.State
 	// told is what the move was last told of each backend server. Only tick
 	// uses it.
@@ -183,14 +183,14 @@
 	return true
 }
 
-func (d *driver) load(ctx context.Context, deployment *template.Deployment, fencing wigeonfork.FencingNumber) (*rollout.Move, platform.Row, error) {
+func (d *driver) load(ctx context.Context, deployment *template.Deployment, fencing wigeonfork.FencingNumber) (*rollout.Move, infra.Row, error) {
 	info, err := d.weights(ctx, deployment)
 	if err != nil {
-		return nil, platform.Row{}, err
+		return nil, infra.Row{}, err
 	}
 	row, err := d.options.Table.Get(ctx, rollout.RecordKey(d.id))
 	if err != nil {
-		return nil, platform.Row{}, err
+		return nil, infra.Row{}, err
 	}
 	move, err := rollout.NewMove(d.plan(deployment, info), row, fencing)
 	return move, row, err
@@ -198,7 +198,7 @@
 
 // weights returns what the move notes of the weights of its new version. A move
 // that was accepted without it asks the weight store.
-func (d *driver) weights(ctx context.Context, deployment *template.Deployment) (platform.WeightInfo, error) {
+func (d *driver) weights(ctx context.Context, deployment *template.Deployment) (infra.WeightInfo, error) {
 	if deployment.Move.Weights.SizeBytes > 0 {
 		return deployment.Move.Weights, nil
 	}
@@ -211,7 +211,7 @@
 	parameterWatch     template.ParameterName = "move_watch"
 )
 
-func (d *driver) plan(deployment *template.Deployment, info platform.WeightInfo) rollout.Plan {
+func (d *driver) plan(deployment *template.Deployment, info infra.WeightInfo) rollout.Plan {
 	plan := rollout.Plan{
 		ID:                 d.id,
 		Scope:              Scope(deployment.Name),
--- a/operator/server.go
+++ b/operator/server.go
@@ -8,8 +8,8 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/configuration"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/peer"
-	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/revision"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -23,7 +23,7 @@
 type Server struct {
 	Store   *store.Store
 	Keeper  *configuration.Keeper
-	Weights platform.Weights
+	Weights infra.Weights
 	// Settle is the time that judging a version takes after its last load.
 	Settle time.Duration
 	// Progress adds what this process knows of a move that it drives.
@@ -67,15 +67,15 @@
 // weightsFor returns what the weight store says of the versions to which the
 // change begins a move, and notes it in the move. A move under way keeps its deadline, and one that is
 // taken back must not wait for the weight store.
-func (s *Server) weightsFor(ctx context.Context, change template.Change) ([]platform.WeightInfo, error) {
-	var weights []platform.WeightInfo
+func (s *Server) weightsFor(ctx context.Context, change template.Change) ([]infra.WeightInfo, error) {
+	var weights []infra.WeightInfo
 	for i := range change.PutDeployments {
 		d := &change.PutDeployments[i]
 		if d.Move == nil || d.Move.State != template.MovePlanned {
 			continue
 		}
 		info, err := s.Weights.Info(ctx, d.Model, d.Move.To)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, infra.ErrNotFound) {
 			return nil, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepConfig, "version %q of model %q is not in the weight store", d.Move.To, d.Model)
 		}
 		if err != nil {
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -39,7 +39,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	netConn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, platform.NewError(platform.OutcomeNotDone, "dial", address, err)
+		return nil, infra.NewError(infra.OutcomeNotDone, "dial", address, err)
 	}
 	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{})
 	client := &Client{Address: address}
@@ -62,13 +62,13 @@
 	if errors.As(err, &answered) {
 		return decodeError(answered).At(c.Address)
 	}
-	return platform.NewError(platform.OutcomeUnknown, method, c.Address, err)
+	return infra.NewError(infra.OutcomeUnknown, method, c.Address, err)
 }
 
 // Notify sends a message without an answer.
 func (c *Client) Notify(ctx context.Context, method string, message any) error {
 	if err := c.conn.Notify(ctx, method, message); err != nil {
-		return platform.NewError(platform.OutcomeUnknown, method, c.Address, err)
+		return infra.NewError(infra.OutcomeUnknown, method, c.Address, err)
 	}
 	return nil
 }
@@ -162,7 +162,7 @@
 	defer p.mu.Unlock()
 	if p.closed {
 		_ = client.Close()
-		return nil, platform.NewError(platform.OutcomeNotDone, "dial", address, net.ErrClosed)
+		return nil, infra.NewError(infra.OutcomeNotDone, "dial", address, net.ErrClosed)
 	}
 	if held, ok := p.clients[address]; ok {
 		_ = client.Close()
--- a/rollout/event.go
+++ b/rollout/event.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Event is something that a Move is told.
@@ -21,7 +21,7 @@
 // RecordDone ends a WriteRecord.
 type RecordDone struct {
 	OperationID string
-	Commit      platform.Commit
+	Commit      infra.Commit
 	Err         error
 }
 
@@ -60,7 +60,7 @@
 type SetShares struct{ Shares Shares }
 
 // WriteRecord asks for a transaction; exactly one RecordDone must follow.
-type WriteRecord struct{ Transaction platform.Transaction }
+type WriteRecord struct{ Transaction infra.Transaction }
 
 // GiveOrder asks for an order to a backend server; exactly one OrderDone must
 // follow. The lease must be asked again just before the order leaves.
--- a/rollout/move.go
+++ b/rollout/move.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/looplab/fsm"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 const (
@@ -68,7 +68,7 @@
 	fleet      fleet
 	verdict    Verdict
 	record     Record
-	revision   platform.Revision
+	revision   infra.Revision
 	sharesSent uint64
 	why        string
 	announced  bool
@@ -84,7 +84,7 @@
 // NewMove returns a Move that goes on from the recorded row, which does not
 // exist for a new move. Fencing is the number of the lease just acquired; only
 // one Move may be made of a plan under one number.
-func NewMove(plan Plan, row platform.Row, fencing wigeonfork.FencingNumber) (*Move, error) {
+func NewMove(plan Plan, row infra.Row, fencing wigeonfork.FencingNumber) (*Move, error) {
 	plan = plan.WithDefaults()
 	record, err := DecodeRecord(row)
 	if err != nil {
--- a/rollout/move_record.go
+++ b/rollout/move_record.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // write makes next the record to be put into the table, in place of one that
@@ -49,7 +49,7 @@
 
 // recorded takes the step that is now in the table. A record that was replaced
 // while it was on its way only moves the revision on.
-func (m *Move) recorded(now time.Time, operation string, revision platform.Revision) []Action {
+func (m *Move) recorded(now time.Time, operation string, revision infra.Revision) []Action {
 	m.revision = revision
 	if m.pending == nil || m.pending.Operation != operation {
 		return nil
@@ -84,7 +84,7 @@
 }
 
 // adopt goes on from a record found in the table. A stop on either side stays.
-func (m *Move) adopt(found Record, revision platform.Revision) {
+func (m *Move) adopt(found Record, revision infra.Revision) {
 	stopped := m.stopped()
 	m.record = found
 	m.revision = revision
--- a/rollout/move_test.go
+++ b/rollout/move_test.go
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"pgregory.net/rapid"
 )
@@ -34,8 +34,8 @@
 // fencing numbers, and an entry.
 type stage struct {
 	now     time.Time
-	row     platform.Row
-	applied map[string]platform.Revision
+	row     infra.Row
+	applied map[string]infra.Revision
 	out     bool
 	lose    int
 	refuse  bool
@@ -49,7 +49,7 @@
 func newStage() *stage {
 	return &stage{
 		now:     testStart,
-		applied: make(map[string]platform.Revision),
+		applied: make(map[string]infra.Revision),
 		loaded:  make(map[wigeonfork.BackendServerID]bool),
 		down:    make(map[wigeonfork.BackendServerID]bool),
 		orders:  make(map[wigeonfork.FencingNumber]int),
@@ -65,32 +65,32 @@
 	return m
 }
 
-func (s *stage) commit(tx platform.Transaction) RecordDone {
+func (s *stage) commit(tx infra.Transaction) RecordDone {
 	done := RecordDone{OperationID: tx.OperationID}
 	if s.out {
-		done.Err = platform.NewError(platform.OutcomeNotDone, "commit", "table", errors.New("out"))
+		done.Err = infra.NewError(infra.OutcomeNotDone, "commit", "table", errors.New("out"))
 		return done
 	}
 	if revision, known := s.applied[tx.OperationID]; known {
-		done.Commit = platform.Commit{Applied: true, Revision: revision}
+		done.Commit = infra.Commit{Applied: true, Revision: revision}
 	} else if tx.Conditions[0].Revision != s.row.Revision {
-		done.Commit = platform.Commit{Conflicts: []platform.Row{s.row}}
+		done.Commit = infra.Commit{Conflicts: []infra.Row{s.row}}
 	} else {
-		s.row = platform.Row{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: s.row.Revision + 1}
+		s.row = infra.Row{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: s.row.Revision + 1}
 		s.applied[tx.OperationID] = s.row.Revision
-		done.Commit = platform.Commit{Applied: true, Revision: s.row.Revision}
+		done.Commit = infra.Commit{Applied: true, Revision: s.row.Revision}
 	}
 	if s.lose > 0 {
 		s.lose--
-		done.Commit = platform.Commit{}
-		done.Err = platform.NewError(platform.OutcomeUnknown, "commit", "table", errors.New("lost"))
+		done.Commit = infra.Commit{}
+		done.Err = infra.NewError(infra.OutcomeUnknown, "commit", "table", errors.New("lost"))
 	}
 	return done
 }
 
 func (s *stage) order(a GiveOrder) error {
 	if s.down[a.Server] || (s.refuse && a.Server == "b1") {
-		return platform.NewError(platform.OutcomeNotDone, "order", string(a.Server), errors.New("down"))
+		return infra.NewError(infra.OutcomeNotDone, "order", string(a.Server), errors.New("down"))
 	}
 	if a.Order.Fencing < s.highest {
 		return problem.New(problem.CodeStaleOrder, problem.RunNot, problem.StepOrder, "stale")
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // State is the state of a move's life cycle.
@@ -55,7 +55,7 @@
 func RecordKey(move string) string { return "move/" + move }
 
 // DecodeRecord returns the record in row; a missing row is a planned move.
-func DecodeRecord(row platform.Row) (Record, error) {
+func DecodeRecord(row infra.Row) (Record, error) {
 	r := Record{State: StatePlanned}
 	if row.Revision == 0 || row.Deleted {
 		return r, nil
@@ -67,16 +67,16 @@
 }
 
 // transaction returns the write of r over the row's present revision.
-func (r Record) transaction(move string, revision platform.Revision) (platform.Transaction, error) {
+func (r Record) transaction(move string, revision infra.Revision) (infra.Transaction, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
-		return platform.Transaction{}, errors.Wrap(err, "encode move record")
+		return infra.Transaction{}, errors.Wrap(err, "encode move record")
 	}
 	key := RecordKey(move)
-	return platform.Transaction{
+	return infra.Transaction{
 		OperationID: r.Operation,
-		Conditions:  []platform.Condition{{Key: key, Revision: revision}},
-		Writes:      []platform.Write{{Key: key, Value: value}},
+		Conditions:  []infra.Condition{{Key: key, Revision: revision}},
+		Writes:      []infra.Write{{Key: key, Value: value}},
 	}, nil
 }
 
--- a/standin/hosts/hosts.go
+++ b/standin/hosts/hosts.go
@@ -1,5 +1,5 @@
 // Package hosts is a small stand-in for the platform's lagging list of live
-// and leaving hosts: GET /v1/hosts answers a httpplatform.HostsAnswer.
+// and leaving hosts: GET /v1/hosts answers a httpinfra.HostsAnswer.
 package hosts
 
 import (
@@ -11,8 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/standin/loopback"
 )
 
@@ -21,7 +21,7 @@
 
 // state is the list at one time.
 type state struct {
-	hosts []platform.Host
+	hosts []infra.Host
 	at    time.Time
 }
 
@@ -33,20 +33,20 @@
 	states []state
 }
 
-var _ platform.HostList = (*List)(nil)
+var _ infra.HostList = (*List)(nil)
 
 // New returns an empty List that shows each change after lag.
 func New(lag time.Duration) *List { return &List{lag: lag, states: []state{{}}} }
 
 // Set replaces the list.
-func (l *List) Set(hosts []platform.Host) {
+func (l *List) Set(hosts []infra.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.append(append([]platform.Host(nil), hosts...))
+	l.append(append([]infra.Host(nil), hosts...))
 }
 
 // Put adds host, or replaces the one with its id.
-func (l *List) Put(host platform.Host) {
+func (l *List) Put(host infra.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.append(append(l.without(host.ID), host))
@@ -73,24 +73,24 @@
 	l.down = down
 }
 
-// Hosts implements platform.HostList. The time is the one that the list shows.
-func (l *List) Hosts(context.Context) ([]platform.Host, time.Time, error) {
+// Hosts implements infra.HostList. The time is the one that the list shows.
+func (l *List) Hosts(context.Context) ([]infra.Host, time.Time, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return nil, time.Time{}, platform.NewError(platform.OutcomeNotDone, "hosts", "host list", ErrDown)
+		return nil, time.Time{}, infra.NewError(infra.OutcomeNotDone, "hosts", "host list", ErrDown)
 	}
 	shown := time.Now().Add(-l.lag)
 	for len(l.states) > 1 && !l.states[1].at.After(shown) {
 		l.states = l.states[1:]
 	}
-	return append([]platform.Host{}, l.states[0].hosts...), shown, nil
+	return append([]infra.Host{}, l.states[0].hosts...), shown, nil
 }
 
 // Handler returns the HTTP interface of l.
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+httpplatform.PathHosts, l.serve)
+	mux.HandleFunc("GET "+httpinfra.PathHosts, l.serve)
 	return mux
 }
 
@@ -107,17 +107,17 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// The connection may be gone; there is nobody left to tell.
-	_ = json.NewEncoder(w).Encode(httpplatform.HostsAnswer{Hosts: hosts, AsOf: at})
+	_ = json.NewEncoder(w).Encode(httpinfra.HostsAnswer{Hosts: hosts, AsOf: at})
 }
 
-func (l *List) append(hosts []platform.Host) {
+func (l *List) append(hosts []infra.Host) {
 	l.states = append(l.states, state{hosts: hosts, at: time.Now()})
 }
 
 // without returns the newest list but for the host called id.
-func (l *List) without(id wigeonfork.HostID) []platform.Host {
+func (l *List) without(id wigeonfork.HostID) []infra.Host {
 	newest := l.states[len(l.states)-1].hosts
-	kept := make([]platform.Host, 0, len(newest)+1)
+	kept := make([]infra.Host, 0, len(newest)+1)
 	for _, host := range newest {
 		if host.ID != id {
 			kept = append(kept, host)
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -1,10 +1,10 @@
 // Package objects is a small stand-in for the platform's object store, in
-// memory. It serves platform.Objects over HTTP:
+// memory. It serves infra.Objects over HTTP:
 //
 //	PUT    /v1/objects/{name}    writes an object once; 409 for other content
 //	GET    /v1/objects/{name}    its bytes, or 404
 //	DELETE /v1/objects/{name}    removes it
-//	GET    /v1/objects?prefix=P  httpplatform.ObjectNames, sorted
+//	GET    /v1/objects?prefix=P  httpinfra.ObjectNames, sorted
 package objects
 
 import (
@@ -17,7 +17,7 @@
 	"sync"
 	"time"
 
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/standin/loopback"
 )
 
@@ -53,10 +53,10 @@
 // Handler returns the HTTP interface of s.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT "+httpplatform.PathObjects+"/{name}", s.servePut)
-	mux.HandleFunc("GET "+httpplatform.PathObjects+"/{name}", s.serveGet)
-	mux.HandleFunc("DELETE "+httpplatform.PathObjects+"/{name}", s.serveDelete)
-	mux.HandleFunc("GET "+httpplatform.PathObjects, s.serveList)
+	mux.HandleFunc("PUT "+httpinfra.PathObjects+"/{name}", s.servePut)
+	mux.HandleFunc("GET "+httpinfra.PathObjects+"/{name}", s.serveGet)
+	mux.HandleFunc("DELETE "+httpinfra.PathObjects+"/{name}", s.serveDelete)
+	mux.HandleFunc("GET "+httpinfra.PathObjects, s.serveList)
 	return s.withFaults(mux)
 }
 
@@ -119,7 +119,7 @@
 }
 
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
-	answer := httpplatform.ObjectNames{Names: s.list(r.URL.Query().Get("prefix"))}
+	answer := httpinfra.ObjectNames{Names: s.list(r.URL.Query().Get("prefix"))}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer)
 }
--- a/standin/suite/suite_test.go
+++ b/standin/suite/suite_test.go
@@ -11,8 +11,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
-	"github.com/wigeonfork/wigeonfork/platform"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
 	"github.com/wigeonfork/wigeonfork/standin/objects"
 	"github.com/wigeonfork/wigeonfork/standin/service"
@@ -38,7 +38,7 @@
 			order := backend.Order{Kind: backend.OrderLoad, Scope: "d", Fencing: 1, Model: "m", Version: "v2"}
 			req := backend.GenerateRequest{StreamID: "s", Model: "m", Version: "v2", Prompt: "p"}
 			_, err := client.Generate(ctx, req)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 			second := httpbackend.NewEngine(httpbackend.Options{Address: w.Engines[1].Addr()})
 			Reset(second.Close)
 			w.Weights.SetRate(4 * size)
@@ -59,7 +59,7 @@
 			So(client.Order(ctx, order), ShouldBeNil)
 			req.StreamID = "s2"
 			_, err = client.Generate(ctx, req)
-			So(platform.OutcomeOf(err), ShouldEqual, platform.OutcomeNotDone)
+			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
 		})
 		Convey("a version that the weight store lacks never becomes ready", func() {
 			w.Engines[0].Update(func(o *engine.Options) { o.WeightsAddress = w.WeightsServer.Addr() })
@@ -77,12 +77,12 @@
 			w.Table.SetDelay(time.Hour)
 			w.Objects.Update(func(f *objects.Faults) { f.Delay = time.Hour })
 			w.Services[0].Update(func(f *service.Faults) { f.Delay = time.Hour })
-			table := httpplatform.NewTable(httpplatform.Options{Address: w.TableServer.Addr()})
-			store := httpplatform.NewObjects(httpplatform.Options{Address: w.ObjectsServer.Addr()})
+			table := httpinfra.NewTable(httpinfra.Options{Address: w.TableServer.Addr()})
+			store := httpinfra.NewObjects(httpinfra.Options{Address: w.ObjectsServer.Addr()})
 			plain := httpbackend.NewService(httpbackend.ServiceOptions{Address: w.ServiceServers[0].Addr()})
 			failed := make(chan error)
 			go func() {
-				_, err := table.Commit(untilSent(ctx), platform.Transaction{OperationID: "o"})
+				_, err := table.Commit(untilSent(ctx), infra.Transaction{OperationID: "o"})
 				failed <- err
 			}()
 			go func() { failed <- store.Put(untilSent(ctx), "n", []byte("x")) }()
@@ -91,7 +91,7 @@
 				failed <- err
 			}()
 			for range 3 {
-				So(platform.OutcomeOf(<-failed), ShouldEqual, platform.OutcomeUnknown)
+				So(infra.OutcomeOf(<-failed), ShouldEqual, infra.OutcomeUnknown)
 			}
 		})
 		Convey("an engine killed while paused with open streams leaves nothing behind, and comes back running", func() {
--- a/standin/table/http.go
+++ b/standin/table/http.go
@@ -6,8 +6,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/standin/loopback"
 )
 
@@ -16,9 +16,9 @@
 // Handler returns the HTTP interface of t.
 func (t *Table) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+httpplatform.PathRows, t.serveGet)
-	mux.HandleFunc("GET "+httpplatform.PathScan, t.serveScan)
-	mux.HandleFunc("POST "+httpplatform.PathCommit, t.serveCommit)
+	mux.HandleFunc("GET "+httpinfra.PathRows, t.serveGet)
+	mux.HandleFunc("GET "+httpinfra.PathScan, t.serveScan)
+	mux.HandleFunc("POST "+httpinfra.PathCommit, t.serveCommit)
 	return mux
 }
 
@@ -42,26 +42,26 @@
 	answer(w, page, err)
 }
 
-func parseScan(r *http.Request) (platform.ScanQuery, error) {
+func parseScan(r *http.Request) (infra.ScanQuery, error) {
 	values := r.URL.Query()
 	since, err := strconv.ParseUint(values.Get("since"), 10, 64)
 	if err != nil && values.Has("since") {
-		return platform.ScanQuery{}, errors.Wrap(ErrBadRequest, "since")
+		return infra.ScanQuery{}, errors.Wrap(ErrBadRequest, "since")
 	}
 	limit, err := strconv.Atoi(values.Get("limit"))
 	if err != nil && values.Has("limit") {
-		return platform.ScanQuery{}, errors.Wrap(ErrBadRequest, "limit")
+		return infra.ScanQuery{}, errors.Wrap(ErrBadRequest, "limit")
 	}
-	return platform.ScanQuery{
+	return infra.ScanQuery{
 		Prefix: values.Get("prefix"),
-		Since:  platform.Revision(since),
+		Since:  infra.Revision(since),
 		From:   values.Get("from"),
 		Limit:  limit,
 	}, nil
 }
 
 func (t *Table) serveCommit(w http.ResponseWriter, r *http.Request) {
-	var tx platform.Transaction
+	var tx infra.Transaction
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&tx); err != nil {
 		answer(w, nil, refuse("commit", errors.Wrap(ErrBadRequest, err.Error())))
 		return
@@ -80,7 +80,7 @@
 		_ = json.NewEncoder(w).Encode(value)
 		return
 	}
-	if platform.OutcomeOf(err) != platform.OutcomeNotDone {
+	if infra.OutcomeOf(err) != infra.OutcomeNotDone {
 		panic(http.ErrAbortHandler)
 	}
 	http.Error(w, err.Error(), status(err))
--- a/standin/table/table.go
+++ b/standin/table/table.go
@@ -1,10 +1,10 @@
 // Package table is a small stand-in for the platform's transactional table
-// service, in memory. It serves platform.Table in the same process and over
+// service, in memory. It serves infra.Table in the same process and over
 // HTTP:
 //
-//	GET  /v1/rows?key=K                             a platform.Row
-//	GET  /v1/scan?prefix=P&since=R&from=K&limit=N   a platform.Page
-//	POST /v1/commit                                 a platform.Transaction to a platform.Commit
+//	GET  /v1/rows?key=K                             a infra.Row
+//	GET  /v1/scan?prefix=P&since=R&from=K&limit=N   a infra.Page
+//	POST /v1/commit                                 a infra.Transaction to a infra.Commit
 //
 // Status 400, 429 and 503 say that a commit was not done. A lost answer closes
 // the connection after the commit.
@@ -18,7 +18,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"golang.org/x/time/rate"
 )
 
@@ -50,10 +50,10 @@
 // Table is the table service. Its zero value is not usable; see New.
 type Table struct {
 	mu         sync.Mutex
-	rows       map[string]platform.Row
+	rows       map[string]infra.Row
 	keys       []string
-	revision   platform.Revision
-	operations map[string]platform.Commit
+	revision   infra.Revision
+	operations map[string]infra.Commit
 	history    []string
 	counters   Counters
 
@@ -64,27 +64,27 @@
 	readLimit  *rate.Limiter
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ infra.Table = (*Table)(nil)
 
 // New returns an empty Table without faults and limits.
 func New() *Table {
-	return &Table{rows: make(map[string]platform.Row), operations: make(map[string]platform.Commit)}
+	return &Table{rows: make(map[string]infra.Row), operations: make(map[string]infra.Commit)}
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements infra.Table.
+func (t *Table) Get(ctx context.Context, key string) (infra.Row, error) {
 	if err := t.begin(ctx, "get", false); err != nil {
-		return platform.Row{}, err
+		return infra.Row{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.present(key), nil
 }
 
-// Scan implements platform.Table. A limit of 0 means 1000 rows.
-func (t *Table) Scan(ctx context.Context, query platform.ScanQuery) (platform.Page, error) {
+// Scan implements infra.Table. A limit of 0 means 1000 rows.
+func (t *Table) Scan(ctx context.Context, query infra.ScanQuery) (infra.Page, error) {
 	if err := t.begin(ctx, "scan", false); err != nil {
-		return platform.Page{}, err
+		return infra.Page{}, err
 	}
 	if query.Limit <= 0 {
 		query.Limit = defaultLimit
@@ -94,8 +94,8 @@
 	return t.scan(query), nil
 }
 
-func (t *Table) scan(query platform.ScanQuery) platform.Page {
-	page := platform.Page{Rows: []platform.Row{}, Revision: t.revision}
+func (t *Table) scan(query infra.ScanQuery) infra.Page {
+	page := infra.Page{Rows: []infra.Row{}, Revision: t.revision}
 	for i := sort.SearchStrings(t.keys, max(query.Prefix, query.From)); i < len(t.keys); i++ {
 		key := t.keys[i]
 		if !strings.HasPrefix(key, query.Prefix) {
@@ -114,13 +114,13 @@
 	return page
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, tx platform.Transaction) (platform.Commit, error) {
+// Commit implements infra.Table.
+func (t *Table) Commit(ctx context.Context, tx infra.Transaction) (infra.Commit, error) {
 	if err := t.begin(ctx, "commit", true); err != nil {
-		return platform.Commit{}, err
+		return infra.Commit{}, err
 	}
 	if tx.OperationID == "" {
-		return platform.Commit{}, refuse("commit", errors.Wrap(ErrBadRequest, "no operation id"))
+		return infra.Commit{}, refuse("commit", errors.Wrap(ErrBadRequest, "no operation id"))
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -128,12 +128,12 @@
 	if t.loseNext > 0 {
 		t.loseNext--
 		t.counters.Lost++
-		return platform.Commit{}, platform.NewError(platform.OutcomeUnknown, "commit", peer, errAnswerLost)
+		return infra.Commit{}, infra.NewError(infra.OutcomeUnknown, "commit", peer, errAnswerLost)
 	}
 	return commit, nil
 }
 
-func (t *Table) commitOnce(tx platform.Transaction) platform.Commit {
+func (t *Table) commitOnce(tx infra.Transaction) infra.Commit {
 	if first, repeated := t.operations[tx.OperationID]; repeated {
 		t.counters.Repeated++
 		return first
@@ -148,8 +148,8 @@
 	return commit
 }
 
-func (t *Table) commit(tx platform.Transaction) platform.Commit {
-	var conflicts []platform.Row
+func (t *Table) commit(tx infra.Transaction) infra.Commit {
+	var conflicts []infra.Row
 	for _, condition := range tx.Conditions {
 		if row := t.present(condition.Key); row.Revision != condition.Revision {
 			conflicts = append(conflicts, row)
@@ -157,16 +157,16 @@
 	}
 	if len(conflicts) > 0 {
 		t.counters.Conflicts++
-		return platform.Commit{Revision: t.revision, Conflicts: conflicts}
+		return infra.Commit{Revision: t.revision, Conflicts: conflicts}
 	}
 	t.revision++
 	for _, write := range tx.Writes {
 		t.write(write)
 	}
-	return platform.Commit{Applied: true, Revision: t.revision}
+	return infra.Commit{Applied: true, Revision: t.revision}
 }
 
-func (t *Table) write(write platform.Write) {
+func (t *Table) write(write infra.Write) {
 	_, known := t.rows[write.Key]
 	if !known {
 		i := sort.SearchStrings(t.keys, write.Key)
@@ -174,7 +174,7 @@
 		copy(t.keys[i+1:], t.keys[i:])
 		t.keys[i] = write.Key
 	}
-	row := platform.Row{Key: write.Key, Revision: t.revision, Deleted: write.Delete}
+	row := infra.Row{Key: write.Key, Revision: t.revision, Deleted: write.Delete}
 	if !write.Delete {
 		row.Value = append([]byte(nil), write.Value...)
 	}
@@ -182,19 +182,19 @@
 }
 
 // present returns the row at key as a reader sees it.
-func (t *Table) present(key string) platform.Row {
+func (t *Table) present(key string) infra.Row {
 	row, known := t.rows[key]
 	if !known || row.Deleted {
-		return platform.Row{Key: key}
+		return infra.Row{Key: key}
 	}
 	return copyRow(row)
 }
 
-func copyRow(row platform.Row) platform.Row {
+func copyRow(row infra.Row) infra.Row {
 	row.Value = append([]byte(nil), row.Value...)
 	return row
 }
 
 func refuse(operation string, cause error) error {
-	return platform.NewError(platform.OutcomeNotDone, operation, peer, cause)
+	return infra.NewError(infra.OutcomeNotDone, operation, peer, cause)
 }
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -1,7 +1,7 @@
 // Package weights is a small stand-in for the platform's rate-limited weight
 // store:
 //
-//	GET /v1/weights/{model}/{version}/info  a platform.WeightInfo
+//	GET /v1/weights/{model}/{version}/info  a infra.WeightInfo
 //	GET /v1/weights/{model}/{version}/data  the bytes, at the shared rate
 package weights
 
@@ -12,8 +12,8 @@
 	"sync"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/standin/loopback"
 	"golang.org/x/time/rate"
 )
@@ -77,7 +77,7 @@
 // Handler returns the HTTP interface of s.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
-	path := "GET " + httpplatform.PathWeights + "/{model}/{version}"
+	path := "GET " + httpinfra.PathWeights + "/{model}/{version}"
 	mux.HandleFunc(path+"/info", s.serveInfo)
 	mux.HandleFunc(path+"/data", s.serveData)
 	return mux
@@ -89,10 +89,10 @@
 }
 
 // find returns the weights that r names, or answers that there are none.
-func (s *Store) find(w http.ResponseWriter, r *http.Request) (platform.WeightInfo, bool) {
+func (s *Store) find(w http.ResponseWriter, r *http.Request) (infra.WeightInfo, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	info := platform.WeightInfo{
+	info := infra.WeightInfo{
 		Model:              wigeonfork.Model(r.PathValue("model")),
 		Version:            wigeonfork.Version(r.PathValue("version")),
 		RateBytesPerSecond: s.rate,
--- a/template/store/compact.go
+++ b/template/store/compact.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // deletesPerCommit bounds the rows that one transaction deletes.
@@ -67,7 +67,7 @@
 	return s.point(ctx, operationID, row.Revision, snapshotRow{Revision: last, Object: name})
 }
 
-func (s *Store) base(ctx context.Context, row platform.Row) (*view, error) {
+func (s *Store) base(ctx context.Context, row infra.Row) (*view, error) {
 	if row.Revision == 0 {
 		return emptyView(), nil
 	}
@@ -79,15 +79,15 @@
 }
 
 // point makes the table name the new state, unless another host did.
-func (s *Store) point(ctx context.Context, operationID string, at platform.Revision, pointer snapshotRow) error {
+func (s *Store) point(ctx context.Context, operationID string, at infra.Revision, pointer snapshotRow) error {
 	data, err := json.Marshal(pointer)
 	if err != nil {
 		return errors.Wrap(err, "encode snapshot row")
 	}
-	commit, err := s.commit(ctx, platform.Transaction{
+	commit, err := s.commit(ctx, infra.Transaction{
 		OperationID: fmt.Sprintf("config/compact/%s/%d", operationID, pointer.Revision),
-		Conditions:  []platform.Condition{{Key: snapshotKey, Revision: at}},
-		Writes:      []platform.Write{{Key: snapshotKey, Value: data}},
+		Conditions:  []infra.Condition{{Key: snapshotKey, Revision: at}},
+		Writes:      []infra.Write{{Key: snapshotKey, Value: data}},
 	})
 	if err != nil {
 		return commitError(operationID, err)
@@ -102,9 +102,9 @@
 func (s *Store) deleteLog(ctx context.Context, operationID string, old []Entry) (int, error) {
 	deleted := 0
 	for start := 0; start < len(old); start += deletesPerCommit {
-		tx := platform.Transaction{OperationID: fmt.Sprintf("config/compact/%s/delete/%d", operationID, old[start].Revision)}
+		tx := infra.Transaction{OperationID: fmt.Sprintf("config/compact/%s/delete/%d", operationID, old[start].Revision)}
 		for _, e := range old[start:min(start+deletesPerCommit, len(old))] {
-			tx.Writes = append(tx.Writes, platform.Write{Key: logKey(e.Revision), Delete: true})
+			tx.Writes = append(tx.Writes, infra.Write{Key: logKey(e.Revision), Delete: true})
 		}
 		if _, err := s.commit(ctx, tx); err != nil {
 			return deleted, commitError(operationID, err)
--- a/template/store/errors.go
+++ b/template/store/errors.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -36,7 +36,7 @@
 
 // peerOf returns the service at which err arose, empty if it does not say.
 func peerOf(err error) string {
-	var stated *platform.Error
+	var stated *infra.Error
 	if errors.As(err, &stated) {
 		return stated.Peer
 	}
@@ -59,7 +59,7 @@
 
 // commitError returns the error of a transaction that failed.
 func commitError(id string, err error) error {
-	if platform.OutcomeOf(err) == platform.OutcomeNotDone {
+	if infra.OutcomeOf(err) == infra.OutcomeNotDone {
 		return unavailable(err)
 	}
 	return unknown(id, err)
--- a/template/store/fake_test.go
+++ b/template/store/fake_test.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 var errDown = errors.New("down")
@@ -17,9 +17,9 @@
 // before and after it takes effect.
 type fakeTable struct {
 	mutex    sync.Mutex
-	revision platform.Revision
-	rows     map[string]platform.Row
-	done     map[string]platform.Commit
+	revision infra.Revision
+	rows     map[string]infra.Row
+	done     map[string]infra.Commit
 	before   func(operation string) error
 	after    func(operation string) error
 	scans    int
@@ -27,34 +27,34 @@
 
 func newFakeTable() *fakeTable {
 	pass := func(string) error { return nil }
-	return &fakeTable{rows: make(map[string]platform.Row), done: make(map[string]platform.Commit), before: pass, after: pass}
+	return &fakeTable{rows: make(map[string]infra.Row), done: make(map[string]infra.Commit), before: pass, after: pass}
 }
 
 func notDone(operation string) error {
-	return platform.NewError(platform.OutcomeNotDone, operation, "table", errDown)
+	return infra.NewError(infra.OutcomeNotDone, operation, "table", errDown)
 }
 
 func notKnown(operation string) error {
-	return platform.NewError(platform.OutcomeUnknown, operation, "table", errDown)
+	return infra.NewError(infra.OutcomeUnknown, operation, "table", errDown)
 }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (infra.Row, error) {
 	if err := f.before("get"); err != nil {
-		return platform.Row{}, err
+		return infra.Row{}, err
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.rows[key], nil
 }
 
-func (f *fakeTable) Scan(_ context.Context, q platform.ScanQuery) (platform.Page, error) {
+func (f *fakeTable) Scan(_ context.Context, q infra.ScanQuery) (infra.Page, error) {
 	if err := f.before("scan"); err != nil {
-		return platform.Page{}, err
+		return infra.Page{}, err
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.scans++
-	page := platform.Page{Revision: f.revision}
+	page := infra.Page{Revision: f.revision}
 	for _, key := range slices.Sorted(maps.Keys(f.rows)) {
 		if !strings.HasPrefix(key, q.Prefix) || key < q.From {
 			continue
@@ -68,28 +68,28 @@
 	return page, nil
 }
 
-func (f *fakeTable) Commit(_ context.Context, tx platform.Transaction) (platform.Commit, error) {
+func (f *fakeTable) Commit(_ context.Context, tx infra.Transaction) (infra.Commit, error) {
 	if err := f.before(tx.OperationID); err != nil {
-		return platform.Commit{}, err
+		return infra.Commit{}, err
 	}
 	commit := f.apply(tx)
 	if err := f.after(tx.OperationID); err != nil {
-		return platform.Commit{}, err
+		return infra.Commit{}, err
 	}
 	return commit, nil
 }
 
-func (f *fakeTable) apply(tx platform.Transaction) platform.Commit {
+func (f *fakeTable) apply(tx infra.Transaction) infra.Commit {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if commit, found := f.done[tx.OperationID]; found {
 		return commit
 	}
-	commit := platform.Commit{Applied: true}
+	commit := infra.Commit{Applied: true}
 	for _, c := range tx.Conditions {
 		if f.rows[c.Key].Revision != c.Revision {
 			commit.Applied = false
-			commit.Conflicts = append(commit.Conflicts, platform.Row{Key: c.Key, Revision: f.rows[c.Key].Revision})
+			commit.Conflicts = append(commit.Conflicts, infra.Row{Key: c.Key, Revision: f.rows[c.Key].Revision})
 		}
 	}
 	if commit.Applied {
@@ -99,7 +99,7 @@
 				delete(f.rows, w.Key)
 				continue
 			}
-			f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: f.revision}
+			f.rows[w.Key] = infra.Row{Key: w.Key, Value: w.Value, Revision: f.revision}
 		}
 	}
 	commit.Revision = f.revision
@@ -136,7 +136,7 @@
 	defer f.mutex.Unlock()
 	data, found := f.data[name]
 	if !found {
-		return nil, platform.NewError(platform.OutcomeNotDone, "get", "objects", platform.ErrNotFound)
+		return nil, infra.NewError(infra.OutcomeNotDone, "get", "objects", infra.ErrNotFound)
 	}
 	return data, nil
 }
--- a/template/store/history.go
+++ b/template/store/history.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/revision"
 )
 
@@ -104,7 +104,7 @@
 		return nil, err
 	}
 	if next.revision != r {
-		return nil, errors.Wrapf(platform.ErrNotFound, "revision %d", r)
+		return nil, errors.Wrapf(infra.ErrNotFound, "revision %d", r)
 	}
 	return next, nil
 }
--- a/template/store/http_test.go
+++ b/template/store/http_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/standin/objects"
 	"github.com/wigeonfork/wigeonfork/standin/table"
@@ -26,8 +26,8 @@
 		})
 		open := func() *Store {
 			return New(
-				httpplatform.NewTable(httpplatform.Options{Address: tableServer.Addr()}),
-				httpplatform.NewObjects(httpplatform.Options{Address: objectServer.Addr()}),
+				httpinfra.NewTable(httpinfra.Options{Address: tableServer.Addr()}),
+				httpinfra.NewObjects(httpinfra.Options{Address: objectServer.Addr()}),
 				Options{Backoff: time.Millisecond},
 			)
 		}
--- a/template/store/plan.go
+++ b/template/store/plan.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/template"
 )
@@ -24,9 +24,9 @@
 	Author      string
 	Base        wigeonfork.Revision
 	Change      template.Change
-	Conditions  []platform.Condition
+	Conditions  []infra.Condition
 	Now         time.Time
-	Weights     []platform.WeightInfo
+	Weights     []infra.WeightInfo
 	Settle      time.Duration
 }
 
@@ -55,7 +55,7 @@
 type plan struct {
 	entry       Entry
 	objects     []object
-	transaction platform.Transaction
+	transaction infra.Transaction
 }
 
 // repeated tells whether request was accepted before. It fails if another
@@ -78,7 +78,7 @@
 
 // decide checks request against the state v and returns what to commit. head
 // is the table's revision of the row config/head at v.
-func decide(v *view, head platform.Revision, request *Request) (plan, error) {
+func decide(v *view, head infra.Revision, request *Request) (plan, error) {
 	current, err := v.config()
 	if err != nil {
 		return plan{}, err
@@ -127,10 +127,10 @@
 
 // build fills in the transaction. Its operation id names the revision too, so
 // that an attempt that lost a race is not taken for a later one.
-func (p *plan) build(next *template.Config, head platform.Revision, request *Request) error {
+func (p *plan) build(next *template.Config, head infra.Revision, request *Request) error {
 	tx := &p.transaction
 	tx.OperationID = fmt.Sprintf("config/%s/%d", request.OperationID, next.Revision)
-	tx.Conditions = append([]platform.Condition{{Key: headKey, Revision: head}}, request.Conditions...)
+	tx.Conditions = append([]infra.Condition{{Key: headKey, Revision: head}}, request.Conditions...)
 	if err := p.writeDocuments(next, &request.Change); err != nil {
 		return err
 	}
@@ -163,7 +163,7 @@
 }
 
 func (p *plan) remove(key string) {
-	p.transaction.Writes = append(p.transaction.Writes, platform.Write{Key: key, Delete: true})
+	p.transaction.Writes = append(p.transaction.Writes, infra.Write{Key: key, Delete: true})
 }
 
 func (p *plan) write(key string, value any) error {
@@ -171,7 +171,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "encode %s", key)
 	}
-	p.transaction.Writes = append(p.transaction.Writes, platform.Write{Key: key, Value: data})
+	p.transaction.Writes = append(p.transaction.Writes, infra.Write{Key: key, Value: data})
 	return nil
 }
 
--- a/template/store/read.go
+++ b/template/store/read.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/revision"
 )
 
@@ -91,7 +91,7 @@
 // scanLog returns the entries from revision from on. The log only grows at
 // its end, so that pages read one after another fit together.
 func (s *Store) scanLog(ctx context.Context, from wigeonfork.Revision) ([]Entry, error) {
-	query := platform.ScanQuery{Prefix: logPrefix, From: logKey(from), Limit: scanLimit}
+	query := infra.ScanQuery{Prefix: logPrefix, From: logKey(from), Limit: scanLimit}
 	var entries []Entry
 	for {
 		page, err := s.table.Scan(ctx, query)
@@ -159,7 +159,7 @@
 
 // present returns the state at the head, and the table's revision of the row
 // config/head, on which a change is conditional.
-func (s *Store) present(ctx context.Context) (*view, platform.Revision, error) {
+func (s *Store) present(ctx context.Context) (*view, infra.Revision, error) {
 	for range s.options.Attempts {
 		row, err := s.table.Get(ctx, headKey)
 		if err != nil {
--- a/template/store/store.go
+++ b/template/store/store.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/template"
 )
@@ -29,14 +29,14 @@
 
 // Store accepts and reads changes. It is safe for concurrent use.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   infra.Table
+	objects infra.Objects
 	options Options
 	cache   cache
 }
 
 // New returns a Store over the platform's services.
-func New(table platform.Table, objects platform.Objects, options Options) *Store {
+func New(table infra.Table, objects infra.Objects, options Options) *Store {
 	if options.Attempts == 0 {
 		options.Attempts = DefaultAttempts
 	}
@@ -119,7 +119,7 @@
 // another change took the revision, the commit can no longer apply.
 func (s *Store) settle(ctx context.Context, request *Request, planned wigeonfork.Revision, cause error) (Accepted, bool, error) {
 	failed := commitError(request.OperationID, cause)
-	if platform.OutcomeOf(cause) == platform.OutcomeNotDone {
+	if infra.OutcomeOf(cause) == infra.OutcomeNotDone {
 		return Accepted{}, false, failed
 	}
 	v, err := s.load(ctx)
@@ -151,7 +151,7 @@
 
 // lostCondition returns an error if another condition than that on the head
 // did not hold; only the head is worth another attempt.
-func lostCondition(commit platform.Commit, request *Request) error {
+func lostCondition(commit infra.Commit, request *Request) error {
 	for _, row := range commit.Conflicts {
 		for _, condition := range request.Conditions {
 			if row.Key == condition.Key {
@@ -182,7 +182,7 @@
 
 // commit sends tx until its outcome is known. The table applies a repeated
 // operation id once.
-func (s *Store) commit(ctx context.Context, tx platform.Transaction) (platform.Commit, error) {
+func (s *Store) commit(ctx context.Context, tx infra.Transaction) (infra.Commit, error) {
 	wait := s.options.Backoff
 	var unclear error
 	for range s.options.Attempts {
@@ -190,18 +190,18 @@
 		if err == nil {
 			return commit, nil
 		}
-		if platform.OutcomeOf(err) != platform.OutcomeNotDone {
+		if infra.OutcomeOf(err) != infra.OutcomeNotDone {
 			unclear = err
 		}
 		if unclear == nil {
-			return platform.Commit{}, err
+			return infra.Commit{}, err
 		}
 		if !sleep(ctx, wait) {
 			break
 		}
 		wait *= 2
 	}
-	return platform.Commit{}, unclear
+	return infra.Commit{}, unclear
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/template/store/store_test.go
+++ b/template/store/store_test.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/revision"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -196,9 +196,9 @@
 	})
 	Convey("A change that is conditional on a lease is refused once the lease has moved", t, func() {
 		table, _, s := prepared()
-		table.apply(platform.Transaction{OperationID: "lease", Writes: []platform.Write{{Key: "lease/a", Value: []byte("1")}}})
+		table.apply(infra.Transaction{OperationID: "lease", Writes: []infra.Write{{Key: "lease/a", Value: []byte("1")}}})
 		request := put("op", "controller", 0, deployment("a", 20, 2))
-		request.Conditions = []platform.Condition{{Key: "lease/a", Revision: table.revision - 1}}
+		request.Conditions = []infra.Condition{{Key: "lease/a", Revision: table.revision - 1}}
 		_, err := s.Accept(ctx, request)
 		var typed *problem.Error
 		So(errors.As(err, &typed), ShouldBeTrue)
--- a/template/template.go
+++ b/template/template.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Name names a template.
@@ -120,7 +120,7 @@
 	Controller string `json:"controller,omitempty"`
 	// Weights is what the weight store said of To when the move was accepted,
 	// so that the move can be taken up and taken back without the store.
-	Weights platform.WeightInfo `json:"weights,omitzero"`
+	Weights infra.WeightInfo `json:"weights,omitzero"`
 }
 
 // Stop records that a version of a deployment must take no traffic again.
--- a/template/template_test.go
+++ b/template/template_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/revision"
 	"pgregory.net/rapid"
@@ -127,8 +127,8 @@
 }
 
 func TestDeadlineThatTheWeightStoreCannotMeet(t *testing.T) {
-	weights := func(seconds int64) platform.WeightInfo {
-		return platform.WeightInfo{Model: "m", Version: "v2", SizeBytes: seconds * 100, RateBytesPerSecond: 100}
+	weights := func(seconds int64) infra.WeightInfo {
+		return infra.WeightInfo{Model: "m", Version: "v2", SizeBytes: seconds * 100, RateBytesPerSecond: 100}
 	}
 	move := func(name DeploymentName, deadline time.Duration) Deployment {
 		d := drafts()
@@ -137,7 +137,7 @@
 		d.Move = &Move{From: "v1", To: "v2", Deadline: start.Add(deadline), State: MovePlanned}
 		return d
 	}
-	checks := Checks{Now: start, Settle: 10 * time.Second, Weights: []platform.WeightInfo{weights(50)}}
+	checks := Checks{Now: start, Settle: 10 * time.Second, Weights: []infra.WeightInfo{weights(50)}}
 	Convey("Given two backend servers that load for 50 s each, after which 10 s are needed", t, func() {
 		refused := func(current Config, d Deployment) *FieldError {
 			err := Validate(current, Change{PutDeployments: []Deployment{d}}, checks)
--- a/template/validate.go
+++ b/template/validate.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 )
 
 // Limits on the size of a configuration item, in items.
@@ -24,7 +24,7 @@
 // takes after its last load.
 type Checks struct {
 	Now     time.Time
-	Weights []platform.WeightInfo
+	Weights []infra.WeightInfo
 	Settle  time.Duration
 }
 
@@ -178,11 +178,11 @@
 }
 
 // weightsOf returns the description of a version's weights.
-func (c Checks) weightsOf(model wigeonfork.Model, version wigeonfork.Version) (platform.WeightInfo, bool) {
+func (c Checks) weightsOf(model wigeonfork.Model, version wigeonfork.Version) (infra.WeightInfo, bool) {
 	for _, w := range c.Weights {
 		if w.Model == model && w.Version == version {
 			return w, true
 		}
 	}
-	return platform.WeightInfo{}, false
+	return infra.WeightInfo{}, false
 }
--- a/test/matrix/configuration_test.go
+++ b/test/matrix/configuration_test.go
@@ -12,7 +12,7 @@
 	agentquery "github.com/wigeonfork/wigeonfork/agent/query"
 	"github.com/wigeonfork/wigeonfork/embedded"
 	entryquery "github.com/wigeonfork/wigeonfork/entry/query"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/standin/table"
 	"github.com/wigeonfork/wigeonfork/template"
 	"github.com/wigeonfork/wigeonfork/template/store"
@@ -38,9 +38,9 @@
 
 // accept has an operator's change accepted.
 func (b *bench) accept(change template.Change) (wigeonfork.Revision, error) {
-	tableClient := httpplatform.NewTable(httpplatform.Options{Address: b.Standins.TableServer.Addr()})
+	tableClient := httpinfra.NewTable(httpinfra.Options{Address: b.Standins.TableServer.Addr()})
 	defer tableClient.Close()
-	objects := httpplatform.NewObjects(httpplatform.Options{Address: b.Standins.ObjectsServer.Addr()})
+	objects := httpinfra.NewObjects(httpinfra.Options{Address: b.Standins.ObjectsServer.Addr()})
 	defer objects.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
 	defer cancel()
--- a/test/realsystem/node.go
+++ b/test/realsystem/node.go
@@ -5,7 +5,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/embedded"
-	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/test/faultproxy"
 	"github.com/wigeonfork/wigeonfork/test/process"
 )
@@ -107,8 +107,8 @@
 	if err != nil {
 		return err
 	}
-	s.Standins.Hosts.Put(platform.Host{
-		ID: wigeonfork.HostID(e.host), Role: platform.RoleEntry, State: platform.HostLive, Region: "local",
+	s.Standins.Hosts.Put(infra.Host{
+		ID: wigeonfork.HostID(e.host), Role: infra.RoleEntry, State: infra.HostLive, Region: "local",
 		Domain: wigeonfork.FailureDomain(domainOf(e.index)), ServeAddress: serve, ControlAddress: control,
 	})
 	return nil
@@ -167,8 +167,8 @@
 	if err != nil {
 		return err
 	}
-	s.Standins.Hosts.Put(platform.Host{
-		ID: wigeonfork.HostID(a.place.host), Role: platform.RoleAgent, State: platform.HostLive, Region: "local",
+	s.Standins.Hosts.Put(infra.Host{
+		ID: wigeonfork.HostID(a.place.host), Role: infra.RoleAgent, State: infra.HostLive, Region: "local",
 		Domain: wigeonfork.FailureDomain(domainOf(a.place.index)), ServeAddress: serve, ControlAddress: control,
 		BackendServer: a.place.server,
 	})
--- a/test/realsystem/realsystem.go
+++ b/test/realsystem/realsystem.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/wigeonfork/wigeonfork/embedded"
-	"github.com/wigeonfork/wigeonfork/platform/httpplatform"
+	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
 	"github.com/wigeonfork/wigeonfork/standin/engine"
 	"github.com/wigeonfork/wigeonfork/standin/suite"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -89,7 +89,7 @@
 }
 
 func (s *System) configure(ctx context.Context) error {
-	objects := httpplatform.NewObjects(httpplatform.Options{Address: s.Standins.ObjectsServer.Addr()})
+	objects := httpinfra.NewObjects(httpinfra.Options{Address: s.Standins.ObjectsServer.Addr()})
 	defer objects.Close()
 	if s.options.Change == nil {
 		return embedded.Configure(ctx, s.Standins.Table, objects, len(s.Standins.Engines), len(s.Standins.Services))
