--- a/infra/infra.go
+++ b/infra/infra.go
@@ -4,7 +4,7 @@
 //
 // Every error from an implementation says through OutcomeOf whether the
 // operation was not done, was done, or whether that is not known.
-package platform
+package infra
 
 import (
 	"context"
--- a/infra/outcome.go
+++ b/infra/outcome.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"fmt"
