--- /dev/null
+++ b/cmd/wigeonfork-gateway/main.go
@@ -0,0 +1,124 @@
+// Command wigeonfork-gateway serves callers on an entry host of the users'
+// platform. It starts with nothing but the platform's settings file.
+package main
+
+// #include <stdlib.h>
+import "C"
+
+import (
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/gateway"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/platform"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+const (
+	// memoryShare is the part of the machine's memory limit at which the collector
+	// works harder; the rest is for the sockets' buffers.
+	memoryShare = 0.6
+	// settingsInterval is the time between two looks at the settings file.
+	settingsInterval = time.Second
+)
+
+func main() {
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		log := telemetry.NewLogger(os.Stdout, "info", "gateway", "unknown")
+		log.Error().Str("path", path).Err(err).Msg("settings_refused")
+		os.Exit(2)
+	}
+	log := telemetry.NewLogger(os.Stdout, "info", "gateway", string(settings.Host))
+	if err := run(path, settings, log); err != nil {
+		log.Error().Err(err).Msg("process_failed")
+		os.Exit(1)
+	}
+}
+
+func run(path string, settings *platform.Settings, log *telemetry.Logger) error {
+	debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryShare))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	metrics := telemetry.NewRegistry()
+	g := gateway.New(gateway.Options{
+		Host:    settings.Host,
+		Domain:  settings.Domain,
+		Bounds:  settings.Bounds,
+		Codec:   platform.Codec{},
+		Source:  platform.NewSource(platform.NewStore(settings.StoreAddress), log),
+		Log:     log,
+		Metrics: metrics,
+	})
+	callers, err := net.Listen("tcp", settings.CallersAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	ready, err := net.Listen("tcp", settings.ReadyAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	metricsListener, err := net.Listen("tcp", settings.MetricsAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	metricsServer := httpserver.New(telemetry.MetricsHandler(metrics))
+	go httpserver.Serve(metricsServer, metricsListener, log)
+	g.Start(callers, ready)
+	waitForStop(path, signals, g, log)
+	g.Drain()
+	g.Stop()
+	return errors.Wrap(metricsServer.Close(), "close the metrics listener")
+}
+
+// waitForStop takes over changed settings until a signal asks to stop.
+func waitForStop(path string, signals <-chan os.Signal, g *gateway.Gateway, log *telemetry.Logger) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	seen := modified(path)
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				log.Info().Str("signal", received.String()).Msg("stop_requested")
+				return
+			}
+			reload(path, g, log)
+		case <-ticker.C:
+			if at := modified(path); !at.Equal(seen) {
+				seen = at
+				reload(path, g, log)
+			}
+		}
+	}
+}
+
+// modified returns when the settings file was last changed; the zero time if it
+// can't be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload takes over the settings that may change while running. A bad file
+// leaves the settings in force.
+func reload(path string, g *gateway.Gateway, log *telemetry.Logger) {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		log.Error().Str("path", path).Err(err).Msg("settings_refused")
+		return
+	}
+	g.SetBounds(settings.Bounds)
+	log.Info().Str("path", path).Msg("settings_reloaded")
+}
--- /dev/null
+++ b/freshness/freshness.go
@@ -0,0 +1,45 @@
+// Package freshness bounds the age of the configuration that a process acts on,
+// so that a revoked key stops being honoured even where nothing is heard of the
+// revocation.
+package freshness
+
+import "time"
+
+// Clock is a time on a clock that goes on while the host is suspended.
+type Clock time.Duration
+
+// Bound knows up to which time the configuration in force is proved to have been
+// the newest one. The zero Bound has no proof. It is not safe for concurrent use.
+//
+// Invariant: at asOf, by the local clock, the store held no newer configuration
+// than the one that the process knows.
+type Bound struct {
+	asOf   Clock
+	offset time.Duration // least possible local time of the store's zero
+	proved bool
+}
+
+// Observe takes in an answer of the store that shows nothing newer than what is
+// known. sent and received are the local times of the call; storeNow is the
+// store's steady clock when it answered. A call may wait at the store, so that
+// the answer proves more than the time at which the call was sent.
+func (b *Bound) Observe(sent, received Clock, storeNow time.Duration) {
+	least := time.Duration(sent) - storeNow
+	most := time.Duration(received) - storeNow
+	if !b.proved || least > b.offset || b.offset > most {
+		b.offset = least
+	}
+	asOf := max(sent, Clock(storeNow+b.offset))
+	if !b.proved || asOf > b.asOf {
+		b.asOf = asOf
+	}
+	b.proved = true
+}
+
+// Age returns how old the proof is, and false if there is none.
+func (b *Bound) Age(now Clock) (time.Duration, bool) {
+	if !b.proved {
+		return 0, false
+	}
+	return time.Duration(now - b.asOf), true
+}
--- /dev/null
+++ b/gateway/events.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 256 << 10
+
+// streamEvent is one event of a stream as it came. Raw is valid until the next
+// read. An event without an id has ID 0.
+type streamEvent struct {
+	ID  uint64
+	Raw []byte
+}
+
+// eventReader cuts a stream into events.
+type eventReader struct {
+	in  *bufio.Reader
+	buf []byte
+}
+
+var idField = []byte("id:")
+
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{in: bufio.NewReader(body)}
+}
+
+// next returns the next whole event. It fails with io.EOF at the end of the
+// stream, and with io.ErrUnexpectedEOF if the stream ends within an event.
+func (e *eventReader) next() (streamEvent, error) {
+	e.buf = e.buf[:0]
+	var event streamEvent
+	for {
+		line, err := e.in.ReadSlice('\n')
+		e.buf = append(e.buf, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			if len(e.buf) > maxEventBytes {
+				return event, errors.New("event is too large")
+			}
+			continue
+		case err == io.EOF && len(e.buf) > 0:
+			return event, io.ErrUnexpectedEOF
+		case err != nil:
+			return event, err
+		}
+		line = bytes.TrimRight(lastLine(e.buf), "\r\n")
+		if len(line) == 0 {
+			event.Raw = e.buf
+			return event, nil
+		}
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			if event.ID, err = strconv.ParseUint(string(bytes.TrimSpace(id)), 10, 64); err != nil {
+				return event, errors.Wrap(err, "event id")
+			}
+		}
+		if len(e.buf) > maxEventBytes {
+			return event, errors.New("event is too large")
+		}
+	}
+}
+
+// lastLine returns the last line in buf, which ends with a line feed.
+func lastLine(buf []byte) []byte {
+	if i := bytes.LastIndexByte(buf[:len(buf)-1], '\n'); i >= 0 {
+		return buf[i+1:]
+	}
+	return buf
+}
--- /dev/null
+++ b/gateway/fleet.go
@@ -0,0 +1,336 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/health"
+	"github.com/wigeonfork/wigeonfork/routetable"
+	"github.com/wigeonfork/wigeonfork/routing"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/upstream"
+)
+
+// serverID names a backend server.
+type serverID = wigeonfork.BackendServerID
+
+// place is a backend server that was chosen for a request.
+type place struct {
+	directory.Entry
+	// expectedWait is the predicted time to the first token.
+	expectedWait time.Duration
+}
+
+func (p *place) upstream() upstream.Server {
+	return upstream.Server{ID: string(p.ID), Address: p.Address}
+}
+
+// fleet is what the gateway believes of the backend servers. Its lock is taken
+// last and never held over I/O.
+type fleet struct {
+	log     *telemetry.Logger
+	metrics telemetry.Registry
+	// retired is told of servers whose connections are of no more use.
+	retired func(upstream.Server)
+
+	mu        sync.Mutex
+	directory *directory.Directory
+	router    *routing.Router
+	servers   *health.Servers
+	streams   *health.Streams
+	entries   map[serverID]directory.Entry
+	cancels   map[health.StreamID]func(error)
+}
+
+func newFleet(o *Options, retired func(upstream.Server)) *fleet {
+	return &fleet{
+		log:       o.Log,
+		metrics:   o.Metrics,
+		retired:   retired,
+		directory: directory.New(),
+		router:    routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
+		servers:   health.NewServers(),
+		streams:   health.NewStreams(),
+		entries:   make(map[serverID]directory.Entry),
+		cancels:   make(map[health.StreamID]func(error)),
+	}
+}
+
+// replace takes in a reading of all registered servers.
+func (f *fleet) replace(now time.Time, entries []directory.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(f.directory.Replace(now, entries))
+}
+
+// change takes in changes of the registered servers.
+func (f *fleet) change(now time.Time, changes []directory.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(f.directory.Apply(now, changes))
+}
+
+// registryLost records that the registered servers can't be read.
+func (f *fleet) registryLost() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.directory.Lost()
+}
+
+func (f *fleet) apply(events []directory.Event) {
+	for _, event := range events {
+		f.log.Info().Str("server", string(event.Entry.ID)).Str("address", event.Entry.Address).
+			Str("service", string(event.Entry.Service)).Str("change", event.Kind.String()).
+			Bool("lapsed", event.Lapsed).Bool("draining", event.Entry.Draining).Msg("server_changed")
+		switch event.Kind {
+		case directory.Added:
+			f.add(event.Entry)
+		case directory.Restarted:
+			f.remove(event.Entry.ID)
+			f.add(event.Entry)
+		case directory.Updated:
+			f.entries[event.Entry.ID] = event.Entry
+			f.router.Upsert(describe(event.Entry))
+		case directory.Left:
+			f.remove(event.Entry.ID)
+		}
+	}
+}
+
+func (f *fleet) add(entry directory.Entry) {
+	f.entries[entry.ID] = entry
+	f.servers.Add(entry.ID, entry.Service)
+	f.router.Upsert(describe(entry))
+}
+
+func (f *fleet) remove(id serverID) {
+	known, ok := f.entries[id]
+	if !ok {
+		return
+	}
+	delete(f.entries, id)
+	f.servers.Remove(id)
+	f.router.Remove(id)
+	go f.retired(upstream.Server{ID: string(id), Address: known.Address})
+}
+
+// describe tells the router of a server. Requests for any version of a service
+// ask for the empty version.
+func describe(entry directory.Entry) routing.Server {
+	return routing.Server{
+		ID:       entry.ID,
+		Domain:   entry.Domain,
+		Versions: []routing.Deployment{{Model: entry.Service}, {Model: entry.Service, Version: entry.Version}},
+		Slots:    entry.Slots,
+	}
+}
+
+// query asks for a backend server.
+type query struct {
+	service wigeonfork.Model
+	work    routing.Work
+	resume  bool
+	exclude []serverID
+	avoid   []serverID
+}
+
+// choose returns the server for a request and charges it with the work, which
+// must be taken off by finished or failed.
+func (f *fleet) choose(now time.Time, q *query) (*place, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	decision, err := f.router.Choose(now, routing.Request{
+		Model:        q.service,
+		Class:        q.work.Class,
+		Prefixes:     q.work.Prefixes,
+		PromptTokens: q.work.PromptTokens,
+		MaxTokens:    q.work.MaxTokens,
+		Exclude:      q.exclude,
+		Avoid:        q.avoid,
+		Resume:       q.resume,
+	})
+	if err != nil {
+		return nil, err
+	}
+	f.router.Started(now, decision.ID, q.work)
+	return &place{Entry: f.entries[decision.ID], expectedWait: decision.ExpectedWait}, nil
+}
+
+// take charges a given server with the work. It returns nil if the server does
+// not take work.
+func (f *fleet) take(now time.Time, id serverID, work routing.Work) *place {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entry, ok := f.entries[id]
+	if !ok || f.servers.State(id) == health.Down {
+		return nil
+	}
+	f.router.Started(now, id, work)
+	return &place{Entry: entry}
+}
+
+// backup returns a server to keep a copy of a run at primary, or nil.
+func (f *fleet) backup(now time.Time, primary *place, work routing.Work) *directory.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id, ok := f.router.ChooseBackup(now, routing.Backup{
+		Model:  primary.Service,
+		Server: primary.ID,
+		Domain: primary.Domain,
+		Tokens: work.PromptTokens + work.MaxTokens,
+	})
+	if !ok {
+		return nil
+	}
+	entry := f.entries[id]
+	return &entry
+}
+
+// releaseBackup takes the copy of an ended run off the server that held it.
+func (f *fleet) releaseBackup(id serverID, work routing.Work) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.ReleaseBackup(id, work.PromptTokens+work.MaxTokens)
+}
+
+// finished takes a request off the server that finished it.
+func (f *fleet) finished(now time.Time, p *place, work routing.Work, result routing.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Finished(now, p.ID, work, result)
+}
+
+// failed takes a request off a server that did not finish it.
+func (f *fleet) failed(now time.Time, p *place, work routing.Work) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Failed(now, p.ID, work)
+}
+
+// answered takes in the head of an answer to a request sent at sentAt.
+func (f *fleet) answered(now, sentAt time.Time, p *place, load *Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.servers.Answered(sentAt, p.ID) {
+		f.router.SetState(now, p.ID, routing.StateReady)
+	}
+	if load != nil {
+		f.router.Report(now, p.ID, backend.LoadReport{
+			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, MeasuredAt: now,
+		})
+	}
+}
+
+// result takes in whether a server failed a request that it answered.
+func (f *fleet) result(now time.Time, p *place, failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.servers.Result(now, p.ID, failed) {
+		return
+	}
+	f.belief(now, p.ID)
+}
+
+// belief tells the router of a changed belief.
+func (f *fleet) belief(now time.Time, id serverID) {
+	state := f.servers.State(id)
+	f.log.Info().Str("server", string(id)).Str("state", state.String()).Msg("server_state")
+	switch state {
+	case health.Up:
+		f.router.SetState(now, id, routing.StateReady)
+	case health.Failing:
+		f.router.SetState(now, id, routing.StateSuspect)
+	case health.Down:
+		f.router.SetState(now, id, routing.StateDead)
+	}
+}
+
+// lost records that a server does not answer. reason says how it was found.
+func (f *fleet) lost(now time.Time, id serverID, reason string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lostLocked(now, id, reason)
+}
+
+func (f *fleet) lostLocked(now time.Time, id serverID, reason string) {
+	entry, ok := f.entries[id]
+	if !ok || !f.servers.Lost(now, id) {
+		return
+	}
+	f.streams.ServerLost(now, entry.Domain)
+	telemetry.Counter(f.metrics, "fleet.lost_"+reason).Inc(1)
+	f.log.Info().Str("server", string(id)).Str("domain", string(entry.Domain)).Str("reason", reason).Msg("server_lost")
+	f.router.SetState(now, id, routing.StateDead)
+}
+
+// usable returns the number of servers that take work.
+func (f *fleet) usable() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for id := range f.entries {
+		if f.servers.State(id) != health.Down {
+			n++
+		}
+	}
+	return n
+}
+
+// alive tells whether a server takes work.
+func (f *fleet) alive(id serverID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.entries[id]
+	return ok && f.servers.State(id) != health.Down
+}
+
+// watch begins to watch a run; cancel is called with the reason if it is lost.
+func (f *fleet) watch(now time.Time, p *place, startBy time.Time, cancel func(error)) health.StreamID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := f.streams.Start(now, p.ID, p.Domain, startBy)
+	f.cancels[id] = cancel
+	return id
+}
+
+// event records an event of a run.
+func (f *fleet) event(now time.Time, id health.StreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams.Event(now, id)
+}
+
+// unwatch ends the watch of a run.
+func (f *fleet) unwatch(id health.StreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams.End(id)
+	delete(f.cancels, id)
+}
+
+// firstToken and progress tell the router of the pace of a stream.
+func (f *fleet) firstToken(now time.Time, p *place, seen routing.FirstToken) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.FirstToken(now, p.ID, seen)
+}
+
+func (f *fleet) progress(now time.Time, p *place, tokens int, gap time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Progress(now, p.ID, tokens, gap)
+}
+
+// install takes over what a configuration says of the services' engines.
+func (f *fleet) install(table *routetable.Table) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, service := range table.Services() {
+		if service.Engine != nil {
+			f.router.SetMemory(service.Name, service.Engine.MemoryTokens)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/justinas/alice"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/retry"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/upstream"
+)
+
+// Gateway is one entry that reaches backend servers itself.
+type Gateway struct {
+	options Options
+	bounds  atomic.Pointer[Bounds]
+	config  *configState
+	fleet   *fleet
+	pool    *upstream.Pool
+	budgets *budgets
+	crashes *crashes
+	server  *http.Server
+	ready   *http.Server
+
+	background context.Context
+	stop       context.CancelFunc
+	wait       sync.WaitGroup
+
+	// stopping is the time of the request to stop in Unix nanoseconds, or 0.
+	stopping atomic.Int64
+	active   atomic.Int64
+}
+
+// New returns a gateway that serves nothing yet.
+func New(options Options) *Gateway {
+	background, stop := context.WithCancel(context.Background())
+	g := &Gateway{options: options, background: background, stop: stop}
+	g.SetBounds(options.Bounds)
+	opened := telemetry.Counter(options.Metrics, "upstream.connections")
+	g.pool = upstream.NewPool(upstream.Options{Opened: func() { opened.Inc(1) }})
+	g.fleet = newFleet(&options, g.pool.Forget)
+	g.config = newConfigState(&options)
+	g.budgets = newBudgets(options.Bounds)
+	g.crashes = newCrashes()
+	g.server = httpserver.New(alice.New().ThenFunc(g.serve))
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", g.serveReady)
+	g.ready = httpserver.New(mux)
+	return g
+}
+
+// seedOf gives each host its own random sequence.
+func seedOf(host wigeonfork.HostID) uint64 { return xxhash.Sum64String(string(host)) }
+
+// SetBounds takes over bounds that changed while running.
+func (g *Gateway) SetBounds(b Bounds) { g.bounds.Store(&b) }
+
+// Start serves callers and the balancer's questions until Stop. It returns at
+// once.
+func (g *Gateway) Start(callers, ready net.Listener) {
+	g.wait.Go(func() { httpserver.Serve(g.server, callers, g.options.Log) })
+	g.wait.Go(func() { httpserver.Serve(g.ready, ready, g.options.Log) })
+	g.wait.Go(g.followConfiguration)
+	g.wait.Go(g.followServers)
+	g.wait.Go(g.sweep)
+	g.options.Log.Info().Str("callers", callers.Addr().String()).Str("ready", ready.Addr().String()).
+		Str("domain", string(g.options.Domain)).Msg("gateway_started")
+}
+
+// Drain takes no new callers and returns once all requests have ended, or just
+// before the grace period does.
+func (g *Gateway) Drain() {
+	began := time.Now()
+	g.stopping.Store(began.UnixNano())
+	g.options.Log.Info().Int64("requests", g.active.Load()).Msg("drain_started")
+	end := began.Add(g.bounds.Load().GracePeriod - stopMargin)
+	quiet := began
+	for now := began; now.Before(end); now = time.Now() {
+		if g.active.Load() > 0 {
+			quiet = now
+		}
+		if now.Sub(began) >= balancerWait && now.Sub(quiet) >= quietWait {
+			break
+		}
+		time.Sleep(drainInterval)
+	}
+	g.options.Log.Info().Int64("requests", g.active.Load()).Dur("after", time.Since(began)).Msg("drain_ended")
+}
+
+const (
+	// stopMargin is the part of the grace period left to end the process.
+	stopMargin = 500 * time.Millisecond
+	// balancerWait is the time in which the balancer stops sending new callers.
+	balancerWait = 3 * time.Second
+	// quietWait is the time without a request after which a leaving gateway ends.
+	quietWait = 500 * time.Millisecond
+	// drainInterval is the time between two looks at the requests under way.
+	drainInterval = 50 * time.Millisecond
+)
+
+// Stop ends the gateway at once.
+func (g *Gateway) Stop() {
+	g.stop()
+	// Listeners and connections that fail to close end with the process.
+	_ = g.server.Close()
+	_ = g.ready.Close()
+	g.wait.Wait()
+	g.pool.Close()
+}
+
+// leaving tells whether the gateway was asked to stop, and how long ago.
+func (g *Gateway) leaving(now time.Time) (time.Duration, bool) {
+	at := g.stopping.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return now.Sub(time.Unix(0, at)), true
+}
+
+// serveReady answers the balancer.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := g.unready(); reason != "" {
+		telemetry.Counter(g.options.Metrics, "ready.refused_"+reason).Inc(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// unready returns why the gateway takes no new callers, or nothing.
+func (g *Gateway) unready() string {
+	if _, leaving := g.leaving(time.Now()); leaving {
+		return "leaving"
+	}
+	table := g.config.table()
+	if table == nil {
+		return "no_configuration"
+	}
+	if g.fleet.usable() == 0 {
+		return "no_servers"
+	}
+	bounds := g.bounds.Load()
+	if table.Keyed() && bounds.FailClosed {
+		age, proved := g.config.age()
+		if !proved || age > unreadyAge(bounds) {
+			return "stale_configuration"
+		}
+	}
+	return ""
+}
+
+// unreadyAge is the age of the configuration at which callers do better at
+// another entry: soon their keys would be refused here.
+func unreadyAge(b *Bounds) time.Duration { return b.RevokeLimit * 6 / 10 }
+
+// budgets share out how often requests may be sent again, for each service.
+type budgets struct {
+	mu       sync.Mutex
+	limit    retry.Limit
+	services map[wigeonfork.Model]*retry.Budgets
+}
+
+const (
+	// budgetShare is the part of the ratio that is used, as entries can't see
+	// what callers ask of the others.
+	budgetShare = 0.6
+	// slackShare is one entry's part of the slack of all.
+	slackShare = 0.1
+)
+
+func newBudgets(b Bounds) *budgets {
+	window := b.RetryWindow.Seconds()
+	return &budgets{
+		limit: retry.Limit{
+			Ratio:     b.RetryRatio * budgetShare,
+			PerSecond: b.RetrySlack * slackShare / 2 / window,
+			Burst:     b.RetrySlack * slackShare,
+		},
+		services: make(map[wigeonfork.Model]*retry.Budgets),
+	}
+}
+
+func (b *budgets) of(service wigeonfork.Model) *retry.Budgets {
+	if b.services[service] == nil {
+		b.services[service] = retry.NewBudgets(retry.Options{Caller: b.limit, Workspace: b.limit, Overall: b.limit, MaxCallers: 1, MaxWorkspaces: 1})
+	}
+	return b.services[service]
+}
+
+// asked credits a service with a caller's request.
+func (b *budgets) asked(now time.Time, service wigeonfork.Model) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(service).Succeeded(now, retry.Origin{})
+}
+
+// take asks whether a request may be sent once more.
+func (b *budgets) take(now time.Time, service wigeonfork.Model) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(service).Take(now, retry.Origin{}).Allowed
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,313 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/routing"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/upstream"
+)
+
+const (
+	// maxAnswerBytes bounds the answer of a plain service that is held in memory
+	// until it is whole.
+	maxAnswerBytes = 8 << 20
+	// hedgeDivisor is the part of the latency target after which an idempotent
+	// request without an answer is sent to a second server.
+	hedgeDivisor = 2
+	// maxSends bounds the sends of one request that were refused or never left.
+	maxSends = 6
+)
+
+// errTooLarge says that an answer does not fit in memory.
+var errTooLarge = errors.New("answer is too large")
+
+// verdict tells how one send of a request ended.
+type verdict uint8
+
+const (
+	// sendAnswered: the server ran the request and answered it whole.
+	sendAnswered verdict = iota
+	// sendNotRun: the server did not run the request.
+	sendNotRun
+	// sendUnknown: the request may have run.
+	sendUnknown
+)
+
+// sendResult is the end of one send.
+type sendResult struct {
+	verdict verdict
+	place   *place
+	status  int
+	header  http.Header
+	body    []byte
+	load    *Load
+	err     error
+}
+
+// good tells whether the answer is a success.
+func (s *sendResult) good() bool {
+	return s.verdict == sendAnswered && s.status < http.StatusInternalServerError
+}
+
+// plain serves a request that is answered in one piece.
+func (c *call) plain() {
+	ctx := c.r.Context()
+	if !c.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, c.deadline)
+		defer cancel()
+	}
+	run := &plainRun{call: c, results: make(chan *sendResult, maxSends)}
+	// The sends that are still under way at the end are given up with ctx.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	run.serve(ctx)
+}
+
+// plainRun is a plain request under way.
+type plainRun struct {
+	*call
+	results chan *sendResult
+	pending int
+	total   int
+	tried   []serverID
+	// last is the best answer so far that is not a success.
+	last *sendResult
+	// uncertain tells that a send may have run without an answer.
+	uncertain bool
+}
+
+func (p *plainRun) serve(ctx context.Context) {
+	if err := p.send(ctx); err != nil {
+		p.refuse(p.noServer(err))
+		return
+	}
+	hedge := p.hedgeTimer()
+	defer hedge.Stop()
+	for p.pending > 0 {
+		select {
+		case result := <-p.results:
+			p.pending--
+			if p.take(ctx, result) {
+				return
+			}
+		case <-hedge.C:
+			if p.maySendAgain(time.Now()) {
+				p.trySend(ctx, "hedge")
+			}
+		case <-ctx.Done():
+			p.givenUp()
+			return
+		}
+	}
+	p.exhausted()
+}
+
+// hedgeTimer fires when a second server is to be asked beside the first.
+func (p *plainRun) hedgeTimer() *time.Timer {
+	if !p.route.Idempotent() || p.route.LatencyTarget <= 0 {
+		timer := time.NewTimer(time.Hour)
+		timer.Stop()
+		return timer
+	}
+	return time.NewTimer(p.route.LatencyTarget / hedgeDivisor)
+}
+
+// take handles the end of a send and returns whether the request is answered.
+func (p *plainRun) take(ctx context.Context, result *sendResult) bool {
+	p.judge(result)
+	if result.good() {
+		p.deliver(result)
+		return true
+	}
+	switch result.verdict {
+	case sendAnswered:
+		p.last = result
+	case sendUnknown:
+		p.uncertain = true
+	case sendNotRun:
+		p.sends--
+	}
+	if p.pending == 0 && p.maySendAgain(time.Now()) {
+		p.trySend(ctx, "again")
+	}
+	return false
+}
+
+// maySendAgain decides whether the request is sent once more. One that may have
+// run is repeated only where the route allows it.
+func (p *plainRun) maySendAgain(now time.Time) bool {
+	if p.total >= maxSends || p.sends >= max(1, p.route.MaxAttempts) {
+		return false
+	}
+	if p.sends > 0 && !p.route.Idempotent() {
+		return false
+	}
+	return p.budgets.take(now, p.service)
+}
+
+func (p *plainRun) trySend(ctx context.Context, why string) {
+	err := p.send(ctx)
+	p.options.Log.Info().Str("request", string(p.caller.ID)).Str("why", why).Int("sends", p.sends).Int("total", p.total).
+		Err(err).Msg("request_sent_again")
+}
+
+// send sends the request to the best server that has not had it yet.
+func (p *plainRun) send(ctx context.Context) error {
+	now := time.Now()
+	place, err := p.fleet.choose(now, &query{service: p.service, work: p.work, exclude: p.tried})
+	if err != nil {
+		return err
+	}
+	p.tried = append(p.tried, place.ID)
+	p.sends++
+	p.total++
+	p.pending++
+	p.server = place.ID
+	go func() { p.results <- p.exchange(ctx, place) }()
+	return nil
+}
+
+// exchange sends the request to one server and reads the whole answer.
+func (c *call) exchange(ctx context.Context, place *place) *sendResult {
+	now := time.Now()
+	result := &sendResult{verdict: sendUnknown, place: place}
+	request := c.request(now, place, &Attempt{})
+	request.FreshConnection = !c.route.Idempotent()
+	response, err := c.pool.Do(ctx, place.upstream(), request)
+	if err != nil {
+		result.err = err
+		if infra.OutcomeOf(err) == infra.OutcomeNotDone {
+			result.verdict = sendNotRun
+		}
+		c.fleet.failed(time.Now(), place, c.work)
+		return result
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.readAnswer(response, result)
+	end := time.Now()
+	c.fleet.finished(end, place, c.work, routing.Result{Duration: end.Sub(now)})
+	return result
+}
+
+// readAnswer reads an answer whole and checks that it belongs to the request.
+func (c *call) readAnswer(response *upstream.Response, result *sendResult) {
+	reply := c.options.Codec.Reply(response.Status, response.Header)
+	if reply.Request != "" && reply.Request != c.caller.ID {
+		result.err = errors.Newf("answer to another request, %q", string(reply.Request))
+		return
+	}
+	c.fleet.answered(time.Now(), response.SentAt, result.place, reply.Load)
+	result.load = reply.Load
+	if reply.NotRun {
+		result.verdict = sendNotRun
+		result.status = response.Status
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	switch {
+	case err != nil:
+		result.err = errors.Wrap(err, "read the answer")
+	case len(body) > maxAnswerBytes:
+		result.err = errTooLarge
+	default:
+		result.verdict = sendAnswered
+		result.status, result.header, result.body = response.Status, response.Header, body
+	}
+}
+
+// request makes the request that goes to a backend server.
+func (c *call) request(now time.Time, place *place, attempt *Attempt) *upstream.Request {
+	attempt.Server = place.ID
+	attempt.Workspace = c.workspace
+	attempt.Remaining = c.remaining(now)
+	return &upstream.Request{
+		Method:  c.r.Method,
+		Target:  c.r.RequestURI,
+		Host:    c.r.Host,
+		Header:  c.options.Codec.Attempt(c.r.Header, attempt),
+		Body:    c.body,
+		HasBody: c.hasBody,
+	}
+}
+
+// judge tells the fleet what the end of a send says of the server.
+func (p *plainRun) judge(result *sendResult) {
+	now := time.Now()
+	if result.verdict == sendNotRun && result.status == 0 {
+		p.fleet.lost(now, result.place.ID, "connect")
+		return
+	}
+	if result.status == http.StatusMisdirectedRequest {
+		p.fleet.lost(now, result.place.ID, "misdirected")
+		return
+	}
+	p.fleet.result(now, result.place, !result.good())
+	if result.verdict == sendUnknown {
+		go p.suspect(result.place.Entry, p.print)
+	}
+	if result.good() {
+		p.crashes.completed(p.print)
+	}
+	if result.err != nil {
+		p.options.Log.Info().Str("request", string(p.caller.ID)).Str("server", string(result.place.ID)).
+			Err(result.err).Msg("send_failed")
+	}
+}
+
+// deliver passes an answer on unchanged.
+func (c *call) deliver(result *sendResult) {
+	c.server, c.status, c.outcome = result.place.ID, result.status, "answered"
+	if result.status >= http.StatusInternalServerError {
+		c.outcome = "backend_error"
+	}
+	header := c.w.Header()
+	c.options.Codec.Answer(header, result.header)
+	if c.r.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(result.body)))
+	}
+	c.w.WriteHeader(result.status)
+	// The caller may be gone; there is nobody left to tell.
+	_, _ = c.w.Write(result.body)
+}
+
+// exhausted answers a request that is not sent any more.
+func (p *plainRun) exhausted() {
+	switch {
+	case p.last != nil:
+		p.deliver(p.last)
+	case p.uncertain:
+		p.refuse(problem.New(problem.CodeBackendFailed, problem.RunUnknown, problem.StepDispatch, "the backend server was lost").At(string(p.server)))
+	default:
+		p.refuse(problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepDispatch, "no backend server takes the request").After(p.spread(noServerRetry)))
+	}
+}
+
+// givenUp answers at the end of the time that the caller or the route grants.
+func (p *plainRun) givenUp() {
+	if p.r.Context().Err() != nil {
+		p.callerGone()
+		return
+	}
+	if p.sends == 0 {
+		p.refuse(problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepDispatch, "no backend server took the request in time"))
+		return
+	}
+	p.refuse(problem.New(problem.CodeTooLate, problem.RunUnknown, problem.StepDispatch, "no answer in time").At(string(p.server)))
+}
+
+// callerGone ends a request whose caller has left.
+func (c *call) callerGone() {
+	c.outcome = "caller_gone"
+	telemetry.Counter(c.options.Metrics, "callers.gone").Inc(1)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/routetable"
+	"github.com/wigeonfork/wigeonfork/routing"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+const (
+	// defaultMaxBody bounds a body where the configuration sets no limit, in bytes.
+	defaultMaxBody = 4 << 20
+	// configurationRetry is when to come back to an entry that has no recent
+	// configuration: another entry may have one at once.
+	configurationRetry = 300 * time.Millisecond
+	// noServerRetry is when to come back where no backend server takes work.
+	noServerRetry = 400 * time.Millisecond
+	// leavingStream is the time after the request to stop from which a new stream
+	// would be cut by the end of the grace period.
+	leavingStream = 3 * time.Second
+)
+
+// call is one request of a caller.
+type call struct {
+	*Gateway
+	w         http.ResponseWriter
+	r         *http.Request
+	caller    CallerRequest
+	table     *routetable.Table
+	route     *routetable.Route
+	service   wigeonfork.Model
+	workspace wigeonfork.Workspace
+	body      []byte
+	hasBody   bool
+	began     time.Time
+	// deadline is when the caller stops waiting or the route's timeout ends; zero
+	// if there is neither.
+	deadline time.Time
+	work     routing.Work
+	print    fingerprint
+	// sends counts the sends that may have run.
+	sends int
+	// outcome, server and status are told in the request's log line.
+	outcome string
+	server  serverID
+	status  int
+}
+
+// serve answers one request of a caller.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	c := &call{Gateway: g, w: w, r: r, began: time.Now()}
+	if _, leaving := g.leaving(c.began); leaving {
+		w.Header().Set("Connection", "close")
+	}
+	defer c.report()
+	if refusal := c.accept(); refusal != nil {
+		c.refuse(refusal)
+		return
+	}
+	g.budgets.asked(c.began, c.service)
+	if c.route.Kind == routetable.KindStream {
+		c.stream()
+		return
+	}
+	c.plain()
+}
+
+// accept decides whether the request may run at all.
+func (c *call) accept() *problem.Error {
+	var err error
+	if c.caller, err = c.options.Codec.Caller(c.r.Header); err != nil {
+		return problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept, "%v", err)
+	}
+	if c.table = c.config.table(); c.table == nil {
+		return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepAccept, "no configuration yet").After(c.spread(configurationRetry))
+	}
+	if refusal := c.resolve(); refusal != nil {
+		return refusal
+	}
+	if refusal := c.readBody(); refusal != nil {
+		return refusal
+	}
+	c.describe()
+	if c.crashes.refused(c.began, c.print) {
+		return problem.New(problem.CodeBackendFailed, problem.RunNot, problem.StepAdmit, "the request crashes backend servers")
+	}
+	if since, leaving := c.leaving(c.began); leaving && since > leavingStream && c.route.Kind == routetable.KindStream {
+		return problem.New(problem.CodeDraining, problem.RunNot, problem.StepAccept, "entry is leaving").After(c.spread(configurationRetry))
+	}
+	return nil
+}
+
+// resolve finds the route and the workspace.
+func (c *call) resolve() *problem.Error {
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.route = c.table.Match(c.r.Host, path)
+	if c.route == nil {
+		return c.unlessStale(problem.New(problem.CodeNotFound, problem.RunNot, problem.StepRoute, "no route for this host and path"))
+	}
+	c.service = c.route.Pick(xxhash.Sum64String(string(c.caller.ID)))
+	if c.route.Public || !c.table.Keyed() {
+		return nil
+	}
+	tenant := c.table.Tenant(c.caller.Key)
+	if tenant == nil {
+		return c.unlessStale(problem.New(problem.CodeUnauthorized, problem.RunNot, problem.StepAccept, "the API key is not known"))
+	}
+	c.workspace = tenant.Workspace
+	return c.checkFreshness()
+}
+
+// checkFreshness refuses a key that may have been revoked for too long.
+func (c *call) checkFreshness() *problem.Error {
+	bounds := c.bounds.Load()
+	if !bounds.FailClosed {
+		return nil
+	}
+	age, proved := c.config.age()
+	if proved && age < bounds.RevokeLimit-revokeMargin {
+		return nil
+	}
+	return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepAccept,
+		"the configuration is %v old; the key may have been revoked", age.Round(time.Millisecond)).After(c.spread(configurationRetry))
+}
+
+// unlessStale returns refusal, unless a newer configuration that is not known
+// here may allow the request.
+func (c *call) unlessStale(refusal *problem.Error) *problem.Error {
+	bounds := c.bounds.Load()
+	age, proved := c.config.age()
+	if proved && age < configurationWait(bounds)+bounds.ApplyLimit {
+		return refusal
+	}
+	return problem.New(problem.CodeStoreUnavailable, problem.RunNot, refusal.Step, "%s, but the configuration is old", refusal.Message).
+		After(c.spread(configurationRetry))
+}
+
+func (c *call) readBody() *problem.Error {
+	limit := c.table.Limits().MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	c.hasBody = c.r.ContentLength != 0
+	if !c.hasBody {
+		return nil
+	}
+	body, refusal := httpserver.ReadBody(c.w, c.r, limit)
+	c.body = body
+	return refusal
+}
+
+// describe works out what the request costs and by when it is due.
+func (c *call) describe() {
+	c.deadline = earliest(c.began, c.caller.Deadline, c.route.Timeout)
+	prompt := &c.caller.Prompt
+	c.work = routing.Work{Class: wigeonfork.ClassLookup, PromptTokens: prompt.Tokens, Prefixes: prompt.Parts}
+	c.work.MaxTokens = prompt.MaxOutput
+	if prompt.LengthHint > 0 {
+		c.work.MaxTokens = min(prompt.MaxOutput, prompt.LengthHint)
+	}
+	if c.route.Kind == routetable.KindStream {
+		c.work.Class = wigeonfork.ClassNarrative
+	}
+	c.print = fingerprintOf(c.r.Host, c.r.RequestURI, string(c.workspace), c.body)
+}
+
+// earliest returns began plus the shortest of the limits that are set.
+func earliest(began time.Time, limits ...time.Duration) time.Time {
+	var end time.Time
+	for _, limit := range limits {
+		if limit > 0 && (end.IsZero() || began.Add(limit).Before(end)) {
+			end = began.Add(limit)
+		}
+	}
+	return end
+}
+
+// remaining is the time that the caller still waits; 0 if it did not say.
+func (c *call) remaining(now time.Time) time.Duration {
+	if c.caller.Deadline <= 0 {
+		return 0
+	}
+	return max(time.Millisecond, c.began.Add(c.caller.Deadline).Sub(now))
+}
+
+// spread returns a time around d, so that callers do not come back together.
+func (c *call) spread(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+// refuse answers with a typed error.
+func (c *call) refuse(refusal *problem.Error) {
+	c.status = refusal.Status()
+	c.outcome = string(refusal.Code)
+	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("code", string(refusal.Code)).Str("run", string(refusal.Run)).
+		Str("step", string(refusal.Step)).Int("status", c.status).Dur("retry_after", refusal.RetryAfter).
+		Str("reason", refusal.Error()).Msg("request_refused")
+	problem.Write(c.w, refusal.For(c.caller.ID))
+}
+
+// report writes the request's log line and counts it.
+func (c *call) report() {
+	took := time.Since(c.began)
+	kind, name := "none", ""
+	if c.route != nil {
+		kind, name = c.route.Kind.String(), c.route.Name
+	}
+	telemetry.Counter(c.options.Metrics, "requests."+kind+"_"+c.outcome).Inc(1)
+	telemetry.Histogram(c.options.Metrics, "request_ms."+kind+"_"+c.outcome).Update(took.Milliseconds())
+	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("route", name).Str("kind", kind).Str("workspace", string(c.workspace)).
+		Str("outcome", c.outcome).Int("status", c.status).Str("server", string(c.server)).Int("sends", c.sends).
+		Int64("ms", took.Milliseconds()).Msg("request_ended")
+}
+
+// noServer is the refusal of a request that has run nowhere.
+func (c *call) noServer(err error) *problem.Error {
+	refusal := *problem.From(err, problem.StepRoute)
+	refusal.Run = problem.RunNot
+	if refusal.Code != problem.CodeNoBackend {
+		refusal.Code = problem.CodeNoBackend
+	}
+	return refusal.After(c.spread(noServerRetry))
+}
--- /dev/null
+++ b/gateway/sweep.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/health"
+	"github.com/wigeonfork/wigeonfork/routing"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/upstream"
+)
+
+const (
+	// sweepInterval is the time between two searches for silent servers; it adds
+	// to the pause that callers see.
+	sweepInterval = 40 * time.Millisecond
+	// upkeepInterval is the time between two rounds of what is less urgent.
+	upkeepInterval = 200 * time.Millisecond
+	// maxSignBytes bounds the answer to a probe.
+	maxSignBytes = 64 << 10
+)
+
+// Causes for which a run is given up.
+var (
+	errServerSilent  = errors.New("backend server is silent")
+	errStreamStalled = errors.New("stream does not go on")
+	errProbeFailed   = errors.New("backend server gives no sign of life")
+)
+
+// sweep searches for silent servers until the gateway ends.
+func (g *Gateway) sweep() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	var upkeep time.Time
+	for {
+		select {
+		case <-g.background.Done():
+			return
+		case now := <-ticker.C:
+			for _, entry := range g.fleet.sweep(now) {
+				go g.probe(entry)
+			}
+			if now.Sub(upkeep) < upkeepInterval {
+				continue
+			}
+			upkeep = now
+			for _, entry := range g.fleet.upkeep(now) {
+				go g.probe(entry)
+			}
+			g.pool.Expire(now)
+		}
+	}
+}
+
+// sweep gives up the runs at silent servers and returns the servers to probe.
+func (f *fleet) sweep(now time.Time) []directory.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.streams.Len() == 0 {
+		return nil
+	}
+	var probes []directory.Entry
+	for _, verdict := range f.streams.Sweep(now) {
+		f.log.Info().Str("server", string(verdict.Server)).Str("finding", verdict.Finding.String()).
+			Dur("silence", verdict.Silence).Msg("silence_judged")
+		switch verdict.Finding {
+		case health.FindingProbe:
+			if entry, ok := f.entries[verdict.Server]; ok {
+				probes = append(probes, entry)
+			}
+		case health.FindingServerSilent:
+			f.lostLocked(now, verdict.Server, "silent")
+			f.cancelLocked(verdict.Server, errServerSilent)
+		case health.FindingStreamStalled:
+			f.cancels[verdict.Stream](errStreamStalled)
+		}
+	}
+	return probes
+}
+
+// cancelLocked gives up all runs at a server.
+func (f *fleet) cancelLocked(id serverID, cause error) {
+	for _, stream := range f.streams.At(id) {
+		f.cancels[stream](cause)
+	}
+}
+
+// upkeep returns the servers that are down and due for a probe, and trusts those
+// again whose failures have faded.
+func (f *fleet) upkeep(now time.Time) []directory.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(f.directory.Expire(now))
+	var due []directory.Entry
+	for id, entry := range f.entries {
+		if f.servers.ProbeDue(now, id) {
+			due = append(due, entry)
+		}
+		if f.servers.Settle(now, id) {
+			f.belief(now, id)
+		}
+	}
+	return due
+}
+
+// probe asks a server for a sign of life.
+func (g *Gateway) probe(entry directory.Entry) {
+	sentAt := time.Now()
+	sign, err := g.askSign(entry)
+	now := time.Now()
+	telemetry.Counter(g.options.Metrics, "fleet.probes").Inc(1)
+	if err == nil && entry.Born != 0 && sign.Born != 0 && sign.Born != entry.Born {
+		err = errors.Newf("another start of a server answers: born %d", sign.Born)
+	}
+	if err != nil {
+		g.fleet.probeFailed(now, entry.ID, err)
+		return
+	}
+	g.fleet.probeAnswered(now, sentAt, entry.ID)
+}
+
+func (g *Gateway) askSign(entry directory.Entry) (Sign, error) {
+	ctx, cancel := context.WithTimeout(g.background, health.ProbeTimeout)
+	defer cancel()
+	response, err := g.pool.Do(ctx, upstream.Server{ID: string(entry.ID), Address: entry.Address}, &upstream.Request{
+		Method: http.MethodGet, Target: g.options.Codec.Probe(), Host: entry.Address, Header: http.Header{},
+	})
+	if err != nil {
+		return Sign{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.Status >= http.StatusInternalServerError {
+		// The server is there, whatever it says.
+		return Sign{}, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxSignBytes))
+	if err != nil {
+		return Sign{}, errors.Wrap(err, "read the sign of life")
+	}
+	return g.options.Codec.ReadSign(body)
+}
+
+func (f *fleet) probeAnswered(now, sentAt time.Time, id serverID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams.Alive(now, id)
+	if f.servers.Answered(sentAt, id) {
+		f.log.Info().Str("server", string(id)).Msg("server_back")
+		f.router.SetState(now, id, routing.StateReady)
+	}
+}
+
+func (f *fleet) probeFailed(now time.Time, id serverID, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.servers.State(id) == health.Down {
+		return
+	}
+	f.log.Info().Str("server", string(id)).Err(err).Msg("probe_failed")
+	f.lostLocked(now, id, "probe")
+	f.cancelLocked(id, errProbeFailed)
+}
--- /dev/null
+++ b/health/servers.go
@@ -0,0 +1,218 @@
+// Package health joins what is seen of all requests into a belief about each
+// backend server: whether it lives, whether it fails more of its requests than
+// its peers, and whether it has fallen silent.
+//
+// Servers and Streams are deterministic decision types: times are arguments, and
+// they hold no goroutine, clock or socket. They are not safe for concurrent use.
+package health
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// ID names a backend server.
+type ID = wigeonfork.BackendServerID
+
+// State is the belief about a server.
+type State uint8
+
+// The states of a server.
+const (
+	// Up: the server takes work.
+	Up State = iota
+	// Failing: the server fails more of its requests than its peers; it takes
+	// work only to find out whether that has ended.
+	Failing
+	// Down: the server does not answer and takes no work.
+	Down
+)
+
+var stateNames = [...]string{"up", "failing", "down"}
+
+// String returns the name of s.
+func (s State) String() string { return stateNames[s] }
+
+const (
+	// probeFirst is the time from a loss to the first probe; a server whose
+	// connection alone was lost is back in use that soon.
+	probeFirst = 150 * time.Millisecond
+	// probeMost bounds the time between two probes of a server that is down.
+	probeMost = 2 * time.Second
+	// failureWeight is the weight of one request in the failure rate.
+	failureWeight = 0.15
+	// failingMargin is the failure rate beyond that of the peers at which a
+	// server is failing, and at half of which it is trusted again.
+	failingMargin = 0.3
+	// failingSamples is the least number of requests that condemn a server.
+	failingSamples = 4
+	// failingHalfLife is the time in which an unconfirmed failure rate halves.
+	failingHalfLife = 2 * time.Second
+	// mostFailing is the part of a service's servers that may be failing: if more
+	// fail, the cause is not theirs.
+	mostFailing = 0.5
+)
+
+// server is what is believed of one server.
+type server struct {
+	service  wigeonfork.Model
+	state    State
+	lostAt   time.Time
+	probes   int
+	probeAt  time.Time
+	failures float64
+	samples  int
+	sampleAt time.Time
+}
+
+// service is the failure rate over all servers of a service.
+type service struct {
+	failures float64
+	samples  int
+	servers  int
+	failing  int
+}
+
+// Servers holds the belief about each server.
+type Servers struct {
+	servers  map[ID]*server
+	services map[wigeonfork.Model]*service
+}
+
+// NewServers returns an empty Servers.
+func NewServers() *Servers {
+	return &Servers{servers: make(map[ID]*server), services: make(map[wigeonfork.Model]*service)}
+}
+
+// Add makes a server known, or forgets what was believed of its earlier start.
+func (s *Servers) Add(id ID, name wigeonfork.Model) {
+	s.Remove(id)
+	s.servers[id] = &server{service: name}
+	if s.services[name] == nil {
+		s.services[name] = &service{}
+	}
+	s.services[name].servers++
+}
+
+// Remove forgets a server.
+func (s *Servers) Remove(id ID) {
+	known := s.servers[id]
+	if known == nil {
+		return
+	}
+	group := s.services[known.service]
+	group.servers--
+	if known.state == Failing {
+		group.failing--
+	}
+	delete(s.servers, id)
+}
+
+// State returns the belief about a server; an unknown one is down.
+func (s *Servers) State(id ID) State {
+	if known := s.servers[id]; known != nil {
+		return known.state
+	}
+	return Down
+}
+
+// Lost records that a server does not answer. It returns whether that is new.
+func (s *Servers) Lost(now time.Time, id ID) bool {
+	known := s.servers[id]
+	if known == nil || known.state == Down {
+		return false
+	}
+	s.set(known, Down)
+	known.lostAt, known.probes, known.probeAt = now, 0, now.Add(probeFirst)
+	return true
+}
+
+// Answered records that a server has answered a request or probe that was sent
+// at the time given. It returns whether the server is up again by that.
+func (s *Servers) Answered(sent time.Time, id ID) bool {
+	known := s.servers[id]
+	if known == nil || known.state != Down || !sent.After(known.lostAt) {
+		return false
+	}
+	s.set(known, Up)
+	return true
+}
+
+// ProbeDue tells whether a server that is down is to be probed now, and takes
+// the probe as sent.
+func (s *Servers) ProbeDue(now time.Time, id ID) bool {
+	known := s.servers[id]
+	if known == nil || known.state != Down || now.Before(known.probeAt) {
+		return false
+	}
+	wait := min(probeFirst<<(known.probes+1), probeMost)
+	known.probes = min(known.probes+1, 6)
+	known.probeAt = now.Add(wait)
+	return true
+}
+
+// Result records how a request ended at a server that answered it. It returns
+// whether the belief changed.
+func (s *Servers) Result(now time.Time, id ID, failed bool) bool {
+	known := s.servers[id]
+	if known == nil || known.state == Down {
+		return false
+	}
+	group := s.services[known.service]
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	known.decay(now)
+	known.failures += failureWeight * (outcome - known.failures)
+	known.samples++
+	group.failures += failureWeight / float64(max(1, group.servers)) * (outcome - group.failures)
+	group.samples++
+	return s.judge(known, group)
+}
+
+func (s *Servers) judge(known *server, group *service) bool {
+	excess := known.failures - group.failures
+	switch {
+	case known.state == Up && known.samples >= failingSamples && excess > failingMargin &&
+		float64(group.failing+1) <= mostFailing*float64(group.servers):
+		s.set(known, Failing)
+		return true
+	case known.state == Failing && excess < failingMargin/2:
+		s.set(known, Up)
+		return true
+	}
+	return false
+}
+
+// Settle lets the failure rates of servers that get no requests fade. It returns
+// whether id is trusted again by that.
+func (s *Servers) Settle(now time.Time, id ID) bool {
+	known := s.servers[id]
+	if known == nil || known.state != Failing {
+		return false
+	}
+	known.decay(now)
+	return s.judge(known, s.services[known.service])
+}
+
+func (k *server) decay(now time.Time) {
+	if passed := now.Sub(k.sampleAt); passed > failingHalfLife && !k.sampleAt.IsZero() {
+		k.failures /= 2
+	} else if !k.sampleAt.IsZero() && passed < failingHalfLife {
+		return
+	}
+	k.sampleAt = now
+}
+
+func (s *Servers) set(known *server, state State) {
+	group := s.services[known.service]
+	if known.state == Failing {
+		group.failing--
+	}
+	if state == Failing {
+		group.failing++
+	}
+	known.state = state
+}
--- /dev/null
+++ b/routetable/routetable.go
@@ -0,0 +1,216 @@
+// Package routetable holds one accepted version of the callers' configuration:
+// which request goes to which service, whose keys are valid and what callers may
+// send. A Table is immutable, so that a request sees one version throughout.
+package routetable
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// Kind tells what may be repeated of a route's requests.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// KindUnsafe requests run at most once.
+	KindUnsafe Kind = iota
+	// KindSafe requests are idempotent.
+	KindSafe
+	// KindStream requests are answered by events with growing ids.
+	KindStream
+)
+
+var kindNames = [...]string{"unsafe", "safe", "stream"}
+
+// String returns the name of k as it stands in logs and metrics.
+func (k Kind) String() string {
+	if int(k) >= len(kindNames) {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
+// Target is a service that takes a part of a route's traffic.
+type Target struct {
+	Service wigeonfork.Model
+	Weight  int
+}
+
+// Route says how the requests under one host and path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Resumable streams may go on at another backend server.
+	Resumable bool
+	// Timeout is the longest time that a caller is kept waiting; 0 is no limit.
+	Timeout time.Duration
+	// LatencyTarget is the time within which an answer, or the first event of a
+	// stream, is on time.
+	LatencyTarget time.Duration
+	// GapTarget is the longest pause between two events that is on time.
+	GapTarget time.Duration
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the backend servers that one request may run on.
+	MaxAttempts int
+	// Public routes need no key.
+	Public  bool
+	Targets []Target
+}
+
+// Idempotent tells whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == KindSafe || r.Kind == KindStream && r.Resumable
+}
+
+// Pick returns the service for a request. The same hash gives the same service.
+func (r *Route) Pick(hash uint64) wigeonfork.Model {
+	total := 0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	if total == 0 {
+		return r.Targets[0].Service
+	}
+	at := int(hash % uint64(total))
+	for _, target := range r.Targets {
+		if at < target.Weight {
+			return target.Service
+		}
+		at -= target.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// MemoryTokens is what one engine holds of running and cached tokens.
+	MemoryTokens int
+	// Backups tells that an engine can copy a run to another while it grows.
+	Backups bool
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
+}
+
+// Service is a set of backend servers that serve the same requests.
+type Service struct {
+	Name           wigeonfork.Model
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Tenant is a workspace with its keys.
+type Tenant struct {
+	Workspace wigeonfork.Workspace
+	Keys      []string
+	// Priority goes before that of the route if Ranked is set.
+	Priority int
+	Ranked   bool
+}
+
+// Limits bound what a caller may send. Zero values set no limit.
+type Limits struct {
+	MaxHeaderBytes int64
+	MaxBodyBytes   int64
+}
+
+// Spec is the content of a Table.
+type Spec struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Tenants  []Tenant
+	Limits   Limits
+}
+
+// Table is one version of the configuration.
+type Table struct {
+	spec     Spec
+	hosts    map[string]map[string]*Route
+	services map[wigeonfork.Model]*Service
+	keys     map[string]*Tenant
+}
+
+// New returns a Table of spec. It fails on a route without a target or with a
+// prefix that does not begin and end with a slash.
+func New(spec Spec) (*Table, error) {
+	t := &Table{
+		spec:     spec,
+		hosts:    make(map[string]map[string]*Route),
+		services: make(map[wigeonfork.Model]*Service, len(spec.Services)),
+		keys:     make(map[string]*Tenant),
+	}
+	for i := range spec.Routes {
+		if err := t.addRoute(&spec.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range spec.Services {
+		t.services[spec.Services[i].Name] = &spec.Services[i]
+	}
+	for i := range spec.Tenants {
+		for _, key := range spec.Tenants[i].Keys {
+			t.keys[key] = &spec.Tenants[i]
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) addRoute(route *Route) error {
+	if len(route.Targets) == 0 {
+		return errors.Newf("route %q has no service", route.Name)
+	}
+	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		return errors.Newf("route %q: prefix %q must begin and end with a slash", route.Name, route.Prefix)
+	}
+	host := strings.ToLower(route.Host)
+	if t.hosts[host] == nil {
+		t.hosts[host] = make(map[string]*Route)
+	}
+	t.hosts[host][route.Prefix] = route
+	return nil
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 { return t.spec.Version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.spec.Limits }
+
+// Services returns all services.
+func (t *Table) Services() []Service { return t.spec.Services }
+
+// Service returns the service called name, or nil.
+func (t *Table) Service(name wigeonfork.Model) *Service { return t.services[name] }
+
+// Keyed tells whether requests need a key.
+func (t *Table) Keyed() bool { return len(t.spec.Tenants) > 0 }
+
+// Tenant returns the tenant that holds key, or nil.
+func (t *Table) Tenant(key string) *Tenant { return t.keys[key] }
+
+// Match returns the route with the longest prefix of path under host, or nil.
+// A port in host is ignored.
+func (t *Table) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	routes := t.hosts[strings.ToLower(host)]
+	if routes == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route := routes[path[:end+1]]; route != nil {
+			return route
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/routing/backup.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+const (
+	// memoryReserve is the part of an engine's memory that is left free for what
+	// other entries place there.
+	memoryReserve = 0.1
+	// memoryWait is the wait in seconds that an engine costs for each whole memory
+	// by which it would be overfilled: its newest requests are preempted.
+	memoryWait = 20.0
+	// backupRunning is the weight of a running request against a full memory when
+	// a server for a copy is chosen: a copy is of use where the run can go on.
+	backupRunning = 0.05
+)
+
+// Backup asks for a server to keep a copy of a run's memory.
+type Backup struct {
+	Model wigeonfork.Model
+	// Server runs the request, in Domain.
+	Server ID
+	Domain wigeonfork.FailureDomain
+	// Tokens is the memory that the copy takes once the run has ended.
+	Tokens uint32
+}
+
+// SetMemory tells the tokens that an engine of a service holds. 0 is unlimited.
+func (r *Router) SetMemory(model wigeonfork.Model, tokens int) {
+	r.memory[model] = float64(tokens)
+}
+
+// ChooseBackup returns the server with the most free memory outside the failure
+// domain of the run and charges it with the copy. If there is none outside, it
+// takes another server of the domain.
+func (r *Router) ChooseBackup(now time.Time, b Backup) (ID, bool) {
+	best, bestScore := int32(-1), math.Inf(1)
+	for _, i := range r.groups[Deployment{Model: b.Model}] {
+		s := &r.servers[i]
+		if s.state != StateReady || s.ID == b.Server {
+			continue
+		}
+		fill := r.fillWith(s, float64(b.Tokens))
+		score := fill + backupRunning*s.outstanding(now, r.options.Without) + backupRunning*r.random.Float64()
+		if s.Domain == b.Domain {
+			score += 1
+		}
+		if fill < 1 && score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	r.servers[best].copies += float64(b.Tokens)
+	return r.servers[best].ID, true
+}
+
+// ReleaseBackup takes a copy off the server that held it.
+func (r *Router) ReleaseBackup(id ID, tokens uint32) {
+	if s := r.find(id); s != nil {
+		s.copies = math.Max(0, s.copies-float64(tokens))
+	}
+}
+
+// fillWith returns the part of a server's memory that is used once tokens more
+// are placed there; 0 if its memory is not limited.
+func (r *Router) fillWith(s *server, tokens float64) float64 {
+	if len(s.Versions) == 0 {
+		return 0
+	}
+	limit := r.memory[s.Versions[0].Model] * (1 - memoryReserve)
+	if limit <= 0 {
+		return 0
+	}
+	used := s.tokens + s.copies
+	if s.own > 0 && s.others > 0 {
+		used += s.tokens / float64(s.own) * s.others
+	} else if s.others > 0 {
+		used += tokens * s.others
+	}
+	return (used + tokens) / limit
+}
+
+// overfilled is the wait in seconds that lack of memory costs a request.
+func (r *Router) overfilled(s *server, tokens float64) float64 {
+	return memoryWait * math.Max(0, r.fillWith(s, tokens)-1)
+}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -199,7 +199,8 @@
 		backlog = s.backlog(now, rate, c.outstanding)
 	}
 	fresh := math.Max(0, float64(req.PromptTokens)-c.saved)
-	c.wait = s.distance(&r.options) + c.queue + (backlog+fresh)/rate + adapterTime(s, req)
+	memory := r.overfilled(s, float64(req.PromptTokens)+float64(req.MaxTokens))
+	c.wait = s.distance(&r.options) + c.queue + memory + (backlog+fresh)/rate + adapterTime(s, req)
 	load := c.outstanding + 1
 	if r.options.Without&TermWait != 0 {
 		load = 0
--- a/routing/router.go
+++ b/routing/router.go
@@ -18,6 +18,7 @@
 	index   map[ID]int32
 	groups  map[Deployment][]int32
 	prefix  prefixTable
+	memory  map[wigeonfork.Model]float64 // tokens that an engine holds
 	fill    [wigeonfork.NumClasses]learned // answer length as a part of MaxTokens
 	free    []int32
 	sample  []candidate
@@ -32,6 +33,7 @@
 		index:   make(map[ID]int32),
 		groups:  make(map[Deployment][]int32),
 		prefix:  newPrefixTable(options.MaxPrefixes),
+		memory:  make(map[wigeonfork.Model]float64),
 		sample:  make([]candidate, 0, options.Choices+2*holdersPerPrefix),
 	}
 }
@@ -136,7 +138,7 @@
 // lost drops what died with an engine: its outstanding work and its cache.
 func (r *Router) lost(now time.Time, i int32) {
 	s := &r.servers[i]
-	s.others, s.prefill = 0, 0
+	s.others, s.prefill, s.tokens, s.copies = 0, 0, 0, 0
 	s.addOwn(now, -s.own)
 	r.prefix.forget(i)
 }
@@ -176,6 +178,7 @@
 	}
 	s := &r.servers[i]
 	s.addOwn(now, 1)
+	s.tokens += work.tokens()
 	_, saved := r.prefix.cached(now, work.Prefixes, i, r.options.CacheBelief)
 	rate := s.rate.read(now, priorPrefillRate, r.options.SpeedBelief)
 	s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-saved))
@@ -224,7 +227,7 @@
 	if s == nil {
 		return
 	}
-	s.addOwn(now, -1)
+	s.release(now, work)
 	if result.Duration > 0 {
 		s.service.observe(now, result.Duration.Seconds(), steady, minSampleWeight)
 	}
@@ -235,8 +238,8 @@
 
 // Failed takes a request off a server that did not finish it. The health of
 // the server is told apart through SetState.
-func (r *Router) Failed(now time.Time, id ID, _ Work) {
+func (r *Router) Failed(now time.Time, id ID, work Work) {
 	if s := r.find(id); s != nil {
-		s.addOwn(now, -1)
+		s.release(now, work)
 	}
 }
--- a/routing/server.go
+++ b/routing/server.go
@@ -66,6 +66,8 @@
 	stateAt   time.Time
 	probedAt  time.Time
 	own       int
+	tokens    float64 // memory of own requests
+	copies    float64 // memory of own copies of runs elsewhere
 	prefill   float64 // own prompt tokens not yet prefilled at prefillAt
 	prefillAt time.Time
 	others    float64 // requests of other entries, from the last report
@@ -147,6 +149,12 @@
 	s.history[((s.historyAt%historyLength)+historyLength)%historyLength] = uint16(min(s.own, math.MaxUint16))
 }
 
+// release takes a request and its memory off the server.
+func (s *server) release(now time.Time, work Work) {
+	s.addOwn(now, -1)
+	s.tokens = math.Max(0, s.tokens-work.tokens())
+}
+
 // ownAt returns the count of own requests at a time in the recent past.
 func (s *server) ownAt(now, then time.Time) int {
 	s.record(now)
--- a/routing/types.go
+++ b/routing/types.go
@@ -111,6 +111,9 @@
 	MaxTokens    uint32
 }
 
+// tokens is the memory that a request takes in the end.
+func (w *Work) tokens() float64 { return float64(w.PromptTokens) + float64(w.MaxTokens) }
+
 // FirstToken is what was seen of the first token of a stream.
 type FirstToken struct {
 	// Wait is the time from dispatch to the first token.
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,50 @@
+// Package upstream exchanges HTTP/1.1 requests with backend servers. It sends
+// each request exactly once and tells of each failure whether a byte had left,
+// which net/http's client does not: that one may send a request again by itself.
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// readBuffer is the size of a connection's read buffer in bytes.
+const readBuffer = 4 << 10
+
+// conn is one connection to a backend server.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	idleAt time.Time
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}
+}
+
+// clean tells whether an idle connection is open and nothing has come on it: a
+// byte that nobody asked for belongs to no request.
+func (c *conn) clean() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,159 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Server names where a request goes. ID is part of the name, so that a
+// connection to an address is not used for the next server that has it.
+type Server struct {
+	ID      string
+	Address string
+}
+
+// Options configure a Pool. Zero values take the defaults.
+type Options struct {
+	// ConnectTimeout bounds the time to open a connection.
+	ConnectTimeout time.Duration
+	// IdleTimeout is the time after which an unused connection is closed.
+	IdleTimeout time.Duration
+	// MaxIdle bounds the unused connections kept for each server.
+	MaxIdle int
+	// Opened is called for each connection that is opened.
+	Opened func()
+}
+
+// Defaults of Options.
+const (
+	DefaultConnectTimeout = 300 * time.Millisecond
+	DefaultIdleTimeout    = 2 * time.Second
+	DefaultMaxIdle        = 16
+)
+
+func (o Options) withDefaults() Options {
+	if o.ConnectTimeout <= 0 {
+		o.ConnectTimeout = DefaultConnectTimeout
+	}
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
+	if o.MaxIdle <= 0 {
+		o.MaxIdle = DefaultMaxIdle
+	}
+	if o.Opened == nil {
+		o.Opened = func() {}
+	}
+	return o
+}
+
+// Pool keeps connections to backend servers. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	dialer  net.Dialer
+	mu      sync.Mutex
+	idle    map[Server][]*conn
+}
+
+// NewPool returns an empty Pool.
+func NewPool(options Options) *Pool {
+	options = options.withDefaults()
+	return &Pool{
+		options: options,
+		dialer:  net.Dialer{Timeout: options.ConnectTimeout, KeepAlive: -1},
+		idle:    make(map[Server][]*conn),
+	}
+}
+
+// get returns a connection and whether it was used before.
+func (p *Pool) get(ctx context.Context, server Server, fresh bool) (*conn, bool, error) {
+	for !fresh {
+		c := p.take(server)
+		if c == nil {
+			break
+		}
+		if time.Since(c.idleAt) < p.options.IdleTimeout && c.clean() {
+			return c, true, nil
+		}
+		closeConn(c)
+	}
+	opened, err := p.dialer.DialContext(ctx, "tcp", server.Address)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "connect")
+	}
+	p.options.Opened()
+	return newConn(opened), false, nil
+}
+
+func (p *Pool) take(server Server) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[server]
+	if len(idle) == 0 {
+		return nil
+	}
+	last := idle[len(idle)-1]
+	p.idle[server] = idle[:len(idle)-1]
+	return last
+}
+
+func (p *Pool) put(server Server, c *conn) {
+	c.idleAt = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[server]
+	if len(idle) >= p.options.MaxIdle {
+		closeConn(c)
+		return
+	}
+	p.idle[server] = append(idle, c)
+}
+
+// Forget closes the unused connections to a server.
+func (p *Pool) Forget(server Server) {
+	p.mu.Lock()
+	idle := p.idle[server]
+	delete(p.idle, server)
+	p.mu.Unlock()
+	for _, c := range idle {
+		closeConn(c)
+	}
+}
+
+// Expire closes the connections that were unused for too long.
+func (p *Pool) Expire(now time.Time) {
+	p.mu.Lock()
+	var expired []*conn
+	for server, idle := range p.idle {
+		keep := idle[:0]
+		for _, c := range idle {
+			if now.Sub(c.idleAt) < p.options.IdleTimeout {
+				keep = append(keep, c)
+			} else {
+				expired = append(expired, c)
+			}
+		}
+		if len(keep) == 0 {
+			delete(p.idle, server)
+		} else {
+			p.idle[server] = keep
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range expired {
+		closeConn(c)
+	}
+}
+
+// Close closes all unused connections.
+func (p *Pool) Close() {
+	p.Expire(time.Now().Add(p.options.IdleTimeout))
+}
+
+// closeConn closes a connection that is of no more use; a failure to close it
+// changes nothing.
+func closeConn(c *conn) { _ = c.Conn.Close() }
