--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -65,12 +65,6 @@
 	Load *Load
 }
 
-// Sign is what a backend server says when it is asked for a sign of life.
-type Sign struct {
-	// Born tells the starts of a server apart; 0 if it does not say.
-	Born int64
-}
-
 // Codec translates between headers on the wire and the gateway.
 type Codec interface {
 	// Caller reads a caller's headers. It fails on a malformed one, naming it.
@@ -82,8 +76,4 @@
 	Reply(status int, h http.Header) Reply
 	// Answer copies the headers of a backend server's answer that callers get.
 	Answer(to, from http.Header)
-	// Probe is the target of a request for a sign of life, and ReadSign reads the
-	// answer.
-	Probe() string
-	ReadSign(body []byte) (Sign, error)
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -35,6 +35,8 @@
 	metrics telemetry.Registry
 	// retired is told of servers whose connections are of no more use.
 	retired func(upstream.Server)
+	// doubted is told of servers that are to be asked for a sign of life.
+	doubted func(directory.Entry)
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -102,7 +104,7 @@
 
 func (f *fleet) add(entry directory.Entry) {
 	f.entries[entry.ID] = entry
-	f.servers.Add(entry.ID, entry.Service)
+	f.servers.Add(entry.ID, entry.Service, entry.Domain)
 	f.router.Upsert(describe(entry))
 }
 
@@ -241,7 +243,7 @@
 	switch state {
 	case health.Up:
 		f.router.SetState(now, id, routing.StateReady)
-	case health.Failing:
+	case health.Failing, health.Doubtful:
 		f.router.SetState(now, id, routing.StateSuspect)
 	case health.Down:
 		f.router.SetState(now, id, routing.StateDead)
@@ -257,13 +259,30 @@
 
 func (f *fleet) lostLocked(now time.Time, id serverID, reason string) {
 	entry, ok := f.entries[id]
-	if !ok || !f.servers.Lost(now, id) {
+	if !ok {
+		return
+	}
+	isNew, doubtful := f.servers.Lost(now, id)
+	if !isNew {
 		return
 	}
 	f.streams.ServerLost(now, entry.Domain)
 	telemetry.Counter(f.metrics, "fleet.lost_"+reason).Inc(1)
-	f.log.Info().Str("server", string(id)).Str("domain", string(entry.Domain)).Str("reason", reason).Msg("server_lost")
+	f.log.Info().Str("server", string(id)).Str("domain", string(entry.Domain)).Str("reason", reason).
+		Int("doubtful", len(doubtful)).Msg("server_lost")
 	f.router.SetState(now, id, routing.StateDead)
+	for _, other := range doubtful {
+		f.router.SetState(now, other, routing.StateSuspect)
+		f.doubted(f.entries[other])
+	}
+}
+
+// replaced records that another server answers at a server's address.
+func (f *fleet) replaced(now time.Time, id serverID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lostLocked(now, id, "replaced")
+	f.servers.Replaced(id)
 }
 
 // usable returns the number of servers that take work.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/justinas/alice"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/retry"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -47,6 +48,7 @@
 	opened := telemetry.Counter(options.Metrics, "upstream.connections")
 	g.pool = upstream.NewPool(upstream.Options{Opened: func() { opened.Inc(1) }})
 	g.fleet = newFleet(&options, g.pool.Forget)
+	g.fleet.doubted = func(entry directory.Entry) { go g.probe(entry) }
 	g.config = newConfigState(&options)
 	g.budgets = newBudgets(options.Bounds)
 	g.crashes = newCrashes()
@@ -171,9 +173,9 @@
 const (
 	// budgetShare is the part of the ratio that is used, as entries can't see
 	// what callers ask of the others.
-	budgetShare = 0.6
+	budgetShare = 0.9
 	// slackShare is one entry's part of the slack of all.
-	slackShare = 0.1
+	slackShare = 0.22
 )
 
 func newBudgets(b Bounds) *budgets {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -248,7 +248,7 @@
 		return
 	}
 	if result.status == http.StatusMisdirectedRequest {
-		p.fleet.lost(now, result.place.ID, "misdirected")
+		p.fleet.replaced(now, result.place.ID)
 		return
 	}
 	p.fleet.result(now, result.place, !result.good())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -307,7 +307,7 @@
 	s.fleet.answered(time.Now(), response.SentAt, t.place, reply.Load)
 	if reply.NotRun {
 		if response.Status == http.StatusMisdirectedRequest {
-			s.fleet.lost(time.Now(), t.place.ID, "misdirected")
+			s.fleet.replaced(time.Now(), t.place.ID)
 		}
 		return runNotRun, errors.Newf("refused with status %d", response.Status)
 	}
@@ -449,4 +449,3 @@
 		g.crashes.crashed(time.Now(), print)
 	}
 }
-
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,8 +19,6 @@
 	sweepInterval = 40 * time.Millisecond
 	// upkeepInterval is the time between two rounds of what is less urgent.
 	upkeepInterval = 200 * time.Millisecond
-	// maxSignBytes bounds the answer to a probe.
-	maxSignBytes = 64 << 10
 )
 
 // Causes for which a run is given up.
@@ -108,41 +104,19 @@
 	return due
 }
 
-// probe asks a server for a sign of life.
+// probe asks a server for a sign of life: that it takes a connection. Its health
+// is not asked for, since the answer to that may be lost or wrong.
 func (g *Gateway) probe(entry directory.Entry) {
+	ctx, cancel := context.WithTimeout(g.background, health.ProbeTimeout)
+	defer cancel()
 	sentAt := time.Now()
-	sign, err := g.askSign(entry)
-	now := time.Now()
+	err := g.pool.Connect(ctx, upstream.Server{ID: string(entry.ID), Address: entry.Address})
 	telemetry.Counter(g.options.Metrics, "fleet.probes").Inc(1)
-	if err == nil && entry.Born != 0 && sign.Born != 0 && sign.Born != entry.Born {
-		err = errors.Newf("another start of a server answers: born %d", sign.Born)
-	}
 	if err != nil {
-		g.fleet.probeFailed(now, entry.ID, err)
+		g.fleet.probeFailed(time.Now(), entry.ID, err)
 		return
 	}
-	g.fleet.probeAnswered(now, sentAt, entry.ID)
-}
-
-func (g *Gateway) askSign(entry directory.Entry) (Sign, error) {
-	ctx, cancel := context.WithTimeout(g.background, health.ProbeTimeout)
-	defer cancel()
-	response, err := g.pool.Do(ctx, upstream.Server{ID: string(entry.ID), Address: entry.Address}, &upstream.Request{
-		Method: http.MethodGet, Target: g.options.Codec.Probe(), Host: entry.Address, Header: http.Header{},
-	})
-	if err != nil {
-		return Sign{}, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.Status >= http.StatusInternalServerError {
-		// The server is there, whatever it says.
-		return Sign{}, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxSignBytes))
-	if err != nil {
-		return Sign{}, errors.Wrap(err, "read the sign of life")
-	}
-	return g.options.Codec.ReadSign(body)
+	g.fleet.probeAnswered(time.Now(), sentAt, entry.ID)
 }
 
 func (f *fleet) probeAnswered(now, sentAt time.Time, id serverID) {
--- a/health/servers.go
+++ b/health/servers.go
@@ -25,11 +25,14 @@
 	// Failing: the server fails more of its requests than its peers; it takes
 	// work only to find out whether that has ended.
 	Failing
+	// Doubtful: other servers of the failure domain were just lost; the server
+	// takes work only if no other is left until it gives a sign of life.
+	Doubtful
 	// Down: the server does not answer and takes no work.
 	Down
 )
 
-var stateNames = [...]string{"up", "failing", "down"}
+var stateNames = [...]string{"up", "failing", "doubtful", "down"}
 
 // String returns the name of s.
 func (s State) String() string { return stateNames[s] }
@@ -52,15 +55,21 @@
 	// mostFailing is the part of a service's servers that may be failing: if more
 	// fail, the cause is not theirs.
 	mostFailing = 0.5
+	// domainLosses is the number of servers of a failure domain whose loss within
+	// domainWindow puts the others in doubt.
+	domainLosses = 2
+	domainWindow = 300 * time.Millisecond
 )
 
 // server is what is believed of one server.
 type server struct {
 	service  wigeonfork.Model
+	domain   wigeonfork.FailureDomain
 	state    State
 	lostAt   time.Time
 	probes   int
 	probeAt  time.Time
+	replaced bool
 	failures float64
 	samples  int
 	sampleAt time.Time
@@ -74,21 +83,32 @@
 	failing  int
 }
 
+// domain is the loss of servers in one failure domain.
+type domain struct {
+	losses int
+	first  time.Time
+}
+
 // Servers holds the belief about each server.
 type Servers struct {
 	servers  map[ID]*server
 	services map[wigeonfork.Model]*service
+	domains  map[wigeonfork.FailureDomain]*domain
 }
 
 // NewServers returns an empty Servers.
 func NewServers() *Servers {
-	return &Servers{servers: make(map[ID]*server), services: make(map[wigeonfork.Model]*service)}
+	return &Servers{
+		servers:  make(map[ID]*server),
+		services: make(map[wigeonfork.Model]*service),
+		domains:  make(map[wigeonfork.FailureDomain]*domain),
+	}
 }
 
 // Add makes a server known, or forgets what was believed of its earlier start.
-func (s *Servers) Add(id ID, name wigeonfork.Model) {
+func (s *Servers) Add(id ID, name wigeonfork.Model, place wigeonfork.FailureDomain) {
 	s.Remove(id)
-	s.servers[id] = &server{service: name}
+	s.servers[id] = &server{service: name, domain: place}
 	if s.services[name] == nil {
 		s.services[name] = &service{}
 	}
@@ -117,22 +137,55 @@
 	return Down
 }
 
-// Lost records that a server does not answer. It returns whether that is new.
-func (s *Servers) Lost(now time.Time, id ID) bool {
+// Lost records that a server does not answer. It returns whether that is new,
+// and the servers of the same failure domain that are in doubt by that: each is
+// to be asked for a sign of life.
+func (s *Servers) Lost(now time.Time, id ID) (bool, []ID) {
 	known := s.servers[id]
 	if known == nil || known.state == Down {
-		return false
+		return false, nil
 	}
 	s.set(known, Down)
 	known.lostAt, known.probes, known.probeAt = now, 0, now.Add(probeFirst)
-	return true
+	return true, s.doubt(now, known)
+}
+
+// doubt counts the loss in the server's failure domain.
+func (s *Servers) doubt(now time.Time, lost *server) []ID {
+	d := s.domains[lost.domain]
+	if d == nil || now.Sub(d.first) > domainWindow {
+		d = &domain{first: now}
+		s.domains[lost.domain] = d
+	}
+	d.losses++
+	if d.losses != domainLosses {
+		return nil
+	}
+	var doubtful []ID
+	for id, other := range s.servers {
+		if other.domain == lost.domain && other.service == lost.service && other.state != Down {
+			s.set(other, Doubtful)
+			other.lostAt = now
+			doubtful = append(doubtful, id)
+		}
+	}
+	return doubtful
+}
+
+// Replaced records that another server answers at a server's address: the one
+// that was there does not come back unless it registers anew.
+func (s *Servers) Replaced(id ID) {
+	if known := s.servers[id]; known != nil {
+		s.set(known, Down)
+		known.replaced = true
+	}
 }
 
 // Answered records that a server has answered a request or probe that was sent
 // at the time given. It returns whether the server is up again by that.
 func (s *Servers) Answered(sent time.Time, id ID) bool {
 	known := s.servers[id]
-	if known == nil || known.state != Down || !sent.After(known.lostAt) {
+	if known == nil || known.replaced || known.state != Down && known.state != Doubtful || sent.Before(known.lostAt) {
 		return false
 	}
 	s.set(known, Up)
@@ -143,7 +196,7 @@
 // the probe as sent.
 func (s *Servers) ProbeDue(now time.Time, id ID) bool {
 	known := s.servers[id]
-	if known == nil || known.state != Down || now.Before(known.probeAt) {
+	if known == nil || known.replaced || known.state != Down || now.Before(known.probeAt) {
 		return false
 	}
 	wait := min(probeFirst<<(known.probes+1), probeMost)
@@ -156,7 +209,7 @@
 // whether the belief changed.
 func (s *Servers) Result(now time.Time, id ID, failed bool) bool {
 	known := s.servers[id]
-	if known == nil || known.state == Down {
+	if known == nil || known.state == Down || known.state == Doubtful {
 		return false
 	}
 	group := s.services[known.service]
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -89,6 +89,17 @@
 	return newConn(opened), false, nil
 }
 
+// Connect opens a connection and keeps it for a request to come. Its success is
+// a sign of life of the server's host.
+func (p *Pool) Connect(ctx context.Context, server Server) error {
+	c, _, err := p.get(ctx, server, true)
+	if err != nil {
+		return err
+	}
+	p.put(server, c)
+	return nil
+}
+
 func (p *Pool) take(server Server) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
