Take servers that have shown nothing for good ones

Ruled out: stale reports (the entry's own counts told the same). Servers of a model now share a typical pace as prior, which follows good samples quickly and bad ones slowly.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -309,7 +309,7 @@
 		if response.Status == http.StatusMisdirectedRequest {
 			s.fleet.replaced(time.Now(), t.place.ID)
 		}
-		return runNotRun, errors.Newf("refused with status %d", response.Status)
+		return runNotRun, errors.Newf("refused with status %d: %s", response.Status, refusalText(response.Body))
 	}
 	if response.Status != http.StatusOK {
 		return s.otherAnswer(ctx, t, response)
@@ -317,6 +317,18 @@
 	return s.relayEvents(ctx, t, response, watch)
 }
 
+// maxRefusalText bounds what is logged of a refusal, in bytes.
+const maxRefusalText = 200
+
+// refusalText returns the beginning of a refusal's body for the log.
+func refusalText(body io.Reader) string {
+	text, err := io.ReadAll(io.LimitReader(body, maxRefusalText))
+	if err != nil {
+		return "unreadable: " + err.Error()
+	}
+	return string(text)
+}
+
 // otherAnswer handles an answer that is no stream.
 func (s *streamRun) otherAnswer(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	result := &sendResult{verdict: sendUnknown, place: t.place}
@@ -417,7 +429,7 @@
 		pause := time.Since(s.lostAt)
 		s.lostAt = time.Time{}
 		telemetry.Histogram(s.options.Metrics, "stream_resume_ms").Update(pause.Milliseconds())
-		s.options.Log.Info().Str("request", string(s.caller.ID)).Str("server", string(s.server)).Uint64("event", event.ID).
+		s.options.Log.Info().Str("request", string(s.caller.ID)).Str("server", string(s.server)).Uint64("first_event", event.ID).
 			Dur("after", pause).Msg("stream_resumed")
 	}
 	return nil
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -217,10 +217,10 @@
 
 // speed returns the learned inter-token time, prefill rate and service time.
 func (r *Router) speed(now time.Time, s *server) (gap, rate, service float64) {
-	gap, rate, service = priorGap.Seconds(), priorPrefillRate, priorService.Seconds()
 	if r.options.Without&TermSpeed != 0 {
-		return gap, rate, service
+		return priorGap.Seconds(), priorPrefillRate, priorService.Seconds()
 	}
+	gap, rate, service = s.typical.gap, s.typical.rate, s.typical.service
 	half := r.options.SpeedBelief
 	gap = s.gap.read(now, gap, half)
 	rate = s.rate.read(now, rate, half)
--- a/routing/router.go
+++ b/routing/router.go
@@ -19,6 +19,7 @@
 	groups  map[Deployment][]int32
 	prefix  prefixTable
 	memory  map[wigeonfork.Model]float64 // tokens that an engine holds
+	typical map[wigeonfork.Model]*typical
 	fill    [wigeonfork.NumClasses]learned // answer length as a part of MaxTokens
 	free    []int32
 	sample  []candidate
@@ -34,6 +35,7 @@
 		groups:  make(map[Deployment][]int32),
 		prefix:  newPrefixTable(options.MaxPrefixes),
 		memory:  make(map[wigeonfork.Model]float64),
+		typical: make(map[wigeonfork.Model]*typical),
 		sample:  make([]candidate, 0, options.Choices+2*holdersPerPrefix),
 	}
 }
@@ -64,11 +66,24 @@
 		r.leaveGroups(i)
 	}
 	r.servers[i].Server = desc
+	r.servers[i].typical = r.typicalOf(desc.Versions)
 	for _, deployment := range desc.Versions {
 		r.groups[deployment] = append(r.groups[deployment], i)
 	}
 }
 
+// typicalOf returns what is shared by the servers of the first of the versions.
+func (r *Router) typicalOf(versions []Deployment) *typical {
+	var model wigeonfork.Model
+	if len(versions) > 0 {
+		model = versions[0].Model
+	}
+	if r.typical[model] == nil {
+		r.typical[model] = newTypical()
+	}
+	return r.typical[model]
+}
+
 func (r *Router) allocate() int32 {
 	if n := len(r.free); n > 0 {
 		i := r.free[n-1]
@@ -180,7 +195,7 @@
 	s.addOwn(now, 1)
 	s.tokens += work.tokens()
 	_, saved := r.prefix.cached(now, work.Prefixes, i, r.options.CacheBelief)
-	rate := s.rate.read(now, priorPrefillRate, r.options.SpeedBelief)
+	_, rate, _ := r.speed(now, s)
 	s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-saved))
 	for _, p := range work.Prefixes {
 		r.prefix.add(now, p, i)
@@ -217,6 +232,7 @@
 	s.recovered(normalised)
 	if s.state != StateSuspect {
 		s.gap.observe(now, normalised, quick, minSampleWeight)
+		toward(&s.typical.gap, normalised, normalised < s.typical.gap)
 		s.usual.observe(now, normalised, steady, 0)
 	}
 }
@@ -230,6 +246,7 @@
 	s.release(now, work)
 	if result.Duration > 0 {
 		s.service.observe(now, result.Duration.Seconds(), steady, minSampleWeight)
+		toward(&s.typical.service, result.Duration.Seconds(), result.Duration.Seconds() < s.typical.service)
 	}
 	if work.MaxTokens > 0 {
 		r.fill[work.Class%wigeonfork.NumClasses].observe(now, float64(result.Tokens)/float64(work.MaxTokens), steady, minSampleWeight)
--- a/routing/server.go
+++ b/routing/server.go
@@ -24,6 +24,8 @@
 	maxSaneGap        = time.Minute
 	reportValidity    = 10 * time.Second
 	suspectMultiplier = 8.0
+	typicalBetter     = 0.2   // weight of a sample that is better than the typical one
+	typicalWorse      = 0.002 // weight of one that is worse
 )
 
 // learned is an exponentially weighted mean that drifts back to a prior while
@@ -59,9 +61,32 @@
 	return prior + trust*(l.value-prior)
 }
 
+// typical is what the good servers of a model show. It is the prior for those
+// that have shown nothing yet, so that they are neither shunned nor sought.
+type typical struct {
+	gap     float64 // seconds
+	rate    float64 // tokens per second
+	service float64 // seconds
+}
+
+func newTypical() *typical {
+	return &typical{gap: priorGap.Seconds(), rate: priorPrefillRate, service: priorService.Seconds()}
+}
+
+// toward moves value to sample, quickly where the sample is better: a slow server
+// says little of those that are not known yet.
+func toward(value *float64, sample float64, better bool) {
+	weight := typicalWorse
+	if better {
+		weight = typicalBetter
+	}
+	*value += weight * (sample - *value)
+}
+
 // server is the router's record of one backend server.
 type server struct {
 	Server
+	typical   *typical
 	state     State
 	stateAt   time.Time
 	probedAt  time.Time
@@ -122,6 +147,7 @@
 // learnRate takes in a prefill rate. A prompt may have waited behind others, so
 // a higher rate than the one known counts at once and a lower one slowly.
 func (s *server) learnRate(now time.Time, rate float64) {
+	toward(&s.typical.rate, rate, rate > s.typical.rate)
 	if rate > s.rate.value {
 		s.rate.observe(now, rate, quick, maxSampleWeight)
 		return
