Adopt crashed servers at their address, and leave streams alone that only wait

Now the server that answers at a lost one's address is asked for its id and adopted where it can be of no other service; a stream that has not begun is moved only if a later one has begun or the server makes no event at all.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -62,10 +62,16 @@
 // a live server whose entry ran out registers again.
 const ReturnWait = 2200 * time.Millisecond
 
+// AdoptedLimit is the time within which a server that was met at a known address
+// registers itself, if the registry can be read.
+const AdoptedLimit = 6 * time.Second
+
 // record is one known server.
 type record struct {
 	entry  Entry
 	lapsed bool
+	// adopted is when the server was met without being registered; else zero.
+	adopted time.Time
 }
 
 // Directory holds the servers that are known.
@@ -141,12 +147,25 @@
 		return
 	}
 	for id, r := range d.records {
-		if r.lapsed {
+		unregistered := !r.adopted.IsZero() && now.Sub(r.adopted) > AdoptedLimit && now.Sub(d.returned) > AdoptedLimit
+		if r.lapsed || unregistered {
 			d.drop(id, r)
 		}
 	}
 }
 
+// Adopt takes in a server that was met at the address of a known one and has not
+// registered yet, as after a crash while the registry is away. It is dropped if
+// it does not register in time.
+func (d *Directory) Adopt(now time.Time, entry Entry) []Event {
+	d.events = d.events[:0]
+	if d.records[entry.ID] == nil {
+		d.records[entry.ID] = &record{entry: entry, adopted: now}
+		d.emit(Added, entry, false)
+	}
+	return d.events
+}
+
 func (d *Directory) put(entry Entry) {
 	r, known := d.records[entry.ID]
 	if !known {
@@ -157,7 +176,8 @@
 		return
 	}
 	before := r.entry
-	r.entry, r.lapsed = entry, false
+	adopted := !r.adopted.IsZero()
+	r.entry, r.lapsed, r.adopted = entry, false, time.Time{}
 	switch {
 	case entry == before:
 	case entry.Draining && !before.Draining:
@@ -165,7 +185,7 @@
 	case entry.Draining:
 	case before.Draining:
 		d.emit(Added, entry, false)
-	case entry.Born != before.Born || entry.Address != before.Address:
+	case !adopted && entry.Born != before.Born || entry.Address != before.Address:
 		d.emit(Restarted, entry, false)
 	default:
 		d.emit(Updated, entry, false)
@@ -183,6 +203,9 @@
 		r.lapsed = true
 		return
 	}
+	if !r.adopted.IsZero() {
+		return
+	}
 	d.drop(id, r)
 }
 
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -61,10 +61,20 @@
 	NotRun bool
 	// Request is the id of the request that is answered.
 	Request wigeonfork.RequestID
+	// Server is the id of the server that answers, if it tells it.
+	Server wigeonfork.BackendServerID
 	// Load is nil if the server does not tell it.
 	Load *Load
 }
 
+// Report is what a model engine says of itself.
+type Report struct {
+	// Engine tells that a model engine answers.
+	Engine bool
+	// Born tells the starts of a server apart; 0 if it does not say.
+	Born int64
+}
+
 // Codec translates between headers on the wire and the gateway.
 type Codec interface {
 	// Caller reads a caller's headers. It fails on a malformed one, naming it.
@@ -76,4 +86,8 @@
 	Reply(status int, h http.Header) Reply
 	// Answer copies the headers of a backend server's answer that callers get.
 	Answer(to, from http.Header)
+	// ReportTarget is where a model engine reports on itself; ReadReport reads the
+	// answer. A server that is none is no error.
+	ReportTarget() string
+	ReadReport(status int, body []byte) (Report, error)
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -75,6 +75,13 @@
 	f.apply(f.directory.Apply(now, changes))
 }
 
+// adopt takes in a server that is not registered yet.
+func (f *fleet) adopt(now time.Time, entry directory.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(f.directory.Adopt(now, entry))
+}
+
 // registryLost records that the registered servers can't be read.
 func (f *fleet) registryLost() {
 	f.mu.Lock()
--- /dev/null
+++ b/gateway/probe.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/health"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/upstream"
+)
+
+const (
+	// identifyTimeout bounds the question who answers at an address.
+	identifyTimeout = 600 * time.Millisecond
+	// maxReportBytes bounds a report.
+	maxReportBytes = 256 << 10
+)
+
+// probe asks a server for a sign of life: that it takes a connection. Its health
+// is not asked for, since the answer to that may be lost or wrong.
+func (g *Gateway) probe(entry directory.Entry) {
+	sentAt := time.Now()
+	err := g.connect(entry)
+	telemetry.Counter(g.options.Metrics, "fleet.probes").Inc(1)
+	if err != nil {
+		g.fleet.probeFailed(time.Now(), entry.ID, err)
+		return
+	}
+	g.fleet.probeAnswered(time.Now(), sentAt, entry.ID)
+}
+
+func (g *Gateway) connect(entry directory.Entry) error {
+	ctx, cancel := context.WithTimeout(g.background, health.ProbeTimeout)
+	defer cancel()
+	return g.pool.Connect(ctx, upstream.Server{ID: string(entry.ID), Address: entry.Address})
+}
+
+// recover looks whether a server that was lost is back. One that crashed comes
+// back at its address under another id before the registry tells of it.
+func (g *Gateway) recover(entry directory.Entry) {
+	sentAt := time.Now()
+	if err := g.connect(entry); err != nil {
+		return
+	}
+	id, err := g.identify(entry)
+	now := time.Now()
+	switch {
+	case err != nil:
+		g.options.Log.Info().Str("server", string(entry.ID)).Err(err).Msg("server_not_identified")
+	case id == entry.ID:
+		g.fleet.probeAnswered(now, sentAt, entry.ID)
+	default:
+		g.adopt(now, entry, id)
+	}
+}
+
+// adopt takes the server that answers at another one's address into use if it is
+// sure to belong to the same service.
+func (g *Gateway) adopt(now time.Time, old directory.Entry, id serverID) {
+	g.fleet.replaced(now, old.ID)
+	table := g.config.table()
+	if table == nil || !table.SoleEngine(old.Service) {
+		return
+	}
+	report, err := g.report(old)
+	if err != nil || !report.Engine {
+		g.options.Log.Info().Str("server", string(id)).Str("address", old.Address).Err(err).Msg("server_not_adopted")
+		return
+	}
+	adopted := old
+	adopted.ID, adopted.Born = id, report.Born
+	g.fleet.adopt(now, adopted)
+}
+
+// identify asks which server answers at an address, and that it takes work.
+func (g *Gateway) identify(entry directory.Entry) (serverID, error) {
+	table := g.config.table()
+	if table == nil || table.Service(entry.Service) == nil {
+		return "", errors.Newf("service %q is not configured", string(entry.Service))
+	}
+	response, _, err := g.ask(entry, table.Service(entry.Service).HealthPath)
+	if err != nil {
+		return "", err
+	}
+	reply := g.options.Codec.Reply(response.Status, response.Header)
+	if reply.Server == "" || response.Status != http.StatusOK && reply.Server != entry.ID {
+		return "", errors.Newf("status %d of server %q", response.Status, string(reply.Server))
+	}
+	return reply.Server, nil
+}
+
+func (g *Gateway) report(entry directory.Entry) (Report, error) {
+	response, body, err := g.ask(entry, g.options.Codec.ReportTarget())
+	if err != nil {
+		return Report{}, err
+	}
+	return g.options.Codec.ReadReport(response.Status, body)
+}
+
+// ask makes a request of the gateway's own to a server.
+func (g *Gateway) ask(entry directory.Entry, target string) (*upstream.Response, []byte, error) {
+	ctx, cancel := context.WithTimeout(g.background, identifyTimeout)
+	defer cancel()
+	server := upstream.Server{ID: string(entry.ID), Address: entry.Address}
+	response, err := g.pool.Do(ctx, server, &upstream.Request{
+		Method: http.MethodGet, Target: target, Host: entry.Address, Header: http.Header{},
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	return response, body, errors.Wrap(err, "read the answer")
+}
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,8 +8,6 @@
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/routing"
-	"github.com/wigeonfork/wigeonfork/telemetry"
-	"github.com/wigeonfork/wigeonfork/upstream"
 )
 
 const (
@@ -46,7 +43,7 @@
 			}
 			upkeep = now
 			for _, entry := range g.fleet.upkeep(now) {
-				go g.probe(entry)
+				go g.recover(entry)
 			}
 			g.pool.Expire(now)
 		}
@@ -104,21 +101,6 @@
 	return due
 }
 
-// probe asks a server for a sign of life: that it takes a connection. Its health
-// is not asked for, since the answer to that may be lost or wrong.
-func (g *Gateway) probe(entry directory.Entry) {
-	ctx, cancel := context.WithTimeout(g.background, health.ProbeTimeout)
-	defer cancel()
-	sentAt := time.Now()
-	err := g.pool.Connect(ctx, upstream.Server{ID: string(entry.ID), Address: entry.Address})
-	telemetry.Counter(g.options.Metrics, "fleet.probes").Inc(1)
-	if err != nil {
-		g.fleet.probeFailed(time.Now(), entry.ID, err)
-		return
-	}
-	g.fleet.probeAnswered(time.Now(), sentAt, entry.ID)
-}
-
 func (f *fleet) probeAnswered(now, sentAt time.Time, id serverID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/health/servers.go
+++ b/health/servers.go
@@ -38,11 +38,12 @@
 func (s State) String() string { return stateNames[s] }
 
 const (
-	// probeFirst is the time from a loss to the first probe; a server whose
-	// connection alone was lost is back in use that soon.
-	probeFirst = 150 * time.Millisecond
-	// probeMost bounds the time between two probes of a server that is down.
-	probeMost = 2 * time.Second
+	// probeSoon is the time between two probes of a server that was lost less than
+	// probeSoonFor ago: most come back within seconds.
+	probeSoon    = 400 * time.Millisecond
+	probeSoonFor = 4 * time.Second
+	// probeLater is the time between two probes from then on.
+	probeLater = 2 * time.Second
 	// failureWeight is the weight of one request in the failure rate.
 	failureWeight = 0.15
 	// failingMargin is the failure rate beyond that of the peers at which a
@@ -67,7 +68,6 @@
 	domain   wigeonfork.FailureDomain
 	state    State
 	lostAt   time.Time
-	probes   int
 	probeAt  time.Time
 	replaced bool
 	failures float64
@@ -146,7 +146,7 @@
 		return false, nil
 	}
 	s.set(known, Down)
-	known.lostAt, known.probes, known.probeAt = now, 0, now.Add(probeFirst)
+	known.lostAt, known.probeAt = now, now.Add(probeSoon)
 	return true, s.doubt(now, known)
 }
 
@@ -199,8 +199,10 @@
 	if known == nil || known.replaced || known.state != Down || now.Before(known.probeAt) {
 		return false
 	}
-	wait := min(probeFirst<<(known.probes+1), probeMost)
-	known.probes = min(known.probes+1, 6)
+	wait := probeSoon
+	if now.Sub(known.lostAt) > probeSoonFor {
+		wait = probeLater
+	}
 	known.probeAt = now.Add(wait)
 	return true
 }
--- a/health/streams.go
+++ b/health/streams.go
@@ -59,6 +59,9 @@
 	probeTimeout = 350 * time.Millisecond
 	// stalledGap is the silence of one stream at a server that speaks on others.
 	stalledGap = 1500 * time.Millisecond
+	// deafServer is the time without any event after which a server that has not
+	// begun a stream in time is not merely busy with others.
+	deafServer = 3 * time.Second
 	// gapWeight is the weight of one gap in a server's usual gap.
 	gapWeight = 0.1
 )
@@ -70,6 +73,7 @@
 type stream struct {
 	server  ID
 	begun   bool
+	sent    time.Time
 	last    time.Time
 	startBy time.Time
 }
@@ -79,6 +83,8 @@
 	domain  wigeonfork.FailureDomain
 	streams map[StreamID]*stream
 	spoke   time.Time
+	event   time.Time // of any stream
+	newest  time.Time // when the newest stream that has begun was sent
 	gap     time.Duration
 	begun   int
 	probed  time.Time
@@ -113,9 +119,9 @@
 		s.sources[server] = src
 	}
 	if len(src.streams) == 0 {
-		src.spoke, src.silent = now, false
+		src.spoke, src.event, src.silent = now, now, false
 	}
-	st := &stream{server: server, last: now, startBy: startBy}
+	st := &stream{server: server, sent: now, last: now, startBy: startBy}
 	src.streams[id] = st
 	s.streams[id] = st
 	return id
@@ -133,8 +139,11 @@
 	} else {
 		st.begun = true
 		src.begun++
+		if st.sent.After(src.newest) {
+			src.newest = st.sent
+		}
 	}
-	st.last, src.spoke, src.silent = now, now, false
+	st.last, src.spoke, src.event, src.silent = now, now, now, false
 }
 
 func (src *source) learn(gap time.Duration) {
@@ -218,14 +227,28 @@
 	s.verdicts = append(s.verdicts, Verdict{Finding: FindingProbe, Server: id, Silence: silence})
 }
 
+// stalled finds streams that do not go on although their server does.
 func (s *Streams) stalled(now time.Time, server ID, src *source) {
 	for id, st := range src.streams {
-		silence := now.Sub(st.last)
-		if st.begun && silence >= stalledGap || !st.begun && now.After(st.startBy) {
-			st.last, st.startBy = now, now.Add(stalledGap)
-			s.verdicts = append(s.verdicts, Verdict{Finding: FindingStreamStalled, Server: server, Stream: id, Silence: silence})
+		if !src.stuck(now, st) {
+			continue
 		}
+		s.verdicts = append(s.verdicts, Verdict{Finding: FindingStreamStalled, Server: server, Stream: id, Silence: now.Sub(st.last)})
+		st.last, st.startBy = now, now.Add(stalledGap)
+	}
+}
+
+// stuck tells whether a stream will not go on by itself. One that has not begun
+// is stuck if a later one has, or if the server makes no event at all; else it
+// waits behind others, and would only wait anew elsewhere.
+func (src *source) stuck(now time.Time, st *stream) bool {
+	if st.begun {
+		return now.Sub(st.last) >= stalledGap
+	}
+	if now.Before(st.startBy) {
+		return false
 	}
+	return src.newest.After(st.sent) || now.Sub(src.event) >= deafServer
 }
 
 // At returns the runs at a server.
--- a/routetable/routetable.go
+++ b/routetable/routetable.go
@@ -103,6 +103,8 @@
 type Service struct {
 	Name           wigeonfork.Model
 	MaxConnections int
+	// HealthPath is the target at which a backend server tells its health and id.
+	HealthPath string
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -191,6 +193,19 @@
 // Service returns the service called name, or nil.
 func (t *Table) Service(name wigeonfork.Model) *Service { return t.services[name] }
 
+// SoleEngine tells whether name is the only service of model engines, so that an
+// engine that is met can be none of another service.
+func (t *Table) SoleEngine(name wigeonfork.Model) bool {
+	engines := 0
+	for i := range t.spec.Services {
+		if t.spec.Services[i].Engine != nil {
+			engines++
+		}
+	}
+	own := t.services[name]
+	return engines == 1 && own != nil && own.Engine != nil
+}
+
 // Keyed tells whether requests need a key.
 func (t *Table) Keyed() bool { return len(t.spec.Tenants) > 0 }
 
