--- a/gateway/config.go
+++ b/gateway/config.go
@@ -70,7 +70,10 @@
 	firstReadTimeout = 2 * time.Second
 	// storeRetryLeast and storeRetryMost bound the time between failed calls.
 	storeRetryLeast = 150 * time.Millisecond
-	storeRetryMost  = 800 * time.Millisecond
+	storeRetryMost  = 300 * time.Millisecond
+	// serversRetryMost bounds the wait for the store's return where the other
+	// follower has not noticed it.
+	serversRetryMost = 3 * time.Second
 	// revokeMargin is the part of the revoke limit left for a request on its way,
 	// for a wait of the store that hears nothing of a change, and for errors of
 	// clocks.
@@ -79,11 +82,42 @@
 
 // configurationWait is how long a call waits for a new configuration. Each end
 // of it renews the proof of the configuration's age.
-func configurationWait(b *Bounds) time.Duration { return b.RevokeLimit * 2 / 5 }
+func configurationWait(b *Bounds) time.Duration { return b.RevokeLimit / 5 }
 
 // serversInterval is the time between two readings of the registered servers.
 func serversInterval(b *Bounds) time.Duration { return b.DrainLimit / 2 }
 
+// storeSignal wakes the follower of the servers once the store answers the
+// follower of the configuration again, so that only one of them asks meanwhile.
+type storeSignal struct {
+	mu     sync.Mutex
+	lost   bool
+	regain chan struct{}
+}
+
+func newStoreSignal() *storeSignal { return &storeSignal{regain: make(chan struct{})} }
+
+func (s *storeSignal) set(lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost && !lost {
+		close(s.regain)
+		s.regain = make(chan struct{})
+	}
+	s.lost = lost
+}
+
+// wait returns a channel that is closed when the store answers again, or nil if
+// it is not known to be lost.
+func (s *storeSignal) wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.lost {
+		return nil
+	}
+	return s.regain
+}
+
 // dependency logs when the store is lost and regained.
 type dependency struct {
 	log     *telemetry.Logger
@@ -138,11 +172,13 @@
 		switch {
 		case err == nil:
 			store.answered(time.Now())
+			g.store.set(false)
 			since, known = revision, true
 		case errors.Is(err, ErrHistoryLost):
 			g.options.Log.Info().Uint64("since", since).Msg("configuration_history_lost")
 			known = false
 		default:
+			g.store.set(true)
 			if !g.pause(store.lost(time.Now(), err)) {
 				return
 			}
@@ -197,6 +233,9 @@
 		default:
 			wait = store.lost(time.Now(), err)
 			g.fleet.registryLost()
+			if !g.awaitStore() {
+				return
+			}
 		}
 		if !g.pause(wait) {
 			return
@@ -204,6 +243,25 @@
 	}
 }
 
+// awaitStore waits while the store is known to be lost, at most
+// serversRetryMost, and returns false at the end of the gateway.
+func (g *Gateway) awaitStore() bool {
+	regained := g.store.wait()
+	if regained == nil {
+		return true
+	}
+	timer := time.NewTimer(serversRetryMost)
+	defer timer.Stop()
+	select {
+	case <-regained:
+		return true
+	case <-timer.C:
+		return true
+	case <-g.background.Done():
+		return false
+	}
+}
+
 func (g *Gateway) readServers(since uint64, known bool) (uint64, error) {
 	ctx, cancel := context.WithTimeout(g.background, firstReadTimeout)
 	defer cancel()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	options Options
 	bounds  atomic.Pointer[Bounds]
 	config  *configState
+	store   *storeSignal
 	fleet   *fleet
 	pool    *upstream.Pool
 	budgets *budgets
@@ -50,6 +51,7 @@
 	g.fleet = newFleet(&options, g.pool.Forget)
 	g.fleet.doubted = func(entry directory.Entry) { go g.probe(entry) }
 	g.config = newConfigState(&options)
+	g.store = newStoreSignal()
 	g.budgets = newBudgets(options.Bounds)
 	g.crashes = newCrashes()
 	g.server = httpserver.New(alice.New().ThenFunc(g.serve))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -53,6 +53,9 @@
 	outcome string
 	server  serverID
 	status  int
+	// firstEvent and longestGap are the pace of a stream as its caller saw it.
+	firstEvent time.Duration
+	longestGap time.Duration
 }
 
 // serve answers one request of a caller.
@@ -220,7 +223,8 @@
 	telemetry.Histogram(c.options.Metrics, "request_ms."+kind+"_"+c.outcome).Update(took.Milliseconds())
 	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("route", name).Str("kind", kind).Str("workspace", string(c.workspace)).
 		Str("outcome", c.outcome).Int("status", c.status).Str("server", string(c.server)).Int("sends", c.sends).
-		Int64("ms", took.Milliseconds()).Msg("request_ended")
+		Int64("ms", took.Milliseconds()).Int64("first_ms", c.firstEvent.Milliseconds()).Int64("gap_ms", c.longestGap.Milliseconds()).
+		Msg("request_ended")
 }
 
 // noServer is the refusal of a request that has run nowhere.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,6 +94,8 @@
 	failure *sendResult
 	tried   []serverID
 	lostAt  time.Time
+	// lastPass is when the last event went to the caller.
+	lastPass time.Time
 }
 
 func (s *streamRun) serve() {
@@ -422,6 +424,7 @@
 		return err
 	}
 	s.delivered++
+	s.measureGap(time.Now())
 	if event.ID != 0 {
 		s.last = event.ID
 	}
@@ -435,6 +438,16 @@
 	return nil
 }
 
+// measureGap keeps the time to the first event and the longest pause for the log.
+func (s *streamRun) measureGap(now time.Time) {
+	if s.lastPass.IsZero() {
+		s.firstEvent = now.Sub(s.began)
+	} else {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastPass))
+	}
+	s.lastPass = now
+}
+
 // fail ends the stream without success: with an answer if none has begun, else
 // by breaking the connection, so that it does not look complete.
 func (s *streamRun) fail(refusal *problem.Error) {
