--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,8 @@
 
 	// stopping is the time of the request to stop in Unix nanoseconds, or 0.
 	stopping atomic.Int64
+	// refusing is set once new requests are refused because the end is near.
+	refusing atomic.Bool
 	active   atomic.Int64
 }
 
@@ -80,28 +82,41 @@
 }
 
 // Drain takes no new callers and returns once all requests have ended, or just
-// before the grace period does.
+// before the grace period does. Towards the end it refuses what still comes, so
+// that nothing is under way when the process ends.
 func (g *Gateway) Drain() {
 	began := time.Now()
 	g.stopping.Store(began.UnixNano())
 	g.options.Log.Info().Int64("requests", g.active.Load()).Msg("drain_started")
 	end := began.Add(g.bounds.Load().GracePeriod - stopMargin)
+	g.awaitQuiet(began, end.Add(-lastCall))
+	g.refusing.Store(true)
+	for now := time.Now(); g.active.Load() > 0 && now.Before(end); now = time.Now() {
+		time.Sleep(drainInterval)
+	}
+	g.options.Log.Info().Int64("requests", g.active.Load()).Dur("after", time.Since(began)).Msg("drain_ended")
+}
+
+// awaitQuiet returns once the balancer has had time to stop sending callers and
+// no request has been under way for a while, or at end.
+func (g *Gateway) awaitQuiet(began, end time.Time) {
 	quiet := began
 	for now := began; now.Before(end); now = time.Now() {
 		if g.active.Load() > 0 {
 			quiet = now
 		}
 		if now.Sub(began) >= balancerWait && now.Sub(quiet) >= quietWait {
-			break
+			return
 		}
 		time.Sleep(drainInterval)
 	}
-	g.options.Log.Info().Int64("requests", g.active.Load()).Dur("after", time.Since(began)).Msg("drain_ended")
 }
 
 const (
 	// stopMargin is the part of the grace period left to end the process.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 400 * time.Millisecond
+	// lastCall is the time before the end from which new requests are refused.
+	lastCall = 1100 * time.Millisecond
 	// balancerWait is the time in which the balancer stops sending new callers.
 	balancerWait = 3 * time.Second
 	// quietWait is the time without a request after which a leaving gateway ends.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,6 +24,8 @@
 	configurationRetry = 300 * time.Millisecond
 	// noServerRetry is when to come back where no backend server takes work.
 	noServerRetry = 400 * time.Millisecond
+	// drainRetry is when to come back to another entry; the balancer knows others.
+	drainRetry = 60 * time.Millisecond
 	// leavingStream is the time after the request to stop from which a new stream
 	// would be cut by the end of the grace period.
 	leavingStream = 3 * time.Second
@@ -81,6 +83,9 @@
 
 // accept decides whether the request may run at all.
 func (c *call) accept() *problem.Error {
+	if c.refusing.Load() {
+		return c.draining()
+	}
 	var err error
 	if c.caller, err = c.options.Codec.Caller(c.r.Header); err != nil {
 		return problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept, "%v", err)
@@ -99,11 +104,16 @@
 		return problem.New(problem.CodeBackendFailed, problem.RunNot, problem.StepAdmit, "the request crashes backend servers")
 	}
 	if since, leaving := c.leaving(c.began); leaving && since > leavingStream && c.route.Kind == routetable.KindStream {
-		return problem.New(problem.CodeDraining, problem.RunNot, problem.StepAccept, "entry is leaving").After(c.spread(configurationRetry))
+		return c.draining()
 	}
 	return nil
 }
 
+// draining is the refusal of a request that might be cut by the gateway's end.
+func (c *call) draining() *problem.Error {
+	return problem.New(problem.CodeDraining, problem.RunNot, problem.StepAccept, "entry is leaving").After(c.spread(drainRetry))
+}
+
 // resolve finds the route and the workspace.
 func (c *call) resolve() *problem.Error {
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
