Let entries hear of each other's sends and losses

Cause (first tokens at 1.36 s at the median where an idle fast engine needs about 1.05 s): four entries chose from reports that were older than the others' sends, and each had to find a loss by itself. Entries register in a table of the store once, and tell each other of sends and losses in datagrams; the retry slack is shared by the number heard. routing counts peers' prompts before a new one in place of an estimate.

--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -49,14 +49,21 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	metrics := telemetry.NewRegistry()
+	store := platform.NewStore(settings.StoreAddress)
+	peers, err := listenPeers(settings.PeerAddress)
+	if err != nil {
+		return err
+	}
 	g := gateway.New(gateway.Options{
-		Host:    settings.Host,
-		Domain:  settings.Domain,
-		Bounds:  settings.Bounds,
-		Codec:   platform.Codec{},
-		Source:  platform.NewSource(platform.NewStore(settings.StoreAddress), log),
-		Log:     log,
-		Metrics: metrics,
+		Host:     settings.Host,
+		Domain:   settings.Domain,
+		Bounds:   settings.Bounds,
+		Codec:    platform.Codec{},
+		Source:   platform.NewSource(store, log),
+		Registry: platform.NewRegistry(store),
+		PeerConn: peers,
+		Log:      log,
+		Metrics:  metrics,
 	})
 	callers, err := net.Listen("tcp", settings.CallersAddress)
 	if err != nil {
@@ -79,6 +86,19 @@
 	return errors.Wrap(metricsServer.Close(), "close the metrics listener")
 }
 
+// listenPeers opens the socket for the other entries, or none if address is empty.
+func listenPeers(address string) (*net.UDPConn, error) {
+	if address == "" {
+		return nil, nil
+	}
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer address")
+	}
+	conn, err := net.ListenUDP("udp", udp)
+	return conn, errors.Wrap(err, "listen for peers")
+}
+
 // waitForStop takes over changed settings until a signal asks to stop.
 func waitForStop(path string, signals <-chan os.Signal, g *gateway.Gateway, log *telemetry.Logger) {
 	ticker := time.NewTicker(settingsInterval)
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/health"
+	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/routetable"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -37,6 +38,8 @@
 	retired func(upstream.Server)
 	// doubted is told of servers that are to be asked for a sign of life.
 	doubted func(directory.Entry)
+	// told passes a message on to the peers.
+	told func(loadshare.Message)
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -44,6 +47,7 @@
 	servers   *health.Servers
 	streams   *health.Streams
 	entries   map[serverID]directory.Entry
+	hashes    map[loadshare.ServerHash]serverID
 	cancels   map[health.StreamID]func(error)
 }
 
@@ -57,6 +61,7 @@
 		servers:   health.NewServers(),
 		streams:   health.NewStreams(),
 		entries:   make(map[serverID]directory.Entry),
+		hashes:    make(map[loadshare.ServerHash]serverID),
 		cancels:   make(map[health.StreamID]func(error)),
 	}
 }
@@ -111,6 +116,7 @@
 
 func (f *fleet) add(entry directory.Entry) {
 	f.entries[entry.ID] = entry
+	f.hashes[loadshare.HashServer(entry.ID)] = entry.ID
 	f.servers.Add(entry.ID, entry.Service, entry.Domain)
 	f.router.Upsert(describe(entry))
 }
@@ -121,6 +127,7 @@
 		return
 	}
 	delete(f.entries, id)
+	delete(f.hashes, loadshare.HashServer(id))
 	f.servers.Remove(id)
 	f.router.Remove(id)
 	go f.retired(upstream.Server{ID: string(id), Address: known.Address})
@@ -278,6 +285,7 @@
 	f.log.Info().Str("server", string(id)).Str("domain", string(entry.Domain)).Str("reason", reason).
 		Int("doubtful", len(doubtful)).Msg("server_lost")
 	f.router.SetState(now, id, routing.StateDead)
+	f.told(loadshare.Message{Kind: loadshare.Lost, Server: loadshare.HashServer(id)})
 	for _, other := range doubtful {
 		f.router.SetState(now, other, routing.StateSuspect)
 		f.doubted(f.entries[other])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,7 +14,6 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/httpserver"
-	"github.com/wigeonfork/wigeonfork/retry"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/upstream"
 )
@@ -29,6 +28,7 @@
 	pool    *upstream.Pool
 	budgets *budgets
 	crashes *crashes
+	sharer  *sharer
 	server  *http.Server
 	ready   *http.Server
 
@@ -52,6 +52,10 @@
 	g.pool = upstream.NewPool(upstream.Options{Opened: func() { opened.Inc(1) }})
 	g.fleet = newFleet(&options, g.pool.Forget)
 	g.fleet.doubted = func(entry directory.Entry) { go g.probe(entry) }
+	if options.PeerConn != nil && options.Registry != nil {
+		g.sharer = newSharer(g)
+	}
+	g.fleet.told = g.sharer.tell
 	g.config = newConfigState(&options)
 	g.store = newStoreSignal()
 	g.budgets = newBudgets(options.Bounds)
@@ -77,6 +81,11 @@
 	g.wait.Go(g.followConfiguration)
 	g.wait.Go(g.followServers)
 	g.wait.Go(g.sweep)
+	if g.sharer != nil {
+		g.wait.Go(g.sharer.register)
+		g.wait.Go(g.sharer.greet)
+		g.wait.Go(g.sharer.receive)
+	}
 	g.options.Log.Info().Str("callers", callers.Addr().String()).Str("ready", ready.Addr().String()).
 		Str("domain", string(g.options.Domain)).Msg("gateway_started")
 }
@@ -131,6 +140,9 @@
 	// Listeners and connections that fail to close end with the process.
 	_ = g.server.Close()
 	_ = g.ready.Close()
+	if g.sharer != nil {
+		_ = g.sharer.conn.Close()
+	}
 	g.wait.Wait()
 	g.pool.Close()
 }
@@ -179,51 +191,3 @@
 // unreadyAge is the age of the configuration at which callers do better at
 // another entry: soon their keys would be refused here.
 func unreadyAge(b *Bounds) time.Duration { return b.RevokeLimit * 6 / 10 }
-
-// budgets share out how often requests may be sent again, for each service.
-type budgets struct {
-	mu       sync.Mutex
-	limit    retry.Limit
-	services map[wigeonfork.Model]*retry.Budgets
-}
-
-const (
-	// budgetShare is the part of the ratio that is used, as entries can't see
-	// what callers ask of the others.
-	budgetShare = 0.9
-	// slackShare is one entry's part of the slack of all.
-	slackShare = 0.22
-)
-
-func newBudgets(b Bounds) *budgets {
-	window := b.RetryWindow.Seconds()
-	return &budgets{
-		limit: retry.Limit{
-			Ratio:     b.RetryRatio * budgetShare,
-			PerSecond: b.RetrySlack * slackShare / 2 / window,
-			Burst:     b.RetrySlack * slackShare,
-		},
-		services: make(map[wigeonfork.Model]*retry.Budgets),
-	}
-}
-
-func (b *budgets) of(service wigeonfork.Model) *retry.Budgets {
-	if b.services[service] == nil {
-		b.services[service] = retry.NewBudgets(retry.Options{Caller: b.limit, Workspace: b.limit, Overall: b.limit, MaxCallers: 1, MaxWorkspaces: 1})
-	}
-	return b.services[service]
-}
-
-// asked credits a service with a caller's request.
-func (b *budgets) asked(now time.Time, service wigeonfork.Model) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.of(service).Succeeded(now, retry.Origin{})
-}
-
-// take asks whether a request may be sent once more.
-func (b *budgets) take(now time.Time, service wigeonfork.Model) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.of(service).Take(now, retry.Origin{}).Allowed
-}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
@@ -42,11 +43,14 @@
 
 // Options describe a gateway.
 type Options struct {
-	Host    wigeonfork.HostID
-	Domain  wigeonfork.FailureDomain
-	Bounds  Bounds
-	Codec   Codec
-	Source  Source
-	Log     *telemetry.Logger
-	Metrics telemetry.Registry
+	Host   wigeonfork.HostID
+	Domain wigeonfork.FailureDomain
+	Bounds Bounds
+	Codec  Codec
+	Source Source
+	// Registry and PeerConn let entries hear of each other; nil leaves that out.
+	Registry Registry
+	PeerConn *net.UDPConn
+	Log      *telemetry.Logger
+	Metrics  telemetry.Registry
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -208,7 +208,7 @@
 }
 
 // spread returns a time around d, so that callers do not come back together.
-func (c *call) spread(d time.Duration) time.Duration {
+func (g *Gateway) spread(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
 }
 
--- /dev/null
+++ b/gateway/share.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/health"
+	"github.com/wigeonfork/wigeonfork/loadshare"
+	"github.com/wigeonfork/wigeonfork/routing"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+const (
+	// shareInterval is the time for which messages to peers are gathered.
+	shareInterval = 10 * time.Millisecond
+	// greetInterval is the time between two looks for peers to greet.
+	greetInterval = 500 * time.Millisecond
+	// registerRetry is the time between two tries to register.
+	registerRetry = time.Second
+	// maxPending bounds the messages that wait to be sent; more are dropped.
+	maxPending = 1024
+	// maxDatagram is the size of the read buffer in bytes.
+	maxDatagram = 2048
+)
+
+// sharer tells peers of sends and losses and takes in theirs.
+type sharer struct {
+	g    *Gateway
+	conn *net.UDPConn
+	port uint16
+
+	mu      sync.Mutex
+	peers   *loadshare.Peers
+	pending []loadshare.Message
+	armed   bool
+}
+
+func newSharer(g *Gateway) *sharer {
+	self := g.options.PeerConn.LocalAddr().(*net.UDPAddr).AddrPort()
+	self = netip.AddrPortFrom(self.Addr().Unmap(), self.Port())
+	return &sharer{g: g, conn: g.options.PeerConn, port: self.Port(), peers: loadshare.NewPeers(self)}
+}
+
+// tell gathers a message for the peers. It never blocks.
+func (s *sharer) tell(m loadshare.Message) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.pending) >= maxPending {
+		telemetry.Counter(s.g.options.Metrics, "share.dropped").Inc(1)
+		return
+	}
+	s.pending = append(s.pending, m)
+	if !s.armed {
+		s.armed = true
+		time.AfterFunc(shareInterval, s.flush)
+	}
+}
+
+func (s *sharer) flush() {
+	now := time.Now()
+	s.mu.Lock()
+	messages := s.pending
+	s.pending, s.armed = nil, false
+	targets := append([]netip.AddrPort(nil), s.peers.Targets(now)...)
+	s.mu.Unlock()
+	for len(messages) > 0 {
+		n := min(len(messages), loadshare.MaxMessages)
+		s.send(targets, messages[:n])
+		messages = messages[n:]
+	}
+}
+
+func (s *sharer) send(targets []netip.AddrPort, messages []loadshare.Message) {
+	datagram := loadshare.Append(nil, s.port, messages)
+	for _, target := range targets {
+		if _, err := s.conn.WriteToUDPAddrPort(datagram, target); err != nil {
+			telemetry.Counter(s.g.options.Metrics, "share.send_errors").Inc(1)
+		}
+	}
+}
+
+// register makes this entry known and learns of the others, once.
+func (s *sharer) register() {
+	for !s.tryRegister() {
+		if !s.g.pause(s.g.spread(registerRetry)) {
+			return
+		}
+	}
+}
+
+func (s *sharer) tryRegister() bool {
+	if s.g.config.table() == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(s.g.background, firstReadTimeout)
+	defer cancel()
+	self := netip.AddrPortFrom(s.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr().Unmap(), s.port)
+	if err := s.g.options.Registry.Register(ctx, s.g.options.Host, self); err != nil {
+		s.g.options.Log.Warn().Err(err).Msg("register_failed")
+		return false
+	}
+	peers, err := s.g.options.Registry.Peers(ctx)
+	if err != nil {
+		s.g.options.Log.Warn().Err(err).Msg("read_peers_failed")
+		return false
+	}
+	s.mu.Lock()
+	for _, address := range peers {
+		s.peers.Add(address)
+	}
+	s.mu.Unlock()
+	s.g.options.Log.Info().Int("peers", len(peers)).Msg("registered")
+	return true
+}
+
+// greet keeps in touch with the peers until the gateway ends.
+func (s *sharer) greet() {
+	hello := []loadshare.Message{{Kind: loadshare.Hello}}
+	for s.g.pause(greetInterval) {
+		now := time.Now()
+		s.mu.Lock()
+		due := s.peers.Hellos(now)
+		there := s.peers.There(now)
+		s.mu.Unlock()
+		s.send(due, hello)
+		s.g.fleet.setPeers(there)
+		s.g.budgets.setEntries(there + 1)
+	}
+}
+
+// receive takes in the datagrams of peers until the connection is closed.
+func (s *sharer) receive() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if s.g.background.Err() != nil {
+				return
+			}
+			telemetry.Counter(s.g.options.Metrics, "share.receive_errors").Inc(1)
+			continue
+		}
+		sender, messages, err := loadshare.Parse(buf[:n], from)
+		if err != nil {
+			telemetry.Counter(s.g.options.Metrics, "share.malformed").Inc(1)
+			continue
+		}
+		s.heard(time.Now(), sender, messages)
+	}
+}
+
+func (s *sharer) heard(now time.Time, sender netip.AddrPort, messages []loadshare.Message) {
+	s.mu.Lock()
+	isNew := s.peers.Heard(now, sender)
+	s.mu.Unlock()
+	if isNew {
+		s.g.options.Log.Info().Str("peer", sender.String()).Msg("peer_heard")
+		s.send([]netip.AddrPort{sender}, []loadshare.Message{{Kind: loadshare.Hello}})
+	}
+	for _, m := range messages {
+		switch m.Kind {
+		case loadshare.Started:
+			s.g.fleet.peerStarted(now, m)
+		case loadshare.Lost:
+			s.g.fleet.peerLost(now, m.Server)
+		}
+	}
+}
+
+// startedMessage tells of a send.
+func startedMessage(id serverID, work routing.Work) loadshare.Message {
+	m := loadshare.Message{Kind: loadshare.Started, Server: loadshare.HashServer(id), Tokens: work.PromptTokens}
+	if n := len(work.Prefixes); n > 0 {
+		m.Part = work.Prefixes[n-1].Hash
+	}
+	return m
+}
+
+// peerStarted takes in that a peer sent a request to a server.
+func (f *fleet) peerStarted(now time.Time, m loadshare.Message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id, ok := f.hashes[m.Server]
+	if !ok {
+		return
+	}
+	work := routing.Work{PromptTokens: m.Tokens}
+	if m.Part != 0 {
+		work.Prefixes = []routing.Prefix{{Hash: m.Part, Tokens: m.Tokens}}
+	}
+	f.router.PeerStarted(now, id, work)
+}
+
+// peerLost has a server that a peer found lost asked for a sign of life.
+func (f *fleet) peerLost(_ time.Time, server loadshare.ServerHash) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id, ok := f.hashes[server]
+	if !ok || f.servers.State(id) == health.Down {
+		return
+	}
+	f.doubted(f.entries[id])
+}
+
+// setPeers tells how many peers tell of their sends.
+func (f *fleet) setPeers(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.SetPeers(n > 0)
+}
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/routetable"
 )
@@ -46,3 +48,11 @@
 	// ServersAfter returns what changed after since, without waiting.
 	ServersAfter(ctx context.Context, since uint64) (ServersChange, error)
 }
+
+// Registry is where the entries of a deployment find each other.
+type Registry interface {
+	// Register tells where this entry listens for its peers.
+	Register(ctx context.Context, host wigeonfork.HostID, address netip.AddrPort) error
+	// Peers returns where all registered entries listen.
+	Peers(ctx context.Context) ([]netip.AddrPort, error)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -257,6 +257,7 @@
 	startBy := now.Add(max(firstEventLeast, firstEventFactor*t.place.expectedWait))
 	watch := s.fleet.watch(now, t.place, startBy, cancel)
 	defer s.fleet.unwatch(watch)
+	s.sharer.tell(startedMessage(t.place.ID, s.work))
 	request := s.request(now, t.place, s.attempt(now, t))
 	request.FreshConnection = !s.route.Idempotent()
 	response, err := s.pool.Do(ctx, t.place.upstream(), request)
--- /dev/null
+++ b/loadshare/peers.go
@@ -0,0 +1,109 @@
+package loadshare
+
+import (
+	"cmp"
+	"hash/maphash"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// SilentLimit is the time without a datagram after which a peer is taken as
+	// gone until it is heard again.
+	SilentLimit = 7 * time.Second
+	// HelloInterval is the time between two hellos to a peer that is there.
+	HelloInterval = 2 * time.Second
+	// SearchInterval is the time between two hellos to one that is not heard.
+	SearchInterval = 10 * time.Second
+	// MaxTargets bounds the peers that are told, so that an entry's messages do not
+	// grow with the deployment. Each entry has a subset of its own.
+	MaxTargets = 48
+)
+
+// peer is one other entry.
+type peer struct {
+	heard time.Time
+	hello time.Time
+}
+
+// Peers knows the other entries. It is a deterministic decision type and not safe
+// for concurrent use.
+type Peers struct {
+	self  netip.AddrPort
+	seed  maphash.Seed
+	peers map[netip.AddrPort]*peer
+	list  []netip.AddrPort
+}
+
+// NewPeers returns a Peers without any.
+func NewPeers(self netip.AddrPort) *Peers {
+	return &Peers{self: self, seed: maphash.MakeSeed(), peers: make(map[netip.AddrPort]*peer)}
+}
+
+// Add makes an address known, as from the registry.
+func (p *Peers) Add(address netip.AddrPort) {
+	if address != p.self && p.peers[address] == nil {
+		p.peers[address] = &peer{}
+	}
+}
+
+// Heard records a datagram of a peer and returns whether it was not there before.
+func (p *Peers) Heard(now time.Time, address netip.AddrPort) bool {
+	if address == p.self {
+		return false
+	}
+	p.Add(address)
+	known := p.peers[address]
+	isNew := !known.there(now)
+	known.heard = now
+	return isNew
+}
+
+func (k *peer) there(now time.Time) bool {
+	return !k.heard.IsZero() && now.Sub(k.heard) < SilentLimit
+}
+
+// There returns the number of peers that are there.
+func (p *Peers) There(now time.Time) int {
+	n := 0
+	for _, known := range p.peers {
+		if known.there(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Targets returns the peers to tell of sends and losses.
+func (p *Peers) Targets(now time.Time) []netip.AddrPort {
+	p.list = p.list[:0]
+	for address, known := range p.peers {
+		if known.there(now) {
+			p.list = append(p.list, address)
+		}
+	}
+	if len(p.list) > MaxTargets {
+		slices.SortFunc(p.list, func(a, b netip.AddrPort) int {
+			return cmp.Compare(maphash.Comparable(p.seed, a), maphash.Comparable(p.seed, b))
+		})
+		p.list = p.list[:MaxTargets]
+	}
+	return p.list
+}
+
+// Hellos returns the peers to greet now and takes them as greeted.
+func (p *Peers) Hellos(now time.Time) []netip.AddrPort {
+	var due []netip.AddrPort
+	for address, known := range p.peers {
+		wait := SearchInterval
+		if known.there(now) {
+			wait = HelloInterval
+		}
+		if known.hello.IsZero() || now.Sub(known.hello) >= wait {
+			known.hello = now
+			due = append(due, address)
+		}
+	}
+	return due
+}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -196,7 +196,7 @@
 			free -= reservedSlots
 		}
 		c.queue = math.Max(0, expected-free) / slots * service
-		backlog = s.backlog(now, rate, c.outstanding)
+		backlog = s.backlog(now, rate, c.outstanding, r.told)
 	}
 	fresh := math.Max(0, float64(req.PromptTokens)-c.saved)
 	memory := r.overfilled(s, float64(req.PromptTokens)+float64(req.MaxTokens))
--- a/routing/router.go
+++ b/routing/router.go
@@ -21,6 +21,7 @@
 	memory  map[wigeonfork.Model]float64 // tokens that an engine holds
 	typical map[wigeonfork.Model]*typical
 	fill    [wigeonfork.NumClasses]learned // answer length as a part of MaxTokens
+	told    bool // peers tell of their sends
 	free    []int32
 	sample  []candidate
 }
@@ -153,7 +154,7 @@
 // lost drops what died with an engine: its outstanding work and its cache.
 func (r *Router) lost(now time.Time, i int32) {
 	s := &r.servers[i]
-	s.others, s.prefill, s.tokens, s.copies = 0, 0, 0, 0
+	s.others, s.peers, s.prefill, s.tokens, s.copies = 0, 0, 0, 0, 0
 	s.addOwn(now, -s.own)
 	r.prefix.forget(i)
 }
@@ -202,6 +203,29 @@
 	}
 }
 
+// PeerStarted takes in that another entry sent a request to a server. Its end is
+// not told: the count fades with the time that a request usually takes, and the
+// next report replaces it.
+func (r *Router) PeerStarted(now time.Time, id ID, work Work) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	s := &r.servers[i]
+	_, rate, service := r.speed(now, s)
+	_, saved := r.prefix.cached(now, work.Prefixes, i, r.options.CacheBelief)
+	s.peers = s.peersAt(now, service) + 1
+	s.peersAsOf = now
+	s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-saved))
+	for _, p := range work.Prefixes {
+		r.prefix.add(now, p, i)
+	}
+}
+
+// SetPeers tells whether other entries tell of their sends: then the prompts
+// before a new one are known, and not estimated from the own ones.
+func (r *Router) SetPeers(told bool) { r.told = told }
+
 // FirstToken takes in the first token of a stream.
 func (r *Router) FirstToken(now time.Time, id ID, seen FirstToken) {
 	s := r.find(id)
--- a/routing/server.go
+++ b/routing/server.go
@@ -97,6 +97,8 @@
 	prefillAt time.Time
 	others    float64 // requests of other entries, from the last report
 	reportAt  time.Time
+	peers     float64 // requests of other entries that they told of since, at peersAsOf
+	peersAsOf time.Time
 	gap       learned // inter-token time in an empty batch, seconds
 	rate      learned // prefill tokens per second
 	service   learned // duration of a request, seconds
@@ -120,7 +122,11 @@
 // outstanding estimates the requests at the server, own and foreign.
 func (s *server) outstanding(now time.Time, without Term) float64 {
 	n := float64(s.own)
-	if without&TermReports != 0 || s.reportAt.IsZero() {
+	if without&TermReports != 0 {
+		return n
+	}
+	n += s.peersAt(now, s.service.read(now, s.typical.service, DefaultSpeedBelief))
+	if s.reportAt.IsZero() {
 		return n
 	}
 	if now.Sub(s.reportAt) > reportValidity {
@@ -129,13 +135,26 @@
 	return n + s.others
 }
 
+// peersAt returns the requests that peers told of and that still run, if one
+// takes service seconds.
+func (s *server) peersAt(now time.Time, service float64) float64 {
+	if s.peers == 0 {
+		return 0
+	}
+	return s.peers * math.Exp(-now.Sub(s.peersAsOf).Seconds()/service)
+}
+
 // backlog estimates the prompt tokens that go before a new prompt, when the
-// engine prefills rate tokens per second. Entries are taken to be alike.
-func (s *server) backlog(now time.Time, rate, outstanding float64) float64 {
+// engine prefills rate tokens per second. Where peers do not tell of theirs,
+// entries are taken to be alike.
+func (s *server) backlog(now time.Time, rate, outstanding float64, told bool) float64 {
 	left := s.prefill - rate*now.Sub(s.prefillAt).Seconds()
 	if left <= 0 {
 		return 0
 	}
+	if told {
+		return left
+	}
 	return left * min(maxEntryShare, outstanding/float64(max(1, s.own)))
 }
 
@@ -202,6 +221,7 @@
 	total := load.Running + load.Waiting
 	s.others = math.Max(0, float64(total-s.ownAt(now, load.MeasuredAt)))
 	s.reportAt = load.MeasuredAt
+	s.peers = 0
 }
 
 // slowdown is the growth of the inter-token time in a batch of n requests.
