--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -21,8 +21,10 @@
 // place is a backend server that was chosen for a request.
 type place struct {
 	directory.Entry
-	// expectedWait is the predicted time to the first token.
-	expectedWait time.Duration
+	// expectedWait and expectedTotal are the predicted times to the first and to
+	// the last token.
+	expectedWait  time.Duration
+	expectedTotal time.Duration
 }
 
 func (p *place) upstream() upstream.Server {
@@ -138,6 +140,7 @@
 func describe(entry directory.Entry) routing.Server {
 	return routing.Server{
 		ID:       entry.ID,
+		Host:     wigeonfork.HostID(entry.Address),
 		Domain:   entry.Domain,
 		Versions: []routing.Deployment{{Model: entry.Service}, {Model: entry.Service, Version: entry.Version}},
 		Slots:    entry.Slots,
@@ -172,7 +175,7 @@
 		return nil, err
 	}
 	f.router.Started(now, decision.ID, q.work)
-	return &place{Entry: f.entries[decision.ID], expectedWait: decision.ExpectedWait}, nil
+	return &place{Entry: f.entries[decision.ID], expectedWait: decision.ExpectedWait, expectedTotal: decision.ExpectedTotal}, nil
 }
 
 // take charges a given server with the work. It returns nil if the server does
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -184,10 +184,19 @@
 	}
 	if c.route.Kind == routetable.KindStream {
 		c.work.Class = wigeonfork.ClassNarrative
+		c.work.MaxTokens -= min(c.work.MaxTokens, uint32(c.caller.LastEvent)*uint32(c.eventTokens()))
 	}
 	c.print = fingerprintOf(c.r.Host, c.r.RequestURI, string(c.workspace), c.body)
 }
 
+// eventTokens is the number of tokens in one event of the service's streams.
+func (c *call) eventTokens() int {
+	if service := c.table.Service(c.service); service != nil && service.Engine != nil {
+		return max(1, service.Engine.EventTokens)
+	}
+	return 1
+}
+
 // earliest returns began plus the shortest of the limits that are set.
 func earliest(began time.Time, limits ...time.Duration) time.Time {
 	var end time.Time
@@ -233,7 +242,7 @@
 	telemetry.Histogram(c.options.Metrics, "request_ms."+kind+"_"+c.outcome).Update(took.Milliseconds())
 	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("route", name).Str("kind", kind).Str("workspace", string(c.workspace)).
 		Str("outcome", c.outcome).Int("status", c.status).Str("server", string(c.server)).Int("sends", c.sends).
-		Int64("ms", took.Milliseconds()).Int64("first_ms", c.firstEvent.Milliseconds()).Int64("gap_ms", c.longestGap.Milliseconds()).
+		Int64("ms", took.Milliseconds()).Uint64("from_event", c.caller.LastEvent).Int64("first_ms", c.firstEvent.Milliseconds()).Int64("gap_ms", c.longestGap.Milliseconds()).
 		Msg("request_ended")
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/httpserver"
@@ -159,6 +160,11 @@
 	until := now.Add(serverWait)
 	for {
 		place, err := s.choose(now)
+		if err == nil && s.sendsMade == 0 && !s.inTime(now, place) {
+			s.fleet.failed(now, place, s.work)
+			return target{}, problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepAdmit,
+				"the answer needs about %v, which is more than is left", place.expectedTotal.Round(time.Millisecond))
+		}
 		if err == nil {
 			s.sends++
 			s.sendsMade++
@@ -210,6 +216,11 @@
 	return target{place: place, copied: true}, true
 }
 
+// inTime tells whether the answer can be whole before its deadline.
+func (s *streamRun) inTime(now time.Time, place *place) bool {
+	return s.deadline.IsZero() || admission.InTime(s.deadline.Sub(now), place.expectedTotal)
+}
+
 func (s *streamRun) choose(now time.Time) (*place, error) {
 	q := &query{service: s.service, work: s.work, resume: s.begun, avoid: s.tried}
 	return s.fleet.choose(now, q)
@@ -294,13 +305,6 @@
 	return runLost, err
 }
 
-func (s *streamRun) eventTokens() int {
-	if service := s.table.Service(s.service); service != nil && service.Engine != nil {
-		return max(1, service.Engine.EventTokens)
-	}
-	return 1
-}
-
 // relay passes the events of one run on to the caller.
 func (s *streamRun) relay(ctx context.Context, t target, response *upstream.Response, watch health.StreamID) (runEnd, error) {
 	reply := s.options.Codec.Reply(response.Status, response.Header)
--- a/routing/router.go
+++ b/routing/router.go
@@ -20,8 +20,9 @@
 	prefix  prefixTable
 	memory  map[wigeonfork.Model]float64 // tokens that an engine holds
 	typical map[wigeonfork.Model]*typical
+	paces   map[wigeonfork.HostID]pace
 	fill    [wigeonfork.NumClasses]learned // answer length as a part of MaxTokens
-	told    bool // peers tell of their sends
+	told    bool                           // peers tell of their sends
 	free    []int32
 	sample  []candidate
 }
@@ -37,6 +38,7 @@
 		prefix:  newPrefixTable(options.MaxPrefixes),
 		memory:  make(map[wigeonfork.Model]float64),
 		typical: make(map[wigeonfork.Model]*typical),
+		paces:   make(map[wigeonfork.HostID]pace),
 		sample:  make([]candidate, 0, options.Choices+2*holdersPerPrefix),
 	}
 }
@@ -62,6 +64,7 @@
 	if !known {
 		i = r.allocate()
 		r.servers[i] = server{}
+		r.servers[i].inherit(r.paces[desc.Host])
 		r.index[desc.ID] = i
 	} else {
 		r.leaveGroups(i)
@@ -95,6 +98,17 @@
 	return int32(len(r.servers) - 1)
 }
 
+// keepPace remembers how fast a server's host is for the next server there.
+func (r *Router) keepPace(s *server) {
+	if s.Host == "" || s.gap.at.IsZero() && s.rate.at.IsZero() {
+		return
+	}
+	if len(r.paces) >= maxPaces {
+		clear(r.paces)
+	}
+	r.paces[s.Host] = pace{gap: s.gap, rate: s.rate, usual: s.usual}
+}
+
 // Remove forgets a server.
 func (r *Router) Remove(id ID) {
 	i, ok := r.index[id]
@@ -103,6 +117,7 @@
 	}
 	r.leaveGroups(i)
 	r.prefix.forget(i)
+	r.keepPace(&r.servers[i])
 	delete(r.index, id)
 	r.servers[i] = server{}
 	r.free = append(r.free, i)
--- a/routing/server.go
+++ b/routing/server.go
@@ -83,6 +83,16 @@
 	*value += weight * (sample - *value)
 }
 
+// maxPaces bounds the hosts whose pace is remembered.
+const maxPaces = 16384
+
+// pace is what was learned of a server that the next one on its host has too.
+type pace struct {
+	gap, rate, usual learned
+}
+
+func (s *server) inherit(p pace) { s.gap, s.rate, s.usual = p.gap, p.rate, p.usual }
+
 // server is the router's record of one backend server.
 type server struct {
 	Server
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -31,7 +31,7 @@
 // Defaults of Options.
 const (
 	DefaultConnectTimeout = 300 * time.Millisecond
-	DefaultIdleTimeout    = 2 * time.Second
+	DefaultIdleTimeout    = 5 * time.Second
 	DefaultMaxIdle        = 16
 )
 
