--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/routing"
 )
 
@@ -90,4 +91,8 @@
 	// answer. A server that is none is no error.
 	ReportTarget() string
 	ReadReport(status int, body []byte) (Report, error)
+	// CacheTarget is where an engine tells which prompts it keeps; ReadCache reads
+	// the answer.
+	CacheTarget() string
+	ReadCache(body []byte) ([]backend.CacheEvent, error)
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -213,6 +213,9 @@
 		g.options.Log.Info().Uint64("version", change.Table.Version()).Uint64("revision", change.Revision).
 			Int("services", len(change.Table.Services())).Msg("configuration_installed")
 	}
+	if g.config.table() != nil {
+		g.warmed(warmConfiguration)
+	}
 	return change.Revision, nil
 }
 
@@ -282,5 +285,6 @@
 		entries = append(entries, change.Entry)
 	}
 	g.fleet.replace(time.Now(), entries)
+	g.warmed(warmServers)
 	return read.Revision, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,12 +29,17 @@
 	budgets *budgets
 	crashes *crashes
 	sharer  *sharer
+	surveys *surveyor
 	server  *http.Server
 	ready   *http.Server
 
 	background context.Context
 	stop       context.CancelFunc
 	wait       sync.WaitGroup
+	// warm is closed once the configuration and the servers were read.
+	warm     chan struct{}
+	warmOnce [2]sync.Once
+	warmLeft atomic.Int32
 
 	// stopping is the time of the request to stop in Unix nanoseconds, or 0.
 	stopping atomic.Int64
@@ -46,7 +51,8 @@
 // New returns a gateway that serves nothing yet.
 func New(options Options) *Gateway {
 	background, stop := context.WithCancel(context.Background())
-	g := &Gateway{options: options, background: background, stop: stop}
+	g := &Gateway{options: options, background: background, stop: stop, warm: make(chan struct{})}
+	g.warmLeft.Store(int32(len(g.warmOnce)))
 	g.SetBounds(options.Bounds)
 	opened := telemetry.Counter(options.Metrics, "upstream.connections")
 	g.pool = upstream.NewPool(upstream.Options{Opened: func() { opened.Inc(1) }})
@@ -60,6 +66,7 @@
 	g.store = newStoreSignal()
 	g.budgets = newBudgets(options.Bounds)
 	g.crashes = newCrashes()
+	g.surveys = newSurveyor(g)
 	g.server = httpserver.New(alice.New().ThenFunc(g.serve))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", g.serveReady)
@@ -147,6 +154,21 @@
 	g.pool.Close()
 }
 
+// The first readings that a gateway waits for.
+const (
+	warmConfiguration = iota
+	warmServers
+)
+
+// warmed records that a first reading is done.
+func (g *Gateway) warmed(reading int) {
+	g.warmOnce[reading].Do(func() {
+		if g.warmLeft.Add(-1) == 0 {
+			close(g.warm)
+		}
+	})
+}
+
 // leaving tells whether the gateway was asked to stop, and how long ago.
 func (g *Gateway) leaving(now time.Time) (time.Duration, bool) {
 	at := g.stopping.Load()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,6 +24,10 @@
 	configurationRetry = 300 * time.Millisecond
 	// noServerRetry is when to come back where no backend server takes work.
 	noServerRetry = 400 * time.Millisecond
+	// warmHold bounds the wait of a request for the first readings, and warmPart is
+	// the part of the caller's time that it may take.
+	warmHold = 800 * time.Millisecond
+	warmPart = 8
 	// drainRetry is when to come back to another entry; the balancer knows others.
 	drainRetry = 60 * time.Millisecond
 	// leavingStream is the time after the request to stop from which a new stream
@@ -90,6 +94,7 @@
 	if c.caller, err = c.options.Codec.Caller(c.r.Header); err != nil {
 		return problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept, "%v", err)
 	}
+	c.awaitWarm()
 	if c.table = c.config.table(); c.table == nil {
 		return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepAccept, "no configuration yet").After(c.spread(configurationRetry))
 	}
@@ -114,6 +119,27 @@
 	return problem.New(problem.CodeDraining, problem.RunNot, problem.StepAccept, "entry is leaving").After(c.spread(drainRetry))
 }
 
+// awaitWarm holds a request that comes right after the start until the first
+// readings are done: a caller who was cut by the restart may have no other try.
+func (c *call) awaitWarm() {
+	select {
+	case <-c.warm:
+		return
+	default:
+	}
+	hold := warmHold
+	if c.caller.Deadline > 0 {
+		hold = min(hold, c.caller.Deadline/warmPart)
+	}
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	select {
+	case <-c.warm:
+	case <-timer.C:
+	case <-c.r.Context().Done():
+	}
+}
+
 // resolve finds the route and the workspace.
 func (c *call) resolve() *problem.Error {
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,6 +68,9 @@
 	}
 	s := &streamRun{call: c, ctx: ctx, last: c.caller.LastEvent, out: httpserver.NewStreamWriter(c.w, callerWriteTimeout)}
 	defer s.dropBackup()
+	if s.last > 0 && !s.fleet.knowsCache(&c.caller.Prompt) {
+		s.surveys.await(ctx, c.service)
+	}
 	s.serve()
 }
 
--- /dev/null
+++ b/gateway/survey.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+const (
+	// surveyTimeout bounds the wait of a caller for a survey; a prompt that is read
+	// anew costs ten times as much.
+	surveyTimeout = 120 * time.Millisecond
+	// surveyInterval is the least time between two surveys: callers that were cut
+	// together come back together.
+	surveyInterval = time.Second
+)
+
+// surveyor asks the engines of a service which prompts they keep, for callers who
+// come back to an entry that does not know where their answer was made.
+type surveyor struct {
+	g *Gateway
+
+	mu   sync.Mutex
+	last map[wigeonfork.Model]*survey
+}
+
+// survey is one round of questions; done is closed at its end.
+type survey struct {
+	at   time.Time
+	done chan struct{}
+}
+
+func newSurveyor(g *Gateway) *surveyor {
+	return &surveyor{g: g, last: make(map[wigeonfork.Model]*survey)}
+}
+
+// await has the engines asked, unless they were just now, and waits for what
+// they say.
+func (s *surveyor) await(ctx context.Context, service wigeonfork.Model) {
+	round := s.round(time.Now(), service)
+	timer := time.NewTimer(surveyTimeout)
+	defer timer.Stop()
+	select {
+	case <-round.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *surveyor) round(now time.Time, service wigeonfork.Model) *survey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if last := s.last[service]; last != nil && now.Sub(last.at) < surveyInterval {
+		return last
+	}
+	round := &survey{at: now, done: make(chan struct{})}
+	s.last[service] = round
+	go s.run(service, round)
+	return round
+}
+
+func (s *surveyor) run(service wigeonfork.Model, round *survey) {
+	defer close(round.done)
+	var wait sync.WaitGroup
+	entries := s.g.fleet.upEntries(service)
+	for _, entry := range entries {
+		wait.Go(func() { s.ask(entry) })
+	}
+	wait.Wait()
+	telemetry.Counter(s.g.options.Metrics, "surveys").Inc(1)
+	s.g.options.Log.Info().Str("service", string(service)).Int("servers", len(entries)).Dur("took", time.Since(round.at)).Msg("caches_surveyed")
+}
+
+func (s *surveyor) ask(entry directory.Entry) {
+	response, body, err := s.g.ask(entry, s.g.options.Codec.CacheTarget())
+	if err == nil && response.Status != http.StatusOK {
+		err = errors.Newf("status %d", response.Status)
+	}
+	var events []backend.CacheEvent
+	if err == nil {
+		events, err = s.g.options.Codec.ReadCache(body)
+	}
+	if err != nil {
+		s.g.options.Log.Info().Str("server", string(entry.ID)).Err(err).Msg("survey_failed")
+		return
+	}
+	s.g.fleet.cacheEvents(time.Now(), entry.ID, events)
+}
+
+// upEntries returns the servers of a service that take work, one an address.
+func (f *fleet) upEntries(service wigeonfork.Model) []directory.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var entries []directory.Entry
+	for id, entry := range f.entries {
+		if entry.Service == service && f.servers.Usable(id) {
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
+func (f *fleet) cacheEvents(now time.Time, id serverID, events []backend.CacheEvent) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, event := range events {
+		f.router.CacheEvent(now, id, event)
+	}
+}
+
+// knowsCache tells whether a server is believed to hold the prompt's longest
+// prefix.
+func (f *fleet) knowsCache(prompt *Prompt) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := len(prompt.Parts)
+	return n > 0 && f.router.Holds(prompt.Parts[n-1].Hash)
+}
--- a/health/servers.go
+++ b/health/servers.go
@@ -137,6 +137,12 @@
 	return Down
 }
 
+// Usable tells whether a server takes work without reserve.
+func (s *Servers) Usable(id ID) bool {
+	state := s.State(id)
+	return state == Up || state == Failing
+}
+
 // Lost records that a server does not answer. It returns whether that is new,
 // and the servers of the same failure domain that are in doubt by that: each is
 // to be asked for a sign of life.
