Let one entry read from the store for all, and share one retry budget

Entries now read in turn: the first in rank reads and tells the others; the next reads where nothing is told in time. A peer's proof of the configuration's age counts by the store's clock. Repeats of streams are counted over all entries heard.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -135,6 +135,22 @@
 	return d.events
 }
 
+// Changed returns those of the changes that tell something new: most are signs of
+// life.
+func (d *Directory) Changed(changes []Change) []Change {
+	var news []Change
+	for _, change := range changes {
+		r := d.records[change.ID]
+		switch {
+		case change.Removed && r == nil:
+		case !change.Removed && r != nil && r.entry == change.Entry && !r.lapsed && r.adopted.IsZero():
+		default:
+			news = append(news, change)
+		}
+	}
+	return news
+}
+
 // Expire ends the wait for entries that ran out during an outage.
 func (d *Directory) Expire(now time.Time) []Event {
 	d.events = d.events[:0]
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -36,6 +36,16 @@
 	b.proved = true
 }
 
+// ObserveTold takes in another process's word that nothing newer was there when
+// the store's clock showed storeNow. It counts only once this process has read the
+// store itself, since it needs the relation of the clocks; however late the word
+// comes, it proves no more than it says.
+func (b *Bound) ObserveTold(storeNow time.Duration) {
+	if asOf := Clock(storeNow + b.offset); b.proved && asOf > b.asOf {
+		b.asOf = asOf
+	}
+}
+
 // Age returns how old the proof is, and false if there is none.
 func (b *Bound) Age(now Clock) (time.Duration, bool) {
 	if !b.proved {
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -9,72 +9,66 @@
 )
 
 const (
-	// budgetShare is the part of the ratio that entries use, as messages between
-	// them may be late.
-	budgetShare = 0.9
-	// slackShare is the part of the slack that all entries use together.
-	slackShare = 0.9
-	// assumedEntries is the number of entries that share the slack until peers are
-	// heard.
+	// budgetUse is the part of the retry budget that is used: messages between
+	// entries may be late or lost.
+	budgetUse = 0.8
+	// assumedEntries is the number of entries taken to share the slack until the
+	// others are known.
 	assumedEntries = 4
 )
 
-// budgets share out how often requests may be sent again, for each service, over
-// all entries: the ratio by each entry's own requests, the slack evenly.
+// budgets bound how often requests are sent again, for each service over all
+// entries. Peers tell of the sends to model engines, not of those to plain
+// services; there each entry keeps to its own requests and its part of the slack.
 type budgets struct {
 	bounds Bounds
 
 	mu       sync.Mutex
-	entries  int
-	services map[wigeonfork.Model]*retry.Budgets
+	heard    int
+	known    int
+	services map[wigeonfork.Model]*retry.Shared
 }
 
 func newBudgets(b Bounds) *budgets {
-	return &budgets{bounds: b, entries: assumedEntries, services: make(map[wigeonfork.Model]*retry.Budgets)}
+	return &budgets{bounds: b, heard: 1, known: assumedEntries, services: make(map[wigeonfork.Model]*retry.Shared)}
 }
 
-// limit is this entry's part.
-func (b *budgets) limit() retry.Limit {
-	slack := b.bounds.RetrySlack * slackShare / float64(b.entries)
-	return retry.Limit{
-		Ratio:     b.bounds.RetryRatio * budgetShare,
-		PerSecond: slack / 2 / b.bounds.RetryWindow.Seconds(),
-		Burst:     slack,
-	}
-}
-
-// setEntries tells how many entries share the budget.
-func (b *budgets) setEntries(n int) {
+// setEntries tells how many entries are heard and known, this one included.
+func (b *budgets) setEntries(heard, known int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n = max(n, 1); n == b.entries {
-		return
-	}
-	b.entries = n
-	for _, budget := range b.services {
-		budget.SetLimits(retry.Limits{Caller: b.limit(), Workspace: b.limit(), Overall: b.limit()})
-	}
+	b.heard, b.known = heard, max(known, 1)
 }
 
-func (b *budgets) of(service wigeonfork.Model) *retry.Budgets {
+func (b *budgets) of(service wigeonfork.Model) *retry.Shared {
 	if b.services[service] == nil {
-		b.services[service] = retry.NewBudgets(retry.Options{
-			Caller: b.limit(), Workspace: b.limit(), Overall: b.limit(), MaxCallers: 1, MaxWorkspaces: 1,
-		})
+		b.services[service] = retry.NewShared(b.bounds.RetryRatio*budgetUse, b.bounds.RetrySlack*budgetUse, b.bounds.RetryWindow)
 	}
 	return b.services[service]
 }
 
-// asked credits a service with a caller's request.
+// asked records a request for a service, of a caller here or at a peer.
 func (b *budgets) asked(now time.Time, service wigeonfork.Model) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(service).Succeeded(now, retry.Origin{})
+	b.of(service).Asked(now)
 }
 
-// take asks whether a request may be sent once more.
-func (b *budgets) take(now time.Time, service wigeonfork.Model) bool {
+// repeated records a repeated send of a peer.
+func (b *budgets) repeated(now time.Time, service wigeonfork.Model) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.of(service).Take(now, retry.Origin{}).Allowed
+	b.of(service).Repeated(now)
+}
+
+// take asks whether a request may be sent once more. told says that peers tell of
+// their sends to the service.
+func (b *budgets) take(now time.Time, service wigeonfork.Model, told bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	part := 1 / float64(b.known)
+	if told {
+		part = float64(b.heard) / float64(b.known)
+	}
+	return b.of(service).Take(now, part)
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
-	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/freshness"
 	"github.com/wigeonfork/wigeonfork/retry"
 	"github.com/wigeonfork/wigeonfork/routetable"
@@ -53,6 +51,22 @@
 	return installed
 }
 
+// observeTold takes in a peer's word that version was the newest when the store's
+// clock showed storeNow. It returns whether a newer version is to be read.
+func (c *configState) observeTold(version uint64, storeNow time.Duration) (newer bool) {
+	known := c.current.Load()
+	if known == nil || version > known.Version() {
+		return true
+	}
+	if version < known.Version() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bound.ObserveTold(storeNow)
+	return false
+}
+
 // bootClock is a steady clock that goes on while the host is suspended.
 func bootClock() freshness.Clock {
 	var ts unix.Timespec
@@ -71,9 +85,6 @@
 	// storeRetryLeast and storeRetryMost bound the time between failed calls.
 	storeRetryLeast = 150 * time.Millisecond
 	storeRetryMost  = 300 * time.Millisecond
-	// serversRetryMost bounds the wait for the store's return where the other
-	// follower has not noticed it.
-	serversRetryMost = 3 * time.Second
 	// revokeMargin is the part of the revoke limit left for a request on its way,
 	// for a wait of the store that hears nothing of a change, and for errors of
 	// clocks.
@@ -87,37 +98,6 @@
 // serversInterval is the time between two readings of the registered servers.
 func serversInterval(b *Bounds) time.Duration { return b.DrainLimit / 2 }
 
-// storeSignal wakes the follower of the servers once the store answers the
-// follower of the configuration again, so that only one of them asks meanwhile.
-type storeSignal struct {
-	mu     sync.Mutex
-	lost   bool
-	regain chan struct{}
-}
-
-func newStoreSignal() *storeSignal { return &storeSignal{regain: make(chan struct{})} }
-
-func (s *storeSignal) set(lost bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.lost && !lost {
-		close(s.regain)
-		s.regain = make(chan struct{})
-	}
-	s.lost = lost
-}
-
-// wait returns a channel that is closed when the store answers again, or nil if
-// it is not known to be lost.
-func (s *storeSignal) wait() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.lost {
-		return nil
-	}
-	return s.regain
-}
-
 // dependency logs when the store is lost and regained.
 type dependency struct {
 	log     *telemetry.Logger
@@ -162,129 +142,3 @@
 		return false
 	}
 }
-
-// followConfiguration keeps the newest configuration in force.
-func (g *Gateway) followConfiguration() {
-	store := g.newDependency("configuration")
-	since, known := uint64(0), false
-	for {
-		revision, err := g.readConfiguration(since, known)
-		switch {
-		case err == nil:
-			store.answered(time.Now())
-			g.store.set(false)
-			since, known = revision, true
-		case errors.Is(err, ErrHistoryLost):
-			g.options.Log.Info().Uint64("since", since).Msg("configuration_history_lost")
-			known = false
-		default:
-			g.store.set(true)
-			if !g.pause(store.lost(time.Now(), err)) {
-				return
-			}
-		}
-		if g.background.Err() != nil {
-			return
-		}
-	}
-}
-
-func (g *Gateway) readConfiguration(since uint64, known bool) (uint64, error) {
-	wait := configurationWait(g.bounds.Load())
-	timeout := firstReadTimeout
-	if known {
-		timeout = wait + callMargin
-	}
-	ctx, cancel := context.WithTimeout(g.background, timeout)
-	defer cancel()
-	sent := bootClock()
-	var change ConfigurationChange
-	var err error
-	if known {
-		change, err = g.options.Source.ConfigurationAfter(ctx, since, wait)
-	} else {
-		change, err = g.options.Source.Configuration(ctx)
-	}
-	if err != nil {
-		return 0, err
-	}
-	if g.config.observe(change, sent) {
-		g.fleet.install(change.Table)
-		g.options.Log.Info().Uint64("version", change.Table.Version()).Uint64("revision", change.Revision).
-			Int("services", len(change.Table.Services())).Msg("configuration_installed")
-	}
-	if g.config.table() != nil {
-		g.warmed(warmConfiguration)
-	}
-	return change.Revision, nil
-}
-
-// followServers keeps the registered servers.
-func (g *Gateway) followServers() {
-	store := g.newDependency("servers")
-	since, known := uint64(0), false
-	for {
-		revision, err := g.readServers(since, known)
-		wait := serversInterval(g.bounds.Load())
-		switch {
-		case err == nil:
-			store.answered(time.Now())
-			since, known = revision, true
-		case errors.Is(err, ErrHistoryLost):
-			g.options.Log.Info().Uint64("since", since).Msg("servers_history_lost")
-			known, wait = false, 0
-		default:
-			wait = store.lost(time.Now(), err)
-			g.fleet.registryLost()
-			if !g.awaitStore() {
-				return
-			}
-		}
-		if !g.pause(wait) {
-			return
-		}
-	}
-}
-
-// awaitStore waits while the store is known to be lost, at most
-// serversRetryMost, and returns false at the end of the gateway.
-func (g *Gateway) awaitStore() bool {
-	regained := g.store.wait()
-	if regained == nil {
-		return true
-	}
-	timer := time.NewTimer(serversRetryMost)
-	defer timer.Stop()
-	select {
-	case <-regained:
-		return true
-	case <-timer.C:
-		return true
-	case <-g.background.Done():
-		return false
-	}
-}
-
-func (g *Gateway) readServers(since uint64, known bool) (uint64, error) {
-	ctx, cancel := context.WithTimeout(g.background, firstReadTimeout)
-	defer cancel()
-	if known {
-		read, err := g.options.Source.ServersAfter(ctx, since)
-		if err != nil {
-			return 0, err
-		}
-		g.fleet.change(time.Now(), read.Changes)
-		return read.Revision, nil
-	}
-	read, err := g.options.Source.Servers(ctx)
-	if err != nil {
-		return 0, err
-	}
-	entries := make([]directory.Entry, 0, len(read.Changes))
-	for _, change := range read.Changes {
-		entries = append(entries, change.Entry)
-	}
-	g.fleet.replace(time.Now(), entries)
-	g.warmed(warmServers)
-	return read.Revision, nil
-}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -75,11 +75,14 @@
 	f.apply(f.directory.Replace(now, entries))
 }
 
-// change takes in changes of the registered servers.
-func (f *fleet) change(now time.Time, changes []directory.Change) {
+// change takes in changes of the registered servers and returns those that tell
+// something new.
+func (f *fleet) change(now time.Time, changes []directory.Change) []directory.Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.apply(f.directory.Apply(now, changes))
+	news := f.directory.Changed(changes)
+	f.apply(f.directory.Apply(now, news))
+	return news
 }
 
 // adopt takes in a server that is not registered yet.
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/loadshare"
+)
+
+// fullReadAfter is the time since an entry's last reading of its own after which
+// it reads everything: the store may no longer have the history.
+const fullReadAfter = 8 * time.Second
+
+// follower takes turns with the peers' followers in reading from the store.
+type follower struct {
+	mu   sync.Mutex
+	turn *loadshare.Turn
+	kick chan struct{}
+}
+
+func newFollower(interval time.Duration) *follower {
+	return &follower{turn: loadshare.NewTurn(interval), kick: make(chan struct{}, 1)}
+}
+
+// told records a reading of this entry or a peer.
+func (f *follower) told(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.turn.Told(now)
+}
+
+// wake has the follower read at once.
+func (f *follower) wake() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (f *follower) due(rank int) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.turn.Due(rank)
+}
+
+// await waits for the follower's turn and returns false at the end of ctx.
+func (f *follower) await(ctx context.Context, rank func() int) bool {
+	for {
+		left := time.Until(f.due(rank()))
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+		case <-f.kick:
+			timer.Stop()
+			return true
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+	}
+}
+
+// rank is this entry's place among those that are there.
+func (g *Gateway) rank() int {
+	if g.sharer == nil {
+		return 0
+	}
+	return g.sharer.rank(time.Now())
+}
+
+// position is how far something was read.
+type position struct {
+	revision uint64
+	known    bool
+	readAt   time.Time
+}
+
+// followConfiguration keeps the newest configuration in force.
+func (g *Gateway) followConfiguration() {
+	store := g.newDependency("configuration")
+	var at position
+	for {
+		if g.rank() > 0 && !g.configFollower.await(g.background, g.rank) {
+			return
+		}
+		err := g.readConfiguration(&at)
+		switch {
+		case err == nil:
+			store.answered(time.Now())
+			g.serversFollower.wakeIf(g.storeLost.Swap(false))
+		case errors.Is(err, ErrHistoryLost):
+			g.options.Log.Info().Uint64("since", at.revision).Msg("configuration_history_lost")
+			at.known = false
+		default:
+			g.storeLost.Store(true)
+			if !g.pause(store.lost(time.Now(), err)) {
+				return
+			}
+		}
+		if g.background.Err() != nil {
+			return
+		}
+	}
+}
+
+func (f *follower) wakeIf(wake bool) {
+	if wake {
+		f.wake()
+	}
+}
+
+// readConfiguration reads the configuration once and tells the peers. The first
+// in rank waits at the store for a change, the others read it whole.
+func (g *Gateway) readConfiguration(at *position) error {
+	bounds := g.bounds.Load()
+	wait := configurationWait(bounds)
+	follow := at.known && g.rank() == 0 && time.Since(at.readAt) < fullReadAfter
+	timeout := firstReadTimeout
+	if follow {
+		timeout = wait + callMargin
+	}
+	ctx, cancel := context.WithTimeout(g.background, timeout)
+	defer cancel()
+	sent := bootClock()
+	var change ConfigurationChange
+	var err error
+	if follow {
+		change, err = g.options.Source.ConfigurationAfter(ctx, at.revision, wait)
+	} else {
+		change, err = g.options.Source.Configuration(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	*at = position{revision: change.Revision, known: true, readAt: time.Now()}
+	g.takeConfiguration(change, g.config.observe(change, sent))
+	return nil
+}
+
+// takeConfiguration puts a reading into force and tells the peers.
+func (g *Gateway) takeConfiguration(change ConfigurationChange, installed bool) {
+	if installed {
+		g.fleet.install(change.Table)
+		g.options.Log.Info().Uint64("version", change.Table.Version()).Uint64("revision", change.Revision).
+			Int("services", len(change.Table.Services())).Msg("configuration_installed")
+	}
+	table := g.config.table()
+	if table == nil {
+		return
+	}
+	g.warmed(warmConfiguration)
+	g.configFollower.told(time.Now())
+	proof := loadshare.Message{Kind: loadshare.Proof, Server: loadshare.ServerHash(table.Version()), Part: uint64(change.Now.Milliseconds())}
+	g.sharer.tell(proof)
+	if installed {
+		// Datagrams get lost; the second one is for those that missed the first.
+		time.AfterFunc(2*shareInterval, func() { g.sharer.tell(proof) })
+	}
+}
+
+// proofTold takes in a peer's proof of the configuration.
+func (g *Gateway) proofTold(now time.Time, m loadshare.Message) {
+	if g.config.observeTold(uint64(m.Server), time.Duration(m.Part)*time.Millisecond) {
+		g.configFollower.wake()
+		return
+	}
+	if table := g.config.table(); table != nil && table.Version() == uint64(m.Server) {
+		g.configFollower.told(now)
+	}
+}
+
+// servers is how far the registered servers were read, by whomever.
+type serversState struct {
+	mu sync.Mutex
+	position
+}
+
+// followServers keeps the registered servers.
+func (g *Gateway) followServers() {
+	store := g.newDependency("servers")
+	for g.serversFollower.await(g.background, g.rank) {
+		err := g.readServers()
+		switch {
+		case err == nil:
+			store.answered(time.Now())
+		case errors.Is(err, ErrHistoryLost):
+			g.options.Log.Info().Msg("servers_history_lost")
+			g.servers.lose()
+		default:
+			g.fleet.registryLost()
+			if !g.pauseForStore(store.lost(time.Now(), err)) {
+				return
+			}
+		}
+	}
+}
+
+// storeProbeMost is the time between two calls of the follower of the servers
+// while the other one knows the store to be lost and asks for its return.
+const storeProbeMost = 2 * time.Second
+
+// pauseForStore waits after a failed call, longer if the other follower asks.
+func (g *Gateway) pauseForStore(wait time.Duration) bool {
+	if !g.storeLost.Load() {
+		return g.pause(wait)
+	}
+	timer := time.NewTimer(storeProbeMost)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-g.serversFollower.kick:
+	case <-g.background.Done():
+		return false
+	}
+	return true
+}
+
+func (s *serversState) get() position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position
+}
+
+func (s *serversState) lose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known = false
+}
+
+// readServers reads the registered servers once and tells the peers what is new.
+func (g *Gateway) readServers() error {
+	ctx, cancel := context.WithTimeout(g.background, firstReadTimeout)
+	defer cancel()
+	at := g.servers.get()
+	if !at.known {
+		return g.readAllServers(ctx)
+	}
+	read, err := g.options.Source.ServersAfter(ctx, at.revision)
+	if err != nil {
+		return err
+	}
+	g.takeServers(time.Now(), at.revision, read)
+	return nil
+}
+
+func (g *Gateway) readAllServers(ctx context.Context) error {
+	read, err := g.options.Source.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	entries := make([]directory.Entry, 0, len(read.Changes))
+	for _, change := range read.Changes {
+		if !change.Removed {
+			entries = append(entries, change.Entry)
+		}
+	}
+	now := time.Now()
+	g.servers.mu.Lock()
+	g.fleet.replace(now, entries)
+	g.servers.position = position{revision: read.Revision, known: true, readAt: now}
+	g.servers.mu.Unlock()
+	g.serversFollower.told(now)
+	g.warmed(warmServers)
+	return nil
+}
+
+// takeServers takes in this entry's reading of what changed after from. Peers may
+// have told of later changes meanwhile; then it is old.
+func (g *Gateway) takeServers(now time.Time, from uint64, read ServersChange) {
+	g.servers.mu.Lock()
+	defer g.servers.mu.Unlock()
+	if read.Revision < g.servers.revision {
+		return
+	}
+	news := g.fleet.change(now, read.Changes)
+	g.servers.position = position{revision: read.Revision, known: true, readAt: now}
+	g.serversFollower.told(now)
+	g.sharer.tellReading(&loadshare.Reading{From: from, To: read.Revision, Changes: news})
+}
+
+// readingTold takes in what a peer read of the registered servers.
+func (g *Gateway) readingTold(now time.Time, r *loadshare.Reading) {
+	g.servers.mu.Lock()
+	defer g.servers.mu.Unlock()
+	switch {
+	case !g.servers.known || r.To < g.servers.revision:
+	case r.From > g.servers.revision || r.Partial:
+		g.serversFollower.wake()
+	default:
+		g.fleet.change(now, r.Changes)
+		g.servers.revision = r.To
+		g.serversFollower.told(now)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,7 +23,6 @@
 	options Options
 	bounds  atomic.Pointer[Bounds]
 	config  *configState
-	store   *storeSignal
 	fleet   *fleet
 	pool    *upstream.Pool
 	budgets *budgets
@@ -33,6 +32,12 @@
 	server  *http.Server
 	ready   *http.Server
 
+	configFollower  *follower
+	serversFollower *follower
+	servers         serversState
+	// storeLost tells that the last call for the configuration failed.
+	storeLost atomic.Bool
+
 	background context.Context
 	stop       context.CancelFunc
 	wait       sync.WaitGroup
@@ -63,7 +68,8 @@
 	}
 	g.fleet.told = g.sharer.tell
 	g.config = newConfigState(&options)
-	g.store = newStoreSignal()
+	g.configFollower = newFollower(configurationWait(&options.Bounds))
+	g.serversFollower = newFollower(serversInterval(&options.Bounds))
 	g.budgets = newBudgets(options.Bounds)
 	g.crashes = newCrashes()
 	g.surveys = newSurveyor(g)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -152,7 +152,7 @@
 	if p.sends > 0 && !p.route.Idempotent() {
 		return false
 	}
-	return p.budgets.take(now, p.service)
+	return p.budgets.take(now, p.service, false)
 }
 
 func (p *plainRun) trySend(ctx context.Context, why string) {
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/routing"
@@ -23,7 +24,7 @@
 	// maxPending bounds the messages that wait to be sent; more are dropped.
 	maxPending = 1024
 	// maxDatagram is the size of the read buffer in bytes.
-	maxDatagram = 2048
+	maxDatagram = loadshare.MaxReadingBytes + 1
 )
 
 // sharer tells peers of sends and losses and takes in theirs.
@@ -62,6 +63,32 @@
 	}
 }
 
+// tellReading tells the peers what was read of the registered servers.
+func (s *sharer) tellReading(r *loadshare.Reading) {
+	if s == nil {
+		return
+	}
+	datagram, err := loadshare.AppendReading(nil, s.port, r)
+	if err != nil {
+		s.g.options.Log.Error().Err(err).Msg("reading_not_told")
+		return
+	}
+	s.sendAll(s.targets(time.Now()), datagram)
+}
+
+func (s *sharer) targets(now time.Time) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]netip.AddrPort(nil), s.peers.Targets(now)...)
+}
+
+// rank is this entry's place among those that are there.
+func (s *sharer) rank(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers.Rank(now)
+}
+
 func (s *sharer) flush() {
 	now := time.Now()
 	s.mu.Lock()
@@ -77,7 +104,10 @@
 }
 
 func (s *sharer) send(targets []netip.AddrPort, messages []loadshare.Message) {
-	datagram := loadshare.Append(nil, s.port, messages)
+	s.sendAll(targets, loadshare.Append(nil, s.port, messages))
+}
+
+func (s *sharer) sendAll(targets []netip.AddrPort, datagram []byte) {
 	for _, target := range targets {
 		if _, err := s.conn.WriteToUDPAddrPort(datagram, target); err != nil {
 			telemetry.Counter(s.g.options.Metrics, "share.send_errors").Inc(1)
@@ -126,11 +156,11 @@
 		now := time.Now()
 		s.mu.Lock()
 		due := s.peers.Hellos(now)
-		there := s.peers.There(now)
+		there, known := s.peers.There(now), s.peers.Known()
 		s.mu.Unlock()
 		s.send(due, hello)
 		s.g.fleet.setPeers(there)
-		s.g.budgets.setEntries(there + 1)
+		s.g.budgets.setEntries(there+1, known+1)
 	}
 }
 
@@ -146,16 +176,55 @@
 			telemetry.Counter(s.g.options.Metrics, "share.receive_errors").Inc(1)
 			continue
 		}
-		sender, messages, err := loadshare.Parse(buf[:n], from)
-		if err != nil {
+		if err := s.take(time.Now(), buf[:n], from); err != nil {
 			telemetry.Counter(s.g.options.Metrics, "share.malformed").Inc(1)
-			continue
 		}
-		s.heard(time.Now(), sender, messages)
 	}
 }
 
-func (s *sharer) heard(now time.Time, sender netip.AddrPort, messages []loadshare.Message) {
+// take takes in one datagram.
+func (s *sharer) take(now time.Time, data []byte, from netip.AddrPort) error {
+	if loadshare.IsReading(data) {
+		sender, reading, err := loadshare.ParseReading(data, from)
+		if err != nil {
+			return err
+		}
+		s.heard(now, sender)
+		s.g.readingTold(now, reading)
+		return nil
+	}
+	sender, messages, err := loadshare.Parse(data, from)
+	if err != nil {
+		return err
+	}
+	s.heard(now, sender)
+	for _, m := range messages {
+		s.takeMessage(now, m)
+	}
+	return nil
+}
+
+func (s *sharer) takeMessage(now time.Time, m loadshare.Message) {
+	switch m.Kind {
+	case loadshare.Started, loadshare.Repeated:
+		service, ok := s.g.fleet.peerStarted(now, m)
+		if !ok {
+			return
+		}
+		if m.Kind == loadshare.Started {
+			s.g.budgets.asked(now, service)
+		} else {
+			s.g.budgets.repeated(now, service)
+		}
+	case loadshare.Lost:
+		s.g.fleet.peerLost(now, m.Server)
+	case loadshare.Proof:
+		s.g.proofTold(now, m)
+	}
+}
+
+// heard records a datagram of a peer and answers the first one.
+func (s *sharer) heard(now time.Time, sender netip.AddrPort) {
 	s.mu.Lock()
 	isNew := s.peers.Heard(now, sender)
 	s.mu.Unlock()
@@ -163,38 +232,36 @@
 		s.g.options.Log.Info().Str("peer", sender.String()).Msg("peer_heard")
 		s.send([]netip.AddrPort{sender}, []loadshare.Message{{Kind: loadshare.Hello}})
 	}
-	for _, m := range messages {
-		switch m.Kind {
-		case loadshare.Started:
-			s.g.fleet.peerStarted(now, m)
-		case loadshare.Lost:
-			s.g.fleet.peerLost(now, m.Server)
-		}
-	}
 }
 
 // startedMessage tells of a send.
-func startedMessage(id serverID, work routing.Work) loadshare.Message {
-	m := loadshare.Message{Kind: loadshare.Started, Server: loadshare.HashServer(id), Tokens: work.PromptTokens}
+func startedMessage(id serverID, work routing.Work, repeated bool) loadshare.Message {
+	kind := loadshare.Started
+	if repeated {
+		kind = loadshare.Repeated
+	}
+	m := loadshare.Message{Kind: kind, Server: loadshare.HashServer(id), Tokens: work.PromptTokens}
 	if n := len(work.Prefixes); n > 0 {
 		m.Part = work.Prefixes[n-1].Hash
 	}
 	return m
 }
 
-// peerStarted takes in that a peer sent a request to a server.
-func (f *fleet) peerStarted(now time.Time, m loadshare.Message) {
+// peerStarted takes in that a peer sent a request to a server. It returns the
+// server's service, if the server is known.
+func (f *fleet) peerStarted(now time.Time, m loadshare.Message) (wigeonfork.Model, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, ok := f.hashes[m.Server]
 	if !ok {
-		return
+		return "", false
 	}
 	work := routing.Work{PromptTokens: m.Tokens}
 	if m.Part != 0 {
 		work.Prefixes = []routing.Prefix{{Hash: m.Part, Tokens: m.Tokens}}
 	}
 	f.router.PeerStarted(now, id, work)
+	return f.entries[id].Service, true
 }
 
 // peerLost has a server that a peer found lost asked for a sign of life.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -196,7 +196,7 @@
 	if s.crashes.refused(time.Now(), s.print) {
 		return problem.New(problem.CodeBackendFailed, problem.RunUnknown, problem.StepResume, "the request crashes backend servers")
 	}
-	if !s.budgets.take(time.Now(), s.service) {
+	if !s.budgets.take(time.Now(), s.service, s.sharer != nil) {
 		return lost
 	}
 	return nil
@@ -271,7 +271,7 @@
 	startBy := now.Add(max(firstEventLeast, firstEventFactor*t.place.expectedWait))
 	watch := s.fleet.watch(now, t.place, startBy, cancel)
 	defer s.fleet.unwatch(watch)
-	s.sharer.tell(startedMessage(t.place.ID, s.work))
+	s.sharer.tell(startedMessage(t.place.ID, s.work, s.sendsMade > 1))
 	request := s.request(now, t.place, s.attempt(now, t))
 	request.FreshConnection = !s.route.Idempotent()
 	response, err := s.pool.Do(ctx, t.place.upstream(), request)
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -25,8 +25,13 @@
 	Hello Kind = iota + 1
 	// Started: the sender sent a request to a backend server.
 	Started
+	// Repeated: the sender sent a request to one more backend server.
+	Repeated
 	// Lost: the sender finds that a backend server does not answer.
 	Lost
+	// Proof: the configuration of version Server was the newest when the store's
+	// clock showed Part milliseconds.
+	Proof
 )
 
 // ServerHash stands for a backend server's id in messages.
@@ -50,9 +55,10 @@
 // Wire format of a datagram: version, port of the sender's listener, then the
 // messages of messageSize bytes each, all in little endian.
 const (
-	wireVersion = 1
-	headerSize  = 1 + 2
-	messageSize = 1 + 8 + 4 + 8
+	wireVersion    = 1
+	readingVersion = 2
+	headerSize     = 1 + 2
+	messageSize    = 1 + 8 + 4 + 8
 	// MaxMessages is the number of messages that fit in one datagram on every path.
 	MaxMessages = (1200 - headerSize) / messageSize
 )
@@ -87,7 +93,7 @@
 			Tokens: binary.LittleEndian.Uint32(data[9:]),
 			Part:   binary.LittleEndian.Uint64(data[13:]),
 		}
-		if m.Kind < Hello || m.Kind > Lost {
+		if m.Kind < Hello || m.Kind > Proof {
 			return sender, nil, errors.Newf("message of unknown kind %d", m.Kind)
 		}
 		messages = append(messages, m)
--- a/loadshare/peers.go
+++ b/loadshare/peers.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -75,6 +77,23 @@
 	return n
 }
 
+// Known returns the number of peers that were ever known.
+func (p *Peers) Known() int { return len(p.peers) }
+
+// Rank returns the number of peers that are there and come before this entry in
+// an order on which all entries agree.
+func (p *Peers) Rank(now time.Time) int {
+	rank, own := 0, order(p.self)
+	for address, known := range p.peers {
+		if known.there(now) && order(address) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func order(address netip.AddrPort) uint64 { return xxhash.Sum64String(address.String()) }
+
 // Targets returns the peers to tell of sends and losses.
 func (p *Peers) Targets(now time.Time) []netip.AddrPort {
 	p.list = p.list[:0]
--- /dev/null
+++ b/loadshare/reading.go
@@ -0,0 +1,52 @@
+package loadshare
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wigeonfork/wigeonfork/directory"
+)
+
+// MaxReadingBytes bounds the datagram of a reading; one that does not fit is told
+// without its changes.
+const MaxReadingBytes = 16 << 10
+
+// Reading is what one entry read of the registered servers: all that changed after
+// revision From up to revision To.
+type Reading struct {
+	From uint64 `cbor:"1,keyasint"`
+	To   uint64 `cbor:"2,keyasint"`
+	// Partial says that the changes did not fit and must be read.
+	Partial bool               `cbor:"3,keyasint,omitempty"`
+	Changes []directory.Change `cbor:"4,keyasint,omitempty"`
+}
+
+// AppendReading encodes a datagram with a reading from the listener at port.
+func AppendReading(buf []byte, port uint16, r *Reading) ([]byte, error) {
+	buf = append(buf, readingVersion)
+	buf = binary.LittleEndian.AppendUint16(buf, port)
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode reading")
+	}
+	if len(buf)+len(body) > MaxReadingBytes {
+		return AppendReading(buf[:0], port, &Reading{From: r.From, To: r.To, Partial: true})
+	}
+	return append(buf, body...), nil
+}
+
+// IsReading tells whether a datagram holds a reading.
+func IsReading(data []byte) bool { return len(data) > headerSize && data[0] == readingVersion }
+
+// ParseReading decodes a datagram for which IsReading holds.
+func ParseReading(data []byte, from netip.AddrPort) (netip.AddrPort, *Reading, error) {
+	sender := netip.AddrPortFrom(from.Addr().Unmap(), binary.LittleEndian.Uint16(data[1:]))
+	r := &Reading{}
+	if err := cbor.Unmarshal(data[headerSize:], r); err != nil {
+		return sender, nil, errors.Wrap(err, "decode reading")
+	}
+	return sender, r, nil
+}
--- /dev/null
+++ b/loadshare/turn.go
@@ -0,0 +1,40 @@
+package loadshare
+
+import "time"
+
+const (
+	// turnSlack is the part of the interval by which a reading may be late before
+	// another entry reads in its place.
+	turnSlack = 0.3
+	// turnStagger is the time between the turns of two entries, so that only the
+	// next one reads where the first has failed.
+	turnStagger = 120 * time.Millisecond
+	// maxStagger bounds the ranks that are staggered.
+	maxStagger = 5
+)
+
+// Turn decides when an entry reads from the store by itself. The entry with rank 0
+// reads at each interval and tells the others; the next in rank reads if nothing
+// was told in time. It is a deterministic decision type.
+type Turn struct {
+	interval time.Duration
+	told     time.Time
+}
+
+// NewTurn returns a Turn for a reading at each interval.
+func NewTurn(interval time.Duration) *Turn { return &Turn{interval: interval} }
+
+// Told records a reading, of this entry or of a peer.
+func (t *Turn) Told(now time.Time) { t.told = now }
+
+// Due returns when the entry with a rank reads next.
+func (t *Turn) Due(rank int) time.Time {
+	if t.told.IsZero() {
+		return t.told
+	}
+	if rank == 0 {
+		return t.told.Add(t.interval)
+	}
+	late := time.Duration(turnSlack*float64(t.interval)) + time.Duration(min(rank, maxStagger))*turnStagger
+	return t.told.Add(t.interval + late)
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -143,17 +143,6 @@
 	return o
 }
 
-// Limits are the limits of all levels.
-type Limits struct {
-	Caller, Workspace, Overall Limit
-}
-
-// SetLimits changes the limits. Budgets above a new burst are cut to it as they
-// are next used.
-func (b *Budgets) SetLimits(l Limits) {
-	b.options.Caller, b.options.Workspace, b.options.Overall = l.Caller, l.Workspace, l.Overall
-}
-
 // Succeeded credits the budgets with an attempt that succeeded.
 func (b *Budgets) Succeeded(now time.Time, from Origin) {
 	credit(now, b.callers.get(from), &b.options.Caller)
--- /dev/null
+++ b/retry/shared_test.go
@@ -0,0 +1,45 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// The load of a failure domain's loss: all resumes of one entry at once, after a
+// window of few requests.
+func TestSharedBudget(t *testing.T) {
+	start := time.Unix(1000, 0)
+	Convey("A burst of resumes at one entry may use the slack that the others leave", t, func() {
+		b := NewShared(0.5, 20, 10*time.Second)
+		for i := range 10 {
+			b.Asked(start.Add(time.Duration(i) * 100 * time.Millisecond))
+		}
+		taken := 0
+		for range 100 {
+			if b.Take(start.Add(2*time.Second), 1) {
+				taken++
+			}
+		}
+		So(taken, ShouldEqual, 25)
+		Convey("and none of it that others used", func() {
+			So(b.Take(start.Add(5*time.Second), 1), ShouldBeFalse)
+			b.Repeated(start.Add(13 * time.Second))
+			So(b.Take(start.Add(14*time.Second), 1), ShouldBeTrue)
+		})
+		Convey("and all of it again once the window has passed", func() {
+			So(b.Take(start.Add(20*time.Second), 1), ShouldBeTrue)
+		})
+	})
+	Convey("Where others are not heard, their part of the slack is left to them", t, func() {
+		b := NewShared(0.5, 20, 10*time.Second)
+		taken := 0
+		for range 100 {
+			if b.Take(start, 0.25) {
+				taken++
+			}
+		}
+		So(taken, ShouldEqual, 5)
+	})
+}
