--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -279,6 +279,9 @@
 	if read.Revision < g.servers.revision {
 		return
 	}
+	// What is known already is no news here, but may be to a peer that has not
+	// heard of it: the reading is told from where this entry stood.
+	from = max(from, g.servers.revision)
 	news := g.fleet.change(now, read.Changes)
 	g.servers.position = position{revision: read.Revision, known: true, readAt: now}
 	g.serversFollower.told(now)
