--- a/routing/choose.go
+++ b/routing/choose.go
@@ -16,6 +16,7 @@
 	firstWeight       = 2.0  // seconds of decoding that outweigh one before the first token
 	resumeWeight      = 20.0 // the same for a resume
 	queueWeight       = 10   // seconds of decoding that outweigh one in the queue
+	interference      = 0.8  // part of a prompt's reading by which others' tokens are late
 	foreignMargin     = 0.2  // part of the reported load that may have come since
 	reservedSlots     = 2.0  // of each server, left to resumes while others are free
 	sampleAttempts    = 3    // draws per wanted sample before the group is scanned
@@ -30,6 +31,7 @@
 	queue       float64 // seconds in the engine's queue
 	wait        float64 // seconds to the first token
 	total       float64 // seconds to the last token
+	delays      float64 // seconds that the running requests are delayed, summed up
 	avoided     bool
 	probe       bool
 }
@@ -206,6 +208,10 @@
 		load = 0
 	}
 	c.total = c.wait + answer*gap*s.slowdown(load)
+	c.delays = 0
+	if r.options.Without&TermInterference == 0 {
+		c.delays = interference * load * fresh / rate
+	}
 }
 
 func adapterTime(s *server, req *Request) float64 {
@@ -235,7 +241,7 @@
 	if req.Resume {
 		first = resumeWeight
 	}
-	score := c.total + queueWeight*c.queue + first*c.wait
+	score := c.total + c.delays + queueWeight*c.queue + first*c.wait
 	if c.avoided {
 		score += time.Hour.Seconds()
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -276,7 +276,7 @@
 	normalised := gap.Seconds() / s.slowdown(n)
 	s.recovered(normalised)
 	if s.state != StateSuspect {
-		s.gap.observe(now, normalised, quick, minSampleWeight)
+		s.learnGap(now, normalised)
 		toward(&s.typical.gap, normalised, normalised < s.typical.gap)
 		s.usual.observe(now, normalised, steady, 0)
 	}
--- a/routing/server.go
+++ b/routing/server.go
@@ -13,8 +13,9 @@
 	priorService      = 5 * time.Second
 	priorSlots        = 16
 	otherDomainTrip   = time.Millisecond
-	quick             = 2 * time.Second // time over which a changed value is learned
-	steady            = time.Minute     // the same for the usual value
+	quick             = 2 * time.Second  // time over which a changed value is learned
+	slower            = 10 * time.Second // time over which a worse value is learned
+	steady            = time.Minute      // the same for the usual value
 	minSampleWeight   = 0.02
 	maxSampleWeight   = 0.5
 	historyLength     = 16
@@ -184,6 +185,16 @@
 	s.rate.observe(now, rate, steady, 0)
 }
 
+// learnGap takes in an inter-token time. Prompts that are read meanwhile stretch
+// it, so a shorter one counts at once and a longer one slowly.
+func (s *server) learnGap(now time.Time, gap float64) {
+	if s.gap.at.IsZero() || gap < s.gap.value {
+		s.gap.observe(now, gap, quick, maxSampleWeight)
+		return
+	}
+	s.gap.observe(now, gap, slower, 0)
+}
+
 // record keeps the count of own requests over time, so that a lagging report
 // can be compared with the count at the time of its measurement.
 func (s *server) record(now time.Time) {
--- a/routing/types.go
+++ b/routing/types.go
@@ -149,6 +149,9 @@
 	TermSuspect
 	// TermBound limits the load that a hot prefix draws to one server.
 	TermBound
+	// TermInterference counts how long reading the prompt delays the requests that
+	// already run on the server.
+	TermInterference
 )
 
 // Options configures a Router. Zero values take the defaults.
