--- a/directory/directory.go
+++ b/directory/directory.go
@@ -111,8 +111,8 @@
 		seen[entry.ID] = true
 		d.put(entry)
 	}
-	for id := range d.records {
-		if !seen[id] {
+	for id, r := range d.records {
+		if !seen[id] && r.adopted.IsZero() {
 			d.remove(now, id)
 		}
 	}
@@ -135,22 +135,28 @@
 	return d.events
 }
 
-// Changed returns those of the changes that tell something new: most are signs of
-// life.
+// Changed returns those of the changes that tell something new, the last one of
+// each server: most are signs of life. A removal is always told, since a peer may
+// know a server that is not known here.
 func (d *Directory) Changed(changes []Change) []Change {
+	last := make(map[wigeonfork.BackendServerID]int, len(changes))
+	for i, change := range changes {
+		last[change.ID] = i
+	}
 	var news []Change
-	for _, change := range changes {
-		r := d.records[change.ID]
-		switch {
-		case change.Removed && r == nil:
-		case !change.Removed && r != nil && r.entry == change.Entry && !r.lapsed && r.adopted.IsZero():
-		default:
+	for i, change := range changes {
+		if last[change.ID] == i && (change.Removed || d.tellsNew(change.Entry)) {
 			news = append(news, change)
 		}
 	}
 	return news
 }
 
+func (d *Directory) tellsNew(entry Entry) bool {
+	r := d.records[entry.ID]
+	return r == nil || r.entry != entry || r.lapsed || !r.adopted.IsZero()
+}
+
 // Expire ends the wait for entries that ran out during an outage.
 func (d *Directory) Expire(now time.Time) []Event {
 	d.events = d.events[:0]
@@ -219,9 +225,6 @@
 		r.lapsed = true
 		return
 	}
-	if !r.adopted.IsZero() {
-		return
-	}
 	d.drop(id, r)
 }
 
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,120 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id string) Entry {
+	return Entry{ID: wigeonfork.BackendServerID(id), Service: "s", Address: "10.0.0.1:80", Domain: "a", Version: "v1", Slots: 8, Born: 1}
+}
+
+func draining(e Entry) Entry {
+	e.Draining = true
+	return e
+}
+
+func reborn(e Entry) Entry {
+	e.Born++
+	return e
+}
+
+func kinds(events []Event) []EventKind {
+	list := make([]EventKind, 0, len(events))
+	for _, e := range events {
+		list = append(list, e.Kind)
+	}
+	return list
+}
+
+func TestServersComeAndGo(t *testing.T) {
+	Convey("A server takes work from its entry on until it drains", t, func() {
+		d := New()
+		So(kinds(d.Replace(start, []Entry{entry("a")})), ShouldResemble, []EventKind{Added})
+		So(d.Apply(start, []Change{{Entry: entry("a")}}), ShouldBeEmpty)
+		So(kinds(d.Apply(start, []Change{{Entry: draining(entry("a"))}})), ShouldResemble, []EventKind{Left})
+		So(d.Apply(start, []Change{{Entry: Entry{ID: "a"}, Removed: true}}), ShouldBeEmpty)
+	})
+	Convey("One that never drains leaves with its entry", t, func() {
+		d := New()
+		d.Replace(start, []Entry{entry("a")})
+		So(kinds(d.Apply(start, []Change{{Entry: Entry{ID: "a"}, Removed: true}})), ShouldResemble, []EventKind{Left})
+	})
+	Convey("One that starts anew under its id is told as restarted", t, func() {
+		d := New()
+		d.Replace(start, []Entry{entry("a")})
+		So(kinds(d.Apply(start, []Change{{Entry: reborn(entry("a"))}})), ShouldResemble, []EventKind{Restarted})
+	})
+}
+
+// Entries that run out while the registry is away, all at once.
+func TestLapseDuringOutage(t *testing.T) {
+	Convey("A server whose entry ran out in an outage takes work until it had time to return", t, func() {
+		d := New()
+		d.Replace(start, []Entry{entry("a"), entry("b")})
+		d.Lost()
+		back := start.Add(10 * time.Second)
+		So(d.Replace(back, nil), ShouldBeEmpty)
+		So(d.Len(), ShouldEqual, 2)
+		So(d.Apply(back.Add(time.Second), []Change{{Entry: entry("a")}}), ShouldBeEmpty)
+		events := d.Expire(back.Add(ReturnWait))
+		So(kinds(events), ShouldResemble, []EventKind{Left})
+		So(events[0].Entry.ID, ShouldEqual, wigeonfork.BackendServerID("b"))
+		So(events[0].Lapsed, ShouldBeTrue)
+	})
+	Convey("A removal long after the outage counts at once", t, func() {
+		d := New()
+		d.Replace(start, []Entry{entry("a")})
+		d.Lost()
+		back := start.Add(10 * time.Second)
+		d.Replace(back, []Entry{entry("a")})
+		So(kinds(d.Apply(back.Add(ReturnWait), []Change{{Entry: Entry{ID: "a"}, Removed: true}})), ShouldResemble, []EventKind{Left})
+	})
+}
+
+func TestAdoption(t *testing.T) {
+	Convey("Given a server that was met before it registered", t, func() {
+		d := New()
+		d.Replace(start, nil)
+		So(kinds(d.Adopt(start, entry("n"))), ShouldResemble, []EventKind{Added})
+		Convey("a reading without it says nothing, as it may not have registered yet", func() {
+			So(d.Replace(start.Add(time.Second), nil), ShouldBeEmpty)
+		})
+		Convey("its removal counts, even if its entry was never seen", func() {
+			So(kinds(d.Apply(start.Add(time.Second), []Change{{Entry: Entry{ID: "n"}, Removed: true}})), ShouldResemble, []EventKind{Left})
+		})
+		Convey("its entry confirms it without a restart", func() {
+			So(kinds(d.Apply(start.Add(time.Second), []Change{{Entry: reborn(entry("n"))}})), ShouldResemble, []EventKind{Updated})
+			So(d.Expire(start.Add(time.Minute)), ShouldBeEmpty)
+		})
+		Convey("it leaves if it does not register in time", func() {
+			So(d.Expire(start.Add(AdoptedLimit)), ShouldBeEmpty)
+			So(kinds(d.Expire(start.Add(AdoptedLimit+time.Millisecond))), ShouldResemble, []EventKind{Left})
+		})
+		Convey("it stays while the registry is away", func() {
+			d.Lost()
+			So(d.Expire(start.Add(time.Minute)), ShouldBeEmpty)
+		})
+	})
+}
+
+func TestChangedTellsNewsOnly(t *testing.T) {
+	Convey("Signs of life are no news, changes and removals are", t, func() {
+		d := New()
+		d.Replace(start, []Entry{entry("a"), entry("b")})
+		removed := Change{Entry: Entry{ID: "gone"}, Removed: true}
+		news := d.Changed([]Change{{Entry: entry("a")}, {Entry: draining(entry("b"))}, removed})
+		So(news, ShouldResemble, []Change{{Entry: draining(entry("b"))}, removed})
+	})
+	Convey("Of a server that came and left between two readings the end is told", t, func() {
+		d := New()
+		removed := Change{Entry: Entry{ID: "n"}, Removed: true}
+		So(d.Changed([]Change{{Entry: entry("n")}, removed}), ShouldResemble, []Change{removed})
+	})
+}
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -218,6 +218,8 @@
 		}
 	case loadshare.Lost:
 		s.g.fleet.peerLost(now, m.Server)
+	case loadshare.Pace:
+		s.g.fleet.peerPace(now, m)
 	case loadshare.Proof:
 		s.g.proofTold(now, m)
 	}
@@ -235,12 +237,15 @@
 }
 
 // startedMessage tells of a send.
-func startedMessage(id serverID, work routing.Work, repeated bool) loadshare.Message {
+func startedMessage(id serverID, work routing.Work, copied, repeated bool) loadshare.Message {
 	kind := loadshare.Started
 	if repeated {
 		kind = loadshare.Repeated
 	}
 	m := loadshare.Message{Kind: kind, Server: loadshare.HashServer(id), Tokens: work.PromptTokens}
+	if copied {
+		m.Tokens = 0
+	}
 	if n := len(work.Prefixes); n > 0 {
 		m.Part = work.Prefixes[n-1].Hash
 	}
@@ -264,6 +269,25 @@
 	return f.entries[id].Service, true
 }
 
+// paceMessage tells what was measured of a server, if anything was.
+func (f *fleet) paceMessage(id serverID) (loadshare.Message, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	gap, rate, ok := f.router.Pace(id)
+	return loadshare.Message{
+		Kind: loadshare.Pace, Server: loadshare.HashServer(id), Tokens: uint32(gap.Microseconds()), Part: uint64(rate),
+	}, ok
+}
+
+// peerPace takes in what a peer measured of a server.
+func (f *fleet) peerPace(now time.Time, m loadshare.Message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if id, ok := f.hashes[m.Server]; ok {
+		f.router.PeerPace(now, id, time.Duration(m.Tokens)*time.Microsecond, float64(m.Part))
+	}
+}
+
 // peerLost has a server that a peer found lost asked for a sign of life.
 func (f *fleet) peerLost(_ time.Time, server loadshare.ServerHash) {
 	f.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,7 +34,7 @@
 	// serverPoll is the time between two looks for such a server.
 	serverPoll = 40 * time.Millisecond
 	// progressEvents is the number of events between two samples of the pace.
-	progressEvents = 16
+	progressEvents = 10
 )
 
 // runEnd tells how one run of a stream ended.
@@ -209,7 +209,9 @@
 	}
 	id := s.backup.ID
 	s.dropBackup()
-	place := s.fleet.take(now, id, s.work)
+	work := s.work
+	work.Copied = true
+	place := s.fleet.take(now, id, work)
 	if place == nil {
 		return target{}, false
 	}
@@ -271,7 +273,7 @@
 	startBy := now.Add(max(firstEventLeast, firstEventFactor*t.place.expectedWait))
 	watch := s.fleet.watch(now, t.place, startBy, cancel)
 	defer s.fleet.unwatch(watch)
-	s.sharer.tell(startedMessage(t.place.ID, s.work, s.sendsMade > 1))
+	s.sharer.tell(startedMessage(t.place.ID, s.work, t.copied, s.sendsMade > 1))
 	request := s.request(now, t.place, s.attempt(now, t))
 	request.FreshConnection = !s.route.Idempotent()
 	response, err := s.pool.Do(ctx, t.place.upstream(), request)
@@ -389,13 +391,15 @@
 type pace struct {
 	from   time.Time
 	events int
+	told   bool
 }
 
 // learn tells the fleet how fast a server reads a prompt and makes events.
 func (s *streamRun) learn(now time.Time, t target, p *pace) {
 	p.events++
 	if p.events == 1 {
-		if !t.copied {
+		// A prompt of which a server keeps a part says nothing of its pace.
+		if !t.copied && s.sendsMade == 1 && s.caller.LastEvent == 0 {
 			s.fleet.firstToken(now, t.place, routing.FirstToken{Wait: now.Sub(p.from), PromptTokens: s.work.PromptTokens})
 		}
 		p.from = now
@@ -405,6 +409,18 @@
 		tokens := (progressEvents - 1) * s.eventTokens()
 		s.fleet.progress(now, t.place, tokens, now.Sub(p.from)/time.Duration(tokens))
 		p.from, p.events = now, 1
+		s.tellPace(t.place.ID, p)
+	}
+}
+
+// tellPace tells the peers once a run how fast its server is.
+func (s *streamRun) tellPace(id serverID, p *pace) {
+	if p.told {
+		return
+	}
+	if m, ok := s.fleet.paceMessage(id); ok {
+		s.sharer.tell(m)
+		p.told = true
 	}
 }
 
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -32,6 +32,9 @@
 	// Proof: the configuration of version Server was the newest when the store's
 	// clock showed Part milliseconds.
 	Proof
+	// Pace: the sender measured a backend server: Tokens is the time between two
+	// tokens in microseconds, Part the prompt tokens read in a second.
+	Pace
 )
 
 // ServerHash stands for a backend server's id in messages.
@@ -93,7 +96,7 @@
 			Tokens: binary.LittleEndian.Uint32(data[9:]),
 			Part:   binary.LittleEndian.Uint64(data[13:]),
 		}
-		if m.Kind < Hello || m.Kind > Proof {
+		if m.Kind < Hello || m.Kind > Pace {
 			return sender, nil, errors.Newf("message of unknown kind %d", m.Kind)
 		}
 		messages = append(messages, m)
--- a/routing/router.go
+++ b/routing/router.go
@@ -218,7 +218,9 @@
 	s.tokens += work.tokens()
 	_, saved := r.prefix.cached(now, work.Prefixes, i, r.options.CacheBelief)
 	_, rate, _ := r.speed(now, s)
-	s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-saved))
+	if !work.Copied {
+		s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-saved))
+	}
 	for _, p := range work.Prefixes {
 		r.prefix.add(now, p, i)
 	}
@@ -243,6 +245,28 @@
 	}
 }
 
+// Pace returns what this router measured of a server, and false if it has not yet.
+func (r *Router) Pace(id ID) (gap time.Duration, rate float64, ok bool) {
+	s := r.find(id)
+	if s == nil || s.gap.at.IsZero() {
+		return 0, 0, false
+	}
+	return seconds(s.gap.value), s.rate.value, true
+}
+
+// PeerPace takes in what another entry measured of a server. It counts until this
+// router has measured more.
+func (r *Router) PeerPace(now time.Time, id ID, gap time.Duration, rate float64) {
+	s := r.find(id)
+	if s == nil || gap <= 0 || gap > maxSaneGap {
+		return
+	}
+	s.learnGap(now, gap.Seconds())
+	if rate > 0 {
+		s.learnRate(now, rate)
+	}
+}
+
 // SetPeers tells whether other entries tell of their sends: then the prompts
 // before a new one are known, and not estimated from the own ones.
 func (r *Router) SetPeers(told bool) { r.told = told }
