Prove the gateway over stand-ins of the users' store and runners

Real gateways on loopback before standin/rowstore, standin/runner and standin/deployment: streams whole through killed and silent runners, unsafe requests once, refusals that are true, keys failing closed in four kinds of outages, runners adopted while the store is away, bad input, planned stops. Found by them: an entry that refused keys still called itself ready where the revoke limit is short. freshness is checked over drawn delays (rapid), loadshare over its turns.

--- /dev/null
+++ b/freshness/freshness_test.go
@@ -0,0 +1,62 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+const ms = Clock(time.Millisecond)
+
+func TestBound(t *testing.T) {
+	Convey("Without a proof there is no age", t, func() {
+		_, proved := new(Bound).Age(100 * ms)
+		So(proved, ShouldBeFalse)
+	})
+	Convey("A call that waited at the store proves the time of its answer", t, func() {
+		var b Bound
+		b.Observe(1000*ms, 1010*ms, 50*time.Millisecond)
+		b.Observe(1010*ms, 3020*ms, 2065*time.Millisecond)
+		age, proved := b.Age(3020 * ms)
+		So(proved, ShouldBeTrue)
+		So(age, ShouldEqual, 5*time.Millisecond)
+	})
+	Convey("A peer's word counts from when it was true, however late it comes", t, func() {
+		var b Bound
+		b.ObserveTold(9999 * time.Millisecond)
+		_, proved := b.Age(5000 * ms)
+		So(proved, ShouldBeFalse)
+		b.Observe(1000*ms, 1010*ms, 50*time.Millisecond)
+		b.ObserveTold(550 * time.Millisecond)
+		age, _ := b.Age(9000 * ms)
+		So(age, ShouldEqual, 7500*time.Millisecond)
+	})
+}
+
+// TestBoundNeverOverstates draws calls with any delays on both ways and checks that
+// no proof is younger than the state that it is about.
+func TestBoundNeverOverstates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		storeAhead := time.Duration(rapid.Int64Range(-1e9, 1e9).Draw(t, "clock difference"))
+		var b Bound
+		now, newest := Clock(10*time.Second), Clock(0)
+		for range rapid.IntRange(1, 30).Draw(t, "calls") {
+			there := Clock(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "way there"))
+			back := Clock(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "way back"))
+			answered := now + there
+			newest = max(newest, answered)
+			storeNow := time.Duration(answered) + storeAhead
+			if rapid.Bool().Draw(t, "told by a peer") {
+				b.ObserveTold(storeNow)
+			} else {
+				b.Observe(now, answered+back, storeNow)
+			}
+			now = answered + back
+			if age, proved := b.Age(now); proved && age < time.Duration(now-newest) {
+				t.Fatalf("age %v is less than that of the newest state, %v", age, time.Duration(now-newest))
+			}
+		}
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -218,4 +218,6 @@
 
 // unreadyAge is the age of the configuration at which callers do better at
 // another entry: soon their keys would be refused here.
-func unreadyAge(b *Bounds) time.Duration { return b.RevokeLimit * 6 / 10 }
+func unreadyAge(b *Bounds) time.Duration {
+	return min(b.RevokeLimit*6/10, b.RevokeLimit-revokeMargin)
+}
--- /dev/null
+++ b/loadshare/loadshare_test.go
@@ -0,0 +1,140 @@
+package loadshare
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/directory"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	from  = netip.MustParseAddrPort("10.0.0.9:40000")
+)
+
+func address(i byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 7000)
+}
+
+func TestDatagrams(t *testing.T) {
+	Convey("Messages come out as they went in, from the sender's listener", t, func() {
+		sent := []Message{{Kind: Started, Server: 7, Tokens: 8000, Part: 1 << 60}, {Kind: Lost, Server: 1 << 63}}
+		sender, messages, err := Parse(Append(nil, 7000, sent), from)
+		So(err, ShouldBeNil)
+		So(messages, ShouldResemble, sent)
+		So(sender, ShouldEqual, netip.MustParseAddrPort("10.0.0.9:7000"))
+	})
+	Convey("Malformed datagrams are refused", t, func() {
+		good := Append(nil, 7000, []Message{{Kind: Hello}})
+		for _, bad := range [][]byte{nil, {1}, good[:len(good)-1], append([]byte{9}, good[1:]...), append(append([]byte{}, good...), 0)} {
+			_, _, err := Parse(bad, from)
+			So(err, ShouldNotBeNil)
+		}
+		unknown := Append(nil, 7000, []Message{{Kind: 99}})
+		_, _, err := Parse(unknown, from)
+		So(err, ShouldNotBeNil)
+	})
+	Convey("A reading comes out as it went in, or says that it did not fit", t, func() {
+		entry := directory.Entry{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Slots: 64, Born: 5}
+		sent := &Reading{From: 3, To: 9, Changes: []directory.Change{{Entry: entry}, {Entry: directory.Entry{ID: "i-2"}, Removed: true}}}
+		data, err := AppendReading(nil, 7000, sent)
+		So(err, ShouldBeNil)
+		So(IsReading(data), ShouldBeTrue)
+		_, got, err := ParseReading(data, from)
+		So(err, ShouldBeNil)
+		So(got, ShouldResemble, sent)
+		for range 1000 {
+			entry.ID += "x"
+			sent.Changes = append(sent.Changes, directory.Change{Entry: directory.Entry{ID: wigeonfork.BackendServerID(entry.ID)}})
+		}
+		data, err = AppendReading(nil, 7000, sent)
+		So(err, ShouldBeNil)
+		_, got, err = ParseReading(data, from)
+		So(err, ShouldBeNil)
+		So(got, ShouldResemble, &Reading{From: 3, To: 9, Partial: true})
+	})
+}
+
+func TestPeers(t *testing.T) {
+	Convey("A peer is there while it is heard", t, func() {
+		p := NewPeers(address(1))
+		p.Add(address(1))
+		p.Add(address(2))
+		So(p.Known(), ShouldEqual, 1)
+		So(p.There(start), ShouldEqual, 0)
+		So(p.Heard(start, address(2)), ShouldBeTrue)
+		So(p.Heard(start.Add(time.Second), address(2)), ShouldBeFalse)
+		So(p.Targets(start.Add(2*time.Second)), ShouldResemble, []netip.AddrPort{address(2)})
+		So(p.There(start.Add(time.Second+SilentLimit)), ShouldEqual, 0)
+	})
+	Convey("Hellos go often to those that are there and seldom to the others", t, func() {
+		p := NewPeers(address(1))
+		p.Add(address(2))
+		p.Add(address(3))
+		So(len(p.Hellos(start)), ShouldEqual, 2)
+		p.Heard(start, address(2))
+		So(p.Hellos(start.Add(HelloInterval)), ShouldResemble, []netip.AddrPort{address(2)})
+	})
+	Convey("All entries agree on their order", t, func() {
+		ranks := map[int]bool{}
+		for i := byte(1); i <= 5; i++ {
+			p := NewPeers(address(i))
+			for j := byte(1); j <= 5; j++ {
+				p.Heard(start, address(j))
+			}
+			ranks[p.Rank(start)] = true
+		}
+		So(len(ranks), ShouldEqual, 5)
+	})
+	Convey("The peers that are told are bounded, however many there are", t, func() {
+		p := NewPeers(address(255))
+		for i := range byte(200) {
+			p.Heard(start, address(i))
+		}
+		So(len(p.Targets(start)), ShouldEqual, MaxTargets)
+	})
+}
+
+// The load on the store of many entries that all want to know the same.
+func TestTurns(t *testing.T) {
+	const interval = time.Second
+	read := func(entries int, dead int) (reads int, longest time.Duration) {
+		turns := make([]*Turn, entries)
+		for i := range turns {
+			turns[i] = NewTurn(interval)
+			turns[i].Told(start)
+		}
+		last := start
+		for now := start; now.Before(start.Add(30 * time.Second)); now = now.Add(10 * time.Millisecond) {
+			for rank := dead; rank < entries; rank++ {
+				if now.Before(turns[rank].Due(rank)) {
+					continue
+				}
+				reads++
+				longest = max(longest, now.Sub(last))
+				last = now
+				for _, turn := range turns {
+					turn.Told(now)
+				}
+			}
+		}
+		return reads, longest
+	}
+	Convey("However many entries there are, one reads at each interval", t, func() {
+		reads, longest := read(40, 0)
+		So(reads, ShouldBeBetween, 28, 31)
+		So(longest, ShouldBeLessThanOrEqualTo, interval+10*time.Millisecond)
+	})
+	Convey("Where the first ones can't, the next one does, not much later", t, func() {
+		reads, longest := read(40, 2)
+		So(reads, ShouldBeBetween, 15, 31)
+		So(longest, ShouldBeLessThan, 2*interval)
+	})
+	Convey("An entry that was told nothing yet reads at once", t, func() {
+		So(NewTurn(interval).Due(3), ShouldEqual, time.Time{})
+	})
+}
--- /dev/null
+++ b/standin/deployment/deployment.go
@@ -0,0 +1,244 @@
+// Package deployment runs stand-ins of the users' platform on loopback: its
+// store, model runners and plain back ends that register there, and the
+// operator's configuration.
+package deployment
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
+	"github.com/wigeonfork/wigeonfork/standin/rowstore"
+	"github.com/wigeonfork/wigeonfork/standin/runner"
+)
+
+// Names in the configuration of every deployment.
+const (
+	Host         = "callers.example"
+	Key          = "key-of-a"
+	Tenant       = "tenant-a"
+	StreamPath   = "/stream/"
+	SafePath     = "/safe/"
+	UnsafePath   = "/unsafe/"
+	Engines      = "engines"
+	Plain        = "plain"
+	beatInterval = 300 * time.Millisecond
+)
+
+// Options describe a Deployment.
+type Options struct {
+	Engines int
+	Plain   int
+	// Engine and PlainServer are the options of the runners.
+	Engine, PlainServer runner.Options
+	// StreamTimeout and PlainTimeout are the routes' timeouts.
+	StreamTimeout, PlainTimeout time.Duration
+}
+
+// Deployment is a running set of stand-ins.
+type Deployment struct {
+	Store   *rowstore.Store
+	Pool    *runner.Pool
+	options Options
+	server  *loopback.Server
+
+	mu      sync.Mutex
+	runners map[string]*member
+	started int
+	version int
+	keys    []string
+	stop    chan struct{}
+	wait    sync.WaitGroup
+}
+
+// member is a registered runner.
+type member struct {
+	*runner.Runner
+	service  string
+	zone     string
+	sequence int
+	draining bool
+	dead     bool
+}
+
+// Start starts a deployment.
+func Start(options Options) (*Deployment, error) {
+	d := &Deployment{
+		Store: rowstore.New(), Pool: runner.NewPool(), options: options,
+		runners: make(map[string]*member), stop: make(chan struct{}), keys: []string{Key},
+	}
+	var err error
+	if d.server, err = loopback.Start("127.0.0.1:0", d.Store.Handler()); err != nil {
+		return nil, err
+	}
+	for range options.Engines {
+		if _, err := d.AddRunner(Engines, "127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+	}
+	for range options.Plain {
+		if _, err := d.AddRunner(Plain, "127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+	}
+	d.Configure()
+	d.wait.Go(d.beat)
+	return d, nil
+}
+
+// StoreAddress returns where the store listens.
+func (d *Deployment) StoreAddress() string { return d.server.Addr() }
+
+// AddRunner starts and registers one more runner of a service.
+func (d *Deployment) AddRunner(service, address string) (*runner.Runner, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.started++
+	options := d.options.PlainServer
+	if service == Engines {
+		options = d.options.Engine
+	}
+	r, err := runner.Start(address, fmt.Sprintf("i-%d", d.started), options, d.Pool)
+	if err != nil {
+		return nil, err
+	}
+	m := &member{Runner: r, service: service, zone: fmt.Sprintf("zone-%d", d.started%3)}
+	d.runners[r.ID] = m
+	d.register(m)
+	return r, nil
+}
+
+// Runners returns the live runners of a service.
+func (d *Deployment) Runners(service string) []*runner.Runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*runner.Runner
+	for _, m := range d.runners {
+		if m.service == service && !m.dead {
+			list = append(list, m.Runner)
+		}
+	}
+	return list
+}
+
+// Runner returns the runner called id.
+func (d *Deployment) Runner(id string) *runner.Runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m := d.runners[id]; m != nil {
+		return m.Runner
+	}
+	return nil
+}
+
+// Kill ends a runner without notice; its entry stays for some beats.
+func (d *Deployment) Kill(id string) {
+	d.mu.Lock()
+	m := d.runners[id]
+	m.dead = true
+	d.mu.Unlock()
+	m.Server().Kill()
+	time.AfterFunc(3*beatInterval, func() { d.Store.Delete("servers", id) })
+}
+
+// Drain registers a runner as leaving.
+func (d *Deployment) Drain(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runners[id].draining = true
+	d.register(d.runners[id])
+}
+
+func (d *Deployment) register(m *member) {
+	m.sequence++
+	state := "ready"
+	if m.draining {
+		state = "draining"
+	}
+	value, err := json.Marshal(map[string]any{
+		"service": m.service, "address": m.Address(), "zone": m.zone, "version": "v1", "slots": 64,
+		"state": state, "cold_remaining_ms": 0, "sequence": m.sequence, "born": m.Born,
+	})
+	if err != nil {
+		// A map of texts and numbers has an encoding.
+		panic(err)
+	}
+	d.Store.Put("servers", m.ID, value)
+}
+
+// beat keeps the entries of live runners fresh.
+func (d *Deployment) beat() {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case <-ticker.C:
+		}
+		d.mu.Lock()
+		for _, m := range d.runners {
+			if !m.dead {
+				d.register(m)
+			}
+		}
+		d.mu.Unlock()
+	}
+}
+
+// SetKeys changes the tenant's keys and configures.
+func (d *Deployment) SetKeys(keys ...string) {
+	d.mu.Lock()
+	d.keys = keys
+	d.mu.Unlock()
+	d.Configure()
+}
+
+type object = map[string]any
+
+// Configure writes the next version of the configuration.
+func (d *Deployment) Configure() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version += 3
+	route := func(name, prefix, kind, service string, timeout time.Duration, attempts int) object {
+		return object{
+			"name": name, "host": Host, "prefix": prefix, "kind": kind, "service": service, "timeout_ms": timeout.Milliseconds(),
+			"target_latency_ms": 2000, "target_gap_ms": 700, "priority": 1, "max_attempts": attempts, "public": false,
+			"resumable": kind == "streaming",
+		}
+	}
+	value, err := json.Marshal(object{
+		"version": d.version,
+		"routes": []object{
+			route("streams", StreamPath, "streaming", Engines, d.options.StreamTimeout, 5),
+			route("safe", SafePath, "safe", Plain, d.options.PlainTimeout, 2),
+			route("unsafe", UnsafePath, "unsafe", Plain, d.options.PlainTimeout, 1),
+		},
+		"services": []object{
+			{"name": Engines, "health_path": "/health", "max_connections": 300, "engine": object{"kv_tokens": 100000, "backups": true, "stride": 1}},
+			{"name": Plain, "health_path": "/health", "max_connections": 300},
+		},
+		"limits":  object{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []object{{"name": Tenant, "api_keys": d.keys, "priority": 1}},
+	})
+	if err != nil {
+		// A map of texts and numbers has an encoding.
+		panic(err)
+	}
+	d.Store.Put("op", "config", value)
+}
+
+// Close ends all stand-ins.
+func (d *Deployment) Close() {
+	close(d.stop)
+	d.wait.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range d.runners {
+		m.Server().Close()
+	}
+	d.server.Close()
+}
--- /dev/null
+++ b/standin/rowstore/rowstore.go
@@ -0,0 +1,279 @@
+// Package rowstore is a stand-in of the users' platform's metadata store: rows in
+// tables, feeds of what changed and conditional transactions, over HTTP.
+package rowstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Row is one row as it stands on the wire.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Fault is how the store misbehaves.
+type Fault int
+
+// The faults.
+const (
+	FaultNone Fault = iota
+	// FaultBusy answers 503 without doing anything.
+	FaultBusy
+	// FaultSilent answers nothing while it lasts.
+	FaultSilent
+	// FaultReset closes the connection without doing anything.
+	FaultReset
+	// FaultLost does what is asked and closes the connection without an answer.
+	FaultLost
+)
+
+type rowID struct{ table, part, key string }
+
+// Store is a store in memory. The zero Store is not usable.
+type Store struct {
+	started time.Time
+
+	mu      sync.Mutex
+	rows    map[rowID]Row
+	history []Row
+	// dropped is the version up to which the history is forgotten.
+	dropped uint64
+	version uint64
+	fault   Fault
+	changed chan struct{}
+	calls   int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{started: time.Now(), rows: make(map[rowID]Row), changed: make(chan struct{})}
+}
+
+// SetFault makes the store misbehave from now on.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	s.wakeLocked()
+}
+
+// ForgetHistory drops the history of changes.
+func (s *Store) ForgetHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.dropped = nil, s.version
+	s.wakeLocked()
+}
+
+// Calls returns the number of calls that were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a row as the operator or a server does.
+func (s *Store) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.writeLocked(Row{Table: table, Key: key, Value: value, Version: s.version})
+	s.wakeLocked()
+}
+
+// Delete removes a row.
+func (s *Store) Delete(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.writeLocked(Row{Table: table, Key: key, Version: s.version, Deleted: true})
+	s.wakeLocked()
+}
+
+// Rows returns the rows of a table.
+func (s *Store) Rows(table string) []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tableLocked(table)
+}
+
+func (s *Store) tableLocked(table string) []Row {
+	list := []Row{}
+	for id, row := range s.rows {
+		if id.table == table {
+			list = append(list, row)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list
+}
+
+func (s *Store) writeLocked(row Row) {
+	id := rowID{row.Table, row.Part, row.Key}
+	if row.Deleted {
+		delete(s.rows, id)
+	} else {
+		s.rows[id] = row
+	}
+	s.history = append(s.history, row)
+}
+
+func (s *Store) wakeLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Handler serves the store's calls.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rows-get", s.get)
+	mux.HandleFunc("GET /rows-feed", s.feed)
+	mux.HandleFunc("POST /rows-tx", s.transact)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		s.mu.Unlock()
+		if s.misbehave(w, r) {
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// misbehave returns whether the call is not served.
+func (s *Store) misbehave(w http.ResponseWriter, r *http.Request) bool {
+	for {
+		s.mu.Lock()
+		fault, changed := s.fault, s.changed
+		s.mu.Unlock()
+		switch fault {
+		case FaultBusy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		case FaultReset:
+			panic(http.ErrAbortHandler)
+		case FaultSilent:
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func (s *Store) answer(w http.ResponseWriter, status int, rows []Row, version uint64) {
+	s.mu.Lock()
+	lost := s.fault == FaultLost
+	s.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"rows": rows, "has_more": false, "ver": version, "now_ms": time.Since(s.started).Milliseconds(),
+	})
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	rows, version := s.tableLocked(r.URL.Query().Get("table")), s.version
+	s.mu.Unlock()
+	s.answer(w, http.StatusOK, rows, version)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, err := strconv.ParseUint(query.Get("since_rev"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	// A missing wait is none.
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for expired := wait == 0; ; {
+		s.mu.Lock()
+		gone := since < s.dropped
+		rows, version, changed := s.changesLocked(query.Get("table"), since), s.version, s.changed
+		s.mu.Unlock()
+		switch {
+		case gone:
+			s.answer(w, http.StatusGone, nil, version)
+			return
+		case len(rows) > 0 || expired:
+			s.answer(w, http.StatusOK, rows, version)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-r.Context().Done():
+			return
+		}
+		if s.misbehave(w, r) {
+			return
+		}
+	}
+}
+
+func (s *Store) changesLocked(table string, since uint64) []Row {
+	rows := []Row{}
+	for _, row := range s.history {
+		if row.Table == table && row.Version > since {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var tx struct {
+		Conditions []Row `json:"expected_rev"`
+		Writes     []Row `json:"set_keys"`
+		Removals   []Row `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	for _, condition := range tx.Conditions {
+		row := s.rows[rowID{condition.Table, condition.Part, condition.Key}]
+		if row.Version != condition.Version {
+			version := s.version
+			s.mu.Unlock()
+			s.answer(w, http.StatusPreconditionFailed, []Row{row}, version)
+			return
+		}
+	}
+	s.version++
+	for _, row := range tx.Writes {
+		row.Version = s.version
+		s.writeLocked(row)
+	}
+	for _, row := range tx.Removals {
+		row.Version, row.Deleted = s.version, true
+		s.writeLocked(row)
+	}
+	version := s.version
+	s.wakeLocked()
+	s.mu.Unlock()
+	s.answer(w, http.StatusOK, nil, version)
+}
--- /dev/null
+++ b/standin/runner/runner.go
@@ -0,0 +1,304 @@
+// Package runner is a stand-in of the users' model runners and plain back ends,
+// over HTTP: streams of events with growing ids that can be taken up again, copies
+// of a run's memory at another runner, refusals that state that nothing ran.
+package runner
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/standin/loopback"
+)
+
+// Run is one request that a runner began to work on.
+type Run struct {
+	Request string
+	Runner  string
+	Path    string
+	Body    string
+	Header  http.Header
+	// From is the event behind which the run began.
+	From uint64
+	// Copied tells that the run went on from a copy of its memory.
+	Copied bool
+	// Ended tells that the runner finished it; Left that its caller left.
+	Ended, Left bool
+}
+
+// Pool is what the runners of a deployment share: the record of all runs, and
+// where copies of runs are kept.
+type Pool struct {
+	mu     sync.Mutex
+	runs   []*Run
+	copies map[string]bool // address/request
+}
+
+// NewPool returns a Pool without runs.
+func NewPool() *Pool { return &Pool{copies: make(map[string]bool)} }
+
+// Runs returns the runs of a request, or of all if request is empty.
+func (p *Pool) Runs(request string) []Run {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Run
+	for _, run := range p.runs {
+		if request == "" || run.Request == request {
+			list = append(list, *run)
+		}
+	}
+	return list
+}
+
+func (p *Pool) begin(run *Run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs = append(p.runs, run)
+}
+
+func (p *Pool) end(run *Run, left bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	run.Ended, run.Left = !left, left
+}
+
+func (p *Pool) keep(copied string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.copies[copied] = true
+}
+
+func (p *Pool) take(copied string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.copies[copied]
+	delete(p.copies, copied)
+	return held
+}
+
+// Options describe a runner.
+type Options struct {
+	// Engine makes it a model runner; else it is a plain back end.
+	Engine bool
+	// Events is the length of a stream, EventGap the time between two events.
+	Events   uint64
+	EventGap time.Duration
+	// Prefill is the time to read a prompt.
+	Prefill time.Duration
+	// Work is the time of a plain request.
+	Work time.Duration
+}
+
+// Behaviour is how a runner misbehaves.
+type Behaviour struct {
+	// Refuse answers everything as not run.
+	Refuse bool
+	// Fail answers plain requests with a failure of its own.
+	Fail bool
+	// LoseAnswers runs plain requests and closes the connection without an answer.
+	LoseAnswers bool
+	// Truncate cuts plain answers.
+	Truncate bool
+	// Extra sends a second answer behind each plain one.
+	Extra bool
+	// Crash ends the runner once it begins a stream.
+	Crash bool
+}
+
+// Runner is one start of a runner.
+type Runner struct {
+	ID      string
+	Born    int64
+	options Options
+	pool    *Pool
+	server  *loopback.Server
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	running   int
+}
+
+// Start starts a runner on addr, such as 127.0.0.1:0.
+func Start(addr, id string, options Options, pool *Pool) (*Runner, error) {
+	r := &Runner{ID: id, Born: time.Now().UnixMilli(), options: options, pool: pool}
+	server, err := loopback.Start(addr, http.HandlerFunc(r.serve))
+	if err != nil {
+		return nil, err
+	}
+	r.server = server
+	return r, nil
+}
+
+// Address returns the IP and port of the runner.
+func (r *Runner) Address() string { return r.server.Addr() }
+
+// Server returns the listener, to kill, pause or continue the runner.
+func (r *Runner) Server() *loopback.Server { return r.server }
+
+// Behave makes the runner misbehave from now on.
+func (r *Runner) Behave(b Behaviour) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.behaviour = b
+}
+
+func (r *Runner) now() Behaviour {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.behaviour
+}
+
+func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
+	switch q.URL.Path {
+	case "/health":
+		w.Header().Set("Wigeonfork-Instance-Id", r.ID)
+		return
+	case "/report":
+		r.report(w)
+		return
+	case "/kv-events":
+		io.WriteString(w, `{"epoch":1,"next":0,"lost":false,"events":[]}`)
+		return
+	}
+	if target := q.Header.Get("Wigeonfork-Target-Instance"); target != "" && target != r.ID {
+		w.Header().Set("Wigeonfork-Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.now().Refuse {
+		w.Header().Set("Wigeonfork-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.run(w, q)
+}
+
+func (r *Runner) report(w http.ResponseWriter) {
+	if !r.options.Engine {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	fmt.Fprintf(w, `{"phase":"unified","running":0,"queued":0,"born":%d}`, r.Born)
+}
+
+func (r *Runner) run(w http.ResponseWriter, q *http.Request) {
+	// A body that can't be read has no run.
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	run := &Run{Request: q.Header.Get("Wigeonfork-Request-Id"), Runner: r.ID, Path: q.RequestURI, Body: string(body), Header: q.Header.Clone()}
+	if from := q.Header.Get("Kv-From"); from != "" {
+		if !r.pool.take(from) {
+			w.Header().Set("Wigeonfork-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		run.Copied = true
+	}
+	if r.options.Engine {
+		r.stream(w, q, run)
+		return
+	}
+	r.plain(w, q, run)
+}
+
+func (r *Runner) head(w http.ResponseWriter, run *Run) {
+	h := w.Header()
+	h.Set("Wigeonfork-Request-Id", run.Request)
+	h.Set("Wigeonfork-Response-Signature", r.ID+"."+run.Request)
+	h.Set("Wigeonfork-Instance-Load", "1,0,64")
+}
+
+func (r *Runner) plain(w http.ResponseWriter, q *http.Request, run *Run) {
+	r.pool.begin(run)
+	if !loopback.Sleep(q.Context(), r.options.Work) {
+		r.pool.end(run, true)
+		return
+	}
+	r.pool.end(run, false)
+	b := r.now()
+	r.head(w, run)
+	text := "answer to " + run.Request
+	switch {
+	case b.LoseAnswers:
+		panic(http.ErrAbortHandler)
+	case b.Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+	case b.Truncate:
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		io.WriteString(w, text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	case b.Extra:
+		r.twice(w, run, text)
+		return
+	}
+	io.WriteString(w, text)
+}
+
+// twice writes a whole answer and a second one that nobody asked for.
+func (r *Runner) twice(w http.ResponseWriter, run *Run, text string) {
+	conn, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nWigeonfork-Request-Id: %s\r\nWigeonfork-Response-Signature: s\r\nContent-Length: %d\r\n\r\n%s",
+		run.Request, len(text), text)
+	buffered.Flush()
+	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nWigeonfork-Request-Id: other\r\nWigeonfork-Response-Signature: s\r\nContent-Length: 5\r\n\r\nextra")
+	buffered.Flush()
+	time.Sleep(100 * time.Millisecond)
+}
+
+// EventText returns an event of a request as runners make it.
+func EventText(request string, id uint64) string {
+	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", id, request, id)
+}
+
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, run *Run) {
+	if last := q.Header.Get("Last-Event-Id"); last != "" {
+		// A malformed id begins anew.
+		run.From, _ = strconv.ParseUint(last, 10, 64)
+	}
+	if !run.Copied && !loopback.Sleep(q.Context(), r.options.Prefill) {
+		return
+	}
+	r.pool.begin(run)
+	if r.now().Crash {
+		go r.server.Kill()
+		<-loopback.Life(q.Context()).Done()
+		return
+	}
+	if backup := q.Header.Get("Wigeonfork-Kv-Backup"); backup != "" {
+		r.pool.keep(backup + "/" + run.Request)
+	}
+	r.head(w, run)
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := w.(http.Flusher)
+	for id := run.From + 1; id <= r.options.Events; id++ {
+		if !loopback.Sleep(q.Context(), r.options.EventGap) {
+			r.pool.end(run, true)
+			return
+		}
+		if _, err := io.WriteString(w, EventText(run.Request, id)); err != nil {
+			r.pool.end(run, true)
+			return
+		}
+		flusher.Flush()
+	}
+	r.pool.end(run, false)
+}
+
+// Whole returns the whole stream of a request.
+func (o Options) Whole(request string) string {
+	var text strings.Builder
+	for id := uint64(1); id <= o.Events; id++ {
+		text.WriteString(EventText(request, id))
+	}
+	return text.String()
+}
