--- /dev/null
+++ b/gateway/events_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestEventReader(t *testing.T) {
+	Convey("A stream is cut into its events byte for byte, however it arrives", t, func() {
+		text := "id: 1\ndata: a\n\nversion: 3\r\nid:2\r\ndata: b\r\n\r\n: comment\n\n"
+		r := newEventReader(iotest.OneByteReader(strings.NewReader(text)))
+		var got strings.Builder
+		var ids []uint64
+		for {
+			event, err := r.next()
+			if err != nil {
+				So(err, ShouldEqual, io.EOF)
+				break
+			}
+			got.Write(event.Raw)
+			ids = append(ids, event.ID)
+		}
+		So(got.String(), ShouldEqual, text)
+		So(ids, ShouldResemble, []uint64{1, 2, 0})
+	})
+	Convey("An event that breaks off is no event", t, func() {
+		r := newEventReader(strings.NewReader("id: 1\ndata: a\n"))
+		_, err := r.next()
+		So(err, ShouldEqual, io.ErrUnexpectedEOF)
+	})
+	Convey("Odd ids and endless events are refused", t, func() {
+		_, err := newEventReader(strings.NewReader("id: x\n\n")).next()
+		So(err, ShouldNotBeNil)
+		_, err = newEventReader(strings.NewReader(strings.Repeat("x", 2*maxEventBytes))).next()
+		So(err, ShouldNotBeNil)
+	})
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := newEventReader(bytes.NewReader(data))
+		var passed []byte
+		for {
+			event, err := r.next()
+			if err != nil {
+				break
+			}
+			passed = append(passed, event.Raw...)
+		}
+		if !bytes.HasPrefix(data, passed) {
+			t.Fatalf("passed %q of %q", passed, data)
+		}
+	})
+}
--- /dev/null
+++ b/health/health_test.go
@@ -0,0 +1,187 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func servers(n int) *Servers {
+	s := NewServers()
+	for i := range n {
+		s.Add(ID(fmt.Sprintf("a%d", i)), "model", "a")
+		s.Add(ID(fmt.Sprintf("b%d", i)), "model", "b")
+	}
+	return s
+}
+
+func TestLossOfServers(t *testing.T) {
+	Convey("A lost server is asked for a sign of life until it answers", t, func() {
+		s := servers(3)
+		isNew, _ := s.Lost(at(0), "a0")
+		So(isNew, ShouldBeTrue)
+		isNew, _ = s.Lost(at(1), "a0")
+		So(isNew, ShouldBeFalse)
+		So(s.ProbeDue(at(100), "a0"), ShouldBeFalse)
+		So(s.ProbeDue(at(400), "a0"), ShouldBeTrue)
+		So(s.ProbeDue(at(500), "a0"), ShouldBeFalse)
+		So(s.Answered(at(-1), "a0"), ShouldBeFalse)
+		So(s.State("a0"), ShouldEqual, Down)
+		So(s.Answered(at(400), "a0"), ShouldBeTrue)
+		So(s.State("a0"), ShouldEqual, Up)
+	})
+	Convey("One whose address another server has never comes back by itself", t, func() {
+		s := servers(1)
+		s.Lost(at(0), "a0")
+		s.Replaced("a0")
+		So(s.ProbeDue(at(9000), "a0"), ShouldBeFalse)
+		So(s.Answered(at(9000), "a0"), ShouldBeFalse)
+	})
+	Convey("Two losses at once put the rest of their failure domain in doubt, and no other", t, func() {
+		s := servers(4)
+		_, doubtful := s.Lost(at(0), "a0")
+		So(doubtful, ShouldBeEmpty)
+		_, doubtful = s.Lost(at(10), "a1")
+		So(len(doubtful), ShouldEqual, 2)
+		So(s.State("a2"), ShouldEqual, Doubtful)
+		So(s.State("b2"), ShouldEqual, Up)
+		So(s.Answered(at(20), "a2"), ShouldBeTrue)
+		So(s.State("a2"), ShouldEqual, Up)
+	})
+	Convey("Losses far apart put nothing in doubt", t, func() {
+		s := servers(4)
+		s.Lost(at(0), "a0")
+		_, doubtful := s.Lost(at(5000), "a1")
+		So(doubtful, ShouldBeEmpty)
+	})
+}
+
+// The load of grey servers: each fails a part of its requests while its health is
+// good, beside peers that fail some of theirs by nature.
+func TestFailingServers(t *testing.T) {
+	run := func(s *Servers, rate func(i int) int) {
+		for n := range 60 {
+			for i := range 3 {
+				s.Result(at(10*n), ID(fmt.Sprintf("a%d", i)), n%10 < rate(i))
+			}
+		}
+	}
+	three := func() *Servers {
+		s := NewServers()
+		for i := range 3 {
+			s.Add(ID(fmt.Sprintf("a%d", i)), "plain", "a")
+		}
+		return s
+	}
+	Convey("A server that fails far more than its peers is held back", t, func() {
+		s := three()
+		run(s, func(i int) int { return map[int]int{0: 9, 1: 1, 2: 1}[i] })
+		So(s.State("a0"), ShouldEqual, Failing)
+		So(s.State("a1"), ShouldEqual, Up)
+		Convey("and tried again when that is long ago", func() {
+			for i := range 5 {
+				s.Settle(at(3000*(i+1)), "a0")
+			}
+			So(s.State("a0"), ShouldEqual, Up)
+		})
+	})
+	Convey("Servers that all fail alike are all used", t, func() {
+		s := three()
+		run(s, func(int) int { return 5 })
+		for i := range 3 {
+			So(s.State(ID(fmt.Sprintf("a%d", i))), ShouldEqual, Up)
+		}
+	})
+	Convey("A single failure holds nothing back", t, func() {
+		s := three()
+		s.Result(at(0), "a0", true)
+		So(s.State("a0"), ShouldEqual, Up)
+	})
+}
+
+func findings(verdicts []Verdict) map[ID]Finding {
+	m := map[ID]Finding{}
+	for _, v := range verdicts {
+		m[v.Server] = v.Finding
+	}
+	return m
+}
+
+func TestSilence(t *testing.T) {
+	speak := func(s *Streams, until, gap int, ids ...StreamID) {
+		for ms := 0; ms <= until; ms += gap {
+			for _, id := range ids {
+				s.Event(at(ms), id)
+			}
+		}
+	}
+	Convey("Several streams that fall silent at once tell sooner than one", t, func() {
+		s := NewStreams()
+		one := s.Start(at(0), "one", "a", at(5000))
+		both := []StreamID{s.Start(at(0), "two", "b", at(5000)), s.Start(at(0), "two", "b", at(5000))}
+		speak(s, 1000, 40, append(both, one)...)
+		So(s.Sweep(at(1200)), ShouldBeEmpty)
+		So(findings(s.Sweep(at(1300))), ShouldResemble, map[ID]Finding{"two": FindingServerSilent})
+		So(findings(s.Sweep(at(1410))), ShouldResemble, map[ID]Finding{"one": FindingServerSilent})
+	})
+	Convey("After a loss in the failure domain silence tells sooner still", t, func() {
+		s := NewStreams()
+		id := s.Start(at(0), "one", "a", at(5000))
+		speak(s, 1000, 40, id)
+		s.ServerLost(at(1000), "a")
+		So(findings(s.Sweep(at(1210))), ShouldResemble, map[ID]Finding{"one": FindingServerSilent})
+	})
+	Convey("A server that makes events slowly by nature is granted its pace", t, func() {
+		s := NewStreams()
+		id := s.Start(at(0), "slow", "a", at(5000))
+		speak(s, 2000, 160, id)
+		So(s.Sweep(at(2320)), ShouldBeEmpty)
+		So(s.Sweep(at(2390)), ShouldBeEmpty)
+		So(findings(s.Sweep(at(2400))), ShouldResemble, map[ID]Finding{"slow": FindingServerSilent})
+	})
+	Convey("While prompts are read, silence is asked about and not judged", t, func() {
+		s := NewStreams()
+		s.Start(at(0), "one", "a", at(5000))
+		So(findings(s.Sweep(at(650))), ShouldResemble, map[ID]Finding{"one": FindingProbe})
+		So(s.Sweep(at(700)), ShouldBeEmpty)
+		s.Alive(at(710), "one")
+		So(s.Sweep(at(1200)), ShouldBeEmpty)
+	})
+	Convey("A stream that only waits behind others is left alone", t, func() {
+		s := NewStreams()
+		first := s.Start(at(0), "one", "a", at(4000))
+		s.Start(at(100), "one", "a", at(4100))
+		speak(s, 6000, 40, first)
+		So(s.Sweep(at(6010)), ShouldBeEmpty)
+		Convey("but not one that a later stream has overtaken", func() {
+			later := s.Start(at(6020), "one", "a", at(9000))
+			s.Event(at(6100), later)
+			So(findings(s.Sweep(at(6110))), ShouldResemble, map[ID]Finding{"one": FindingStreamStalled})
+		})
+	})
+	Convey("A stream that stops while its server speaks on others is moved", t, func() {
+		s := NewStreams()
+		stuck := s.Start(at(0), "one", "a", at(5000))
+		other := s.Start(at(0), "one", "a", at(5000))
+		s.Event(at(0), stuck)
+		speak(s, 1600, 40, other)
+		verdicts := s.Sweep(at(1610))
+		So(len(verdicts), ShouldEqual, 1)
+		So(verdicts[0].Finding, ShouldEqual, FindingStreamStalled)
+		So(verdicts[0].Stream, ShouldEqual, stuck)
+	})
+	Convey("What has ended is not watched", t, func() {
+		s := NewStreams()
+		id := s.Start(at(0), "one", "a", at(10))
+		So(s.At("one"), ShouldResemble, []StreamID{id})
+		s.End(id)
+		So(s.Len(), ShouldEqual, 0)
+		So(s.Sweep(at(9000)), ShouldBeEmpty)
+	})
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -119,7 +119,6 @@
 
 	mu        sync.Mutex
 	behaviour Behaviour
-	running   int
 }
 
 // Start starts a runner on addr, such as 127.0.0.1:0.
