--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -22,6 +22,10 @@
 	// configurationRetry is when to come back to an entry that has no recent
 	// configuration: another entry may have one at once.
 	configurationRetry = 300 * time.Millisecond
+	// outageRetry is when a caller who waits at least patientDeadline is asked back
+	// while the store is away for all entries.
+	outageRetry     = 2 * time.Second
+	patientDeadline = 8 * time.Second
 	// noServerRetry is when to come back where no backend server takes work.
 	noServerRetry = 400 * time.Millisecond
 	// warmHold bounds the wait of a request for the first readings, and warmPart is
@@ -96,7 +100,7 @@
 	}
 	c.awaitWarm()
 	if c.table = c.config.table(); c.table == nil {
-		return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepAccept, "no configuration yet").After(c.spread(configurationRetry))
+		return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepAccept, "no configuration yet").After(c.storeRetry())
 	}
 	if refusal := c.resolve(); refusal != nil {
 		return refusal
@@ -170,7 +174,7 @@
 		return nil
 	}
 	return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepAccept,
-		"the configuration is %v old; the key may have been revoked", age.Round(time.Millisecond)).After(c.spread(configurationRetry))
+		"the configuration is %v old; the key may have been revoked", age.Round(time.Millisecond)).After(c.storeRetry())
 }
 
 // unlessStale returns refusal, unless a newer configuration that is not known
@@ -182,7 +186,17 @@
 		return refusal
 	}
 	return problem.New(problem.CodeStoreUnavailable, problem.RunNot, refusal.Step, "%s, but the configuration is old", refusal.Message).
-		After(c.spread(configurationRetry))
+		After(c.storeRetry())
+}
+
+// storeRetry is when to come back while the store is away: soon where only this
+// entry is cut off, as others may serve, and else as late as the caller can wait,
+// since an outage lasts seconds and a caller has few tries.
+func (c *call) storeRetry() time.Duration {
+	if c.caller.Deadline < patientDeadline || !c.sharer.hasPeers(time.Now()) {
+		return c.spread(configurationRetry)
+	}
+	return c.spread(outageRetry)
 }
 
 func (c *call) readBody() *problem.Error {
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -82,6 +82,16 @@
 	return append([]netip.AddrPort(nil), s.peers.Targets(now)...)
 }
 
+// hasPeers tells whether other entries are there.
+func (s *sharer) hasPeers(now time.Time) bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers.There(now) > 0
+}
+
 // rank is this entry's place among those that are there.
 func (s *sharer) rank(now time.Time) int {
 	s.mu.Lock()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,9 +63,9 @@
 
 func TestExchange(t *testing.T) {
 	Convey("A request goes out as it is, and connections are used again", t, func() {
-		connections := 0
+		var connections atomic.Int32
 		server := serve(t, func(n int, conn net.Conn, in *bufio.Reader) {
-			connections = n + 1
+			connections.Store(int32(n + 1))
 			for {
 				request, text, err := readRequest(in)
 				if err != nil {
@@ -81,7 +82,7 @@
 			So(err, ShouldBeNil)
 			So(body(t, response), ShouldEqual, "/x?y=%2fh.exampleb")
 		}
-		So(connections, ShouldEqual, 1)
+		So(connections.Load(), ShouldEqual, 1)
 		Convey("but not where a fresh one is asked for", func() {
 			request := get()
 			request.FreshConnection = true
