Bound the gateway's log and never wait for its output

At most 200 lines of one event a second and 256 KiB waiting to be written; what is dropped is counted and told.

--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -37,9 +37,13 @@
 		log.Error().Str("path", path).Err(err).Msg("settings_refused")
 		os.Exit(2)
 	}
-	log := telemetry.NewLogger(os.Stdout, "info", "gateway", string(settings.Host))
-	if err := run(path, settings, log); err != nil {
+	log := telemetry.NewBoundedLogger(os.Stdout, "info", "gateway", string(settings.Host))
+	err = run(path, settings, log)
+	if err != nil {
 		log.Error().Err(err).Msg("process_failed")
+	}
+	telemetry.Flush(log)
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/telemetry/bounded.go
@@ -0,0 +1,174 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Bounds of what a bounded logger writes.
+const (
+	// maxLinesPerSecond bounds the lines of one event in a second.
+	maxLinesPerSecond = 200
+	// maxEvents bounds the events that are told apart.
+	maxEvents = 256
+	// bufferBytes bounds what waits to be written.
+	bufferBytes = 256 << 10
+	// flushInterval is the time for which lines are gathered for one write.
+	flushInterval = 50 * time.Millisecond
+)
+
+// NewBoundedLogger returns a logger as NewLogger does whose volume is bounded and
+// that never waits for out: lines beyond maxLinesPerSecond of one event, and lines
+// that come while bufferBytes wait to be written, are dropped and counted. The
+// count is told in a line of its own, event=lines_dropped.
+func NewBoundedLogger(out io.Writer, level, role, id string) *Logger {
+	logger := NewLogger(io.Discard, level, role, id)
+	sink := newLineSink(out)
+	limiter := &lineLimiter{counts: make(map[string]int), dropped: make(map[string]int), now: time.Now}
+	logger.Writer = &log.ConsoleWriter{
+		Writer: sink,
+		Formatter: func(w io.Writer, args *log.FormatterArgs) (int, error) {
+			for _, line := range limiter.told(args.Time) {
+				if _, err := w.Write(line); err != nil {
+					return 0, err
+				}
+			}
+			if !limiter.allow(args.Message) {
+				return 0, nil
+			}
+			return formatKeyValues(w, args)
+		},
+	}
+	return logger
+}
+
+// lineLimiter counts the lines of each event in each second.
+type lineLimiter struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	second  int64
+	counts  map[string]int
+	dropped map[string]int
+}
+
+func (l *lineLimiter) allow(event string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if second := l.now().Unix(); second != l.second {
+		l.second = second
+		clear(l.counts)
+	}
+	if len(l.counts) >= maxEvents {
+		event = "other"
+	}
+	l.counts[event]++
+	if l.counts[event] > maxLinesPerSecond {
+		l.dropped[event]++
+		return false
+	}
+	return true
+}
+
+// told returns the lines that tell what was dropped in the seconds before.
+func (l *lineLimiter) told(at string) [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.dropped) == 0 || l.now().Unix() == l.second {
+		return nil
+	}
+	var lines [][]byte
+	for event, n := range l.dropped {
+		lines = append(lines, fmt.Appendf(nil, "time=%s level=warn event=lines_dropped of=%s reason=rate count=%d\n", at, event, n))
+	}
+	clear(l.dropped)
+	return lines
+}
+
+// lineSink writes lines in the background. Lines that come while the buffer is
+// full are dropped and counted.
+type lineSink struct {
+	// output is held while out is written to, and taken before mu.
+	output sync.Mutex
+	out    io.Writer
+
+	mu      sync.Mutex
+	buffer  []byte
+	dropped int
+	armed   bool
+	writing bool
+}
+
+func newLineSink(out io.Writer) *lineSink { return &lineSink{out: out} }
+
+// Write implements io.Writer. It never blocks on the output.
+func (s *lineSink) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.buffer)+len(line) > bufferBytes {
+		s.dropped++
+		return len(line), nil
+	}
+	s.buffer = append(s.buffer, line...)
+	s.arm()
+	return len(line), nil
+}
+
+// arm has the buffer written soon. The lock must be held.
+func (s *lineSink) arm() {
+	if !s.armed && !s.writing {
+		s.armed = true
+		time.AfterFunc(flushInterval, s.flush)
+	}
+}
+
+func (s *lineSink) flush() {
+	s.output.Lock()
+	defer s.output.Unlock()
+	s.mu.Lock()
+	pending := s.buffer
+	if s.dropped > 0 {
+		pending = fmt.Appendf(pending, "time=%s level=warn event=lines_dropped of=all reason=output count=%d\n", time.Now().Format(logTimeFormat), s.dropped)
+	}
+	s.buffer, s.dropped, s.armed, s.writing = nil, 0, false, true
+	s.mu.Unlock()
+	if len(pending) > 0 {
+		// Nobody reads the log any more if it can't be written; there is nobody to tell.
+		_, _ = s.out.Write(pending)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writing = false
+	if len(s.buffer) > 0 || s.dropped > 0 {
+		s.arm()
+	}
+}
+
+// finalFlush bounds the wait for the output at the end of a process.
+const finalFlush = 300 * time.Millisecond
+
+// Flush writes what a bounded logger holds back, as at the end of a process. It
+// gives up after a while if the output is not taken.
+func Flush(logger *Logger) {
+	console, ok := logger.Writer.(*log.ConsoleWriter)
+	if !ok {
+		return
+	}
+	sink, ok := console.Writer.(*lineSink)
+	if !ok {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		sink.flush()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(finalFlush):
+	}
+}
--- /dev/null
+++ b/telemetry/bounded_test.go
@@ -0,0 +1,75 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// blockedWriter takes nothing until it is opened.
+type blockedWriter struct {
+	opened chan struct{}
+	mu     sync.Mutex
+	text   bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.opened
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+func (w *blockedWriter) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.String()
+}
+
+func TestBoundedLogger(t *testing.T) {
+	Convey("A log that nobody reads holds nobody up, and what was dropped is told", t, func() {
+		out := &blockedWriter{opened: make(chan struct{})}
+		sink := newLineSink(out)
+		line := []byte(strings.Repeat("x", 1000) + "\n")
+		for range 2 * bufferBytes / len(line) {
+			n, err := sink.Write(line)
+			So(err, ShouldBeNil)
+			So(n, ShouldEqual, len(line))
+		}
+		close(out.opened)
+		sink.flush()
+		So(out.String(), ShouldContainSubstring, "event=lines_dropped of=all reason=output count=")
+	})
+	Convey("An event that comes too often is cut, and the count is told in the next second", t, func() {
+		now := time.Unix(100, 0)
+		l := &lineLimiter{counts: map[string]int{}, dropped: map[string]int{}, now: func() time.Time { return now }}
+		passed := 0
+		for range maxLinesPerSecond + 7 {
+			if l.allow("loud") {
+				passed++
+			}
+		}
+		So(passed, ShouldEqual, maxLinesPerSecond)
+		So(l.allow("quiet"), ShouldBeTrue)
+		So(l.told("now"), ShouldBeEmpty)
+		now = now.Add(time.Second)
+		lines := l.told("now")
+		So(len(lines), ShouldEqual, 1)
+		So(string(lines[0]), ShouldEqual, "time=now level=warn event=lines_dropped of=loud reason=rate count=7\n")
+		So(l.allow("loud"), ShouldBeTrue)
+	})
+	Convey("Lines come out whole and in order", t, func() {
+		var out bytes.Buffer
+		logger := NewBoundedLogger(&out, "info", "gateway", "g1")
+		logger.Info().Str("request", "r1").Msg("first")
+		logger.Info().Str("request", "r1").Msg("second")
+		Flush(logger)
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		So(len(lines), ShouldEqual, 2)
+		So(lines[0], ShouldContainSubstring, "event=first role=gateway id=g1 request=r1")
+	})
+}
