--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
-	metricsServer := httpserver.New(telemetry.MetricsHandler(metrics))
+	metricsServer := httpserver.New(g.Inspect())
 	go httpserver.Serve(metricsServer, metricsListener, log)
 	g.Start(callers, ready)
 	waitForStop(path, signals, g, log)
--- a/ctl/process.go
+++ b/ctl/process.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonfork/wigeonfork/peer"
 )
@@ -10,6 +14,7 @@
 func (s *session) processVerbs() []verb {
 	return []verb{
 		{"dump", "print the state of a process as JSON", &dump{s: s}},
+		{"gateway", "print the state of a gateway as JSON", &gatewayState{s: s}},
 		{"drain", "make a process leave without cutting a request", &drain{s: s}},
 		{"in-force", "tell where a revision is not yet in force", &inForce{s: s}},
 	}
@@ -38,6 +43,41 @@
 	return c.s.printJSON(state)
 }
 
+// gatewayState asks a gateway, which has no control connection, at its metrics
+// address.
+type gatewayState struct {
+	s    *session
+	Args struct {
+		Address string `positional-arg-name:"ADDRESS" description:"metrics address of the gateway"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// maxStateBytes bounds the state of a gateway.
+const maxStateBytes = 16 << 20
+
+// Execute implements flags.Commander.
+func (c *gatewayState) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.s.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Args.Address+"/state", nil)
+	if err != nil {
+		return errors.Wrap(err, "address")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "ask the gateway")
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	if err != nil {
+		return errors.Wrap(err, "read the state")
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("gateway at %s answers %d", c.Args.Address, response.StatusCode)
+	}
+	return c.s.printJSON(json.RawMessage(body))
+}
+
 type drain struct {
 	s *session
 	addressArgument
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -328,10 +328,10 @@
 }
 
 // watch begins to watch a run; cancel is called with the reason if it is lost.
-func (f *fleet) watch(now time.Time, p *place, startBy time.Time, cancel func(error)) health.StreamID {
+func (f *fleet) watch(now time.Time, p *place, startBy time.Time, queued bool, cancel func(error)) health.StreamID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	id := f.streams.Start(now, p.ID, p.Domain, startBy)
+	id := f.streams.Start(now, p.ID, p.Domain, startBy, queued)
 	f.cancels[id] = cancel
 	return id
 }
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -83,13 +83,13 @@
 }
 
 // hasPeers tells whether other entries are there.
-func (s *sharer) hasPeers(now time.Time) bool {
-	if s == nil {
-		return false
-	}
+func (s *sharer) hasPeers(now time.Time) bool { return s != nil && s.there(now) > 0 }
+
+// there returns the number of peers that are there.
+func (s *sharer) there(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.peers.There(now) > 0
+	return s.peers.There(now)
 }
 
 // rank is this entry's place among those that are there.
@@ -127,6 +127,11 @@
 
 // register makes this entry known and learns of the others, once.
 func (s *sharer) register() {
+	select {
+	case <-s.g.warm:
+	case <-s.g.background.Done():
+		return
+	}
 	for !s.tryRegister() {
 		if !s.g.pause(s.g.spread(registerRetry)) {
 			return
@@ -135,9 +140,6 @@
 }
 
 func (s *sharer) tryRegister() bool {
-	if s.g.config.table() == nil {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(s.g.background, firstReadTimeout)
 	defer cancel()
 	self := netip.AddrPortFrom(s.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr().Unmap(), s.port)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,7 +26,7 @@
 	callerWriteTimeout = 10 * time.Second
 	// firstEventLeast is the least time that a live server has for the first event
 	// before the run is moved, and firstEventFactor the number of expected waits.
-	firstEventLeast  = 4 * time.Second
+	firstEventLeast  = 6 * time.Second
 	firstEventFactor = 4
 	// serverWait is the longest time that a stream which has begun waits for a
 	// server that takes it up.
@@ -271,7 +271,8 @@
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
 	startBy := now.Add(max(firstEventLeast, firstEventFactor*t.place.expectedWait))
-	watch := s.fleet.watch(now, t.place, startBy, cancel)
+	queued := s.sendsMade == 1 && s.caller.LastEvent == 0
+	watch := s.fleet.watch(now, t.place, startBy, queued, cancel)
 	defer s.fleet.unwatch(watch)
 	s.sharer.tell(startedMessage(t.place.ID, s.work, t.copied, s.sendsMade > 1))
 	request := s.request(now, t.place, s.attempt(now, t))
--- a/health/streams.go
+++ b/health/streams.go
@@ -61,7 +61,7 @@
 	stalledGap = 1500 * time.Millisecond
 	// deafServer is the time without any event after which a server that has not
 	// begun a stream in time is not merely busy with others.
-	deafServer = 3 * time.Second
+	deafServer = 5 * time.Second
 	// gapWeight is the weight of one gap in a server's usual gap.
 	gapWeight = 0.1
 )
@@ -73,6 +73,7 @@
 type stream struct {
 	server  ID
 	begun   bool
+	queued  bool
 	sent    time.Time
 	last    time.Time
 	startBy time.Time
@@ -84,7 +85,7 @@
 	streams map[StreamID]*stream
 	spoke   time.Time
 	event   time.Time // of any stream
-	newest  time.Time // when the newest stream that has begun was sent
+	newest  time.Time // when the newest queued stream that has begun was sent
 	gap     time.Duration
 	begun   int
 	probed  time.Time
@@ -109,8 +110,10 @@
 	}
 }
 
-// Start begins to watch a run whose first event is due by startBy.
-func (s *Streams) Start(now time.Time, server ID, domain wigeonfork.FailureDomain, startBy time.Time) StreamID {
+// Start begins to watch a run whose first event is due by startBy. queued says
+// that it waits its turn like any new request; a run that goes on from a copy, or
+// is more urgent, overtakes those that wait.
+func (s *Streams) Start(now time.Time, server ID, domain wigeonfork.FailureDomain, startBy time.Time, queued bool) StreamID {
 	s.next++
 	id := s.next
 	src := s.sources[server]
@@ -121,7 +124,7 @@
 	if len(src.streams) == 0 {
 		src.spoke, src.event, src.silent = now, now, false
 	}
-	st := &stream{server: server, sent: now, last: now, startBy: startBy}
+	st := &stream{server: server, queued: queued, sent: now, last: now, startBy: startBy}
 	src.streams[id] = st
 	s.streams[id] = st
 	return id
@@ -139,7 +142,7 @@
 	} else {
 		st.begun = true
 		src.begun++
-		if st.sent.After(src.newest) {
+		if st.queued && st.sent.After(src.newest) {
 			src.newest = st.sent
 		}
 	}
