--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -280,10 +280,10 @@
 	}
 	telemetry.Counter(c.options.Metrics, "requests."+kind+"_"+c.outcome).Inc(1)
 	telemetry.Histogram(c.options.Metrics, "request_ms."+kind+"_"+c.outcome).Update(took.Milliseconds())
-	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("route", name).Str("kind", kind).Str("workspace", string(c.workspace)).
-		Str("outcome", c.outcome).Int("status", c.status).Str("server", string(c.server)).Int("sends", c.sends).
-		Int64("ms", took.Milliseconds()).Uint64("from_event", c.caller.LastEvent).Int64("first_ms", c.firstEvent.Milliseconds()).Int64("gap_ms", c.longestGap.Milliseconds()).
-		Msg("request_ended")
+	line := c.options.Log.Info().Str("request", string(c.caller.ID)).Str("route", name).Str("kind", kind).Str("workspace", string(c.workspace))
+	line = line.Str("outcome", c.outcome).Int("status", c.status).Str("server", string(c.server)).Int("sends", c.sends)
+	line = line.Int64("ms", took.Milliseconds()).Uint64("from_event", c.caller.LastEvent)
+	line.Int64("first_ms", c.firstEvent.Milliseconds()).Int64("gap_ms", c.longestGap.Milliseconds()).Msg("request_ended")
 }
 
 // noServer is the refusal of a request that has run nowhere.
