Soak the real gateway processes under faults from outside, and bound the choice of a copy

test/soak: gateways as processes before stand-ins, a fault proxy on the links to store and callers, twenty kinds of trouble in overlapping series, promises checked from callers' and runners' side.

--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -30,6 +30,10 @@
 )
 
 func main() {
+	// Signals are taken from the first moment: the platform may send SIGHUP to a
+	// process that has just started, and its default is to end it.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
@@ -38,7 +42,7 @@
 		os.Exit(2)
 	}
 	log := telemetry.NewBoundedLogger(os.Stdout, "info", "gateway", string(settings.Host))
-	err = run(path, settings, log)
+	err = run(path, settings, signals, log)
 	if err != nil {
 		log.Error().Err(err).Msg("process_failed")
 	}
@@ -48,10 +52,8 @@
 	}
 }
 
-func run(path string, settings *platform.Settings, log *telemetry.Logger) error {
+func run(path string, settings *platform.Settings, signals <-chan os.Signal, log *telemetry.Logger) error {
 	debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryShare))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	metrics := telemetry.NewRegistry()
 	store := platform.NewStore(settings.StoreAddress)
 	peers, err := listenPeers(settings.PeerAddress)
--- a/routing/backup.go
+++ b/routing/backup.go
@@ -17,6 +17,8 @@
 	// backupRunning is the weight of a running request against a full memory when
 	// a server for a copy is chosen: a copy is of use where the run can go on.
 	backupRunning = 0.05
+	// backupChoices is the number of servers that are weighed for a copy.
+	backupChoices = 32
 )
 
 // Backup asks for a server to keep a copy of a run's memory.
@@ -38,19 +40,20 @@
 // domain of the run and charges it with the copy. If there is none outside, it
 // takes another server of the domain.
 func (r *Router) ChooseBackup(now time.Time, b Backup) (ID, bool) {
+	group := r.groups[Deployment{Model: b.Model}]
 	best, bestScore := int32(-1), math.Inf(1)
-	for _, i := range r.groups[Deployment{Model: b.Model}] {
-		s := &r.servers[i]
-		if s.state != StateReady || s.ID == b.Server {
-			continue
+	consider := func(i int32) {
+		if score, fits := r.backupScore(now, &r.servers[i], &b); fits && score < bestScore {
+			best, bestScore = i, score
 		}
-		fill := r.fillWith(s, float64(b.Tokens))
-		score := fill + backupRunning*s.outstanding(now, r.options.Without) + backupRunning*r.random.Float64()
-		if s.Domain == b.Domain {
-			score += 1
+	}
+	if len(group) <= backupChoices {
+		for _, i := range group {
+			consider(i)
 		}
-		if fill < 1 && score < bestScore {
-			best, bestScore = i, score
+	} else {
+		for range backupChoices {
+			consider(group[r.random.IntN(len(group))])
 		}
 	}
 	if best < 0 {
@@ -60,6 +63,19 @@
 	return r.servers[best].ID, true
 }
 
+// backupScore rates a server for a copy; the lowest is the best.
+func (r *Router) backupScore(now time.Time, s *server, b *Backup) (score float64, fits bool) {
+	if s.state != StateReady || s.ID == b.Server {
+		return 0, false
+	}
+	fill := r.fillWith(s, float64(b.Tokens))
+	score = fill + backupRunning*s.outstanding(now, r.options.Without) + backupRunning*r.random.Float64()
+	if s.Domain == b.Domain {
+		score++
+	}
+	return score, fill < 1
+}
+
 // ReleaseBackup takes a copy off the server that held it.
 func (r *Router) ReleaseBackup(id ID, tokens uint32) {
 	if s := r.find(id); s != nil {
--- a/routing/backup_test.go
+++ b/routing/backup_test.go
@@ -1,10 +1,13 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork"
 )
 
 // The load of a calm day: eight-thousand-token prompts, one engine known so far.
@@ -67,3 +70,17 @@
 		})
 	})
 }
+
+func BenchmarkBackup10000(b *testing.B) {
+	r := New(Options{})
+	for i := range 10000 {
+		r.Upsert(Server{ID: ID(fmt.Sprint("s", i)), Domain: wigeonfork.FailureDomain(fmt.Sprint("d", i%16)), Versions: []Deployment{{Model: "m"}}})
+	}
+	r.SetMemory("m", 88000)
+	backup := Backup{Model: "m", Server: "s1", Domain: "d1", Tokens: 8700}
+	b.ReportAllocs()
+	for b.Loop() {
+		id, _ := r.ChooseBackup(start, backup)
+		r.ReleaseBackup(id, backup.Tokens)
+	}
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -217,7 +217,7 @@
 	r.pool.begin(run)
 	if !loopback.Sleep(q.Context(), r.options.Work) {
 		r.pool.end(run, true)
-		return
+		panic(http.ErrAbortHandler)
 	}
 	r.pool.end(run, false)
 	b := r.now()
@@ -265,13 +265,13 @@
 		run.From, _ = strconv.ParseUint(last, 10, 64)
 	}
 	if !run.Copied && !loopback.Sleep(q.Context(), r.options.Prefill) {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	r.pool.begin(run)
 	if r.now().Crash {
 		go r.server.Kill()
 		<-loopback.Life(q.Context()).Done()
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if backup := q.Header.Get("Wigeonfork-Kv-Backup"); backup != "" {
 		r.pool.keep(backup + "/" + run.Request)
@@ -281,8 +281,9 @@
 	flusher := w.(http.Flusher)
 	for id := run.From + 1; id <= r.options.Events; id++ {
 		if !loopback.Sleep(q.Context(), r.options.EventGap) {
+			// A runner that is killed must not end its answer as if it were whole.
 			r.pool.end(run, true)
-			return
+			panic(http.ErrAbortHandler)
 		}
 		if _, err := io.WriteString(w, EventText(run.Request, id)); err != nil {
 			r.pool.end(run, true)
--- /dev/null
+++ b/test/soak/callers.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/standin/deployment"
+	"github.com/wigeonfork/wigeonfork/standin/runner"
+)
+
+const (
+	// callerTimeout is how long a caller waits.
+	callerTimeout = 12 * time.Second
+	// callerPause is the longest time between two requests of a caller.
+	callerPause = 120 * time.Millisecond
+	// streamTries bounds the attempts of a caller at one stream.
+	streamTries = 4
+)
+
+// attempt is what a caller remembers of one request.
+type attempt struct {
+	id     string
+	unsafe bool
+	// revoked is when the key of the request was taken away, zero if it never was;
+	// sentAt is when the request left.
+	revoked, sentAt time.Time
+	// refused tells that a refusal promised that nothing ran.
+	refused bool
+}
+
+// crowd is all callers of a run.
+type crowd struct {
+	w    *world
+	seed uint64
+	stop chan struct{}
+	wait sync.WaitGroup
+
+	mu       sync.Mutex
+	attempts []attempt
+	ended    map[string]int
+	served   int
+	next     int
+	// revokedAt is when the store had accepted a configuration without oldKey.
+	revokedAt time.Time
+}
+
+// oldKey is taken away in the middle of a run.
+const oldKey = "key-that-goes"
+
+func startCrowd(w *world, seed uint64, callers int) *crowd {
+	c := &crowd{w: w, seed: seed, stop: make(chan struct{}), ended: map[string]int{}}
+	for i := range callers {
+		c.wait.Go(func() { c.call(rand.New(rand.NewPCG(seed, uint64(100+i)))) })
+	}
+	return c
+}
+
+// call makes requests one after the other over kept connections.
+func (c *crowd) call(r *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer client.CloseIdleConnections()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(time.Duration(r.Int64N(int64(callerPause)))):
+		}
+		switch r.IntN(6) {
+		case 0, 1:
+			c.stream(client, r)
+		case 2, 3:
+			c.plain(client, r, "POST", deployment.UnsafePath, deployment.Key)
+		case 4:
+			c.plain(client, r, "GET", deployment.SafePath, deployment.Key)
+		default:
+			c.plain(client, r, "GET", deployment.SafePath, oldKey)
+		}
+	}
+}
+
+func (c *crowd) newAttempt(key string, unsafe bool) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	a := attempt{id: fmt.Sprintf("s%d-%d", c.seed, c.next), unsafe: unsafe, sentAt: time.Now()}
+	if key == oldKey {
+		a.revoked = c.revokedAt
+	}
+	c.attempts = append(c.attempts, a)
+	return len(c.attempts) - 1
+}
+
+func (c *crowd) finish(i int, how string, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts[i].refused = refused
+	c.ended[how]++
+	if how == "ok" {
+		c.served++
+	}
+}
+
+func (c *crowd) id(i int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attempts[i].id
+}
+
+func (c *crowd) request(ctx context.Context, r *rand.Rand, i int, method, path, key string) *http.Request {
+	n := c.w.pick(r)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers.Addr()+path+"x", strings.NewReader(map[string]string{"POST": "body of " + c.id(i)}[method]))
+	if err != nil {
+		panic(err)
+	}
+	request.Host = deployment.Host
+	request.Header.Set("Wigeonfork-Request-Id", c.id(i))
+	request.Header.Set("Wigeonfork-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
+	request.Header.Set("Authorization", "Bearer "+key)
+	return request
+}
+
+// promises tells whether a status promises that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
+func (c *crowd) plain(client *http.Client, r *rand.Rand, method, path, key string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	i := c.newAttempt(key, path == deployment.UnsafePath)
+	response, err := client.Do(c.request(ctx, r, i, method, path, key))
+	if err != nil {
+		c.finish(i, "cut", false)
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	switch {
+	case err != nil:
+		c.finish(i, "cut", false)
+		return
+	case response.StatusCode == http.StatusOK && string(body) != "answer to "+c.id(i):
+		c.w.broken.add("%s got the body %q", c.id(i), body)
+	case response.StatusCode == http.StatusOK:
+		c.finish(i, "ok", false)
+		return
+	case response.StatusCode == http.StatusUnauthorized && key == deployment.Key, response.StatusCode == http.StatusNotFound:
+		c.w.broken.add("%s was refused with %d, which no configuration asks for", c.id(i), response.StatusCode)
+	}
+	c.finish(i, strconv.Itoa(response.StatusCode), promises(response.StatusCode))
+}
+
+// stream asks for a stream and comes back behind the last event when it is cut.
+func (c *crowd) stream(client *http.Client, r *rand.Rand) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	last := uint64(0)
+	for range streamTries {
+		whole, more := c.streamOnce(ctx, client, r, &last)
+		if whole || !more || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(time.Duration(r.Int64N(int64(500 * time.Millisecond))))
+	}
+}
+
+// streamOnce makes one attempt. It returns whether the stream is whole, and whether
+// another attempt is worth making.
+func (c *crowd) streamOnce(ctx context.Context, client *http.Client, r *rand.Rand, last *uint64) (whole, more bool) {
+	i := c.newAttempt(deployment.Key, false)
+	request := c.request(ctx, r, i, "POST", deployment.StreamPath, deployment.Key)
+	if *last > 0 {
+		request.Header.Set("Last-Event-Id", strconv.FormatUint(*last, 10))
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		c.finish(i, "cut", false)
+		return false, true
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		c.finish(i, strconv.Itoa(response.StatusCode), promises(response.StatusCode))
+		return false, true
+	}
+	body, err := io.ReadAll(response.Body)
+	events, rest := c.checkEvents(i, *last, string(body))
+	*last += events
+	switch {
+	case err != nil:
+		c.finish(i, "cut", false)
+		return false, true
+	case rest != "" || *last != streamEvents:
+		c.w.broken.add("%s ended as whole after event %d with %q", c.id(i), *last, rest)
+	default:
+		c.finish(i, "ok", false)
+	}
+	return true, false
+}
+
+// streamEvents is the length of every stream.
+const streamEvents = 40
+
+// checkEvents checks that the events behind last come one by one and belong to
+// the attempt. It returns their number and what is left behind the last whole one.
+func (c *crowd) checkEvents(i int, last uint64, body string) (uint64, string) {
+	id := c.id(i)
+	events := uint64(0)
+	for body != "" {
+		want := runner.EventText(id, last+events+1)
+		if !strings.HasPrefix(body, want) {
+			break
+		}
+		body = body[len(want):]
+		events++
+	}
+	if want := runner.EventText(id, last+events+1); body != "" && !strings.HasPrefix(want, body) {
+		c.w.broken.add("%s got %.60q where event %d was due", id, body, last+events+1)
+	}
+	return events, body
+}
+
+// revoke takes the old key away.
+func (c *crowd) revoke() {
+	c.w.SetKeys(deployment.Key)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revokedAt = time.Now()
+}
+
+func (c *crowd) servedNow() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.served
+}
--- /dev/null
+++ b/test/soak/main.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// options are the command line of the soak.
+type options struct {
+	First    uint64        `long:"first" description:"first seed; 0 takes one from the clock"`
+	Seeds    int           `long:"seeds" default:"1" description:"number of seeds"`
+	Parallel int           `long:"parallel" default:"2" description:"seeds that run at once"`
+	Gateways int           `long:"gateways" default:"3" description:"gateway processes of a run"`
+	Callers  int           `long:"callers" default:"12" description:"callers of a run"`
+	Length   time.Duration `long:"length" default:"12s" description:"time in which faults are injected"`
+	Logs     string        `long:"logs" default:"/tmp" description:"folder for the logs of a seed that failed"`
+	Binary   string        `long:"binary" description:"gateway to run in place of one built now, as a broken one"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	failed, err := run(&o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// run runs all seeds and returns how many failed.
+func run(o *options) (int, error) {
+	if o.First == 0 {
+		o.First = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	binary, remove, err := build(o.Binary)
+	if err != nil {
+		return 0, err
+	}
+	defer remove()
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	failed := 0
+	slots := make(chan struct{}, max(1, o.Parallel))
+	for i := range o.Seeds {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			report := runSeed(o, binary, o.First+uint64(i))
+			mu.Lock()
+			defer mu.Unlock()
+			fmt.Println(report.line())
+			if len(report.broken) > 0 {
+				failed++
+			}
+		})
+	}
+	wait.Wait()
+	fmt.Printf("%d passed, %d failed\n", o.Seeds-failed, failed)
+	return failed, nil
+}
+
+// build builds the gateway unless a binary is given.
+func build(given string) (string, func(), error) {
+	if given != "" {
+		return given, func() {}, nil
+	}
+	folder, err := os.MkdirTemp("", "wigeonfork-soak-")
+	if err != nil {
+		return "", nil, errors.Wrap(err, "make folder")
+	}
+	remove := func() { _ = os.RemoveAll(folder) }
+	path := filepath.Join(folder, "wigeonfork-gateway")
+	output, err := exec.Command("go", "build", "-o", path, "github.com/wigeonfork/wigeonfork/cmd/wigeonfork-gateway").CombinedOutput()
+	if err != nil {
+		remove()
+		return "", nil, errors.Wrapf(err, "build the gateway: %s", output)
+	}
+	return path, remove, nil
+}
+
+// report is the outcome of one seed.
+type report struct {
+	seed    uint64
+	broken  []string
+	ended   map[string]int
+	faults  []string
+	logsAt  string
+	elapsed time.Duration
+}
+
+func (r *report) line() string {
+	verdict := "passed"
+	if len(r.broken) > 0 {
+		verdict = "FAILED"
+	}
+	text := fmt.Sprintf("seed %d %s in %v: requests %v, faults %v", r.seed, verdict, r.elapsed.Round(time.Second), r.ended, r.faults)
+	for _, broken := range r.broken {
+		text += "\n    " + broken
+	}
+	if r.logsAt != "" {
+		text += "\n    logs at " + r.logsAt
+	}
+	return text
+}
