--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -56,6 +56,8 @@
 	// if there is neither.
 	deadline time.Time
 	work     routing.Work
+	// expected is the caller's guess of the tokens that are still to come; 0 is none.
+	expected uint32
 	print    fingerprint
 	// sends counts the sends that may have run.
 	sends int
@@ -218,13 +220,14 @@
 	c.deadline = earliest(c.began, c.caller.Deadline, c.route.Timeout)
 	prompt := &c.caller.Prompt
 	c.work = routing.Work{Class: wigeonfork.ClassLookup, PromptTokens: prompt.Tokens, Prefixes: prompt.Parts}
-	c.work.MaxTokens = prompt.MaxOutput
-	if prompt.LengthHint > 0 {
-		c.work.MaxTokens = min(prompt.MaxOutput, prompt.LengthHint)
-	}
+	c.work.MaxTokens, c.expected = prompt.MaxOutput, prompt.LengthHint
 	if c.route.Kind == routetable.KindStream {
 		c.work.Class = wigeonfork.ClassNarrative
-		c.work.MaxTokens -= min(c.work.MaxTokens, uint32(c.caller.LastEvent)*uint32(c.eventTokens()))
+		held := uint32(c.caller.LastEvent) * uint32(c.eventTokens())
+		c.work.MaxTokens -= min(c.work.MaxTokens, held)
+		if c.expected > 0 {
+			c.expected = max(1, c.expected-min(c.expected, held))
+		}
 	}
 	c.print = fingerprintOf(c.r.Host, c.r.RequestURI, string(c.workspace), c.body)
 }
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -175,6 +175,9 @@
 }
 
 func (r *Router) expectedTokens(now time.Time, req *Request) float64 {
+	if req.ExpectedTokens > 0 {
+		return float64(req.ExpectedTokens)
+	}
 	limit := float64(req.MaxTokens)
 	if limit == 0 {
 		limit = defaultMaxTokens
@@ -210,7 +213,7 @@
 	c.total = c.wait + answer*gap*s.slowdown(load)
 	c.delays = 0
 	if r.options.Without&TermInterference == 0 {
-		c.delays = interference * load * fresh / rate
+		c.delays = interference * c.outstanding * fresh / rate
 	}
 }
 
