Refuse streams that a leaving entry would cut, and ignore a hangup before the runtime can take it

What remains is the time before any code of the process runs. Streams that come while an entry leaves are refused if their predicted time exceeds what is left.

--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -2,7 +2,13 @@
 // platform. It starts with nothing but the platform's settings file.
 package main
 
-// #include <stdlib.h>
+/*
+#include <signal.h>
+
+// A SIGHUP ends a process until the Go runtime runs and takes it. The platform may
+// send one as soon as the process exists; the settings are read after this anyway.
+static void __attribute__((constructor)) ignore_early_hangup(void) { signal(SIGHUP, SIG_IGN); }
+*/
 import "C"
 
 import (
@@ -30,8 +36,6 @@
 )
 
 func main() {
-	// Signals are taken from the first moment: the platform may send SIGHUP to a
-	// process that has just started, and its default is to end it.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -34,9 +34,6 @@
 	warmPart = 8
 	// drainRetry is when to come back to another entry; the balancer knows others.
 	drainRetry = 60 * time.Millisecond
-	// leavingStream is the time after the request to stop from which a new stream
-	// would be cut by the end of the grace period.
-	leavingStream = 3 * time.Second
 )
 
 // call is one request of a caller.
@@ -114,9 +111,6 @@
 	if c.crashes.refused(c.began, c.print) {
 		return problem.New(problem.CodeBackendFailed, problem.RunNot, problem.StepAdmit, "the request crashes backend servers")
 	}
-	if since, leaving := c.leaving(c.began); leaving && since > leavingStream && c.route.Kind == routetable.KindStream {
-		return c.draining()
-	}
 	return nil
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -163,6 +163,10 @@
 	until := now.Add(serverWait)
 	for {
 		place, err := s.choose(now)
+		if err == nil && s.sendsMade == 0 && s.endsBefore(now, place) {
+			s.fleet.failed(now, place, s.work)
+			return target{}, s.draining()
+		}
 		if err == nil && s.sendsMade == 0 && !s.inTime(now, place) {
 			s.fleet.failed(now, place, s.work)
 			return target{}, problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepAdmit,
@@ -221,6 +225,13 @@
 	return target{place: place, copied: true}, true
 }
 
+// endsBefore tells whether a leaving gateway will probably end before the answer
+// does; its caller does better at another entry.
+func (s *streamRun) endsBefore(now time.Time, place *place) bool {
+	since, leaving := s.leaving(now)
+	return leaving && s.bounds.Load().GracePeriod-stopMargin-since < place.expectedTotal
+}
+
 // inTime tells whether the answer can be whole before its deadline.
 func (s *streamRun) inTime(now time.Time, place *place) bool {
 	return s.deadline.IsZero() || admission.InTime(s.deadline.Sub(now), place.expectedTotal)
