--- a/experiment/moves/kind.go
+++ b/experiment/moves/kind.go
@@ -10,7 +10,7 @@
 )
 
 // kind is what a move is about: a good version, a good one beside a
-// disturbance, or a version that is bad in one way.
+// incident, or a version that is bad in one way.
 type kind string
 
 const (
@@ -52,8 +52,8 @@
 	slowdown                            float64
 }
 
-// disturbance is what goes wrong beside the version.
-type disturbance struct {
+// incident is what goes wrong beside the version.
+type incident struct {
 	badHosts     map[int]bool
 	slowDomain   int
 	outageFrom   time.Duration
@@ -114,10 +114,10 @@
 	return f
 }
 
-// makeDisturbance draws what goes wrong beside the version. Half of the moves
-// of bad versions have a disturbance too.
-func makeDisturbance(r *rand.Rand, k kind, routes *routeMix) disturbance {
-	d := disturbance{slowDomain: -1, shiftedRoute: -1}
+// makeIncident draws what goes wrong beside the version. Half of the moves
+// of bad versions have a incident too.
+func makeIncident(r *rand.Rand, k kind, routes *routeMix) incident {
+	d := incident{slowDomain: -1, shiftedRoute: -1}
 	chosen := k
 	if slices.Contains(badKinds, k) && r.IntN(2) == 0 {
 		chosen = goodKinds[1+r.IntN(len(goodKinds)-1)]
--- a/experiment/moves/stream.go
+++ b/experiment/moves/stream.go
@@ -114,7 +114,7 @@
 	routes  *routeMix
 	servers []server
 	fault   fault
-	disturb disturbance
+	disturb incident
 	phase   float64
 	ring    [ringSize][]request
 	carry   float64
@@ -124,7 +124,7 @@
 	r := rand.New(rand.NewPCG(seed, uint64(index)<<8|uint64(kindNumber(k))))
 	s := &stream{r: r, routes: newRouteMix(r), phase: r.Float64() * 2 * math.Pi}
 	s.fault = makeFault(r, k, s.routes)
-	s.disturb = makeDisturbance(r, k, s.routes)
+	s.disturb = makeIncident(r, k, s.routes)
 	for i := range serverCount {
 		domain := i % domainCount
 		s.servers = append(s.servers, server{
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -20,7 +20,7 @@
 	// maxAnswerBytes bounds the answer of a plain service that is held in memory
 	// until it is whole.
 	maxAnswerBytes = 8 << 20
-	// hedgeDivisor is the part of the latency target after which an idempotent
+	// hedgeDivisor is the part of the latency objective after which an idempotent
 	// request without an answer is sent to a second server.
 	hedgeDivisor = 2
 	// maxSends bounds the sends of one request that were refused or never left.
@@ -114,12 +114,12 @@
 
 // hedgeTimer fires when a second server is to be asked beside the first.
 func (p *plainRun) hedgeTimer() *time.Timer {
-	if !p.route.Idempotent() || p.route.LatencyTarget <= 0 {
+	if !p.route.Idempotent() || p.route.LatencyObjective <= 0 {
 		timer := time.NewTimer(time.Hour)
 		timer.Stop()
 		return timer
 	}
-	return time.NewTimer(p.route.LatencyTarget / hedgeDivisor)
+	return time.NewTimer(p.route.LatencyObjective / hedgeDivisor)
 }
 
 // take handles the end of a send and returns whether the request is answered.
--- a/routetable/routetable.go
+++ b/routetable/routetable.go
@@ -51,9 +51,9 @@
 	Resumable bool
 	// Timeout is the longest time that a caller is kept waiting; 0 is no limit.
 	Timeout time.Duration
-	// LatencyTarget is the time within which an answer, or the first event of a
+	// LatencyObjective is the time within which an answer, or the first event of a
 	// stream, is on time.
-	LatencyTarget time.Duration
+	LatencyObjective time.Duration
 	// GapTarget is the longest pause between two events that is on time.
 	GapTarget time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -18,7 +18,7 @@
 	// bufferBytes bounds what waits to be written.
 	bufferBytes = 256 << 10
 	// flushInterval is the time for which lines are gathered for one write.
-	flushInterval = 50 * time.Millisecond
+	flushInterval = 100 * time.Millisecond
 )
 
 // NewBoundedLogger returns a logger as NewLogger does whose volume is bounded and
