--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -102,6 +102,9 @@
 	if c.table = c.config.table(); c.table == nil {
 		return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepAccept, "no configuration yet").After(c.storeRetry())
 	}
+	if limit := c.table.Limits().MaxHeaderBytes; limit > 0 && headerBytes(c.r) > limit {
+		return problem.New(problem.CodeHeaderTooLarge, problem.RunNot, problem.StepAccept, "the request's head has more than %d bytes", limit)
+	}
 	if refusal := c.resolve(); refusal != nil {
 		return refusal
 	}
@@ -118,6 +121,18 @@
 	return nil
 }
 
+// headerBytes is the size of a request's line and headers as they came.
+func headerBytes(r *http.Request) int64 {
+	const line, field = len("  HTTP/1.1\r\n"), len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + line + len("Host") + len(r.Host) + field
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + field
+		}
+	}
+	return int64(n)
+}
+
 // draining is the refusal of a request that might be cut by the gateway's end.
 func (c *call) draining() *problem.Error {
 	return problem.New(problem.CodeDraining, problem.RunNot, problem.StepAccept, "entry is leaving").After(c.spread(drainRetry))
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -23,6 +23,7 @@
 	CodeUnknownWorkspace Code = "unknown_workspace"
 	CodeUnknownModel     Code = "unknown_model"
 	CodeTooLarge         Code = "too_large"
+	CodeHeaderTooLarge   Code = "header_too_large"
 	CodeKeyReused        Code = "key_reused"
 	CodeKeyExpired       Code = "key_expired"
 	CodeConflict         Code = "conflict"
@@ -143,6 +144,7 @@
 	CodeUnknownWorkspace: http.StatusNotFound,
 	CodeUnknownModel:     http.StatusNotFound,
 	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeHeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 	CodeKeyReused:        http.StatusUnprocessableEntity,
 	CodeKeyExpired:       http.StatusGone,
 	CodeConflict:         http.StatusConflict,
