--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -51,6 +51,8 @@
 	entries   map[serverID]directory.Entry
 	hashes    map[loadshare.ServerHash]serverID
 	cancels   map[health.StreamID]func(error)
+	// asked is when each server in doubt was last asked for a sign of life.
+	asked map[serverID]time.Time
 }
 
 func newFleet(o *Options, retired func(upstream.Server)) *fleet {
@@ -65,6 +67,7 @@
 		entries:   make(map[serverID]directory.Entry),
 		hashes:    make(map[loadshare.ServerHash]serverID),
 		cancels:   make(map[health.StreamID]func(error)),
+		asked:     make(map[serverID]time.Time),
 	}
 }
 
@@ -132,6 +135,7 @@
 		return
 	}
 	delete(f.entries, id)
+	delete(f.asked, id)
 	delete(f.hashes, loadshare.HashServer(id))
 	f.servers.Remove(id)
 	f.router.Remove(id)
@@ -294,10 +298,23 @@
 	f.told(loadshare.Message{Kind: loadshare.Lost, Server: loadshare.HashServer(id)})
 	for _, other := range doubtful {
 		f.router.SetState(now, other, routing.StateSuspect)
-		f.doubted(f.entries[other])
+		f.ask(now, other)
 	}
 }
 
+// askInterval is the least time between two questions to a server that is in
+// doubt: many peers may tell of the same loss.
+const askInterval = 300 * time.Millisecond
+
+// ask has a server in doubt asked for a sign of life, unless it just was.
+func (f *fleet) ask(now time.Time, id serverID) {
+	if now.Sub(f.asked[id]) < askInterval {
+		return
+	}
+	f.asked[id] = now
+	f.doubted(f.entries[id])
+}
+
 // replaced records that another server answers at a server's address.
 func (f *fleet) replaced(now time.Time, id serverID) {
 	f.mu.Lock()
--- /dev/null
+++ b/gateway/fleet_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/loadshare"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/upstream"
+)
+
+// The load of a failure domain's loss in a large deployment: every peer tells of
+// every server that it lost.
+func TestPeersLossesAreAskedAboutOnce(t *testing.T) {
+	Convey("However many peers tell of a loss, the server is asked once", t, func() {
+		f := newFleet(&Options{Host: "h", Log: telemetry.Discard(), Metrics: telemetry.NewRegistry()}, func(upstream.Server) {})
+		asked := map[wigeonfork.BackendServerID]int{}
+		f.doubted = func(entry directory.Entry) { asked[entry.ID]++ }
+		f.told = func(loadshare.Message) {}
+		now := time.Unix(1000, 0)
+		var entries []directory.Entry
+		for i := range 40 {
+			entries = append(entries, directory.Entry{ID: wigeonfork.BackendServerID(fmt.Sprint("i-", i)), Service: "m", Address: "10.0.0.1:1", Domain: "a", Slots: 64})
+		}
+		f.replace(now, entries)
+		for peer := range 30 {
+			for _, entry := range entries {
+				f.peerLost(now.Add(time.Duration(peer)*time.Millisecond), loadshare.HashServer(entry.ID))
+			}
+		}
+		So(len(asked), ShouldEqual, 40)
+		for _, n := range asked {
+			So(n, ShouldEqual, 1)
+		}
+		f.peerLost(now.Add(time.Second), loadshare.HashServer("i-3"))
+		So(asked["i-3"], ShouldEqual, 2)
+	})
+}
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -301,14 +301,14 @@
 }
 
 // peerLost has a server that a peer found lost asked for a sign of life.
-func (f *fleet) peerLost(_ time.Time, server loadshare.ServerHash) {
+func (f *fleet) peerLost(now time.Time, server loadshare.ServerHash) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, ok := f.hashes[server]
 	if !ok || f.servers.State(id) == health.Down {
 		return
 	}
-	f.doubted(f.entries[id])
+	f.ask(now, id)
 }
 
 // setPeers tells how many peers tell of their sends.
