Never call a stream that ran refused as not run

Cause (reading, then a test that failed first: 503 where 502 was due): a stream whose first run was lost before any event, with no other server to go to, was refused as not run. It waits for a server as one that has begun does, and is told as interrupted. next() is split into its steps.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -84,6 +84,7 @@
 	begun bool
 	// delivered counts the events that went to the caller.
 	delivered int
+	// sendsMade counts all sends, sends those that may have run.
 	sendsMade int
 	// backup is the server that holds a copy of the last run's memory.
 	backup *directory.Entry
@@ -156,31 +157,43 @@
 	until := now.Add(serverWait)
 	for {
 		place, err := s.choose(now)
-		if err == nil && s.sendsMade == 0 && s.endsBefore(now, place) {
-			s.fleet.failed(now, place, s.work)
-			return target{}, s.draining()
-		}
-		if err == nil && s.sendsMade == 0 && !s.inTime(now, place) {
-			s.fleet.failed(now, place, s.work)
-			return target{}, problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepAdmit,
-				"the answer needs about %v, which is more than is left", place.expectedTotal.Round(time.Millisecond))
-		}
-		if err == nil {
-			s.sends++
-			s.sendsMade++
-			s.server = place.ID
-			return target{place: place}, nil
-		}
-		if !s.begun {
+		switch {
+		case err == nil && s.sendsMade == 0:
+			return s.first(now, place)
+		case err == nil:
+			return s.take(place, false), nil
+		case s.sends == 0:
 			return target{}, s.noServer(err)
-		}
-		if !s.sleep(serverPoll) || time.Now().After(until) {
+		case !s.sleep(serverPoll) || time.Now().After(until):
 			return target{}, problem.New(problem.CodeInterrupted, problem.RunUnknown, problem.StepResume, "no backend server takes the stream up")
 		}
 		now = time.Now()
 	}
 }
 
+// first takes the place of the first run, unless the answer can't be whole there
+// in time.
+func (s *streamRun) first(now time.Time, place *place) (target, *problem.Error) {
+	switch {
+	case s.endsBefore(now, place):
+		s.fleet.failed(now, place, s.work)
+		return target{}, s.draining()
+	case !s.inTime(now, place):
+		s.fleet.failed(now, place, s.work)
+		return target{}, problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepAdmit,
+			"the answer needs about %v, which is more than is left", place.expectedTotal.Round(time.Millisecond))
+	}
+	return s.take(place, false), nil
+}
+
+// take counts a send to a place.
+func (s *streamRun) take(place *place, copied bool) target {
+	s.sends++
+	s.sendsMade++
+	s.server = place.ID
+	return target{place: place, copied: copied}
+}
+
 // mayRunAgain decides whether the stream is sent once more.
 func (s *streamRun) mayRunAgain() *problem.Error {
 	if s.sendsMade == 0 {
@@ -212,10 +225,7 @@
 	if place == nil {
 		return target{}, false
 	}
-	s.sends++
-	s.sendsMade++
-	s.server = id
-	return target{place: place, copied: true}, true
+	return s.take(place, true), true
 }
 
 // endsBefore tells whether a leaving gateway will probably end before the answer
