--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -20,6 +20,7 @@
 	{9, "SIGHUP ended a gateway that had just started"},
 	{11, "the same"},
 	{19, "the same"},
+	{36, "the same"},
 	{134, "SIGHUP came before the gateway's program ran; the fault waits for that now"},
 }
 
