Bound unused connections by the server's own limit, shared out among gateways

After a loss of all gateways' power nothing got through for 5 s, since the dead gateways' connections still counted.

Ruled out: a long queue at the server (answers took 15 to 20 ms), a crash (it answered all along).

Change: max_connections of the configuration, read but unused so far, bounds what all gateways keep to a quarter.

--- /dev/null
+++ b/gateway/connections.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/routetable"
+	"github.com/wigeonfork/wigeonfork/upstream"
+)
+
+// idlePart is the part of a server's connections that all gateways together may
+// keep open unused. Those of gateways that have lost power stay open at the
+// server until it closes them, and their successors need as many again; what
+// is left is for requests under way.
+const idlePart = 0.25
+
+// maxIdle returns how many unused connections this gateway keeps to a server of
+// the service, as upstream.Request takes it.
+func (g *Gateway) maxIdle(service wigeonfork.Model) int {
+	table := g.config.table()
+	if table == nil {
+		return 0
+	}
+	gateways := 1
+	if g.sharer != nil {
+		gateways += g.sharer.there(time.Now())
+	}
+	return idleBound(table.Service(service), gateways)
+}
+
+// idleBound shares a service's connections out among the gateways.
+func idleBound(service *routetable.Service, gateways int) int {
+	if service == nil || service.MaxConnections == 0 {
+		return 0
+	}
+	bound := int(idlePart * float64(service.MaxConnections) / float64(gateways))
+	if bound == 0 {
+		return upstream.NoIdle
+	}
+	return bound
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -237,6 +237,7 @@
 		Header:  c.options.Codec.Attempt(c.r.Header, attempt),
 		Body:    c.body,
 		HasBody: c.hasBody,
+		MaxIdle: c.maxIdle(place.Service),
 	}
 }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -37,7 +37,7 @@
 func (g *Gateway) connect(entry directory.Entry) error {
 	ctx, cancel := context.WithTimeout(g.background, health.ProbeTimeout)
 	defer cancel()
-	return g.pool.Connect(ctx, upstream.Server{ID: string(entry.ID), Address: entry.Address})
+	return g.pool.Connect(ctx, upstream.Server{ID: string(entry.ID), Address: entry.Address}, g.maxIdle(entry.Service))
 }
 
 // recover looks whether a server that was lost is back. One that crashed comes
@@ -108,7 +108,7 @@
 	defer cancel()
 	server := upstream.Server{ID: string(entry.ID), Address: entry.Address}
 	response, err := g.pool.Do(ctx, server, &upstream.Request{
-		Method: http.MethodGet, Target: target, Host: entry.Address, Header: http.Header{},
+		Method: http.MethodGet, Target: target, Host: entry.Address, Header: http.Header{}, MaxIdle: g.maxIdle(entry.Service),
 	})
 	if err != nil {
 		return nil, nil, err
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -27,8 +27,14 @@
 	// FreshConnection forbids a connection that was used before: such a one may
 	// have been closed by the server, and the request is lost without a trace.
 	FreshConnection bool
+	// MaxIdle bounds the unused connections to the server with which this one is
+	// kept afterwards. NoIdle keeps none; 0 takes the pool's bound.
+	MaxIdle int
 }
 
+// NoIdle has a connection closed after its use.
+const NoIdle = -1
+
 // Response is the head of an answer. Body must be closed; its Read fails with
 // io.EOF only after the whole body.
 type Response struct {
@@ -57,7 +63,7 @@
 	if err != nil {
 		return nil, infra.NewError(infra.OutcomeNotDone, operation, server.Address, err)
 	}
-	x := &exchange{pool: p, server: server, conn: c}
+	x := &exchange{pool: p, server: server, conn: c, maxIdle: req.MaxIdle}
 	x.stop = context.AfterFunc(ctx, func() { closeConn(c) })
 	sentAt := time.Now()
 	x.send(req)
@@ -85,12 +91,14 @@
 	pool   *Pool
 	server Server
 	conn   *conn
-	stop   func() bool
-	body   io.ReadCloser
-	keep   bool
-	framed bool
-	whole  bool
-	once   sync.Once
+	// maxIdle is that of the request.
+	maxIdle int
+	stop    func() bool
+	body    io.ReadCloser
+	keep    bool
+	framed  bool
+	whole   bool
+	once    sync.Once
 	// sent is closed once the request has been sent; nil if it was sent at once.
 	sent    chan struct{}
 	sendErr error
@@ -165,7 +173,7 @@
 	x.once.Do(func() {
 		running := x.stop()
 		if x.keep && x.framed && x.whole && running && x.sentWhole() {
-			x.pool.put(x.server, x.conn)
+			x.pool.put(x.server, x.conn, x.maxIdle)
 			return
 		}
 		closeConn(x.conn)
--- /dev/null
+++ b/upstream/idle_test.go
@@ -0,0 +1,46 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Requests that each need a connection of their own leave them behind unused: a
+// server that takes a bounded number resets the ones beyond.
+func TestUnusedConnectionsAreBounded(t *testing.T) {
+	Convey("After requests on fresh connections", t, func() {
+		server := serve(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+			for {
+				if _, _, err := readRequest(in); err != nil {
+					return
+				}
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		})
+		kept := func(maxIdle int) int {
+			pool := NewPool(Options{})
+			defer pool.Close()
+			for range DefaultMaxIdle + 4 {
+				request := get()
+				request.FreshConnection = true
+				request.MaxIdle = maxIdle
+				response, err := pool.Do(context.Background(), server, request)
+				So(err, ShouldBeNil)
+				body(t, response)
+				So(pool.Connect(context.Background(), server, maxIdle), ShouldBeNil)
+			}
+			return len(pool.idle[server])
+		}
+		Convey("as many are kept as the request says", func() { So(kept(3), ShouldEqual, 3) })
+		Convey("none is kept where none may be", func() { So(kept(NoIdle), ShouldEqual, 0) })
+		Convey("the pool's own bound holds beside", func() {
+			So(kept(0), ShouldEqual, DefaultMaxIdle)
+			So(kept(100), ShouldEqual, DefaultMaxIdle)
+		})
+	})
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -89,14 +89,15 @@
 	return newConn(opened), false, nil
 }
 
-// Connect opens a connection and keeps it for a request to come. Its success is
-// a sign of life of the server's host.
-func (p *Pool) Connect(ctx context.Context, server Server) error {
+// Connect opens a connection and keeps it for a request to come, unless maxIdle
+// others are kept (see Request). Its success is a sign of life of the server's
+// host.
+func (p *Pool) Connect(ctx context.Context, server Server, maxIdle int) error {
 	c, _, err := p.get(ctx, server, true)
 	if err != nil {
 		return err
 	}
-	p.put(server, c)
+	p.put(server, c, maxIdle)
 	return nil
 }
 
@@ -112,12 +113,15 @@
 	return last
 }
 
-func (p *Pool) put(server Server, c *conn) {
+func (p *Pool) put(server Server, c *conn, maxIdle int) {
+	if maxIdle == 0 {
+		maxIdle = p.options.MaxIdle
+	}
 	c.idleAt = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[server]
-	if len(idle) >= p.options.MaxIdle {
+	if len(idle) >= min(maxIdle, p.options.MaxIdle) {
 		closeConn(c)
 		return
 	}
