Send others elsewhere while a server of unknown speed works on its first stream

Cause: a tenth of the servers takes three to four times as long as the usual one, and nothing tells before the first token, 3 to 5 s after the send. A server that has shown nothing counts as one of the good ones, so that it was preferred to those known to be average, and all gateways tried it meanwhile: four or five streams each, late all.

Ruled out: a cold start (the rows' cold_remaining_ms; they stay slow), load (nothing else ran there), caches.

Change: a server that has shown no pace, has one of its host's none either, and is at work costs half of its time more. Tried and not kept: the same for each request there, and on the queue too; the first fails two tests of the share that unknown servers take.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -19,6 +19,7 @@
 	interference      = 0.8  // part of a prompt's reading by which others' tokens are late
 	foreignMargin     = 0.2  // part of the reported load that may have come since
 	reservedSlots     = 2.0  // of each server, left to resumes while others are free
+	unprovenWeight    = 0.5  // of the time at a busy server of unknown speed
 	sampleAttempts    = 3    // draws per wanted sample before the group is scanned
 )
 
@@ -234,7 +235,9 @@
 	return gap, rate, service
 }
 
-// score is the predicted total time; avoided and suspect servers come after
+// score is the predicted total time. A server that has shown nothing of its speed
+// may be many times slower than the usual one: while it works on its first
+// requests, others go elsewhere. Avoided and suspect servers come after
 // all others, except that a suspect one whose probe is due comes first.
 func (r *Router) score(req *Request, s *server, c *candidate) float64 {
 	first := firstWeight
@@ -242,6 +245,9 @@
 		first = resumeWeight
 	}
 	score := c.total + c.delays + queueWeight*c.queue + first*c.wait
+	if req.PromptTokens > 0 && !s.proven() && r.options.Without&TermSpeed == 0 {
+		score += unprovenWeight * math.Min(1, c.outstanding) * (c.total - c.queue)
+	}
 	if c.avoided {
 		score += time.Hour.Seconds()
 	}
--- a/routing/server.go
+++ b/routing/server.go
@@ -123,6 +123,10 @@
 	normal    float64 // usual gap before the doubt, seconds
 }
 
+// proven tells whether the server, or the one before it on its host, has shown
+// its speed to any entry.
+func (s *server) proven() bool { return !s.gap.at.IsZero() || !s.rate.at.IsZero() }
+
 func (s *server) slots() float64 {
 	if s.Slots > 0 {
 		return float64(s.Slots)
