Let gateways tell each other which servers fail requests

Cause: a server that answers 500 to everything while its health lies got 157 requests in 6 s on a grown site. Each of 31 gateways sent it less than one in a second; its failure rate, halved every 2 s, hardly rose, and each tried the suspect server again every 2 s by itself.

Ruled out: requests that fail everywhere (the same ones fail at two servers, all else there succeeds).

Change: a failure is told to the peers, and a good answer after one; four failures in a row, over all gateways, condemn the server. A probe that a peer told of counts as one's own.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -254,10 +254,20 @@
 func (f *fleet) result(now time.Time, p *place, failed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.servers.Result(now, p.ID, failed) {
-		return
+	if failed || f.servers.Accused(p.ID) {
+		f.told(resultMessage(p.ID, failed))
+	}
+	if f.servers.Result(now, p.ID, failed) {
+		f.belief(now, p.ID)
+	}
+}
+
+func resultMessage(id serverID, failed bool) loadshare.Message {
+	kind := loadshare.Served
+	if failed {
+		kind = loadshare.Failed
 	}
-	f.belief(now, p.ID)
+	return loadshare.Message{Kind: kind, Server: loadshare.HashServer(id)}
 }
 
 // belief tells the router of a changed belief.
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -232,6 +232,8 @@
 		s.g.fleet.peerLost(now, m.Server)
 	case loadshare.Pace:
 		s.g.fleet.peerPace(now, m)
+	case loadshare.Failed, loadshare.Served:
+		s.g.fleet.peerResult(now, m)
 	case loadshare.Proof:
 		s.g.proofTold(now, m)
 	}
@@ -300,6 +302,20 @@
 	}
 }
 
+// peerResult takes in how a request of a peer ended.
+func (f *fleet) peerResult(now time.Time, m loadshare.Message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id, ok := f.hashes[m.Server]
+	if !ok {
+		return
+	}
+	f.router.PeerProbed(now, id)
+	if f.servers.PeerResult(now, id, m.Kind == loadshare.Failed) {
+		f.belief(now, id)
+	}
+}
+
 // peerLost has a server that a peer found lost asked for a sign of life.
 func (f *fleet) peerLost(now time.Time, server loadshare.ServerHash) {
 	f.mu.Lock()
--- a/health/servers.go
+++ b/health/servers.go
@@ -53,6 +53,12 @@
 	failingSamples = 4
 	// failingHalfLife is the time in which an unconfirmed failure rate halves.
 	failingHalfLife = 2 * time.Second
+	// failingStreak is the number of failures in a row, over the requests of all
+	// entries, that condemn a server: with as many entries as requests in a
+	// second, none sees enough of them by itself.
+	failingStreak = 4
+	// streakTime bounds the time between two failures in a row.
+	streakTime = 5 * time.Second
 	// mostFailing is the part of a service's servers that may be failing: if more
 	// fail, the cause is not theirs.
 	mostFailing = 0.5
@@ -73,6 +79,9 @@
 	failures float64
 	samples  int
 	sampleAt time.Time
+	// streak counts the failures since the last good answer that any entry told of.
+	streak   int
+	streakAt time.Time
 }
 
 // service is the failure rate over all servers of a service.
@@ -213,26 +222,69 @@
 	return true
 }
 
-// Result records how a request ended at a server that answered it. It returns
-// whether the belief changed.
+// Result records how a request of this entry ended at a server that answered it.
+// It returns whether the belief changed.
 func (s *Servers) Result(now time.Time, id ID, failed bool) bool {
 	known := s.servers[id]
 	if known == nil || known.state == Down || known.state == Doubtful {
 		return false
 	}
 	group := s.services[known.service]
-	outcome := 0.0
-	if failed {
-		outcome = 1
-	}
 	known.decay(now)
-	known.failures += failureWeight * (outcome - known.failures)
+	known.failures += failureWeight * (rate(failed) - known.failures)
 	known.samples++
-	group.failures += failureWeight / float64(max(1, group.servers)) * (outcome - group.failures)
+	group.failures += failureWeight / float64(max(1, group.servers)) * (rate(failed) - group.failures)
 	group.samples++
+	known.count(now, failed)
 	return s.judge(known, group)
 }
 
+// PeerResult records how a request of another entry ended. It returns whether the
+// belief changed.
+func (s *Servers) PeerResult(now time.Time, id ID, failed bool) bool {
+	known := s.servers[id]
+	if known == nil || known.state == Down || known.state == Doubtful {
+		return false
+	}
+	known.count(now, failed)
+	if known.state == Failing {
+		known.decay(now)
+		known.failures += failureWeight * (rate(failed) - known.failures)
+	}
+	return s.judge(known, s.services[known.service])
+}
+
+// Accused tells whether a failure of the server stands without a good answer
+// since: peers that heard of it are to hear of one.
+func (s *Servers) Accused(id ID) bool {
+	known := s.servers[id]
+	return known != nil && (known.streak > 0 || known.state == Failing)
+}
+
+func rate(failed bool) float64 {
+	if failed {
+		return 1
+	}
+	return 0
+}
+
+// count takes a result into the failures in a row. A full row counts as certain.
+func (k *server) count(now time.Time, failed bool) {
+	if !failed || now.Sub(k.streakAt) > streakTime {
+		k.streak = 0
+	}
+	if !failed {
+		return
+	}
+	k.streak++
+	k.streakAt = now
+	if k.streak >= failingStreak {
+		k.failures = 1
+		k.samples = max(k.samples, failingSamples)
+		k.sampleAt = now
+	}
+}
+
 func (s *Servers) judge(known *server, group *service) bool {
 	excess := known.failures - group.failures
 	switch {
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -35,6 +35,11 @@
 	// Pace: the sender measured a backend server: Tokens is the time between two
 	// tokens in microseconds, Part the prompt tokens read in a second.
 	Pace
+	// Failed: a request of the sender failed at a backend server that answered.
+	Failed
+	// Served: a request of the sender ended well at a backend server that was told
+	// to fail.
+	Served
 )
 
 // ServerHash stands for a backend server's id in messages.
@@ -96,7 +101,7 @@
 			Tokens: binary.LittleEndian.Uint32(data[9:]),
 			Part:   binary.LittleEndian.Uint64(data[13:]),
 		}
-		if m.Kind < Hello || m.Kind > Pace {
+		if m.Kind < Hello || m.Kind > Served {
 			return sender, nil, errors.Newf("message of unknown kind %d", m.Kind)
 		}
 		messages = append(messages, m)
--- a/routing/health.go
+++ b/routing/health.go
@@ -52,3 +52,11 @@
 	}
 	return StateDead
 }
+
+// PeerProbed records that another entry has tried a suspect server, so that all
+// entries together try it once in a probe interval.
+func (r *Router) PeerProbed(now time.Time, id ID) {
+	if s := r.find(id); s != nil && s.state == StateSuspect {
+		s.probedAt = now
+	}
+}
--- a/routing/unproven_test.go
+++ b/routing/unproven_test.go
@@ -116,3 +116,24 @@
 		So(r.find("again").proven(), ShouldBeTrue)
 	})
 }
+
+func TestEntriesShareTheProbesOfASuspectServer(t *testing.T) {
+	Convey("After a probe that another entry told of, the next one waits its interval", t, func() {
+		r := newRouter(3, Options{ProbeInterval: time.Second})
+		r.SetState(start, "b0", StateSuspect)
+		r.PeerProbed(start.Add(900*time.Millisecond), "b0")
+		probes := func(from time.Duration) int {
+			count := 0
+			for i := range 8 {
+				d, err := r.Choose(start.Add(from+time.Duration(i)*time.Millisecond), ask())
+				So(err, ShouldBeNil)
+				if d.ID == "b0" {
+					count++
+				}
+			}
+			return count
+		}
+		So(probes(1500*time.Millisecond), ShouldEqual, 0)
+		So(probes(2*time.Second), ShouldEqual, 1)
+	})
+}
