Share the probes of lost servers out among the gateways, and tell of adopted ones

Change: a server that several lost is probed by three of them, in an order on which all agree, by the rest every 4 s only, as a message may be lost; whoever finds it back tells, and whoever meets another one at its address tells that one. A gateway that alone lost a server probes as before. A loss that was told is not told again.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -305,7 +305,9 @@
 	f.log.Info().Str("server", string(id)).Str("domain", string(entry.Domain)).Str("reason", reason).
 		Int("doubtful", len(doubtful)).Msg("server_lost")
 	f.router.SetState(now, id, routing.StateDead)
-	f.told(loadshare.Message{Kind: loadshare.Lost, Server: loadshare.HashServer(id)})
+	if !f.servers.ToldLost(id) {
+		f.told(loadshare.Message{Kind: loadshare.Lost, Server: loadshare.HashServer(id)})
+	}
 	for _, other := range doubtful {
 		f.router.SetState(now, other, routing.StateSuspect)
 		f.ask(now, other)
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -41,3 +41,24 @@
 		So(asked["i-3"], ShouldEqual, 2)
 	})
 }
+
+// The load of a crash of many servers, which come back under other names before
+// the registry tells of them.
+func TestAdoptedServersAreTakenFromPeers(t *testing.T) {
+	Convey("A server that a peer met at a lost one's address is used without a question", t, func() {
+		f := newFleet(&Options{Host: "h", Log: telemetry.Discard(), Metrics: telemetry.NewRegistry()}, func(upstream.Server) {})
+		f.doubted = func(directory.Entry) { t.Error("a server is asked") }
+		f.told = func(loadshare.Message) {}
+		now := time.Unix(1000, 0)
+		lost := directory.Entry{ID: "i-1", Service: "m", Address: "10.0.0.1:1", Domain: "a", Slots: 64}
+		f.replace(now, []directory.Entry{lost})
+		adopted := lost
+		adopted.ID, adopted.Born = "i-2", 7
+		for range 3 {
+			f.peerAdopted(now, &loadshare.Adoption{Lost: "i-1", Adopted: adopted})
+		}
+		So(f.alive("i-1"), ShouldBeFalse)
+		So(f.alive("i-2"), ShouldBeTrue)
+		So(f.upkeep(now.Add(time.Minute), loadshare.Watch{}), ShouldBeEmpty)
+	})
+}
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -92,6 +91,16 @@
 	return s.peers.There(now)
 }
 
+// watch is this entry's share of the servers that several entries have lost.
+func (s *sharer) watch(now time.Time) loadshare.Watch {
+	if s == nil {
+		return loadshare.Watch{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return loadshare.Watch{Rank: s.peers.Rank(now), Peers: s.peers.There(now)}
+}
+
 // rank is this entry's place among those that are there.
 func (s *sharer) rank(now time.Time) int {
 	s.mu.Lock()
@@ -202,6 +211,10 @@
 			return err
 		}
 		s.heard(now, sender)
+		if reading.Adopted != nil {
+			s.g.fleet.peerAdopted(now, reading.Adopted)
+			return nil
+		}
 		s.g.readingTold(now, reading)
 		return nil
 	}
@@ -230,6 +243,8 @@
 		}
 	case loadshare.Lost:
 		s.g.fleet.peerLost(now, m.Server)
+	case loadshare.Back:
+		s.g.fleet.peerBack(now, m.Server)
 	case loadshare.Pace:
 		s.g.fleet.peerPace(now, m)
 	case loadshare.Failed, loadshare.Served:
@@ -320,11 +335,29 @@
 func (f *fleet) peerLost(now time.Time, server loadshare.ServerHash) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	id, ok := f.hashes[server]
-	if !ok || f.servers.State(id) == health.Down {
-		return
+	if id, ok := f.hashes[server]; ok && f.servers.PeerLost(id) {
+		f.ask(now, id)
+	}
+}
+
+// peerAdopted takes in that a peer met another server at a lost one's address.
+func (f *fleet) peerAdopted(now time.Time, a *loadshare.Adoption) {
+	f.mu.Lock()
+	_, known := f.entries[a.Adopted.ID]
+	f.mu.Unlock()
+	if !known {
+		f.replaced(now, a.Lost)
+		f.adopt(now, a.Adopted)
+	}
+}
+
+// peerBack has a server that a peer found back probed soon.
+func (f *fleet) peerBack(now time.Time, server loadshare.ServerHash) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if id, ok := f.hashes[server]; ok {
+		f.servers.PeerBack(now, id)
 	}
-	f.ask(now, id)
 }
 
 // setPeers tells how many peers tell of their sends.
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/health"
+	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/routing"
 )
 
@@ -42,7 +43,7 @@
 				continue
 			}
 			upkeep = now
-			for _, entry := range g.fleet.upkeep(now) {
+			for _, entry := range g.fleet.upkeep(now, g.sharer.watch(now)) {
 				go g.recover(entry)
 			}
 			g.pool.Expire(now)
@@ -85,13 +86,13 @@
 
 // upkeep returns the servers that are down and due for a probe, and trusts those
 // again whose failures have faded.
-func (f *fleet) upkeep(now time.Time) []directory.Entry {
+func (f *fleet) upkeep(now time.Time, watch loadshare.Watch) []directory.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.apply(f.directory.Expire(now))
 	var due []directory.Entry
 	for id, entry := range f.entries {
-		if f.servers.ProbeDue(now, id) {
+		if f.servers.ProbeDue(now, id, watch.Covers(loadshare.HashServer(id))) {
 			due = append(due, entry)
 		}
 		if f.servers.Settle(now, id) {
@@ -105,7 +106,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.streams.Alive(now, id)
+	wasDown, toldBack := f.servers.State(id) == health.Down, f.servers.ToldBack(id)
 	if f.servers.Answered(sentAt, id) {
+		if wasDown && !toldBack {
+			f.told(loadshare.Message{Kind: loadshare.Back, Server: loadshare.HashServer(id)})
+		}
 		f.log.Info().Str("server", string(id)).Msg("server_back")
 		f.router.SetState(now, id, routing.StateReady)
 	}
--- a/health/servers.go
+++ b/health/servers.go
@@ -44,6 +44,9 @@
 	probeSoonFor = 4 * time.Second
 	// probeLater is the time between two probes from then on.
 	probeLater = 2 * time.Second
+	// probeOthers is the time between two probes of a server that peers lost too
+	// and that others watch; it outlasts a lost message.
+	probeOthers = 4 * time.Second
 	// failureWeight is the weight of one request in the failure rate.
 	failureWeight = 0.15
 	// failingMargin is the failure rate beyond that of the peers at which a
@@ -76,6 +79,9 @@
 	lostAt   time.Time
 	probeAt  time.Time
 	replaced bool
+	// peerLost: a peer found the server lost; peerBack: one found it back since.
+	peerLost bool
+	peerBack bool
 	failures float64
 	samples  int
 	sampleAt time.Time
@@ -162,6 +168,7 @@
 	}
 	s.set(known, Down)
 	known.lostAt, known.probeAt = now, now.Add(probeSoon)
+	known.peerBack = false
 	return true, s.doubt(now, known)
 }
 
@@ -204,16 +211,58 @@
 		return false
 	}
 	s.set(known, Up)
+	known.peerLost, known.peerBack = false, false
 	return true
 }
 
+// PeerLost records that another entry finds a server lost. It returns whether
+// that is news, so that the server is to be asked for a sign of life.
+func (s *Servers) PeerLost(id ID) bool {
+	known := s.servers[id]
+	if known == nil {
+		return false
+	}
+	known.peerLost = true
+	return known.state != Down
+}
+
+// PeerBack records that another entry finds a server back that was lost.
+func (s *Servers) PeerBack(now time.Time, id ID) {
+	if known := s.servers[id]; known != nil && known.state == Down {
+		known.peerBack = true
+		known.probeAt = now
+	}
+}
+
+// ToldLost tells whether another entry told of a server's loss, ToldBack of its
+// return: then peers need not hear of it once more.
+func (s *Servers) ToldLost(id ID) bool {
+	known := s.servers[id]
+	return known != nil && known.peerLost
+}
+
+// ToldBack is like ToldLost.
+func (s *Servers) ToldBack(id ID) bool {
+	known := s.servers[id]
+	return known != nil && known.peerBack
+}
+
 // ProbeDue tells whether a server that is down is to be probed now, and takes
-// the probe as sent.
-func (s *Servers) ProbeDue(now time.Time, id ID) bool {
+// the probe as sent. watched tells that this entry is one of those that look
+// after a server which several have lost.
+func (s *Servers) ProbeDue(now time.Time, id ID, watched bool) bool {
 	known := s.servers[id]
 	if known == nil || known.replaced || known.state != Down || now.Before(known.probeAt) {
 		return false
 	}
+	if known.peerLost && !known.peerBack && !watched {
+		due := now.Sub(known.lostAt) >= probeOthers
+		known.probeAt = known.lostAt.Add(probeOthers)
+		if due {
+			known.probeAt = now.Add(probeOthers)
+		}
+		return due
+	}
 	wait := probeSoon
 	if now.Sub(known.lostAt) > probeSoonFor {
 		wait = probeLater
--- /dev/null
+++ b/health/watch_test.go
@@ -0,0 +1,72 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// The load of a server's loss on a large site, with a round of upkeep five times a
+// second at each entry.
+func TestLostServersAreWatchedByFew(t *testing.T) {
+	const (
+		entries  = 31
+		watchers = 3
+		away     = 3 * time.Second
+		upkeep   = 200 * time.Millisecond
+	)
+	start := time.Unix(1000, 0)
+	var all []*Servers
+	lose := func() {
+		all = nil
+		for i := range entries {
+			s := NewServers()
+			s.Add("i", "m", "a")
+			all = append(all, s)
+			s.Lost(start, "i")
+			if i > 0 {
+				s.PeerLost("i")
+			}
+		}
+	}
+	probes := func(from, to time.Duration) int {
+		count := 0
+		for passed := from; passed < to; passed += upkeep {
+			for i, s := range all {
+				if s.ProbeDue(start.Add(passed), "i", i < watchers) {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	Convey("Where all entries lose a server", t, func() {
+		lose()
+		Convey("few of them probe it while it is away", func() {
+			So(probes(0, away), ShouldBeLessThanOrEqualTo, watchers*int(away/probeSoon))
+			Convey("the others look by themselves in the end, as a message may be lost", func() {
+				So(probes(away, probeOthers+2*upkeep), ShouldBeGreaterThanOrEqualTo, entries-watchers)
+			})
+		})
+		Convey("and one tells that it is back, each looks once and takes it up", func() {
+			probes(0, away)
+			for i, s := range all {
+				if i == 0 {
+					So(s.Answered(start.Add(away), "i"), ShouldBeTrue)
+					continue
+				}
+				s.PeerBack(start.Add(away), "i")
+				So(s.ToldBack("i"), ShouldBeTrue)
+			}
+			So(probes(away, away+upkeep), ShouldEqual, entries-1)
+		})
+	})
+	Convey("An entry that alone has lost a server probes it at once", t, func() {
+		s := NewServers()
+		s.Add("i", "m", "a")
+		s.Lost(start, "i")
+		So(s.ToldLost("i"), ShouldBeFalse)
+		So(s.ProbeDue(start.Add(probeSoon), "i", false), ShouldBeTrue)
+	})
+}
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -40,6 +40,8 @@
 	// Served: a request of the sender ended well at a backend server that was told
 	// to fail.
 	Served
+	// Back: the sender finds that a backend server that was lost answers again.
+	Back
 )
 
 // ServerHash stands for a backend server's id in messages.
@@ -101,7 +103,7 @@
 			Tokens: binary.LittleEndian.Uint32(data[9:]),
 			Part:   binary.LittleEndian.Uint64(data[13:]),
 		}
-		if m.Kind < Hello || m.Kind > Served {
+		if m.Kind < Hello || m.Kind > Back {
 			return sender, nil, errors.Newf("message of unknown kind %d", m.Kind)
 		}
 		messages = append(messages, m)
--- a/loadshare/reading.go
+++ b/loadshare/reading.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
 )
 
@@ -22,6 +23,14 @@
 	// Partial says that the changes did not fit and must be read.
 	Partial bool               `cbor:"3,keyasint,omitempty"`
 	Changes []directory.Change `cbor:"4,keyasint,omitempty"`
+	// Adopted is set alone: the sender met a server that is not registered yet.
+	Adopted *Adoption `cbor:"5,keyasint,omitempty"`
+}
+
+// Adoption says that another server answers at a lost one's address.
+type Adoption struct {
+	Lost    wigeonfork.BackendServerID `cbor:"1,keyasint"`
+	Adopted directory.Entry            `cbor:"2,keyasint"`
 }
 
 // AppendReading encodes a datagram with a reading from the listener at port.
--- /dev/null
+++ b/loadshare/watch_test.go
@@ -0,0 +1,40 @@
+package loadshare
+
+import (
+	"net/netip"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/directory"
+)
+
+func TestWatch(t *testing.T) {
+	Convey("Each lost server has its watchers, and the load is spread over the entries", t, func() {
+		for _, entries := range []int{1, 2, 3, 4, 31, 300} {
+			const servers = 1000
+			covered := make([]int, servers)
+			for rank := range entries {
+				own := 0
+				for i := range servers {
+					if (Watch{Rank: rank, Peers: entries - 1}).Covers(ServerHash(i * 7919)) {
+						covered[i]++
+						own++
+					}
+				}
+				So(own, ShouldBeLessThanOrEqualTo, 2*watchers*servers/entries+watchers)
+			}
+			for _, n := range covered {
+				So(n, ShouldEqual, min(entries, watchers))
+			}
+		}
+	})
+	Convey("An adoption comes out as it went in", t, func() {
+		sent := &Adoption{Lost: "i-1", Adopted: directory.Entry{ID: "i-2", Service: "s", Address: "10.0.0.1:80", Slots: 64, Born: 5}}
+		data, err := AppendReading(nil, 7000, &Reading{Adopted: sent})
+		So(err, ShouldBeNil)
+		_, read, err := ParseReading(data, netip.MustParseAddrPort("10.0.0.9:1"))
+		So(err, ShouldBeNil)
+		So(read.Adopted, ShouldResemble, sent)
+	})
+}
