Refuse a claim for a former agent as not run, since its one copy came here

Ruled out: the entry's record (it only writes down the agent's answer), the restarted agent's empty memory (nothing of the claim could be in it).

Change: the agent says not run. That is proved where the claim's one copy has come to it: the coordinator sends one, the transport repeats none (new test), and a connection leads to one process.

--- a/action/dispatcher.go
+++ b/action/dispatcher.go
@@ -48,7 +48,9 @@
 
 // Dispatcher carries claims from an entry to agents.
 //
-// Dispatch sends one copy of the call and never repeats it by itself. Mind
+// Dispatch sends one copy of the call and never repeats it by itself: an agent
+// that did not exist yet when the claim was made takes a copy that reaches it
+// as proof that no other agent has run it. Mind
 // that net/http.Transport repeats a request that has an Idempotency-Key
 // header; the header must not travel to the agent. The call that the agent
 // makes must not end with the entry's connection. An error proves that the
--- a/action/ledger/command.go
+++ b/action/ledger/command.go
@@ -14,11 +14,13 @@
 	return &Ledger{config: config, entries: make(map[action.ClaimID]*entry)}
 }
 
-// Dispatch decides about a dispatched claim.
+// Dispatch decides about a dispatched claim. A claim for another incarnation
+// was not run there and never will be: an entry sends one copy of a claim's
+// call, and that copy has come here.
 func (l *Ledger) Dispatch(now time.Time, claim action.Claim) Decision {
 	l.prune(now)
 	if claim.Target.Incarnation != l.config.Incarnation {
-		return Decision{Verdict: VerdictUnknown, Reason: ReasonIncarnation}
+		return Decision{Verdict: VerdictNotRun, Reason: ReasonIncarnation}
 	}
 	if known, ok := l.entries[claim.ID]; ok {
 		return known.decision()
@@ -147,6 +149,20 @@
 	return due
 }
 
+// Abandon notes that the agent leaves before the calls under way have ended:
+// their outcomes stay unknown. All outcomes that are not in the table are due
+// to be recorded at once.
+func (l *Ledger) Abandon(now time.Time) {
+	for id, known := range l.entries {
+		if known.state == stateRunning {
+			l.Finished(now, id, nil)
+		}
+	}
+	for _, known := range l.unrecorded {
+		known.recordAt = now
+	}
+}
+
 // Drain refuses all claims that were not seen before, for the rest of this
 // incarnation.
 func (l *Ledger) Drain() { l.draining = true }
--- a/action/model_test.go
+++ b/action/model_test.go
@@ -104,8 +104,15 @@
 	state action.ResolutionState
 }
 
+// arrival is the process that the one copy of a claim's call has come to.
+type arrival struct {
+	claim action.ClaimID
+	agent int
+}
+
 // world is one state of the model. Messages stay in their sets: they can be
-// late, lost or delivered again.
+// late, lost or delivered again. A dispatch is delivered again to the same
+// process only: its one copy travels over one connection (see Dispatcher).
 type world struct {
 	entries    []*modelEntry
 	agents     []*modelAgent
@@ -116,6 +123,7 @@
 	dispatches []action.Claim
 	queries    []action.ResolveQuery
 	acks       []action.ClaimID
+	arrivals   []arrival
 	dispatched []claimAnswer
 	resolved   []claimAnswer
 	runs       []action.ClaimID
@@ -184,6 +192,9 @@
 	for _, claim := range w.dispatches {
 		names = append(names, "d"+string(claim.ID))
 	}
+	for _, a := range w.arrivals {
+		names = append(names, "v"+string(a.claim)+strconv.Itoa(a.agent))
+	}
 	for _, query := range w.queries {
 		names = append(names, "q"+string(query.ClaimID))
 	}
--- a/entry/command/dispatcher_test.go
+++ b/entry/command/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -29,3 +30,31 @@
 		So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
 	})
 }
+
+func TestDispatchSendsOneCopy(t *testing.T) {
+	Convey("A call whose connection ends without an answer is not sent again, also on a connection used before", t, func() {
+		var copies atomic.Int32
+		agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if copies.Add(1) == 1 {
+				_, _ = w.Write([]byte(`{"status":200}`))
+				return
+			}
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_ = conn.Close()
+		}))
+		defer agent.Close()
+		agents := agentapi.NewClient("key")
+		defer agents.Close()
+		claim := action.Claim{ID: "c", Target: action.Target{AgentAddress: strings.TrimPrefix(agent.URL, "http://")}}
+		call := backend.Call{Method: http.MethodPost, Path: "/", Body: []byte("{}")}
+		_, err := Dispatcher{Agents: agents}.Dispatch(context.Background(), claim, call)
+		So(err, ShouldBeNil)
+		_, err = Dispatcher{Agents: agents}.Dispatch(context.Background(), claim, call)
+		So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
+		So(copies.Load(), ShouldEqual, 2)
+	})
+}
