Let a leaving agent wait for readers whose path has failed, and record what it gives up

Cause: a draining agent ended once all frames were written. An entry that was suspended, or a caller whose path went silent just then, came back to nothing, and the answer began anew. A call to a service that outlasted the drain limit was forgotten with the agent; callers heard "not known yet" for more than 40 s. An agent that was suspended beyond its limit gave up a call whose reply lay in its socket.

Ruled out: acknowledgement by the entry (it knows only that its kernel took the bytes).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,6 +47,10 @@
 	Metrics     telemetry.Registry
 	// DrainLimit bounds the time that a leaving agent waits for its streams.
 	DrainLimit time.Duration
+	// ResumeHold is how long a leaving agent keeps an answer whose end was sent. It
+	// should outlast the silence after which a caller asks another entry; 0 keeps
+	// none.
+	ResumeHold time.Duration
 }
 
 // Agent is one agent.
--- a/agent/command/actions.go
+++ b/agent/command/actions.go
@@ -211,6 +211,22 @@
 	a.ledger.Drain()
 }
 
+// Abandon gives up the calls under way, whose outcomes stay unknown, and
+// records every outcome that is not in the table, so that callers learn of it
+// once the agent is gone.
+func (a *Actions) Abandon(ctx context.Context) int {
+	a.mu.Lock()
+	abandoned := a.ledger.Status().Running
+	a.ledger.Abandon(a.now())
+	a.mu.Unlock()
+	for a.Unfinished() > 0 && ctx.Err() == nil {
+		if a.recordDue(ctx) == 0 {
+			break
+		}
+	}
+	return abandoned
+}
+
 // Unfinished returns the number of calls that run or whose outcomes are not
 // in the table.
 func (a *Actions) Unfinished() int {
@@ -241,10 +257,13 @@
 	}
 }
 
-func (a *Actions) recordDue(ctx context.Context) {
+// recordDue records the outcomes that are due and returns how many it has
+// written.
+func (a *Actions) recordDue(ctx context.Context) int {
 	a.mu.Lock()
 	due := a.ledger.Unrecorded(a.now(), recordBatch)
 	a.mu.Unlock()
+	written := 0
 	for _, outcome := range due {
 		limited, cancel := context.WithTimeout(ctx, recordTimeout)
 		err := a.Recorder.Record(limited, outcome.Claim, outcome.Reply)
@@ -256,7 +275,9 @@
 		a.mu.Lock()
 		a.ledger.Recorded(a.now(), outcome.Claim.ID)
 		a.mu.Unlock()
+		written++
 	}
+	return written
 }
 
 // Wait returns when no call runs any more.
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -10,9 +10,14 @@
 // drainPoll is the time between two looks at the remaining generations.
 const drainPoll = 20 * time.Millisecond
 
-// handoverGrace is the time in which entries take up what is handed over.
+// handoverGrace is the time in which entries take up what is handed over, and
+// in which replies are read that came while the process was suspended beyond
+// its drain limit.
 const handoverGrace = 2 * time.Second
 
+// recordGrace bounds the writing of outcomes after the drain limit.
+const recordGrace = 5 * time.Second
+
 // Drain stops taking new work, waits for the generations under way up to the
 // drain limit and hands over the rest with their positions.
 func (a *Agent) Drain(ctx context.Context) {
@@ -26,12 +31,23 @@
 	defer cancel()
 	a.waitForWork(limited)
 	handed := a.generations.GiveUp()
-	if handed > 0 {
+	if a.unfinished() > 0 {
 		grace, cancelGrace := context.WithTimeout(ctx, handoverGrace)
 		defer cancelGrace()
 		a.waitForWork(grace)
 	}
-	a.options.Log.Info().Int("handed_over", handed).Msg("drain_ended")
+	abandoned := a.abandonActions(ctx)
+	a.options.Log.Info().Int("handed_over", handed).Int("actions_abandoned", abandoned).Msg("drain_ended")
+}
+
+// abandonActions ends the actions that have outlasted the drain limit.
+func (a *Agent) abandonActions(ctx context.Context) int {
+	if a.actions == nil || a.actions.Unfinished() == 0 {
+		return 0
+	}
+	limited, cancel := context.WithTimeout(ctx, recordGrace)
+	defer cancel()
+	return a.actions.Abandon(limited)
 }
 
 func (a *Agent) waitForWork(ctx context.Context) {
@@ -46,10 +62,10 @@
 	}
 }
 
-// unfinished counts the generations whose end no entry has read and the actions
+// unfinished counts the generations that an entry may still ask for and the actions
 // whose outcome is not recorded.
 func (a *Agent) unfinished() int {
-	count := a.sessions.Unread()
+	count := a.sessions.Unfinished(time.Now(), a.options.ResumeHold)
 	if a.actions != nil {
 		count += a.actions.Unfinished()
 	}
--- a/agent/session/session.go
+++ b/agent/session/session.go
@@ -36,18 +36,20 @@
 
 	cancel func()
 
-	mu          sync.Mutex
-	log         generation.Log
-	prompt      uint32
-	cached      uint32
-	stop        backend.StopReason
-	ended       bool
-	failure     frame.Failure
-	message     string
-	reader      uint64
-	wake        chan struct{}
-	push        func()
+	mu      sync.Mutex
+	log     generation.Log
+	prompt  uint32
+	cached  uint32
+	stop    backend.StopReason
+	ended   bool
+	failure frame.Failure
+	message string
+	reader  uint64
+	wake    chan struct{}
+	push    func()
+	// read: the end was sent to a reader. released: no reader will come.
 	read        bool
+	released    bool
 	acceptedAt  time.Time
 	detachedAt  time.Time
 	orphanLimit time.Duration
@@ -231,6 +233,7 @@
 	if linger <= 0 {
 		// A leaving agent does not wait for a reader that may never come.
 		s.read = true
+		s.released = true
 		return
 	}
 	s.orphanLimit = min(s.orphanLimit, linger)
--- a/agent/session/table.go
+++ b/agent/session/table.go
@@ -70,21 +70,23 @@
 	return all
 }
 
-// Unread returns the number of sessions whose end no reader has been sent.
-func (t *Table) Unread() int {
-	unread := 0
+// Unfinished returns the number of sessions that a reader may still ask for:
+// those whose end no reader has been sent, and those that ended within the hold,
+// since what was sent may be stuck with an entry or on a path that is gone.
+func (t *Table) Unfinished(now time.Time, hold time.Duration) int {
+	unfinished := 0
 	for _, s := range t.All() {
-		if !s.wasRead() {
-			unread++
+		if s.awaited(now, hold) {
+			unfinished++
 		}
 	}
-	return unread
+	return unfinished
 }
 
-func (s *Session) wasRead() bool {
+func (s *Session) awaited(now time.Time, hold time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.read
+	return !s.read || !s.released && now.Sub(s.endedAt) < hold
 }
 
 // Reap cancels sessions without a reader beyond their limit and forgets ended
--- a/agent/session/table_test.go
+++ b/agent/session/table_test.go
@@ -12,6 +12,7 @@
 
 func TestReleasedGenerationKeepsItsTokens(t *testing.T) {
 	Convey("A generation released at once stops, but can be taken up by its caller's old handle", t, func() {
+		const hold = 5 * time.Second
 		now := time.Unix(1000, 0)
 		stopped := false
 		call := &agentapi.Generate{RequestID: "r", Generation: 1, OrphanMillis: 30_000}
@@ -23,8 +24,27 @@
 		s.Fail(frame.FailureCancelled, "", now)
 		table.Reap(now.Add(time.Second))
 		So(table.Get(s.Key), ShouldEqual, s)
-		So(table.Unread(), ShouldEqual, 0)
+		So(table.Unfinished(now, hold), ShouldEqual, 0)
 		table.Reap(now.Add(endedRetention + time.Second))
 		So(table.Get(s.Key), ShouldBeNil)
 	})
 }
+
+func TestLeavingAgentAwaitsReaders(t *testing.T) {
+	Convey("An answer is awaited until its end is sent, and for a while after, when what was sent may be lost", t, func() {
+		const hold = 5 * time.Second
+		now := time.Unix(1000, 0)
+		s := New(&agentapi.Generate{RequestID: "r", Generation: 1, OrphanMillis: 30_000}, now, func() {})
+		table := NewTable()
+		So(table.Add(s), ShouldBeNil)
+		reader := s.Attach(make(chan struct{}, 1), func() {})
+		So(table.Unfinished(now, hold), ShouldEqual, 1)
+		s.Fail(frame.FailureEngineDead, "", now)
+		later := now.Add(time.Minute)
+		So(table.Unfinished(later, hold), ShouldEqual, 1)
+		var f frame.Frame
+		So(s.Next(reader, 0, &f), ShouldBeTrue)
+		So(table.Unfinished(now.Add(hold-1), hold), ShouldEqual, 1)
+		So(table.Unfinished(now.Add(hold), hold), ShouldEqual, 0)
+	})
+}
--- a/cmd/wigeonfork-agent/main.go
+++ b/cmd/wigeonfork-agent/main.go
@@ -35,6 +35,7 @@
 		Log:           log,
 		Metrics:       metrics,
 		DrainLimit:    s.DrainLimit,
+		ResumeHold:    s.ResumeHold,
 	}
 	if s.BackendKind == "service" {
 		options.Service = httpbackend.NewService(httpbackend.ServiceOptions{Address: s.BackendAddress})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,10 +41,11 @@
 // Agent holds the settings of an agent.
 type Agent struct {
 	Process
-	BackendServer  string   `long:"backend-server" env:"WIGEON_BACKEND_SERVER" description:"name of the backend server beside this agent" required:"true"`
-	BackendAddress string   `long:"backend-address" env:"WIGEON_BACKEND_ADDRESS" description:"IP address and port of the backend server" required:"true"`
-	BackendKind    string   `long:"backend-kind" env:"WIGEON_BACKEND_KIND" value-name:"KIND" description:"kind of the backend server: engine or service" default:"engine"`
-	Without        []string `long:"without" env:"WIGEON_WITHOUT" env-delim:"," value-name:"CAPABILITY" description:"capability that the engine lacks: resume, continue, cancel, priority, cache-events or fencing"`
+	ResumeHold     time.Duration `long:"resume-hold" env:"WIGEON_RESUME_HOLD" description:"time for which a leaving agent keeps an answer that was sent whole, for callers whose path has failed" default:"5s"`
+	BackendServer  string        `long:"backend-server" env:"WIGEON_BACKEND_SERVER" description:"name of the backend server beside this agent" required:"true"`
+	BackendAddress string        `long:"backend-address" env:"WIGEON_BACKEND_ADDRESS" description:"IP address and port of the backend server" required:"true"`
+	BackendKind    string        `long:"backend-kind" env:"WIGEON_BACKEND_KIND" value-name:"KIND" description:"kind of the backend server: engine or service" default:"engine"`
+	Without        []string      `long:"without" env:"WIGEON_WITHOUT" env-delim:"," value-name:"CAPABILITY" description:"capability that the engine lacks: resume, continue, cancel, priority, cache-events or fencing"`
 }
 
 // minKeyBytes is the shortest secret that is accepted.
@@ -53,6 +54,9 @@
 // maxMoveSettle bounds the settle time of moves.
 const maxMoveSettle = 24 * time.Hour
 
+// maxResumeHold bounds the resume hold; answers are not kept for longer.
+const maxResumeHold = 30 * time.Second
+
 // maxDrainLimit bounds the drain limit.
 const maxDrainLimit = 24 * time.Hour
 
@@ -132,6 +136,9 @@
 			return err
 		}
 	}
+	if a.ResumeHold < 0 || a.ResumeHold > maxResumeHold {
+		return errors.Newf("resume-hold must be from 0 to %s", maxResumeHold)
+	}
 	return checkAddress("backend-address", a.BackendAddress)
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -98,7 +98,7 @@
 	}
 	Convey("Good settings are accepted, and each bad one is named", t, func() {
 		So(Parse(&Agent{}, good), ShouldBeNil)
-		for name, value := range map[string]string{"backend-kind": "odd", "backend-address": "b", "without": "sleep"} {
+		for name, value := range map[string]string{"backend-kind": "odd", "backend-address": "b", "without": "sleep", "resume-hold": "31s"} {
 			err := Parse(&Agent{}, append(append([]string{}, good...), "--"+name+"="+value))
 			So(err, ShouldNotBeNil)
 			So(err.Error(), ShouldContainSubstring, name)
--- a/test/matrix/bench_test.go
+++ b/test/matrix/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +30,10 @@
 	companions = 2
 	// stepTimeout bounds the wait for a step that is never reached.
 	stepTimeout = 15 * time.Second
+	// holdingStep is the step in which an agent leaves just after the end of its
+	// answers. Only there agents hold them back: elsewhere each cell's end would
+	// wait for that.
+	holdingStep = "agent drain"
 	// drainLimit is the setting of all processes.
 	drainLimit = 5 * time.Second
 	pollEvery  = 5 * time.Millisecond
@@ -119,6 +124,9 @@
 		Change:      configuration(engineCount, services),
 		Environment: []string{"WIGEON_DRAIN_LIMIT=" + drainLimit.String()},
 	}
+	if !strings.HasPrefix(name, holdingStep) {
+		options.Environment = append(options.Environment, "WIGEON_RESUME_HOLD=0s")
+	}
 	for range engineCount {
 		options.Engines = append(options.Engines, engine.Options{
 			Versions: versions(), TokensPerSecond: tokensPerSecond, BufferFor: time.Minute,
