Write one line for the servers that change together, and wake less often for the log

A line costs 3.6 us (go test -bench Line ./telemetry), 0.4% in all then; the rest was ten wake-ups and writes a second in each process.

Ruled out: the formatter (see above).

Change: servers_changed names up to 60 servers in a line; server_lost carries the probe's error; lines are gathered for 400 ms instead of 100.

--- /dev/null
+++ b/gateway/changes.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"strings"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// maxNamed bounds the servers that one line names; the others are counted.
+const maxNamed = 60
+
+// changeKind is what the changes of one line have in common.
+type changeKind struct {
+	kind     directory.EventKind
+	service  wigeonfork.Model
+	lapsed   bool
+	draining bool
+}
+
+// logChanges writes one line for each kind of change, as the servers of a failure
+// domain come and go together.
+func logChanges(log *telemetry.Logger, events []directory.Event) {
+	counts := make(map[changeKind]int)
+	named := make(map[changeKind]*strings.Builder)
+	var order []changeKind
+	for _, event := range events {
+		kind := changeKind{event.Kind, event.Entry.Service, event.Lapsed, event.Entry.Draining}
+		if named[kind] == nil {
+			named[kind] = &strings.Builder{}
+			order = append(order, kind)
+		}
+		counts[kind]++
+		if counts[kind] > maxNamed {
+			continue
+		}
+		if counts[kind] > 1 {
+			named[kind].WriteByte(',')
+		}
+		named[kind].WriteString(string(event.Entry.ID) + "@" + event.Entry.Address)
+	}
+	for _, kind := range order {
+		log.Info().Str("change", kind.kind.String()).Str("service", string(kind.service)).Bool("lapsed", kind.lapsed).
+			Bool("draining", kind.draining).Int("count", counts[kind]).Str("servers", named[kind].String()).Msg("servers_changed")
+	}
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -103,10 +103,8 @@
 }
 
 func (f *fleet) apply(events []directory.Event) {
+	logChanges(f.log, events)
 	for _, event := range events {
-		f.log.Info().Str("server", string(event.Entry.ID)).Str("address", event.Entry.Address).
-			Str("service", string(event.Entry.Service)).Str("change", event.Kind.String()).
-			Bool("lapsed", event.Lapsed).Bool("draining", event.Entry.Draining).Msg("server_changed")
 		switch event.Kind {
 		case directory.Added:
 			f.add(event.Entry)
@@ -288,10 +286,11 @@
 func (f *fleet) lost(now time.Time, id serverID, reason string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lostLocked(now, id, reason)
+	f.lostLocked(now, id, reason, nil)
 }
 
-func (f *fleet) lostLocked(now time.Time, id serverID, reason string) {
+// lostLocked is lost with the lock held; cause is nil where reason says all.
+func (f *fleet) lostLocked(now time.Time, id serverID, reason string, cause error) {
 	entry, ok := f.entries[id]
 	if !ok {
 		return
@@ -302,8 +301,11 @@
 	}
 	f.streams.ServerLost(now, entry.Domain)
 	telemetry.Counter(f.metrics, "fleet.lost_"+reason).Inc(1)
-	f.log.Info().Str("server", string(id)).Str("domain", string(entry.Domain)).Str("reason", reason).
-		Int("doubtful", len(doubtful)).Msg("server_lost")
+	line := f.log.Info().Str("server", string(id)).Str("domain", string(entry.Domain)).Str("reason", reason).Int("doubtful", len(doubtful))
+	if cause != nil {
+		line = line.Err(cause)
+	}
+	line.Msg("server_lost")
 	f.router.SetState(now, id, routing.StateDead)
 	if !f.servers.ToldLost(id) {
 		f.told(loadshare.Message{Kind: loadshare.Lost, Server: loadshare.HashServer(id)})
@@ -331,7 +333,7 @@
 func (f *fleet) replaced(now time.Time, id serverID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lostLocked(now, id, "replaced")
+	f.lostLocked(now, id, "replaced", nil)
 	f.servers.Replaced(id)
 }
 
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -68,7 +68,7 @@
 				probes = append(probes, entry)
 			}
 		case health.FindingServerSilent:
-			f.lostLocked(now, verdict.Server, "silent")
+			f.lostLocked(now, verdict.Server, "silent", nil)
 			f.cancelLocked(verdict.Server, errServerSilent)
 		case health.FindingStreamStalled:
 			f.cancels[verdict.Stream](errStreamStalled)
@@ -122,7 +122,6 @@
 	if f.servers.State(id) == health.Down {
 		return
 	}
-	f.log.Info().Str("server", string(id)).Err(err).Msg("probe_failed")
-	f.lostLocked(now, id, "probe")
+	f.lostLocked(now, id, "probe", err)
 	f.cancelLocked(id, errProbeFailed)
 }
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -17,8 +17,10 @@
 	maxEvents = 256
 	// bufferBytes bounds what waits to be written.
 	bufferBytes = 256 << 10
-	// flushInterval is the time for which lines are gathered for one write.
-	flushInterval = 100 * time.Millisecond
+	// flushInterval is the time for which lines are gathered for one write; waking
+	// for a write costs more than its lines. A process that is killed takes the last
+	// ones with it.
+	flushInterval = 400 * time.Millisecond
 )
 
 // NewBoundedLogger returns a logger as NewLogger does whose volume is bounded and
