Resume outside the failure domain of a fresh loss, and ask for no copy of a run without events

Cause: crashes take one failure domain each. The first stream that lost its server did not know that yet and went on at a neighbour that was lost too: 177 of 7,647 streams were lost more than once. A run that had made no event had its copy asked for all the same, and was refused: 563 times.

Ruled out: the copies' own place (it is in another domain already), slow detection (a loss is found in 260 to 520 ms).

Change: for 2 s after a loss, servers of its domain count 10 s more; no copy of a run without events is asked for.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -159,6 +159,8 @@
 	resume  bool
 	exclude []serverID
 	avoid   []serverID
+	// avoidDomain is the failure domain of a loss, while that is fresh.
+	avoidDomain wigeonfork.FailureDomain
 }
 
 // choose returns the server for a request and charges it with the work, which
@@ -174,6 +176,7 @@
 		MaxTokens:    q.work.MaxTokens,
 		Exclude:      q.exclude,
 		Avoid:        q.avoid,
+		AvoidDomain:  q.avoidDomain,
 		Resume:       q.resume,
 	})
 	if err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -67,6 +67,7 @@
 	if s.r.Context().Err() != nil {
 		return runCallerGone, err
 	}
+	s.domain, s.domainAt = t.place.Domain, time.Now()
 	if infra.OutcomeOf(err) == infra.OutcomeNotDone {
 		s.fleet.lost(time.Now(), t.place.ID, "connect")
 		return runNotRun, err
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/httpserver"
@@ -26,6 +27,9 @@
 	serverWait = 3 * time.Second
 	// serverPoll is the time between two looks for such a server.
 	serverPoll = 40 * time.Millisecond
+	// freshLoss is the time after a server's loss in which others of its failure
+	// domain may be lost without being known to.
+	freshLoss = 2 * time.Second
 	// progressEvents is the number of events between two samples of the pace.
 	progressEvents = 10
 )
@@ -92,6 +96,9 @@
 	failure *sendResult
 	tried   []serverID
 	lostAt  time.Time
+	// domain is the failure domain of the server that was found lost at domainAt.
+	domain   wigeonfork.FailureDomain
+	domainAt time.Time
 	// lastPass is when the last event went to the caller.
 	lastPass time.Time
 }
@@ -103,6 +110,7 @@
 			s.fail(refusal)
 			return
 		}
+		before := s.last
 		end, err := s.run(target)
 		s.logRun(target, end, err)
 		switch end {
@@ -119,6 +127,9 @@
 		case runFailed, runLost:
 			s.tried = append(s.tried, target.place.ID)
 			s.lostAt = time.Now()
+			if s.last == before {
+				s.dropBackup()
+			}
 		}
 		if s.ctx.Err() != nil {
 			s.fail(problem.New(problem.CodeTooLate, s.runState(), problem.StepRelay, "no answer in time"))
@@ -242,6 +253,9 @@
 
 func (s *streamRun) choose(now time.Time) (*place, error) {
 	q := &query{service: s.service, work: s.work, resume: s.begun, avoid: s.tried}
+	if now.Sub(s.domainAt) < freshLoss {
+		q.avoidDomain = s.domain
+	}
 	return s.fleet.choose(now, q)
 }
 
--- a/routing/backup_test.go
+++ b/routing/backup_test.go
@@ -84,3 +84,33 @@
 		r.ReleaseBackup(id, backup.Tokens)
 	}
 }
+
+// The load of a failure domain's loss: the first stream whose server is lost looks
+// for another one before more than that server is known to be lost.
+func TestResumeAvoidsTheDomainOfAFreshLoss(t *testing.T) {
+	Convey("A stream goes on outside the failure domain that just lost a server", t, func() {
+		r := newRouter(12, Options{})
+		r.SetState(start, "b0", StateDead)
+		request := ask()
+		request.Resume = true
+		request.AvoidDomain = "d0"
+		for i := range 40 {
+			d, err := r.Choose(start.Add(time.Duration(i)*time.Millisecond), request)
+			So(err, ShouldBeNil)
+			So(d.Domain, ShouldNotEqual, wigeonfork.FailureDomain("d0"))
+		}
+		Convey("unless all else is much slower", func() {
+			for i := range 12 {
+				if i%3 == 0 {
+					continue
+				}
+				for range 20 {
+					r.FirstToken(start, ID(fmt.Sprintf("b%d", i)), FirstToken{Wait: 20 * time.Second, PromptTokens: 1000})
+				}
+			}
+			d, err := r.Choose(start, request)
+			So(err, ShouldBeNil)
+			So(d.Domain, ShouldEqual, wigeonfork.FailureDomain("d0"))
+		})
+	})
+}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -19,6 +19,7 @@
 	interference      = 0.8  // part of a prompt's reading by which others' tokens are late
 	foreignMargin     = 0.2  // part of the reported load that may have come since
 	reservedSlots     = 2.0  // of each server, left to resumes while others are free
+	domainDoubt       = 10.0 // seconds that a server in the domain of a fresh loss counts more
 	unprovenWeight    = 0.5  // of the time at a busy server of unknown speed
 	sampleAttempts    = 3    // draws per wanted sample before the group is scanned
 )
@@ -248,6 +249,9 @@
 	if req.PromptTokens > 0 && !s.proven() && r.options.Without&TermSpeed == 0 {
 		score += unprovenWeight * math.Min(1, c.outstanding) * (c.total - c.queue)
 	}
+	if req.AvoidDomain != "" && s.Domain == req.AvoidDomain {
+		score += domainDoubt
+	}
 	if c.avoided {
 		score += time.Hour.Seconds()
 	}
--- a/routing/types.go
+++ b/routing/types.go
@@ -76,6 +76,9 @@
 	Exclude []ID
 	// Avoid lists servers that are chosen only if no other is left.
 	Avoid []ID
+	// AvoidDomain is a failure domain that just lost a server: others there may be
+	// lost too and not be known yet. They are chosen where the rest is much slower.
+	AvoidDomain wigeonfork.FailureDomain
 	// Resume marks the continuation of an interrupted answer, for which the time
 	// to the first token counts more.
 	Resume bool
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -36,6 +36,8 @@
 	mu     sync.Mutex
 	runs   []*Run
 	copies map[string]bool // address/request
+	// absent counts the requests that asked for a copy which is not there.
+	absent int
 }
 
 // NewPool returns a Pool without runs.
@@ -77,9 +79,19 @@
 	defer p.mu.Unlock()
 	held := p.copies[copied]
 	delete(p.copies, copied)
+	if !held {
+		p.absent++
+	}
 	return held
 }
 
+// AbsentCopies returns how many requests asked for a copy that was not there.
+func (p *Pool) AbsentCopies() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.absent
+}
+
 // Options describe a runner.
 type Options struct {
 	// Engine makes it a model runner; else it is a plain back end.
