Let a peer's word of a lost server hold for two seconds only

Found by reading: a gateway that was cut off once told of servers that all others reach, and that was remembered for good. A later loss of such a server was then told to nobody, and a gateway that is no watcher probed it every 4 s only.

Change: the word counts as the same loss within 2 s of one's own, or while one has lost the server too. The number of gateways there, asked for with each request, is kept instead of counted; servers that are up are not hashed in upkeep.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/routetable"
 	"github.com/wigeonfork/wigeonfork/upstream"
@@ -21,11 +19,7 @@
 	if table == nil {
 		return 0
 	}
-	gateways := 1
-	if g.sharer != nil {
-		gateways += g.sharer.there(time.Now())
-	}
-	return idleBound(table.Service(service), gateways)
+	return idleBound(table.Service(service), 1+int(g.peersThere.Load()))
 }
 
 // idleBound shares a service's connections out among the gateways.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,9 +28,11 @@
 	budgets *budgets
 	crashes *crashes
 	sharer  *sharer
-	surveys *surveyor
-	server  *http.Server
-	ready   *http.Server
+	// peersThere is the number of other gateways, as of the last greeting.
+	peersThere atomic.Int64
+	surveys    *surveyor
+	server     *http.Server
+	ready      *http.Server
 
 	configFollower  *follower
 	serversFollower *follower
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -180,6 +180,7 @@
 		there, known := s.peers.There(now), s.peers.Known()
 		s.mu.Unlock()
 		s.send(due, hello)
+		s.g.peersThere.Store(int64(there))
 		s.g.fleet.setPeers(there)
 		s.g.budgets.setEntries(there+1, known+1)
 	}
@@ -335,7 +336,7 @@
 func (f *fleet) peerLost(now time.Time, server loadshare.ServerHash) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if id, ok := f.hashes[server]; ok && f.servers.PeerLost(id) {
+	if id, ok := f.hashes[server]; ok && f.servers.PeerLost(now, id) {
 		f.ask(now, id)
 	}
 }
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -92,7 +92,7 @@
 	f.apply(f.directory.Expire(now))
 	var due []directory.Entry
 	for id, entry := range f.entries {
-		if f.servers.ProbeDue(now, id, watch.Covers(loadshare.HashServer(id))) {
+		if f.servers.State(id) == health.Down && f.servers.ProbeDue(now, id, watch.Covers(loadshare.HashServer(id))) {
 			due = append(due, entry)
 		}
 		if f.servers.Settle(now, id) {
--- a/health/servers.go
+++ b/health/servers.go
@@ -47,6 +47,9 @@
 	// probeOthers is the time between two probes of a server that peers lost too
 	// and that others watch; it outlasts a lost message.
 	probeOthers = 4 * time.Second
+	// sharedLossTime is the time within which two entries' losses of a server are
+	// one: the first one's word, and the other's own probe.
+	sharedLossTime = 2 * time.Second
 	// failureWeight is the weight of one request in the failure rate.
 	failureWeight = 0.15
 	// failingMargin is the failure rate beyond that of the peers at which a
@@ -79,8 +82,10 @@
 	lostAt   time.Time
 	probeAt  time.Time
 	replaced bool
-	// peerLost: a peer found the server lost; peerBack: one found it back since.
-	peerLost bool
+	// peerLostAt is when a peer last told that it lost the server.
+	peerLostAt time.Time
+	// shared: peers lost it too; peerBack: one found it back since.
+	shared   bool
 	peerBack bool
 	failures float64
 	samples  int
@@ -168,7 +173,7 @@
 	}
 	s.set(known, Down)
 	known.lostAt, known.probeAt = now, now.Add(probeSoon)
-	known.peerBack = false
+	known.shared, known.peerBack = known.toldLost(now), false
 	return true, s.doubt(now, known)
 }
 
@@ -211,21 +216,28 @@
 		return false
 	}
 	s.set(known, Up)
-	known.peerLost, known.peerBack = false, false
+	known.shared, known.peerBack = false, false
 	return true
 }
 
 // PeerLost records that another entry finds a server lost. It returns whether
 // that is news, so that the server is to be asked for a sign of life.
-func (s *Servers) PeerLost(id ID) bool {
+func (s *Servers) PeerLost(now time.Time, id ID) bool {
 	known := s.servers[id]
 	if known == nil {
 		return false
 	}
-	known.peerLost = true
+	known.peerLostAt = now
+	known.shared = known.state == Down
 	return known.state != Down
 }
 
+// toldLost tells whether a peer's loss is of the present: a peer that was cut off
+// once tells of servers that all others reach.
+func (k *server) toldLost(now time.Time) bool {
+	return !k.peerLostAt.IsZero() && now.Sub(k.peerLostAt) <= sharedLossTime
+}
+
 // PeerBack records that another entry finds a server back that was lost.
 func (s *Servers) PeerBack(now time.Time, id ID) {
 	if known := s.servers[id]; known != nil && known.state == Down {
@@ -234,11 +246,11 @@
 	}
 }
 
-// ToldLost tells whether another entry told of a server's loss, ToldBack of its
-// return: then peers need not hear of it once more.
-func (s *Servers) ToldLost(id ID) bool {
+// ToldLost tells whether another entry just told of a server's loss, ToldBack of
+// its return: then peers need not hear of it once more.
+func (s *Servers) ToldLost(now time.Time, id ID) bool {
 	known := s.servers[id]
-	return known != nil && known.peerLost
+	return known != nil && known.toldLost(now)
 }
 
 // ToldBack is like ToldLost.
@@ -255,7 +267,7 @@
 	if known == nil || known.replaced || known.state != Down || now.Before(known.probeAt) {
 		return false
 	}
-	if known.peerLost && !known.peerBack && !watched {
+	if known.shared && !known.peerBack && !watched {
 		due := now.Sub(known.lostAt) >= probeOthers
 		known.probeAt = known.lostAt.Add(probeOthers)
 		if due {
--- a/health/watch_test.go
+++ b/health/watch_test.go
@@ -26,7 +26,7 @@
 			all = append(all, s)
 			s.Lost(start, "i")
 			if i > 0 {
-				s.PeerLost("i")
+				s.PeerLost(start, "i")
 			}
 		}
 	}
@@ -66,7 +66,20 @@
 		s := NewServers()
 		s.Add("i", "m", "a")
 		s.Lost(start, "i")
-		So(s.ToldLost("i"), ShouldBeFalse)
+		So(s.ToldLost(start, "i"), ShouldBeFalse)
 		So(s.ProbeDue(start.Add(probeSoon), "i", false), ShouldBeTrue)
 	})
+	Convey("The word of a peer that was cut off once says nothing of a later loss", t, func() {
+		s := NewServers()
+		s.Add("i", "m", "a")
+		So(s.PeerLost(start, "i"), ShouldBeTrue)
+		later := start.Add(sharedLossTime + 1)
+		s.Lost(later, "i")
+		So(s.ToldLost(later, "i"), ShouldBeFalse)
+		So(s.ProbeDue(later.Add(probeSoon), "i", false), ShouldBeTrue)
+		Convey("but one that loses it at the same time shares the probes", func() {
+			s.PeerLost(later.Add(probeSoon), "i")
+			So(s.ProbeDue(later.Add(2*probeSoon), "i", false), ShouldBeFalse)
+		})
+	})
 }
