--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,6 +128,7 @@
 			s.tried = append(s.tried, target.place.ID)
 			s.lostAt = time.Now()
 			if s.last == before {
+				// A run without events has left no copy to go on from.
 				s.dropBackup()
 			}
 		}
--- a/health/shared_test.go
+++ b/health/shared_test.go
@@ -26,7 +26,7 @@
 	random  *rand.Rand
 	tell    bool
 	// atFailing counts the requests at the failing server while it failed,
-	// elsewhere those that were kept from another one.
+	// shunned those that were kept from a sound one.
 	atFailing, shunned int
 }
 
