--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/binary"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	return fingerprint(h.Sum64())
 }
 
+// bytes returns the fingerprint as it is logged.
+func (f fingerprint) bytes() []byte { return binary.BigEndian.AppendUint64(nil, uint64(f)) }
+
 // crashRecord counts the servers that crashed during one request.
 type crashRecord struct {
 	crashes int
@@ -49,8 +53,9 @@
 	return &crashTracker{records: make(map[fingerprint]*crashRecord)}
 }
 
-// record records that a server crashed while it ran a request.
-func (c *crashTracker) record(now time.Time, f fingerprint) {
+// record records that a server crashed while it ran a request. It returns the number of
+// crashes.
+func (c *crashTracker) record(now time.Time, f fingerprint) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.records[f]
@@ -61,6 +66,7 @@
 	}
 	known.crashes++
 	known.last = now
+	return known.crashes
 }
 
 // evict makes space for one record. It removes expired records first, then arbitrary
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -255,7 +255,7 @@
 	}
 	p.fleet.recordResult(now, result.place, !result.succeeded())
 	if result.outcome == sendUnknown {
-		go p.probeAfterFailure(result.place.Entry, p.fingerprint)
+		go p.probeAfterFailure(result.place.Entry)
 	}
 	if result.succeeded() {
 		p.crashes.clear(p.fingerprint)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -74,7 +74,9 @@
 		return runNotRun, err
 	}
 	if ctx.Err() == nil {
-		go s.probeAfterFailure(t.place.Entry, s.fingerprint)
+		go s.probeAfterFailure(t.place.Entry)
+	} else {
+		s.logCrashIgnored(t.place.ID, "run_cancelled")
 	}
 	return runLost, err
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -290,7 +290,7 @@
 	c.status = refusal.Status()
 	c.outcome = string(refusal.Code)
 	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("code", string(refusal.Code)).Str("run", string(refusal.Run)).
-		Str("step", string(refusal.Step)).Int("status", c.status).Dur("retry_after", refusal.RetryAfter).
+		Str("step", string(refusal.Step)).Hex("content", c.fingerprint.bytes()).Int("status", c.status).Dur("retry_after", refusal.RetryAfter).
 		Str("reason", refusal.Error()).Msg("request_refused")
 	problem.Write(c.w, refusal.For(c.caller.ID))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -299,13 +299,27 @@
 }
 
 // probeAfterFailure probes a server whose connection failed. If the server is lost,
-// it counts as crashed by the request with the fingerprint fp.
-func (g *Gateway) probeAfterFailure(entry directory.Entry, fp fingerprint) {
-	if !g.fleet.alive(entry.ID) {
+// it counts as crashed by the request.
+func (c *call) probeAfterFailure(entry directory.Entry) {
+	if !c.fleet.alive(entry.ID) {
+		c.logCrashIgnored(entry.ID, "already_lost")
 		return
 	}
-	g.probe(entry)
-	if !g.fleet.alive(entry.ID) {
-		g.crashes.record(time.Now(), fp)
+	c.probe(entry)
+	if c.fleet.alive(entry.ID) {
+		c.logCrashIgnored(entry.ID, "server_responds")
+		return
 	}
+	crashes := c.crashes.record(time.Now(), c.fingerprint)
+	telemetry.Counter(c.options.Metrics, "crashes.counted").Inc(1)
+	c.options.Log.Info().Str("request", string(c.caller.ID)).Hex("content", c.fingerprint.bytes()).Str("server", string(entry.ID)).
+		Int("crashes", crashes).Msg("crash_counted")
+}
+
+// logCrashIgnored logs why a lost run does not count as a crash; reason is part of a
+// metric's name.
+func (c *call) logCrashIgnored(server serverID, reason string) {
+	telemetry.Counter(c.options.Metrics, "crashes.ignored_"+reason).Inc(1)
+	c.options.Log.Info().Str("request", string(c.caller.ID)).Hex("content", c.fingerprint.bytes()).Str("server", string(server)).
+		Str("reason", reason).Msg("crash_ignored")
 }
