--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -37,6 +37,12 @@
 	Engine, PlainServer runner.Options
 	// StreamTimeout and PlainTimeout are the timeouts of the routes.
 	StreamTimeout, PlainTimeout time.Duration
+	// CrashingBodies are the bodies of requests that crash each runner that begins to run them.
+	// The runner is back after CrashRestart, at its address and under a new id. With
+	// CrashesSilent it stops responding and its connections stay open.
+	CrashingBodies []string
+	CrashRestart   time.Duration
+	CrashesSilent  bool
 }
 
 // Deployment is a running set of stand-ins.
@@ -51,6 +57,7 @@
 	started int
 	version int
 	keys    []string
+	crashes map[string]bool // by body
 	stop    chan struct{}
 	wait    sync.WaitGroup
 }
@@ -70,6 +77,10 @@
 	d := &Deployment{
 		Store: rowstore.New(), Shared: runner.NewSharedState(), options: options,
 		runners: make(map[string]*registration), stop: make(chan struct{}), keys: []string{APIKey},
+		crashes: make(map[string]bool),
+	}
+	for _, body := range options.CrashingBodies {
+		d.crashes[body] = true
 	}
 	var err error
 	if d.server, err = loopback.Start("127.0.0.1:0", d.Store.Handler()); err != nil {
@@ -103,6 +114,8 @@
 	if service == Engines {
 		options = d.options.Engine
 	}
+	options.Crashes = d.crashes
+	options.OnCrash = func(r *runner.Runner) { d.wait.Go(func() { d.crash(service, r) }) }
 	r, err := runner.Start(address, fmt.Sprintf("i-%d", d.started), options, d.Shared)
 	if err != nil {
 		return nil, err
@@ -139,11 +152,36 @@
 // Kill kills a runner without deregistering it. Its row stays in the store for three heartbeat
 // intervals.
 func (d *Deployment) Kill(id string) {
+	d.markDead(id)
+	d.Runner(id).Server().Kill()
+}
+
+// crash ends a runner that a request has crashed, and starts another at its address after
+// CrashRestart.
+func (d *Deployment) crash(service string, r *runner.Runner) {
+	if d.options.CrashesSilent {
+		d.markDead(r.ID)
+		r.Server().Pause()
+	} else {
+		d.Kill(r.ID)
+	}
+	select {
+	case <-d.stop:
+		return
+	case <-time.After(d.options.CrashRestart):
+	}
+	r.Server().Close()
+	if _, err := d.AddRunner(service, r.Address()); err != nil {
+		// The address was reserved, so another process of the test took it.
+		panic(err)
+	}
+}
+
+// markDead ends the heartbeats of a runner. Its row is removed after three heartbeat intervals.
+func (d *Deployment) markDead(id string) {
 	d.mu.Lock()
-	reg := d.runners[id]
-	reg.dead = true
-	d.mu.Unlock()
-	reg.Server().Kill()
+	defer d.mu.Unlock()
+	d.runners[id].dead = true
 	time.AfterFunc(3*heartbeatInterval, func() { d.Store.Delete("servers", id) })
 }
 
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -20,6 +20,7 @@
 type Run struct {
 	RequestID string
 	RunnerID  string
+	BeganAt   time.Time
 	Path      string
 	Body      string
 	Header    http.Header
@@ -62,6 +63,7 @@
 func (s *SharedState) beginRun(run *Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	run.BeganAt = time.Now()
 	s.runs = append(s.runs, run)
 }
 
@@ -106,6 +108,11 @@
 	Prefill time.Duration
 	// ServiceTime is the duration of a plain request.
 	ServiceTime time.Duration
+	// OnCrash, if set, is called when a run with a body of Crashes begins. It must end or pause
+	// the runner. The run makes no progress.
+	OnCrash func(*Runner)
+	// Crashes holds the bodies of requests that crash each runner that begins to run them.
+	Crashes map[string]bool
 }
 
 // Faults are the faults that a Runner injects.
@@ -222,6 +229,16 @@
 	r.servePlain(w, q, run)
 }
 
+// crash ends the runner if the run is one that crashes it.
+func (r *Runner) crash(q *http.Request, run *Run) {
+	if r.options.OnCrash == nil || !r.options.Crashes[run.Body] {
+		return
+	}
+	go r.options.OnCrash(r)
+	<-loopback.ServerContext(q.Context()).Done()
+	panic(http.ErrAbortHandler)
+}
+
 func (r *Runner) setHeaders(w http.ResponseWriter, run *Run) {
 	h := w.Header()
 	h.Set("Wigeonfork-Request-Id", run.RequestID)
@@ -231,6 +248,7 @@
 
 func (r *Runner) servePlain(w http.ResponseWriter, q *http.Request, run *Run) {
 	r.shared.beginRun(run)
+	r.crash(q, run)
 	if !loopback.Sleep(q.Context(), r.options.ServiceTime) {
 		r.shared.endRun(run, true)
 		panic(http.ErrAbortHandler)
@@ -284,6 +302,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	r.shared.beginRun(run)
+	r.crash(q, run)
 	if r.currentFaults().Crash {
 		go r.server.Kill()
 		<-loopback.ServerContext(q.Context()).Done()
