Limit the servers that a request crashes over all gateways, and through restarts

What callers and operators saw: a request that crashes each server that runs it was sent on and on; each crash takes a server and all other answers on it.

Each gateway counted for itself, from its start, and only crashes whose connection broke and whose probe then failed: a loss found by silence, by a peer's report or by another request's probe did not count, and the next run began while the probe was under way.

Now quarantine.Limiter decides, without clock or I/O.

--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -66,15 +66,16 @@
 		return err
 	}
 	g := gateway.New(gateway.Options{
-		Host:     settings.Host,
-		Domain:   settings.Domain,
-		Bounds:   settings.Bounds,
-		Codec:    platform.Codec{},
-		Source:   platform.NewSource(store, log),
-		Registry: platform.NewRegistry(store),
-		PeerConn: peers,
-		Log:      log,
-		Metrics:  metrics,
+		Host:        settings.Host,
+		Domain:      settings.Domain,
+		Bounds:      settings.Bounds,
+		Codec:       platform.Codec{},
+		Source:      platform.NewSource(store, log),
+		Registry:    platform.NewRegistry(store),
+		PeerConn:    peers,
+		Quarantines: platform.NewQuarantines(store),
+		Log:         log,
+		Metrics:     metrics,
 	})
 	callers, err := net.Listen("tcp", settings.CallersAddress)
 	if err != nil {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,29 +1,33 @@
 package gateway
 
 import (
+	"context"
 	"encoding/binary"
+	"encoding/hex"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/loadshare"
+	"github.com/wigeonfork/wigeonfork/quarantine"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 const (
-	// crashExpiry is the time after the last crash for which a request counts as a
-	// cause of crashes.
-	crashExpiry = 60 * time.Second
-	// maxCrashes is the number of servers that a request may crash before it is
-	// refused.
-	maxCrashes = 3
-	// maxCrashRecords bounds the requests that are tracked.
-	maxCrashRecords = 1024
+	// maxStateRequests bounds the peers that are asked for their reports within
+	// stateRequestPeriod.
+	maxStateRequests   = 3
+	stateRequestPeriod = 2 * time.Second
+	// maxStateReports bounds the reports sent to a peer that asks for them.
+	maxStateReports = 4 * loadshare.MaxCrashReports
 )
 
-// fingerprint identifies the content of a request. Requests that differ only in their
-// id have the same one.
-type fingerprint uint64
-
-func fingerprintOf(host, target, workspace string, body []byte) fingerprint {
+// contentOf identifies the content of a request. Requests that differ only in their id have the
+// same one.
+func contentOf(host, target, workspace string, body []byte) quarantine.ContentHash {
 	h := xxhash.New()
 	for _, part := range [...]string{host, target, workspace} {
 		// Writes to a hash never fail.
@@ -31,74 +35,220 @@
 		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write(body)
-	return fingerprint(h.Sum64())
+	return quarantine.ContentHash(h.Sum64())
 }
 
-// bytes returns the fingerprint as it is logged.
-func (f fingerprint) bytes() []byte { return binary.BigEndian.AppendUint64(nil, uint64(f)) }
+// contentBytes returns a content hash as it is logged.
+func contentBytes(content quarantine.ContentHash) []byte {
+	return binary.BigEndian.AppendUint64(nil, uint64(content))
+}
 
-// crashRecord counts the servers that crashed during one request.
-type crashRecord struct {
-	crashes int
-	last    time.Time
+// serverStart returns the identity of a server's current start.
+func serverStart(entry directory.Entry) quarantine.ServerStart {
+	return quarantine.ServerStart{ID: entry.ID, Born: entry.Born}
 }
 
-// crashTracker counts, per request, the servers that crashed while they ran it.
-type crashTracker struct {
+// crashGuard decides which requests are refused because they crash backend servers. It shares the
+// crashes with the peers and keeps quarantines in the store. Its lock is held over no I/O.
+type crashGuard struct {
+	g *Gateway
+
 	mu      sync.Mutex
-	records map[fingerprint]*crashRecord
+	limiter *quarantine.Limiter
+	// unsaved are the quarantines that the store doesn't have yet. saveWakeup wakes the goroutine
+	// that saves them.
+	unsaved    []quarantine.Quarantine
+	saveWakeup chan struct{}
+	// stateRequests counts the requests for a peer's reports since stateRequestsAt.
+	stateRequests   int
+	stateRequestsAt time.Time
 }
 
-func newCrashTracker() *crashTracker {
-	return &crashTracker{records: make(map[fingerprint]*crashRecord)}
+func newCrashGuard(g *Gateway) *crashGuard {
+	return &crashGuard{g: g, limiter: quarantine.NewLimiter(), saveWakeup: make(chan struct{}, 1)}
+}
+
+// serverLost records that a server does not respond.
+func (c *crashGuard) serverLost(now time.Time, entry directory.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limiter.ServerLost(now, serverStart(entry), entry.Domain)
 }
 
-// record records that a server crashed while it ran a request. It returns the number of
-// crashes.
-func (c *crashTracker) record(now time.Time, f fingerprint) int {
+// runLost records that a run of a request ended without a complete answer. A server that is no
+// longer registered, so that nothing probes it, counts as lost.
+func (c *crashGuard) runLost(now time.Time, content quarantine.ContentHash, p *placement) {
+	registered := c.g.fleet.registered(p.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.records[f]
-	if known == nil || now.Sub(known.last) > crashExpiry {
-		c.evict(now)
-		known = &crashRecord{}
-		c.records[f] = known
+	if !registered {
+		c.limiter.ServerLost(now, serverStart(p.Entry), p.Domain)
 	}
-	known.crashes++
-	known.last = now
-	return known.crashes
+	c.limiter.RunLost(quarantine.Crash{Content: content, Server: serverStart(p.Entry), Began: p.sentAt, At: now}, p.Domain)
 }
 
-// evict makes space for one record. It removes expired records first, then arbitrary
-// ones.
-func (c *crashTracker) evict(now time.Time) {
-	if len(c.records) < maxCrashRecords {
-		return
+// completed records that a request ran to its end.
+func (c *crashGuard) completed(now time.Time, content quarantine.ContentHash) {
+	completion := quarantine.Completion{Content: content, At: now}
+	c.mu.Lock()
+	cleared := c.limiter.Complete(completion)
+	c.mu.Unlock()
+	if cleared {
+		c.g.gossip.sendCrashReports(c.g.gossip.targets(now), []loadshare.CrashReport{loadshare.CompletionOf(now, completion)})
 	}
-	for f, known := range c.records {
-		if now.Sub(known.last) > crashExpiry {
-			delete(c.records, f)
+}
+
+func (c *crashGuard) check(now time.Time, content quarantine.ContentHash) quarantine.Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limiter.Check(now, content)
+}
+
+// mayRun reports whether a request may run. It waits while the outcome of an earlier run is
+// awaited, and returns false if ctx ends first.
+func (c *crashGuard) mayRun(ctx context.Context, content quarantine.ContentHash) bool {
+	for {
+		decision := c.check(time.Now(), content)
+		switch decision.Action {
+		case quarantine.Run:
+			return true
+		case quarantine.Refuse:
+			return false
+		}
+		timer := time.NewTimer(decision.RetryAfter)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return false
 		}
 	}
-	for f := range c.records {
-		if len(c.records) < maxCrashRecords {
-			return
+}
+
+// settle decides which lost runs count as crashes, and reports those to the peers.
+func (c *crashGuard) settle(now time.Time) {
+	c.mu.Lock()
+	verdicts := c.limiter.Settle(now)
+	c.mu.Unlock()
+	var reports []loadshare.CrashReport
+	for i := range verdicts {
+		v := &verdicts[i]
+		telemetry.Counter(c.g.options.Metrics, "crashes."+v.Outcome.String()).Inc(1)
+		c.g.options.Log.Info().Hex("content", contentBytes(v.Content)).Str("server", string(v.Server.ID)).
+			Dur("ran", v.At.Sub(v.Began)).Str("outcome", v.Outcome.String()).Msg("crash_judged")
+		if v.Outcome != quarantine.CrashCounted {
+			continue
+		}
+		reports = append(reports, loadshare.CrashOf(now, v.Crash))
+		if v.Quarantined {
+			q := quarantine.Quarantine{Content: v.Content, Since: v.At}
+			reports = append(reports, loadshare.QuarantineOf(now, q))
+			c.quarantined(q, "own_runs")
+			c.save(q)
 		}
-		delete(c.records, f)
 	}
+	if len(reports) > 0 {
+		c.g.gossip.sendCrashReports(c.g.gossip.targets(now), reports)
+	}
+}
+
+// quarantined logs a new quarantine and who reported it.
+func (c *crashGuard) quarantined(q quarantine.Quarantine, source string) {
+	telemetry.Counter(c.g.options.Metrics, "crashes.quarantined").Inc(1)
+	c.g.options.Log.Warn().Hex("content", contentBytes(q.Content)).Str("source", source).Msg("request_quarantined")
 }
 
-// clear removes the record of a request that completed.
-func (c *crashTracker) clear(f fingerprint) {
+// handleUpdate applies a peer's reports, and forwards those that are new here.
+func (c *crashGuard) handleUpdate(now time.Time, sender netip.AddrPort, update *loadshare.CrashUpdate) {
+	if update.StateWanted {
+		c.g.gossip.sendCrashReports([]netip.AddrPort{sender}, c.reports(now))
+	}
+	var news []loadshare.CrashReport
+	for i := range update.Reports {
+		if c.applyReport(now, &update.Reports[i]) {
+			news = append(news, update.Reports[i])
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	c.g.gossip.sendCrashReports(loadshare.ForwardTargets(c.g.gossip.targets(now)), news)
+}
+
+// applyReport applies one report of a peer and returns whether it is new.
+func (c *crashGuard) applyReport(now time.Time, r *loadshare.CrashReport) bool {
+	c.mu.Lock()
+	before := c.limiter.Check(now, r.Content).Action
+	isNew := r.Apply(now, c.limiter)
+	after := c.limiter.Check(now, r.Content).Action
+	c.mu.Unlock()
+	if before != quarantine.Refuse && after == quarantine.Refuse {
+		q := quarantine.Quarantine{Content: r.Content, Since: now.Add(-r.Age)}
+		c.quarantined(q, "peer")
+		if r.Kind == loadshare.ReportCrash {
+			// The peers' crashes reached the limit only here, so no peer may have saved this.
+			c.save(q)
+		}
+	}
+	return isNew
+}
+
+// reports returns what a new peer needs: the quarantines and then the crashes, newest first.
+func (c *crashGuard) reports(now time.Time) []loadshare.CrashReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.records, f)
+	var list []loadshare.CrashReport
+	for _, q := range c.limiter.Quarantines(now) {
+		list = append(list, loadshare.QuarantineOf(now, q))
+	}
+	for _, crash := range c.limiter.Crashes(now) {
+		list = append(list, loadshare.CrashOf(now, crash))
+	}
+	return list[:min(maxStateReports, len(list))]
 }
 
-// refused reports whether a request has crashed too many servers.
-func (c *crashTracker) refused(now time.Time, f fingerprint) bool {
+// state returns the quarantined contents as they are logged.
+func (c *crashGuard) state(now time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.records[f]
-	return known != nil && known.crashes >= maxCrashes && now.Sub(known.last) <= crashExpiry
+	var contents []string
+	for _, q := range c.limiter.Quarantines(now) {
+		contents = append(contents, hex.EncodeToString(contentBytes(q.Content)))
+	}
+	return contents
+}
+
+// peerAppeared asks a peer that was not live for its reports, unless enough were just asked.
+func (c *crashGuard) peerAppeared(now time.Time, peer netip.AddrPort) {
+	c.mu.Lock()
+	if now.Sub(c.stateRequestsAt) > stateRequestPeriod {
+		c.stateRequests, c.stateRequestsAt = 0, now
+	}
+	c.stateRequests++
+	ask := c.stateRequests <= maxStateRequests
+	c.mu.Unlock()
+	if ask {
+		c.g.gossip.sendCrashUpdate([]netip.AddrPort{peer}, &loadshare.CrashUpdate{StateWanted: true})
+	}
+}
+
+// sendCrashReports sends reports on crashes in as many datagrams as they need.
+func (s *gossiper) sendCrashReports(targets []netip.AddrPort, reports []loadshare.CrashReport) {
+	for len(reports) > 0 {
+		n := min(len(reports), loadshare.MaxCrashReports)
+		s.sendCrashUpdate(targets, &loadshare.CrashUpdate{Reports: reports[:n]})
+		reports = reports[n:]
+	}
+}
+
+func (s *gossiper) sendCrashUpdate(targets []netip.AddrPort, update *loadshare.CrashUpdate) {
+	if s == nil || len(targets) == 0 {
+		return
+	}
+	datagram, err := loadshare.AppendCrashUpdate(nil, s.port, update)
+	if err != nil {
+		s.g.options.Log.Error().Err(err).Msg("crashes_not_reported")
+		return
+	}
+	s.sendAll(targets, datagram)
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -25,6 +25,8 @@
 	// the last token.
 	expectedWait  time.Duration
 	expectedTotal time.Duration
+	// sentAt is when the request was sent.
+	sentAt time.Time
 }
 
 func (p *placement) upstream() upstream.Server {
@@ -39,6 +41,8 @@
 	// onRemoved is called with each removed server, so that its connections are
 	// closed.
 	onRemoved func(upstream.Server)
+	// onLost is called with each server that does not respond.
+	onLost func(time.Time, directory.Entry)
 	// probe starts a probe of a suspected server.
 	probe func(directory.Entry)
 	// announce queues a message to the peers.
@@ -61,6 +65,7 @@
 		log:       o.Log,
 		metrics:   o.Metrics,
 		onRemoved: onRemoved,
+		onLost:    func(time.Time, directory.Entry) {},
 		directory: directory.New(),
 		router:    routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
 		servers:   health.NewServers(),
@@ -186,7 +191,7 @@
 		return nil, err
 	}
 	f.router.Started(now, decision.ID, q.work)
-	return &placement{Entry: f.entries[decision.ID], expectedWait: decision.ExpectedWait, expectedTotal: decision.ExpectedTotal}, nil
+	return &placement{Entry: f.entries[decision.ID], expectedWait: decision.ExpectedWait, expectedTotal: decision.ExpectedTotal, sentAt: now}, nil
 }
 
 // assign charges the given server with the work, like choose. It returns nil if the
@@ -199,7 +204,7 @@
 		return nil
 	}
 	f.router.Started(now, id, work)
-	return &placement{Entry: entry}
+	return &placement{Entry: entry, sentAt: now}
 }
 
 // backup returns a server to keep a copy of the KV cache of a run at primary, or nil.
@@ -313,6 +318,14 @@
 	return ok && f.servers.State(id) != health.Down
 }
 
+// registered reports whether a server is known, down or not.
+func (f *fleet) registered(id serverID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.entries[id]
+	return ok
+}
+
 // watch starts failure detection for a run, with startBy and queued as in
 // health.Streams.Start. cancel is called with the cause if the run is lost.
 func (f *fleet) watch(now time.Time, p *placement, startBy time.Time, queued bool, cancel func(error)) health.StreamID {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,7 +26,7 @@
 	fleet        *fleet
 	pool         *upstream.Pool
 	retryBudgets *retryBudgets
-	crashes      *crashTracker
+	crashes      *crashGuard
 	gossip       *gossiper
 	// livePeers is the number of other live gateways, as of the last heartbeat.
 	livePeers atomic.Int64
@@ -65,7 +65,9 @@
 	g.SetBounds(options.Bounds)
 	opened := telemetry.Counter(options.Metrics, "upstream.connections")
 	g.pool = upstream.NewPool(upstream.Options{OnOpen: func() { opened.Inc(1) }})
+	g.crashes = newCrashGuard(g)
 	g.fleet = newFleet(&options, g.pool.CloseIdle)
+	g.fleet.onLost = g.crashes.serverLost
 	g.fleet.probe = func(entry directory.Entry) { go g.probe(entry) }
 	if options.PeerConn != nil && options.Registry != nil {
 		g.gossip = newGossiper(g)
@@ -75,7 +77,6 @@
 	g.configFollower = newFollower(configurationWait(&options.Bounds))
 	g.serversFollower = newFollower(serversInterval(&options.Bounds))
 	g.retryBudgets = newRetryBudgets(options.Bounds)
-	g.crashes = newCrashTracker()
 	g.surveys = newSurveyor(g)
 	g.server = httpserver.New(alice.New().ThenFunc(g.serve))
 	mux := http.NewServeMux()
@@ -99,6 +100,10 @@
 	g.wait.Go(g.followConfiguration)
 	g.wait.Go(g.followServers)
 	g.wait.Go(g.sweep)
+	if g.options.Quarantines != nil {
+		g.wait.Go(g.crashes.saveQuarantines)
+		g.wait.Go(g.crashes.restoreQuarantines)
+	}
 	if g.gossip != nil {
 		g.wait.Go(g.gossip.register)
 		g.wait.Go(g.gossip.heartbeat)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -77,7 +77,11 @@
 	s.sendAll(s.targets(time.Now()), datagram)
 }
 
+// targets returns the peers that receive this entry's messages.
 func (s *gossiper) targets(now time.Time) []netip.AddrPort {
+	if s == nil {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append([]netip.AddrPort(nil), s.peers.Targets(now)...)
@@ -86,6 +90,16 @@
 // hasPeers reports whether other entries are live.
 func (s *gossiper) hasPeers(now time.Time) bool { return s != nil && s.livePeers(now) > 0 }
 
+// isolated reports whether there are other entries but none is live.
+func (s *gossiper) isolated(now time.Time) bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers.Known() > 0 && s.peers.Live(now) == 0
+}
+
 // livePeers returns the number of live peers.
 func (s *gossiper) livePeers(now time.Time) int {
 	s.mu.Lock()
@@ -224,6 +238,15 @@
 		s.g.applyPeerUpdate(now, update)
 		return nil
 	}
+	if loadshare.IsCrashUpdate(data) {
+		sender, update, err := loadshare.ParseCrashUpdate(data, from)
+		if err != nil {
+			return err
+		}
+		s.recordPeer(now, sender)
+		s.g.crashes.handleUpdate(now, sender, update)
+		return nil
+	}
 	sender, messages, err := loadshare.Parse(data, from)
 	if err != nil {
 		return err
@@ -268,6 +291,7 @@
 	if isNew {
 		s.g.options.Log.Info().Str("peer", sender.String()).Msg("peer_heard")
 		s.send([]netip.AddrPort{sender}, []loadshare.Message{{Kind: loadshare.Heartbeat}})
+		s.g.crashes.peerAppeared(now, sender)
 	}
 }
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -52,6 +52,9 @@
 	// entry runs without peers.
 	Registry Registry
 	PeerConn *net.UDPConn
-	Log      *telemetry.Logger
-	Metrics  telemetry.Registry
+	// Quarantines keeps quarantined requests. If it is nil, they are lost once all
+	// entries have ended.
+	Quarantines QuarantineStore
+	Log         *telemetry.Logger
+	Metrics     telemetry.Registry
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/upstream"
@@ -76,8 +78,9 @@
 // plainCall is the state of a call of a plain service.
 type plainCall struct {
 	*call
-	results    chan *sendResult
-	pending    int
+	results chan *sendResult
+	// pending holds the sends without a result.
+	pending    []*placement
 	totalSends int
 	tried      []serverID
 	// last is the last complete answer that is not a success.
@@ -93,10 +96,10 @@
 	}
 	hedge := p.hedgeTimer()
 	defer hedge.Stop()
-	for p.pending > 0 {
+	for len(p.pending) > 0 {
 		select {
 		case result := <-p.results:
-			p.pending--
+			p.pending = slices.DeleteFunc(p.pending, func(other *placement) bool { return other == result.place })
 			if p.handleResult(ctx, result) {
 				return
 			}
@@ -138,7 +141,7 @@
 	case sendNotRun:
 		p.possibleRuns--
 	}
-	if p.pending == 0 && p.maySendAgain(time.Now()) {
+	if len(p.pending) == 0 && p.maySendAgain(time.Now()) {
 		p.sendAgain(ctx, "again")
 	}
 	return false
@@ -153,6 +156,9 @@
 	if p.possibleRuns > 0 && !p.route.Idempotent() {
 		return false
 	}
+	if p.crashes.check(now, p.content).Action != quarantine.Run {
+		return false
+	}
 	return p.retryBudgets.take(now, p.service, false)
 }
 
@@ -172,7 +178,7 @@
 	p.tried = append(p.tried, place.ID)
 	p.possibleRuns++
 	p.totalSends++
-	p.pending++
+	p.pending = append(p.pending, place)
 	p.server = place.ID
 	go func() { p.results <- p.exchange(ctx, place) }()
 	return nil
@@ -255,10 +261,11 @@
 	}
 	p.fleet.recordResult(now, result.place, !result.succeeded())
 	if result.outcome == sendUnknown {
+		p.crashes.runLost(now, p.content, result.place)
 		go p.probeAfterFailure(result.place.Entry)
 	}
 	if result.succeeded() {
-		p.crashes.clear(p.fingerprint)
+		p.crashes.completed(now, p.content)
 	}
 	if result.err != nil {
 		p.options.Log.Info().Str("request", string(p.caller.ID)).Str("server", string(result.place.ID)).
@@ -296,6 +303,10 @@
 
 // timedOut ends a request whose deadline has passed or whose caller has disconnected.
 func (p *plainCall) timedOut() {
+	// A server that has crashed silently may be why there is no answer.
+	for _, place := range p.pending {
+		p.crashes.runLost(time.Now(), p.content, place)
+	}
 	if p.r.Context().Err() != nil {
 		p.callerGone()
 		return
--- /dev/null
+++ b/gateway/quarantines.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/quarantine"
+)
+
+const (
+	// isolatedReadInterval is the time between two reads of the stored quarantines while no peer
+	// is live that could report them.
+	isolatedReadInterval = 2 * time.Second
+	// maxUnsaved bounds the quarantines that wait for the store; more are not stored.
+	maxUnsaved = 256
+	// storedQuarantinePeriod is the time after which a stored quarantine is removed. It exceeds
+	// the time for which one holds by what the clocks of hosts may differ.
+	storedQuarantinePeriod = 15 * time.Minute
+)
+
+// StoredQuarantine is a quarantined request as the store keeps it. Since is a time of day, as the
+// process that reads it may not be the one that wrote it.
+type StoredQuarantine struct {
+	Content quarantine.ContentHash
+	Since   time.Time
+	// Revision identifies the stored state for its removal.
+	Revision uint64
+}
+
+// QuarantineStore keeps quarantined requests beyond the life of the entries.
+type QuarantineStore interface {
+	SaveQuarantine(ctx context.Context, q StoredQuarantine) error
+	Quarantines(ctx context.Context) ([]StoredQuarantine, error)
+	// RemoveQuarantines removes those that have not changed since they were read.
+	RemoveQuarantines(ctx context.Context, list []StoredQuarantine) error
+}
+
+// save queues a quarantine to be saved in the store.
+func (c *crashGuard) save(q quarantine.Quarantine) {
+	if c.g.options.Quarantines == nil {
+		return
+	}
+	c.mu.Lock()
+	if len(c.unsaved) < maxUnsaved {
+		c.unsaved = append(c.unsaved, q)
+	}
+	c.mu.Unlock()
+	select {
+	case c.saveWakeup <- struct{}{}:
+	default:
+	}
+}
+
+func (c *crashGuard) nextUnsaved() (quarantine.Quarantine, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.unsaved) == 0 {
+		return quarantine.Quarantine{}, false
+	}
+	return c.unsaved[0], true
+}
+
+// saveQuarantines saves queued quarantines until the gateway ends. It retries until the store
+// accepts them; a write that is repeated changes nothing.
+func (c *crashGuard) saveQuarantines() {
+	store := c.g.newDependency("quarantine_writes")
+	for {
+		q, ok := c.nextUnsaved()
+		if !ok {
+			select {
+			case <-c.saveWakeup:
+				continue
+			case <-c.g.background.Done():
+				return
+			}
+		}
+		if err := c.saveOne(q); err != nil {
+			if !c.g.pause(store.recordFailure(time.Now(), err)) {
+				return
+			}
+			continue
+		}
+		store.recordSuccess(time.Now())
+		c.mu.Lock()
+		c.unsaved = c.unsaved[1:]
+		c.mu.Unlock()
+	}
+}
+
+func (c *crashGuard) saveOne(q quarantine.Quarantine) error {
+	ctx, cancel := context.WithTimeout(c.g.background, storeReadTimeout)
+	defer cancel()
+	return c.g.options.Quarantines.SaveQuarantine(ctx, StoredQuarantine{Content: q.Content, Since: q.Since.Round(0)})
+}
+
+// restoreQuarantines reads the stored quarantines at the start, and again while no known peer is
+// live.
+func (c *crashGuard) restoreQuarantines() {
+	store := c.g.newDependency("quarantine_reads")
+	for {
+		err := c.restore()
+		wait := isolatedReadInterval
+		if err != nil {
+			wait = store.recordFailure(time.Now(), err)
+		} else {
+			store.recordSuccess(time.Now())
+		}
+		for {
+			if !c.g.pause(wait) {
+				return
+			}
+			if err != nil || c.g.gossip.isolated(time.Now()) {
+				break
+			}
+		}
+	}
+}
+
+// restore applies the stored quarantines once, and removes those that have expired.
+func (c *crashGuard) restore() error {
+	ctx, cancel := context.WithTimeout(c.g.background, storeReadTimeout)
+	defer cancel()
+	stored, err := c.g.options.Quarantines.Quarantines(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	var expired []StoredQuarantine
+	for _, q := range stored {
+		age := now.Round(0).Sub(q.Since)
+		if age > storedQuarantinePeriod {
+			expired = append(expired, q)
+			continue
+		}
+		c.applyStored(now, quarantine.Quarantine{Content: q.Content, Since: now.Add(-max(age, 0))})
+	}
+	if len(expired) == 0 {
+		return nil
+	}
+	return c.g.options.Quarantines.RemoveQuarantines(ctx, expired)
+}
+
+func (c *crashGuard) applyStored(now time.Time, q quarantine.Quarantine) {
+	c.mu.Lock()
+	isNew := c.limiter.MergeQuarantine(now, q)
+	c.mu.Unlock()
+	if isNew {
+		c.quarantined(q, "store")
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -73,10 +73,9 @@
 		s.fleet.markLost(time.Now(), t.place.ID, "connect")
 		return runNotRun, err
 	}
+	s.crashes.runLost(time.Now(), s.content, t.place)
 	if ctx.Err() == nil {
 		go s.probeAfterFailure(t.place.Entry)
-	} else {
-		s.logCrashIgnored(t.place.ID, "run_cancelled")
 	}
 	return runLost, err
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/routetable"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -56,9 +57,10 @@
 	began     time.Time
 	// deadline is when the caller stops waiting or the route times out, whichever is
 	// first; zero if neither is set.
-	deadline    time.Time
-	work        routing.Work
-	fingerprint fingerprint
+	deadline time.Time
+	work     routing.Work
+	// content identifies the request's content, whatever its id.
+	content quarantine.ContentHash
 	// possibleRuns counts the sends that may have run.
 	possibleRuns int
 	// outcome, server and status go into the request's log line.
@@ -116,7 +118,7 @@
 		return refusal
 	}
 	c.estimate()
-	if c.crashes.refused(c.began, c.fingerprint) {
+	if !c.crashes.mayRun(c.r.Context(), c.content) {
 		return problem.New(problem.CodeBackendFailed, problem.RunNot, problem.StepAdmit, "the request crashes backend servers")
 	}
 	if since, leaving := c.leaving(c.began); leaving && since > streamCutoff && c.route.Kind == routetable.KindStream {
@@ -234,7 +236,7 @@
 	return refusal
 }
 
-// estimate sets the request's deadline, expected work and fingerprint.
+// estimate sets the request's deadline, expected work and content hash.
 func (c *call) estimate() {
 	c.deadline = earliest(c.began, c.caller.Deadline, c.route.Timeout)
 	prompt := &c.caller.Prompt
@@ -248,7 +250,7 @@
 		received := uint32(c.caller.LastEvent) * uint32(c.eventTokens())
 		c.work.MaxTokens -= min(c.work.MaxTokens, received)
 	}
-	c.fingerprint = fingerprintOf(c.r.Host, c.r.RequestURI, string(c.workspace), c.body)
+	c.content = contentOf(c.r.Host, c.r.RequestURI, string(c.workspace), c.body)
 }
 
 // eventTokens returns the number of tokens per event in the service's streams.
@@ -290,7 +292,7 @@
 	c.status = refusal.Status()
 	c.outcome = string(refusal.Code)
 	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("code", string(refusal.Code)).Str("run", string(refusal.Run)).
-		Str("step", string(refusal.Step)).Hex("content", c.fingerprint.bytes()).Int("status", c.status).Dur("retry_after", refusal.RetryAfter).
+		Str("step", string(refusal.Step)).Hex("content", contentBytes(c.content)).Int("status", c.status).Dur("retry_after", refusal.RetryAfter).
 		Str("reason", refusal.Error()).Msg("request_refused")
 	problem.Write(c.w, refusal.For(c.caller.ID))
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -27,10 +27,13 @@
 	ServersRevision uint64 `json:"servers_revision"`
 	// Rank is this entry's reader rank at the store. Peers is the number of live
 	// peers.
-	Rank    int           `json:"rank"`
-	Peers   int           `json:"peers"`
-	Streams int           `json:"streams"`
-	Servers []ServerState `json:"servers"`
+	Rank    int `json:"rank"`
+	Peers   int `json:"peers"`
+	Streams int `json:"streams"`
+	// Quarantined lists the contents of requests that are refused since they crash
+	// servers, as in the logs.
+	Quarantined []string      `json:"quarantined,omitempty"`
+	Servers     []ServerState `json:"servers"`
 }
 
 // ServerState is the gateway's view of one backend server.
@@ -65,6 +68,7 @@
 	if g.gossip != nil {
 		s.Peers = g.gossip.livePeers(now)
 	}
+	s.Quarantined = g.crashes.state(now)
 	s.Streams, s.Servers = g.fleet.state()
 	return s
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -119,7 +119,7 @@
 		switch end {
 		case runComplete:
 			s.outcome = "answered"
-			s.crashes.clear(s.fingerprint)
+			s.crashes.completed(time.Now(), s.content)
 			return
 		case runCallerGone:
 			s.callerGone()
@@ -147,7 +147,7 @@
 		return
 	}
 	telemetry.Counter(s.options.Metrics, "streams.run_"+end.String()).Inc(1)
-	s.options.Log.Info().Str("request", string(s.caller.ID)).Str("server", string(t.place.ID)).Str("end", end.String()).
+	s.options.Log.Info().Str("request", string(s.caller.ID)).Hex("content", contentBytes(s.content)).Str("server", string(t.place.ID)).Str("end", end.String()).
 		Uint64("last_event", s.lastEvent).Bool("copied", t.hasCopy).Err(err).Msg("stream_run_ended")
 }
 
@@ -219,7 +219,10 @@
 	if s.possibleRuns > 0 && !s.route.Idempotent() || s.possibleRuns >= max(1, s.route.MaxAttempts) || s.totalSends >= maxStreamSends {
 		return refusal
 	}
-	if s.crashes.refused(time.Now(), s.fingerprint) {
+	if !s.crashes.mayRun(s.ctx, s.content) {
+		if s.ctx.Err() != nil {
+			return problem.New(problem.CodeTooLate, s.runState(), problem.StepResume, "no answer in time")
+		}
 		return problem.New(problem.CodeBackendFailed, problem.RunUnknown, problem.StepResume, "the request crashes backend servers")
 	}
 	if !s.retryBudgets.take(time.Now(), s.service, s.gossip != nil) {
@@ -298,28 +301,9 @@
 	s.refuse(refusal)
 }
 
-// probeAfterFailure probes a server whose connection failed. If the server is lost,
-// it counts as crashed by the request.
-func (c *call) probeAfterFailure(entry directory.Entry) {
-	if !c.fleet.alive(entry.ID) {
-		c.logCrashIgnored(entry.ID, "already_lost")
-		return
+// probeAfterFailure probes a server at which a run was lost.
+func (g *Gateway) probeAfterFailure(entry directory.Entry) {
+	if g.fleet.alive(entry.ID) {
+		g.probe(entry)
 	}
-	c.probe(entry)
-	if c.fleet.alive(entry.ID) {
-		c.logCrashIgnored(entry.ID, "server_responds")
-		return
-	}
-	crashes := c.crashes.record(time.Now(), c.fingerprint)
-	telemetry.Counter(c.options.Metrics, "crashes.counted").Inc(1)
-	c.options.Log.Info().Str("request", string(c.caller.ID)).Hex("content", c.fingerprint.bytes()).Str("server", string(entry.ID)).
-		Int("crashes", crashes).Msg("crash_counted")
-}
-
-// logCrashIgnored logs why a lost run does not count as a crash; reason is part of a
-// metric's name.
-func (c *call) logCrashIgnored(server serverID, reason string) {
-	telemetry.Counter(c.options.Metrics, "crashes.ignored_"+reason).Inc(1)
-	c.options.Log.Info().Str("request", string(c.caller.ID)).Hex("content", c.fingerprint.bytes()).Str("server", string(server)).
-		Str("reason", reason).Msg("crash_ignored")
 }
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -36,6 +36,7 @@
 		case <-g.background.Done():
 			return
 		case now := <-ticker.C:
+			g.crashes.settle(now)
 			for _, entry := range g.fleet.sweep(now) {
 				go g.probe(entry)
 			}
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -69,6 +69,7 @@
 const (
 	wireVersion           = 1
 	registryUpdateVersion = 2
+	crashUpdateVersion    = 3
 	headerSize            = 1 + 2
 	messageSize           = 1 + 8 + 4 + 8
 	// MaxMessages is the number of messages that fit in a datagram of 1200 bytes, which fits the
--- a/loadshare/registry_update.go
+++ b/loadshare/registry_update.go
@@ -37,16 +37,14 @@
 // AppendRegistryUpdate appends the encoding of a datagram with a registry update from the
 // listener at port.
 func AppendRegistryUpdate(buf []byte, port uint16, r *RegistryUpdate) ([]byte, error) {
-	buf = append(buf, registryUpdateVersion)
-	buf = binary.LittleEndian.AppendUint16(buf, port)
-	body, err := cbor.Marshal(r)
+	full, err := appendUpdate(buf, registryUpdateVersion, port, r)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode registry update")
 	}
-	if len(buf)+len(body) > MaxRegistryUpdateBytes {
+	if len(full) > MaxRegistryUpdateBytes {
 		return AppendRegistryUpdate(buf[:0], port, &RegistryUpdate{From: r.From, To: r.To, Partial: true})
 	}
-	return append(buf, body...), nil
+	return full, nil
 }
 
 // IsRegistryUpdate reports whether a datagram holds a registry update.
@@ -57,10 +55,25 @@
 // ParseRegistryUpdate decodes a datagram for which IsRegistryUpdate holds. It returns the address
 // of the sender's listener and the update.
 func ParseRegistryUpdate(data []byte, from netip.AddrPort) (netip.AddrPort, *RegistryUpdate, error) {
-	sender := netip.AddrPortFrom(from.Addr().Unmap(), binary.LittleEndian.Uint16(data[1:]))
 	r := &RegistryUpdate{}
-	if err := cbor.Unmarshal(data[headerSize:], r); err != nil {
-		return sender, nil, errors.Wrap(err, "decode registry update")
+	sender, err := parseUpdate(data, from, r)
+	return sender, r, errors.Wrap(err, "decode registry update")
+}
+
+// appendUpdate appends a datagram whose body is encoded as CBOR.
+func appendUpdate(buf []byte, version byte, port uint16, update any) ([]byte, error) {
+	body, err := cbor.Marshal(update)
+	if err != nil {
+		return nil, err
 	}
-	return sender, r, nil
+	buf = append(buf, version)
+	buf = binary.LittleEndian.AppendUint16(buf, port)
+	return append(buf, body...), nil
+}
+
+// parseUpdate decodes a datagram of appendUpdate into update and returns the address of the
+// sender's listener.
+func parseUpdate(data []byte, from netip.AddrPort, update any) (netip.AddrPort, error) {
+	sender := netip.AddrPortFrom(from.Addr().Unmap(), binary.LittleEndian.Uint16(data[1:]))
+	return sender, cbor.Unmarshal(data[headerSize:], update)
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -10,4 +10,8 @@
 // contains no goroutine, clock or socket. It is not safe for concurrent use. Detectors exchange
 // their state with Delta and Merge. Merging is idempotent and does not depend on the order of
 // messages.
+//
+// Limiter is a second decision core with the same properties, for entries that know only the runs
+// of their own requests and not which others were resident when a server was lost. It quarantines a
+// request after a fixed number of crashes and dismisses those that other losses explain.
 package quarantine
