Let the soak send a request that crashes its runners, and check where it stops

Each seed now has one caller whose request crashes every runner that begins to run it; it comes back through any gateway, under another id. Checked: at most three of its retries reach runners later than 3 s after the third crash, through gateways that were undisturbed for 3 s.

--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -150,20 +150,25 @@
 }
 
 // Kill kills a runner without deregistering it. Its row stays in the store for three heartbeat
-// intervals.
-func (d *Deployment) Kill(id string) {
-	d.markDead(id)
+// intervals. It returns false if the runner is dead already.
+func (d *Deployment) Kill(id string) bool {
+	if !d.markDead(id) {
+		return false
+	}
 	d.Runner(id).Server().Kill()
+	return true
 }
 
 // crash ends a runner that a request has crashed, and starts another at its address after
 // CrashRestart.
 func (d *Deployment) crash(service string, r *runner.Runner) {
+	if !d.markDead(r.ID) {
+		return
+	}
 	if d.options.CrashesSilent {
-		d.markDead(r.ID)
 		r.Server().Pause()
 	} else {
-		d.Kill(r.ID)
+		r.Server().Kill()
 	}
 	select {
 	case <-d.stop:
@@ -177,12 +182,17 @@
 	}
 }
 
-// markDead ends the heartbeats of a runner. Its row is removed after three heartbeat intervals.
-func (d *Deployment) markDead(id string) {
+// markDead ends the heartbeats of a runner, and returns false if they have ended. Its row is removed
+// after three heartbeat intervals.
+func (d *Deployment) markDead(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.runners[id].dead {
+		return false
+	}
 	d.runners[id].dead = true
 	time.AfterFunc(3*heartbeatInterval, func() { d.Store.Delete("servers", id) })
+	return true
 }
 
 // Drain changes the state of a runner's row to draining. The runner itself goes on serving.
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -35,6 +35,8 @@
 	// refusedNotRun is set if the request was refused with a status that guarantees that it did
 	// not run.
 	refusedNotRun bool
+	// crashingThrough is the node that got the request if it is one that crashes its runners.
+	crashingThrough *node
 }
 
 // callerGroup is the set of all callers of one seed, with the records of their requests.
@@ -64,6 +66,7 @@
 	for i := range callers {
 		c.wait.Go(func() { c.call(rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
+	c.wait.Go(func() { c.sendCrashing(rand.New(rand.NewPCG(seed, 99))) })
 	return c
 }
 
@@ -119,8 +122,12 @@
 }
 
 func (c *callerGroup) request(ctx context.Context, r *rand.Rand, i int, method, path, key string) *http.Request {
-	n := c.system.pickNode(r)
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.callerProxy.Addr()+path+"x", strings.NewReader(map[string]string{"POST": "body of " + c.id(i)}[method]))
+	body := map[string]string{"POST": "body of " + c.id(i)}[method]
+	return c.requestThrough(ctx, c.system.pickNode(r), i, method, path, key, body)
+}
+
+func (c *callerGroup) requestThrough(ctx context.Context, n *node, i int, method, path, key, body string) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.callerProxy.Addr()+path+"x", strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -87,6 +87,7 @@
 		known[a.id] = true
 		s.checkAttempt(a, runs[a.id])
 	}
+	s.checkCrashLimit(c.attempts, runs)
 	for id := range runs {
 		if !known[id] {
 			s.violations.add("%s ran, but no caller sent it", id)
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -37,9 +37,11 @@
 	{"kill_all_gateways", func(s *system, _ *rand.Rand) { s.restartAll(syscall.SIGKILL) }},
 	{"pause_gateway", func(s *system, r *rand.Rand) {
 		n := s.pickNode(r)
-		n.signal(syscall.SIGSTOP, false)
-		time.Sleep(faultDuration(r))
-		n.signal(syscall.SIGCONT, false)
+		s.disturbances.during(n, func() {
+			n.signal(syscall.SIGSTOP, false)
+			time.Sleep(faultDuration(r))
+			n.signal(syscall.SIGCONT, false)
+		})
 	}},
 	{"reload_gateway", func(s *system, r *rand.Rand) {
 		n := s.pickNode(r)
@@ -76,23 +78,29 @@
 		}
 	}},
 	{"store_fault", func(s *system, r *rand.Rand) {
-		s.Store.SetFault([]rowstore.Fault{rowstore.FaultUnavailable, rowstore.FaultUnresponsive, rowstore.FaultReset, rowstore.FaultDropResponse}[r.IntN(4)])
-		time.Sleep(faultDuration(r) * 2)
-		s.Store.SetFault(rowstore.FaultNone)
+		s.disturbances.during(nil, func() {
+			s.Store.SetFault([]rowstore.Fault{rowstore.FaultUnavailable, rowstore.FaultUnresponsive, rowstore.FaultReset, rowstore.FaultDropResponse}[r.IntN(4)])
+			time.Sleep(faultDuration(r) * 2)
+			s.Store.SetFault(rowstore.FaultNone)
+		})
 	}},
 	{"store_forgets", func(s *system, _ *rand.Rand) { s.Store.CompactHistory() }},
 	{"store_link_silent", func(s *system, r *rand.Rand) {
-		link := s.pickNode(r).storeProxy
+		n := s.pickNode(r)
 		direction := []faultproxy.Direction{faultproxy.Both, faultproxy.ToServer, faultproxy.ToClient}[r.IntN(3)]
-		link.SetBlackHole(direction, true)
-		time.Sleep(faultDuration(r) * 2)
-		link.SetBlackHole(direction, false)
+		s.disturbances.during(n, func() {
+			n.storeProxy.SetBlackHole(direction, true)
+			time.Sleep(faultDuration(r) * 2)
+			n.storeProxy.SetBlackHole(direction, false)
+		})
 	}},
 	{"store_link_slow", func(s *system, r *rand.Rand) {
-		link := s.pickNode(r).storeProxy
-		link.SetDelay(faultproxy.Both, time.Duration(50+r.IntN(400))*time.Millisecond)
-		time.Sleep(faultDuration(r))
-		link.SetDelay(faultproxy.Both, 0)
+		n := s.pickNode(r)
+		s.disturbances.during(n, func() {
+			n.storeProxy.SetDelay(faultproxy.Both, time.Duration(50+r.IntN(400))*time.Millisecond)
+			time.Sleep(faultDuration(r))
+			n.storeProxy.SetDelay(faultproxy.Both, 0)
+		})
 	}},
 	{"store_link_reset", func(s *system, r *rand.Rand) { s.pickNode(r).storeProxy.ResetAll() }},
 	{"callers_link_reset", func(s *system, r *rand.Rand) { s.pickNode(r).callerProxy.ResetAll() }},
@@ -117,11 +125,13 @@
 
 // restart ends a node's process with a signal and starts a new one.
 func (s *system) restart(n *node, sig syscall.Signal) {
-	<-s.terminate(n, sig)
-	time.Sleep(restartPause)
-	if err := s.start(n); err != nil {
-		s.violations.add("soak: %v", err)
-	}
+	s.disturbances.during(n, func() {
+		<-s.terminate(n, sig)
+		time.Sleep(restartPause)
+		if err := s.start(n); err != nil {
+			s.violations.add("soak: %v", err)
+		}
+	})
 }
 
 // terminate sends the signal. After SIGTERM it kills a process that outlives its grace period, as
@@ -156,7 +166,9 @@
 		return
 	}
 	address := old.Address()
-	s.Kill(old.ID)
+	if !s.Kill(old.ID) {
+		return
+	}
 	time.Sleep(faultDuration(r))
 	old.Server().Close()
 	if _, err := s.AddRunner(service, address); err != nil {
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -64,6 +64,8 @@
 	random     *rand.Rand
 	nodes      []*node
 	violations *violationList
+	// disturbances are those of the gateways and of the store.
+	disturbances disturbanceLog
 }
 
 func startSystem(o *options, binary string, seed uint64) (*system, error) {
@@ -76,6 +78,7 @@
 		Engine:        runner.Options{Engine: true, Events: 40, EventGap: 25 * time.Millisecond, Prefill: 50 * time.Millisecond},
 		PlainServer:   runner.Options{ServiceTime: 5 * time.Millisecond},
 		StreamTimeout: 15 * time.Second, PlainTimeout: 3 * time.Second,
+		CrashingBodies: []string{crashingBody}, CrashRestart: crashRestart,
 	})
 	if err != nil {
 		return nil, err
