Bound the head of a backend server's answer

Callers would have seen a gateway die with all their requests: net/http bounds the head of an answer in its client, but http.ReadResponse, which upstream uses, does not.

Endless informational answers kept the exchange busy until its deadline.

Now the head, with informational ones before it, has at most 256 KiB (maxHeadBytes); the connection is closed and the outcome is unknown.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -8,21 +8,53 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
 // readBufferSize is the size of a connection's read buffer in bytes.
 const readBufferSize = 4 << 10
 
+// maxHeadBytes bounds the head of a response in bytes, with the informational ones before it. A head
+// has no length, so only this ends one that a failing server goes on sending.
+const maxHeadBytes = 256 << 10
+
+// errHeadTooLarge means that the head of a response exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
 	idleSince time.Time
+	// readingHead is set while the head of a response is read, and headLeft is the number of
+	// bytes that it may still have.
+	readingHead bool
+	headLeft    int
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	n := &conn{Conn: c}
+	n.reader = bufio.NewReaderSize(n, readBufferSize)
+	return n
+}
+
+// beginHead bounds what is read until endHead.
+func (c *conn) beginHead() { c.readingHead, c.headLeft = true, maxHeadBytes }
+
+func (c *conn) endHead() { c.readingHead = false }
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(p)
+	c.headLeft -= n
+	return n, err
 }
 
 // reusable reports whether an idle connection is open and has received no data. Data that arrives
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -148,6 +148,8 @@
 // readHead reads the head of the final response and skips informational ones. It is called even if
 // sending failed, since the server may have responded before.
 func (x *exchange) readHead(method string) (*http.Response, error) {
+	x.conn.beginHead()
+	defer x.conn.endHead()
 	for {
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
