Cancel the commit of a test only once the table has it

It cancels a commit on WroteRequest and expects the table to apply it. net/http calls WroteRequest from Request.write, before persistConn.writeLoop flushes the buffer (net/http/request.go:584, transport.go writeLoop), so the cancel can close the connection before the request has left. It now waits until the table has counted the write, which is as strict: the outcome must be unknown and the commit must still take effect.

--- a/infra/httpinfra/client_test.go
+++ b/infra/httpinfra/client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -99,15 +98,19 @@
 			So(w.Table.Counters().Writes, ShouldEqual, 1)
 		})
 		Convey("a cancelled commit to a slow table is unknown, a cancelled read is not done", func() {
-			w.Table.SetDelay(100 * time.Millisecond)
-			sent, cancel := context.WithCancel(ctx)
-			traced := httptrace.WithClientTrace(sent, &httptrace.ClientTrace{
-				WroteRequest: func(httptrace.WroteRequestInfo) { cancel() },
-			})
-			_, err := table.Commit(traced, put("o", "k", "v"))
+			w.Table.SetDelay(time.Second)
+			received, cancel := context.WithCancel(ctx)
+			go func() {
+				defer cancel()
+				for w.Table.Counters().Writes == 0 && ctx.Err() == nil {
+					time.Sleep(time.Millisecond)
+				}
+			}()
+			_, err := table.Commit(received, put("o", "k", "v"))
 			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeUnknown)
-			_, err = table.Get(traced, "k")
+			_, err = table.Get(received, "k")
 			So(infra.OutcomeOf(err), ShouldEqual, infra.OutcomeNotDone)
+			w.Table.SetDelay(0)
 			// The cancelled commit still takes effect.
 			for row := (infra.Row{}); row.Revision == 0; {
 				row, err = table.Get(ctx, "k")
