Count the retry slack of a gateway that has just started as its part only

A gateway took the whole slack of a service as soon as its first heartbeat round had passed without a registered peer, a quarter of it before (4 entries assumed), and after a restart all of it although it knew nothing of the retries that the others had made in the same window.

Now a gateway uses no slack until the registry has told how many gateways there are, and only its own part within its first window. What its requests earn it may use at once.

--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -8,14 +8,9 @@
 	"github.com/wigeonfork/wigeonfork/retry"
 )
 
-const (
-	// budgetFraction is the fraction of the retry budget that is used. The rest
-	// allows for messages between entries that are late or lost.
-	budgetFraction = 0.8
-	// assumedEntries is the number of entries assumed to share the slack until the
-	// peers are known.
-	assumedEntries = 4
-)
+// budgetFraction is the fraction of the retry budget that is used. The rest allows for
+// messages between entries that are late or lost.
+const budgetFraction = 0.8
 
 // retryBudgets limits how often requests are retried, per service and over all
 // entries. Peers report their sends to model engines but not those to plain services.
@@ -24,14 +19,18 @@
 type retryBudgets struct {
 	bounds Bounds
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// reachable and known are the numbers of entries that are live and that are
+	// registered, this one included. known is 0 until the registry has been read.
 	reachable int
 	known     int
-	services  map[wigeonfork.Model]*retry.SharedBudget
+	// countedSince is when this entry began to count, its own sends and its peers'.
+	countedSince time.Time
+	services     map[wigeonfork.Model]*retry.SharedBudget
 }
 
-func newRetryBudgets(b Bounds) *retryBudgets {
-	return &retryBudgets{bounds: b, reachable: 1, known: assumedEntries, services: make(map[wigeonfork.Model]*retry.SharedBudget)}
+func newRetryBudgets(now time.Time, b Bounds) *retryBudgets {
+	return &retryBudgets{bounds: b, countedSince: now, services: make(map[wigeonfork.Model]*retry.SharedBudget)}
 }
 
 // setEntries sets how many entries are reachable and how many are known, this one
@@ -42,6 +41,20 @@
 	b.reachable, b.known = reachable, max(known, 1)
 }
 
+// reportedFraction returns the fraction of the entries whose retries are counted here,
+// which is the part of the slack that this entry may use. Until the number of entries is
+// known it is 0. Within the first window, the earlier retries of the peers are not
+// counted, and only this entry's own part is used.
+func (b *retryBudgets) reportedFraction(now time.Time, peersReport bool) float64 {
+	switch {
+	case b.known == 0:
+		return 0
+	case peersReport && now.Sub(b.countedSince) >= b.bounds.RetryWindow:
+		return float64(b.reachable) / float64(b.known)
+	}
+	return 1 / float64(b.known)
+}
+
 func (b *retryBudgets) budget(service wigeonfork.Model) *retry.SharedBudget {
 	if b.services[service] == nil {
 		b.services[service] = retry.NewSharedBudget(b.bounds.RetryRatio*budgetFraction, b.bounds.RetrySlack*budgetFraction, b.bounds.RetryWindow)
@@ -69,9 +82,5 @@
 func (b *retryBudgets) take(now time.Time, service wigeonfork.Model, peersReport bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	reportedFraction := 1 / float64(b.known)
-	if peersReport {
-		reportedFraction = float64(b.reachable) / float64(b.known)
-	}
-	return b.budget(service).Take(now, reportedFraction)
+	return b.budget(service).Take(now, b.reportedFraction(now, peersReport))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,7 +76,10 @@
 	g.config = newConfigState(&options)
 	g.configFollower = newFollower(configurationWait(&options.Bounds))
 	g.serversFollower = newFollower(serversInterval(&options.Bounds))
-	g.retryBudgets = newRetryBudgets(options.Bounds)
+	g.retryBudgets = newRetryBudgets(time.Now(), options.Bounds)
+	if g.gossip == nil {
+		g.retryBudgets.setEntries(1, 1)
+	}
 	g.surveys = newSurveyor(g)
 	g.server = httpserver.New(alice.New().ThenFunc(g.serve))
 	mux := http.NewServeMux()
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -34,8 +34,10 @@
 	conn *net.UDPConn
 	port uint16
 
-	mu             sync.Mutex
-	peers          *loadshare.Peers
+	mu    sync.Mutex
+	peers *loadshare.Peers
+	// registered is set once the registered peers have been read.
+	registered     bool
 	pending        []loadshare.Message
 	flushScheduled bool
 }
@@ -183,7 +185,9 @@
 	for _, address := range peers {
 		s.peers.Add(address)
 	}
+	s.registered = true
 	s.mu.Unlock()
+	s.updatePeerCounts(time.Now())
 	s.g.options.Log.Info().Int("peers", len(peers)).Msg("registered")
 	return true
 }
@@ -196,11 +200,20 @@
 		now := time.Now()
 		s.mu.Lock()
 		due := s.peers.HeartbeatsDue(now)
-		live, known := s.peers.Live(now), s.peers.Known()
 		s.mu.Unlock()
 		s.send(due, announcement)
-		s.g.livePeers.Store(int64(live))
-		s.g.fleet.setPeers(live)
+		s.updatePeerCounts(now)
+	}
+}
+
+// updatePeerCounts passes the number of peers to those that divide something by it.
+func (s *gossiper) updatePeerCounts(now time.Time) {
+	s.mu.Lock()
+	live, known, registered := s.peers.Live(now), s.peers.Known(), s.registered
+	s.mu.Unlock()
+	s.g.livePeers.Store(int64(live))
+	s.g.fleet.setPeers(live)
+	if registered {
 		s.g.retryBudgets.setEntries(live+1, known+1)
 	}
 }
