--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -74,6 +74,7 @@
 		Registry:    platform.NewRegistry(store),
 		PeerConn:    peers,
 		Quarantines: platform.NewQuarantines(store),
+		Moves:       platform.NewMoves(store),
 		Log:         log,
 		Metrics:     metrics,
 	})
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -56,6 +56,12 @@
 	entries   map[serverID]directory.Entry
 	hashes    map[loadshare.ServerHash]serverID
 	cancels   map[health.StreamID]func(error)
+	// versions decides which version of a service a request goes to. versionOrder lists
+	// the versions of the known servers of each service, in the order in which they
+	// appeared, and versionCount the number of servers of each.
+	versions     versionPolicy
+	versionOrder map[wigeonfork.Model][]wigeonfork.Version
+	versionCount map[serviceVersion]int
 	// probedAt is when each suspected server was last probed.
 	probedAt map[serverID]time.Time
 }
@@ -74,6 +80,10 @@
 		hashes:    make(map[loadshare.ServerHash]serverID),
 		cancels:   make(map[health.StreamID]func(error)),
 		probedAt:  make(map[serverID]time.Time),
+
+		versions:     anyVersion{},
+		versionOrder: make(map[wigeonfork.Model][]wigeonfork.Version),
+		versionCount: make(map[serviceVersion]int),
 	}
 }
 
@@ -118,6 +128,8 @@
 			f.remove(event.Entry.ID)
 			f.add(event.Entry)
 		case directory.Updated:
+			f.removeVersion(f.entries[event.Entry.ID])
+			f.addVersion(event.Entry)
 			f.entries[event.Entry.ID] = event.Entry
 			f.router.Upsert(routerServer(event.Entry))
 		case directory.Left:
@@ -128,6 +140,7 @@
 
 func (f *fleet) add(entry directory.Entry) {
 	f.entries[entry.ID] = entry
+	f.addVersion(entry)
 	f.hashes[loadshare.HashServer(entry.ID)] = entry.ID
 	f.servers.Add(entry.ID, entry.Service, entry.Domain)
 	f.router.Upsert(routerServer(entry))
@@ -139,6 +152,7 @@
 		return
 	}
 	delete(f.entries, id)
+	f.removeVersion(known)
 	delete(f.probedAt, id)
 	delete(f.hashes, loadshare.HashServer(id))
 	f.servers.Remove(id)
@@ -176,7 +190,7 @@
 func (f *fleet) choose(now time.Time, q *query) (*placement, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	decision, err := f.router.Choose(now, routing.Request{
+	decision, err := f.chooseVersion(now, &routing.Request{
 		Model:        q.service,
 		Class:        q.work.Class,
 		Prefixes:     q.work.Prefixes,
@@ -191,6 +205,7 @@
 		return nil, err
 	}
 	f.router.Started(now, decision.ID, q.work)
+	f.versions.sent(q.service, f.entries[decision.ID].Version)
 	return &placement{Entry: f.entries[decision.ID], expectedWait: decision.ExpectedWait, expectedTotal: decision.ExpectedTotal, sentAt: now}, nil
 }
 
@@ -200,10 +215,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entry, ok := f.entries[id]
-	if !ok || f.servers.State(id) == health.Down {
+	if !ok || f.servers.State(id) == health.Down || !f.versions.allows(entry.Service, entry.Version) {
 		return nil
 	}
 	f.router.Started(now, id, work)
+	f.versions.sent(entry.Service, entry.Version)
 	return &placement{Entry: entry, sentAt: now}
 }
 
@@ -213,10 +229,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, ok := f.router.ChooseBackup(now, routing.BackupRequest{
-		Model:  primary.Service,
-		Server: primary.ID,
-		Domain: primary.Domain,
-		Tokens: work.PromptTokens + work.MaxTokens,
+		Model:   primary.Service,
+		Version: f.versions.backupVersion(primary.Service),
+		Server:  primary.ID,
+		Domain:  primary.Domain,
+		Tokens:  work.PromptTokens + work.MaxTokens,
 	})
 	if !ok {
 		return nil
--- /dev/null
+++ b/gateway/fleet_versions.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/health"
+	"github.com/wigeonfork/wigeonfork/routing"
+)
+
+// errVersionStopped is the cause for which a run at a version that was stopped is abandoned.
+var errVersionStopped = errors.New("the version was stopped")
+
+// versionPolicy decides which versions of a service requests are sent to.
+type versionPolicy interface {
+	// preference lists the versions that the next request may be sent to, the wanted one
+	// first. It is empty if the policy has no preference.
+	preference(service wigeonfork.Model) []wigeonfork.Version
+	// allows reports whether a request may be sent to a server of a version.
+	allows(service wigeonfork.Model, version wigeonfork.Version) bool
+	// backupVersion returns the version at which backups are kept; empty for any.
+	backupVersion(service wigeonfork.Model) wigeonfork.Version
+	// sent counts a request that is sent to a server.
+	sent(service wigeonfork.Model, version wigeonfork.Version)
+}
+
+// anyVersion is the versionPolicy without a preference.
+type anyVersion struct{}
+
+func (anyVersion) preference(wigeonfork.Model) []wigeonfork.Version  { return nil }
+func (anyVersion) allows(wigeonfork.Model, wigeonfork.Version) bool  { return true }
+func (anyVersion) backupVersion(wigeonfork.Model) wigeonfork.Version { return "" }
+func (anyVersion) sent(wigeonfork.Model, wigeonfork.Version)         {}
+
+// serviceVersion identifies one version of a service.
+type serviceVersion struct {
+	service wigeonfork.Model
+	version wigeonfork.Version
+}
+
+func (f *fleet) addVersion(entry directory.Entry) {
+	key := serviceVersion{entry.Service, entry.Version}
+	if f.versionCount[key] == 0 {
+		f.versionOrder[entry.Service] = append(f.versionOrder[entry.Service], entry.Version)
+	}
+	f.versionCount[key]++
+}
+
+func (f *fleet) removeVersion(entry directory.Entry) {
+	key := serviceVersion{entry.Service, entry.Version}
+	f.versionCount[key]--
+	if f.versionCount[key] > 0 {
+		return
+	}
+	delete(f.versionCount, key)
+	f.versionOrder[entry.Service] = slices.DeleteFunc(f.versionOrder[entry.Service], func(v wigeonfork.Version) bool { return v == entry.Version })
+}
+
+// chooseVersion chooses a server of the first allowed version that has one for the request. Without
+// an order, servers of a version that appeared later are used only if there are no others.
+func (f *fleet) chooseVersion(now time.Time, request *routing.Request) (routing.Decision, error) {
+	versions := f.versions.preference(request.Model)
+	if len(versions) == 0 && len(f.versionOrder[request.Model]) > 1 {
+		versions = []wigeonfork.Version{f.versionOrder[request.Model][0], ""}
+	}
+	if len(versions) == 0 {
+		versions = []wigeonfork.Version{""}
+	}
+	var decision routing.Decision
+	var err error
+	for _, version := range versions {
+		request.Version = version
+		if decision, err = f.router.Choose(now, *request); err == nil {
+			return decision, nil
+		}
+	}
+	return decision, err
+}
+
+// establishedVersion returns the version of a service that has had servers for longest, other than
+// the given one. It is empty if there is none.
+func (f *fleet) establishedVersion(service wigeonfork.Model, other wigeonfork.Version) wigeonfork.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, version := range f.versionOrder[service] {
+		if version != other {
+			return version
+		}
+	}
+	return ""
+}
+
+// usableByVersion returns the number of servers of a service that take requests, by version.
+func (f *fleet) usableByVersion(service wigeonfork.Model) map[wigeonfork.Version]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usable := make(map[wigeonfork.Version]int)
+	for id, entry := range f.entries {
+		if entry.Service == service && f.servers.State(id) != health.Down {
+			usable[entry.Version]++
+		}
+	}
+	return usable
+}
+
+// cancelVersion cancels all runs of streams at servers of a version.
+func (f *fleet) cancelVersion(service wigeonfork.Model, version wigeonfork.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, entry := range f.entries {
+		if entry.Service == service && entry.Version == version {
+			f.cancelStreamsLocked(id, errVersionStopped)
+		}
+	}
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -149,6 +149,9 @@
 
 // applyConfiguration applies the result of a read and announces it to the peers.
 func (g *Gateway) applyConfiguration(change ConfigurationChange, installed bool) {
+	if g.options.Moves != nil && len(change.Moves) > 0 {
+		g.moves.observeOrders(change.Moves)
+	}
 	if installed {
 		g.fleet.setEngines(change.Table)
 		g.options.Log.Info().Uint64("version", change.Table.Version()).Uint64("revision", change.Revision).
@@ -272,6 +275,7 @@
 	g.servers.readPosition = readPosition{revision: read.Revision, known: true, readAt: now}
 	g.servers.mu.Unlock()
 	g.serversFollower.recordRead(now)
+	g.moves.beginMoves(now)
 	g.markWarm(warmServers)
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	pool         *upstream.Pool
 	retryBudgets *retryBudgets
 	crashes      *crashGuard
+	moves        *versionMoves
 	gossip       *gossiper
 	// livePeers is the number of other live gateways, as of the last heartbeat.
 	livePeers atomic.Int64
@@ -68,6 +69,8 @@
 	g.crashes = newCrashGuard(g)
 	g.fleet = newFleet(&options, g.pool.CloseIdle)
 	g.fleet.onLost = g.crashes.serverLost
+	g.moves = newVersionMoves(g)
+	g.fleet.versions = g.moves
 	g.fleet.probe = func(entry directory.Entry) { go g.probe(entry) }
 	if options.PeerConn != nil && options.Registry != nil {
 		g.gossip = newGossiper(g)
@@ -79,6 +82,7 @@
 	g.retryBudgets = newRetryBudgets(time.Now(), options.Bounds)
 	if g.gossip == nil {
 		g.retryBudgets.setEntries(1, 1)
+		g.moves.setEntries(1)
 	}
 	g.surveys = newSurveyor(g)
 	g.server = httpserver.New(alice.New().ThenFunc(g.serve))
@@ -103,6 +107,10 @@
 	g.wait.Go(g.followConfiguration)
 	g.wait.Go(g.followServers)
 	g.wait.Go(g.sweep)
+	if g.options.Moves != nil {
+		g.wait.Go(g.moves.follow)
+		g.wait.Go(g.moves.writeStates)
+	}
 	if g.options.Quarantines != nil {
 		g.wait.Go(g.crashes.saveQuarantines)
 		g.wait.Go(g.crashes.restoreQuarantines)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -215,6 +215,7 @@
 	s.g.fleet.setPeers(live)
 	if registered {
 		s.g.retryBudgets.setEntries(live+1, known+1)
+		s.g.moves.setEntries(known + 1)
 	}
 }
 
@@ -251,6 +252,9 @@
 		s.g.applyPeerUpdate(now, update)
 		return nil
 	}
+	if loadshare.IsMoveUpdate(data) {
+		return s.handleMoveUpdate(now, data, from)
+	}
 	if loadshare.IsCrashUpdate(data) {
 		sender, update, err := loadshare.ParseCrashUpdate(data, from)
 		if err != nil {
--- /dev/null
+++ b/gateway/move_states.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/rollout"
+)
+
+// MoveState is the stored state of a move.
+type MoveState uint8
+
+// The stored states. Those after MoveRunning are final.
+const (
+	MoveAbsent MoveState = iota
+	MoveRunning
+	MoveCompleted
+	MoveRolledBack
+)
+
+var moveStateNames = [...]string{"absent", "running", "completed", "rolled_back"}
+
+// String returns the name of s.
+func (s MoveState) String() string { return moveStateNames[s] }
+
+// StoredMove is the stored state of the last move of a service, and the revision at which it was
+// written, 0 if there is none.
+type StoredMove struct {
+	State    MoveState
+	To       wigeonfork.Version
+	Revision uint64
+}
+
+// isFinalFor reports whether the state is the end of the move of an order.
+func (s *StoredMove) isFinalFor(order rollout.MoveOrder) bool {
+	return s.State > MoveRunning && s.To == order.To && s.Revision > order.Revision
+}
+
+// MoveStore keeps the states of moves, which the operator reads.
+type MoveStore interface {
+	ReadMove(ctx context.Context, service wigeonfork.Model) (StoredMove, error)
+	// WriteMove replaces the state. The cause of the error is ErrConditionFailed if the stored
+	// one no longer has the given revision.
+	WriteMove(ctx context.Context, service wigeonfork.Model, state StoredMove, revision uint64) error
+}
+
+// confirm reads the stored state of a move until that succeeds. Before, nothing is sent to the new
+// version, since it may have been rolled back.
+func (v *versionMoves) confirm(order rollout.MoveOrder) {
+	store := v.g.newDependency("moves")
+	for {
+		_, err := v.refresh(order)
+		if err == nil {
+			return
+		}
+		if !v.g.pause(store.recordFailure(time.Now(), err)) {
+			return
+		}
+	}
+}
+
+// refresh reads the stored state of a move and applies it.
+func (v *versionMoves) refresh(order rollout.MoveOrder) (StoredMove, error) {
+	ctx, cancel := context.WithTimeout(v.g.background, storeReadTimeout)
+	defer cancel()
+	stored, err := v.g.options.Moves.ReadMove(ctx, order.Service)
+	if err != nil {
+		return StoredMove{}, err
+	}
+	stage := rollout.StageTrial
+	if stored.isFinalFor(order) {
+		stage = rollout.StageStopped
+		if stored.State == MoveCompleted {
+			stage = rollout.StageCompleted
+		}
+	}
+	v.advance(order, stage, "stored as "+stored.State.String())
+	return stored, nil
+}
+
+// advance raises the stage of the move of an order, if it is still the newest.
+func (v *versionMoves) advance(order rollout.MoveOrder, stage rollout.Stage, reason string) {
+	v.mu.Lock()
+	move := v.moves[order.Service]
+	rose := move != nil && move.Order == order && move.Advance(stage, reason)
+	v.mu.Unlock()
+	if rose {
+		v.stageChanged(order.Service, "store")
+	}
+}
+
+// writeStates writes the states of the moves at the entries that lead, until the gateway ends.
+func (v *versionMoves) writeStates() {
+	writers := make(map[wigeonfork.Model]*moveWriter)
+	for v.g.pause(moveStepInterval) {
+		if !rollout.IsLeader(v.g.readerRank()) {
+			continue
+		}
+		for _, service := range v.services() {
+			order, wanted := v.wantedState(service)
+			w := writers[service]
+			if w == nil || w.order != order {
+				w = &moveWriter{v: v, order: order, store: v.g.newDependency("moves")}
+				writers[service] = w
+			}
+			w.write(wanted)
+		}
+	}
+}
+
+// wantedState returns the state to be stored. MoveAbsent means that it is not known yet.
+func (v *versionMoves) wantedState(service wigeonfork.Model) (rollout.MoveOrder, MoveState) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	move := v.moves[service]
+	stage, _ := move.Stage()
+	switch {
+	case !move.Confirmed():
+		return move.Order, MoveAbsent
+	case stage == rollout.StageStopped:
+		return move.Order, MoveRolledBack
+	case stage == rollout.StageCompleted, move.Finished():
+		return move.Order, MoveCompleted
+	}
+	return move.Order, MoveRunning
+}
+
+// moveWriter writes the state of one move.
+type moveWriter struct {
+	v     *versionMoves
+	order rollout.MoveOrder
+	store *dependency
+	// stored is the state as last read or written. It is valid if known is set.
+	stored StoredMove
+	known  bool
+	// retryAt is when the next call may be made after a failed one.
+	retryAt time.Time
+}
+
+// write writes the wanted state unless it or a final one is stored. After a call with an unknown
+// outcome, the state is read before the next write.
+func (w *moveWriter) write(wanted MoveState) {
+	if time.Now().Before(w.retryAt) {
+		return
+	}
+	if !w.known {
+		stored, err := w.v.refresh(w.order)
+		if err != nil {
+			w.failed(err)
+			return
+		}
+		w.stored, w.known = stored, true
+	}
+	if wanted == MoveAbsent || w.stored.isFinalFor(w.order) || w.isStored(wanted) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(w.v.g.background, storeReadTimeout)
+	defer cancel()
+	err := w.v.g.options.Moves.WriteMove(ctx, w.order.Service, StoredMove{State: wanted, To: w.order.To}, w.stored.Revision)
+	w.known = false
+	if err != nil {
+		w.failed(err)
+		return
+	}
+	w.store.recordSuccess(time.Now())
+	w.v.g.options.Log.Info().Str("service", string(w.order.Service)).Str("to", string(w.order.To)).Str("state", wanted.String()).Msg("move_stored")
+	if wanted == MoveCompleted {
+		w.v.advance(w.order, rollout.StageCompleted, "completed")
+	}
+}
+
+// isStored reports whether a state is stored for this order.
+func (w *moveWriter) isStored(state MoveState) bool {
+	return w.stored.State == state && w.stored.To == w.order.To && w.stored.Revision > w.order.Revision
+}
+
+func (w *moveWriter) failed(err error) {
+	w.known = false
+	if errors.Is(err, ErrConditionFailed) {
+		return
+	}
+	w.retryAt = time.Now().Add(w.store.recordFailure(time.Now(), err))
+}
--- /dev/null
+++ b/gateway/moves.go
@@ -0,0 +1,355 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/loadshare"
+	"github.com/wigeonfork/wigeonfork/rollout"
+)
+
+const (
+	// moveStepInterval is the time between two steps of the moves.
+	moveStepInterval = 100 * time.Millisecond
+	// moveReportInterval is the time between two reports on a move to the peers.
+	moveReportInterval = 250 * time.Millisecond
+	// historyPeriod is the age of an order up to which an entry that learns of it has seen the
+	// move from its start.
+	historyPeriod = 2 * time.Second
+	// timedFactor is the age at which it is counted whether a run is slow, relative to the age at
+	// which one without an answer is. It leaves time to measure the pace of its tokens.
+	timedFactor = 1.25
+)
+
+// versionMoves follows the orders to move services to other versions. It decides which version a
+// request is sent to, and judges new versions together with the peers. Its lock is taken after that
+// of the fleet, and held over no I/O.
+type versionMoves struct {
+	g *Gateway
+	// source identifies this incarnation in reports.
+	source    string
+	startedAt time.Time
+
+	mu sync.Mutex
+	// orders holds the newest order of each service. Its move exists once servers are known.
+	orders    map[wigeonfork.Model]rollout.MoveOrder
+	moves     map[wigeonfork.Model]*rollout.ServiceMove
+	baselines *rollout.Baselines
+	// waiting holds the runs that are not yet old enough to be known as slow.
+	waiting map[*timedRun]struct{}
+	// entries is the number of known entries, 0 until the registry has been read.
+	entries int
+}
+
+func newVersionMoves(g *Gateway) *versionMoves {
+	return &versionMoves{
+		g: g, source: strconv.FormatUint(rand.Uint64(), 36), startedAt: time.Now(),
+		orders: make(map[wigeonfork.Model]rollout.MoveOrder), moves: make(map[wigeonfork.Model]*rollout.ServiceMove),
+		baselines: rollout.NewBaselines(), waiting: make(map[*timedRun]struct{}),
+	}
+}
+
+// setEntries sets the number of known entries, this one included.
+func (v *versionMoves) setEntries(known int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.entries = known
+	for _, move := range v.moves {
+		move.SetEntries(known)
+	}
+}
+
+// observeOrders records orders that were read from the store.
+func (v *versionMoves) observeOrders(orders []rollout.MoveOrder) {
+	v.mu.Lock()
+	for _, order := range orders {
+		if order.Revision > v.orders[order.Service].Revision {
+			v.orders[order.Service] = order
+		}
+	}
+	v.mu.Unlock()
+	v.beginMoves(time.Now())
+}
+
+// beginMoves begins the moves of orders whose service has servers of another version.
+func (v *versionMoves) beginMoves(now time.Time) {
+	v.mu.Lock()
+	var missing []rollout.MoveOrder
+	for service, order := range v.orders {
+		if move := v.moves[service]; move == nil || move.Order.Revision < order.Revision {
+			missing = append(missing, order)
+		}
+	}
+	v.mu.Unlock()
+	for _, order := range missing {
+		from := v.g.fleet.establishedVersion(order.Service, order.To)
+		if from == "" {
+			continue
+		}
+		// An entry that has just started may have missed the first part of the move.
+		hasHistory := now.Sub(v.startedAt) > historyPeriod
+		if v.begin(now, order, from, order.Duration, hasHistory) {
+			v.g.wait.Go(func() { v.confirm(order) })
+		}
+	}
+}
+
+// begin begins a move, unless one of the same or a later order exists.
+func (v *versionMoves) begin(now time.Time, order rollout.MoveOrder, from wigeonfork.Version, left time.Duration, hasHistory bool) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if move := v.moves[order.Service]; move != nil && move.Order.Revision >= order.Revision {
+		return false
+	}
+	bounds := v.g.bounds.Load()
+	limits := rollout.ExposureLimits{Share: bounds.ExposureShare, Slack: bounds.ExposureSlack}
+	move := rollout.NewServiceMove(now, order, from, left, limits, hasHistory, rand.Float64())
+	move.SetEntries(v.entries)
+	v.moves[order.Service] = move
+	v.orders[order.Service] = order
+	v.g.options.Log.Info().Str("service", string(order.Service)).Str("from", string(from)).Str("to", string(order.To)).
+		Uint64("order", order.Revision).Dur("left", left).Bool("has_history", hasHistory).Msg("move_began")
+	return true
+}
+
+// preference lists the versions that the next request to a service may be sent to, the wanted one
+// first. It is empty if the service is not under a move.
+func (v *versionMoves) preference(service wigeonfork.Model) []wigeonfork.Version {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if move := v.moves[service]; move != nil {
+		return move.Preference(time.Now())
+	}
+	return nil
+}
+
+// allows reports whether a request may be sent to a server of a version.
+func (v *versionMoves) allows(service wigeonfork.Model, version wigeonfork.Version) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	move := v.moves[service]
+	return move == nil || move.Allows(time.Now(), version)
+}
+
+// backupVersion returns the version at which backups are kept, or an empty one for any.
+func (v *versionMoves) backupVersion(service wigeonfork.Model) wigeonfork.Version {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if move := v.moves[service]; move != nil {
+		return move.BackupVersion()
+	}
+	return ""
+}
+
+// sent counts a request that is sent to a server.
+func (v *versionMoves) sent(service wigeonfork.Model, version wigeonfork.Version) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if move := v.moves[service]; move != nil {
+		move.Sent(version)
+	}
+}
+
+// answered counts an answer: whether it is a failure.
+func (v *versionMoves) answered(p *placement, route string, failed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if move := v.moves[p.Service]; move != nil {
+		move.Answered(p.Version, rollout.Route(route), failed)
+	}
+}
+
+// await begins to time a run, if its service is under a move.
+func (v *versionMoves) await(t *timedRun) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.moves[t.place.Service] != nil {
+		v.waiting[t] = struct{}{}
+	}
+}
+
+// begun records that a run has answered, and drop that it was lost with its server.
+func (v *versionMoves) begun(t *timedRun) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t.begun = true
+}
+
+func (v *versionMoves) drop(t *timedRun) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.waiting, t)
+}
+
+// measured adds a measurement of a run. Those of a version under trial are not learned.
+func (v *versionMoves) measured(t *timedRun, metric rollout.Metric, value time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	service, route := t.place.Service, rollout.Route(t.route)
+	if limit, known := v.baselines.SlowLimit(service, route, metric); known && value > limit {
+		t.slow = true
+	}
+	if move := v.moves[service]; move == nil || t.place.Version == move.From {
+		v.baselines.Add(service, route, metric, value)
+	}
+}
+
+// countTimed counts the runs that are old enough to be known as slow.
+func (v *versionMoves) countTimed(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for t := range v.waiting {
+		limit, known := v.baselines.SlowLimit(t.place.Service, rollout.Route(t.route), t.metric)
+		if !known || now.Sub(t.place.sentAt) < time.Duration(timedFactor*float64(limit)) {
+			continue
+		}
+		delete(v.waiting, t)
+		gapLimit, known := v.baselines.SlowLimit(t.place.Service, rollout.Route(t.route), rollout.MetricTokenGap)
+		slow := t.slow || !t.begun || known && t.gap > gapLimit
+		v.moves[t.place.Service].Timed(t.place.Version, rollout.Route(t.route), slow)
+	}
+}
+
+// paced records the mean time between two tokens of a run so far.
+func (v *versionMoves) paced(t *timedRun, gap time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t.gap = gap
+}
+
+// follow steps the moves and reports on them until the gateway ends.
+func (v *versionMoves) follow() {
+	var reportedAt time.Time
+	for v.g.pause(moveStepInterval) {
+		now := time.Now()
+		v.beginMoves(now)
+		v.countTimed(now)
+		if v.step(now) || now.Sub(reportedAt) >= moveReportInterval {
+			v.report(now)
+			reportedAt = now
+		}
+	}
+}
+
+// step steps all moves and returns whether a stage changed.
+func (v *versionMoves) step(now time.Time) bool {
+	rank := v.g.readerRank()
+	changed := false
+	for _, service := range v.services() {
+		usable := v.g.fleet.usableByVersion(service)
+		v.mu.Lock()
+		move := v.moves[service]
+		rose := move.Step(now, rollout.FleetView{OldUsable: usable[move.From], NewUsable: usable[move.Order.To], Rank: rank})
+		v.mu.Unlock()
+		if rose {
+			v.stageChanged(service, "own")
+			changed = true
+		}
+	}
+	return changed
+}
+
+// services returns the services under a move.
+func (v *versionMoves) services() []wigeonfork.Model {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := make([]wigeonfork.Model, 0, len(v.moves))
+	for service := range v.moves {
+		list = append(list, service)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// stageChanged logs a new stage, and moves the streams away from a version that was stopped.
+func (v *versionMoves) stageChanged(service wigeonfork.Model, source string) {
+	v.mu.Lock()
+	move := v.moves[service]
+	stage, reason := move.Stage()
+	to, state := move.Order.To, move.State()
+	v.mu.Unlock()
+	v.g.options.Log.Info().Str("service", string(service)).Str("to", string(to)).Str("stage", stage.String()).Str("source", source).
+		Str("reason", reason).Str("state", state).Msg("move_stage")
+	if stage == rollout.StageStopped {
+		v.g.fleet.cancelVersion(service, to)
+	}
+}
+
+// report sends the peers what this entry knows of each move that has not ended for long.
+func (v *versionMoves) report(now time.Time) {
+	for _, service := range v.services() {
+		v.mu.Lock()
+		move := v.moves[service]
+		stage, reason := move.Stage()
+		update := &loadshare.MoveUpdate{
+			Service: service, From: move.From, To: move.Order.To, Duration: move.Order.Duration, Revision: move.Order.Revision,
+			Left: move.Left(now), Confirmed: move.Confirmed(), Stage: stage, Reason: reason, Source: v.source, Report: move.Report(),
+		}
+		v.mu.Unlock()
+		if update.Left > -moveMemory {
+			v.g.gossip.sendMoveUpdate(update)
+		}
+	}
+}
+
+// state describes the moves for operators.
+func (v *versionMoves) state() map[wigeonfork.Model]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	states := make(map[wigeonfork.Model]string, len(v.moves))
+	for service, move := range v.moves {
+		states[service] = move.State()
+	}
+	return states
+}
+
+// moveMemory is the time after the deadline for which peers are told of a move. Entries that start
+// later read its stored state.
+const moveMemory = 10 * time.Second
+
+// handleUpdate applies a peer's report.
+func (v *versionMoves) handleUpdate(now time.Time, u *loadshare.MoveUpdate) {
+	v.begin(now, u.Order(), u.From, u.Left, u.Duration-u.Left < historyPeriod && now.Sub(v.startedAt) > historyPeriod)
+	v.mu.Lock()
+	move := v.moves[u.Service]
+	if move.Order.Revision != u.Revision {
+		v.mu.Unlock()
+		return
+	}
+	move.Merge(u.Source, u.Report)
+	rose := (u.Confirmed || u.Stage > rollout.StageTrial) && move.Advance(u.Stage, u.Reason)
+	v.mu.Unlock()
+	if rose {
+		v.stageChanged(u.Service, "peer")
+		v.report(now)
+	}
+}
+
+// sendMoveUpdate sends a report on a move to the peers.
+func (s *gossiper) sendMoveUpdate(u *loadshare.MoveUpdate) {
+	if s == nil {
+		return
+	}
+	datagram, err := loadshare.AppendMoveUpdate(nil, s.port, u)
+	if err != nil {
+		s.g.options.Log.Error().Err(err).Msg("move_not_reported")
+		return
+	}
+	s.sendAll(s.targets(time.Now()), datagram)
+}
+
+// handleMoveUpdate handles a datagram with a peer's report on a move.
+func (s *gossiper) handleMoveUpdate(now time.Time, data []byte, from netip.AddrPort) error {
+	sender, update, err := loadshare.ParseMoveUpdate(data, from)
+	if err != nil {
+		return err
+	}
+	s.recordPeer(now, sender)
+	s.g.moves.handleUpdate(now, update)
+	return nil
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -25,6 +25,11 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// ExposureShare and ExposureSlack limit the requests to a version that turns out to
+	// be bad, over all entries: ExposureShare of the service's requests from the order
+	// until the deadline, plus ExposureSlack.
+	ExposureShare float64
+	ExposureSlack float64
 }
 
 // DefaultBounds returns the bounds of a deployment that sets none.
@@ -38,6 +43,9 @@
 		RetryRatio:  0.2,
 		RetryWindow: 10 * time.Second,
 		RetrySlack:  50,
+
+		ExposureShare: 0.1,
+		ExposureSlack: 50,
 	}
 }
 
@@ -55,6 +63,9 @@
 	// Quarantines keeps quarantined requests. If it is nil, they are lost once all
 	// entries have ended.
 	Quarantines QuarantineStore
-	Log         *telemetry.Logger
-	Metrics     telemetry.Registry
+	// Moves keeps the states of moves to other versions. If it is nil, no order is
+	// followed.
+	Moves   MoveStore
+	Log     *telemetry.Logger
+	Metrics telemetry.Registry
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/quarantine"
+	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/upstream"
@@ -188,6 +189,7 @@
 func (c *call) exchange(ctx context.Context, place *placement) *sendResult {
 	now := time.Now()
 	result := &sendResult{outcome: sendUnknown, place: place}
+	timed := c.timeRun(place, rollout.MetricDuration)
 	request := c.newRequest(now, place, &Attempt{})
 	request.FreshConnection = !c.route.Idempotent()
 	response, err := c.pool.Do(ctx, place.upstream(), request)
@@ -197,15 +199,29 @@
 			result.outcome = sendNotRun
 		}
 		c.fleet.failed(time.Now(), place, c.work)
+		if ctx.Err() == nil {
+			c.moves.drop(timed)
+		}
 		return result
 	}
 	defer func() { _ = response.Body.Close() }()
 	c.readAnswer(response, result)
 	end := time.Now()
+	c.recordTime(timed, result, end.Sub(now))
 	c.fleet.finished(end, place, c.work, routing.Result{Duration: end.Sub(now)})
 	return result
 }
 
+// recordTime records how long a send took, if it was answered well.
+func (c *call) recordTime(timed *timedRun, result *sendResult, took time.Duration) {
+	if !result.succeeded() {
+		c.moves.drop(timed)
+		return
+	}
+	c.moves.begun(timed)
+	c.moves.measured(timed, rollout.MetricDuration, took)
+}
+
 // readAnswer reads a complete answer into result, if it belongs to the request.
 func (c *call) readAnswer(response *upstream.Response, result *sendResult) {
 	reply := c.options.Codec.ParseReply(response.Status, response.Header)
@@ -264,6 +280,9 @@
 		p.crashes.runLost(now, p.content, result.place)
 		go p.probeAfterFailure(result.place.Entry)
 	}
+	if result.outcome == sendAnswered {
+		p.moves.answered(result.place, p.route.Name, !result.succeeded())
+	}
 	if result.succeeded() {
 		p.crashes.completed(now, p.content)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/upstream"
@@ -41,6 +42,7 @@
 	queued := s.totalSends == 1 && s.caller.LastEvent == 0
 	watch := s.fleet.watch(now, t.place, startBy, queued, cancel)
 	defer s.fleet.unwatch(watch)
+	s.timed = s.timeRun(t.place, rollout.MetricFirstToken)
 	s.gossip.enqueue(startedMessage(t.place.ID, s.work, t.hasCopy, s.totalSends > 1))
 	request := s.newRequest(now, t.place, s.newAttempt(now, t))
 	request.FreshConnection = !s.route.Idempotent()
@@ -74,6 +76,10 @@
 		return runNotRun, err
 	}
 	s.crashes.runLost(time.Now(), s.content, t.place)
+	if ctx.Err() == nil || errors.Is(err, errServerUnresponsive) || errors.Is(err, errProbeFailed) {
+		// The server was lost, so the run says nothing about its version.
+		s.moves.drop(s.timed)
+	}
 	if ctx.Err() == nil {
 		go s.probeAfterFailure(t.place.Entry)
 	}
@@ -119,6 +125,8 @@
 		return s.exchangeFailed(ctx, t, result.err)
 	}
 	failed := result.status >= http.StatusInternalServerError
+	s.moves.answered(t.place, s.route.Name, failed)
+	s.moves.drop(s.timed)
 	s.fleet.recordResult(time.Now(), t.place, failed)
 	if failed || s.headSent {
 		s.failure = result
@@ -136,6 +144,9 @@
 		if err == io.EOF {
 			s.writeHead(response)
 			s.fleet.recordResult(time.Now(), t.place, false)
+			if sampler.total >= speedSampleEvents {
+				s.moves.measured(s.timed, rollout.MetricTokenGap, sampler.meanGap(time.Now(), s.eventTokens()))
+			}
 			return runComplete, nil
 		}
 		if err != nil {
@@ -163,15 +174,28 @@
 	since    time.Time
 	events   int
 	reported bool
+	// firstAt is when the first event of the run came, and total counts its events.
+	firstAt time.Time
+	total   int
+}
+
+// meanGap returns the mean time between two tokens of the run, of at least two events.
+func (p *speedSampler) meanGap(now time.Time, eventTokens int) time.Duration {
+	return now.Sub(p.firstAt) / time.Duration((p.total-1)*eventTokens)
 }
 
 // sampleSpeed counts an event, and updates the measured speed of a server after the
 // first event and then after each complete sample.
 func (s *streamCall) sampleSpeed(now time.Time, t target, p *speedSampler) {
 	p.events++
-	if p.events == 1 {
+	p.total++
+	if p.total == 1 {
+		p.firstAt = now
 		// The wait is no speed sample if the server may have cached part of the prompt.
+		s.moves.begun(s.timed)
+		s.moves.answered(t.place, s.route.Name, false)
 		if !t.hasCopy && s.totalSends == 1 && s.caller.LastEvent == 0 {
+			s.moves.measured(s.timed, rollout.MetricFirstToken, now.Sub(p.since))
 			s.fleet.firstToken(now, t.place, routing.FirstToken{Wait: now.Sub(p.since), PromptTokens: s.work.PromptTokens})
 		}
 		p.since = now
@@ -180,6 +204,7 @@
 	if p.events%speedSampleEvents == 0 {
 		tokens := (speedSampleEvents - 1) * s.eventTokens()
 		s.fleet.progress(now, t.place, tokens, now.Sub(p.since)/time.Duration(tokens))
+		s.moves.paced(s.timed, p.meanGap(now, s.eventTokens()))
 		p.since, p.events = now, 1
 		s.announceSpeed(t.place.ID, p)
 	}
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routetable"
 )
 
@@ -23,11 +24,16 @@
 // after a revision. Everything must be read again.
 var ErrHistoryLost = errors.New("history is no longer available")
 
-// ConfigurationChange is the result of a read of the configuration. Table is nil if
-// it has not changed or does not exist yet.
+// ErrConditionFailed is the cause of the error of a write whose condition does not hold.
+var ErrConditionFailed = errors.New("the condition of the write does not hold")
+
+// ConfigurationChange is the result of a read of the configuration and of the operator's
+// orders. Table is nil if it has not changed or does not exist yet. Moves holds the orders
+// to move services to other versions that were read.
 type ConfigurationChange struct {
 	Stamp
 	Table *routetable.Table
+	Moves []rollout.MoveOrder
 }
 
 // ServersChange is the result of a read of the registered backend servers: all of them
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -32,8 +32,10 @@
 	Streams int `json:"streams"`
 	// Quarantined lists the contents of requests that are refused since they crash
 	// servers, as in the logs.
-	Quarantined []string      `json:"quarantined,omitempty"`
-	Servers     []ServerState `json:"servers"`
+	Quarantined []string `json:"quarantined,omitempty"`
+	// Moves describes the moves of services to other versions, with their evidence.
+	Moves   map[wigeonfork.Model]string `json:"moves,omitempty"`
+	Servers []ServerState               `json:"servers"`
 }
 
 // ServerState is the gateway's view of one backend server.
@@ -69,6 +71,7 @@
 		s.Peers = g.gossip.livePeers(now)
 	}
 	s.Quarantined = g.crashes.state(now)
+	s.Moves = g.moves.state()
 	s.Streams, s.Servers = g.fleet.state()
 	return s
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -102,6 +102,8 @@
 	// lostDomain is the failure domain of the server that was lost at lostDomainAt.
 	lostDomain   wigeonfork.FailureDomain
 	lostDomainAt time.Time
+	// timed is the present run.
+	timed *timedRun
 	// lastWrite is when the last event was sent to the caller.
 	lastWrite time.Time
 }
--- /dev/null
+++ b/rollout/service_move.go
@@ -0,0 +1,471 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+// MoveOrder orders the move of a service's traffic to servers of another version, which run beside
+// the present ones.
+type MoveOrder struct {
+	Service wigeonfork.Model
+	To      wigeonfork.Version
+	// Duration is the time from the order to the deadline.
+	Duration time.Duration
+	// Revision identifies the order. A later order has a higher one.
+	Revision uint64
+}
+
+// Stage is how far a ServiceMove has come. Stages only rise.
+type Stage uint8
+
+// The stages.
+const (
+	// StageTrial: the new version gets a part of the exposure limits and is compared with the
+	// old one.
+	StageTrial Stage = iota
+	// StageStopped: the new version is bad and gets no requests.
+	StageStopped
+	// StageCompleted: the old version is gone.
+	StageCompleted
+)
+
+var stageNames = [...]string{"trial", "stopped", "completed"}
+
+// String returns the name of s.
+func (s Stage) String() string { return stageNames[s] }
+
+// ExposureLimits bounds the requests that a version may get before its deadline if it turns out to
+// be bad, over all entries: Share of the service's requests, plus Slack.
+type ExposureLimits struct {
+	Share float64
+	Slack float64
+}
+
+const (
+	// exposureFraction is the fraction of the exposure limits that is used. The rest allows for
+	// retries and for requests in transit when the version is stopped.
+	exposureFraction = 0.8
+	// initialFraction is the fraction of an entry's allowance that it may use at once. The rest
+	// is spread over the move, most of it late, since a version that turns bad late is noticed
+	// only by requests that are sent after that.
+	initialFraction = 0.25
+	// maxFinishMargin bounds the time before the deadline at which the move is completed. It is at
+	// most finishFraction of the duration, since the new version gets all requests from then on.
+	maxFinishMargin = 1200 * time.Millisecond
+	finishFraction  = 0.07
+	// minTrialResults is the number of good results of the new version that are wanted before
+	// backups are kept there.
+	minTrialResults = 8
+	// minCapacity is the number of usable new servers that the completion needs, as a fraction
+	// of the usable old ones.
+	minCapacity = 0.6
+	// moveStopProbability bounds the probability that a good version is stopped.
+	moveStopProbability = 0.004
+	// toleratedMoveOdds is the odds ratio of bad results up to which a version counts as good.
+	toleratedMoveOdds = 1.5
+	// maxEndSuspicion is the suspicion from which a version is not completed.
+	maxEndSuspicion = 0.4
+	// maxLooks corrects the probability for judging again with each result.
+	maxLooks = 20
+	// maxMoveRoutes bounds the routes judged separately, so that a report fits in a datagram.
+	maxMoveRoutes = 24
+)
+
+// sinceHalf names the results over all routes since half of the time.
+const sinceHalf Route = "(all since half)"
+
+// MoveReport is what one entry knows of a move from its own requests. The counts are totals since
+// the start of the move, so a later report replaces an earlier one of the same source.
+type MoveReport struct {
+	// Sent counts the requests sent to the service, NewSent those sent to the new version.
+	Sent    uint32 `cbor:"1,keyasint,omitempty"`
+	NewSent uint32 `cbor:"2,keyasint,omitempty"`
+	// Results holds the results by route.
+	Results map[Route]RouteResults `cbor:"4,keyasint,omitempty"`
+}
+
+// RouteResults compares two versions by failures, and by slowness among the requests that did not
+// fail. Slowness varies much more, so that together failures would show late.
+type RouteResults struct {
+	Failures Totals `cbor:"1,keyasint,omitzero"`
+	Slowness Totals `cbor:"2,keyasint,omitzero"`
+}
+
+func (r *RouteResults) add(o RouteResults) {
+	r.Failures.add(o.Failures)
+	r.Slowness.add(o.Slowness)
+}
+
+// minus returns the results of the new version since an earlier state, with all of the old one.
+func (r RouteResults) minus(earlier RouteResults) RouteResults {
+	r.Failures.NewBad -= earlier.Failures.NewBad
+	r.Failures.NewTotal -= earlier.Failures.NewTotal
+	r.Slowness.NewBad -= earlier.Slowness.NewBad
+	r.Slowness.NewTotal -= earlier.Slowness.NewTotal
+	return r
+}
+
+// FleetView is an entry's view of the servers of a service under a move.
+type FleetView struct {
+	// OldUsable and NewUsable are the numbers of servers that take requests.
+	OldUsable, NewUsable int
+	// Rank is the rank of this entry as leader. The first leads, and the second makes up for one
+	// that has just ended. The others only follow.
+	Rank int
+}
+
+// IsLeader reports whether an entry of the given rank takes the steps of a move.
+func IsLeader(rank int) bool { return rank <= 1 }
+
+// leaderDelay is the time by which the second leader acts later than the first.
+const leaderDelay = 400 * time.Millisecond
+
+// ServiceMove decides at one entry which version the requests of a service under a move are sent
+// to, and judges the new version by the results of all entries that report.
+//
+// Each entry sends the new version at most its part of the exposure limits, so that all together
+// keep within them without communication. A version is stopped once its results are worse than
+// those of the old one with an error probability of at most moveStopProbability. The move is
+// completed as late as the deadline allows, since there is no version to go back to after that. The
+// runs that then still are at old servers go on from backups at new ones.
+//
+// ServiceMove is a deterministic decision type: times are arguments, and it does no I/O. It is not
+// safe for concurrent use.
+type ServiceMove struct {
+	Order    MoveOrder
+	From     wigeonfork.Version
+	limits   ExposureLimits
+	began    time.Time
+	deadline time.Time
+	// known is the number of entries, 0 if it is not known. An entry without history, that has
+	// started during the move, does not know what was sent before and sends the new version nothing.
+	known      int
+	hasHistory bool
+	// offset in [0, 1) is added to this entry's allowance. Those of the entries differ, so that
+	// together they use fractions of a request.
+	offset float64
+	// confirmed is set once it is known that the move has not ended.
+	confirmed bool
+
+	own       MoveReport
+	peers     map[string]MoveReport
+	stage     Stage
+	reason    string
+	suspicion float64
+	// half holds the results over all routes as of half of the time, once halfPassed. Those since
+	// are judged by themselves too, since a version may turn bad late.
+	half       RouteResults
+	halfPassed bool
+	// finishing is set once a leader has decided to complete the move.
+	finishing bool
+}
+
+// NewServiceMove returns the move of an order whose deadline is left from now. hasHistory is set if
+// this entry has seen the move from its start. random is a random number in [0, 1).
+func NewServiceMove(now time.Time, order MoveOrder, from wigeonfork.Version, left time.Duration, limits ExposureLimits, hasHistory bool, random float64) *ServiceMove {
+	return &ServiceMove{
+		Order: order, From: from, limits: limits, began: now.Add(left - order.Duration), deadline: now.Add(left),
+		hasHistory: hasHistory, offset: random, own: MoveReport{Results: make(map[Route]RouteResults)}, peers: make(map[string]MoveReport),
+	}
+}
+
+// SetEntries sets the number of entries, this one included.
+func (m *ServiceMove) SetEntries(known int) { m.known = known }
+
+// Confirm records that the move had not ended when its stored state was read.
+func (m *ServiceMove) Confirm() { m.confirmed = true }
+
+// Confirmed reports whether Confirm was called or a stage was learned.
+func (m *ServiceMove) Confirmed() bool { return m.confirmed }
+
+// Stage returns the stage, and the reason for which the version was stopped.
+func (m *ServiceMove) Stage() (Stage, string) { return m.stage, m.reason }
+
+// Left returns the time to the deadline.
+func (m *ServiceMove) Left(now time.Time) time.Duration { return m.deadline.Sub(now) }
+
+// Advance raises the stage, as another entry or the store reports it. It returns whether that is a
+// change.
+func (m *ServiceMove) Advance(stage Stage, reason string) bool {
+	m.confirmed = true
+	if stage <= m.stage {
+		return false
+	}
+	m.stage, m.reason = stage, reason
+	return true
+}
+
+// Preference lists the versions that the next request may be sent to, the wanted one first.
+func (m *ServiceMove) Preference(now time.Time) []wigeonfork.Version {
+	switch {
+	case m.stage == StageCompleted:
+		return []wigeonfork.Version{m.Order.To}
+	case m.stage == StageTrial && m.mayTry(now):
+		return []wigeonfork.Version{m.Order.To, m.From}
+	case m.stage == StageTrial && m.confirmed && m.timeIsUp(now, 0) && m.triedWell():
+		// The old servers may have ended with a completion that is not known here yet.
+		return []wigeonfork.Version{m.From, m.Order.To}
+	}
+	return []wigeonfork.Version{m.From}
+}
+
+// mayTry reports whether this entry may send the new version one more request.
+func (m *ServiceMove) mayTry(now time.Time) bool {
+	if !m.confirmed || m.known == 0 || !m.hasHistory {
+		return false
+	}
+	passed := min(1, m.elapsed(now).Seconds()/m.Order.Duration.Seconds())
+	fraction := initialFraction + (1-initialFraction)*passed*passed
+	return float64(m.own.NewSent)+1 <= fraction*m.allowance(now)+m.offset
+}
+
+// allowance returns the number of requests that this entry may send the new version before the
+// completion, from the rate of its requests so far. It leaves room for all requests from then until
+// the deadline.
+func (m *ServiceMove) allowance(now time.Time) float64 {
+	rate := float64(m.own.Sent) / m.elapsed(now).Seconds()
+	exposed := exposureFraction * (m.limits.Share*rate*m.Order.Duration.Seconds() + m.limits.Slack/float64(m.known))
+	return exposed - rate*m.finishMargin().Seconds()
+}
+
+// elapsed returns the time since the order, which is at least a second so that rates are bounded.
+func (m *ServiceMove) elapsed(now time.Time) time.Duration {
+	return max(now.Sub(m.began), time.Second)
+}
+
+// finishMargin returns the time before the deadline at which the move is completed.
+func (m *ServiceMove) finishMargin() time.Duration {
+	return min(maxFinishMargin, time.Duration(finishFraction*float64(m.Order.Duration)))
+}
+
+// Allows reports whether a request may go to a server of a version because it holds a backup there.
+func (m *ServiceMove) Allows(now time.Time, version wigeonfork.Version) bool {
+	return slices.Contains(m.Preference(now), version)
+}
+
+// BackupVersion returns the version at which backups of runs at the old version are kept. Once the
+// new version has shown itself good, they are kept there, since the old servers end with the move.
+func (m *ServiceMove) BackupVersion() wigeonfork.Version {
+	if m.stage == StageCompleted || m.stage == StageTrial && m.triedEnough() {
+		return m.Order.To
+	}
+	return m.From
+}
+
+// Sent counts a request that is sent to a version.
+func (m *ServiceMove) Sent(version wigeonfork.Version) {
+	m.own.Sent++
+	if version == m.Order.To {
+		m.own.NewSent++
+	}
+}
+
+// Answered counts an answer of a version: whether it is a failure.
+func (m *ServiceMove) Answered(version wigeonfork.Version, route Route, failed bool) {
+	m.addResult(route, RouteResults{Failures: m.single(version, failed)})
+}
+
+// Timed counts whether a request to a version was slow. It must be called for each request when it
+// is as old as one that is found to be slow, so that the two versions are compared alike.
+func (m *ServiceMove) Timed(version wigeonfork.Version, route Route, slow bool) {
+	m.addResult(route, RouteResults{Slowness: m.single(version, slow)})
+}
+
+func (m *ServiceMove) addResult(route Route, r RouteResults) {
+	if _, known := m.own.Results[route]; !known && len(m.own.Results) >= maxMoveRoutes {
+		route = otherRoutes
+	}
+	sum := m.own.Results[route]
+	sum.add(r)
+	m.own.Results[route] = sum
+}
+
+// single returns the totals of one request.
+func (m *ServiceMove) single(version wigeonfork.Version, bad bool) Totals {
+	n := uint32(0)
+	if bad {
+		n = 1
+	}
+	switch version {
+	case m.Order.To:
+		return Totals{NewTotal: 1, NewBad: n}
+	case m.From:
+		return Totals{OldTotal: 1, OldBad: n}
+	}
+	return Totals{}
+}
+
+// Report returns this entry's report.
+func (m *ServiceMove) Report() MoveReport {
+	report := m.own
+	report.Results = maps.Clone(m.own.Results)
+	return report
+}
+
+// Merge replaces the report of a source, which is unique to an incarnation of an entry.
+func (m *ServiceMove) Merge(source string, report MoveReport) {
+	if _, known := m.peers[source]; known || len(m.peers) < maxSources {
+		m.peers[source] = report
+	}
+}
+
+// Step judges the version and takes the steps that are due. It returns whether the stage rose.
+func (m *ServiceMove) Step(now time.Time, view FleetView) bool {
+	before := m.stage
+	if m.stage == StageTrial {
+		m.judge(now)
+	}
+	if m.stage == StageTrial && m.confirmed && IsLeader(view.Rank) && m.timeIsUp(now, view.Rank) {
+		m.decide(view)
+	}
+	return m.stage > before
+}
+
+// decide decides when the time is up: a version that has not shown itself good is stopped.
+func (m *ServiceMove) decide(view FleetView) {
+	switch {
+	case m.suspicion >= maxEndSuspicion:
+		m.stage, m.reason = StageStopped, "suspect at the deadline"
+	case !m.triedWell():
+		m.stage, m.reason = StageStopped, "not shown to be good by the deadline"
+	case float64(view.NewUsable) < minCapacity*float64(view.OldUsable):
+		m.stage, m.reason = StageStopped, fmt.Sprintf("%d servers at the deadline, with the old version %d", view.NewUsable, view.OldUsable)
+	default:
+		m.finishing = true
+	}
+}
+
+// Finished reports whether this entry, as a leader, must complete the move.
+func (m *ServiceMove) Finished() bool { return m.finishing && m.stage == StageTrial }
+
+// timeIsUp reports whether the move must be completed or stopped now, for a leader of the given
+// rank.
+func (m *ServiceMove) timeIsUp(now time.Time, rank int) bool {
+	return m.deadline.Sub(now)+time.Duration(rank)*leaderDelay <= m.finishMargin()
+}
+
+func (m *ServiceMove) triedEnough() bool {
+	return m.totals().good() >= minTrialResults && m.suspicion < holdSuspicion
+}
+
+// triedWell reports whether the version was tried enough, or at least had no bad result.
+func (m *ServiceMove) triedWell() bool {
+	t := m.totals()
+	return m.triedEnough() || t.good() > 0 && t.Failures.NewBad+t.Slowness.NewBad == 0
+}
+
+// good returns the number of good results of the new version.
+func (r *RouteResults) good() uint32 { return r.Slowness.NewTotal - r.Slowness.NewBad }
+
+// judge stops the version if its results are worse than those of the old one, on one route or over
+// all routes.
+func (m *ServiceMove) judge(now time.Time) {
+	routes := m.results()
+	all := m.totals()
+	routes[allRoutes] = *all
+	if !m.halfPassed && m.elapsed(now) >= m.Order.Duration/2 {
+		m.half, m.halfPassed = *all, true
+	}
+	if m.halfPassed {
+		routes[sinceHalf] = all.minus(m.half)
+	}
+	threshold := math.Log(moveStopProbability / float64(2*len(routes)*maxLooks))
+	m.suspicion = 0
+	for route, r := range routes {
+		m.judgeTotals("failed", route, r.Failures, threshold)
+		m.judgeTotals("slow", route, r.Slowness, threshold)
+	}
+}
+
+func (m *ServiceMove) judgeTotals(what string, route Route, t Totals, threshold float64) {
+	evidence := t.logChance()
+	m.suspicion = max(m.suspicion, evidence/threshold)
+	if evidence <= threshold {
+		m.stage = StageStopped
+		m.reason = fmt.Sprintf("route %s: %d of %d %s, with the old version %d of %d", route, t.NewBad, t.NewTotal, what, t.OldBad, t.OldTotal)
+	}
+}
+
+// logChance returns the log of the probability that a version which is tolerably worse than the old
+// one has as many bad results. The rate of the old one is estimated with one result of each kind
+// added, so that few results of it prove little.
+func (t *Totals) logChance() float64 {
+	if t.NewBad == 0 {
+		return 0
+	}
+	rate := (float64(t.OldBad) + 1) / (float64(t.OldTotal) + 2)
+	odds := toleratedMoveOdds * rate / (1 - rate)
+	return logBinomialTail(t.NewTotal, t.NewBad, odds/(1+odds))
+}
+
+// logBinomialTail returns the log of the probability of k or more hits in n trials with probability
+// p each.
+func logBinomialTail(n, k uint32, p float64) float64 {
+	logP, logQ := math.Log(p), math.Log1p(-p)
+	sum := 0.0
+	for i := k; i <= n; i++ {
+		sum += math.Exp(logChoose(n, i) + float64(i)*logP + float64(n-i)*logQ)
+	}
+	return math.Log(max(sum, math.SmallestNonzeroFloat64))
+}
+
+func logChoose(n, k uint32) float64 {
+	a, _ := math.Lgamma(float64(n) + 1)
+	b, _ := math.Lgamma(float64(k) + 1)
+	c, _ := math.Lgamma(float64(n-k) + 1)
+	return a - b - c
+}
+
+// results returns the results of all entries by route.
+func (m *ServiceMove) results() map[Route]RouteResults {
+	sums := make(map[Route]RouteResults)
+	for _, report := range m.reports() {
+		for route, r := range report.Results {
+			sum := sums[route]
+			sum.add(r)
+			sums[route] = sum
+		}
+	}
+	return sums
+}
+
+// totals returns the results of all entries over all routes.
+func (m *ServiceMove) totals() *RouteResults {
+	all := &RouteResults{}
+	for _, r := range m.results() {
+		all.add(r)
+	}
+	return all
+}
+
+// sum returns the counts of all entries, without results.
+func (m *ServiceMove) sum() MoveReport {
+	var sum MoveReport
+	for _, report := range m.reports() {
+		sum.Sent += report.Sent
+		sum.NewSent += report.NewSent
+	}
+	return sum
+}
+
+func (m *ServiceMove) reports() []MoveReport {
+	list := []MoveReport{m.own}
+	for _, report := range m.peers {
+		list = append(list, report)
+	}
+	return list
+}
+
+// State describes the move for operators.
+func (m *ServiceMove) State() string {
+	t, sum := m.totals(), m.sum()
+	f, s := t.Failures, t.Slowness
+	return fmt.Sprintf("%s: %d of %d requests to %s; %d of %d failed and %d slow, with %s %d of %d and %d; suspicion %.2f", m.stage,
+		sum.NewSent, sum.Sent, m.Order.To, f.NewBad, f.NewTotal, s.NewBad, m.From, f.OldBad, f.OldTotal, s.OldBad, m.suspicion)
+}
--- a/routing/backup.go
+++ b/routing/backup.go
@@ -27,6 +27,8 @@
 // cache, from which the request can continue if its server fails.
 type BackupRequest struct {
 	Model wigeonfork.Model
+	// Version is the version that the server must serve; empty for any.
+	Version wigeonfork.Version
 	// Server runs the request. Domain is its failure domain.
 	Server ID
 	Domain wigeonfork.FailureDomain
@@ -43,9 +45,9 @@
 // ChooseBackup returns a server with free KV cache for a backup and charges it
 // with the backup. It returns false if it finds none. It prefers servers outside
 // the failure domain of the request, with more free memory and fewer outstanding
-// requests. It considers servers that list the model with an empty version.
+// requests. It considers servers that list the model with the version.
 func (r *Router) ChooseBackup(now time.Time, b BackupRequest) (ID, bool) {
-	group := r.groups[Deployment{Model: b.Model}]
+	group := r.groups[Deployment{Model: b.Model, Version: b.Version}]
 	best, bestScore := int32(-1), math.Inf(1)
 	consider := func(i int32) {
 		if score, fits := r.backupScore(now, &r.servers[i], &b); fits && score < bestScore {
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -25,6 +25,8 @@
 	Engines           = "engines"
 	Plain             = "plain"
 	heartbeatInterval = 300 * time.Millisecond
+	// FirstVersion is the version of the runners that a deployment starts with.
+	FirstVersion = "v1"
 )
 
 // Options configure a Deployment.
@@ -67,6 +69,7 @@
 	*runner.Runner
 	service  string
 	zone     string
+	version  string
 	sequence int
 	draining bool
 	dead     bool
@@ -107,20 +110,58 @@
 // AddRunner starts one more runner of a service, Engines or Plain, on address, such as 127.0.0.1:0,
 // and registers it.
 func (d *Deployment) AddRunner(service, address string) (*runner.Runner, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.started++
 	options := d.options.PlainServer
 	if service == Engines {
 		options = d.options.Engine
 	}
+	return d.addRunner(service, FirstVersion, address, options)
+}
+
+// AddVersion starts n runners of another version of a service, with options of their own.
+func (d *Deployment) AddVersion(service, version string, n int, options runner.Options) ([]*runner.Runner, error) {
+	var list []*runner.Runner
+	for range n {
+		r, err := d.addRunner(service, version, "127.0.0.1:0", options)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, r)
+	}
+	return list, nil
+}
+
+// OrderMove writes the operator's order to move a service to a version. It returns once the store
+// has it.
+func (d *Deployment) OrderMove(service, version string, duration time.Duration) {
+	value, err := json.Marshal(object{"service": service, "to": version, "duration_s": duration.Seconds()})
+	if err != nil {
+		// A map of strings and numbers can always be encoded.
+		panic(err)
+	}
+	d.Store.Put("op", "rollout/"+service, value)
+}
+
+// Version returns the version of a runner, also of one that is dead, or an empty text.
+func (d *Deployment) Version(runnerID string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if reg := d.runners[runnerID]; reg != nil {
+		return reg.version
+	}
+	return ""
+}
+
+func (d *Deployment) addRunner(service, version, address string, options runner.Options) (*runner.Runner, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.started++
 	options.Crashes = d.crashes
 	options.OnCrash = func(r *runner.Runner) { d.wait.Go(func() { d.crash(service, r) }) }
 	r, err := runner.Start(address, fmt.Sprintf("i-%d", d.started), options, d.Shared)
 	if err != nil {
 		return nil, err
 	}
-	reg := &registration{Runner: r, service: service, zone: fmt.Sprintf("zone-%d", d.started%3)}
+	reg := &registration{Runner: r, service: service, version: version, zone: fmt.Sprintf("zone-%d", d.started%3)}
 	d.runners[r.ID] = reg
 	d.register(reg)
 	return r, nil
@@ -210,7 +251,7 @@
 		state = "draining"
 	}
 	value, err := json.Marshal(map[string]any{
-		"service": reg.service, "address": reg.Address(), "zone": reg.zone, "version": "v1", "slots": 64,
+		"service": reg.service, "address": reg.Address(), "zone": reg.zone, "version": reg.version, "slots": 64,
 		"state": state, "cold_remaining_ms": 0, "sequence": reg.sequence, "born": reg.Born,
 	})
 	if err != nil {
