Report a move to the peers 60 times, not four times a second

Four reports a second to up to 48 peers are 75 KB/s of an entry at 391 bytes (three routes), far above the 3 KB/s for control, for as long as a move lasts. Now a move is reported 60 times until its deadline, every 250 ms at most and every 10 s at least; new stages are reported at once as before. A move of 15 s is reported as often as before.

--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -16,8 +16,11 @@
 const (
 	// moveStepInterval is the time between two steps of the moves.
 	moveStepInterval = 100 * time.Millisecond
-	// moveReportInterval is the time between two reports on a move to the peers.
-	moveReportInterval = 250 * time.Millisecond
+	// A move is reported to the peers moveReports times until its deadline, but no more often than
+	// at minReportInterval and no less often than at maxReportInterval.
+	moveReports       = 60
+	minReportInterval = 250 * time.Millisecond
+	maxReportInterval = 10 * time.Second
 	// historyPeriod is the age of an order up to which an entry that learns of it has seen the
 	// move from its start.
 	historyPeriod = 2 * time.Second
@@ -40,6 +43,8 @@
 	orders    map[wigeonfork.Model]rollout.MoveOrder
 	moves     map[wigeonfork.Model]*rollout.ServiceMove
 	baselines *rollout.Baselines
+	// reportedAt is when each move was last reported to the peers.
+	reportedAt map[wigeonfork.Model]time.Time
 	// waiting holds the runs that are not yet old enough to be known as slow.
 	waiting map[*timedRun]struct{}
 	// entries is the number of known entries, 0 until the registry has been read.
@@ -50,7 +55,8 @@
 	return &versionMoves{
 		g: g, source: strconv.FormatUint(rand.Uint64(), 36), startedAt: time.Now(),
 		orders: make(map[wigeonfork.Model]rollout.MoveOrder), moves: make(map[wigeonfork.Model]*rollout.ServiceMove),
-		baselines: rollout.NewBaselines(), waiting: make(map[*timedRun]struct{}),
+		reportedAt: make(map[wigeonfork.Model]time.Time),
+		baselines:  rollout.NewBaselines(), waiting: make(map[*timedRun]struct{}),
 	}
 }
 
@@ -224,22 +230,20 @@
 
 // follow steps the moves and reports on them until the gateway ends.
 func (v *versionMoves) follow() {
-	var reportedAt time.Time
 	for v.g.pause(moveStepInterval) {
 		now := time.Now()
 		v.beginMoves(now)
 		v.countTimed(now)
-		if v.step(now) || now.Sub(reportedAt) >= moveReportInterval {
-			v.report(now)
-			reportedAt = now
+		v.step(now)
+		for _, service := range v.services() {
+			v.reportIfDue(now, service)
 		}
 	}
 }
 
-// step steps all moves and returns whether a stage changed.
-func (v *versionMoves) step(now time.Time) bool {
+// step steps all moves, and reports new stages at once.
+func (v *versionMoves) step(now time.Time) {
 	rank := v.g.readerRank()
-	changed := false
 	for _, service := range v.services() {
 		usable := v.g.fleet.usableByVersion(service)
 		v.mu.Lock()
@@ -248,10 +252,9 @@
 		v.mu.Unlock()
 		if rose {
 			v.stageChanged(service, "own")
-			changed = true
+			v.report(now, service)
 		}
 	}
-	return changed
 }
 
 // services returns the services under a move.
@@ -280,21 +283,30 @@
 	}
 }
 
-// report sends the peers what this entry knows of each move that has not ended for long.
-func (v *versionMoves) report(now time.Time) {
-	for _, service := range v.services() {
-		v.mu.Lock()
-		move := v.moves[service]
-		stage, reason := move.Stage()
-		update := &loadshare.MoveUpdate{
-			Service: service, From: move.From, To: move.Order.To, Duration: move.Order.Duration, Revision: move.Order.Revision,
-			Left: move.Left(now), Confirmed: move.Confirmed(), Stage: stage, Reason: reason, Source: v.source, Report: move.Report(),
-		}
-		v.mu.Unlock()
-		if update.Left > -moveMemory {
-			v.g.gossip.sendMoveUpdate(update)
-		}
+// reportIfDue reports on a move if that is due and the move has not ended for long.
+func (v *versionMoves) reportIfDue(now time.Time, service wigeonfork.Model) {
+	v.mu.Lock()
+	move := v.moves[service]
+	interval := min(max(move.Order.Duration/moveReports, minReportInterval), maxReportInterval)
+	due := move.Left(now) > -moveMemory && now.Sub(v.reportedAt[service]) >= interval
+	v.mu.Unlock()
+	if due {
+		v.report(now, service)
+	}
+}
+
+// report sends the peers what this entry knows of a move.
+func (v *versionMoves) report(now time.Time, service wigeonfork.Model) {
+	v.mu.Lock()
+	move := v.moves[service]
+	v.reportedAt[service] = now
+	stage, reason := move.Stage()
+	update := &loadshare.MoveUpdate{
+		Service: service, From: move.From, To: move.Order.To, Duration: move.Order.Duration, Revision: move.Order.Revision,
+		Left: move.Left(now), Confirmed: move.Confirmed(), Stage: stage, Reason: reason, Source: v.source, Report: move.Report(),
 	}
+	v.mu.Unlock()
+	v.g.gossip.sendMoveUpdate(update)
 }
 
 // state describes the moves for operators.
@@ -326,7 +338,7 @@
 	v.mu.Unlock()
 	if rose {
 		v.stageChanged(u.Service, "peer")
-		v.report(now)
+		v.report(now, u.Service)
 	}
 }
 
