--- a/tools/testverdict/main.go
+++ b/tools/testverdict/main.go
@@ -116,7 +116,7 @@
 	for _, name := range t.failed {
 		pkg, test, _ := strings.Cut(name, " ")
 		failedPackages[pkg+" "] = true
-		if isKnown(pkg, test, known) {
+		if isKnown(pkg, test, known, t.failed) {
 			fmt.Printf("known red: %s\n", name)
 			continue
 		}
@@ -141,28 +141,30 @@
 	return 0
 }
 
-// isKnown reports whether test, one of its parents or a subtest of its top-level
-// test is listed.
-func isKnown(pkg, test string, known map[string]bool) bool {
-	for {
-		if known[pkg+" "+test] {
+// isKnown reports whether the failure of a test is expected: the test or one of its
+// parents is listed, or it failed because of its subtests, and that of each of them is
+// expected. failed lists all failed tests.
+func isKnown(pkg, test string, known map[string]bool, failed []string) bool {
+	for listed := test; ; {
+		if known[pkg+" "+listed] {
 			return true
 		}
-		cut := strings.LastIndex(test, "/")
+		cut := strings.LastIndex(listed, "/")
 		if cut < 0 {
-			return hasKnownSubtest(pkg, test, known)
+			break
 		}
-		test = test[:cut]
+		listed = listed[:cut]
 	}
-}
-
-// hasKnownSubtest reports whether a subtest of test is listed. The failure of a
-// subtest makes its parents fail too.
-func hasKnownSubtest(pkg, test string, known map[string]bool) bool {
-	for name := range known {
-		if strings.HasPrefix(name, pkg+" "+test+"/") {
-			return true
+	subtests := 0
+	for _, name := range failed {
+		subtest, ok := strings.CutPrefix(name, pkg+" ")
+		if !ok || !strings.HasPrefix(subtest, test+"/") {
+			continue
+		}
+		subtests++
+		if !isKnown(pkg, subtest, known, failed) {
+			return false
 		}
 	}
-	return false
+	return subtests > 0
 }
--- /dev/null
+++ b/tools/testverdict/main_test.go
@@ -0,0 +1,33 @@
+package main
+
+import "testing"
+
+// TestIsKnown guards against a failed test that is passed over because another subtest of the same
+// test is listed.
+func TestIsKnown(t *testing.T) {
+	known := map[string]bool{"p TestA/one": true, "p TestB": true}
+	cases := []struct {
+		what   string
+		failed []string
+		test   string
+		want   bool
+	}{
+		{"a listed subtest", []string{"p TestA", "p TestA/one"}, "TestA/one", true},
+		{"the parent of a listed subtest that failed", []string{"p TestA", "p TestA/one"}, "TestA", true},
+		{"a sibling of a listed subtest", []string{"p TestA", "p TestA/one", "p TestA/two"}, "TestA/two", false},
+		{"the parent of a listed and of another failed subtest", []string{"p TestA", "p TestA/one", "p TestA/two"}, "TestA", false},
+		{"a parent that failed by itself", []string{"p TestA"}, "TestA", false},
+		{"a subtest of a listed test", []string{"p TestB", "p TestB/any"}, "TestB/any", true},
+		{"a test of another package", []string{"q TestB"}, "TestB", false},
+		{"a test whose name begins like a listed one", []string{"p TestBoth"}, "TestBoth", false},
+	}
+	for _, c := range cases {
+		pkg := "p"
+		if c.failed[0][0] == 'q' {
+			pkg = "q"
+		}
+		if got := isKnown(pkg, c.test, known, c.failed); got != c.want {
+			t.Errorf("%s: known is %v", c.what, got)
+		}
+	}
+}
