Bound the runs that wait to be timed, and learn the pace of a completed version

By reading: a run whose service has no known pace was kept for as long as the process lived, and after a completed move the pace of the new version was never learned, so that the next move would have been judged by that of the version before.

--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -27,6 +27,8 @@
 	// timedFactor is the age at which it is counted whether a run is slow, relative to the age at
 	// which one without an answer is. It leaves time to measure the pace of its tokens.
 	timedFactor = 1.25
+	// maxTimedAge is the age at which a run is given up for which no limit is known.
+	maxTimedAge = 30 * time.Second
 )
 
 // versionMoves follows the orders to move services to other versions. It decides which version a
@@ -170,11 +172,15 @@
 	}
 }
 
-// await begins to time a run, if its service is under a move.
+// await begins to time a run, if its service is under a trial.
 func (v *versionMoves) await(t *timedRun) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.moves[t.place.Service] != nil {
+	move := v.moves[t.place.Service]
+	if move == nil {
+		return
+	}
+	if stage, _ := move.Stage(); stage == rollout.StageTrial {
 		v.waiting[t] = struct{}{}
 	}
 }
@@ -200,7 +206,8 @@
 	if limit, known := v.baselines.SlowLimit(service, route, metric); known && value > limit {
 		t.slow = true
 	}
-	if move := v.moves[service]; move == nil || t.place.Version == move.From {
+	move := v.moves[service]
+	if move == nil || move.Trusts(t.place.Version) {
 		v.baselines.Add(service, route, metric, value)
 	}
 }
@@ -211,7 +218,11 @@
 	defer v.mu.Unlock()
 	for t := range v.waiting {
 		limit, known := v.baselines.SlowLimit(t.place.Service, rollout.Route(t.route), t.metric)
-		if !known || now.Sub(t.place.sentAt) < time.Duration(timedFactor*float64(limit)) {
+		age := now.Sub(t.place.sentAt)
+		if age > maxTimedAge {
+			delete(v.waiting, t)
+		}
+		if !known || age < time.Duration(timedFactor*float64(limit)) {
 			continue
 		}
 		delete(v.waiting, t)
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -249,6 +249,11 @@
 	return slices.Contains(m.Preference(now), version)
 }
 
+// Trusts reports whether a version is not under trial and was not stopped.
+func (m *ServiceMove) Trusts(version wigeonfork.Version) bool {
+	return version == m.From || m.stage == StageCompleted
+}
+
 // BackupVersion returns the version at which backups of runs at the old version are kept. Once the
 // new version has shown itself good, they are kept there, since the old servers end with the move.
 func (m *ServiceMove) BackupVersion() wigeonfork.Version {
