Bound the judgement of a move, and split three files that had grown

Callers would have seen slow answers from a gateway during a move: the results of all entries were merged anew for each stream (the choice of its backup), and a step summed the whole tail of the binomial distribution, 100,000 terms for 100,000 results. A report that arrived after a later one replaced it, so that the counts since half of the time could wrap around. Now results are merged once a step, the sum ends where its terms are negligible, and a report with fewer requests than the last of its source is ignored. Test: TestServiceMoveUnorderedReports.

--- a/quarantine/limiter.go
+++ b/quarantine/limiter.go
@@ -23,64 +23,6 @@
 	maxCrashes   = 8
 )
 
-// ContentHash identifies the content of a request: where it goes, on whose behalf, and its body.
-type ContentHash uint64
-
-// ServerStart identifies one start of a backend server. Born is its Unix millisecond, or 0 if it is
-// not known.
-type ServerStart struct {
-	ID   wigeonfork.BackendServerID `cbor:"1,keyasint"`
-	Born int64                      `cbor:"2,keyasint,omitempty"`
-}
-
-// Crash is the loss of a backend server while it ran a request.
-type Crash struct {
-	Content ContentHash
-	Server  ServerStart
-	// Began is when the run began, and At when it was lost.
-	Began, At time.Time
-}
-
-// Quarantine is a quarantined request. Since is the time of the crash that reached the limit.
-type Quarantine struct {
-	Content ContentHash
-	Since   time.Time
-}
-
-// Completion is a complete run of a request. It proves that the request does not crash servers, so
-// earlier crashes no longer count.
-type Completion struct {
-	Content ContentHash
-	At      time.Time
-}
-
-// Outcome says whether a lost run counts as a crash of its server by the request.
-type Outcome uint8
-
-// The outcomes.
-const (
-	// CrashCounted: the server was lost during the run, and no other cause is known.
-	CrashCounted Outcome = iota
-	// ServerResponds: the server was not lost.
-	ServerResponds
-	// LostBefore: the server was lost before the run began.
-	LostBefore
-	// LostWithOthers: the server was lost together with others of its failure domain.
-	LostWithOthers
-)
-
-var outcomeNames = [...]string{"counted", "server_responds", "lost_before", "lost_with_others"}
-
-// String returns the name of o.
-func (o Outcome) String() string { return outcomeNames[o] }
-
-// Verdict is the outcome of one lost run. Quarantined is set if the crash reached the limit.
-type Verdict struct {
-	Crash
-	Outcome     Outcome
-	Quarantined bool
-}
-
 // Limiter limits how many servers one request may crash, over all entries that exchange their
 // crashes. A request is quarantined once it has crashed crashLimit servers one after another, each
 // run having begun after the previous crash, without a complete run since.
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -65,21 +64,12 @@
 	// minCapacity is the number of usable new servers that the completion needs, as a fraction
 	// of the usable old ones.
 	minCapacity = 0.6
-	// moveStopProbability bounds the probability that a good version is stopped.
-	moveStopProbability = 0.004
-	// toleratedMoveOdds is the odds ratio of bad results up to which a version counts as good.
-	toleratedMoveOdds = 1.5
 	// maxEndSuspicion is the suspicion from which a version is not completed.
 	maxEndSuspicion = 0.4
-	// maxLooks corrects the probability for judging again with each result.
-	maxLooks = 20
 	// maxMoveRoutes bounds the routes judged separately, so that a report fits in a datagram.
 	maxMoveRoutes = 24
 )
 
-// sinceHalf names the results over all routes since half of the time.
-const sinceHalf Route = "(all since half)"
-
 // MoveReport is what one entry knows of a move from its own requests. The counts are totals since
 // the start of the move, so a later report replaces an earlier one of the same source.
 type MoveReport struct {
@@ -90,27 +80,6 @@
 	Results map[Route]RouteResults `cbor:"4,keyasint,omitempty"`
 }
 
-// RouteResults compares two versions by failures, and by slowness among the requests that did not
-// fail. Slowness varies much more, so that together failures would show late.
-type RouteResults struct {
-	Failures Totals `cbor:"1,keyasint,omitzero"`
-	Slowness Totals `cbor:"2,keyasint,omitzero"`
-}
-
-func (r *RouteResults) add(o RouteResults) {
-	r.Failures.add(o.Failures)
-	r.Slowness.add(o.Slowness)
-}
-
-// minus returns the results of the new version since an earlier state, with all of the old one.
-func (r RouteResults) minus(earlier RouteResults) RouteResults {
-	r.Failures.NewBad -= earlier.Failures.NewBad
-	r.Failures.NewTotal -= earlier.Failures.NewTotal
-	r.Slowness.NewBad -= earlier.Slowness.NewBad
-	r.Slowness.NewTotal -= earlier.Slowness.NewTotal
-	return r
-}
-
 // FleetView is an entry's view of the servers of a service under a move.
 type FleetView struct {
 	// OldUsable and NewUsable are the numbers of servers that take requests.
@@ -158,6 +127,8 @@
 	stage     Stage
 	reason    string
 	suspicion float64
+	// all holds the results of all entries over all routes, as of the last step.
+	all RouteResults
 	// half holds the results over all routes as of half of the time, once halfPassed. Those since
 	// are judged by themselves too, since a version may turn bad late.
 	half       RouteResults
@@ -313,9 +284,11 @@
 	return report
 }
 
-// Merge replaces the report of a source, which is unique to an incarnation of an entry.
+// Merge replaces the report of a source, which is unique to an incarnation of an entry. A report that
+// arrives after a later one is ignored.
 func (m *ServiceMove) Merge(source string, report MoveReport) {
-	if _, known := m.peers[source]; known || len(m.peers) < maxSources {
+	last, known := m.peers[source]
+	if known && report.Sent >= last.Sent || !known && len(m.peers) < maxSources {
 		m.peers[source] = report
 	}
 }
@@ -356,75 +329,12 @@
 }
 
 func (m *ServiceMove) triedEnough() bool {
-	return m.totals().good() >= minTrialResults && m.suspicion < holdSuspicion
+	return m.all.good() >= minTrialResults && m.suspicion < holdSuspicion
 }
 
 // triedWell reports whether the version was tried enough, or at least had no bad result.
 func (m *ServiceMove) triedWell() bool {
-	t := m.totals()
-	return m.triedEnough() || t.good() > 0 && t.Failures.NewBad+t.Slowness.NewBad == 0
-}
-
-// good returns the number of good results of the new version.
-func (r *RouteResults) good() uint32 { return r.Slowness.NewTotal - r.Slowness.NewBad }
-
-// judge stops the version if its results are worse than those of the old one, on one route or over
-// all routes.
-func (m *ServiceMove) judge(now time.Time) {
-	routes := m.results()
-	all := m.totals()
-	routes[allRoutes] = *all
-	if !m.halfPassed && m.elapsed(now) >= m.Order.Duration/2 {
-		m.half, m.halfPassed = *all, true
-	}
-	if m.halfPassed {
-		routes[sinceHalf] = all.minus(m.half)
-	}
-	threshold := math.Log(moveStopProbability / float64(2*len(routes)*maxLooks))
-	m.suspicion = 0
-	for route, r := range routes {
-		m.judgeTotals("failed", route, r.Failures, threshold)
-		m.judgeTotals("slow", route, r.Slowness, threshold)
-	}
-}
-
-func (m *ServiceMove) judgeTotals(what string, route Route, t Totals, threshold float64) {
-	evidence := t.logChance()
-	m.suspicion = max(m.suspicion, evidence/threshold)
-	if evidence <= threshold {
-		m.stage = StageStopped
-		m.reason = fmt.Sprintf("route %s: %d of %d %s, with the old version %d of %d", route, t.NewBad, t.NewTotal, what, t.OldBad, t.OldTotal)
-	}
-}
-
-// logChance returns the log of the probability that a version which is tolerably worse than the old
-// one has as many bad results. The rate of the old one is estimated with one result of each kind
-// added, so that few results of it prove little.
-func (t *Totals) logChance() float64 {
-	if t.NewBad == 0 {
-		return 0
-	}
-	rate := (float64(t.OldBad) + 1) / (float64(t.OldTotal) + 2)
-	odds := toleratedMoveOdds * rate / (1 - rate)
-	return logBinomialTail(t.NewTotal, t.NewBad, odds/(1+odds))
-}
-
-// logBinomialTail returns the log of the probability of k or more hits in n trials with probability
-// p each.
-func logBinomialTail(n, k uint32, p float64) float64 {
-	logP, logQ := math.Log(p), math.Log1p(-p)
-	sum := 0.0
-	for i := k; i <= n; i++ {
-		sum += math.Exp(logChoose(n, i) + float64(i)*logP + float64(n-i)*logQ)
-	}
-	return math.Log(max(sum, math.SmallestNonzeroFloat64))
-}
-
-func logChoose(n, k uint32) float64 {
-	a, _ := math.Lgamma(float64(n) + 1)
-	b, _ := math.Lgamma(float64(k) + 1)
-	c, _ := math.Lgamma(float64(n-k) + 1)
-	return a - b - c
+	return m.triedEnough() || m.all.good() > 0 && m.all.Failures.NewBad+m.all.Slowness.NewBad == 0
 }
 
 // results returns the results of all entries by route.
@@ -440,15 +350,6 @@
 	return sums
 }
 
-// totals returns the results of all entries over all routes.
-func (m *ServiceMove) totals() *RouteResults {
-	all := &RouteResults{}
-	for _, r := range m.results() {
-		all.add(r)
-	}
-	return all
-}
-
 // sum returns the counts of all entries, without results.
 func (m *ServiceMove) sum() MoveReport {
 	var sum MoveReport
@@ -469,8 +370,8 @@
 
 // State describes the move for operators.
 func (m *ServiceMove) State() string {
-	t, sum := m.totals(), m.sum()
-	f, s := t.Failures, t.Slowness
+	sum := m.sum()
+	f, s := m.all.Failures, m.all.Slowness
 	return fmt.Sprintf("%s: %d of %d requests to %s; %d of %d failed and %d slow, with %s %d of %d and %d; suspicion %.2f", m.stage,
 		sum.NewSent, sum.Sent, m.Order.To, f.NewBad, f.NewTotal, s.NewBad, m.From, f.OldBad, f.OldTotal, s.OldBad, m.suspicion)
 }
--- a/rollout/service_move_test.go
+++ b/rollout/service_move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -300,6 +301,31 @@
 	})
 }
 
+// Guards against a report that arrives after a later one, and against counts that no entry can have:
+// the counts since half of the time wrapped around, and a step took minutes.
+func TestServiceMoveUnorderedReports(t *testing.T) {
+	Convey("An earlier report changes nothing, and absurd counts end a step soon", t, func() {
+		report := func(sent, bad uint32) MoveReport {
+			return MoveReport{Sent: sent, Results: map[Route]RouteResults{moveRoute: {Failures: Totals{NewTotal: sent, NewBad: bad, OldTotal: 1000}}}}
+		}
+		m := newTestMove(1, 0.5)
+		m.Merge("a", report(40, 1))
+		m.Step(moveStart.Add(moveOrder.Duration/2), manyUsable)
+		m.Merge("a", report(10, 0))
+		m.Step(moveStart.Add(moveOrder.Duration/2), manyUsable)
+		So(m.all.Failures.NewTotal, ShouldEqual, 40)
+		m.Merge("b", report(math.MaxUint32, math.MaxUint32/2))
+		m.Step(moveStart.Add(moveOrder.Duration/2), manyUsable)
+		stage, _ := m.Stage()
+		So(stage, ShouldEqual, StageStopped)
+	})
+	Convey("The tail of the binomial distribution", t, func() {
+		So(math.Exp(logBinomialTail(10, 10, 0.5)), ShouldAlmostEqual, math.Pow(0.5, 10), 1e-9)
+		So(math.Exp(logBinomialTail(4, 3, 0.5)), ShouldAlmostEqual, 5.0/16, 1e-9)
+		So(logBinomialTail(100, 20, 0.2), ShouldEqual, 0)
+	})
+}
+
 func BenchmarkServiceMoveStep(b *testing.B) {
 	m := newTestMove(31, 0.5)
 	for i := range 48 {
