--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -252,3 +252,14 @@
 	}
 	s.sendAll(targets, datagram)
 }
+
+// handleCrashUpdate handles a datagram with a peer's reports on crashes.
+func (s *gossiper) handleCrashUpdate(now time.Time, data []byte, from netip.AddrPort) error {
+	sender, update, err := loadshare.ParseCrashUpdate(data, from)
+	if err != nil {
+		return err
+	}
+	s.recordPeer(now, sender)
+	s.g.crashes.handleUpdate(now, sender, update)
+	return nil
+}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -254,13 +254,7 @@
 		return s.handleMoveUpdate(now, data, from)
 	}
 	if loadshare.IsCrashUpdate(data) {
-		sender, update, err := loadshare.ParseCrashUpdate(data, from)
-		if err != nil {
-			return err
-		}
-		s.recordPeer(now, sender)
-		s.g.crashes.handleUpdate(now, sender, update)
-		return nil
+		return s.handleCrashUpdate(now, data, from)
 	}
 	sender, messages, err := loadshare.Parse(data, from)
 	if err != nil {
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -185,13 +185,14 @@
 	}
 }
 
-// begun records that a run has answered, and drop that it was lost with its server.
+// begun records that a run has answered.
 func (v *versionMoves) begun(t *timedRun) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	t.begun = true
 }
 
+// drop ends the timing of a run that says nothing about its version.
 func (v *versionMoves) drop(t *timedRun) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -219,19 +220,25 @@
 	for t := range v.waiting {
 		limit, known := v.baselines.SlowLimit(t.place.Service, rollout.Route(t.route), t.metric)
 		age := now.Sub(t.place.sentAt)
-		if age > maxTimedAge {
+		switch {
+		case known && age >= time.Duration(timedFactor*float64(limit)):
+			delete(v.waiting, t)
+			v.moves[t.place.Service].Timed(t.place.Version, rollout.Route(t.route), v.isSlowLocked(t))
+		case age > maxTimedAge:
 			delete(v.waiting, t)
 		}
-		if !known || age < time.Duration(timedFactor*float64(limit)) {
-			continue
-		}
-		delete(v.waiting, t)
-		gapLimit, known := v.baselines.SlowLimit(t.place.Service, rollout.Route(t.route), rollout.MetricTokenGap)
-		slow := t.slow || !t.begun || known && t.gap > gapLimit
-		v.moves[t.place.Service].Timed(t.place.Version, rollout.Route(t.route), slow)
 	}
 }
 
+// isSlowLocked reports whether a run is slow as far as known. The lock must be held.
+func (v *versionMoves) isSlowLocked(t *timedRun) bool {
+	if t.slow || !t.begun {
+		return true
+	}
+	limit, known := v.baselines.SlowLimit(t.place.Service, rollout.Route(t.route), rollout.MetricTokenGap)
+	return known && t.gap > limit
+}
+
 // paced records the mean time between two tokens of a run so far.
 func (v *versionMoves) paced(t *timedRun, gap time.Duration) {
 	v.mu.Lock()
--- a/gateway/quarantines.go
+++ b/gateway/quarantines.go
@@ -98,22 +98,27 @@
 func (c *crashGuard) restoreQuarantines() {
 	store := c.g.newDependency("quarantine_reads")
 	for {
-		err := c.restore()
-		wait := isolatedReadInterval
-		if err != nil {
-			wait = store.recordFailure(time.Now(), err)
-		} else {
-			store.recordSuccess(time.Now())
-		}
-		for {
-			if !c.g.pause(wait) {
+		if err := c.restore(); err != nil {
+			if !c.g.pause(store.recordFailure(time.Now(), err)) {
 				return
 			}
-			if err != nil || c.g.gossip.isolated(time.Now()) {
-				break
-			}
+			continue
+		}
+		store.recordSuccess(time.Now())
+		if !c.awaitIsolation() {
+			return
+		}
+	}
+}
+
+// awaitIsolation waits until no known peer is live. It returns false if the gateway is stopped.
+func (c *crashGuard) awaitIsolation() bool {
+	for c.g.pause(isolatedReadInterval) {
+		if c.g.gossip.isolated(time.Now()) {
+			return true
 		}
 	}
+	return false
 }
 
 // restore applies the stored quarantines once, and removes those that have expired.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,8 +149,8 @@
 		return
 	}
 	telemetry.Counter(s.options.Metrics, "streams.run_"+end.String()).Inc(1)
-	s.options.Log.Info().Str("request", string(s.caller.ID)).Hex("content", contentBytes(s.content)).Str("server", string(t.place.ID)).Str("end", end.String()).
-		Uint64("last_event", s.lastEvent).Bool("copied", t.hasCopy).Err(err).Msg("stream_run_ended")
+	s.options.Log.Info().Str("request", string(s.caller.ID)).Hex("content", contentBytes(s.content)).
+		Str("server", string(t.place.ID)).Str("end", end.String()).Uint64("last_event", s.lastEvent).Bool("copied", t.hasCopy).Err(err).Msg("stream_run_ended")
 }
 
 // runState returns whether the request may have run.
--- a/gateway/timed_run.go
+++ b/gateway/timed_run.go
@@ -13,8 +13,9 @@
 	route string
 	// metric is the one that says how long a run may be without an answer.
 	metric rollout.Metric
-	begun  bool
-	slow   bool
+	// begun is set once the run has answered, and slow once a measurement was slow.
+	begun bool
+	slow  bool
 	// gap is the mean time between two tokens so far; 0 if it is not known.
 	gap time.Duration
 }
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -77,7 +77,7 @@
 	Sent    uint32 `cbor:"1,keyasint,omitempty"`
 	NewSent uint32 `cbor:"2,keyasint,omitempty"`
 	// Results holds the results by route.
-	Results map[Route]RouteResults `cbor:"4,keyasint,omitempty"`
+	Results map[Route]RouteResults `cbor:"3,keyasint,omitempty"`
 }
 
 // FleetView is an entry's view of the servers of a service under a move.
@@ -149,10 +149,7 @@
 // SetEntries sets the number of entries, this one included.
 func (m *ServiceMove) SetEntries(known int) { m.known = known }
 
-// Confirm records that the move had not ended when its stored state was read.
-func (m *ServiceMove) Confirm() { m.confirmed = true }
-
-// Confirmed reports whether Confirm was called or a stage was learned.
+// Confirmed reports whether Advance was called, so that the stored state is known.
 func (m *ServiceMove) Confirmed() bool { return m.confirmed }
 
 // Stage returns the stage, and the reason for which the version was stopped.
@@ -161,8 +158,8 @@
 // Left returns the time to the deadline.
 func (m *ServiceMove) Left(now time.Time) time.Duration { return m.deadline.Sub(now) }
 
-// Advance raises the stage, as another entry or the store reports it. It returns whether that is a
-// change.
+// Advance raises the stage to that which the store or a confirmed entry reports. It returns whether
+// that is a change.
 func (m *ServiceMove) Advance(stage Stage, reason string) bool {
 	m.confirmed = true
 	if stage <= m.stage {
--- a/rollout/service_move_test.go
+++ b/rollout/service_move_test.go
@@ -29,7 +29,7 @@
 func newTestMove(entries int, random float64) *ServiceMove {
 	m := NewServiceMove(moveStart, moveOrder, oldVersion, moveOrder.Duration, moveLimits, true, random)
 	m.SetEntries(entries)
-	m.Confirm()
+	m.Advance(StageTrial, "")
 	return m
 }
 
@@ -217,13 +217,13 @@
 	Convey("The new version gets nothing until the move is confirmed and the entries are known, or without history", t, func() {
 		fresh := NewServiceMove(moveStart, moveOrder, oldVersion, moveOrder.Duration, moveLimits, true, 0.5)
 		So(fresh.Preference(moveStart), ShouldResemble, []wigeonfork.Version{oldVersion})
-		fresh.Confirm()
+		fresh.Advance(StageTrial, "")
 		So(fresh.Preference(moveStart), ShouldResemble, []wigeonfork.Version{oldVersion})
 		fresh.SetEntries(4)
 		So(fresh.Preference(moveStart)[0], ShouldEqual, newVersion)
 		late := NewServiceMove(moveStart, moveOrder, oldVersion, time.Second, moveLimits, false, 0.5)
 		late.SetEntries(1)
-		late.Confirm()
+		late.Advance(StageTrial, "")
 		So(late.Preference(moveStart), ShouldResemble, []wigeonfork.Version{oldVersion})
 	})
 	Convey("All entries together keep within the limits, however few requests each gets", t, func() {
@@ -301,8 +301,8 @@
 	})
 }
 
-// Guards against a report that arrives after a later one, and against counts that no entry can have:
-// the counts since half of the time wrapped around, and a step took minutes.
+// Guards against a report that arrives after a later one, by which the counts since half of the time
+// would wrap around, and against a step that sums as many terms as a report counts requests.
 func TestServiceMoveUnorderedReports(t *testing.T) {
 	Convey("An earlier report changes nothing, and absurd counts end a step soon", t, func() {
 		report := func(sent, bad uint32) MoveReport {
--- a/test/soak/crashes.go
+++ b/test/soak/crashes.go
@@ -19,49 +19,49 @@
 	// crashRestart is the time until a crashed runner is back.
 	crashRestart = 700 * time.Millisecond
 	// crashLimit is the number of runners after whose crash the request must be stopped. At most
-	// maxLateRetries may reach runners later than inTouchAfter, through gateways in touch.
+	// maxLateRetries may reach runners later than settleTime, through gateways without a fault.
 	crashLimit     = 3
 	maxLateRetries = 3
-	// inTouchAfter is the time after a disturbance from which a gateway is in touch.
-	inTouchAfter = 3 * time.Second
+	// settleTime is the time after a fault for which a gateway may still be affected by it.
+	settleTime = 3 * time.Second
 	// crashingPause is the upper bound of the pause before the crashing request is sent again.
 	crashingPause = 800 * time.Millisecond
 )
 
-// disturbance is a time in which a node, or all if node is nil, can't keep bounds of time. It has
-// not ended while to is zero.
-type disturbance struct {
+// faultPeriod is the time of a fault that affects a node, or all nodes if node is nil. It has not
+// ended while to is zero.
+type faultPeriod struct {
 	node     *node
 	from, to time.Time
 }
 
-// disturbanceLog records the disturbances of one seed.
-type disturbanceLog struct {
-	mu   sync.Mutex
-	list []*disturbance
+// faultLog records the faults of one seed that affect gateways.
+type faultLog struct {
+	mu      sync.Mutex
+	periods []*faultPeriod
 }
 
-// during records a disturbance while act runs.
-func (l *disturbanceLog) during(n *node, act func()) {
-	d := &disturbance{node: n, from: time.Now()}
+// during records a fault while inject runs.
+func (l *faultLog) during(n *node, inject func()) {
+	p := &faultPeriod{node: n, from: time.Now()}
 	l.mu.Lock()
-	l.list = append(l.list, d)
+	l.periods = append(l.periods, p)
 	l.mu.Unlock()
-	act()
+	inject()
 	l.mu.Lock()
-	d.to = time.Now()
+	p.to = time.Now()
 	l.mu.Unlock()
 }
 
-// inTouch reports whether a node was undisturbed for inTouchAfter before a time.
-func (l *disturbanceLog) inTouch(n *node, at time.Time) bool {
+// unaffected reports whether no fault affected a node within settleTime before a time.
+func (l *faultLog) unaffected(n *node, at time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, d := range l.list {
-		if d.node != nil && d.node != n || d.from.After(at) {
+	for _, p := range l.periods {
+		if p.node != nil && p.node != n || p.from.After(at) {
 			continue
 		}
-		if d.to.IsZero() || at.Sub(d.to) < inTouchAfter {
+		if p.to.IsZero() || at.Sub(p.to) < settleTime {
 			return false
 		}
 	}
@@ -101,7 +101,7 @@
 	c.finish(i, "crashing_answered", guaranteesNotRun(response.StatusCode))
 }
 
-// checkCrashLimit checks that the crashing request was stopped at all gateways in touch.
+// checkCrashLimit checks that the crashing request was stopped at all gateways without a fault.
 func (s *system) checkCrashLimit(attempts []attempt, runs map[string][]runner.Run) {
 	through := map[string]*node{}
 	var all []runner.Run
@@ -118,7 +118,7 @@
 	reached := all[crashLimit-1].BeganAt
 	late := map[string]bool{}
 	for _, run := range all[crashLimit:] {
-		if run.BeganAt.Sub(reached) > inTouchAfter && s.disturbances.inTouch(through[run.RequestID], run.BeganAt) {
+		if run.BeganAt.Sub(reached) > settleTime && s.nodeFaults.unaffected(through[run.RequestID], run.BeganAt) {
 			late[run.RequestID] = true
 		}
 	}
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -37,7 +37,7 @@
 	{"kill_all_gateways", func(s *system, _ *rand.Rand) { s.restartAll(syscall.SIGKILL) }},
 	{"pause_gateway", func(s *system, r *rand.Rand) {
 		n := s.pickNode(r)
-		s.disturbances.during(n, func() {
+		s.nodeFaults.during(n, func() {
 			n.signal(syscall.SIGSTOP, false)
 			time.Sleep(faultDuration(r))
 			n.signal(syscall.SIGCONT, false)
@@ -78,7 +78,7 @@
 		}
 	}},
 	{"store_fault", func(s *system, r *rand.Rand) {
-		s.disturbances.during(nil, func() {
+		s.nodeFaults.during(nil, func() {
 			s.Store.SetFault([]rowstore.Fault{rowstore.FaultUnavailable, rowstore.FaultUnresponsive, rowstore.FaultReset, rowstore.FaultDropResponse}[r.IntN(4)])
 			time.Sleep(faultDuration(r) * 2)
 			s.Store.SetFault(rowstore.FaultNone)
@@ -88,7 +88,7 @@
 	{"store_link_silent", func(s *system, r *rand.Rand) {
 		n := s.pickNode(r)
 		direction := []faultproxy.Direction{faultproxy.Both, faultproxy.ToServer, faultproxy.ToClient}[r.IntN(3)]
-		s.disturbances.during(n, func() {
+		s.nodeFaults.during(n, func() {
 			n.storeProxy.SetBlackHole(direction, true)
 			time.Sleep(faultDuration(r) * 2)
 			n.storeProxy.SetBlackHole(direction, false)
@@ -96,7 +96,7 @@
 	}},
 	{"store_link_slow", func(s *system, r *rand.Rand) {
 		n := s.pickNode(r)
-		s.disturbances.during(n, func() {
+		s.nodeFaults.during(n, func() {
 			n.storeProxy.SetDelay(faultproxy.Both, time.Duration(50+r.IntN(400))*time.Millisecond)
 			time.Sleep(faultDuration(r))
 			n.storeProxy.SetDelay(faultproxy.Both, 0)
@@ -125,7 +125,7 @@
 
 // restart ends a node's process with a signal and starts a new one.
 func (s *system) restart(n *node, sig syscall.Signal) {
-	s.disturbances.during(n, func() {
+	s.nodeFaults.during(n, func() {
 		<-s.terminate(n, sig)
 		time.Sleep(restartPause)
 		if err := s.start(n); err != nil {
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -64,8 +64,8 @@
 	random     *rand.Rand
 	nodes      []*node
 	violations *violationList
-	// disturbances are those of the gateways and of the store.
-	disturbances disturbanceLog
+	// nodeFaults are the faults of the gateways, their links to the store and the store.
+	nodeFaults faultLog
 }
 
 func startSystem(o *options, binary string, seed uint64) (*system, error) {
--- a/tools/testverdict/main.go
+++ b/tools/testverdict/main.go
@@ -145,15 +145,8 @@
 // parents is listed, or it failed because of its subtests, and that of each of them is
 // expected. failed lists all failed tests.
 func isKnown(pkg, test string, known map[string]bool, failed []string) bool {
-	for listed := test; ; {
-		if known[pkg+" "+listed] {
-			return true
-		}
-		cut := strings.LastIndex(listed, "/")
-		if cut < 0 {
-			break
-		}
-		listed = listed[:cut]
+	if isListed(pkg, test, known) {
+		return true
 	}
 	subtests := 0
 	for _, name := range failed {
@@ -168,3 +161,17 @@
 	}
 	return subtests > 0
 }
+
+// isListed reports whether test or one of its parents is listed.
+func isListed(pkg, test string, known map[string]bool) bool {
+	for {
+		if known[pkg+" "+test] {
+			return true
+		}
+		cut := strings.LastIndex(test, "/")
+		if cut < 0 {
+			return false
+		}
+		test = test[:cut]
+	}
+}
