--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -181,6 +181,7 @@
 	p.totalSends++
 	p.pending = append(p.pending, place)
 	p.server = place.ID
+	p.logSent(place, p.totalSends, false)
 	go func() { p.results <- p.exchange(ctx, place) }()
 	return nil
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -297,6 +297,13 @@
 	problem.Write(c.w, refusal.For(c.caller.ID))
 }
 
+// logSent logs that the request goes to a server for the given time, so that a request whose gateway
+// dies leaves a line too.
+func (c *call) logSent(place *placement, sends int, hasCopy bool) {
+	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("server", string(place.ID)).Int("sends", sends).
+		Bool("copied", hasCopy).Uint64("version", c.table.Version()).Msg("request_sent")
+}
+
 // logEnd writes the request's log line and metrics.
 func (c *call) logEnd() {
 	took := time.Since(c.began)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -208,6 +208,7 @@
 	s.possibleRuns++
 	s.totalSends++
 	s.server = place.ID
+	s.logSent(place, s.totalSends, hasCopy)
 	return target{place: place, hasCopy: hasCopy}
 }
 
