Don't count a silent server that goes on as crashed by its requests

What callers saw: a stream, resumable and with attempts left, broken off after three sound servers had been silent for a second under it in turn, and its repeats refused with 502 for ten minutes.

Cause: a run that is given up on silence counted as a crash of its server after 600 ms, although the server was the same start when it answered again at 1.2 s. Silence was taken for death.

Fix: a run that only silence ended settles after 2 s. If its server answers under its id before that, an engine's report tells whether it is the same start; then the run is dismissed. Until then the request is held only if the run may be the third crash.

A plain backend server has no report: under it, silence of more than its probe's time still counts.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -75,16 +75,32 @@
 	c.limiter.ServerLost(now, serverStart(entry), entry.Domain)
 }
 
-// runLost records that a run of a request ended without a complete answer. A server that is no
-// longer registered, so that nothing probes it, counts as lost.
-func (c *crashGuard) runLost(now time.Time, content quarantine.ContentHash, p *placement) {
+// serverReturned records that a server that was lost is the same start as before.
+func (c *crashGuard) serverReturned(now time.Time, entry directory.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limiter.ServerReturned(now, serverStart(entry))
+}
+
+// awaits reports whether the outcome of a run at a server is awaited.
+func (c *crashGuard) awaits(entry directory.Entry) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limiter.Awaits(serverStart(entry))
+}
+
+// runLost records that a run of a request ended without a complete answer. silent is set if only
+// the server's silence ended it. A server that is no longer registered, so that nothing probes it,
+// counts as lost.
+func (c *crashGuard) runLost(now time.Time, content quarantine.ContentHash, p *placement, silent bool) {
 	registered := c.g.fleet.registered(p.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !registered {
 		c.limiter.ServerLost(now, serverStart(p.Entry), p.Domain)
 	}
-	c.limiter.RunLost(quarantine.Crash{Content: content, Server: serverStart(p.Entry), Began: p.sentAt, At: now}, p.Domain)
+	crash := quarantine.Crash{Content: content, Server: serverStart(p.Entry), Began: p.sentAt, At: now}
+	c.limiter.RunLost(crash, p.Domain, silent)
 }
 
 // completed records that a request ran to its end.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -278,7 +278,7 @@
 	}
 	p.fleet.recordResult(now, result.place, !result.succeeded())
 	if result.outcome == sendUnknown {
-		p.crashes.runLost(now, p.content, result.place)
+		p.crashes.runLost(now, p.content, result.place, false)
 		go p.probeAfterFailure(result.place.Entry)
 	}
 	if result.outcome == sendAnswered {
@@ -325,7 +325,7 @@
 func (p *plainCall) timedOut() {
 	// A server that has crashed silently may be why there is no answer.
 	for _, place := range p.pending {
-		p.crashes.runLost(time.Now(), p.content, place)
+		p.crashes.runLost(time.Now(), p.content, place, true)
 	}
 	if p.r.Context().Err() != nil {
 		p.callerGone()
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -54,12 +54,25 @@
 	case err != nil:
 		g.options.Log.Info().Str("server", string(entry.ID)).Err(err).Msg("server_not_identified")
 	case id == entry.ID:
+		g.confirmSameStart(entry)
 		g.fleet.probeAnswered(now, sentAt, entry.ID)
 	default:
 		g.adopt(now, entry, id)
 	}
 }
 
+// confirmSameStart tells the crash guard that a server that answers again has not restarted, if that
+// matters to it. A server may restart under its id; only an engine's report says when it started.
+func (g *Gateway) confirmSameStart(entry directory.Entry) {
+	if !g.crashes.awaits(entry) {
+		return
+	}
+	report, err := g.engineReport(entry)
+	if err == nil && report.Engine && report.Born != 0 && report.Born == entry.Born {
+		g.crashes.serverReturned(time.Now(), entry)
+	}
+}
+
 // adopt marks a server as replaced by the one that answers at its address. It adds
 // the new server only if that certainly belongs to the same service.
 func (g *Gateway) adopt(now time.Time, old directory.Entry, id serverID) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -75,8 +75,9 @@
 		s.fleet.markLost(time.Now(), t.place.ID, "connect")
 		return runNotRun, err
 	}
-	s.crashes.runLost(time.Now(), s.content, t.place)
-	if ctx.Err() == nil || errors.Is(err, errServerUnresponsive) || errors.Is(err, errProbeFailed) {
+	silent := errors.Is(err, errServerUnresponsive) || errors.Is(err, errProbeFailed)
+	s.crashes.runLost(time.Now(), s.content, t.place, silent)
+	if ctx.Err() == nil || silent {
 		// The server was lost, so the run says nothing about its version.
 		s.moves.drop(s.timed)
 	}
--- a/quarantine/limiter.go
+++ b/quarantine/limiter.go
@@ -16,6 +16,9 @@
 	// crashSettleTime is the time after a lost run until it counts or is dismissed. It covers the
 	// probe of the server and the detection of other losses in its failure domain.
 	crashSettleTime = 600 * time.Millisecond
+	// silentSettleTime is crashSettleTime for a run that only its server's silence ended. A sound
+	// server may be silent for a second, and is then asked for its start.
+	silentSettleTime = 2 * time.Second
 	// reportTolerance is the lateness of a peer's report that doesn't change the order of runs.
 	reportTolerance = 50 * time.Millisecond
 	// maxHistories bounds the tracked requests, and maxCrashes the crashes kept for each.
@@ -27,8 +30,8 @@
 // crashes. A request is quarantined once it has crashed crashLimit servers one after another, each
 // run having begun after the previous crash, without a complete run since.
 //
-// A lost run counts only after crashSettleTime, if its server was lost during the run and not
-// together with others of its failure domain. Until then it holds the request if it may be the run
+// A lost run counts only after crashSettleTime or silentSettleTime, if its server was lost during the
+// run, not together with others of its failure domain, and is not back as the same start. Until then it holds the request if it may be the run
 // that reaches the limit. So a request never crashes more than crashLimit servers through one entry
 // unless other losses hide its own, and requests that happen to run on servers that crash are not
 // quarantined.
@@ -42,12 +45,6 @@
 	losses    *lossLog
 }
 
-// unsettledRun is a lost run without an outcome.
-type unsettledRun struct {
-	Crash
-	domain wigeonfork.FailureDomain
-}
-
 // history is what is known of one request.
 type history struct {
 	crashes       []keptCrash     // by time
@@ -73,14 +70,15 @@
 	l.losses.record(now, server, domain)
 }
 
-// RunLost records that a run of a request ended at crash.At without a complete answer. Of several
-// runs of the same content at one server, the first is recorded.
-func (l *Limiter) RunLost(crash Crash, domain wigeonfork.FailureDomain) {
+// RunLost records that a run of a request ended at crash.At without a complete answer. silent is set
+// if only the server's silence ended it. Of several runs of the same content at one server, the
+// first is recorded.
+func (l *Limiter) RunLost(crash Crash, domain wigeonfork.FailureDomain, silent bool) {
 	h := l.history(crash.At, crash.Content)
 	if slices.Contains(h.lostServers(), crash.Server) {
 		return
 	}
-	run := &unsettledRun{Crash: crash, domain: domain}
+	run := &unsettledRun{Crash: crash, domain: domain, silent: silent}
 	h.unsettled = append(h.unsettled, run)
 	l.unsettled = append(l.unsettled, run)
 }
@@ -104,25 +102,28 @@
 // limit.
 func (l *Limiter) checkUnsettled(now time.Time, h *history) Decision {
 	possible := slices.Clone(h.crashes)
-	var firstAt time.Time
+	var settlesAt time.Time
 	for _, run := range h.unsettled {
 		if !l.mayCount(h, run) {
 			continue
 		}
-		if firstAt.IsZero() {
-			firstAt = run.At
+		if at := run.settlesAt(); settlesAt.IsZero() || at.Before(settlesAt) {
+			settlesAt = at
 		}
 		possible = insertCrash(possible, keptCrash{Crash: run.Crash})
 	}
 	if consecutive(possible) < crashLimit {
 		return Decision{Action: Run, Deaths: len(h.crashes)}
 	}
-	wait := max(firstAt.Add(crashSettleTime).Sub(now), time.Millisecond)
+	wait := max(settlesAt.Sub(now), time.Millisecond)
 	return Decision{Action: Hold, RetryAfter: wait, Deaths: len(h.crashes)}
 }
 
 // mayCount reports whether a lost run counts or may still count.
 func (l *Limiter) mayCount(h *history, run *unsettledRun) bool {
+	if run.returned {
+		return false
+	}
 	outcome := l.outcome(h, run)
 	return outcome == CrashCounted || outcome == ServerResponds
 }
@@ -132,7 +133,7 @@
 func (l *Limiter) outcome(h *history, run *unsettledRun) Outcome {
 	lostAt, lost := l.losses.lostAt(run.Server)
 	switch {
-	case !lost:
+	case !lost || run.returned:
 		return ServerResponds
 	case lostAt.Before(run.Began):
 		return LostBefore
@@ -154,17 +155,22 @@
 	return servers
 }
 
-// Settle returns the outcomes of the runs that were lost crashSettleTime ago, except those that
+// Settle returns the outcomes of the lost runs that are known now, except those that
 // change nothing: a run of a request that was completed since, or one at a server that was counted
 // already. The crashes that count must be reported to the peers.
 func (l *Limiter) Settle(now time.Time) []Verdict {
 	var verdicts []Verdict
-	for len(l.unsettled) > 0 && now.Sub(l.unsettled[0].At) >= crashSettleTime {
-		if v, ok := l.settle(now, l.unsettled[0]); ok {
+	var waiting []*unsettledRun
+	for _, run := range l.unsettled {
+		if now.Before(run.settlesAt()) {
+			waiting = append(waiting, run)
+			continue
+		}
+		if v, ok := l.settle(now, run); ok {
 			verdicts = append(verdicts, v)
 		}
-		l.unsettled = l.unsettled[1:]
 	}
+	l.unsettled = waiting
 	return verdicts
 }
 
@@ -172,7 +178,7 @@
 func (l *Limiter) settle(now time.Time, run *unsettledRun) (Verdict, bool) {
 	h := l.histories[run.Content]
 	v := Verdict{Crash: run.Crash, Outcome: l.outcome(h, run)}
-	h.unsettled = h.unsettled[1:]
+	h.unsettled = slices.DeleteFunc(h.unsettled, func(other *unsettledRun) bool { return other == run })
 	if !run.At.After(h.completedAt) {
 		return v, false
 	}
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -48,6 +48,9 @@
 	l.servers[server] = now
 }
 
+// forget drops the loss of a server that turned out not to be lost.
+func (l *lossLog) forget(server ServerStart) { delete(l.servers, server) }
+
 // lostAt returns when a server was last lost, and false if that is not known.
 func (l *lossLog) lostAt(server ServerStart) (time.Time, bool) {
 	at, ok := l.servers[server]
