Keep a suspected run unless its stream may continue elsewhere

What callers saw: a stream broken off after 260 to 520 ms without an event although its server was sound and only silent for a second, if the stream could not run again: not resumable, max_attempts or retry budget used up.

Cause: failure detection cancelled the run first, and only then was it decided whether another run may take its place. A suspicion (silence, a stall, a probe without an answer, a version that was stopped) was treated like a known death.

Fix: a suspicion ends a run only after the move is reserved: sends left, no crash outcome awaited, retry budget charged, another server that is not down. A server that certainly is gone (another one answers at its address, or it restarted) ends its runs at once, which it did not before.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -43,6 +43,8 @@
 	onRemoved func(upstream.Server)
 	// onLost is called with each server that does not respond.
 	onLost func(time.Time, directory.Entry)
+	// onReturned is called with each server that proved to be the same start after a loss.
+	onReturned func(time.Time, directory.Entry)
 	// probe starts a probe of a suspected server.
 	probe func(directory.Entry)
 	// announce queues a message to the peers.
@@ -55,7 +57,7 @@
 	streams   *health.Streams
 	entries   map[serverID]directory.Entry
 	hashes    map[loadshare.ServerHash]serverID
-	cancels   map[health.StreamID]func(error)
+	runs      map[health.StreamID]*watchedRun
 	// versions decides which version of a service a request goes to. versionOrder lists
 	// the versions of the known servers of each service, in the order in which they
 	// appeared, and versionCount the number of servers of each.
@@ -68,18 +70,19 @@
 
 func newFleet(o *Options, onRemoved func(upstream.Server)) *fleet {
 	return &fleet{
-		log:       o.Log,
-		metrics:   o.Metrics,
-		onRemoved: onRemoved,
-		onLost:    func(time.Time, directory.Entry) {},
-		directory: directory.New(),
-		router:    routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
-		servers:   health.NewServers(),
-		streams:   health.NewStreams(),
-		entries:   make(map[serverID]directory.Entry),
-		hashes:    make(map[loadshare.ServerHash]serverID),
-		cancels:   make(map[health.StreamID]func(error)),
-		probedAt:  make(map[serverID]time.Time),
+		log:        o.Log,
+		metrics:    o.Metrics,
+		onRemoved:  onRemoved,
+		onLost:     func(time.Time, directory.Entry) {},
+		onReturned: func(time.Time, directory.Entry) {},
+		directory:  directory.New(),
+		router:     routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
+		servers:    health.NewServers(),
+		streams:    health.NewStreams(),
+		entries:    make(map[serverID]directory.Entry),
+		hashes:     make(map[loadshare.ServerHash]serverID),
+		runs:       make(map[health.StreamID]*watchedRun),
+		probedAt:   make(map[serverID]time.Time),
 
 		versions:     anyVersion{},
 		versionOrder: make(map[wigeonfork.Model][]wigeonfork.Version),
@@ -125,6 +128,7 @@
 		case directory.Added:
 			f.add(event.Entry)
 		case directory.Restarted:
+			f.endRunsLocked(event.Entry.ID, errServerReplaced)
 			f.remove(event.Entry.ID)
 			f.add(event.Entry)
 		case directory.Updated:
@@ -343,31 +347,6 @@
 	return ok
 }
 
-// watch starts failure detection for a run, with startBy and queued as in
-// health.Streams.Start. cancel is called with the cause if the run is lost.
-func (f *fleet) watch(now time.Time, p *placement, startBy time.Time, queued bool, cancel func(error)) health.StreamID {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	id := f.streams.Start(now, p.ID, p.Domain, startBy, queued)
-	f.cancels[id] = cancel
-	return id
-}
-
-// recordEvent records an event of a run.
-func (f *fleet) recordEvent(now time.Time, id health.StreamID) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.streams.Event(now, id)
-}
-
-// unwatch ends the failure detection of a run.
-func (f *fleet) unwatch(id health.StreamID) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.streams.End(id)
-	delete(f.cancels, id)
-}
-
 // firstToken and progress pass speed samples of a stream to the router.
 func (f *fleet) firstToken(now time.Time, p *placement, seen routing.FirstToken) {
 	f.mu.Lock()
--- a/gateway/fleet_versions.go
+++ b/gateway/fleet_versions.go
@@ -107,13 +107,14 @@
 	return usable
 }
 
-// cancelVersion cancels all runs of streams at servers of a version.
-func (f *fleet) cancelVersion(service wigeonfork.Model, version wigeonfork.Version) {
+// leaveVersion ends the runs of streams at servers of a version, unless they can't continue at
+// another.
+func (f *fleet) leaveVersion(now time.Time, service wigeonfork.Model, version wigeonfork.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, entry := range f.entries {
 		if entry.Service == service && entry.Version == version {
-			f.cancelStreamsLocked(id, errVersionStopped)
+			f.suspectRunsLocked(now, id, errVersionStopped)
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,7 @@
 	g.crashes = newCrashGuard(g)
 	g.fleet = newFleet(&options, g.pool.CloseIdle)
 	g.fleet.onLost = g.crashes.serverLost
+	g.fleet.onReturned = g.crashes.serverReturned
 	g.moves = newVersionMoves(g)
 	g.fleet.versions = g.moves
 	g.fleet.probe = func(entry directory.Entry) { go g.probe(entry) }
--- a/gateway/losses.go
+++ b/gateway/losses.go
@@ -64,4 +64,5 @@
 	defer f.mu.Unlock()
 	f.markLostLocked(now, id, "replaced", nil)
 	f.servers.Replaced(id)
+	f.endRunsLocked(id, errServerReplaced)
 }
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -297,7 +297,7 @@
 	v.g.options.Log.Info().Str("service", string(service)).Str("to", string(to)).Str("stage", stage.String()).Str("source", source).
 		Str("reason", reason).Str("state", state).Msg("move_stage")
 	if stage == rollout.StageStopped {
-		v.g.fleet.cancelVersion(service, to)
+		v.g.fleet.leaveVersion(time.Now(), service, to)
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -40,7 +40,7 @@
 	defer cancel(nil)
 	startBy := now.Add(max(firstEventTimeoutMin, firstEventWaitFactor*t.place.expectedWait))
 	queued := s.totalSends == 1 && s.caller.LastEvent == 0
-	watch := s.fleet.watch(now, t.place, startBy, queued, cancel)
+	watch := s.fleet.watch(now, &watchedRun{server: t.place.Entry, cancel: cancel, reserveMove: s.reserveMove}, startBy, queued)
 	defer s.fleet.unwatch(watch)
 	s.timed = s.timeRun(t.place, rollout.MetricFirstToken)
 	s.gossip.enqueue(startedMessage(t.place.ID, s.work, t.hasCopy, s.totalSends > 1))
@@ -77,7 +77,7 @@
 	}
 	silent := errors.Is(err, errServerUnresponsive) || errors.Is(err, errProbeFailed)
 	s.crashes.runLost(time.Now(), s.content, t.place, silent)
-	if ctx.Err() == nil || silent {
+	if ctx.Err() == nil || silent || errors.Is(err, errServerReplaced) {
 		// The server was lost, so the run says nothing about its version.
 		s.moves.drop(s.timed)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -102,6 +103,9 @@
 	// lostDomain is the failure domain of the server that was lost at lostDomainAt.
 	lostDomain   wigeonfork.FailureDomain
 	lostDomainAt time.Time
+	// moveReserved is set once the retry budget was charged for the next run. It is written under
+	// the fleet's lock while a run is watched.
+	moveReserved bool
 	// timed is the present run.
 	timed *timedRun
 	// lastWrite is when the last event was sent to the caller.
@@ -219,7 +223,7 @@
 		return nil
 	}
 	refusal := problem.New(problem.CodeInterrupted, s.runState(), problem.StepResume, "the stream was lost at %d backend servers", s.possibleRuns)
-	if s.possibleRuns > 0 && !s.route.Idempotent() || s.possibleRuns >= max(1, s.route.MaxAttempts) || s.totalSends >= maxStreamSends {
+	if !s.hasSendsLeft() {
 		return refusal
 	}
 	if !s.crashes.mayRun(s.ctx, s.content) {
@@ -228,12 +232,36 @@
 		}
 		return problem.New(problem.CodeBackendFailed, problem.RunUnknown, problem.StepResume, "the request crashes backend servers")
 	}
-	if !s.retryBudgets.take(time.Now(), s.service, s.gossip != nil) {
+	if !s.takeRetry(time.Now()) {
 		return refusal
 	}
+	s.moveReserved = false
 	return nil
 }
 
+// hasSendsLeft reports whether the route's limits allow another send.
+func (s *streamCall) hasSendsLeft() bool {
+	if s.possibleRuns > 0 && !s.route.Idempotent() {
+		return false
+	}
+	return s.possibleRuns < max(1, s.route.MaxAttempts) && s.totalSends < maxStreamSends
+}
+
+// takeRetry reports whether the retry budget allows another send, and charges it unless that is
+// reserved already.
+func (s *streamCall) takeRetry(now time.Time) bool {
+	return s.moveReserved || s.retryBudgets.take(now, s.service, s.gossip != nil)
+}
+
+// reserveMove implements watchedRun.reserveMove for the run in progress.
+func (s *streamCall) reserveMove(now time.Time) bool {
+	if !s.hasSendsLeft() || s.crashes.check(now, s.content).Action != quarantine.Run {
+		return false
+	}
+	s.moveReserved = s.takeRetry(now)
+	return s.moveReserved
+}
+
 // resumeAtBackup returns the server that holds the copy of the last run's KV cache as
 // target, unless there is no copy or the server is down.
 func (s *streamCall) resumeAtBackup(now time.Time) (target, bool) {
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -24,6 +24,7 @@
 	errServerUnresponsive = errors.New("backend server is unresponsive")
 	errStreamStalled      = errors.New("stream stalled")
 	errProbeFailed        = errors.New("backend server accepts no connection")
+	errServerReplaced     = errors.New("another server runs at the address of the backend server")
 )
 
 // sweep searches for unresponsive servers until the gateway ends.
@@ -52,7 +53,8 @@
 	}
 }
 
-// sweep cancels the runs at unresponsive servers and returns the servers to probe.
+// sweep ends the runs at unresponsive servers that may continue elsewhere, and returns the servers to
+// probe.
 func (f *fleet) sweep(now time.Time) []directory.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -70,21 +72,14 @@
 			}
 		case health.FindingServerUnresponsive:
 			f.markLostLocked(now, result.Server, "silent", nil)
-			f.cancelStreamsLocked(result.Server, errServerUnresponsive)
+			f.suspectRunsLocked(now, result.Server, errServerUnresponsive)
 		case health.FindingStreamStalled:
-			f.cancels[result.Stream](errStreamStalled)
+			f.suspectRunLocked(now, result.Stream, errStreamStalled)
 		}
 	}
 	return probes
 }
 
-// cancelStreamsLocked cancels all runs at a server.
-func (f *fleet) cancelStreamsLocked(id serverID, cause error) {
-	for _, stream := range f.streams.StreamsAt(id) {
-		f.cancels[stream](cause)
-	}
-}
-
 // maintain returns the servers that are down and due for a probe. It also removes
 // servers whose registration has expired, and ends the failing state of servers whose
 // failure rate has decayed.
@@ -92,6 +87,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.apply(f.directory.Expire(now))
+	f.suspectKeptRunsLocked(now)
 	var due []directory.Entry
 	for id, entry := range f.entries {
 		if f.servers.State(id) == health.Down && f.servers.ProbeDue(now, id, assignment.Covers(loadshare.HashServer(id))) {
@@ -125,5 +121,5 @@
 		return
 	}
 	f.markLostLocked(now, id, "probe", err)
-	f.cancelStreamsLocked(id, errProbeFailed)
+	f.suspectRunsLocked(now, id, errProbeFailed)
 }
--- /dev/null
+++ b/gateway/watched_runs_test.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/loadshare"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/upstream"
+)
+
+// watchedFleet returns a fleet of two servers of one service, with a run at the first. movable
+// decides whether its stream may move, and ended gets why the run was ended.
+func watchedFleet(now time.Time, movable *bool, ended *error) *fleet {
+	f := newFleet(&Options{Host: "h", Log: telemetry.Discard(), Metrics: telemetry.NewRegistry()}, func(upstream.Server) {})
+	f.probe = func(directory.Entry) {}
+	f.announce = func(loadshare.Message) {}
+	first := directory.Entry{ID: "i-1", Service: "m", Address: "10.0.0.1:1", Domain: "a", Slots: 64}
+	second := directory.Entry{ID: "i-2", Service: "m", Address: "10.0.0.2:1", Domain: "b", Slots: 64}
+	f.replaceServers(now, []directory.Entry{first, second})
+	run := &watchedRun{
+		server: first, cancel: func(cause error) { *ended = cause },
+		reserveMove: func(time.Time) bool { return *movable },
+	}
+	id := f.watch(now, run, now.Add(time.Minute), false)
+	f.recordEvent(now, id)
+	return f
+}
+
+// Guards against a stream that is broken off on a suspicion although it can't continue elsewhere.
+func TestSuspectedRunIsKeptUnlessItMayMove(t *testing.T) {
+	now := time.Unix(1000, 0)
+	silent := now.Add(time.Second)
+	Convey("Given a run at a server that is silent", t, func() {
+		movable, ended := false, error(nil)
+		f := watchedFleet(now, &movable, &ended)
+		f.sweep(silent)
+		So(f.alive("i-1"), ShouldBeFalse)
+		So(ended, ShouldBeNil)
+		Convey("It ends once its stream may move", func() {
+			movable = true
+			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			So(ended, ShouldEqual, errServerUnresponsive)
+		})
+		Convey("It goes on if the server sends an event, and the server takes requests again", func() {
+			movable = true
+			f.recordEvent(silent.Add(time.Millisecond), 1)
+			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			So(ended, ShouldBeNil)
+			So(f.alive("i-1"), ShouldBeTrue)
+		})
+		Convey("It ends if another server answers at the address", func() {
+			f.markReplaced(silent, "i-1")
+			So(ended, ShouldEqual, errServerReplaced)
+		})
+		Convey("It ends if the server has restarted", func() {
+			f.applyChanges(silent, []directory.Change{{Entry: directory.Entry{ID: "i-1", Service: "m", Address: "10.0.0.1:1", Domain: "a", Slots: 64, Born: 7}}})
+			So(ended, ShouldEqual, errServerReplaced)
+		})
+		Convey("It goes on while no other server is there", func() {
+			movable = true
+			f.markLost(silent, "i-2", "connect")
+			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			So(ended, ShouldBeNil)
+		})
+	})
+	Convey("A run at a version that was stopped goes on if it can't move", t, func() {
+		movable, ended := false, error(nil)
+		f := watchedFleet(now, &movable, &ended)
+		f.leaveVersion(now, "m", "")
+		So(ended, ShouldBeNil)
+		movable = true
+		f.leaveVersion(now, "m", "")
+		So(ended, ShouldEqual, errVersionStopped)
+	})
+}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -16,10 +16,12 @@
 // Names in the configuration of every deployment. Engines and Plain are the services of the model
 // runners and of the plain backend servers.
 const (
-	Host              = "callers.example"
-	APIKey            = "key-of-a"
-	Tenant            = "tenant-a"
-	StreamPath        = "/stream/"
+	Host       = "callers.example"
+	APIKey     = "key-of-a"
+	Tenant     = "tenant-a"
+	StreamPath = "/stream/"
+	// OncePath is the path of streams that may not continue at another runner.
+	OncePath          = "/once/"
 	SafePath          = "/safe/"
 	UnsafePath        = "/unsafe/"
 	Engines           = "engines"
@@ -301,13 +303,14 @@
 		return object{
 			"name": name, "host": Host, "prefix": prefix, "kind": kind, "service": service, "timeout_ms": timeout.Milliseconds(),
 			"target_latency_ms": 2000, "target_gap_ms": 700, "priority": 1, "max_attempts": attempts, "public": false,
-			"resumable": kind == "streaming",
+			"resumable": prefix == StreamPath,
 		}
 	}
 	value, err := json.Marshal(object{
 		"version": d.version,
 		"routes": []object{
 			route("streams", StreamPath, "streaming", Engines, d.options.StreamTimeout, 5),
+			route("once", OncePath, "streaming", Engines, d.options.StreamTimeout, 5),
 			route("safe", SafePath, "safe", Plain, d.options.PlainTimeout, 2),
 			route("unsafe", UnsafePath, "unsafe", Plain, d.options.PlainTimeout, 1),
 		},
