Report a request that the gateway's own stop cuts as stopped

callerGone looks whether the gateway has stopped; the outcome is stopped then, and callers.gone counts only callers.

TestRequestCutByStopIsNotReportedAsLeft on the code before: timed out waiting until the request has ended (as stopped).

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -338,8 +338,13 @@
 	p.refuse(problem.New(problem.CodeTooLate, problem.RunUnknown, problem.StepDispatch, "no answer in time").At(string(p.server)))
 }
 
-// callerGone ends a request whose caller has disconnected. It does not return.
+// callerGone ends a request whose connection has ended, since the caller has disconnected or this
+// gateway has stopped. It does not return.
 func (c *call) callerGone() {
+	if c.background.Err() != nil {
+		c.outcome = "stopped"
+		panic(http.ErrAbortHandler)
+	}
 	c.outcome = "caller_gone"
 	telemetry.Counter(c.options.Metrics, "callers.gone").Inc(1)
 	panic(http.ErrAbortHandler)
