Count a silent crash under a caller who leaves

What callers saw: nothing; a stream that may not run again and that silently crashes its servers after its first events reached one more server with each repeat, without end.

Cause: since a suspected run is kept, it ends when its caller leaves, which callers do after 2 s without an event. A run whose caller has left was not reported to the crash guard. Before the run ended after 400 ms and counted.

Fix: a run that is kept because of its server's silence when its caller leaves is a run lost to silence, at the time of the suspicion. A server that is back as the same start within 2 s dismisses it as any other.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routing"
@@ -40,8 +39,8 @@
 	defer cancel(nil)
 	startBy := now.Add(max(firstEventTimeoutMin, firstEventWaitFactor*t.place.expectedWait))
 	queued := s.totalSends == 1 && s.caller.LastEvent == 0
-	watch := s.fleet.watch(now, &watchedRun{server: t.place.Entry, cancel: cancel, reserveMove: s.reserveMove}, startBy, queued)
-	defer s.fleet.unwatch(watch)
+	s.watch = s.fleet.watch(now, &watchedRun{server: t.place.Entry, cancel: cancel, reserveMove: s.reserveMove}, startBy, queued)
+	defer s.fleet.unwatch(s.watch)
 	s.timed = s.timeRun(t.place, rollout.MetricFirstToken)
 	s.gossip.enqueue(startedMessage(t.place.ID, s.work, t.hasCopy, s.totalSends > 1))
 	request := s.newRequest(now, t.place, s.newAttempt(now, t))
@@ -52,7 +51,7 @@
 		return s.exchangeFailed(ctx, t, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	end, err := s.relay(ctx, t, response, watch)
+	end, err := s.relay(ctx, t, response)
 	if end == runComplete {
 		done := time.Now()
 		s.fleet.finished(done, t.place, s.work, routing.Result{Duration: done.Sub(now), Tokens: uint32(s.delivered * s.eventTokens())})
@@ -68,6 +67,10 @@
 		err = cause
 	}
 	if s.r.Context().Err() != nil {
+		if since, ok := s.fleet.silentSince(s.watch); ok {
+			// The server may have crashed silently, which may be why the caller left.
+			s.crashes.runLost(since, s.content, t.place, true)
+		}
 		return runCallerGone, err
 	}
 	s.lostDomain, s.lostDomainAt = t.place.Domain, time.Now()
@@ -75,7 +78,7 @@
 		s.fleet.markLost(time.Now(), t.place.ID, "connect")
 		return runNotRun, err
 	}
-	silent := errors.Is(err, errServerUnresponsive) || errors.Is(err, errProbeFailed)
+	silent := isSilence(err)
 	s.crashes.runLost(time.Now(), s.content, t.place, silent)
 	if ctx.Err() == nil || silent || errors.Is(err, errServerReplaced) {
 		// The server was lost, so the run says nothing about its version.
@@ -88,7 +91,7 @@
 }
 
 // relay handles the answer of one run and forwards its events to the caller.
-func (s *streamCall) relay(ctx context.Context, t target, response *upstream.Response, watch health.StreamID) (runEnd, error) {
+func (s *streamCall) relay(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	reply := s.options.Codec.ParseReply(response.Status, response.Header)
 	if reply.Request != "" && reply.Request != s.caller.ID {
 		return runLost, errors.Newf("answer to another request, %q", string(reply.Request))
@@ -103,7 +106,7 @@
 	if response.Status != http.StatusOK {
 		return s.relayAnswer(ctx, t, response)
 	}
-	return s.relayEvents(ctx, t, response, watch)
+	return s.relayEvents(ctx, t, response)
 }
 
 // maxRefusalText bounds the part of a refusal's body that is logged, in bytes.
@@ -137,7 +140,7 @@
 	return runComplete, nil
 }
 
-func (s *streamCall) relayEvents(ctx context.Context, t target, response *upstream.Response, watch health.StreamID) (runEnd, error) {
+func (s *streamCall) relayEvents(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	events := newEventReader(response.Body)
 	sampler := speedSampler{since: response.SentAt}
 	for {
@@ -154,7 +157,7 @@
 			return s.exchangeFailed(ctx, t, err)
 		}
 		now := time.Now()
-		s.fleet.recordEvent(now, watch)
+		s.fleet.recordEvent(now, s.watch)
 		s.sampleSpeed(now, t, &sampler)
 		if event.ID != 0 && event.ID <= s.lastEvent {
 			continue
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/quarantine"
@@ -106,8 +107,9 @@
 	// moveReserved is set once the retry budget was charged for the next run. It is written under
 	// the fleet's lock while a run is watched.
 	moveReserved bool
-	// timed is the present run.
+	// timed is the present run, and watch its failure detection.
 	timed *timedRun
+	watch health.StreamID
 	// lastWrite is when the last event was sent to the caller.
 	lastWrite time.Time
 }
--- a/gateway/watched_runs.go
+++ b/gateway/watched_runs.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/health"
@@ -22,6 +24,8 @@
 	ended       bool
 	// suspicion is why the run would have ended if its stream could continue elsewhere, or nil.
 	suspicion error
+	// suspectedAt is when the suspicion arose.
+	suspectedAt time.Time
 }
 
 // watch starts failure detection for a run, with startBy and queued as in health.Streams.Start.
@@ -70,6 +74,7 @@
 		return
 	}
 	if run.suspicion == nil {
+		run.suspectedAt = now
 		telemetry.Counter(f.metrics, "streams.run_kept").Inc(1)
 		f.log.Info().Str("server", string(run.server.ID)).Uint64("stream", uint64(id)).Err(cause).Msg("suspected_run_kept")
 	}
@@ -92,6 +97,20 @@
 	}
 }
 
+// silentSince returns since when a run is suspected because its server is silent, and false if it
+// isn't.
+func (f *fleet) silentSince(id health.StreamID) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	run := f.runs[id]
+	return run.suspectedAt, isSilence(run.suspicion)
+}
+
+// isSilence reports whether a run was ended or suspected only because its server is silent.
+func isSilence(cause error) bool {
+	return errors.Is(cause, errServerUnresponsive) || errors.Is(cause, errProbeFailed)
+}
+
 // endRunsLocked ends all runs at a server that is certainly gone.
 func (f *fleet) endRunsLocked(id serverID, cause error) {
 	for _, stream := range f.streams.StreamsAt(id) {
