Drop the suspicion against a kept run once its server answers

By reading, shown at the fleet only: a stream that was kept at a silent server moves to another one although its own has answered again, if the retry budget has room by then or another server is back. Its prompt is read anew, and a retry is spent.

Cause: a kept run's suspicion ended only with an event of the run. A probe's answer set the server to up, but the run was ended at the next check, 200 ms later or whenever a retry was free. A run whose first event is still due keeps its suspicion for seconds.

Evidence: the case 'It goes on if the server answers a probe' of TestSuspectedRunIsKeptUnlessItMayMove without the fix: 'backend server is unresponsive', expected nil.

Fix: a server's answer to a probe, once it is trusted, ends the suspicions that silence raised against its runs. If the server falls silent again, they are raised again.

--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -106,6 +106,7 @@
 	f.streams.ServerResponded(now, id)
 	wasDown, peerReported := f.servers.State(id) == health.Down, f.servers.RecoveryReported(id)
 	if f.servers.Answered(sentAt, id) {
+		f.trustRunsLocked(id)
 		if wasDown && !peerReported {
 			f.announce(loadshare.Message{Kind: loadshare.Recovered, Server: loadshare.HashServer(id)})
 		}
--- a/gateway/watched_runs.go
+++ b/gateway/watched_runs.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// trustRunsLocked ends the suspicions against the runs at a server that was silent and answers again.
+func (f *fleet) trustRunsLocked(id serverID) {
+	for _, stream := range f.streams.StreamsAt(id) {
+		if run := f.runs[stream]; isSilence(run.suspicion) {
+			run.suspicion = nil
+		}
+	}
+}
+
 // silentSince returns since when a run is suspected because its server is silent, and false if it
 // isn't.
 func (f *fleet) silentSince(id health.StreamID) (time.Time, bool) {
--- a/gateway/watched_runs_test.go
+++ b/gateway/watched_runs_test.go
@@ -52,6 +52,12 @@
 			So(ended, ShouldBeNil)
 			So(f.alive("i-1"), ShouldBeTrue)
 		})
+		Convey("It goes on if the server answers a probe", func() {
+			movable = true
+			f.probeAnswered(silent.Add(2*time.Millisecond), silent.Add(time.Millisecond), "i-1")
+			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			So(ended, ShouldBeNil)
+		})
 		Convey("It ends if another server answers at the address", func() {
 			f.markReplaced(silent, "i-1")
 			So(ended, ShouldEqual, errServerReplaced)
