Keep a suspected run if the other versions take no requests

LOST, found by reading and shown at the fleet only: a stream at a version that is stopped, or at a silent server during a move, is ended although the only other servers are of a version that takes no requests. It then waits 3 s (resumeWait) for a server and is broken off if none is back.

Cause: a run is ended if its service has another server that is not down. Servers of a version that takes no requests counted, such as those of the stopped version itself.

Evidence: TestSuspectedRunIsKeptIfOtherVersionsTakeNone without the fix: 'the version was stopped', expected nil.

Fix: another server counts only if the version policy allows its version, as it does where a server is chosen.

--- a/gateway/watched_runs.go
+++ b/gateway/watched_runs.go
@@ -132,10 +132,11 @@
 	r.cancel(cause)
 }
 
-// hasOtherLocked reports whether a service has another server that is not down.
+// hasOtherLocked reports whether a service has another server that is not down, of a version that takes
+// requests.
 func (f *fleet) hasOtherLocked(service wigeonfork.Model, id serverID) bool {
 	for other, entry := range f.entries {
-		if other != id && entry.Service == service && f.servers.State(other) != health.Down {
+		if other != id && entry.Service == service && f.servers.State(other) != health.Down && f.versions.allows(service, entry.Version) {
 			return true
 		}
 	}
--- a/gateway/watched_runs_test.go
+++ b/gateway/watched_runs_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -83,3 +84,36 @@
 		So(ended, ShouldEqual, errVersionStopped)
 	})
 }
+
+// oneVersion is a versionPolicy that allows one version of each service.
+type oneVersion struct {
+	anyVersion
+	version wigeonfork.Version
+}
+
+func (o oneVersion) preference(wigeonfork.Model) []wigeonfork.Version {
+	return []wigeonfork.Version{o.version}
+}
+
+func (o oneVersion) allows(_ wigeonfork.Model, version wigeonfork.Version) bool {
+	return version == o.version
+}
+
+// Guards against a stream that is broken off since the only other servers are of a version that takes
+// no requests.
+func TestSuspectedRunIsKeptIfOtherVersionsTakeNone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	Convey("A run at a version that was stopped goes on while no other version has servers", t, func() {
+		movable, ended := true, error(nil)
+		f := watchedFleet(now, &movable, &ended)
+		f.versions = oneVersion{version: "v1"}
+		f.leaveVersion(now, "m", "")
+		So(ended, ShouldBeNil)
+		Convey("and ends once one has", func() {
+			third := directory.Entry{ID: "i-3", Service: "m", Address: "10.0.0.3:1", Domain: "c", Slots: 64, Version: "v1"}
+			f.applyChanges(now, []directory.Change{{Entry: third}})
+			f.maintain(now.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			So(ended, ShouldEqual, errVersionStopped)
+		})
+	})
+}
