Answer a request whose handler panics

Callers saw neither an answer nor a refusal: net/http recovers a panic of a handler, writes it to standard error without the request's id and closes the connection. A panic in the goroutine that sends a plain request ended the whole process, with all its requests.

Now the caller gets an internal error (500, run unknown) if no head of an answer has been sent, with none of a backend server's headers; otherwise the connection is broken, as before. One error line names the request and the stack (request_panicked), one metric counts (requests.panicked). A send's panic becomes its result and is raised again in the goroutine of the request.

TestPanickedRequestIsAnswered before: 'Post ".../stream/x": EOF' in each step of streams, and the process would have ended for plain ones. After: go test -race ./platform -run TestPanickedRequestIsAnswered -count=3, ok.

Not covered: the router's charge for a stream that panics is not released, and a panic in a background goroutine still ends the process.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -54,6 +54,8 @@
 	body    []byte
 	load    *Load
 	err     error
+	// panicked is set if the send panicked.
+	panicked *sendPanic
 }
 
 // succeeded reports whether the answer is complete and not a server error.
@@ -129,6 +131,9 @@
 
 // handleResult handles the end of a send and returns whether the request is answered.
 func (p *plainCall) handleResult(ctx context.Context, result *sendResult) bool {
+	if result.panicked != nil {
+		panic(*result.panicked)
+	}
 	p.reportOutcome(result)
 	if result.succeeded() {
 		p.deliver(result)
@@ -182,7 +187,7 @@
 	p.pending = append(p.pending, place)
 	p.server = place.ID
 	p.logSent(place, p.totalSends, false)
-	go func() { p.results <- p.exchange(ctx, place) }()
+	go func() { p.results <- p.exchangeRecovered(ctx, place) }()
 	return nil
 }
 
@@ -304,6 +309,7 @@
 	if c.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(result.body)))
 	}
+	c.headSent = true
 	c.w.WriteHeader(result.status)
 	// An error means that the caller has disconnected.
 	_, _ = c.w.Write(result.body)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -231,11 +231,11 @@
 	if s.headSent {
 		return
 	}
-	s.headSent = true
 	s.status = response.Status
 	header := s.w.Header()
 	s.options.Codec.CopyAnswerHeaders(header, response.Header)
 	header.Del("Content-Length")
+	s.headSent = true
 	s.w.WriteHeader(response.Status)
 	telemetry.Histogram(s.options.Metrics, "stream_first_ms").Update(time.Since(s.began).Milliseconds())
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,6 +61,8 @@
 	work     routing.Work
 	// content identifies the request's content, whatever its id.
 	content quarantine.ContentHash
+	// headSent is set once the head of the answer has been sent to the caller.
+	headSent bool
 	// possibleRuns counts the sends that may have run.
 	possibleRuns int
 	// outcome, server and status go into the request's log line.
@@ -82,6 +84,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.logEnd()
+	defer c.handlePanic()
 	if refusal := c.accept(); refusal != nil {
 		c.refuse(refusal)
 		return
@@ -294,6 +297,7 @@
 	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("code", string(refusal.Code)).Str("run", string(refusal.Run)).
 		Str("step", string(refusal.Step)).Hex("content", contentBytes(c.content)).Int("status", c.status).Dur("retry_after", refusal.RetryAfter).
 		Str("reason", refusal.Error()).Msg("request_refused")
+	c.headSent = true
 	problem.Write(c.w, refusal.For(c.caller.ID))
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,8 +88,6 @@
 	ctx       context.Context
 	out       *httpserver.StreamWriter
 	lastEvent uint64
-	// headSent is set once the head of the answer has been sent to the caller.
-	headSent bool
 	// delivered counts the events sent to the caller.
 	delivered int
 	// totalSends counts all sends, including those that did not run.
