Test requests beside each kind of configuration change

Nine callers on kept connections send streams, safe and unsafe requests, some to servers that refuse, fail or lose answers (so that requests are retried and hedged), while the configuration changes back and forth in 34 ways: routes removed, added, moved, split, weights of zero, kinds, timeouts, tenants, keys, limits, services and engine settings. Each must end with a whole answer or a refusal, and no handler may panic.

The stand-in learns ConfigureWith.

--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -295,7 +295,20 @@
 
 // Configure writes the next version of the configuration. Version numbers increase but are not
 // consecutive.
-func (d *Deployment) Configure() {
+func (d *Deployment) Configure() { d.ConfigureWith(func(*Configuration) {}) }
+
+// Configuration is the content of a configuration, as it is written to the store.
+type Configuration struct {
+	Version  int      `json:"version"`
+	Routes   []object `json:"routes"`
+	Services []object `json:"services"`
+	Limits   object   `json:"limits"`
+	Tenants  []object `json:"tenants"`
+}
+
+// ConfigureWith writes the next version of the configuration as changed by change. The next one
+// does not have the change.
+func (d *Deployment) ConfigureWith(change func(*Configuration)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version += 3
@@ -306,21 +319,23 @@
 			"resumable": prefix == StreamPath,
 		}
 	}
-	value, err := json.Marshal(object{
-		"version": d.version,
-		"routes": []object{
+	c := &Configuration{
+		Version: d.version,
+		Routes: []object{
 			route("streams", StreamPath, "streaming", Engines, d.options.StreamTimeout, 5),
 			route("once", OncePath, "streaming", Engines, d.options.StreamTimeout, 5),
 			route("safe", SafePath, "safe", Plain, d.options.PlainTimeout, 2),
 			route("unsafe", UnsafePath, "unsafe", Plain, d.options.PlainTimeout, 1),
 		},
-		"services": []object{
+		Services: []object{
 			{"name": Engines, "health_path": "/health", "max_connections": 300, "engine": object{"kv_tokens": 100000, "backups": true, "stride": 1}},
 			{"name": Plain, "health_path": "/health", "max_connections": 300},
 		},
-		"limits":  object{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []object{{"name": Tenant, "api_keys": d.keys, "priority": 1}},
-	})
+		Limits:  object{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		Tenants: []object{{"name": Tenant, "api_keys": d.keys, "priority": 1}},
+	}
+	change(c)
+	value, err := json.Marshal(c)
 	if err != nil {
 		// A map of strings and numbers can always be encoded.
 		panic(err)
