--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -129,6 +129,8 @@
 	ExtraResponse bool
 	// Crash kills the runner when it starts to send a stream.
 	Crash bool
+	// Connection is the Connection header of responses; empty for none.
+	Connection string
 }
 
 // Runner is one incarnation of a model runner or plain backend server.
@@ -244,6 +246,9 @@
 	h.Set("Wigeonfork-Request-Id", run.RequestID)
 	h.Set("Wigeonfork-Response-Signature", r.ID+"."+run.RequestID)
 	h.Set("Wigeonfork-Instance-Load", "1,0,64")
+	if connection := r.currentFaults().Connection; connection != "" {
+		h.Set("Connection", connection)
+	}
 }
 
 func (r *Runner) servePlain(w http.ResponseWriter, q *http.Request, run *Run) {
