Let refusals reach callers that still send a large body

A gateway that refuses a request before it has read the body (404, 401, 400, 413, 431, and 503 while it leaves) left the rest to net/http, which closes the connection if more than 256 KiB with a length are unread. A caller that sends its whole body first then saw a broken pipe or a reset and neither an answer nor a refusal.

What the caller still sends is now read and dropped before the refusal, up to 16 MiB and for at most the 30 s of an accepted body, except where the caller waits for 100 Continue. A declared length above the limit is refused without asking for the body.

TestRefusalsReachCallersThatStillSendTheirBody (5 refusals, 3 sizes, 7 ways to send) before: 16 of 105 cases fail, all at 4 MiB with a length ('write: broken pipe'); chunked bodies and smaller ones pass. TestRefusalsOfLeavingGatewayReachCallersThatStillSendTheirBody before: 3 of 7 fail likewise. After, with -race: all pass.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -20,6 +20,8 @@
 const (
 	// defaultMaxBody bounds a body where the configuration sets no limit, in bytes.
 	defaultMaxBody = 4 << 20
+	// maxDiscard bounds what is read of the body of a request that is refused, in bytes.
+	maxDiscard = 16 << 20
 	// configurationRetry is the retry delay that callers get from an entry without a
 	// recent configuration. Another entry may have one at once.
 	configurationRetry = 300 * time.Millisecond
@@ -54,7 +56,9 @@
 	workspace wigeonfork.Workspace
 	body      []byte
 	hasBody   bool
-	began     time.Time
+	// unread is set while the caller may be sending a body that is not read.
+	unread bool
+	began  time.Time
 	// deadline is when the caller stops waiting or the route times out, whichever is
 	// first; zero if neither is set.
 	deadline time.Time
@@ -79,7 +83,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	c := &call{Gateway: g, w: w, r: r, began: time.Now()}
+	c := &call{Gateway: g, w: w, r: r, began: time.Now(), unread: sendsBody(r)}
 	defer c.logEnd()
 	defer c.handlePanic()
 	if refusal := c.accept(); refusal != nil {
@@ -231,11 +235,20 @@
 	if !c.hasBody {
 		return nil
 	}
+	if c.r.ContentLength > limit {
+		return problem.New(problem.CodeTooLarge, problem.RunNot, problem.StepAccept, "body has more than %d bytes", limit)
+	}
 	body, refusal := httpserver.ReadBody(c.w, c.r, limit)
 	c.body = body
+	c.unread = refusal != nil && refusal.Code == problem.CodeTooLarge
 	return refusal
 }
 
+// sendsBody reports whether the caller sends a body without waiting for 100 Continue.
+func sendsBody(r *http.Request) bool {
+	return r.ContentLength != 0 && r.Header.Get("Expect") == ""
+}
+
 // estimate sets the request's deadline, expected work and content hash.
 func (c *call) estimate() {
 	c.deadline = earliest(c.began, c.caller.Deadline, c.route.Timeout)
@@ -294,6 +307,9 @@
 	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("code", string(refusal.Code)).Str("run", string(refusal.Run)).
 		Str("step", string(refusal.Step)).Hex("content", contentBytes(c.content)).Int("status", c.status).Dur("retry_after", refusal.RetryAfter).
 		Str("reason", refusal.Error()).Msg("request_refused")
+	if c.unread {
+		httpserver.DiscardBody(c.w, c.r, maxDiscard)
+	}
 	c.beginHead()
 	problem.Write(c.w, refusal.For(c.caller.ID))
 }
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -76,6 +76,18 @@
 	return body, nil
 }
 
+// DiscardBody reads and drops up to limit bytes of a request's body within readBodyTimeout. A server
+// that refuses a request without reading its body closes the connection, and a caller that still
+// sends then gets a reset in place of the refusal.
+func DiscardBody(w http.ResponseWriter, r *http.Request, limit int64) {
+	control := http.NewResponseController(w)
+	// Test recorders don't support deadlines; the size limit still applies.
+	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	// An error means that the caller has disconnected or is too slow.
+	_, _ = io.CopyN(io.Discard, r.Body, limit)
+	_ = control.SetReadDeadline(time.Time{})
+}
+
 // deadlineUpdateInterval is the minimum time between two updates of a write deadline.
 const deadlineUpdateInterval = time.Second
 
