Test answers that end with their connection

The runner stand-in learns such answers: closed, reset, cut inside, left open; with Connection: close, keep-alive or none, and with an informational head before.

Whole ones are passed on with status, body and signature, error answers too; streams that are reset, end inside an event or are left open are resumed once and complete; plain ones that are reset or left open end in 502 or 504 and run once.

--- a/standin/loopback/conn.go
+++ b/standin/loopback/conn.go
@@ -67,3 +67,13 @@
 	}
 	_ = c.Close()
 }
+
+// ResetConn closes a connection of a Server, which a handler has taken over, so that the peer receives a
+// TCP reset.
+func ResetConn(conn net.Conn) {
+	if c, ok := conn.(*gatedConn); ok {
+		c.reset()
+		return
+	}
+	_ = conn.Close()
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -129,6 +129,8 @@
 	ExtraResponse bool
 	// Crash kills the runner when it starts to send a stream.
 	Crash bool
+	// Unframed, if set, makes answers end with their connection.
+	Unframed *Unframed
 	// Connection is the Connection header of responses; empty for none.
 	Connection string
 }
@@ -263,6 +265,9 @@
 	r.setHeaders(w, run)
 	text := "answer to " + run.RequestID
 	switch {
+	case faults.Unframed != nil:
+		r.plainUnframed(w, faults, text)
+		return
 	case faults.DropResponse:
 		panic(http.ErrAbortHandler)
 	case faults.Fail:
@@ -318,6 +323,10 @@
 	}
 	r.setHeaders(w, run)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if unframed := r.currentFaults().Unframed; unframed != nil {
+		r.streamUnframed(w, q, run, *unframed)
+		return
+	}
 	flusher := w.(http.Flusher)
 	for id := run.LastEventID + 1; id <= r.options.Events; id++ {
 		if !loopback.Sleep(q.Context(), r.options.EventGap) {
