Let changed bounds reach the followers of the store

After a change of the settings file the gateway went on reading the configuration and the registered servers at the intervals of the settings with which it was started. With a shorter revoke limit it found its configuration too old and refused requests with keys (503); with a shorter drain limit it sent requests to draining servers for too long.

SetBounds now sets the intervals, and a follower that waits looks at its schedule again. A poll of the store that is under way keeps its wait.

TestChangedBoundsReachFollowers before: 'Line 43: Expected: true, Actual: false' after 10.01 s (no read was due). After: ok with -race.

--- /dev/null
+++ b/gateway/bounds_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/telemetry"
+)
+
+// newBoundedGateway returns a gateway that is not started, with bounds under which little is allowed
+// and little is read.
+func newBoundedGateway() (*Gateway, Bounds) {
+	bounds := DefaultBounds()
+	bounds.RevokeLimit, bounds.DrainLimit = 5*time.Hour, 2*time.Hour
+	bounds.RetryRatio, bounds.RetrySlack = 0, 10
+	bounds.ExposureShare, bounds.ExposureSlack = 0, 0
+	g := New(Options{Host: "h", Domain: "a", Bounds: bounds, Log: telemetry.Discard(), Metrics: telemetry.NewRegistry()})
+	return g, bounds
+}
+
+// Guards against followers that go on reading at the interval of the old bounds after a change of
+// the settings: keys are refused because the configuration is too old, and draining servers get
+// requests for too long.
+func TestChangedBoundsReachFollowers(t *testing.T) {
+	Convey("A follower that waits is due at the interval of the new bounds", t, func() {
+		g, bounds := newBoundedGateway()
+		followers := []*follower{g.configFollower, g.serversFollower}
+		due := make(chan bool, len(followers))
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		for _, f := range followers {
+			f.recordRead(time.Now())
+			go func() { due <- f.await(ctx, func() int { return 0 }) }()
+		}
+		time.Sleep(20 * time.Millisecond)
+		bounds.RevokeLimit, bounds.DrainLimit = 250*time.Millisecond, 100*time.Millisecond
+		g.SetBounds(bounds)
+		for range followers {
+			So(<-due, ShouldBeTrue)
+		}
+	})
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -20,10 +20,20 @@
 	mu       sync.Mutex
 	schedule *loadshare.ReadSchedule
 	wakeup   chan struct{}
+	// rescheduled makes await look at the schedule again.
+	rescheduled chan struct{}
 }
 
 func newFollower(interval time.Duration) *follower {
-	return &follower{schedule: loadshare.NewReadSchedule(interval), wakeup: make(chan struct{}, 1)}
+	return &follower{schedule: loadshare.NewReadSchedule(interval), wakeup: make(chan struct{}, 1), rescheduled: make(chan struct{}, 1)}
+}
+
+// setInterval replaces the interval of the reads, also for one that is awaited.
+func (f *follower) setInterval(interval time.Duration) {
+	f.mu.Lock()
+	f.schedule.SetInterval(interval)
+	f.mu.Unlock()
+	notify(f.rescheduled)
 }
 
 // recordRead records a read by this entry or a peer.
@@ -34,9 +44,12 @@
 }
 
 // wake triggers a read at once.
-func (f *follower) wake() {
+func (f *follower) wake() { notify(f.wakeup) }
+
+// notify sends on a channel that holds one notification, unless it holds one already.
+func notify(channel chan<- struct{}) {
 	select {
-	case f.wakeup <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
@@ -58,6 +71,8 @@
 		timer := time.NewTimer(left)
 		select {
 		case <-timer.C:
+		case <-f.rescheduled:
+			timer.Stop()
 		case <-f.wakeup:
 			timer.Stop()
 			return true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,7 @@
 	background, stop := context.WithCancel(context.Background())
 	g := &Gateway{options: options, background: background, stop: stop, warm: make(chan struct{})}
 	g.warmLeft.Store(int32(len(g.warmOnce)))
-	g.SetBounds(options.Bounds)
+	g.bounds.Store(&options.Bounds)
 	opened := telemetry.Counter(options.Metrics, "upstream.connections")
 	g.pool = upstream.NewPool(upstream.Options{OnOpen: func() { opened.Inc(1) }})
 	g.crashes = newCrashGuard(g)
@@ -96,9 +96,12 @@
 // seedOf derives a seed from the host id, so that the random choices of hosts differ.
 func seedOf(host wigeonfork.HostID) uint64 { return xxhash.Sum64String(string(host)) }
 
-// SetBounds replaces the bounds of a running gateway. The retry limits and the
-// read intervals of the followers stay those of Options.
-func (g *Gateway) SetBounds(b Bounds) { g.bounds.Store(&b) }
+// SetBounds replaces the bounds of a running gateway.
+func (g *Gateway) SetBounds(b Bounds) {
+	g.bounds.Store(&b)
+	g.configFollower.setInterval(configurationWait(&b))
+	g.serversFollower.setInterval(serversInterval(&b))
+}
 
 // Start serves callers and the load balancer's readiness checks until Stop. It does
 // not block.
--- a/loadshare/turn.go
+++ b/loadshare/turn.go
@@ -24,6 +24,9 @@
 // NewReadSchedule returns a ReadSchedule with one read per interval.
 func NewReadSchedule(interval time.Duration) *ReadSchedule { return &ReadSchedule{interval: interval} }
 
+// SetInterval replaces the interval.
+func (s *ReadSchedule) SetInterval(interval time.Duration) { s.interval = interval }
+
 // RecordRead records a read by this entry or a peer.
 func (s *ReadSchedule) RecordRead(now time.Time) { s.lastRead = now }
 
