Let changed bounds reach the retry budgets

After a change of the settings file the retry ratio, slack and window stayed those with which the gateway was started: requests were retried beyond what the settings allow, or refused and broken off (502) though a retry was allowed.

SetBounds now sets the limits of all budgets. What was counted is kept: a new window takes the counts over slot by slot, each for no shorter than the new window.

TestChangedBoundsReachRetryBudgets before: 'Line 58: Expected: 8, Actual: 0' (the slack stayed at 10). After: ok with -race.

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -43,3 +43,28 @@
 		}
 	})
 }
+
+// Guards against retries beyond, or far below, what the settings allow after they have changed, and
+// against a budget that starts anew with each change.
+func TestChangedBoundsReachRetryBudgets(t *testing.T) {
+	Convey("The budget of a service has the new limits and keeps what was counted", t, func() {
+		g, bounds := newBoundedGateway()
+		now := time.Now()
+		taken := takeAll(g.retryBudgets, now)
+		So(taken, ShouldEqual, 8)
+		bounds.RetrySlack = 20
+		g.SetBounds(bounds)
+		So(takeAll(g.retryBudgets, now), ShouldEqual, 8)
+		bounds.RetrySlack = 10
+		g.SetBounds(bounds)
+		So(takeAll(g.retryBudgets, now), ShouldEqual, 0)
+		bounds.RetryRatio, bounds.RetryWindow = 1, 20*time.Second
+		g.SetBounds(bounds)
+		for range 30 {
+			g.retryBudgets.recordRequest(now, engines)
+		}
+		So(takeAll(g.retryBudgets, now), ShouldEqual, 8+24-16)
+		So(takeAll(g.retryBudgets, now.Add(15*time.Second)), ShouldEqual, 0)
+		So(takeAll(g.retryBudgets, now.Add(25*time.Second)), ShouldEqual, 8)
+	})
+}
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -33,6 +33,16 @@
 	return &retryBudgets{bounds: b, countedSince: now, services: make(map[wigeonfork.Model]*retry.SharedBudget)}
 }
 
+// setBounds replaces the bounds. What was counted is kept.
+func (b *retryBudgets) setBounds(now time.Time, bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bounds = bounds
+	for _, budget := range b.services {
+		budget.SetLimits(now, bounds.RetryRatio*budgetFraction, bounds.RetrySlack*budgetFraction, bounds.RetryWindow)
+	}
+}
+
 // setEntries sets how many entries are reachable and how many are known, this one
 // included. Known entries that are not reachable keep their share of the slack.
 func (b *retryBudgets) setEntries(reachable, known int) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,7 @@
 	g.bounds.Store(&b)
 	g.configFollower.setInterval(configurationWait(&b))
 	g.serversFollower.setInterval(serversInterval(&b))
+	g.retryBudgets.setBounds(time.Now(), b)
 }
 
 // Start serves callers and the load balancer's readiness checks until Stop. It does
--- a/retry/shared.go
+++ b/retry/shared.go
@@ -25,6 +25,25 @@
 	c.slots[c.newest%int64(len(c.slots))] += n
 }
 
+// setWidth replaces the width of the slots. What was counted in an old slot moves to the new slot of
+// its end, so that it is counted for no less than the new window.
+func (c *windowCounter) setWidth(now time.Time, width time.Duration) {
+	if width == c.slotWidth {
+		return
+	}
+	c.advance(now)
+	changed := windowCounter{slotWidth: width}
+	for age := int64(len(c.slots)) - 1; age >= 0; age-- {
+		slot := c.newest - age
+		end := time.Unix(0, (slot+1)*int64(c.slotWidth)-1)
+		if end.After(now) {
+			end = now
+		}
+		changed.add(end, c.slots[(slot+int64(len(c.slots)))%int64(len(c.slots))])
+	}
+	*c = changed
+}
+
 func (c *windowCounter) sum(now time.Time) float64 {
 	c.advance(now)
 	total := 0.0
@@ -51,6 +70,14 @@
 	return &SharedBudget{ratio: ratio, slack: slack, requests: windowCounter{slotWidth: width}, retries: windowCounter{slotWidth: width}}
 }
 
+// SetLimits replaces the limits and the window, as in NewSharedBudget. What was counted is kept, but
+// not for longer than the former window.
+func (s *SharedBudget) SetLimits(now time.Time, ratio, slack float64, window time.Duration) {
+	s.ratio, s.slack = ratio, slack
+	s.requests.setWidth(now, window/windowSlots)
+	s.retries.setWidth(now, window/windowSlots)
+}
+
 // RecordRequest records a request of this process or a peer.
 func (s *SharedBudget) RecordRequest(now time.Time) { s.requests.add(now, 1) }
 
