Let changed exposure limits reach moves under way

After a change of the settings file a move that had begun kept the exposure limits of its start: a bad version could get more requests than the settings allow, or a good one too few to be completed.

SetBounds now sets the limits of the moves under way. What was sent is kept.

TestChangedBoundsReachMoves before: preference stays [v1], expected [v2 v1].

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -68,3 +70,19 @@
 		So(takeAll(g.retryBudgets, now.Add(25*time.Second)), ShouldEqual, 8)
 	})
 }
+
+// Guards against a bad version that gets more requests than the settings allow, since they changed
+// during its move.
+func TestChangedBoundsReachMoves(t *testing.T) {
+	Convey("A move under way has the new exposure limits", t, func() {
+		g, bounds := newBoundedGateway()
+		now := time.Now()
+		g.moves.begin(now, rollout.MoveOrder{Service: engines, To: "v2", Duration: 10 * time.Second, Revision: 1}, "v1", 10*time.Second, true)
+		g.moves.setEntries(1)
+		g.moves.moves[engines].Advance(rollout.StageTrial, "")
+		So(g.moves.preference(engines), ShouldResemble, []wigeonfork.Version{"v1"})
+		bounds.ExposureSlack = 1000
+		g.SetBounds(bounds)
+		So(g.moves.preference(engines), ShouldResemble, []wigeonfork.Version{"v2", "v1"})
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,6 +102,7 @@
 	g.configFollower.setInterval(configurationWait(&b))
 	g.serversFollower.setInterval(serversInterval(&b))
 	g.retryBudgets.setBounds(time.Now(), b)
+	g.moves.setBounds(&b)
 }
 
 // Start serves callers and the load balancer's readiness checks until Stop. It does
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// exposureLimits returns the exposure limits of the bounds.
+func exposureLimits(b *Bounds) rollout.ExposureLimits {
+	return rollout.ExposureLimits{Share: b.ExposureShare, Slack: b.ExposureSlack}
+}
+
+// setBounds replaces the exposure limits of the moves under way.
+func (v *versionMoves) setBounds(b *Bounds) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, move := range v.moves {
+		move.SetLimits(exposureLimits(b))
+	}
+}
+
 // observeOrders records orders that were read from the store.
 func (v *versionMoves) observeOrders(orders []rollout.MoveOrder) {
 	v.mu.Lock()
@@ -114,9 +128,7 @@
 	if move := v.moves[order.Service]; move != nil && move.Order.Revision >= order.Revision {
 		return false
 	}
-	bounds := v.g.bounds.Load()
-	limits := rollout.ExposureLimits{Share: bounds.ExposureShare, Slack: bounds.ExposureSlack}
-	move := rollout.NewServiceMove(now, order, from, left, limits, hasHistory, rand.Float64())
+	move := rollout.NewServiceMove(now, order, from, left, exposureLimits(v.g.bounds.Load()), hasHistory, rand.Float64())
 	move.SetEntries(v.entries)
 	v.moves[order.Service] = move
 	v.orders[order.Service] = order
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -149,6 +149,9 @@
 // SetEntries sets the number of entries, this one included.
 func (m *ServiceMove) SetEntries(known int) { m.known = known }
 
+// SetLimits replaces the exposure limits. What was sent is kept.
+func (m *ServiceMove) SetLimits(limits ExposureLimits) { m.limits = limits }
+
 // Confirmed reports whether Advance was called, so that the stored state is known.
 func (m *ServiceMove) Confirmed() bool { return m.confirmed }
 
