Let settings that change during a drain apply to it

A leaving gateway read no settings any more, and went by the grace period at SIGTERM. With a shorter one it was killed with requests under way that it could have refused; with a longer one it refused requests and broke streams off that it could have served.

The drain now looks at the bounds at each step, and the program watches the settings file and SIGHUP until the drain has ended. A second SIGTERM has no effect, as before.

--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -93,8 +93,14 @@
 	metricsServer := httpserver.New(g.Inspect())
 	go httpserver.Serve(metricsServer, metricsListener, log)
 	g.Start(callers, ready)
-	waitForStop(path, signals, g, log)
-	g.Drain()
+	watcher := &settingsWatcher{path: path, lastModified: modificationTime(path), gateway: g, log: log}
+	watcher.awaitStop(signals)
+	drained := make(chan struct{})
+	go func() {
+		g.Drain()
+		close(drained)
+	}()
+	watcher.awaitDrained(signals, drained)
 	g.Stop()
 	return errors.Wrap(metricsServer.Close(), "close the metrics listener")
 }
@@ -112,24 +118,45 @@
 	return conn, errors.Wrap(err, "listen for peers")
 }
 
-// waitForStop returns on SIGTERM or SIGINT. Until then it reloads the settings when
-// their file changes and on SIGHUP.
-func waitForStop(path string, signals <-chan os.Signal, g *gateway.Gateway, log *telemetry.Logger) {
+// settingsWatcher reloads the settings when their file changes and on SIGHUP.
+type settingsWatcher struct {
+	path         string
+	lastModified time.Time
+	gateway      *gateway.Gateway
+	log          *telemetry.Logger
+}
+
+// awaitStop watches the settings until SIGTERM or SIGINT.
+func (w *settingsWatcher) awaitStop(signals <-chan os.Signal) {
+	received := w.watch(signals, nil)
+	w.log.Info().Str("signal", received.String()).Msg("stop_requested")
+}
+
+// awaitDrained watches the settings until drained is closed, since the grace period may
+// change. Further requests to stop have no effect.
+func (w *settingsWatcher) awaitDrained(signals <-chan os.Signal, drained <-chan struct{}) {
+	for w.watch(signals, drained) != nil {
+	}
+}
+
+// watch watches the settings until a signal other than SIGHUP, which it returns, or until
+// done is closed.
+func (w *settingsWatcher) watch(signals <-chan os.Signal, done <-chan struct{}) os.Signal {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	lastModified := modificationTime(path)
 	for {
 		select {
+		case <-done:
+			return nil
 		case received := <-signals:
 			if received != syscall.SIGHUP {
-				log.Info().Str("signal", received.String()).Msg("stop_requested")
-				return
+				return received
 			}
-			reload(path, g, log)
+			w.reload()
 		case <-ticker.C:
-			if at := modificationTime(path); !at.Equal(lastModified) {
-				lastModified = at
-				reload(path, g, log)
+			if at := modificationTime(w.path); !at.Equal(w.lastModified) {
+				w.lastModified = at
+				w.reload()
 			}
 		}
 	}
@@ -147,12 +174,12 @@
 
 // reload applies the bounds, the only settings that may change at run time. An
 // invalid file leaves the current settings in force.
-func reload(path string, g *gateway.Gateway, log *telemetry.Logger) {
-	settings, err := platform.LoadSettings(path)
+func (w *settingsWatcher) reload() {
+	settings, err := platform.LoadSettings(w.path)
 	if err != nil {
-		log.Error().Str("path", path).Err(err).Msg("settings_refused")
+		w.log.Error().Str("path", w.path).Err(err).Msg("settings_refused")
 		return
 	}
-	g.SetBounds(settings.Bounds)
-	log.Info().Str("path", path).Msg("settings_reloaded")
+	w.gateway.SetBounds(settings.Bounds)
+	w.log.Info().Str("path", w.path).Msg("settings_reloaded")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,20 +138,24 @@
 	began := time.Now()
 	g.stopping.Store(began.UnixNano())
 	g.options.Log.Info().Int64("requests", g.active.Load()).Msg("drain_started")
-	end := began.Add(g.bounds.Load().GracePeriod - stopMargin)
-	g.awaitIdle(began, end.Add(-refusalPeriod))
+	g.awaitIdle(began)
 	g.refusing.Store(true)
-	for now := time.Now(); g.active.Load() > 0 && now.Before(end); now = time.Now() {
+	for g.active.Load() > 0 && time.Now().Before(g.drainEnd(began)) {
 		time.Sleep(drainInterval)
 	}
 	g.options.Log.Info().Int64("requests", g.active.Load()).Dur("after", time.Since(began)).Msg("drain_ended")
 }
 
+// drainEnd returns when a drain ends at the latest. The bounds may change meanwhile.
+func (g *Gateway) drainEnd(began time.Time) time.Time {
+	return began.Add(g.bounds.Load().GracePeriod - stopMargin)
+}
+
 // awaitIdle returns once the load balancer has had time to stop sending callers and
-// no request has been in progress for idleWait, or at end.
-func (g *Gateway) awaitIdle(began, end time.Time) {
+// no request has been in progress for idleWait, or refusalPeriod before the end.
+func (g *Gateway) awaitIdle(began time.Time) {
 	idleSince := began
-	for now := began; now.Before(end); now = time.Now() {
+	for now := began; now.Before(g.drainEnd(began).Add(-refusalPeriod)); now = time.Now() {
 		if g.active.Load() > 0 {
 			idleSince = now
 		}
