Take only good plain answers as a server's service time

A server that refused plain requests, answered them with 5xx or broke its answers off, at once, seemed to serve them in milliseconds: the time of each exchange with a head went into its service time. The expected wait behind 20 requests fell from 1m45s to 17 ms (refusals), 19 ms (5xx) and 8 ms (broken off), so that such a server drew requests from those that serve.

Only the time of an answer that succeeded is recorded now; all others only release the server's load, as for streams.

TestServiceTimeIsThatOfGoodAnswers before: 3 of 4 cases fail with the figures above. After: ok with -race.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -214,7 +214,11 @@
 	c.readAnswer(response, result)
 	end := time.Now()
 	c.recordTime(timed, result, end.Sub(now))
-	c.fleet.finished(end, place, c.work, routing.Result{Duration: end.Sub(now)})
+	if result.succeeded() {
+		c.fleet.finished(end, place, c.work, routing.Result{Duration: end.Sub(now)})
+	} else {
+		c.fleet.failed(end, place, c.work)
+	}
 	return result
 }
 
