Tell the peers that a server is back if an event shows it

By reading, shown at the fleet only: peers that had lost a silent server too leave it unused for up to 4 s after it is back, and count the runs that it had lost as crashes if its return is not known within 2 s.

Cause: since an event of a kept run sets the server to up. That ends this entry's probes, whose answer was what told the peers, and entries that don't watch the server probe it only every 4 s (nonWatcherProbeInterval).

Evidence: 'It goes on if the server sends an event, and the server takes requests again' of TestSuspectedRunIsKeptUnlessItMayMove without the fix: told are [Lost], expected [Lost Recovered]. Not played with many gateways.

Fix: an event and a probe's answer share what follows a return.

--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -104,15 +104,22 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.streams.ServerResponded(now, id)
+	f.answeredLocked(now, sentAt, id)
+}
+
+// answeredLocked records that a server answered what was sent at sentAt. If it was lost, it takes
+// requests again, and the peers are told.
+func (f *fleet) answeredLocked(now, sentAt time.Time, id serverID) {
 	wasDown, peerReported := f.servers.State(id) == health.Down, f.servers.RecoveryReported(id)
-	if f.servers.Answered(sentAt, id) {
-		f.trustRunsLocked(id)
-		if wasDown && !peerReported {
-			f.announce(loadshare.Message{Kind: loadshare.Recovered, Server: loadshare.HashServer(id)})
-		}
-		f.log.Info().Str("server", string(id)).Msg("server_back")
-		f.router.SetState(now, id, routing.StateReady)
+	if !f.servers.Answered(sentAt, id) {
+		return
+	}
+	f.trustRunsLocked(id)
+	if wasDown && !peerReported {
+		f.announce(loadshare.Message{Kind: loadshare.Recovered, Server: loadshare.HashServer(id)})
 	}
+	f.log.Info().Str("server", string(id)).Msg("server_back")
+	f.router.SetState(now, id, routing.StateReady)
 }
 
 func (f *fleet) probeFailed(now time.Time, id serverID, err error) {
--- a/gateway/watched_runs.go
+++ b/gateway/watched_runs.go
@@ -8,7 +8,6 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/health"
-	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -56,10 +55,7 @@
 	}
 	run.suspicion = nil
 	f.onReturned(now, run.server)
-	if f.servers.Answered(now, run.server.ID) {
-		f.log.Info().Str("server", string(run.server.ID)).Msg("server_back")
-		f.router.SetState(now, run.server.ID, routing.StateReady)
-	}
+	f.answeredLocked(now, now, run.server.ID)
 }
 
 // suspectRunLocked ends a run because of a suspicion if its stream may continue at another server.
--- a/gateway/watched_runs_test.go
+++ b/gateway/watched_runs_test.go
@@ -38,6 +38,8 @@
 	Convey("Given a run at a server that is silent", t, func() {
 		movable, ended := false, error(nil)
 		f := watchedFleet(now, &movable, &ended)
+		var told []loadshare.Kind
+		f.announce = func(m loadshare.Message) { told = append(told, m.Kind) }
 		f.sweep(silent)
 		So(f.alive("i-1"), ShouldBeFalse)
 		So(ended, ShouldBeNil)
@@ -52,6 +54,7 @@
 			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{})
 			So(ended, ShouldBeNil)
 			So(f.alive("i-1"), ShouldBeTrue)
+			So(told, ShouldResemble, []loadshare.Kind{loadshare.Lost, loadshare.Recovered})
 		})
 		Convey("It goes on if the server answers a probe", func() {
 			movable = true
