Let a held request run as soon as a silent server is back

By reading, shown at the crash guard only: a stream under which three sound servers were silent in turn pauses for 2 s after the third silence, and a repeat of such a request waits as long, although a server is back after 1.2 s. Callers leave a stream after 2 s without an event.

Cause: a held request slept until the earliest outcome was due, now up to 2 s (silentSettleTime) instead of 600 ms. A server's return, which settles its run at once, did not wake it.

Evidence: TestHeldRequestRunsOnceItsServersAreBack without the fix: not let through within 1 s, expected within 1 s of a return after 50 ms.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -23,6 +23,9 @@
 	stateRequestPeriod = 2 * time.Second
 	// maxStateReports bounds the reports sent to a peer that asks for them.
 	maxStateReports = 4 * loadshare.MaxCrashReports
+	// maxHoldPause bounds the time until a held request is checked again, since a silent server may
+	// return before the outcome is due.
+	maxHoldPause = 40 * time.Millisecond
 )
 
 // contentOf identifies the content of a request. Requests that differ only in their id have the
@@ -131,7 +134,7 @@
 		case quarantine.Refuse:
 			return false
 		}
-		timer := time.NewTimer(decision.RetryAfter)
+		timer := time.NewTimer(min(decision.RetryAfter, maxHoldPause))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
