Let callers use what the configuration's limits allow

The gateway ignored the configuration's idle_timeout_ms and header_timeout_ms: net/http closed a connection that was idle for 2 minutes or took 5 s for a head, whatever the configuration allowed, and answered 431 to heads above 32 KiB. Callers within the limits saw a closed connection (a request that crosses the close gets no answer) or a refusal that is not retried. The users' example allows 3 s and 15 s, so this was not seen there.

Connections that wait for a request are now closed after the larger of 2 minutes and the configured idle time, plus the larger of 5 s and the configured time for a head. Heads may have up to 256 KiB; above the configured limit they are refused by the gateway, which reads the body, so that the refusal reaches callers that still send. A new connection without a request is now kept as long as an idle one (before: 5 s).

TestHeadsWithinConfiguredLimitsAreAccepted before: 431 for a head of 100 kB, 'unexpected EOF' for one that takes 6 s. The case of a very large head of TestRefusalsReachCallersThatStillSendTheirBody before: 5 of 21 fail ('write: broken pipe'). After: all pass, with -race. TestIdleCallerConnections covers the decision.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,9 @@
 	livePeers atomic.Int64
 	surveys   *surveyor
 	server    *http.Server
-	ready     *http.Server
+	// callerConns tracks the idle connections of server.
+	callerConns *callerConnections
+	ready       *http.Server
 
 	configFollower  *follower
 	serversFollower *follower
@@ -87,6 +89,8 @@
 	}
 	g.surveys = newSurveyor(g)
 	g.server = httpserver.New(alice.New().ThenFunc(g.serve))
+	g.callerConns = newCallerConnections()
+	g.callerConns.configure(g.server)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", g.serveReady)
 	g.ready = httpserver.New(mux)
@@ -113,6 +117,7 @@
 	g.wait.Go(g.followConfiguration)
 	g.wait.Go(g.followServers)
 	g.wait.Go(g.sweep)
+	g.wait.Go(g.expireCallerConnections)
 	if g.options.Moves != nil {
 		g.wait.Go(g.moves.follow)
 		g.wait.Go(g.moves.writeStates)
--- a/routetable/routetable.go
+++ b/routetable/routetable.go
@@ -125,6 +125,9 @@
 type Limits struct {
 	MaxHeaderBytes int64
 	MaxBodyBytes   int64
+	// IdleTimeout is how long a caller may keep a connection without a request, and HeaderTimeout
+	// how long it may take to send the head of one.
+	IdleTimeout, HeaderTimeout time.Duration
 }
 
 // Spec is the content of a Table.
