Hold no request for 2 s over servers that are not lost

What callers saw: a plain request may be held before it runs, beyond its route's timeout, after three like it had no answer in time at three servers that are merely slow.

Cause: a run whose caller or deadline ended it settles after 2 s since, also if its server was never lost, so that nothing can return.

Evidence: the last case of TestSilentServerIsNoCrash without the fix: no run settles within crashSettleTime, expected 3.

Fix: only a run at a lost server waits for that server's return.

--- a/quarantine/limiter.go
+++ b/quarantine/limiter.go
@@ -107,7 +107,7 @@
 		if !l.mayCount(h, run) {
 			continue
 		}
-		if at := run.settlesAt(); settlesAt.IsZero() || at.Before(settlesAt) {
+		if at := l.settlesAt(run); settlesAt.IsZero() || at.Before(settlesAt) {
 			settlesAt = at
 		}
 		possible = insertCrash(possible, keptCrash{Crash: run.Crash})
@@ -162,7 +162,7 @@
 	var verdicts []Verdict
 	var waiting []*unsettledRun
 	for _, run := range l.unsettled {
-		if now.Before(run.settlesAt()) {
+		if now.Before(l.settlesAt(run)) {
 			waiting = append(waiting, run)
 			continue
 		}
--- a/quarantine/silence_test.go
+++ b/quarantine/silence_test.go
@@ -55,4 +55,16 @@
 		l.now = l.now.Add(silentSettleTime)
 		So(l.Settle(l.now), ShouldHaveLength, 1)
 	})
+	Convey("Runs without an answer at servers that are not lost hold the request for no longer than those that were reset", t, func() {
+		l := newLimiterTest()
+		for n := range crashLimit {
+			began := l.now
+			l.now = l.now.Add(100 * time.Millisecond)
+			l.RunLost(Crash{Content: content, Server: server(n), Began: began, At: l.now}, "a", true)
+		}
+		So(l.action(content), ShouldEqual, Hold)
+		l.now = l.now.Add(crashSettleTime)
+		So(l.Settle(l.now), ShouldHaveLength, crashLimit)
+		So(l.action(content), ShouldEqual, Run)
+	})
 }
--- a/quarantine/unsettled.go
+++ b/quarantine/unsettled.go
@@ -17,12 +17,13 @@
 	returned bool
 }
 
-// settlesAt returns when the run's outcome is known.
-func (r *unsettledRun) settlesAt() time.Time {
+// settlesAt returns when a run's outcome is known. Only a server that is lost may return.
+func (l *Limiter) settlesAt(r *unsettledRun) time.Time {
+	_, lost := l.losses.lostAt(r.Server)
 	switch {
 	case r.returned:
 		return r.At
-	case r.silent:
+	case r.silent && lost:
 		return r.At.Add(silentSettleTime)
 	}
 	return r.At.Add(crashSettleTime)
