Ignore events of a kept run that was ended

By reading, shown at the fleet only: a crash is not counted if an event that the server sent before it is read just after the run was ended.

Cause: an event of a suspected run proves its server to be the same start, so the crash guard drops the loss. A run that was ended because its server was replaced or restarted may still have an event in its connection's buffer.

Evidence: the case 'An event that arrives after its end does not prove the server to be sound' of TestSuspectedRunIsKeptUnlessItMayMove without the fix: true, expected false.

Fix: an ended run proves nothing.

--- a/gateway/watched_runs.go
+++ b/gateway/watched_runs.go
@@ -50,7 +50,7 @@
 	defer f.mu.Unlock()
 	f.streams.Event(now, id)
 	run := f.runs[id]
-	if run == nil || run.suspicion == nil {
+	if run == nil || run.ended || run.suspicion == nil {
 		return
 	}
 	run.suspicion = nil
--- a/gateway/watched_runs_test.go
+++ b/gateway/watched_runs_test.go
@@ -66,6 +66,13 @@
 			f.markReplaced(silent, "i-1")
 			So(ended, ShouldEqual, errServerReplaced)
 		})
+		Convey("An event that arrives after its end does not prove the server to be sound", func() {
+			returned := false
+			f.onReturned = func(time.Time, directory.Entry) { returned = true }
+			f.markReplaced(silent, "i-1")
+			f.recordEvent(silent.Add(time.Millisecond), 1)
+			So(returned, ShouldBeFalse)
+		})
 		Convey("It ends if the server has restarted", func() {
 			f.applyChanges(silent, []directory.Change{{Entry: directory.Entry{ID: "i-1", Service: "m", Address: "10.0.0.1:1", Domain: "a", Slots: 64, Born: 7}}})
 			So(ended, ShouldEqual, errServerReplaced)
