--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -45,8 +45,11 @@
 	// The runner is back after CrashRestart, at its address and under a new id. With
 	// CrashesSilent it stops responding and its connections stay open.
 	CrashingBodies []string
-	CrashRestart   time.Duration
-	CrashesSilent  bool
+	// CrashingParts are the ids of prompt parts that crash each model runner when it would write the
+	// first event of its answer. The runner is back as after a crash by a body.
+	CrashingParts []string
+	CrashRestart  time.Duration
+	CrashesSilent bool
 }
 
 // Deployment is a running set of stand-ins.
@@ -62,6 +65,7 @@
 	version int
 	keys    []string
 	crashes map[string]bool // by body
+	parts   map[string]bool // by id of the part
 	stop    chan struct{}
 	wait    sync.WaitGroup
 }
@@ -82,7 +86,10 @@
 	d := &Deployment{
 		Store: rowstore.New(), Shared: runner.NewSharedState(), options: options,
 		runners: make(map[string]*registration), stop: make(chan struct{}), keys: []string{APIKey},
-		crashes: make(map[string]bool),
+		crashes: make(map[string]bool), parts: make(map[string]bool),
+	}
+	for _, id := range options.CrashingParts {
+		d.parts[id] = true
 	}
 	for _, body := range options.CrashingBodies {
 		d.crashes[body] = true
@@ -157,7 +164,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.started++
-	options.Crashes = d.crashes
+	options.Crashes, options.CrashingParts = d.crashes, d.parts
 	options.OnCrash = func(r *runner.Runner) { d.wait.Go(func() { d.crash(service, r) }) }
 	r, err := runner.Start(address, fmt.Sprintf("i-%d", d.started), options, d.Shared)
 	if err != nil {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -113,6 +113,9 @@
 	OnCrash func(*Runner)
 	// Crashes holds the bodies of requests that crash each runner that begins to run them.
 	Crashes map[string]bool
+	// CrashingParts holds the ids of prompt parts that crash each model runner when it would write
+	// the first event of its answer, unless the part is the last of the prompt.
+	CrashingParts map[string]bool
 }
 
 // Faults are the faults that a Runner injects.
@@ -238,6 +241,30 @@
 	if r.options.OnCrash == nil || !r.options.Crashes[run.Body] {
 		return
 	}
+	r.endByCrash(q)
+}
+
+// crashByPart ends the runner if the prompt holds a part that crashes it.
+func (r *Runner) crashByPart(q *http.Request, run *Run) {
+	if r.options.OnCrash != nil && run.HoldsPart(r.options.CrashingParts) {
+		r.endByCrash(q)
+	}
+}
+
+// HoldsPart reports whether the run's prompt holds one of the parts, except as its last one.
+func (run *Run) HoldsPart(parts map[string]bool) bool {
+	list := strings.Split(run.Header.Get("Wigeonfork-Prompt-Prefix"), ",")
+	for _, part := range list[:len(list)-1] {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		if parts[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// endByCrash ends the runner. It does not return.
+func (r *Runner) endByCrash(q *http.Request) {
 	go r.options.OnCrash(r)
 	<-loopback.ServerContext(q.Context()).Done()
 	panic(http.ErrAbortHandler)
@@ -328,6 +355,8 @@
 		return
 	}
 	flusher := w.(http.Flusher)
+	flusher.Flush()
+	r.crashByPart(q, run)
 	for id := run.LastEventID + 1; id <= r.options.Events; id++ {
 		if !loopback.Sleep(q.Context(), r.options.EventGap) {
 			// Returning normally would end the response as if it were complete.
