--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -14,4 +14,7 @@
 // Limiter is a second decision core with the same properties, for entries that know only the runs
 // of their own requests and not which others were resident when a server was lost. It quarantines a
 // request after a fixed number of crashes and dismisses those that other losses explain.
+//
+// PartLimiter is a third one with the same properties, for parts of prompts that crash each server
+// which begins an answer on them, whatever else the request holds.
 package quarantine
