Limit the crashes by one part of a prompt over all gateways

Cause: a limit counted by a key that the fault does not share.

Fix: partGuard gives the runs that were lost before their first event, and the begins of runs, to quarantine.PartLimiter, shares crashes, begins and verdicts with all entries, and keeps verdicts in the table of quarantines under keys that earlier versions skip; the first three entries in rank write them. A request with such a part is refused at once as not run, and again before each repeat, hedge and resume. A run that begins ends the quarantine at all entries.

Logs, metrics and state tell a part's suspicion, clearing, quarantine and refusals.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -256,6 +256,9 @@
 	if loadshare.IsCrashUpdate(data) {
 		return s.handleCrashUpdate(now, data, from)
 	}
+	if loadshare.IsPartUpdate(data) {
+		return s.handlePartUpdate(now, data, from)
+	}
 	sender, messages, err := loadshare.Parse(data, from)
 	if err != nil {
 		return err
--- /dev/null
+++ b/gateway/part_quarantines.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/quarantine"
+)
+
+// StoredPartQuarantine is a quarantine of parts as the store keeps it. Since is a time of day, and zero
+// if the quarantine has ended.
+type StoredPartQuarantine struct {
+	Parts []quarantine.PartID
+	Since time.Time
+	// Revision identifies the stored state for its removal.
+	Revision uint64
+}
+
+// PartQuarantineStore keeps quarantines of parts beyond the life of the entries.
+type PartQuarantineStore interface {
+	// SavePartQuarantine stores a quarantine, or its end.
+	SavePartQuarantine(ctx context.Context, q StoredPartQuarantine) error
+	PartQuarantines(ctx context.Context) ([]StoredPartQuarantine, error)
+	// RemovePartQuarantines removes those that have not changed since they were read.
+	RemovePartQuarantines(ctx context.Context, list []StoredPartQuarantine) error
+}
+
+// storedParts is a quarantine of parts, or its end, that waits for the store.
+type storedParts = StoredPartQuarantine
+
+// partSavers is the number of entries that save what all of them know, first in rank.
+const partSavers = 3
+
+// saves reports whether this entry saves quarantines in the store.
+func (p *partGuard) saves(now time.Time) bool {
+	return p.g.gossip.watchAssignment(now).Rank < partSavers
+}
+
+// save queues a quarantine to be saved in the store.
+func (p *partGuard) save(q quarantine.PartQuarantine) {
+	p.enqueue(storedParts{Parts: q.Parts, Since: q.Since.Round(0)})
+}
+
+// withdraw queues the end of a quarantine to be saved in the store. The rest of one that shrinks is
+// saved instead.
+func (p *partGuard) withdraw(ended quarantine.PartQuarantine) {
+	p.enqueue(storedParts{Parts: ended.Parts})
+	p.mu.Lock()
+	rest, _ := p.limiter.Check(time.Now(), ended.Parts, false)
+	var kept quarantine.PartQuarantine
+	if rest != nil {
+		kept = *rest
+	}
+	p.mu.Unlock()
+	if rest != nil {
+		p.save(kept)
+	}
+}
+
+func (p *partGuard) enqueue(s storedParts) {
+	if p.g.options.Quarantines == nil {
+		return
+	}
+	p.mu.Lock()
+	if len(p.unsaved) < maxUnsaved {
+		p.unsaved = append(p.unsaved, s)
+	}
+	p.mu.Unlock()
+	select {
+	case p.saveWakeup <- struct{}{}:
+	default:
+	}
+}
+
+func (p *partGuard) nextUnsaved() (storedParts, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.unsaved) == 0 {
+		return storedParts{}, false
+	}
+	return p.unsaved[0], true
+}
+
+// saveQuarantines saves queued quarantines until the gateway ends. It retries until the store accepts
+// them; a write that is repeated changes nothing.
+func (p *partGuard) saveQuarantines() {
+	store := p.g.newDependency("part_quarantine_writes")
+	for {
+		s, ok := p.nextUnsaved()
+		if !ok {
+			select {
+			case <-p.saveWakeup:
+				continue
+			case <-p.g.background.Done():
+				return
+			}
+		}
+		if err := p.saveOne(s); err != nil {
+			if !p.g.pause(store.recordFailure(time.Now(), err)) {
+				return
+			}
+			continue
+		}
+		store.recordSuccess(time.Now())
+		p.mu.Lock()
+		p.unsaved = p.unsaved[1:]
+		p.mu.Unlock()
+	}
+}
+
+func (p *partGuard) saveOne(s storedParts) error {
+	ctx, cancel := context.WithTimeout(p.g.background, storeReadTimeout)
+	defer cancel()
+	return p.g.options.Quarantines.SavePartQuarantine(ctx, s)
+}
+
+// restoreQuarantines reads the stored quarantines at the start, and again while no known peer is live.
+func (p *partGuard) restoreQuarantines() {
+	store := p.g.newDependency("part_quarantine_reads")
+	for {
+		if err := p.restore(); err != nil {
+			if !p.g.pause(store.recordFailure(time.Now(), err)) {
+				return
+			}
+			continue
+		}
+		store.recordSuccess(time.Now())
+		if !p.g.crashes.awaitIsolation() {
+			return
+		}
+	}
+}
+
+// restore applies the stored quarantines once, and removes those that have ended or expired.
+func (p *partGuard) restore() error {
+	ctx, cancel := context.WithTimeout(p.g.background, storeReadTimeout)
+	defer cancel()
+	stored, err := p.g.options.Quarantines.PartQuarantines(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	var ended []StoredPartQuarantine
+	for _, s := range stored {
+		age := now.Round(0).Sub(s.Since)
+		if age > storedQuarantinePeriod {
+			ended = append(ended, s)
+			continue
+		}
+		p.applyQuarantine(now, quarantine.PartQuarantine{Parts: s.Parts, Since: now.Add(-max(age, 0))}, "store")
+	}
+	if len(ended) == 0 {
+		return nil
+	}
+	return p.g.options.Quarantines.RemovePartQuarantines(ctx, ended)
+}
--- a/gateway/quarantines.go
+++ b/gateway/quarantines.go
@@ -29,6 +29,7 @@
 
 // QuarantineStore keeps quarantined requests beyond the life of the entries.
 type QuarantineStore interface {
+	PartQuarantineStore
 	SaveQuarantine(ctx context.Context, q StoredQuarantine) error
 	Quarantines(ctx context.Context) ([]StoredQuarantine, error)
 	// RemoveQuarantines removes those that have not changed since they were read.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -42,6 +42,7 @@
 	s.watch = s.fleet.watch(now, &watchedRun{server: t.place.Entry, cancel: cancel, reserveMove: s.reserveMove}, startBy, queued)
 	defer s.fleet.unwatch(s.watch)
 	s.timed = s.timeRun(t.place, rollout.MetricFirstToken)
+	s.runBegun = false
 	s.gossip.enqueue(startedMessage(t.place.ID, s.work, t.hasCopy, s.totalSends > 1))
 	request := s.newRequest(now, t.place, s.newAttempt(now, t))
 	request.FreshConnection = !s.route.Idempotent()
@@ -70,6 +71,7 @@
 		if since, ok := s.fleet.silentSince(s.watch); ok {
 			// The server may have crashed silently, which may be why the caller left.
 			s.crashes.runLost(since, s.content, t.place, true)
+			s.suspectParts(since, t.place, true)
 		}
 		return runCallerGone, err
 	}
@@ -80,6 +82,7 @@
 	}
 	silent := isSilence(err)
 	s.crashes.runLost(time.Now(), s.content, t.place, silent)
+	s.suspectParts(time.Now(), t.place, silent)
 	if ctx.Err() == nil || silent || errors.Is(err, errServerReplaced) {
 		// The server was lost, so the run says nothing about its version.
 		s.moves.drop(s.timed)
@@ -90,6 +93,13 @@
 	return runLost, err
 }
 
+// suspectParts reports a run that was lost before its first event to the guard of the parts.
+func (s *streamCall) suspectParts(lostAt time.Time, p *placement, silent bool) {
+	if !s.runBegun {
+		s.deadlyParts.runLost(lostAt, s.call, p, silent)
+	}
+}
+
 // relay handles the answer of one run and forwards its events to the caller.
 func (s *streamCall) relay(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	reply := s.options.Codec.ParseReply(response.Status, response.Header)
@@ -195,6 +205,8 @@
 	p.total++
 	if p.total == 1 {
 		p.firstAt = now
+		s.runBegun = true
+		s.deadlyParts.begun(now, s.parts)
 		// The wait is no speed sample if the server may have cached part of the prompt.
 		s.moves.begun(s.timed)
 		s.moves.answered(t.place, s.route.Name, false)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -67,6 +67,10 @@
 	content quarantine.ContentHash
 	// headSent is set once the head of the answer has been sent to the caller.
 	headSent bool
+	// parts are the parts of the prompt that may crash servers. partTrial is set if the request tests
+	// a quarantine of them with its first run.
+	parts     []quarantine.PartID
+	partTrial bool
 	// possibleRuns counts the sends that may have run.
 	possibleRuns int
 	// outcome, server and status go into the request's log line.
@@ -125,6 +129,9 @@
 	if !c.crashes.mayRun(c.r.Context(), c.content) {
 		return problem.New(problem.CodeBackendFailed, problem.RunNot, problem.StepAdmit, "the request crashes backend servers")
 	}
+	if refusal := c.deadlyParts.check(time.Now(), c, problem.RunNot, problem.StepAdmit); refusal != nil {
+		return refusal
+	}
 	if since, leaving := c.leaving(c.began); leaving && since > streamCutoff && c.route.Kind == routetable.KindStream {
 		return c.draining()
 	}
@@ -263,6 +270,7 @@
 		received := uint32(c.caller.LastEvent) * uint32(c.eventTokens())
 		c.work.MaxTokens -= min(c.work.MaxTokens, received)
 	}
+	c.parts = suspectParts(prompt.Prefixes)
 	c.content = contentOf(c.r.Host, c.r.RequestURI, string(c.workspace), c.body)
 }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -33,6 +33,9 @@
 	// Quarantined lists the contents of requests that are refused since they crash
 	// servers, as in the logs.
 	Quarantined []string `json:"quarantined,omitempty"`
+	// QuarantinedParts lists the parts of prompts that are refused since they crash servers, as in
+	// the logs. Of parts with commas between them, only prompts that hold all are refused.
+	QuarantinedParts []string `json:"quarantined_parts,omitempty"`
 	// Moves describes the moves of services to other versions, with their evidence.
 	Moves   map[wigeonfork.Model]string `json:"moves,omitempty"`
 	Servers []ServerState               `json:"servers"`
@@ -71,6 +74,7 @@
 		s.Peers = g.gossip.livePeers(now)
 	}
 	s.Quarantined = g.crashes.state(now)
+	s.QuarantinedParts = g.deadlyParts.state(now)
 	s.Moves = g.moves.state()
 	s.Streams, s.Servers = g.fleet.state()
 	return s
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -108,6 +108,8 @@
 	// timed is the present run, and watch its failure detection.
 	timed *timedRun
 	watch health.StreamID
+	// runBegun is set once the present run has sent an event.
+	runBegun bool
 	// lastWrite is when the last event was sent to the caller.
 	lastWrite time.Time
 }
@@ -177,6 +179,9 @@
 	}
 	until := now.Add(resumeWait)
 	for {
+		if refusal := s.deadlyParts.check(now, s.call, s.runState(), problem.StepDispatch); refusal != nil {
+			return target{}, refusal
+		}
 		place, err := s.choose(now)
 		switch {
 		case err == nil && s.totalSends == 0:
@@ -232,6 +237,9 @@
 		}
 		return problem.New(problem.CodeBackendFailed, problem.RunUnknown, problem.StepResume, "the request crashes backend servers")
 	}
+	if deadly := s.deadlyParts.check(time.Now(), s.call, s.runState(), problem.StepResume); deadly != nil {
+		return deadly
+	}
 	if !s.takeRetry(time.Now()) {
 		return refusal
 	}
@@ -258,6 +266,9 @@
 	if !s.hasSendsLeft() || s.crashes.check(now, s.content).Action != quarantine.Run {
 		return false
 	}
+	if s.deadlyParts.check(now, s.call, s.runState(), problem.StepResume) != nil {
+		return false
+	}
 	s.moveReserved = s.takeRetry(now)
 	return s.moveReserved
 }
