End a server's runs on a restart only if both starts are known

What callers saw: a stream broken off, its runner sound and even not silent, when a row of that runner by another writer lacked the field born.

Cause: since a restart that the registry shows ends the server's runs at once. A row without born reads as born 0, which differs from the start that was known, and the next heartbeat differs again. A new address counted as a restart too.

Fix: runs end only if both entries say when the server started and these differ. Other restarts change what is known of the server as before, and its runs go on while it answers them. In watched_runs_test.go the first server has a start now, so that the case of a restart is one from 5 to 7.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -128,7 +128,9 @@
 		case directory.Added:
 			f.add(event.Entry)
 		case directory.Restarted:
-			f.endRunsLocked(event.Entry.ID, errServerReplaced)
+			if hasRestarted(f.entries[event.Entry.ID], event.Entry) {
+				f.endRunsLocked(event.Entry.ID, errServerReplaced)
+			}
 			f.remove(event.Entry.ID)
 			f.add(event.Entry)
 		case directory.Updated:
@@ -142,6 +144,12 @@
 	}
 }
 
+// hasRestarted reports whether two entries of one server certainly are of different starts. An entry
+// may not say when the server started.
+func hasRestarted(before, after directory.Entry) bool {
+	return before.Born != 0 && after.Born != 0 && before.Born != after.Born
+}
+
 func (f *fleet) add(entry directory.Entry) {
 	f.entries[entry.ID] = entry
 	f.addVersion(entry)
--- a/gateway/watched_runs_test.go
+++ b/gateway/watched_runs_test.go
@@ -19,7 +19,7 @@
 	f := newFleet(&Options{Host: "h", Log: telemetry.Discard(), Metrics: telemetry.NewRegistry()}, func(upstream.Server) {})
 	f.probe = func(directory.Entry) {}
 	f.announce = func(loadshare.Message) {}
-	first := directory.Entry{ID: "i-1", Service: "m", Address: "10.0.0.1:1", Domain: "a", Slots: 64}
+	first := directory.Entry{ID: "i-1", Service: "m", Address: "10.0.0.1:1", Domain: "a", Slots: 64, Born: 5}
 	second := directory.Entry{ID: "i-2", Service: "m", Address: "10.0.0.2:1", Domain: "b", Slots: 64}
 	f.replaceServers(now, []directory.Entry{first, second})
 	run := &watchedRun{
