Refuse a held request at its deadline

A request that equals ones which were just lost with their servers is held until it is known whether those runs count as crashes. The hold did not look at the request's deadline, that of its caller or its route's timeout: the caller had no answer when the time was over, and the request was then sent, or answered as one that may have run.

It is now refused at its deadline (504, not run).

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -126,8 +127,8 @@
 		return refusal
 	}
 	c.estimate()
-	if !c.crashes.mayRun(c.r.Context(), c.content) {
-		return problem.New(problem.CodeBackendFailed, problem.RunNot, problem.StepAdmit, "the request crashes backend servers")
+	if refusal := c.awaitEqualRuns(); refusal != nil {
+		return refusal
 	}
 	if refusal := c.deadlyParts.check(time.Now(), c, problem.RunNot, problem.StepAdmit); refusal != nil {
 		return refusal
@@ -138,6 +139,24 @@
 	return nil
 }
 
+// awaitEqualRuns holds the request while it is not known whether an equal one has crashed its
+// server, until the request's deadline. It returns the refusal, or nil.
+func (c *call) awaitEqualRuns() *problem.Error {
+	ctx := c.r.Context()
+	if !c.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, c.deadline)
+		defer cancel()
+	}
+	switch {
+	case c.crashes.mayRun(ctx, c.content):
+		return nil
+	case ctx.Err() != nil:
+		return problem.New(problem.CodeTooLate, problem.RunNot, problem.StepAdmit, "an equal request was lost, and its outcome is not known yet")
+	}
+	return problem.New(problem.CodeBackendFailed, problem.RunNot, problem.StepAdmit, "the request crashes backend servers")
+}
+
 // headerBytes returns the size of the request line and headers as received.
 func headerBytes(r *http.Request) int64 {
 	const line, field = len("  HTTP/1.1\r\n"), len(": \r\n")
