Suspect the servers of all services after losses in a failure domain

Callers saw: when a failure domain went down and its first two losses were of two services, the servers of one of the services kept taking new requests until each was found silent by itself. Cause: the losses of a domain are counted over all services, but only the servers of the service of the second loss became Suspect, and the threshold is met once a window. Fix: all servers of the domain become Suspect. Each is probed and is Up again with its answer, as before; the timeouts of streams already follow a loss in the domain whatever the service. Before the fix the new case of TestServerLoss fails: 1 suspect, 2 expected (go test ./health -run TestServerLoss).

--- a/health/health_test.go
+++ b/health/health_test.go
@@ -54,6 +54,22 @@
 		So(s.Answered(at(20), "a2"), ShouldBeTrue)
 		So(s.State("a2"), ShouldEqual, Up)
 	})
+	// Guards against the loss of a failure domain that is seen first at one server each of two
+	// services: the servers of one of them kept taking requests until each was found silent.
+	Convey("Two losses of different services make the servers of all services there suspect", t, func() {
+		s := NewServers()
+		for _, id := range []ID{"x0", "x1"} {
+			s.Add(id, "x", "a")
+		}
+		for _, id := range []ID{"y0", "y1"} {
+			s.Add(id, "y", "a")
+		}
+		s.Lost(at(0), "x0")
+		_, suspects := s.Lost(at(10), "y0")
+		So(len(suspects), ShouldEqual, 2)
+		So(s.State("x1"), ShouldEqual, Suspect)
+		So(s.State("y1"), ShouldEqual, Suspect)
+	})
 	Convey("Losses that are far apart make no server suspect", t, func() {
 		s := servers(4)
 		s.Lost(at(0), "a0")
--- a/health/servers.go
+++ b/health/servers.go
@@ -167,7 +167,7 @@
 }
 
 // Lost records that a server does not respond. It returns whether that is new, and the servers
-// of the same service and failure domain that this made Suspect. The caller must probe each.
+// of the same failure domain, of all services, that this made Suspect. The caller must probe each.
 func (s *Servers) Lost(now time.Time, id ID) (bool, []ID) {
 	known := s.servers[id]
 	if known == nil || known.state == Down {
@@ -180,7 +180,7 @@
 }
 
 // suspectDomain counts a loss in the server's failure domain. At domainLossThreshold it makes
-// the other servers of the service in that domain Suspect and returns them.
+// the other servers in that domain Suspect and returns them.
 func (s *Servers) suspectDomain(now time.Time, lost *server) []ID {
 	d := s.domains[lost.domain]
 	if d == nil || now.Sub(d.firstLossAt) > domainLossWindow {
@@ -193,7 +193,7 @@
 	}
 	var suspects []ID
 	for id, other := range s.servers {
-		if other.domain == lost.domain && other.service == lost.service && other.state != Down {
+		if other.domain == lost.domain && other.state != Down {
 			s.setState(other, Suspect)
 			other.lostAt = now
 			suspects = append(suspects, id)
