Halve a server's failure rate once for each half-life that has passed

Callers saw: a backend server that failed some requests and then got none for minutes was rejected as failing after a single new failure. Cause: decay halved the rate once, however long the last sample was ago. Fix: it halves once for each half-life and keeps the rest of the time for the next call, so frequent calls decay at the same rate as rare ones. Before the fix the new case of TestFailingServers fails: state failing after one failure in ten minutes, up expected (go test ./health -run TestFailingServers).

--- a/health/health_test.go
+++ b/health/health_test.go
@@ -114,6 +114,24 @@
 			So(s.State(ID(fmt.Sprintf("a%d", i))), ShouldEqual, Up)
 		}
 	})
+	// Guards against a server that is rejected for one failure, because failures of long ago
+	// still count half.
+	Convey("Failures of long ago do not make a server failing with the next one", t, func() {
+		s := threeServers()
+		run(s, func(int) int { return 5 })
+		for n := range failingStreak - 1 {
+			for _, id := range []ID{"a0", "a1", "a2"} {
+				s.Result(at(600+n), id, true)
+			}
+		}
+		for n := range 100 {
+			s.Result(at(700+n), "a1", false)
+			s.Result(at(700+n), "a2", false)
+		}
+		tenMinutes := 600_000
+		s.Result(at(tenMinutes), "a0", true)
+		So(s.State("a0"), ShouldEqual, Up)
+	})
 	Convey("A single failure does not make a server failing", t, func() {
 		s := threeServers()
 		s.Result(at(0), "a0", true)
--- a/health/servers.go
+++ b/health/servers.go
@@ -7,6 +7,7 @@
 package health
 
 import (
+	"math"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
@@ -376,13 +377,19 @@
 	return s.updateFailing(known, s.services[known.service])
 }
 
+// decay halves the failure rate once for each failingHalfLife since the last sample.
 func (s *server) decay(now time.Time) {
-	if passed := now.Sub(s.sampleAt); passed > failingHalfLife && !s.sampleAt.IsZero() {
-		s.failureRate /= 2
-	} else if !s.sampleAt.IsZero() && passed < failingHalfLife {
+	if s.sampleAt.IsZero() {
+		s.sampleAt = now
+		return
+	}
+	passed := now.Sub(s.sampleAt)
+	if passed < failingHalfLife {
 		return
 	}
-	s.sampleAt = now
+	halvings := passed / failingHalfLife
+	s.failureRate = math.Ldexp(s.failureRate, -int(halvings))
+	s.sampleAt = s.sampleAt.Add(halvings * failingHalfLife)
 }
 
 func (s *Servers) setState(known *server, state State) {
