Ignore a late load report's incarnation too

Callers saw: long times to the first token after an engine's restart, since the entry sent prompts to servers that had not cached them. Cause: a load report of the old incarnation that came after one of the new incarnation was ignored for the load, but it discarded the recorded cache contents of the new one. Fix: an outdated report is ignored as a whole. Before the fix the new case of TestLoadReportsAndServerSpeed fails: HasPrefix false, true expected (go test ./routing -run TestLoadReports).

--- a/routing/router.go
+++ b/routing/router.go
@@ -177,14 +177,17 @@
 	r.prefix.removeServer(i)
 }
 
-// Report applies a load report. The load in reports older than the newest one
-// is ignored. A changed incarnation discards the recorded cache contents.
+// Report applies a load report. Reports older than the newest one are ignored. A
+// changed incarnation discards the recorded cache contents.
 func (r *Router) Report(now time.Time, id ID, load backend.LoadReport) {
 	i, ok := r.index[id]
 	if !ok {
 		return
 	}
 	s := &r.servers[i]
+	if s.isOutdated(load) {
+		return
+	}
 	if s.incarnation != "" && load.Incarnation != s.incarnation {
 		r.prefix.removeServer(i)
 	}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -91,6 +91,18 @@
 		r.Report(later.Add(200*time.Millisecond), "b0", backend.LoadReport{Running: 9, MeasuredAt: start.Add(100 * time.Millisecond)})
 		So(r.find("b0").outstanding(later, 0), ShouldEqual, 5)
 	})
+	// Guards against prompts that are computed again: the entry forgot which prefixes a restarted
+	// engine had cached, because a report from before the restart came late.
+	Convey("A load report from before an engine's restart does not discard the new engine's prefixes", t, func() {
+		r := newRouter(1, Options{})
+		before, after := start, start.Add(time.Second)
+		r.Report(after, "b0", backend.LoadReport{Incarnation: "second", MeasuredAt: after})
+		r.CacheEvent(after, "b0", backend.CacheEvent{Prefix: 7, Tokens: 100})
+		r.Report(after, "b0", backend.LoadReport{Incarnation: "first", MeasuredAt: before})
+		So(r.HasPrefix(7), ShouldBeTrue)
+		r.Report(after, "b0", backend.LoadReport{Incarnation: "third", MeasuredAt: after.Add(time.Second)})
+		So(r.HasPrefix(7), ShouldBeFalse)
+	})
 	Convey("A slow server gets less load, and is tried again once its speed samples are old", t, func() {
 		r := newRouter(2, Options{})
 		for i := range 20 {
--- a/routing/server.go
+++ b/routing/server.go
@@ -241,10 +241,13 @@
 	return int(s.ownHistory[((step%historyLength)+historyLength)%historyLength])
 }
 
+// isOutdated reports whether a newer load report than load has been applied.
+func (s *server) isOutdated(load backend.LoadReport) bool {
+	return load.MeasuredAt.Before(s.reportMeasuredAt)
+}
+
+// report applies a load report that is not outdated.
 func (s *server) report(now time.Time, load backend.LoadReport) {
-	if !s.reportMeasuredAt.IsZero() && load.MeasuredAt.Before(s.reportMeasuredAt) {
-		return
-	}
 	if load.Slots > 0 {
 		s.Slots = load.Slots
 	}
