Place a backup in the request's failure domain only if no other has memory

Callers saw: after the loss of a failure domain some streams had to be computed again, which a copy in another domain would have spared. Cause: a server in the domain of the request cost one more in the score, and one outstanding request 0.05, so from 20 requests more at the servers of the other domains the copy went into the same domain. Fix: the failure domain is compared first, the load second. A server still needs memory for the backup. Before the fix the new case of TestBackupAvoidsFailureDomainOfRequest fails: a2 chosen, b1 expected (go test ./routing -run TestBackupAvoids).

--- a/routing/backup.go
+++ b/routing/backup.go
@@ -43,14 +43,16 @@
 }
 
 // ChooseBackup returns a server with free KV cache for a backup and charges it
-// with the backup. It returns false if it finds none. It prefers servers outside
-// the failure domain of the request, with more free memory and fewer outstanding
-// requests. It considers servers that list the model with the version.
+// with the backup. It returns false if it finds none. It considers servers that
+// list the model with the version, and one in the failure domain of the request
+// only if no other has memory. Among these it prefers more free memory and fewer
+// outstanding requests.
 func (r *Router) ChooseBackup(now time.Time, b BackupRequest) (ID, bool) {
 	group := r.groups[Deployment{Model: b.Model, Version: b.Version}]
-	best, bestScore := int32(-1), math.Inf(1)
+	best, bestScore := int32(-1), backupScore{}
 	consider := func(i int32) {
-		if score, fits := r.backupScore(now, &r.servers[i], &b); fits && score < bestScore {
+		score, fits := r.scoreBackup(now, &r.servers[i], &b)
+		if fits && (best < 0 || score.less(bestScore)) {
 			best, bestScore = i, score
 		}
 	}
@@ -70,18 +72,29 @@
 	return r.servers[best].ID, true
 }
 
-// backupScore rates a server for a backup; the lowest score wins. fits reports
-// whether the server is eligible and has memory for the backup.
-func (r *Router) backupScore(now time.Time, s *server, b *BackupRequest) (score float64, fits bool) {
+// backupScore rates a server for a backup; the lowest score wins.
+type backupScore struct {
+	// sameDomain means that the server is lost together with the failure domain of the request.
+	sameDomain bool
+	load       float64
+}
+
+func (s backupScore) less(other backupScore) bool {
+	if s.sameDomain != other.sameDomain {
+		return other.sameDomain
+	}
+	return s.load < other.load
+}
+
+// scoreBackup rates a server for a backup. fits reports whether the server is
+// eligible and has memory for the backup.
+func (r *Router) scoreBackup(now time.Time, s *server, b *BackupRequest) (score backupScore, fits bool) {
 	if s.state != StateReady || s.ID == b.Server {
-		return 0, false
+		return backupScore{}, false
 	}
 	fill := r.memoryUse(s, float64(b.Tokens))
-	score = fill + backupLoadWeight*s.outstanding(now, r.options.DisabledTerms) + backupLoadWeight*r.random.Float64()
-	if s.Domain == b.Domain {
-		score++
-	}
-	return score, fill < 1
+	load := fill + backupLoadWeight*s.outstanding(now, r.options.DisabledTerms) + backupLoadWeight*r.random.Float64()
+	return backupScore{sameDomain: s.Domain == b.Domain, load: load}, fill < 1
 }
 
 // ReleaseBackup frees the memory that a server was charged with for a backup.
--- a/routing/backup_test.go
+++ b/routing/backup_test.go
@@ -57,6 +57,21 @@
 			So(id, ShouldEqual, ID("a2"))
 		})
 	})
+	// Guards against runs that are computed again after the loss of a failure domain: the copy
+	// was in the same domain, since the servers of the others had more requests.
+	Convey("A backup is placed in another failure domain however many requests run there", t, func() {
+		r := New(Options{})
+		for _, s := range []Server{{ID: "a1", Domain: "a"}, {ID: "a2", Domain: "a"}, {ID: "b1", Domain: "b"}} {
+			s.Versions = []Deployment{{Model: "m"}}
+			r.Upsert(s)
+		}
+		for range 30 {
+			r.Started(start, "b1", Work{PromptTokens: 100})
+		}
+		id, ok := r.ChooseBackup(start, BackupRequest{Model: "m", Server: "a1", Domain: "a", Tokens: 4000})
+		So(ok, ShouldBeTrue)
+		So(id, ShouldEqual, ID("b1"))
+	})
 	Convey("A server without free memory gets no backup", t, func() {
 		r := New(Options{})
 		r.Upsert(Server{ID: "a1", Domain: "a", Versions: []Deployment{{Model: "m"}}})
