--- a/retry/backoff.go
+++ b/retry/backoff.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -45,61 +43,3 @@
 	d = min(max(d, b.minDelay), b.maxDelay)
 	return d/2 + time.Duration(b.random.Float64()*float64(d))
 }
-
-// Ramp limits the rate of work after an outage. The limit starts low and doubles
-// each period until it reaches a ceiling, where it is removed. There is no limit
-// before the first outage.
-type Ramp struct {
-	initial    rate.Limit
-	ceiling    rate.Limit
-	period     time.Duration
-	limiter    *rate.Limiter
-	restoredAt time.Time
-	inOutage   bool
-}
-
-// NewRamp returns a Ramp from initial to ceiling, both in events per second, that
-// doubles the limit each period.
-func NewRamp(initial, ceiling float64, period time.Duration) *Ramp {
-	return &Ramp{
-		initial: rate.Limit(initial), ceiling: rate.Limit(ceiling), period: period,
-		limiter: rate.NewLimiter(rate.Inf, 1),
-	}
-}
-
-// BeginOutage records the start of an outage, during which nothing is allowed.
-func (r *Ramp) BeginOutage() { r.inOutage = true }
-
-// EndOutage records the end of an outage.
-func (r *Ramp) EndOutage(now time.Time) {
-	if !r.inOutage {
-		return
-	}
-	r.inOutage, r.restoredAt = false, now
-	r.limiter = rate.NewLimiter(r.initial, 1)
-}
-
-// Allow reports whether one more event is allowed now.
-func (r *Ramp) Allow(now time.Time) bool {
-	if r.inOutage {
-		return false
-	}
-	r.raiseLimit(now)
-	return r.limiter.AllowN(now, 1)
-}
-
-func (r *Ramp) raiseLimit(now time.Time) {
-	if r.limiter.Limit() == rate.Inf {
-		return
-	}
-	limit := r.initial
-	for passed := now.Sub(r.restoredAt); passed >= r.period && limit < r.ceiling; passed -= r.period {
-		limit *= 2
-	}
-	if limit >= r.ceiling {
-		limit = rate.Inf
-	}
-	if limit != r.limiter.Limit() {
-		r.limiter.SetLimitAt(now, limit)
-	}
-}
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -2,10 +2,8 @@
 //
 // Budgets limits retries and hedges in proportion to successes, per caller, per
 // workspace and overall, so that a loss of backend servers does not cause a
-// retry storm. SharedBudget is a retry budget of several processes. Joiner
-// detects a caller's resend of a request in flight, so that it joins that
-// request and does not run twice. Ramp limits the rate of work after an outage.
-// Backoff spreads the attempts of many processes.
+// retry storm. SharedBudget is a retry budget of several processes. Backoff
+// spreads the attempts of many processes.
 //
 // All are deterministic decision types: the time and the seed are arguments.
 // They hold no goroutine, clock or socket and are not safe for concurrent use.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -102,29 +102,6 @@
 	})
 }
 
-func TestRamp(t *testing.T) {
-	Convey("After an outage the rate starts low, doubles and is then unlimited", t, func() {
-		r := NewRamp(10, 80, time.Second)
-		So(r.Allow(start), ShouldBeTrue)
-		r.BeginOutage()
-		So(r.Allow(start), ShouldBeFalse)
-		r.EndOutage(start)
-		perSecond := func(second int) int {
-			n := 0
-			for ms := range 1000 {
-				if r.Allow(start.Add(time.Duration(1000*second+ms) * time.Millisecond)) {
-					n++
-				}
-			}
-			return n
-		}
-		So(perSecond(0), ShouldBeBetweenOrEqual, 9, 11)
-		So(perSecond(1), ShouldBeBetweenOrEqual, 19, 21)
-		So(perSecond(2), ShouldBeBetweenOrEqual, 39, 41)
-		So(perSecond(3), ShouldEqual, 1000)
-	})
-}
-
 func TestBackoff(t *testing.T) {
 	Convey("Delays grow, are bounded and differ between seeds", t, func() {
 		a, b := NewBackoff(1, time.Second, 8*time.Second), NewBackoff(2, time.Second, 8*time.Second)
@@ -142,44 +119,6 @@
 	})
 }
 
-func TestJoiner(t *testing.T) {
-	Convey("A resend joins the request in flight", t, func() {
-		j := NewJoiner(3, time.Minute)
-		key := Key{Workspace: "w", Caller: "c", Fingerprint: [16]byte{1}}
-		So(j.Offer(start, key, "r1"), ShouldResemble, JoinDecision{Leader: "r1"})
-		So(j.Offer(start, key, "r2"), ShouldResemble, JoinDecision{Leader: "r1", Resend: true})
-		other := key
-		other.Caller = "d"
-		So(j.Offer(start, other, "r3").Resend, ShouldBeFalse)
-		Convey("until it ends", func() {
-			j.Finished("r2")
-			So(j.Offer(start, key, "r4").Leader, ShouldEqual, wigeonfork.RequestID("r1"))
-			j.Finished("r1")
-			So(j.Offer(start, key, "r4").Resend, ShouldBeFalse)
-		})
-		Convey("or has expired, and the end of the old one does not end the new one", func() {
-			later := start.Add(time.Minute)
-			So(j.Offer(later, key, "r4").Leader, ShouldEqual, wigeonfork.RequestID("r4"))
-			j.Finished("r1")
-			So(j.Offer(later, key, "r5").Leader, ShouldEqual, wigeonfork.RequestID("r4"))
-		})
-		Convey("by idempotency key, whatever the fingerprint", func() {
-			first := Key{Workspace: "w", Caller: "c", Idempotency: "k", Fingerprint: [16]byte{2}}
-			second := first
-			second.Fingerprint = [16]byte{3}
-			j.Offer(start, first, "r6")
-			So(j.Offer(start, second, "r7").Leader, ShouldEqual, wigeonfork.RequestID("r6"))
-		})
-		Convey("and the number of tracked requests is bounded", func() {
-			for n := range 100 {
-				j.Offer(start, Key{Idempotency: fmt.Sprint(n)}, wigeonfork.RequestID(fmt.Sprint(n)))
-			}
-			So(j.Len(), ShouldEqual, 3)
-			So(len(j.keys), ShouldEqual, 3)
-		})
-	})
-}
-
 func BenchmarkTake(b *testing.B) {
 	for _, callers := range []int{100, 3300, 16384} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
