Clear a request's incidents at a completion that is later than a known one

Callers saw: a request whose engine died once was held back or counted as suspect at entries that had completed it before, although another entry had completed it again since. Cause: Merge cleared the incidents only for the first completion of a request that it learned of; later ones raised the stored time alone. Fix: each completion later than the known one clears the incidents and is forwarded; a known one still has no effect. Before the fix TestLaterCompletionClearsIncidentsAtPeers fails: 1 suspect at the receiver, 0 expected (go test ./quarantine).

--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -221,6 +221,36 @@
 	})
 }
 
+// TestLaterCompletionClearsIncidentsAtPeers guards against a request that is held back or refused
+// at the peers of the entry where it just completed, because it had completed there before.
+func TestLaterCompletionClearsIncidentsAtPeers(t *testing.T) {
+	Convey("A second completion, after the time in which the first one counts, clears the incidents at a peer too", t, func() {
+		sender, receiver := newTestDetector(), newTestDetector()
+		var cursor uint64
+		exchange := func() {
+			var m Message
+			m, cursor = sender.Delta(cursor)
+			receiver.Merge(m)
+		}
+		receiver.Completed(start, key(1))
+		died := start.Add(completionTTL + time.Second)
+		sender.EngineDied(died, death(0, died, time.Second, 1))
+		exchange()
+		So(receiver.Stats().Suspects, ShouldEqual, 1)
+		sender.Completed(died.Add(time.Second), key(1))
+		exchange()
+		So(sender.Stats().Suspects, ShouldEqual, 0)
+		So(receiver.Stats().Suspects, ShouldEqual, 0)
+		Convey("and a completion that is known is not forwarded again", func() {
+			_, before := receiver.Delta(0)
+			m, _ := sender.Delta(0)
+			receiver.Merge(m)
+			_, after := receiver.Delta(0)
+			So(after, ShouldEqual, before)
+		})
+	})
+}
+
 // TestMergeIsIndependentOfOrder feeds the same messages to two detectors: twice each, and in
 // random order through JSON. They must agree on every request, and known messages must not be
 // forwarded.
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -82,7 +82,8 @@
 // Merge applies a message from a peer.
 func (d *Detector) Merge(m Message) {
 	for _, c := range m.Completions {
-		if d.retains(c.Key) && d.completed.put(c.Key, c.At) {
+		if d.retains(c.Key) && d.isLatestCompletion(c) {
+			d.completed.put(c.Key, c.At)
 			d.clearIncidents(c.Key, c.At)
 		}
 	}
@@ -101,6 +102,12 @@
 	}
 }
 
+// isLatestCompletion reports whether no completion of the request as late as c is known.
+func (d *Detector) isLatestCompletion(c CompletionNotice) bool {
+	at, known := d.completed.times[c.Key]
+	return !known || c.At.After(at)
+}
+
 func (s *suspect) diedAfter(at time.Time) bool {
 	n := len(s.incidents)
 	return n > 0 && s.incidents[n-1].at.After(at)
