Report how long ago a resident's first token was when its engine died

Callers saw: a request that crashes engines with its first tokens crashed more of them before it was quarantined, the longer its prefill.

--- a/agent/command/death.go
+++ b/agent/command/death.go
@@ -70,7 +70,9 @@
 			continue
 		}
 		request := s.Call.EngineRequest()
-		death.Residents = append(death.Residents, quarantine.Resident{Key: quarantine.KeyOf(&request), Ran: ran})
+		death.Residents = append(death.Residents, quarantine.Resident{
+			Key: quarantine.KeyOf(&request), Ran: ran, Decoded: s.DecodeDuration(now),
+		})
 	}
 	if d.encodedDeaths == nil {
 		d.encodedDeaths = map[uint64]string{}
--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -145,6 +145,7 @@
 func (g *Generations) consume(ctx context.Context, s *session.Session, stream backend.Stream) error {
 	defer func() { _ = stream.Close() }()
 	tokens := telemetry.Counter(g.Metrics, "agent.tokens")
+	decoding := false
 	for {
 		chunk, err := stream.Next(ctx)
 		if err != nil {
@@ -153,6 +154,10 @@
 		if !s.Append(chunk) {
 			return errors.Newf("tokens missing before position %d", chunk.Position)
 		}
+		if !decoding && len(chunk.Tokens) > 0 {
+			decoding = true
+			s.FirstToken(time.Now())
+		}
 		tokens.Inc(int64(len(chunk.Tokens)))
 		if !chunk.Done {
 			continue
--- a/agent/session/session.go
+++ b/agent/session/session.go
@@ -50,12 +50,14 @@
 	push         func()
 	// endSent is true once a reader was sent the end, or the session was released.
 	// released is true if no reader is expected any more.
-	endSent     bool
-	released    bool
-	acceptedAt  time.Time
-	detachedAt  time.Time
-	orphanLimit time.Duration
-	endedAt     time.Time
+	endSent    bool
+	released   bool
+	acceptedAt time.Time
+	// firstTokenAt is when the first token of this generation arrived from the engine.
+	firstTokenAt time.Time
+	detachedAt   time.Time
+	orphanLimit  time.Duration
+	endedAt      time.Time
 }
 
 // maxOrphanLimit bounds how long a generation runs without a reader.
@@ -174,6 +176,26 @@
 	return now.Sub(s.acceptedAt), !s.ended && !s.acceptedAt.IsZero()
 }
 
+// FirstToken records the time of the generation's first token. Later calls have no
+// effect.
+func (s *Session) FirstToken(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.firstTokenAt.IsZero() {
+		s.firstTokenAt = now
+	}
+}
+
+// DecodeDuration returns the time since the generation's first token, or 0 before it.
+func (s *Session) DecodeDuration(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.firstTokenAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.firstTokenAt)
+}
+
 // Len returns the length of the log, which is the position of the next token.
 func (s *Session) Len() wigeonfork.Position {
 	s.mu.Lock()
