Drop the addresses of processes that have left the configuration's peers

Operators saw: a map of each entry and agent that grew by one address with each host that was ever in the deployment. Cause: SetPeers and received messages added addresses; none was removed. Fix: SetPeers replaces the addresses. A process that is not in the host list yet is answered at the address in its message, as before. Before the fix TestAddressesOfFormerPeersAreDropped fails: 100 addresses after 100 replacements, 1 expected (go test ./configuration).

--- a/configuration/keeper.go
+++ b/configuration/keeper.go
@@ -67,6 +67,8 @@
 	mu        sync.Mutex
 	node      *revision.Node
 	assembler *template.Assembler
+	// addresses holds the addresses of the live processes and of those that sent a message
+	// since these were last set.
 	addresses map[wigeonfork.HostID]string
 	self      infra.Host
 	surveys   map[uint64]chan revision.SurveyResult
@@ -114,6 +116,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	peers := make([]revision.Peer, 0, len(hosts))
+	k.addresses = make(map[wigeonfork.HostID]string, len(hosts))
 	for _, host := range hosts {
 		if host.ID == k.options.Host {
 			continue
