Apply no order of a scope without the scope's lock

Operators saw: two orders of one scope (loads and unloads of a version) applied at the same time on a backend server after an agent's start. Cause: Guard.Do took the lock of a scope only if the scope was already learned. If it was learned between that and the check, the order was applied without the lock. Fix: an order of a scope that isn't learned at the lock is refused as not learned, with the error that Check gives.

--- a/lease/guard.go
+++ b/lease/guard.go
@@ -75,8 +75,7 @@
 	defer g.mu.Unlock()
 	s := g.scopes[scope]
 	if s == nil {
-		return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepOrder,
-			"the fencing number of scope %q has not been learned since the start", scope)
+		return errNotLearned(scope)
 	}
 	g.markUsed(s)
 	if number < s.number {
@@ -87,12 +86,19 @@
 	return nil
 }
 
+func errNotLearned(scope string) error {
+	return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepOrder,
+		"the fencing number of scope %q has not been learned since the start", scope)
+}
+
 // Do checks the number and runs apply if the order may be applied. No other Do of the scope runs
 // between the check and the end of apply.
 func (g *Guard) Do(scope string, number wigeonfork.FencingNumber, apply func() error) error {
-	if s := g.lockScope(scope); s != nil {
-		defer g.unlockScope(s)
+	s := g.lockScope(scope)
+	if s == nil {
+		return errNotLearned(scope)
 	}
+	defer g.unlockScope(s)
 	if err := g.Check(scope, number); err != nil {
 		return err
 	}
@@ -100,7 +106,7 @@
 }
 
 // lockScope waits until no other order of the scope runs. A scope with running or waiting orders
-// is not evicted.
+// is not evicted. It returns nil at once for a scope that has not been learned.
 func (g *Guard) lockScope(scope string) *guardScope {
 	g.mu.Lock()
 	s := g.scopes[scope]
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -218,6 +218,45 @@
 	})
 }
 
+// TestOrderOfScopeLearnedMeanwhile guards against two orders of a scope that are applied at the same
+// time: the scope was learned between the first order's lock and its check, so the first one held
+// no lock.
+func TestOrderOfScopeLearnedMeanwhile(t *testing.T) {
+	Convey("An order whose scope is learned while it waits is applied under the scope's lock, or not at all", t, func() {
+		// Once a waiter of a mutex was overtaken after more than 1 ms, the mutex is handed over in
+		// the order of arrival: to lockScope, then to Learn, then to Check.
+		const waitForMutex = 20 * time.Millisecond
+		g := NewGuard(2)
+		pendingOrders := -1
+		result := make(chan error)
+		g.mu.Lock()
+		go func() {
+			result <- g.Do("d", 1, func() error {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				pendingOrders = g.scopes["d"].pendingOrders
+				return nil
+			})
+		}()
+		time.Sleep(waitForMutex)
+		learned := make(chan struct{})
+		go func() {
+			defer close(learned)
+			g.Learn("d", 1)
+		}()
+		time.Sleep(waitForMutex)
+		g.mu.Unlock()
+		g.mu.Lock() // overtakes lockScope
+		time.Sleep(waitForMutex)
+		g.mu.Unlock()
+		err := <-result
+		<-learned
+		if err == nil {
+			So(pendingOrders, ShouldEqual, 1)
+		}
+	})
+}
+
 func TestConfigValidate(t *testing.T) {
 	Convey("A config that cannot give a safe lease is not valid", t, func() {
 		valid := Config{Scope: "d", Owner: "a"}.WithDefaults()
