Check that a stop unloads the new version from all servers

The assertion looked for the key true in a map from servers to bools, which can't fail. It now looks at each server's value, which is what the text of the test says, and that there are any. Trial on a scratch change of the test's system, whose servers ignore unloads: the old assertion passes, the new one fails (go test ./rollout -run 'TestMove$'). Without that change both pass, so the code had no fault here.

--- a/rollout/move_test.go
+++ b/rollout/move_test.go
@@ -170,7 +170,10 @@
 			So(s.splitter.NewShare(), ShouldEqual, 0)
 			s.run(m, time.Minute)
 			So(s.record().State, ShouldEqual, StateReverted)
-			So(s.loaded, ShouldNotContainKey, true)
+			So(s.loaded, ShouldNotBeEmpty)
+			for _, loaded := range s.loaded {
+				So(loaded, ShouldBeFalse)
+			}
 			s.run(m, 20*time.Minute)
 			So(s.splitter.NewShare(), ShouldEqual, 0)
 		})
