Count the routes beyond MaxRoutes in the stop threshold

Operators saw: with more than 128 routes, wrong stops of a good version slightly more often than the configured probability. Cause: the correction for many tests counted the routes judged separately and the one for all routes, but not the one that judges the routes beyond the bound. Fix: it counts that one as well, once there is such a route. Before the fix TestThresholdCountsRoutesBeyondMaximum fails at the third of at most two routes: threshold 15.57, 15.85 expected (go test ./rollout).

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -83,18 +83,20 @@
 // Judge merges the evidence of many processes into a Verdict. It is not safe for
 // concurrent use.
 type Judge struct {
-	config    JudgeConfig
-	matched   map[routeLoadKey]*matchedTests
-	pooled    map[Route]*pooledTests
-	routes    map[Route]struct{}
-	sources   map[string]uint64
-	deaths    deathTest
-	start     time.Time
-	newStarts uint64
-	stop      bool
-	stoppedBy string
-	reasons   []Reason
-	dropped   uint64
+	config  JudgeConfig
+	matched map[routeLoadKey]*matchedTests
+	pooled  map[Route]*pooledTests
+	routes  map[Route]struct{} // judged separately
+	// judgesOthers means that further routes are judged as otherRoutes.
+	judgesOthers bool
+	sources      map[string]uint64
+	deaths       deathTest
+	start        time.Time
+	newStarts    uint64
+	stop         bool
+	stoppedBy    string
+	reasons      []Reason
+	dropped      uint64
 }
 
 type matchedTests [numMatchedCriteria]oddsTest
@@ -202,6 +204,7 @@
 		return r
 	}
 	if len(j.routes) >= j.config.MaxRoutes {
+		j.judgesOthers = true
 		return otherRoutes
 	}
 	j.routes[r] = struct{}{}
@@ -223,16 +226,26 @@
 	return math.Log(float64(tests*len(oddsRatios)) * epochs / probability)
 }
 
+// judgedRoutes returns the number of routes with tests of their own, with allRoutes and, if there
+// are any beyond MaxRoutes, otherRoutes.
+func (j *Judge) judgedRoutes() int {
+	n := len(j.routes) + 1
+	if j.judgesOthers {
+		n++
+	}
+	return n
+}
+
 // matchedThreshold and pooledThreshold return the stop thresholds of the two kinds of test, which
 // rise with the number of routes seen. Each kind gets half of the probability that engine deaths
 // leave. With a common threshold, the many matched tests would raise that of the few pooled ones.
 func (j *Judge) matchedThreshold() float64 {
-	tests := (len(j.routes) + 1) * int(anyLoad+1) * numMatchedCriteria
+	tests := j.judgedRoutes() * int(anyLoad+1) * numMatchedCriteria
 	return j.stopThreshold(j.config.FalseStopProbability*(1-deathFraction)/2, tests, testEpoch)
 }
 
 func (j *Judge) pooledThreshold() float64 {
-	tests := (len(j.routes) + 1) * len(pooledCriteria)
+	tests := j.judgedRoutes() * len(pooledCriteria)
 	return j.stopThreshold(j.config.FalseStopProbability*(1-deathFraction)/2, tests, testEpoch)
 }
 
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -247,3 +247,22 @@
 		So(j.Verdict().NewStarts, ShouldEqual, 1)
 	})
 }
+
+// TestThresholdCountsRoutesBeyondMaximum guards against more wrong stops than configured: the
+// routes beyond MaxRoutes are judged by a test that the correction for many tests left out.
+func TestThresholdCountsRoutesBeyondMaximum(t *testing.T) {
+	Convey("The stop threshold counts the tests of all routes, also of those that are judged as one", t, func() {
+		j := NewJudge(JudgeConfig{MaxRoutes: 2})
+		perKind := j.config.FalseStopProbability * (1 - deathFraction) / 2
+		for n, route := range []Route{"r1", "r2", "r3", "r4"} {
+			j.Merge(testStart, Evidence{Source: "e", Sequence: uint64(n + 1), Increments: []Increment{
+				{Route: route, Pooled: true, Criterion: pooledCriteria[0]},
+				{Route: route, Criterion: 0},
+				{Route: allRoutes, Criterion: 0},
+			}})
+			So(j.pooledThreshold(), ShouldEqual, j.stopThreshold(perKind, len(j.pooled)*len(pooledCriteria), testEpoch))
+			matchedRoutes := len(j.matched) / 2 // each at one load and at any
+			So(j.matchedThreshold(), ShouldEqual, j.stopThreshold(perKind, matchedRoutes*int(anyLoad+1)*numMatchedCriteria, testEpoch))
+		}
+	})
+}
