Keep each event's own log limit when there are many event names

Operators saw: in a second with more than 256 event names, lines of all events dropped once 200 of them were written in all. Fix: only names that aren't counted yet count as other. Before the fix the new case of TestBoundedLogger fails: the second line of the first event is dropped (go test ./telemetry).

--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -14,8 +14,9 @@
 	// maxLinesPerSecond limits the lines of one event name in a second.
 	maxLinesPerSecond = 200
 	// maxTrackedEvents limits the event names that are counted in a second. Once it is
-	// reached, all further lines of that second count as event "other".
+	// reached, lines of further names in that second count as otherEvents.
 	maxTrackedEvents = 256
+	otherEvents      = "other"
 	// bufferBytes limits the pending output.
 	bufferBytes = 256 << 10
 	// flushInterval is how long lines are collected for one write, since the wake-up
@@ -66,8 +67,8 @@
 		l.second = second
 		clear(l.counts)
 	}
-	if len(l.counts) >= maxTrackedEvents {
-		event = "other"
+	if _, tracked := l.counts[event]; !tracked && len(l.counts) >= maxTrackedEvents {
+		event = otherEvents
 	}
 	l.counts[event]++
 	if l.counts[event] > maxLinesPerSecond {
--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -62,6 +63,21 @@
 		So(string(lines[0]), ShouldEqual, "time=now level=warn event=lines_dropped of=loud reason=rate count=7\n")
 		So(l.allow("loud"), ShouldBeTrue)
 	})
+	// Guards against logs without the lines that matter: in a second with many different events, all
+	// events together got the limit of a single one.
+	Convey("An event keeps its own limit when there are more event names than are tracked", t, func() {
+		l := &lineLimiter{counts: map[string]int{}, dropped: map[string]int{}, now: func() time.Time { return time.Unix(100, 0) }}
+		So(l.allow("first"), ShouldBeTrue)
+		for i := range 2 * maxTrackedEvents {
+			l.allow(fmt.Sprint("event", i))
+		}
+		for range maxLinesPerSecond {
+			l.allow("noise")
+		}
+		So(l.allow("noise"), ShouldBeFalse)
+		So(l.allow("first"), ShouldBeTrue)
+		So(len(l.counts), ShouldBeLessThanOrEqualTo, maxTrackedEvents+1)
+	})
 	Convey("Lines are written completely and in order", t, func() {
 		var out bytes.Buffer
 		logger := NewBoundedLogger(&out, "info", "gateway", "g1")
