Remove a condition of the connection reuse that is always true

A response's ContentLength is never below -1, so the condition said nothing. Connections whose response has no length are kept out of the pool by framed; a new case of TestExchange shows that. It passes before and after: callers saw no fault.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -74,7 +74,7 @@
 		return nil, infra.NewError(infra.OutcomeUnknown, operation, server.Address, err)
 	}
 	x.body = response.Body
-	x.keepAlive = !response.Close && response.ContentLength >= -1
+	x.keepAlive = !response.Close
 	x.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	return &Response{
 		Status:        response.StatusCode,
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -128,6 +128,20 @@
 			So(readBody(t, response), ShouldEqual, fmt.Sprint(want))
 		}
 	})
+	// Guards against a reuse of connections whose response ends where the server closes them.
+	Convey("A connection is not reused after a response without a length", t, func() {
+		server := serve(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+			if _, _, err := readRequest(in); err == nil {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nall")
+			}
+		})
+		pool := NewPool(Options{})
+		response, err := pool.Do(context.Background(), server, newRequest())
+		So(err, ShouldBeNil)
+		So(response.ContentLength, ShouldEqual, -1)
+		So(readBody(t, response), ShouldEqual, "all")
+		So(pool.take(server), ShouldBeNil)
+	})
 	Convey("A connection is not reused if the response came before the body was sent", t, func() {
 		server := serve(t, func(_ int, conn net.Conn, in *bufio.Reader) {
 			if _, err := in.ReadString('\n'); err != nil {
