Scan again when pruning of actions meets a conflict

Operators saw: a table of actions that grew until the next round of housekeeping, with no line in the log, because another process had changed one row of a batch. Cause: a conflict ended Prune without an error. Fix: Prune scans again, within its bound of batches. Before the fix a new case of TestKeysAndPruning fails: 0 rows deleted, 2 expected (go test ./action -run TestKeysAndPruning).

--- a/action/prune.go
+++ b/action/prune.go
@@ -37,8 +37,8 @@
 }
 
 // Prune deletes the rows of workspace whose keys have expired and returns the number of deleted
-// rows. It uses at most batches transactions of at most limit rows each. It stops at a
-// conflict; the next call continues. Any process may run it at any time.
+// rows. It uses at most batches transactions of at most limit rows each. After a conflict it
+// scans again. The next call continues. Any process may run it at any time.
 func (e *Executor) Prune(ctx context.Context, workspace wigeonfork.Workspace, limit, batches int) (int, error) {
 	deleted := 0
 	for range batches {
@@ -67,7 +67,7 @@
 		return 0, false, errors.Wrap(err, "prune actions")
 	}
 	if !commit.Applied {
-		return 0, false, nil
+		return 0, true, nil
 	}
 	return len(tx.Writes), more, nil
 }
--- a/action/prune_test.go
+++ b/action/prune_test.go
@@ -20,6 +20,31 @@
 		_, err = ParseKey("6ba7b810-9dad-11d1-80b4-00c04fd430c8")
 		So(err, ShouldNotBeNil)
 	})
+	putExpired := func(table *fakeTable) string {
+		key, err := NewKey(now.Add(-100 * time.Hour))
+		So(err, ShouldBeNil)
+		row := RowKey("w", key)
+		table.apply(infra.Transaction{OperationID: row, Writes: []infra.Write{{Key: row, Value: []byte{0}}}})
+		return row
+	}
+	// Guards against a table of actions that grows until the next round, because another process
+	// changed one row of the batch.
+	Convey("Pruning reads the rows again after a conflict", t, func() {
+		table := newFakeTable()
+		e := NewExecutor(Config{Table: table, Limits: DefaultLimits(), Now: func() time.Time { return now }})
+		changed := putExpired(table)
+		putExpired(table)
+		table.fail = func(operation string) fault {
+			if operation == "commit" && table.commits == 1 {
+				table.apply(infra.Transaction{OperationID: "other", Writes: []infra.Write{{Key: changed, Value: []byte{1}}}})
+			}
+			return faultNone
+		}
+		deleted, err := e.Prune(context.Background(), "w", 2, 10)
+		So(err, ShouldBeNil)
+		So(deleted, ShouldEqual, 2)
+		So(table.rows, ShouldBeEmpty)
+	})
 	Convey("Pruning deletes exactly the rows of expired keys, in bounded batches", t, func() {
 		table := newFakeTable()
 		e := NewExecutor(Config{Table: table, Limits: DefaultLimits(), Now: func() time.Time { return now }})
