Prune actions behind a page of malformed keys

Operators saw: a table of actions that only grew once rows with malformed keys (of another writer) filled the first page. Cause: malformed keys are skipped, a page without rows to delete ended the round, and each scan began at the first row. Fix: Prune reads on from the next page. The bound of batches counts the pages read; rows behind more malformed pages than that are still not pruned. Before the fix a new case of TestKeysAndPruning fails: 0 rows deleted, 1 expected (go test ./action -run TestKeysAndPruning).

--- a/action/prune.go
+++ b/action/prune.go
@@ -37,37 +37,45 @@
 }
 
 // Prune deletes the rows of workspace whose keys have expired and returns the number of deleted
-// rows. It uses at most batches transactions of at most limit rows each. After a conflict it
-// scans again. The next call continues. Any process may run it at any time.
+// rows. It reads at most batches pages of at most limit rows each and deletes the rows of each page
+// in one transaction. After a conflict it reads the page again. The next call continues. Any process
+// may run it at any time.
 func (e *Executor) Prune(ctx context.Context, workspace wigeonfork.Workspace, limit, batches int) (int, error) {
 	deleted := 0
+	query := infra.ScanQuery{Prefix: WorkspacePrefix(workspace), Limit: limit}
 	for range batches {
-		n, more, err := e.pruneOnce(ctx, workspace, limit)
+		n, next, err := e.prunePage(ctx, query)
 		deleted += n
-		if err != nil || !more {
+		if err != nil || next == "" {
 			return deleted, err
 		}
+		query.From = next
 	}
 	return deleted, nil
 }
 
-func (e *Executor) pruneOnce(ctx context.Context, workspace wigeonfork.Workspace, limit int) (int, bool, error) {
-	query := infra.ScanQuery{Prefix: WorkspacePrefix(workspace), Limit: limit}
+// prunePage prunes the page that query selects. It returns the number of deleted rows and the key
+// to continue from, or "" if no later row has expired.
+func (e *Executor) prunePage(ctx context.Context, query infra.ScanQuery) (int, string, error) {
 	page, err := e.config.Table.Scan(ctx, query)
 	if err != nil {
-		return 0, false, errors.Wrap(err, "scan actions")
+		return 0, "", errors.Wrap(err, "scan actions")
 	}
 	operationID := "prune/" + string(NewClaimID())
-	tx, more := PruneBatch(e.config.Now(), e.config.Limits, page, limit, operationID)
+	tx, more := PruneBatch(e.config.Now(), e.config.Limits, page, query.Limit, operationID)
+	next := ""
+	if more {
+		next = page.Next
+	}
 	if len(tx.Writes) == 0 {
-		return 0, false, nil
+		return 0, next, nil
 	}
 	commit, err := e.config.Table.Commit(ctx, tx)
 	if err != nil {
-		return 0, false, errors.Wrap(err, "prune actions")
+		return 0, "", errors.Wrap(err, "prune actions")
 	}
 	if !commit.Applied {
-		return 0, true, nil
+		return 0, page.Rows[0].Key, nil
 	}
-	return len(tx.Writes), more, nil
+	return len(tx.Writes), next, nil
 }
--- a/action/prune_test.go
+++ b/action/prune_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,6 +46,20 @@
 		So(deleted, ShouldEqual, 2)
 		So(table.rows, ShouldBeEmpty)
 	})
+	// Guards against a table of actions that only grows, because rows of another writer come first.
+	Convey("Pruning goes on after a page of malformed keys", t, func() {
+		table := newFakeTable()
+		e := NewExecutor(Config{Table: table, Limits: DefaultLimits(), Now: func() time.Time { return now }})
+		for i := range 5 {
+			row := RowKey("w", Key(fmt.Sprint("!", i)))
+			table.apply(infra.Transaction{OperationID: row, Writes: []infra.Write{{Key: row, Value: []byte{0}}}})
+		}
+		putExpired(table)
+		deleted, err := e.Prune(context.Background(), "w", 2, 10)
+		So(err, ShouldBeNil)
+		So(deleted, ShouldEqual, 1)
+		So(table.rows, ShouldHaveLength, 5)
+	})
 	Convey("Pruning deletes exactly the rows of expired keys, in bounded batches", t, func() {
 		table := newFakeTable()
 		e := NewExecutor(Config{Table: table, Limits: DefaultLimits(), Now: func() time.Time { return now }})
