Read the configuration's log again if it was compacted between two pages

Operators saw: a process that started without a configuration, or a command that failed with "gap in the log", while another host compacted a log of more than 256 entries. Cause: rows deleted between two pages of a scan left a gap, and load tried again only after other changes of the head. Fix: scanLog scans again when it finds a gap, for reads, history and compaction alike, as often as other reads are tried. A gap behind the cached state is still an error. Before the fix TestReadDuringCompaction fails: gap in the log (go test ./template/store).

--- a/template/store/read.go
+++ b/template/store/read.go
@@ -88,10 +88,22 @@
 	return next, nil
 }
 
-// scanLog returns the log entries from revision from on. Entries are only
-// appended, so consecutive pages are consistent unless Compact deletes rows
-// between them.
+// scanLog returns the log entries from revision from on, without a gap. Entries are
+// only appended, so consecutive pages are consistent unless Compact deletes rows
+// between them. The log is then scanned again.
 func (s *Store) scanLog(ctx context.Context, from wigeonfork.Revision) ([]LogEntry, error) {
+	for range s.options.Attempts {
+		entries, err := s.scanLogOnce(ctx, from)
+		if !errors.Is(err, errHeadChanged) {
+			return entries, err
+		}
+	}
+	return nil, errHeadChanged
+}
+
+// scanLogOnce is scanLog without a second scan. It returns errHeadChanged if it finds
+// a gap.
+func (s *Store) scanLogOnce(ctx context.Context, from wigeonfork.Revision) ([]LogEntry, error) {
 	query := infra.ScanQuery{Prefix: logPrefix, From: logKey(from), Limit: scanLimit}
 	var entries []LogEntry
 	for {
@@ -104,6 +116,9 @@
 			if err != nil {
 				return nil, err
 			}
+			if n := len(entries); n > 0 && entry.Revision != entries[n-1].Revision+1 {
+				return nil, errHeadChanged
+			}
 			entries = append(entries, entry)
 		}
 		if page.Next == "" {
--- a/template/store/store_test.go
+++ b/template/store/store_test.go
@@ -303,6 +303,36 @@
 	})
 }
 
+// TestReadDuringCompaction guards against a process that starts, or an operator's command that fails,
+// while the log is compacted: the rows of the second page were deleted after the first was read.
+func TestReadDuringCompaction(t *testing.T) {
+	Convey("A log that is compacted between two pages of a read is read again", t, func() {
+		table, objects, s := newPreparedStore()
+		for i := range scanLimit + 50 {
+			_, err := s.Accept(ctx, putRequest(fmt.Sprint("op", i), "ane", 0, deployment("a", float64(i+1), 1)))
+			So(err, ShouldBeNil)
+		}
+		want, err := s.Config(ctx)
+		So(err, ShouldBeNil)
+		scans := 0
+		table.beforeCall = func(operation string) error {
+			if operation != "scan" {
+				return nil
+			}
+			if scans++; scans == 2 {
+				table.beforeCall = func(string) error { return nil }
+				_, err := s.Compact(ctx, "c", 5)
+				return err
+			}
+			return nil
+		}
+		reopened := New(table, objects, Options{Backoff: time.Nanosecond})
+		config, err := reopened.Config(ctx)
+		So(err, ShouldBeNil)
+		So(config, ShouldResemble, want)
+	})
+}
+
 func TestNodeFollowsTable(t *testing.T) {
 	Convey("A node that follows the table has the same configuration, with one scan per read", t, func() {
 		table, _, s := newPreparedStore()
