Keep a stop while the deployment's item is malformed or missing

Callers saw: traffic to a version that an operator had stopped, at processes that couldn't decode the deployment's item (written by a newer release) once they could again, or that had got other items of it first. Cause: RecordsStop took a deployment without its own item for a deleted one, so the process retired the stop. Fix: the assembler notes a deletion, and only that or a recorded stop retires it. Before the fix TestStopOutlivesMalformedDeployment fails: RecordsStop true, false expected (go test ./template -run TestStopOutlives).

--- a/template/assembler.go
+++ b/template/assembler.go
@@ -23,11 +23,12 @@
 }
 
 // deploymentState holds a deployment as separate items. core is nil if the
-// deployment was deleted or its own item is missing. last is the deployment
+// deployment was deleted, or its own item is missing or malformed. last is the deployment
 // as of the last rebuild. Since then, the items of dirtyWorkspaces have changed,
 // and other items if dirty is set.
 type deploymentState struct {
 	core            *Deployment
+	deleted         bool
 	servers         map[wigeonfork.BackendServerID]struct{}
 	bindings        map[wigeonfork.Workspace]Values
 	last            *Deployment
@@ -146,6 +147,7 @@
 }
 
 func (d *deploymentState) applyCore(item *revision.Item) error {
+	d.deleted = item.Deleted
 	if item.Deleted {
 		d.core = nil
 		return nil
--- a/template/stop.go
+++ b/template/stop.go
@@ -46,11 +46,11 @@
 
 // RecordsStop reports whether the configuration records s or has deleted its
 // deployment. The fact is then no longer needed. It returns false for an unknown
-// deployment, since the item of that deployment may not have arrived yet.
+// deployment, since its item may not have arrived yet or may be malformed.
 func (a *Assembler) RecordsStop(s Stop) bool {
 	d, found := a.deployments[s.Deployment]
 	if !found {
 		return false
 	}
-	return d.core == nil || d.core.Stopped(s.Version)
+	return d.deleted || d.core != nil && d.core.Stopped(s.Version)
 }
