Read a restarted engine's cache events from the first one

Callers saw: long times to the first token after an engine's restart, since entries didn't learn what the new engine had cached until it had made as many events as the old one. Cause: the cursor of the cache events was kept over the restart, but the new incarnation numbers its events from 1. The events of the old one stayed in the status too. Fix: a changed incarnation in the load report discards both. Before the fix TestCacheEventsAfterEngineRestart fails: the 10 events of the old engine, the 3 of the new one expected (go test ./agent/query).

--- a/agent/query/reporter.go
+++ b/agent/query/reporter.go
@@ -153,6 +153,9 @@
 	limited, cancel := context.WithTimeout(ctx, engineQueryTimeout)
 	defer cancel()
 	load, err := engine.Load(limited)
+	if err == nil {
+		r.checkRestart(load.Incarnation)
+	}
 	events := r.fetchCacheEvents(limited, err == nil)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -169,6 +172,17 @@
 	return changed
 }
 
+// checkRestart discards the cache events of an engine that has restarted. The new incarnation
+// numbers its events from the start.
+func (r *Reporter) checkRestart(incarnation string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.status.Load.Incarnation != incarnation {
+		r.cacheCursor = 0
+		r.status.CacheEvents = nil
+	}
+}
+
 func (r *Reporter) fetchCacheEvents(ctx context.Context, up bool) []backend.CacheEvent {
 	if !up || !r.options.Engine.Capabilities().CacheEvents {
 		return nil
