Copy the cache events into an agent's state dump

Operators saw: a state dump with cache events twice or missing. Cause: the dump shared the slice with the status, which drops its oldest events in place while the dump is encoded; this was a data race too. Fix: the dump has a copy, as the status sent to entries has. Before the fix TestDumpIsNotChangedLater fails: the dump's first event has changed from sequence 2 to a later one (go test ./agent/query).

--- a/agent/query/reporter.go
+++ b/agent/query/reporter.go
@@ -304,6 +304,7 @@
 func (r *Reporter) Dump(context.Context, *peer.Session, peer.None) (Dump, error) {
 	r.mu.Lock()
 	dump := Dump{Status: r.status, Subscribers: len(r.subscribers)}
+	dump.Status.CacheEvents = slices.Clone(r.status.CacheEvents)
 	r.mu.Unlock()
 	for _, s := range r.options.Table.All() {
 		dump.Generations = append(dump.Generations, s.Summary())
--- a/agent/query/reporter_test.go
+++ b/agent/query/reporter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -10,6 +11,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agent/session"
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -71,3 +73,24 @@
 		So(r.status.CacheEvents, ShouldResemble, engine.events)
 	})
 }
+
+// TestDumpIsNotChangedLater guards against a state dump with mixed cache events, and a data race
+// while it is encoded: it shared them with the status, which drops the oldest in place.
+func TestDumpIsNotChangedLater(t *testing.T) {
+	Convey("A dump keeps its cache events while the status goes on", t, func() {
+		engine := &cachingEngine{incarnation: "first"}
+		r := newTestReporter(engine)
+		for _, n := range []int{maxCacheEvents, maxCacheEvents + 1} {
+			engine.fill(n)
+			r.queryEngine(context.Background())
+		}
+		dump, err := r.Dump(context.Background(), nil, peer.None{})
+		So(err, ShouldBeNil)
+		before := slices.Clone(dump.Status.CacheEvents)
+		for n := maxCacheEvents + 2; n < 3*maxCacheEvents; n++ {
+			engine.fill(n)
+			r.queryEngine(context.Background())
+		}
+		So(dump.Status.CacheEvents, ShouldResemble, before)
+	})
+}
