Count a resend as offered in the policy experiment

Readers of docs/POLICY.md saw shares of refused (and finished) requests that were too high, and could be above 100%: a resend counted when it was refused or finished, but not when it was offered. Fix: a resend after a refusal counts as offered. One after a hold by the quarantine doesn't, since the held request counts as neither refused nor finished. The page says that its tables are of before; they were not made again. Before the fix the new case of TestSimulation fails: 2330 finished or refused, 2078 offered (go test ./experiment/policy).

--- a/experiment/policy/measure.go
+++ b/experiment/policy/measure.go
@@ -15,7 +15,8 @@
 	batchFirstTokenLimit       = time.Minute
 )
 
-// classResult holds the measurements of one class.
+// classResult holds the measurements of one class. offered counts a request once more for
+// each time that it was sent again after a refusal.
 type classResult struct {
 	offered    int
 	finished   int
--- a/experiment/policy/policy_test.go
+++ b/experiment/policy/policy_test.go
@@ -47,6 +47,28 @@
 		So(r.resume.TotalCount(), ShouldBeGreaterThan, 0)
 		So(r.repeatedPrefill, ShouldBeGreaterThan, 0)
 	})
+	// Guards against shares of refused requests above the true ones, up to more than 100%: resends
+	// counted when refused, but not when offered.
+	Convey("Under overload each offered request is finished or refused, resends included", t, func() {
+		s := shortRun(3)
+		offeredFor := s.end() - 10*time.Second
+		s.load = func(at time.Duration) float64 {
+			if at < offeredFor {
+				return 3
+			}
+			return 1e-6
+		}
+		s.length += 3 * time.Minute
+		s.deathsPerMin, s.poisons, s.warmup = 0, nil, 0
+		r := simulate(s)
+		refused := 0
+		for i := range r.classes {
+			c := &r.classes[i]
+			So(c.finished+c.refused, ShouldEqual, c.offered)
+			refused += c.refused
+		}
+		So(refused, ShouldBeGreaterThan, 100)
+	})
 	Convey("Disabling a term of the routing score changes the result", t, func() {
 		for _, term := range []routing.Term{routing.TermWait, routing.TermReports, routing.TermPrefix, routing.TermSpeed} {
 			s := shortRun(1)
--- a/experiment/policy/run.go
+++ b/experiment/policy/run.go
@@ -119,9 +119,19 @@
 	r.send(s)
 }
 
-// resend sends a caller's request again under another ID, unless it has been resent
-// limit times.
+// resend sends a refused request again under another ID, unless it has been resent
+// limit times. It counts as offered again, since the refusal counts too.
 func (r *run) resend(s *stream, wait time.Duration, limit int) {
+	r.sendAgain(s, wait, limit, true)
+}
+
+// resendHeld is resend for a request that was held. It was neither refused nor
+// finished, so it counts as offered once.
+func (r *run) resendHeld(s *stream, wait time.Duration) {
+	r.sendAgain(s, wait, poisonResends, false)
+}
+
+func (r *run) sendAgain(s *stream, wait time.Duration, limit int, newOffer bool) {
 	r.resends[s.key]++
 	n := r.resends[s.key]
 	if n > limit {
@@ -137,6 +147,9 @@
 		if s.deadline > 0 {
 			next.deadline = r.now + s.deadline - s.arrived
 		}
+		if newOffer {
+			r.result.offered(&next)
+		}
 		r.send(&next)
 	})
 }
@@ -147,7 +160,7 @@
 	wait := max(v.RetryAfter, time.Second) + time.Duration(r.random.Int64N(int64(2*time.Second)))
 	if v.Action == quarantine.Hold {
 		r.result.held++
-		r.resend(s, wait, poisonResends)
+		r.resendHeld(s, wait)
 		return
 	}
 	s.ended = true
