Measure processor time, not elapsed time, in the configuration experiment

Readers of docs/SPREAD.md saw processor figures that grew with the load of the machine on which the experiment ran. Cause: the figures summed the elapsed time of the calls. Fix: the processor time of the calling thread is read before and after each call.

--- a/experiment/configuration/configuration_test.go
+++ b/experiment/configuration/configuration_test.go
@@ -38,3 +38,23 @@
 		So(strings.Count(out.String(), "MISSED"), ShouldEqual, missed)
 	})
 }
+
+// TestProcessorTimeIsNotElapsedTime guards against figures that grow with the load of the machine on
+// which the experiment runs.
+func TestProcessorTimeIsNotElapsedTime(t *testing.T) {
+	Convey("Time in which a call waits is not processor time, and time in which it computes is", t, func() {
+		const waited = 200 * time.Millisecond
+		r := newEntrySimulation(1)
+		r.measureTime(func() { time.Sleep(waited) })
+		So(r.processor, ShouldBeLessThan, waited/4)
+		before := r.processor
+		r.measureTime(func() {
+			sum := 0
+			for i := range 20_000_000 {
+				sum += i * i
+			}
+			So(sum, ShouldNotEqual, 0)
+		})
+		So(r.processor, ShouldBeGreaterThan, before+time.Millisecond)
+	})
+}
--- a/experiment/configuration/fleet.go
+++ b/experiment/configuration/fleet.go
@@ -168,9 +168,9 @@
 		f.startNode(e.instance)
 		in.wakeAt = f.now
 	}
-	began := time.Now()
-	actions, encoded := f.dispatch(in, e)
-	f.total.processor += time.Since(began)
+	var actions revision.Actions
+	var encoded [][]byte
+	f.total.processor += processorTime(func() { actions, encoded = f.dispatch(in, e) })
 	f.execute(e.instance, actions, encoded)
 	f.scheduleWake(e.instance)
 }
--- a/experiment/configuration/measure.go
+++ b/experiment/configuration/measure.go
@@ -11,8 +11,8 @@
 
 // Row contains the results of one size. P50, P99 and Max are times until a change
 // is installed on all serving hosts. Rates are per second of virtual time. Messages,
-// bytes and processor time are per host. Processor time is the real time that the nodes'
-// calls take, in microseconds. Reads are those of all hosts. Bytes are sent bytes. Idle values are measured
+// bytes and processor time are per host. Processor time is that of the nodes' calls, in
+// microseconds. Reads are those of all hosts. Bytes are sent bytes. Idle values are measured
 // without changes and restarts. Values per change are the increase over idle divided by
 // the rate of changes.
 type Row struct {
--- a/experiment/configuration/membership.go
+++ b/experiment/configuration/membership.go
@@ -58,9 +58,7 @@
 }
 
 func (r *entrySimulation) measureTime(work func()) {
-	began := time.Now()
-	work()
-	r.processor += time.Since(began)
+	r.processor += processorTime(work)
 }
 
 // step advances the time by one tick. Under load every usable member of the subset
