Suspect after losses in a domain only services that have lost a server

Each suspect is probed by every entry with a connection, and backend servers limit their connections: two crashes of engines would have cost plain services of the domain connections that callers need. Fix: at the threshold the servers of the services with a loss in the window become Suspect, and later those of a further service at its first loss. The code on domains moves to a file of its own.

--- a/health/servers.go
+++ b/health/servers.go
@@ -70,10 +70,6 @@
 	// maxFailingFraction bounds the fraction of a service's servers that are Failing. If more
 	// of them fail, the cause is elsewhere.
 	maxFailingFraction = 0.5
-	// domainLossThreshold is the number of servers of a failure domain whose loss within
-	// domainLossWindow makes the others Suspect.
-	domainLossThreshold = 2
-	domainLossWindow    = 300 * time.Millisecond
 )
 
 // server is the observed state of one server.
@@ -107,12 +103,6 @@
 	failing     int
 }
 
-// domainLosses counts the servers of one failure domain lost within domainLossWindow.
-type domainLosses struct {
-	count       int
-	firstLossAt time.Time
-}
-
 // Servers holds the observed state of each server.
 type Servers struct {
 	servers  map[ID]*server
@@ -168,7 +158,7 @@
 }
 
 // Lost records that a server does not respond. It returns whether that is new, and the servers
-// of the same failure domain, of all services, that this made Suspect. The caller must probe each.
+// of the same failure domain that this made Suspect. The caller must probe each.
 func (s *Servers) Lost(now time.Time, id ID) (bool, []ID) {
 	known := s.servers[id]
 	if known == nil || known.state == Down {
@@ -180,29 +170,6 @@
 	return true, s.suspectDomain(now, known)
 }
 
-// suspectDomain counts a loss in the server's failure domain. At domainLossThreshold it makes
-// the other servers in that domain Suspect and returns them.
-func (s *Servers) suspectDomain(now time.Time, lost *server) []ID {
-	d := s.domains[lost.domain]
-	if d == nil || now.Sub(d.firstLossAt) > domainLossWindow {
-		d = &domainLosses{firstLossAt: now}
-		s.domains[lost.domain] = d
-	}
-	d.count++
-	if d.count != domainLossThreshold {
-		return nil
-	}
-	var suspects []ID
-	for id, other := range s.servers {
-		if other.domain == lost.domain && other.state != Down {
-			s.setState(other, Suspect)
-			other.lostAt = now
-			suspects = append(suspects, id)
-		}
-	}
-	return suspects
-}
-
 // Replaced records that another server responds at the address of a server. The replaced one
 // stays Down until it registers again.
 func (s *Servers) Replaced(id ID) {
