Take an unframed stream that ends before its first event as broken off

What callers saw: an empty 200 in place of a stream, if its runner ended just behind the head of an answer without length and chunks. Found by reading.

Cause: the end of the connection ends such an answer, and a stream that doesn't end inside an event was taken as complete, also with no event.

Fix: without any event, here or at an earlier run, it is a lost run and goes on elsewhere. A resumed run may be empty, if only the end was missing.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -150,11 +150,18 @@
 	return runComplete, nil
 }
 
+// errEmptyStream means that a stream without length and chunks ended before its first event. A server
+// that ends then closes its connections like one that has sent everything.
+var errEmptyStream = errors.New("the stream ended before its first event")
+
 func (s *streamCall) relayEvents(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	events := newEventReader(response.Body)
 	sampler := speedSampler{since: response.SentAt}
 	for {
 		event, err := events.next()
+		if err == io.EOF && response.Unframed && s.lastEvent == 0 && sampler.total == 0 {
+			err = errEmptyStream
+		}
 		if err == io.EOF {
 			s.writeHead(response)
 			s.fleet.recordResult(time.Now(), t.place, false)
--- a/standin/runner/unframed.go
+++ b/standin/runner/unframed.go
@@ -25,6 +25,8 @@
 	EndResetInside
 	// EndOpen sends the complete body and leaves the connection open.
 	EndOpen
+	// EndEmpty closes the connection of a stream behind its head.
+	EndEmpty
 )
 
 // Unframed makes answers have neither a length nor chunks, so that they end with their connection.
@@ -103,6 +105,12 @@
 func (r *Runner) streamUnframed(w http.ResponseWriter, q *http.Request, run *Run, faults Unframed) {
 	u := newUnframedWriter(w, faults)
 	defer u.end()
+	if faults.Ending == EndEmpty {
+		r.shared.endRun(run, true)
+		// A write error means that the caller has disconnected.
+		_, _ = u.Write(nil)
+		return
+	}
 	inside := faults.Ending == EndInside || faults.Ending == EndResetInside
 	for id := run.LastEventID + 1; id <= r.options.Events; id++ {
 		text := EventText(run.RequestID, id)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -42,7 +42,10 @@
 	Header http.Header
 	// ContentLength is -1 if the response gives no length.
 	ContentLength int64
-	Body          io.ReadCloser
+	// Unframed is set if the response has neither a length nor chunks, so that its body ends with
+	// the connection.
+	Unframed bool
+	Body     io.ReadCloser
 	// Reused is set if the connection came from the pool.
 	Reused bool
 	// SentAt is when sending the request began.
@@ -80,6 +83,7 @@
 		Status:        response.StatusCode,
 		Header:        response.Header,
 		ContentLength: response.ContentLength,
+		Unframed:      !x.framed,
 		Body:          x,
 		Reused:        reused,
 		SentAt:        sentAt,
