Let the stand-in of the store come back from an older copy

In a drill the users' store is away for a moment and comes back from a copy some seconds old: later writes are gone, versions go back and are given out again, a feed from a version that the copy does not have gets 410, and the header Store-Era, in all answers, rises by one. The operator and the runners write again. No stand-in played this, so nothing of ours could be tested against it.

rowstore keeps its writes with their times and rebuilds itself from them; deployment.Restore plays the whole drill.

--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -66,8 +66,10 @@
 	keys    []string
 	crashes map[string]bool // by body
 	parts   map[string]bool // by id of the part
-	stop    chan struct{}
-	wait    sync.WaitGroup
+	// operatorRows are the rows that the operator last wrote, by key.
+	operatorRows map[string][]byte
+	stop         chan struct{}
+	wait         sync.WaitGroup
 }
 
 // registration is a runner with the state that its row in the store shows.
@@ -86,7 +88,7 @@
 	d := &Deployment{
 		Store: rowstore.New(), Shared: runner.NewSharedState(), options: options,
 		runners: make(map[string]*registration), stop: make(chan struct{}), keys: []string{APIKey},
-		crashes: make(map[string]bool), parts: make(map[string]bool),
+		crashes: make(map[string]bool), parts: make(map[string]bool), operatorRows: make(map[string][]byte),
 	}
 	for _, id := range options.CrashingParts {
 		d.parts[id] = true
@@ -147,7 +149,9 @@
 		// A map of strings and numbers can always be encoded.
 		panic(err)
 	}
-	d.Store.Put("op", "rollout/"+service, value)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.putOperatorRow("rollout/"+service, value)
 }
 
 // Version returns the version of a runner, also of one that is dead, or an empty text.
@@ -347,7 +351,7 @@
 		// A map of strings and numbers can always be encoded.
 		panic(err)
 	}
-	d.Store.Put("op", "config", value)
+	d.putOperatorRow("config", value)
 }
 
 // Close closes all stand-ins.
--- /dev/null
+++ b/standin/deployment/drill.go
@@ -0,0 +1,51 @@
+package deployment
+
+import (
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/standin/rowstore"
+)
+
+// Drill is a test of the store's recovery: it is away for a moment and comes back from an older
+// copy.
+type Drill struct {
+	// Away is how long the store is away.
+	Away time.Duration
+	// CopyAge is the age of the copy when the store comes back.
+	CopyAge time.Duration
+	// OperatorDelay is the time after which the operator writes its rows again. Runners write
+	// theirs with their next heartbeat.
+	OperatorDelay time.Duration
+}
+
+// Restore takes the store through a drill. It returns once the operator has written again.
+func (d *Deployment) Restore(drill Drill) {
+	d.Store.SetFault(rowstore.FaultUnavailable)
+	time.Sleep(drill.Away)
+	d.Store.Restore(drill.CopyAge)
+	d.removeDeadRows()
+	d.Store.SetFault(rowstore.FaultNone)
+	time.Sleep(drill.OperatorDelay)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, value := range d.operatorRows {
+		d.Store.Put("op", key, value)
+	}
+}
+
+// removeDeadRows removes the rows of dead runners after three heartbeat intervals, as the platform
+// does with all rows whose runners are silent.
+func (d *Deployment) removeDeadRows() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, reg := range d.runners {
+		if reg.dead {
+			time.AfterFunc(3*heartbeatInterval, func() { d.Store.Delete("servers", id) })
+		}
+	}
+}
+
+func (d *Deployment) putOperatorRow(key string, value []byte) {
+	d.operatorRows[key] = value
+	d.Store.Put("op", key, value)
+}
--- a/standin/rowstore/rowstore.go
+++ b/standin/rowstore/rowstore.go
@@ -50,14 +50,18 @@
 	// compactedVersion is the version up to which the history was dropped.
 	compactedVersion uint64
 	version          uint64
-	fault            Fault
-	changed          chan struct{}
-	calls            int
+	// era counts the times that the store came back from an older copy, from 1. writes are all
+	// writes of the current contents, from which older copies are made.
+	era     uint64
+	writes  []write
+	fault   Fault
+	changed chan struct{}
+	calls   int
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{started: time.Now(), rows: make(map[rowID]Row), changed: make(chan struct{})}
+	return &Store{started: time.Now(), rows: make(map[rowID]Row), changed: make(chan struct{}), era: 1}
 }
 
 // SetFault replaces the store's fault.
@@ -129,6 +133,7 @@
 		s.rows[id] = row
 	}
 	s.history = append(s.history, row)
+	s.writes = append(s.writes, write{row, time.Now()})
 }
 
 func (s *Store) notifyLocked() {
@@ -161,6 +166,7 @@
 		s.mu.Unlock()
 		switch fault {
 		case FaultUnavailable:
+			w.Header().Set(eraHeader, strconv.FormatUint(s.Era(), 10))
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return true
 		case FaultReset:
@@ -177,7 +183,7 @@
 	}
 }
 
-func (s *Store) writeResponse(w http.ResponseWriter, status int, rows []Row, version uint64) {
+func (s *Store) writeResponse(w http.ResponseWriter, status int, rows []Row, at position) {
 	s.mu.Lock()
 	drop := s.fault == FaultDropResponse
 	s.mu.Unlock()
@@ -185,18 +191,19 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(eraHeader, strconv.FormatUint(at.era, 10))
 	w.WriteHeader(status)
 	// An error means that the client has disconnected.
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"rows": rows, "has_more": false, "ver": version, "now_ms": time.Since(s.started).Milliseconds(),
+		"rows": rows, "has_more": false, "ver": at.version, "now_ms": time.Since(s.started).Milliseconds(),
 	})
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	rows, version := s.tableLocked(r.URL.Query().Get("table")), s.version
+	rows, at := s.tableLocked(r.URL.Query().Get("table")), s.positionLocked()
 	s.mu.Unlock()
-	s.writeResponse(w, http.StatusOK, rows, version)
+	s.writeResponse(w, http.StatusOK, rows, at)
 }
 
 func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
@@ -212,15 +219,15 @@
 	defer timer.Stop()
 	for expired := wait == 0; ; {
 		s.mu.Lock()
-		compacted := since < s.compactedVersion
-		rows, version, changed := s.changesLocked(query.Get("table"), since), s.version, s.changed
+		missing := since < s.compactedVersion || since > s.version
+		rows, at, changed := s.changesLocked(query.Get("table"), since), s.positionLocked(), s.changed
 		s.mu.Unlock()
 		switch {
-		case compacted:
-			s.writeResponse(w, http.StatusGone, nil, version)
+		case missing:
+			s.writeResponse(w, http.StatusGone, nil, at)
 			return
 		case len(rows) > 0 || expired:
-			s.writeResponse(w, http.StatusOK, rows, version)
+			s.writeResponse(w, http.StatusOK, rows, at)
 			return
 		}
 		select {
@@ -260,9 +267,9 @@
 	for _, condition := range tx.Conditions {
 		row := s.rows[rowID{condition.Table, condition.Part, condition.Key}]
 		if row.Version != condition.Version {
-			version := s.version
+			at := s.positionLocked()
 			s.mu.Unlock()
-			s.writeResponse(w, http.StatusPreconditionFailed, []Row{row}, version)
+			s.writeResponse(w, http.StatusPreconditionFailed, []Row{row}, at)
 			return
 		}
 	}
@@ -275,8 +282,8 @@
 		row.Version, row.Deleted = s.version, true
 		s.writeLocked(row)
 	}
-	version := s.version
+	at := s.positionLocked()
 	s.notifyLocked()
 	s.mu.Unlock()
-	s.writeResponse(w, http.StatusOK, nil, version)
+	s.writeResponse(w, http.StatusOK, nil, at)
 }
