Order the store's history by era and revision, and read anew in a new era

What callers saw: in a drill the store comes back from an older copy and gives out versions again. An entry that was cut off over it went on from its last revision, so a configuration that the operator wrote at or below that revision was never read there: a revoked key was accepted for good. An entry that started on the copy accepted a key that was revoked after it.

Cause: a revision was compared without the era that it belongs to, and any answer of the store counted as proof that the configuration in force is the newest.

A storepos.Position is an era and a revision with one order; the client of the store reads the header Store-Era (an answer without it is of era 0), and changes after a position of another era are reported as lost history, so that all is read again. A later answer of an ended era is not used. The operator's version orders configurations, not the row's, so the one in force is kept. A freshness.Verifier decides what an answer proves: in a new era nothing before the configuration was written again or a second has passed, nothing while the store shows an older version than one that is known, and a read that shows less than a peer has reported ends the trust at once. Peers carry the era in a field that was unused; older builds ignore it.

Before, on the same stand-in (go test ./platform -run Restore): TestConfigurationWrittenAfterRestoreIsApplied: Expected: 401, Actual: 200; TestRevokedKeyStaysRevokedOverRestore: timed out waiting until the key is refused. Both pass now.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -14,6 +14,7 @@
 type Bound struct {
 	asOf        Instant
 	clockOffset time.Duration // lower bound of the local time minus the store's time
+	offsetKnown bool
 	valid       bool
 }
 
@@ -21,11 +22,7 @@
 // are the local times of the call, and storeNow is the store's monotonic clock when it responded.
 // A call may wait at the store, so its response can be valid for a later time than sent.
 func (b *Bound) Observe(sent, received Instant, storeNow time.Duration) {
-	minOffset := time.Duration(sent) - storeNow
-	maxOffset := time.Duration(received) - storeNow
-	if !b.valid || minOffset > b.clockOffset || b.clockOffset > maxOffset {
-		b.clockOffset = minOffset
-	}
+	b.ObserveClock(sent, received, storeNow)
 	asOf := max(sent, Instant(storeNow+b.clockOffset))
 	if !b.valid || asOf > b.asOf {
 		b.asOf = asOf
@@ -33,12 +30,28 @@
 	b.valid = true
 }
 
+// ObserveClock records a response of the store that does not show whether there is a newer
+// configuration. It is used only for the offset between the clocks.
+func (b *Bound) ObserveClock(sent, received Instant, storeNow time.Duration) {
+	minOffset := time.Duration(sent) - storeNow
+	maxOffset := time.Duration(received) - storeNow
+	if !b.offsetKnown || minOffset > b.clockOffset || b.clockOffset > maxOffset {
+		b.clockOffset, b.offsetKnown = minOffset, true
+	}
+}
+
+// ClockRestarted records that the store's clock may differ from the one observed before.
+func (b *Bound) ClockRestarted() { b.offsetKnown = false }
+
+// Invalidate records that the configuration in force is known to be outdated.
+func (b *Bound) Invalidate() { b.valid = false }
+
 // ObservePeer records a peer's report that the store held no newer configuration at storeNow of
 // the store's clock. The report is ignored until this process has read the store itself, since
 // the offset between the clocks is unknown before. The delay of the report does not matter, since
 // it counts from storeNow and not from its arrival.
 func (b *Bound) ObservePeer(storeNow time.Duration) {
-	if asOf := Instant(storeNow + b.clockOffset); b.valid && asOf > b.asOf {
+	if asOf := Instant(storeNow + b.clockOffset); b.valid && b.offsetKnown && asOf > b.asOf {
 		b.asOf = asOf
 	}
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -19,8 +19,9 @@
 	log     *telemetry.Logger
 	current atomic.Pointer[routetable.Table]
 
-	mu    sync.Mutex
-	bound freshness.Bound
+	mu       sync.Mutex
+	bound    freshness.Bound
+	verifier freshness.Verifier
 }
 
 func newConfigState(o *Options) *configState { return &configState{log: o.Log} }
@@ -35,38 +36,90 @@
 	return c.bound.Age(bootClock())
 }
 
+// configResult says what an answer of the store changed.
+type configResult struct {
+	verdict freshness.Verdict
+	// installed is set if a new table was installed.
+	installed bool
+	// newEra is set for the first answer of an era that began while the gateway ran.
+	newEra bool
+	// kept is set if the store showed an older table than the one in force.
+	kept bool
+}
+
 // observe applies the store's answer to a call that was sent at the given time. A
 // version older than the one in force is ignored, so an accepted configuration never
-// reverts. It returns whether a new table was installed.
-func (c *configState) observe(change ConfigurationChange, sent freshness.Instant) bool {
-	installed := false
-	if change.Table != nil {
-		known := c.current.Load()
-		if known == nil || change.Table.Version() > known.Version() {
-			c.current.Store(change.Table)
-			installed = true
-		}
-	}
+// reverts, also if the store comes back from an older copy.
+func (c *configState) observe(change ConfigurationChange, sent freshness.Instant) configResult {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bound.Observe(sent, bootClock(), change.Now)
-	return installed
+	answer := freshness.Answer{Era: change.Era, Revision: change.Revision, Sent: sent, Received: bootClock()}
+	known := c.current.Load()
+	inForce, install := uint64(0), false
+	if known != nil {
+		inForce = known.Version()
+	}
+	if change.Table != nil {
+		answer.Version, answer.WrittenAt = change.Table.Version(), change.TableRevision
+		install = known == nil || answer.Version > inForce
+	}
+	r := configResult{kept: change.Table != nil && answer.Version < inForce}
+	r.verdict, r.newEra = c.verifier.Observe(answer, max(inForce, answer.Version))
+	if r.verdict == freshness.Stale {
+		return configResult{verdict: r.verdict}
+	}
+	if install {
+		c.current.Store(change.Table)
+		r.installed = true
+	}
+	c.updateBound(r, sent, answer.Received, change.Now)
+	return r
 }
 
-// observePeer applies a peer's report that version was the newest when the store's
-// clock showed storeNow. It returns whether there is a newer version to read.
-func (c *configState) observePeer(version uint64, storeNow time.Duration) (newer bool) {
+func (c *configState) updateBound(r configResult, sent, received freshness.Instant, storeNow time.Duration) {
+	if r.newEra {
+		c.bound.ClockRestarted()
+	}
+	switch r.verdict {
+	case freshness.Proven:
+		c.bound.Observe(sent, received, storeNow)
+	case freshness.Outdated:
+		c.bound.Invalidate()
+	default:
+		c.bound.ObserveClock(sent, received, storeNow)
+	}
+}
+
+// peerConfiguration is a peer's report that a configuration was the newest when the
+// store's clock showed storeNow in an era. storeNow is 0 if that is not proven.
+type peerConfiguration struct {
+	version, era uint64
+	storeNow     time.Duration
+}
+
+// observePeer applies a peer's report. It returns whether there is something new to
+// read. A report of another era proves nothing, since the clock may be another one.
+func (c *configState) observePeer(p peerConfiguration) (isNew bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.verifier.ObservePeer(bootClock(), p.version)
 	known := c.current.Load()
-	if known == nil || version > known.Version() {
+	era, _ := c.verifier.Era()
+	if known == nil || p.version > known.Version() || p.era > era {
 		return true
 	}
-	if version < known.Version() {
-		return false
+	if p.version == known.Version() && p.era == era && p.storeNow > 0 {
+		c.bound.ObservePeer(p.storeNow)
 	}
+	return false
+}
+
+// era returns the newest known era of the store.
+func (c *configState) era() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bound.ObservePeer(storeNow)
-	return false
+	era, _ := c.verifier.Era()
+	return era
 }
 
 // bootClock reads a monotonic clock that includes the time the host is suspended.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -8,7 +8,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/freshness"
 	"github.com/wigeonfork/wigeonfork/loadshare"
+	"github.com/wigeonfork/wigeonfork/storepos"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 // fullReadAfter is the age of an entry's own last read of the configuration after
@@ -91,9 +94,9 @@
 	return g.gossip.rank(time.Now())
 }
 
-// readPosition is the revision up to which something was read.
+// readPosition is the position of the store up to which something was read.
 type readPosition struct {
-	revision uint64
+	storepos.Position
 	// known is false if everything must be read.
 	known  bool
 	readAt time.Time
@@ -113,7 +116,7 @@
 			store.recordSuccess(time.Now())
 			g.serversFollower.wakeIf(g.storeLost.Swap(false))
 		case errors.Is(err, ErrHistoryLost):
-			g.options.Log.Info().Uint64("since", at.revision).Msg("configuration_history_lost")
+			g.options.Log.Info().Uint64("era", at.Era).Uint64("since", at.Revision).Msg("configuration_history_lost")
 			at.known = false
 		default:
 			g.storeLost.Store(true)
@@ -150,24 +153,35 @@
 	var change ConfigurationChange
 	var err error
 	if longPoll {
-		change, err = g.options.Source.ConfigurationAfter(ctx, at.revision, wait)
+		change, err = g.options.Source.ConfigurationAfter(ctx, at.Position, wait)
 	} else {
 		change, err = g.options.Source.Configuration(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	*at = readPosition{revision: change.Revision, known: true, readAt: time.Now()}
-	g.applyConfiguration(change, g.config.observe(change, sent))
+	result := g.config.observe(change, sent)
+	if result.verdict == freshness.Stale {
+		return errors.Newf("the answer is of era %d, which has ended", change.Era)
+	}
+	*at = readPosition{Position: change.Position, known: true, readAt: time.Now()}
+	g.applyConfiguration(change, result)
 	return nil
 }
 
 // applyConfiguration applies the result of a read and announces it to the peers.
-func (g *Gateway) applyConfiguration(change ConfigurationChange, installed bool) {
+func (g *Gateway) applyConfiguration(change ConfigurationChange, result configResult) {
+	if result.newEra {
+		g.eraBegan(change.Position)
+	}
+	if result.kept {
+		telemetry.Counter(g.options.Metrics, "era.configuration_kept").Inc(1)
+		g.options.Log.Info().Uint64("shown", change.Table.Version()).Uint64("kept", g.config.table().Version()).Msg("configuration_kept")
+	}
 	if g.options.Moves != nil && len(change.Moves) > 0 {
 		g.moves.observeOrders(change.Moves)
 	}
-	if installed {
+	if result.installed {
 		g.fleet.setEngines(change.Table)
 		g.options.Log.Info().Uint64("version", change.Table.Version()).Uint64("revision", change.Revision).
 			Int("services", len(change.Table.Services())).Msg("configuration_installed")
@@ -178,26 +192,37 @@
 	}
 	g.markWarm(warmConfiguration)
 	g.configFollower.recordRead(time.Now())
-	report := loadshare.Message{Kind: loadshare.ConfigCurrent, Server: loadshare.ServerHash(table.Version()), Value: uint64(change.Now.Milliseconds())}
+	report := configurationReport(table.Version(), change.Stamp, result.verdict)
 	g.gossip.enqueue(report)
-	if installed {
+	if result.installed || result.newEra {
 		// A second datagram is sent in case the first one was lost.
 		time.AfterFunc(2*batchInterval, func() { g.gossip.enqueue(report) })
 	}
 }
 
+// configurationReport returns the message that reports the configuration in force after a
+// read.
+func configurationReport(version uint64, at Stamp, verdict freshness.Verdict) loadshare.Message {
+	report := loadshare.Message{Kind: loadshare.ConfigCurrent, Server: loadshare.ServerHash(version), Tokens: uint32(at.Era)}
+	if verdict == freshness.Proven {
+		report.Value = uint64(at.Now.Milliseconds())
+	}
+	return report
+}
+
 // handlePeerVersion handles a peer's report of the newest configuration version.
 func (g *Gateway) handlePeerVersion(now time.Time, m loadshare.Message) {
-	if g.config.observePeer(uint64(m.Server), time.Duration(m.Value)*time.Millisecond) {
+	report := peerConfiguration{version: uint64(m.Server), era: uint64(m.Tokens), storeNow: time.Duration(m.Value) * time.Millisecond}
+	if g.config.observePeer(report) {
 		g.configFollower.wake()
 		return
 	}
-	if table := g.config.table(); table != nil && table.Version() == uint64(m.Server) {
+	if table := g.config.table(); table != nil && table.Version() == report.version && report.era == g.config.era() {
 		g.configFollower.recordRead(now)
 	}
 }
 
-// serversState is the revision up to which the registered servers are known, from
+// serversState is the position up to which the registered servers are known, from
 // reads of this entry or of peers.
 type serversState struct {
 	mu sync.Mutex
@@ -265,11 +290,11 @@
 	if !at.known {
 		return g.readAllServers(ctx)
 	}
-	read, err := g.options.Source.ServersAfter(ctx, at.revision)
+	read, err := g.options.Source.ServersAfter(ctx, at.Position)
 	if err != nil {
 		return err
 	}
-	g.applyServerChanges(time.Now(), at.revision, read)
+	g.applyServerChanges(time.Now(), at.Position, read)
 	return nil
 }
 
@@ -287,7 +312,7 @@
 	now := time.Now()
 	g.servers.mu.Lock()
 	g.fleet.replaceServers(now, entries)
-	g.servers.readPosition = readPosition{revision: read.Revision, known: true, readAt: now}
+	g.servers.readPosition = readPosition{Position: read.Position, known: true, readAt: now}
 	g.servers.mu.Unlock()
 	g.serversFollower.recordRead(now)
 	g.moves.beginMoves(now)
@@ -295,22 +320,22 @@
 	return nil
 }
 
-// applyServerChanges applies this entry's read of the changes after revision from. It
-// ignores the read if peers have sent later changes meanwhile.
-func (g *Gateway) applyServerChanges(now time.Time, from uint64, read ServersChange) {
+// applyServerChanges applies this entry's read of the changes after from. It ignores
+// the read if peers have sent later changes meanwhile.
+func (g *Gateway) applyServerChanges(now time.Time, from storepos.Position, read ServersChange) {
 	g.servers.mu.Lock()
 	defer g.servers.mu.Unlock()
-	if read.Revision < g.servers.revision {
+	if read.Position.Before(g.servers.Position) {
 		return
 	}
 	// Changes that are known here are left out of the message, so it begins at the
-	// revision that this entry held. A peer that is behind that revision reads for
+	// position that this entry held. A peer that is behind that position reads for
 	// itself.
-	from = max(from, g.servers.revision)
+	from = storepos.Later(from, g.servers.Position)
 	updates := g.fleet.applyChanges(now, read.Changes)
-	g.servers.readPosition = readPosition{revision: read.Revision, known: true, readAt: now}
+	g.servers.readPosition = readPosition{Position: read.Position, known: true, readAt: now}
 	g.serversFollower.recordRead(now)
-	g.gossip.sendRegistryUpdate(&loadshare.RegistryUpdate{From: from, To: read.Revision, Changes: updates})
+	g.gossip.sendRegistryUpdate(loadshare.NewRegistryUpdate(from, read.Position, updates))
 }
 
 // applyPeerUpdate applies the changes that a peer read. It triggers a read of this
@@ -318,13 +343,13 @@
 func (g *Gateway) applyPeerUpdate(now time.Time, r *loadshare.RegistryUpdate) {
 	g.servers.mu.Lock()
 	defer g.servers.mu.Unlock()
-	switch {
-	case !g.servers.known || r.To < g.servers.revision:
-	case r.From > g.servers.revision || r.Partial:
+	switch from, to := r.Span(); {
+	case !g.servers.known || to.Before(g.servers.Position):
+	case from.After(g.servers.Position) || r.Partial:
 		g.serversFollower.wake()
 	default:
 		g.fleet.applyChanges(now, r.Changes)
-		g.servers.revision = r.To
+		g.servers.Position = to
 		g.serversFollower.recordRead(now)
 	}
 }
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -11,29 +11,33 @@
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routetable"
+	"github.com/wigeonfork/wigeonfork/storepos"
 )
 
 // Stamp is the position of an answer in the store's history. Now is the reading of
 // the store's monotonic clock when it answered.
 type Stamp struct {
-	Revision uint64
-	Now      time.Duration
+	storepos.Position
+	Now time.Duration
 }
 
-// ErrHistoryLost is the cause of the error if the store no longer keeps the changes
-// after a revision. Everything must be read again.
+// ErrHistoryLost is the cause of the error if the store does not have the changes
+// after a position: it dropped them, or it has come back from an older copy since.
+// Everything must be read again.
 var ErrHistoryLost = errors.New("history is no longer available")
 
 // ErrConditionFailed is the cause of the error of a write whose condition does not hold.
 var ErrConditionFailed = errors.New("the condition of the write does not hold")
 
 // ConfigurationChange is the result of a read of the configuration and of the operator's
-// orders. Table is nil if it has not changed or does not exist yet. Moves holds the orders
-// to move services to other versions that were read.
+// orders. Table is nil if it has not changed or does not exist yet, and TableRevision is
+// the revision at which it was written. Moves holds the orders to move services to other
+// versions that were read.
 type ConfigurationChange struct {
 	Stamp
-	Table *routetable.Table
-	Moves []rollout.MoveOrder
+	Table         *routetable.Table
+	TableRevision uint64
+	Moves         []rollout.MoveOrder
 }
 
 // ServersChange is the result of a read of the registered backend servers: all of them
@@ -47,13 +51,13 @@
 type Source interface {
 	// Configuration reads the complete configuration.
 	Configuration(ctx context.Context) (ConfigurationChange, error)
-	// ConfigurationAfter returns the change after revision since. It returns as soon
-	// as there is one, or without one after wait.
-	ConfigurationAfter(ctx context.Context, since uint64, wait time.Duration) (ConfigurationChange, error)
+	// ConfigurationAfter returns the change after since. It returns as soon as there is
+	// one, or without one after wait.
+	ConfigurationAfter(ctx context.Context, since storepos.Position, wait time.Duration) (ConfigurationChange, error)
 	// Servers reads all registered servers.
 	Servers(ctx context.Context) (ServersChange, error)
-	// ServersAfter returns the changes after revision since, without waiting.
-	ServersAfter(ctx context.Context, since uint64) (ServersChange, error)
+	// ServersAfter returns the changes after since, without waiting.
+	ServersAfter(ctx context.Context, since storepos.Position) (ServersChange, error)
 }
 
 // Registry is how the entries of a deployment discover each other.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -25,6 +25,8 @@
 	AgeMs   int64  `json:"configuration_age_ms"`
 	// ServersRevision is the store's revision up to which the servers are known.
 	ServersRevision uint64 `json:"servers_revision"`
+	// Era is the store's newest known era.
+	Era uint64 `json:"store_era"`
 	// Rank is this entry's reader rank at the store. Peers is the number of live
 	// peers.
 	Rank    int `json:"rank"`
@@ -62,7 +64,7 @@
 	_, leaving := g.leaving(now)
 	s := State{
 		Host: g.options.Host, Domain: g.options.Domain, Leaving: leaving, Unready: g.unready(),
-		Requests: g.active.Load(), AgeMs: -1, ServersRevision: g.servers.get().revision, Rank: g.readerRank(),
+		Requests: g.active.Load(), AgeMs: -1, ServersRevision: g.servers.get().Revision, Era: g.config.era(), Rank: g.readerRank(),
 	}
 	if table := g.config.table(); table != nil {
 		s.Version = table.Version()
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -32,7 +32,8 @@
 	// Lost reports that a backend server does not respond to the sender.
 	Lost
 	// ConfigCurrent reports that the configuration of version Server was the newest when the
-	// store's clock showed Value milliseconds.
+	// store's clock showed Value milliseconds, in the store's era Tokens. If Value is 0, the
+	// configuration was accepted but may not be the newest.
 	ConfigCurrent
 	// Speed reports the measured speed of a backend server. Tokens is the time between two
 	// tokens in microseconds, and Value the prompt tokens read per second.
--- a/loadshare/registry_update.go
+++ b/loadshare/registry_update.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/storepos"
 )
 
 // MaxRegistryUpdateBytes bounds the datagram of a registry update. An update that does not fit
@@ -16,7 +17,7 @@
 const MaxRegistryUpdateBytes = 16 << 10
 
 // RegistryUpdate reports what one entry read from the registry of backend servers: all changes
-// after revision From up to revision To.
+// after revision From of era FromEra up to revision To of era ToEra.
 type RegistryUpdate struct {
 	From uint64 `cbor:"1,keyasint"`
 	To   uint64 `cbor:"2,keyasint"`
@@ -26,6 +27,19 @@
 	// Adopted reports a server that the sender discovered before the registry listed it. If it is
 	// set, no other field is.
 	Adopted *Adoption `cbor:"5,keyasint,omitempty"`
+	// FromEra and ToEra are the eras of From and To. Builds without eras ignore them.
+	FromEra uint64 `cbor:"6,keyasint,omitempty"`
+	ToEra   uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// NewRegistryUpdate returns an update with the changes after from up to to.
+func NewRegistryUpdate(from, to storepos.Position, changes []directory.Change) *RegistryUpdate {
+	return &RegistryUpdate{From: from.Revision, FromEra: from.Era, To: to.Revision, ToEra: to.Era, Changes: changes}
+}
+
+// Span returns the positions between which the changes are.
+func (r *RegistryUpdate) Span() (from, to storepos.Position) {
+	return storepos.Position{Era: r.FromEra, Revision: r.From}, storepos.Position{Era: r.ToEra, Revision: r.To}
 }
 
 // Adoption reports that another server responds at the address of a lost one.
@@ -42,7 +56,7 @@
 		return nil, errors.Wrap(err, "encode registry update")
 	}
 	if len(full) > MaxRegistryUpdateBytes {
-		return AppendRegistryUpdate(buf[:0], port, &RegistryUpdate{From: r.From, To: r.To, Partial: true})
+		return AppendRegistryUpdate(buf[:0], port, &RegistryUpdate{From: r.From, FromEra: r.FromEra, To: r.To, ToEra: r.ToEra, Partial: true})
 	}
 	return full, nil
 }
--- a/standin/deployment/drill.go
+++ b/standin/deployment/drill.go
@@ -33,6 +33,19 @@
 	}
 }
 
+// Leave removes the row of a runner that did not report to be draining. The runner itself goes on
+// serving without heartbeats.
+func (d *Deployment) Leave(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runners[id].dead = true
+	d.Store.Delete("servers", id)
+}
+
+// Silence ends the heartbeats of a runner that goes on serving. Its row is removed after three
+// heartbeat intervals.
+func (d *Deployment) Silence(id string) { d.markDead(id) }
+
 // removeDeadRows removes the rows of dead runners after three heartbeat intervals, as the platform
 // does with all rows whose runners are silent.
 func (d *Deployment) removeDeadRows() {
--- a/standin/rowstore/restore.go
+++ b/standin/rowstore/restore.go
@@ -23,6 +23,13 @@
 	return s.era
 }
 
+// Version returns the version of the last transaction.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // Restore replaces the contents by a copy of the given age. Later writes are lost, and the versions
 // of the store go back and are given out again. A feed that starts at a version that the copy does
 // not have gets 410.
