Keep what is known of servers against an older copy of the registry

What callers saw: after the store came back from an older copy, requests went to servers that had left: a drained server showed as ready again, and one whose entry was removed came back. A live server that had registered after the copy was dropped until its next heartbeat.

Cause: a complete read of the registry replaced all that was known, whatever its age.

The directory now tells a copy from a read of the same era. A known draining state and a later incarnation win over an older entry. A server that left stays away until it registers again in the new era, or its entry is still there after ten seconds; its memory lasts two minutes. Servers that the copy lacks are kept for the 2.2 s within which live ones register again, as after an outage. The reader sends the difference to its peers, which apply it by the same rules, so that one entry reads the servers and not all.

Before (go test ./platform -run TestServersOverRestore): a server that left was seen 80 times, Expected: 0; a drained one 703 times, Expected: 0. The third case, a live server that the copy lacks, passed before in this test, since the stand-in registers again every 300 ms; TestCopyLacksServers in directory checks it without a clock.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -82,12 +82,23 @@
 	records            map[wigeonfork.BackendServerID]*record
 	registryDown       bool
 	registryRestoredAt time.Time
-	events             []Event
+	// departed holds the servers that left recently, and held the entries of an older copy of the
+	// registry that show such servers. copyAt is when the last such copy was read.
+	departed map[wigeonfork.BackendServerID]departure
+	held     map[wigeonfork.BackendServerID]Entry
+	copyAt   time.Time
+	// kept lists the servers whose state was kept against the last copy.
+	kept   []wigeonfork.BackendServerID
+	events []Event
 }
 
 // New returns an empty Directory.
 func New() *Directory {
-	return &Directory{records: make(map[wigeonfork.BackendServerID]*record)}
+	return &Directory{
+		records:  make(map[wigeonfork.BackendServerID]*record),
+		departed: make(map[wigeonfork.BackendServerID]departure),
+		held:     make(map[wigeonfork.BackendServerID]Entry),
+	}
 }
 
 // RegistryLost records that the registry can't be reached.
@@ -113,7 +124,11 @@
 	seen := make(map[wigeonfork.BackendServerID]bool, len(entries))
 	for _, entry := range entries {
 		seen[entry.ID] = true
-		d.put(entry)
+		if now.Sub(d.copyAt) < CopyHoldTimeout {
+			d.putFromCopy(entry)
+		} else {
+			d.put(entry)
+		}
 	}
 	for id, r := range d.records {
 		if !seen[id] && r.adopted.IsZero() {
@@ -170,13 +185,14 @@
 }
 
 func (d *Directory) expire(now time.Time) {
+	d.expireDepartures(now)
 	if d.registryDown || d.awaitingReregistration(now) {
 		return
 	}
 	for id, r := range d.records {
 		unregistered := !r.adopted.IsZero() && now.Sub(r.adopted) > AdoptionTimeout && now.Sub(d.registryRestoredAt) > AdoptionTimeout
 		if r.lapsed || unregistered {
-			d.drop(id, r)
+			d.drop(now, id, r)
 		}
 	}
 }
@@ -194,6 +210,8 @@
 }
 
 func (d *Directory) put(entry Entry) {
+	delete(d.departed, entry.ID)
+	delete(d.held, entry.ID)
 	r, known := d.records[entry.ID]
 	if !known {
 		d.records[entry.ID] = &record{entry: entry}
@@ -222,6 +240,7 @@
 // remove removes a server whose entry is gone. After a registry outage the entry may have
 // expired, so the server is kept until ReregistrationTimeout has passed.
 func (d *Directory) remove(now time.Time, id wigeonfork.BackendServerID) {
+	delete(d.held, id)
 	r, known := d.records[id]
 	if !known {
 		return
@@ -230,11 +249,12 @@
 		r.lapsed = true
 		return
 	}
-	d.drop(id, r)
+	d.drop(now, id, r)
 }
 
-func (d *Directory) drop(id wigeonfork.BackendServerID, r *record) {
+func (d *Directory) drop(now time.Time, id wigeonfork.BackendServerID, r *record) {
 	delete(d.records, id)
+	d.departed[id] = departure{born: r.entry.Born, at: now}
 	if !r.entry.Draining {
 		d.emit(Left, r.entry, r.lapsed)
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -240,6 +240,7 @@
 		case errors.Is(err, ErrHistoryLost):
 			g.options.Log.Info().Msg("servers_history_lost")
 			g.servers.invalidate()
+			g.serversFollower.wake()
 		default:
 			g.fleet.registryLost()
 			if !g.pauseForStore(store.recordFailure(time.Now(), err)) {
@@ -310,16 +311,35 @@
 		}
 	}
 	now := time.Now()
-	g.servers.mu.Lock()
-	g.fleet.replaceServers(now, entries)
-	g.servers.readPosition = readPosition{Position: read.Position, known: true, readAt: now}
-	g.servers.mu.Unlock()
+	if err := g.replaceServers(now, read.Position, entries); err != nil {
+		return err
+	}
 	g.serversFollower.recordRead(now)
 	g.moves.beginMoves(now)
 	g.markWarm(warmServers)
 	return nil
 }
 
+// replaceServers applies a complete read. If it is of a later era than what is known, it
+// sends the changes to the peers, so that they need not read too.
+func (g *Gateway) replaceServers(now time.Time, at storepos.Position, entries []directory.Entry) error {
+	g.servers.mu.Lock()
+	defer g.servers.mu.Unlock()
+	known := g.servers.Position
+	switch {
+	case at.Era < known.Era:
+		return errors.Newf("the answer is of era %d, which has ended", at.Era)
+	case at.Era > known.Era && !g.servers.readAt.IsZero():
+		changes := g.fleet.copyChanges(entries)
+		g.fleet.applyCopy(now, changes)
+		g.gossip.sendRegistryUpdate(loadshare.NewRegistryUpdate(known, at, changes))
+	default:
+		g.fleet.replaceServers(now, entries)
+	}
+	g.servers.readPosition = readPosition{Position: at, known: true, readAt: now}
+	return nil
+}
+
 // applyServerChanges applies this entry's read of the changes after from. It ignores
 // the read if peers have sent later changes meanwhile.
 func (g *Gateway) applyServerChanges(now time.Time, from storepos.Position, read ServersChange) {
@@ -345,8 +365,14 @@
 	defer g.servers.mu.Unlock()
 	switch from, to := r.Span(); {
 	case !g.servers.known || to.Before(g.servers.Position):
+	case from.Era < to.Era && g.servers.Era == to.Era:
+		// This entry has read the new era itself.
 	case from.After(g.servers.Position) || r.Partial:
 		g.serversFollower.wake()
+	case from.Era < to.Era:
+		g.fleet.applyCopy(now, r.Changes)
+		g.servers.Position = to
+		g.serversFollower.recordRead(now)
 	default:
 		g.fleet.applyChanges(now, r.Changes)
 		g.servers.Position = to
