Keep moves and their states over a store that comes back from an older copy

What callers saw: a bad version that had been taken back got requests again (5 of the test's), and its state rolled_back never appeared again to the operator; a good version was completed 1.4 s after the deadline of its order.

Cause: an order was identified by a revision without an era, so an order that the operator wrote again looked like a new one or like an old one, and a stored state was compared with the order by such revisions. The state that the copy lost was not written again, since its writer had seen it stored.

Orders and states carry a position. The writer reads the state anew in each era and writes it again. A state belongs to an order only if both are of one era. A compare-and-set that is answered in another era counts as failed and is settled by a read, since its version may be that of another write. Reports of peers on one order are merged over eras.

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/rollout"
+	"github.com/wigeonfork/wigeonfork/storepos"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -77,7 +78,7 @@
 	Convey("A move under way has the new exposure limits", t, func() {
 		g, bounds := newBoundedGateway()
 		now := time.Now()
-		g.moves.begin(now, rollout.MoveOrder{Service: engines, To: "v2", Duration: 10 * time.Second, Revision: 1}, "v1", 10*time.Second, true)
+		g.moves.begin(now, rollout.MoveOrder{Service: engines, To: "v2", Duration: 10 * time.Second, Position: storepos.Position{Revision: 1}}, "v1", 10*time.Second, true)
 		g.moves.setEntries(1)
 		g.moves.moves[engines].Advance(rollout.StageTrial, "")
 		So(g.moves.preference(engines), ShouldResemble, []wigeonfork.Version{"v1"})
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -13,6 +13,7 @@
 func (g *Gateway) eraBegan(at storepos.Position) {
 	telemetry.Counter(g.options.Metrics, "era.began").Inc(1)
 	g.options.Log.Warn().Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("store_era_began")
+	g.moves.eraBegan(time.Now(), at.Era)
 	if g.readerRank() == 0 {
 		// The others hear of the changes.
 		g.serversFollower.wake()
--- a/gateway/move_states.go
+++ b/gateway/move_states.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/rollout"
+	"github.com/wigeonfork/wigeonfork/storepos"
 )
 
 // MoveState is the stored state of a move.
@@ -26,25 +27,33 @@
 // String returns the name of s.
 func (s MoveState) String() string { return moveStateNames[s] }
 
-// StoredMove is the stored state of the last move of a service, and the revision at which it was
-// written, 0 if there is none.
+// StoredMove is the stored state of the last move of a service, and the position at which it was
+// written, with revision 0 if there is none.
 type StoredMove struct {
 	State    MoveState
 	To       wigeonfork.Version
-	Revision uint64
+	Position storepos.Position
+}
+
+// isFor reports whether the state is that of the move of an order. After the store has come back
+// from an older copy, a state is compared with an order only once both were read in the same era:
+// the copy may hold the state of an earlier move.
+func (s *StoredMove) isFor(order rollout.MoveOrder) bool {
+	return s.To == order.To && s.Position.Era == order.Position.Era && s.Position.After(order.Position)
 }
 
 // isFinalFor reports whether the state is the end of the move of an order.
 func (s *StoredMove) isFinalFor(order rollout.MoveOrder) bool {
-	return s.State > MoveRunning && s.To == order.To && s.Revision > order.Revision
+	return s.State > MoveRunning && s.isFor(order)
 }
 
 // MoveStore keeps the states of moves, which the operator reads.
 type MoveStore interface {
 	ReadMove(ctx context.Context, service wigeonfork.Model) (StoredMove, error)
 	// WriteMove replaces the state. The cause of the error is ErrConditionFailed if the stored
-	// one no longer has the given revision.
-	WriteMove(ctx context.Context, service wigeonfork.Model, state StoredMove, revision uint64) error
+	// one no longer has the given position, or if the store has entered another era; the state
+	// must then be read again.
+	WriteMove(ctx context.Context, service wigeonfork.Model, state StoredMove, at storepos.Position) error
 }
 
 // confirm reads the stored state of a move until that succeeds. Before, nothing is sent to the new
@@ -146,7 +155,7 @@
 	if time.Now().Before(w.retryAt) {
 		return
 	}
-	if !w.known {
+	if !w.known || w.stored.Position.Era < w.v.g.config.era() {
 		stored, err := w.v.refresh(w.order)
 		if err != nil {
 			w.failed(err)
@@ -154,12 +163,16 @@
 		}
 		w.stored, w.known = stored, true
 	}
+	if w.order.Position.Era < w.stored.Position.Era {
+		// The operator writes the order again; its state belongs after it.
+		return
+	}
 	if wanted == MoveAbsent || w.stored.isFinalFor(w.order) || w.isStored(wanted) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(w.v.g.background, storeReadTimeout)
 	defer cancel()
-	err := w.v.g.options.Moves.WriteMove(ctx, w.order.Service, StoredMove{State: wanted, To: w.order.To}, w.stored.Revision)
+	err := w.v.g.options.Moves.WriteMove(ctx, w.order.Service, StoredMove{State: wanted, To: w.order.To}, w.stored.Position)
 	w.known = false
 	if err != nil {
 		w.failed(err)
@@ -174,7 +187,7 @@
 
 // isStored reports whether a state is stored for this order.
 func (w *moveWriter) isStored(state MoveState) bool {
-	return w.stored.State == state && w.stored.To == w.order.To && w.stored.Revision > w.order.Revision
+	return w.stored.State == state && w.stored.isFor(w.order)
 }
 
 func (w *moveWriter) failed(err error) {
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -43,6 +43,7 @@
 	mu sync.Mutex
 	// orders holds the newest order of each service. Its move exists once servers are known.
 	orders    map[wigeonfork.Model]rollout.MoveOrder
+	rewrites  orderRewrites
 	moves     map[wigeonfork.Model]*rollout.ServiceMove
 	baselines *rollout.Baselines
 	// reportedAt is when each move was last reported to the peers.
@@ -57,6 +58,7 @@
 	return &versionMoves{
 		g: g, source: strconv.FormatUint(rand.Uint64(), 36), startedAt: time.Now(),
 		orders: make(map[wigeonfork.Model]rollout.MoveOrder), moves: make(map[wigeonfork.Model]*rollout.ServiceMove),
+		rewrites:   newOrderRewrites(),
 		reportedAt: make(map[wigeonfork.Model]time.Time),
 		baselines:  rollout.NewBaselines(), waiting: make(map[*timedRun]struct{}),
 	}
@@ -90,9 +92,7 @@
 func (v *versionMoves) observeOrders(orders []rollout.MoveOrder) {
 	v.mu.Lock()
 	for _, order := range orders {
-		if order.Revision > v.orders[order.Service].Revision {
-			v.orders[order.Service] = order
-		}
+		v.observeOrderLocked(time.Now(), order)
 	}
 	v.mu.Unlock()
 	v.beginMoves(time.Now())
@@ -103,7 +103,7 @@
 	v.mu.Lock()
 	var missing []rollout.MoveOrder
 	for service, order := range v.orders {
-		if move := v.moves[service]; move == nil || move.Order.Revision < order.Revision {
+		if move := v.moves[service]; move == nil || move.Order.Position.Before(order.Position) {
 			missing = append(missing, order)
 		}
 	}
@@ -125,7 +125,7 @@
 func (v *versionMoves) begin(now time.Time, order rollout.MoveOrder, from wigeonfork.Version, left time.Duration, hasHistory bool) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if move := v.moves[order.Service]; move != nil && move.Order.Revision >= order.Revision {
+	if move := v.moves[order.Service]; move != nil && !order.Position.After(move.Order.Position) {
 		return false
 	}
 	move := rollout.NewServiceMove(now, order, from, left, exposureLimits(v.g.bounds.Load()), hasHistory, rand.Float64())
@@ -133,7 +133,7 @@
 	v.moves[order.Service] = move
 	v.orders[order.Service] = order
 	v.g.options.Log.Info().Str("service", string(order.Service)).Str("from", string(from)).Str("to", string(order.To)).
-		Uint64("order", order.Revision).Dur("left", left).Bool("has_history", hasHistory).Msg("move_began")
+		Uint64("order", order.Position.Revision).Uint64("era", order.Position.Era).Dur("left", left).Bool("has_history", hasHistory).Msg("move_began")
 	return true
 }
 
@@ -332,7 +332,7 @@
 	v.reportedAt[service] = now
 	stage, reason := move.Stage()
 	update := &loadshare.MoveUpdate{
-		Service: service, From: move.From, To: move.Order.To, Duration: move.Order.Duration, Revision: move.Order.Revision,
+		Service: service, From: move.From, To: move.Order.To, Duration: move.Order.Duration, Revision: move.Order.Position.Revision, Era: move.Order.Position.Era,
 		Left: move.Left(now), Confirmed: move.Confirmed(), Stage: stage, Reason: reason, Source: v.source, Report: move.Report(),
 	}
 	v.mu.Unlock()
@@ -356,10 +356,16 @@
 
 // handleUpdate applies a peer's report.
 func (v *versionMoves) handleUpdate(now time.Time, u *loadshare.MoveUpdate) {
-	v.begin(now, u.Order(), u.From, u.Left, u.Duration-u.Left < historyPeriod && now.Sub(v.startedAt) > historyPeriod)
+	order := u.Order()
+	v.mu.Lock()
+	rewritten := v.observeOrderLocked(now, order)
+	v.mu.Unlock()
+	if !rewritten {
+		v.begin(now, order, u.From, u.Left, u.Duration-u.Left < historyPeriod && now.Sub(v.startedAt) > historyPeriod)
+	}
 	v.mu.Lock()
 	move := v.moves[u.Service]
-	if move.Order.Revision != u.Revision {
+	if move == nil || !v.rewrites.isSame(move.Order, order) {
 		v.mu.Unlock()
 		return
 	}
--- a/loadshare/move_update.go
+++ b/loadshare/move_update.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/rollout"
+	"github.com/wigeonfork/wigeonfork/storepos"
 )
 
 // MoveUpdate reports what one entry knows of a move of a service to another version. It has a
@@ -27,11 +28,14 @@
 	// Source identifies the sender's incarnation, and Report is what it saw itself.
 	Source string             `cbor:"10,keyasint"`
 	Report rollout.MoveReport `cbor:"11,keyasint"`
+	// Era is the era of Revision. Builds without eras don't send it.
+	Era uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Order returns the order of the move.
 func (u *MoveUpdate) Order() rollout.MoveOrder {
-	return rollout.MoveOrder{Service: u.Service, To: u.To, Duration: u.Duration, Revision: u.Revision}
+	at := storepos.Position{Era: u.Era, Revision: u.Revision}
+	return rollout.MoveOrder{Service: u.Service, To: u.To, Duration: u.Duration, Position: at}
 }
 
 // AppendMoveUpdate appends the encoding of a datagram with a move update from the listener at port.
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/storepos"
 )
 
 // MoveOrder orders the move of a service's traffic to servers of another version, which run beside
@@ -16,8 +17,9 @@
 	To      wigeonfork.Version
 	// Duration is the time from the order to the deadline.
 	Duration time.Duration
-	// Revision identifies the order. A later order has a higher one.
-	Revision uint64
+	// Position is where the order was written in the store. It identifies the order. A later order
+	// has a later one.
+	Position storepos.Position
 }
 
 // Stage is how far a ServiceMove has come. Stages only rise.
--- a/rollout/service_move_test.go
+++ b/rollout/service_move_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/storepos"
 )
 
 const (
@@ -20,7 +21,7 @@
 
 var (
 	moveStart  = time.Unix(1_800_000_000, 0)
-	moveOrder  = MoveOrder{Service: "s", To: newVersion, Duration: 15 * time.Second, Revision: 7}
+	moveOrder  = MoveOrder{Service: "s", To: newVersion, Duration: 15 * time.Second, Position: storepos.Position{Revision: 7}}
 	moveLimits = ExposureLimits{Share: 0.1, Slack: 50}
 	manyUsable = FleetView{OldUsable: 24, NewUsable: 24}
 )
