Write again what the store lost of the system's own rows

What callers saw: a request that crashes its servers crashed them again, if the store came back from a copy without its quarantine and all entries ended after that. Entries whose registrations the store had lost were unknown to those that started later, so that these heard nothing of them.

Cause: quarantines and registrations are written once. Nothing noticed that the store no longer has them.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -36,6 +36,7 @@
 	peers *loadshare.Peers
 	// registered is set once the registered peers have been read.
 	registered     bool
+	registeredAt   time.Time
 	pending        []loadshare.Message
 	flushScheduled bool
 }
@@ -166,6 +167,28 @@
 	}
 }
 
+// registerAgain registers again after the store came back from an older copy, unless that
+// holds the registration. The peers are read again too: one that started on the copy knows
+// only those that the copy holds.
+func (s *gossiper) registerAgain(now time.Time) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	needed := s.registered && now.Sub(s.registeredAt) < maxCopyAge
+	s.mu.Unlock()
+	if !needed {
+		return
+	}
+	s.g.wait.Go(func() {
+		if !s.g.pause(s.g.jitter(registerRetry)) {
+			return
+		}
+		s.g.recordRewrite("entry")
+		s.register()
+	})
+}
+
 func (s *gossiper) tryRegister() bool {
 	ctx, cancel := context.WithTimeout(s.g.background, storeReadTimeout)
 	defer cancel()
@@ -183,7 +206,7 @@
 	for _, address := range peers {
 		s.peers.Add(address)
 	}
-	s.registered = true
+	s.registered, s.registeredAt = true, time.Now()
 	s.mu.Unlock()
 	s.updatePeerCounts(time.Now())
 	s.g.options.Log.Info().Int("peers", len(peers)).Msg("registered")
--- a/gateway/quarantines.go
+++ b/gateway/quarantines.go
@@ -94,6 +94,28 @@
 	return c.g.options.Quarantines.SaveQuarantine(ctx, StoredQuarantine{Content: q.Content, Since: q.Since.Round(0)})
 }
 
+// saveMissing queues the known quarantines that the store lacks to be saved.
+func (c *crashGuard) saveMissing(ctx context.Context) error {
+	stored, err := c.g.options.Quarantines.Quarantines(ctx)
+	if err != nil {
+		return err
+	}
+	isStored := make(map[quarantine.ContentHash]bool, len(stored))
+	for _, q := range stored {
+		isStored[q.Content] = true
+	}
+	c.mu.Lock()
+	known := c.limiter.Quarantines(time.Now())
+	c.mu.Unlock()
+	for _, q := range known {
+		if !isStored[q.Content] {
+			c.g.recordRewrite("quarantine")
+			c.save(q)
+		}
+	}
+	return nil
+}
+
 // restoreQuarantines reads the stored quarantines at the start, and again while no known peer is
 // live.
 func (c *crashGuard) restoreQuarantines() {
--- a/standin/rowstore/restore.go
+++ b/standin/rowstore/restore.go
@@ -48,6 +48,7 @@
 	}
 	s.compactedVersion = min(s.compactedVersion, s.version)
 	s.era++
+	s.restoredAt = time.Now()
 	s.notifyLocked()
 }
 
@@ -63,3 +64,16 @@
 		s.history = append(s.history, w.row)
 	}
 }
+
+// WritesSinceRestore returns the number of writes to a table since the last restore.
+func (s *Store) WritesSinceRestore(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, w := range s.writes {
+		if w.row.Table == table && w.at.After(s.restoredAt) {
+			n++
+		}
+	}
+	return n
+}
--- a/standin/rowstore/rowstore.go
+++ b/standin/rowstore/rowstore.go
@@ -52,11 +52,12 @@
 	version          uint64
 	// era counts the times that the store came back from an older copy, from 1. writes are all
 	// writes of the current contents, from which older copies are made.
-	era     uint64
-	writes  []write
-	fault   Fault
-	changed chan struct{}
-	calls   int
+	era        uint64
+	writes     []write
+	restoredAt time.Time
+	fault      Fault
+	changed    chan struct{}
+	calls      int
 }
 
 // New returns an empty store.
