Count the operator's time to write again by the store's clock

What callers saw: nothing yet; found by reading. A read that waits at the store for a change was proof of the configuration in force only if it was sent later than a second after the new era began. One that began just before and ended a second later was none, so that the proof came with the next one, up to three seconds after the store's return, and requests with keys might be refused until then after an outage of two seconds.

The answer is now judged by the store's clock when it answered.

--- a/freshness/verifier.go
+++ b/freshness/verifier.go
@@ -14,8 +14,9 @@
 	// revision at which it was written. Both are 0 if the answer holds none, as that to a read of
 	// changes without any.
 	Version, WrittenAt uint64
-	// Sent and Received are the local times of the call.
-	Sent, Received Instant
+	// Sent is the local time of the call. StoreNow is the store's monotonic clock when it answered.
+	Sent     Instant
+	StoreNow time.Duration
 }
 
 // Verdict says what an answer proves about the configuration in force.
@@ -51,10 +52,10 @@
 type Verifier struct {
 	era   uint64
 	known bool
-	// restored is set if the store entered the era while this process ran, at began, with the
-	// revision base in the first answer.
+	// restored is set if the store entered the era while this process ran. The first answer was
+	// made at began by the store's clock, at revision base.
 	restored bool
-	began    Instant
+	began    time.Duration
 	base     uint64
 	// rewritten is set once the configuration was written in this era.
 	rewritten bool
@@ -77,7 +78,7 @@
 	if !v.known || a.Era > v.era {
 		newEra = v.known
 		*v = Verifier{
-			era: a.Era, known: true, restored: newEra, began: a.Received, base: a.Revision,
+			era: a.Era, known: true, restored: newEra, began: a.StoreNow, base: a.Revision,
 			reported: v.reported, reportedAt: v.reportedAt,
 		}
 	}
@@ -88,7 +89,7 @@
 		return Outdated, newEra
 	case v.shown < max(inForce, v.reported):
 		return Unproven, newEra
-	case v.restored && !v.rewritten && a.Sent < v.began+Instant(RewriteTimeout):
+	case v.restored && !v.rewritten && a.StoreNow-v.began < RewriteTimeout:
 		return Unproven, newEra
 	}
 	return Proven, newEra
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -53,7 +53,7 @@
 func (c *configState) observe(change ConfigurationChange, sent freshness.Instant) configResult {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	answer := freshness.Answer{Era: change.Era, Revision: change.Revision, Sent: sent, Received: bootClock()}
+	answer := freshness.Answer{Era: change.Era, Revision: change.Revision, Sent: sent, StoreNow: change.Now}
 	known := c.current.Load()
 	inForce, install := uint64(0), false
 	if known != nil {
@@ -72,7 +72,7 @@
 		c.current.Store(change.Table)
 		r.installed = true
 	}
-	c.updateBound(r, sent, answer.Received, change.Now)
+	c.updateBound(r, sent, bootClock(), change.Now)
 	return r
 }
 
