--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -2,9 +2,11 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/standin/deployment"
@@ -52,7 +54,12 @@
 	c := startCallers(s, seed, s.options.Callers)
 	revoke := time.AfterFunc(s.options.Length/3, c.revoke)
 	defer revoke.Stop()
+	var drills int
+	var played sync.WaitGroup
+	played.Go(func() { drills = s.playDrills(rand.New(rand.NewPCG(seed, 3)), s.options.Length) })
 	r.faults = describe(s.schedule(s.options.Length))
+	played.Wait()
+	r.faults = append(r.faults, "store_restore:"+strconv.Itoa(drills))
 	s.checkRecovery(c)
 	close(c.stop)
 	c.wait.Wait()
