--- a/gateway/config.go
+++ b/gateway/config.go
@@ -22,8 +22,12 @@
 	mu       sync.Mutex
 	bound    freshness.Bound
 	verifier freshness.Verifier
+	// kept is the older version that the store last showed, and its era.
+	kept keptVersion
 }
 
+type keptVersion struct{ era, version uint64 }
+
 func newConfigState(o *Options) *configState { return &configState{log: o.Log} }
 
 func (c *configState) table() *routetable.Table { return c.current.Load() }
@@ -43,7 +47,8 @@
 	installed bool
 	// newEra is set for the first answer of an era that began while the gateway ran.
 	newEra bool
-	// kept is set if the store showed an older table than the one in force.
+	// kept is set if the store shows an older table than the one in force, for the first
+	// time in an era.
 	kept bool
 }
 
@@ -63,7 +68,10 @@
 		answer.Version, answer.WrittenAt = change.Table.Version(), change.TableRevision
 		install = known == nil || answer.Version > inForce
 	}
-	r := configResult{kept: change.Table != nil && answer.Version < inForce}
+	r := configResult{}
+	if shown := (keptVersion{change.Era, answer.Version}); change.Table != nil && answer.Version < inForce && shown != c.kept {
+		c.kept, r.kept = shown, true
+	}
 	r.verdict, r.newEra = c.verifier.Observe(answer, max(inForce, answer.Version))
 	if r.verdict == freshness.Stale {
 		return configResult{verdict: r.verdict}
