--- a/freshness/verifier.go
+++ b/freshness/verifier.go
@@ -28,8 +28,8 @@
 	Stale Verdict = iota
 	// Unproven means that the store may still show an older copy.
 	Unproven
-	// Outdated means that a newer configuration was accepted that the store does not show, so that
-	// keys in force may be revoked.
+	// Outdated means that the process started on an older copy: a newer configuration was accepted
+	// that the store does not show. Earlier verdicts prove nothing.
 	Outdated
 	// Proven means that no newer configuration was accepted when the store answered.
 	Proven
@@ -85,7 +85,7 @@
 	v.shown = max(v.shown, a.Version)
 	v.rewritten = v.rewritten || a.WrittenAt > v.base
 	switch {
-	case v.shown < v.reported && inForce < v.reported && a.Sent > v.reportedAt:
+	case !v.restored && v.shown < v.reported && inForce < v.reported && a.Sent > v.reportedAt:
 		return Outdated, newEra
 	case v.shown < max(inForce, v.reported):
 		return Unproven, newEra
--- a/freshness/verifier_test.go
+++ b/freshness/verifier_test.go
@@ -44,6 +44,12 @@
 		So(verdict(v, 20*ms, 2, 3, 90, 3), ShouldEqual, Outdated)
 		So(verdict(v, 30*ms, 2, 5, 120, 5), ShouldEqual, Proven)
 	})
+	Convey("It does not if the era began while the process ran: what was proven before the restore holds", t, func() {
+		v := &Verifier{}
+		verdict(v, 0, 1, 3, 90, 3)
+		v.ObservePeer(10*ms, 5)
+		So(verdict(v, 20*ms, 2, 3, 80, 3), ShouldEqual, Unproven)
+	})
 	Convey("An answer of an earlier era is not used", t, func() {
 		v := &Verifier{}
 		verdict(v, 0, 2, 5, 90, 5)
