Repeat a registration over which the store came back from an older copy

What callers saw: nothing yet; found by reading. An entry whose registration was lost before that step had ended was not known as registered when the new era began, so it did not register again, and entries that started later did not know it. A registration that began and ended in different eras is now repeated.

Before (go test ./gateway): TestRegistrationOverRestore Expected: false, Actual: true.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -193,6 +193,7 @@
 	ctx, cancel := context.WithTimeout(s.g.background, storeReadTimeout)
 	defer cancel()
 	self := netip.AddrPortFrom(s.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr().Unmap(), s.port)
+	era := s.g.config.era()
 	if err := s.g.options.Registry.Register(ctx, s.g.options.Host, self); err != nil {
 		s.g.options.Log.Warn().Err(err).Msg("register_failed")
 		return false
@@ -208,6 +209,10 @@
 	}
 	s.registered, s.registeredAt = true, time.Now()
 	s.mu.Unlock()
+	if s.g.config.era() != era {
+		// The store may have lost the registration before it was complete.
+		return false
+	}
 	s.updatePeerCounts(time.Now())
 	s.g.options.Log.Info().Int("peers", len(peers)).Msg("registered")
 	return true
