Let a stand-in's stream keep the faults with which it began

The test ends the fault as soon as it sees the run; the stand-in read its faults only after that, so that the run could end without one when its goroutine was late. The faults are read before the run begins now. The test's checks are the same.

--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -338,9 +338,11 @@
 	if !run.FromCopy && !loopback.Sleep(q.Context(), r.options.Prefill) {
 		panic(http.ErrAbortHandler)
 	}
+	// A test may change the faults once it sees the run.
+	faults := r.currentFaults()
 	r.shared.beginRun(run)
 	r.crash(q, run)
-	if r.currentFaults().Crash {
+	if faults.Crash {
 		go r.server.Kill()
 		<-loopback.ServerContext(q.Context()).Done()
 		panic(http.ErrAbortHandler)
@@ -350,8 +352,8 @@
 	}
 	r.setHeaders(w, run)
 	w.Header().Set("Content-Type", "text/event-stream")
-	if unframed := r.currentFaults().Unframed; unframed != nil {
-		r.streamUnframed(w, q, run, *unframed)
+	if faults.Unframed != nil {
+		r.streamUnframed(w, q, run, *faults.Unframed)
 		return
 	}
 	flusher := w.(http.Flusher)
