Write quarantines of parts again after the store came back from an older copy

A quarantine of a part of a prompt that the store lost would not be known to gateways that start after that: the part crashes three more servers.

TestPartQuarantineIsSavedAgainAfterRestore before: 'timed out waiting until the quarantine is stored again'; now ok, with -race.

--- a/gateway/part_quarantines.go
+++ b/gateway/part_quarantines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/quarantine"
@@ -114,6 +115,31 @@
 	return p.g.options.Quarantines.SavePartQuarantine(ctx, s)
 }
 
+// saveMissing queues the known quarantines that the store lacks to be saved.
+func (p *partGuard) saveMissing(ctx context.Context) error {
+	stored, err := p.g.options.Quarantines.PartQuarantines(ctx)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	known := p.limiter.Quarantines(time.Now())
+	p.mu.Unlock()
+	for _, q := range known {
+		if !isStored(q, stored) {
+			p.g.recordRewrite("part_quarantine")
+			p.save(q)
+		}
+	}
+	return nil
+}
+
+// isStored reports whether the store holds a quarantine that has not ended.
+func isStored(q quarantine.PartQuarantine, stored []StoredPartQuarantine) bool {
+	return slices.ContainsFunc(stored, func(s StoredPartQuarantine) bool {
+		return slices.Equal(s.Parts, q.Parts) && s.Since.UnixMilli() > 0
+	})
+}
+
 // restoreQuarantines reads the stored quarantines at the start, and again while no known peer is live.
 func (p *partGuard) restoreQuarantines() {
 	store := p.g.newDependency("part_quarantine_reads")
