Hand over all requests before a version move is completed

What callers saw: 502 "the backend server was lost" for plain requests that were at old servers when these ended with the completion of a good version.

Cause: until `completed` was stored, entries went on sending to the old version, so some requests were always in progress there when the platform stopped its servers. Streams go on from backups; plain requests can't.

Fix: from the finish margin on, each entry that finds the version fit sends it all requests, and a leader stores `completed` only after a third of the margin. The exposure allowance already left room for all requests from the margin until the deadline. Servers too few are noticed before the handover.

The unit test TestServiceMoveHandsOverBeforeCompletion failed before (old version first). TestServiceMoveStopIsFinal expected the completion at the margin: it now expects that it waits for the handover there, that the first leader completes after it, and that the second does not yet.

The stand-ins learn RetireVersion, MoveState and Replace: a replaced or crashed runner comes back with its own version.

--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -60,6 +60,9 @@
 	// most finishFraction of the duration, since the new version gets all requests from then on.
 	maxFinishMargin = 1200 * time.Millisecond
 	finishFraction  = 0.07
+	// handoverFraction is the fraction of the finish margin for which a version that is to be
+	// completed gets all requests before that, so that those at old servers end first.
+	handoverFraction = 1.0 / 3
 	// minTrialResults is the number of good results of the new version that are wanted before
 	// backups are kept there.
 	minTrialResults = 8
@@ -135,8 +138,9 @@
 	// are judged by themselves too, since a version may turn bad late.
 	half       RouteResults
 	halfPassed bool
-	// finishing is set once a leader has decided to complete the move.
-	finishing bool
+	// enoughServers is set if the new version had servers enough to be completed as of the last
+	// step, and finishing once a leader has decided to complete the move.
+	enoughServers, finishing bool
 }
 
 // NewServiceMove returns the move of an order whose deadline is left from now. hasHistory is set if
@@ -181,6 +185,8 @@
 		return []wigeonfork.Version{m.Order.To}
 	case m.stage == StageTrial && m.mayTry(now):
 		return []wigeonfork.Version{m.Order.To, m.From}
+	case m.stage == StageTrial && m.confirmed && m.timeIsUp(now, 0) && m.unfit() == "":
+		return []wigeonfork.Version{m.Order.To, m.From}
 	case m.stage == StageTrial && m.confirmed && m.timeIsUp(now, 0) && m.triedWell():
 		// The old servers may have ended with a completion that is not known here yet.
 		return []wigeonfork.Version{m.From, m.Order.To}
@@ -298,27 +304,39 @@
 // Step judges the version and takes the steps that are due. It returns whether the stage rose.
 func (m *ServiceMove) Step(now time.Time, view FleetView) bool {
 	before := m.stage
+	m.enoughServers = float64(view.NewUsable) >= minCapacity*float64(view.OldUsable)
 	if m.stage == StageTrial {
 		m.judge(now)
 	}
 	if m.stage == StageTrial && m.confirmed && IsLeader(view.Rank) && m.timeIsUp(now, view.Rank) {
-		m.decide(view)
+		m.decide(now, view)
 	}
 	return m.stage > before
 }
 
-// decide decides when the time is up: a version that has not shown itself good is stopped.
-func (m *ServiceMove) decide(view FleetView) {
+// decide decides when the time is up: a version that is unfit is stopped, and another one is completed
+// after the handover.
+func (m *ServiceMove) decide(now time.Time, view FleetView) {
+	if reason := m.unfit(); reason != "" {
+		m.stage = StageStopped
+		m.reason = fmt.Sprintf("%s at the deadline; it has %d servers, the old version %d", reason, view.NewUsable, view.OldUsable)
+		return
+	}
+	handover := time.Duration(handoverFraction * float64(m.finishMargin()))
+	m.finishing = m.finishing || m.timeIsUp(now.Add(-handover), view.Rank)
+}
+
+// unfit returns why the version may not be completed, or an empty text if it may be.
+func (m *ServiceMove) unfit() string {
 	switch {
 	case m.suspicion >= maxEndSuspicion:
-		m.stage, m.reason = StageStopped, "suspect at the deadline"
+		return "suspect"
 	case !m.triedWell():
-		m.stage, m.reason = StageStopped, "not shown to be good by the deadline"
-	case float64(view.NewUsable) < minCapacity*float64(view.OldUsable):
-		m.stage, m.reason = StageStopped, fmt.Sprintf("%d servers at the deadline, with the old version %d", view.NewUsable, view.OldUsable)
-	default:
-		m.finishing = true
+		return "not shown to be good"
+	case !m.enoughServers:
+		return "too few servers"
 	}
+	return ""
 }
 
 // Finished reports whether this entry, as a leader, must complete the move.
--- a/rollout/service_move_test.go
+++ b/rollout/service_move_test.go
@@ -293,6 +293,11 @@
 			m.Step(end, second)
 			So(m.Finished(), ShouldBeFalse)
 			m.Step(end, manyUsable)
+			So(m.Finished(), ShouldBeFalse)
+			afterHandover := end.Add(350 * time.Millisecond)
+			m.Step(afterHandover, second)
+			So(m.Finished(), ShouldBeFalse)
+			m.Step(afterHandover, manyUsable)
 			So(m.Finished(), ShouldEqual, failures == 0)
 			// Until the completion is known everywhere, the new version makes up for old servers that are gone.
 			So(m.Allows(end, newVersion), ShouldEqual, failures == 0)
@@ -302,6 +307,37 @@
 	})
 }
 
+// Guards against plain requests that are still at old servers when these end with the completion.
+func TestServiceMoveHandsOverBeforeCompletion(t *testing.T) {
+	timeUp := moveStart.Add(moveOrder.Duration - maxFinishMargin + 200*time.Millisecond)
+	Convey("A version that is to be completed gets all requests for some time before", t, func() {
+		m := newTestMove(1, 0.5)
+		for range 12 {
+			m.Answered(newVersion, moveRoute, false)
+			m.Timed(newVersion, moveRoute, false)
+		}
+		m.own.NewSent = 1000
+		m.Step(timeUp.Add(-moveSimulationStep), manyUsable)
+		So(m.Preference(timeUp.Add(-moveSimulationStep)), ShouldResemble, []wigeonfork.Version{oldVersion})
+		So(m.Preference(timeUp), ShouldResemble, []wigeonfork.Version{newVersion, oldVersion})
+		m.Step(timeUp.Add(2*moveSimulationStep), manyUsable)
+		So(m.Finished(), ShouldBeFalse)
+		So(m.Preference(timeUp.Add(2*moveSimulationStep)), ShouldResemble, []wigeonfork.Version{newVersion, oldVersion})
+		m.Step(timeUp.Add(4*moveSimulationStep), manyUsable)
+		So(m.Finished(), ShouldBeTrue)
+	})
+	Convey("One with too few servers gets none", t, func() {
+		m := newTestMove(1, 0.5)
+		for range 12 {
+			m.Timed(newVersion, moveRoute, false)
+		}
+		m.own.NewSent = 1000
+		few := FleetView{OldUsable: 24, NewUsable: 3, Rank: 5}
+		m.Step(timeUp, few)
+		So(m.Preference(timeUp)[0], ShouldEqual, oldVersion)
+	})
+}
+
 // Guards against a report that arrives after a later one, by which the counts since half of the time
 // would wrap around, and against a step that sums as many terms as a report counts requests.
 func TestServiceMoveUnorderedReports(t *testing.T) {
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -68,16 +68,22 @@
 	parts   map[string]bool // by id of the part
 	// operatorRows are the rows that the operator last wrote, by key.
 	operatorRows map[string][]byte
-	stop         chan struct{}
-	wait         sync.WaitGroup
+	// retired holds the versions of which no more runners start.
+	retired map[serviceVersion]bool
+	stop    chan struct{}
+	wait    sync.WaitGroup
 }
 
+// serviceVersion identifies one version of a service.
+type serviceVersion struct{ service, version string }
+
 // registration is a runner with the state that its row in the store shows.
 type registration struct {
 	*runner.Runner
 	service  string
 	zone     string
 	version  string
+	options  runner.Options
 	sequence int
 	draining bool
 	dead     bool
@@ -89,6 +95,7 @@
 		Store: rowstore.New(), Shared: runner.NewSharedState(), options: options,
 		runners: make(map[string]*registration), stop: make(chan struct{}), keys: []string{APIKey},
 		crashes: make(map[string]bool), parts: make(map[string]bool), operatorRows: make(map[string][]byte),
+		retired: make(map[serviceVersion]bool),
 	}
 	for _, id := range options.CrashingParts {
 		d.parts[id] = true
@@ -141,6 +148,47 @@
 	return list, nil
 }
 
+// Replace starts another runner on address with the service, version and options of the given one,
+// which may be dead. It starts none and returns nil if RetireVersion was called for the version.
+func (d *Deployment) Replace(id, address string) (*runner.Runner, error) {
+	d.mu.Lock()
+	reg := d.runners[id]
+	retired := d.retired[serviceVersion{reg.service, reg.version}]
+	d.mu.Unlock()
+	if retired {
+		return nil, nil
+	}
+	return d.addRunner(reg.service, reg.version, address, reg.options)
+}
+
+// RetireVersion kills all runners of a version of a service, as the platform does with the old
+// version when a move is completed. No more of them start.
+func (d *Deployment) RetireVersion(service, version string) {
+	d.mu.Lock()
+	d.retired[serviceVersion{service, version}] = true
+	d.mu.Unlock()
+	for _, r := range d.Runners(service) {
+		if d.Version(r.ID) == version {
+			d.Kill(r.ID)
+		}
+	}
+}
+
+// MoveState returns the state in the status row of the last move of a service to a version, or an
+// empty text.
+func (d *Deployment) MoveState(service, version string) string {
+	for _, row := range d.Store.Rows("status") {
+		var status struct {
+			State string `json:"state"`
+			To    string `json:"to"`
+		}
+		if row.Key == "rollout/"+service && json.Unmarshal(row.Value, &status) == nil && status.To == version {
+			return status.State
+		}
+	}
+	return ""
+}
+
 // OrderMove writes the operator's order to move a service to a version. It returns once the store
 // has it.
 func (d *Deployment) OrderMove(service, version string, duration time.Duration) {
@@ -168,13 +216,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.started++
+	reg := &registration{service: service, version: version, options: options, zone: fmt.Sprintf("zone-%d", d.started%3)}
 	options.Crashes, options.CrashingParts = d.crashes, d.parts
-	options.OnCrash = func(r *runner.Runner) { d.wait.Go(func() { d.crash(service, r) }) }
+	options.OnCrash = func(r *runner.Runner) { d.wait.Go(func() { d.crash(r) }) }
 	r, err := runner.Start(address, fmt.Sprintf("i-%d", d.started), options, d.Shared)
 	if err != nil {
 		return nil, err
 	}
-	reg := &registration{Runner: r, service: service, version: version, zone: fmt.Sprintf("zone-%d", d.started%3)}
+	reg.Runner = r
 	d.runners[r.ID] = reg
 	d.register(reg)
 	return r, nil
@@ -215,7 +264,7 @@
 
 // crash ends a runner that a request has crashed, and starts another at its address after
 // CrashRestart.
-func (d *Deployment) crash(service string, r *runner.Runner) {
+func (d *Deployment) crash(r *runner.Runner) {
 	if !d.markDead(r.ID) {
 		return
 	}
@@ -230,7 +279,7 @@
 	case <-time.After(d.options.CrashRestart):
 	}
 	r.Server().Close()
-	if _, err := d.AddRunner(service, r.Address()); err != nil {
+	if _, err := d.Replace(r.ID, r.Address()); err != nil {
 		// The address was reserved, so another process of the test took it.
 		panic(err)
 	}
