Bound the bytes that reports on a version move take

Cause: each report held the results of all routes, with the names of the counts spelled out.

Fix: counts are keyed by numbers, and a report holds at most 12 routes, those not reported for longest, so that 24 routes are reported every other time. A receiver keeps the larger of two totals for each route, so reports may be lost, repeated and reordered.

Beside an entry of an earlier version, the two know of each other's requests and stages as before, but not of their results.

MoveReport and its sums move to a file of their own.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -27,10 +27,10 @@
 
 // Totals holds the number of compared requests of each version, and how many were bad.
 type Totals struct {
-	NewBad   uint32 `json:"new_bad,omitempty"`
-	NewTotal uint32 `json:"new_total,omitempty"`
-	OldBad   uint32 `json:"old_bad,omitempty"`
-	OldTotal uint32 `json:"old_total,omitempty"`
+	NewBad   uint32 `json:"new_bad,omitempty" cbor:"1,keyasint,omitempty"`
+	NewTotal uint32 `json:"new_total,omitempty" cbor:"2,keyasint,omitempty"`
+	OldBad   uint32 `json:"old_bad,omitempty" cbor:"3,keyasint,omitempty"`
+	OldTotal uint32 `json:"old_total,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 func (t *Totals) add(o Totals) {
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -71,20 +70,10 @@
 	minCapacity = 0.6
 	// maxEndSuspicion is the suspicion from which a version is not completed.
 	maxEndSuspicion = 0.4
-	// maxMoveRoutes bounds the routes judged separately, so that a report fits in a datagram.
+	// maxMoveRoutes bounds the routes judged separately.
 	maxMoveRoutes = 24
 )
 
-// MoveReport is what one entry knows of a move from its own requests. The counts are totals since
-// the start of the move, so a later report replaces an earlier one of the same source.
-type MoveReport struct {
-	// Sent counts the requests sent to the service, NewSent those sent to the new version.
-	Sent    uint32 `cbor:"1,keyasint,omitempty"`
-	NewSent uint32 `cbor:"2,keyasint,omitempty"`
-	// Results holds the results by route.
-	Results map[Route]RouteResults `cbor:"3,keyasint,omitempty"`
-}
-
 // FleetView is an entry's view of the servers of a service under a move.
 type FleetView struct {
 	// OldUsable and NewUsable are the numbers of servers that take requests.
@@ -127,8 +116,11 @@
 	// confirmed is set once it is known that the move has not ended.
 	confirmed bool
 
-	own       MoveReport
-	peers     map[string]MoveReport
+	own   MoveReport
+	peers map[string]MoveReport
+	// reportedRoutes is the number of routes reported so far, repetitions included.
+	reportedRoutes int
+
 	stage     Stage
 	reason    string
 	suspicion float64
@@ -285,22 +277,6 @@
 	return Totals{}
 }
 
-// Report returns this entry's report.
-func (m *ServiceMove) Report() MoveReport {
-	report := m.own
-	report.Results = maps.Clone(m.own.Results)
-	return report
-}
-
-// Merge replaces the report of a source, which is unique to an incarnation of an entry. A report that
-// arrives after a later one is ignored.
-func (m *ServiceMove) Merge(source string, report MoveReport) {
-	last, known := m.peers[source]
-	if known && report.Sent >= last.Sent || !known && len(m.peers) < maxSources {
-		m.peers[source] = report
-	}
-}
-
 // Step judges the version and takes the steps that are due. It returns whether the stage rose.
 func (m *ServiceMove) Step(now time.Time, view FleetView) bool {
 	before := m.stage
@@ -357,37 +333,6 @@
 	return m.triedEnough() || m.all.good() > 0 && m.all.Failures.NewBad+m.all.Slowness.NewBad == 0
 }
 
-// results returns the results of all entries by route.
-func (m *ServiceMove) results() map[Route]RouteResults {
-	sums := make(map[Route]RouteResults)
-	for _, report := range m.reports() {
-		for route, r := range report.Results {
-			sum := sums[route]
-			sum.add(r)
-			sums[route] = sum
-		}
-	}
-	return sums
-}
-
-// sum returns the counts of all entries, without results.
-func (m *ServiceMove) sum() MoveReport {
-	var sum MoveReport
-	for _, report := range m.reports() {
-		sum.Sent += report.Sent
-		sum.NewSent += report.NewSent
-	}
-	return sum
-}
-
-func (m *ServiceMove) reports() []MoveReport {
-	list := []MoveReport{m.own}
-	for _, report := range m.peers {
-		list = append(list, report)
-	}
-	return list
-}
-
 // State describes the move for operators.
 func (m *ServiceMove) State() string {
 	sum := m.sum()
