Let the second leader complete a short version move in time

What operators saw: if the first leader ends shortly before the completion of a move of 6 s, the second stored it after the deadline at the earliest.

Cause: the second leader acts 400 ms later, also where the time kept for the completion is 420 ms; since the handover before the completion a third less.

Fix: the delay of the second leader is at most a third of that time, and the handover at most 200 ms.

--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -59,9 +59,12 @@
 	// most finishFraction of the duration, since the new version gets all requests from then on.
 	maxFinishMargin = 1200 * time.Millisecond
 	finishFraction  = 0.07
-	// handoverFraction is the fraction of the finish margin for which a version that is to be
-	// completed gets all requests before that, so that those at old servers end first.
-	handoverFraction = 1.0 / 3
+	// maxHandover bounds the time for which a version that is to be completed gets all requests
+	// before that, so that those at old servers end first. leaderDelay is the time by which the
+	// second leader acts later than the first. Each is at most stepFraction of the finish margin.
+	maxHandover  = 200 * time.Millisecond
+	leaderDelay  = 400 * time.Millisecond
+	stepFraction = 1.0 / 3
 	// minTrialResults is the number of good results of the new version that are wanted before
 	// backups are kept there.
 	minTrialResults = 8
@@ -86,9 +89,6 @@
 // IsLeader reports whether an entry of the given rank takes the steps of a move.
 func IsLeader(rank int) bool { return rank <= 1 }
 
-// leaderDelay is the time by which the second leader acts later than the first.
-const leaderDelay = 400 * time.Millisecond
-
 // ServiceMove decides at one entry which version the requests of a service under a move are sent
 // to, and judges the new version by the results of all entries that report.
 //
@@ -298,8 +298,7 @@
 		m.reason = fmt.Sprintf("%s at the deadline; it has %d servers, the old version %d", reason, view.NewUsable, view.OldUsable)
 		return
 	}
-	handover := time.Duration(handoverFraction * float64(m.finishMargin()))
-	m.finishing = m.finishing || m.timeIsUp(now.Add(-handover), view.Rank)
+	m.finishing = m.finishing || m.timeIsUp(now.Add(-m.atMostStep(maxHandover)), view.Rank)
 }
 
 // unfit returns why the version may not be completed, or an empty text if it may be.
@@ -321,7 +320,12 @@
 // timeIsUp reports whether the move must be completed or stopped now, for a leader of the given
 // rank.
 func (m *ServiceMove) timeIsUp(now time.Time, rank int) bool {
-	return m.deadline.Sub(now)+time.Duration(rank)*leaderDelay <= m.finishMargin()
+	return m.deadline.Sub(now)+time.Duration(rank)*m.atMostStep(leaderDelay) <= m.finishMargin()
+}
+
+// atMostStep bounds the time of a step by the finish margin.
+func (m *ServiceMove) atMostStep(d time.Duration) time.Duration {
+	return min(d, time.Duration(stepFraction*float64(m.finishMargin())))
 }
 
 func (m *ServiceMove) triedEnough() bool {
