Complete a good version whose move outlives all gateways

What the operator saw: if all gateways were restarted in the middle of a move, the version was rolled back after the deadline, good or not: a missed duty. Alone among others, a restarted gateway sent the new version nothing.

Cause: an entry that starts during a move doesn't know when the order was given, so it took the deadline to be a whole duration away, and it doesn't know what its predecessor sent, so it tried nothing and nobody had results.

Fix: the transaction that stores `running` also stores when the order was given, by the store's clock (row status/began/SERVICE, read with the state, no call more); entries also take over the earliest deadline that a peer reports. An entry without history assumes that the whole fraction of its allowance usable until then was used and goes on with the rest, so the sum over all incarnations stays what it was.

The stand-in runner learns FailEvery.

--- a/gateway/move_states.go
+++ b/gateway/move_states.go
@@ -33,6 +33,10 @@
 	State    MoveState
 	To       wigeonfork.Version
 	Position storepos.Position
+	// Now is the store's clock when the state was read. Began is its reading when the order at
+	// position Order was given; Order is zero if that is not stored.
+	Now, Began time.Duration
+	Order      storepos.Position
 }
 
 // isFor reports whether the state is that of the move of an order. After the store has come back
@@ -75,10 +79,12 @@
 func (v *versionMoves) refresh(order rollout.MoveOrder) (StoredMove, error) {
 	ctx, cancel := context.WithTimeout(v.g.background, storeReadTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	stored, err := v.g.options.Moves.ReadMove(ctx, order.Service)
 	if err != nil {
 		return StoredMove{}, err
 	}
+	v.agreeOnBegin(sentAt, order, &stored)
 	stage := rollout.StageTrial
 	if stored.isFinalFor(order) {
 		stage = rollout.StageStopped
@@ -90,6 +96,22 @@
 	return stored, nil
 }
 
+// agreeOnBegin corrects the deadline of a move by the stored time of its order, or else sets the time to
+// be stored. sentAt is when the read began.
+func (v *versionMoves) agreeOnBegin(sentAt time.Time, order rollout.MoveOrder, stored *StoredMove) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	move := v.moves[order.Service]
+	if move == nil || move.Order != order {
+		return
+	}
+	if stored.Order == order.Position {
+		move.Shorten(sentAt, order.Duration-(stored.Now-stored.Began))
+		return
+	}
+	stored.Order, stored.Began = order.Position, stored.Now-(order.Duration-move.Left(sentAt))
+}
+
 // advance raises the stage of the move of an order, if it is still the newest.
 func (v *versionMoves) advance(order rollout.MoveOrder, stage rollout.Stage, reason string) {
 	v.mu.Lock()
@@ -172,7 +194,8 @@
 	}
 	ctx, cancel := context.WithTimeout(w.v.g.background, storeReadTimeout)
 	defer cancel()
-	err := w.v.g.options.Moves.WriteMove(ctx, w.order.Service, StoredMove{State: wanted, To: w.order.To}, w.stored.Position)
+	wantedMove := StoredMove{State: wanted, To: w.order.To, Order: w.stored.Order, Began: w.stored.Began}
+	err := w.v.g.options.Moves.WriteMove(ctx, w.order.Service, wantedMove, w.stored.Position)
 	w.known = false
 	if err != nil {
 		w.failed(err)
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -369,6 +369,7 @@
 		v.mu.Unlock()
 		return
 	}
+	move.Shorten(now, u.Left)
 	move.Merge(u.Source, u.Report)
 	rose := (u.Confirmed || u.Stage > rollout.StageTrial) && move.Advance(u.Stage, u.Reason)
 	v.mu.Unlock()
--- a/rollout/move_report.go
+++ b/rollout/move_report.go
@@ -17,13 +17,15 @@
 	NewSent uint32 `cbor:"2,keyasint,omitempty"`
 	// Results holds the results by route, of some or all routes.
 	Results map[Route]RouteResults `cbor:"3,keyasint,omitempty"`
+	// HasHistory is set if the entry has seen the move from its start.
+	HasHistory bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Report returns the next report of this entry. It has up to maxReportRoutes routes, those not reported
 // for longest.
 func (m *ServiceMove) Report() MoveReport {
 	routes := slices.Sorted(maps.Keys(m.own.Results))
-	report := MoveReport{Sent: m.own.Sent, NewSent: m.own.NewSent, Results: make(map[Route]RouteResults)}
+	report := MoveReport{Sent: m.own.Sent, NewSent: m.own.NewSent, HasHistory: m.own.HasHistory, Results: make(map[Route]RouteResults)}
 	for range min(len(routes), maxReportRoutes) {
 		route := routes[m.reportedRoutes%len(routes)]
 		report.Results[route] = m.own.Results[route]
@@ -43,6 +45,7 @@
 		known.Results = make(map[Route]RouteResults)
 	}
 	known.Sent, known.NewSent = max(known.Sent, report.Sent), max(known.NewSent, report.NewSent)
+	known.HasHistory = known.HasHistory || report.HasHistory
 	for route, r := range report.Results {
 		last, isKnown := known.Results[route]
 		// One more route may stand for those beyond maxMoveRoutes.
@@ -88,6 +91,11 @@
 	return sum
 }
 
+// historyKnown reports whether an entry that has seen the move from its start has reported.
+func (m *ServiceMove) historyKnown() bool {
+	return slices.ContainsFunc(m.reports(), func(r MoveReport) bool { return r.HasHistory })
+}
+
 func (m *ServiceMove) reports() []MoveReport {
 	list := []MoveReport{m.own}
 	for _, report := range m.peers {
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -107,9 +107,12 @@
 	began    time.Time
 	deadline time.Time
 	// known is the number of entries, 0 if it is not known. An entry without history, that has
-	// started during the move, does not know what was sent before and sends the new version nothing.
+	// started during the move, does not know what was sent before. It assumes that spent, a fraction
+	// of its allowance, was used until createdAt.
 	known      int
 	hasHistory bool
+	createdAt  time.Time
+	spent      float64
 	// offset in [0, 1) is added to this entry's allowance. Those of the entries differ, so that
 	// together they use fractions of a request.
 	offset float64
@@ -138,9 +141,28 @@
 // NewServiceMove returns the move of an order whose deadline is left from now. hasHistory is set if
 // this entry has seen the move from its start. random is a random number in [0, 1).
 func NewServiceMove(now time.Time, order MoveOrder, from wigeonfork.Version, left time.Duration, limits ExposureLimits, hasHistory bool, random float64) *ServiceMove {
-	return &ServiceMove{
+	m := &ServiceMove{
 		Order: order, From: from, limits: limits, began: now.Add(left - order.Duration), deadline: now.Add(left),
-		hasHistory: hasHistory, offset: random, own: MoveReport{Results: make(map[Route]RouteResults)}, peers: make(map[string]MoveReport),
+		hasHistory: hasHistory, createdAt: now, offset: random,
+		own: MoveReport{HasHistory: hasHistory, Results: make(map[Route]RouteResults)}, peers: make(map[string]MoveReport),
+	}
+	if !hasHistory {
+		m.spent = m.usableFraction(now)
+	}
+	return m
+}
+
+// Shorten brings the deadline forward to left from now if it is later, since an entry that learns late
+// of an order takes the deadline to be too late.
+func (m *ServiceMove) Shorten(now time.Time, left time.Duration) {
+	excess := m.deadline.Sub(now) - left
+	if excess <= 0 {
+		return
+	}
+	before := m.usableFraction(now)
+	m.began, m.deadline = m.began.Add(-excess), m.deadline.Add(-excess)
+	if !m.hasHistory {
+		m.spent += m.usableFraction(now) - before
 	}
 }
 
@@ -188,19 +210,27 @@
 
 // mayTry reports whether this entry may send the new version one more request.
 func (m *ServiceMove) mayTry(now time.Time) bool {
-	if !m.confirmed || m.known == 0 || !m.hasHistory {
+	if !m.confirmed || m.known == 0 {
 		return false
 	}
+	return float64(m.own.NewSent)+1 <= (m.usableFraction(now)-m.spent)*m.allowance(now)+m.offset
+}
+
+// usableFraction returns the fraction of its allowance that an entry may have used by a time.
+func (m *ServiceMove) usableFraction(now time.Time) float64 {
 	passed := min(1, m.elapsed(now).Seconds()/m.Order.Duration.Seconds())
-	fraction := initialFraction + (1-initialFraction)*passed*passed
-	return float64(m.own.NewSent)+1 <= fraction*m.allowance(now)+m.offset
+	return initialFraction + (1-initialFraction)*passed*passed
 }
 
 // allowance returns the number of requests that this entry may send the new version before the
 // completion, from the rate of its requests so far. It leaves room for all requests from then until
 // the deadline.
 func (m *ServiceMove) allowance(now time.Time) float64 {
-	rate := float64(m.own.Sent) / m.elapsed(now).Seconds()
+	observed := m.elapsed(now)
+	if !m.hasHistory {
+		observed = max(now.Sub(m.createdAt), time.Second)
+	}
+	rate := float64(m.own.Sent) / observed.Seconds()
 	exposed := exposureFraction * (m.limits.Share*rate*m.Order.Duration.Seconds() + m.limits.Slack/float64(m.known))
 	return exposed - rate*m.finishMargin().Seconds()
 }
@@ -332,9 +362,10 @@
 	return m.all.good() >= minTrialResults && m.suspicion < holdSuspicion
 }
 
-// triedWell reports whether the version was tried enough, or at least had no bad result.
+// triedWell reports whether the version was tried enough, or at least had no bad result that an entry
+// with history would know.
 func (m *ServiceMove) triedWell() bool {
-	return m.triedEnough() || m.all.good() > 0 && m.all.Failures.NewBad+m.all.Slowness.NewBad == 0
+	return m.triedEnough() || m.historyKnown() && m.all.good() > 0 && m.all.Failures.NewBad+m.all.Slowness.NewBad == 0
 }
 
 // State describes the move for operators.
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -32,6 +32,8 @@
 	// or the runner was killed first. Neither is set while the run is in progress or if the Crash
 	// fault ended it.
 	Finished, Cancelled bool
+	// Failed is set if a plain run was answered with status 500.
+	Failed bool
 }
 
 // SharedState is the state shared by the runners of a deployment: the log of all runs and the
@@ -73,6 +75,12 @@
 	run.Finished, run.Cancelled = !cancelled, cancelled
 }
 
+func (s *SharedState) failRun(run *Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run.Failed = true
+}
+
 func (s *SharedState) storeCopy(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,6 +116,8 @@
 	Prefill time.Duration
 	// ServiceTime is the duration of a plain request.
 	ServiceTime time.Duration
+	// FailEvery makes every FailEvery-th plain request fail with status 500; 0 means none.
+	FailEvery uint64
 	// OnCrash, if set, is called when a run with a body of Crashes begins. It must end or pause
 	// the runner. The run makes no progress.
 	OnCrash func(*Runner)
@@ -149,6 +159,8 @@
 
 	mu     sync.Mutex
 	faults Faults
+	// plainRequests is the number of plain requests served.
+	plainRequests uint64
 }
 
 // Start starts a runner on addr, such as 127.0.0.1:0.
@@ -181,6 +193,14 @@
 	return r.faults
 }
 
+// failsNext counts a plain request. It reports whether FailEvery makes the request fail.
+func (r *Runner) failsNext() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.plainRequests++
+	return r.options.FailEvery > 0 && r.plainRequests%r.options.FailEvery == 0
+}
+
 func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
 	switch q.URL.Path {
 	case "/health":
@@ -289,6 +309,7 @@
 	}
 	r.shared.endRun(run, false)
 	faults := r.currentFaults()
+	faults.Fail = faults.Fail || r.failsNext()
 	r.setHeaders(w, run)
 	text := "answer to " + run.RequestID
 	switch {
@@ -298,6 +319,7 @@
 	case faults.DropResponse:
 		panic(http.ErrAbortHandler)
 	case faults.Fail:
+		r.shared.failRun(run)
 		w.WriteHeader(http.StatusInternalServerError)
 	case faults.Truncate:
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
