Let the soak order version moves and check both sides of them

Checked from the requests that callers sent and the runs at the servers: - the new version gets at most exposure_share of the requests + exposure_slack until its end; - a bad one gets nothing, through gateways without a fault, later than 5 s after its 50th bad answer or 1 s after its roll-back is stored, and is never completed; - each move has a final state; without faults a good one is completed, in time, and no answer is cut or fails as the old servers end.

`go test -race ./test/soak`: passed, 37 s.

--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -29,14 +29,20 @@
 	id string
 	// unsafe is set if the request must run at most once.
 	unsafe bool
+	// service is the service that the request is for, and node the one that got it.
+	service string
+	node    *node
+	// endedAt is when the attempt ended with outcome, which is one of those that callerGroup counts.
+	endedAt time.Time
+	outcome string
 	// keyRevokedAt is when the key of the request was revoked, or zero if the key was still valid
 	// when the attempt began. sentAt is when the attempt began.
 	keyRevokedAt, sentAt time.Time
 	// refusedNotRun is set if the request was refused with a status that guarantees that it did
 	// not run.
 	refusedNotRun bool
-	// crashingThrough is the node that got the request if it is one that crashes its runners.
-	crashingThrough *node
+	// crashing is set if the request crashes its runners.
+	crashing bool
 }
 
 // callerGroup is the set of all callers of one seed, with the records of their requests.
@@ -108,7 +114,8 @@
 func (c *callerGroup) finish(i int, outcome string, refusedNotRun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.attempts[i].refusedNotRun = refusedNotRun
+	a := &c.attempts[i]
+	a.refusedNotRun, a.outcome, a.endedAt = refusedNotRun, outcome, time.Now()
 	c.outcomes[outcome]++
 	if outcome == "ok" {
 		c.served++
@@ -127,6 +134,9 @@
 }
 
 func (c *callerGroup) requestThrough(ctx context.Context, n *node, i int, method, path, key, body string) *http.Request {
+	c.mu.Lock()
+	c.attempts[i].node, c.attempts[i].service = n, serviceOf(path)
+	c.mu.Unlock()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.callerProxy.Addr()+path+"x", strings.NewReader(body))
 	if err != nil {
 		panic(err)
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -54,16 +54,18 @@
 	c := startCallers(s, seed, s.options.Callers)
 	revoke := time.AfterFunc(s.options.Length/3, c.revoke)
 	defer revoke.Stop()
+	m := drawMove(seed)
+	r.move = m
 	var drills int
 	var played sync.WaitGroup
 	played.Go(func() { drills = s.playDrills(rand.New(rand.NewPCG(seed, 3)), s.options.Length) })
-	r.faults = describe(s.schedule(s.options.Length))
+	r.faults = describe(s.scheduleWithMove(m))
 	played.Wait()
 	r.faults = append(r.faults, "store_restore:"+strconv.Itoa(drills))
 	s.checkRecovery(c)
 	close(c.stop)
 	c.wait.Wait()
-	s.checkRuns(c)
+	s.checkRuns(c, m)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.outcomes = maps.Clone(c.outcomes)
@@ -82,7 +84,7 @@
 
 // checkRuns compares the requests that the backend servers ran with the responses that callers
 // received.
-func (s *system) checkRuns(c *callerGroup) {
+func (s *system) checkRuns(c *callerGroup, m *versionMove) {
 	runs := map[string][]runner.Run{}
 	for _, run := range s.Shared.Runs("") {
 		runs[run.RequestID] = append(runs[run.RequestID], run)
@@ -95,6 +97,7 @@
 		s.checkAttempt(a, runs[a.id])
 	}
 	s.checkCrashLimit(c.attempts, runs)
+	s.checkMove(m, c.attempts, runs)
 	for id := range runs {
 		if !known[id] {
 			s.violations.add("%s ran, but no caller sent it", id)
--- a/test/soak/crashes.go
+++ b/test/soak/crashes.go
@@ -88,7 +88,7 @@
 	n := c.system.pickNode(r)
 	i := c.newAttempt(deployment.APIKey, path == deployment.UnsafePath)
 	c.mu.Lock()
-	c.attempts[i].crashingThrough = n
+	c.attempts[i].crashing = true
 	c.mu.Unlock()
 	response, err := client.Do(c.requestThrough(ctx, n, i, "POST", path, deployment.APIKey, crashingBody))
 	if err != nil {
@@ -106,8 +106,8 @@
 	through := map[string]*node{}
 	var all []runner.Run
 	for _, a := range attempts {
-		if a.crashingThrough != nil {
-			through[a.id] = a.crashingThrough
+		if a.crashing {
+			through[a.id] = a.node
 			all = append(all, runs[a.id]...)
 		}
 	}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -97,6 +97,7 @@
 	violations []string
 	outcomes   map[string]int
 	faults     []string
+	move       *versionMove
 	logsAt     string
 	elapsed    time.Duration
 }
@@ -106,7 +107,7 @@
 	if len(r.violations) > 0 {
 		verdict = "FAILED"
 	}
-	text := fmt.Sprintf("seed %d %s in %v: requests %v, faults %v", r.seed, verdict, r.elapsed.Round(time.Second), r.outcomes, r.faults)
+	text := fmt.Sprintf("seed %d %s in %v: requests %v, faults %v, %v", r.seed, verdict, r.elapsed.Round(time.Second), r.outcomes, r.faults, r.move)
 	for _, violation := range r.violations {
 		text += "\n    " + violation
 	}
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -171,7 +171,7 @@
 	}
 	time.Sleep(faultDuration(r))
 	old.Server().Close()
-	if _, err := s.AddRunner(service, address); err != nil {
+	if _, err := s.Replace(old.ID, address); err != nil {
 		s.violations.add("soak: %v", err)
 	}
 }
@@ -183,7 +183,7 @@
 		return
 	}
 	old := pickRunner(r, list)
-	if _, err := s.AddRunner(service, "127.0.0.1:0"); err != nil {
+	if _, err := s.Replace(old.ID, "127.0.0.1:0"); err != nil {
 		s.violations.add("soak: %v", err)
 		return
 	}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -34,6 +34,12 @@
 	plainServers = 3
 )
 
+// engineOptions and plainOptions are those of good backend servers.
+var (
+	engineOptions = runner.Options{Engine: true, Events: streamEvents, EventGap: 25 * time.Millisecond, Prefill: 50 * time.Millisecond}
+	plainOptions  = runner.Options{ServiceTime: 5 * time.Millisecond}
+)
+
 // nextHost numbers the gateways of all seeds, so that each gets its own loopback address.
 var nextHost atomic.Uint32
 
@@ -75,8 +81,7 @@
 	}
 	d, err := deployment.Start(deployment.Options{
 		Engines: engines, Plain: plainServers,
-		Engine:        runner.Options{Engine: true, Events: 40, EventGap: 25 * time.Millisecond, Prefill: 50 * time.Millisecond},
-		PlainServer:   runner.Options{ServiceTime: 5 * time.Millisecond},
+		Engine: engineOptions, PlainServer: plainOptions,
 		StreamTimeout: 15 * time.Second, PlainTimeout: 3 * time.Second,
 		CrashingBodies: []string{crashingBody}, CrashRestart: crashRestart,
 	})
@@ -130,9 +135,11 @@
 revoke_ms = %d
 grace_s = %g
 drain_ms = %d
+exposure_share = %g
+exposure_slack = %g
 [platform]
 address = %q
-`, n.name, n.ip, n.ip, n.ip, revokeLimit.Milliseconds(), gracePeriod.Seconds(), drain.Milliseconds(), n.storeProxy.Addr())
+`, n.name, n.ip, n.ip, n.ip, revokeLimit.Milliseconds(), gracePeriod.Seconds(), drain.Milliseconds(), exposureShare, exposureSlack, n.storeProxy.Addr())
 	if err := os.WriteFile(n.settings+".new", []byte(text), 0o644); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
