Judge a version against the old one on the same mix of routes

What the operator saw: a good version of a plain service was rolled back ("suspect at the deadline", 7 of 33 slow against 18 of 678): a missed duty.

Cause: the results over all routes were compared without regard to the routes.

Fix: over all routes, also since half of the time, the old version's rate is the mean of its rates on each route, weighted by the new one's requests there.

--- a/rollout/service_judge.go
+++ b/rollout/service_judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"time"
 )
@@ -54,13 +55,14 @@
 	for _, r := range routes {
 		m.all.add(r)
 	}
-	routes[allRoutes] = m.all
-	if !m.halfPassed && m.elapsed(now) >= m.Order.Duration/2 {
-		m.half, m.halfPassed = m.all, true
+	if m.half == nil && m.elapsed(now) >= m.Order.Duration/2 {
+		m.half = maps.Clone(routes)
 	}
-	if m.halfPassed {
-		routes[sinceHalf] = m.all.minus(m.half)
+	pooled := pool(routes)
+	if m.half != nil {
+		routes[sinceHalf] = pool(since(routes, m.half))
 	}
+	routes[allRoutes] = pooled
 	threshold := math.Log(moveStopProbability / float64(2*len(routes)*maxLooks))
 	m.suspicion = 0
 	for route, r := range routes {
@@ -69,6 +71,48 @@
 	}
 }
 
+// since returns the results of the new version since an earlier state, by route.
+func since(routes, earlier map[Route]RouteResults) map[Route]RouteResults {
+	later := make(map[Route]RouteResults, len(routes))
+	for route, r := range routes {
+		later[route] = r.minus(earlier[route])
+	}
+	return later
+}
+
+// pool returns the results over all routes. Those of the old version are weighted by the requests of the
+// new one on each route, since otherwise a version that happens to get more requests of a bad route
+// looks bad itself.
+func pool(routes map[Route]RouteResults) RouteResults {
+	var failures, slowness []Totals
+	for _, r := range routes {
+		failures, slowness = append(failures, r.Failures), append(slowness, r.Slowness)
+	}
+	return RouteResults{Failures: poolTotals(failures), Slowness: poolTotals(slowness)}
+}
+
+// poolWeight is the number of results by which the rate of the old version on a route is drawn towards
+// that over all routes, which matters only on routes with few results.
+const poolWeight = 2
+
+func poolTotals(routes []Totals) Totals {
+	var sum Totals
+	for _, t := range routes {
+		sum.add(t)
+	}
+	if sum.OldTotal == 0 || sum.NewTotal == 0 {
+		return sum
+	}
+	rate := float64(sum.OldBad) / float64(sum.OldTotal)
+	expected := 0.0
+	for _, t := range routes {
+		expected += float64(t.NewTotal) * (float64(t.OldBad) + poolWeight*rate) / (float64(t.OldTotal) + poolWeight)
+	}
+	weighted := expected / float64(sum.NewTotal)
+	sum.OldBad = uint32(math.Round(weighted * float64(sum.OldTotal)))
+	return sum
+}
+
 func (m *ServiceMove) judgeTotals(what string, route Route, t Totals, threshold float64) {
 	evidence := t.logChance()
 	m.suspicion = max(m.suspicion, evidence/threshold)
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -129,10 +129,9 @@
 	suspicion float64
 	// all holds the results of all entries over all routes, as of the last step.
 	all RouteResults
-	// half holds the results over all routes as of half of the time, once halfPassed. Those since
-	// are judged by themselves too, since a version may turn bad late.
-	half       RouteResults
-	halfPassed bool
+	// half holds the results by route as of half of the time, or nil before. Those since are judged
+	// by themselves too, since a version may turn bad late.
+	half map[Route]RouteResults
 	// enoughServers is set if the new version had servers enough to be completed as of the last
 	// step, and finishing once a leader has decided to complete the move.
 	enoughServers, finishing bool
