Check in the soak that all gateways agree on the configuration and the era

Within 15 s without faults each gateway must show the operator's newest configuration and the store's era.

--- a/standin/deployment/drill.go
+++ b/standin/deployment/drill.go
@@ -46,6 +46,13 @@
 // heartbeat intervals.
 func (d *Deployment) Silence(id string) { d.markDead(id) }
 
+// ConfigurationVersion returns the version of the last configuration.
+func (d *Deployment) ConfigurationVersion() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return uint64(d.version)
+}
+
 // removeDeadRows removes the rows of dead runners after three heartbeat intervals, as the platform
 // does with all rows whose runners are silent.
 func (d *Deployment) removeDeadRows() {
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -63,6 +63,7 @@
 	played.Wait()
 	r.faults = append(r.faults, "store_restore:"+strconv.Itoa(drills))
 	s.checkRecovery(c)
+	s.checkAgreement()
 	close(c.stop)
 	c.wait.Wait()
 	s.checkRuns(c, m)
