Repeat no trial of a quarantined part at a restart

A restart of the first entry in rank let one more request with the part through for each trial that was due, though another entry, or itself before, had made that trial: the store's row has no number of trials, and a peer's may come later than the first request. So more than three late requests could run.

Trials that are due when an entry learns of a quarantine now count as made. Later ones are made as before, so a wrong verdict is still tested.

Test on the code before: TestPartLimiterTrialsSurviveRestarts "Expected: 3 Actual: 12" (a restart each minute for ten).

--- a/quarantine/part_limiter.go
+++ b/quarantine/part_limiter.go
@@ -203,7 +203,8 @@
 }
 
 // MergeQuarantine applies a quarantine that a peer or the store reported, and returns whether it is
-// new. Parts with which a run began later are left out.
+// new. Parts with which a run began later are left out. Trials of a new one that are due count as made,
+// as another entry may have made them.
 func (l *PartLimiter) MergeQuarantine(now time.Time, q PartQuarantine) bool {
 	if q.expired(now) || len(q.Parts) > maxTiedParts {
 		return false
@@ -217,6 +218,7 @@
 		known.Trials = max(known.Trials, q.Trials)
 		return false
 	}
+	q.Trials = max(q.Trials, q.trialsDue(now))
 	return l.quarantines.add(now, q, nil)
 }
 
--- a/quarantine/part_limiter_test.go
+++ b/quarantine/part_limiter_test.go
@@ -226,6 +226,26 @@
 	})
 }
 
+// Guards against one more trial at each restart of an entry: what it reads back doesn't say which trials
+// were made.
+func TestPartLimiterTrialsSurviveRestarts(t *testing.T) {
+	Convey("An entry that restarts every minute lets three requests through at most", t, func() {
+		since, trials := start, 0
+		for minute := range int(quarantinePeriod / time.Minute) {
+			p := newPartTest()
+			p.now = since.Add(time.Duration(minute) * time.Minute)
+			So(p.MergeQuarantine(p.now, PartQuarantine{Parts: []PartID{deadlyPart}, Since: since}), ShouldBeTrue)
+			for range int(time.Minute / time.Second) {
+				if _, trial := p.Check(p.now, []PartID{deadlyPart}, true); trial {
+					trials++
+				}
+				p.now = p.now.Add(time.Second)
+			}
+		}
+		So(trials, ShouldEqual, 3)
+	})
+}
+
 func TestPartLimiterMerges(t *testing.T) {
 	Convey("Entries that exchange crashes reach the same verdict, whatever the order and repetition", t, func() {
 		var crashes []PartCrash
