Refute a reported crash only up to the time of the begin

An entry that knew of a run which began with a part after a reported crash told all entries that the part was sound now, though it knew so only up to that run. The report of a silent loss comes 2 s late; so the crashes of a part that had become deadly since were dropped at all entries, and a quarantine of it ended.

Merge now returns the time of the begin with the parts, and that is what is told.

Test with the time of the report in its place, as before: TestPartLimiterRefutesOnlyCrashesBeforeTheBegin "Expected: true Actual: false". Found by review.

--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -279,12 +279,11 @@
 
 // handleUpdate applies a peer's reports, and forwards those that are new here.
 func (p *partGuard) handleUpdate(now time.Time, update *loadshare.PartUpdate) {
-	var news []loadshare.PartReport
-	var sound []quarantine.PartID
+	var news, refutations []loadshare.PartReport
 	for i := range update.Reports {
 		r := &update.Reports[i]
-		isNew, refuted := p.apply(now, r)
-		sound = append(sound, refuted...)
+		isNew, sound := p.apply(now, r)
+		refutations = append(refutations, loadshare.PartBeginOf(now, sound)...)
 		if isNew {
 			news = append(news, *r)
 		}
@@ -292,25 +291,25 @@
 	if len(news) > 0 {
 		p.send(loadshare.ForwardTargets(p.g.gossip.targets(now)), news)
 	}
-	if len(sound) > 0 {
-		p.send(p.g.gossip.targets(now), loadshare.PartBeginOf(now, quarantine.PartBegin{Parts: sound, At: now}))
+	if len(refutations) > 0 {
+		p.send(p.g.gossip.targets(now), refutations)
 	}
 }
 
 // apply applies one report of a peer. It returns whether it is new, and the parts that are known here
 // to be sound.
-func (p *partGuard) apply(now time.Time, r *loadshare.PartReport) (isNew bool, sound []quarantine.PartID) {
+func (p *partGuard) apply(now time.Time, r *loadshare.PartReport) (isNew bool, sound quarantine.PartBegin) {
 	switch r.Kind {
 	case loadshare.ReportPartCrash:
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.limiter.Merge(now, r.Crash(now))
 	case loadshare.ReportPartBegin:
-		return p.applyBegin(now, r.Begin(now), "peer"), nil
+		return p.applyBegin(now, r.Begin(now), "peer"), sound
 	case loadshare.ReportPartQuarantine:
-		return p.applyQuarantine(now, r.Quarantine(now), "peer"), nil
+		return p.applyQuarantine(now, r.Quarantine(now), "peer"), sound
 	}
-	return false, nil
+	return false, sound
 }
 
 // applyQuarantine applies a quarantine that a peer or the store reported, and returns whether it is new.
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -29,12 +29,20 @@
 	WithOthers bool
 }
 
-// PartBegin is the first event of a run. It proves that its parts don't crash servers.
+// PartBegin is the first event of a run. It proves that its parts don't crash servers, until At.
 type PartBegin struct {
 	Parts []PartID
 	At    time.Time
 }
 
+// add adds a part with which a run began at a time. At stays the earliest time of all parts.
+func (b *PartBegin) add(id PartID, at time.Time) {
+	if len(b.Parts) == 0 || at.Before(b.At) {
+		b.At = at
+	}
+	b.Parts = append(b.Parts, id)
+}
+
 // PartQuarantine is a quarantine of requests whose prompts hold all of Parts. Parts are several if no
 // evidence separates them, in ascending order.
 type PartQuarantine struct {
--- a/quarantine/part_begins.go
+++ b/quarantine/part_begins.go
@@ -30,7 +30,13 @@
 	}
 }
 
-// after reports whether a run with the part is known to have begun after a time.
-func (l *beginLog) after(id PartID, at time.Time) bool {
-	return l.recent[id].After(at) || l.older[id].After(at)
+// last returns when a run last began with the part, as far as that is known.
+func (l *beginLog) last(id PartID) time.Time {
+	if at := l.older[id]; at.After(l.recent[id]) {
+		return at
+	}
+	return l.recent[id]
 }
+
+// after reports whether a run with the part is known to have begun after a time.
+func (l *beginLog) after(id PartID, at time.Time) bool { return l.last(id).After(at) }
--- a/quarantine/part_limiter.go
+++ b/quarantine/part_limiter.go
@@ -150,15 +150,16 @@
 }
 
 // Merge applies a peer's report of a crash. It returns whether the report is new, and the parts that
-// are known to be sound because a run began with them later.
-func (l *PartLimiter) Merge(now time.Time, crash PartCrash) (isNew bool, sound []PartID) {
+// are known to be sound because a run began with them later, with a time by which all of them had begun
+// again. A part may crash servers since.
+func (l *PartLimiter) Merge(now time.Time, crash PartCrash) (isNew bool, sound PartBegin) {
 	if now.Sub(crash.At) > quarantinePeriod || len(crash.Parts) > MaxParts {
-		return false, nil
+		return false, sound
 	}
 	var suspects []PartID
 	for _, id := range crash.Parts {
 		if l.begins.after(id, crash.At) {
-			sound = append(sound, id)
+			sound.add(id, l.begins.last(id))
 		} else {
 			suspects = append(suspects, id)
 		}
--- a/quarantine/part_limiter_test.go
+++ b/quarantine/part_limiter_test.go
@@ -115,7 +115,7 @@
 		}
 		isNew, sound := p.Merge(p.now, PartCrash{Content: 50, Server: server(50), Parts: []PartID{sharedPart}, At: p.now.Add(-time.Second)})
 		So(isNew, ShouldBeFalse)
-		So(sound, ShouldResemble, []PartID{sharedPart})
+		So(sound, ShouldResemble, PartBegin{Parts: []PartID{sharedPart}, At: p.now.Add(-crashSettleTime)})
 	})
 	Convey("A part that is refused is cleared by a run that begins, and told", t, func() {
 		p := newPartTest()
@@ -131,6 +131,23 @@
 	})
 }
 
+// Guards against a late report of an old crash that clears a part which has become deadly since.
+func TestPartLimiterRefutesOnlyCrashesBeforeTheBegin(t *testing.T) {
+	Convey("A part that began, and then crashes servers, stays refused when an older crash is reported", t, func() {
+		p, peer := newPartTest(), NewPartLimiter()
+		old := PartCrash{Content: 50, Server: server(50), Parts: []PartID{deadlyPart}, At: p.now}
+		peer.Begin(PartBegin{Parts: []PartID{deadlyPart}, At: p.now.Add(10 * time.Millisecond)})
+		for n := range 3 {
+			p.crash(n, "a", deadlyPart)
+		}
+		So(len(p.settle()), ShouldEqual, 1)
+		_, sound := peer.Merge(p.now, old)
+		So(sound.Parts, ShouldResemble, []PartID{deadlyPart})
+		p.Begin(sound)
+		So(p.refuses(deadlyPart), ShouldBeTrue)
+	})
+}
+
 // Guards against sound servers that fall silent for a second counting as crashes.
 func TestPartLimiterWaitsForSilentServers(t *testing.T) {
 	Convey("A run given up on silence counts after 2 s, and not if the server responds again", t, func() {
--- a/quarantine/part_odds_test.go
+++ b/quarantine/part_odds_test.go
@@ -242,8 +242,8 @@
 		l := s.limiters[r.to]
 		switch {
 		case r.crash != nil:
-			if _, sound := l.Merge(s.now, *r.crash); len(sound) > 0 {
-				s.tell(r.to, oddsReport{begin: &PartBegin{Parts: sound, At: s.now}})
+			if _, sound := l.Merge(s.now, *r.crash); len(sound.Parts) > 0 {
+				s.tell(r.to, oddsReport{begin: &sound})
 			}
 		case r.begin != nil:
 			l.Begin(*r.begin)
