Tell once that a reported crash is refuted

Each entry that knew a part to be sound told all entries so for each copy of a crash's report, also those that had just been told themselves. A report comes to an entry about seven times, as it is forwarded. With 31 entries one report caused thousands of datagrams, and a failure domain's loss brings dozens of reports.

The limiter now keeps what all entries were told, and refutes a crash only if it came after that.

TestPartLimiterRefutesOnce guards the rule; on the code before: "Expected [1] to be empty (but it wasn't)!", twice. TestPartUpdate expects in addition that a begin from a peer is marked as told: a new field, the comparison is as strict as before. Found by review.

--- a/loadshare/part_update.go
+++ b/loadshare/part_update.go
@@ -86,7 +86,7 @@
 
 // Begin returns the begin of a report that arrived now.
 func (r *PartReport) Begin(now time.Time) quarantine.PartBegin {
-	return quarantine.PartBegin{Parts: r.Parts, At: r.at(now)}
+	return quarantine.PartBegin{Parts: r.Parts, At: r.at(now), Told: true}
 }
 
 // Quarantine returns the quarantine of a report that arrived now.
--- a/loadshare/part_update_test.go
+++ b/loadshare/part_update_test.go
@@ -31,6 +31,7 @@
 		So(sender, ShouldResemble, netip.MustParseAddrPort("10.0.0.7:7340"))
 		So(len(parsed.Reports), ShouldEqual, 3)
 		crash.At, begin.At, q.Since = crash.At.Add(-time.Hour), begin.At.Add(-time.Hour), q.Since.Add(-time.Hour)
+		begin.Told = true
 		So(parsed.Reports[0].Crash(peerNow), ShouldResemble, crash)
 		So(parsed.Reports[1].Begin(peerNow), ShouldResemble, begin)
 		So(parsed.Reports[2].Quarantine(peerNow), ShouldResemble, q)
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -33,6 +33,8 @@
 type PartBegin struct {
 	Parts []PartID
 	At    time.Time
+	// Told is set if a peer tells all entries of it.
+	Told bool
 }
 
 // add adds a part with which a run began at a time. At stays the earliest time of all parts.
--- a/quarantine/part_limiter.go
+++ b/quarantine/part_limiter.go
@@ -32,8 +32,10 @@
 	histories   map[PartID]*partHistory
 	quarantines *partQuarantines
 	begins      *beginLog
-	unsettled   []unsettledPartRun
-	losses      *lossLog
+	// told are the begins of which all entries were told.
+	told      *beginLog
+	unsettled []unsettledPartRun
+	losses    *lossLog
 	// changed is set while the evidence has changed since the last verdicts.
 	changed bool
 }
@@ -48,7 +50,8 @@
 // NewPartLimiter returns a PartLimiter without evidence.
 func NewPartLimiter() *PartLimiter {
 	return &PartLimiter{
-		histories: make(map[PartID]*partHistory), quarantines: newPartQuarantines(), begins: newBeginLog(), losses: newLossLog(),
+		histories: make(map[PartID]*partHistory), quarantines: newPartQuarantines(), begins: newBeginLog(), told: newBeginLog(),
+		losses: newLossLog(),
 	}
 }
 
@@ -151,7 +154,8 @@
 
 // Merge applies a peer's report of a crash. It returns whether the report is new, and the parts that
 // are known to be sound because a run began with them later, with a time by which all of them had begun
-// again. A part may crash servers since.
+// again. A part may crash servers since. Each begin is returned once, and not if a peer tells of it: many
+// copies of a report come.
 func (l *PartLimiter) Merge(now time.Time, crash PartCrash) (isNew bool, sound PartBegin) {
 	if now.Sub(crash.At) > quarantinePeriod || len(crash.Parts) > MaxParts {
 		return false, sound
@@ -159,7 +163,7 @@
 	var suspects []PartID
 	for _, id := range crash.Parts {
 		if l.begins.after(id, crash.At) {
-			sound.add(id, l.begins.last(id))
+			l.refute(id, crash.At, &sound)
 		} else {
 			suspects = append(suspects, id)
 		}
@@ -168,6 +172,16 @@
 	return l.add(now, &crash), sound
 }
 
+// refute adds a part to the begins to tell, unless all entries were told that it began after the crash.
+func (l *PartLimiter) refute(id PartID, crashAt time.Time, sound *PartBegin) {
+	if l.told.after(id, crashAt) {
+		return
+	}
+	began := l.begins.last(id)
+	l.told.record(id, began)
+	sound.add(id, began)
+}
+
 // Begin applies the first event of a run, of this entry or a peer. It returns the parts that were
 // suspected, so that the peers must be told, and the quarantines that end or shrink.
 func (l *PartLimiter) Begin(b PartBegin) (cleared []PartID, ended []PartQuarantine) {
@@ -184,6 +198,9 @@
 			cleared = append(cleared, id)
 			l.changed = true
 		}
+		if b.Told || was || len(changed) > 0 {
+			l.told.record(id, b.At)
+		}
 	}
 	return cleared, ended
 }
--- a/quarantine/part_limiter_test.go
+++ b/quarantine/part_limiter_test.go
@@ -148,6 +148,33 @@
 	})
 }
 
+// Guards against thousands of datagrams about one crash: each copy of its report was refuted by each
+// entry that knew the part to be sound, also by those that had just been told.
+func TestPartLimiterRefutesOnce(t *testing.T) {
+	crashAt := func(at time.Time) PartCrash {
+		return PartCrash{Content: 50, Server: server(50), Parts: []PartID{sharedPart}, At: at}
+	}
+	Convey("A crash is refuted once, and again only if it came after what was told", t, func() {
+		p := newPartTest()
+		for range 3 {
+			crash := crashAt(p.now)
+			p.begin(sharedPart)
+			_, sound := p.Merge(p.now, crash)
+			So(sound.Parts, ShouldResemble, []PartID{sharedPart})
+			_, sound = p.Merge(p.now, crash)
+			So(sound.Parts, ShouldBeEmpty)
+			p.now = p.now.Add(time.Second)
+		}
+	})
+	Convey("An entry that was told doesn't tell", t, func() {
+		p := newPartTest()
+		p.Begin(PartBegin{Parts: []PartID{sharedPart}, At: p.now.Add(time.Millisecond), Told: true})
+		isNew, sound := p.Merge(p.now, crashAt(p.now))
+		So(isNew, ShouldBeFalse)
+		So(sound.Parts, ShouldBeEmpty)
+	})
+}
+
 // Guards against sound servers that fall silent for a second counting as crashes.
 func TestPartLimiterWaitsForSilentServers(t *testing.T) {
 	Convey("A run given up on silence counts after 2 s, and not if the server responds again", t, func() {
--- a/quarantine/part_odds_test.go
+++ b/quarantine/part_odds_test.go
@@ -175,7 +175,7 @@
 		i--
 		begin := PartBegin{Parts: run.parts, At: s.now}
 		if cleared, _ := s.limiters[run.entry].Begin(begin); len(cleared) > 0 {
-			s.tell(run.entry, oddsReport{begin: &PartBegin{Parts: cleared, At: s.now}})
+			s.tell(run.entry, oddsReport{begin: &PartBegin{Parts: cleared, At: s.now, Told: true}})
 		}
 	}
 }
@@ -243,6 +243,7 @@
 		switch {
 		case r.crash != nil:
 			if _, sound := l.Merge(s.now, *r.crash); len(sound.Parts) > 0 {
+				sound.Told = true
 				s.tell(r.to, oddsReport{begin: &sound})
 			}
 		case r.begin != nil:
