Count a weight store's bytes before its reader can have them

standin/suite TestSuite failed once in 4 runs at a load of 19: BytesRead 114688, 131072 expected. The stand-in counted a block after its write, and the engine that had read it whole was asked to be ready before that.

--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -68,7 +68,7 @@
 	s.down = down
 }
 
-// BytesRead returns the number of bytes sent to all readers.
+// BytesRead returns the number of bytes sent to all readers, with those of a write that failed.
 func (s *Store) BytesRead() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,11 +134,12 @@
 		if s.limiter.WaitN(r.Context(), int(n)) != nil {
 			return
 		}
+		// The reader may look at the count as soon as it has the bytes.
+		s.addBytesRead(n)
 		if _, err := w.Write(block[:n]); err != nil {
 			return
 		}
 		remaining -= n
-		s.addBytesRead(n)
 	}
 }
 
