Let the soak play silences of sound runners, and check that they cut no answer

The soak counted a cut stream as an outcome; nothing told a cut by a suspicion from one by a fault. A caller who gave up at its deadline is counted apart. The draws of the earlier faults stay the same.

--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -54,7 +54,7 @@
 
 	mu       sync.Mutex
 	attempts []attempt
-	// outcomes counts the attempts by their outcome: "ok", "cut" (the connection broke) or a status
+	// outcomes counts the attempts by their outcome: "ok", "cut" (the connection broke), "gave_up" or a status
 	// code. served counts those that ended with "ok".
 	outcomes map[string]int
 	served   int
@@ -73,6 +73,8 @@
 		c.wait.Go(func() { c.call(rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
 	c.wait.Go(func() { c.sendCrashing(rand.New(rand.NewPCG(seed, 99))) })
+	c.wait.Go(func() { c.sendOnce(rand.New(rand.NewPCG(seed, 98))) })
+	c.wait.Go(func() { s.playSilences(rand.New(rand.NewPCG(seed, 97)), c.stop) })
 	return c
 }
 
@@ -187,7 +189,7 @@
 	defer cancel()
 	last := uint64(0)
 	for range maxStreamAttempts {
-		complete, retry := c.streamOnce(ctx, client, r, &last)
+		complete, retry := c.streamOnce(ctx, client, r, deployment.StreamPath, &last)
 		if complete || !retry || ctx.Err() != nil {
 			return
 		}
@@ -196,15 +198,15 @@
 }
 
 // streamOnce makes one attempt. It returns whether the stream is complete, and whether to retry.
-func (c *callerGroup) streamOnce(ctx context.Context, client *http.Client, r *rand.Rand, last *uint64) (complete, retry bool) {
+func (c *callerGroup) streamOnce(ctx context.Context, client *http.Client, r *rand.Rand, path string, last *uint64) (complete, retry bool) {
 	i := c.newAttempt(deployment.APIKey, false)
-	request := c.request(ctx, r, i, "POST", deployment.StreamPath, deployment.APIKey)
+	request := c.request(ctx, r, i, "POST", path, deployment.APIKey)
 	if *last > 0 {
 		request.Header.Set("Last-Event-Id", strconv.FormatUint(*last, 10))
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		c.finish(i, "cut", false)
+		c.finish(i, cutOutcome(ctx), false)
 		return false, true
 	}
 	defer response.Body.Close()
@@ -217,7 +219,7 @@
 	*last += events
 	switch {
 	case err != nil:
-		c.finish(i, "cut", false)
+		c.finish(i, cutOutcome(ctx), false)
 		return false, true
 	case rest != "" || *last != streamEvents:
 		c.system.violations.add("%s ended as complete after event %d with %q", c.id(i), *last, rest)
@@ -227,6 +229,15 @@
 	return true, false
 }
 
+// cutOutcome is the outcome of an attempt without a whole answer: the caller gave up, or its
+// connection broke.
+func cutOutcome(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return "gave_up"
+	}
+	return "cut"
+}
+
 // streamEvents is the number of events of every stream.
 const streamEvents = 40
 
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -98,6 +98,7 @@
 		s.checkAttempt(a, runs[a.id])
 	}
 	s.checkCrashLimit(c.attempts, runs)
+	s.checkCuts(c.attempts, runs)
 	s.checkMove(m, c.attempts, runs)
 	for id := range runs {
 		if !known[id] {
--- a/test/soak/moves.go
+++ b/test/soak/moves.go
@@ -33,7 +33,7 @@
 
 // serviceOf returns the service of a request's path.
 func serviceOf(path string) string {
-	if strings.HasPrefix(path, deployment.StreamPath) {
+	if strings.HasPrefix(path, deployment.StreamPath) || strings.HasPrefix(path, deployment.OncePath) {
 		return deployment.Engines
 	}
 	return deployment.Plain
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -103,7 +103,10 @@
 		})
 	}},
 	{"store_link_reset", func(s *system, r *rand.Rand) { s.pickNode(r).storeProxy.ResetAll() }},
-	{"callers_link_reset", func(s *system, r *rand.Rand) { s.pickNode(r).callerProxy.ResetAll() }},
+	{"callers_link_reset", func(s *system, r *rand.Rand) {
+		n := s.pickNode(r)
+		s.linkFaults.during(n, n.callerProxy.ResetAll)
+	}},
 	{"callers_link_slow", func(s *system, r *rand.Rand) {
 		link := s.pickNode(r).callerProxy
 		link.SetDelay(faultproxy.Both, time.Duration(20+r.IntN(200))*time.Millisecond)
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -72,6 +72,8 @@
 	violations *violationList
 	// nodeFaults are the faults of the gateways, their links to the store and the store.
 	nodeFaults faultLog
+	// linkFaults are those of the links between callers and gateways.
+	linkFaults faultLog
 }
 
 func startSystem(o *options, binary string, seed uint64) (*system, error) {
