Release the guards' locks also if a decision panics

Since a panic of a request's handler is answered and the process lives on, a panic within a decision on crashes would have left the guard's lock held, and every later request of the gateway would have waited for it. No such panic is known; by reading.

The calls on the way of a request unlock by defer now.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -109,14 +109,18 @@
 // completed records that a request ran to its end.
 func (c *crashGuard) completed(now time.Time, content quarantine.ContentHash) {
 	completion := quarantine.Completion{Content: content, At: now}
-	c.mu.Lock()
-	cleared := c.limiter.Complete(completion)
-	c.mu.Unlock()
-	if cleared {
+	if c.complete(completion) {
 		c.g.gossip.sendCrashReports(c.g.gossip.targets(now), []loadshare.CrashReport{loadshare.CompletionOf(now, completion)})
 	}
 }
 
+// complete applies a complete run. It returns whether that cleared crashes.
+func (c *crashGuard) complete(completion quarantine.Completion) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limiter.Complete(completion)
+}
+
 func (c *crashGuard) check(now time.Time, content quarantine.ContentHash) quarantine.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -121,12 +121,17 @@
 	}
 }
 
+// begin applies a begin. It returns the parts and the quarantines that it clears.
+func (p *partGuard) begin(begin quarantine.PartBegin) ([]quarantine.PartID, []quarantine.PartQuarantine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limiter.Begin(begin)
+}
+
 // applyBegin applies a begin and tells the peers of the parts that it clears. It returns whether there
 // are any.
 func (p *partGuard) applyBegin(now time.Time, begin quarantine.PartBegin, source string) bool {
-	p.mu.Lock()
-	cleared, ended := p.limiter.Begin(begin)
-	p.mu.Unlock()
+	cleared, ended := p.begin(begin)
 	if len(cleared) == 0 {
 		return false
 	}
@@ -167,13 +172,16 @@
 // decide returns a copy of the quarantine that refuses the parts, or nil, and whether the request is a
 // trial of it. Only a request that has not run may be one.
 func (p *partGuard) decide(now time.Time, parts []quarantine.PartID, notRun bool) (*quarantine.PartQuarantine, bool) {
-	p.mu.Lock()
-	q, _ := p.limiter.Check(now, parts, false)
-	p.mu.Unlock()
-	if q == nil {
-		return nil, false
+	q, _ := p.refusedBy(now, parts, false)
+	if q == nil || !notRun || p.g.gossip.watchAssignment(now).Rank != 0 {
+		return q, false
 	}
-	mayTry := notRun && p.g.gossip.watchAssignment(now).Rank == 0
+	return p.refusedBy(now, parts, true)
+}
+
+// refusedBy returns a copy of the quarantine that refuses the parts, or nil, and whether a request with
+// them is a trial of it, which only mayTry allows.
+func (p *partGuard) refusedBy(now time.Time, parts []quarantine.PartID, mayTry bool) (*quarantine.PartQuarantine, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q, trial := p.limiter.Check(now, parts, mayTry)
