--- /dev/null
+++ b/standin/runner/shared.go
@@ -0,0 +1,96 @@
+package runner
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Run is one request that a runner started to execute.
+type Run struct {
+	RequestID string
+	RunnerID  string
+	BeganAt   time.Time
+	Path      string
+	Body      string
+	Header    http.Header
+	// LastEventID is the last event that the caller already has; 0 means none.
+	LastEventID uint64
+	// FromCopy states whether the run continued from a copy of its KV cache.
+	FromCopy bool
+	// Finished is set if the runner completed the run. Cancelled is set if the caller disconnected
+	// or the runner was killed first. Neither is set while the run is in progress or if the Crash
+	// fault ended it.
+	Finished, Cancelled bool
+	// Failed is set if a plain run was answered with status 500.
+	Failed bool
+}
+
+// SharedState is the state shared by the runners of a deployment: the log of all runs and the
+// stored copies of their KV caches.
+type SharedState struct {
+	mu     sync.Mutex
+	runs   []*Run
+	copies map[string]bool // by backup address/request id
+	// missingCopies counts the requests for a copy that is not stored.
+	missingCopies int
+}
+
+// NewSharedState returns a SharedState without runs or copies.
+func NewSharedState() *SharedState { return &SharedState{copies: make(map[string]bool)} }
+
+// Runs returns the runs with a request id, or all runs if request is empty.
+func (s *SharedState) Runs(request string) []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Run
+	for _, run := range s.runs {
+		if request == "" || run.RequestID == request {
+			list = append(list, *run)
+		}
+	}
+	return list
+}
+
+func (s *SharedState) beginRun(run *Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run.BeganAt = time.Now()
+	s.runs = append(s.runs, run)
+}
+
+func (s *SharedState) endRun(run *Run, cancelled bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run.Finished, run.Cancelled = !cancelled, cancelled
+}
+
+func (s *SharedState) failRun(run *Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run.Failed = true
+}
+
+func (s *SharedState) storeCopy(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies[id] = true
+}
+
+func (s *SharedState) takeCopy(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored := s.copies[id]
+	delete(s.copies, id)
+	if !stored {
+		s.missingCopies++
+	}
+	return stored
+}
+
+// MissingCopies returns the number of requests for a copy that was not stored.
+func (s *SharedState) MissingCopies() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.missingCopies
+}
