--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -185,7 +185,7 @@
 func (c *crashGuard) handleUpdate(now time.Time, sender netip.AddrPort, update *loadshare.CrashUpdate) {
 	if update.StateWanted {
 		c.g.gossip.sendCrashReports([]netip.AddrPort{sender}, c.reports(now))
-		c.g.deadlyParts.sendState(now, sender)
+		c.g.partGuard.sendState(now, sender)
 	}
 	var news []loadshare.CrashReport
 	for i := range update.Reports {
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -19,7 +19,7 @@
 	g.gossip.registerAgain(time.Now())
 	if g.options.Quarantines != nil {
 		g.rewrite("quarantine_rewrites", g.crashes.saveMissing)
-		g.rewrite("part_quarantine_rewrites", g.deadlyParts.saveMissing)
+		g.rewrite("part_quarantine_rewrites", g.partGuard.saveMissing)
 	}
 	if g.readerRank() == 0 {
 		// The others hear of the changes.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,7 @@
 	pool         *upstream.Pool
 	retryBudgets *retryBudgets
 	crashes      *crashGuard
-	deadlyParts  *partGuard
+	partGuard    *partGuard
 	moves        *versionMoves
 	gossip       *gossiper
 	// livePeers is the number of other live gateways, as of the last heartbeat.
@@ -71,14 +71,14 @@
 	g.pool = upstream.NewPool(upstream.Options{OnOpen: func() { opened.Inc(1) }})
 	g.crashes = newCrashGuard(g)
 	g.fleet = newFleet(&options, g.pool.CloseIdle)
-	g.deadlyParts = newPartGuard(g)
+	g.partGuard = newPartGuard(g)
 	g.fleet.onLost = func(now time.Time, entry directory.Entry) {
 		g.crashes.serverLost(now, entry)
-		g.deadlyParts.serverLost(now, entry)
+		g.partGuard.serverLost(now, entry)
 	}
 	g.fleet.onReturned = func(now time.Time, entry directory.Entry) {
 		g.crashes.serverReturned(now, entry)
-		g.deadlyParts.serverReturned(now, entry)
+		g.partGuard.serverReturned(now, entry)
 	}
 	g.moves = newVersionMoves(g)
 	g.fleet.versions = g.moves
@@ -133,8 +133,8 @@
 	if g.options.Quarantines != nil {
 		g.wait.Go(g.crashes.saveQuarantines)
 		g.wait.Go(g.crashes.restoreQuarantines)
-		g.wait.Go(g.deadlyParts.saveQuarantines)
-		g.wait.Go(g.deadlyParts.restoreQuarantines)
+		g.wait.Go(g.partGuard.saveQuarantines)
+		g.wait.Go(g.partGuard.restoreQuarantines)
 	}
 	if g.gossip != nil {
 		g.wait.Go(g.gossip.register)
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -338,6 +338,6 @@
 		return err
 	}
 	s.recordPeer(now, sender)
-	s.g.deadlyParts.handleUpdate(now, update)
+	s.g.partGuard.handleUpdate(now, update)
 	return nil
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -162,7 +162,7 @@
 	if p.possibleRuns > 0 && !p.route.Idempotent() {
 		return false
 	}
-	if p.crashes.check(now, p.content).Action != quarantine.Run || p.deadlyParts.check(now, p.call, problem.RunUnknown, problem.StepDispatch) != nil {
+	if p.crashes.check(now, p.content).Action != quarantine.Run || p.partGuard.check(now, p.call, problem.RunUnknown, problem.StepDispatch) != nil {
 		return false
 	}
 	return p.retryBudgets.take(now, p.service, false)
@@ -288,7 +288,7 @@
 	p.fleet.recordResult(now, result.place, !result.succeeded())
 	if result.outcome == sendUnknown {
 		p.crashes.runLost(now, p.content, result.place, false)
-		p.deadlyParts.runLost(now, p.call, result.place, false)
+		p.partGuard.runLost(now, p.call, result.place, false)
 		go p.probeAfterFailure(result.place.Entry)
 	}
 	if result.outcome == sendAnswered {
@@ -296,7 +296,7 @@
 	}
 	if result.succeeded() {
 		p.crashes.completed(now, p.content)
-		p.deadlyParts.begun(now, p.parts)
+		p.partGuard.begun(now, p.parts)
 	}
 	if result.err != nil {
 		p.options.Log.Info().Str("request", string(p.caller.ID)).Str("server", string(result.place.ID)).
@@ -338,7 +338,7 @@
 	// A server that has crashed silently may be why there is no answer.
 	for _, place := range p.pending {
 		p.crashes.runLost(time.Now(), p.content, place, true)
-		p.deadlyParts.runLost(time.Now(), p.call, place, true)
+		p.partGuard.runLost(time.Now(), p.call, place, true)
 	}
 	if p.r.Context().Err() != nil {
 		p.callerGone()
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -64,7 +64,7 @@
 // confirmSameStart tells the crash guard that a server that answers again has not restarted, if that
 // matters to it. A server may restart under its id; only an engine's report says when it started.
 func (g *Gateway) confirmSameStart(entry directory.Entry) {
-	if !g.crashes.awaits(entry) && !g.deadlyParts.awaits(entry) {
+	if !g.crashes.awaits(entry) && !g.partGuard.awaits(entry) {
 		return
 	}
 	report, err := g.engineReport(entry)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -96,7 +96,7 @@
 // suspectParts reports a run that was lost before its first event to the guard of the parts.
 func (s *streamCall) suspectParts(lostAt time.Time, p *placement, silent bool) {
 	if !s.runBegun {
-		s.deadlyParts.runLost(lostAt, s.call, p, silent)
+		s.partGuard.runLost(lostAt, s.call, p, silent)
 	}
 }
 
@@ -213,7 +213,7 @@
 	if p.total == 1 {
 		p.firstAt = now
 		s.runBegun = true
-		s.deadlyParts.begun(now, s.parts)
+		s.partGuard.begun(now, s.parts)
 		// The wait is no speed sample if the server may have cached part of the prompt.
 		s.moves.begun(s.timed)
 		s.moves.answered(t.place, s.route.Name, false)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -130,7 +130,7 @@
 	if refusal := c.awaitEqualRuns(); refusal != nil {
 		return refusal
 	}
-	if refusal := c.deadlyParts.check(time.Now(), c, problem.RunNot, problem.StepAdmit); refusal != nil {
+	if refusal := c.partGuard.check(time.Now(), c, problem.RunNot, problem.StepAdmit); refusal != nil {
 		return refusal
 	}
 	if since, leaving := c.leaving(c.began); leaving && since > streamCutoff && c.route.Kind == routetable.KindStream {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -76,7 +76,7 @@
 		s.Peers = g.gossip.livePeers(now)
 	}
 	s.Quarantined = g.crashes.state(now)
-	s.QuarantinedParts = g.deadlyParts.state(now)
+	s.QuarantinedParts = g.partGuard.state(now)
 	s.Moves = g.moves.state()
 	s.Streams, s.Servers = g.fleet.state()
 	return s
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -179,7 +179,7 @@
 	}
 	until := now.Add(resumeWait)
 	for {
-		if refusal := s.deadlyParts.check(now, s.call, s.runState(), problem.StepDispatch); refusal != nil {
+		if refusal := s.partGuard.check(now, s.call, s.runState(), problem.StepDispatch); refusal != nil {
 			return target{}, refusal
 		}
 		place, err := s.choose(now)
@@ -237,8 +237,8 @@
 		}
 		return problem.New(problem.CodeBackendFailed, problem.RunUnknown, problem.StepResume, "the request crashes backend servers")
 	}
-	if deadly := s.deadlyParts.check(time.Now(), s.call, s.runState(), problem.StepResume); deadly != nil {
-		return deadly
+	if quarantined := s.partGuard.check(time.Now(), s.call, s.runState(), problem.StepResume); quarantined != nil {
+		return quarantined
 	}
 	if !s.takeRetry(time.Now()) {
 		return refusal
@@ -266,7 +266,7 @@
 	if !s.hasSendsLeft() || s.crashes.check(now, s.content).Action != quarantine.Run {
 		return false
 	}
-	if s.deadlyParts.check(now, s.call, s.runState(), problem.StepResume) != nil {
+	if s.partGuard.check(now, s.call, s.runState(), problem.StepResume) != nil {
 		return false
 	}
 	s.moveReserved = s.takeRetry(now)
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -38,7 +38,7 @@
 			return
 		case now := <-ticker.C:
 			g.crashes.settle(now)
-			g.deadlyParts.settle(now)
+			g.partGuard.settle(now)
 			for _, entry := range g.fleet.sweep(now) {
 				go g.probe(entry)
 			}
