--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -73,6 +73,9 @@
 		c.wait.Go(func() { c.call(rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
 	c.wait.Go(func() { c.sendCrashing(rand.New(rand.NewPCG(seed, 99))) })
+	if s.options.NoSilences {
+		return c
+	}
 	c.wait.Go(func() { c.sendOnce(rand.New(rand.NewPCG(seed, 98))) })
 	c.wait.Go(func() { s.playSilences(rand.New(rand.NewPCG(seed, 97)), c.stop) })
 	return c
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -98,7 +98,9 @@
 		s.checkAttempt(a, runs[a.id])
 	}
 	s.checkCrashLimit(c.attempts, runs)
-	s.checkCuts(c.attempts, runs)
+	if !s.options.NoSilences {
+		s.checkCuts(c.attempts, runs)
+	}
 	s.checkMove(m, c.attempts, runs)
 	for id := range runs {
 		if !known[id] {
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -20,8 +20,11 @@
 	Gateways int           `long:"gateways" default:"3" description:"number of gateway processes per seed"`
 	Callers  int           `long:"callers" default:"12" description:"number of callers per seed"`
 	Length   time.Duration `long:"length" default:"12s" description:"duration of the fault injection"`
-	Logs     string        `long:"logs" default:"/tmp" description:"folder for the logs of failed seeds"`
-	Binary   string        `long:"binary" description:"gateway binary to run instead of building one, such as a deliberately broken build"`
+	// NoSilences leaves out what finds the faults that KNOWN-RED.txt lists for the soak by hand.
+	NoSilences bool `long:"no-silences" description:"no silences of sound runners, no streams that may not run again, and no check of cut answers"`
+
+	Logs   string `long:"logs" default:"/tmp" description:"folder for the logs of failed seeds"`
+	Binary string `long:"binary" description:"gateway binary to run instead of building one, such as a deliberately broken build"`
 }
 
 func main() {
