Count no refusal when a kept run is only looked at

Operators saw parts.refused rise five times a second while a stream with a quarantined part was kept at a suspected server: each look whether it may move asked for a refusal, which counts.

partGuard.allows answers without counting.

TestLookAtKeptRunIsNoRefusal before: 'Expected: 0, Actual: 1'; now ok.

--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -148,6 +148,12 @@
 	return true
 }
 
+// allows reports whether a request that has run may run again.
+func (p *partGuard) allows(now time.Time, c *call) bool {
+	q, _ := p.refusedBy(now, c.parts, false)
+	return q == nil
+}
+
 // check returns a refusal if a part of the request crashes backend servers, or nil. Of the entries only
 // the first in rank lets requests through to test a verdict.
 func (p *partGuard) check(now time.Time, c *call, run problem.RunState, step problem.Step) *problem.Error {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -266,7 +266,7 @@
 	if !s.hasSendsLeft() || s.crashes.check(now, s.content).Action != quarantine.Run {
 		return false
 	}
-	if s.partGuard.check(now, s.call, s.runState(), problem.StepResume) != nil {
+	if !s.partGuard.allows(now, s.call) {
 		return false
 	}
 	s.moveReserved = s.takeRetry(now)
