Save and restore quarantines of requests and of parts by the same code

The queue of what waits for the store, the loop that saves it and the one that restores while no peer is live stood twice in gateway. saveQueue and restoreWhileIsolated serve both; calls of rewrites use callStore too. No behaviour changes: gateway passes with -race.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -55,20 +55,18 @@
 // crashes with the peers and keeps quarantines in the store. Its lock is held over no I/O.
 type crashGuard struct {
 	g *Gateway
+	// unsaved holds the quarantines that the store doesn't have yet.
+	unsaved *saveQueue[quarantine.Quarantine]
 
 	mu      sync.Mutex
 	limiter *quarantine.Limiter
-	// unsaved are the quarantines that the store doesn't have yet. saveWakeup wakes the goroutine
-	// that saves them.
-	unsaved    []quarantine.Quarantine
-	saveWakeup chan struct{}
 	// stateRequests counts the requests for a peer's reports since stateRequestsAt.
 	stateRequests   int
 	stateRequestsAt time.Time
 }
 
 func newCrashGuard(g *Gateway) *crashGuard {
-	return &crashGuard{g: g, limiter: quarantine.NewLimiter(), saveWakeup: make(chan struct{}, 1)}
+	return &crashGuard{g: g, limiter: quarantine.NewLimiter(), unsaved: newSaveQueue[quarantine.Quarantine]()}
 }
 
 // serverLost records that a server does not respond.
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -60,9 +60,7 @@
 func (g *Gateway) retryWrite(name string, write func(context.Context) error) {
 	store := g.newDependency(name)
 	for {
-		ctx, cancel := context.WithTimeout(g.background, storeReadTimeout)
-		err := write(ctx)
-		cancel()
+		err := g.callStore(write)
 		if err == nil {
 			store.recordSuccess(time.Now())
 			return
--- a/gateway/part_quarantines.go
+++ b/gateway/part_quarantines.go
@@ -26,9 +26,6 @@
 	RemovePartQuarantines(ctx context.Context, list []StoredPartQuarantine) error
 }
 
-// storedParts is a quarantine of parts, or its end, that waits for the store.
-type storedParts = StoredPartQuarantine
-
 // partSavers is the number of entries that save what all of them know, first in rank.
 const partSavers = 3
 
@@ -39,13 +36,13 @@
 
 // save queues a quarantine to be saved in the store.
 func (p *partGuard) save(q quarantine.PartQuarantine) {
-	p.enqueue(storedParts{Parts: q.Parts, Since: q.Since.Round(0)})
+	p.enqueue(StoredPartQuarantine{Parts: q.Parts, Since: q.Since.Round(0)})
 }
 
 // withdraw queues the end of a quarantine to be saved in the store. The rest of one that shrinks is
 // saved instead.
 func (p *partGuard) withdraw(ended quarantine.PartQuarantine) {
-	p.enqueue(storedParts{Parts: ended.Parts})
+	p.enqueue(StoredPartQuarantine{Parts: ended.Parts})
 	p.mu.Lock()
 	rest, _ := p.limiter.Check(time.Now(), ended.Parts, false)
 	var kept quarantine.PartQuarantine
@@ -58,61 +55,18 @@
 	}
 }
 
-func (p *partGuard) enqueue(s storedParts) {
-	if p.g.options.Quarantines == nil {
-		return
-	}
-	p.mu.Lock()
-	if len(p.unsaved) < maxUnsaved {
-		p.unsaved = append(p.unsaved, s)
-	}
-	p.mu.Unlock()
-	select {
-	case p.saveWakeup <- struct{}{}:
-	default:
-	}
-}
-
-func (p *partGuard) nextUnsaved() (storedParts, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.unsaved) == 0 {
-		return storedParts{}, false
+// enqueue queues a quarantine, or its end, to be saved in the store.
+func (p *partGuard) enqueue(s StoredPartQuarantine) {
+	if p.g.options.Quarantines != nil {
+		p.unsaved.add(s)
 	}
-	return p.unsaved[0], true
 }
 
-// saveQuarantines saves queued quarantines until the gateway ends. It retries until the store accepts
-// them; a write that is repeated changes nothing.
+// saveQuarantines saves queued quarantines until the gateway ends.
 func (p *partGuard) saveQuarantines() {
-	store := p.g.newDependency("part_quarantine_writes")
-	for {
-		s, ok := p.nextUnsaved()
-		if !ok {
-			select {
-			case <-p.saveWakeup:
-				continue
-			case <-p.g.background.Done():
-				return
-			}
-		}
-		if err := p.saveOne(s); err != nil {
-			if !p.g.pause(store.recordFailure(time.Now(), err)) {
-				return
-			}
-			continue
-		}
-		store.recordSuccess(time.Now())
-		p.mu.Lock()
-		p.unsaved = p.unsaved[1:]
-		p.mu.Unlock()
-	}
-}
-
-func (p *partGuard) saveOne(s storedParts) error {
-	ctx, cancel := context.WithTimeout(p.g.background, storeReadTimeout)
-	defer cancel()
-	return p.g.options.Quarantines.SavePartQuarantine(ctx, s)
+	saveAll(p.g, "part_quarantine_writes", p.unsaved, func(ctx context.Context, s StoredPartQuarantine) error {
+		return p.g.options.Quarantines.SavePartQuarantine(ctx, s)
+	})
 }
 
 // saveMissing queues the known quarantines that the store lacks to be saved.
@@ -142,25 +96,11 @@
 
 // restoreQuarantines reads the stored quarantines at the start, and again while no known peer is live.
 func (p *partGuard) restoreQuarantines() {
-	store := p.g.newDependency("part_quarantine_reads")
-	for {
-		if err := p.restore(); err != nil {
-			if !p.g.pause(store.recordFailure(time.Now(), err)) {
-				return
-			}
-			continue
-		}
-		store.recordSuccess(time.Now())
-		if !p.g.crashes.awaitIsolation() {
-			return
-		}
-	}
+	p.g.restoreWhileIsolated("part_quarantine_reads", p.restore)
 }
 
 // restore applies the stored quarantines once, and removes those that have ended or expired.
-func (p *partGuard) restore() error {
-	ctx, cancel := context.WithTimeout(p.g.background, storeReadTimeout)
-	defer cancel()
+func (p *partGuard) restore(ctx context.Context) error {
 	stored, err := p.g.options.Quarantines.PartQuarantines(ctx)
 	if err != nil {
 		return err
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -58,20 +58,18 @@
 // I/O.
 type partGuard struct {
 	g *Gateway
+	// unsaved holds the quarantines, and ends of some, that the store doesn't have yet.
+	unsaved *saveQueue[StoredPartQuarantine]
 
 	mu      sync.Mutex
 	limiter *quarantine.PartLimiter
-	// unsaved are the quarantines that the store doesn't have yet. saveWakeup wakes the goroutine
-	// that saves them.
-	unsaved    []storedParts
-	saveWakeup chan struct{}
 	// reports and massReports limit the crash reports.
 	reports, massReports *rate.Limiter
 }
 
 func newPartGuard(g *Gateway) *partGuard {
 	return &partGuard{
-		g: g, limiter: quarantine.NewPartLimiter(), saveWakeup: make(chan struct{}, 1),
+		g: g, limiter: quarantine.NewPartLimiter(), unsaved: newSaveQueue[StoredPartQuarantine](),
 		reports:     rate.NewLimiter(partReportRate, partReportBurst),
 		massReports: rate.NewLimiter(massReportRate, massReportBurst),
 	}
--- a/gateway/quarantines.go
+++ b/gateway/quarantines.go
@@ -11,8 +11,6 @@
 	// isolatedReadInterval is the time between two reads of the stored quarantines while no peer
 	// is live that could report them.
 	isolatedReadInterval = 2 * time.Second
-	// maxUnsaved bounds the quarantines that wait for the store; more are not stored.
-	maxUnsaved = 256
 	// storedQuarantinePeriod is the time after which a stored quarantine is removed. It exceeds
 	// the time for which one holds by what the clocks of hosts may differ.
 	storedQuarantinePeriod = 15 * time.Minute
@@ -38,60 +36,16 @@
 
 // save queues a quarantine to be saved in the store.
 func (c *crashGuard) save(q quarantine.Quarantine) {
-	if c.g.options.Quarantines == nil {
-		return
-	}
-	c.mu.Lock()
-	if len(c.unsaved) < maxUnsaved {
-		c.unsaved = append(c.unsaved, q)
-	}
-	c.mu.Unlock()
-	select {
-	case c.saveWakeup <- struct{}{}:
-	default:
+	if c.g.options.Quarantines != nil {
+		c.unsaved.add(q)
 	}
 }
 
-func (c *crashGuard) nextUnsaved() (quarantine.Quarantine, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.unsaved) == 0 {
-		return quarantine.Quarantine{}, false
-	}
-	return c.unsaved[0], true
-}
-
-// saveQuarantines saves queued quarantines until the gateway ends. It retries until the store
-// accepts them; a write that is repeated changes nothing.
+// saveQuarantines saves queued quarantines until the gateway ends.
 func (c *crashGuard) saveQuarantines() {
-	store := c.g.newDependency("quarantine_writes")
-	for {
-		q, ok := c.nextUnsaved()
-		if !ok {
-			select {
-			case <-c.saveWakeup:
-				continue
-			case <-c.g.background.Done():
-				return
-			}
-		}
-		if err := c.saveOne(q); err != nil {
-			if !c.g.pause(store.recordFailure(time.Now(), err)) {
-				return
-			}
-			continue
-		}
-		store.recordSuccess(time.Now())
-		c.mu.Lock()
-		c.unsaved = c.unsaved[1:]
-		c.mu.Unlock()
-	}
-}
-
-func (c *crashGuard) saveOne(q quarantine.Quarantine) error {
-	ctx, cancel := context.WithTimeout(c.g.background, storeReadTimeout)
-	defer cancel()
-	return c.g.options.Quarantines.SaveQuarantine(ctx, StoredQuarantine{Content: q.Content, Since: q.Since.Round(0)})
+	saveAll(c.g, "quarantine_writes", c.unsaved, func(ctx context.Context, q quarantine.Quarantine) error {
+		return c.g.options.Quarantines.SaveQuarantine(ctx, StoredQuarantine{Content: q.Content, Since: q.Since.Round(0)})
+	})
 }
 
 // saveMissing queues the known quarantines that the store lacks to be saved.
@@ -119,35 +73,11 @@
 // restoreQuarantines reads the stored quarantines at the start, and again while no known peer is
 // live.
 func (c *crashGuard) restoreQuarantines() {
-	store := c.g.newDependency("quarantine_reads")
-	for {
-		if err := c.restore(); err != nil {
-			if !c.g.pause(store.recordFailure(time.Now(), err)) {
-				return
-			}
-			continue
-		}
-		store.recordSuccess(time.Now())
-		if !c.awaitIsolation() {
-			return
-		}
-	}
-}
-
-// awaitIsolation waits until no known peer is live. It returns false if the gateway is stopped.
-func (c *crashGuard) awaitIsolation() bool {
-	for c.g.pause(isolatedReadInterval) {
-		if c.g.gossip.isolated(time.Now()) {
-			return true
-		}
-	}
-	return false
+	c.g.restoreWhileIsolated("quarantine_reads", c.restore)
 }
 
 // restore applies the stored quarantines once, and removes those that have expired.
-func (c *crashGuard) restore() error {
-	ctx, cancel := context.WithTimeout(c.g.background, storeReadTimeout)
-	defer cancel()
+func (c *crashGuard) restore(ctx context.Context) error {
 	stored, err := c.g.options.Quarantines.Quarantines(ctx)
 	if err != nil {
 		return err
