Log the age of the configuration with each send, and reads that are slow or under way

The log couldn't tell a read that waits (hypothesis 1) from one that isn't made (hypothesis 2): a call was logged only when it failed. Now request_sent has configuration_age_ms, configuration_reported says how long a read has been in progress when a peer reports a newer version, and configuration_read_slow names reads of 500 ms and more. Metrics configuration.age_ms and configuration_read_ms.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -24,6 +24,10 @@
 	verifier freshness.Verifier
 	// kept is the older version that the store last showed, and its era.
 	kept keptVersion
+	// readingSince is when the read in progress began, or zero.
+	readingSince time.Time
+	// reported is the newest version that a peer has reported and that was logged.
+	reported uint64
 }
 
 type keptVersion struct{ era, version uint64 }
@@ -40,6 +44,42 @@
 	return c.bound.Age(bootClock())
 }
 
+// ageMs returns the age in milliseconds, or -1 if the configuration was never known to be
+// the newest.
+func (c *configState) ageMs() int64 {
+	age, known := c.age()
+	if !known {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// beginRead and endRead record that a read of the store is in progress.
+func (c *configState) beginRead(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingSince = now
+}
+
+func (c *configState) endRead() { c.beginRead(time.Time{}) }
+
+// logReported logs a peer's report of a version above the one in force, once for each version.
+func (c *configState) logReported(now time.Time, version uint64) {
+	table := c.table()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if table == nil || version <= max(table.Version(), c.reported) {
+		return
+	}
+	c.reported = version
+	reading := time.Duration(0)
+	if !c.readingSince.IsZero() {
+		reading = now.Sub(c.readingSince)
+	}
+	c.log.Info().Uint64("version", version).Uint64("in_force", table.Version()).
+		Int64("reading_ms", reading.Milliseconds()).Msg("configuration_reported")
+}
+
 // configResult says what an answer of the store changed.
 type configResult struct {
 	verdict freshness.Verdict
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -149,6 +149,9 @@
 	}
 	ctx, cancel := context.WithTimeout(g.background, timeout)
 	defer cancel()
+	began := time.Now()
+	g.config.beginRead(began)
+	defer g.config.endRead()
 	sent := bootClock()
 	var change ConfigurationChange
 	var err error
@@ -157,6 +160,7 @@
 	} else {
 		change, err = g.options.Source.Configuration(ctx)
 	}
+	g.recordConfigurationRead(longPoll, time.Since(began), wait, err)
 	if err != nil {
 		return err
 	}
@@ -169,6 +173,22 @@
 	return nil
 }
 
+// slowRead is the time of a read of the store, beyond its wait, above which it is logged.
+const slowRead = 500 * time.Millisecond
+
+// recordConfigurationRead records how long a read of the configuration took.
+func (g *Gateway) recordConfigurationRead(longPoll bool, took, wait time.Duration, err error) {
+	kind := "full"
+	if longPoll {
+		kind = "wait"
+		took = max(0, took-wait)
+	}
+	telemetry.Histogram(g.options.Metrics, "configuration_read_ms."+kind).Update(took.Milliseconds())
+	if took >= slowRead {
+		g.options.Log.Warn().Str("kind", kind).Dur("took", took).Int64("age_ms", g.config.ageMs()).Err(err).Msg("configuration_read_slow")
+	}
+}
+
 // applyConfiguration applies the result of a read and announces it to the peers.
 func (g *Gateway) applyConfiguration(change ConfigurationChange, result configResult) {
 	if result.newEra {
@@ -214,6 +234,7 @@
 func (g *Gateway) handlePeerVersion(now time.Time, m loadshare.Message) {
 	report := peerConfiguration{version: uint64(m.Server), era: uint64(m.Tokens), storeNow: time.Duration(m.Value) * time.Millisecond}
 	if g.config.observePeer(report) {
+		g.config.logReported(now, report.version)
 		g.configFollower.wake()
 		return
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -330,7 +330,7 @@
 func (c *call) logSent(place *placement, sends int, hasCopy bool) {
 	c.trials.markSent(c.trial)
 	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("server", string(place.ID)).Int("sends", sends).
-		Bool("copied", hasCopy).Uint64("version", c.table.Version()).Msg("request_sent")
+		Bool("copied", hasCopy).Uint64("version", c.table.Version()).Int64("configuration_age_ms", c.config.ageMs()).Msg("request_sent")
 }
 
 // beginHead is called before the head of the answer is sent. A leaving gateway asks the caller to
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -68,14 +68,11 @@
 	_, leaving := g.leaving(now)
 	s := State{
 		Host: g.options.Host, Domain: g.options.Domain, Leaving: leaving, Unready: g.unready(),
-		Requests: g.active.Load(), AgeMs: -1, ServersRevision: g.servers.get().Revision, Era: g.config.era(), Rank: g.readerRank(),
+		Requests: g.active.Load(), AgeMs: g.config.ageMs(), ServersRevision: g.servers.get().Revision, Era: g.config.era(), Rank: g.readerRank(),
 	}
 	if table := g.config.table(); table != nil {
 		s.Version = table.Version()
 	}
-	if age, known := g.config.age(); known {
-		s.AgeMs = age.Milliseconds()
-	}
 	if g.gossip != nil {
 		s.Peers = g.gossip.livePeers(now)
 	}
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/routing"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 const (
@@ -52,6 +53,7 @@
 				go g.checkRecovery(entry)
 			}
 			g.pool.Expire(now)
+			telemetry.Gauge(g.options.Metrics, "configuration.age_ms").Update(g.config.ageMs())
 		}
 	}
 }
