--- a/standin/deployment/drill.go
+++ b/standin/deployment/drill.go
@@ -33,6 +33,10 @@
 	}
 }
 
+// SilenceStoreConnections makes the open connections to the store deliver nothing any more. New ones
+// work.
+func (d *Deployment) SilenceStoreConnections() { d.server.SilenceConnections() }
+
 // Leave removes the row of a runner that did not report to be draining. The runner itself goes on
 // serving without heartbeats.
 func (d *Deployment) Leave(id string) {
--- a/standin/loopback/conn.go
+++ b/standin/loopback/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // gatedListener wraps each accepted connection in a gatedConn.
@@ -34,11 +35,17 @@
 	server *Server
 	once   sync.Once
 	closed chan struct{}
+	// silent is set once the connection delivers nothing any more, in either direction.
+	silent atomic.Bool
 }
 
 // Read implements net.Conn.
 func (c *gatedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	for c.silent.Load() && err == nil {
+		_, err = c.Conn.Read(p)
+		n = 0
+	}
 	if !c.server.gate.Wait(c.closed) {
 		return 0, net.ErrClosed
 	}
@@ -50,6 +57,9 @@
 	if !c.server.gate.Wait(c.closed) {
 		return 0, net.ErrClosed
 	}
+	if c.silent.Load() {
+		return len(p), nil
+	}
 	return c.Conn.Write(p)
 }
 
--- a/standin/loopback/server.go
+++ b/standin/loopback/server.go
@@ -167,6 +167,16 @@
 // Continue ends a pause.
 func (s *Server) Continue() { s.gate.Open() }
 
+// SilenceConnections makes the open connections deliver nothing any more, without closing them. New
+// connections work.
+func (s *Server) SilenceConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.silent.Store(true)
+	}
+}
+
 type state struct {
 	alive     bool
 	serveDone <-chan struct{}
