Put off reads of the store only by what peers' reports prove

Cause: any report of the version in force counted as a read at its arrival, whatever it proved. A report now counts as of the time of the store in it, by the local clock, and not at all if it isn't proven. A read recorded late never takes an earlier one's place.

gateway TestReportsPutOffReadsOnlyByWhatTheyProve failed before in each of its three cases (an unproven report, one 700 ms old, a repeated one).

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -47,13 +47,17 @@
 func (b *Bound) Invalidate() { b.valid = false }
 
 // ObservePeer records a peer's report that the store held no newer configuration at storeNow of
-// the store's clock. The report is ignored until this process has read the store itself, since
-// the offset between the clocks is unknown before. The delay of the report does not matter, since
-// it counts from storeNow and not from its arrival.
-func (b *Bound) ObservePeer(storeNow time.Duration) {
-	if asOf := Instant(storeNow + b.clockOffset); b.valid && b.offsetKnown && asOf > b.asOf {
-		b.asOf = asOf
+// the store's clock. It returns the local time of that. The report is ignored and the result false
+// until this process has read the store itself, since the offset between the clocks is unknown
+// before. The delay of the report does not matter, since it counts from storeNow and not from its
+// arrival.
+func (b *Bound) ObservePeer(storeNow time.Duration) (asOf Instant, ok bool) {
+	if !b.valid || !b.offsetKnown {
+		return 0, false
 	}
+	asOf = Instant(storeNow + b.clockOffset)
+	b.asOf = max(b.asOf, asOf)
+	return asOf, true
 }
 
 // Age returns an upper bound of the time for which the configuration may have been outdated. It
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -145,21 +145,33 @@
 	storeNow     time.Duration
 }
 
-// observePeer applies a peer's report. It returns whether there is something new to
-// read. A report of another era proves nothing, since the clock may be another one.
-func (c *configState) observePeer(p peerConfiguration) (isNew bool) {
+// peerVerdict says what a peer's report means for this entry.
+type peerVerdict struct {
+	// isNew is set if there is something new to read.
+	isNew bool
+	// proven is set if the report proves that the configuration in force was the newest, as of
+	// age ago.
+	proven bool
+	age    time.Duration
+}
+
+// observePeer applies a peer's report. A report of another era proves nothing, since the
+// clock may be another one.
+func (c *configState) observePeer(p peerConfiguration) peerVerdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.verifier.ObservePeer(bootClock(), p.version)
+	now := bootClock()
+	c.verifier.ObservePeer(now, p.version)
 	known := c.current.Load()
 	era, _ := c.verifier.Era()
 	if known == nil || p.version > known.Version() || p.era > era {
-		return true
+		return peerVerdict{isNew: true}
 	}
-	if p.version == known.Version() && p.era == era && p.storeNow > 0 {
-		c.bound.ObservePeer(p.storeNow)
+	if p.version < known.Version() || p.era != era || p.storeNow <= 0 {
+		return peerVerdict{}
 	}
-	return false
+	asOf, ok := c.bound.ObservePeer(p.storeNow)
+	return peerVerdict{proven: ok, age: max(0, time.Duration(now-asOf))}
 }
 
 // era returns the newest known era of the store.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,11 +39,11 @@
 	notify(f.rescheduled)
 }
 
-// recordRead records a read by this entry or a peer.
-func (f *follower) recordRead(now time.Time) {
+// recordRead records a read by this entry or a peer, of what the store held at the given time.
+func (f *follower) recordRead(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.schedule.RecordRead(now)
+	f.schedule.RecordRead(at)
 }
 
 // wake triggers a read at once.
@@ -233,13 +233,13 @@
 // handlePeerVersion handles a peer's report of the newest configuration version.
 func (g *Gateway) handlePeerVersion(now time.Time, m loadshare.Message) {
 	report := peerConfiguration{version: uint64(m.Server), era: uint64(m.Tokens), storeNow: time.Duration(m.Value) * time.Millisecond}
-	if g.config.observePeer(report) {
+	verdict := g.config.observePeer(report)
+	switch {
+	case verdict.isNew:
 		g.config.logReported(now, report.version)
 		g.configFollower.wake()
-		return
-	}
-	if table := g.config.table(); table != nil && table.Version() == report.version && report.era == g.config.era() {
-		g.configFollower.recordRead(now)
+	case verdict.proven:
+		g.configFollower.recordRead(now.Add(-verdict.age))
 	}
 }
 
--- a/loadshare/turn.go
+++ b/loadshare/turn.go
@@ -27,8 +27,13 @@
 // SetInterval replaces the interval.
 func (s *ReadSchedule) SetInterval(interval time.Duration) { s.interval = interval }
 
-// RecordRead records a read by this entry or a peer.
-func (s *ReadSchedule) RecordRead(now time.Time) { s.lastRead = now }
+// RecordRead records a read by this entry or a peer, of what the store held at the given time. It has no
+// effect if a later one is recorded.
+func (s *ReadSchedule) RecordRead(at time.Time) {
+	if at.After(s.lastRead) {
+		s.lastRead = at
+	}
+}
 
 // Due returns when the entry of the given rank reads next. It returns the zero time if no read was
 // recorded, so that the entry reads at once.
