Derive the intervals of reads of the store from the limits of what is read

Cause: the interval came from another limit (revoke_ms / 5, drain_ms / 2) than the one that its last reader must keep. loadshare.IntervalWithin works it out from the limit, the stagger of the ranks and the time for a read that is repeated once.

gateway TestLastRankReadsWithinTheBounds fails with the intervals before; the property in loadshare holds for limits of 1.5 to 20 s and each rank. The test of changed bounds gets a long apply limit too, so that it still waits at first.

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -17,7 +17,7 @@
 // and little is read.
 func newBoundedGateway() (*Gateway, Bounds) {
 	bounds := DefaultBounds()
-	bounds.RevokeLimit, bounds.DrainLimit = 5*time.Hour, 2*time.Hour
+	bounds.RevokeLimit, bounds.DrainLimit, bounds.ApplyLimit = 5*time.Hour, 2*time.Hour, 2*time.Hour
 	bounds.RetryRatio, bounds.RetrySlack = 0, 10
 	bounds.ExposureShare, bounds.ExposureSlack = 0, 0
 	g := New(Options{Host: "h", Domain: "a", Bounds: bounds, Log: telemetry.Discard(), Metrics: telemetry.NewRegistry()})
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -9,8 +9,10 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/wigeonfork/wigeonfork/freshness"
+	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/retry"
 	"github.com/wigeonfork/wigeonfork/routetable"
+	"github.com/wigeonfork/wigeonfork/storeread"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -207,12 +209,20 @@
 	revokeMargin = 1200 * time.Millisecond
 )
 
+// readReserve is the part of a limit that is reserved for a read of the store which is repeated once, and for the
+// reports to the peers.
+const readReserve = storeread.FirstDelay + 300*time.Millisecond
+
 // configurationWait is the wait of one long poll for a new configuration. Each
 // completed poll renews the configuration's freshness.
-func configurationWait(b *Bounds) time.Duration { return b.RevokeLimit / 5 }
+func configurationWait(b *Bounds) time.Duration {
+	return min(b.RevokeLimit/5, loadshare.IntervalWithin(b.ApplyLimit, readReserve))
+}
 
 // serversInterval is the time between two reads of the registered servers.
-func serversInterval(b *Bounds) time.Duration { return b.DrainLimit / 2 }
+func serversInterval(b *Bounds) time.Duration {
+	return min(b.DrainLimit/2, loadshare.IntervalWithin(b.DrainLimit, readReserve))
+}
 
 // dependency logs when calls to the store begin to fail and when they succeed again.
 // It also delays the calls that follow a failure.
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -58,3 +58,21 @@
 		})
 	})
 }
+
+// Guards against an entry that learns of a change later than the bounds allow, since all entries before it in
+// rank have failed.
+func TestLastRankReadsWithinTheBounds(t *testing.T) {
+	grown := DefaultBounds()
+	grown.ApplyLimit, grown.DrainLimit = 3*time.Second, 3*time.Second
+	for _, bounds := range []Bounds{DefaultBounds(), grown} {
+		Convey("The last entry has read within the limit after the last report of a peer", t, func() {
+			const lastRank = 1100
+			g := New(Options{Host: "h", Log: telemetry.Discard(), Metrics: telemetry.NewRegistry(), Bounds: bounds})
+			now := time.Now()
+			g.configFollower.recordRead(now)
+			g.serversFollower.recordRead(now)
+			So(g.configFollower.nextRead(lastRank).Sub(now)+readReserve, ShouldBeLessThanOrEqualTo, bounds.ApplyLimit)
+			So(g.serversFollower.nextRead(lastRank).Sub(now)+readReserve, ShouldBeLessThanOrEqualTo, bounds.DrainLimit)
+		})
+	}
+}
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
@@ -138,3 +139,18 @@
 		So(NewReadSchedule(interval).Due(3), ShouldEqual, time.Time{})
 	})
 }
+
+// Guards against an interval after which the last entries in rank read too late for the limit, if all
+// before them have failed.
+func TestEachRankReadsWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := time.Duration(rapid.Int64Range(int64(1500*time.Millisecond), int64(20*time.Second)).Draw(t, "limit"))
+		reserve := time.Duration(rapid.Int64Range(0, int64(700*time.Millisecond)).Draw(t, "reserve"))
+		rank := rapid.IntRange(0, 1100).Draw(t, "rank")
+		schedule := NewReadSchedule(IntervalWithin(limit, reserve))
+		schedule.RecordRead(start)
+		if end := schedule.Due(rank).Add(reserve); end.After(start.Add(limit)) {
+			t.Fatalf("rank %d has read %v after the last read", rank, end.Sub(start))
+		}
+	})
+}
--- a/loadshare/turn.go
+++ b/loadshare/turn.go
@@ -13,6 +13,17 @@
 	maxStaggeredRank = 5
 )
 
+// minInterval is the least interval that IntervalWithin returns.
+const minInterval = 100 * time.Millisecond
+
+// IntervalWithin returns the longest interval at which each entry learns of a change within limit, also if only
+// the entry of the last rank can read. reserve is the part of limit that the read itself and the reports to the
+// others may take.
+func IntervalWithin(limit, reserve time.Duration) time.Duration {
+	left := limit - reserve - maxStaggeredRank*readStagger
+	return max(minInterval, time.Duration(float64(left)/(1+readSlack)))
+}
+
 // ReadSchedule decides when an entry reads from the store. The entry with rank 0 reads at each
 // interval and sends the result to the others. The next in rank reads if no result arrived in
 // time. It is a deterministic decision type: times are arguments, and it does no I/O.
--- a/storeread/attempts.go
+++ b/storeread/attempts.go
@@ -6,9 +6,9 @@
 import "time"
 
 const (
-	// firstDelay is the time without an answer after which a read is sent a second time. Each further
+	// FirstDelay is the time without an answer after which a read is sent a second time. Each further
 	// delay is longer by delayStep.
-	firstDelay = 300 * time.Millisecond
+	FirstDelay = 300 * time.Millisecond
 	delayStep  = 200 * time.Millisecond
 	// transferTime is the time that an answer may take after its first byte, before the read is sent
 	// again. A large answer on a slow link would otherwise compete with its own repetition.
@@ -21,7 +21,7 @@
 // arguments, and it does no I/O. It is not safe for concurrent use.
 //
 // Invariant: while no attempt is being answered and fewer than maxAttempts were sent, the next one is
-// due at most firstDelay plus delayStep for each earlier repetition after the last, or after the
+// due at most FirstDelay plus delayStep for each earlier repetition after the last, or after the
 // store's wait if that was the first.
 type Attempts struct {
 	wait time.Duration
@@ -35,7 +35,7 @@
 
 // Sent records that an attempt was sent.
 func (a *Attempts) Sent(now time.Time) {
-	delay := firstDelay + time.Duration(a.sent)*delayStep
+	delay := FirstDelay + time.Duration(a.sent)*delayStep
 	if a.sent == 0 {
 		delay += a.wait
 	}
--- a/storeread/storeread_test.go
+++ b/storeread/storeread_test.go
@@ -33,14 +33,14 @@
 			if !more {
 				return
 			}
-			limit := firstDelay + time.Duration(sent-1)*delayStep
+			limit := FirstDelay + time.Duration(sent-1)*delayStep
 			if sent == 1 {
 				limit += wait
 			}
 			if !answering.IsZero() {
 				limit = max(limit, answering.Sub(last)+transferTime)
 			}
-			if due.Before(last.Add(firstDelay)) || due.After(last.Add(limit)) {
+			if due.Before(last.Add(FirstDelay)) || due.After(last.Add(limit)) {
 				t.Fatalf("attempt %d is due %v after the one before, at most %v allowed", sent+1, due.Sub(last), limit)
 			}
 			if rapid.Bool().Draw(t, "answer begins") {
@@ -116,13 +116,13 @@
 	})
 	inVirtualTime("a read on a silent connection is answered at its repetition", func(t *testing.T) {
 		s := &script{answers: []time.Duration{0, 4 * time.Millisecond}}
-		if n, took, err := s.play(0, 2*time.Second); err != nil || n != 1 || took != firstDelay+4*time.Millisecond {
+		if n, took, err := s.play(0, 2*time.Second); err != nil || n != 1 || took != FirstDelay+4*time.Millisecond {
 			t.Fatalf("attempt %d after %v, error %v", n, took, err)
 		}
 	})
 	inVirtualTime("a read that waits for a change is repeated after its wait", func(t *testing.T) {
 		s := &script{answers: []time.Duration{0, 4 * time.Millisecond}}
-		if _, took, err := s.play(time.Second, 3*time.Second); err != nil || took != time.Second+firstDelay+4*time.Millisecond {
+		if _, took, err := s.play(time.Second, 3*time.Second); err != nil || took != time.Second+FirstDelay+4*time.Millisecond {
 			t.Fatalf("took %v, error %v", took, err)
 		}
 	})
