Step back while a newer configuration is known that can't be read

Cause: a report was a wake-up for a read and nothing else; what it says of the configuration in force was not kept. freshness.Lag keeps since when a newer version is known, by a clock that counts freezes. While one is, nothing is denied for good: 503, not run, with a short time to come back, as the peers have read it. After the apply limit the entry isn't ready, and after about the revoke limit it serves nothing by the old configuration.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -24,6 +24,7 @@
 	mu       sync.Mutex
 	bound    freshness.Bound
 	verifier freshness.Verifier
+	lag      freshness.Lag
 	// kept is the older version that the store last showed, and its era.
 	kept keptVersion
 	// readingSince is when the read in progress began, or zero.
@@ -46,6 +47,14 @@
 	return c.bound.Age(bootClock())
 }
 
+// behind returns for how long a newer configuration than the one in force has been known. It
+// returns false if none is.
+func (c *configState) behind() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lag.Behind(bootClock())
+}
+
 // ageMs returns the age in milliseconds, or -1 if the configuration was never known to be
 // the newest.
 func (c *configState) ageMs() int64 {
@@ -120,6 +129,7 @@
 	}
 	if install {
 		c.current.Store(change.Table)
+		c.lag.Installed(answer.Version)
 		r.installed = true
 	}
 	c.updateBound(r, sent, bootClock(), change.Now)
@@ -166,6 +176,9 @@
 	c.verifier.ObservePeer(now, p.version)
 	known := c.current.Load()
 	era, _ := c.verifier.Era()
+	if known != nil {
+		c.lag.Reported(now, p.version, known.Version())
+	}
 	if known == nil || p.version > known.Version() || p.era > era {
 		return peerVerdict{isNew: true}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -261,6 +261,9 @@
 		return "no_servers"
 	}
 	bounds := g.bounds.Load()
+	if behind, isBehind := g.config.behind(); isBehind && behind > bounds.ApplyLimit {
+		return "configuration_replaced"
+	}
 	if table.RequiresKey() && bounds.FailClosed {
 		age, known := g.config.age()
 		if !known || age > unreadyAge(bounds) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -181,6 +181,9 @@
 
 // resolve finds the route, the service and the workspace, and checks the API key.
 func (c *call) resolve() *problem.Error {
+	if refusal := c.checkReplaced(); refusal != nil {
+		return refusal
+	}
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	c.route = c.table.Match(c.r.Host, path)
 	if c.route == nil {
@@ -216,21 +219,34 @@
 // unlessStale returns refusal, or a refusal with a retry delay if the entry may have
 // missed a newer configuration that allows the request.
 func (c *call) unlessStale(refusal *problem.Error) *problem.Error {
-	bounds := c.bounds.Load()
 	age, known := c.config.age()
-	if known && age < configurationWait(bounds)+bounds.ApplyLimit {
+	_, behind := c.config.behind()
+	if known && age < c.bounds.Load().ApplyLimit && !behind {
 		return refusal
 	}
 	return problem.New(problem.CodeStoreUnavailable, problem.RunNot, refusal.Step, "%s, but the configuration is old", refusal.Message).
 		After(c.storeRetry())
 }
 
+// checkReplaced refuses a request if the configuration in force has been known to be replaced
+// for about the revoke limit. Routes without a key are bound by it too.
+func (c *call) checkReplaced() *problem.Error {
+	behind, isBehind := c.config.behind()
+	if !isBehind || behind < c.bounds.Load().RevokeLimit-revokeMargin {
+		return nil
+	}
+	return problem.New(problem.CodeStoreUnavailable, problem.RunNot, problem.StepAccept,
+		"a newer configuration has been known for %v and could not be read", behind.Round(time.Millisecond)).After(c.storeRetry())
+}
+
 // storeRetry returns the retry delay while the store is unavailable. An entry without
-// live peers is probably cut off by itself, so another may serve soon. Otherwise the
-// store is probably unavailable to all entries. A caller with a long deadline then
-// retries later, since an outage lasts seconds and a caller has few retries.
+// live peers is probably cut off by itself, as one is whose peers have read what it could
+// not, so another may serve soon. Otherwise the store is probably unavailable to all
+// entries. A caller with a long deadline then retries later, since an outage lasts seconds
+// and a caller has few retries.
 func (c *call) storeRetry() time.Duration {
-	if c.caller.Deadline < longDeadline || !c.gossip.hasPeers(time.Now()) {
+	_, behind := c.config.behind()
+	if behind || c.caller.Deadline < longDeadline || !c.gossip.hasPeers(time.Now()) {
 		return c.jitter(configurationRetry)
 	}
 	return c.jitter(outageRetry)
