Believe no answer on a kept connection that doesn't name its request

It can happen here to requests that may be repeated: a server wrote an earlier refusal, without the id of its request, on a kept connection; the caller of a safe request was told 503, not run, while it ran, and a stream ran at two servers. Requests that may run once are sent on a connection of their own, so not to them. A refusal with the id of the earlier request was known as such already.

Cause: the id was compared only if it was there. Servers repeat it in each answer, so one without it on a connection that has carried others is of unknown outcome, and the connection is closed, which ends the run. A stream that goes back to a server that has refused it gets a new connection, since that refusal bears its own id.

platform TestRepeatedRefusalIsNoProof and TestRepeatedRefusalStartsNoSecondRun failed before (the variants without the id).

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -268,8 +268,7 @@
 // readAnswer reads a complete answer into result, if it belongs to the request.
 func (c *call) readAnswer(response *upstream.Response, result *sendResult) {
 	reply := c.options.Codec.ParseReply(response.Status, response.Header)
-	if reply.Request != "" && reply.Request != c.caller.ID {
-		result.err = errors.Newf("answer to another request, %q", string(reply.Request))
+	if result.err = c.checkOwner(&reply, response); result.err != nil {
 		return
 	}
 	c.fleet.recordAnswer(time.Now(), response.SentAt, result.place, reply.Load)
@@ -292,6 +291,20 @@
 	}
 }
 
+// checkOwner returns an error if an answer may belong to another request. Servers repeat the id of the request.
+// An answer without it may be that of an earlier request, unless the connection has carried no other.
+func (c *call) checkOwner(reply *Reply, response *upstream.Response) error {
+	switch {
+	case reply.Request == c.caller.ID:
+		return nil
+	case reply.Request != "":
+		return errors.Newf("answer to another request, %q", string(reply.Request))
+	case response.Reused:
+		return errors.Newf("answer with status %d and without the request's id on a kept connection", response.Status)
+	}
+	return nil
+}
+
 // newRequest returns the request to send to a backend server.
 func (c *call) newRequest(now time.Time, place *placement, attempt *Attempt) *upstream.Request {
 	attempt.Server = place.ID
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,7 +46,8 @@
 	s.runBegun = false
 	s.gossip.enqueue(startedMessage(t.place.ID, s.work, t.hasCopy, s.totalSends > 1))
 	request := s.newRequest(now, t.place, s.newAttempt(now, t))
-	request.FreshConnection = !s.route.Idempotent()
+	// A server that has refused the stream may repeat that refusal on the connection.
+	request.FreshConnection = !s.route.Idempotent() || slices.Contains(s.tried, t.place.ID)
 	response, err := s.pool.Do(ctx, t.place.upstream(), request)
 	if err != nil {
 		s.fleet.failed(time.Now(), t.place, s.work)
@@ -103,8 +105,8 @@
 // relay handles the answer of one run and forwards its events to the caller.
 func (s *streamCall) relay(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	reply := s.options.Codec.ParseReply(response.Status, response.Header)
-	if reply.Request != "" && reply.Request != s.caller.ID {
-		return runLost, errors.Newf("answer to another request, %q", string(reply.Request))
+	if err := s.checkOwner(&reply, response); err != nil {
+		return runLost, err
 	}
 	s.fleet.recordAnswer(time.Now(), response.SentAt, t.place, reply.Load)
 	s.limits.observe(t.place, &reply)
