Pass on as part of a stream only events with ids of an event stream

It can happen here where the next server's error has status 200: its text, or a whole head, was passed on into the stream as an event without an id, and an empty answer or one that ended behind a blank line ended the stream as if it were complete.

Cause: what decided was the status alone, and an event without an id passed. An answer that isn't text/event-stream by its media type is no part of a stream, nor is an event without id once events have ids; both end the run, and the stream goes on elsewhere or is broken off. A caller who resumes a stream no longer gets such a text with status 200 as its rest.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"slices"
 	"time"
@@ -116,7 +117,7 @@
 		}
 		return runNotRun, errors.Newf("refused with status %d: %s", response.Status, refusalText(response.Body))
 	}
-	if response.Status != http.StatusOK {
+	if response.Status != http.StatusOK || !isEventStream(response.Header) {
 		return s.relayAnswer(ctx, t, response)
 	}
 	return s.relayEvents(ctx, t, response)
@@ -134,19 +135,32 @@
 	return string(text)
 }
 
-// relayAnswer handles an answer with a status other than 200, which is not a stream.
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// isEventStream reports whether an answer is a stream of events by its media type.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == eventStreamType
+}
+
+// relayAnswer handles an answer that is not a stream of events. It is the answer to the caller only if no event
+// has been sent before, by this gateway or by another.
 func (s *streamCall) relayAnswer(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	result := &sendResult{outcome: sendUnknown, place: t.place}
 	s.readAnswer(response, result)
 	if result.outcome != sendAnswered {
 		return s.exchangeFailed(ctx, t, result.err)
 	}
-	failed := result.status >= http.StatusInternalServerError
+	begun := s.headSent || s.lastEvent > 0
+	failed := result.status >= http.StatusInternalServerError || begun && result.status == http.StatusOK
 	s.moves.answered(t.place, s.route.Name, failed)
 	s.moves.drop(s.timed)
 	s.fleet.recordResult(time.Now(), t.place, failed)
 	if failed || s.headSent {
-		s.failure = result
+		if result.status != http.StatusOK {
+			s.failure = result
+		}
 		return runFailed, errors.Newf("status %d", result.status)
 	}
 	s.deliver(result)
@@ -182,6 +196,10 @@
 		if event.ID != 0 && event.ID <= s.lastEvent {
 			continue
 		}
+		if event.ID == 0 && s.lastEvent > 0 {
+			s.fleet.recordResult(now, t.place, true)
+			return runLost, errors.Newf("an event without id came after event %d", s.lastEvent)
+		}
 		if event.ID > s.lastEvent+1 {
 			s.fleet.recordResult(now, t.place, true)
 			return runLost, errors.Newf("event %d came after event %d", event.ID, s.lastEvent)
