Take at a leaving entry only what it can finish, by a clock that isn't set

That time is now read from the clock that neither is set nor stands still while the host is suspended.

What is taken moves to drain.Policy, without clock or network: a stream in the first 2.5 s if it is expected to end in time, later only if its deadline ends before the process; a plain request if its deadline or four times its expected duration does (new: before, one with a deadline of 20 s was taken until 1.1 s before the end). Property-tested: accepted ones end in time, a refused one isn't accepted later.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,9 +55,9 @@
 	warmOnce [2]sync.Once
 	warmLeft atomic.Int32
 
-	// stopping is when the gateway was asked to stop, in Unix nanoseconds, or 0.
+	// stopping is when the gateway was asked to stop, as a freshness.Instant, or 0.
 	stopping atomic.Int64
-	// refusing is set shortly before the end, when new requests are refused.
+	// refusing is set once a leaving gateway refuses all new requests.
 	refusing atomic.Bool
 	// active is the number of requests in progress.
 	active atomic.Int64
@@ -151,55 +151,6 @@
 		Str("domain", string(g.options.Domain)).Msg("gateway_started")
 }
 
-// Drain reports the gateway as not ready and returns once all requests have ended, or
-// shortly before the grace period does. Requests that still arrive are served at
-// first and refused towards the end, so that none is cut off by the end of the
-// process.
-func (g *Gateway) Drain() {
-	began := time.Now()
-	g.stopping.Store(began.UnixNano())
-	g.options.Log.Info().Int64("requests", g.active.Load()).Msg("drain_started")
-	g.awaitIdle(began)
-	g.refusing.Store(true)
-	for g.active.Load() > 0 && time.Now().Before(g.drainEnd(began)) {
-		time.Sleep(drainInterval)
-	}
-	g.options.Log.Info().Int64("requests", g.active.Load()).Dur("after", time.Since(began)).Msg("drain_ended")
-}
-
-// drainEnd returns when a drain ends at the latest. The bounds may change meanwhile.
-func (g *Gateway) drainEnd(began time.Time) time.Time {
-	return began.Add(g.bounds.Load().GracePeriod - stopMargin)
-}
-
-// awaitIdle returns once the load balancer has had time to stop sending callers and
-// no request has been in progress for idleWait, or refusalPeriod before the end.
-func (g *Gateway) awaitIdle(began time.Time) {
-	idleSince := began
-	for now := began; now.Before(g.drainEnd(began).Add(-refusalPeriod)); now = time.Now() {
-		if g.active.Load() > 0 {
-			idleSince = now
-		}
-		if now.Sub(began) >= balancerWait && now.Sub(idleSince) >= idleWait {
-			return
-		}
-		time.Sleep(drainInterval)
-	}
-}
-
-const (
-	// stopMargin is the part of the grace period reserved for ending the process.
-	stopMargin = 400 * time.Millisecond
-	// refusalPeriod is the time before the end in which new requests are refused.
-	refusalPeriod = 1100 * time.Millisecond
-	// balancerWait is the time within which the load balancer stops sending new callers.
-	balancerWait = 3 * time.Second
-	// idleWait is the time without requests after which a leaving gateway ends.
-	idleWait = 500 * time.Millisecond
-	// drainInterval is the time between two checks for requests in progress.
-	drainInterval = 50 * time.Millisecond
-)
-
 // Stop ends the gateway at once.
 func (g *Gateway) Stop() {
 	g.stop()
@@ -228,15 +179,6 @@
 	})
 }
 
-// leaving reports whether the gateway was asked to stop, and how long ago.
-func (g *Gateway) leaving(now time.Time) (time.Duration, bool) {
-	at := g.stopping.Load()
-	if at == 0 {
-		return 0, false
-	}
-	return now.Sub(time.Unix(0, at)), true
-}
-
 // serveReady answers a readiness check of the load balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if reason := g.unready(); reason != "" {
@@ -250,7 +192,7 @@
 // unready returns the reason for which the gateway takes no new callers, or an empty
 // string.
 func (g *Gateway) unready() string {
-	if _, leaving := g.leaving(time.Now()); leaving {
+	if _, leaving := g.leaving(); leaving {
 		return "leaving"
 	}
 	table := g.config.table()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -93,7 +93,11 @@
 }
 
 func (p *plainCall) serve(ctx context.Context) {
-	if err := p.send(ctx); err != nil {
+	switch err := p.send(ctx); {
+	case errors.Is(err, errLeaving):
+		p.refuse(p.draining())
+		return
+	case err != nil:
 		p.refuse(p.noServer(err))
 		return
 	}
@@ -214,6 +218,10 @@
 	if err != nil {
 		return err
 	}
+	if p.totalSends == 0 && p.stopsBefore(place.expectedTotal) {
+		p.fleet.failed(time.Now(), place, p.work)
+		return errLeaving
+	}
 	p.tried = append(p.tried, place.ID)
 	p.possibleRuns++
 	p.totalSends++
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -35,13 +35,6 @@
 	// is also at most the caller's deadline divided by warmDeadlineDivisor.
 	maxWarmWait         = 800 * time.Millisecond
 	warmDeadlineDivisor = 8
-	// streamCutoff is the time after the request to stop from which no new stream is
-	// accepted. The gateway's end could interrupt it, however short it is expected to
-	// be.
-	streamCutoff = 2500 * time.Millisecond
-	// drainRetry is the retry delay at a leaving entry. The load balancer sends the
-	// retry to another one.
-	drainRetry = 60 * time.Millisecond
 )
 
 // call is one request of a caller.
@@ -135,7 +128,7 @@
 	if refusal := c.partGuard.check(time.Now(), c, problem.RunNot, problem.StepAdmit); refusal != nil {
 		return refusal
 	}
-	if since, leaving := c.leaving(c.began); leaving && since > streamCutoff && c.route.Kind == routetable.KindStream {
+	if c.stopsBefore(0) {
 		return c.draining()
 	}
 	return nil
@@ -153,11 +146,6 @@
 	return int64(n)
 }
 
-// draining returns the refusal of a request that the gateway's end could interrupt.
-func (c *call) draining() *problem.Error {
-	return problem.New(problem.CodeDraining, problem.RunNot, problem.StepAccept, "entry is leaving").After(c.jitter(drainRetry))
-}
-
 // awaitWarm holds a request until the gateway's first reads are complete, for a limited
 // time. A caller whose request was interrupted by a restart may have no retry left.
 func (c *call) awaitWarm() {
@@ -352,7 +340,7 @@
 // beginHead is called before the head of the answer is sent. A leaving gateway asks the caller to
 // close the connection, which ends with the process.
 func (c *call) beginHead() {
-	if _, leaving := c.leaving(time.Now()); leaving {
+	if _, leaving := c.leaving(); leaving {
 		c.w.Header().Set("Connection", "close")
 	}
 	c.headSent = true
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -65,7 +65,7 @@
 // State returns the gateway's current state.
 func (g *Gateway) State() State {
 	now := time.Now()
-	_, leaving := g.leaving(now)
+	_, leaving := g.leaving()
 	s := State{
 		Host: g.options.Host, Domain: g.options.Domain, Leaving: leaving, Unready: g.unready(),
 		Requests: g.active.Load(), AgeMs: g.config.ageMs(), ServersRevision: g.servers.get().Revision, Era: g.config.era(), Rank: g.readerRank(),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -201,7 +201,7 @@
 // there before the deadline or the gateway's end.
 func (s *streamCall) admitFirst(now time.Time, place *placement) (target, *problem.Error) {
 	switch {
-	case s.stopsBefore(now, place):
+	case s.stopsBefore(place.expectedTotal):
 		s.fleet.failed(now, place, s.work)
 		return target{}, s.draining()
 	case !s.inTime(now, place):
@@ -310,13 +310,6 @@
 	return s.countSend(place, true), true
 }
 
-// stopsBefore reports whether a leaving gateway is expected to end before the answer
-// does. Its caller is better served by another entry.
-func (s *streamCall) stopsBefore(now time.Time, place *placement) bool {
-	since, leaving := s.leaving(now)
-	return leaving && s.bounds.Load().GracePeriod-stopMargin-since < place.expectedTotal
-}
-
 // inTime reports whether the answer can be complete before its deadline.
 func (s *streamCall) inTime(now time.Time, place *placement) bool {
 	return s.deadline.IsZero() || admission.CanMeetDeadline(s.deadline.Sub(now), place.expectedTotal)
