Count the window of the retry budget by the monotonic clock

What callers could see: retries beyond the budget (BUDGET) after the time of day of a host was set forward, as the window seemed to have passed, and none for as long as it was set back.

Cause: slots were numbered by the Unix time of the time of day. They are numbered from a time of the process's own now, so that differences are those of the monotonic clock.

retry TestSharedBudgetOverStepsOfTheClock failed before for each of its four steps (-30, -5, 5, 30 s).

--- a/retry/shared.go
+++ b/retry/shared.go
@@ -16,10 +16,19 @@
 	slotWidth time.Duration
 	slots     [windowSlots + 1]float64 // one more than the window, since the newest is partial
 	newest    int64                    // number of the newest slot
+	// epoch is the time from which slots are numbered, epochAge before the first use. It is not a
+	// fixed time of day, so that the difference to a time is that of the monotonic clock.
+	epoch time.Time
 }
 
+// epochAge keeps the numbers of slots positive.
+const epochAge = time.Hour
+
 func (c *windowCounter) advance(now time.Time) {
-	slot := now.UnixNano() / int64(c.slotWidth)
+	if c.epoch.IsZero() {
+		c.epoch = now.Add(-epochAge)
+	}
+	slot := int64(now.Sub(c.epoch) / c.slotWidth)
 	for steps := min(slot-c.newest, int64(len(c.slots))); steps > 0; steps-- {
 		c.slots[(slot-steps+1)%int64(len(c.slots))] = 0
 	}
@@ -38,10 +47,10 @@
 		return
 	}
 	c.advance(now)
-	changed := windowCounter{slotWidth: width}
+	changed := windowCounter{slotWidth: width, epoch: c.epoch}
 	for age := int64(len(c.slots)) - 1; age >= 0; age-- {
 		slot := c.newest - age
-		end := time.Unix(0, (slot+1)*int64(c.slotWidth)-1)
+		end := c.epoch.Add(time.Duration(slot+1)*c.slotWidth - 1)
 		if end.After(now) {
 			end = now
 		}
--- a/retry/shared_test.go
+++ b/retry/shared_test.go
@@ -1,10 +1,13 @@
 package retry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/test/stepped"
 )
 
 // TestSharedBudget checks the load after the loss of a failure domain: one entry
@@ -63,3 +66,23 @@
 		}
 	})
 }
+
+// Guards against retries beyond the budget after the host's time of day was set: the window seemed to have passed.
+func TestSharedBudgetOverStepsOfTheClock(t *testing.T) {
+	for _, seconds := range []int64{-30, -5, 5, 30} {
+		Convey(fmt.Sprintf("A step of %d s neither returns retries nor keeps them", seconds), t, func() {
+			b := NewSharedBudget(0.5, 20, 10*time.Second)
+			start := time.Now()
+			taken := 0
+			for range 100 {
+				if b.Take(start, 1) {
+					taken++
+				}
+			}
+			So(taken, ShouldEqual, 20)
+			So(b.Take(stepped.Wall(start.Add(time.Second), seconds), 1), ShouldBeFalse)
+			So(b.Take(stepped.Wall(start.Add(9*time.Second), seconds), 1), ShouldBeFalse)
+			So(b.Take(stepped.Wall(start.Add(12*time.Second), seconds), 1), ShouldBeTrue)
+		})
+	}
+}
