Number the steps of a server's request history by the monotonic clock

What callers could see: after the time of day of a host was set, the requests of other entries at each server were taken for more or fewer than they are for up to the length of the history, and requests went to busy servers.

--- a/routing/server.go
+++ b/routing/server.go
@@ -118,6 +118,7 @@
 	service            decayingMean          // duration of a request, seconds
 	ownHistory         [historyLength]uint16 // ownRequests at each historyStep
 	newestStep         int64                 // step of the newest count in ownHistory
+	historyEpoch       time.Time             // time from which the steps are numbered
 	incarnation        string
 	suspectedLocally   bool         // suspect because of MarkUnhealthy
 	longTermGap        decayingMean // gap with a longer time constant
@@ -206,10 +207,19 @@
 	s.gap.observe(now, gap, slowLearning, 0)
 }
 
+// stepAt returns the number of the history's step at a time. The steps are numbered from a time of this
+// process, so that they follow its monotonic clock when the time of day is set.
+func (s *server) stepAt(t time.Time) int64 {
+	if s.historyEpoch.IsZero() {
+		s.historyEpoch = t.Add(-historyLength * historyStep)
+	}
+	return int64(t.Sub(s.historyEpoch) / historyStep)
+}
+
 // advanceHistory extends ownHistory up to now. The history is needed since a
 // delayed load report is compared with the count at the time of its measurement.
 func (s *server) advanceHistory(now time.Time) {
-	step := now.UnixNano() / int64(historyStep)
+	step := s.stepAt(now)
 	if step-s.newestStep > historyLength {
 		s.newestStep = step - historyLength
 	}
@@ -236,7 +246,7 @@
 // history covers.
 func (s *server) ownRequestsAt(now, then time.Time) int {
 	s.advanceHistory(now)
-	step := then.UnixNano() / int64(historyStep)
+	step := s.stepAt(then)
 	step = min(max(step, s.newestStep-historyLength+1), s.newestStep)
 	return int(s.ownHistory[((step%historyLength)+historyLength)%historyLength])
 }
