Send nothing to a server that says in its answers that it leaves

The codec reads the header; the directory keeps the start that has said so as draining, whatever the registry shows of it, until another start takes the id or it is gone for two minutes. Entries tell each other, forward what is new and tell a peer that appears. A malformed value says nothing; an answer without the header takes nothing back, as it may be older; an entry that restarts hears of it from its peers or from the next answer.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -85,8 +85,10 @@
 	// departed holds the servers that left recently, and held the entries of an older copy of the
 	// registry that show such servers. copyAt is when the last such copy was read.
 	departed map[wigeonfork.BackendServerID]departure
-	held     map[wigeonfork.BackendServerID]Entry
-	copyAt   time.Time
+	// leaving holds the servers that have said that they leave.
+	leaving map[wigeonfork.BackendServerID]leavingMark
+	held    map[wigeonfork.BackendServerID]Entry
+	copyAt  time.Time
 	// kept lists the servers whose state was kept against the last copy.
 	kept   []wigeonfork.BackendServerID
 	events []Event
@@ -98,6 +100,7 @@
 		records:  make(map[wigeonfork.BackendServerID]*record),
 		departed: make(map[wigeonfork.BackendServerID]departure),
 		held:     make(map[wigeonfork.BackendServerID]Entry),
+		leaving:  make(map[wigeonfork.BackendServerID]leavingMark),
 	}
 }
 
@@ -173,6 +176,7 @@
 
 // isNew reports whether the entry, once applied, changes the record of its server.
 func (d *Directory) isNew(entry Entry) bool {
+	entry = d.withLeaving(entry)
 	r := d.records[entry.ID]
 	return r == nil || r.entry != entry || r.lapsed || !r.adopted.IsZero()
 }
@@ -186,6 +190,7 @@
 
 func (d *Directory) expire(now time.Time) {
 	d.expireDepartures(now)
+	d.expireLeaving(now)
 	if d.registryDown || d.awaitingReregistration(now) {
 		return
 	}
@@ -202,7 +207,7 @@
 // within AdoptionTimeout, counted from the adoption or from the end of the last registry outage.
 func (d *Directory) Adopt(now time.Time, entry Entry) []Event {
 	d.events = d.events[:0]
-	if d.records[entry.ID] == nil {
+	if entry = d.withLeaving(entry); d.records[entry.ID] == nil && !entry.Draining {
 		d.records[entry.ID] = &record{entry: entry, adopted: now}
 		d.emit(Added, entry, false)
 	}
@@ -210,6 +215,8 @@
 }
 
 func (d *Directory) put(entry Entry) {
+	d.forgetLeaving(entry)
+	entry = d.withLeaving(entry)
 	delete(d.departed, entry.ID)
 	delete(d.held, entry.ID)
 	r, known := d.records[entry.ID]
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -78,6 +78,10 @@
 	// that can't be read, or empty.
 	Limit          serverlimit.Statement
 	MalformedLimit string
+	// Leaving says that the server leaves: it wants no more requests. MalformedLeaving is the text of a
+	// statement that can't be read, or empty.
+	Leaving          bool
+	MalformedLeaving string
 }
 
 // EngineReport is a model engine's report on itself.
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -305,6 +305,9 @@
 	if loadshare.IsLimitUpdate(data) {
 		return s.handleLimitUpdate(now, data, from)
 	}
+	if loadshare.IsLeavingUpdate(data) {
+		return s.handleLeavingUpdate(now, data, from)
+	}
 	if loadshare.IsTrialUpdate(data) {
 		return s.handleTrialUpdate(now, data, from)
 	}
@@ -355,5 +358,6 @@
 		s.send([]netip.AddrPort{sender}, []loadshare.Message{{Kind: loadshare.Heartbeat}})
 		s.g.crashes.peerAppeared(now, sender)
 		s.g.limits.peerAppeared(sender)
+		s.tellLeaving(sender)
 	}
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -281,6 +281,7 @@
 	}
 	c.fleet.recordAnswer(time.Now(), response.SentAt, result.place, reply.Load)
 	c.limits.observe(result.place, &reply)
+	c.observeLeaving(result.place, &reply)
 	result.load = reply.Load
 	if reply.NotRun {
 		result.outcome = sendNotRun
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -75,6 +75,7 @@
 	partUpdateVersion     = 5
 	trialUpdateVersion    = 6
 	limitUpdateVersion    = 7
+	leavingUpdateVersion  = 8
 	headerSize            = 1 + 2
 	messageSize           = 1 + 8 + 4 + 8
 	// MaxMessages is the number of messages that fit in a datagram of 1200 bytes, which fits the
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -59,6 +59,8 @@
 	Unframed *Unframed
 	// Connection is the Connection header of responses; empty for none.
 	Connection string
+	// Leaving is the Server-Leaving header of responses; empty for none.
+	Leaving string
 }
 
 // Runner is one incarnation of a model runner or plain backend server.
@@ -233,6 +235,9 @@
 	if connection := r.currentFaults().Connection; connection != "" {
 		h.Set("Connection", connection)
 	}
+	if leaving := r.currentFaults().Leaving; leaving != "" {
+		h.Set("Server-Leaving", leaving)
+	}
 	if limit := r.currentLimit(); limit != "" {
 		h.Set("Server-Limit", limit)
 	}
