Leave a server alone for the time that it asks for with a refusal

The codec reads the seconds, with fractions, at most an hour; a date, a sign, an exponent or zero asks for nothing. serverpause decides, without clock or network: no request, retry, hedge, resume or survey goes there until the time is over, by a clock that counts freezes; then one at a time, and twice as many after each that is served. Other servers take the work. If all have asked for a pause, callers are refused at once, told to come back when the first is over and one after another.

--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -78,6 +78,10 @@
 	// that can't be read, or empty.
 	Limit          serverlimit.Statement
 	MalformedLimit string
+	// Pause is the time for which the server, which has refused the request, wants nothing from this entry; 0 for
+	// none. MalformedPause is the text of one that can't be read, or empty.
+	Pause          time.Duration
+	MalformedPause string
 	// Leaving says that the server leaves: it wants no more requests. MalformedLeaving is the text of a
 	// statement that can't be read, or empty.
 	Leaving          bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	trials       *trials
 	partGuard    *partGuard
 	limits       *serverLimits
+	pauses       *serverPauses
 	moves        *versionMoves
 	gossip       *gossiper
 	// livePeers is the number of other live gateways, as of the last heartbeat.
@@ -90,7 +91,11 @@
 		g.gossip = newGossiper(g)
 	}
 	g.limits = newServerLimits(g)
-	g.fleet.onEnded = g.limits.forget
+	g.pauses = newServerPauses(g)
+	g.fleet.onEnded = func(id serverID) {
+		g.limits.forget(id)
+		g.pauses.forget(id)
+	}
 	g.fleet.isLimited = g.limits.isLimited
 	g.fleet.announce = g.gossip.enqueue
 	g.config = newConfigState(&options)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -282,6 +282,7 @@
 	c.fleet.recordAnswer(time.Now(), response.SentAt, result.place, reply.Load)
 	c.limits.observe(result.place, &reply)
 	c.observeLeaving(result.place, &reply)
+	c.pauses.observe(result.place, response, &reply)
 	result.load = reply.Load
 	if reply.NotRun {
 		result.outcome = sendNotRun
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -112,6 +112,7 @@
 	s.fleet.recordAnswer(time.Now(), response.SentAt, t.place, reply.Load)
 	s.limits.observe(t.place, &reply)
 	s.observeLeaving(t.place, &reply)
+	s.pauses.observe(t.place, response, &reply)
 	if reply.NotRun {
 		if response.Status == http.StatusMisdirectedRequest {
 			s.fleet.markReplaced(time.Now(), t.place.ID)
--- a/gateway/survey.go
+++ b/gateway/survey.go
@@ -75,7 +75,7 @@
 	var wait sync.WaitGroup
 	entries := slices.DeleteFunc(s.g.fleet.usableEntries(service), func(entry directory.Entry) bool {
 		_, limited := s.g.limits.rate(entry.ID)
-		return limited
+		return limited || s.g.pauses.isPaused(entry.ID)
 	})
 	for _, entry := range entries {
 		wait.Go(func() { s.queryEngine(entry) })
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -43,8 +43,9 @@
 
 // Faults are the faults that a Runner injects.
 type Faults struct {
-	// Refuse refuses every request as not executed.
-	Refuse bool
+	// Refuse refuses every request as not executed, with RetryAfter as that header unless it is empty.
+	Refuse     bool
+	RetryAfter string
 	// Fail executes plain requests and answers with status 500.
 	Fail bool
 	// DropResponse executes plain requests and closes the connection without a response.
@@ -149,7 +150,11 @@
 		return
 	}
 	r.shared.recordArrival(r.ID)
-	if r.currentFaults().Refuse {
+	if faults := r.currentFaults(); faults.Refuse {
+		if faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", faults.RetryAfter)
+		}
+		w.Header().Set("Wigeonfork-Request-Id", q.Header.Get("Wigeonfork-Request-Id"))
 		w.Header().Set("Wigeonfork-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
