Let the soak's runners leave and ask for pauses, and its store connections fall silent

One runner after another says in its answers that it leaves, or refuses with a time for which it wants nothing; few requests may reach it afterwards, counted over all gateway processes. The open connections to the store fall silent again and again. Drawn apart from the other faults, which stay the same for each seed.

--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -60,13 +60,19 @@
 	var played sync.WaitGroup
 	played.Go(func() { drills = s.playDrills(rand.New(rand.NewPCG(seed, 3)), s.options.Length) })
 	var limits []namedLimit
-	stopLimits := make(chan struct{})
-	played.Go(func() { limits = s.playLimits(rand.New(rand.NewPCG(seed, 4)), stopLimits) })
+	stopServers := make(chan struct{})
+	played.Go(func() { limits = s.playLimits(rand.New(rand.NewPCG(seed, 4)), stopServers) })
+	var wishes []serverWish
+	var silences int
+	played.Go(func() { wishes = s.playWishes(rand.New(rand.NewPCG(seed, 5)), stopServers) })
+	played.Go(func() { silences = s.playSilentStore(rand.New(rand.NewPCG(seed, 6)), stopServers) })
 	r.faults = describe(s.scheduleWithMove(m))
-	close(stopLimits)
+	close(stopServers)
 	played.Wait()
 	s.checkLimits(limits)
-	r.faults = append(r.faults, "store_restore:"+strconv.Itoa(drills), "limit:"+strconv.Itoa(len(limits)))
+	s.checkWishes(wishes)
+	r.faults = append(r.faults, "store_restore:"+strconv.Itoa(drills), "store_silence:"+strconv.Itoa(silences),
+		"limit:"+strconv.Itoa(len(limits)), "wish:"+strconv.Itoa(len(wishes)))
 	s.checkRecovery(c)
 	s.checkAgreement()
 	close(c.stop)
