Let the soak's runners leave and ask for pauses among the faults only

What the runners want, and the silences of the connections to the store, end with the other faults now. A runner that another fault has killed isn't replaced twice.

--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -64,8 +64,9 @@
 	played.Go(func() { limits = s.playLimits(rand.New(rand.NewPCG(seed, 4)), stopServers) })
 	var wishes []serverWish
 	var silences int
-	played.Go(func() { wishes = s.playWishes(rand.New(rand.NewPCG(seed, 5)), stopServers) })
-	played.Go(func() { silences = s.playSilentStore(rand.New(rand.NewPCG(seed, 6)), stopServers) })
+	end := time.Now().Add(s.options.Length)
+	played.Go(func() { wishes = s.playWishes(rand.New(rand.NewPCG(seed, 5)), end) })
+	played.Go(func() { silences = s.playSilentStore(rand.New(rand.NewPCG(seed, 6)), end) })
 	r.faults = describe(s.scheduleWithMove(m))
 	close(stopServers)
 	played.Wait()
--- a/test/soak/servers.go
+++ b/test/soak/servers.go
@@ -32,14 +32,13 @@
 	processes int
 }
 
-// playWishes lets one runner after another leave or ask for pauses, until stop is closed.
-func (s *system) playWishes(r *rand.Rand, stop <-chan struct{}) []serverWish {
+// playWishes lets one runner after another leave or ask for pauses, until end.
+func (s *system) playWishes(r *rand.Rand, end time.Time) []serverWish {
 	var wishes []serverWish
 	for {
-		select {
-		case <-stop:
+		time.Sleep(randomUpTo(r, wishPause))
+		if time.Now().Add(maxWishTime).After(end) {
 			return wishes
-		case <-time.After(randomUpTo(r, wishPause)):
 		}
 		service := []string{deployment.Plain, deployment.Engines}[r.IntN(2)]
 		leaving := r.IntN(2) == 0
@@ -58,9 +57,10 @@
 		wanting.SetFaults(runner.Faults{Leaving: "1"})
 		time.Sleep(length)
 		w.to = time.Now()
-		s.Kill(wanting.ID)
-		// An address that is in use leaves the deployment one runner short.
-		_, _ = s.Replace(wanting.ID, "127.0.0.1:0")
+		if s.Kill(wanting.ID) {
+			// An address that is in use leaves the deployment one runner short.
+			_, _ = s.Replace(wanting.ID, "127.0.0.1:0")
+		}
 	} else {
 		wanting.SetFaults(runner.Faults{Refuse: true, RetryAfter: strconv.FormatFloat(length.Seconds(), 'f', 2, 64)})
 		time.Sleep(length)
@@ -81,16 +81,15 @@
 	return n
 }
 
-// playSilentStore makes the open connections to the store silent again and again, until stop is closed.
-func (s *system) playSilentStore(r *rand.Rand, stop <-chan struct{}) (silences int) {
+// playSilentStore makes the open connections to the store silent again and again, until end.
+func (s *system) playSilentStore(r *rand.Rand, end time.Time) (silences int) {
 	for {
-		select {
-		case <-stop:
+		time.Sleep(minSilentPause + randomUpTo(r, maxSilentPause-minSilentPause))
+		if time.Now().After(end) {
 			return silences
-		case <-time.After(minSilentPause + randomUpTo(r, maxSilentPause-minSilentPause)):
-			s.nodeFaults.during(nil, s.SilenceStoreConnections)
-			silences++
 		}
+		s.nodeFaults.during(nil, s.SilenceStoreConnections)
+		silences++
 	}
 }
 
