--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -155,7 +155,7 @@
 	retryAfter, pausing := r.currentPause()
 	if pausing {
 		w.Header().Set("Retry-After", retryAfter)
-		r.shared.recordWish(r.ID)
+		r.shared.recordNotice(r.ID)
 	}
 	if pausing || r.currentFaults().Refuse {
 		w.Header().Set("Wigeonfork-Request-Id", q.Header.Get("Wigeonfork-Request-Id"))
@@ -280,7 +280,7 @@
 	if leaving := r.currentLeaving(); leaving != "" {
 		h.Set("Server-Leaving", leaving)
 		if !r.currentFaults().DropResponse {
-			r.shared.recordWish(r.ID)
+			r.shared.recordNotice(r.ID)
 		}
 	}
 	if limit := r.currentLimit(); limit != "" {
--- a/standin/runner/shared.go
+++ b/standin/runner/shared.go
@@ -35,16 +35,16 @@
 	runs []*Run
 	// arrivals holds the times at which each runner got a request, also one that it refused.
 	arrivals map[string][]time.Time
-	// wishes holds the times at which each runner said in a response that it leaves or wants a pause.
-	wishes map[string][]time.Time
-	copies map[string]bool // by backup address/request id
+	// notices holds the times at which each runner said in a response that it leaves or wants a pause.
+	notices map[string][]time.Time
+	copies  map[string]bool // by backup address/request id
 	// missingCopies counts the requests for a copy that is not stored.
 	missingCopies int
 }
 
 // NewSharedState returns a SharedState without runs or copies.
 func NewSharedState() *SharedState {
-	return &SharedState{copies: make(map[string]bool), arrivals: make(map[string][]time.Time), wishes: make(map[string][]time.Time)}
+	return &SharedState{copies: make(map[string]bool), arrivals: make(map[string][]time.Time), notices: make(map[string][]time.Time)}
 }
 
 // Runs returns the runs with a request id, or all runs if request is empty.
@@ -66,17 +66,17 @@
 	s.arrivals[id] = append(s.arrivals[id], time.Now())
 }
 
-func (s *SharedState) recordWish(id string) {
+func (s *SharedState) recordNotice(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wishes[id] = append(s.wishes[id], time.Now())
+	s.notices[id] = append(s.notices[id], time.Now())
 }
 
-// Wishes returns the times at which a runner said in a response that it leaves or wants a pause, oldest first.
-func (s *SharedState) Wishes(id string) []time.Time {
+// Notices returns the times at which a runner said in a response that it leaves or wants a pause, oldest first.
+func (s *SharedState) Notices(id string) []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.wishes[id]...)
+	return append([]time.Time(nil), s.notices[id]...)
 }
 
 // Arrivals returns the times at which a runner got a request, oldest first.
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -62,18 +62,18 @@
 	var limits []namedLimit
 	stopServers := make(chan struct{})
 	played.Go(func() { limits = s.playLimits(rand.New(rand.NewPCG(seed, 4)), stopServers) })
-	var wishes []serverWish
+	var notices []serverNotice
 	var silences int
 	end := time.Now().Add(s.options.Length)
-	played.Go(func() { wishes = s.playWishes(rand.New(rand.NewPCG(seed, 5)), end) })
+	played.Go(func() { notices = s.playNotices(rand.New(rand.NewPCG(seed, 5)), end) })
 	played.Go(func() { silences = s.playSilentStore(rand.New(rand.NewPCG(seed, 6)), end) })
 	r.faults = describe(s.scheduleWithMove(m))
 	close(stopServers)
 	played.Wait()
 	s.checkLimits(limits)
-	s.checkWishes(wishes)
+	s.checkNotices(notices)
 	r.faults = append(r.faults, "store_restore:"+strconv.Itoa(drills), "store_silence:"+strconv.Itoa(silences),
-		"limit:"+strconv.Itoa(len(limits)), "wish:"+strconv.Itoa(len(wishes)))
+		"limit:"+strconv.Itoa(len(limits)), "notice:"+strconv.Itoa(len(notices)))
 	s.checkRecovery(c)
 	s.checkAgreement()
 	close(c.stop)
--- a/test/soak/servers.go
+++ b/test/soak/servers.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// A runner says in its answers that it leaves, or refuses with a time for which it wants nothing, for minWishTime
-	// to maxWishTime. The next one does up to wishPause later.
-	minWishTime, maxWishTime = 2 * time.Second, 4 * time.Second
-	wishPause                = time.Second
+	// A runner says in its answers that it leaves, or refuses with a time for which it wants nothing, for minNoticeTime
+	// to maxNoticeTime. The next one does up to noticePause later.
+	minNoticeTime, maxNoticeTime = 2 * time.Second, 4 * time.Second
+	noticePause                  = time.Second
 	// pauseLatency is the time after a refusal from which its pause holds.
 	pauseLatency = 500 * time.Millisecond
 	// arrivalsAllowed is the number of requests that may reach the runner from each gateway process: the one that the
@@ -23,8 +23,8 @@
 	minSilentPause, maxSilentPause = 2 * time.Second, 6 * time.Second
 )
 
-// serverWish is what a runner wanted between two times: to be left alone for good, or for a pause.
-type serverWish struct {
+// serverNotice says what a runner told in its answers between two times: that it leaves, or wants a pause.
+type serverNotice struct {
 	runner   string
 	leaving  bool
 	from, to time.Time
@@ -32,26 +32,26 @@
 	processes int
 }
 
-// playWishes lets one runner after another leave or ask for pauses, until end.
-func (s *system) playWishes(r *rand.Rand, end time.Time) []serverWish {
-	var wishes []serverWish
+// playNotices lets one runner after another leave or ask for pauses, until end.
+func (s *system) playNotices(r *rand.Rand, end time.Time) []serverNotice {
+	var notices []serverNotice
 	for {
-		time.Sleep(randomUpTo(r, wishPause))
-		if time.Now().Add(maxWishTime).After(end) {
-			return wishes
+		time.Sleep(randomUpTo(r, noticePause))
+		if time.Now().Add(maxNoticeTime).After(end) {
+			return notices
 		}
 		service := []string{deployment.Plain, deployment.Engines}[r.IntN(2)]
 		leaving := r.IntN(2) == 0
 		if list := s.Runners(service); len(list) > 2 {
-			wishes = append(wishes, s.wish(r, pickRunner(r, list), leaving))
+			notices = append(notices, s.giveNotice(r, pickRunner(r, list), leaving))
 		}
 	}
 }
 
-// wish lets a runner leave, after which it ends and another starts, or ask for a pause.
-func (s *system) wish(r *rand.Rand, wanting *runner.Runner, leaving bool) serverWish {
-	length := minWishTime + randomUpTo(r, maxWishTime-minWishTime)
-	w := serverWish{runner: wanting.ID, leaving: leaving, from: time.Now()}
+// giveNotice lets a runner leave, after which it ends and another starts, or ask for a pause.
+func (s *system) giveNotice(r *rand.Rand, wanting *runner.Runner, leaving bool) serverNotice {
+	length := minNoticeTime + randomUpTo(r, maxNoticeTime-minNoticeTime)
+	w := serverNotice{runner: wanting.ID, leaving: leaving, from: time.Now()}
 	before := s.processes()
 	if leaving {
 		wanting.SetLeaving("1")
@@ -93,15 +93,15 @@
 	}
 }
 
-// checkWishes checks that no runner got many requests after it had wanted to be left alone.
-func (s *system) checkWishes(wishes []serverWish) {
-	for _, w := range wishes {
+// checkNotices checks that no runner got many requests after it had wanted to be left alone.
+func (s *system) checkNotices(notices []serverNotice) {
+	for _, w := range notices {
 		latency, count := pauseLatency, 0
 		if w.leaving {
 			latency = drainLimit
 		}
 		told := w.to
-		for _, at := range s.Shared.Wishes(w.runner) {
+		for _, at := range s.Shared.Notices(w.runner) {
 			if at.After(w.from) && at.Before(told) {
 				told = at
 			}
