Send no request on whose caller has left, and discard what is given up

Change: right before a request is written the deadline is compared again, and the caller's connection is asked for its end (sockpeek). A send that is given up so counts as not done and says nothing about the server. An exchange that is aborted resets its connection, so that what has not arrived is discarded. Ruled out: a slow path between gateway and server (request_sent was logged within some ms of the arrival).

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/routetable"
+	"github.com/wigeonfork/wigeonfork/sockpeek"
 )
 
 const (
@@ -62,6 +64,22 @@
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
 	server.MaxHeaderBytes = maxCallerHead
 	server.ConnState = func(conn net.Conn, state http.ConnState) { c.observe(time.Now(), conn, state) }
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, callerConnKey{}, conn)
+	}
+}
+
+// callerConnKey is the key of a caller's connection in the context of its requests.
+type callerConnKey struct{}
+
+// callerWaits reports whether the caller still waits for the answer. In a busy process the server may
+// notice the end of the connection only long after it has arrived, so the connection itself is asked.
+func (c *call) callerWaits() bool {
+	if c.r.Context().Err() != nil {
+		return false
+	}
+	conn, ok := c.r.Context().Value(callerConnKey{}).(net.Conn)
+	return !ok || sockpeek.Peek(conn) != sockpeek.Ended
 }
 
 // connectionCheckInterval is the time between two searches for expired connections.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -138,6 +138,11 @@
 	if result.panicked != nil {
 		panic(*result.panicked)
 	}
+	if errors.Is(result.err, upstream.ErrAbandoned) {
+		p.possibleRuns--
+		p.abandoned(ctx)
+		return true
+	}
 	p.reportOutcome(result)
 	p.endTrial()
 	if result.succeeded() {
@@ -328,6 +333,7 @@
 		Body:    c.body,
 		HasBody: c.hasBody,
 		MaxIdle: c.maxIdle(place.Service),
+		Wanted:  c.callerWaits,
 	}
 }
 
@@ -408,6 +414,14 @@
 	p.refuse(problem.New(problem.CodeTooLate, problem.RunUnknown, problem.StepDispatch, "no answer in time").At(string(p.server)))
 }
 
+// abandoned ends a request that was not sent since its deadline had passed or its caller had left.
+func (p *plainCall) abandoned(ctx context.Context) {
+	if ctx.Err() == nil && !p.callerWaits() {
+		p.callerGone()
+	}
+	p.timedOut()
+}
+
 // callerGone ends a request whose connection has ended, since the caller has disconnected or this
 // gateway has stopped. It does not return.
 func (c *call) callerGone() {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -67,6 +67,9 @@
 
 // exchangeFailed classifies a failed exchange and updates the view of the server.
 func (s *streamCall) exchangeFailed(ctx context.Context, t target, err error) (runEnd, error) {
+	if errors.Is(err, upstream.ErrAbandoned) {
+		return s.notSent(ctx, err)
+	}
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
@@ -96,6 +99,18 @@
 	return runLost, err
 }
 
+// notSent classifies a send that was given up before it was written. It says nothing about the server.
+func (s *streamCall) notSent(ctx context.Context, err error) (runEnd, error) {
+	s.moves.drop(s.timed)
+	if !s.callerWaits() {
+		return runCallerGone, err
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	return runNotRun, err
+}
+
 // suspectParts reports a run that was lost before its first event to the guard of the parts.
 func (s *streamCall) suspectParts(lostAt time.Time, p *placement, silent bool) {
 	if !s.runBegun {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -301,6 +301,9 @@
 	return end
 }
 
+// isLate reports whether the request's deadline has passed.
+func (c *call) isLate(now time.Time) bool { return !c.deadline.IsZero() && !now.Before(c.deadline) }
+
 // remaining returns the time that the caller still waits; 0 if it set no deadline.
 func (c *call) remaining(now time.Time) time.Duration {
 	if c.caller.Deadline <= 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -143,7 +143,7 @@
 				s.dropBackup()
 			}
 		}
-		if s.ctx.Err() != nil {
+		if s.ctx.Err() != nil || s.isLate(time.Now()) {
 			s.fail(problem.New(problem.CodeTooLate, s.runState(), problem.StepRelay, "no answer in time"))
 			return
 		}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -9,7 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
+
+	"github.com/wigeonfork/wigeonfork/sockpeek"
 )
 
 // readBufferSize is the size of a connection's read buffer in bytes.
@@ -63,20 +64,16 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
+	state := sockpeek.Peek(c.Conn)
+	return state == sockpeek.Quiet || state == sockpeek.Unknown
+}
+
+// abort closes the connection at once. What was written and has not arrived is discarded, so that it
+// doesn't reach the server later.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
 	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && noData
+	closeConn(c)
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -30,8 +30,15 @@
 	// MaxIdle bounds the idle connections to the server when this one is returned to the pool.
 	// NoIdle keeps none and 0 selects the pool's bound. The pool's bound is never exceeded.
 	MaxIdle int
+	// Wanted reports whether the caller still waits for the answer. It is asked right before the
+	// request is written, which may be long after Do was called. If it is nil, the caller waits.
+	Wanted func() bool
 }
 
+// ErrAbandoned means that a request was not written since ctx had ended, its deadline had passed or
+// the caller waited no longer.
+var ErrAbandoned = errors.New("the request is not wanted any more")
+
 // NoIdle as MaxIdle closes the connection after its use.
 const NoIdle = -1
 
@@ -59,16 +66,33 @@
 // operation is the name of an exchange in errors.
 const operation = "backend server exchange"
 
+// hasEnded reports whether ctx has ended or its deadline has passed. The timer of a context may fire late
+// in a busy process.
+func hasEnded(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
+// isWanted reports whether the caller still waits for the answer.
+func (r *Request) isWanted() bool { return r.Wanted == nil || r.Wanted() }
+
 // Do sends a request once. An error is an *infra.Error whose outcome is OutcomeNotDone if no
-// connection could be opened, so that no byte was sent, and otherwise OutcomeUnknown. The exchange
-// is aborted when ctx ends.
+// connection could be opened or the request was not wanted any more by then (ErrAbandoned), so that
+// no byte was sent, and otherwise OutcomeUnknown. The exchange is aborted when ctx ends: what has
+// not reached the server by then is discarded.
 func (p *Pool) Do(ctx context.Context, server Server, req *Request) (*Response, error) {
 	c, reused, err := p.get(ctx, server, req.FreshConnection)
-	if err != nil {
+	switch {
+	case err != nil && hasEnded(ctx):
+		return nil, infra.NewError(infra.OutcomeNotDone, operation, server.Address, errors.Mark(err, ErrAbandoned))
+	case err != nil:
 		return nil, infra.NewError(infra.OutcomeNotDone, operation, server.Address, err)
+	case hasEnded(ctx) || !req.isWanted():
+		p.put(server, c, req.MaxIdle)
+		return nil, infra.NewError(infra.OutcomeNotDone, operation, server.Address, ErrAbandoned)
 	}
 	x := &exchange{pool: p, server: server, conn: c, maxIdle: req.MaxIdle}
-	x.stopCancel = context.AfterFunc(ctx, func() { closeConn(c) })
+	x.stopCancel = context.AfterFunc(ctx, c.abort)
 	sentAt := time.Now()
 	x.send(req)
 	response, err := x.readHead(req.Method)
@@ -183,12 +207,16 @@
 			x.pool.put(x.server, x.conn, x.maxIdle)
 			return
 		}
-		closeConn(x.conn)
+		if x.complete && x.requestSent() {
+			closeConn(x.conn)
+			return
+		}
+		x.conn.abort()
 	})
 	return nil
 }
 
 func (x *exchange) abandon() {
 	x.stopCancel()
-	closeConn(x.conn)
+	x.conn.abort()
 }
