Hold requests at the start until the stored quarantines are read

Cause (TestCrashLimitSurvivesRestarts, once beside load): a gateway that starts was warm once it had the configuration and the servers, and served while its read of the quarantines was under way; a request that had crashed three runners ran a fourth time. Change: requests wait for these reads too, as long as for the first ones. Registration and readiness don't.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -210,7 +210,7 @@
 	if table == nil {
 		return
 	}
-	g.markWarm(warmConfiguration)
+	g.warm.mark(warmConfiguration)
 	g.configFollower.recordRead(time.Now())
 	report := configurationReport(table.Version(), change.Stamp, result.verdict)
 	g.gossip.enqueue(report)
@@ -337,7 +337,7 @@
 	}
 	g.serversFollower.recordRead(now)
 	g.moves.beginMoves(now)
-	g.markWarm(warmServers)
+	g.warm.mark(warmServers)
 	return nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,11 +50,10 @@
 	background context.Context
 	stop       context.CancelFunc
 	wait       sync.WaitGroup
-	// warm is closed once the configuration and the servers have been read. warmLeft
-	// counts the reads that are missing.
-	warm     chan struct{}
-	warmOnce [2]sync.Once
-	warmLeft atomic.Int32
+	// warm opens once the configuration and the servers have been read.
+	warm *latch
+	// restored opens once the stored quarantines have been read.
+	restored *latch
 
 	// stopping is when the gateway was asked to stop, as a freshness.Instant, or 0.
 	stopping atomic.Int64
@@ -67,8 +66,11 @@
 // New returns a gateway that is not started.
 func New(options Options) *Gateway {
 	background, stop := context.WithCancel(context.Background())
-	g := &Gateway{options: options, background: background, stop: stop, warm: make(chan struct{})}
-	g.warmLeft.Store(int32(len(g.warmOnce)))
+	g := &Gateway{options: options, background: background, stop: stop, warm: newLatch(warmReads), restored: newLatch(restoredReads)}
+	if options.Quarantines == nil {
+		g.restored.mark(restoredRequests)
+		g.restored.mark(restoredParts)
+	}
 	g.bounds.Store(&options.Bounds)
 	opened := telemetry.Counter(options.Metrics, "upstream.connections")
 	g.pool = upstream.NewPool(upstream.Options{OnOpen: func() { opened.Inc(1) }})
@@ -173,16 +175,15 @@
 const (
 	warmConfiguration = iota
 	warmServers
+	warmReads
 )
 
-// markWarm records that the first read of one kind is complete.
-func (g *Gateway) markWarm(read int) {
-	g.warmOnce[read].Do(func() {
-		if g.warmLeft.Add(-1) == 0 {
-			close(g.warm)
-		}
-	})
-}
+// The reads that restore the stored quarantines.
+const (
+	restoredRequests = iota
+	restoredParts
+	restoredReads
+)
 
 // serveReady answers a readiness check of the load balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -156,7 +156,7 @@
 // until it succeeds once.
 func (s *gossiper) register() {
 	select {
-	case <-s.g.warm:
+	case <-s.g.warm.opened:
 	case <-s.g.background.Done():
 		return
 	}
--- /dev/null
+++ b/gateway/latch.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// latch opens once each of several things has happened. It is safe for concurrent use.
+type latch struct {
+	opened chan struct{}
+	once   []sync.Once
+	left   atomic.Int32
+}
+
+// newLatch returns a latch for n things, numbered from 0.
+func newLatch(n int) *latch {
+	l := &latch{opened: make(chan struct{}), once: make([]sync.Once, n)}
+	l.left.Store(int32(n))
+	return l
+}
+
+// mark records that a thing has happened.
+func (l *latch) mark(thing int) {
+	l.once[thing].Do(func() {
+		if l.left.Add(-1) == 0 {
+			close(l.opened)
+		}
+	})
+}
+
+// isOpen reports whether everything has happened.
+func (l *latch) isOpen() bool {
+	select {
+	case <-l.opened:
+		return true
+	default:
+		return false
+	}
+}
--- a/gateway/part_quarantines.go
+++ b/gateway/part_quarantines.go
@@ -96,7 +96,7 @@
 
 // restoreQuarantines reads the stored quarantines at the start, and again while no known peer is live.
 func (p *partGuard) restoreQuarantines() {
-	p.g.restoreWhileIsolated("part_quarantine_reads", p.restore)
+	p.g.restoreWhileIsolated("part_quarantine_reads", restoredParts, p.restore)
 }
 
 // restore applies the stored quarantines once, and removes those that have ended or expired.
--- a/gateway/quarantines.go
+++ b/gateway/quarantines.go
@@ -73,7 +73,7 @@
 // restoreQuarantines reads the stored quarantines at the start, and again while no known peer is
 // live.
 func (c *crashGuard) restoreQuarantines() {
-	c.g.restoreWhileIsolated("quarantine_reads", c.restore)
+	c.g.restoreWhileIsolated("quarantine_reads", restoredRequests, c.restore)
 }
 
 // restore applies the stored quarantines once, and removes those that have expired.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -147,12 +147,11 @@
 }
 
 // awaitWarm holds a request until the gateway's first reads are complete, for a limited
-// time. A caller whose request was interrupted by a restart may have no retry left.
+// time. A caller whose request was interrupted by a restart may have no retry left, and a
+// request that crashes servers is refused only once the quarantines are known.
 func (c *call) awaitWarm() {
-	select {
-	case <-c.warm:
+	if c.warm.isOpen() && c.restored.isOpen() {
 		return
-	default:
 	}
 	wait := maxWarmWait
 	if c.caller.Deadline > 0 {
@@ -160,10 +159,14 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	select {
-	case <-c.warm:
-	case <-timer.C:
-	case <-c.r.Context().Done():
+	for _, opened := range []chan struct{}{c.warm.opened, c.restored.opened} {
+		select {
+		case <-opened:
+		case <-timer.C:
+			return
+		case <-c.r.Context().Done():
+			return
+		}
 	}
 }
 
