Look at each peer once in the queries about peers

At 103 entries that took a good part of the tenth of a core that most of them have. Change: the hashes are kept with the peers, and each query passes over them once; targets are looked up only for reports.

--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -220,7 +220,9 @@
 			Int("requests", v.Requests).Msg("part_evidence")
 		reports = append(reports, loadshare.PartQuarantineOf(now, &v.PartQuarantine))
 	}
-	p.send(p.g.gossip.targets(now), reports)
+	if len(reports) > 0 {
+		p.send(p.g.gossip.targets(now), reports)
+	}
 }
 
 // mayReport reports whether a crash may be reported now, and counts those that may not.
--- a/loadshare/peers.go
+++ b/loadshare/peers.go
@@ -25,35 +25,59 @@
 
 // peer is one other entry.
 type peer struct {
+	address       netip.AddrPort
 	lastReceived  time.Time
 	lastHeartbeat time.Time
+	// name is the address as text, by which the entries are hashed. order is its place in the order of
+	// Rank, and targetOrder that in the order of Targets.
+	name        []byte
+	order       uint64
+	targetOrder uint64
 }
 
 // Peers tracks the other entries and which of them are live. Times are arguments, and it does no
 // I/O. The subset that Targets chooses depends on a random seed. It is not safe for concurrent
 // use.
+//
+// Its queries are made many times a second in each entry, so each looks at a peer once, without sorting and
+// without hashing its address anew.
 type Peers struct {
-	self    netip.AddrPort
+	self    *peer
 	seed    maphash.Seed
 	peers   map[netip.AddrPort]*peer
 	targets []netip.AddrPort
+	// ordered holds the peers in the order of Targets.
+	ordered []*peer
+	// key is the buffer of ownerOrder.
+	key []byte
 }
 
 // NewPeers returns an empty Peers for the entry at address self.
 func NewPeers(self netip.AddrPort) *Peers {
-	return &Peers{self: self, seed: maphash.MakeSeed(), peers: make(map[netip.AddrPort]*peer)}
+	p := &Peers{seed: maphash.MakeSeed(), peers: make(map[netip.AddrPort]*peer)}
+	p.self = p.newPeer(self)
+	return p
+}
+
+func (p *Peers) newPeer(address netip.AddrPort) *peer {
+	name := []byte(address.String())
+	return &peer{address: address, name: name, order: xxhash.Sum64(name), targetOrder: maphash.Comparable(p.seed, address)}
 }
 
 // Add adds the address of a peer, for example from the registry.
 func (p *Peers) Add(address netip.AddrPort) {
-	if address != p.self && p.peers[address] == nil {
-		p.peers[address] = &peer{}
+	if address == p.self.address || p.peers[address] != nil {
+		return
 	}
+	added := p.newPeer(address)
+	p.peers[address] = added
+	at, _ := slices.BinarySearchFunc(p.ordered, added, func(a, b *peer) int { return cmp.Compare(a.targetOrder, b.targetOrder) })
+	p.ordered = slices.Insert(p.ordered, at, added)
 }
 
 // Received records a datagram of a peer and returns whether the peer was not live before.
 func (p *Peers) Received(now time.Time, address netip.AddrPort) bool {
-	if address == p.self {
+	if address == p.self.address {
 		return false
 	}
 	p.Add(address)
@@ -70,7 +94,7 @@
 // Live returns the number of live peers.
 func (p *Peers) Live(now time.Time) int {
 	n := 0
-	for _, known := range p.peers {
+	for _, known := range p.ordered {
 		if known.live(now) {
 			n++
 		}
@@ -84,55 +108,74 @@
 // Rank returns the number of live peers that come before this entry in an order on which all
 // entries agree.
 func (p *Peers) Rank(now time.Time) int {
-	rank, own := 0, peerOrder(p.self)
-	for address, known := range p.peers {
-		if known.live(now) && peerOrder(address) < own {
+	rank := 0
+	for _, known := range p.ordered {
+		if known.order < p.self.order && known.live(now) {
 			rank++
 		}
 	}
 	return rank
 }
 
-func peerOrder(address netip.AddrPort) uint64 { return xxhash.Sum64String(address.String()) }
-
 // Targets returns the live peers that receive this entry's messages, at most MaxTargets. The slice
 // is valid until the next call.
 func (p *Peers) Targets(now time.Time) []netip.AddrPort {
 	p.targets = p.targets[:0]
-	for address, known := range p.peers {
+	for _, known := range p.ordered {
+		if len(p.targets) == MaxTargets {
+			break
+		}
 		if known.live(now) {
-			p.targets = append(p.targets, address)
+			p.targets = append(p.targets, known.address)
 		}
 	}
-	if len(p.targets) > MaxTargets {
-		slices.SortFunc(p.targets, func(a, b netip.AddrPort) int {
-			return cmp.Compare(maphash.Comparable(p.seed, a), maphash.Comparable(p.seed, b))
-		})
-		p.targets = p.targets[:MaxTargets]
-	}
 	return p.targets
 }
 
 // Owners returns the live entries, this one included, that come first in an order of their own for a key, at
 // most n. All entries that agree on which are live return the same ones.
 func (p *Peers) Owners(now time.Time, key uint64, n int) []netip.AddrPort {
-	owners := []netip.AddrPort{p.self}
-	for address, known := range p.peers {
+	owners := make([]owner, 0, n+1)
+	owners = insertOwner(owners, n, owner{p.self.address, p.ownerOrder(key, p.self)})
+	for _, known := range p.ordered {
 		if known.live(now) {
-			owners = append(owners, address)
+			owners = insertOwner(owners, n, owner{known.address, p.ownerOrder(key, known)})
 		}
 	}
-	slices.SortFunc(owners, func(a, b netip.AddrPort) int { return cmp.Compare(ownerOrder(key, b), ownerOrder(key, a)) })
-	return owners[:min(n, len(owners))]
+	addresses := make([]netip.AddrPort, len(owners))
+	for i := range owners {
+		addresses[i] = owners[i].address
+	}
+	return addresses
+}
+
+// owner is an entry with its place in the order for a key. The highest place comes first.
+type owner struct {
+	address netip.AddrPort
+	order   uint64
+}
+
+// insertOwner inserts an entry into a list of at most n in descending order.
+func insertOwner(list []owner, n int, o owner) []owner {
+	at := len(list)
+	for at > 0 && list[at-1].order < o.order {
+		at--
+	}
+	if at >= n {
+		return list
+	}
+	list = slices.Insert(list, at, o)
+	return list[:min(n, len(list))]
 }
 
 // ownerOrder orders the entries for a key by rendezvous hashing.
-func ownerOrder(key uint64, address netip.AddrPort) uint64 {
-	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(address.String()), key))
+func (p *Peers) ownerOrder(key uint64, of *peer) uint64 {
+	p.key = binary.LittleEndian.AppendUint64(append(p.key[:0], of.name...), key)
+	return xxhash.Sum64(p.key)
 }
 
 // Self returns the address of this entry.
-func (p *Peers) Self() netip.AddrPort { return p.self }
+func (p *Peers) Self() netip.AddrPort { return p.self.address }
 
 // HeartbeatsDue returns the peers whose next heartbeat is due and records it as sent.
 func (p *Peers) HeartbeatsDue(now time.Time) []netip.AddrPort {
