Tell all peers what the reading entry has read from the store

Cause (large fleets): the entry that reads the store for all told 48 of its peers. Change: what was read for all goes to all live peers.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -213,10 +213,10 @@
 	g.warm.mark(warmConfiguration)
 	g.configFollower.recordRead(time.Now())
 	report := configurationReport(table.Version(), change.Stamp, result.verdict)
-	g.gossip.enqueue(report)
+	g.gossip.sendConfigurationReport(report)
 	if result.installed || result.newEra {
 		// A second datagram is sent in case the first one was lost.
-		time.AfterFunc(2*batchInterval, func() { g.gossip.enqueue(report) })
+		time.AfterFunc(2*batchInterval, func() { g.gossip.sendConfigurationReport(report) })
 	}
 }
 
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// sendRegistryUpdate sends changes of the registered servers to the peers.
+// sendRegistryUpdate sends changes of the registered servers to all peers.
 func (s *gossiper) sendRegistryUpdate(r *loadshare.RegistryUpdate) {
 	if s == nil {
 		return
@@ -75,7 +75,24 @@
 		s.g.options.Log.Error().Err(err).Msg("reading_not_told")
 		return
 	}
-	s.sendAll(s.targets(time.Now()), datagram)
+	s.sendAll(s.allLive(time.Now()), datagram)
+}
+
+// sendConfigurationReport sends what this entry has read of the configuration to all peers.
+func (s *gossiper) sendConfigurationReport(report loadshare.Message) {
+	if s != nil {
+		s.send(s.allLive(time.Now()), []loadshare.Message{report})
+	}
+}
+
+// allLive returns all live peers.
+func (s *gossiper) allLive(now time.Time) []netip.AddrPort {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers.AllLive(now)
 }
 
 // targets returns the peers that receive this entry's messages.
--- a/loadshare/peers.go
+++ b/loadshare/peers.go
@@ -19,7 +19,8 @@
 	// DiscoveryInterval is the time between two heartbeats to a peer that is not live.
 	DiscoveryInterval = 10 * time.Second
 	// MaxTargets bounds the peers that receive an entry's messages, so that their number does
-	// not grow with the deployment. Each entry has its own subset of peers.
+	// not grow with the deployment. Each entry has its own subset of peers. What an entry has read
+	// from the store for all goes to all (AllLive): each peer that misses it reads the store.
 	MaxTargets = 48
 )
 
@@ -132,6 +133,17 @@
 	return p.targets
 }
 
+// AllLive returns all live peers. Only the entry that reads the store for all sends to so many.
+func (p *Peers) AllLive(now time.Time) []netip.AddrPort {
+	live := make([]netip.AddrPort, 0, len(p.ordered))
+	for _, known := range p.ordered {
+		if known.live(now) {
+			live = append(live, known.address)
+		}
+	}
+	return live
+}
+
 // Owners returns the live entries, this one included, that come first in an order of their own for a key, at
 // most n. All entries that agree on which are live return the same ones.
 func (p *Peers) Owners(now time.Time, key uint64, n int) []netip.AddrPort {
