--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -63,13 +63,34 @@
 	return f.schedule.Due(rank)
 }
 
+// readTrigger says why an entry reads from the store.
+type readTrigger uint8
+
+// The triggers.
+const (
+	// readNever: the entry ends.
+	readNever readTrigger = iota
+	// readDue: the read is due by the schedule, in which this entry is the first that has heard of none.
+	readDue
+	// readWoken: the entry has missed what others have read.
+	readWoken
+)
+
 // await waits until this entry's next read is due or wake is called. It returns false
 // if ctx ends first.
 func (f *follower) await(ctx context.Context, rank func() int) bool {
+	return f.awaitTrigger(ctx, rank) != readNever
+}
+
+// awaitTrigger is await, and returns why to read.
+func (f *follower) awaitTrigger(ctx context.Context, rank func() int) readTrigger {
 	for {
 		left := time.Until(f.nextRead(rank()))
 		if left <= 0 {
-			return ctx.Err() == nil
+			if ctx.Err() != nil {
+				return readNever
+			}
+			return readDue
 		}
 		timer := time.NewTimer(left)
 		select {
@@ -78,10 +99,10 @@
 			timer.Stop()
 		case <-f.wakeup:
 			timer.Stop()
-			return true
+			return readWoken
 		case <-ctx.Done():
 			timer.Stop()
-			return false
+			return readNever
 		}
 	}
 }
@@ -253,8 +274,12 @@
 // followServers keeps the registered servers up to date until the gateway ends.
 func (g *Gateway) followServers() {
 	store := g.newDependency("servers")
-	for g.serversFollower.await(g.background, g.readerRank) {
-		err := g.readServers()
+	for {
+		trigger := g.serversFollower.awaitTrigger(g.background, g.readerRank)
+		if trigger == readNever {
+			return
+		}
+		err := g.readServers(trigger)
 		switch {
 		case err == nil:
 			store.recordSuccess(time.Now())
@@ -304,8 +329,9 @@
 	s.known = false
 }
 
-// readServers reads the registered servers once and sends the changes to the peers.
-func (g *Gateway) readServers() error {
+// readServers reads the registered servers once. It sends the changes to the peers if the read was due: an entry that
+// reads what it has missed would tell the others what they know, as would all others that have missed it.
+func (g *Gateway) readServers(trigger readTrigger) error {
 	ctx, cancel := context.WithTimeout(g.background, storeReadTimeout)
 	defer cancel()
 	at := g.servers.get()
@@ -316,7 +342,7 @@
 	if err != nil {
 		return err
 	}
-	g.applyServerChanges(time.Now(), at.Position, read)
+	g.applyServerChanges(time.Now(), at.Position, read, trigger == readDue)
 	return nil
 }
 
@@ -361,9 +387,9 @@
 	return nil
 }
 
-// applyServerChanges applies this entry's read of the changes after from. It ignores
-// the read if peers have sent later changes meanwhile.
-func (g *Gateway) applyServerChanges(now time.Time, from storepos.Position, read ServersChange) {
+// applyServerChanges applies this entry's read of the changes after from, and tells the peers of them if so asked. It
+// ignores the read if peers have sent later changes meanwhile.
+func (g *Gateway) applyServerChanges(now time.Time, from storepos.Position, read ServersChange, tell bool) {
 	g.servers.mu.Lock()
 	defer g.servers.mu.Unlock()
 	if read.Position.Before(g.servers.Position) {
@@ -376,7 +402,9 @@
 	updates := g.fleet.applyChanges(now, read.Changes)
 	g.servers.readPosition = readPosition{Position: read.Position, known: true, readAt: now}
 	g.serversFollower.recordRead(now)
-	g.gossip.sendRegistryUpdate(loadshare.NewRegistryUpdate(from, read.Position, updates))
+	if tell {
+		g.gossip.sendRegistryUpdate(loadshare.NewRegistryUpdate(from, read.Position, updates))
+	}
 }
 
 // applyPeerUpdate applies the changes that a peer read. It triggers a read of this
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -65,9 +65,19 @@
 	}
 }
 
-// sendRegistryUpdate sends changes of the registered servers to all peers.
+// sendRegistryUpdate sends changes of the registered servers to all peers. Some of them pass it on.
 func (s *gossiper) sendRegistryUpdate(r *loadshare.RegistryUpdate) {
-	if s == nil {
+	if s != nil {
+		s.relayRegistryUpdate(time.Now(), r.Sent(s.self()))
+	}
+}
+
+// relayRegistryUpdate sends an update to the peers that get it from this entry.
+func (s *gossiper) relayRegistryUpdate(now time.Time, r *loadshare.RegistryUpdate) {
+	s.mu.Lock()
+	targets := s.peers.RelayTargets(now, r.Origin)
+	s.mu.Unlock()
+	if len(targets) == 0 {
 		return
 	}
 	datagram, err := loadshare.AppendRegistryUpdate(nil, s.port, r)
@@ -75,7 +85,7 @@
 		s.g.options.Log.Error().Err(err).Msg("reading_not_told")
 		return
 	}
-	s.sendAll(s.allLive(time.Now()), datagram)
+	s.sendAll(targets, datagram)
 }
 
 // sendConfigurationReport sends what this entry has read of the configuration to all peers.
@@ -303,6 +313,9 @@
 			return err
 		}
 		s.recordPeer(now, sender)
+		if next, ok := update.PassedOn(); ok {
+			s.relayRegistryUpdate(now, next)
+		}
 		if update.Adopted != nil {
 			s.g.fleet.peerAdopted(now, update.Adopted)
 			return nil
--- a/loadshare/peers.go
+++ b/loadshare/peers.go
@@ -20,7 +20,7 @@
 	DiscoveryInterval = 10 * time.Second
 	// MaxTargets bounds the peers that receive an entry's messages, so that their number does
 	// not grow with the deployment. Each entry has its own subset of peers. What an entry has read
-	// from the store for all goes to all (AllLive): each peer that misses it reads the store.
+	// from the store for all goes to all (AllLive, RelayTargets): each peer that misses it reads the store.
 	MaxTargets = 48
 )
 
--- a/loadshare/registry_update.go
+++ b/loadshare/registry_update.go
@@ -30,6 +30,25 @@
 	// FromEra and ToEra are the eras of From and To. Builds without eras ignore them.
 	FromEra uint64 `cbor:"6,keyasint,omitempty"`
 	ToEra   uint64 `cbor:"7,keyasint,omitempty"`
+	// Origin is the listener of the entry that made the update, and Hops how often it may still be passed
+	// on. Builds that don't pass updates on leave both out.
+	Origin netip.AddrPort `cbor:"8,keyasint,omitzero"`
+	Hops   uint8          `cbor:"9,keyasint,omitempty"`
+}
+
+// Sent returns the update as its origin sends it.
+func (r RegistryUpdate) Sent(origin netip.AddrPort) *RegistryUpdate {
+	r.Origin, r.Hops = origin, maxRelayHops
+	return &r
+}
+
+// PassedOn returns the update as an entry that received it passes it on, and false if it must not.
+func (r RegistryUpdate) PassedOn() (*RegistryUpdate, bool) {
+	if r.Hops <= 1 || r.Hops > maxRelayHops || !r.Origin.IsValid() {
+		return nil, false
+	}
+	r.Hops--
+	return &r, true
 }
 
 // NewRegistryUpdate returns an update with the changes after from up to to.
@@ -56,7 +75,9 @@
 		return nil, errors.Wrap(err, "encode registry update")
 	}
 	if len(full) > MaxRegistryUpdateBytes {
-		return AppendRegistryUpdate(buf[:0], port, &RegistryUpdate{From: r.From, FromEra: r.FromEra, To: r.To, ToEra: r.ToEra, Partial: true})
+		return AppendRegistryUpdate(buf[:0], port, &RegistryUpdate{
+			From: r.From, FromEra: r.FromEra, To: r.To, ToEra: r.ToEra, Partial: true, Origin: r.Origin, Hops: r.Hops,
+		})
 	}
 	return full, nil
 }
