Take late in the grace period only what surely ends, and answer the rest

A report of another operator: in a planned stop of one entry, requests that came late in the grace were passed on and cut at its end, among them ones that may not be repeated. Shown to happen: a plain request was taken until 1.1 s before the end if four times its expected duration fitted, whatever its limit. Change: once the balancer has had the time to send callers elsewhere (3 s), a request is taken only if its limit ends before the process does; the refusal says that it has not run. A plain request that is still at its server at the end is answered that its outcome is unknown (502); it was cut before. Tests: drain TestLateRequestsSurelyEnd, platform TestLeavingGatewayAnswersWhatItCannotFinish (EOF before, 502 now).

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -34,8 +34,10 @@
 // is the time since the request to stop, by a clock that neither is set nor stands still while the host is
 // suspended.
 //
-// Invariant: in the last refusalPeriod no request is accepted. From streamCutoff on, a request is accepted only if its limit ends before the process does, or, if it
-// is plain, several times its expected duration.
+// Invariant: in the last refusalPeriod no request is accepted. From streamCutoff on, a stream is accepted only if its
+// limit ends before the process does, and from balancerWait on every request: by then a refused caller comes to another
+// process, and nothing makes up for a request that takes longer than expected and is cut. Before, a plain request is
+// accepted if several times its expected duration ends in time.
 type Policy struct{ GracePeriod time.Duration }
 
 // Left returns the time until the process ends by itself.
@@ -52,7 +54,7 @@
 	case r.Stream:
 		return since <= streamCutoff && r.Expected <= left
 	default:
-		return plainFactor*r.Expected <= left
+		return !p.BalancerKnows(since) && plainFactor*r.Expected <= left
 	}
 }
 
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -30,6 +30,31 @@
 	})
 }
 
+// Guards against requests that come late in the grace period, take longer than expected and are cut without an answer
+// by the end of the process, although their callers would have found another.
+func TestLateRequestsSurelyEnd(t *testing.T) {
+	Convey("Once the balancer sends callers elsewhere, a request is taken only if its limit ends before the process does", t, func() {
+		slow := Request{Expected: 60 * time.Millisecond, Limit: 4 * time.Second}
+		So(grace.Accepts(2900*time.Millisecond, slow), ShouldBeTrue)
+		So(grace.Accepts(3500*time.Millisecond, slow), ShouldBeTrue)
+		So(grace.Accepts(3700*time.Millisecond, slow), ShouldBeFalse)
+		So(grace.Accepts(3*time.Second, Request{Expected: 60 * time.Millisecond}), ShouldBeFalse)
+	})
+	Convey("A request that is accepted then ends before the process does, however long it takes", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			since := balancerWait + time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "since"))
+			r := Request{
+				Stream:   rapid.Bool().Draw(t, "stream"),
+				Expected: time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "expected")),
+				Limit:    time.Duration(rapid.Int64Range(0, int64(30*time.Second)).Draw(t, "limit")),
+			}
+			if grace.Accepts(since, r) && (r.Limit == 0 || r.Limit > grace.Left(since)) {
+				t.Fatalf("%+v is accepted %v after the request to stop", r, since)
+			}
+		})
+	})
+}
+
 // TestAcceptedRequestsAreFinished draws requests at any time after the request to stop. It checks that one which is
 // accepted later than streamCutoff ends before the process does, if it takes no longer than its limit and, where it
 // is plain, than plainFactor times what is expected. Earlier a stream may take what is expected.
--- a/gateway/draining.go
+++ b/gateway/draining.go
@@ -16,6 +16,8 @@
 	idleWait = 500 * time.Millisecond
 	// drainInterval is the time between two checks for requests in progress.
 	drainInterval = 50 * time.Millisecond
+	// answerWait bounds the time in which the last plain requests are answered.
+	answerWait = 100 * time.Millisecond
 	// drainRetry is the retry delay at a leaving entry. The load balancer sends the
 	// retry to another one.
 	drainRetry = 60 * time.Millisecond
@@ -37,6 +39,16 @@
 	}
 	since, _ := g.leaving()
 	g.options.Log.Info().Int64("requests", g.active.Load()).Dur("after", since).Msg("drain_ended")
+	g.answerPending()
+}
+
+// answerPending lets the plain requests that are still in progress be answered that their outcome is unknown. The end
+// of the process would cut their connections without a word.
+func (g *Gateway) answerPending() {
+	g.answerNow()
+	for end := time.Now().Add(answerWait); g.active.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(answerWait / 10)
+	}
 }
 
 // drainPolicy returns the policy under the present grace period, which may change during a
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,9 @@
 	stopping atomic.Int64
 	// refusing is set once a leaving gateway refuses all new requests.
 	refusing atomic.Bool
+	// ending is done once the plain requests in progress are to be answered at once, by answerNow.
+	ending    context.Context
+	answerNow context.CancelFunc
 	// active is the number of requests in progress.
 	active atomic.Int64
 }
@@ -71,6 +74,7 @@
 		g.restored.mark(restoredRequests)
 		g.restored.mark(restoredParts)
 	}
+	g.ending, g.answerNow = context.WithCancel(background)
 	g.bounds.Store(&options.Bounds)
 	opened := telemetry.Counter(options.Metrics, "upstream.connections")
 	g.pool = upstream.NewPool(upstream.Options{OnOpen: func() { opened.Inc(1) }})
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -114,6 +114,9 @@
 			if p.mayHedge(time.Now()) {
 				p.sendAgain(ctx, "hedge", p.hedgeExcluded())
 			}
+		case <-p.ending.Done():
+			p.stopped()
+			return
 		case <-ctx.Done():
 			p.timedOut()
 			return
@@ -422,6 +425,18 @@
 	p.timedOut()
 }
 
+// stopped ends a request that outlasts this gateway. Its connection is cut if the gateway ends at once.
+func (p *plainCall) stopped() {
+	if p.background.Err() != nil {
+		p.callerGone()
+	}
+	run := problem.RunUnknown
+	if p.possibleRuns == 0 {
+		run = problem.RunNot
+	}
+	p.refuse(problem.New(problem.CodeInterrupted, run, problem.StepDispatch, "entry stops before the answer is complete").At(string(p.server)))
+}
+
 // callerGone ends a request whose connection has ended, since the caller has disconnected or this
 // gateway has stopped. It does not return.
 func (c *call) callerGone() {
