--- a/gateway/config.go
+++ b/gateway/config.go
@@ -256,7 +256,7 @@
 
 func (d *dependency) recordSuccess(now time.Time) {
 	if d.failures > 0 {
-		d.log.Info().Str("dependency", d.name).Int("failures", d.failures).Dur("after", now.Sub(d.failingSince)).Msg("dependency_regained")
+		d.log.Info().Str("dependency", d.name).Int("failures", d.failures).Int64("after_ms", now.Sub(d.failingSince).Milliseconds()).Msg("dependency_regained")
 	}
 	d.failures = 0
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -241,7 +241,7 @@
 		v := &verdicts[i]
 		telemetry.Counter(c.g.options.Metrics, "crashes."+v.Outcome.String()).Inc(1)
 		c.g.options.Log.Info().Hex("content", contentBytes(v.Content)).Str("server", string(v.Server.ID)).
-			Dur("ran", v.At.Sub(v.Began)).Str("outcome", v.Outcome.String()).
+			Int64("ran_ms", v.At.Sub(v.Began).Milliseconds()).Str("outcome", v.Outcome.String()).
 			Int("servers", v.Servers).Int("evidence", v.Evidence).Msg("crash_judged")
 		if c.mayReport(now, v) {
 			loss := quarantine.Loss{Crash: v.Crash, Confirmed: true, Counted: v.Outcome == quarantine.CrashCounted}
--- a/gateway/draining.go
+++ b/gateway/draining.go
@@ -38,7 +38,7 @@
 		time.Sleep(drainInterval)
 	}
 	since, _ := g.leaving()
-	g.options.Log.Info().Int64("requests", g.active.Load()).Dur("after", since).Msg("drain_ended")
+	g.options.Log.Info().Int64("requests", g.active.Load()).Int64("after_ms", since.Milliseconds()).Msg("drain_ended")
 	g.answerPending()
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -206,7 +206,7 @@
 	}
 	telemetry.Histogram(g.options.Metrics, "configuration_read_ms."+kind).Update(took.Milliseconds())
 	if took >= slowRead {
-		g.options.Log.Warn().Str("kind", kind).Dur("took", took).Int64("age_ms", g.config.ageMs()).Err(err).Msg("configuration_read_slow")
+		g.options.Log.Warn().Str("kind", kind).Int64("took_ms", took.Milliseconds()).Int64("age_ms", g.config.ageMs()).Err(err).Msg("configuration_read_slow")
 	}
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -128,7 +128,7 @@
 	}
 	telemetry.Counter(l.g.options.Metrics, "limits."+change.String()).Inc(1)
 	l.g.options.Log.Info().Str("server", string(id)).Str("change", change.String()).Float64("rate", s.Rate).Str("source", source).
-		Dur("age", now.Sub(at)).Msg("server_limit")
+		Int64("age_ms", now.Sub(at).Milliseconds()).Msg("server_limit")
 	return change
 }
 
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -131,7 +131,7 @@
 	v.moves[order.Service] = move
 	v.orders[order.Service] = order
 	v.g.options.Log.Info().Str("service", string(order.Service)).Str("from", string(from)).Str("to", string(order.To)).
-		Uint64("order", order.Position.Revision).Uint64("era", order.Position.Era).Dur("left", left).Bool("has_history", hasHistory).Msg("move_began")
+		Uint64("order", order.Position.Revision).Uint64("era", order.Position.Era).Int64("left_ms", left.Milliseconds()).Bool("has_history", hasHistory).Msg("move_began")
 	return true
 }
 
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -51,7 +51,7 @@
 	p.mu.Unlock()
 	if isNew {
 		telemetry.Counter(p.g.options.Metrics, "pauses.asked").Inc(1)
-		p.g.options.Log.Info().Str("server", string(id)).Dur("length", length).Msg("server_pause")
+		p.g.options.Log.Info().Str("server", string(id)).Int64("length_ms", length.Milliseconds()).Msg("server_pause")
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -317,7 +317,7 @@
 		s.lostAt = time.Time{}
 		telemetry.Histogram(s.options.Metrics, "stream_resume_ms").Update(pause.Milliseconds())
 		s.options.Log.Info().Str("request", string(s.caller.ID)).Str("server", string(s.server)).Uint64("first_event", event.ID).
-			Dur("after", pause).Msg("stream_resumed")
+			Int64("after_ms", pause.Milliseconds()).Msg("stream_resumed")
 	}
 	return nil
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -326,7 +326,7 @@
 	c.status = refusal.Status()
 	c.outcome = string(refusal.Code)
 	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("code", string(refusal.Code)).Str("run", string(refusal.Run)).
-		Str("step", string(refusal.Step)).Hex("content", contentBytes(c.content)).Int("status", c.status).Dur("retry_after", refusal.RetryAfter).
+		Str("step", string(refusal.Step)).Hex("content", contentBytes(c.content)).Int("status", c.status).Int64("retry_after_ms", refusal.RetryAfter.Milliseconds()).
 		Str("reason", refusal.Error()).Msg("request_refused")
 	if c.unread {
 		httpserver.DiscardBody(c.w, c.r, maxDiscard)
--- a/gateway/survey.go
+++ b/gateway/survey.go
@@ -82,7 +82,7 @@
 	}
 	wait.Wait()
 	telemetry.Counter(s.g.options.Metrics, "surveys").Inc(1)
-	s.g.options.Log.Info().Str("service", string(service)).Int("servers", len(entries)).Dur("took", time.Since(sv.at)).Msg("caches_surveyed")
+	s.g.options.Log.Info().Str("service", string(service)).Int("servers", len(entries)).Int64("took_ms", time.Since(sv.at).Milliseconds()).Msg("caches_surveyed")
 }
 
 func (s *surveyor) queryEngine(entry directory.Entry) {
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -69,7 +69,7 @@
 	var probes []directory.Entry
 	for _, result := range f.streams.Sweep(now) {
 		f.log.Info().Str("server", string(result.Server)).Str("finding", result.Finding.String()).
-			Dur("silence", result.Inactivity).Msg("silence_judged")
+			Int64("silence_ms", result.Inactivity.Milliseconds()).Msg("silence_judged")
 		switch result.Finding {
 		case health.FindingProbe:
 			if entry, ok := f.entries[result.Server]; ok {
