--- a/gateway/survey.go
+++ b/gateway/survey.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +24,8 @@
 	// surveyInterval is the least time between two surveys of a service, since
 	// callers that were interrupted together retry together.
 	surveyInterval = time.Second
+	// surveyWorkers bounds the engines that are queried at the same time.
+	surveyWorkers = 16
 )
 
 // surveyor queries the engines of a service for the prompts in their caches. This
@@ -70,19 +74,37 @@
 	return sv
 }
 
+// run queries the engines of a service one after another, a few at a time, until nobody waits for the result any more.
+// In a large fleet all at once would keep a small entry from its callers for longer than reading their prompts takes.
 func (s *surveyor) run(service wigeonfork.Model, sv *survey) {
 	defer close(sv.done)
-	var wait sync.WaitGroup
 	entries := slices.DeleteFunc(s.g.fleet.usableEntries(service), func(entry directory.Entry) bool {
 		_, limited := s.g.limits.rate(entry.ID)
 		return limited || s.g.pauses.isPaused(entry.ID)
 	})
-	for _, entry := range entries {
-		wait.Go(func() { s.queryEngine(entry) })
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	queried := eachUntil(sv.at.Add(surveyTimeout), surveyWorkers, entries, s.queryEngine)
+	telemetry.Counter(s.g.options.Metrics, "surveys").Inc(1)
+	s.g.options.Log.Info().Str("service", string(service)).Int("servers", len(entries)).Int("queried", queried).
+		Int64("took_ms", time.Since(sv.at).Milliseconds()).Msg("caches_surveyed")
+}
+
+// eachUntil calls do for each item, at most workers at a time, and begins none after a time. It returns the number of
+// those that it has begun, once they have ended.
+func eachUntil[T any](until time.Time, workers int, items []T, do func(T)) int {
+	var next atomic.Int64
+	var begun atomic.Int64
+	var wait sync.WaitGroup
+	for range min(workers, len(items)) {
+		wait.Go(func() {
+			for i := next.Add(1) - 1; i < int64(len(items)) && time.Now().Before(until); i = next.Add(1) - 1 {
+				begun.Add(1)
+				do(items[i])
+			}
+		})
 	}
 	wait.Wait()
-	telemetry.Counter(s.g.options.Metrics, "surveys").Inc(1)
-	s.g.options.Log.Info().Str("service", string(service)).Int("servers", len(entries)).Int64("took_ms", time.Since(sv.at).Milliseconds()).Msg("caches_surveyed")
+	return int(begun.Load())
 }
 
 func (s *surveyor) queryEngine(entry directory.Entry) {
