Let the stand-in of the store answer reads of key ranges

The client took another entry's row for none, and with the check refused it, so that an entry which began to read after others were members never registered. The users' store answers as asked. Test: standin/rowstore TestReadsOfKeyRanges.

--- a/standin/rowstore/rowstore.go
+++ b/standin/rowstore/rowstore.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -201,10 +202,16 @@
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
 	s.mu.Lock()
-	rows, at := s.tableLocked(r.URL.Query().Get("table")), s.positionLocked()
+	rows, at := s.tableLocked(query.Get("table")), s.positionLocked()
 	s.mu.Unlock()
-	s.writeResponse(w, http.StatusOK, rows, at)
+	s.writeResponse(w, http.StatusOK, keyRange(rows, query.Get("from"), query.Get("to")), at)
+}
+
+// keyRange returns the rows with keys from from on and before to. An empty key sets no limit.
+func keyRange(rows []Row, from, to string) []Row {
+	return slices.DeleteFunc(rows, func(r Row) bool { return r.Key < from || to != "" && r.Key >= to })
 }
 
 func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
