--- a/upstream/truncated_test.go
+++ b/upstream/truncated_test.go
@@ -12,8 +12,14 @@
 	"github.com/wigeonfork/wigeonfork/infra"
 )
 
+// cutAnswer is what came of an answer: the errors of its head and of its body, and the body.
+type cutAnswer struct {
+	headErr, bodyErr error
+	body             string
+}
+
 // exchangeCut returns what the answer to a request is if the server sends the first n bytes of text and closes.
-func exchangeCut(t *testing.T, text string, n int) (headErr, bodyErr error, body string) {
+func exchangeCut(t *testing.T, text string, n int) cutAnswer {
 	server := serve(t, func(_ int, conn net.Conn, in *bufio.Reader) {
 		if _, _, err := readRequest(in); err == nil {
 			io.WriteString(conn, text[:n])
@@ -23,11 +29,11 @@
 	defer pool.Close()
 	response, err := pool.Do(context.Background(), server, newRequest())
 	if err != nil {
-		return err, nil, ""
+		return cutAnswer{headErr: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	return nil, err, string(data)
+	return cutAnswer{bodyErr: err, body: string(data)}
 }
 
 // TestAnswersThatBreakOffAnywhere guards against answers that are framed as complete although the server broke off within
@@ -46,9 +52,9 @@
 		Convey("An answer with "+name, t, func() {
 			Convey("has no head if that breaks off at any byte", func() {
 				for n := range len(head) {
-					headErr, _, _ := exchangeCut(t, head, n)
-					So(headErr, ShouldNotBeNil)
-					So(infra.OutcomeOf(headErr), ShouldEqual, infra.OutcomeUnknown)
+					answer := exchangeCut(t, head, n)
+					So(answer.headErr, ShouldNotBeNil)
+					So(infra.OutcomeOf(answer.headErr), ShouldEqual, infra.OutcomeUnknown)
 				}
 			})
 			body, framed := bodies[name], true
@@ -57,16 +63,13 @@
 			}
 			Convey("has no complete body if that breaks off at any byte, unless it has no frame", func() {
 				for n := range len(body) {
-					headErr, bodyErr, _ := exchangeCut(t, head+body, len(head)+n)
-					So(headErr, ShouldBeNil)
-					So(bodyErr != nil, ShouldEqual, framed)
+					answer := exchangeCut(t, head+body, len(head)+n)
+					So(answer.headErr, ShouldBeNil)
+					So(answer.bodyErr != nil, ShouldEqual, framed)
 				}
 			})
 			Convey("is complete otherwise", func() {
-				headErr, bodyErr, got := exchangeCut(t, head+body, len(head)+len(body))
-				So(headErr, ShouldBeNil)
-				So(bodyErr, ShouldBeNil)
-				So(got, ShouldEqual, "hello world!")
+				So(exchangeCut(t, head+body, len(head)+len(body)), ShouldResemble, cutAnswer{body: "hello world!"})
 			})
 		})
 	}
