Take comments of a stream for no sign of life

A report of another operator: stalled streams that sent a byte now and then never ended. After the first event, a comment ended the run of a sound stream. Change: comments are passed on once the answer has begun, and count for nothing.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -13,10 +13,12 @@
 const maxEventBytes = 256 << 10
 
 // streamEvent is one event of a stream, with its bytes unchanged. Raw is valid until
-// the next read. ID is 0 if the event has none.
+// the next read. ID is 0 if the event has none. Comment is set if it has no field at all, as what some
+// servers send to keep a connection open.
 type streamEvent struct {
-	ID  uint64
-	Raw []byte
+	ID      uint64
+	Raw     []byte
+	Comment bool
 }
 
 // eventReader splits a stream into events.
@@ -35,7 +37,7 @@
 // and io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() (streamEvent, error) {
 	e.buf = e.buf[:0]
-	var event streamEvent
+	event := streamEvent{Comment: true}
 	for {
 		line, err := e.in.ReadSlice('\n')
 		e.buf = append(e.buf, line...)
@@ -55,6 +57,7 @@
 			event.Raw = e.buf
 			return event, nil
 		}
+		event.Comment = event.Comment && line[0] == ':'
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			if event.ID, err = strconv.ParseUint(string(bytes.TrimSpace(id)), 10, 64); err != nil {
 				return event, errors.Wrap(err, "parse event id")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -207,6 +207,13 @@
 		if err != nil {
 			return s.exchangeFailed(ctx, t, err)
 		}
+		if event.Comment {
+			// It says nothing of the generation, which may have stalled.
+			if err := s.writeComment(event); err != nil {
+				return runCallerGone, err
+			}
+			continue
+		}
 		now := time.Now()
 		s.fleet.recordEvent(now, s.watch)
 		s.sampleSpeed(now, t, &sampler)
@@ -298,6 +305,18 @@
 	telemetry.Histogram(s.options.Metrics, "stream_first_ms").Update(time.Since(s.began).Milliseconds())
 }
 
+// writeComment sends a comment to the caller, once the head of the answer has been sent. Before, the server may still be
+// replaced by one whose head differs.
+func (s *streamCall) writeComment(comment streamEvent) error {
+	if !s.headSent {
+		return nil
+	}
+	if _, err := s.out.Write(comment.Raw); err != nil {
+		return err
+	}
+	return s.out.Flush()
+}
+
 // writeEvent sends one event to the caller.
 func (s *streamCall) writeEvent(response *upstream.Response, event streamEvent) error {
 	s.writeHead(response)
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -59,6 +59,30 @@
 	Unframed *Unframed
 	// Connection is the Connection header of responses; empty for none.
 	Connection string
+	// Dribble, if set, makes streams stall.
+	Dribble *Dribble
+}
+
+// Dribble makes a stream stall after some of its events. From then on its runner sends Text again and
+// again, which is no event.
+type Dribble struct {
+	Events uint64
+	Text   string
+}
+
+// dribbleGap is the time between two sends of a stalled stream.
+const dribbleGap = 100 * time.Millisecond
+
+// dribble sends the text of a stalled stream until the caller or the runner ends.
+func (r *Runner) dribble(w http.ResponseWriter, q *http.Request, run *Run, text string) {
+	for loopback.Sleep(q.Context(), dribbleGap) {
+		if _, err := io.WriteString(w, text); err != nil {
+			break
+		}
+		w.(http.Flusher).Flush()
+	}
+	r.shared.endRun(run, true)
+	panic(http.ErrAbortHandler)
 }
 
 // Runner is one incarnation of a model runner or plain backend server.
@@ -370,6 +394,9 @@
 	flusher.Flush()
 	r.crashByPart(q, run)
 	for id := run.LastEventID + 1; id <= r.options.Events; id++ {
+		if faults.Dribble != nil && id > run.LastEventID+faults.Dribble.Events {
+			r.dribble(w, q, run, faults.Dribble.Text)
+		}
 		if !loopback.Sleep(q.Context(), r.options.EventGap) {
 			// Returning normally would end the response as if it were complete.
 			r.shared.endRun(run, true)
