--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -227,7 +227,7 @@
 	if s.totalSends == 0 {
 		return nil
 	}
-	refusal := problem.New(problem.CodeInterrupted, s.runState(), problem.StepResume, "the stream was lost at %d backend servers", s.possibleRuns)
+	refusal := s.noFurtherRun()
 	if !s.hasSendsLeft() {
 		return refusal
 	}
@@ -244,6 +244,16 @@
 	return nil
 }
 
+// noFurtherRun returns the refusal of a stream that is sent to no further server. One that only was refused has not run,
+// and its caller may come back.
+func (s *streamCall) noFurtherRun() *problem.Error {
+	if s.possibleRuns == 0 {
+		return problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepResume, "%d backend servers refuse the stream", s.totalSends).
+			After(s.jitter(noServerRetry))
+	}
+	return problem.New(problem.CodeInterrupted, problem.RunUnknown, problem.StepResume, "the stream was lost at %d backend servers", s.possibleRuns)
+}
+
 // awaitTrial waits until the stream may run again, as a trial if equal requests were lost with their servers. It
 // returns the refusal, or nil.
 func (s *streamCall) awaitTrial() *problem.Error {
