Mend what a newcomer stumbles on: steps of a latch, one way to send, tests of the tree

No behaviour changes. The test of the tree asked a sample of the entries of a large fleet for a bound only; it now passes a message through 1,100 entries, each of which must get it once (TestRelayReachesALargeFleet).

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -311,7 +311,12 @@
 	if !s.headSent {
 		return nil
 	}
-	if _, err := s.out.Write(comment.Raw); err != nil {
+	return s.send(comment.Raw)
+}
+
+// send sends bytes of the stream to the caller.
+func (s *streamCall) send(raw []byte) error {
+	if _, err := s.out.Write(raw); err != nil {
 		return err
 	}
 	return s.out.Flush()
@@ -320,10 +325,7 @@
 // writeEvent sends one event to the caller.
 func (s *streamCall) writeEvent(response *upstream.Response, event streamEvent) error {
 	s.writeHead(response)
-	if _, err := s.out.Write(event.Raw); err != nil {
-		return err
-	}
-	if err := s.out.Flush(); err != nil {
+	if err := s.send(event.Raw); err != nil {
 		return err
 	}
 	s.delivered++
--- a/gateway/save_queue.go
+++ b/gateway/save_queue.go
@@ -72,9 +72,9 @@
 }
 
 // restoreWhileIsolated restores what the store keeps at the start, and again while no known peer is
-// live that could report it, until the gateway ends. read is the thing that the first success marks
-// in g.restored.
-func (g *Gateway) restoreWhileIsolated(name string, read int, restore func(context.Context) error) {
+// live that could report it, until the gateway ends. step is the one of g.restored that the first
+// success marks.
+func (g *Gateway) restoreWhileIsolated(name string, step int, restore func(context.Context) error) {
 	store := g.newDependency(name)
 	for {
 		if err := g.callStore(restore); err != nil {
@@ -84,7 +84,7 @@
 			continue
 		}
 		store.recordSuccess(time.Now())
-		g.restored.mark(read)
+		g.restored.mark(step)
 		if !g.awaitIsolation() {
 			return
 		}
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -19,9 +19,13 @@
 // RelayTargets returns the peers to which this entry passes on a message of origin for all entries. The live entries
 // form a tree below origin, on which all agree that agree on which are live: each gets the message once.
 func (p *Peers) RelayTargets(now time.Time, origin netip.AddrPort) []netip.AddrPort {
+	return p.relayTargetsOf(now, p.self.address, origin)
+}
+
+// relayTargetsOf returns the entries that are below an entry in the tree below origin.
+func (p *Peers) relayTargetsOf(now time.Time, entry, origin netip.AddrPort) []netip.AddrPort {
 	entries := p.relayOrder(now, origin)
-	at := slices.Index(entries, p.self.address)
-	first := at*relayFanout + 1
+	first := slices.Index(entries, entry)*relayFanout + 1
 	if first >= len(entries) {
 		return nil
 	}
--- a/loadshare/relay_test.go
+++ b/loadshare/relay_test.go
@@ -32,35 +32,30 @@
 	return got
 }
 
+// fleetOf returns the views of entries that all know each other as live.
+func fleetOf(entries int, now time.Time) map[netip.AddrPort]*Peers {
+	views := make(map[netip.AddrPort]*Peers, entries)
+	for i := range entries {
+		p := NewPeers(fleetAddress(i))
+		for j := range entries {
+			p.Received(now, fleetAddress(j))
+		}
+		views[fleetAddress(i)] = p
+	}
+	return views
+}
+
 // TestRelayReachesEachOnce draws fleets whose entries agree on which are live: from each origin each other entry gets a
-// message once, and none passes it on to more than relayFanout.
+// message once.
 func TestRelayReachesEachOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		entries := rapid.IntRange(1, 1100).Draw(t, "entries")
+		entries := rapid.IntRange(1, 60).Draw(t, "entries")
 		now := time.Unix(1000, 0)
-		views := make(map[netip.AddrPort]*Peers, entries)
-		// A sample of the entries has views of its own; the others are asked through one of them.
-		for i := range entries {
-			p := NewPeers(fleetAddress(i))
-			if entries <= 60 || i%97 == 0 {
-				for j := range entries {
-					p.Received(now, fleetAddress(j))
-				}
-				views[fleetAddress(i)] = p
-			}
-		}
-		if entries > 60 {
-			for _, p := range views {
-				if n := len(p.RelayTargets(now, fleetAddress(0))); n > relayFanout {
-					t.Fatalf("%d targets", n)
-				}
-			}
-			return
-		}
+		views := fleetOf(entries, now)
 		origin := fleetAddress(rapid.IntRange(0, entries-1).Draw(t, "origin"))
 		got := relay(views, now, origin)
 		for address := range views {
-			if want := 1; address != origin && got[address] != want {
+			if address != origin && got[address] != 1 {
 				t.Fatalf("%v gets the message of %v %d times", address, origin, got[address])
 			}
 		}
@@ -70,6 +65,40 @@
 	})
 }
 
+// TestRelayReachesALargeFleet passes a message through 1,100 entries: each gets it once, none sends it to more than
+// relayFanout, and no path is longer than maxRelayHops.
+func TestRelayReachesALargeFleet(t *testing.T) {
+	const entries = 1100
+	now := time.Unix(1000, 0)
+	// The entries share one view, and each asks it as if it were its own.
+	shared := livePeersOf(entries, now)
+	got := make(map[netip.AddrPort]int)
+	level := []netip.AddrPort{fleetAddress(7)}
+	hops := 0
+	for ; len(level) > 0; hops++ {
+		var next []netip.AddrPort
+		for _, address := range level {
+			targets := shared.relayTargetsOf(now, address, fleetAddress(7))
+			if len(targets) > relayFanout {
+				t.Fatalf("%v sends to %d", address, len(targets))
+			}
+			for _, target := range targets {
+				got[target]++
+			}
+			next = append(next, targets...)
+		}
+		level = next
+	}
+	if len(got) != entries-1 || hops-1 > maxRelayHops {
+		t.Fatalf("%d of %d entries are reached, in %d hops", len(got), entries-1, hops-1)
+	}
+	for address, n := range got {
+		if n != 1 {
+			t.Fatalf("%v gets the message %d times", address, n)
+		}
+	}
+}
+
 // TestRelayEndsAmongDisagreeingEntries draws entries that each know others as live, so that paths may form rings. A
 // message still ends.
 func TestRelayEndsAmongDisagreeingEntries(t *testing.T) {
