--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -61,8 +61,13 @@
 	Connection string
 	// Dribble, if set, makes streams stall.
 	Dribble *Dribble
+	// Comments makes streams have a comment, as an event of its own, before each event.
+	Comments bool
 }
 
+// Comment is what streams have before each event if their runner sends comments.
+const Comment = ": wait\n\n"
+
 // Dribble makes a stream stall after some of its events. From then on its runner sends Text again and
 // again, which is no event.
 type Dribble struct {
@@ -402,7 +407,11 @@
 			r.shared.endRun(run, true)
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := io.WriteString(w, EventText(run.RequestID, id)); err != nil {
+		text := EventText(run.RequestID, id)
+		if faults.Comments {
+			text = Comment + text
+		}
+		if _, err := io.WriteString(w, text); err != nil {
 			r.shared.endRun(run, true)
 			return
 		}
