--- a/tools/testverdict/main.go
+++ b/tools/testverdict/main.go
@@ -38,6 +38,9 @@
 	skipped int
 	failed  []string
 	output  map[string][]string
+	// running holds the tests that have begun and not ended. In a package that hung or crashed they are
+	// those that did so.
+	running map[string]bool
 	// packageFailed lists the failed packages. A package that fails without a
 	// failed test did not build or crashed.
 	packageFailed []string
@@ -75,7 +78,7 @@
 }
 
 func readEvents(in io.Reader) (*tally, error) {
-	result := &tally{output: map[string][]string{}}
+	result := &tally{output: map[string][]string{}, running: map[string]bool{}}
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
@@ -100,15 +103,36 @@
 	case e.Test == "" && e.Action == "fail":
 		t.packageFailed = append(t.packageFailed, name)
 	case e.Test == "":
+	case e.Action == "run":
+		t.running[name] = true
 	case e.Action == "pass":
 		t.passed++
+		delete(t.running, name)
 	case e.Action == "skip":
 		t.skipped++
+		delete(t.running, name)
 	case e.Action == "fail":
 		t.failed = append(t.failed, name)
+		delete(t.running, name)
 	}
 }
 
+// unfinished returns the output of the tests of a package that have begun and not ended.
+func (t *tally) unfinished(pkg string) string {
+	var names []string
+	for name := range t.running {
+		if strings.HasPrefix(name, pkg) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	var text strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&text, "not ended: %s\n%s", name, strings.Join(t.output[name], ""))
+	}
+	return text.String()
+}
+
 func report(t *tally, known map[string]bool) int {
 	sort.Strings(t.failed)
 	unexpected := 0
@@ -126,7 +150,7 @@
 	for _, pkg := range t.packageFailed {
 		if !failedPackages[pkg] {
 			unexpected++
-			fmt.Printf("FAILED: package %s\n%s\n", pkg, strings.Join(t.output[pkg], ""))
+			fmt.Printf("FAILED: package %s\n%s%s\n", pkg, strings.Join(t.output[pkg], ""), t.unfinished(pkg))
 		}
 	}
 	failedCount := unexpected
--- a/tools/testverdict/main_test.go
+++ b/tools/testverdict/main_test.go
@@ -1,6 +1,9 @@
 package main
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 // TestIsKnown guards against a failed test that is passed over because another subtest of the same
 // test is listed.
@@ -31,3 +34,22 @@
 		}
 	}
 }
+
+// TestUnfinishedTestsAreTold guards against a hung package whose stack is lost: it is the output of a test that has
+// neither passed nor failed.
+func TestUnfinishedTestsAreTold(t *testing.T) {
+	result, err := readEvents(strings.NewReader(`
+{"Action":"run","Package":"github.com/wigeonfork/wigeonfork/p","Test":"TestDone"}
+{"Action":"output","Package":"github.com/wigeonfork/wigeonfork/p","Test":"TestDone","Output":"done\n"}
+{"Action":"pass","Package":"github.com/wigeonfork/wigeonfork/p","Test":"TestDone"}
+{"Action":"run","Package":"github.com/wigeonfork/wigeonfork/p","Test":"TestHung"}
+{"Action":"output","Package":"github.com/wigeonfork/wigeonfork/p","Test":"TestHung","Output":"goroutine 7\n"}
+{"Action":"fail","Package":"github.com/wigeonfork/wigeonfork/p"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = "not ended: p TestHung\ngoroutine 7\n"
+	if got := result.unfinished("p "); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
