Review case 5: a completed move cuts the streams that may not run again

Cause: the handover before a move is completed lasts 200 ms at most, and completed is written without asking whether runs that can't be repeated are still at the old version, whose servers stop at once then.

The case: an operator orders the move of a model service to a good version, in calm; 64 consumers ask for streams of 3 s on a route without resumable.

--- a/review/standin/case_reuse.go
+++ b/review/standin/case_reuse.go
@@ -20,7 +20,7 @@
 		return false, err
 	}
 	var foreign atomic.Int64
-	other := &runner{id: "i-other-1", service: "other-pool", engine: true, rec: w.rec}
+	other := &runner{id: "i-other-1", service: "other-pool", version: "v1", engine: true, rec: w.rec}
 	other.serve = func(r *runner, q *asked) []byte {
 		foreign.Add(1)
 		w.rec.add("ROUTE: request %s of service pool is run by service other-pool", q.id)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -25,11 +27,11 @@
 const maxDuration = 110 * time.Second
 
 var cases = map[string]func(*world) (broken bool, err error){
-	"reuse":      caseReuse,
-	"odd-entry":  caseOddEntry,
-	"memory":     caseMemory,
-	"garbled":    caseGarbled,
-	"no-tenants": caseNoTenants,
+	"reuse":     caseReuse,
+	"odd-entry": caseOddEntry,
+	"memory":    caseMemory,
+	"garbled":   caseGarbled,
+	"completed": caseCompleted,
 }
 
 func main() {
@@ -60,6 +62,13 @@
 		w.end()
 		os.Exit(2)
 	})
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.end()
+		os.Exit(2)
+	}()
 	if w.store, err = startStore(); err != nil {
 		return 2
 	}
@@ -112,7 +121,7 @@
 func (w *world) runners(service string, count int, engine bool, serve func(*runner, *asked) []byte) ([]*runner, error) {
 	var list []*runner
 	for i := range count {
-		r := &runner{id: fmt.Sprintf("i-%s-%d", service, i+1), service: service, engine: engine, rec: w.rec, serve: serve}
+		r := &runner{id: fmt.Sprintf("i-%s-%d", service, i+1), service: service, version: "v1", engine: engine, rec: w.rec, serve: serve}
 		if !engine {
 			r.slots = 6
 		}
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -23,6 +23,7 @@
 // which returns the bytes to send, or nil to close the connection.
 type runner struct {
 	id, service, addr string
+	version           string
 	zone              string
 	slots             int
 	engine            bool
@@ -85,7 +86,7 @@
 	born := time.Now().UnixMilli()
 	for sequence := 1; ; sequence++ {
 		s.put("servers", r.id, map[string]any{
-			"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": r.slots,
+			"service": r.service, "address": r.addr, "zone": r.zone, "version": r.version, "slots": r.slots,
 			"state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": born,
 		})
 		if sequence == 1 {
