--- a/review/standin/case_reuse.go
+++ b/review/standin/case_reuse.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"sync/atomic"
 	"time"
 )
@@ -51,3 +52,15 @@
 	w.rec.add("%d drafts asked for, %d served; %d were run by the other service", sent, served.Load(), foreign.Load())
 	return foreign.Load() > 0, nil
 }
+
+// shortStream is a stream of a model runner: the prompt takes a second, then come three events.
+func shortStream(r *runner, q *asked) []byte {
+	time.Sleep(time.Second)
+	header := r.signed(q)
+	header["Content-Type"] = "text/event-stream"
+	text := ""
+	for i := 1; i <= 3; i++ {
+		text += fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i, i, q.id)
+	}
+	return httpAnswer(200, header, text)
+}
