--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -54,7 +54,6 @@
 	if err != nil {
 		return 2
 	}
-	defer os.RemoveAll(dir)
 	w := &world{rec: rec, repo: repo, dir: dir, trouble: trouble, stop: make(chan struct{})}
 	defer w.end()
 	time.AfterFunc(maxDuration, func() {
@@ -100,11 +99,12 @@
 	return 0
 }
 
-// end kills the processes that were started.
+// end kills the processes that were started and removes the temporary folder.
 func (w *world) end() {
 	for _, g := range w.started {
 		g.kill()
 	}
+	os.RemoveAll(w.dir)
 }
 
 // gateway starts a gateway and waits until it is ready.
