Pass on only answers that are proved to be the server's own

A server's own 408, 429 or 503 to a request that it had run was passed on too, which callers take for the promise that it has not run. Change: an answer must repeat the request's id and be signed, for plain answers, streams, hedges and resumed runs; only a refusal may lack both. What is not proved is an unknown outcome: it goes on elsewhere by its kind, or ends with 502, and counts as a failure of the server, but not as its crash. An own refusal status is 502 where the request may not run again.

--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -70,6 +70,8 @@
 	NotRun bool
 	// Request is the id of the request that is answered.
 	Request wigeonfork.RequestID
+	// Signed says that the answer bears the signature of a server.
+	Signed bool
 	// Server is the id of the answering server; empty if it is not given.
 	Server wigeonfork.BackendServerID
 	// Load is nil if the server does not report it.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -33,6 +33,9 @@
 // errTooLarge means that an answer exceeds maxAnswerBytes.
 var errTooLarge = errors.New("answer is too large")
 
+// errUnproved means that nothing shows that an answer is the server's own to this request.
+var errUnproved = errors.New("unproved answer")
+
 // sendOutcome classifies the end of one send of a request.
 type sendOutcome uint8
 
@@ -309,16 +312,17 @@
 	}
 }
 
-// checkOwner returns an error if an answer may belong to another request. Servers repeat the id of the request.
-// An answer without it may be that of an earlier request, unless the connection has carried no other.
+// checkOwner returns errUnproved unless an answer is proved to be a server's own to this request: it repeats the request's
+// id and is signed. A server that refuses a request may leave out both, but without the id the refusal may be that of an
+// earlier request, unless the connection has carried no other.
 func (c *call) checkOwner(reply *Reply, response *upstream.Response) error {
 	switch {
-	case reply.Request == c.caller.ID:
-		return nil
-	case reply.Request != "":
-		return errors.Newf("answer to another request, %q", string(reply.Request))
-	case response.Reused:
-		return errors.Newf("answer with status %d and without the request's id on a kept connection", response.Status)
+	case reply.Request != "" && reply.Request != c.caller.ID:
+		return errors.Wrapf(errUnproved, "answer to another request, %q", string(reply.Request))
+	case reply.Request == "" && (response.Reused || !reply.NotRun):
+		return errors.Wrapf(errUnproved, "status %d without the request's id", response.Status)
+	case !reply.Signed && !reply.NotRun:
+		return errors.Wrapf(errUnproved, "status %d without signature", response.Status)
 	}
 	return nil
 }
@@ -352,7 +356,8 @@
 		return
 	}
 	p.fleet.recordResult(now, result.place, !result.succeeded())
-	if result.outcome == sendUnknown {
+	if result.outcome == sendUnknown && !errors.Is(result.err, errUnproved) {
+		// A server that has answered, if only with other bytes, was not crashed by the request.
 		p.crashes.runLost(now, p.content, result.place, lostRun{trial: p.trial != nil})
 		p.partGuard.runLost(now, p.call, result.place, false)
 		go p.probeAfterFailure(result.place.Entry)
@@ -370,8 +375,23 @@
 	}
 }
 
-// deliver writes an answer to the caller.
+// promisesNotRun reports whether callers take a status for the promise that the request has not run and will not.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// deliver writes an answer to the caller. The status of a request that has run and may not run again must not promise
+// that it has not run, since its caller would send it again.
 func (c *call) deliver(result *sendResult) {
+	if promisesNotRun(result.status) && !c.route.Idempotent() {
+		c.refuse(problem.New(problem.CodeBackendFailed, problem.RunUnknown, problem.StepDispatch,
+			"the backend server ran the request and answered with status %d", result.status).At(string(result.place.ID)))
+		return
+	}
 	c.server, c.status, c.outcome = result.place.ID, result.status, "answered"
 	if result.status >= http.StatusInternalServerError {
 		c.outcome = "backend_error"
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -122,6 +122,7 @@
 func (s *streamCall) relay(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	reply := s.options.Codec.ParseReply(response.Status, response.Header)
 	if err := s.checkOwner(&reply, response); err != nil {
+		s.fleet.recordResult(time.Now(), t.place, true)
 		return runLost, err
 	}
 	s.fleet.recordAnswer(time.Now(), response.SentAt, t.place, reply.Load)
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -63,6 +63,9 @@
 	Dribble *Dribble
 	// Comments makes streams have a comment, as an event of its own, before each event.
 	Comments bool
+	// RawAnswer, if set, is sent in place of the response to a request that has run, with ID replaced by the request's
+	// id. The connection is closed behind it.
+	RawAnswer string
 }
 
 // Comment is what streams have before each event if their runner sends comments.
@@ -330,6 +333,9 @@
 	r.setHeaders(w, run)
 	text := "answer to " + run.RequestID
 	switch {
+	case faults.RawAnswer != "":
+		writeRaw(w, run, faults.RawAnswer)
+		return
 	case faults.Unframed != nil:
 		r.plainUnframed(w, faults, text)
 		return
@@ -349,6 +355,17 @@
 	io.WriteString(w, text)
 }
 
+// writeRaw writes text in place of a response and closes the connection.
+func writeRaw(w http.ResponseWriter, run *Run, text string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	// An error means that the caller has closed.
+	_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", run.RequestID))
+}
+
 // writeTwoResponses writes a complete response and a second one without a request.
 func (r *Runner) writeTwoResponses(w http.ResponseWriter, run *Run, text string) {
 	conn, buffered, err := w.(http.Hijacker).Hijack()
@@ -389,6 +406,11 @@
 	if backup := q.Header.Get("Wigeonfork-Kv-Backup"); backup != "" {
 		r.shared.storeCopy(backup + "/" + run.RequestID)
 	}
+	if faults.RawAnswer != "" {
+		r.shared.endRun(run, false)
+		writeRaw(w, run, faults.RawAnswer)
+		return
+	}
 	r.setHeaders(w, run)
 	w.Header().Set("Content-Type", "text/event-stream")
 	if faults.Unframed != nil {
