Bound the bytes that a gateway holds for callers and servers

Change: memquota counts bodies, answers, events and large heads before they are held, over a quarter of memory_mb, by kind and owner. A body without room is refused as not run, with 503 and a time, before it is read. An answer beyond its bound ends at once, its server counts as failing but not as crashed, and the request goes on by its kind. Metrics and the state dump show the count by kind.

--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -66,6 +66,7 @@
 		PeerConn:    peers,
 		Quarantines: platform.NewQuarantines(store),
 		Moves:       platform.NewMoves(store),
+		MemoryLimit: settings.MemoryLimit,
 		Log:         log,
 		Metrics:     metrics,
 	})
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/memquota"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -25,12 +27,37 @@
 type eventReader struct {
 	in  *bufio.Reader
 	buf []byte
+	// hold counts the buffer. Its first freeEventBytes are part of what each stream needs.
+	hold *memquota.Hold
 }
 
+// freeEventBytes is the part of an event that is not counted, in bytes.
+const freeEventBytes = 4 << 10
+
 var idField = []byte("id:")
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{in: bufio.NewReader(body)}
+func newEventReader(body io.Reader, hold *memquota.Hold) *eventReader {
+	return &eventReader{in: bufio.NewReader(body), hold: hold}
+}
+
+// add appends a part of an event. It returns memquota.ErrTooLarge beyond maxEventBytes, and memquota.ErrExceeded if there
+// is no room for a larger buffer.
+func (e *eventReader) add(part []byte) error {
+	size := len(e.buf) + len(part)
+	if size > maxEventBytes {
+		return errors.Wrap(memquota.ErrTooLarge, "event")
+	}
+	if size > cap(e.buf) {
+		larger := max(size, 2*cap(e.buf))
+		if larger > freeEventBytes {
+			if err := e.hold.Grow(int64(larger)); err != nil {
+				return errors.Wrap(err, "event")
+			}
+		}
+		e.buf = append(make([]byte, 0, larger), e.buf...)
+	}
+	e.buf = append(e.buf, part...)
+	return nil
 }
 
 // next returns the next complete event. It returns io.EOF at the end of the stream,
@@ -40,12 +67,11 @@
 	event := streamEvent{Comment: true}
 	for {
 		line, err := e.in.ReadSlice('\n')
-		e.buf = append(e.buf, line...)
+		if err := e.add(line); err != nil {
+			return event, err
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.buf) > maxEventBytes {
-				return event, errors.New("event is too large")
-			}
 			continue
 		case err == io.EOF && len(e.buf) > 0:
 			return event, io.ErrUnexpectedEOF
@@ -63,9 +89,6 @@
 				return event, errors.Wrap(err, "parse event id")
 			}
 		}
-		if len(e.buf) > maxEventBytes {
-			return event, errors.New("event is too large")
-		}
 	}
 }
 
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -13,7 +13,7 @@
 func TestEventReader(t *testing.T) {
 	Convey("A stream that arrives byte by byte is split into its events unchanged", t, func() {
 		text := "id: 1\ndata: a\n\nversion: 3\r\nid:2\r\ndata: b\r\n\r\n: comment\n\n"
-		r := newEventReader(iotest.OneByteReader(strings.NewReader(text)))
+		r := newEventReader(iotest.OneByteReader(strings.NewReader(text)), nil)
 		var got strings.Builder
 		var ids []uint64
 		for {
@@ -29,14 +29,14 @@
 		So(ids, ShouldResemble, []uint64{1, 2, 0})
 	})
 	Convey("A truncated event is an unexpected end of file", t, func() {
-		r := newEventReader(strings.NewReader("id: 1\ndata: a\n"))
+		r := newEventReader(strings.NewReader("id: 1\ndata: a\n"), nil)
 		_, err := r.next()
 		So(err, ShouldEqual, io.ErrUnexpectedEOF)
 	})
 	Convey("Malformed ids and oversized events are rejected", t, func() {
-		_, err := newEventReader(strings.NewReader("id: x\n\n")).next()
+		_, err := newEventReader(strings.NewReader("id: x\n\n"), nil).next()
 		So(err, ShouldNotBeNil)
-		_, err = newEventReader(strings.NewReader(strings.Repeat("x", 2*maxEventBytes))).next()
+		_, err = newEventReader(strings.NewReader(strings.Repeat("x", 2*maxEventBytes)), nil).next()
 		So(err, ShouldNotBeNil)
 	})
 }
@@ -44,7 +44,7 @@
 func FuzzEventReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r := newEventReader(bytes.NewReader(data))
+		r := newEventReader(bytes.NewReader(data), nil)
 		var passed []byte
 		for {
 			event, err := r.next()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/upstream"
 )
@@ -25,6 +26,7 @@
 	config       *configState
 	fleet        *fleet
 	pool         *upstream.Pool
+	memory       *memquota.Quota
 	retryBudgets *retryBudgets
 	crashes      *crashGuard
 	trials       *trials
@@ -70,6 +72,7 @@
 func New(options Options) *Gateway {
 	background, stop := context.WithCancel(context.Background())
 	g := &Gateway{options: options, background: background, stop: stop, warm: newLatch(warmReads), restored: newLatch(restoredReads)}
+	g.memory = newMemoryQuota(options.MemoryLimit)
 	if options.Quarantines == nil {
 		g.restored.mark(restoredRequests)
 		g.restored.mark(restoredParts)
--- /dev/null
+++ b/gateway/memory.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"math"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonfork/wigeonfork/memquota"
+	"github.com/wigeonfork/wigeonfork/problem"
+	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/upstream"
+)
+
+const (
+	// heldFraction is the fraction of the memory limit that may hold the bytes of callers and servers. The rest is for
+	// what each connection needs, the garbage between two collections and the buffers of sockets.
+	heldFraction = 0.25
+	// unlimitedBytes is the quota of a gateway without a memory limit, in bytes.
+	unlimitedBytes = math.MaxInt64 / 4
+	// memoryRetry is the retry delay for callers whose body finds no room.
+	memoryRetry = time.Second
+)
+
+// newMemoryQuota returns the quota of a process with a memory limit in bytes, or without if it is 0.
+func newMemoryQuota(limit int64) *memquota.Quota {
+	if limit <= 0 || limit > unlimitedBytes {
+		return memquota.New(unlimitedBytes)
+	}
+	return memquota.New(int64(heldFraction * float64(limit)))
+}
+
+// MemoryState is the usage of the memory quota in bytes, and how often each kind was refused.
+type MemoryState struct {
+	Limit   int64            `json:"limit_bytes"`
+	Held    int64            `json:"held_bytes"`
+	Peak    int64            `json:"peak_bytes"`
+	ByKind  map[string]int64 `json:"held_bytes_by_kind"`
+	Refused map[string]int64 `json:"refused_by_kind"`
+}
+
+func (g *Gateway) memoryState() MemoryState {
+	usage := g.memory.Usage()
+	state := MemoryState{Limit: usage.Limit, Held: usage.Used, Peak: usage.Peak, ByKind: make(map[string]int64), Refused: make(map[string]int64)}
+	for _, kind := range memquota.Kinds() {
+		state.ByKind[kind.String()], state.Refused[kind.String()] = usage.ByKind[kind], usage.Refused[kind]
+	}
+	return state
+}
+
+// updateMemoryMetrics updates the metrics of the memory quota.
+func (g *Gateway) updateMemoryMetrics() {
+	state := g.memoryState()
+	telemetry.Gauge(g.options.Metrics, "memory.limit_bytes").Update(state.Limit)
+	telemetry.Gauge(g.options.Metrics, "memory.peak_bytes").Update(state.Peak)
+	for kind, held := range state.ByKind {
+		telemetry.Gauge(g.options.Metrics, "memory.held_bytes."+kind).Update(held)
+		telemetry.Gauge(g.options.Metrics, "memory.refused."+kind).Update(state.Refused[kind])
+	}
+}
+
+// bodyOwner returns who a body is counted for: the workspace, or on a public route the caller's address.
+func (c *call) bodyOwner() string {
+	if c.workspace != "" {
+		return string(c.workspace)
+	}
+	host, _, err := net.SplitHostPort(c.r.RemoteAddr)
+	if err != nil {
+		return c.r.RemoteAddr
+	}
+	return host
+}
+
+// noRoomForBody returns the refusal of a request whose body would exceed the memory quota.
+func (c *call) noRoomForBody(err error) *problem.Error {
+	return problem.New(problem.CodeNoMemory, problem.RunNot, problem.StepAccept, "no room for the body").
+		Because(err).After(c.jitter(memoryRetry))
+}
+
+// gatherAnswer reads the body of an answer.
+func (c *call) gatherAnswer(response *upstream.Response, hold *memquota.Hold) (*memquota.Buffer, error) {
+	length := response.ContentLength
+	if c.r.Method == http.MethodHead {
+		length = -1
+	}
+	return memquota.Gather(response.Body, length, maxAnswerBytes, hold)
+}
+
+// isOversized reports whether an answer was ended since it is larger than it may be. Its server has answered, so that it
+// was not crashed by the request.
+func isOversized(err error) bool {
+	return errors.Is(err, memquota.ErrTooLarge) || errors.Is(err, memquota.ErrExceeded) || errors.Is(err, upstream.ErrHeadTooLarge)
+}
+
+// isCrowdedOut reports whether an answer was ended since there is no room beside what others hold, so that its server
+// did not fail.
+func isCrowdedOut(err error) bool {
+	return errors.Is(err, memquota.ErrExceeded) && !errors.Is(err, memquota.ErrOwnerExceeded)
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -65,7 +65,10 @@
 	Quarantines QuarantineStore
 	// Moves keeps the states of moves to other versions. If it is nil, no order is
 	// followed.
-	Moves   MoveStore
-	Log     *telemetry.Logger
-	Metrics telemetry.Registry
+	Moves MoveStore
+	// MemoryLimit is the memory limit of the process in bytes; 0 is none. It bounds what is held for callers and
+	// backend servers.
+	MemoryLimit int64
+	Log         *telemetry.Logger
+	Metrics     telemetry.Registry
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,7 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/rollout"
@@ -30,9 +31,6 @@
 	maxSends = 6
 )
 
-// errTooLarge means that an answer exceeds maxAnswerBytes.
-var errTooLarge = errors.New("answer is too large")
-
 // errUnproved means that nothing shows that an answer is the server's own to this request.
 var errUnproved = errors.New("unproved answer")
 
@@ -54,7 +52,7 @@
 	place   *placement
 	status  int
 	header  http.Header
-	body    []byte
+	body    *memquota.Buffer
 	load    *Load
 	err     error
 	// panicked is set if the send panicked.
@@ -300,16 +298,15 @@
 		result.status = response.Status
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	switch {
-	case err != nil:
+	hold := c.held.Begin(memquota.ServerAnswer, string(result.place.ID))
+	body, err := c.gatherAnswer(response, hold)
+	if err != nil {
+		hold.End()
 		result.err = errors.Wrap(err, "read the answer")
-	case len(body) > maxAnswerBytes:
-		result.err = errTooLarge
-	default:
-		result.outcome = sendAnswered
-		result.status, result.header, result.body = response.Status, response.Header, body
+		return
 	}
+	result.outcome = sendAnswered
+	result.status, result.header, result.body = response.Status, response.Header, body
 }
 
 // checkOwner returns errUnproved unless an answer is proved to be a server's own to this request: it repeats the request's
@@ -341,6 +338,8 @@
 		HasBody: c.hasBody,
 		MaxIdle: c.maxIdle(place.Service),
 		Wanted:  c.callerWaits,
+
+		GrowHead: c.held.Begin(memquota.StreamPart, string(place.ID)).Grow,
 	}
 }
 
@@ -355,8 +354,10 @@
 		p.fleet.markReplaced(now, result.place.ID)
 		return
 	}
-	p.fleet.recordResult(now, result.place, !result.succeeded())
-	if result.outcome == sendUnknown && !errors.Is(result.err, errUnproved) {
+	if !isCrowdedOut(result.err) {
+		p.fleet.recordResult(now, result.place, !result.succeeded())
+	}
+	if result.outcome == sendUnknown && !errors.Is(result.err, errUnproved) && !isOversized(result.err) {
 		// A server that has answered, if only with other bytes, was not crashed by the request.
 		p.crashes.runLost(now, p.content, result.place, lostRun{trial: p.trial != nil})
 		p.partGuard.runLost(now, p.call, result.place, false)
@@ -399,12 +400,12 @@
 	header := c.w.Header()
 	c.options.Codec.CopyAnswerHeaders(header, result.header)
 	if c.r.Method != http.MethodHead {
-		header.Set("Content-Length", strconv.Itoa(len(result.body)))
+		header.Set("Content-Length", strconv.FormatInt(result.body.Len(), 10))
 	}
 	c.beginHead()
 	c.w.WriteHeader(result.status)
-	// An error means that the caller has disconnected.
-	_, _ = c.w.Write(result.body)
+	// An error means that the caller has disconnected or is too slow.
+	_, _ = result.body.WriteTo(httpserver.NewStreamWriter(c.w, callerWriteTimeout))
 }
 
 // exhausted answers a request that has no success and is not sent again.
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -17,13 +17,16 @@
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
+// testRequest is the id of the requests of these tests.
+const testRequest = "request-1"
+
 // testCodec translates only what these tests need.
 type testCodec struct{ Codec }
 
 func (testCodec) AttemptHeaders(from http.Header, _ *Attempt) http.Header { return from.Clone() }
 
 func (testCodec) ParseReply(_ int, h http.Header) Reply {
-	return Reply{NotRun: h.Get("Not-Run") != ""}
+	return Reply{NotRun: h.Get("Not-Run") != "", Request: testRequest, Signed: true}
 }
 
 // startPlainServer returns a gateway that knows one plain server, which answers with handler.
@@ -40,7 +43,7 @@
 // sendOnce sends a request to the server and returns the result.
 func (g *Gateway) sendOnce() *sendResult {
 	c := &call{
-		Gateway: g, r: httptest.NewRequest(http.MethodGet, "/x", nil), service: "plain", began: time.Now(),
+		Gateway: g, r: httptest.NewRequest(http.MethodGet, "/x", nil), service: "plain", began: time.Now(), caller: CallerRequest{ID: testRequest}, held: g.memory.NewGroup(),
 		route: &routetable.Route{Name: "r", Kind: routetable.KindUnsafe},
 	}
 	place, err := g.fleet.choose(time.Now(), &query{service: "plain"})
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/loadshare"
+	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/upstream"
 )
@@ -131,6 +131,12 @@
 		return nil, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxFetchBytes))
+	hold := g.memory.Begin(memquota.ServerAnswer, string(entry.ID))
+	defer hold.End()
+	buffer, err := memquota.Gather(response.Body, response.ContentLength, maxFetchBytes, hold)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "read the answer")
+	}
+	body, err := buffer.Bytes(hold)
 	return response, body, errors.Wrap(err, "read the answer")
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -86,6 +87,9 @@
 		s.fleet.markLost(time.Now(), t.place.ID, "connect")
 		return runNotRun, err
 	}
+	if isOversized(err) {
+		return s.oversized(t, err)
+	}
 	silent := isSilence(err)
 	s.crashes.runLost(time.Now(), s.content, t.place, lostRun{silent: silent, begun: s.runBegun, trial: s.trial != nil})
 	s.suspectParts(time.Now(), t.place, silent)
@@ -167,6 +171,9 @@
 func (s *streamCall) relayAnswer(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	result := &sendResult{outcome: sendUnknown, place: t.place}
 	s.readAnswer(response, result)
+	if isOversized(result.err) {
+		return s.oversized(t, result.err)
+	}
 	if result.outcome != sendAnswered {
 		return s.exchangeFailed(ctx, t, result.err)
 	}
@@ -190,7 +197,7 @@
 var errEmptyStream = errors.New("the stream ended before its first event")
 
 func (s *streamCall) relayEvents(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
-	events := newEventReader(response.Body)
+	events := newEventReader(response.Body, s.held.Begin(memquota.StreamPart, string(t.place.ID)))
 	sampler := speedSampler{since: response.SentAt}
 	for {
 		event, err := events.next()
@@ -205,6 +212,9 @@
 			}
 			return runComplete, nil
 		}
+		if isOversized(err) {
+			return s.oversized(t, err)
+		}
 		if err != nil {
 			return s.exchangeFailed(ctx, t, err)
 		}
@@ -235,6 +245,15 @@
 	}
 }
 
+// oversized ends a run whose answer is larger than it may be.
+func (s *streamCall) oversized(t target, err error) (runEnd, error) {
+	s.moves.drop(s.timed)
+	if !isCrowdedOut(err) {
+		s.fleet.recordResult(time.Now(), t.place, true)
+	}
+	return runLost, err
+}
+
 // speedSampler tracks the events of one run between two speed samples. since is when the
 // sample began. reported is set once the peers have the server's speed.
 type speedSampler struct {
--- a/gateway/relay_bench_test.go
+++ b/gateway/relay_bench_test.go
@@ -20,7 +20,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		if events == nil {
-			events = newEventReader(strings.NewReader(text))
+			events = newEventReader(strings.NewReader(text), nil)
 		}
 		event, err := events.next()
 		if err == io.EOF {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/routetable"
@@ -49,6 +51,8 @@
 	workspace wigeonfork.Workspace
 	body      []byte
 	hasBody   bool
+	// held counts the bytes that are held for the request, until it ends.
+	held *memquota.Group
 	// unread is set while the caller may be sending a body that is not read.
 	unread bool
 	began  time.Time
@@ -82,7 +86,8 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	c := &call{Gateway: g, w: w, r: r, began: time.Now(), unread: sendsBody(r)}
+	c := &call{Gateway: g, w: w, r: r, began: time.Now(), unread: sendsBody(r), held: g.memory.NewGroup()}
+	defer c.held.End()
 	defer c.logEnd()
 	defer c.endTrial()
 	defer c.handlePanic()
@@ -255,10 +260,30 @@
 	if c.r.ContentLength > limit {
 		return problem.New(problem.CodeTooLarge, problem.RunNot, problem.StepAccept, "body has more than %d bytes", limit)
 	}
-	body, refusal := httpserver.ReadBody(c.w, c.r, limit)
+	body, err := c.gatherBody(limit)
 	c.body = body
-	c.unread = refusal != nil && refusal.Code == problem.CodeTooLarge
-	return refusal
+	c.unread = errors.Is(err, memquota.ErrTooLarge) || errors.Is(err, memquota.ErrExceeded)
+	switch {
+	case errors.Is(err, memquota.ErrTooLarge):
+		return problem.New(problem.CodeTooLarge, problem.RunNot, problem.StepAccept, "body has more than %d bytes", limit)
+	case errors.Is(err, memquota.ErrExceeded):
+		return c.noRoomForBody(err)
+	case err != nil:
+		return problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept, "body could not be read").Because(err)
+	}
+	return nil
+}
+
+// gatherBody reads a body of at most limit bytes, counted for its workspace.
+func (c *call) gatherBody(limit int64) ([]byte, error) {
+	hold := c.held.Begin(memquota.CallerBody, c.bodyOwner())
+	httpserver.BeginBody(c.w)
+	defer httpserver.EndBody(c.w)
+	buffer, err := memquota.Gather(c.r.Body, c.r.ContentLength, limit, hold)
+	if err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(hold)
 }
 
 // sendsBody reports whether the caller sends a body without waiting for 100 Continue.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -40,6 +40,8 @@
 	// QuarantinedParts lists the parts of prompts that are refused since they crash servers, as in
 	// the logs. Of parts with commas between them, only prompts that hold all are refused.
 	QuarantinedParts []string `json:"quarantined_parts,omitempty"`
+	// Memory is what is held for callers and backend servers.
+	Memory MemoryState `json:"memory"`
 	// Moves describes the moves of services to other versions, with their evidence.
 	Moves   map[wigeonfork.Model]string `json:"moves,omitempty"`
 	Servers []ServerState               `json:"servers"`
@@ -79,6 +81,7 @@
 	s.Quarantined = g.crashes.state(now)
 	s.QuarantinedParts = g.partGuard.state(now)
 	s.Moves = g.moves.state()
+	s.Memory = g.memoryState()
 	s.HasLimitShare = g.limits.hasShare()
 	s.Streams, s.Servers = g.fleet.state()
 	for i := range s.Servers {
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -53,6 +53,7 @@
 				go g.checkRecovery(entry)
 			}
 			g.pool.Expire(now)
+			g.updateMemoryMetrics()
 			telemetry.Gauge(g.options.Metrics, "configuration.age_ms").Update(g.config.ageMs())
 		}
 	}
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -61,11 +61,9 @@
 // ReadBody reads a request's body of at most limit bytes within readBodyTimeout.
 // It then clears the read deadline, since streamed answers last for minutes.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem.Error) {
-	control := http.NewResponseController(w)
-	// Test recorders don't support deadlines; the size limit still applies.
-	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	BeginBody(w)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
+	EndBody(w)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -76,16 +74,25 @@
 	return body, nil
 }
 
+// BeginBody bounds the time to read a request's body by readBodyTimeout, until EndBody.
+func BeginBody(w http.ResponseWriter) {
+	// Test recorders don't support deadlines; limits on the size still apply.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+}
+
+// EndBody clears the deadline of BeginBody, since streamed answers last for minutes.
+func EndBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+}
+
 // DiscardBody reads and drops up to limit bytes of a request's body within readBodyTimeout. A server
 // that refuses a request without reading its body closes the connection, and a caller that still
 // sends then gets a reset in place of the refusal.
 func DiscardBody(w http.ResponseWriter, r *http.Request, limit int64) {
-	control := http.NewResponseController(w)
-	// Test recorders don't support deadlines; the size limit still applies.
-	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	BeginBody(w)
+	defer EndBody(w)
 	// An error means that the caller has disconnected or is too slow.
 	_, _ = io.CopyN(io.Discard, r.Body, limit)
-	_ = control.SetReadDeadline(time.Time{})
 }
 
 // deadlineUpdateInterval is the minimum time between two updates of a write deadline.
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -33,6 +33,7 @@
 	CodeQuarantined      Code = "quarantined" // the request crashed engines repeatedly
 	CodeStoreUnavailable Code = "store_unavailable"
 	CodeNoBackend        Code = "no_backend_server"
+	CodeNoMemory         Code = "no_memory" // the process has no room for the request
 	CodeBackendFailed    Code = "backend_failed"
 	CodeOutcomeUnknown   Code = "outcome_unknown"
 	CodeInterrupted      Code = "interrupted"
@@ -153,6 +154,7 @@
 	CodeQuarantined:      http.StatusUnprocessableEntity,
 	CodeStoreUnavailable: http.StatusServiceUnavailable,
 	CodeNoBackend:        http.StatusServiceUnavailable,
+	CodeNoMemory:         http.StatusServiceUnavailable,
 	CodeBackendFailed:    http.StatusBadGateway,
 	CodeOutcomeUnknown:   http.StatusConflict,
 	CodeInterrupted:      http.StatusBadGateway,
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -20,8 +20,14 @@
 // has no length, so only this ends one that a failing server goes on sending.
 const maxHeadBytes = 256 << 10
 
-// errHeadTooLarge means that the head of a response exceeds maxHeadBytes.
-var errHeadTooLarge = errors.New("the head of the answer is too large")
+// freeHeadBytes is the part of a head that is not counted by Request.GrowHead, in bytes.
+const freeHeadBytes = 16 << 10
+
+// headFactor is the number of bytes that are held for each byte of a head, at most.
+const headFactor = 2
+
+// ErrHeadTooLarge means that the head of a response exceeds maxHeadBytes.
+var ErrHeadTooLarge = errors.New("the head of the answer is too large")
 
 // conn is one connection to a backend server.
 type conn struct {
@@ -32,6 +38,8 @@
 	// bytes that it may still have.
 	readingHead bool
 	headLeft    int
+	// growHead is the GrowHead of the request whose head is read.
+	growHead func(int64) error
 }
 
 func newConn(c net.Conn) *conn {
@@ -40,10 +48,12 @@
 	return n
 }
 
-// beginHead bounds what is read until endHead.
-func (c *conn) beginHead() { c.readingHead, c.headLeft = true, maxHeadBytes }
+// beginHead bounds what is read until endHead, and counts it by grow.
+func (c *conn) beginHead(grow func(int64) error) {
+	c.readingHead, c.headLeft, c.growHead = true, maxHeadBytes, grow
+}
 
-func (c *conn) endHead() { c.readingHead = false }
+func (c *conn) endHead() { c.readingHead, c.growHead = false, nil }
 
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
@@ -51,7 +61,12 @@
 		return c.Conn.Read(p)
 	}
 	if c.headLeft <= 0 {
-		return 0, errHeadTooLarge
+		return 0, ErrHeadTooLarge
+	}
+	if c.growHead != nil && maxHeadBytes-c.headLeft >= freeHeadBytes {
+		if err := c.growHead(headFactor * int64(len(p))); err != nil {
+			return 0, err
+		}
 	}
 	n, err := c.Conn.Read(p)
 	c.headLeft -= n
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -33,6 +33,9 @@
 	// Wanted reports whether the caller still waits for the answer. It is asked right before the
 	// request is written, which may be long after Do was called. If it is nil, the caller waits.
 	Wanted func() bool
+	// GrowHead, if set, counts the bytes that are held of a large head of the response. An error ends the
+	// exchange.
+	GrowHead func(bytes int64) error
 }
 
 // ErrAbandoned means that a request was not written since ctx had ended, its deadline had passed or
@@ -95,7 +98,7 @@
 	x.stopCancel = context.AfterFunc(ctx, c.abort)
 	sentAt := time.Now()
 	x.send(req)
-	response, err := x.readHead(req.Method)
+	response, err := x.readHead(req)
 	if err != nil {
 		x.abandon()
 		return nil, infra.NewError(infra.OutcomeUnknown, operation, server.Address, err)
@@ -175,11 +178,11 @@
 
 // readHead reads the head of the final response and skips informational ones. It is called even if
 // sending failed, since the server may have responded before.
-func (x *exchange) readHead(method string) (*http.Response, error) {
-	x.conn.beginHead()
+func (x *exchange) readHead(req *Request) (*http.Response, error) {
+	x.conn.beginHead(req.GrowHead)
 	defer x.conn.endHead()
 	for {
-		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, errors.Wrap(err, "read the head of the answer")
 		}
