Adopt a server only while its address can't belong to another service

Cause: a lost server's address was asked for its health, and whatever engine answered there was taken for one of the same service, since the configuration names one service of engines. Change: directory.SignsOfLife keeps when each server was last seen to run, by a clock that counts freezes, and not at all while what is read may have waited. A server is adopted only if it answered within the reuse limit of that; peers are told the time in between and check it. Each entry with such a proof watches a lost server, not only the three assigned ones.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -60,6 +60,7 @@
 	directory *directory.Directory
 	router    *routing.Router
 	servers   *health.Servers
+	signs     *directory.SignsOfLife
 	streams   *health.Streams
 	entries   map[serverID]directory.Entry
 	hashes    map[loadshare.ServerHash]serverID
@@ -86,6 +87,7 @@
 		directory:  directory.New(),
 		router:     routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
 		servers:    health.NewServers(),
+		signs:      directory.NewSignsOfLife(),
 		streams:    health.NewStreams(),
 		entries:    make(map[serverID]directory.Entry),
 		hashes:     make(map[loadshare.ServerHash]serverID),
@@ -177,6 +179,7 @@
 	delete(f.probedAt, id)
 	delete(f.hashes, loadshare.HashServer(id))
 	f.servers.Remove(id)
+	f.signs.Forget(id)
 	f.router.Remove(id)
 	f.onEnded(id)
 	go f.onRemoved(upstream.Server{ID: string(id), Address: known.Address})
@@ -239,6 +242,7 @@
 func (f *fleet) recordAnswer(now, sentAt time.Time, p *placement, load *Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.signs.Saw(p.ID)
 	if f.servers.Answered(sentAt, p.ID) {
 		f.router.SetState(now, p.ID, routing.StateReady)
 	}
--- a/gateway/fleet_peers.go
+++ b/gateway/fleet_peers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/routing"
 )
@@ -86,8 +87,11 @@
 }
 
 // peerAdopted applies a peer's report that another server answers at a lost server's
-// address.
-func (f *fleet) peerAdopted(now time.Time, a *loadshare.Adoption) {
+// address. Without proof that it is of the same service, it is used only once it is registered.
+func (f *fleet) peerAdopted(now time.Time, a *loadshare.Adoption, reuseAfter time.Duration) {
+	if !directory.ProvesService(a.Since, reuseAfter) {
+		return
+	}
 	f.mu.Lock()
 	_, known := f.entries[a.Adopted.ID]
 	f.mu.Unlock()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -55,10 +55,23 @@
 		adopted := lost
 		adopted.ID, adopted.Born = "i-2", 7
 		for range 3 {
-			f.peerAdopted(now, &loadshare.Adoption{Lost: "i-1", Adopted: adopted})
+			f.peerAdopted(now, &loadshare.Adoption{Lost: "i-1", Adopted: adopted, Since: time.Second}, 2*time.Second)
 		}
 		So(f.alive("i-1"), ShouldBeFalse)
 		So(f.alive("i-2"), ShouldBeTrue)
-		So(f.maintain(now.Add(time.Minute), loadshare.WatchAssignment{}), ShouldBeEmpty)
+		So(f.maintain(now.Add(time.Minute), loadshare.WatchAssignment{}, 2*time.Second), ShouldBeEmpty)
+	})
+	Convey("It is not used if another service may have got the address by then, or if the peer has no proof", t, func() {
+		now := time.Unix(1000, 0)
+		lost := directory.Entry{ID: "i-1", Service: "m", Address: "10.0.0.1:1", Domain: "a", Slots: 64}
+		adopted := lost
+		adopted.ID = "i-2"
+		for _, since := range []time.Duration{0, 2 * time.Second, time.Minute, -time.Second} {
+			f := newFleet(&Options{Host: "h", Log: telemetry.Discard(), Metrics: telemetry.NewRegistry()}, func(upstream.Server) {})
+			f.announce = func(loadshare.Message) {}
+			f.replaceServers(now, []directory.Entry{lost})
+			f.peerAdopted(now, &loadshare.Adoption{Lost: "i-1", Adopted: adopted, Since: since}, 2*time.Second)
+			So(f.registered("i-2"), ShouldBeFalse)
+		}
 	})
 }
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -317,7 +317,7 @@
 			s.relayRegistryUpdate(now, next)
 		}
 		if update.Adopted != nil {
-			s.g.fleet.peerAdopted(now, update.Adopted)
+			s.g.fleet.peerAdopted(now, update.Adopted, s.g.bounds.Load().ReuseAfter)
 			return nil
 		}
 		s.g.applyPeerUpdate(now, update)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -20,6 +20,9 @@
 	ApplyLimit time.Duration
 	// GracePeriod is the time from the request to stop until the process is killed.
 	GracePeriod time.Duration
+	// ReuseAfter is the time after the end of a server from which another service may get its address; 0 if that may
+	// be at once.
+	ReuseAfter time.Duration
 	// RetryRatio and RetrySlack limit the retries for a service within RetryWindow,
 	// over all entries: RetryRatio for each request, plus RetrySlack.
 	RetryRatio  float64
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -50,7 +50,7 @@
 		return
 	}
 	id, err := g.identify(entry)
-	now := time.Now()
+	now, since := time.Now(), g.fleet.sinceSeen(bootClock(), entry.ID)
 	switch {
 	case err != nil:
 		g.options.Log.Info().Str("server", string(entry.ID)).Err(err).Msg("server_not_identified")
@@ -58,7 +58,7 @@
 		g.confirmSameStart(entry)
 		g.fleet.probeAnswered(now, sentAt, entry.ID)
 	default:
-		g.adopt(now, entry, id)
+		g.adopt(now, entry, id, since)
 	}
 }
 
@@ -74,10 +74,15 @@
 	}
 }
 
-// adopt marks a server as replaced by the one that answers at its address. It adds
-// the new server only if that certainly belongs to the same service.
-func (g *Gateway) adopt(now time.Time, old directory.Entry, id serverID) {
+// adopt marks a server as replaced by the one that answers at its address. It adds the new server only if that is proved
+// to be of the same service: it answered before another service could get the address. since is the time from the lost
+// server's last sign of life to that answer; 0 if there was none.
+func (g *Gateway) adopt(now time.Time, old directory.Entry, id serverID, since time.Duration) {
 	g.fleet.markReplaced(now, old.ID)
+	if !directory.ProvesService(since, g.bounds.Load().ReuseAfter) {
+		g.options.Log.Info().Str("server", string(id)).Str("address", old.Address).Int64("since_ms", since.Milliseconds()).Msg("server_not_adopted")
+		return
+	}
 	table := g.config.table()
 	if table == nil || !table.IsSoleEngineService(old.Service) {
 		return
@@ -90,7 +95,7 @@
 	adopted := old
 	adopted.ID, adopted.Born = id, report.Born
 	g.fleet.adopt(now, adopted)
-	g.gossip.sendRegistryUpdate(&loadshare.RegistryUpdate{Adopted: &loadshare.Adoption{Lost: old.ID, Adopted: adopted}})
+	g.gossip.sendRegistryUpdate(&loadshare.RegistryUpdate{Adopted: &loadshare.Adoption{Lost: old.ID, Adopted: adopted, Since: since}})
 }
 
 // identify returns the id of the server that answers at the address of entry. If the id
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/freshness"
 	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/routing"
@@ -42,6 +43,7 @@
 			g.partGuard.settle(now)
 			g.trials.renew(now)
 			g.limits.tick()
+			g.fleet.tick(bootClock())
 			for _, entry := range g.fleet.sweep(now) {
 				go g.probe(entry)
 			}
@@ -49,7 +51,7 @@
 				continue
 			}
 			lastMaintenance = now
-			for _, entry := range g.fleet.maintain(now, g.gossip.watchAssignment(now)) {
+			for _, entry := range g.fleet.maintain(now, g.gossip.watchAssignment(now), g.bounds.Load().ReuseAfter) {
 				go g.checkRecovery(entry)
 			}
 			g.pool.Expire(now)
@@ -88,15 +90,18 @@
 
 // maintain returns the servers that are down and due for a probe. It also removes
 // servers whose registration has expired, and ends the failing state of servers whose
-// failure rate has decayed.
-func (f *fleet) maintain(now time.Time, assignment loadshare.WatchAssignment) []directory.Entry {
+// failure rate has decayed. A server is also watched by each entry that can still prove which service a server at its
+// address belongs to.
+func (f *fleet) maintain(now time.Time, assignment loadshare.WatchAssignment, reuseAfter time.Duration) []directory.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.apply(now, f.directory.Expire(now))
 	f.suspectKeptRunsLocked(now)
+	bootNow := bootClock()
 	var due []directory.Entry
 	for id, entry := range f.entries {
-		if f.servers.State(id) == health.Down && f.servers.ProbeDue(now, id, assignment.Covers(loadshare.HashServer(id))) {
+		watches := assignment.Covers(loadshare.HashServer(id)) || f.provesServiceLocked(id, bootNow, reuseAfter)
+		if f.servers.State(id) == health.Down && f.servers.ProbeDue(now, id, watches) {
 			due = append(due, entry)
 		}
 		if f.servers.DecayFailureRate(now, id) {
@@ -106,6 +111,30 @@
 	return due
 }
 
+// tick tells the time to the signs of life.
+func (f *fleet) tick(now freshness.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.signs.Tick(now)
+}
+
+// provesServiceLocked reports whether a server that answers now at the address of a lost one must be of its service.
+func (f *fleet) provesServiceLocked(id serverID, now freshness.Instant, reuseAfter time.Duration) bool {
+	since, seen := f.signs.Since(now, id)
+	return seen && directory.ProvesService(since, reuseAfter)
+}
+
+// sinceSeen returns the time since the last sign of life of a server; 0 if there was none.
+func (f *fleet) sinceSeen(now freshness.Instant, id serverID) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since, seen := f.signs.Since(now, id)
+	if !seen {
+		return 0
+	}
+	return since
+}
+
 func (f *fleet) probeAnswered(now, sentAt time.Time, id serverID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/watched_runs_test.go
+++ b/gateway/watched_runs_test.go
@@ -45,13 +45,13 @@
 		So(ended, ShouldBeNil)
 		Convey("It ends once its stream may move", func() {
 			movable = true
-			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{}, 0)
 			So(ended, ShouldEqual, errServerUnresponsive)
 		})
 		Convey("It goes on if the server sends an event, and the server takes requests again", func() {
 			movable = true
 			f.recordEvent(silent.Add(time.Millisecond), 1)
-			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{}, 0)
 			So(ended, ShouldBeNil)
 			So(f.alive("i-1"), ShouldBeTrue)
 			So(told, ShouldResemble, []loadshare.Kind{loadshare.Lost, loadshare.Recovered})
@@ -59,7 +59,7 @@
 		Convey("It goes on if the server answers a probe", func() {
 			movable = true
 			f.probeAnswered(silent.Add(2*time.Millisecond), silent.Add(time.Millisecond), "i-1")
-			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{}, 0)
 			So(ended, ShouldBeNil)
 		})
 		Convey("It ends if another server answers at the address", func() {
@@ -80,7 +80,7 @@
 		Convey("It goes on while no other server is there", func() {
 			movable = true
 			f.markLost(silent, "i-2", "connect")
-			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{}, 0)
 			So(ended, ShouldBeNil)
 		})
 	})
@@ -122,7 +122,7 @@
 		Convey("and ends once one has", func() {
 			third := directory.Entry{ID: "i-3", Service: "m", Address: "10.0.0.3:1", Domain: "c", Slots: 64, Version: "v1"}
 			f.applyChanges(now, []directory.Change{{Entry: third}})
-			f.maintain(now.Add(maintenanceInterval), loadshare.WatchAssignment{})
+			f.maintain(now.Add(maintenanceInterval), loadshare.WatchAssignment{}, 0)
 			So(ended, ShouldEqual, errVersionStopped)
 		})
 	})
--- a/loadshare/registry_update.go
+++ b/loadshare/registry_update.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -65,6 +66,9 @@
 type Adoption struct {
 	Lost    wigeonfork.BackendServerID `cbor:"1,keyasint"`
 	Adopted directory.Entry            `cbor:"2,keyasint"`
+	// Since is the time from the lost server's last sign of life at the sender to the adopted one's answer. Builds that
+	// adopt without that proof leave it out.
+	Since time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // AppendRegistryUpdate appends the encoding of a datagram with a registry update from the
--- a/loadshare/watch_test.go
+++ b/loadshare/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -30,7 +31,7 @@
 		}
 	})
 	Convey("An adoption is decoded unchanged", t, func() {
-		sent := &Adoption{Lost: "i-1", Adopted: directory.Entry{ID: "i-2", Service: "s", Address: "10.0.0.1:80", Slots: 64, Born: 5}}
+		sent := &Adoption{Lost: "i-1", Adopted: directory.Entry{ID: "i-2", Service: "s", Address: "10.0.0.1:80", Slots: 64, Born: 5}, Since: time.Second}
 		data, err := AppendRegistryUpdate(nil, 7000, &RegistryUpdate{Adopted: sent})
 		So(err, ShouldBeNil)
 		_, got, err := ParseRegistryUpdate(data, netip.MustParseAddrPort("10.0.0.9:1"))
