Keep no event names that the log library writes over

Cause: the limiter of log lines kept the texts of event names as keys, whose memory the log library uses for the next line: a data race, and limits and reports under a wrong name. Change: names are copied where they are kept, once for each event and second. Measured: TestLimiterKeepsNoNames fails before; telemetry passes with the race detector.

--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,7 +31,7 @@
 func NewBoundedLogger(out io.Writer, level, role, id string) *Logger {
 	logger := NewLogger(io.Discard, level, role, id)
 	sink := newLineSink(out)
-	limiter := &lineLimiter{counts: make(map[string]int), dropped: make(map[string]int), now: time.Now}
+	limiter := newLineLimiter(time.Now)
 	logger.Writer = &log.ConsoleWriter{
 		Writer: sink,
 		Formatter: func(w io.Writer, args *log.FormatterArgs) (int, error) {
@@ -53,13 +54,19 @@
 type lineLimiter struct {
 	now func() time.Time
 
-	mu      sync.Mutex
-	second  int64
-	counts  map[string]int
+	mu     sync.Mutex
+	second int64
+	// counts holds the lines of the present second by event, and dropped those that were dropped.
+	counts  map[string]*int
 	dropped map[string]int
 }
 
-// allow counts a line of event and reports whether it may be written.
+func newLineLimiter(now func() time.Time) *lineLimiter {
+	return &lineLimiter{now: now, counts: make(map[string]*int), dropped: make(map[string]int)}
+}
+
+// allow counts a line of event and reports whether it may be written. The text of event is not kept: the log library
+// uses its memory for the next line.
 func (l *lineLimiter) allow(event string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -67,17 +74,31 @@
 		l.second = second
 		clear(l.counts)
 	}
-	if _, tracked := l.counts[event]; !tracked && len(l.counts) >= maxTrackedEvents {
-		event = otherEvents
+	count := l.counts[event]
+	if count == nil {
+		if len(l.counts) >= maxTrackedEvents {
+			event = otherEvents
+		}
+		count = l.track(event)
 	}
-	l.counts[event]++
-	if l.counts[event] > maxLinesPerSecond {
-		l.dropped[event]++
+	*count++
+	if *count > maxLinesPerSecond {
+		l.dropped[strings.Clone(event)]++
 		return false
 	}
 	return true
 }
 
+// track returns the count of an event, which begins at 0.
+func (l *lineLimiter) track(event string) *int {
+	if count := l.counts[event]; count != nil {
+		return count
+	}
+	count := new(int)
+	l.counts[strings.Clone(event)] = count
+	return count
+}
+
 // dropReports returns one line, with the time at, for each event with lines dropped
 // since the last report. Lines dropped in the current second are reported in a later one.
 func (l *lineLimiter) dropReports(at string) [][]byte {
--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 	"time"
+	"unsafe"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -31,6 +32,26 @@
 	return w.text.String()
 }
 
+// Guards against limits and reports under a wrong name: the log library uses the memory of an event's name again.
+func TestLimiterKeepsNoNames(t *testing.T) {
+	Convey("The names that are counted don't change with the memory that they came from", t, func() {
+		now := time.Unix(100, 0)
+		l := newLineLimiter(func() time.Time { return now })
+		name := []byte("loud")
+		reused := unsafe.String(&name[0], len(name))
+		for range maxLinesPerSecond + 3 {
+			l.allow(reused)
+		}
+		copy(name, "soft")
+		So(l.allow("soft"), ShouldBeTrue)
+		So(l.allow("loud"), ShouldBeFalse)
+		now = now.Add(time.Second)
+		reports := l.dropReports("now")
+		So(reports, ShouldHaveLength, 1)
+		So(string(reports[0]), ShouldContainSubstring, "of=loud reason=rate count=4")
+	})
+}
+
 func TestBoundedLogger(t *testing.T) {
 	Convey("Writes don't block while the output blocks, and dropped lines are reported", t, func() {
 		out := &blockedWriter{opened: make(chan struct{})}
@@ -47,7 +68,7 @@
 	})
 	Convey("Lines of an event over its rate limit are dropped and reported in the next second", t, func() {
 		now := time.Unix(100, 0)
-		l := &lineLimiter{counts: map[string]int{}, dropped: map[string]int{}, now: func() time.Time { return now }}
+		l := newLineLimiter(func() time.Time { return now })
 		passed := 0
 		for range maxLinesPerSecond + 7 {
 			if l.allow("loud") {
@@ -66,7 +87,7 @@
 	// Guards against logs without the lines that matter: in a second with many different events, all
 	// events together got the limit of a single one.
 	Convey("An event keeps its own limit when there are more event names than are tracked", t, func() {
-		l := &lineLimiter{counts: map[string]int{}, dropped: map[string]int{}, now: func() time.Time { return time.Unix(100, 0) }}
+		l := newLineLimiter(func() time.Time { return time.Unix(100, 0) })
 		So(l.allow("first"), ShouldBeTrue)
 		for i := range 2 * maxTrackedEvents {
 			l.allow(fmt.Sprint("event", i))
