--- a/routetable/routetable.go
+++ b/routetable/routetable.go
@@ -136,7 +136,9 @@
 	Routes   []Route
 	Services []Service
 	Tenants  []Tenant
-	Limits   Limits
+	// RequiresKey is set if requests need a key, even if no tenant holds one.
+	RequiresKey bool
+	Limits      Limits
 }
 
 // Table is one version of the configuration.
@@ -213,7 +215,7 @@
 }
 
 // RequiresKey reports whether requests need a key.
-func (t *Table) RequiresKey() bool { return len(t.spec.Tenants) > 0 }
+func (t *Table) RequiresKey() bool { return t.spec.RequiresKey || len(t.spec.Tenants) > 0 }
 
 // Tenant returns the tenant that holds key, or nil.
 func (t *Table) Tenant(key string) *Tenant { return t.keys[key] }
