Complete a move only once no run that may not run again is left at the old version

Change: each gateway tells in its reports whether it has left the old version and what it still runs there. A version that turns bad meanwhile is still stopped.

--- a/gateway/move_reports.go
+++ b/gateway/move_reports.go
@@ -14,6 +14,9 @@
 	v.mu.Lock()
 	move := v.moves[service]
 	interval := min(max(move.Order.Duration/moveReports, minReportInterval), maxReportInterval)
+	if move.HandsOver() {
+		interval = minReportInterval
+	}
 	due := move.Left(now) > -moveMemory && now.Sub(v.reportedAt[service]) >= interval
 	v.mu.Unlock()
 	if due {
@@ -55,7 +58,7 @@
 		return
 	}
 	move.Shorten(now, u.Left)
-	move.Merge(u.Source, u.Report)
+	move.Merge(now, u.Source, u.Report)
 	rose := (u.Confirmed || u.Stage > rollout.StageTrial) && move.Advance(u.Stage, u.Reason)
 	v.mu.Unlock()
 	if rose {
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/rollout"
+	"github.com/wigeonfork/wigeonfork/routetable"
 )
 
 const (
@@ -48,6 +49,8 @@
 	reportedAt map[wigeonfork.Model]time.Time
 	// waiting holds the runs that are not yet old enough to be known as slow.
 	waiting map[*timedRun]struct{}
+	// unrepeatable holds the runs in progress that may not run again.
+	unrepeatable map[*placement]routetable.Kind
 	// entries is the number of known entries, 0 until the registry has been read.
 	entries int
 }
@@ -59,6 +62,7 @@
 		rewrites:   newOrderRewrites(),
 		reportedAt: make(map[wigeonfork.Model]time.Time),
 		baselines:  rollout.NewBaselines(), waiting: make(map[*timedRun]struct{}),
+		unrepeatable: make(map[*placement]routetable.Kind),
 	}
 }
 
@@ -276,15 +280,47 @@
 		usable := v.g.fleet.usableByVersion(service)
 		v.mu.Lock()
 		move := v.moves[service]
-		rose := move.Step(now, rollout.FleetView{OldUsable: usable[move.From], NewUsable: usable[move.Order.To], Rank: rank})
+		result := move.Step(now, rollout.FleetView{
+			OldUsable: usable[move.From], NewUsable: usable[move.Order.To], Rank: rank, Left: v.leftLocked(service, move.From),
+		})
 		v.mu.Unlock()
-		if rose {
+		if result.Rose {
 			v.stageChanged(service, "own")
+		}
+		if result.Rose || result.HandedOver {
 			v.report(now, service)
 		}
 	}
 }
 
+// beginUnrepeatable records a run that may not run again or be resumed, until endUnrepeatable.
+func (v *versionMoves) beginUnrepeatable(p *placement, kind routetable.Kind) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.unrepeatable[p] = kind
+}
+
+func (v *versionMoves) endUnrepeatable(p *placement) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.unrepeatable, p)
+}
+
+// leftLocked counts the runs at a version of a service that may not run again. The lock must be held.
+func (v *versionMoves) leftLocked(service wigeonfork.Model, version wigeonfork.Version) rollout.Unrepeatable {
+	var left rollout.Unrepeatable
+	for p, kind := range v.unrepeatable {
+		switch {
+		case p.Service != service || p.Version != version:
+		case kind == routetable.KindStream:
+			left.Streams++
+		default:
+			left.Orders++
+		}
+	}
+	return left
+}
+
 // services returns the services under a move.
 func (v *versionMoves) services() []wigeonfork.Model {
 	v.mu.Lock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -246,6 +246,10 @@
 	now := time.Now()
 	result := &sendResult{outcome: sendUnknown, place: place}
 	timed := c.timeRun(place, rollout.MetricDuration)
+	if !c.route.Idempotent() {
+		c.moves.beginUnrepeatable(place, c.route.Kind)
+		defer c.moves.endUnrepeatable(place)
+	}
 	request := c.newRequest(now, place, &Attempt{})
 	request.FreshConnection = !c.route.Idempotent()
 	response, err := c.pool.Do(ctx, place.upstream(), request)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -45,6 +45,10 @@
 	s.watch = s.fleet.watch(now, &watchedRun{server: t.place.Entry, cancel: cancel, reserveMove: s.reserveMove}, startBy, queued)
 	defer s.fleet.unwatch(s.watch)
 	s.timed = s.timeRun(t.place, rollout.MetricFirstToken)
+	if !s.route.Idempotent() {
+		s.moves.beginUnrepeatable(t.place, s.route.Kind)
+		defer s.moves.endUnrepeatable(t.place)
+	}
 	s.runBegun = false
 	s.gossip.enqueue(startedMessage(t.place.ID, s.work, t.hasCopy, s.totalSends > 1))
 	request := s.newRequest(now, t.place, s.newAttempt(now, t))
--- a/loadshare/move_update_test.go
+++ b/loadshare/move_update_test.go
@@ -65,6 +65,6 @@
 	So(IsMoveUpdate(datagram), ShouldBeTrue)
 	_, update, err := ParseMoveUpdate(datagram, netip.MustParseAddrPort("127.0.0.1:7340"))
 	So(err, ShouldBeNil)
-	peer.Merge(update.Source, update.Report)
+	peer.Merge(time.Unix(1000, 0), update.Source, update.Report)
 	return len(datagram)
 }
--- a/rollout/move_report.go
+++ b/rollout/move_report.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // maxReportRoutes bounds the routes in one report, so that it is small. More routes are reported by
@@ -19,13 +20,17 @@
 	Results map[Route]RouteResults `cbor:"3,keyasint,omitempty"`
 	// HasHistory is set if the entry has seen the move from its start.
 	HasHistory bool `cbor:"4,keyasint,omitempty"`
+	// Handover is how far the entry has left the old version. Builds that don't wait for runs there leave it out.
+	Handover Handover `cbor:"5,keyasint"`
 }
 
 // Report returns the next report of this entry. It has up to maxReportRoutes routes, those not reported
 // for longest.
 func (m *ServiceMove) Report() MoveReport {
 	routes := slices.Sorted(maps.Keys(m.own.Results))
-	report := MoveReport{Sent: m.own.Sent, NewSent: m.own.NewSent, HasHistory: m.own.HasHistory, Results: make(map[Route]RouteResults)}
+	m.own.Handover.Sequence++
+	report := m.own
+	report.Results = make(map[Route]RouteResults)
 	for range min(len(routes), maxReportRoutes) {
 		route := routes[m.reportedRoutes%len(routes)]
 		report.Results[route] = m.own.Results[route]
@@ -36,7 +41,7 @@
 
 // Merge adds a report of a source, which is unique to an incarnation of an entry. Reports may arrive
 // repeatedly and in any order.
-func (m *ServiceMove) Merge(source string, report MoveReport) {
+func (m *ServiceMove) Merge(now time.Time, source string, report MoveReport) {
 	known, isKnown := m.peers[source]
 	if !isKnown && len(m.peers) >= maxSources {
 		return
@@ -46,6 +51,7 @@
 	}
 	known.Sent, known.NewSent = max(known.Sent, report.Sent), max(known.NewSent, report.NewSent)
 	known.HasHistory = known.HasHistory || report.HasHistory
+	known.Handover = m.mergeHandover(now, source, known.Handover, report.Handover)
 	for route, r := range report.Results {
 		last, isKnown := known.Results[route]
 		// One more route may stand for those beyond maxMoveRoutes.
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -85,6 +85,8 @@
 type FleetView struct {
 	// OldUsable and NewUsable are the numbers of servers that take requests.
 	OldUsable, NewUsable int
+	// Left is what this entry still runs at the old version.
+	Left Unrepeatable
 	// Rank is the rank of this entry as leader. The first leads, and the second makes up for one
 	// that has just ended. The others only follow.
 	Rank int
@@ -125,6 +127,8 @@
 
 	own   MoveReport
 	peers map[string]MoveReport
+	// heardAt is when each peer last reported.
+	heardAt map[string]time.Time
 	// reportedRoutes is the number of routes reported so far, repetitions included.
 	reportedRoutes int
 
@@ -148,6 +152,7 @@
 		Order: order, From: from, limits: limits, began: now.Add(left - order.Duration), deadline: now.Add(left),
 		hasHistory: hasHistory, createdAt: now, offset: random,
 		own: MoveReport{HasHistory: hasHistory, Results: make(map[Route]RouteResults)}, peers: make(map[string]MoveReport),
+		heardAt: make(map[string]time.Time),
 	}
 	if !hasHistory {
 		m.spent = m.usableFraction(now)
@@ -202,7 +207,7 @@
 		return []wigeonfork.Version{m.Order.To}
 	case m.stage == StageTrial && m.mayTry(now):
 		return []wigeonfork.Version{m.Order.To, m.From}
-	case m.stage == StageTrial && m.confirmed && m.timeIsUp(now, 0) && m.unfit() == "":
+	case m.handsOver(now):
 		return []wigeonfork.Version{m.Order.To, m.From}
 	case m.stage == StageTrial && m.confirmed && m.timeIsUp(now, 0) && m.triedWell():
 		// The old servers may have ended with a completion that is not known here yet.
@@ -310,28 +315,37 @@
 	return Totals{}
 }
 
-// Step judges the version and takes the steps that are due. It returns whether the stage rose.
-func (m *ServiceMove) Step(now time.Time, view FleetView) bool {
+// StepResult is what a step changed.
+type StepResult struct {
+	// Rose is set if the stage rose, and HandedOver if the handover began or left nothing at the old version. The
+	// peers are to be told of either at once.
+	Rose, HandedOver bool
+}
+
+// Step judges the version and takes the steps that are due.
+func (m *ServiceMove) Step(now time.Time, view FleetView) StepResult {
 	before := m.stage
 	m.enoughServers = float64(view.NewUsable) >= minCapacity*float64(view.OldUsable)
 	if m.stage == StageTrial {
 		m.judge(now)
 	}
+	handedOver := m.recordHandover(now, view.Left)
 	if m.stage == StageTrial && m.confirmed && IsLeader(view.Rank) && m.timeIsUp(now, view.Rank) {
 		m.decide(now, view)
 	}
-	return m.stage > before
+	return StepResult{Rose: m.stage > before, HandedOver: handedOver}
 }
 
 // decide decides when the time is up: a version that is unfit is stopped, and another one is completed
-// after the handover.
+// after the handover, once nothing is left at the old version that would be cut.
 func (m *ServiceMove) decide(now time.Time, view FleetView) {
 	if reason := m.unfit(); reason != "" {
 		m.stage = StageStopped
 		m.reason = fmt.Sprintf("%s at the deadline; it has %d servers, the old version %d", reason, view.NewUsable, view.OldUsable)
 		return
 	}
-	m.finishing = m.finishing || m.timeIsUp(now.Add(-m.atMostStep(maxHandover)), view.Rank)
+	handedOver := m.timeIsUp(now.Add(-m.atMostStep(maxHandover)), view.Rank)
+	m.finishing = m.finishing || handedOver && !m.isHeldUp(now)
 }
 
 // unfit returns why the version may not be completed, or an empty text if it may be.
--- a/rollout/service_move_cases_test.go
+++ b/rollout/service_move_cases_test.go
@@ -114,7 +114,7 @@
 			m := NewServiceMove(moveStart.Add(5*time.Second), moveOrder, oldVersion, moveOrder.Duration-5*time.Second, moveLimits, false, 0.5)
 			m.SetEntries(2)
 			m.Advance(StageTrial, "")
-			m.Merge("a", MoveReport{HasHistory: known})
+			m.Merge(moveStart, "a", MoveReport{HasHistory: known})
 			m.Timed(newVersion, moveRoute, false)
 			m.Step(end, manyUsable)
 			So(m.Finished(), ShouldEqual, known)
--- a/rollout/service_move_test.go
+++ b/rollout/service_move_test.go
@@ -152,7 +152,7 @@
 		stage, reason := from.Stage()
 		for k, to := range s.moves {
 			if k != i {
-				to.Merge(string(rune('a'+i)), report)
+				to.Merge(s.now, string(rune('a'+i)), report)
 				to.Advance(stage, reason)
 			}
 		}
@@ -252,7 +252,7 @@
 		m := newTestMove(1, 0.5)
 		So(m.Advance(StageStopped, "x"), ShouldBeTrue)
 		So(m.Advance(StageTrial, ""), ShouldBeFalse)
-		So(m.Step(end, manyUsable), ShouldBeFalse)
+		So(m.Step(end, manyUsable).Rose, ShouldBeFalse)
 		So(m.Preference(end), ShouldResemble, []wigeonfork.Version{oldVersion})
 		So(m.Allows(end, newVersion), ShouldBeFalse)
 		So(m.BackupVersion(), ShouldEqual, oldVersion)
@@ -311,12 +311,12 @@
 			return MoveReport{Sent: sent, Results: map[Route]RouteResults{moveRoute: {Failures: Totals{NewTotal: sent, NewBad: bad, OldTotal: 1000}}}}
 		}
 		m := newTestMove(1, 0.5)
-		m.Merge("a", report(40, 1))
+		m.Merge(moveStart, "a", report(40, 1))
 		m.Step(moveStart.Add(moveOrder.Duration/2), manyUsable)
-		m.Merge("a", report(10, 0))
+		m.Merge(moveStart, "a", report(10, 0))
 		m.Step(moveStart.Add(moveOrder.Duration/2), manyUsable)
 		So(m.all.Failures.NewTotal, ShouldEqual, 40)
-		m.Merge("b", report(math.MaxUint32, math.MaxUint32/2))
+		m.Merge(moveStart, "b", report(math.MaxUint32, math.MaxUint32/2))
 		m.Step(moveStart.Add(moveOrder.Duration/2), manyUsable)
 		stage, _ := m.Stage()
 		So(stage, ShouldEqual, StageStopped)
@@ -335,7 +335,7 @@
 		for r := range maxMoveRoutes {
 			report.Results[Route(rune('a'+r))] = RouteResults{Failures: Totals{NewTotal: 3, NewBad: 1, OldTotal: 30}}
 		}
-		m.Merge(string(rune('A'+i)), report)
+		m.Merge(moveStart, string(rune('A'+i)), report)
 	}
 	b.ReportAllocs()
 	for range b.N {
