Ask for no body that is refused already

Cause: a body that found no room was discarded before the refusal was sent, also where its caller waits for 100 Continue, who was asked for it by that. Change: what was announced and not begun is left unread. Lost servers only are looked at for a proof of their service. Measured: TestRefusedBodyIsNotAskedFor fails before (100 Continue in place of 503).

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -262,7 +262,7 @@
 	}
 	body, err := c.gatherBody(limit)
 	c.body = body
-	c.unread = errors.Is(err, memquota.ErrTooLarge) || errors.Is(err, memquota.ErrExceeded)
+	c.unread = c.leavesUnread(err)
 	switch {
 	case errors.Is(err, memquota.ErrTooLarge):
 		return problem.New(problem.CodeTooLarge, problem.RunNot, problem.StepAccept, "body has more than %d bytes", limit)
@@ -274,6 +274,15 @@
 	return nil
 }
 
+// leavesUnread reports whether the caller may be sending the rest of its body after gatherBody. A body of announced length
+// that is refused was not read at all, so that a caller who waits for 100 Continue sends none.
+func (c *call) leavesUnread(err error) bool {
+	if !errors.Is(err, memquota.ErrTooLarge) && !errors.Is(err, memquota.ErrExceeded) {
+		return false
+	}
+	return c.r.ContentLength < 0 || sendsBody(c.r)
+}
+
 // gatherBody reads a body of at most limit bytes, counted for its workspace.
 func (c *call) gatherBody(limit int64) ([]byte, error) {
 	hold := c.held.Begin(memquota.CallerBody, c.bodyOwner())
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -100,9 +100,11 @@
 	bootNow := bootClock()
 	var due []directory.Entry
 	for id, entry := range f.entries {
-		watches := assignment.Covers(loadshare.HashServer(id)) || f.provesServiceLocked(id, bootNow, reuseAfter)
-		if f.servers.State(id) == health.Down && f.servers.ProbeDue(now, id, watches) {
-			due = append(due, entry)
+		if f.servers.State(id) == health.Down {
+			watches := assignment.Covers(loadshare.HashServer(id)) || f.provesServiceLocked(id, bootNow, reuseAfter)
+			if f.servers.ProbeDue(now, id, watches) {
+				due = append(due, entry)
+			}
 		}
 		if f.servers.DecayFailureRate(now, id) {
 			f.updateRouter(now, id)
