Take a refusal for no sign of life of the server that was asked

Found by tracing a late adoption. A server of another service that has got a lost one's address refuses requests for that one (421, or 503 if it is full). That refusal was recorded as a sign of the lost server's life, which proves that whatever answers at the address now is of the same service; the stranger could then be adopted and get requests of callers (rule ROUTE). Change: only the answer of a request that has run counts, since a server runs only requests that name it. A refusal as misdirected no longer says that the server is up, nor what its load is.

--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -68,6 +68,8 @@
 type Reply struct {
 	// NotRun says that the server did not and will not run the request.
 	NotRun bool
+	// Misdirected says that the request was for another server than the answering one.
+	Misdirected bool
 	// Request is the id of the request that is answered.
 	Request wigeonfork.RequestID
 	// Signed says that the answer bears the signature of a server.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -237,16 +237,22 @@
 	f.router.Failed(now, p.ID, work)
 }
 
-// recordAnswer records the head of an answer to a request sent at sentAt. load is nil
-// if the answer has no load report.
-func (f *fleet) recordAnswer(now, sentAt time.Time, p *placement, load *Load) {
+// recordAnswer records the head of an answer to a request sent at sentAt. A refusal may be that of another server at the
+// address, which need not look for whom the request is before it refuses. So it is no sign of life, and one that says that
+// it was misdirected says nothing else of the server either.
+func (f *fleet) recordAnswer(now, sentAt time.Time, p *placement, reply *Reply) {
+	if reply.Misdirected {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.signs.Saw(p.ID)
+	if !reply.NotRun {
+		f.signs.Saw(p.ID)
+	}
 	if f.servers.Answered(sentAt, p.ID) {
 		f.router.SetState(now, p.ID, routing.StateReady)
 	}
-	if load != nil {
+	if load := reply.Load; load != nil {
 		f.router.Report(now, p.ID, backend.LoadReport{
 			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, MeasuredAt: now,
 		})
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -292,7 +292,7 @@
 	if result.err = c.checkOwner(&reply, response); result.err != nil {
 		return
 	}
-	c.fleet.recordAnswer(time.Now(), response.SentAt, result.place, reply.Load)
+	c.fleet.recordAnswer(time.Now(), response.SentAt, result.place, &reply)
 	c.limits.observe(result.place, &reply)
 	c.observeLeaving(result.place, &reply)
 	c.pauses.observe(result.place, response, &reply)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -133,7 +133,7 @@
 		s.fleet.recordResult(time.Now(), t.place, true)
 		return runLost, err
 	}
-	s.fleet.recordAnswer(time.Now(), response.SentAt, t.place, reply.Load)
+	s.fleet.recordAnswer(time.Now(), response.SentAt, t.place, &reply)
 	s.limits.observe(t.place, &reply)
 	s.observeLeaving(t.place, &reply)
 	s.pauses.observe(t.place, response, &reply)
