Ask who answers at an address once a request was refused there

Callers saw: after a crash the pool stayed short of a server until the registry told of its successor, seconds later. Cause, by the log of both gateways: the successor answered a request for its predecessor with 421 before the loss was known; the predecessor was marked as replaced, and a replaced server is not probed, so nobody asked who answers there. One wrong 421 of a sound server took it out of use in the same way, and cut the runs there. Ruled out: a lost datagram (no gateway adopted, so none was sent), the proof of the service (a sign of life was there). Change: a 421 makes the server Down and asks at once who answers there. Its own id brings it back and its runs go on; another id ends them, and is adopted if that is proved. Probes go on until one of the two is known.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -53,6 +53,8 @@
 	onReturned func(time.Time, directory.Entry)
 	// probe starts a probe of a suspected server.
 	probe func(directory.Entry)
+	// identify starts to ask which server answers at the address of one.
+	identify func(directory.Entry)
 	// announce queues a message to the peers.
 	announce func(loadshare.Message)
 
@@ -84,6 +86,7 @@
 		isLimited:  func(serverID) bool { return false },
 		onLost:     func(time.Time, directory.Entry) {},
 		onReturned: func(time.Time, directory.Entry) {},
+		identify:   func(directory.Entry) {},
 		directory:  directory.New(),
 		router:     routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
 		servers:    health.NewServers(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,7 @@
 	g.moves = newVersionMoves(g)
 	g.fleet.versions = g.moves
 	g.fleet.probe = func(entry directory.Entry) { go g.probe(entry) }
+	g.fleet.identify = func(entry directory.Entry) { go g.checkRecovery(entry) }
 	if options.PeerConn != nil && options.Registry != nil {
 		g.gossip = newGossiper(g)
 	}
--- a/gateway/losses.go
+++ b/gateway/losses.go
@@ -58,7 +58,24 @@
 	f.probe(f.entries[id])
 }
 
-// markReplaced records that another server answers at a server's address.
+// misdirected records that another server has refused a request for a server at its address. Which one answers there is
+// asked at once: one that has restarted may be adopted, and a single wrong refusal must not end the server.
+func (f *fleet) misdirected(now time.Time, id serverID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entry, known := f.entries[id]
+	if !known {
+		return
+	}
+	f.markLostLocked(now, id, "replaced", nil)
+	f.servers.Misdirected(id)
+	if now.Sub(f.probedAt[id]) >= minProbeInterval {
+		f.probedAt[id] = now
+		f.identify(entry)
+	}
+}
+
+// markReplaced records that it is known which other server answers at a server's address.
 func (f *fleet) markReplaced(now time.Time, id serverID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -355,7 +355,7 @@
 		return
 	}
 	if result.status == http.StatusMisdirectedRequest {
-		p.fleet.markReplaced(now, result.place.ID)
+		p.fleet.misdirected(now, result.place.ID)
 		return
 	}
 	if !isCrowdedOut(result.err) {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -56,7 +56,7 @@
 		g.options.Log.Info().Str("server", string(entry.ID)).Err(err).Msg("server_not_identified")
 	case id == entry.ID:
 		g.confirmSameStart(entry)
-		g.fleet.probeAnswered(now, sentAt, entry.ID)
+		g.fleet.confirmed(now, sentAt, entry.ID)
 	default:
 		g.adopt(now, entry, id, since)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -139,7 +139,7 @@
 	s.pauses.observe(t.place, response, &reply)
 	if reply.NotRun {
 		if response.Status == http.StatusMisdirectedRequest {
-			s.fleet.markReplaced(time.Now(), t.place.ID)
+			s.fleet.misdirected(time.Now(), t.place.ID)
 		}
 		return runNotRun, errors.Newf("refused with status %d: %s", response.Status, refusalText(response.Body))
 	}
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -144,6 +144,15 @@
 	f.answeredLocked(now, sentAt, id)
 }
 
+// confirmed records that a server itself answered at its address what was sent at sentAt.
+func (f *fleet) confirmed(now, sentAt time.Time, id serverID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers.Confirmed(id)
+	f.streams.ServerResponded(now, id)
+	f.answeredLocked(now, sentAt, id)
+}
+
 // answeredLocked records that a server answered what was sent at sentAt. If it was lost, it takes
 // requests again, and the peers are told.
 func (f *fleet) answeredLocked(now, sentAt time.Time, id serverID) {
--- a/gateway/watched_runs_test.go
+++ b/gateway/watched_runs_test.go
@@ -62,6 +62,20 @@
 			f.maintain(silent.Add(maintenanceInterval), loadshare.WatchAssignment{}, 0)
 			So(ended, ShouldBeNil)
 		})
+		// Guards against sound streams that are cut since one refusal of their server was wrong.
+		Convey("It goes on while it is only claimed that another server answers at the address", func() {
+			var asked []serverID
+			f.identify = func(entry directory.Entry) { asked = append(asked, entry.ID) }
+			for range 3 {
+				f.misdirected(silent, "i-1")
+			}
+			So(ended, ShouldBeNil)
+			So(asked, ShouldResemble, []serverID{"i-1"})
+			So(f.alive("i-1"), ShouldBeFalse)
+			f.confirmed(silent.Add(2*time.Millisecond), silent.Add(time.Millisecond), "i-1")
+			So(f.alive("i-1"), ShouldBeTrue)
+			So(ended, ShouldBeNil)
+		})
 		Convey("It ends if another server answers at the address", func() {
 			f.markReplaced(silent, "i-1")
 			So(ended, ShouldEqual, errServerReplaced)
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -45,6 +45,26 @@
 		So(s.ProbeDue(at(9000), "a0", true), ShouldBeFalse)
 		So(s.Answered(at(9000), "a0"), ShouldBeFalse)
 	})
+	// Guards against a restarted server that nobody identifies, since it refused a request for its predecessor.
+	Convey("A server for which another one has refused a request is probed until it is known which", t, func() {
+		s := servers(1)
+		s.Lost(at(0), "a0")
+		s.Misdirected("a0")
+		So(s.ProbeDue(at(400), "a0", true), ShouldBeTrue)
+		So(s.Answered(at(900), "a0"), ShouldBeFalse)
+		So(s.State("a0"), ShouldEqual, Down)
+		Convey("It stays down once that is known", func() {
+			s.Replaced("a0")
+			s.Confirmed("a0")
+			So(s.ProbeDue(at(9000), "a0", true), ShouldBeFalse)
+			So(s.Answered(at(9000), "a0"), ShouldBeFalse)
+		})
+		Convey("It is up again if it responds there itself", func() {
+			s.Confirmed("a0")
+			So(s.Answered(at(900), "a0"), ShouldBeTrue)
+			So(s.State("a0"), ShouldEqual, Up)
+		})
+	})
 	Convey("Two losses at once make the other servers of the failure domain suspect, and no others", t, func() {
 		s := servers(4)
 		_, suspects := s.Lost(at(0), "a0")
--- a/health/servers.go
+++ b/health/servers.go
@@ -79,8 +79,9 @@
 	state   State
 	lostAt  time.Time
 	probeAt time.Time
-	// replaced means that another server responds at the server's address.
-	replaced bool
+	// misdirected means that another server responds at the server's address, and replaced that it is known which.
+	misdirected bool
+	replaced    bool
 	// peerLostAt is when a peer last reported the server lost.
 	peerLostAt time.Time
 	// lostByPeers means that peers lost the server too. recoveredAtPeer means that a peer
@@ -170,8 +171,24 @@
 	return true, s.suspectDomain(now, known)
 }
 
-// Replaced records that another server responds at the address of a server. The replaced one
-// stays Down until it registers again.
+// Misdirected records that another server has refused a request for a server at its address. The
+// server is Down, whatever responds there, until Confirmed. It is probed until Replaced.
+func (s *Servers) Misdirected(id ID) {
+	if known := s.servers[id]; known != nil {
+		s.setState(known, Down)
+		known.misdirected = true
+	}
+}
+
+// Confirmed records that it is the server itself that responds at its address.
+func (s *Servers) Confirmed(id ID) {
+	if known := s.servers[id]; known != nil && !known.replaced {
+		known.misdirected = false
+	}
+}
+
+// Replaced records that it is known which other server responds at the address of a server. The
+// replaced one stays Down until it registers again.
 func (s *Servers) Replaced(id ID) {
 	if known := s.servers[id]; known != nil {
 		s.setState(known, Down)
@@ -183,7 +200,7 @@
 // It returns whether this changed the state from Down or Suspect to Up.
 func (s *Servers) Answered(sent time.Time, id ID) bool {
 	known := s.servers[id]
-	if known == nil || known.replaced || known.state != Down && known.state != Suspect || sent.Before(known.lostAt) {
+	if known == nil || known.replaced || known.misdirected || known.state != Down && known.state != Suspect || sent.Before(known.lostAt) {
 		return false
 	}
 	s.setState(known, Up)
