Date a sign of life by the request, not by what was read

Only standstills of the process itself were allowed for. Change: the sign is dated by the sending of a request that the server then ran and answered. That holds whatever is delayed, so the ticks that looked for standstills go. The property test draws delays of any length in both directions in their place. Tests: TestSignOfLifeIsAsOldAsTheRequest fails on the parent (a sign 40 ms old from an event that may be of any age). Fewer servers can be adopted early.

--- a/directory/alive_test.go
+++ b/directory/alive_test.go
@@ -11,48 +11,42 @@
 	"github.com/wigeonfork/wigeonfork/freshness"
 )
 
-// tickInterval is the time between two ticks of a process that runs steadily.
-const tickInterval = 40 * time.Millisecond
-
-// Guards against a server of another service that is taken for the successor of a lost one, since bytes of the lost one
-// were read late.
+// Guards against a server of another service that is taken for the successor of a lost one, since bytes of the lost one were
+// read late: the network held them up, or this process stood still.
 func TestSignsOfLifeAreNeverLaterThanTheServer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string, most time.Duration) freshness.Instant {
+			return freshness.Instant(rapid.Int64Range(0, int64(most)).Draw(t, name))
+		}
 		s := NewSignsOfLife()
-		now := freshness.Instant(time.Hour)
-		diedAt := now + freshness.Instant(rapid.IntRange(0, 8000).Draw(t, "died_ms"))*freshness.Instant(time.Millisecond)
-		// readLateUntil is when bytes that waited while the process stood still have been read at the latest.
-		var readLateUntil freshness.Instant
-		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			gap := tickInterval
-			if rapid.IntRange(0, 20).Draw(t, "frozen") == 0 {
-				gap = time.Duration(rapid.IntRange(0, 5000).Draw(t, "gap_ms")) * time.Millisecond
-			}
-			ran := now < diedAt
-			now += freshness.Instant(gap)
-			if ran && gap > maxTickGap {
-				readLateUntil = now + freshness.Instant(settleTime)
-			}
-			s.Tick(now)
-			if ran || now < readLateUntil {
-				s.Saw("i-1")
-			}
-			if since, known := s.Since(now, "i-1"); known && freshness.Instant(since) < now-diedAt {
-				t.Fatalf("the last sign of life was %v ago, the server ended %v ago", since, time.Duration(now-diedAt))
+		start := freshness.Instant(time.Hour)
+		diedAt := start + draw("died", 8*time.Second)
+		checkedAt := start
+		for range rapid.IntRange(1, 50).Draw(t, "requests") {
+			sentAt := start + draw("sent", 12*time.Second)
+			if reachedAt := sentAt + draw("way there", time.Second); reachedAt > diedAt {
+				continue
 			}
+			// The answer may be held up for longer than the server lives.
+			s.Answered("i-1", sentAt)
+			checkedAt = max(checkedAt, sentAt+draw("until it was read", 20*time.Second))
+		}
+		since, known := s.Since(checkedAt, "i-1")
+		if known && freshness.Instant(since) < checkedAt-diedAt {
+			t.Fatalf("the last sign of life was %v ago, the server ended %v ago", since, time.Duration(checkedAt-diedAt))
+		}
+		if proved := known && ProvesService(since, 2*time.Second); proved && checkedAt-diedAt >= freshness.Instant(2*time.Second) {
+			t.Fatalf("the service is proved %v after the end of the server", time.Duration(checkedAt-diedAt))
 		}
 	})
 }
 
 func TestServiceIsProvedOnlyBeforeTheAddressIsReused(t *testing.T) {
-	Convey("A steady process proves it until the reuse limit", t, func() {
+	Convey("The last sign of life proves it until the reuse limit", t, func() {
 		s := NewSignsOfLife()
 		now := freshness.Instant(time.Hour)
-		for range 50 {
-			now += freshness.Instant(tickInterval)
-			s.Tick(now)
-			s.Saw("i-1")
-		}
+		s.Answered("i-1", now)
+		s.Answered("i-1", now-freshness.Instant(time.Second))
 		for _, c := range []struct {
 			after  time.Duration
 			proved bool
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/freshness"
 	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/routetable"
@@ -25,8 +26,10 @@
 	// the last token.
 	expectedWait  time.Duration
 	expectedTotal time.Duration
-	// sentAt is when the request was sent.
-	sentAt time.Time
+	// sentAt is when the request was sent, and bootSentAt the same by a clock that counts the time for which the host is
+	// suspended.
+	sentAt     time.Time
+	bootSentAt freshness.Instant
 	// unstarted is set while the server is not charged with the work yet, as its limit must allow the request first.
 	unstarted bool
 }
@@ -250,7 +253,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !reply.NotRun {
-		f.signs.Saw(p.ID)
+		f.signs.Answered(p.ID, p.bootSentAt)
 	}
 	if f.servers.Answered(sentAt, p.ID) {
 		f.router.SetState(now, p.ID, routing.StateReady)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -252,6 +252,7 @@
 	}
 	request := c.newRequest(now, place, &Attempt{})
 	request.FreshConnection = !c.route.Idempotent()
+	place.bootSentAt = bootClock()
 	response, err := c.pool.Do(ctx, place.upstream(), request)
 	if err != nil {
 		result.err = err
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -54,6 +54,7 @@
 	request := s.newRequest(now, t.place, s.newAttempt(now, t))
 	// A server that has refused the stream may repeat that refusal on the connection.
 	request.FreshConnection = !s.route.Idempotent() || slices.Contains(s.tried, t.place.ID)
+	t.place.bootSentAt = bootClock()
 	response, err := s.pool.Do(ctx, t.place.upstream(), request)
 	if err != nil {
 		s.fleet.failed(time.Now(), t.place, s.work)
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -43,7 +43,6 @@
 			g.partGuard.settle(now)
 			g.trials.renew(now)
 			g.limits.tick()
-			g.fleet.tick(bootClock())
 			for _, entry := range g.fleet.sweep(now) {
 				go g.probe(entry)
 			}
@@ -113,13 +112,6 @@
 	return due
 }
 
-// tick tells the time to the signs of life.
-func (f *fleet) tick(now freshness.Instant) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.signs.Tick(now)
-}
-
 // provesServiceLocked reports whether a server that answers now at the address of a lost one must be of its service.
 func (f *fleet) provesServiceLocked(id serverID, now freshness.Instant, reuseAfter time.Duration) bool {
 	since, seen := f.signs.Since(now, id)
--- a/gateway/watched_runs.go
+++ b/gateway/watched_runs.go
@@ -50,9 +50,6 @@
 	defer f.mu.Unlock()
 	f.streams.Event(now, id)
 	run := f.runs[id]
-	if run != nil {
-		f.signs.Saw(run.server.ID)
-	}
 	if run == nil || run.ended || run.suspicion == nil {
 		return
 	}
