--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -72,8 +72,10 @@
 	Misdirected bool
 	// Request is the id of the request that is answered.
 	Request wigeonfork.RequestID
-	// Signed says that the answer bears the signature of a server.
+	// Signed says that the answer bears the signature of one server.
 	Signed bool
+	// Encoded says that the body has a content encoding. Callers ask for none, so it is not what a server made.
+	Encoded bool
 	// Server is the id of the answering server; empty if it is not given.
 	Server wigeonfork.BackendServerID
 	// Load is nil if the server does not report it.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -324,7 +324,9 @@
 	case reply.Request == "" && (response.Reused || !reply.NotRun):
 		return errors.Wrapf(errUnproved, "status %d without the request's id", response.Status)
 	case !reply.Signed && !reply.NotRun:
-		return errors.Wrapf(errUnproved, "status %d without signature", response.Status)
+		return errors.Wrapf(errUnproved, "status %d without one signature", response.Status)
+	case reply.Encoded && !reply.NotRun:
+		return errors.Wrapf(errUnproved, "status %d with an encoded body", response.Status)
 	}
 	return nil
 }
