Pass on as a stream only what can be events of one

Cause: a success of another type was taken for the server's answer while no event had been sent; an event without id was refused only after another; lines of an event were not looked at. Change: a success on such a route is an event stream, each event has an id, each line is a field with a value or a comment. What is not so is a failure of the server, and the stream goes on elsewhere by its kind.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -36,6 +36,12 @@
 
 var idField = []byte("id:")
 
+// errNoField means that a line of an event stream is neither a field nor a comment, so that the bytes are none of a stream.
+var errNoField = errors.New("a line of the stream is no field")
+
+// isField reports whether a line of an event is a field or a comment. All servers give each field a value.
+func isField(line []byte) bool { return bytes.IndexByte(line, ':') >= 0 }
+
 func newEventReader(body io.Reader, hold *memquota.Hold) *eventReader {
 	return &eventReader{in: bufio.NewReader(body), hold: hold}
 }
@@ -83,6 +89,9 @@
 			event.Raw = e.buf
 			return event, nil
 		}
+		if !isField(line) {
+			return event, errNoField
+		}
 		event.Comment = event.Comment && line[0] == ':'
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			if event.ID, err = strconv.ParseUint(string(bytes.TrimSpace(id)), 10, 64); err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -171,8 +171,8 @@
 	return err == nil && mediaType == eventStreamType
 }
 
-// relayAnswer handles an answer that is not a stream of events. It is the answer to the caller only if no event
-// has been sent before, by this gateway or by another.
+// relayAnswer handles an answer that is not a stream of events. It is the answer to the caller only if it is no success,
+// which only events are, and if no event has been sent before by this gateway.
 func (s *streamCall) relayAnswer(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	result := &sendResult{outcome: sendUnknown, place: t.place}
 	s.readAnswer(response, result)
@@ -182,13 +182,13 @@
 	if result.outcome != sendAnswered {
 		return s.exchangeFailed(ctx, t, result.err)
 	}
-	begun := s.headSent || s.lastEvent > 0
-	failed := result.status >= http.StatusInternalServerError || begun && result.status == http.StatusOK
+	success := result.status < http.StatusMultipleChoices
+	failed := success || result.status >= http.StatusInternalServerError
 	s.moves.answered(t.place, s.route.Name, failed)
 	s.moves.drop(s.timed)
 	s.fleet.recordResult(time.Now(), t.place, failed)
 	if failed || s.headSent {
-		if result.status != http.StatusOK {
+		if !success {
 			s.failure = result
 		}
 		return runFailed, errors.Newf("status %d", result.status)
@@ -220,6 +220,10 @@
 		if isOversized(err) {
 			return s.oversized(t, err)
 		}
+		if errors.Is(err, errNoField) {
+			s.fleet.recordResult(time.Now(), t.place, true)
+			return runLost, err
+		}
 		if err != nil {
 			return s.exchangeFailed(ctx, t, err)
 		}
@@ -236,7 +240,7 @@
 		if event.ID != 0 && event.ID <= s.lastEvent {
 			continue
 		}
-		if event.ID == 0 && s.lastEvent > 0 {
+		if event.ID == 0 {
 			s.fleet.recordResult(now, t.place, true)
 			return runLost, errors.Newf("an event without id came after event %d", s.lastEvent)
 		}
