Let an agent refuse generations that are for another backend server

An agent that has got the address of a lost one runs what an entry sends there until it learns of the loss, with the engine of another deployment that holds the same model and version. Change: a generation names its backend server; an agent that serves another one refuses it as not run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -99,6 +99,7 @@
 // initExecution creates the components that run generations and actions.
 func (a *Agent) initExecution() {
 	a.generations = &command.Generations{
+		Server:     a.options.BackendServer,
 		Engine:     a.options.Engine,
 		Table:      a.sessions,
 		Metrics:    a.options.Metrics,
--- a/agent/command/generate.go
+++ b/agent/command/generate.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/agent/session"
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
@@ -28,6 +29,8 @@
 
 // Generations starts the generations of one agent and streams them to entries.
 type Generations struct {
+	// Server is the backend server beside the agent.
+	Server  wigeonfork.BackendServerID
 	Engine  backend.Engine
 	Table   *session.Table
 	Metrics telemetry.Registry
@@ -70,6 +73,9 @@
 }
 
 func (g *Generations) start(call *agentapi.Generate) (*session.Session, *problem.Error) {
+	if call.BackendServer != g.Server {
+		return nil, problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepDispatch, "this address is that of backend server %s, not %s", g.Server, call.BackendServer)
+	}
 	ctx, cancel := context.WithCancel(g.Background)
 	s := session.New(call, time.Now(), cancel)
 	s.EngineIncarnation = g.EngineIncarnation()
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -35,6 +35,9 @@
 // Generate asks an agent to begin a generation. The response is a stream of
 // frames that starts at position len(Prefix).
 type Generate struct {
+	// BackendServer is the server that the generation is for. Another agent may have got the address since, and refuses it.
+	BackendServer wigeonfork.BackendServerID `json:"backend_server"`
+
 	RequestID  wigeonfork.RequestID  `json:"request_id"`
 	Generation wigeonfork.Generation `json:"generation"`
 	Workspace  wigeonfork.Workspace  `json:"workspace"`
--- a/entry/command/relay.go
+++ b/entry/command/relay.go
@@ -196,6 +196,7 @@
 	r.streamNumber = ""
 	ctx, cancel := context.WithCancel(r.ctx)
 	call := r.answer.Begin(now, placement.Agent, cancel)
+	call.BackendServer = placement.Server
 	call.Priority = r.Policy.Priority(call.Class, r.answer.Relay().Attempts() > 1)
 	if !r.leftSlowEngine && r.Fleet.Usable() > 1 {
 		r.answer.WatchSpeed(routing.NewWatch(now, placement.ExpectedGap, placement.ExpectedWait))
