Ask who answers at an address also after a refusal that has no id

Callers saw: as before, a restarted server unused until it registers. Cause, by the log of both gateways in a play that failed: the successor's 421 had no request id and came on a kept connection (the probe after the loss had left one), where an answer without the id is unproved. Since the first runs were lost with the predecessor, the server only counted as failing and got a request every two seconds; nobody asked who answers there, and the proof ran out.

--- a/gateway/losses.go
+++ b/gateway/losses.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -69,8 +70,23 @@
 	}
 	f.markLostLocked(now, id, "replaced", nil)
 	f.servers.Misdirected(id)
-	if now.Sub(f.probedAt[id]) >= minProbeInterval {
-		f.probedAt[id] = now
+	f.identifyLocked(now, entry)
+}
+
+// maybeMisdirected is misdirected for a refusal that may belong to an earlier request on its connection. It changes nothing
+// until it is known which server answers.
+func (f *fleet) maybeMisdirected(now time.Time, id serverID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if entry, known := f.entries[id]; known {
+		f.identifyLocked(now, entry)
+	}
+}
+
+// identifyLocked asks which server answers at the address of one, unless that was asked within minProbeInterval.
+func (f *fleet) identifyLocked(now time.Time, entry directory.Entry) {
+	if now.Sub(f.probedAt[entry.ID]) >= minProbeInterval {
+		f.probedAt[entry.ID] = now
 		f.identify(entry)
 	}
 }
