--- a/gateway/losses.go
+++ b/gateway/losses.go
@@ -73,12 +73,15 @@
 	f.identifyLocked(now, entry)
 }
 
-// maybeMisdirected is misdirected for a refusal that may belong to an earlier request on its connection. It changes nothing
-// until it is known which server answers.
-func (f *fleet) maybeMisdirected(now time.Time, id serverID) {
+// recordUnproved records an answer that may belong to an earlier request on its connection. One that says that the request
+// was misdirected changes nothing until it is known which server answers.
+func (f *fleet) recordUnproved(now time.Time, p *placement, reply *Reply) {
+	if !reply.Misdirected {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if entry, known := f.entries[id]; known {
+	if entry, known := f.entries[p.ID]; known {
 		f.identifyLocked(now, entry)
 	}
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -291,9 +291,7 @@
 func (c *call) readAnswer(response *upstream.Response, result *sendResult) {
 	reply := c.options.Codec.ParseReply(response.Status, response.Header)
 	if result.err = c.checkOwner(&reply, response); result.err != nil {
-		if reply.Misdirected {
-			c.fleet.maybeMisdirected(time.Now(), result.place.ID)
-		}
+		c.fleet.recordUnproved(time.Now(), result.place, &reply)
 		return
 	}
 	c.fleet.recordAnswer(time.Now(), response.SentAt, result.place, &reply)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -131,9 +131,7 @@
 func (s *streamCall) relay(ctx context.Context, t target, response *upstream.Response) (runEnd, error) {
 	reply := s.options.Codec.ParseReply(response.Status, response.Header)
 	if err := s.checkOwner(&reply, response); err != nil {
-		if reply.Misdirected {
-			s.fleet.maybeMisdirected(time.Now(), t.place.ID)
-		}
+		s.fleet.recordUnproved(time.Now(), t.place, &reply)
 		s.fleet.recordResult(time.Now(), t.place, true)
 		return runLost, err
 	}
