Rank requests by workspace and route, and note the parts for hard load

Cause: two deployments whose callers compete for too little room and whose servers differ in speed. The priorities of routes and workspaces are read and used by nothing; nobody counts what fits; the fourth figure of the load is dropped.

Nothing uses them yet.

--- a/ids.go
+++ b/ids.go
@@ -82,3 +82,10 @@
 	}
 	return ClassUnknown, errors.Newf("unknown class %q", name)
 }
+
+// Rank is the urgency of a request among those for the same service. 0 is the most
+// urgent.
+type Rank uint8
+
+// MaxRank is the least urgent rank.
+const MaxRank Rank = 255
--- a/routetable/routetable.go
+++ b/routetable/routetable.go
@@ -147,6 +147,7 @@
 	hosts    map[string]map[string]*Route
 	services map[wigeonfork.Model]*Service
 	keys     map[string]*Tenant
+	ranked   map[wigeonfork.Model]bool
 }
 
 // New returns a Table of spec. It fails on a route without a target or with a
@@ -171,6 +172,7 @@
 			t.keys[key] = &spec.Tenants[i]
 		}
 	}
+	t.ranked = t.rankedServices()
 	return t, nil
 }
 
@@ -220,6 +222,45 @@
 // Tenant returns the tenant that holds key, or nil.
 func (t *Table) Tenant(key string) *Tenant { return t.keys[key] }
 
+// Rank returns the rank of a request: the priority of its tenant if that has one, else
+// that of its route. tenant may be nil.
+func Rank(route *Route, tenant *Tenant) wigeonfork.Rank {
+	priority := route.Priority
+	if tenant != nil && tenant.HasPriority {
+		priority = tenant.Priority
+	}
+	return wigeonfork.Rank(min(max(priority, 0), int(wigeonfork.MaxRank)))
+}
+
+// Ranked reports whether requests for a service may differ in rank.
+func (t *Table) Ranked(service wigeonfork.Model) bool { return t.ranked[service] }
+
+// rankedServices returns the services that get requests of several ranks. A tenant with a
+// priority of its own may call every route that isn't public.
+func (t *Table) rankedServices() map[wigeonfork.Model]bool {
+	first := make(map[wigeonfork.Model]wigeonfork.Rank)
+	ranked := make(map[wigeonfork.Model]bool)
+	record := func(route *Route, tenant *Tenant) {
+		rank := Rank(route, tenant)
+		for _, target := range route.Targets {
+			if known, ok := first[target.Service]; ok && known != rank {
+				ranked[target.Service] = true
+			}
+			first[target.Service] = rank
+		}
+	}
+	for i := range t.spec.Routes {
+		route := &t.spec.Routes[i]
+		record(route, nil)
+		for k := range t.spec.Tenants {
+			if !route.Public {
+				record(route, &t.spec.Tenants[k])
+			}
+		}
+	}
+	return ranked
+}
+
 // Match returns the route of host with the longest prefix that matches path, or nil.
 // A port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
--- a/routing/types.go
+++ b/routing/types.go
@@ -89,6 +89,8 @@
 	Resume bool
 	// Deadline is the time by which the answer is due; zero means none.
 	Deadline time.Time
+	// Rank is the request's urgency.
+	Rank wigeonfork.Rank
 }
 
 // Decision is the outcome of Choose.
@@ -108,6 +110,10 @@
 	Avoided bool
 	// MissesDeadline is set if the answer is predicted to miss the deadline.
 	MissesDeadline bool
+	// NoRoom is set if the server has no room for the request. RoomIn is the predicted
+	// time until it has.
+	NoRoom bool
+	RoomIn time.Duration
 }
 
 // Work is the load that a request causes on its server. Started and then
@@ -120,6 +126,8 @@
 	// HasBackup is set if the server holds a backup of the request, so that no prompt
 	// tokens are prefilled.
 	HasBackup bool
+	// Rank is the request's urgency.
+	Rank wigeonfork.Rank
 }
 
 // tokens returns the largest KV cache size of the request.
