--- /dev/null
+++ b/test/hostile/crowd_test.go
@@ -0,0 +1,136 @@
+package hostile
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// mode is what the callers of a crowd send.
+type mode struct {
+	name string
+	// heads are the beginnings of heads; caller n sends that with index n modulo their number.
+	heads []head
+}
+
+// head is the beginning of a head, and what follows it.
+type head struct {
+	first string
+	// next returns the piece with index n of what follows.
+	next func(n int) string
+	// bytes are sent on each of so many connections, in bytes.
+	bytes, connections int
+	// ends is set if the head ends after these bytes.
+	ends bool
+}
+
+const requestLine = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n"
+
+func repeated(text string) func(int) string {
+	piece := strings.Repeat(text, 1+1024/len(text))
+	return func(int) string { return piece }
+}
+
+// shortLines are short lines that all differ, which take many times their size once they are read.
+func shortLines(n int) string { return fmt.Sprintf("%x:\r\n", n) }
+
+func stopping(first string, next func(int) string) head {
+	return head{first: first, next: next, bytes: slowHeadBytes, connections: 1}
+}
+
+func flooding(first string, next func(int) string) head {
+	return head{first: first, next: next, bytes: floodBytes, connections: floodConnections}
+}
+
+var modes = []mode{
+	{"one line that stops below the limit", []head{stopping(requestLine+"A: ", repeated("x"))}},
+	{"short lines that stop below the limit", []head{stopping(requestLine, shortLines)}},
+	{"a target that stops below the limit", []head{stopping("GET /", repeated("x"))}},
+	{"heads over the limit", []head{{first: requestLine, next: repeated("A: b\r\n"), bytes: 2 * maxHeaderBytes, connections: floodConnections, ends: true}}},
+	{"lines without end", []head{flooding(requestLine, shortLines)}},
+	{"target without end", []head{flooding("GET /", repeated("x"))}},
+	{"version without end", []head{flooding("GET / HTTP/1.1", repeated("1"))}},
+	{"empty lines without end", []head{flooding("", repeated("\r\n"))}},
+}
+
+// mixed has callers of each mode.
+var mixed = func() mode {
+	m := mode{name: "all of them"}
+	for _, other := range modes {
+		m.heads = append(m.heads, other.heads...)
+	}
+	return m
+}()
+
+// crowd is a number of callers. Each keeps its last connection open until all have sent what they send.
+type crowd struct {
+	callers int
+	address string
+	mode    mode
+	// arrived is called once all callers have sent what they send. It returns the number of descriptors of the process.
+	arrived     func(*testing.T) int
+	descriptors int
+}
+
+func (c *crowd) run(t *testing.T) {
+	conns := make([]net.Conn, c.callers)
+	var wait sync.WaitGroup
+	for i := range conns {
+		wait.Go(func() { conns[i] = c.mode.heads[i%len(c.mode.heads)].send(c.address) })
+	}
+	wait.Wait()
+	c.descriptors = c.arrived(t)
+	for _, conn := range conns {
+		if conn != nil {
+			conn.Close()
+		}
+	}
+}
+
+// send sends the head on each of its connections and returns the last one. A refused connection is one of them.
+func (h head) send(address string) (last net.Conn) {
+	for range h.connections {
+		if last != nil {
+			last.Close()
+		}
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			continue
+		}
+		last = conn
+		// The gateway may refuse the head and close.
+		_ = h.write(conn)
+	}
+	return last
+}
+
+// pieceBytes is the size of one write in bytes.
+const pieceBytes = 2 << 10
+
+func (h head) write(conn net.Conn) error {
+	if _, err := io.WriteString(conn, h.first); err != nil {
+		return err
+	}
+	var piece bytes.Buffer
+	for n, sent := 0, 0; sent < h.bytes; {
+		for piece.Reset(); piece.Len() < pieceBytes; n++ {
+			piece.WriteString(h.next(n))
+		}
+		sent += piece.Len()
+		if _, err := conn.Write(piece.Bytes()); err != nil {
+			return err
+		}
+	}
+	if h.ends {
+		if _, err := io.WriteString(conn, "\r\n"); err != nil {
+			return err
+		}
+		_, err := io.Copy(io.Discard, conn)
+		return err
+	}
+	return nil
+}
