Let each hostile caller wait for the end of its connection

The check of descriptors was wrong: what a caller writes waits in the buffers of the socket, so that a caller was done with ten connections before the gateway had read the first, and the bound of one descriptor a caller depended on the machine's speed. A caller now ends a connection and waits until the gateway has ended it before it opens the next. The bound stays.

--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -95,7 +95,7 @@
 func (h head) send(address string) (last net.Conn) {
 	for range h.connections {
 		if last != nil {
-			last.Close()
+			awaitEnd(last)
 		}
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
@@ -108,6 +108,15 @@
 	return last
 }
 
+// awaitEnd ends a connection and waits until the gateway has ended it too. What was written may wait in the buffers of the
+// socket, so that the gateway would otherwise have as many connections as it is slow.
+func awaitEnd(conn net.Conn) {
+	defer conn.Close()
+	// Errors mean that the gateway has ended the connection.
+	_ = conn.(*net.TCPConn).CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // pieceBytes is the size of one write in bytes.
 const pieceBytes = 2 << 10
 
