--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // mode is what the callers of a crowd send.
@@ -24,6 +25,8 @@
 	next func(n int) string
 	// bytes are sent on each of so many connections, in bytes.
 	bytes, connections int
+	// pause is the time after each piece.
+	pause time.Duration
 	// ends is set if the head ends after these bytes.
 	ends bool
 }
@@ -39,7 +42,7 @@
 func shortLines(n int) string { return fmt.Sprintf("%x:\r\n", n) }
 
 func stopping(first string, next func(int) string) head {
-	return head{first: first, next: next, bytes: slowHeadBytes, connections: 1}
+	return head{first: first, next: next, bytes: slowHeadBytes, connections: 1, pause: slowPause}
 }
 
 func flooding(first string, next func(int) string) head {
@@ -117,8 +120,13 @@
 	_, _ = io.Copy(io.Discard, conn)
 }
 
-// pieceBytes is the size of one write in bytes.
-const pieceBytes = 2 << 10
+const (
+	// pieceBytes is the size of one write in bytes.
+	pieceBytes = 2 << 10
+	// slowPause is the time between two writes of a head that is sent slowly, so that the gateway has read it before the
+	// caller leaves.
+	slowPause = 5 * time.Millisecond
+)
 
 func (h head) write(conn net.Conn) error {
 	if _, err := io.WriteString(conn, h.first); err != nil {
@@ -133,6 +141,7 @@
 		if _, err := conn.Write(piece.Bytes()); err != nil {
 			return err
 		}
+		time.Sleep(h.pause)
 	}
 	if h.ends {
 		if _, err := io.WriteString(conn, "\r\n"); err != nil {
