Count the heads of callers, and end those that hold most for longest

Cause: each head was bounded by 256 KiB, whatever the configuration said, and nothing counted all of them before they were complete. A head of short lines takes some 15 times its size, and the standard server keeps connections of too large heads for half a second each.

Change: httpserver.HeadGuard counts each head in memquota (kind caller_head) from its first byte to the end of the request, and bounds it by the configuration's max_header_bytes (256 KiB before the first one) while it arrives: 431. memquota.Heads, a decision type, bounds the incomplete ones to a quarter of the quota, three quarters of that for one address, and names those that go: 503, not run. While half of it is held, heads older than the header timeout get 408, and heads beyond 16 KiB are read on by turns. The balancer's listener and the lone legal head are as before.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/routetable"
 	"github.com/wigeonfork/wigeonfork/sockpeek"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 const (
@@ -16,8 +18,10 @@
 	// connection idle and take to send the head of a request. The configuration may allow more.
 	minIdleTimeout   = 2 * time.Minute
 	minHeaderTimeout = 5 * time.Second
-	// maxCallerHead bounds the head of a request in bytes. The configuration may allow less.
-	maxCallerHead = 256 << 10
+	// defaultMaxHead bounds the head of a request where the configuration sets no limit, or none is known yet, in bytes.
+	defaultMaxHead = 256 << 10
+	// incompleteHeadFraction is the fraction of the memory quota that may hold the heads that are not complete.
+	incompleteHeadFraction = 0.25
 )
 
 // callerConnections tracks the connections on which no complete head of a request has arrived since
@@ -62,13 +66,36 @@
 // configure makes a server that serves callers report its connections.
 func (c *callerConnections) configure(server *http.Server) {
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
-	server.MaxHeaderBytes = maxCallerHead
 	server.ConnState = func(conn net.Conn, state http.ConnState) { c.observe(time.Now(), conn, state) }
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, callerConnKey{}, conn)
 	}
 }
 
+// newHeadGuard returns the guard of the heads of callers' requests.
+func (g *Gateway) newHeadGuard() *httpserver.HeadGuard {
+	incomplete := int64(incompleteHeadFraction * float64(g.memory.Usage().Limit))
+	return httpserver.NewHeadGuard(g.memory, incomplete, g.maxHead, func(reason httpserver.HeadRefusal) {
+		telemetry.Counter(g.options.Metrics, "heads.refused_"+string(reason)).Inc(1)
+	})
+}
+
+// maxHead returns the limit on the head of a request in bytes.
+func (g *Gateway) maxHead() int64 {
+	if limit := g.callerLimits().MaxHeaderBytes; limit > 0 {
+		return limit
+	}
+	return defaultMaxHead
+}
+
+// callerLimits returns the limits of the configuration, or none before the first one.
+func (g *Gateway) callerLimits() routetable.Limits {
+	if table := g.config.table(); table != nil {
+		return table.Limits()
+	}
+	return routetable.Limits{}
+}
+
 // callerConnKey is the key of a caller's connection in the context of its requests.
 type callerConnKey struct{}
 
@@ -79,21 +106,19 @@
 		return false
 	}
 	conn, ok := c.r.Context().Value(callerConnKey{}).(net.Conn)
-	return !ok || sockpeek.Peek(conn) != sockpeek.Ended
+	return !ok || sockpeek.Peek(httpserver.Unwrap(conn)) != sockpeek.Ended
 }
 
 // connectionCheckInterval is the time between two searches for expired connections.
 const connectionCheckInterval = time.Second
 
-// expireCallerConnections closes the connections that callers have kept idle for too long, until the
-// gateway ends.
+// expireCallerConnections closes the connections that callers have kept idle for too long, and refuses heads that take too
+// long while memory for them is short, until the gateway ends.
 func (g *Gateway) expireCallerConnections() {
 	for g.pause(connectionCheckInterval) {
-		var limits routetable.Limits
-		if table := g.config.table(); table != nil {
-			limits = table.Limits()
-		}
-		for _, conn := range g.callerConns.expired(time.Now(), limits) {
+		limits, now := g.callerLimits(), time.Now()
+		g.callerHeads.EndOverdue(now, max(minHeaderTimeout, limits.HeaderTimeout))
+		for _, conn := range g.callerConns.expired(now, limits) {
 			// A connection that fails to close is closed by its own goroutine.
 			_ = conn.Close()
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,8 @@
 	server    *http.Server
 	// callerConns tracks the idle connections of server.
 	callerConns *callerConnections
+	// callerHeads bounds the heads of requests to server.
+	callerHeads *httpserver.HeadGuard
 	ready       *http.Server
 
 	configFollower  *follower
@@ -119,7 +121,9 @@
 	g.surveys = newSurveyor(g)
 	g.server = httpserver.New(alice.New().ThenFunc(g.serve))
 	g.callerConns = newCallerConnections()
+	g.callerHeads = g.newHeadGuard()
 	g.callerConns.configure(g.server)
+	g.callerHeads.Configure(g.server)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", g.serveReady)
 	g.ready = httpserver.New(mux)
@@ -141,7 +145,7 @@
 // Start serves callers and the load balancer's readiness checks until Stop. It does
 // not block.
 func (g *Gateway) Start(callers, ready net.Listener) {
-	g.wait.Go(func() { httpserver.Serve(g.server, callers, g.options.Log) })
+	g.wait.Go(func() { httpserver.Serve(g.server, g.callerHeads.Listener(callers), g.options.Log) })
 	g.wait.Go(func() { httpserver.Serve(g.ready, ready, g.options.Log) })
 	g.wait.Go(g.followConfiguration)
 	g.wait.Go(g.followServers)
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -55,6 +55,7 @@
 	state := g.memoryState()
 	telemetry.Gauge(g.options.Metrics, "memory.limit_bytes").Update(state.Limit)
 	telemetry.Gauge(g.options.Metrics, "memory.peak_bytes").Update(state.Peak)
+	telemetry.Gauge(g.options.Metrics, "heads.incomplete_bytes").Update(g.callerHeads.Incomplete())
 	for kind, held := range state.ByKind {
 		telemetry.Gauge(g.options.Metrics, "memory.held_bytes."+kind).Update(held)
 		telemetry.Gauge(g.options.Metrics, "memory.refused."+kind).Update(state.Refused[kind])
--- a/memquota/memquota.go
+++ b/memquota/memquota.go
@@ -1,5 +1,5 @@
-// Package memquota counts the bytes that a process holds for others, and bounds them: bodies of callers, answers that
-// are gathered, unfinished events of streams. Neither callers nor backend servers can use up the memory of the process
+// Package memquota counts the bytes that a process holds for others, and bounds them: heads and bodies of callers,
+// answers that are gathered, unfinished events of streams. Neither callers nor backend servers can use up the memory of the process
 // then, however much they send.
 //
 // A Quota is a deterministic decision type without network, clock or goroutine. It is safe for concurrent use.
@@ -23,19 +23,21 @@
 	ServerAnswer
 	// StreamPart is what is kept of an unfinished event of a stream, or of a large head.
 	StreamPart
+	// CallerHead is the head of a caller's request, from its first byte to the end of the request.
+	CallerHead
 	kinds
 )
 
-var kindNames = [kinds]string{"caller_body", "server_answer", "stream_part"}
+var kindNames = [kinds]string{"caller_body", "server_answer", "stream_part", "caller_head"}
 
 // String returns the name of k.
 func (k Kind) String() string { return kindNames[k] }
 
 // Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{CallerBody, ServerAnswer, StreamPart} }
+func Kinds() []Kind { return []Kind{CallerBody, ServerAnswer, StreamPart, CallerHead} }
 
 // ceilings are the fractions of a quota up to which each kind may fill it.
-var ceilings = [kinds]float64{CallerBody: 0.6, ServerAnswer: 0.85, StreamPart: 1}
+var ceilings = [kinds]float64{CallerBody: 0.6, ServerAnswer: 0.85, StreamPart: 1, CallerHead: 0.5}
 
 // ownerFactor bounds the bytes of one owner: they may be ownerFactor times those that are left free below the ceiling. An
 // owner that is alone thus gets two thirds, and of many each gets less, so that none takes it all (dynamic thresholds, as
