Take no broken-off answer and no odd status for an answer

Cause: a reset that arrives while a request is being written gives its error to the write; the read sees a plain end, which ends an answer without a length. And every status below 200 was skipped as informational, every one above taken.

Change: an answer whose end isn't marked is complete only if the request was sent without an error and all of it was acknowledged at the end of the connection, ErrEndUnknown otherwise, with an unknown outcome. Only 100 to 599 are statuses, ErrNoStatus otherwise.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/wigeonfork/wigeonfork/sockpeek"
 )
@@ -83,6 +84,26 @@
 	return state == sockpeek.Quiet || state == sockpeek.Unknown
 }
 
+// unacknowledged returns the number of bytes that were sent and that the peer has not acknowledged. It is 0 if that isn't
+// known. A peer that ends the connection in order has acknowledged what it received.
+func (c *conn) unacknowledged() int {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var bytes int
+	var queryErr error
+	err = raw.Control(func(fd uintptr) { bytes, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	if err != nil || queryErr != nil {
+		return 0
+	}
+	return bytes
+}
+
 // abort closes the connection at once. What was written and has not arrived is discarded, so that it
 // doesn't reach the server later.
 func (c *conn) abort() {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,6 +43,13 @@
 // the caller waited no longer.
 var ErrAbandoned = errors.New("the request is not wanted any more")
 
+// ErrEndUnknown means that a response ended with its connection although the request had not been sent and received as a
+// whole. The connection may have been reset: whoever writes to it gets the error then, and the reader sees a plain end.
+var ErrEndUnknown = errors.New("the connection ended before the request was sent, and with it an answer without a length")
+
+// ErrNoStatus means that the head of a response has a status outside of 100 to 599.
+var ErrNoStatus = errors.New("the answer has no valid status")
+
 // NoIdle as MaxIdle closes the connection after its use.
 const NoIdle = -1
 
@@ -53,7 +61,7 @@
 	// ContentLength is -1 if the response gives no length.
 	ContentLength int64
 	// Unframed is set if the response has neither a length nor chunks, so that its body ends with
-	// the connection.
+	// the connection. Its Read returns ErrEndUnknown if that may be no complete body.
 	Unframed bool
 	Body     io.ReadCloser
 	// Reused is set if the connection came from the pool.
@@ -106,6 +114,7 @@
 	x.body = response.Body
 	x.keepAlive = !response.Close
 	x.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	x.hasBody = response.Body != http.NoBody
 	return &Response{
 		Status:        response.StatusCode,
 		Header:        response.Header,
@@ -128,6 +137,7 @@
 	body       io.ReadCloser
 	keepAlive  bool // neither side closes the connection after the response
 	framed     bool // the end of the response is marked by a length or by chunking
+	hasBody    bool // the response has a body, even if it is empty
 	complete   bool // the body was read to its end
 	once       sync.Once
 	// sent is closed when the request has been sent. It is nil for a synchronous send.
@@ -164,6 +174,17 @@
 	}
 }
 
+// sentWhole reports whether the complete request was sent and has arrived, at the end of the connection. It ends a send that
+// is still in progress.
+func (x *exchange) sentWhole() bool {
+	if x.sent != nil {
+		// A connection that is closed already has ended the send.
+		_ = x.conn.SetWriteDeadline(time.Unix(1, 0))
+		<-x.sent
+	}
+	return x.sendErr == nil && x.conn.unacknowledged() == 0
+}
+
 func appendHead(buf []byte, req *Request) []byte {
 	out := bytes.NewBuffer(buf)
 	out.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
@@ -186,18 +207,37 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read the head of the answer")
 		}
+		if !isStatus(response) {
+			return nil, ErrNoStatus
+		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
 		}
 	}
 }
 
+// The least and the greatest status of a response.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// isStatus reports whether the status of a response is one. Its text is compared too, since a sign may precede the digits.
+func isStatus(response *http.Response) bool {
+	return response.StatusCode >= minStatus && response.StatusCode <= maxStatus &&
+		strings.HasPrefix(response.Status, strconv.Itoa(response.StatusCode))
+}
+
 // Read implements io.Reader.
 func (x *exchange) Read(p []byte) (int, error) {
 	n, err := x.body.Read(p)
-	if err == io.EOF {
-		x.complete = true
+	if err != io.EOF || x.complete {
+		return n, err
+	}
+	if x.hasBody && !x.framed && !x.sentWhole() {
+		return n, ErrEndUnknown
 	}
+	x.complete = true
 	return n, err
 }
 
