Read on after a refused head as long as its caller sends a body

Cause: a head above the limit is now refused while it arrives, and the connection was read on for 1 MiB or 500 ms only. A caller that writes its body first got a reset in place of the 431.

Change: up to 16 MiB and 5 s, at 32 MB/s at most, 16 connections at a time, and none while memory for heads is short.

--- a/httpserver/heads.go
+++ b/httpserver/heads.go
@@ -27,11 +27,17 @@
 	// which must keep up.
 	largeTurns    = 8
 	largeTurnTime = time.Millisecond
-	// maxLingering bounds the refused connections that are kept until the caller has read the refusal. The others are reset.
-	maxLingering = 32
-	// lingerTime and lingerBytes bound how long, and for how many bytes, such a connection is kept.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 1 << 20
+	// maxLingering bounds the refused connections that are read on until the caller has sent its request, as one that does not
+	// watch for an early answer does. The others are reset.
+	maxLingering = 16
+	// lingerTime and lingerBytes bound how long, and for how many bytes, such a connection is read.
+	lingerTime  = 5 * time.Second
+	lingerBytes = 16 << 20
+	// lingerPiece bytes are read of it in each lingerPause, so that callers without end don't use up the processor.
+	lingerPiece = 32 << 10
+	lingerPause = time.Millisecond
+	// answerTimeout bounds the write of a refusal.
+	answerTimeout = 500 * time.Millisecond
 )
 
 // HeadRefusal is why a head was refused before it was complete.
@@ -305,16 +311,16 @@
 	if !c.lingers.Swap(true) {
 		c.guard.onRefused(reason)
 		// A caller that doesn't read its answer, or has left, gets none.
-		_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
+		_ = c.SetWriteDeadline(time.Now().Add(answerTimeout))
 		_, _ = io.WriteString(c.Conn, refusedAnswers[reason])
 	}
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errHeadRefused}
 }
 
-// Close implements net.Conn. After a refusal it reads on for a moment, since a caller that still sends would otherwise get
-// a reset in place of the answer.
+// Close implements net.Conn. After a refusal it reads on for a while, since a caller that still sends would otherwise get a
+// reset in place of the answer. It doesn't while memory is short.
 func (c *headConn) Close() error {
-	if !c.lingers.Load() {
+	if !c.lingers.Load() || c.guard.isShort() {
 		return c.Conn.Close()
 	}
 	select {
@@ -331,6 +337,11 @@
 	// Errors mean that the caller has left.
 	_ = c.CloseWrite()
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	for range lingerBytes / lingerPiece {
+		if _, err := io.CopyN(io.Discard, c.Conn, lingerPiece); err != nil {
+			break
+		}
+		time.Sleep(lingerPause)
+	}
 	_ = c.Conn.Close()
 }
