--- a/memquota/memquota.go
+++ b/memquota/memquota.go
@@ -1,5 +1,5 @@
-// Package memquota counts the bytes that a process holds for others, and bounds them: heads and bodies of callers,
-// answers that are gathered, unfinished events of streams. Neither callers nor backend servers can use up the memory of the process
+// Package memquota counts the bytes that a process holds for others, and bounds them: heads and bodies of callers, answers
+// that are gathered, unfinished events of streams. Neither callers nor backend servers can use up the memory of the process
 // then, however much they send.
 //
 // A Quota is a deterministic decision type without network, clock or goroutine. It is safe for concurrent use.
