Count each engine's memory and send requests where they fit

A request went to an engine without memory as soon as its score was best, since full memory only added a delay to the score, and the sends of peers since the last load report were not counted. The engine then preempted a request and read its prompt again.

routing.Router.SetRoom turns counting on for a model: where requests for the service differ in rank, or the settings say that engines crash without memory. Own requests count until they end, those of peers until their predicted end or the next load report. If no server has room, Choose names the least bad one with Decision.NoRoom and RoomIn. fleet.choose returns *routing.NoRoomError then and charges nothing, unless query.mayOvercommit is set. The counter servers.no_room and the room in the state dump show it.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -76,6 +76,8 @@
 	versions     versionPolicy
 	versionOrder map[wigeonfork.Model][]wigeonfork.Version
 	versionCount map[serviceVersion]int
+	// enginesCrash is set if engines crash without memory.
+	enginesCrash bool
 	// probedAt is when each suspected server was last probed.
 	probedAt map[serverID]time.Time
 }
@@ -100,6 +102,8 @@
 		runs:       make(map[health.StreamID]*watchedRun),
 		probedAt:   make(map[serverID]time.Time),
 
+		enginesCrash: o.Bounds.EnginesCrashWithoutMemory,
+
 		versions:     anyVersion{},
 		versionOrder: make(map[wigeonfork.Model][]wigeonfork.Version),
 		versionCount: make(map[serviceVersion]int),
@@ -358,6 +362,7 @@
 	for _, service := range table.Services() {
 		if service.Engine != nil {
 			f.router.SetMemoryLimit(service.Name, service.Engine.MemoryTokens)
+			f.router.SetRoom(service.Name, f.enginesCrash || table.Ranked(service.Name))
 		}
 	}
 }
--- a/gateway/fleet_choose.go
+++ b/gateway/fleet_choose.go
@@ -6,6 +6,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/health"
 	"github.com/wigeonfork/wigeonfork/routing"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 // query describes the server that a request needs.
@@ -19,10 +20,13 @@
 	avoid   []serverID
 	// avoidDomain is the failure domain of a recent loss, or empty.
 	avoidDomain wigeonfork.FailureDomain
+	// mayOvercommit is set if the request goes to the least bad server when none has room.
+	mayOvercommit bool
 }
 
 // choose returns the server for a request and charges it with the work, unless it names a limit: then
-// start charges it. The caller must release the work by finished or failed.
+// start charges it. The caller must release the work by finished or failed. If no server has room and the
+// request may not overcommit one, the error is a *routing.NoRoomError and nothing is charged.
 func (f *fleet) choose(now time.Time, q *query) (*placement, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -36,10 +40,17 @@
 		Avoid:        q.avoid,
 		AvoidDomain:  q.avoidDomain,
 		Resume:       q.resume,
+		Rank:         q.work.Rank,
 	})
 	if err != nil {
 		return nil, err
 	}
+	if decision.NoRoom {
+		telemetry.Counter(f.metrics, "servers.no_room").Inc(1)
+		if !q.mayOvercommit {
+			return nil, &routing.NoRoomError{RoomIn: decision.RoomIn}
+		}
+	}
 	place := &placement{Entry: f.entries[decision.ID], expectedWait: decision.ExpectedWait, expectedTotal: decision.ExpectedTotal, sentAt: now}
 	if place.unstarted = f.isLimited(place.ID); !place.unstarted {
 		f.startLocked(now, place, q.work)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -33,6 +33,8 @@
 	// until the deadline, plus ExposureSlack.
 	ExposureShare float64
 	ExposureSlack float64
+	// EnginesCrashWithoutMemory is set if an engine whose requests exceed its memory crashes. Otherwise it preempts some.
+	EnginesCrashWithoutMemory bool
 }
 
 // DefaultBounds returns the bounds of a deployment that sets none.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -62,6 +62,17 @@
 	// sample.
 	GapUs    int64   `json:"token_gap_us"`
 	ReadRate float64 `json:"prompt_tokens_per_second"`
+	// Room is the memory of the server's engine; nil if it is not counted.
+	Room *RoomState `json:"room,omitempty"`
+}
+
+// RoomState is the memory of an engine in tokens, as all entries together use it. Requests is the number of requests that
+// occupy it.
+type RoomState struct {
+	Limit    int `json:"tokens"`
+	Used     int `json:"used_tokens"`
+	Backups  int `json:"backup_tokens"`
+	Requests int `json:"requests"`
 }
 
 // State returns the gateway's current state.
@@ -83,7 +94,7 @@
 	s.Moves = g.moves.state()
 	s.Memory = g.memoryState()
 	s.HasLimitShare = g.limits.hasShare()
-	s.Streams, s.Servers = g.fleet.state()
+	s.Streams, s.Servers = g.fleet.state(now)
 	for i := range s.Servers {
 		if rate, limited := g.limits.rate(s.Servers[i].ID); limited {
 			s.Servers[i].RequestLimit = &rate
@@ -92,7 +103,7 @@
 	return s
 }
 
-func (f *fleet) state() (streams int, servers []ServerState) {
+func (f *fleet) state(now time.Time) (streams int, servers []ServerState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, entry := range f.entries {
@@ -100,12 +111,22 @@
 		servers = append(servers, ServerState{
 			ID: id, Service: entry.Service, Address: entry.Address, Domain: entry.Domain, Version: entry.Version,
 			State: f.servers.State(id).String(), GapUs: gap.Microseconds(), ReadRate: rate,
+			Room: f.roomState(now, id),
 		})
 	}
 	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
 	return f.streams.Len(), servers
 }
 
+// roomState returns the state of a server's memory, or nil if it is not counted.
+func (f *fleet) roomState(now time.Time, id serverID) *RoomState {
+	room := f.router.Room(now, id)
+	if room.Limit == 0 {
+		return nil
+	}
+	return &RoomState{Limit: room.Limit, Used: room.Used, Backups: room.Backups, Requests: room.Requests}
+}
+
 // Inspect returns a handler that serves metrics at /metrics and the state at /state.
 func (g *Gateway) Inspect() http.Handler {
 	mux := http.NewServeMux()
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -60,8 +60,10 @@
 	if len(r.sample) == 0 {
 		return Decision{}, errNoServer
 	}
-	best := r.bestCandidate(now, &req)
-	return r.decide(now, &req, best), nil
+	if r.rooms[req.Model] == nil {
+		return r.decide(now, &req, r.bestCandidate(now, &req, anyCandidate)), nil
+	}
+	return r.chooseWithRoom(now, &req, group), nil
 }
 
 // sampleGroup considers a random sample of the group without replacement, or
@@ -145,25 +147,32 @@
 	return s.Role == "" || req.Role == "" || s.Role == req.Role
 }
 
-// bestCandidate predicts the times of every candidate and returns the one with
-// the lowest score.
-func (r *Router) bestCandidate(now time.Time, req *Request) *candidate {
+// anyCandidate accepts every candidate.
+func anyCandidate(*candidate) bool { return true }
+
+// bestCandidate predicts the times of the accepted candidates and returns the one with
+// the lowest score, or nil if there is none.
+func (r *Router) bestCandidate(now time.Time, req *Request, accepts func(*candidate) bool) *candidate {
 	limit := r.loadLimit()
 	answer := r.expectedTokens(now, req)
-	best, bestScore := 0, math.Inf(1)
+	var best *candidate
+	bestScore := math.Inf(1)
 	for k := range r.sample {
 		c := &r.sample[k]
+		if !accepts(c) {
+			continue
+		}
 		s := &r.servers[c.server]
 		if c.outstanding/s.slots() > limit {
 			c.cachedCredit = 0
 		}
 		r.predict(now, req, c, answer)
 		score := r.score(req, s, c)
-		if score < bestScore {
-			best, bestScore = k, score
+		if best == nil || score < bestScore {
+			best, bestScore = c, score
 		}
 	}
-	return &r.sample[best]
+	return best
 }
 
 // loadLimit returns the load per slot above which a cached prefix attracts no
--- a/routing/router.go
+++ b/routing/router.go
@@ -23,6 +23,7 @@
 	hostSpeeds     map[wigeonfork.HostID]hostSpeed
 	answerFraction [wigeonfork.NumClasses]decayingMean // answer length as a fraction of MaxTokens
 	peerReports    bool                                // peers report the requests that they send
+	rooms          map[wigeonfork.Model]*roomPolicy    // models whose requests go where there is room
 	freeIndexes    []int32
 	sample         []candidate // candidates of the current Choose
 }
@@ -37,6 +38,7 @@
 		groups:      make(map[Deployment][]int32),
 		prefix:      newPrefixTable(options.MaxPrefixes),
 		memoryLimit: make(map[wigeonfork.Model]float64),
+		rooms:       make(map[wigeonfork.Model]*roomPolicy),
 		priors:      make(map[wigeonfork.Model]*speedPrior),
 		hostSpeeds:  make(map[wigeonfork.HostID]hostSpeed),
 		sample:      make([]candidate, 0, options.Choices+2*holdersPerPrefix),
@@ -174,6 +176,7 @@
 	s := &r.servers[i]
 	s.otherRequests, s.peerRequests, s.pendingPrefill, s.ownTokens, s.backupTokens = 0, 0, 0, 0, 0
 	s.addOwnRequests(now, -s.ownRequests)
+	s.occupancy = occupancy{}
 	r.prefix.removeServer(i)
 }
 
@@ -192,6 +195,7 @@
 		r.prefix.removeServer(i)
 	}
 	s.report(now, load)
+	r.correctRoom(now, load.MeasuredAt, s)
 }
 
 // CacheEvent applies a change that a server reported of its prefix cache.
@@ -222,6 +226,7 @@
 	s := &r.servers[i]
 	s.addOwnRequests(now, 1)
 	s.ownTokens += work.tokens()
+	r.occupyOwn(now, i, &work)
 	_, cachedCredit := r.prefix.cached(now, work.Prefixes, i, r.options.CacheHalfLife)
 	_, rate, _ := r.speed(now, s)
 	if !work.HasBackup {
@@ -245,6 +250,7 @@
 	_, cachedCredit := r.prefix.cached(now, work.Prefixes, i, r.options.CacheHalfLife)
 	s.peerRequests = s.runningPeerRequests(now, service) + 1
 	s.peerRequestsAt = now
+	r.occupyPeer(now, i, &work)
 	s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-cachedCredit))
 	for _, p := range work.Prefixes {
 		r.prefix.add(now, p, i)
--- a/routing/server.go
+++ b/routing/server.go
@@ -124,6 +124,7 @@
 	longTermGap        decayingMean // gap with a longer time constant
 	probeStreaming     bool         // a stream sent after the suspicion got its first token
 	lastFirstTokenAt   time.Time
+	occupancy          occupancy
 	gapBeforeSuspicion float64 // longTermGap at the time of the suspicion, seconds
 }
 
@@ -240,6 +241,7 @@
 func (s *server) release(now time.Time, work Work) {
 	s.addOwnRequests(now, -1)
 	s.ownTokens = math.Max(0, s.ownTokens-work.tokens())
+	s.occupancy.removeOwn(keyOf(&work))
 }
 
 // ownRequestsAt returns the count of own requests at then, limited to the time that the
