--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -62,6 +62,9 @@
 // requests that wait, and how many can run at once.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is the factor by which work takes longer there at this moment than usual; 0 if the server does not
+	// report it.
+	Slowdown float64
 }
 
 // Reply holds what the system reads from the head of a backend server's answer.
