Place plain requests by expected time where servers report their slowdown

Cause: plain servers were chosen by count alone, and since the load that they tell was thrown away, by the counts of this gateway and its peers. Servers share their hosts: work takes 2.5 times as long for moments, and longer where a server is slow of itself.

Change: the expected time of a plain request is the learned service time of the server, times the slowdown that it reported, which moves to as usual within a second, times the growth by the requests there. Reported requests of others end with the mean duration. Only for services whose servers report their slowdown.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -87,6 +87,8 @@
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	Slots   int `json:"slots"`
+	// Slowdown is the factor by which work takes longer at this moment than usual; 0 if it is not reported.
+	Slowdown float64 `json:"slowdown,omitempty"`
 	// TokensPerSecond is the total rate of all running requests.
 	TokensPerSecond float64 `json:"tokens_per_second"`
 	// CacheUsed is the used fraction of the prefix cache, from 0 to 1.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -260,7 +260,7 @@
 	}
 	if load := reply.Load; load != nil {
 		f.router.Report(now, p.ID, backend.LoadReport{
-			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, MeasuredAt: now,
+			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown, MeasuredAt: now,
 		})
 	}
 }
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -192,6 +192,10 @@
 // predict fills in the predicted times of the request on candidate c.
 func (r *Router) predict(now time.Time, req *Request, c *candidate, answer float64) {
 	s := &r.servers[c.server]
+	if req.PromptTokens == 0 && s.isPlain() && r.options.DisabledTerms&(TermWait|TermSpeed) == 0 {
+		r.predictPlain(now, s, c)
+		return
+	}
 	gap, rate, service := r.speed(now, s)
 	slots := s.slots()
 	c.queue = 0
--- a/routing/router.go
+++ b/routing/router.go
@@ -243,6 +243,9 @@
 	s := &r.servers[i]
 	_, rate, service := r.speed(now, s)
 	_, cachedCredit := r.prefix.cached(now, work.Prefixes, i, r.options.CacheHalfLife)
+	if s.isPlain() {
+		service = s.plainServiceTime(now) * s.slowdownReport.read(now)
+	}
 	s.peerRequests = s.runningPeerRequests(now, service) + 1
 	s.peerRequestsAt = now
 	s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-cachedCredit))
@@ -324,6 +327,9 @@
 		return
 	}
 	s.release(now, work)
+	if result.Duration > 0 && work.PromptTokens == 0 && s.reportsSlowdown() {
+		s.learnPlain(now, result.Duration.Seconds())
+	}
 	if result.Duration > 0 {
 		s.service.observe(now, result.Duration.Seconds(), longTermLearning, minSampleWeight)
 		moveToward(&s.prior.service, result.Duration.Seconds(), result.Duration.Seconds() < s.prior.service)
--- a/routing/server.go
+++ b/routing/server.go
@@ -69,6 +69,10 @@
 	gap     float64 // seconds
 	rate    float64 // tokens per second
 	service float64 // seconds
+	// reportsSlowdown is set once a server has reported its slowdown. plainService is the usual time of a plain request
+	// at all servers, in seconds.
+	reportsSlowdown bool
+	plainService    decayingMean
 }
 
 func newSpeedPrior() *speedPrior {
@@ -125,6 +129,8 @@
 	probeStreaming     bool         // a stream sent after the suspicion got its first token
 	lastFirstTokenAt   time.Time
 	gapBeforeSuspicion float64 // longTermGap at the time of the suspicion, seconds
+	slowdownReport     slowdownReport
+	plainService       decayingMean // usual time of a plain request, seconds
 }
 
 // hasSpeedSample reports whether there is a speed sample, from this entry or a
@@ -147,6 +153,9 @@
 	if disabled&TermReports != 0 {
 		return n
 	}
+	if s.isPlain() {
+		return s.outstandingPlain(now)
+	}
 	n += s.runningPeerRequests(now, s.service.read(now, s.prior.service, DefaultSpeedHalfLife))
 	if s.reportMeasuredAt.IsZero() {
 		return n
@@ -268,6 +277,12 @@
 	s.otherRequests = math.Max(0, float64(total-s.ownRequestsAt(now, load.MeasuredAt)))
 	s.reportMeasuredAt = load.MeasuredAt
 	s.peerRequests = 0
+	if load.Slowdown > 0 {
+		// The requests of others end by and by, like those that peers report.
+		s.peerRequests, s.peerRequestsAt, s.otherRequests = s.otherRequests, now, 0
+		s.prior.reportsSlowdown = true
+		s.slowdownReport = slowdownReport{factor: load.Slowdown, readAt: load.MeasuredAt}
+	}
 }
 
 // slowdown returns the factor by which a batch of n requests increases the
