Tell peers a new configuration, in place of only its version

Change: the entry that reads a new version for all sends it compressed down the tree of the registry updates. Others install it if they have read the store themselves in the same era. They read for themselves 150 ms after the report of a version that has not come, and where it does not fit into a datagram. What proves its age is unchanged.

Ruled out: an earlier end of the retries of an entry that is cut off, which saves calls and leaves its callers refused.

The two tests of an entry that misses a change now use a configuration too large to be sent: that an entry without it denies nothing and steps back is checked as before.

The new tests and those of package loadshare pass.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -159,8 +159,10 @@
 
 // peerVerdict says what a peer's report means for this entry.
 type peerVerdict struct {
-	// isNew is set if there is something new to read.
-	isNew bool
+	// isNew is set if there is something new to read. mayBeTold is set if it is only a newer
+	// version of the same era, which the peer that read it sends too.
+	isNew     bool
+	mayBeTold bool
 	// proven is set if the report proves that the configuration in force was the newest, as of
 	// age ago.
 	proven bool
@@ -180,7 +182,7 @@
 		c.lag.Reported(now, p.version, known.Version())
 	}
 	if known == nil || p.version > known.Version() || p.era > era {
-		return peerVerdict{isNew: true}
+		return peerVerdict{isNew: true, mayBeTold: known != nil && p.era == era}
 	}
 	if p.version < known.Version() || p.era != era || p.storeNow <= 0 {
 		return peerVerdict{}
@@ -189,6 +191,23 @@
 	return peerVerdict{proven: ok, age: max(0, time.Duration(now-asOf))}
 }
 
+// installFromPeer installs a newer table that a peer read in this entry's era of the store. An
+// entry that has read nothing itself takes none, since it does not know the store's clock. A
+// peer's table proves nothing of its age; see observePeer.
+func (c *configState) installFromPeer(table *routetable.Table, era uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.current.Load()
+	own, read := c.verifier.Era()
+	if known == nil || !read || era != own || table.Version() <= known.Version() {
+		return false
+	}
+	c.verifier.ObservePeer(bootClock(), table.Version())
+	c.current.Store(table)
+	c.lag.Installed(table.Version())
+	return true
+}
+
 // era returns the newest known era of the store.
 func (c *configState) era() uint64 {
 	c.mu.Lock()
@@ -222,9 +241,9 @@
 	revokeMargin = 1200 * time.Millisecond
 )
 
-// readReserve is the part of a limit that is reserved for a read of the store which is repeated once, and for the
-// reports to the peers.
-const readReserve = storeread.FirstDelay + 300*time.Millisecond
+// readReserve is the part of a limit that is reserved for a read of the store which is repeated once, for the
+// reports to the peers, and for a configuration that is not told.
+const readReserve = storeread.FirstDelay + 300*time.Millisecond + toldGrace
 
 // configurationWait is the wait of one long poll for a new configuration. Each
 // completed poll renews the configuration's freshness.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -238,6 +238,9 @@
 	g.warm.mark(warmConfiguration)
 	g.configFollower.recordRead(time.Now())
 	report := configurationReport(table.Version(), change.Stamp, result.verdict)
+	if result.installed && trigger == readDue {
+		g.tellConfiguration(&change, report)
+	}
 	g.reportConfiguration(report, trigger)
 	if result.installed || result.newEra {
 		// A second datagram is sent in case the first one was lost.
@@ -270,6 +273,9 @@
 	report := peerConfiguration{version: uint64(m.Server), era: uint64(m.Tokens), storeNow: time.Duration(m.Value) * time.Millisecond}
 	verdict := g.config.observePeer(report)
 	switch {
+	case verdict.mayBeTold:
+		g.config.logReported(now, report.version)
+		time.AfterFunc(toldGrace, func() { g.readUnlessTold(report.version) })
 	case verdict.isNew:
 		g.config.logReported(now, report.version)
 		g.configFollower.wake()
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -323,6 +323,9 @@
 		s.g.applyPeerUpdate(now, update)
 		return nil
 	}
+	if loadshare.IsConfigurationUpdate(data) {
+		return s.handleConfigurationUpdate(now, data, from)
+	}
 	if loadshare.IsMoveUpdate(data) {
 		return s.handleMoveUpdate(now, data, from)
 	}
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -37,6 +37,8 @@
 	Stamp
 	Table         *routetable.Table
 	TableRevision uint64
+	// Content is the stored form of Table, for Source.DecodeConfiguration.
+	Content []byte
 	Moves         []rollout.MoveOrder
 }
 
@@ -54,6 +56,8 @@
 	// ConfigurationAfter returns the change after since. It returns as soon as there is
 	// one, or without one after wait.
 	ConfigurationAfter(ctx context.Context, since storepos.Position, wait time.Duration) (ConfigurationChange, error)
+	// DecodeConfiguration decodes the stored form of a configuration that another entry read.
+	DecodeConfiguration(content []byte) (*routetable.Table, error)
 	// Servers reads all registered servers.
 	Servers(ctx context.Context) (ServersChange, error)
 	// ServersAfter returns the changes after since, without waiting.
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -76,8 +76,10 @@
 	trialUpdateVersion    = 6
 	limitUpdateVersion    = 7
 	leavingUpdateVersion  = 8
-	headerSize            = 1 + 2
-	messageSize           = 1 + 8 + 4 + 8
+	// 9 and 10 are kept for hints on waiting requests and on what servers take.
+	configurationUpdateVersion = 11
+	headerSize                 = 1 + 2
+	messageSize                = 1 + 8 + 4 + 8
 	// MaxMessages is the number of messages that fit in a datagram of 1200 bytes, which fits the
 	// MTU of every path.
 	MaxMessages = (1200 - headerSize) / messageSize
