--- a/gateway/source.go
+++ b/gateway/source.go
@@ -39,7 +39,7 @@
 	TableRevision uint64
 	// Content is the stored form of Table, for Source.DecodeConfiguration.
 	Content []byte
-	Moves         []rollout.MoveOrder
+	Moves   []rollout.MoveOrder
 }
 
 // ServersChange is the result of a read of the registered backend servers: all of them
