Tell peers the ends of requests and copies where room is counted

Peers' sends counted for a predicted time, which was half of that of long runs on crowded engines, and their copies were not counted at all.

Gateways announce ends, copies and their ends in datagrams of version 11, which earlier builds drop alone. Peers' requests count until then, or until three times the predicted duration if the message is lost; the prediction follows the ratio of measured to predicted durations. A server gets a copy only while a quarter of its memory stays free for requests.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -222,6 +222,7 @@
 	if !ok {
 		return nil
 	}
+	f.announceOccupancy(loadshare.CopyKept, id, &work)
 	entry := f.entries[id]
 	return &entry
 }
@@ -231,6 +232,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.router.ReleaseBackup(id, work.PromptTokens+work.MaxTokens)
+	f.announceOccupancy(loadshare.CopyDropped, id, &work)
 }
 
 // finished releases a request from the server that completed it.
@@ -238,6 +240,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.router.Finished(now, p.ID, work, result)
+	f.announceOccupancy(loadshare.Ended, p.ID, &work)
 }
 
 // failed releases a request from a server that did not complete it.
@@ -245,6 +248,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.router.Failed(now, p.ID, work)
+	f.announceOccupancy(loadshare.Ended, p.ID, &work)
 }
 
 // recordAnswer records the head of an answer to a request sent at sentAt. A refusal may be that of another server at the
--- a/gateway/fleet_peers.go
+++ b/gateway/fleet_peers.go
@@ -43,6 +43,34 @@
 	return f.entries[id].Service, true
 }
 
+// announceOccupancy tells the peers of the end of a request, or of a copy of one, where room is counted.
+func (f *fleet) announceOccupancy(kind loadshare.Kind, id serverID, work *routing.Work) {
+	if !f.router.CountsRoom(id) {
+		return
+	}
+	m := loadshare.Message{Kind: kind, Server: loadshare.HashServer(id), Tokens: work.PromptTokens + work.MaxTokens}
+	if n := len(work.Prefixes); n > 0 {
+		m.Value = work.Prefixes[n-1].Hash
+	}
+	f.announce(m)
+}
+
+// peerOccupancy applies the end of a peer's request, or what became of a copy of one.
+func (f *fleet) peerOccupancy(now time.Time, m loadshare.Message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id, ok := f.hashes[m.Server]
+	switch {
+	case !ok:
+	case m.Kind == loadshare.Ended:
+		f.router.PeerEnded(now, id, m.Value)
+	case m.Kind == loadshare.CopyKept:
+		f.router.PeerCopyKept(now, id, m.Value, m.Tokens)
+	default:
+		f.router.PeerCopyDropped(id, m.Value)
+	}
+}
+
 // speedMessage returns the message that reports a server's measured speed, and false
 // if the server has no speed sample.
 func (f *fleet) speedMessage(id serverID) (loadshare.Message, bool) {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -160,10 +161,12 @@
 	s.pending, s.flushScheduled = nil, false
 	targets := append([]netip.AddrPort(nil), s.peers.Targets(now)...)
 	s.mu.Unlock()
-	for len(messages) > 0 {
-		n := min(len(messages), loadshare.MaxMessages)
-		s.send(targets, messages[:n])
-		messages = messages[n:]
+	plain, occupancy := loadshare.SplitOccupancy(messages)
+	for batch := range slices.Chunk(plain, loadshare.MaxMessages) {
+		s.send(targets, batch)
+	}
+	for batch := range slices.Chunk(occupancy, loadshare.MaxMessages) {
+		s.sendAll(targets, loadshare.AppendOccupancy(nil, s.port, batch))
 	}
 }
 
@@ -364,6 +367,8 @@
 		} else {
 			s.g.retryBudgets.recordPeerRetry(now, service)
 		}
+	case loadshare.Ended, loadshare.CopyKept, loadshare.CopyDropped:
+		s.g.fleet.peerOccupancy(now, m)
 	case loadshare.Lost:
 		s.g.fleet.peerLost(now, m.Server)
 	case loadshare.Recovered:
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -45,8 +45,18 @@
 	Succeeded
 	// Recovered reports that a lost backend server responds to the sender again.
 	Recovered
+	// Ended announces that a request which the sender announced as Started or Repeated has ended. This kind and the
+	// following travel in datagrams of their own version, so that entries of earlier versions drop only these.
+	Ended
+	// CopyKept announces that a backend server keeps a copy of at most Tokens tokens of the request with prefix Value.
+	CopyKept
+	// CopyDropped announces the end of such a copy.
+	CopyDropped
 )
 
+// isOccupancy reports whether messages of the kind travel in occupancy datagrams.
+func (k Kind) isOccupancy() bool { return k >= Ended && k <= CopyDropped }
+
 // ServerHash identifies a backend server in messages. It is the hash of the server's id.
 type ServerHash uint64
 
@@ -76,6 +86,7 @@
 	trialUpdateVersion    = 6
 	limitUpdateVersion    = 7
 	leavingUpdateVersion  = 8
+	occupancyVersion      = 11
 	headerSize            = 1 + 2
 	messageSize           = 1 + 8 + 4 + 8
 	// MaxMessages is the number of messages that fit in a datagram of 1200 bytes, which fits the
@@ -86,7 +97,28 @@
 // Append appends the encoding of a datagram with at most MaxMessages messages from the listener
 // at port.
 func Append(buf []byte, port uint16, messages []Message) []byte {
-	buf = append(buf, wireVersion)
+	return appendMessages(buf, wireVersion, port, messages)
+}
+
+// AppendOccupancy is Append for messages of the kinds Ended, CopyKept and CopyDropped.
+func AppendOccupancy(buf []byte, port uint16, messages []Message) []byte {
+	return appendMessages(buf, occupancyVersion, port, messages)
+}
+
+// SplitOccupancy returns the messages that Append and those that AppendOccupancy encodes, each in their order.
+func SplitOccupancy(messages []Message) (plain, occupancy []Message) {
+	for _, m := range messages {
+		if m.Kind.isOccupancy() {
+			occupancy = append(occupancy, m)
+		} else {
+			plain = append(plain, m)
+		}
+	}
+	return plain, occupancy
+}
+
+func appendMessages(buf []byte, version byte, port uint16, messages []Message) []byte {
+	buf = append(buf, version)
 	buf = binary.LittleEndian.AppendUint16(buf, port)
 	for _, m := range messages {
 		buf = append(buf, byte(m.Kind))
@@ -97,13 +129,14 @@
 	return buf
 }
 
-// Parse decodes a datagram that was received from the address from. It returns the address of the
+// Parse decodes a datagram of Append or AppendOccupancy that was received from the address from. It returns the address of the
 // sender's listener and the messages, or an error if the datagram is malformed.
 func Parse(data []byte, from netip.AddrPort) (netip.AddrPort, []Message, error) {
-	if len(data) < headerSize || data[0] != wireVersion || (len(data)-headerSize)%messageSize != 0 {
+	if len(data) < headerSize || (data[0] != wireVersion && data[0] != occupancyVersion) || (len(data)-headerSize)%messageSize != 0 {
 		return netip.AddrPort{}, nil, errors.Newf("datagram of %d bytes is malformed", len(data))
 	}
 	sender := netip.AddrPortFrom(from.Addr().Unmap(), binary.LittleEndian.Uint16(data[1:]))
+	occupancy := data[0] == occupancyVersion
 	data = data[headerSize:]
 	messages := make([]Message, 0, len(data)/messageSize)
 	for ; len(data) > 0; data = data[messageSize:] {
@@ -113,7 +146,7 @@
 			Tokens: binary.LittleEndian.Uint32(data[9:]),
 			Value:  binary.LittleEndian.Uint64(data[13:]),
 		}
-		if m.Kind < Heartbeat || m.Kind > Recovered {
+		if m.Kind < Heartbeat || m.Kind > CopyDropped || m.Kind.isOccupancy() != occupancy {
 			return sender, nil, errors.Newf("message of unknown kind %d", m.Kind)
 		}
 		messages = append(messages, m)
--- a/routing/backup.go
+++ b/routing/backup.go
@@ -94,7 +94,7 @@
 	}
 	fill := r.memoryUse(s, float64(b.Tokens))
 	load := fill + backupLoadWeight*s.outstanding(now, r.options.DisabledTerms) + backupLoadWeight*r.random.Float64()
-	return backupScore{sameDomain: s.Domain == b.Domain, load: load}, fill < 1
+	return backupScore{sameDomain: s.Domain == b.Domain, load: load}, fill < 1 && r.hasRoomForCopy(now, s, float64(b.Tokens))
 }
 
 // ReleaseBackup frees the memory that a server was charged with for a backup.
--- a/routing/room.go
+++ b/routing/room.go
@@ -13,9 +13,11 @@
 	// newRequestReserve is the fraction of an engine's KV cache that new requests leave free. Resumes and runs from a
 	// copy may use it.
 	newRequestReserve = 0.05
-	// longAnswerMargin is by how much longer than predicted a peer's request is assumed to run, since its end is not
-	// announced.
-	longAnswerMargin = 1.25
+	// newCopyReserve is the same for copies. A request that must be read again for a copy costs more than the copy saves.
+	newCopyReserve = 0.25
+	// overdueFactor is the multiple of its predicted duration after which a peer's request is taken to have ended though
+	// that was not announced.
+	overdueFactor = 3
 	// maxOccupants bounds the requests that are recorded of one server, own and of peers each.
 	maxOccupants = 1024
 	// minRoomIn is the least predicted time until a server has room.
@@ -33,34 +35,33 @@
 	return fmt.Sprintf("no backend server has room for the request; one is expected to in %v", e.RoomIn.Round(time.Millisecond))
 }
 
-// occupant is a request that occupies KV cache of a server.
+// occupant is a request, or a copy of one, that occupies KV cache of a server.
 type occupant struct {
-	// key identifies an own request's work among those of its server.
-	key    occupantKey
+	// prefix is the hash of the whole prompt. Requests with equal prompts occupy about the same, so any of them may be
+	// removed for another.
+	prefix uint64
 	tokens float64
-	// sentAt is when it was sent, and endsAt its predicted end.
-	sentAt, endsAt time.Time
+	// sentAt is when it was sent, and predicted the duration by the server's speed alone.
+	sentAt    time.Time
+	predicted time.Duration
+	// endsAt is its predicted end. A peer's request counts until forgetAt, unless its end is announced.
+	endsAt, forgetAt time.Time
 }
 
-// occupantKey identifies the work of a request. Equal works occupy the same, so any of them may be removed for another.
-type occupantKey struct {
-	prefix                  uint64
-	promptTokens, maxTokens uint32
-}
-
-func keyOf(w *Work) occupantKey {
-	key := occupantKey{promptTokens: w.PromptTokens, maxTokens: w.MaxTokens}
+func wholePrefix(w *Work) uint64 {
 	if n := len(w.Prefixes); n > 0 {
-		key.prefix = w.Prefixes[n-1].Hash
+		return w.Prefixes[n-1].Hash
 	}
-	return key
+	return 0
 }
 
-// occupancy is the requests that occupy one server's KV cache, as far as this router knows: its own until they end, and
-// those of its peers until their predicted end. A load report corrects the number of the latter.
+// occupancy is what occupies one server's KV cache, as far as this router knows: its own requests until they end, and
+// the requests of its peers and their copies until their end is announced or is overdue. A load report corrects the
+// number of the peers' requests.
 type occupancy struct {
-	own   []occupant
-	peers []occupant
+	own    []occupant
+	peers  []occupant
+	copies []occupant
 }
 
 func (o *occupancy) addOwn(added occupant) {
@@ -69,14 +70,15 @@
 	}
 }
 
-// removeOwn removes one own request with the given work.
-func (o *occupancy) removeOwn(key occupantKey) {
-	for i := range o.own {
-		if o.own[i].key == key {
-			o.own = slices.Delete(o.own, i, i+1)
-			return
+// removeOne removes one occupant with the given prefix and returns it.
+func removeOne(from []occupant, prefix uint64) (rest []occupant, removed occupant, ok bool) {
+	for i := range from {
+		if from[i].prefix == prefix {
+			removed = from[i]
+			return slices.Delete(from, i, i+1), removed, true
 		}
 	}
+	return from, occupant{}, false
 }
 
 func (o *occupancy) addPeer(now time.Time, added occupant) {
@@ -86,9 +88,18 @@
 	}
 }
 
-// expire removes the requests of peers that are predicted to have ended.
+func (o *occupancy) addCopy(now time.Time, added occupant) {
+	o.expire(now)
+	if len(o.copies) < maxOccupants {
+		o.copies = append(o.copies, added)
+	}
+}
+
+// expire removes what is overdue of peers.
 func (o *occupancy) expire(now time.Time) {
-	o.peers = slices.DeleteFunc(o.peers, func(p occupant) bool { return !p.endsAt.After(now) })
+	overdue := func(p occupant) bool { return !p.forgetAt.After(now) }
+	o.peers = slices.DeleteFunc(o.peers, overdue)
+	o.copies = slices.DeleteFunc(o.copies, overdue)
 }
 
 // correct applies the number of requests of peers that a load report measured. Requests that were sent since are kept.
@@ -125,13 +136,16 @@
 	for i := range o.peers {
 		sum += o.peers[i].tokens
 	}
+	for i := range o.copies {
+		sum += o.copies[i].tokens
+	}
 	return sum
 }
 
 // freeIn returns the predicted time until at least the given tokens have become free, and false if all requests
 // together occupy less.
 func (o *occupancy) freeIn(now time.Time, tokens float64) (time.Duration, bool) {
-	all := slices.Concat(o.own, o.peers)
+	all := slices.Concat(o.own, o.peers, o.copies)
 	slices.SortFunc(all, func(a, b occupant) int { return a.endsAt.Compare(b.endsAt) })
 	for i := range all {
 		if tokens -= all[i].tokens; tokens <= 0 {
@@ -146,9 +160,17 @@
 	prompt, answer decayingMean // tokens
 }
 
-// roomPolicy is what a model's requests need of the engines' memory.
+// roomPolicy is what is known of the memory that a model's requests need.
 type roomPolicy struct {
 	size size
+	// stretch is the duration of runs relative to that predicted by the server's speed alone.
+	stretch decayingMean
+}
+
+// until returns an occupant that was sent now and is predicted to run for the given time on an unshared server.
+func (p *roomPolicy) until(now time.Time, predicted time.Duration) occupant {
+	stretched := time.Duration(p.stretch.read(now, 1, DefaultSpeedHalfLife) * float64(predicted))
+	return occupant{sentAt: now, predicted: predicted, endsAt: now.Add(stretched), forgetAt: now.Add(overdueFactor * stretched)}
 }
 
 // SetRoom sets whether requests for a model go only where the engine has memory for them, as far as there is such a
@@ -184,10 +206,20 @@
 	if work.HasBackup {
 		read = 0
 	}
-	s.occupancy.addOwn(occupant{
-		key: keyOf(work), tokens: r.unshared(now, i, work), sentAt: now,
-		endsAt: now.Add(r.predictRun(now, s, float64(read), float64(work.MaxTokens))),
-	})
+	added := policy.until(now, r.predictRun(now, s, float64(read), float64(work.MaxTokens)))
+	added.prefix, added.tokens = wholePrefix(work), r.unshared(now, i, work)
+	s.occupancy.addOwn(added)
+}
+
+// vacateOwn frees the memory of a request of this router. complete is set if it was answered, so that its duration
+// is known.
+func (r *Router) vacateOwn(now time.Time, s *server, work *Work, complete bool) {
+	rest, removed, ok := removeOne(s.occupancy.own, wholePrefix(work))
+	s.occupancy.own = rest
+	policy := r.roomOf(s)
+	if ok && complete && policy != nil && removed.predicted > 0 {
+		policy.stretch.observe(now, float64(now.Sub(removed.sentAt))/float64(removed.predicted), longTermLearning, minSampleWeight)
+	}
 }
 
 // unshared returns the tokens that a request occupies beyond those that other requests share with it at a server. The
@@ -217,9 +249,52 @@
 	} else if work.MaxTokens == 0 {
 		policy.size.prompt.observe(now, prompt, longTermLearning, minSampleWeight)
 	}
-	s.occupancy.addPeer(now, occupant{
-		tokens: prompt + answer, sentAt: now, endsAt: now.Add(time.Duration(longAnswerMargin * float64(run))),
-	})
+	added := policy.until(now, run)
+	added.prefix, added.tokens = wholePrefix(work), prompt+answer
+	s.occupancy.addPeer(now, added)
+}
+
+// PeerEnded records that a request of a peer with the given prompt has ended.
+func (r *Router) PeerEnded(now time.Time, id ID, prefix uint64) {
+	if s := r.find(id); s != nil && r.roomOf(s) != nil {
+		s.occupancy.expire(now)
+		s.occupancy.peers, _, _ = removeOne(s.occupancy.peers, prefix)
+	}
+}
+
+// PeerCopyKept records that a server keeps a copy, of at most the given tokens, of a peer's request.
+func (r *Router) PeerCopyKept(now time.Time, id ID, prefix uint64, tokens uint32) {
+	s := r.find(id)
+	if s == nil || r.roomOf(s) == nil {
+		return
+	}
+	policy := r.roomOf(s)
+	made := policy.size.answer.read(now, defaultMaxTokens, DefaultSpeedHalfLife)
+	added := policy.until(now, r.predictRun(now, s, float64(tokens), made))
+	added.prefix, added.tokens = prefix, float64(tokens)
+	s.occupancy.addCopy(now, added)
+}
+
+// PeerCopyDropped records that a server no longer keeps a copy of a peer's request.
+func (r *Router) PeerCopyDropped(id ID, prefix uint64) {
+	if s := r.find(id); s != nil {
+		s.occupancy.copies, _, _ = removeOne(s.occupancy.copies, prefix)
+	}
+}
+
+// CountsRoom reports whether the memory of a server is counted.
+func (r *Router) CountsRoom(id ID) bool {
+	s := r.find(id)
+	return s != nil && r.roomOf(s) != nil
+}
+
+// hasRoomForCopy reports whether a server has memory for a copy. It has if room is not counted there.
+func (r *Router) hasRoomForCopy(now time.Time, s *server, tokens float64) bool {
+	if r.roomOf(s) == nil {
+		return true
+	}
+	limit := r.memoryLimit[s.Versions[0].Model] * (1 - newCopyReserve)
+	return s.occupancy.used(now)+s.backupTokens+tokens <= limit
 }
 
 // correctRoom applies the requests of others that a load report of a server counts.
@@ -230,9 +305,9 @@
 	}
 	tokens := policy.size.prompt.read(now, 0, DefaultSpeedHalfLife) + policy.size.answer.read(now, defaultMaxTokens, DefaultSpeedHalfLife)
 	_, _, service := r.speed(now, s)
-	s.occupancy.correct(now, measuredAt, int(s.otherRequests), occupant{
-		tokens: tokens, sentAt: measuredAt, endsAt: measuredAt.Add(seconds(service)),
-	})
+	missing := policy.until(measuredAt, seconds(service))
+	missing.tokens, missing.forgetAt = tokens, missing.endsAt
+	s.occupancy.correct(now, measuredAt, int(s.otherRequests), missing)
 }
 
 // predictRun returns the predicted duration of a run at a server that reads and makes the given tokens.
--- a/routing/room_test.go
+++ b/routing/room_test.go
@@ -134,6 +134,15 @@
 			So(b.Room(later, "b0").Requests, ShouldEqual, 10)
 			So(b.Room(later, "b0").Used, ShouldBeGreaterThan, testMemory)
 		})
+		Convey("an announced end frees the memory at once, and one that is announced twice frees it once", func() {
+			for hash := range uint64(9) {
+				b.PeerStarted(start, "b0", Work{PromptTokens: testPrompt, Prefixes: []Prefix{{Hash: hash + 1, Tokens: testPrompt}}})
+			}
+			for range 2 {
+				b.PeerEnded(start.Add(time.Second), "b0", 4)
+			}
+			So(b.Room(start.Add(time.Second), "b0").Requests, ShouldEqual, 8)
+		})
 		Convey("the requests of a gateway that has died are forgotten by the next report, or at their predicted ends", func() {
 			for range 9 {
 				b.PeerStarted(start, "b0", Work{PromptTokens: testPrompt})
@@ -142,11 +151,41 @@
 			b.PeerStarted(later, "b0", Work{PromptTokens: testPrompt})
 			b.Report(later, "b0", backend.LoadReport{Running: 2, Slots: 64, MeasuredAt: start.Add(100 * time.Millisecond)})
 			So(b.Room(later, "b0").Requests, ShouldEqual, 3)
-			So(b.Room(start.Add(time.Minute), "b0").Used, ShouldEqual, 0)
+			overdue := start
+			for _, p := range b.find("b0").occupancy.peers {
+				if p.forgetAt.After(overdue) {
+					overdue = p.forgetAt
+				}
+			}
+			So(b.Room(overdue.Add(-time.Nanosecond), "b0").Requests, ShouldEqual, 1)
+			So(b.Room(overdue, "b0").Used, ShouldEqual, 0)
 		})
 	})
 }
 
+// Guards against copies that push running requests out of memory: each stream keeps one, so that they need as much as all
+// streams.
+func TestCopiesLeaveRoomForRequests(t *testing.T) {
+	Convey("When a server is filled to three quarters by requests and the copies of all entries, it gets no further copy", t, func() {
+		r := newRoomRouter(2, 6)
+		copyOf := BackupRequest{Model: current.Model, Version: current.Version, Server: "b0", Domain: "d0", Tokens: testPrompt + testAnswer}
+		for range 3 {
+			r.Started(start, "b1", roomWork())
+		}
+		for hash := range uint64(3) {
+			r.PeerCopyKept(start, "b1", hash+1, testPrompt+testAnswer)
+		}
+		id, ok := r.ChooseBackup(start, copyOf)
+		So(ok, ShouldBeTrue)
+		So(id, ShouldEqual, ID("b1"))
+		_, ok = r.ChooseBackup(start, copyOf)
+		So(ok, ShouldBeFalse)
+		r.PeerCopyDropped("b1", 2)
+		_, ok = r.ChooseBackup(start, copyOf)
+		So(ok, ShouldBeTrue)
+	})
+}
+
 // Guards against an effect on services for which no room is counted.
 func TestRoomIsCountedOnlyWhereSet(t *testing.T) {
 	Convey("A service without room counted never has NoRoom, however full its engines are", t, func() {
--- a/routing/router.go
+++ b/routing/router.go
@@ -330,6 +330,7 @@
 		return
 	}
 	s.release(now, work)
+	r.vacateOwn(now, s, &work, true)
 	if result.Duration > 0 {
 		s.service.observe(now, result.Duration.Seconds(), longTermLearning, minSampleWeight)
 		moveToward(&s.prior.service, result.Duration.Seconds(), result.Duration.Seconds() < s.prior.service)
@@ -344,5 +345,6 @@
 func (r *Router) Failed(now time.Time, id ID, work Work) {
 	if s := r.find(id); s != nil {
 		s.release(now, work)
+		r.vacateOwn(now, s, &work, false)
 	}
 }
--- a/routing/server.go
+++ b/routing/server.go
@@ -241,7 +241,6 @@
 func (s *server) release(now time.Time, work Work) {
 	s.addOwnRequests(now, -1)
 	s.ownTokens = math.Max(0, s.ownTokens-work.tokens())
-	s.occupancy.removeOwn(keyOf(&work))
 }
 
 // ownRequestsAt returns the count of own requests at then, limited to the time that the
