Keep the room of peers when a report also tells a slowdown

Cause: a report with a slowdown moves the count of others' requests, so that they end by and by, before the room of peers is corrected by it.

Change: the reported count is kept beside the one that is moved. Copies are placed by the requests that still run.

Measured: TestReportsWithASlowdownKeepTheRoomOfPeers fails before.

--- a/routing/backup.go
+++ b/routing/backup.go
@@ -92,7 +92,7 @@
 	if s.state != StateReady || s.ID == b.Server {
 		return backupScore{}, false
 	}
-	fill := r.memoryUse(s, float64(b.Tokens))
+	fill := r.memoryUse(now, s, float64(b.Tokens))
 	load := fill + backupLoadWeight*s.outstanding(now, r.options.DisabledTerms) + backupLoadWeight*r.random.Float64()
 	return backupScore{sameDomain: s.Domain == b.Domain, load: load}, fill < 1 && r.hasRoomForCopy(now, s, float64(b.Tokens))
 }
@@ -108,7 +108,7 @@
 // tokens more are placed there. It returns 0 if the memory is not limited.
 // Requests of other entries are assumed to be as large as the mean own request,
 // or as large as tokens if there is no own request.
-func (r *Router) memoryUse(s *server, tokens float64) float64 {
+func (r *Router) memoryUse(now time.Time, s *server, tokens float64) float64 {
 	if len(s.Versions) == 0 {
 		return 0
 	}
@@ -117,15 +117,23 @@
 		return 0
 	}
 	used := s.ownTokens + s.backupTokens
-	if s.ownRequests > 0 && s.otherRequests > 0 {
-		used += s.ownTokens / float64(s.ownRequests) * s.otherRequests
-	} else if s.otherRequests > 0 {
-		used += tokens * s.otherRequests
+	size := tokens
+	if s.ownRequests > 0 {
+		size = s.ownTokens / float64(s.ownRequests)
 	}
+	used += size * s.requestsOfOthers(now)
 	return (used + tokens) / limit
 }
 
+// requestsOfOthers estimates the requests of other entries that the last report counted.
+func (s *server) requestsOfOthers(now time.Time) float64 {
+	if !s.reportsSlowdown() {
+		return s.otherRequests
+	}
+	return s.runningPeerRequests(now, s.service.read(now, s.prior.service, DefaultSpeedHalfLife))
+}
+
 // memoryDelay returns the expected delay in seconds due to lack of KV cache.
-func (r *Router) memoryDelay(s *server, tokens float64) float64 {
-	return preemptionSeconds * math.Max(0, r.memoryUse(s, tokens)-1)
+func (r *Router) memoryDelay(now time.Time, s *server, tokens float64) float64 {
+	return preemptionSeconds * math.Max(0, r.memoryUse(now, s, tokens)-1)
 }
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -220,7 +220,7 @@
 		backlog = s.prefillBacklog(now, rate, c.outstanding, r.peerReports)
 	}
 	uncached := math.Max(0, float64(req.PromptTokens)-c.cachedCredit)
-	memoryDelay := r.memoryDelay(s, float64(req.PromptTokens)+float64(req.MaxTokens))
+	memoryDelay := r.memoryDelay(now, s, float64(req.PromptTokens)+float64(req.MaxTokens))
 	c.wait = s.networkDelay(&r.options) + c.queue + memoryDelay + (backlog+uncached)/rate + adapterTime(s, req)
 	load := c.outstanding + 1
 	if r.options.DisabledTerms&TermWait != 0 {
--- a/routing/room.go
+++ b/routing/room.go
@@ -307,7 +307,7 @@
 	_, _, service := r.speed(now, s)
 	missing := policy.until(measuredAt, seconds(service))
 	missing.tokens, missing.forgetAt = tokens, missing.endsAt
-	s.occupancy.correct(now, measuredAt, int(s.otherRequests), missing)
+	s.occupancy.correct(now, measuredAt, int(s.reportedOthers), missing)
 }
 
 // predictRun returns the predicted duration of a run at a server that reads and makes the given tokens.
--- a/routing/room_test.go
+++ b/routing/room_test.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// Guards against memory that is taken for free since a report also tells the slowdown of its server.
+func TestReportsWithASlowdownKeepTheRoomOfPeers(t *testing.T) {
+	Convey("Nine requests of peers fill an engine, also after it has reported them", t, func() {
+		for _, slowdown := range []float64{0, 1} {
+			r := newRoomRouter(1, 1)
+			for range 9 {
+				r.PeerStarted(start, "b0", Work{PromptTokens: testPrompt})
+			}
+			r.Report(start.Add(time.Second), "b0", backend.LoadReport{
+				Running: 9, Slots: 64, Slowdown: slowdown, MeasuredAt: start.Add(time.Second),
+			})
+			d, err := r.Choose(start.Add(time.Second), roomRequest())
+			So(err, ShouldBeNil)
+			So(d.NoRoom, ShouldBeTrue)
+		}
+	})
+}
+
 // Guards against requests that are sent to be preempted while other engines have memory, and against refusals while
 // some have: long prompts fill engines whose slots are mostly free.
 func TestRequestsGoWhereTheyFit(t *testing.T) {
--- a/routing/router.go
+++ b/routing/router.go
@@ -174,7 +174,7 @@
 // a dead engine.
 func (r *Router) resetEngineState(now time.Time, i int32) {
 	s := &r.servers[i]
-	s.otherRequests, s.peerRequests, s.pendingPrefill, s.ownTokens, s.backupTokens = 0, 0, 0, 0, 0
+	s.otherRequests, s.reportedOthers, s.peerRequests, s.pendingPrefill, s.ownTokens, s.backupTokens = 0, 0, 0, 0, 0, 0
 	s.addOwnRequests(now, -s.ownRequests)
 	s.occupancy = occupancy{}
 	r.prefix.removeServer(i)
--- a/routing/server.go
+++ b/routing/server.go
@@ -113,7 +113,8 @@
 	backupTokens       float64 // KV cache of backups placed by this router, tokens
 	pendingPrefill     float64 // known prompt tokens not yet prefilled at prefillAt
 	prefillAt          time.Time
-	otherRequests      float64   // requests of other entries, from the last report
+	otherRequests      float64   // requests of other entries, from the last report; moved to peerRequests if that tells a slowdown
+	reportedOthers     float64   // requests of other entries at the time of the last report
 	reportMeasuredAt   time.Time // MeasuredAt of the newest load report
 	peerRequests       float64   // requests that peers reported since, as of peerRequestsAt
 	peerRequestsAt     time.Time
@@ -275,7 +276,8 @@
 		s.incarnation = load.Incarnation
 	}
 	total := load.Running + load.Waiting
-	s.otherRequests = math.Max(0, float64(total-s.ownRequestsAt(now, load.MeasuredAt)))
+	s.reportedOthers = math.Max(0, float64(total-s.ownRequestsAt(now, load.MeasuredAt)))
+	s.otherRequests = s.reportedOthers
 	s.reportMeasuredAt = load.MeasuredAt
 	s.peerRequests = 0
 	if load.Slowdown > 0 {
