Replace the copy of a run when its server is lost

When the server that holds a run's copy is lost, the gateway has the run's own server copy its KV cache to another, chosen like the first, and refreshes that copy until the run ends. It takes effect where the configuration says that engines copy on request (engine.moves).

--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -52,10 +52,11 @@
 	// cache; empty if there is none.
 	BackupAddress string
 	// ContinueAddress is the address of the server that holds the KV cache from which
-	// the run resumes; empty if there is none. ContinueRequest is the request that the
-	// cache belongs to.
+	// the run resumes; empty if there is none. For a copy that was moved it is the address of
+	// the server that made the copy. ContinueHandle is the id of the request that the cache
+	// belongs to, or the handle of the moved copy.
 	ContinueAddress string
-	ContinueRequest wigeonfork.RequestID
+	ContinueHandle  string
 }
 
 // Load is a backend server's load report. It counts the requests that run, the
@@ -123,4 +124,10 @@
 	// its cache. ReadCache parses the answer.
 	CacheTarget() string
 	ReadCache(body []byte) ([]backend.CacheEvent, error)
+	// MoveCopy returns the request target and the body with which an engine is asked to copy the KV cache of a run to the
+	// engine at an address. ReadCopy parses the answer and returns the copy's handle, at which the engine that made it frees it by
+	// FreeCopyTarget.
+	MoveCopy(request wigeonfork.RequestID, to string) (target string, body []byte)
+	ReadCopy(status int, body []byte) (handle string, err error)
+	FreeCopyTarget(handle string) string
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -89,6 +89,7 @@
 		onRemoved:  onRemoved,
 		onEnded:    func(serverID) {},
 		isLimited:  func(serverID) bool { return false },
+		announce:   func(loadshare.Message) {},
 		onLost:     func(time.Time, directory.Entry) {},
 		onReturned: func(time.Time, directory.Entry) {},
 		identify:   func(directory.Entry) {},
@@ -191,6 +192,7 @@
 	f.servers.Remove(id)
 	f.signs.Forget(id)
 	f.router.Remove(id)
+	f.copiesLostLocked(id)
 	f.onEnded(id)
 	go f.onRemoved(upstream.Server{ID: string(id), Address: known.Address})
 }
--- a/gateway/losses.go
+++ b/gateway/losses.go
@@ -29,6 +29,7 @@
 	}
 	f.streams.ServerLost(now, entry.Domain)
 	f.onLost(now, entry)
+	f.copiesLostLocked(id)
 	telemetry.Counter(f.metrics, "fleet.lost_"+reason).Inc(1)
 	line := f.log.Info().Str("server", string(id)).Str("domain", string(entry.Domain)).Str("reason", reason).Int("doubtful", len(suspects))
 	if cause != nil {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -126,12 +126,16 @@
 
 // fetch makes a GET request on behalf of the gateway itself and reads the answer.
 func (g *Gateway) fetch(entry directory.Entry, target string) (*upstream.Response, []byte, error) {
-	ctx, cancel := context.WithTimeout(g.background, fetchTimeout)
+	return g.exchange(g.background, entry, &upstream.Request{Method: http.MethodGet, Target: target})
+}
+
+// exchange makes a request on behalf of the gateway itself and reads the answer. The request names method, target and body.
+func (g *Gateway) exchange(ctx context.Context, entry directory.Entry, request *upstream.Request) (*upstream.Response, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	server := upstream.Server{ID: string(entry.ID), Address: entry.Address}
-	response, err := g.pool.Do(ctx, server, &upstream.Request{
-		Method: http.MethodGet, Target: target, Host: entry.Address, Header: http.Header{}, MaxIdle: g.maxIdle(entry.Service),
-	})
+	request.Host, request.Header, request.MaxIdle = entry.Address, http.Header{}, g.maxIdle(entry.Service)
+	response, err := g.pool.Do(ctx, server, request)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -23,7 +23,10 @@
 func (s *streamCall) newAttempt(now time.Time, t target) *Attempt {
 	a := &Attempt{LastEvent: s.lastEvent, Urgent: s.lostAt != (time.Time{})}
 	if t.hasCopy {
-		a.ContinueAddress, a.ContinueRequest = t.place.Address, s.caller.ID
+		a.ContinueAddress, a.ContinueHandle = t.place.Address, string(s.caller.ID)
+		if t.copySource.handle != "" {
+			a.ContinueAddress, a.ContinueHandle = t.copySource.address, t.copySource.handle
+		}
 	}
 	service := s.table.Service(s.service)
 	if service != nil && service.Engine != nil && service.Engine.Backups && s.route.Idempotent() {
@@ -36,10 +39,14 @@
 }
 
 // run runs the stream at one server until it ends there.
-func (s *streamCall) run(t target) (runEnd, error) {
+func (s *streamCall) run(t target) (end runEnd, err error) {
 	now := time.Now()
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	defer cancel(nil)
+	copies := &copyKeeper{call: s, ctx: ctx, from: t.place}
+	defer func() {
+		cancel(nil)
+		copies.end(end)
+	}()
 	startBy := now.Add(max(firstEventTimeoutMin, firstEventWaitFactor*t.place.expectedWait))
 	queued := s.totalSends == 1 && s.caller.LastEvent == 0
 	s.watch = s.fleet.watch(now, &watchedRun{server: t.place.Entry, cancel: cancel, reserveMove: s.reserveMove}, startBy, queued)
@@ -52,6 +59,9 @@
 	s.runBegun = false
 	s.gossip.enqueue(startedMessage(t.place.ID, s.work, t.hasCopy, s.totalSends > 1))
 	request := s.newRequest(now, t.place, s.newAttempt(now, t))
+	if s.backup != nil && s.table.Service(s.service).Engine.Moves {
+		s.fleet.watchCopy(s.watch, s.backup.ID, copies.copyLost)
+	}
 	// A server that has refused the stream may repeat that refusal on the connection.
 	request.FreshConnection = !s.route.Idempotent() || slices.Contains(s.tried, t.place.ID)
 	t.place.bootSentAt = bootClock()
@@ -61,7 +71,7 @@
 		return s.exchangeFailed(ctx, t, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	end, err := s.relay(ctx, t, response)
+	end, err = s.relay(ctx, t, response)
 	if end == runComplete {
 		done := time.Now()
 		s.fleet.finished(done, t.place, s.work, routing.Result{Duration: done.Sub(now), Tokens: uint32(s.delivered * s.eventTokens())})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,8 +78,10 @@
 // target is the server of the next run of a stream.
 type target struct {
 	place *placement
-	// hasCopy is set if the server holds a copy of the last run's KV cache.
-	hasCopy bool
+	// hasCopy is set if the server holds a copy of the last run's KV cache. If that was moved there, copySource is where
+	// it was made.
+	hasCopy    bool
+	copySource copySource
 }
 
 // streamCall is the state of a call that is answered by a stream.
@@ -93,7 +95,9 @@
 	// totalSends counts all sends, including those that did not run.
 	totalSends int
 	// backup is the server that holds a copy of the last run's KV cache.
-	backup *directory.Entry
+	// If that was moved there, backupSource is where it was made.
+	backup       *directory.Entry
+	backupSource copySource
 	// failure is a server's error answer. It is delivered if no run succeeds.
 	failure *sendResult
 	tried   []serverID
@@ -309,7 +313,7 @@
 	if s.backup == nil {
 		return target{}, false
 	}
-	id := s.backup.ID
+	id, source := s.backup.ID, s.backupSource
 	s.dropBackup()
 	work := s.work
 	work.HasBackup = true
@@ -317,7 +321,9 @@
 	if place == nil {
 		return target{}, false
 	}
-	return s.countSend(place, true), true
+	t := s.countSend(place, true)
+	t.copySource = source
+	return t, true
 }
 
 // inTime reports whether the answer can be complete before its deadline.
@@ -347,7 +353,7 @@
 func (s *streamCall) dropBackup() {
 	if s.backup != nil {
 		s.fleet.releaseBackup(s.backup.ID, s.work)
-		s.backup = nil
+		s.backup, s.backupSource = nil, copySource{}
 	}
 }
 
--- a/gateway/watched_runs.go
+++ b/gateway/watched_runs.go
@@ -23,6 +23,10 @@
 	ended       bool
 	// suspicion is why the run would have ended if its stream could continue elsewhere, or nil.
 	suspicion error
+	// copyAt is the server that holds the copy of the run's KV cache; empty if there is none. copyLost is called, with the
+	// fleet's lock held, when that is lost.
+	copyAt   serverID
+	copyLost func()
 	// suspectedAt is when the suspicion arose.
 	suspectedAt time.Time
 }
@@ -36,6 +40,22 @@
 	return id
 }
 
+// watchCopy has lost called, with the fleet's lock held, when the server that holds the copy of a run is lost.
+func (f *fleet) watchCopy(run health.StreamID, at serverID, lost func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs[run].copyAt, f.runs[run].copyLost = at, lost
+}
+
+// copiesLostLocked tells the runs whose copies a lost server holds.
+func (f *fleet) copiesLostLocked(id serverID) {
+	for _, run := range f.runs {
+		if run.copyAt == id && run.copyLost != nil {
+			run.copyLost()
+		}
+	}
+}
+
 // unwatch ends the failure detection of a run.
 func (f *fleet) unwatch(id health.StreamID) {
 	f.mu.Lock()
--- a/routetable/routetable.go
+++ b/routetable/routetable.go
@@ -96,6 +96,8 @@
 	MemoryTokens int
 	// Backups is set if an engine can copy the KV cache of a running request to another engine.
 	Backups bool
+	// Moves is set if an engine copies the KV cache of a running request to another engine when it is asked to.
+	Moves bool
 	// EventTokens is the number of tokens per event of a stream.
 	EventTokens int
 }
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -33,6 +33,8 @@
 
 // Options configure a Deployment.
 type Options struct {
+	// Moves is set if engines copy the KV cache of a run when they are asked to.
+	Moves bool
 	// Engines is the number of model runners, Plain that of plain backend servers.
 	Engines int
 	Plain   int
@@ -309,7 +311,7 @@
 			route("unsafe", UnsafePath, "unsafe", Plain, d.options.PlainTimeout, 1),
 		},
 		Services: []object{
-			{"name": Engines, "health_path": "/health", "max_connections": 300, "engine": object{"kv_tokens": 100000, "backups": true, "stride": 1}},
+			{"name": Engines, "health_path": "/health", "max_connections": 300, "engine": object{"kv_tokens": 100000, "backups": true, "moves": d.options.Moves, "stride": 1}},
 			{"name": Plain, "health_path": "/health", "max_connections": 300},
 		},
 		Limits:  object{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -5,6 +5,7 @@
 package runner
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -177,6 +178,9 @@
 	case "/kv-events":
 		io.WriteString(w, `{"epoch":1,"next":0,"lost":false,"events":[]}`)
 		return
+	case "/kv-move":
+		r.serveMove(w, q)
+		return
 	}
 	if target := q.Header.Get("Wigeonfork-Target-Instance"); target != "" && target != r.ID {
 		w.Header().Set("Wigeonfork-Instance-Id", r.ID)
@@ -198,6 +202,22 @@
 	r.serveRequest(w, q)
 }
 
+// serveMove copies the KV cache of a run to another runner. The run goes on.
+func (r *Runner) serveMove(w http.ResponseWriter, q *http.Request) {
+	var order struct {
+		ID string `json:"id"`
+		To string `json:"to"`
+	}
+	if err := json.NewDecoder(q.Body).Decode(&order); err != nil || order.ID == "" || order.To == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	handle := "moved-" + order.ID
+	r.shared.storeCopy(r.Address() + "/" + handle)
+	r.shared.recordMove(order.ID, order.To)
+	fmt.Fprintf(w, `{"handle":%q,"created":0}`, handle)
+}
+
 func (r *Runner) serveReport(w http.ResponseWriter) {
 	if !r.options.Engine {
 		w.WriteHeader(http.StatusNotFound)
--- a/standin/runner/shared.go
+++ b/standin/runner/shared.go
@@ -37,14 +37,15 @@
 	arrivals map[string][]time.Time
 	// notices holds the times at which each runner said in a response that it leaves or wants a pause.
 	notices map[string][]time.Time
-	copies  map[string]bool // by backup address/request id
+	copies  map[string]bool   // by backup address/request id
+	moves   map[string]string // destination by request id
 	// missingCopies counts the requests for a copy that is not stored.
 	missingCopies int
 }
 
 // NewSharedState returns a SharedState without runs or copies.
 func NewSharedState() *SharedState {
-	return &SharedState{copies: make(map[string]bool), arrivals: make(map[string][]time.Time), notices: make(map[string][]time.Time)}
+	return &SharedState{copies: make(map[string]bool), moves: make(map[string]string), arrivals: make(map[string][]time.Time), notices: make(map[string][]time.Time)}
 }
 
 // Runs returns the runs with a request id, or all runs if request is empty.
@@ -111,6 +112,20 @@
 	s.copies[id] = true
 }
 
+func (s *SharedState) recordMove(request, to string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moves[request] = to
+}
+
+// MovedTo returns the address to which the KV cache of a request's run was last copied on order; empty if there was no
+// order.
+func (s *SharedState) MovedTo(request string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.moves[request]
+}
+
 func (s *SharedState) takeCopy(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
