--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -93,7 +93,6 @@
 		onLost:     func(time.Time, directory.Entry) {},
 		onReturned: func(time.Time, directory.Entry) {},
 		identify:   func(directory.Entry) {},
-		announce:   func(loadshare.Message) {},
 		directory:  directory.New(),
 		router:     routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
 		servers:    health.NewServers(),
