Mend what a review of room found

- A request that fits only an engine without requests goes to one, and one that no memory holds is sent, so that the engine refuses it; both were told to wait for ever.
- A request that outruns its prediction is expected to run on for a quarter of its time so far.
RoomIn was 10 ms as soon as one did, and if all servers were suspect; it is a service time then.
- If the preferred version has no room, the other allowed ones are asked.
- Servers to be avoided get a request before it is told to wait.
- servers.no_room counts only requests that are not sent, servers.overcommitted those that are.
Counting ends if a service loses its engine settings.
An end without prefixes frees a request of its own size.

--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -80,7 +80,7 @@
 	at := k.holder()
 	if at == nil || !k.call.fleet.alive(at.ID) {
 		k.drop()
-		at = k.call.fleet.backup(time.Now(), k.from, k.call.work)
+		at = k.call.fleet.backup(time.Now(), k.from, k.call.work, true)
 	}
 	if at == nil {
 		return errNoServerForCopy
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -210,8 +210,8 @@
 }
 
 // backup returns a server to keep a copy of the KV cache of a run at primary, or nil.
-// It reserves memory there, which the caller must free by releaseBackup.
-func (f *fleet) backup(now time.Time, primary *placement, work routing.Work) *directory.Entry {
+// It reserves memory there, which the caller must free by releaseBackup. replaces is set if an earlier copy was lost.
+func (f *fleet) backup(now time.Time, primary *placement, work routing.Work, replaces bool) *directory.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, ok := f.router.ChooseBackup(now, routing.BackupRequest{
@@ -220,6 +220,8 @@
 		Server:  primary.ID,
 		Domain:  primary.Domain,
 		Tokens:  work.PromptTokens + work.MaxTokens,
+
+		Replaces: replaces,
 	})
 	if !ok {
 		return nil
@@ -368,7 +370,7 @@
 	for _, service := range table.Services() {
 		if service.Engine != nil {
 			f.router.SetMemoryLimit(service.Name, service.Engine.MemoryTokens)
-			f.router.SetRoom(service.Name, f.enginesCrash || table.Ranked(service.Name))
 		}
+		f.router.SetRoom(service.Name, service.Engine != nil && (f.enginesCrash || table.Ranked(service.Name)))
 	}
 }
--- a/gateway/fleet_choose.go
+++ b/gateway/fleet_choose.go
@@ -46,8 +46,10 @@
 		return nil, err
 	}
 	if decision.NoRoom {
-		telemetry.Counter(f.metrics, "servers.no_room").Inc(1)
-		if !q.mayOvercommit {
+		if q.mayOvercommit {
+			telemetry.Counter(f.metrics, "servers.overcommitted").Inc(1)
+		} else {
+			telemetry.Counter(f.metrics, "servers.no_room").Inc(1)
 			return nil, &routing.NoRoomError{RoomIn: decision.RoomIn}
 		}
 	}
--- a/gateway/fleet_versions.go
+++ b/gateway/fleet_versions.go
@@ -60,8 +60,9 @@
 	f.versionOrder[entry.Service] = slices.DeleteFunc(f.versionOrder[entry.Service], func(v wigeonfork.Version) bool { return v == entry.Version })
 }
 
-// chooseVersion chooses a server of the first allowed version that has one for the request. Without
-// an order, servers of a version that appeared later are used only if there are no others.
+// chooseVersion chooses a server of the first allowed version that has one with room for the request, or if none has room,
+// of the first that has one. Without an order, servers of a version that appeared later are used only if there are no
+// others, or if those have no room.
 func (f *fleet) chooseVersion(now time.Time, request *routing.Request) (routing.Decision, error) {
 	versions := f.versions.preference(request.Model)
 	if len(versions) == 0 && len(f.versionOrder[request.Model]) > 1 {
@@ -70,15 +71,23 @@
 	if len(versions) == 0 {
 		versions = []wigeonfork.Version{""}
 	}
-	var decision routing.Decision
+	var full *routing.Decision
 	var err error
 	for _, version := range versions {
 		request.Version = version
-		if decision, err = f.router.Choose(now, *request); err == nil {
+		var decision routing.Decision
+		decision, err = f.router.Choose(now, *request)
+		if err == nil && !decision.NoRoom {
 			return decision, nil
 		}
+		if err == nil && full == nil {
+			full = &decision
+		}
+	}
+	if full != nil {
+		return *full, nil
 	}
-	return decision, err
+	return routing.Decision{}, err
 }
 
 // establishedVersion returns the version of a service that has had servers for longest, other than
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -31,7 +31,7 @@
 	service := s.table.Service(s.service)
 	if service != nil && service.Engine != nil && service.Engine.Backups && s.route.Idempotent() {
 		s.dropBackup()
-		if s.backup = s.fleet.backup(now, t.place, s.work); s.backup != nil {
+		if s.backup = s.fleet.backup(now, t.place, s.work, false); s.backup != nil {
 			a.BackupAddress = s.backup.Address
 		}
 	}
--- a/routing/backup.go
+++ b/routing/backup.go
@@ -34,6 +34,8 @@
 	Domain wigeonfork.FailureDomain
 	// Tokens is the size of the backup, in tokens, when the request ends.
 	Tokens uint32
+	// Replaces is set if the copy replaces a lost one of a run in progress.
+	Replaces bool
 }
 
 // SetMemoryLimit sets the KV cache size, in tokens, of the engines that serve a
@@ -94,7 +96,7 @@
 	}
 	fill := r.memoryUse(s, float64(b.Tokens))
 	load := fill + backupLoadWeight*s.outstanding(now, r.options.DisabledTerms) + backupLoadWeight*r.random.Float64()
-	return backupScore{sameDomain: s.Domain == b.Domain, load: load}, fill < 1 && r.hasRoomForCopy(now, s, float64(b.Tokens))
+	return backupScore{sameDomain: s.Domain == b.Domain, load: load}, fill < 1 && r.hasRoomForCopy(now, s, b)
 }
 
 // ReleaseBackup frees the memory that a server was charged with for a backup.
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -51,7 +51,7 @@
 	if len(group) == 0 {
 		return Decision{}, errUnknownVersion
 	}
-	r.sample = r.sample[:0]
+	r.beginSample()
 	r.sampleGroup(now, &req, group)
 	r.addHolders(now, &req)
 	if len(r.sample) == 0 {
@@ -66,6 +66,14 @@
 	return r.chooseWithRoom(now, &req, group), nil
 }
 
+// beginSample empties the sample.
+func (r *Router) beginSample() {
+	for k := range r.sample {
+		r.servers[r.sample[k].server].sampled = false
+	}
+	r.sample = r.sample[:0]
+}
+
 // sampleGroup considers a random sample of the group without replacement, or
 // the complete group if it is small.
 func (r *Router) sampleGroup(now time.Time, req *Request, group []int32) {
@@ -124,10 +132,8 @@
 	if s.state >= StateLeaving || !roleMatches(s, req) {
 		return
 	}
-	for k := range r.sample {
-		if r.sample[k].server == i {
-			return
-		}
+	if s.sampled {
+		return
 	}
 	if slices.Contains(req.Exclude, s.ID) {
 		return
@@ -140,6 +146,7 @@
 	if r.options.DisabledTerms&TermPrefix == 0 {
 		c.cached, c.cachedCredit = r.prefix.cached(now, req.Prefixes, i, r.options.CacheHalfLife)
 	}
+	s.sampled = true
 	r.sample = append(r.sample, c)
 }
 
--- a/routing/room.go
+++ b/routing/room.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -15,6 +16,9 @@
 	newRequestReserve = 0.05
 	// newCopyReserve is the same for copies. A request that must be read again for a copy costs more than the copy saves.
 	newCopyReserve = 0.25
+	// replacedCopyReserve is the same for copies that replace a lost one. An engine makes them whole at once, and they do
+	// not yield to requests.
+	replacedCopyReserve = 0.5
 	// overdueFactor is the multiple of its predicted duration after which a peer's request is taken to have ended though
 	// that was not announced.
 	overdueFactor = 3
@@ -22,6 +26,14 @@
 	maxOccupants = 1024
 	// minRoomIn is the least predicted time until a server has room.
 	minRoomIn = 10 * time.Millisecond
+	// overdueRemainder is the fraction of the time that a request has run beyond its predicted end for which it is
+	// expected to run on.
+	overdueRemainder = 0.25
+	// maxWidened bounds the servers that are looked at for room when none of the sample has any. Where it binds, one
+	// server in a hundred with room is missed once in twenty thousand requests.
+	maxWidened = 1024
+	// roomInChoices is the number of servers of which the soonest end is predicted when none has room.
+	roomInChoices = 32
 )
 
 // NoRoomError is the error of a request for which no server has room. The request was not sent.
@@ -41,6 +53,8 @@
 	// removed for another.
 	prefix uint64
 	tokens float64
+	// work is the size of an own request by its Work, which tells requests without prefixes apart.
+	work float64
 	// sentAt is when it was sent, and predicted the duration by the server's speed alone.
 	sentAt    time.Time
 	predicted time.Duration
@@ -62,44 +76,82 @@
 	own    []occupant
 	peers  []occupant
 	copies []occupant
+	// sum is the tokens of all. It is counted along, since all servers are asked when none has room. forgetAt is the
+	// earliest time at which one of peers is overdue.
+	sum      float64
+	forgetAt time.Time
 }
 
 func (o *occupancy) addOwn(added occupant) {
 	if len(o.own) < maxOccupants {
 		o.own = append(o.own, added)
+		o.sum += added.tokens
 	}
 }
 
-// removeOne removes one occupant with the given prefix and returns it.
-func removeOne(from []occupant, prefix uint64) (rest []occupant, removed occupant, ok bool) {
+// appendOfPeer adds an occupant of a peer to a list of the server.
+func (o *occupancy) appendOfPeer(to []occupant, added occupant) []occupant {
+	if len(to) >= maxOccupants {
+		return to
+	}
+	if len(o.peers)+len(o.copies) == 0 || added.forgetAt.Before(o.forgetAt) {
+		o.forgetAt = added.forgetAt
+	}
+	o.sum += added.tokens
+	return append(to, added)
+}
+
+// removeOne removes the first matching occupant and returns it.
+func (o *occupancy) removeOne(from []occupant, matches func(*occupant) bool) (rest []occupant, removed occupant, ok bool) {
 	for i := range from {
-		if from[i].prefix == prefix {
+		if matches(&from[i]) {
 			removed = from[i]
+			o.sum -= removed.tokens
 			return slices.Delete(from, i, i+1), removed, true
 		}
 	}
 	return from, occupant{}, false
 }
 
+func hasPrefix(prefix uint64) func(*occupant) bool {
+	return func(o *occupant) bool { return o.prefix == prefix }
+}
+
 func (o *occupancy) addPeer(now time.Time, added occupant) {
 	o.expire(now)
-	if len(o.peers) < maxOccupants {
-		o.peers = append(o.peers, added)
-	}
+	o.peers = o.appendOfPeer(o.peers, added)
 }
 
 func (o *occupancy) addCopy(now time.Time, added occupant) {
 	o.expire(now)
-	if len(o.copies) < maxOccupants {
-		o.copies = append(o.copies, added)
-	}
+	o.copies = o.appendOfPeer(o.copies, added)
 }
 
 // expire removes what is overdue of peers.
 func (o *occupancy) expire(now time.Time) {
+	if len(o.peers)+len(o.copies) == 0 || now.Before(o.forgetAt) {
+		return
+	}
 	overdue := func(p occupant) bool { return !p.forgetAt.After(now) }
 	o.peers = slices.DeleteFunc(o.peers, overdue)
 	o.copies = slices.DeleteFunc(o.copies, overdue)
+	o.recount()
+}
+
+// recount sets what is counted along anew.
+func (o *occupancy) recount() {
+	o.sum, o.forgetAt = 0, time.Time{}
+	for i := range o.own {
+		o.sum += o.own[i].tokens
+	}
+	for _, list := range [][]occupant{o.peers, o.copies} {
+		for i := range list {
+			o.sum += list[i].tokens
+			if o.forgetAt.IsZero() || list[i].forgetAt.Before(o.forgetAt) {
+				o.forgetAt = list[i].forgetAt
+			}
+		}
+	}
 }
 
 // correct applies the number of requests of peers that a load report measured. Requests that were sent since are kept.
@@ -124,32 +176,35 @@
 		before--
 		return true
 	})
+	o.recount()
 }
 
 // used returns the occupied tokens.
 func (o *occupancy) used(now time.Time) float64 {
 	o.expire(now)
-	sum := 0.0
-	for i := range o.own {
-		sum += o.own[i].tokens
-	}
-	for i := range o.peers {
-		sum += o.peers[i].tokens
-	}
-	for i := range o.copies {
-		sum += o.copies[i].tokens
+	return max(0, o.sum)
+}
+
+// isIdle reports whether no request is known to run on the server.
+func (o *occupancy) isIdle() bool { return len(o.own)+len(o.peers) == 0 }
+
+// remaining returns for how long an occupant is expected to stay. One that has run beyond its predicted end says little
+// of its end except by how long it has run.
+func (o *occupant) remaining(now time.Time) time.Duration {
+	if left := o.endsAt.Sub(now); left > 0 {
+		return max(minRoomIn, left)
 	}
-	return sum
+	return max(minRoomIn, time.Duration(overdueRemainder*float64(now.Sub(o.sentAt))))
 }
 
 // freeIn returns the predicted time until at least the given tokens have become free, and false if all requests
 // together occupy less.
 func (o *occupancy) freeIn(now time.Time, tokens float64) (time.Duration, bool) {
 	all := slices.Concat(o.own, o.peers, o.copies)
-	slices.SortFunc(all, func(a, b occupant) int { return a.endsAt.Compare(b.endsAt) })
+	slices.SortFunc(all, func(a, b occupant) int { return cmp.Compare(a.remaining(now), b.remaining(now)) })
 	for i := range all {
 		if tokens -= all[i].tokens; tokens <= 0 {
-			return max(minRoomIn, all[i].endsAt.Sub(now)), true
+			return all[i].remaining(now), true
 		}
 	}
 	return 0, false
@@ -207,14 +262,16 @@
 		read = 0
 	}
 	added := policy.until(now, r.predictRun(now, s, float64(read), float64(work.MaxTokens)))
-	added.prefix, added.tokens = wholePrefix(work), r.unshared(now, i, work)
+	added.prefix, added.tokens, added.work = wholePrefix(work), r.unshared(now, i, work), work.tokens()
 	s.occupancy.addOwn(added)
 }
 
 // vacateOwn frees the memory of a request of this router. complete is set if it was answered, so that its duration
 // is known.
 func (r *Router) vacateOwn(now time.Time, s *server, work *Work, complete bool) {
-	rest, removed, ok := removeOne(s.occupancy.own, wholePrefix(work))
+	rest, removed, ok := s.occupancy.removeOne(s.occupancy.own, func(o *occupant) bool {
+		return o.prefix == wholePrefix(work) && o.work == work.tokens()
+	})
 	s.occupancy.own = rest
 	policy := r.roomOf(s)
 	if ok && complete && policy != nil && removed.predicted > 0 {
@@ -258,7 +315,7 @@
 func (r *Router) PeerEnded(now time.Time, id ID, prefix uint64) {
 	if s := r.find(id); s != nil && r.roomOf(s) != nil {
 		s.occupancy.expire(now)
-		s.occupancy.peers, _, _ = removeOne(s.occupancy.peers, prefix)
+		s.occupancy.peers, _, _ = s.occupancy.removeOne(s.occupancy.peers, hasPrefix(prefix))
 	}
 }
 
@@ -278,7 +335,7 @@
 // PeerCopyDropped records that a server no longer keeps a copy of a peer's request.
 func (r *Router) PeerCopyDropped(id ID, prefix uint64) {
 	if s := r.find(id); s != nil {
-		s.occupancy.copies, _, _ = removeOne(s.occupancy.copies, prefix)
+		s.occupancy.copies, _, _ = s.occupancy.removeOne(s.occupancy.copies, hasPrefix(prefix))
 	}
 }
 
@@ -289,12 +346,16 @@
 }
 
 // hasRoomForCopy reports whether a server has memory for a copy. It has if room is not counted there.
-func (r *Router) hasRoomForCopy(now time.Time, s *server, tokens float64) bool {
+func (r *Router) hasRoomForCopy(now time.Time, s *server, b *BackupRequest) bool {
 	if r.roomOf(s) == nil {
 		return true
 	}
-	limit := r.memoryLimit[s.Versions[0].Model] * (1 - newCopyReserve)
-	return s.occupancy.used(now)+s.backupTokens+tokens <= limit
+	reserve := newCopyReserve
+	if b.Replaces {
+		reserve = replacedCopyReserve
+	}
+	limit := r.memoryLimit[s.Versions[0].Model] * (1 - reserve)
+	return s.occupancy.used(now)+s.backupTokens+float64(b.Tokens) <= limit
 }
 
 // correctRoom applies the requests of others that a load report of a server counts.
@@ -317,12 +378,16 @@
 	return seconds((backlog+read)/rate + made*gap*s.slowdown(s.outstanding(now, r.options.DisabledTerms)))
 }
 
-// hasRoom reports whether a candidate has memory and a slot for a request.
+// hasRoom reports whether a candidate has memory and a slot for a request. A request that no memory holds is not made to
+// wait: the engine says so.
 func (r *Router) hasRoom(now time.Time, c *candidate, req *Request) bool {
 	s := &r.servers[c.server]
 	if r.roomOf(s) == nil {
 		return true
 	}
+	if float64(req.PromptTokens)+float64(req.MaxTokens) > r.memoryLimit[req.Model] {
+		return true
+	}
 	return r.missingMemory(now, c.server, req) <= 0 && (s.Slots == 0 || c.outstanding+1 <= s.slots())
 }
 
@@ -330,7 +395,7 @@
 func (r *Router) missingMemory(now time.Time, i int32, req *Request) float64 {
 	s := &r.servers[i]
 	limit := r.memoryLimit[s.Versions[0].Model]
-	if !req.Resume {
+	if !req.Resume && !s.occupancy.isIdle() {
 		limit *= 1 - newRequestReserve
 	}
 	need := r.unshared(now, i, &Work{Prefixes: req.Prefixes, PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens})
@@ -355,12 +420,15 @@
 // chooseWithRoom decides like Choose for a model whose requests go where there is room: among the candidates with room
 // if there is one, else among those of the complete group, else to the least bad server.
 func (r *Router) chooseWithRoom(now time.Time, req *Request, group []int32) Decision {
-	accepts := func(c *candidate) bool { return r.isSound(c) && r.hasRoom(now, c, req) }
+	accepts := func(c *candidate) bool { return !c.avoided && r.takesRequests(c) && r.hasRoom(now, c, req) }
 	best := r.bestCandidate(now, req, accepts)
 	if best == nil {
-		r.considerAll(now, req, group)
+		r.widenSample(now, req, group)
 		best = r.bestCandidate(now, req, accepts)
 	}
+	if best == nil {
+		best = r.bestCandidate(now, req, func(c *candidate) bool { return r.takesRequests(c) && r.hasRoom(now, c, req) })
+	}
 	if best != nil {
 		return r.decide(now, req, best)
 	}
@@ -373,21 +441,30 @@
 	return decision
 }
 
-// isSound reports whether a candidate is ready or due for a probe, and not to be avoided.
-func (r *Router) isSound(c *candidate) bool {
-	return !c.avoided && (c.probe || r.servers[c.server].state == StateReady)
+// takesRequests reports whether a candidate is ready or due for a probe.
+func (r *Router) takesRequests(c *candidate) bool {
+	return c.probe || r.servers[c.server].state == StateReady
+}
+
+// widenSample considers up to maxWidened servers of the group, from a random one on.
+func (r *Router) widenSample(now time.Time, req *Request, group []int32) {
+	first := r.random.IntN(len(group))
+	for k := range min(len(group), maxWidened) {
+		r.consider(now, req, group[(first+k)%len(group)])
+	}
 }
 
-// leastRoomIn returns the predicted time until the first of the ready candidates has room.
+// leastRoomIn returns the predicted time until the first of the candidates of the sample that take requests has room.
 func (r *Router) leastRoomIn(now time.Time, req *Request) time.Duration {
 	least := time.Duration(math.MaxInt64)
-	for k := range r.sample {
-		if r.isSound(&r.sample[k]) {
+	for k := range r.sample[:min(len(r.sample), roomInChoices)] {
+		if r.takesRequests(&r.sample[k]) {
 			least = min(least, r.roomIn(now, r.sample[k].server, req))
 		}
 	}
 	if least == math.MaxInt64 {
-		return minRoomIn
+		_, _, service := r.speed(now, &r.servers[r.sample[0].server])
+		return seconds(service)
 	}
 	return least
 }
--- a/routing/room_test.go
+++ b/routing/room_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,6 +123,16 @@
 			}
 			So(send(a, b, false), ShouldEqual, send(b, a, false))
 			So(most(), ShouldBeLessThanOrEqualTo, 10)
+			later := start.Add(100 * time.Millisecond)
+			for i := range a.servers {
+				id := a.servers[i].ID
+				running := len(a.find(id).occupancy.own) + len(b.find(id).occupancy.own)
+				report := backend.LoadReport{Running: running, Slots: 64, MeasuredAt: later}
+				a.Report(later, id, report)
+				b.Report(later, id, report)
+				So(a.Room(later, id).Requests, ShouldEqual, running)
+				So(b.Room(later, id).Requests, ShouldEqual, running)
+			}
 		})
 		Convey("lost messages are replaced by the next load report", func() {
 			for range 9 {
@@ -163,6 +174,110 @@
 	})
 }
 
+// Guards against requests that wait for ever: a prompt almost or more than as large as an engine's memory.
+func TestLargestRequests(t *testing.T) {
+	Convey("A request that only an idle engine holds goes to one, and waits while none is idle", t, func() {
+		r := newRoomRouter(2, 7)
+		large := roomRequest()
+		large.PromptTokens = testMemory - large.MaxTokens
+		r.Started(start, "b0", roomWork())
+		d, err := r.Choose(start, large)
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeFalse)
+		So(d.ID, ShouldEqual, ID("b1"))
+		r.Started(start, "b1", roomWork())
+		d, err = r.Choose(start, large)
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeTrue)
+	})
+	Convey("A request that no engine holds is sent, so that an engine refuses it", t, func() {
+		r := newRoomRouter(2, 8)
+		fill(r, start)
+		large := roomRequest()
+		large.PromptTokens = testMemory
+		d, err := r.Choose(start, large)
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeFalse)
+	})
+}
+
+// Guards against callers who are told to come back at once, again and again, since all answers are longer than predicted.
+func TestRoomInOfLongAnswers(t *testing.T) {
+	Convey("When requests run for twice as long as predicted, the next room is told a fraction of that ahead", t, func() {
+		r := newRoomRouter(2, 9)
+		fill(r, start)
+		longest := time.Duration(0)
+		for _, o := range r.find("b0").occupancy.own {
+			longest = max(longest, o.endsAt.Sub(start))
+		}
+		d, err := r.Choose(start.Add(2*longest), roomRequest())
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeTrue)
+		So(d.RoomIn, ShouldBeGreaterThanOrEqualTo, longest/4)
+		So(d.RoomIn, ShouldBeLessThanOrEqualTo, longest)
+	})
+	Convey("When all servers are suspect and full, the next room is told a request's duration ahead", t, func() {
+		r := newRoomRouter(2, 10)
+		fill(r, start)
+		for _, id := range []ID{"b0", "b1"} {
+			r.SetState(start, id, StateSuspect)
+			r.find(id).probedAt = start
+		}
+		d, err := r.Choose(start, roomRequest())
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeTrue)
+		So(d.RoomIn, ShouldBeGreaterThan, time.Second)
+	})
+}
+
+// Guards against resumes that wait beside free places: all servers with room have refused the stream before.
+func TestAvoidedServersWithRoom(t *testing.T) {
+	Convey("A server to be avoided gets the request if no other has room", t, func() {
+		r := newRoomRouter(2, 11)
+		for range 9 {
+			r.Started(start, "b0", roomWork())
+		}
+		req := roomRequest()
+		req.Avoid = []ID{"b1"}
+		d, err := r.Choose(start, req)
+		So(err, ShouldBeNil)
+		So(d.ID, ShouldEqual, ID("b1"))
+		So(d.NoRoom, ShouldBeFalse)
+	})
+}
+
+// Guards against memory that is freed for another request: prompts without declared parts.
+func TestRequestsWithoutPrefixes(t *testing.T) {
+	Convey("The end of a request frees its own size", t, func() {
+		r := newRoomRouter(1, 12)
+		small := Work{PromptTokens: 100, MaxTokens: 20}
+		r.Started(start, "b0", roomWork())
+		r.Started(start, "b0", small)
+		r.Failed(start, "b0", small)
+		So(r.Room(start, "b0").Used, ShouldEqual, testPrompt+testAnswer)
+	})
+}
+
+// BenchmarkChooseWhenFull measures a decision when no engine of a large service has room.
+func BenchmarkChooseWhenFull(b *testing.B) {
+	for _, n := range []int{100, 1_000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newRoomRouter(n, 13)
+			for i := range r.servers {
+				for range 9 {
+					r.Started(start, r.servers[i].ID, roomWork())
+				}
+			}
+			req := roomRequest()
+			for b.Loop() {
+				if d, err := r.Choose(start, req); err != nil || !d.NoRoom {
+					b.Fatal("a server has room")
+				}
+			}
+		})
+	}
+}
+
 // Guards against copies that push running requests out of memory: each stream keeps one, so that they need as much as all
 // streams.
 func TestCopiesLeaveRoomForRequests(t *testing.T) {
@@ -180,6 +295,12 @@
 		So(id, ShouldEqual, ID("b1"))
 		_, ok = r.ChooseBackup(start, copyOf)
 		So(ok, ShouldBeFalse)
+		replaced := copyOf
+		replaced.Replaces = true
+		r.PeerCopyDropped("b1", 1)
+		_, ok = r.ChooseBackup(start, replaced)
+		So(ok, ShouldBeFalse)
+		r.PeerCopyKept(start, "b1", 1, testPrompt+testAnswer)
 		r.PeerCopyDropped("b1", 2)
 		_, ok = r.ChooseBackup(start, copyOf)
 		So(ok, ShouldBeTrue)
--- a/routing/server.go
+++ b/routing/server.go
@@ -125,6 +125,7 @@
 	probeStreaming     bool         // a stream sent after the suspicion got its first token
 	lastFirstTokenAt   time.Time
 	occupancy          occupancy
+	sampled            bool    // in Router.sample
 	gapBeforeSuspicion float64 // longTermGap at the time of the suspicion, seconds
 }
 
