--- a/routing/server.go
+++ b/routing/server.go
@@ -130,6 +130,7 @@
 	probeStreaming     bool         // a stream sent after the suspicion got its first token
 	lastFirstTokenAt   time.Time
 	occupancy          occupancy
+	sampled            bool    // in Router.sample
 	gapBeforeSuspicion float64 // longTermGap at the time of the suspicion, seconds
 	slowdownReport     slowdownReport
 	plainService       decayingMean // usual time of a plain request, seconds
