Learn what each server takes well, and share how slow it is at the moment

Cause: each gateway knew a server's slowdown from its own answers alone: with 44 gateways one every second and a half for each plain server, while neighbours come and go within 600 ms. A queue at a plain server counted as gone after a service time, and a server that slows down when nearly full got as many requests at once as any.

Change: package capacity keeps for each server its slowdown with the age, the usual service time, and a learned bound on requests in flight; Router asks it. An entry tells its peers of a slowdown that differs by a quarter from what any entry told last (loadshare datagram version 10). Requests that peers sent to a plain server end as many at a time as it has slots. The slowdown lengthens the predicted reading of prompts. /state shows it. Only for services whose servers report their slowdown.

go test -race ./capacity ./routing ./loadshare ./gateway passed.

--- a/gateway/datagram_fuzz_test.go
+++ b/gateway/datagram_fuzz_test.go
@@ -29,6 +29,7 @@
 	seed(loadshare.AppendRegistryUpdate(nil, 9, &loadshare.RegistryUpdate{Adopted: &loadshare.Adoption{Lost: "i-1", Adopted: changes[0].Entry}}))
 	seed(loadshare.AppendLimitUpdate(nil, 9, &loadshare.LimitUpdate{Service: 1, Renewal: &loadshare.LimitRenewal{Stamp: 1}}))
 	seed(loadshare.AppendTrialUpdate(nil, 9, &loadshare.TrialUpdate{}))
+	seed(loadshare.AppendCapacityUpdate(nil, 9, &loadshare.CapacityUpdate{Servers: []loadshare.ServerCapacity{{Server: 7}}}))
 	for kind := range uint8(16) {
 		seed(loadshare.Append(nil, 9, []loadshare.Message{{Kind: loadshare.Kind(kind), Server: 7, Value: 1 << 40, Tokens: 1}}), nil)
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/freshness"
 	"github.com/wigeonfork/wigeonfork/health"
@@ -60,6 +59,8 @@
 	identify func(directory.Entry)
 	// announce queues a message to the peers.
 	announce func(loadshare.Message)
+	// shareCapacity queues for the peers what was found out of a server.
+	shareCapacity func(loadshare.ServerCapacity)
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -90,15 +91,18 @@
 		onLost:     func(time.Time, directory.Entry) {},
 		onReturned: func(time.Time, directory.Entry) {},
 		identify:   func(directory.Entry) {},
-		directory:  directory.New(),
-		router:     routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
-		servers:    health.NewServers(),
-		signs:      directory.NewSignsOfLife(),
-		streams:    health.NewStreams(),
-		entries:    make(map[serverID]directory.Entry),
-		hashes:     make(map[loadshare.ServerHash]serverID),
-		runs:       make(map[health.StreamID]*watchedRun),
-		probedAt:   make(map[serverID]time.Time),
+
+		shareCapacity: func(loadshare.ServerCapacity) {},
+
+		directory: directory.New(),
+		router:    routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
+		servers:   health.NewServers(),
+		signs:     directory.NewSignsOfLife(),
+		streams:   health.NewStreams(),
+		entries:   make(map[serverID]directory.Entry),
+		hashes:    make(map[loadshare.ServerHash]serverID),
+		runs:      make(map[health.StreamID]*watchedRun),
+		probedAt:  make(map[serverID]time.Time),
 
 		versions:     anyVersion{},
 		versionOrder: make(map[wigeonfork.Model][]wigeonfork.Version),
@@ -234,6 +238,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.router.Finished(now, p.ID, work, result)
+	f.shareCapacityLocked(now, p.ID)
 }
 
 // failed releases a request from a server that did not complete it.
@@ -259,9 +264,7 @@
 		f.router.SetState(now, p.ID, routing.StateReady)
 	}
 	if load := reply.Load; load != nil {
-		f.router.Report(now, p.ID, backend.LoadReport{
-			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown, MeasuredAt: now,
-		})
+		f.reportLocked(now, p.ID, load)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,7 @@
 	}
 	g.fleet.isLimited = g.limits.isLimited
 	g.fleet.announce = g.gossip.enqueue
+	g.fleet.shareCapacity = g.gossip.enqueueCapacity
 	g.config = newConfigState(&options)
 	g.configFollower = newFollower(configurationWait(&options.Bounds))
 	g.serversFollower = newFollower(serversInterval(&options.Bounds))
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -39,6 +39,8 @@
 	registeredAt   time.Time
 	pending        []loadshare.Message
 	flushScheduled bool
+	// pendingCapacity is what was found out of servers and is still to be sent.
+	pendingCapacity []loadshare.ServerCapacity
 }
 
 func newGossiper(g *Gateway) *gossiper {
@@ -338,6 +340,9 @@
 	if loadshare.IsLeavingUpdate(data) {
 		return s.handleLeavingUpdate(now, data, from)
 	}
+	if loadshare.IsCapacityUpdate(data) {
+		return s.handleCapacityUpdate(now, data, from)
+	}
 	if loadshare.IsTrialUpdate(data) {
 		return s.handleTrialUpdate(now, data, from)
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -62,6 +62,19 @@
 	// sample.
 	GapUs    int64   `json:"token_gap_us"`
 	ReadRate float64 `json:"prompt_tokens_per_second"`
+	// Capacity is what the server was found to take well; nil if it does not report its slowdown.
+	Capacity *CapacityState `json:"capacity,omitempty"`
+}
+
+// CapacityState is what a server was found to take well.
+type CapacityState struct {
+	// Slowdown is the present factor of the usual time, and SlowdownAgeMs the age of what the server said of it.
+	Slowdown      float64 `json:"slowdown"`
+	SlowdownAgeMs int64   `json:"slowdown_age_ms"`
+	// ServiceMs is the usual time of a request without a prompt in milliseconds; 0 if it is not known.
+	ServiceMs float64 `json:"service_ms"`
+	// Takes is the number of requests without a prompt in flight that the server takes well.
+	Takes float64 `json:"takes"`
 }
 
 // State returns the gateway's current state.
@@ -83,7 +96,7 @@
 	s.Moves = g.moves.state()
 	s.Memory = g.memoryState()
 	s.HasLimitShare = g.limits.hasShare()
-	s.Streams, s.Servers = g.fleet.state()
+	s.Streams, s.Servers = g.fleet.state(now)
 	for i := range s.Servers {
 		if rate, limited := g.limits.rate(s.Servers[i].ID); limited {
 			s.Servers[i].RequestLimit = &rate
@@ -92,7 +105,7 @@
 	return s
 }
 
-func (f *fleet) state() (streams int, servers []ServerState) {
+func (f *fleet) state(now time.Time) (streams int, servers []ServerState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, entry := range f.entries {
@@ -100,12 +113,24 @@
 		servers = append(servers, ServerState{
 			ID: id, Service: entry.Service, Address: entry.Address, Domain: entry.Domain, Version: entry.Version,
 			State: f.servers.State(id).String(), GapUs: gap.Microseconds(), ReadRate: rate,
+			Capacity: f.capacityLocked(now, id),
 		})
 	}
 	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
 	return f.streams.Len(), servers
 }
 
+func (f *fleet) capacityLocked(now time.Time, id serverID) *CapacityState {
+	c, ok := f.router.Capacity(now, id)
+	if !ok {
+		return nil
+	}
+	return &CapacityState{
+		Slowdown: c.Slowdown, SlowdownAgeMs: c.Age.Milliseconds(),
+		ServiceMs: c.ServiceTime.Seconds() * 1000, Takes: c.Takes,
+	}
+}
+
 // Inspect returns a handler that serves metrics at /metrics and the state at /state.
 func (g *Gateway) Inspect() http.Handler {
 	mux := http.NewServeMux()
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -76,6 +76,7 @@
 	trialUpdateVersion    = 6
 	limitUpdateVersion    = 7
 	leavingUpdateVersion  = 8
+	capacityUpdateVersion = 10
 	headerSize            = 1 + 2
 	messageSize           = 1 + 8 + 4 + 8
 	// MaxMessages is the number of messages that fit in a datagram of 1200 bytes, which fits the
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -232,7 +232,8 @@
 }
 
 // speed returns the estimated inter-token time in seconds, the prefill rate in
-// tokens per second and the service time in seconds.
+// tokens per second and the service time in seconds. A slowdown that the server has
+// reported lasts for moments, so it counts for the prefill only.
 func (r *Router) speed(now time.Time, s *server) (gap, rate, service float64) {
 	if r.options.DisabledTerms&TermSpeed != 0 {
 		return priorGap.Seconds(), priorPrefillRate, priorService.Seconds()
@@ -242,6 +243,7 @@
 	gap = s.gap.read(now, gap, halfLife)
 	rate = s.rate.read(now, rate, halfLife)
 	service = s.service.read(now, service, halfLife)
+	rate /= s.capacity.Slowdown(now)
 	return gap, rate, service
 }
 
--- a/routing/plain.go
+++ b/routing/plain.go
@@ -3,72 +3,89 @@
 import (
 	"math"
 	"time"
-)
 
-const (
-	// slowdownValidity is the age at which a reported slowdown no longer counts.
-	slowdownValidity = time.Second
-	// plainLearning is the time constant of the service times of plain requests.
-	plainLearning = 4 * time.Second
-	// plainSampleWeight is the least weight of a sample of the service time.
-	plainSampleWeight = 0.1
-	// plainHalfLife is the time without samples after which the difference of a server's service time from the mean
-	// of its service has halved, so that a server that was slow is tried again.
-	plainHalfLife = 2 * time.Second
+	"github.com/wigeonfork/wigeonfork/capacity"
 )
 
-// slowdownReport is what a server last reported of how long work takes there, as a factor of the usual time.
-type slowdownReport struct {
-	factor float64
-	readAt time.Time
+// isPlain reports whether requests are placed by the expected time of plain requests: servers of the service report
+// their slowdown, and a request without a prompt has ended.
+func (s *server) isPlain() bool { return s.prior.capacity.IsLearned() }
+
+// plainTime returns the time in seconds that a plain request takes at the server at this moment, if it is alone there.
+func (s *server) plainTime(now time.Time) float64 {
+	return s.capacity.ServiceTime(now, &s.prior.capacity) * s.capacity.Slowdown(now)
 }
 
-// read returns the present factor. What was read moves towards 1 with its age.
-func (r *slowdownReport) read(now time.Time) float64 {
-	if r.readAt.IsZero() {
-		return 1
+// outstandingPlain estimates the requests at a server of plain requests.
+func (s *server) outstandingPlain(now time.Time) float64 {
+	return float64(s.ownRequests) + s.runningPlain(now)
+}
+
+// runningPlain estimates how many of the requests that peers reported still run. A server ends as many at a time as it
+// has slots.
+func (s *server) runningPlain(now time.Time) float64 {
+	passed := now.Sub(s.peerRequestsAt).Seconds() / s.plainTime(now)
+	queued := max(0, s.peerRequests-s.slots())
+	if queued > passed*s.slots() {
+		return s.peerRequests - passed*s.slots()
 	}
-	age := max(0, now.Sub(r.readAt))
-	weight := max(0, 1-float64(age)/float64(slowdownValidity))
-	return 1 + weight*(r.factor-1)
+	return (s.peerRequests - queued) * math.Exp(queued/s.slots()-passed)
 }
 
-// reportsSlowdown reports whether servers of this service report their slowdown.
-func (s *server) reportsSlowdown() bool { return s.prior.reportsSlowdown }
+// learnPlain records that a plain request that still counts took some seconds.
+func (s *server) learnPlain(now time.Time, took float64) {
+	s.capacity.Finished(now, &s.prior.capacity, took, s.outstanding(now, 0), s.slots())
+}
 
-// isPlain reports whether requests are placed by the expected time of plain requests: servers of the service report
-// their slowdown, and a request without a prompt has ended.
-func (s *server) isPlain() bool {
-	return s.reportsSlowdown() && !s.prior.plainService.sampledAt.IsZero()
+// predictPlain fills in the predicted times of a plain request: the time that it takes there at this moment, times the
+// growth by the requests that are there, relative to what the server takes well.
+func (r *Router) predictPlain(now time.Time, s *server, c *candidate) {
+	takes := s.capacity.Takes(now, s.slots())
+	queued := math.Max(0, c.outstanding+1-takes)
+	c.queue, c.delays = 0, 0
+	c.wait = s.networkDelay(&r.options) + s.plainTime(now)*(1+(c.outstanding+queued)/takes)
+	c.total = c.wait
 }
 
-// learnPlain adds a sample of the time that a plain request took, in seconds. It counts as what it would have taken
-// without the server's slowdown.
-func (s *server) learnPlain(now time.Time, took float64) {
-	usual := took / s.slowdownReport.read(now)
-	s.plainService.observe(now, usual, plainLearning, plainSampleWeight)
-	s.prior.plainService.observe(now, usual, plainLearning, plainSampleWeight)
+// Capacity is what is known of what a server takes well.
+type Capacity struct {
+	// Slowdown is the present factor of the usual time, from what the server said Age before.
+	Slowdown float64
+	Age      time.Duration
+	// ServiceTime is the usual time of a plain request; 0 if it is not known.
+	ServiceTime time.Duration
+	// Takes is the number of requests in flight that the server takes well.
+	Takes float64
 }
 
-// plainServiceTime returns the usual time of a plain request in seconds. A server without samples counts as the mean
-// of its service.
-func (s *server) plainServiceTime(now time.Time) float64 {
-	return s.plainService.read(now, s.prior.plainService.value, plainHalfLife)
+// Capacity returns what is known of what a server takes well, and false if the server never reported its slowdown.
+func (r *Router) Capacity(now time.Time, id ID) (Capacity, bool) {
+	s := r.find(id)
+	if s == nil {
+		return Capacity{}, false
+	}
+	age, ok := s.capacity.SlowdownAge(now)
+	if !ok {
+		return Capacity{}, false
+	}
+	return Capacity{
+		Slowdown: s.capacity.Slowdown(now), Age: age,
+		ServiceTime: seconds(s.capacity.ServiceTime(now, &s.prior.capacity)), Takes: s.capacity.Takes(now, s.slots()),
+	}, true
 }
 
-// outstandingPlain estimates the requests at a server of plain requests.
-func (s *server) outstandingPlain(now time.Time) float64 {
-	service := s.plainServiceTime(now) * s.slowdownReport.read(now)
-	return float64(s.ownRequests) + s.runningPeerRequests(now, service)
+// CapacityReport returns what the peers should hear of a server, and false if that is nothing new.
+func (r *Router) CapacityReport(now time.Time, id ID) (capacity.Report, bool) {
+	s := r.find(id)
+	if s == nil || !s.prior.capacity.ReportsSlowdown() {
+		return capacity.Report{}, false
+	}
+	return s.capacity.Report(now)
 }
 
-// predictPlain fills in the predicted times of a plain request: the learned service time, times the server's present
-// slowdown, times the growth by the requests that are there.
-func (r *Router) predictPlain(now time.Time, s *server, c *candidate) {
-	service := s.plainServiceTime(now) * s.slowdownReport.read(now)
-	slots := s.slots()
-	queued := math.Max(0, c.outstanding+1-slots)
-	c.queue, c.delays = 0, 0
-	c.wait = s.networkDelay(&r.options) + service*(1+(c.outstanding+queued)/slots)
-	c.total = c.wait
+// PeerCapacity takes over what a peer found out of a server.
+func (r *Router) PeerCapacity(now time.Time, id ID, report capacity.Report) {
+	if s := r.find(id); s != nil {
+		s.capacity.Merge(now, &s.prior.capacity, report)
+	}
 }
--- a/routing/plain_test.go
+++ b/routing/plain_test.go
@@ -59,15 +59,17 @@
 			So(counts[0], ShouldBeBetween, 0, 6)
 		})
 		Convey("the slowdown counts half at half of its validity, and nothing after it", func() {
-			s := r.find("s0")
-			So(s.slowdownReport.read(now.Add(slowdownValidity/2)), ShouldEqual, 1.75)
-			So(s.slowdownReport.read(now.Add(slowdownValidity)), ShouldEqual, 1)
-			So(spread(r, now.Add(slowdownValidity), 6), ShouldResemble, [3]int{2, 2, 2})
+			half, _ := r.Capacity(now.Add(time.Second/2), "s0")
+			So(half.Slowdown, ShouldEqual, 1.75)
+			old, _ := r.Capacity(now.Add(time.Second), "s0")
+			So(old.Slowdown, ShouldEqual, 1)
+			So(spread(r, now.Add(time.Second), 6), ShouldResemble, [3]int{2, 2, 2})
 		})
 		Convey("the time of a request there is learned without the slowdown", func() {
 			r.Started(now, "s0", Work{})
 			r.Finished(now, "s0", Work{}, Result{Duration: 5 * usualService / 2})
-			So(r.find("s0").plainServiceTime(now), ShouldAlmostEqual, usualService.Seconds(), 1e-6)
+			known, _ := r.Capacity(now, "s0")
+			So(known.ServiceTime.Seconds(), ShouldAlmostEqual, usualService.Seconds(), 1e-6)
 		})
 	})
 }
@@ -103,8 +105,23 @@
 		r, now := newPlainRouter(1)
 		r.Report(now, "s0", backend.LoadReport{Running: 5, Slots: 6, Slowdown: 1, MeasuredAt: now})
 		So(spread(r, now, 4)[0], ShouldEqual, 0)
-		later := now.Add(10 * usualService)
-		So(r.find("s0").outstanding(later, 0), ShouldBeLessThan, 0.01)
+		So(r.find("s0").outstanding(now.Add(10*usualService), 0), ShouldBeLessThan, 0.01)
+	})
+}
+
+// Guards against a queue at a plain server that counts as gone after one service time: requests of a burst would go on
+// to that server and be refused.
+func TestReportedPlainRequestsBeyondTheSlotsEndOneAfterTheOther(t *testing.T) {
+	Convey("Of 18 requests of peers at a server of 6 slots, 6 end in each service time until the slots do for all", t, func() {
+		r, now := newPlainRouter(1)
+		for range 18 {
+			r.PeerStarted(now, "s0", Work{})
+		}
+		s := r.find("s0")
+		So(s.outstanding(now, 0), ShouldAlmostEqual, 18, 1e-6)
+		So(s.outstanding(now.Add(usualService), 0), ShouldAlmostEqual, 12, 1e-3)
+		So(s.outstanding(now.Add(2*usualService), 0), ShouldAlmostEqual, 6, 1e-3)
+		So(s.outstanding(now.Add(3*usualService), 0), ShouldAlmostEqual, 6/math.E, 1e-3)
 	})
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -243,10 +243,11 @@
 	s := &r.servers[i]
 	_, rate, service := r.speed(now, s)
 	_, cachedCredit := r.prefix.cached(now, work.Prefixes, i, r.options.CacheHalfLife)
+	running := s.runningPeerRequests(now, service)
 	if s.isPlain() {
-		service = s.plainServiceTime(now) * s.slowdownReport.read(now)
+		running = s.runningPlain(now)
 	}
-	s.peerRequests = s.runningPeerRequests(now, service) + 1
+	s.peerRequests = running + 1
 	s.peerRequestsAt = now
 	s.addPrefill(now, rate, max(0, float64(work.PromptTokens)-cachedCredit))
 	for _, p := range work.Prefixes {
@@ -326,10 +327,10 @@
 	if s == nil {
 		return
 	}
-	s.release(now, work)
-	if result.Duration > 0 && work.PromptTokens == 0 && s.reportsSlowdown() {
+	if result.Duration > 0 && work.PromptTokens == 0 && s.prior.capacity.ReportsSlowdown() {
 		s.learnPlain(now, result.Duration.Seconds())
 	}
+	s.release(now, work)
 	if result.Duration > 0 {
 		s.service.observe(now, result.Duration.Seconds(), longTermLearning, minSampleWeight)
 		moveToward(&s.prior.service, result.Duration.Seconds(), result.Duration.Seconds() < s.prior.service)
--- a/routing/server.go
+++ b/routing/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/capacity"
 )
 
 // The priors are the speed and the slots that are assumed before there are samples.
@@ -69,10 +70,8 @@
 	gap     float64 // seconds
 	rate    float64 // tokens per second
 	service float64 // seconds
-	// reportsSlowdown is set once a server has reported its slowdown. plainService is the usual time of a plain request
-	// at all servers, in seconds.
-	reportsSlowdown bool
-	plainService    decayingMean
+	// capacity is what is known of all servers of the model.
+	capacity capacity.Service
 }
 
 func newSpeedPrior() *speedPrior {
@@ -129,8 +128,7 @@
 	probeStreaming     bool         // a stream sent after the suspicion got its first token
 	lastFirstTokenAt   time.Time
 	gapBeforeSuspicion float64 // longTermGap at the time of the suspicion, seconds
-	slowdownReport     slowdownReport
-	plainService       decayingMean // usual time of a plain request, seconds
+	capacity           capacity.Server
 }
 
 // hasSpeedSample reports whether there is a speed sample, from this entry or a
@@ -280,8 +278,7 @@
 	if load.Slowdown > 0 {
 		// The requests of others end by and by, like those that peers report.
 		s.peerRequests, s.peerRequestsAt, s.otherRequests = s.otherRequests, now, 0
-		s.prior.reportsSlowdown = true
-		s.slowdownReport = slowdownReport{factor: load.Slowdown, readAt: load.MeasuredAt}
+		s.capacity.ReadSlowdown(load.MeasuredAt, &s.prior.capacity, load.Slowdown)
 	}
 }
 
