--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -86,7 +86,8 @@
 	trialUpdateVersion    = 6
 	limitUpdateVersion    = 7
 	leavingUpdateVersion  = 8
-	// 9 and 10 are kept for hints on waiting requests and on what servers take.
+	// 9 is kept for hints on waiting requests.
+	capacityUpdateVersion      = 10
 	occupancyVersion           = 11
 	configurationUpdateVersion = 12
 	headerSize                 = 1 + 2
--- a/routing/backup.go
+++ b/routing/backup.go
@@ -129,7 +129,7 @@
 
 // requestsOfOthers estimates the requests of other entries that the last report counted.
 func (s *server) requestsOfOthers(now time.Time) float64 {
-	if !s.reportsSlowdown() {
+	if !s.prior.capacity.ReportsSlowdown() {
 		return s.otherRequests
 	}
 	return s.runningPeerRequests(now, s.service.read(now, s.prior.service, DefaultSpeedHalfLife))
