Tell engines the rank of each request, by workspace and then by route

Cause: the priorities of routes and workspaces were read and used by nothing; engines knew only that a stream resumes. Where every workspace has a priority of its own, one that replaces that of the route leaves the kinds of requests without any order.

Change: a request's rank orders by the priority that holds for it (its workspace's, else its route's), and among equal ones by that of its route. The ranks of a service are numbered from 0 without gaps. Log lines request_sent and request_ended tell the rank.

--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -44,8 +44,12 @@
 	Workspace wigeonfork.Workspace
 	// Remaining is the time until the caller's deadline; 0 if it set none.
 	Remaining time.Duration
-	// Urgent requests are admitted before others.
-	Urgent bool
+	// Ranks is the number of ranks that requests for the service may have. Rank is that of
+	// this one.
+	Ranks int
+	Rank  wigeonfork.Rank
+	// Resume is set if the request goes on after the loss of a backend server.
+	Resume bool
 	// LastEvent is the id of the last event delivered to the caller; 0 is none.
 	LastEvent uint64
 	// BackupAddress is the address of the server that keeps a copy of the run's KV
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,7 +21,7 @@
 // newAttempt returns what the system adds to the request of the next run. It reserves a
 // backup for the run if the service uses backups and the route is idempotent.
 func (s *streamCall) newAttempt(now time.Time, t target) *Attempt {
-	a := &Attempt{LastEvent: s.lastEvent, Urgent: s.lostAt != (time.Time{})}
+	a := &Attempt{LastEvent: s.lastEvent, Ranks: s.table.Ranks(s.service), Rank: s.work.Rank, Resume: s.lostAt != (time.Time{})}
 	if t.hasCopy {
 		a.ContinueAddress, a.ContinueRequest = t.place.Address, s.caller.ID
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,8 +49,10 @@
 	route     *routetable.Route
 	service   wigeonfork.Model
 	workspace wigeonfork.Workspace
-	body      []byte
-	hasBody   bool
+	// tenant holds the caller's key; nil if the route needs none.
+	tenant  *routetable.Tenant
+	body    []byte
+	hasBody bool
 	// held counts the bytes that are held for the request, until it ends.
 	held *memquota.Group
 	// unread is set while the caller may be sending a body that is not read.
@@ -193,7 +195,7 @@
 	if tenant == nil {
 		return c.unlessStale(problem.New(problem.CodeUnauthorized, problem.RunNot, problem.StepAccept, "the API key is not known"))
 	}
-	c.workspace = tenant.Workspace
+	c.tenant, c.workspace = tenant, tenant.Workspace
 	return c.checkFreshness()
 }
 
@@ -309,6 +311,7 @@
 	if prompt.LengthHint > 0 {
 		c.work.MaxTokens = min(prompt.MaxOutput, prompt.LengthHint)
 	}
+	c.work.Rank = c.table.Rank(c.service, c.route, c.tenant)
 	if c.route.Kind == routetable.KindStream {
 		c.work.Class = wigeonfork.ClassNarrative
 		received := uint32(c.caller.LastEvent) * uint32(c.eventTokens())
@@ -373,7 +376,7 @@
 // whose gateway dies leaves this line.
 func (c *call) logSent(place *placement, sends int, hasCopy bool) {
 	c.trials.markSent(c.trial)
-	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("server", string(place.ID)).Int("sends", sends).
+	c.options.Log.Info().Str("request", string(c.caller.ID)).Str("server", string(place.ID)).Int("sends", sends).Uint8("rank", uint8(c.work.Rank)).
 		Bool("copied", hasCopy).Uint64("version", c.table.Version()).Int64("configuration_age_ms", c.config.ageMs()).Msg("request_sent")
 }
 
@@ -396,7 +399,7 @@
 	telemetry.Counter(c.options.Metrics, "requests."+kind+"_"+c.outcome).Inc(1)
 	telemetry.Histogram(c.options.Metrics, "request_ms."+kind+"_"+c.outcome).Update(took.Milliseconds())
 	line := c.options.Log.Info().Str("request", string(c.caller.ID)).Str("route", name).Str("kind", kind).Str("workspace", string(c.workspace))
-	line = line.Str("outcome", c.outcome).Int("status", c.status).Str("server", string(c.server)).Int("sends", c.possibleRuns)
+	line = line.Str("outcome", c.outcome).Int("status", c.status).Str("server", string(c.server)).Int("sends", c.possibleRuns).Uint8("rank", uint8(c.work.Rank))
 	line = line.Int64("ms", took.Milliseconds()).Uint64("from_event", c.caller.LastEvent)
 	line.Int64("first_ms", c.firstEvent.Milliseconds()).Int64("gap_ms", c.longestGap.Milliseconds()).Msg("request_ended")
 }
--- a/routetable/routetable.go
+++ b/routetable/routetable.go
@@ -4,6 +4,8 @@
 package routetable
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -147,7 +149,8 @@
 	hosts    map[string]map[string]*Route
 	services map[wigeonfork.Model]*Service
 	keys     map[string]*Tenant
-	ranked   map[wigeonfork.Model]bool
+	// urgencies are those of each service's requests, the most urgent first.
+	urgencies map[wigeonfork.Model][]urgency
 }
 
 // New returns a Table of spec. It fails on a route without a target or with a
@@ -172,7 +175,7 @@
 			t.keys[key] = &spec.Tenants[i]
 		}
 	}
-	t.ranked = t.rankedServices()
+	t.urgencies = t.findUrgencies()
 	return t, nil
 }
 
@@ -222,43 +225,61 @@
 // Tenant returns the tenant that holds key, or nil.
 func (t *Table) Tenant(key string) *Tenant { return t.keys[key] }
 
-// Rank returns the rank of a request: the priority of its tenant if that has one, else
-// that of its route. tenant may be nil.
-func Rank(route *Route, tenant *Tenant) wigeonfork.Rank {
-	priority := route.Priority
+// urgency orders the requests of one service. The priority that holds for the request
+// decides; among equal ones that of the route does.
+type urgency struct {
+	priority, routePriority int
+}
+
+func compareUrgency(a, b urgency) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.routePriority, b.routePriority))
+}
+
+// urgencyOf returns the urgency of a request. The priority of its tenant takes precedence
+// over that of its route. tenant may be nil.
+func urgencyOf(route *Route, tenant *Tenant) urgency {
 	if tenant != nil && tenant.HasPriority {
-		priority = tenant.Priority
+		return urgency{tenant.Priority, route.Priority}
 	}
-	return wigeonfork.Rank(min(max(priority, 0), int(wigeonfork.MaxRank)))
+	return urgency{route.Priority, route.Priority}
+}
+
+// Rank returns the rank of a request for a service, from 0 to Ranks - 1. tenant may be nil.
+func (t *Table) Rank(service wigeonfork.Model, route *Route, tenant *Tenant) wigeonfork.Rank {
+	at, _ := slices.BinarySearchFunc(t.urgencies[service], urgencyOf(route, tenant), compareUrgency)
+	return wigeonfork.Rank(min(at, int(wigeonfork.MaxRank)))
 }
 
+// Ranks returns the number of ranks that requests for a service may have.
+func (t *Table) Ranks(service wigeonfork.Model) int { return len(t.urgencies[service]) }
+
 // Ranked reports whether requests for a service may differ in rank.
-func (t *Table) Ranked(service wigeonfork.Model) bool { return t.ranked[service] }
-
-// rankedServices returns the services that get requests of several ranks. A tenant with a
-// priority of its own may call every route that isn't public.
-func (t *Table) rankedServices() map[wigeonfork.Model]bool {
-	first := make(map[wigeonfork.Model]wigeonfork.Rank)
-	ranked := make(map[wigeonfork.Model]bool)
-	record := func(route *Route, tenant *Tenant) {
-		rank := Rank(route, tenant)
+func (t *Table) Ranked(service wigeonfork.Model) bool { return t.Ranks(service) > 1 }
+
+// findUrgencies returns the urgencies that requests for each service may have, the most
+// urgent first. A tenant may call every route that isn't public.
+func (t *Table) findUrgencies() map[wigeonfork.Model][]urgency {
+	found := make(map[wigeonfork.Model][]urgency)
+	add := func(route *Route, tenant *Tenant) {
 		for _, target := range route.Targets {
-			if known, ok := first[target.Service]; ok && known != rank {
-				ranked[target.Service] = true
+			list := found[target.Service]
+			at, known := slices.BinarySearchFunc(list, urgencyOf(route, tenant), compareUrgency)
+			if !known {
+				found[target.Service] = slices.Insert(list, at, urgencyOf(route, tenant))
 			}
-			first[target.Service] = rank
 		}
 	}
 	for i := range t.spec.Routes {
 		route := &t.spec.Routes[i]
-		record(route, nil)
+		if route.Public || len(t.spec.Tenants) == 0 {
+			add(route, nil)
+			continue
+		}
 		for k := range t.spec.Tenants {
-			if !route.Public {
-				record(route, &t.spec.Tenants[k])
-			}
+			add(route, &t.spec.Tenants[k])
 		}
 	}
-	return ranked
+	return found
 }
 
 // Match returns the route of host with the longest prefix that matches path, or nil.
