--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -10,8 +10,6 @@
 // If none does, the error is a *limitedError.
 func (g *Gateway) choose(ctx context.Context, q *query) (*placement, error) {
 	allowed := *q
-	// No request waits for room yet.
-	allowed.mayOvercommit = true
 	for {
 		blocked := g.limits.blockedServers(q.service)
 		allowed.exclude = slices.Concat(q.exclude, blocked, g.pauses.blocked())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	partGuard    *partGuard
 	limits       *serverLimits
 	pauses       *serverPauses
+	waiting      *waitingRequests
 	moves        *versionMoves
 	gossip       *gossiper
 	// livePeers is the number of other live gateways, as of the last heartbeat.
@@ -102,6 +103,7 @@
 	}
 	g.limits = newServerLimits(g)
 	g.pauses = newServerPauses(g)
+	g.waiting = newWaitingRequests(options.Metrics)
 	g.fleet.onEnded = func(id serverID) {
 		g.limits.forget(id)
 		g.pauses.forget(id)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -223,7 +223,7 @@
 
 // sendExcluding sends the request to the best server that is not excluded.
 func (p *plainCall) sendExcluding(ctx context.Context, exclude []serverID) error {
-	place, err := p.Gateway.choose(ctx, &query{service: p.service, work: p.work, exclude: exclude})
+	place, err := p.Gateway.choose(ctx, &query{service: p.service, work: p.work, exclude: exclude, mayOvercommit: true})
 	if err != nil {
 		return err
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonfork/wigeonfork/routetable"
 	"github.com/wigeonfork/wigeonfork/routing"
 	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/waitqueue"
 )
 
 const (
@@ -409,6 +410,11 @@
 	if retry, limited := c.limits.retryAfter(err); limited {
 		return problem.New(problem.CodeOverloaded, problem.RunNot, problem.StepRoute, "%v", err).After(retry)
 	}
+	var tooLong *waitqueue.TooLongError
+	if errors.As(err, &tooLong) {
+		retry := max(minWaitRetry, tooLong.RetryIn)
+		return problem.New(problem.CodeOverloaded, problem.RunNot, problem.StepRoute, "%v", err).After(retry + rand.N(retry/2))
+	}
 	refusal := *problem.From(err, problem.StepRoute)
 	refusal.Run = problem.RunNot
 	if refusal.Code != problem.CodeNoBackend {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/directory"
@@ -13,6 +15,7 @@
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/waitqueue"
 )
 
 const (
@@ -189,7 +192,7 @@
 		case err == nil:
 			return s.countSend(place, false), nil
 		case s.possibleRuns == 0:
-			return target{}, s.noServer(err)
+			return target{}, s.notPlaced(err)
 		case !s.sleep(resumePoll) || time.Now().After(until):
 			return target{}, problem.New(problem.CodeInterrupted, problem.RunUnknown, problem.StepResume, "no backend server takes the stream up")
 		}
@@ -197,6 +200,17 @@
 	}
 }
 
+// notPlaced returns the refusal of a stream that has not run and finds no server.
+func (s *streamCall) notPlaced(err error) *problem.Error {
+	switch {
+	case s.r.Context().Err() != nil:
+		s.callerGone()
+	case errors.Is(err, errLeaving):
+		return s.draining()
+	}
+	return s.noServer(err)
+}
+
 // admitFirst accepts the server of the first run, unless the answer can't be complete
 // there before the deadline or the gateway's end.
 func (s *streamCall) admitFirst(now time.Time, place *placement) (target, *problem.Error) {
@@ -330,7 +344,16 @@
 	if now.Sub(s.lostDomainAt) < domainAvoidPeriod {
 		q.avoidDomain = s.lostDomain
 	}
-	return s.Gateway.choose(s.ctx, q)
+	if s.totalSends == 0 {
+		return s.chooseInTurn(s.ctx, q, s.startBy(now))
+	}
+	place, err := s.chooseInTurn(s.ctx, q, now.Add(maxResumeWait))
+	var tooLong *waitqueue.TooLongError
+	if errors.As(err, &tooLong) {
+		q.mayOvercommit = true
+		return s.Gateway.choose(s.ctx, q)
+	}
+	return place, err
 }
 
 func (s *streamCall) sleep(d time.Duration) bool {
