--- a/routing/router.go
+++ b/routing/router.go
@@ -336,6 +336,7 @@
 	if result.Duration > 0 && work.PromptTokens == 0 && s.reportsSlowdown() {
 		s.learnPlain(now, result.Duration.Seconds())
 	}
+	r.vacateOwn(now, s, &work, true)
 	if result.Duration > 0 {
 		s.service.observe(now, result.Duration.Seconds(), longTermLearning, minSampleWeight)
 		moveToward(&s.prior.service, result.Duration.Seconds(), result.Duration.Seconds() < s.prior.service)
@@ -350,5 +351,6 @@
 func (r *Router) Failed(now time.Time, id ID, work Work) {
 	if s := r.find(id); s != nil {
 		s.release(now, work)
+		r.vacateOwn(now, s, &work, false)
 	}
 }
