--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -413,7 +413,7 @@
 	var tooLong *waitqueue.TooLongError
 	if errors.As(err, &tooLong) {
 		retry := max(minWaitRetry, tooLong.RetryIn)
-		return problem.New(problem.CodeOverloaded, problem.RunNot, problem.StepRoute, "%v", err).After(retry + rand.N(retry/2))
+		return problem.New(problem.CodeNoBackend, problem.RunNot, problem.StepAdmit, "%v", err).After(retry + rand.N(retry/2))
 	}
 	refusal := *problem.From(err, problem.StepRoute)
 	refusal.Run = problem.RunNot
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -29,7 +29,7 @@
 	// defaultMaxWait is the longest wait of a request without deadline and latency objective.
 	defaultMaxWait = 5 * time.Second
 	// maxResumeWait is the longest wait for room of a request that was sent before. Then it goes to a server without.
-	maxResumeWait = 500 * time.Millisecond
+	maxResumeWait = 3 * time.Second
 	// firstRoomIn is the predicted time until a server has room before the router has predicted one.
 	firstRoomIn = 50 * time.Millisecond
 	// minWaitRetry is the least retry delay of a request that would wait too long.
