--- a/routing/room.go
+++ b/routing/room.go
@@ -13,6 +13,11 @@
 	// newRequestReserve is the fraction of an engine's KV cache that new requests leave free. Resumes and runs from a
 	// copy may use it.
 	newRequestReserve = 0.05
+	// rankReserve is the fraction that a request leaves free for each more urgent rank that has looked for room within
+	// rankDemandPeriod, up to maxRankReserve.
+	rankReserve      = 0.15
+	maxRankReserve   = 0.4
+	rankDemandPeriod = 10 * time.Second
 	// newCopyReserve is the same for copies. A request that must be read again for a copy costs more than the copy saves.
 	newCopyReserve = 0.25
 	// overdueFactor is the multiple of its predicted duration after which a peer's request is taken to have ended though
@@ -165,6 +170,8 @@
 	size size
 	// stretch is the duration of runs relative to that predicted by the server's speed alone.
 	stretch decayingMean
+	// askedAt is when a request of each rank last looked for room.
+	askedAt map[wigeonfork.Rank]time.Time
 }
 
 // until returns an occupant that was sent now and is predicted to run for the given time on an unshared server.
@@ -329,14 +336,41 @@
 // missingMemory returns the tokens that must become free at a server before a request has room; below 0 are free.
 func (r *Router) missingMemory(now time.Time, i int32, req *Request) float64 {
 	s := &r.servers[i]
-	limit := r.memoryLimit[s.Versions[0].Model]
-	if !req.Resume {
-		limit *= 1 - newRequestReserve
-	}
+	limit := r.memoryLimit[s.Versions[0].Model] * (1 - r.rooms[s.Versions[0].Model].reserveFor(now, req))
 	need := r.unshared(now, i, &Work{Prefixes: req.Prefixes, PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens})
 	return s.occupancy.used(now) + s.backupTokens + need - limit
 }
 
+// asked records that a request of a rank looks for room.
+func (p *roomPolicy) asked(now time.Time, rank wigeonfork.Rank) {
+	if p.askedAt == nil {
+		p.askedAt = make(map[wigeonfork.Rank]time.Time)
+	}
+	p.askedAt[rank] = now
+}
+
+// reserveFor returns the fraction of an engine's KV cache that a request leaves free.
+func (p *roomPolicy) reserveFor(now time.Time, req *Request) float64 {
+	reserve := 0.0
+	for rank, at := range p.askedAt {
+		if rank < req.Rank && now.Sub(at) < rankDemandPeriod {
+			reserve += rankReserve
+		}
+	}
+	reserve = min(reserve, maxRankReserve)
+	if !req.Resume {
+		reserve += newRequestReserve
+	}
+	return reserve
+}
+
+// RankWaits records that a request of the given rank waits for room at a peer.
+func (r *Router) RankWaits(now time.Time, model wigeonfork.Model, rank wigeonfork.Rank) {
+	if policy := r.rooms[model]; policy != nil {
+		policy.asked(now, rank)
+	}
+}
+
 // roomIn returns the predicted time until a server has room for a request.
 func (r *Router) roomIn(now time.Time, i int32, req *Request) time.Duration {
 	s := &r.servers[i]
@@ -355,6 +389,7 @@
 // chooseWithRoom decides like Choose for a model whose requests go where there is room: among the candidates with room
 // if there is one, else among those of the complete group, else to the least bad server.
 func (r *Router) chooseWithRoom(now time.Time, req *Request, group []int32) Decision {
+	r.rooms[req.Model].asked(now, req.Rank)
 	accepts := func(c *candidate) bool { return r.isSound(c) && r.hasRoom(now, c, req) }
 	best := r.bestCandidate(now, req, accepts)
 	if best == nil {
--- a/routing/room_test.go
+++ b/routing/room_test.go
@@ -200,3 +200,43 @@
 		So(r.Room(start, "b0"), ShouldResemble, ServerRoom{})
 	})
 }
+
+// Load: the least urgent kind presses while more urgent ones come now and then. It leaves them memory, so that these go at
+// once, and uses all of it while they don't come. No resumed request gets room that its rank leaves free.
+func TestLessUrgentRequestsLeaveRoomForRanksInDemand(t *testing.T) {
+	Convey("Given engines that are filled by requests of the least urgent rank", t, func() {
+		fillRank := func(r *Router, now time.Time, req Request) int {
+			for n := 0; ; n++ {
+				d, err := r.Choose(now, req)
+				So(err, ShouldBeNil)
+				if d.NoRoom {
+					return n
+				}
+				r.Started(now, d.ID, roomWork())
+			}
+		}
+		least, middle, first := roomRequest(), roomRequest(), roomRequest()
+		least.Rank, middle.Rank = 2, 1
+		r := newRoomRouter(10, 1)
+		Convey("they use all memory while no more urgent rank asks", func() {
+			So(fillRank(r, start, least), ShouldEqual, 90)
+		})
+		Convey("they leave some for each more urgent rank that asks", func() {
+			_, err := r.Choose(start, first)
+			So(err, ShouldBeNil)
+			r.RankWaits(start, current.Model, 1)
+			left := 90 - fillRank(r, start, least)
+			So(left, ShouldBeGreaterThan, 20)
+			resumed := least
+			resumed.Resume = true
+			So(fillRank(r, start, resumed), ShouldBeLessThan, left/2)
+			So(fillRank(r, start, middle), ShouldBeGreaterThan, 0)
+			So(fillRank(r, start, first), ShouldBeGreaterThan, 0)
+		})
+		Convey("they use it again once those ranks ask no more", func() {
+			_, err := r.Choose(start, first)
+			So(err, ShouldBeNil)
+			So(fillRank(r, start.Add(rankDemandPeriod), least), ShouldEqual, 90)
+		})
+	})
+}
