--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/freshness"
 	"github.com/wigeonfork/wigeonfork/health"
@@ -60,6 +59,8 @@
 	identify func(directory.Entry)
 	// announce queues a message to the peers.
 	announce func(loadshare.Message)
+	// shareCapacity queues for the peers what was found out of a server.
+	shareCapacity func(loadshare.ServerCapacity)
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -89,18 +90,22 @@
 		onRemoved:  onRemoved,
 		onEnded:    func(serverID) {},
 		isLimited:  func(serverID) bool { return false },
+		announce:   func(loadshare.Message) {},
 		onLost:     func(time.Time, directory.Entry) {},
 		onReturned: func(time.Time, directory.Entry) {},
 		identify:   func(directory.Entry) {},
-		directory:  directory.New(),
-		router:     routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
-		servers:    health.NewServers(),
-		signs:      directory.NewSignsOfLife(),
-		streams:    health.NewStreams(),
-		entries:    make(map[serverID]directory.Entry),
-		hashes:     make(map[loadshare.ServerHash]serverID),
-		runs:       make(map[health.StreamID]*watchedRun),
-		probedAt:   make(map[serverID]time.Time),
+
+		shareCapacity: func(loadshare.ServerCapacity) {},
+
+		directory: directory.New(),
+		router:    routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
+		servers:   health.NewServers(),
+		signs:     directory.NewSignsOfLife(),
+		streams:   health.NewStreams(),
+		entries:   make(map[serverID]directory.Entry),
+		hashes:    make(map[loadshare.ServerHash]serverID),
+		runs:      make(map[health.StreamID]*watchedRun),
+		probedAt:  make(map[serverID]time.Time),
 
 		enginesCrash: o.Bounds.EnginesCrashWithoutMemory,
 
@@ -191,6 +196,7 @@
 	f.servers.Remove(id)
 	f.signs.Forget(id)
 	f.router.Remove(id)
+	f.copiesLostLocked(id)
 	f.onEnded(id)
 	go f.onRemoved(upstream.Server{ID: string(id), Address: known.Address})
 }
@@ -208,8 +214,8 @@
 }
 
 // backup returns a server to keep a copy of the KV cache of a run at primary, or nil.
-// It reserves memory there, which the caller must free by releaseBackup.
-func (f *fleet) backup(now time.Time, primary *placement, work routing.Work) *directory.Entry {
+// It reserves memory there, which the caller must free by releaseBackup. replaces is set if an earlier copy was lost.
+func (f *fleet) backup(now time.Time, primary *placement, work routing.Work, replaces bool) *directory.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, ok := f.router.ChooseBackup(now, routing.BackupRequest{
@@ -218,6 +224,8 @@
 		Server:  primary.ID,
 		Domain:  primary.Domain,
 		Tokens:  work.PromptTokens + work.MaxTokens,
+
+		Replaces: replaces,
 	})
 	if !ok {
 		return nil
@@ -241,6 +249,7 @@
 	defer f.mu.Unlock()
 	f.router.Finished(now, p.ID, work, result)
 	f.announceOccupancy(loadshare.Ended, p.ID, &work)
+	f.shareCapacityLocked(now, p.ID)
 }
 
 // failed releases a request from a server that did not complete it.
@@ -267,9 +276,7 @@
 		f.router.SetState(now, p.ID, routing.StateReady)
 	}
 	if load := reply.Load; load != nil {
-		f.router.Report(now, p.ID, backend.LoadReport{
-			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown, MeasuredAt: now,
-		})
+		f.reportLocked(now, p.ID, load)
 	}
 }
 
@@ -366,7 +373,7 @@
 	for _, service := range table.Services() {
 		if service.Engine != nil {
 			f.router.SetMemoryLimit(service.Name, service.Engine.MemoryTokens)
-			f.router.SetRoom(service.Name, f.enginesCrash || table.Ranked(service.Name))
 		}
+		f.router.SetRoom(service.Name, service.Engine != nil && (f.enginesCrash || table.Ranked(service.Name)))
 	}
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -64,6 +64,19 @@
 	ReadRate float64 `json:"prompt_tokens_per_second"`
 	// Room is the memory of the server's engine; nil if it is not counted.
 	Room *RoomState `json:"room,omitempty"`
+	// Capacity is what the server was found to take well; nil if it does not report its slowdown.
+	Capacity *CapacityState `json:"capacity,omitempty"`
+}
+
+// CapacityState is what a server was found to take well.
+type CapacityState struct {
+	// Slowdown is the present factor of the usual time, and SlowdownAgeMs the age of what the server said of it.
+	Slowdown      float64 `json:"slowdown"`
+	SlowdownAgeMs int64   `json:"slowdown_age_ms"`
+	// ServiceMs is the usual time of a request without a prompt in milliseconds; 0 if it is not known.
+	ServiceMs float64 `json:"service_ms"`
+	// Takes is the number of requests without a prompt in flight that the server takes well.
+	Takes float64 `json:"takes"`
 }
 
 // RoomState is the memory of an engine in tokens, as all entries together use it. Requests is the number of requests that
@@ -111,7 +124,8 @@
 		servers = append(servers, ServerState{
 			ID: id, Service: entry.Service, Address: entry.Address, Domain: entry.Domain, Version: entry.Version,
 			State: f.servers.State(id).String(), GapUs: gap.Microseconds(), ReadRate: rate,
-			Room: f.roomState(now, id),
+			Room:     f.roomState(now, id),
+			Capacity: f.capacityLocked(now, id),
 		})
 	}
 	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
@@ -127,6 +141,17 @@
 	return &RoomState{Limit: room.Limit, Used: room.Used, Backups: room.Backups, Requests: room.Requests}
 }
 
+func (f *fleet) capacityLocked(now time.Time, id serverID) *CapacityState {
+	c, ok := f.router.Capacity(now, id)
+	if !ok {
+		return nil
+	}
+	return &CapacityState{
+		Slowdown: c.Slowdown, SlowdownAgeMs: c.Age.Milliseconds(),
+		ServiceMs: c.ServiceTime.Seconds() * 1000, Takes: c.Takes,
+	}
+}
+
 // Inspect returns a handler that serves metrics at /metrics and the state at /state.
 func (g *Gateway) Inspect() http.Handler {
 	mux := http.NewServeMux()
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -86,9 +86,12 @@
 	trialUpdateVersion    = 6
 	limitUpdateVersion    = 7
 	leavingUpdateVersion  = 8
-	occupancyVersion      = 11
-	headerSize            = 1 + 2
-	messageSize           = 1 + 8 + 4 + 8
+	// 9 is kept for hints on waiting requests.
+	capacityUpdateVersion      = 10
+	occupancyVersion           = 11
+	configurationUpdateVersion = 12
+	headerSize                 = 1 + 2
+	messageSize                = 1 + 8 + 4 + 8
 	// MaxMessages is the number of messages that fit in a datagram of 1200 bytes, which fits the
 	// MTU of every path.
 	MaxMessages = (1200 - headerSize) / messageSize
--- a/routing/server.go
+++ b/routing/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/capacity"
 )
 
 // The priors are the speed and the slots that are assumed before there are samples.
@@ -69,10 +70,8 @@
 	gap     float64 // seconds
 	rate    float64 // tokens per second
 	service float64 // seconds
-	// reportsSlowdown is set once a server has reported its slowdown. plainService is the usual time of a plain request
-	// at all servers, in seconds.
-	reportsSlowdown bool
-	plainService    decayingMean
+	// capacity is what is known of all servers of the model.
+	capacity capacity.Service
 }
 
 func newSpeedPrior() *speedPrior {
@@ -113,7 +112,8 @@
 	backupTokens       float64 // KV cache of backups placed by this router, tokens
 	pendingPrefill     float64 // known prompt tokens not yet prefilled at prefillAt
 	prefillAt          time.Time
-	otherRequests      float64   // requests of other entries, from the last report
+	otherRequests      float64   // requests of other entries, from the last report; moved to peerRequests if that tells a slowdown
+	reportedOthers     float64   // requests of other entries at the time of the last report
 	reportMeasuredAt   time.Time // MeasuredAt of the newest load report
 	peerRequests       float64   // requests that peers reported since, as of peerRequestsAt
 	peerRequestsAt     time.Time
@@ -129,9 +129,9 @@
 	probeStreaming     bool         // a stream sent after the suspicion got its first token
 	lastFirstTokenAt   time.Time
 	occupancy          occupancy
+	sampled            bool    // in Router.sample
 	gapBeforeSuspicion float64 // longTermGap at the time of the suspicion, seconds
-	slowdownReport     slowdownReport
-	plainService       decayingMean // usual time of a plain request, seconds
+	capacity           capacity.Server
 }
 
 // hasSpeedSample reports whether there is a speed sample, from this entry or a
@@ -275,14 +275,14 @@
 		s.incarnation = load.Incarnation
 	}
 	total := load.Running + load.Waiting
-	s.otherRequests = math.Max(0, float64(total-s.ownRequestsAt(now, load.MeasuredAt)))
+	s.reportedOthers = math.Max(0, float64(total-s.ownRequestsAt(now, load.MeasuredAt)))
+	s.otherRequests = s.reportedOthers
 	s.reportMeasuredAt = load.MeasuredAt
 	s.peerRequests = 0
 	if load.Slowdown > 0 {
 		// The requests of others end by and by, like those that peers report.
 		s.peerRequests, s.peerRequestsAt, s.otherRequests = s.otherRequests, now, 0
-		s.prior.reportsSlowdown = true
-		s.slowdownReport = slowdownReport{factor: load.Slowdown, readAt: load.MeasuredAt}
+		s.capacity.ReadSlowdown(load.MeasuredAt, &s.prior.capacity, load.Slowdown)
 	}
 }
 
