Let the soak draw competing kinds, full model runners and slow servers

Cause: no test with real gateways had less room than its callers asked for, kinds of different urgency on one service, or servers that state how long their work takes.

Change: the stand-in of a model runner counts the memory of its running requests, refuses or preempts if it is full, and states its slowdown as the fourth figure of the load header; the deployment has routes of three priorities on one service. Each seed draws the memory (not counted, refusing, preempting) and whether servers are uneven. New check: every kind is served at least a third as often as all. The callers of earlier seeds are as before.

--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -21,12 +21,18 @@
 	Tenant     = "tenant-a"
 	StreamPath = "/stream/"
 	// OncePath is the path of streams that may not continue at another runner.
-	OncePath          = "/once/"
+	OncePath = "/once/"
+	// UrgentPath and LatePath are the paths of streams that are more and less urgent than those of StreamPath, if
+	// kinds compete.
+	UrgentPath        = "/urgent/"
+	LatePath          = "/late/"
 	SafePath          = "/safe/"
 	UnsafePath        = "/unsafe/"
 	Engines           = "engines"
 	Plain             = "plain"
 	heartbeatInterval = 300 * time.Millisecond
+	// uncountedMemory is the memory in tokens that the configuration names for model runners that don't count theirs.
+	uncountedMemory = 100000
 	// FirstVersion is the version of the runners that a deployment starts with.
 	FirstVersion = "v1"
 )
@@ -51,6 +57,8 @@
 	CrashingParts []string
 	CrashRestart  time.Duration
 	CrashesSilent bool
+	// Competing adds the routes of UrgentPath and LatePath, and the tenant has no priority of its own.
+	Competing bool
 }
 
 // Deployment is a running set of stand-ins.
@@ -297,9 +305,13 @@
 		return object{
 			"name": name, "host": Host, "prefix": prefix, "kind": kind, "service": service, "timeout_ms": timeout.Milliseconds(),
 			"target_latency_ms": 2000, "target_gap_ms": 700, "priority": 1, "max_attempts": attempts, "public": false,
-			"resumable": prefix == StreamPath,
+			"resumable": service == Engines && prefix != OncePath,
 		}
 	}
+	memory := d.options.Engine.Memory.Tokens
+	if memory == 0 {
+		memory = uncountedMemory
+	}
 	c := &Configuration{
 		Version: d.version,
 		Routes: []object{
@@ -309,12 +321,16 @@
 			route("unsafe", UnsafePath, "unsafe", Plain, d.options.PlainTimeout, 1),
 		},
 		Services: []object{
-			{"name": Engines, "health_path": "/health", "max_connections": 300, "engine": object{"kv_tokens": 100000, "backups": true, "stride": 1}},
+			{"name": Engines, "health_path": "/health", "max_connections": 300, "engine": object{"kv_tokens": memory, "backups": true, "stride": 1}},
 			{"name": Plain, "health_path": "/health", "max_connections": 300},
 		},
 		Limits:  object{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		Tenants: []object{{"name": Tenant, "api_keys": d.keys, "priority": 1}},
 	}
+	if d.options.Competing {
+		compete(c, route("urgent", UrgentPath, "streaming", Engines, d.options.StreamTimeout, 5),
+			route("late", LatePath, "streaming", Engines, d.options.StreamTimeout, 5))
+	}
 	change(c)
 	value, err := json.Marshal(c)
 	if err != nil {
@@ -324,6 +340,13 @@
 	d.putOperatorRow("config", value)
 }
 
+// compete adds a route of more urgent and one of less urgent streams.
+func compete(c *Configuration, urgent, late object) {
+	urgent["priority"], late["priority"] = 0, 2
+	c.Routes = append(c.Routes, urgent, late)
+	delete(c.Tenants[0], "priority")
+}
+
 // Close closes all stand-ins.
 func (d *Deployment) Close() {
 	close(d.stop)
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/standin/loopback"
@@ -39,6 +40,10 @@
 	// CrashingParts holds the ids of prompt parts that crash each model runner when it would write
 	// the first event of its answer, unless the part is the last of the prompt.
 	CrashingParts map[string]bool
+	// Memory is what a model runner has for its running requests.
+	Memory Memory
+	// Slowdown is what SetSlowdown sets first.
+	Slowdown int64
 }
 
 // Faults are the faults that a Runner injects.
@@ -101,6 +106,10 @@
 	options Options
 	shared  *SharedState
 	server  *loopback.Server
+	memory  memory
+	// slowdown is how long work takes, in percent of the usual. While it is 0, work takes as long as usual and the load
+	// header does not state it.
+	slowdown atomic.Int64
 
 	mu     sync.Mutex
 	faults Faults
@@ -118,6 +127,8 @@
 // Start starts a runner on addr, such as 127.0.0.1:0.
 func Start(addr, id string, options Options, shared *SharedState) (*Runner, error) {
 	r := &Runner{ID: id, Born: time.Now().UnixMilli(), options: options, shared: shared}
+	r.memory.Memory = options.Memory
+	r.slowdown.Store(options.Slowdown)
 	server, err := loopback.Start(addr, http.HandlerFunc(r.serve))
 	if err != nil {
 		return nil, err
@@ -190,20 +201,44 @@
 		r.shared.recordNotice(r.ID)
 	}
 	if pausing || r.currentFaults().Refuse {
-		w.Header().Set("Wigeonfork-Request-Id", q.Header.Get("Wigeonfork-Request-Id"))
-		w.Header().Set("Wigeonfork-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		r.refuse(w, q)
 		return
 	}
 	r.serveRequest(w, q)
 }
 
+// refuse refuses a request as not executed.
+func (r *Runner) refuse(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set("Wigeonfork-Request-Id", q.Header.Get("Wigeonfork-Request-Id"))
+	w.Header().Set("Wigeonfork-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// SetSlowdown sets how long work takes, in percent of the usual, and lets the load header state it. 0 ends both.
+func (r *Runner) SetSlowdown(percent int64) { r.slowdown.Store(percent) }
+
+// work sleeps for the time that work of the usual duration takes now. It returns false if the request ended first.
+func (r *Runner) work(q *http.Request, usual time.Duration) bool {
+	if percent := r.slowdown.Load(); percent > 0 {
+		usual = usual * time.Duration(percent) / 100
+	}
+	return loopback.Sleep(q.Context(), usual)
+}
+
+// continues lets a run that was preempted wait for its memory and process its prompt again. It returns false if the
+// request ended first.
+func (r *Runner) continues(q *http.Request, held *holding) bool {
+	return !held.lost() || held.await(q.Context()) && r.work(q, r.options.Prefill)
+}
+
 func (r *Runner) serveReport(w http.ResponseWriter) {
 	if !r.options.Engine {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	fmt.Fprintf(w, `{"phase":"unified","running":0,"queued":0,"born":%d}`, r.Born)
+	running, waiting, used := r.memory.load()
+	fmt.Fprintf(w, `{"phase":"unified","running":%d,"queued":%d,"kv_used":%d,"kv_total":%d,"born":%d}`,
+		running, waiting, used, r.memory.Tokens, r.Born)
 }
 
 func (r *Runner) serveRequest(w http.ResponseWriter, q *http.Request) {
@@ -305,7 +340,7 @@
 	h := w.Header()
 	h.Set("Wigeonfork-Request-Id", run.RequestID)
 	h.Set("Wigeonfork-Response-Signature", r.ID+"."+run.RequestID)
-	h.Set("Wigeonfork-Instance-Load", "1,0,64")
+	h.Set("Wigeonfork-Instance-Load", r.loadText())
 	if connection := r.currentFaults().Connection; connection != "" {
 		h.Set("Connection", connection)
 	}
@@ -320,10 +355,20 @@
 	}
 }
 
+// loadText returns the load header: running and waiting requests and slots, and the slowdown if the runner states it.
+func (r *Runner) loadText() string {
+	percent := r.slowdown.Load()
+	if percent == 0 {
+		return "1,0,64"
+	}
+	running, waiting, _ := r.memory.load()
+	return fmt.Sprintf("%d,%d,64,%d", running, waiting, percent)
+}
+
 func (r *Runner) servePlain(w http.ResponseWriter, q *http.Request, run *Run) {
 	r.shared.beginRun(run)
 	r.crash(q, run)
-	if !loopback.Sleep(q.Context(), r.options.ServiceTime) {
+	if !r.work(q, r.options.ServiceTime) {
 		r.shared.endRun(run, true)
 		panic(http.ErrAbortHandler)
 	}
@@ -391,7 +436,13 @@
 		// A malformed id starts the stream at its first event.
 		run.LastEventID, _ = strconv.ParseUint(last, 10, 64)
 	}
-	if !run.FromCopy && !loopback.Sleep(q.Context(), r.options.Prefill) {
+	held := r.memory.enter(q)
+	if held == nil {
+		r.refuse(w, q)
+		return
+	}
+	defer r.memory.leave(held)
+	if !held.await(q.Context()) || !run.FromCopy && !r.work(q, r.options.Prefill) {
 		panic(http.ErrAbortHandler)
 	}
 	// A test may change the faults once it sees the run.
@@ -424,7 +475,7 @@
 		if faults.Dribble != nil && id > run.LastEventID+faults.Dribble.Events {
 			r.dribble(w, q, run, faults.Dribble.Text)
 		}
-		if !loopback.Sleep(q.Context(), r.options.EventGap) {
+		if !r.continues(q, held) || !r.work(q, r.options.EventGap) {
 			// Returning normally would end the response as if it were complete.
 			r.shared.endRun(run, true)
 			panic(http.ErrAbortHandler)
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -58,6 +58,8 @@
 	// code. served counts those that ended with "ok".
 	outcomes map[string]int
 	served   int
+	// kinds counts the streams of the competing kinds by their path.
+	kinds map[string]kindCount
 	// sequence numbers the attempts for their request IDs.
 	sequence int
 	// revokedAt is when the store had accepted a configuration without revokedKey.
@@ -68,7 +70,7 @@
 const revokedKey = "key-that-goes"
 
 func startCallers(s *system, seed uint64, callers int) *callerGroup {
-	c := &callerGroup{system: s, seed: seed, stop: make(chan struct{}), outcomes: map[string]int{}}
+	c := &callerGroup{system: s, seed: seed, stop: make(chan struct{}), outcomes: map[string]int{}, kinds: map[string]kindCount{}}
 	for i := range callers {
 		c.wait.Go(func() { c.call(rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
@@ -93,7 +95,7 @@
 		}
 		switch r.IntN(6) {
 		case 0, 1:
-			c.stream(client, r)
+			c.stream(client, r, deployment.StreamPath, false)
 		case 2, 3:
 			c.plain(client, r, "POST", deployment.UnsafePath, deployment.APIKey)
 		case 4:
@@ -186,36 +188,46 @@
 }
 
 // stream requests a stream. If an attempt fails, the next one resumes after the last event
-// received.
-func (c *callerGroup) stream(client *http.Client, r *rand.Rand) {
+// received. A patient caller waits as long as a refusal asks. It returns whether the stream was complete in the end.
+func (c *callerGroup) stream(client *http.Client, r *rand.Rand, path string, patient bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	last := uint64(0)
 	for range maxStreamAttempts {
-		complete, retry := c.streamOnce(ctx, client, r, deployment.StreamPath, &last)
-		if complete || !retry || ctx.Err() != nil {
-			return
+		complete, retryAfter := c.streamOnce(ctx, client, r, path, &last)
+		if complete || ctx.Err() != nil {
+			return complete
+		}
+		pause := time.Duration(r.Int64N(int64(500 * time.Millisecond)))
+		if patient {
+			pause = max(pause, retryAfter)
 		}
-		time.Sleep(time.Duration(r.Int64N(int64(500 * time.Millisecond))))
+		time.Sleep(pause)
 	}
+	return false
 }
 
-// streamOnce makes one attempt. It returns whether the stream is complete, and whether to retry.
-func (c *callerGroup) streamOnce(ctx context.Context, client *http.Client, r *rand.Rand, path string, last *uint64) (complete, retry bool) {
+// streamOnce makes one attempt. It returns whether the stream is complete, and the time that a refusal asks to wait.
+func (c *callerGroup) streamOnce(ctx context.Context, client *http.Client, r *rand.Rand, path string, last *uint64) (bool, time.Duration) {
 	i := c.newAttempt(deployment.APIKey, false)
 	request := c.request(ctx, r, i, "POST", path, deployment.APIKey)
+	if c.system.load.competing() {
+		request.Header.Set("Wigeonfork-Token-Count", tokenCount)
+	}
 	if *last > 0 {
 		request.Header.Set("Last-Event-Id", strconv.FormatUint(*last, 10))
 	}
 	response, err := client.Do(request)
 	if err != nil {
 		c.finish(i, cutOutcome(ctx), false)
-		return false, true
+		return false, 0
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		c.finish(i, strconv.Itoa(response.StatusCode), guaranteesNotRun(response.StatusCode))
-		return false, true
+		// A refusal without a time to wait asks for none.
+		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		return false, time.Duration(seconds * float64(time.Second))
 	}
 	body, err := io.ReadAll(response.Body)
 	events, rest := c.checkEvents(i, *last, string(body))
@@ -223,13 +235,13 @@
 	switch {
 	case err != nil:
 		c.finish(i, cutOutcome(ctx), false)
-		return false, true
+		return false, 0
 	case rest != "" || *last != streamEvents:
 		c.system.violations.add("%s ended as complete after event %d with %q", c.id(i), *last, rest)
 	default:
 		c.finish(i, "ok", false)
 	}
-	return true, false
+	return true, 0
 }
 
 // cutOutcome is the outcome of an attempt without a whole answer: the caller gave up, or its
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -55,7 +55,7 @@
 	revoke := time.AfterFunc(s.options.Length/3, c.revoke)
 	defer revoke.Stop()
 	m := drawMove(seed)
-	r.move = m
+	r.move, r.load = m, s.load
 	var drills int
 	var played sync.WaitGroup
 	played.Go(func() { drills = s.playDrills(rand.New(rand.NewPCG(seed, 3)), s.options.Length) })
@@ -63,8 +63,12 @@
 	stopServers := make(chan struct{})
 	played.Go(func() { limits = s.playLimits(rand.New(rand.NewPCG(seed, 4)), stopServers) })
 	var notices []serverNotice
-	var silences int
+	var silences, slowed int
 	end := time.Now().Add(s.options.Length)
+	if s.load.competing() {
+		c.pressKinds(end)
+	}
+	played.Go(func() { slowed = s.playSlowServers(rand.New(rand.NewPCG(seed, 8)), end) })
 	played.Go(func() { notices = s.playNotices(rand.New(rand.NewPCG(seed, 5)), end) })
 	played.Go(func() { silences = s.playSilentStore(rand.New(rand.NewPCG(seed, 6)), end) })
 	r.faults = describe(s.scheduleWithMove(m))
@@ -73,7 +77,8 @@
 	s.checkLimits(limits)
 	s.checkNotices(notices)
 	r.faults = append(r.faults, "store_restore:"+strconv.Itoa(drills), "store_silence:"+strconv.Itoa(silences),
-		"limit:"+strconv.Itoa(len(limits)), "notice:"+strconv.Itoa(len(notices)))
+		"limit:"+strconv.Itoa(len(limits)), "notice:"+strconv.Itoa(len(notices)),
+		"slow_server:"+strconv.Itoa(slowed))
 	s.checkRecovery(c)
 	s.checkAgreement()
 	close(c.stop)
@@ -81,7 +86,8 @@
 	s.checkRuns(c, m)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.outcomes = maps.Clone(c.outcomes)
+	s.checkKinds(c.kinds)
+	r.outcomes, r.kinds = maps.Clone(c.outcomes), c.kinds
 }
 
 // checkRecovery checks that callers are served again once all faults have ended.
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -101,6 +101,8 @@
 	outcomes   map[string]int
 	faults     []string
 	move       *versionMove
+	load       load
+	kinds      map[string]kindCount
 	logsAt     string
 	elapsed    time.Duration
 }
@@ -110,7 +112,12 @@
 	if len(r.violations) > 0 {
 		verdict = "FAILED"
 	}
-	text := fmt.Sprintf("seed %d %s in %v: requests %v, faults %v, %v", r.seed, verdict, r.elapsed.Round(time.Second), r.outcomes, r.faults, r.move)
+	text := fmt.Sprintf("seed %d %s in %v: requests %v, faults %v, %v, %v", r.seed, verdict, r.elapsed.Round(time.Second), r.outcomes, r.faults, r.move, r.load)
+	for _, k := range kinds {
+		if n := r.kinds[k.path]; n.asked > 0 {
+			text += fmt.Sprintf(", %s %d of %d", k.path, n.served, n.asked)
+		}
+	}
 	for _, violation := range r.violations {
 		text += "\n    " + violation
 	}
--- a/test/soak/moves.go
+++ b/test/soak/moves.go
@@ -33,10 +33,10 @@
 
 // serviceOf returns the service of a request's path.
 func serviceOf(path string) string {
-	if strings.HasPrefix(path, deployment.StreamPath) || strings.HasPrefix(path, deployment.OncePath) {
-		return deployment.Engines
+	if strings.HasPrefix(path, deployment.SafePath) || strings.HasPrefix(path, deployment.UnsafePath) {
+		return deployment.Plain
 	}
-	return deployment.Plain
+	return deployment.Engines
 }
 
 // versionMove is a move of a service to nextVersion that the operator orders during a seed.
@@ -119,7 +119,7 @@
 // state says are no longer needed.
 func (s *system) playMove(m *versionMove) {
 	n, options := m.servers()
-	if _, err := s.AddVersion(m.service, nextVersion, n, options); err != nil {
+	if _, err := s.AddVersion(m.service, nextVersion, n, s.load.apply(options)); err != nil {
 		s.violations.add("soak: %v", err)
 		return
 	}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -70,6 +70,7 @@
 	random     *rand.Rand
 	nodes      []*node
 	violations *violationList
+	load       load
 	// nodeFaults are the faults of the gateways, their links to the store and the store.
 	nodeFaults faultLog
 	// linkFaults are those of the links between callers and gateways.
@@ -81,16 +82,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make folder")
 	}
+	hard := drawLoad(seed)
 	d, err := deployment.Start(deployment.Options{
 		Engines: engines, Plain: plainServers,
-		Engine: engineOptions, PlainServer: plainOptions,
+		Engine: hard.apply(engineOptions), PlainServer: hard.apply(plainOptions), Competing: hard.competing(),
 		StreamTimeout: 15 * time.Second, PlainTimeout: 3 * time.Second,
 		CrashingBodies: []string{crashingBody}, CrashDelay: crashDelay, CrashRestart: crashRestart,
 	})
 	if err != nil {
 		return nil, err
 	}
-	s := &system{Deployment: d, options: o, binary: binary, folder: folder, random: rand.New(rand.NewPCG(seed, 1)), violations: &violationList{}}
+	s := &system{Deployment: d, options: o, binary: binary, folder: folder, random: rand.New(rand.NewPCG(seed, 1)), violations: &violationList{}, load: hard}
 	for i := range o.Gateways {
 		n, err := s.newNode(i)
 		if err != nil {
