Check in the soak that model runners are told the order of the kinds

Cause: nothing showed, from outside, whether a runner knows which of its requests is the more urgent, and whether a resumed stream goes before a more urgent kind.

Change: no run of a less urgent kind has a priority as urgent as a run of a more urgent one, resumed or not.

--- a/standin/runner/memory.go
+++ b/standin/runner/memory.go
@@ -9,8 +9,8 @@
 	"sync"
 )
 
-// defaultPriority is the priority of a request that names none; 0 is the most urgent.
-const defaultPriority = 5
+// DefaultPriority is the priority of a request that names none; 0 is the most urgent.
+const DefaultPriority = 5
 
 // Memory is what a model runner has for its running requests.
 type Memory struct {
@@ -148,7 +148,7 @@
 func priorityOf(q *http.Request) int {
 	priority, err := strconv.Atoi(q.Header.Get("Wigeonfork-Request-Priority"))
 	if err != nil {
-		return defaultPriority
+		return DefaultPriority
 	}
 	return priority
 }
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -340,10 +340,16 @@
 	h := w.Header()
 	h.Set("Wigeonfork-Request-Id", run.RequestID)
 	h.Set("Wigeonfork-Response-Signature", r.ID+"."+run.RequestID)
-	h.Set("Wigeonfork-Instance-Load", r.loadText())
 	if connection := r.currentFaults().Connection; connection != "" {
 		h.Set("Connection", connection)
 	}
+	r.setNotices(w)
+}
+
+// setNotices sets the headers in which the runner says how it is.
+func (r *Runner) setNotices(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Wigeonfork-Instance-Load", r.loadText())
 	if leaving := r.currentLeaving(); leaving != "" {
 		h.Set("Server-Leaving", leaving)
 		if !r.currentFaults().DropResponse {
@@ -438,6 +444,7 @@
 	}
 	held := r.memory.enter(q)
 	if held == nil {
+		r.setNotices(w)
 		r.refuse(w, q)
 		return
 	}
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -84,6 +84,7 @@
 	close(c.stop)
 	c.wait.Wait()
 	s.checkRuns(c, m)
+	s.checkPriorities(s.Shared.Runs(""))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.checkKinds(c.kinds)
--- a/test/soak/kinds.go
+++ b/test/soak/kinds.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/standin/deployment"
@@ -137,3 +139,30 @@
 		}
 	}
 }
+
+// checkPriorities checks that no run was told to its runner as more urgent than a run of a more urgent kind, or as
+// equally urgent.
+func (s *system) checkPriorities(runs []runner.Run) {
+	least, most := map[string]int{}, map[string]int{}
+	for _, run := range runs {
+		path := strings.TrimSuffix(run.Path, "x")
+		priority, err := strconv.Atoi(run.Header.Get("Wigeonfork-Request-Priority"))
+		if err != nil {
+			priority = runner.DefaultPriority
+		}
+		if value, known := most[path]; !known || priority < value {
+			most[path] = priority
+		}
+		if value, known := least[path]; !known || priority > value {
+			least[path] = priority
+		}
+	}
+	for i := 1; i < len(kinds); i++ {
+		urgent, late := kinds[i-1].path, kinds[i].path
+		lowest, known := least[urgent]
+		highest, knownLate := most[late]
+		if known && knownLate && highest <= lowest {
+			s.violations.add("a run of %s had priority %d, and one of the less urgent %s had %d", urgent, lowest, late, highest)
+		}
+	}
+}
