--- a/routing/choose.go
+++ b/routing/choose.go
@@ -51,7 +51,7 @@
 	if len(group) == 0 {
 		return Decision{}, errUnknownVersion
 	}
-	r.sample = r.sample[:0]
+	r.beginSample()
 	r.sampleGroup(now, &req, group)
 	r.addHolders(now, &req)
 	if len(r.sample) == 0 {
@@ -66,6 +66,14 @@
 	return r.chooseWithRoom(now, &req, group), nil
 }
 
+// beginSample empties the sample.
+func (r *Router) beginSample() {
+	for k := range r.sample {
+		r.servers[r.sample[k].server].sampled = false
+	}
+	r.sample = r.sample[:0]
+}
+
 // sampleGroup considers a random sample of the group without replacement, or
 // the complete group if it is small.
 func (r *Router) sampleGroup(now time.Time, req *Request, group []int32) {
@@ -124,10 +132,8 @@
 	if s.state >= StateLeaving || !roleMatches(s, req) {
 		return
 	}
-	for k := range r.sample {
-		if r.sample[k].server == i {
-			return
-		}
+	if s.sampled {
+		return
 	}
 	if slices.Contains(req.Exclude, s.ID) {
 		return
@@ -140,6 +146,7 @@
 	if r.options.DisabledTerms&TermPrefix == 0 {
 		c.cached, c.cachedCredit = r.prefix.cached(now, req.Prefixes, i, r.options.CacheHalfLife)
 	}
+	s.sampled = true
 	r.sample = append(r.sample, c)
 }
 
@@ -220,7 +227,7 @@
 		backlog = s.prefillBacklog(now, rate, c.outstanding, r.peerReports)
 	}
 	uncached := math.Max(0, float64(req.PromptTokens)-c.cachedCredit)
-	memoryDelay := r.memoryDelay(s, float64(req.PromptTokens)+float64(req.MaxTokens))
+	memoryDelay := r.memoryDelay(now, s, float64(req.PromptTokens)+float64(req.MaxTokens))
 	c.wait = s.networkDelay(&r.options) + c.queue + memoryDelay + (backlog+uncached)/rate + adapterTime(s, req)
 	load := c.outstanding + 1
 	if r.options.DisabledTerms&TermWait != 0 {
@@ -241,7 +248,8 @@
 }
 
 // speed returns the estimated inter-token time in seconds, the prefill rate in
-// tokens per second and the service time in seconds.
+// tokens per second and the service time in seconds. A slowdown that the server has
+// reported lasts for moments, so it counts for the prefill only.
 func (r *Router) speed(now time.Time, s *server) (gap, rate, service float64) {
 	if r.options.DisabledTerms&TermSpeed != 0 {
 		return priorGap.Seconds(), priorPrefillRate, priorService.Seconds()
@@ -251,6 +259,7 @@
 	gap = s.gap.read(now, gap, halfLife)
 	rate = s.rate.read(now, rate, halfLife)
 	service = s.service.read(now, service, halfLife)
+	rate /= s.capacity.Slowdown(now)
 	return gap, rate, service
 }
 
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -39,6 +39,8 @@
 
 // Options configure a Deployment.
 type Options struct {
+	// Moves is set if engines copy the KV cache of a run when they are asked to.
+	Moves bool
 	// Engines is the number of model runners, Plain that of plain backend servers.
 	Engines int
 	Plain   int
@@ -321,7 +323,8 @@
 			route("unsafe", UnsafePath, "unsafe", Plain, d.options.PlainTimeout, 1),
 		},
 		Services: []object{
-			{"name": Engines, "health_path": "/health", "max_connections": 300, "engine": object{"kv_tokens": memory, "backups": true, "stride": 1}},
+			{"name": Engines, "health_path": "/health", "max_connections": 300,
+				"engine": object{"kv_tokens": memory, "backups": true, "moves": d.options.Moves, "stride": 1}},
 			{"name": Plain, "health_path": "/health", "max_connections": 300},
 		},
 		Limits:  object{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
