Count a server that refuses a request as full for a moment

Cause: a model runner that holds more than is known of it refuses, stays the best choice, and gets the same request again.

Change: where room is counted, a server that has refused a request has no room for 200 ms, so that the request waits in the queue.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -260,6 +260,13 @@
 	f.announceOccupancy(loadshare.Ended, p.ID, &work)
 }
 
+// refused records that a server has refused a request without running it.
+func (f *fleet) refused(now time.Time, id serverID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Refused(now, id)
+}
+
 // recordAnswer records the head of an answer to a request sent at sentAt. A refusal may be that of another server at the
 // address, which need not look for whom the request is before it refuses. So it is no sign of life, and one that says that
 // it was misdirected says nothing else of the server either.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -152,6 +152,8 @@
 	if reply.NotRun {
 		if response.Status == http.StatusMisdirectedRequest {
 			s.fleet.misdirected(time.Now(), t.place.ID)
+		} else {
+			s.fleet.refused(time.Now(), t.place.ID)
 		}
 		return runNotRun, errors.Newf("refused with status %d: %s", response.Status, refusalText(response.Body))
 	}
--- a/routing/room.go
+++ b/routing/room.go
@@ -27,6 +27,8 @@
 	// overdueFactor is the multiple of its predicted duration after which a peer's request is taken to have ended though
 	// that was not announced.
 	overdueFactor = 3
+	// fullHold is the time for which a server that has refused a request counts as full.
+	fullHold = 200 * time.Millisecond
 	// maxOccupants bounds the requests that are recorded of one server, own and of peers each.
 	maxOccupants = 1024
 	// minRoomIn is the least predicted time until a server has room.
@@ -395,6 +397,9 @@
 	if float64(req.PromptTokens)+float64(req.MaxTokens) > r.memoryLimit[req.Model] {
 		return true
 	}
+	if now.Before(s.fullUntil) {
+		return false
+	}
 	return r.missingMemory(now, c.server, req) <= 0 && (s.Slots == 0 || c.outstanding+1 <= s.slots())
 }
 
@@ -443,6 +448,9 @@
 func (r *Router) roomIn(now time.Time, i int32, req *Request) time.Duration {
 	s := &r.servers[i]
 	missing := r.missingMemory(now, i, req)
+	if missing <= 0 && now.Before(s.fullUntil) {
+		return s.fullUntil.Sub(now)
+	}
 	if missing <= 0 {
 		// Its slots are taken.
 		missing = 1
@@ -507,6 +515,14 @@
 	return least
 }
 
+// Refused records that a server has refused a request without running it. Where room is counted, nothing more is sent
+// there for a moment: what is known of its memory has missed something, and all of a request's sends would be refused.
+func (r *Router) Refused(now time.Time, id ID) {
+	if s := r.find(id); s != nil && r.roomOf(s) != nil {
+		s.fullUntil = now.Add(fullHold)
+	}
+}
+
 // ServerRoom is the memory of an engine as all entries together use it, in tokens. Limit is 0 if it is not counted.
 type ServerRoom struct {
 	Limit, Used, Backups int
--- a/routing/room_test.go
+++ b/routing/room_test.go
@@ -48,6 +48,35 @@
 	}
 }
 
+// Guards against a request whose sends are all refused within a millisecond, since engines have less memory than is known
+// and each is the best in turn.
+func TestServersThatRefuseCountAsFullForAMoment(t *testing.T) {
+	Convey("After both servers refused, the request is told to wait, and is sent there again later", t, func() {
+		r := newRoomRouter(2, 1)
+		for range 2 {
+			d, err := r.Choose(start, roomRequest())
+			So(err, ShouldBeNil)
+			So(d.NoRoom, ShouldBeFalse)
+			r.Refused(start, d.ID)
+		}
+		d, err := r.Choose(start, roomRequest())
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeTrue)
+		So(d.RoomIn, ShouldBeBetween, 0, time.Second)
+		d, err = r.Choose(start.Add(d.RoomIn), roomRequest())
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeFalse)
+	})
+	Convey("Where room is not counted, a refusal changes nothing", t, func() {
+		r := newRoomRouter(1, 1)
+		r.SetRoom(current.Model, false)
+		r.Refused(start, "b0")
+		d, err := r.Choose(start, roomRequest())
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeFalse)
+	})
+}
+
 // Guards against memory that is taken for free since a report also tells the slowdown of its server.
 func TestReportsWithASlowdownKeepTheRoomOfPeers(t *testing.T) {
 	Convey("Nine requests of peers fill an engine, also after it has reported them", t, func() {
--- a/routing/server.go
+++ b/routing/server.go
@@ -129,8 +129,9 @@
 	probeStreaming     bool         // a stream sent after the suspicion got its first token
 	lastFirstTokenAt   time.Time
 	occupancy          occupancy
-	sampled            bool    // in Router.sample
-	gapBeforeSuspicion float64 // longTermGap at the time of the suspicion, seconds
+	fullUntil          time.Time // until then the server counts as full, since it has refused a request
+	sampled            bool      // in Router.sample
+	gapBeforeSuspicion float64   // longTermGap at the time of the suspicion, seconds
 	capacity           capacity.Server
 }
 
