Ask a server that refuses again and again less often

Cause: a request that engines refuse was sent to one after 200 ms each, up to six times, and charged to the retry budget each time; then it was refused for want of budget.

Change: the time for which a server counts as full doubles with each refusal, up to 1.6 s, until it begins or ends a request.

--- a/routing/room.go
+++ b/routing/room.go
@@ -27,8 +27,10 @@
 	// overdueFactor is the multiple of its predicted duration after which a peer's request is taken to have ended though
 	// that was not announced.
 	overdueFactor = 3
-	// fullHold is the time for which a server that has refused a request counts as full.
-	fullHold = 200 * time.Millisecond
+	// fullHold is the time for which a server that has refused a request counts as full. It doubles with each further
+	// refusal, up to maxFullHold, until the server begins or ends a request.
+	fullHold    = 200 * time.Millisecond
+	maxFullHold = 1600 * time.Millisecond
 	// maxOccupants bounds the requests that are recorded of one server, own and of peers each.
 	maxOccupants = 1024
 	// minRoomIn is the least predicted time until a server has room.
@@ -518,9 +520,21 @@
 // Refused records that a server has refused a request without running it. Where room is counted, nothing more is sent
 // there for a moment: what is known of its memory has missed something, and all of a request's sends would be refused.
 func (r *Router) Refused(now time.Time, id ID) {
-	if s := r.find(id); s != nil && r.roomOf(s) != nil {
-		s.fullUntil = now.Add(fullHold)
+	s := r.find(id)
+	if s == nil || r.roomOf(s) == nil {
+		return
 	}
+	if now.Before(s.fullUntil) {
+		// It answers a request that was sent before the refusal was known.
+		return
+	}
+	s.fullHold = min(maxFullHold, max(fullHold, 2*s.fullHold))
+	s.fullUntil = now.Add(s.fullHold)
+}
+
+// tookRequest records that a server has begun or ended a request, so that a place there was free.
+func (s *server) tookRequest() {
+	s.fullHold, s.fullUntil = 0, time.Time{}
 }
 
 // ServerRoom is the memory of an engine as all entries together use it, in tokens. Limit is 0 if it is not counted.
--- a/routing/room_test.go
+++ b/routing/room_test.go
@@ -67,6 +67,24 @@
 		So(err, ShouldBeNil)
 		So(d.NoRoom, ShouldBeFalse)
 	})
+	Convey("A server that refuses again and again is asked less and less often, until it ends a request", t, func() {
+		r := newRoomRouter(1, 1)
+		now, waits := start, []time.Duration{}
+		for range 5 {
+			r.Refused(now, "b0")
+			d, err := r.Choose(now, roomRequest())
+			So(err, ShouldBeNil)
+			waits = append(waits, d.RoomIn)
+			now = now.Add(d.RoomIn)
+		}
+		So(waits, ShouldResemble, []time.Duration{fullHold, 2 * fullHold, 4 * fullHold, maxFullHold, maxFullHold})
+		r.Started(now, "b0", roomWork())
+		r.Finished(now, "b0", roomWork(), Result{Duration: time.Second})
+		r.Refused(now, "b0")
+		d, err := r.Choose(now, roomRequest())
+		So(err, ShouldBeNil)
+		So(d.RoomIn, ShouldEqual, fullHold)
+	})
 	Convey("Where room is not counted, a refusal changes nothing", t, func() {
 		r := newRoomRouter(1, 1)
 		r.SetRoom(current.Model, false)
--- a/routing/router.go
+++ b/routing/router.go
@@ -298,6 +298,7 @@
 		return
 	}
 	s.lastFirstTokenAt = now
+	s.tookRequest()
 	if now.Add(-first.Wait).After(s.stateSince) {
 		s.probeStreaming = true
 	}
@@ -338,6 +339,7 @@
 	}
 	s.release(now, work)
 	r.vacateOwn(now, s, &work, true)
+	s.tookRequest()
 	if result.Duration > 0 {
 		s.service.observe(now, result.Duration.Seconds(), longTermLearning, minSampleWeight)
 		moveToward(&s.prior.service, result.Duration.Seconds(), result.Duration.Seconds() < s.prior.service)
--- a/routing/server.go
+++ b/routing/server.go
@@ -129,9 +129,10 @@
 	probeStreaming     bool         // a stream sent after the suspicion got its first token
 	lastFirstTokenAt   time.Time
 	occupancy          occupancy
-	fullUntil          time.Time // until then the server counts as full, since it has refused a request
-	sampled            bool      // in Router.sample
-	gapBeforeSuspicion float64   // longTermGap at the time of the suspicion, seconds
+	fullHold           time.Duration // how long the last refusal made the server count as full
+	fullUntil          time.Time     // until then the server counts as full, since it has refused a request
+	sampled            bool          // in Router.sample
+	gapBeforeSuspicion float64       // longTermGap at the time of the suspicion, seconds
 	capacity           capacity.Server
 }
 
