Count what peers announce at an engine in place of the engine's own counts

Cause: once the load of engines was read, a report of running requests replaced what peers had announced. A report leaves out what was sent last, and the streams that it counted were taken to end by and by.

Change: where servers report their slowdown, an engine's counts are taken only while no peer announces its sends. Plain servers' counts are taken as before.

--- a/routing/plain_test.go
+++ b/routing/plain_test.go
@@ -139,9 +139,9 @@
 }
 
 // Guards against engines that stay avoided, or drowned, by a count that was true for a moment: a gateway gets an answer of
-// one of many engines only every few seconds.
+// one of many engines only every few seconds, and its count leaves out what was sent last.
 func TestReportedStreamsEndWithTheirDuration(t *testing.T) {
-	engine := func(slowdown float64) (*server, time.Time) {
+	engine := func(slowdown float64, peerReports bool) (*server, time.Time) {
 		r, now := New(Options{Seed: 1}), time.Unix(1000, 0)
 		r.Upsert(Server{ID: "e", Versions: []Deployment{{Model: "m"}}, Slots: 64})
 		for range 50 {
@@ -149,16 +149,22 @@
 			now = now.Add(5 * time.Second)
 			r.Finished(now, "e", Work{PromptTokens: 8000}, Result{Duration: 5 * time.Second})
 		}
+		r.SetPeerReports(peerReports)
+		r.PeerStarted(now, "e", Work{PromptTokens: 8000})
 		r.Report(now, "e", backend.LoadReport{Running: 20, Slots: 64, Slowdown: slowdown, MeasuredAt: now})
 		return r.find("e"), now
 	}
 	Convey("Where servers report their slowdown, the requests of others end with the mean duration", t, func() {
-		s, now := engine(1)
+		s, now := engine(1, false)
 		So(s.outstanding(now, 0), ShouldEqual, 20)
 		So(s.outstanding(now.Add(5*time.Second), 0), ShouldAlmostEqual, 20/math.E, 0.01)
 	})
+	Convey("If peers report what they send, that counts in place of the engine's count", t, func() {
+		s, now := engine(1, true)
+		So(s.outstanding(now, 0), ShouldEqual, 1)
+	})
 	Convey("Elsewhere they count until the report is too old", t, func() {
-		s, now := engine(0)
+		s, now := engine(0, true)
 		So(s.outstanding(now.Add(reportValidity), 0), ShouldEqual, 20)
 		So(s.outstanding(now.Add(reportValidity+1), 0), ShouldEqual, 10)
 	})
--- a/routing/router.go
+++ b/routing/router.go
@@ -191,7 +191,7 @@
 	if s.incarnation != "" && load.Incarnation != s.incarnation {
 		r.prefix.removeServer(i)
 	}
-	s.report(now, load)
+	s.report(now, load, r.peerReports)
 }
 
 // CacheEvent applies a change that a server reported of its prefix cache.
--- a/routing/server.go
+++ b/routing/server.go
@@ -263,23 +263,27 @@
 	return load.MeasuredAt.Before(s.reportMeasuredAt)
 }
 
-// report applies a load report that is not outdated.
-func (s *server) report(now time.Time, load backend.LoadReport) {
+// report applies a load report that is not outdated. peerReports is set if peers report the requests that they send.
+func (s *server) report(now time.Time, load backend.LoadReport, peerReports bool) {
 	if load.Slots > 0 {
 		s.Slots = load.Slots
 	}
 	if load.Incarnation != s.incarnation {
 		s.incarnation = load.Incarnation
 	}
-	total := load.Running + load.Waiting
-	s.otherRequests = math.Max(0, float64(total-s.ownRequestsAt(now, load.MeasuredAt)))
 	s.reportMeasuredAt = load.MeasuredAt
-	s.peerRequests = 0
-	if load.Slowdown > 0 {
-		// The requests of others end by and by, like those that peers report.
-		s.peerRequests, s.peerRequestsAt, s.otherRequests = s.otherRequests, now, 0
-		s.capacity.ReadSlowdown(load.MeasuredAt, &s.prior.capacity, load.Slowdown)
+	others := math.Max(0, float64(load.Running+load.Waiting-s.ownRequestsAt(now, load.MeasuredAt)))
+	if load.Slowdown == 0 {
+		s.otherRequests, s.peerRequests = others, 0
+		return
+	}
+	s.capacity.ReadSlowdown(load.MeasuredAt, &s.prior.capacity, load.Slowdown)
+	if peerReports && !s.isPlain() {
+		// An engine's counts are older than the sends that peers report.
+		return
 	}
+	// The requests of others end by and by, like those that peers report.
+	s.otherRequests, s.peerRequests, s.peerRequestsAt = 0, others, now
 }
 
 // slowdown returns the factor by which a batch of n requests increases the
