--- a/routing/router.go
+++ b/routing/router.go
@@ -194,7 +194,7 @@
 	if s.incarnation != "" && load.Incarnation != s.incarnation {
 		r.prefix.removeServer(i)
 	}
-	s.report(now, load)
+	s.report(now, load, r.peerReports)
 	r.correctRoom(now, load.MeasuredAt, s)
 }
 
