--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -44,24 +44,32 @@
 	Workspace wigeonfork.Workspace
 	// Remaining is the time until the caller's deadline; 0 if it set none.
 	Remaining time.Duration
-	// Urgent requests are admitted before others.
-	Urgent bool
+	// Ranks is the number of ranks that requests for the service may have. Rank is that of
+	// this one.
+	Ranks int
+	Rank  wigeonfork.Rank
+	// Resume is set if the request goes on after the loss of a backend server.
+	Resume bool
 	// LastEvent is the id of the last event delivered to the caller; 0 is none.
 	LastEvent uint64
 	// BackupAddress is the address of the server that keeps a copy of the run's KV
 	// cache; empty if there is none.
 	BackupAddress string
 	// ContinueAddress is the address of the server that holds the KV cache from which
-	// the run resumes; empty if there is none. ContinueRequest is the request that the
-	// cache belongs to.
+	// the run resumes; empty if there is none. For a copy that was moved it is the address of
+	// the server that made the copy. ContinueHandle is the id of the request that the cache
+	// belongs to, or the handle of the moved copy.
 	ContinueAddress string
-	ContinueRequest wigeonfork.RequestID
+	ContinueHandle  string
 }
 
 // Load is a backend server's load report. It counts the requests that run, the
 // requests that wait, and how many can run at once.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is the factor by which work takes longer there at this moment than usual; 0 if the server does not
+	// report it.
+	Slowdown float64
 }
 
 // Reply holds what the system reads from the head of a backend server's answer.
@@ -123,4 +131,10 @@
 	// its cache. ReadCache parses the answer.
 	CacheTarget() string
 	ReadCache(body []byte) ([]backend.CacheEvent, error)
+	// MoveCopy returns the request target and the body with which an engine is asked to copy the KV cache of a run to the
+	// engine at an address. ReadCopy parses the answer and returns the copy's handle, at which the engine that made it frees it by
+	// FreeCopyTarget.
+	MoveCopy(request wigeonfork.RequestID, to string) (target string, body []byte)
+	ReadCopy(status int, body []byte) (handle string, err error)
+	FreeCopyTarget(handle string) string
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
-	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/freshness"
 	"github.com/wigeonfork/wigeonfork/health"
@@ -60,6 +59,8 @@
 	identify func(directory.Entry)
 	// announce queues a message to the peers.
 	announce func(loadshare.Message)
+	// shareCapacity queues for the peers what was found out of a server.
+	shareCapacity func(loadshare.ServerCapacity)
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -76,6 +77,8 @@
 	versions     versionPolicy
 	versionOrder map[wigeonfork.Model][]wigeonfork.Version
 	versionCount map[serviceVersion]int
+	// enginesCrash is set if engines crash without memory.
+	enginesCrash bool
 	// probedAt is when each suspected server was last probed.
 	probedAt map[serverID]time.Time
 }
@@ -87,18 +90,24 @@
 		onRemoved:  onRemoved,
 		onEnded:    func(serverID) {},
 		isLimited:  func(serverID) bool { return false },
+		announce:   func(loadshare.Message) {},
 		onLost:     func(time.Time, directory.Entry) {},
 		onReturned: func(time.Time, directory.Entry) {},
 		identify:   func(directory.Entry) {},
-		directory:  directory.New(),
-		router:     routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
-		servers:    health.NewServers(),
-		signs:      directory.NewSignsOfLife(),
-		streams:    health.NewStreams(),
-		entries:    make(map[serverID]directory.Entry),
-		hashes:     make(map[loadshare.ServerHash]serverID),
-		runs:       make(map[health.StreamID]*watchedRun),
-		probedAt:   make(map[serverID]time.Time),
+
+		shareCapacity: func(loadshare.ServerCapacity) {},
+
+		directory: directory.New(),
+		router:    routing.New(routing.Options{Seed: seedOf(o.Host), Domain: o.Domain}),
+		servers:   health.NewServers(),
+		signs:     directory.NewSignsOfLife(),
+		streams:   health.NewStreams(),
+		entries:   make(map[serverID]directory.Entry),
+		hashes:    make(map[loadshare.ServerHash]serverID),
+		runs:      make(map[health.StreamID]*watchedRun),
+		probedAt:  make(map[serverID]time.Time),
+
+		enginesCrash: o.Bounds.EnginesCrashWithoutMemory,
 
 		versions:     anyVersion{},
 		versionOrder: make(map[wigeonfork.Model][]wigeonfork.Version),
@@ -187,6 +196,7 @@
 	f.servers.Remove(id)
 	f.signs.Forget(id)
 	f.router.Remove(id)
+	f.copiesLostLocked(id)
 	f.onEnded(id)
 	go f.onRemoved(upstream.Server{ID: string(id), Address: known.Address})
 }
@@ -204,8 +214,8 @@
 }
 
 // backup returns a server to keep a copy of the KV cache of a run at primary, or nil.
-// It reserves memory there, which the caller must free by releaseBackup.
-func (f *fleet) backup(now time.Time, primary *placement, work routing.Work) *directory.Entry {
+// It reserves memory there, which the caller must free by releaseBackup. replaces is set if an earlier copy was lost.
+func (f *fleet) backup(now time.Time, primary *placement, work routing.Work, replaces bool) *directory.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, ok := f.router.ChooseBackup(now, routing.BackupRequest{
@@ -214,10 +224,13 @@
 		Server:  primary.ID,
 		Domain:  primary.Domain,
 		Tokens:  work.PromptTokens + work.MaxTokens,
+
+		Replaces: replaces,
 	})
 	if !ok {
 		return nil
 	}
+	f.announceOccupancy(loadshare.CopyKept, id, &work)
 	entry := f.entries[id]
 	return &entry
 }
@@ -227,6 +240,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.router.ReleaseBackup(id, work.PromptTokens+work.MaxTokens)
+	f.announceOccupancy(loadshare.CopyDropped, id, &work)
 }
 
 // finished releases a request from the server that completed it.
@@ -234,6 +248,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.router.Finished(now, p.ID, work, result)
+	f.announceOccupancy(loadshare.Ended, p.ID, &work)
+	f.shareCapacityLocked(now, p.ID)
 }
 
 // failed releases a request from a server that did not complete it.
@@ -241,6 +257,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.router.Failed(now, p.ID, work)
+	f.announceOccupancy(loadshare.Ended, p.ID, &work)
+}
+
+// refused records that a server has refused a request without running it.
+func (f *fleet) refused(now time.Time, id serverID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Refused(now, id)
 }
 
 // recordAnswer records the head of an answer to a request sent at sentAt. A refusal may be that of another server at the
@@ -259,9 +283,7 @@
 		f.router.SetState(now, p.ID, routing.StateReady)
 	}
 	if load := reply.Load; load != nil {
-		f.router.Report(now, p.ID, backend.LoadReport{
-			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, MeasuredAt: now,
-		})
+		f.reportLocked(now, p.ID, load)
 	}
 }
 
@@ -359,5 +381,6 @@
 		if service.Engine != nil {
 			f.router.SetMemoryLimit(service.Name, service.Engine.MemoryTokens)
 		}
+		f.router.SetRoom(service.Name, service.Engine != nil && (f.enginesCrash || table.Ranked(service.Name)))
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	partGuard    *partGuard
 	limits       *serverLimits
 	pauses       *serverPauses
+	waiting      *waitingRequests
 	moves        *versionMoves
 	gossip       *gossiper
 	// livePeers is the number of other live gateways, as of the last heartbeat.
@@ -104,12 +105,14 @@
 	}
 	g.limits = newServerLimits(g)
 	g.pauses = newServerPauses(g)
+	g.waiting = newWaitingRequests(options.Metrics)
 	g.fleet.onEnded = func(id serverID) {
 		g.limits.forget(id)
 		g.pauses.forget(id)
 	}
 	g.fleet.isLimited = g.limits.isLimited
 	g.fleet.announce = g.gossip.enqueue
+	g.fleet.shareCapacity = g.gossip.enqueueCapacity
 	g.config = newConfigState(&options)
 	g.configFollower = newFollower(configurationWait(&options.Bounds))
 	g.serversFollower = newFollower(serversInterval(&options.Bounds))
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	registeredAt   time.Time
 	pending        []loadshare.Message
 	flushScheduled bool
+	// pendingCapacity is what was found out of servers and is still to be sent.
+	pendingCapacity []loadshare.ServerCapacity
 }
 
 func newGossiper(g *Gateway) *gossiper {
@@ -160,10 +163,12 @@
 	s.pending, s.flushScheduled = nil, false
 	targets := append([]netip.AddrPort(nil), s.peers.Targets(now)...)
 	s.mu.Unlock()
-	for len(messages) > 0 {
-		n := min(len(messages), loadshare.MaxMessages)
-		s.send(targets, messages[:n])
-		messages = messages[n:]
+	plain, occupancy := loadshare.SplitOccupancy(messages)
+	for batch := range slices.Chunk(plain, loadshare.MaxMessages) {
+		s.send(targets, batch)
+	}
+	for batch := range slices.Chunk(occupancy, loadshare.MaxMessages) {
+		s.sendAll(targets, loadshare.AppendOccupancy(nil, s.port, batch))
 	}
 }
 
@@ -323,6 +328,9 @@
 		s.g.applyPeerUpdate(now, update)
 		return nil
 	}
+	if loadshare.IsConfigurationUpdate(data) {
+		return s.handleConfigurationUpdate(now, data, from)
+	}
 	if loadshare.IsMoveUpdate(data) {
 		return s.handleMoveUpdate(now, data, from)
 	}
@@ -338,6 +346,9 @@
 	if loadshare.IsLeavingUpdate(data) {
 		return s.handleLeavingUpdate(now, data, from)
 	}
+	if loadshare.IsCapacityUpdate(data) {
+		return s.handleCapacityUpdate(now, data, from)
+	}
 	if loadshare.IsTrialUpdate(data) {
 		return s.handleTrialUpdate(now, data, from)
 	}
@@ -364,6 +375,8 @@
 		} else {
 			s.g.retryBudgets.recordPeerRetry(now, service)
 		}
+	case loadshare.Ended, loadshare.CopyKept, loadshare.CopyDropped:
+		s.g.fleet.peerOccupancy(now, m)
 	case loadshare.Lost:
 		s.g.fleet.peerLost(now, m.Server)
 	case loadshare.Recovered:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/admission"
 	"github.com/wigeonfork/wigeonfork/directory"
@@ -13,6 +15,7 @@
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/quarantine"
 	"github.com/wigeonfork/wigeonfork/telemetry"
+	"github.com/wigeonfork/wigeonfork/waitqueue"
 )
 
 const (
@@ -78,8 +81,10 @@
 // target is the server of the next run of a stream.
 type target struct {
 	place *placement
-	// hasCopy is set if the server holds a copy of the last run's KV cache.
-	hasCopy bool
+	// hasCopy is set if the server holds a copy of the last run's KV cache. If that was moved there, copySource is where
+	// it was made.
+	hasCopy    bool
+	copySource copySource
 }
 
 // streamCall is the state of a call that is answered by a stream.
@@ -93,7 +98,9 @@
 	// totalSends counts all sends, including those that did not run.
 	totalSends int
 	// backup is the server that holds a copy of the last run's KV cache.
-	backup *directory.Entry
+	// If that was moved there, backupSource is where it was made.
+	backup       *directory.Entry
+	backupSource copySource
 	// failure is a server's error answer. It is delivered if no run succeeds.
 	failure *sendResult
 	tried   []serverID
@@ -189,7 +196,7 @@
 		case err == nil:
 			return s.countSend(place, false), nil
 		case s.possibleRuns == 0:
-			return target{}, s.noServer(err)
+			return target{}, s.notPlaced(err)
 		case !s.sleep(resumePoll) || time.Now().After(until):
 			return target{}, problem.New(problem.CodeInterrupted, problem.RunUnknown, problem.StepResume, "no backend server takes the stream up")
 		}
@@ -197,6 +204,17 @@
 	}
 }
 
+// notPlaced returns the refusal of a stream that has not run and finds no server.
+func (s *streamCall) notPlaced(err error) *problem.Error {
+	switch {
+	case s.r.Context().Err() != nil:
+		s.callerGone()
+	case errors.Is(err, errLeaving):
+		return s.draining()
+	}
+	return s.noServer(err)
+}
+
 // admitFirst accepts the server of the first run, unless the answer can't be complete
 // there before the deadline or the gateway's end.
 func (s *streamCall) admitFirst(now time.Time, place *placement) (target, *problem.Error) {
@@ -309,7 +327,7 @@
 	if s.backup == nil {
 		return target{}, false
 	}
-	id := s.backup.ID
+	id, source := s.backup.ID, s.backupSource
 	s.dropBackup()
 	work := s.work
 	work.HasBackup = true
@@ -317,7 +335,9 @@
 	if place == nil {
 		return target{}, false
 	}
-	return s.countSend(place, true), true
+	t := s.countSend(place, true)
+	t.copySource = source
+	return t, true
 }
 
 // inTime reports whether the answer can be complete before its deadline.
@@ -330,7 +350,16 @@
 	if now.Sub(s.lostDomainAt) < domainAvoidPeriod {
 		q.avoidDomain = s.lostDomain
 	}
-	return s.Gateway.choose(s.ctx, q)
+	if s.totalSends == 0 {
+		return s.chooseInTurn(s.ctx, q, s.startBy(now))
+	}
+	place, err := s.chooseInTurn(s.ctx, q, now.Add(maxResumeWait))
+	var tooLong *waitqueue.TooLongError
+	if errors.As(err, &tooLong) {
+		q.mayOvercommit = true
+		return s.Gateway.choose(s.ctx, q)
+	}
+	return place, err
 }
 
 func (s *streamCall) sleep(d time.Duration) bool {
@@ -347,7 +376,7 @@
 func (s *streamCall) dropBackup() {
 	if s.backup != nil {
 		s.fleet.releaseBackup(s.backup.ID, s.work)
-		s.backup = nil
+		s.backup, s.backupSource = nil, copySource{}
 	}
 }
 
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -51,7 +51,7 @@
 	if len(group) == 0 {
 		return Decision{}, errUnknownVersion
 	}
-	r.sample = r.sample[:0]
+	r.beginSample()
 	r.sampleGroup(now, &req, group)
 	r.addHolders(now, &req)
 	if len(r.sample) == 0 {
@@ -60,8 +60,18 @@
 	if len(r.sample) == 0 {
 		return Decision{}, errNoServer
 	}
-	best := r.bestCandidate(now, &req)
-	return r.decide(now, &req, best), nil
+	if r.rooms[req.Model] == nil {
+		return r.decide(now, &req, r.bestCandidate(now, &req, anyCandidate)), nil
+	}
+	return r.chooseWithRoom(now, &req, group), nil
+}
+
+// beginSample empties the sample.
+func (r *Router) beginSample() {
+	for k := range r.sample {
+		r.servers[r.sample[k].server].sampled = false
+	}
+	r.sample = r.sample[:0]
 }
 
 // sampleGroup considers a random sample of the group without replacement, or
@@ -122,10 +132,8 @@
 	if s.state >= StateLeaving || !roleMatches(s, req) {
 		return
 	}
-	for k := range r.sample {
-		if r.sample[k].server == i {
-			return
-		}
+	if s.sampled {
+		return
 	}
 	if slices.Contains(req.Exclude, s.ID) {
 		return
@@ -138,6 +146,7 @@
 	if r.options.DisabledTerms&TermPrefix == 0 {
 		c.cached, c.cachedCredit = r.prefix.cached(now, req.Prefixes, i, r.options.CacheHalfLife)
 	}
+	s.sampled = true
 	r.sample = append(r.sample, c)
 }
 
@@ -145,25 +154,32 @@
 	return s.Role == "" || req.Role == "" || s.Role == req.Role
 }
 
-// bestCandidate predicts the times of every candidate and returns the one with
-// the lowest score.
-func (r *Router) bestCandidate(now time.Time, req *Request) *candidate {
+// anyCandidate accepts every candidate.
+func anyCandidate(*candidate) bool { return true }
+
+// bestCandidate predicts the times of the accepted candidates and returns the one with
+// the lowest score, or nil if there is none.
+func (r *Router) bestCandidate(now time.Time, req *Request, accepts func(*candidate) bool) *candidate {
 	limit := r.loadLimit()
 	answer := r.expectedTokens(now, req)
-	best, bestScore := 0, math.Inf(1)
+	var best *candidate
+	bestScore := math.Inf(1)
 	for k := range r.sample {
 		c := &r.sample[k]
+		if !accepts(c) {
+			continue
+		}
 		s := &r.servers[c.server]
 		if c.outstanding/s.slots() > limit {
 			c.cachedCredit = 0
 		}
 		r.predict(now, req, c, answer)
 		score := r.score(req, s, c)
-		if score < bestScore {
-			best, bestScore = k, score
+		if best == nil || score < bestScore {
+			best, bestScore = c, score
 		}
 	}
-	return &r.sample[best]
+	return best
 }
 
 // loadLimit returns the load per slot above which a cached prefix attracts no
@@ -192,6 +208,10 @@
 // predict fills in the predicted times of the request on candidate c.
 func (r *Router) predict(now time.Time, req *Request, c *candidate, answer float64) {
 	s := &r.servers[c.server]
+	if req.PromptTokens == 0 && s.isPlain() && r.options.DisabledTerms&(TermWait|TermSpeed) == 0 {
+		r.predictPlain(now, s, c)
+		return
+	}
 	gap, rate, service := r.speed(now, s)
 	slots := s.slots()
 	c.queue = 0
@@ -207,7 +227,7 @@
 		backlog = s.prefillBacklog(now, rate, c.outstanding, r.peerReports)
 	}
 	uncached := math.Max(0, float64(req.PromptTokens)-c.cachedCredit)
-	memoryDelay := r.memoryDelay(s, float64(req.PromptTokens)+float64(req.MaxTokens))
+	memoryDelay := r.memoryDelay(now, s, float64(req.PromptTokens)+float64(req.MaxTokens))
 	c.wait = s.networkDelay(&r.options) + c.queue + memoryDelay + (backlog+uncached)/rate + adapterTime(s, req)
 	load := c.outstanding + 1
 	if r.options.DisabledTerms&TermWait != 0 {
@@ -228,7 +248,8 @@
 }
 
 // speed returns the estimated inter-token time in seconds, the prefill rate in
-// tokens per second and the service time in seconds.
+// tokens per second and the service time in seconds. A slowdown that the server has
+// reported lasts for moments, so it counts for the prefill only.
 func (r *Router) speed(now time.Time, s *server) (gap, rate, service float64) {
 	if r.options.DisabledTerms&TermSpeed != 0 {
 		return priorGap.Seconds(), priorPrefillRate, priorService.Seconds()
@@ -238,6 +259,7 @@
 	gap = s.gap.read(now, gap, halfLife)
 	rate = s.rate.read(now, rate, halfLife)
 	service = s.service.read(now, service, halfLife)
+	rate /= s.capacity.Slowdown(now)
 	return gap, rate, service
 }
 
--- /dev/null
+++ b/routing/room.go
@@ -0,0 +1,557 @@
+package routing
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork"
+)
+
+const (
+	// newRequestReserve is the fraction of an engine's KV cache that new requests leave free. Resumes and runs from a
+	// copy may use it.
+	newRequestReserve = 0.05
+	// rankReserve is the fraction that a request leaves free for each more urgent rank that has looked for room within
+	// rankDemandPeriod, up to maxRankReserve.
+	rankReserve      = 0.15
+	maxRankReserve   = 0.4
+	rankDemandPeriod = 10 * time.Second
+	// newCopyReserve is the same for copies. A request that must be read again for a copy costs more than the copy saves.
+	newCopyReserve = 0.25
+	// replacedCopyReserve is the same for copies that replace a lost one. An engine makes them whole at once, and they do
+	// not yield to requests.
+	replacedCopyReserve = 0.5
+	// overdueFactor is the multiple of its predicted duration after which a peer's request is taken to have ended though
+	// that was not announced.
+	overdueFactor = 3
+	// fullHold is the time for which a server that has refused a request counts as full. It doubles with each further
+	// refusal, up to maxFullHold, until the server begins or ends a request.
+	fullHold    = 200 * time.Millisecond
+	maxFullHold = 1600 * time.Millisecond
+	// maxOccupants bounds the requests that are recorded of one server, own and of peers each.
+	maxOccupants = 1024
+	// minRoomIn is the least predicted time until a server has room.
+	minRoomIn = 10 * time.Millisecond
+	// overdueRemainder is the fraction of the time that a request has run beyond its predicted end for which it is
+	// expected to run on.
+	overdueRemainder = 0.25
+	// maxWidened bounds the servers that are looked at for room when none of the sample has any. Where it binds, one
+	// server in a hundred with room is missed once in twenty thousand requests.
+	maxWidened = 1024
+	// roomInChoices is the number of servers of which the soonest end is predicted when none has room.
+	roomInChoices = 32
+)
+
+// NoRoomError is the error of a request for which no server has room. The request was not sent.
+type NoRoomError struct {
+	// RoomIn is the predicted time until a server has room.
+	RoomIn time.Duration
+}
+
+// Error implements error.
+func (e *NoRoomError) Error() string {
+	return fmt.Sprintf("no backend server has room for the request; one is expected to in %v", e.RoomIn.Round(time.Millisecond))
+}
+
+// occupant is a request, or a copy of one, that occupies KV cache of a server.
+type occupant struct {
+	// prefix is the hash of the whole prompt. Requests with equal prompts occupy about the same, so any of them may be
+	// removed for another.
+	prefix uint64
+	tokens float64
+	// work is the size of an own request by its Work, which tells requests without prefixes apart.
+	work float64
+	// sentAt is when it was sent, and predicted the duration by the server's speed alone.
+	sentAt    time.Time
+	predicted time.Duration
+	// endsAt is its predicted end. A peer's request counts until forgetAt, unless its end is announced.
+	endsAt, forgetAt time.Time
+}
+
+func wholePrefix(w *Work) uint64 {
+	if n := len(w.Prefixes); n > 0 {
+		return w.Prefixes[n-1].Hash
+	}
+	return 0
+}
+
+// occupancy is what occupies one server's KV cache, as far as this router knows: its own requests until they end, and
+// the requests of its peers and their copies until their end is announced or is overdue. A load report corrects the
+// number of the peers' requests.
+type occupancy struct {
+	own    []occupant
+	peers  []occupant
+	copies []occupant
+	// sum is the tokens of all. It is counted along, since all servers are asked when none has room. forgetAt is the
+	// earliest time at which one of peers is overdue.
+	sum      float64
+	forgetAt time.Time
+}
+
+func (o *occupancy) addOwn(added occupant) {
+	if len(o.own) < maxOccupants {
+		o.own = append(o.own, added)
+		o.sum += added.tokens
+	}
+}
+
+// appendOfPeer adds an occupant of a peer to a list of the server.
+func (o *occupancy) appendOfPeer(to []occupant, added occupant) []occupant {
+	if len(to) >= maxOccupants {
+		return to
+	}
+	if len(o.peers)+len(o.copies) == 0 || added.forgetAt.Before(o.forgetAt) {
+		o.forgetAt = added.forgetAt
+	}
+	o.sum += added.tokens
+	return append(to, added)
+}
+
+// removeOne removes the first matching occupant and returns it.
+func (o *occupancy) removeOne(from []occupant, matches func(*occupant) bool) (rest []occupant, removed occupant, ok bool) {
+	for i := range from {
+		if matches(&from[i]) {
+			removed = from[i]
+			o.sum -= removed.tokens
+			return slices.Delete(from, i, i+1), removed, true
+		}
+	}
+	return from, occupant{}, false
+}
+
+func hasPrefix(prefix uint64) func(*occupant) bool {
+	return func(o *occupant) bool { return o.prefix == prefix }
+}
+
+func (o *occupancy) addPeer(now time.Time, added occupant) {
+	o.expire(now)
+	o.peers = o.appendOfPeer(o.peers, added)
+}
+
+func (o *occupancy) addCopy(now time.Time, added occupant) {
+	o.expire(now)
+	o.copies = o.appendOfPeer(o.copies, added)
+}
+
+// expire removes what is overdue of peers.
+func (o *occupancy) expire(now time.Time) {
+	if len(o.peers)+len(o.copies) == 0 || now.Before(o.forgetAt) {
+		return
+	}
+	overdue := func(p occupant) bool { return !p.forgetAt.After(now) }
+	o.peers = slices.DeleteFunc(o.peers, overdue)
+	o.copies = slices.DeleteFunc(o.copies, overdue)
+	o.recount()
+}
+
+// recount sets what is counted along anew.
+func (o *occupancy) recount() {
+	o.sum, o.forgetAt = 0, time.Time{}
+	for i := range o.own {
+		o.sum += o.own[i].tokens
+	}
+	for _, list := range [][]occupant{o.peers, o.copies} {
+		for i := range list {
+			o.sum += list[i].tokens
+			if o.forgetAt.IsZero() || list[i].forgetAt.Before(o.forgetAt) {
+				o.forgetAt = list[i].forgetAt
+			}
+		}
+	}
+}
+
+// correct applies the number of requests of peers that a load report measured. Requests that were sent since are kept.
+// Of those before, the ones that end first are removed if there are too many. If there are too few, requests of
+// the given size are added, which replace lost messages.
+func (o *occupancy) correct(now, measuredAt time.Time, others int, missing occupant) {
+	o.expire(now)
+	slices.SortFunc(o.peers, func(a, b occupant) int { return a.endsAt.Compare(b.endsAt) })
+	before := 0
+	for i := range o.peers {
+		if !o.peers[i].sentAt.After(measuredAt) {
+			before++
+		}
+	}
+	for ; before < others && len(o.peers) < maxOccupants; before++ {
+		o.peers = append(o.peers, missing)
+	}
+	o.peers = slices.DeleteFunc(o.peers, func(p occupant) bool {
+		if before <= others || p.sentAt.After(measuredAt) {
+			return false
+		}
+		before--
+		return true
+	})
+	o.recount()
+}
+
+// used returns the occupied tokens.
+func (o *occupancy) used(now time.Time) float64 {
+	o.expire(now)
+	return max(0, o.sum)
+}
+
+// isIdle reports whether no request is known to run on the server.
+func (o *occupancy) isIdle() bool { return len(o.own)+len(o.peers) == 0 }
+
+// remaining returns for how long an occupant is expected to stay. One that has run beyond its predicted end says little
+// of its end except by how long it has run.
+func (o *occupant) remaining(now time.Time) time.Duration {
+	if left := o.endsAt.Sub(now); left > 0 {
+		return max(minRoomIn, left)
+	}
+	return max(minRoomIn, time.Duration(overdueRemainder*float64(now.Sub(o.sentAt))))
+}
+
+// freeIn returns the predicted time until at least the given tokens have become free, and false if all requests
+// together occupy less.
+func (o *occupancy) freeIn(now time.Time, tokens float64) (time.Duration, bool) {
+	all := slices.Concat(o.own, o.peers, o.copies)
+	slices.SortFunc(all, func(a, b occupant) int { return cmp.Compare(a.remaining(now), b.remaining(now)) })
+	for i := range all {
+		if tokens -= all[i].tokens; tokens <= 0 {
+			return all[i].remaining(now), true
+		}
+	}
+	return 0, false
+}
+
+// size is the mean size of the requests for a model that this router has seen.
+type size struct {
+	prompt, answer decayingMean // tokens
+}
+
+// roomPolicy is what is known of the memory that a model's requests need.
+type roomPolicy struct {
+	size size
+	// stretch is the duration of runs relative to that predicted by the server's speed alone.
+	stretch decayingMean
+	// askedAt is when a request of each rank last looked for room.
+	askedAt map[wigeonfork.Rank]time.Time
+}
+
+// until returns an occupant that was sent now and is predicted to run for the given time on an unshared server.
+func (p *roomPolicy) until(now time.Time, predicted time.Duration) occupant {
+	stretched := time.Duration(p.stretch.read(now, 1, DefaultSpeedHalfLife) * float64(predicted))
+	return occupant{sentAt: now, predicted: predicted, endsAt: now.Add(stretched), forgetAt: now.Add(overdueFactor * stretched)}
+}
+
+// SetRoom sets whether requests for a model go only where the engine has memory for them, as far as there is such a
+// server. Without it a lack of memory only adds to a server's score.
+func (r *Router) SetRoom(model wigeonfork.Model, enabled bool) {
+	if !enabled {
+		delete(r.rooms, model)
+		return
+	}
+	if r.rooms[model] == nil {
+		r.rooms[model] = &roomPolicy{}
+	}
+}
+
+// roomOf returns the policy for the requests to a server, or nil if room is not counted there.
+func (r *Router) roomOf(s *server) *roomPolicy {
+	if len(s.Versions) == 0 || r.memoryLimit[s.Versions[0].Model] <= 0 {
+		return nil
+	}
+	return r.rooms[s.Versions[0].Model]
+}
+
+// occupyOwn records the memory of a request that this router sends to a server.
+func (r *Router) occupyOwn(now time.Time, i int32, work *Work) {
+	s := &r.servers[i]
+	policy := r.roomOf(s)
+	if policy == nil {
+		return
+	}
+	policy.size.prompt.observe(now, float64(work.PromptTokens), longTermLearning, minSampleWeight)
+	policy.size.answer.observe(now, float64(work.MaxTokens), longTermLearning, minSampleWeight)
+	read := work.PromptTokens
+	if work.HasBackup {
+		read = 0
+	}
+	added := policy.until(now, r.predictRun(now, s, float64(read), float64(work.MaxTokens)))
+	added.prefix, added.tokens, added.work = wholePrefix(work), r.unshared(now, i, work), work.tokens()
+	s.occupancy.addOwn(added)
+}
+
+// vacateOwn frees the memory of a request of this router. complete is set if it was answered, so that its duration
+// is known.
+func (r *Router) vacateOwn(now time.Time, s *server, work *Work, complete bool) {
+	rest, removed, ok := s.occupancy.removeOne(s.occupancy.own, func(o *occupant) bool {
+		return o.prefix == wholePrefix(work) && o.work == work.tokens()
+	})
+	s.occupancy.own = rest
+	policy := r.roomOf(s)
+	if ok && complete && policy != nil && removed.predicted > 0 {
+		policy.stretch.observe(now, float64(now.Sub(removed.sentAt))/float64(removed.predicted), longTermLearning, minSampleWeight)
+	}
+}
+
+// unshared returns the tokens that a request occupies beyond those that other requests share with it at a server. The
+// last part of a prompt belongs to the request itself.
+func (r *Router) unshared(now time.Time, i int32, work *Work) float64 {
+	n := len(work.Prefixes)
+	if n < 2 {
+		return work.tokens()
+	}
+	_, shared := r.prefix.cached(now, work.Prefixes[:n-1], i, r.options.CacheHalfLife)
+	return max(0, work.tokens()-shared)
+}
+
+// occupyPeer records the memory of a request that a peer sent to a server. A peer does not tell the bound of the
+// answer, and for a run from a copy no prompt. Both are assumed as usual.
+func (r *Router) occupyPeer(now time.Time, i int32, work *Work) {
+	s := &r.servers[i]
+	policy := r.roomOf(s)
+	if policy == nil {
+		return
+	}
+	answer := policy.size.answer.read(now, defaultMaxTokens, DefaultSpeedHalfLife)
+	prompt := float64(work.PromptTokens)
+	run := r.predictRun(now, s, prompt, answer)
+	if prompt == 0 {
+		prompt = policy.size.prompt.read(now, 0, DefaultSpeedHalfLife)
+	} else if work.MaxTokens == 0 {
+		policy.size.prompt.observe(now, prompt, longTermLearning, minSampleWeight)
+	}
+	added := policy.until(now, run)
+	added.prefix, added.tokens = wholePrefix(work), prompt+answer
+	s.occupancy.addPeer(now, added)
+}
+
+// PeerEnded records that a request of a peer with the given prompt has ended.
+func (r *Router) PeerEnded(now time.Time, id ID, prefix uint64) {
+	if s := r.find(id); s != nil && r.roomOf(s) != nil {
+		s.occupancy.expire(now)
+		s.occupancy.peers, _, _ = s.occupancy.removeOne(s.occupancy.peers, hasPrefix(prefix))
+	}
+}
+
+// PeerCopyKept records that a server keeps a copy, of at most the given tokens, of a peer's request.
+func (r *Router) PeerCopyKept(now time.Time, id ID, prefix uint64, tokens uint32) {
+	s := r.find(id)
+	if s == nil || r.roomOf(s) == nil {
+		return
+	}
+	policy := r.roomOf(s)
+	made := policy.size.answer.read(now, defaultMaxTokens, DefaultSpeedHalfLife)
+	added := policy.until(now, r.predictRun(now, s, float64(tokens), made))
+	added.prefix, added.tokens = prefix, float64(tokens)
+	s.occupancy.addCopy(now, added)
+}
+
+// PeerCopyDropped records that a server no longer keeps a copy of a peer's request.
+func (r *Router) PeerCopyDropped(id ID, prefix uint64) {
+	if s := r.find(id); s != nil {
+		s.occupancy.copies, _, _ = s.occupancy.removeOne(s.occupancy.copies, hasPrefix(prefix))
+	}
+}
+
+// CountsRoom reports whether the memory of a server is counted.
+func (r *Router) CountsRoom(id ID) bool {
+	s := r.find(id)
+	return s != nil && r.roomOf(s) != nil
+}
+
+// hasRoomForCopy reports whether a server has memory for a copy. It has if room is not counted there.
+func (r *Router) hasRoomForCopy(now time.Time, s *server, b *BackupRequest) bool {
+	if r.roomOf(s) == nil {
+		return true
+	}
+	reserve := newCopyReserve
+	if b.Replaces {
+		reserve = replacedCopyReserve
+	}
+	limit := r.memoryLimit[s.Versions[0].Model] * (1 - reserve)
+	return s.occupancy.used(now)+s.backupTokens+float64(b.Tokens) <= limit
+}
+
+// correctRoom applies the requests of others that a load report of a server counts.
+func (r *Router) correctRoom(now, measuredAt time.Time, s *server) {
+	policy := r.roomOf(s)
+	if policy == nil {
+		return
+	}
+	tokens := policy.size.prompt.read(now, 0, DefaultSpeedHalfLife) + policy.size.answer.read(now, defaultMaxTokens, DefaultSpeedHalfLife)
+	_, _, service := r.speed(now, s)
+	missing := policy.until(measuredAt, seconds(service))
+	missing.tokens, missing.forgetAt = tokens, missing.endsAt
+	s.occupancy.correct(now, measuredAt, int(s.reportedOthers), missing)
+}
+
+// predictRun returns the predicted duration of a run at a server that reads and makes the given tokens.
+func (r *Router) predictRun(now time.Time, s *server, read, made float64) time.Duration {
+	gap, rate, _ := r.speed(now, s)
+	backlog := max(0, s.pendingPrefill-rate*now.Sub(s.prefillAt).Seconds())
+	return seconds((backlog+read)/rate + made*gap*s.slowdown(s.outstanding(now, r.options.DisabledTerms)))
+}
+
+// hasRoom reports whether a candidate has memory and a slot for a request. A request that no memory holds is not made to
+// wait: the engine says so.
+func (r *Router) hasRoom(now time.Time, c *candidate, req *Request) bool {
+	s := &r.servers[c.server]
+	if r.roomOf(s) == nil {
+		return true
+	}
+	if float64(req.PromptTokens)+float64(req.MaxTokens) > r.memoryLimit[req.Model] {
+		return true
+	}
+	if now.Before(s.fullUntil) {
+		return false
+	}
+	return r.missingMemory(now, c.server, req) <= 0 && (s.Slots == 0 || c.outstanding+1 <= s.slots())
+}
+
+// missingMemory returns the tokens that must become free at a server before a request has room; below 0 are free.
+func (r *Router) missingMemory(now time.Time, i int32, req *Request) float64 {
+	s := &r.servers[i]
+	limit := r.memoryLimit[s.Versions[0].Model]
+	if !s.occupancy.isIdle() {
+		limit *= 1 - r.rooms[s.Versions[0].Model].reserveFor(now, req)
+	}
+	need := r.unshared(now, i, &Work{Prefixes: req.Prefixes, PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens})
+	return s.occupancy.used(now) + s.backupTokens + need - limit
+}
+
+// asked records that a request of a rank looks for room.
+func (p *roomPolicy) asked(now time.Time, rank wigeonfork.Rank) {
+	if p.askedAt == nil {
+		p.askedAt = make(map[wigeonfork.Rank]time.Time)
+	}
+	p.askedAt[rank] = now
+}
+
+// reserveFor returns the fraction of an engine's KV cache that a request leaves free.
+func (p *roomPolicy) reserveFor(now time.Time, req *Request) float64 {
+	reserve := 0.0
+	for rank, at := range p.askedAt {
+		if rank < req.Rank && now.Sub(at) < rankDemandPeriod {
+			reserve += rankReserve
+		}
+	}
+	reserve = min(reserve, maxRankReserve)
+	if !req.Resume {
+		reserve += newRequestReserve
+	}
+	return reserve
+}
+
+// RankWaits records that a request of the given rank waits for room at a peer.
+func (r *Router) RankWaits(now time.Time, model wigeonfork.Model, rank wigeonfork.Rank) {
+	if policy := r.rooms[model]; policy != nil {
+		policy.asked(now, rank)
+	}
+}
+
+// roomIn returns the predicted time until a server has room for a request.
+func (r *Router) roomIn(now time.Time, i int32, req *Request) time.Duration {
+	s := &r.servers[i]
+	missing := r.missingMemory(now, i, req)
+	if missing <= 0 && now.Before(s.fullUntil) {
+		return s.fullUntil.Sub(now)
+	}
+	if missing <= 0 {
+		// Its slots are taken.
+		missing = 1
+	}
+	if in, ok := s.occupancy.freeIn(now, missing); ok {
+		return in
+	}
+	_, _, service := r.speed(now, s)
+	return seconds(service)
+}
+
+// chooseWithRoom decides like Choose for a model whose requests go where there is room: among the candidates with room
+// if there is one, else among those of the complete group, else to the least bad server.
+func (r *Router) chooseWithRoom(now time.Time, req *Request, group []int32) Decision {
+	r.rooms[req.Model].asked(now, req.Rank)
+	accepts := func(c *candidate) bool { return !c.avoided && r.takesRequests(c) && r.hasRoom(now, c, req) }
+	best := r.bestCandidate(now, req, accepts)
+	if best == nil {
+		r.widenSample(now, req, group)
+		best = r.bestCandidate(now, req, accepts)
+	}
+	if best == nil {
+		best = r.bestCandidate(now, req, func(c *candidate) bool { return r.takesRequests(c) && r.hasRoom(now, c, req) })
+	}
+	if best != nil {
+		return r.decide(now, req, best)
+	}
+	best = r.bestCandidate(now, req, anyCandidate)
+	noRoom := !r.hasRoom(now, best, req)
+	decision := r.decide(now, req, best)
+	if noRoom {
+		decision.NoRoom, decision.RoomIn = true, r.leastRoomIn(now, req)
+	}
+	return decision
+}
+
+// takesRequests reports whether a candidate is ready or due for a probe.
+func (r *Router) takesRequests(c *candidate) bool {
+	return c.probe || r.servers[c.server].state == StateReady
+}
+
+// widenSample considers up to maxWidened servers of the group, from a random one on.
+func (r *Router) widenSample(now time.Time, req *Request, group []int32) {
+	first := r.random.IntN(len(group))
+	for k := range min(len(group), maxWidened) {
+		r.consider(now, req, group[(first+k)%len(group)])
+	}
+}
+
+// leastRoomIn returns the predicted time until the first of the candidates of the sample that take requests has room.
+func (r *Router) leastRoomIn(now time.Time, req *Request) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for k := range r.sample[:min(len(r.sample), roomInChoices)] {
+		if r.takesRequests(&r.sample[k]) {
+			least = min(least, r.roomIn(now, r.sample[k].server, req))
+		}
+	}
+	if least == math.MaxInt64 {
+		_, _, service := r.speed(now, &r.servers[r.sample[0].server])
+		return seconds(service)
+	}
+	return least
+}
+
+// Refused records that a server has refused a request without running it. Where room is counted, nothing more is sent
+// there for a moment: what is known of its memory has missed something, and all of a request's sends would be refused.
+func (r *Router) Refused(now time.Time, id ID) {
+	s := r.find(id)
+	if s == nil || r.roomOf(s) == nil {
+		return
+	}
+	if now.Before(s.fullUntil) {
+		// It answers a request that was sent before the refusal was known.
+		return
+	}
+	s.fullHold = min(maxFullHold, max(fullHold, 2*s.fullHold))
+	s.fullUntil = now.Add(s.fullHold)
+}
+
+// tookRequest records that a server has begun or ended a request, so that a place there was free.
+func (s *server) tookRequest() {
+	s.fullHold, s.fullUntil = 0, time.Time{}
+}
+
+// ServerRoom is the memory of an engine as all entries together use it, in tokens. Limit is 0 if it is not counted.
+type ServerRoom struct {
+	Limit, Used, Backups int
+	Requests             int
+}
+
+// Room returns the counted memory of a server.
+func (r *Router) Room(now time.Time, id ID) ServerRoom {
+	s := r.find(id)
+	if s == nil || r.roomOf(s) == nil {
+		return ServerRoom{}
+	}
+	used := s.occupancy.used(now)
+	return ServerRoom{
+		Limit: int(r.memoryLimit[s.Versions[0].Model]), Used: int(used), Backups: int(s.backupTokens),
+		Requests: len(s.occupancy.own) + len(s.occupancy.peers),
+	}
+}
--- a/routing/server.go
+++ b/routing/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork/backend"
+	"github.com/wigeonfork/wigeonfork/capacity"
 )
 
 // The priors are the speed and the slots that are assumed before there are samples.
@@ -69,6 +70,8 @@
 	gap     float64 // seconds
 	rate    float64 // tokens per second
 	service float64 // seconds
+	// capacity is what is known of all servers of the model.
+	capacity capacity.Service
 }
 
 func newSpeedPrior() *speedPrior {
@@ -109,7 +112,8 @@
 	backupTokens       float64 // KV cache of backups placed by this router, tokens
 	pendingPrefill     float64 // known prompt tokens not yet prefilled at prefillAt
 	prefillAt          time.Time
-	otherRequests      float64   // requests of other entries, from the last report
+	otherRequests      float64   // requests of other entries, from the last report; moved to peerRequests if that tells a slowdown
+	reportedOthers     float64   // requests of other entries at the time of the last report
 	reportMeasuredAt   time.Time // MeasuredAt of the newest load report
 	peerRequests       float64   // requests that peers reported since, as of peerRequestsAt
 	peerRequestsAt     time.Time
@@ -124,7 +128,12 @@
 	longTermGap        decayingMean // gap with a longer time constant
 	probeStreaming     bool         // a stream sent after the suspicion got its first token
 	lastFirstTokenAt   time.Time
-	gapBeforeSuspicion float64 // longTermGap at the time of the suspicion, seconds
+	occupancy          occupancy
+	fullHold           time.Duration // how long the last refusal made the server count as full
+	fullUntil          time.Time     // until then the server counts as full, since it has refused a request
+	sampled            bool          // in Router.sample
+	gapBeforeSuspicion float64       // longTermGap at the time of the suspicion, seconds
+	capacity           capacity.Server
 }
 
 // hasSpeedSample reports whether there is a speed sample, from this entry or a
@@ -147,6 +156,9 @@
 	if disabled&TermReports != 0 {
 		return n
 	}
+	if s.isPlain() {
+		return s.outstandingPlain(now)
+	}
 	n += s.runningPeerRequests(now, s.service.read(now, s.prior.service, DefaultSpeedHalfLife))
 	if s.reportMeasuredAt.IsZero() {
 		return n
@@ -256,18 +268,28 @@
 	return load.MeasuredAt.Before(s.reportMeasuredAt)
 }
 
-// report applies a load report that is not outdated.
-func (s *server) report(now time.Time, load backend.LoadReport) {
+// report applies a load report that is not outdated. peerReports is set if peers report the requests that they send.
+func (s *server) report(now time.Time, load backend.LoadReport, peerReports bool) {
 	if load.Slots > 0 {
 		s.Slots = load.Slots
 	}
 	if load.Incarnation != s.incarnation {
 		s.incarnation = load.Incarnation
 	}
-	total := load.Running + load.Waiting
-	s.otherRequests = math.Max(0, float64(total-s.ownRequestsAt(now, load.MeasuredAt)))
 	s.reportMeasuredAt = load.MeasuredAt
-	s.peerRequests = 0
+	others := math.Max(0, float64(load.Running+load.Waiting-s.ownRequestsAt(now, load.MeasuredAt)))
+	s.reportedOthers = others
+	if load.Slowdown == 0 {
+		s.otherRequests, s.peerRequests = others, 0
+		return
+	}
+	s.capacity.ReadSlowdown(load.MeasuredAt, &s.prior.capacity, load.Slowdown)
+	if peerReports && !s.isPlain() {
+		// An engine's counts are older than the sends that peers report.
+		return
+	}
+	// The requests of others end by and by, like those that peers report.
+	s.otherRequests, s.peerRequests, s.peerRequestsAt = 0, others, now
 }
 
 // slowdown returns the factor by which a batch of n requests increases the
