Refuse no crowd by the turns of an earlier one

Cause: the first of a crowd were judged by the time until the first room, or by the time between turns of an earlier crowd, and refused though room came. A lost stream at a gateway that leaves was broken off in place of waiting.

Change: the time between turns is forgotten after 10 s without one, and taken for at most 100 ms before one is measured. Lost streams wait at a leaving gateway too.

Measured: TestCrowdAfterCalmIsNotRefusedByOldFigures is new; go test ./routing ./gateway ./waitqueue passes.

--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -80,8 +80,11 @@
 		s = &serviceWaiting{queue: waitqueue.New(waitqueue.DefaultCapacity), waiters: make(map[*waitqueue.Ticket]*waiter), roomIn: firstRoomIn}
 		w.services[service] = s
 	}
-	if roomIn > 0 {
+	switch {
+	case roomIn > 0:
 		s.roomIn = roomIn
+	case s.queue.Len() == 0:
+		s.roomIn = firstRoomIn
 	}
 	ticket, evicted, err := s.queue.Join(now, request, s.roomIn)
 	if err != nil {
@@ -208,7 +211,7 @@
 		switch {
 		case refused:
 			return nil, c.waiting.tooLong(now, q.service, r.ticket.Request)
-		case c.stopsBefore(0):
+		case !r.ticket.Resume && c.stopsBefore(0):
 			return nil, errLeaving
 		case next:
 			place, err := c.Gateway.choose(ctx, q)
--- a/routing/room.go
+++ b/routing/room.go
@@ -439,13 +439,6 @@
 	return reserve
 }
 
-// RankWaits records that a request of the given rank waits for room at a peer.
-func (r *Router) RankWaits(now time.Time, model wigeonfork.Model, rank wigeonfork.Rank) {
-	if policy := r.rooms[model]; policy != nil {
-		policy.asked(now, rank)
-	}
-}
-
 // roomIn returns the predicted time until a server has room for a request.
 func (r *Router) roomIn(now time.Time, i int32, req *Request) time.Duration {
 	s := &r.servers[i]
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -25,6 +25,10 @@
 	lowerRankTurn = 4
 	// turnLearning is the weight of the last turn in the mean time between two turns.
 	turnLearning = 0.25
+	// maxFirstTurn bounds the expected time between turns while none was measured within turnValidity. Requests that come
+	// together must not be refused before it is known how fast room comes.
+	maxFirstTurn = 100 * time.Millisecond
+	turnValidity = 10 * time.Second
 	// waitTolerance is the factor by which the predicted wait of a waiting request may exceed the wait that it allows.
 	// A prediction that changes from turn to turn must not refuse it.
 	waitTolerance = 1.5
@@ -128,6 +132,7 @@
 		q.Leave(evicted)
 	}
 	if q.size == 0 {
+		q.forgetTurns(now)
 		q.lastTurnAt = now
 	}
 	q.joined++
@@ -234,16 +239,24 @@
 	return roomIn + time.Duration(ahead)*q.turnTime(now, roomIn)
 }
 
-// turnTime returns the expected time between two turns. Before the first turn it is roomIn. While turns fail to come, it
-// grows.
-func (q *Queue) turnTime(now time.Time, roomIn time.Duration) time.Duration {
-	if q.turn == 0 {
-		return roomIn
+// forgetTurns forgets the time between turns if the last one is too long ago.
+func (q *Queue) forgetTurns(now time.Time) {
+	if now.Sub(q.lastTurnAt) >= turnValidity {
+		q.turn = 0
 	}
+}
+
+// turnTime returns the expected time between two turns: before the first turn roomIn, up to maxFirstTurn. While turns fail
+// to come, it grows.
+func (q *Queue) turnTime(now time.Time, roomIn time.Duration) time.Duration {
 	if q.size == 0 {
 		return q.turn
 	}
-	return max(q.turn, now.Sub(q.lastTurnAt))
+	turn := q.turn
+	if turn == 0 {
+		turn = min(roomIn, maxFirstTurn)
+	}
+	return max(turn, now.Sub(q.lastTurnAt))
 }
 
 // Refuse removes the requests that would wait too long and returns them, the least urgent first. roomIn is the predicted
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -208,6 +208,21 @@
 	}
 }
 
+// Load: a crowd comes at once after a long calm. Neither an old time between turns nor the time until the first room
+// says how fast room will come, so none of it is refused yet.
+func TestCrowdAfterCalmIsNotRefusedByOldFigures(t *testing.T) {
+	q := New(DefaultCapacity)
+	join(t, q, Request{Rank: middle, Workspace: "w"})
+	q.Admit(start.Add(20*time.Second), q.Next())
+	now := start.Add(time.Hour)
+	for i := range 20 {
+		_, _, err := q.Join(now, Request{Rank: middle, Workspace: "w", StartBy: now.Add(4 * time.Second)}, time.Second)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+	}
+}
+
 // Load: requests of all kinds come, go, give up and are refused in any order. Counts stay right, and someone is next
 // as long as one waits.
 func TestQueueStaysWholeUnderRandomLoad(t *testing.T) {
