Let the stand-in's load header tell what a runner that counts its memory runs

Cause: it said "1,0,64" whatever ran, so that gateways forgot what their peers had sent to it (the memory test through two gateways had 6 of 12 streams complete for that reason); plain servers with a slowdown said that nothing ran.

Change: the header has the counts of a runner that counts its memory or states its slowdown.

--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -381,17 +381,26 @@
 	}
 }
 
-// loadText returns the load header: running and waiting requests and slots, and the slowdown if the runner states it.
+// loadText returns the load header: running and waiting requests and slots, and the slowdown if the runner states it. A
+// runner that counts neither its memory nor its slowdown always states one request.
 func (r *Runner) loadText() string {
 	percent := r.slowdown.Load()
-	if percent == 0 {
+	if percent == 0 && r.memory.Tokens == 0 {
 		return "1,0,64"
 	}
 	running, waiting, _ := r.memory.load()
-	return fmt.Sprintf("%d,%d,64,%d", running, waiting, percent)
+	text := fmt.Sprintf("%d,%d,64", running, waiting)
+	if percent > 0 {
+		text += fmt.Sprintf(",%d", percent)
+	}
+	return text
 }
 
 func (r *Runner) servePlain(w http.ResponseWriter, q *http.Request, run *Run) {
+	// A request without tokens is counted and always fits in.
+	if held := r.memory.enter(q); held != nil {
+		defer r.memory.leave(held)
+	}
 	r.shared.beginRun(run)
 	r.crash(q, run)
 	if !r.work(q, r.options.ServiceTime) {
