Count an engine that refuses a request as without room for a moment

Cause: an engine may have less room than is known here, as its last run ends a moment after its answer, or two gateways decide at once. What it refused as not run was offered to it and to the others again within a millisecond, until no send or retry budget was left: new requests got 503 ("12 backend servers refuse the stream"), lost streams were cut.

Change: Router.Refused; where room is counted, such a server has no room for 50 ms, so that the request waits in turn. Without NoRoom nothing changes.

--- a/gateway/fleet_choose.go
+++ b/gateway/fleet_choose.go
@@ -74,6 +74,13 @@
 	return place
 }
 
+// refused records that a server refused a request as not run.
+func (f *fleet) refused(now time.Time, p *placement) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Refused(now, p.ID)
+}
+
 // start charges the server of an unstarted placement with the work. It returns false if the server takes no
 // requests any more.
 func (f *fleet) start(now time.Time, p *placement, work routing.Work) bool {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -136,6 +136,7 @@
 		case runCallerGone:
 			s.callerGone()
 		case runNotRun:
+			s.fleet.refused(time.Now(), target.place)
 			s.possibleRuns--
 			s.tried = append(s.tried, target.place.ID)
 			s.dropBackup()
--- a/routing/room.go
+++ b/routing/room.go
@@ -24,6 +24,8 @@
 	overdueFactor = 3
 	// maxOccupants bounds the requests that are recorded of one server, own and of peers each.
 	maxOccupants = 1024
+	// refusalPeriod is how long a server that refused a request counts as without room.
+	refusalPeriod = 50 * time.Millisecond
 	// minRoomIn is the least predicted time until a server has room.
 	minRoomIn = 10 * time.Millisecond
 	// overdueRemainder is the fraction of the time that a request has run beyond its predicted end for which it is
@@ -80,6 +82,8 @@
 	// earliest time at which one of peers is overdue.
 	sum      float64
 	forgetAt time.Time
+	// refusedAt is when the server last refused a request as not run.
+	refusedAt time.Time
 }
 
 func (o *occupancy) addOwn(added occupant) {
@@ -388,9 +392,22 @@
 	if float64(req.PromptTokens)+float64(req.MaxTokens) > r.memoryLimit[req.Model] {
 		return true
 	}
+	if s.occupancy.refused(now) {
+		return false
+	}
 	return r.missingMemory(now, c.server, req) <= 0 && (s.Slots == 0 || c.outstanding+1 <= s.slots())
 }
 
+// refused reports whether the server refused a request a moment ago.
+func (o *occupancy) refused(now time.Time) bool { return now.Sub(o.refusedAt) < refusalPeriod }
+
+// Refused records that a server refused a request as not run, so that it has less room than is known here.
+func (r *Router) Refused(now time.Time, id ID) {
+	if s := r.find(id); s != nil && r.roomOf(s) != nil {
+		s.occupancy.refusedAt = now
+	}
+}
+
 // missingMemory returns the tokens that must become free at a server before a request has room; below 0 are free.
 func (r *Router) missingMemory(now time.Time, i int32, req *Request) float64 {
 	s := &r.servers[i]
@@ -406,6 +423,9 @@
 func (r *Router) roomIn(now time.Time, i int32, req *Request) time.Duration {
 	s := &r.servers[i]
 	missing := r.missingMemory(now, i, req)
+	if missing <= 0 && s.occupancy.refused(now) {
+		return refusalPeriod - now.Sub(s.occupancy.refusedAt)
+	}
 	if missing <= 0 {
 		// Its slots are taken.
 		missing = 1
--- a/routing/room_test.go
+++ b/routing/room_test.go
@@ -339,3 +339,26 @@
 		So(r.Room(start, "b0"), ShouldResemble, ServerRoom{})
 	})
 }
+
+// Guards against requests that are offered to full engines again and again within a millisecond, which leaves them no
+// send: an engine may have less room than is known here.
+func TestServersThatRefuseHaveNoRoomForAMoment(t *testing.T) {
+	Convey("An engine that refuses a request has no room until the refusal is old, and the others have", t, func() {
+		r := newRoomRouter(2, 6)
+		r.Refused(start, "b0")
+		for range 4 {
+			d, err := r.Choose(start, roomRequest())
+			So(err, ShouldBeNil)
+			So(d.ID, ShouldEqual, ID("b1"))
+			So(d.NoRoom, ShouldBeFalse)
+		}
+		r.Refused(start, "b1")
+		d, err := r.Choose(start.Add(10*time.Millisecond), roomRequest())
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeTrue)
+		So(d.RoomIn, ShouldEqual, refusalPeriod-10*time.Millisecond)
+		d, err = r.Choose(start.Add(refusalPeriod), roomRequest())
+		So(err, ShouldBeNil)
+		So(d.NoRoom, ShouldBeFalse)
+	})
+}
