--- a/routing/room.go
+++ b/routing/room.go
@@ -14,6 +14,11 @@
 	// newRequestReserve is the fraction of an engine's KV cache that new requests leave free. Resumes and runs from a
 	// copy may use it.
 	newRequestReserve = 0.05
+	// rankReserve is the fraction that a request leaves free for each more urgent rank that has looked for room within
+	// rankDemandPeriod, up to maxRankReserve.
+	rankReserve      = 0.15
+	maxRankReserve   = 0.4
+	rankDemandPeriod = 10 * time.Second
 	// newCopyReserve is the same for copies. A request that must be read again for a copy costs more than the copy saves.
 	newCopyReserve = 0.25
 	// replacedCopyReserve is the same for copies that replace a lost one. An engine makes them whole at once, and they do
@@ -22,10 +27,10 @@
 	// overdueFactor is the multiple of its predicted duration after which a peer's request is taken to have ended though
 	// that was not announced.
 	overdueFactor = 3
+	// fullHold is the time for which a server that has refused a request counts as full.
+	fullHold = 200 * time.Millisecond
 	// maxOccupants bounds the requests that are recorded of one server, own and of peers each.
 	maxOccupants = 1024
-	// refusalPeriod is how long a server that refused a request counts as without room.
-	refusalPeriod = 50 * time.Millisecond
 	// minRoomIn is the least predicted time until a server has room.
 	minRoomIn = 10 * time.Millisecond
 	// overdueRemainder is the fraction of the time that a request has run beyond its predicted end for which it is
@@ -82,8 +87,6 @@
 	// earliest time at which one of peers is overdue.
 	sum      float64
 	forgetAt time.Time
-	// refusedAt is when the server last refused a request as not run.
-	refusedAt time.Time
 }
 
 func (o *occupancy) addOwn(added occupant) {
@@ -224,6 +227,8 @@
 	size size
 	// stretch is the duration of runs relative to that predicted by the server's speed alone.
 	stretch decayingMean
+	// askedAt is when a request of each rank last looked for room.
+	askedAt map[wigeonfork.Rank]time.Time
 }
 
 // until returns an occupant that was sent now and is predicted to run for the given time on an unshared server.
@@ -392,39 +397,59 @@
 	if float64(req.PromptTokens)+float64(req.MaxTokens) > r.memoryLimit[req.Model] {
 		return true
 	}
-	if s.occupancy.refused(now) {
+	if now.Before(s.fullUntil) {
 		return false
 	}
 	return r.missingMemory(now, c.server, req) <= 0 && (s.Slots == 0 || c.outstanding+1 <= s.slots())
 }
 
-// refused reports whether the server refused a request a moment ago.
-func (o *occupancy) refused(now time.Time) bool { return now.Sub(o.refusedAt) < refusalPeriod }
-
-// Refused records that a server refused a request as not run, so that it has less room than is known here.
-func (r *Router) Refused(now time.Time, id ID) {
-	if s := r.find(id); s != nil && r.roomOf(s) != nil {
-		s.occupancy.refusedAt = now
-	}
-}
-
 // missingMemory returns the tokens that must become free at a server before a request has room; below 0 are free.
 func (r *Router) missingMemory(now time.Time, i int32, req *Request) float64 {
 	s := &r.servers[i]
 	limit := r.memoryLimit[s.Versions[0].Model]
-	if !req.Resume && !s.occupancy.isIdle() {
-		limit *= 1 - newRequestReserve
+	if !s.occupancy.isIdle() {
+		limit *= 1 - r.rooms[s.Versions[0].Model].reserveFor(now, req)
 	}
 	need := r.unshared(now, i, &Work{Prefixes: req.Prefixes, PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens})
 	return s.occupancy.used(now) + s.backupTokens + need - limit
 }
 
+// asked records that a request of a rank looks for room.
+func (p *roomPolicy) asked(now time.Time, rank wigeonfork.Rank) {
+	if p.askedAt == nil {
+		p.askedAt = make(map[wigeonfork.Rank]time.Time)
+	}
+	p.askedAt[rank] = now
+}
+
+// reserveFor returns the fraction of an engine's KV cache that a request leaves free.
+func (p *roomPolicy) reserveFor(now time.Time, req *Request) float64 {
+	reserve := 0.0
+	for rank, at := range p.askedAt {
+		if rank < req.Rank && now.Sub(at) < rankDemandPeriod {
+			reserve += rankReserve
+		}
+	}
+	reserve = min(reserve, maxRankReserve)
+	if !req.Resume {
+		reserve += newRequestReserve
+	}
+	return reserve
+}
+
+// RankWaits records that a request of the given rank waits for room at a peer.
+func (r *Router) RankWaits(now time.Time, model wigeonfork.Model, rank wigeonfork.Rank) {
+	if policy := r.rooms[model]; policy != nil {
+		policy.asked(now, rank)
+	}
+}
+
 // roomIn returns the predicted time until a server has room for a request.
 func (r *Router) roomIn(now time.Time, i int32, req *Request) time.Duration {
 	s := &r.servers[i]
 	missing := r.missingMemory(now, i, req)
-	if missing <= 0 && s.occupancy.refused(now) {
-		return refusalPeriod - now.Sub(s.occupancy.refusedAt)
+	if missing <= 0 && now.Before(s.fullUntil) {
+		return s.fullUntil.Sub(now)
 	}
 	if missing <= 0 {
 		// Its slots are taken.
@@ -440,6 +465,7 @@
 // chooseWithRoom decides like Choose for a model whose requests go where there is room: among the candidates with room
 // if there is one, else among those of the complete group, else to the least bad server.
 func (r *Router) chooseWithRoom(now time.Time, req *Request, group []int32) Decision {
+	r.rooms[req.Model].asked(now, req.Rank)
 	accepts := func(c *candidate) bool { return !c.avoided && r.takesRequests(c) && r.hasRoom(now, c, req) }
 	best := r.bestCandidate(now, req, accepts)
 	if best == nil {
@@ -489,6 +515,14 @@
 	return least
 }
 
+// Refused records that a server has refused a request without running it. Where room is counted, nothing more is sent
+// there for a moment: what is known of its memory has missed something, and all of a request's sends would be refused.
+func (r *Router) Refused(now time.Time, id ID) {
+	if s := r.find(id); s != nil && r.roomOf(s) != nil {
+		s.fullUntil = now.Add(fullHold)
+	}
+}
+
 // ServerRoom is the memory of an engine as all entries together use it, in tokens. Limit is 0 if it is not counted.
 type ServerRoom struct {
 	Limit, Used, Backups int
