Mend what a review of the queue found

- A stream that engines refused, without having run, waits like a new one.
It went without room after 3 s, before more urgent ones.
- A request that finds room at once while less urgent ones wait takes a turn, and waits once it is their turn.
Under steady urgent demand such requests took all free room, so that the share of less urgent ranks was never due.
- A request whose time is over looks for room once more if it is its turn.
- waiting_ms and the refusals are counted by rank.

Here go test ./gateway ./waitqueue passes.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -350,7 +350,7 @@
 	if now.Sub(s.lostDomainAt) < domainAvoidPeriod {
 		q.avoidDomain = s.lostDomain
 	}
-	if s.totalSends == 0 {
+	if s.possibleRuns == 0 {
 		return s.chooseInTurn(s.ctx, q, s.startBy(now))
 	}
 	place, err := s.chooseInTurn(s.ctx, q, now.Add(maxResumeWait))
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -105,11 +105,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.services[service]
-	if r.refused || !r.ticket.StartBy.IsZero() && !now.Before(r.ticket.StartBy) {
+	if r.refused {
 		return false, true, 0
 	}
 	if s.queue.Next() != r.ticket {
-		return false, false, waitCheck
+		isLate := !r.ticket.StartBy.IsZero() && !now.Before(r.ticket.StartBy)
+		return false, isLate, waitCheck
 	}
 	return true, false, min(maxRoomPoll, roomPoll+time.Duration(s.queue.MostUrgent())*roomPollPerRank)
 }
@@ -134,7 +135,16 @@
 	s.queue.Admit(now, r.ticket)
 	delete(s.waiters, r.ticket)
 	w.changed(s, r.ticket.Rank)
-	telemetry.Histogram(w.metrics, "waiting_ms").Update(now.Sub(r.ticket.JoinedAt()).Milliseconds())
+	telemetry.Histogram(w.metrics, ofRank("waiting_ms.rank_", r.ticket.Rank)).Update(now.Sub(r.ticket.JoinedAt()).Milliseconds())
+}
+
+// admittedDirectly records that a request that did not wait has found room.
+func (w *waitingRequests) admittedDirectly(now time.Time, service wigeonfork.Model, rank wigeonfork.Rank) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.services[service]; s != nil {
+		s.queue.AdmittedDirectly(now, rank)
+	}
 }
 
 // leave removes a request that waits no longer. It does nothing if the request was admitted.
@@ -157,7 +167,7 @@
 }
 
 func (w *waitingRequests) refuse(s *serviceWaiting, t *waitqueue.Ticket) {
-	telemetry.Counter(w.metrics, "waiting.refused").Inc(1)
+	telemetry.Counter(w.metrics, ofRank("waiting.refused_rank_", t.Rank)).Inc(1)
 	if r := s.waiters[t]; r != nil {
 		r.refused = true
 		r.signal()
@@ -166,12 +176,15 @@
 
 // changed wakes the request that goes next, and updates the number of waiting requests of a rank.
 func (w *waitingRequests) changed(s *serviceWaiting, rank wigeonfork.Rank) {
-	telemetry.Gauge(w.metrics, "waiting.rank_"+strconv.Itoa(int(rank))).Update(int64(s.queue.Waiting(rank)))
+	telemetry.Gauge(w.metrics, ofRank("waiting.rank_", rank)).Update(int64(s.queue.Waiting(rank)))
 	if next := s.waiters[s.queue.Next()]; next != nil {
 		next.signal()
 	}
 }
 
+// ofRank returns the name of a rank's metric.
+func ofRank(name string, rank wigeonfork.Rank) string { return name + strconv.Itoa(int(rank)) }
+
 func (r *waiter) signal() {
 	select {
 	case r.wake <- struct{}{}:
@@ -187,6 +200,9 @@
 	if !c.waiting.mustWait(q.service, request.Rank) {
 		place, err := c.Gateway.choose(ctx, q)
 		var noRoom *routing.NoRoomError
+		if err == nil {
+			c.waiting.admittedDirectly(time.Now(), q.service, request.Rank)
+		}
 		if !errors.As(err, &noRoom) {
 			return place, err
 		}
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -108,8 +108,11 @@
 }
 
 // MustWait reports whether a request of the given rank must join the queue without looking for room, since others of its
-// rank or a more urgent one wait.
+// rank or a more urgent one wait, or it is the turn of a less urgent one.
 func (q *Queue) MustWait(rank wigeonfork.Rank) bool {
+	if q.size > 0 && q.isLowerTurn() {
+		return true
+	}
 	for other := range q.ranks {
 		if other <= rank {
 			return true
@@ -174,12 +177,22 @@
 	if len(ranks) == 0 {
 		return nil
 	}
-	if len(ranks) > 1 && q.urgentTurns >= lowerRankTurn-1 {
+	if len(ranks) > 1 && q.isLowerTurn() {
 		return q.ranks[q.leastRecent(ranks[1:])].next()
 	}
 	return q.ranks[ranks[0]].next()
 }
 
+// isLowerTurn reports whether more urgent requests have had their turns in a row.
+func (q *Queue) isLowerTurn() bool { return q.urgentTurns >= lowerRankTurn-1 }
+
+// AdmittedDirectly records that a request that did not wait found room, which is a turn if others wait.
+func (q *Queue) AdmittedDirectly(now time.Time, rank wigeonfork.Rank) {
+	if q.size > 0 {
+		q.countTurn(now, rank)
+	}
+}
+
 // leastRecent returns the rank whose last turn is longest ago; among those that had none the most urgent.
 func (q *Queue) leastRecent(ranks []wigeonfork.Rank) wigeonfork.Rank {
 	best := ranks[0]
@@ -206,7 +219,7 @@
 // countTurn counts a turn of a rank and learns the time since the last one.
 func (q *Queue) countTurn(now time.Time, rank wigeonfork.Rank) {
 	ranks := q.sortedRanks()
-	if len(ranks) > 1 && rank == ranks[0] {
+	if rank <= ranks[0] && ranks[len(ranks)-1] > rank {
 		q.urgentTurns++
 	} else {
 		q.urgentTurns = 0
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -78,6 +78,29 @@
 	}
 }
 
+// Load: urgent requests come as fast as room does, and none of them has to wait. A less urgent one that waits gets its turn.
+func TestDirectArrivalsLeaveTurnsToThoseThatWait(t *testing.T) {
+	q := New(DefaultCapacity)
+	waiting := join(t, q, Request{Rank: free, Workspace: "w"})
+	for turn := range lowerRankTurn - 1 {
+		if q.MustWait(urgent) {
+			t.Fatalf("an urgent request must wait at turn %d", turn)
+		}
+		q.AdmittedDirectly(start.Add(time.Duration(turn)*turnTime), urgent)
+	}
+	if !q.MustWait(urgent) {
+		t.Error("urgent requests take all turns")
+	}
+	join(t, q, Request{Rank: urgent, Workspace: "w"})
+	if q.Next() != waiting {
+		t.Error("the less urgent request doesn't go next")
+	}
+	q.Admit(start.Add(time.Second), waiting)
+	if q.Next().Rank != urgent {
+		t.Error("the urgent request doesn't go after it")
+	}
+}
+
 // Load: one workspace sends a crowd, and one caller of another workspace too. Others of their rank must not wait behind.
 func TestWorkspacesAndCallersOfOneRankTakeTurns(t *testing.T) {
 	q := New(DefaultCapacity)
