Let single requests that rejoin take turns with backlogs

Cause, found by a review: a workspace, caller or rank that became empty lost its place in the order, so that one with a single request at a time, which rejoins after its turn, went before every backlog: 39 of 40 turns. And a less urgent request was refused for the turns of all more urgent ones ahead, though it gets one in four.

Change: a workspace or caller that joins begins behind those that go next; the queue keeps the last turn of each rank; the predicted wait counts the turns that the less urgent ranks share.

--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -79,13 +79,15 @@
 	turns      uint64
 	turn       time.Duration
 	lastTurnAt time.Time
+	// lastTurns holds the number of each rank's last turn, also while none of the rank waits.
+	lastTurns map[wigeonfork.Rank]uint64
 	// urgentTurns counts the turns in a row of the most urgent rank while others waited.
 	urgentTurns int
 }
 
 // New returns an empty queue of at most capacity requests.
 func New(capacity int) *Queue {
-	return &Queue{capacity: capacity, ranks: make(map[wigeonfork.Rank]*rankQueue)}
+	return &Queue{capacity: capacity, ranks: make(map[wigeonfork.Rank]*rankQueue), lastTurns: make(map[wigeonfork.Rank]uint64)}
 }
 
 // Len returns the number of waiting requests.
@@ -197,7 +199,7 @@
 func (q *Queue) leastRecent(ranks []wigeonfork.Rank) wigeonfork.Rank {
 	best := ranks[0]
 	for _, rank := range ranks[1:] {
-		if q.ranks[rank].lastTurn < q.ranks[best].lastTurn {
+		if q.lastTurns[rank] < q.lastTurns[best] {
 			best = rank
 		}
 	}
@@ -211,7 +213,7 @@
 		return
 	}
 	q.countTurn(now, t.Rank)
-	r.lastTurn = q.turns
+	q.lastTurns[t.Rank] = q.turns
 	r.served(t)
 	q.Leave(t)
 }
@@ -244,12 +246,32 @@
 
 // waitAfter returns the predicted wait of a request with the given number of others of its rank ahead.
 func (q *Queue) waitAfter(now time.Time, rank wigeonfork.Rank, ahead int, roomIn time.Duration) time.Duration {
+	return roomIn + time.Duration(q.turnsBefore(rank, ahead))*q.turnTime(now, roomIn)
+}
+
+// turnsBefore returns the number of turns that others get before a request with the given number of others of its rank
+// ahead. The less urgent ranks share one turn in lowerRankTurn.
+func (q *Queue) turnsBefore(rank wigeonfork.Rank, ahead int) int {
+	moreUrgent, ranksBefore, lessUrgent := 0, 0, 0
 	for other, r := range q.ranks {
-		if other < rank {
-			ahead += r.size
+		switch {
+		case other < rank:
+			moreUrgent += r.size
+			ranksBefore++
+		case other > rank:
+			lessUrgent++
+		}
+	}
+	if ranksBefore == 0 {
+		turns := ahead
+		if lessUrgent > 0 {
+			turns += ahead / (lowerRankTurn - 1)
 		}
+		return turns
 	}
-	return roomIn + time.Duration(ahead)*q.turnTime(now, roomIn)
+	// The most urgent rank shares no turns with the others.
+	sharing := ranksBefore + lessUrgent
+	return min(moreUrgent+ahead, lowerRankTurn*sharing*(ahead+1)-1)
 }
 
 // forgetTurns forgets the time between turns if the last one is too long ago.
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -246,6 +246,68 @@
 	}
 }
 
+// Load: one workspace, caller or rank has a single request at a time, which rejoins after each turn, beside backlogs. It must
+// not go before them each time.
+func TestSingleRequestsThatRejoinTakeTurnsWithBacklogs(t *testing.T) {
+	cases := []struct {
+		name     string
+		backlogs []Request
+		rejoins  Request
+		minTurns int // turns of 40 that each backlog gets
+	}{
+		{"workspace", []Request{{Workspace: "backlog"}}, Request{Workspace: "single"}, 20},
+		{"caller", []Request{{Workspace: "w", Caller: "backlog"}}, Request{Workspace: "w", Caller: "single"}, 20},
+		{"rank", []Request{{Rank: urgent, Workspace: "w"}, {Rank: middle, Workspace: "w"}}, Request{Rank: free, Workspace: "w"}, 5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := New(DefaultCapacity)
+			for range 50 {
+				for _, backlog := range c.backlogs {
+					join(t, q, backlog)
+				}
+			}
+			join(t, q, c.rejoins)
+			turns := make(map[Request]int)
+			for i := range 40 {
+				next := q.Next()
+				turns[next.Request]++
+				q.Admit(start.Add(time.Duration(i)*time.Millisecond), next)
+				if next.Request == c.rejoins {
+					join(t, q, c.rejoins)
+				}
+			}
+			for _, backlog := range c.backlogs {
+				if turns[backlog] < c.minTurns {
+					t.Errorf("%+v got %d of 40 turns, %d expected", backlog, turns[backlog], c.minTurns)
+				}
+			}
+			if turns[c.rejoins] < 5 {
+				t.Errorf("the single requests got %d of 40 turns", turns[c.rejoins])
+			}
+		})
+	}
+}
+
+// Load: a large crowd of the most urgent rank waits, and a less urgent request comes, whose turn is one in four.
+func TestLessUrgentRequestIsNotRefusedForTurnsThatItGets(t *testing.T) {
+	q := New(DefaultCapacity)
+	for range 200 {
+		join(t, q, Request{Rank: urgent, Workspace: "w"})
+	}
+	for i := range 8 {
+		q.Admit(start.Add(time.Duration(i+1)*50*time.Millisecond), q.Next())
+	}
+	now := start.Add(400 * time.Millisecond)
+	request := Request{Rank: free, Workspace: "w", StartBy: now.Add(5 * time.Second)}
+	if wait := q.PredictWait(now, request, 50*time.Millisecond); wait > 300*time.Millisecond {
+		t.Errorf("a wait of %v is predicted", wait)
+	}
+	if _, _, err := q.Join(now, request, 50*time.Millisecond); err != nil {
+		t.Error(err)
+	}
+}
+
 // Load: requests of all kinds come, go, give up and are refused in any order. Counts stay right, and someone is next
 // as long as one waits.
 func TestQueueStaysWholeUnderRandomLoad(t *testing.T) {
--- a/waitqueue/rank.go
+++ b/waitqueue/rank.go
@@ -13,17 +13,13 @@
 	return slices.Sorted(maps.Keys(q.ranks))
 }
 
-// rankQueue holds the waiting requests of one rank. Resumed ones go first. The workspaces of the others take turns by
-// start-time fair queueing: each turn of a workspace moves it back by one, and one that joins begins where the last turn
-// was.
+// rankQueue holds the waiting requests of one rank. Resumed ones go first. The workspaces of the others take turns: each
+// turn of a workspace moves it back by one, and one that joins begins behind those that go next, so that a single request
+// which rejoins after each turn does not go before a backlog.
 type rankQueue struct {
 	resumed    []*Ticket
 	workspaces []*workspaceQueue
 	size       int
-	// virtual is the position of the last turn among the workspaces.
-	virtual uint64
-	// lastTurn is the number of the rank's last turn; 0 means none.
-	lastTurn uint64
 }
 
 // workspaceQueue holds the waiting requests of one workspace. Its callers take turns in the same way.
@@ -32,9 +28,10 @@
 	callers   []*callerQueue
 	size      int
 	position  uint64
-	virtual   uint64
 }
 
+func (w *workspaceQueue) at() uint64 { return w.position }
+
 // callerQueue holds the waiting requests of one caller, the next one first.
 type callerQueue struct {
 	caller   string
@@ -42,6 +39,20 @@
 	position uint64
 }
 
+func (c *callerQueue) at() uint64 { return c.position }
+
+// leastPosition returns the position of the queue that goes next, or 0 if there is none.
+func leastPosition[Q interface{ at() uint64 }](queues []Q) uint64 {
+	if len(queues) == 0 {
+		return 0
+	}
+	least := queues[0].at()
+	for _, q := range queues[1:] {
+		least = min(least, q.at())
+	}
+	return least
+}
+
 func (r *rankQueue) find(workspace wigeonfork.Workspace) *workspaceQueue {
 	for _, w := range r.workspaces {
 		if w.workspace == workspace {
@@ -68,12 +79,12 @@
 	}
 	w := r.find(t.Workspace)
 	if w == nil {
-		w = &workspaceQueue{workspace: t.Workspace, position: r.virtual}
+		w = &workspaceQueue{workspace: t.Workspace, position: leastPosition(r.workspaces)}
 		r.workspaces = append(r.workspaces, w)
 	}
 	c := w.find(t.Caller)
 	if c == nil {
-		c = &callerQueue{caller: t.Caller, position: w.virtual}
+		c = &callerQueue{caller: t.Caller, position: leastPosition(w.callers)}
 		w.callers = append(w.callers, c)
 	}
 	c.tickets = append(c.tickets, t)
@@ -96,10 +107,8 @@
 	if w == nil || t.Resume {
 		return
 	}
-	r.virtual = max(r.virtual, w.position)
 	w.position++
 	if c := w.find(t.Caller); c != nil {
-		w.virtual = max(w.virtual, c.position)
 		c.position++
 	}
 }
