--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -135,7 +135,7 @@
 	s.queue.Admit(now, r.ticket)
 	delete(s.waiters, r.ticket)
 	w.changed(s, r.ticket.Rank)
-	telemetry.Histogram(w.metrics, ofRank("waiting_ms.rank_", r.ticket.Rank)).Update(now.Sub(r.ticket.JoinedAt()).Milliseconds())
+	telemetry.Histogram(w.metrics, "waiting_ms.rank_"+strconv.Itoa(int(r.ticket.Rank))).Update(now.Sub(r.ticket.JoinedAt()).Milliseconds())
 }
 
 // admittedDirectly records that a request that did not wait has found room.
@@ -167,7 +167,7 @@
 }
 
 func (w *waitingRequests) refuse(s *serviceWaiting, t *waitqueue.Ticket) {
-	telemetry.Counter(w.metrics, ofRank("waiting.refused_rank_", t.Rank)).Inc(1)
+	telemetry.Counter(w.metrics, "waiting.refused_rank_"+strconv.Itoa(int(t.Rank))).Inc(1)
 	if r := s.waiters[t]; r != nil {
 		r.refused = true
 		r.signal()
@@ -176,15 +176,12 @@
 
 // changed wakes the request that goes next, and updates the number of waiting requests of a rank.
 func (w *waitingRequests) changed(s *serviceWaiting, rank wigeonfork.Rank) {
-	telemetry.Gauge(w.metrics, ofRank("waiting.rank_", rank)).Update(int64(s.queue.Waiting(rank)))
+	telemetry.Gauge(w.metrics, "waiting.rank_"+strconv.Itoa(int(rank))).Update(int64(s.queue.Waiting(rank)))
 	if next := s.waiters[s.queue.Next()]; next != nil {
 		next.signal()
 	}
 }
 
-// ofRank returns the name of a rank's metric.
-func ofRank(name string, rank wigeonfork.Rank) string { return name + strconv.Itoa(int(rank)) }
-
 func (r *waiter) signal() {
 	select {
 	case r.wake <- struct{}{}:
