--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// leastSlowdown and mostSlowdown bound what a server may say of its slowdown.
+	leastSlowdown = 0.25
+	mostSlowdown  = 20.0
 	// slowdownValidity is the age at which a reported slowdown no longer counts.
 	slowdownValidity = time.Second
 	// learning is the time constant of means.
@@ -102,7 +105,7 @@
 func (s *Server) ReadSlowdown(at time.Time, service *Service, factor float64) {
 	service.reportsSlowdown = true
 	if !at.Before(s.slowdownAt) {
-		s.reading = reading{slowdown: factor, slowdownAt: at}
+		s.reading = reading{slowdown: min(max(factor, leastSlowdown), mostSlowdown), slowdownAt: at}
 	}
 }
 
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -126,3 +126,19 @@
 		})
 	})
 }
+
+// Load: a faulty server says that work takes no time there, or for ever. It must not draw all requests of its service, nor
+// spoil the usual time that its neighbours are measured by.
+func TestAbsurdSlowdownsAreBounded(t *testing.T) {
+	for _, said := range []float64{1e-9, 1e9} {
+		s, service, now := &Server{}, &Service{}, time.Unix(1000, 0)
+		s.ReadSlowdown(now, service, said)
+		if factor := s.Slowdown(now); factor < leastSlowdown || factor > mostSlowdown {
+			t.Errorf("the slowdown %g counts as %g", said, factor)
+		}
+		s.Finished(now, service, 0.03, 1, 6)
+		if usual := (&Server{}).ServiceTime(now, service); usual < 0.03/mostSlowdown || usual > 0.03/leastSlowdown {
+			t.Errorf("with the slowdown %g the usual time of the service is %g s", said, usual)
+		}
+	}
+}
--- a/capacity/share.go
+++ b/capacity/share.go
@@ -10,8 +10,6 @@
 	sharedChange = 0.25
 	// shareInterval is the least time between two reports of a server.
 	shareInterval = 50 * time.Millisecond
-	// maxSlowdown bounds the slowdown that is taken from a peer.
-	maxSlowdown = 1000.0
 )
 
 // Report is what an entry read of a server, for its peers.
@@ -38,7 +36,7 @@
 
 // Merge takes over what a peer read. What the server said last counts.
 func (s *Server) Merge(now time.Time, service *Service, r Report) {
-	if !(r.Slowdown > 0 && r.Slowdown <= maxSlowdown) || r.Age < 0 {
+	if !(r.Slowdown >= leastSlowdown && r.Slowdown <= mostSlowdown) || r.Age < 0 {
 		return
 	}
 	at := now.Add(-r.Age)
