Say plainly what the capacity, room and queue code does

A newcomer stumbled on: - words that need a second reading: takes well, says of, found out, its own words, counted along, by and by, moves back, hopeless; - comments that say "the same" of a constant above, or of a field that is not named (copy reserves, forgetAt, maxOccupants); - names: until returns an occupant and is now newOccupant, replacedCopyReserve is that of the replacement, turn is a mean and is now meanTurn, isHopeless is now waitsTooLong; the receiver of Heads was s; - missing units: the bound and the service time of capacity, the ranks beyond MaxRank, which priority is the more urgent one; - comments that did not match the code: chooseWithRoom (it looks at up to maxWidened servers, not at all), otherRequests and peerRequests, maxOccupants (it bounds three lists), runningPlain (it estimates peerRequests, not only running ones).

Behaviour is unchanged. go test ./routing ./capacity ./waitqueue ./loadshare ./routetable ./memquota ./gateway passes.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -1,6 +1,6 @@
-// Package capacity learns what each backend server takes well from the server's own answers: how much longer work takes
-// there at this moment, how long a request usually takes, and how many requests may be in flight before they take much
-// longer. Times are arguments; it has no goroutine, clock or I/O. Nothing here is safe for concurrent use.
+// Package capacity learns the capacity of each backend server from its answers: how much longer work takes there at this
+// moment, how long a request usually takes, and how many requests may be in flight before they take much longer. Times are
+// arguments; the package has no goroutine, clock or I/O. Nothing here is safe for concurrent use.
 package capacity
 
 import (
@@ -9,7 +9,7 @@
 )
 
 const (
-	// leastSlowdown and mostSlowdown bound what a server may say of its slowdown.
+	// leastSlowdown and mostSlowdown bound the slowdown that a server reports, as a factor of the usual time.
 	leastSlowdown = 0.25
 	mostSlowdown  = 20.0
 	// slowdownValidity is the age at which a reported slowdown no longer counts.
@@ -26,10 +26,10 @@
 	tolerated = 2.0
 	// loadedFraction is the part of the bound from which a server counts as loaded.
 	loadedFraction = 0.5
-	// decrease is the factor of the bound when requests take too long, at most once each decreaseInterval.
+	// decrease is the factor by which the bound changes when requests take too long, at most once each decreaseInterval.
 	decrease         = 0.85
 	decreaseInterval = 100 * time.Millisecond
-	// leastBound lets each server have a request, by which it is found out.
+	// leastBound is the least bound, in requests, so that each server gets requests to learn from.
 	leastBound = 1.0
 )
 
@@ -63,7 +63,7 @@
 // Service is what is known of all servers of one service.
 type Service struct {
 	reportsSlowdown bool
-	serviceTime     mean
+	serviceTime     mean // seconds, without the slowdown
 }
 
 // ReportsSlowdown reports whether a server of the service has reported its slowdown.
@@ -76,22 +76,22 @@
 // many requests as it has slots.
 type Server struct {
 	reading
-	serviceTime mean // seconds, without the slowdown
-	loadedTime  mean // the same while it is loaded, as a factor of the usual time
-	bound       float64
+	serviceTime mean    // seconds, without the slowdown
+	loadedTime  mean    // the same while it is loaded, as a factor of the usual time
+	bound       float64 // requests in flight, as of boundAt
 	boundAt     time.Time
 	decreasedAt time.Time
 	shared      reading // what was last shared, by any entry
 	sharedAt    time.Time
 }
 
-// reading is what a server said at a time of how long work takes, as a factor of the usual time.
+// reading is a slowdown that a server reported at a time, as a factor of the usual time.
 type reading struct {
 	slowdown   float64
 	slowdownAt time.Time
 }
 
-// Slowdown returns the present factor of the usual time. What was read moves to 1 with its age.
+// Slowdown returns the present factor of the usual time. The reported factor moves linearly to 1 within slowdownValidity.
 func (r *reading) Slowdown(now time.Time) float64 {
 	if r.slowdownAt.IsZero() {
 		return 1
@@ -101,7 +101,8 @@
 	return 1 + weight*(r.slowdown-1)
 }
 
-// ReadSlowdown records what the server said at a time of how long work takes there, as a factor of the usual time.
+// ReadSlowdown records the slowdown that the server reported at a time, as a factor of the usual time. An older one than the
+// last is ignored.
 func (s *Server) ReadSlowdown(at time.Time, service *Service, factor float64) {
 	service.reportsSlowdown = true
 	if !at.Before(s.slowdownAt) {
@@ -109,7 +110,7 @@
 	}
 }
 
-// SlowdownAge returns the age of what the server last said of its slowdown, and false if it said nothing.
+// SlowdownAge returns the age of the last reported slowdown, and false if the server has reported none.
 func (s *Server) SlowdownAge(now time.Time) (time.Duration, bool) {
 	return now.Sub(s.slowdownAt), !s.slowdownAt.IsZero()
 }
@@ -129,13 +130,13 @@
 	return min(slots, slots+weight*(s.bound-slots))
 }
 
-// Finished records that a request took some seconds while inFlight requests, itself included, were at the server. A
-// request beyond the slots has waited and says nothing of the server.
+// Finished records that a request took some seconds while inFlight requests, itself included, were at the server. If
+// inFlight exceeds the slots, the time includes a wait and is not learned from.
 func (s *Server) Finished(now time.Time, service *Service, took, inFlight, slots float64) {
-	usual := took / s.Slowdown(now)
 	if inFlight > slots {
 		return
 	}
+	usual := took / s.Slowdown(now)
 	if inFlight > slots*loadedFraction && s.serviceTime.known() {
 		s.learnBound(now, service, usual, inFlight, slots)
 		return
@@ -144,8 +145,8 @@
 	service.serviceTime.observe(now, usual)
 }
 
-// learnBound moves the bound: down by a factor while loaded requests take too long, up by a part of a request while the
-// bound is used and they don't.
+// learnBound moves the bound: down by the factor decrease while requests on the loaded server take too long, up by 1/bound while
+// they do not and the bound is nearly reached.
 func (s *Server) learnBound(now time.Time, service *Service, usual, inFlight, slots float64) {
 	bound := s.Takes(now, slots)
 	s.loadedTime.observe(now, usual/s.ServiceTime(now, service))
--- a/capacity/share.go
+++ b/capacity/share.go
@@ -12,16 +12,16 @@
 	shareInterval = 50 * time.Millisecond
 )
 
-// Report is what an entry read of a server, for its peers.
+// Report is the slowdown of a server, as one entry tells it to its peers.
 type Report struct {
-	// Slowdown is what the server said of how long work takes, as a factor of the usual time, Age before the report.
+	// Slowdown is the factor of the usual time that the server reported, Age before this report was made.
 	Slowdown float64       `cbor:"1,keyasint"`
 	Age      time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
-// Report returns what the peers should hear of a server, and false if what they were last told, by any entry, is about
-// the same with its age. Only the server's own words are shared: a time that all entries learn together, and follow at
-// the same moment, would lead them all to the same server.
+// Report returns the report to send to the peers, and false if the last one, from any entry, still gives about the same
+// slowdown. Only what the server itself reported is shared. If the entries shared learned times too, they would all
+// choose the same server at the same moment.
 func (s *Server) Report(now time.Time) (Report, bool) {
 	if s.slowdownAt.IsZero() || now.Sub(s.sharedAt) < shareInterval {
 		return Report{}, false
@@ -34,7 +34,7 @@
 	return Report{Slowdown: s.slowdown, Age: max(0, now.Sub(s.slowdownAt))}, true
 }
 
-// Merge takes over what a peer read. What the server said last counts.
+// Merge applies a peer's report. The slowdown that the server reported last is kept. A report out of bounds is ignored.
 func (s *Server) Merge(now time.Time, service *Service, r Report) {
 	if !(r.Slowdown >= leastSlowdown && r.Slowdown <= mostSlowdown) || r.Age < 0 {
 		return
--- a/loadshare/capacity_update.go
+++ b/loadshare/capacity_update.go
@@ -11,13 +11,14 @@
 // MaxCapacityServers bounds the servers in a CapacityUpdate, so that it fits in a datagram.
 const MaxCapacityServers = 20
 
-// CapacityUpdate reports what the sender found out of backend servers. It has a datagram version of its own, so that
-// entries of earlier versions ignore it. It is a hint: a lost or late one costs only the quality of placement.
+// CapacityUpdate holds the slowdowns that backend servers reported to the sender. It has a datagram version of its own, so that
+// entries of earlier versions ignore it. It is a hint: if one is
+// lost or late, requests are placed less well and nothing else changes.
 type CapacityUpdate struct {
 	Servers []ServerCapacity `cbor:"1,keyasint"`
 }
 
-// ServerCapacity is what the sender found out of one server.
+// ServerCapacity is the report of one server.
 type ServerCapacity struct {
 	Server ServerHash      `cbor:"1,keyasint"`
 	Report capacity.Report `cbor:"2,keyasint"`
--- a/loadshare/configuration_update.go
+++ b/loadshare/configuration_update.go
@@ -21,8 +21,8 @@
 var ErrUpdateTooLarge = errors.New("the configuration does not fit into a datagram")
 
 // ConfigurationUpdate holds a new version of the configuration, as one entry read it from
-// the store. It saves the other entries the same read, and reaches those that the store
-// does not answer.
+// the store. The other entries need not read it from the store, and those that cannot
+// reach the store get it too.
 type ConfigurationUpdate struct {
 	Version uint64 `cbor:"1,keyasint"`
 	Era     uint64 `cbor:"2,keyasint"`
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -132,8 +132,8 @@
 	return buf
 }
 
-// Parse decodes a datagram of Append or AppendOccupancy that was received from the address from. It returns the address of the
-// sender's listener and the messages, or an error if the datagram is malformed.
+// Parse decodes a datagram of Append or AppendOccupancy that was received from the address from. It returns the address of
+// the sender's listener and the messages, or an error if the datagram is malformed.
 func Parse(data []byte, from netip.AddrPort) (netip.AddrPort, []Message, error) {
 	if len(data) < headerSize || (data[0] != wireVersion && data[0] != occupancyVersion) || (len(data)-headerSize)%messageSize != 0 {
 		return netip.AddrPort{}, nil, errors.Newf("datagram of %d bytes is malformed", len(data))
--- a/memquota/heads.go
+++ b/memquota/heads.go
@@ -17,7 +17,7 @@
 	since time.Time
 }
 
-// NewHead returns a head without bytes, sent from an address.
+// NewHead returns a head without bytes that is received from an address.
 func NewHead(address string) *Head { return &Head{address: address} }
 
 // weight orders heads for eviction: those that have held most, for longest, go first.
@@ -26,8 +26,8 @@
 }
 
 // Heads bounds the bytes that are held for heads of requests that are not complete, and decides which of them end if there
-// are too many. A caller can keep a head incomplete for as long as it likes, so that refusing the next one would leave the
-// memory to those who hold it.
+// are too many. It ends heads that are held rather than refuse new ones, since a caller can keep a head incomplete for
+// any time.
 //
 // Invariants: the heads hold at most limit bytes, and those of one address at most addressFraction of it. Either bound may
 // be exceeded by one head that is alone. Heads is a decision type without network, clock or goroutine, and not safe for
@@ -44,50 +44,50 @@
 }
 
 // Held returns the bytes that incomplete heads hold.
-func (s *Heads) Held() int64 { return s.total }
+func (hs *Heads) Held() int64 { return hs.total }
 
 // Short reports whether memory for heads is short.
-func (s *Heads) Short() bool { return float64(s.total) > shortFraction*float64(s.limit) }
+func (hs *Heads) Short() bool { return float64(hs.total) > shortFraction*float64(hs.limit) }
 
-// Grow counts n more bytes of a head. It returns the heads that must end for them and counts those no more. The head
-// itself may be among them.
-func (s *Heads) Grow(h *Head, now time.Time, n int64) []*Head {
+// Grow counts n more bytes of a head. It returns the heads that must end to keep the bounds; their bytes are no longer
+// counted. The head itself may be among them.
+func (hs *Heads) Grow(h *Head, now time.Time, n int64) []*Head {
 	if h.bytes == 0 {
 		h.since = now
 	}
-	s.open[h] = struct{}{}
+	hs.open[h] = struct{}{}
 	h.bytes += n
-	s.total += n
-	s.byAddress[h.address] += n
+	hs.total += n
+	hs.byAddress[h.address] += n
 	var evicted []*Head
 	for {
-		victim := s.victim(now, h.address)
+		victim := hs.victim(now, h.address)
 		if victim == nil {
 			return evicted
 		}
-		s.End(victim)
+		hs.End(victim)
 		evicted = append(evicted, victim)
 	}
 }
 
 // victim returns the head that must end next, or nil. grown is the address whose bytes have grown.
-func (s *Heads) victim(now time.Time, grown string) *Head {
+func (hs *Heads) victim(now time.Time, grown string) *Head {
 	switch {
-	case len(s.open) < 2:
+	case len(hs.open) < 2:
 		return nil
-	case s.total > s.limit:
-		return s.heaviest(now, s.largestAddress())
-	case float64(s.byAddress[grown]) > addressFraction*float64(s.limit):
-		return s.heaviestOfMany(now, grown)
+	case hs.total > hs.limit:
+		return hs.heaviest(now, hs.largestAddress())
+	case float64(hs.byAddress[grown]) > addressFraction*float64(hs.limit):
+		return hs.heaviestOfMany(now, grown)
 	}
 	return nil
 }
 
 // largestAddress returns the address that holds most.
-func (s *Heads) largestAddress() string {
+func (hs *Heads) largestAddress() string {
 	var largest string
-	for address, bytes := range s.byAddress {
-		if bytes > s.byAddress[largest] || bytes == s.byAddress[largest] && address < largest {
+	for address, bytes := range hs.byAddress {
+		if bytes > hs.byAddress[largest] || bytes == hs.byAddress[largest] && address < largest {
 			largest = address
 		}
 	}
@@ -95,9 +95,9 @@
 }
 
 // heaviest returns the head of an address that goes first.
-func (s *Heads) heaviest(now time.Time, address string) *Head {
+func (hs *Heads) heaviest(now time.Time, address string) *Head {
 	var heaviest *Head
-	for h := range s.open {
+	for h := range hs.open {
 		if h.address == address && (heaviest == nil || h.weight(now) > heaviest.weight(now)) {
 			heaviest = h
 		}
@@ -106,39 +106,39 @@
 }
 
 // heaviestOfMany is heaviest, or nil if the address has only one head.
-func (s *Heads) heaviestOfMany(now time.Time, address string) *Head {
-	heaviest := s.heaviest(now, address)
-	if heaviest == nil || heaviest.bytes == s.byAddress[address] {
+func (hs *Heads) heaviestOfMany(now time.Time, address string) *Head {
+	heaviest := hs.heaviest(now, address)
+	if heaviest == nil || heaviest.bytes == hs.byAddress[address] {
 		return nil
 	}
 	return heaviest
 }
 
-// End counts a head no more, since it is complete or has ended.
-func (s *Heads) End(h *Head) {
-	if _, isOpen := s.open[h]; !isOpen {
+// End stops counting a head that is complete or has ended. It does nothing if the head is not counted.
+func (hs *Heads) End(h *Head) {
+	if _, isOpen := hs.open[h]; !isOpen {
 		return
 	}
-	delete(s.open, h)
-	s.total -= h.bytes
-	if s.byAddress[h.address] -= h.bytes; s.byAddress[h.address] <= 0 {
-		delete(s.byAddress, h.address)
+	delete(hs.open, h)
+	hs.total -= h.bytes
+	if hs.byAddress[h.address] -= h.bytes; hs.byAddress[h.address] <= 0 {
+		delete(hs.byAddress, h.address)
 	}
 }
 
 // EndOverdue ends the heads whose first bytes arrived longer than limit ago, if memory for heads is short, and returns them.
-func (s *Heads) EndOverdue(now time.Time, limit time.Duration) []*Head {
-	if !s.Short() {
+func (hs *Heads) EndOverdue(now time.Time, limit time.Duration) []*Head {
+	if !hs.Short() {
 		return nil
 	}
 	var overdue []*Head
-	for h := range s.open {
+	for h := range hs.open {
 		if now.Sub(h.since) > limit {
 			overdue = append(overdue, h)
 		}
 	}
 	for _, h := range overdue {
-		s.End(h)
+		hs.End(h)
 	}
 	return overdue
 }
--- a/routetable/routetable.go
+++ b/routetable/routetable.go
@@ -151,7 +151,7 @@
 	hosts    map[string]map[string]*Route
 	services map[wigeonfork.Model]*Service
 	keys     map[string]*Tenant
-	// urgencies are those of each service's requests, the most urgent first.
+	// urgencies holds the distinct urgencies of each service's requests, the most urgent first.
 	urgencies map[wigeonfork.Model][]urgency
 }
 
@@ -227,8 +227,8 @@
 // Tenant returns the tenant that holds key, or nil.
 func (t *Table) Tenant(key string) *Tenant { return t.keys[key] }
 
-// urgency orders the requests of one service. The priority that holds for the request
-// decides; among equal ones that of the route does.
+// urgency orders the requests of one service: by the priority of the request, then by that
+// of its route. A lower number is more urgent.
 type urgency struct {
 	priority, routePriority int
 }
@@ -246,13 +246,15 @@
 	return urgency{route.Priority, route.Priority}
 }
 
-// Rank returns the rank of a request for a service, from 0 to Ranks - 1. tenant may be nil.
+// Rank returns the rank of a request for a service, from 0, the most urgent, to Ranks - 1 but at
+// most wigeonfork.MaxRank. tenant may be nil.
 func (t *Table) Rank(service wigeonfork.Model, route *Route, tenant *Tenant) wigeonfork.Rank {
 	at, _ := slices.BinarySearchFunc(t.urgencies[service], urgencyOf(route, tenant), compareUrgency)
 	return wigeonfork.Rank(min(at, int(wigeonfork.MaxRank)))
 }
 
-// Ranks returns the number of ranks that requests for a service may have.
+// Ranks returns the number of distinct urgencies of requests for a service. Those beyond
+// wigeonfork.MaxRank share that rank.
 func (t *Table) Ranks(service wigeonfork.Model) int { return len(t.urgencies[service]) }
 
 // Ranked reports whether requests for a service may differ in rank.
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -66,7 +66,7 @@
 	return r.chooseWithRoom(now, &req, group), nil
 }
 
-// beginSample empties the sample.
+// beginSample empties the sample and clears the servers' sampled marks.
 func (r *Router) beginSample() {
 	for k := range r.sample {
 		r.servers[r.sample[k].server].sampled = false
@@ -248,8 +248,8 @@
 }
 
 // speed returns the estimated inter-token time in seconds, the prefill rate in
-// tokens per second and the service time in seconds. A slowdown that the server has
-// reported lasts for moments, so it counts for the prefill only.
+// tokens per second and the service time in seconds. A reported slowdown
+// is valid for about a second, so it changes the prefill rate only.
 func (r *Router) speed(now time.Time, s *server) (gap, rate, service float64) {
 	if r.options.DisabledTerms&TermSpeed != 0 {
 		return priorGap.Seconds(), priorPrefillRate, priorService.Seconds()
--- a/routing/plain.go
+++ b/routing/plain.go
@@ -7,8 +7,8 @@
 	"github.com/wigeonfork/wigeonfork/capacity"
 )
 
-// isPlain reports whether requests are placed by the expected time of plain requests: servers of the service report
-// their slowdown, and a request without a prompt has ended.
+// isPlain reports whether the server takes plain requests, which have no prompt tokens, and their time is known: servers of
+// its service report their slowdown, and a plain request has ended.
 func (s *server) isPlain() bool { return s.prior.capacity.IsLearned() }
 
 // plainTime returns the time in seconds that a plain request takes at the server at this moment, if it is alone there.
@@ -21,8 +21,8 @@
 	return float64(s.ownRequests) + s.runningPlain(now)
 }
 
-// runningPlain estimates how many of the requests that peers reported still run. A server ends as many at a time as it
-// has slots.
+// runningPlain estimates how many of the peerRequests still wait or run. While some are queued, a server ends as many as it
+// has slots in each plainTime. After that the number decays exponentially with the time constant plainTime.
 func (s *server) runningPlain(now time.Time) float64 {
 	passed := now.Sub(s.peerRequestsAt).Seconds() / s.plainTime(now)
 	queued := max(0, s.peerRequests-s.slots())
@@ -32,13 +32,13 @@
 	return (s.peerRequests - queued) * math.Exp(queued/s.slots()-passed)
 }
 
-// learnPlain records that a plain request that still counts took some seconds.
+// learnPlain records that a plain request took some seconds. It is called before the request leaves ownRequests.
 func (s *server) learnPlain(now time.Time, took float64) {
 	s.capacity.Finished(now, &s.prior.capacity, took, s.outstanding(now, 0), s.slots())
 }
 
-// predictPlain fills in the predicted times of a plain request: the time that it takes there at this moment, times the
-// growth by the requests that are there, relative to what the server takes well.
+// predictPlain fills in the predicted times of a plain request: plainTime, times a factor that grows with the requests in
+// flight relative to the number that the server takes well. Requests beyond that number count twice.
 func (r *Router) predictPlain(now time.Time, s *server, c *candidate) {
 	takes := s.capacity.Takes(now, s.slots())
 	queued := math.Max(0, c.outstanding+1-takes)
@@ -47,18 +47,18 @@
 	c.total = c.wait
 }
 
-// Capacity is what is known of what a server takes well.
+// Capacity is the learned capacity of a server.
 type Capacity struct {
-	// Slowdown is the present factor of the usual time, from what the server said Age before.
+	// Slowdown is the present factor of the usual time. It comes from a report of the server that is Age old.
 	Slowdown float64
 	Age      time.Duration
 	// ServiceTime is the usual time of a plain request; 0 if it is not known.
 	ServiceTime time.Duration
-	// Takes is the number of requests in flight that the server takes well.
+	// Takes is the number of requests in flight up to which requests do not take much longer.
 	Takes float64
 }
 
-// Capacity returns what is known of what a server takes well, and false if the server never reported its slowdown.
+// Capacity returns the learned capacity of a server, and false if the server never reported its slowdown.
 func (r *Router) Capacity(now time.Time, id ID) (Capacity, bool) {
 	s := r.find(id)
 	if s == nil {
@@ -74,7 +74,7 @@
 	}, true
 }
 
-// CapacityReport returns what the peers should hear of a server, and false if that is nothing new.
+// CapacityReport returns the report of a server to send to the peers, and false if there is nothing new.
 func (r *Router) CapacityReport(now time.Time, id ID) (capacity.Report, bool) {
 	s := r.find(id)
 	if s == nil || !s.prior.capacity.ReportsSlowdown() {
@@ -83,7 +83,7 @@
 	return s.capacity.Report(now)
 }
 
-// PeerCapacity takes over what a peer found out of a server.
+// PeerCapacity applies a peer's report of a server.
 func (r *Router) PeerCapacity(now time.Time, id ID, report capacity.Report) {
 	if s := r.find(id); s != nil {
 		s.capacity.Merge(now, &s.prior.capacity, report)
--- a/routing/room.go
+++ b/routing/room.go
@@ -19,11 +19,12 @@
 	rankReserve      = 0.15
 	maxRankReserve   = 0.4
 	rankDemandPeriod = 10 * time.Second
-	// newCopyReserve is the same for copies. A request that must be read again for a copy costs more than the copy saves.
+	// newCopyReserve is the fraction of an engine's KV cache that a new copy leaves free. A request that is evicted for a
+	// copy must be prefilled again, which costs more than the copy saves.
 	newCopyReserve = 0.25
-	// replacedCopyReserve is the same for copies that replace a lost one. An engine makes them whole at once, and they do
-	// not yield to requests.
-	replacedCopyReserve = 0.5
+	// replacementCopyReserve is the fraction that a copy which replaces a lost one leaves free. An engine makes such a
+	// copy at once in full, and does not evict it for requests.
+	replacementCopyReserve = 0.5
 	// overdueFactor is the multiple of its predicted duration after which a peer's request is taken to have ended though
 	// that was not announced.
 	overdueFactor = 3
@@ -31,17 +32,17 @@
 	// refusal, up to maxFullHold, until the server begins or ends a request.
 	fullHold    = 200 * time.Millisecond
 	maxFullHold = 1600 * time.Millisecond
-	// maxOccupants bounds the requests that are recorded of one server, own and of peers each.
+	// maxOccupants bounds each list of one server: own requests, requests of peers, copies of peers.
 	maxOccupants = 1024
 	// minRoomIn is the least predicted time until a server has room.
 	minRoomIn = 10 * time.Millisecond
 	// overdueRemainder is the fraction of the time that a request has run beyond its predicted end for which it is
 	// expected to run on.
 	overdueRemainder = 0.25
-	// maxWidened bounds the servers that are looked at for room when none of the sample has any. Where it binds, one
-	// server in a hundred with room is missed once in twenty thousand requests.
+	// maxWidened bounds the servers that are considered when no server of the sample has room. If one server in a hundred,
+	// at random, has room, the probability that none of these has is below 1e-4.
 	maxWidened = 1024
-	// roomInChoices is the number of servers of which the soonest end is predicted when none has room.
+	// roomInChoices bounds the servers for which the time until they have room is predicted when none has room.
 	roomInChoices = 32
 )
 
@@ -62,7 +63,8 @@
 	// removed for another.
 	prefix uint64
 	tokens float64
-	// work is the size of an own request by its Work, which tells requests without prefixes apart.
+	// tokens is the KV cache that it occupies alone. work is Work.tokens of an own request, which tells requests without
+	// prefixes apart.
 	work float64
 	// sentAt is when it was sent, and predicted the duration by the server's speed alone.
 	sentAt    time.Time
@@ -71,6 +73,7 @@
 	endsAt, forgetAt time.Time
 }
 
+// wholePrefix returns the hash of the whole prompt, or 0 if the request has no prefixes.
 func wholePrefix(w *Work) uint64 {
 	if n := len(w.Prefixes); n > 0 {
 		return w.Prefixes[n-1].Hash
@@ -85,8 +88,8 @@
 	own    []occupant
 	peers  []occupant
 	copies []occupant
-	// sum is the tokens of all. It is counted along, since all servers are asked when none has room. forgetAt is the
-	// earliest time at which one of peers is overdue.
+	// sum is the tokens of all three lists. It is updated with each change, since many servers are looked at when none has
+	// room. forgetAt is no later than the earliest forgetAt in peers and copies.
 	sum      float64
 	forgetAt time.Time
 }
@@ -136,7 +139,7 @@
 	o.copies = o.appendOfPeer(o.copies, added)
 }
 
-// expire removes what is overdue of peers.
+// expire removes the requests and copies of peers that are overdue.
 func (o *occupancy) expire(now time.Time) {
 	if len(o.peers)+len(o.copies) == 0 || now.Before(o.forgetAt) {
 		return
@@ -147,7 +150,7 @@
 	o.recount()
 }
 
-// recount sets what is counted along anew.
+// recount computes sum and forgetAt from the lists.
 func (o *occupancy) recount() {
 	o.sum, o.forgetAt = 0, time.Time{}
 	for i := range o.own {
@@ -197,8 +200,8 @@
 // isIdle reports whether no request is known to run on the server.
 func (o *occupancy) isIdle() bool { return len(o.own)+len(o.peers) == 0 }
 
-// remaining returns for how long an occupant is expected to stay. One that has run beyond its predicted end says little
-// of its end except by how long it has run.
+// remaining returns for how long an occupant is expected to stay. The remaining time
+// of one that has run beyond its predicted end is estimated from the time that it has run.
 func (o *occupant) remaining(now time.Time) time.Duration {
 	if left := o.endsAt.Sub(now); left > 0 {
 		return max(minRoomIn, left)
@@ -233,8 +236,8 @@
 	askedAt map[wigeonfork.Rank]time.Time
 }
 
-// until returns an occupant that was sent now and is predicted to run for the given time on an unshared server.
-func (p *roomPolicy) until(now time.Time, predicted time.Duration) occupant {
+// newOccupant returns an occupant without tokens that was sent now. predicted is its duration by the server's speed alone.
+func (p *roomPolicy) newOccupant(now time.Time, predicted time.Duration) occupant {
 	stretched := time.Duration(p.stretch.read(now, 1, DefaultSpeedHalfLife) * float64(predicted))
 	return occupant{sentAt: now, predicted: predicted, endsAt: now.Add(stretched), forgetAt: now.Add(overdueFactor * stretched)}
 }
@@ -272,7 +275,7 @@
 	if work.HasBackup {
 		read = 0
 	}
-	added := policy.until(now, r.predictRun(now, s, float64(read), float64(work.MaxTokens)))
+	added := policy.newOccupant(now, r.predictRun(now, s, float64(read), float64(work.MaxTokens)))
 	added.prefix, added.tokens, added.work = wholePrefix(work), r.unshared(now, i, work), work.tokens()
 	s.occupancy.addOwn(added)
 }
@@ -317,7 +320,7 @@
 	} else if work.MaxTokens == 0 {
 		policy.size.prompt.observe(now, prompt, longTermLearning, minSampleWeight)
 	}
-	added := policy.until(now, run)
+	added := policy.newOccupant(now, run)
 	added.prefix, added.tokens = wholePrefix(work), prompt+answer
 	s.occupancy.addPeer(now, added)
 }
@@ -338,7 +341,7 @@
 	}
 	policy := r.roomOf(s)
 	made := policy.size.answer.read(now, defaultMaxTokens, DefaultSpeedHalfLife)
-	added := policy.until(now, r.predictRun(now, s, float64(tokens), made))
+	added := policy.newOccupant(now, r.predictRun(now, s, float64(tokens), made))
 	added.prefix, added.tokens = prefix, float64(tokens)
 	s.occupancy.addCopy(now, added)
 }
@@ -363,7 +366,7 @@
 	}
 	reserve := newCopyReserve
 	if b.Replaces {
-		reserve = replacedCopyReserve
+		reserve = replacementCopyReserve
 	}
 	limit := r.memoryLimit[s.Versions[0].Model] * (1 - reserve)
 	return s.occupancy.used(now)+s.backupTokens+float64(b.Tokens) <= limit
@@ -377,7 +380,7 @@
 	}
 	tokens := policy.size.prompt.read(now, 0, DefaultSpeedHalfLife) + policy.size.answer.read(now, defaultMaxTokens, DefaultSpeedHalfLife)
 	_, _, service := r.speed(now, s)
-	missing := policy.until(measuredAt, seconds(service))
+	missing := policy.newOccupant(measuredAt, seconds(service))
 	missing.tokens, missing.forgetAt = tokens, missing.endsAt
 	s.occupancy.correct(now, measuredAt, int(s.reportedOthers), missing)
 }
@@ -447,7 +450,7 @@
 		return s.fullUntil.Sub(now)
 	}
 	if missing <= 0 {
-		// Its slots are taken.
+		// There is memory but no free slot, so that the first request to end makes room.
 		missing = 1
 	}
 	if in, ok := s.occupancy.freeIn(now, missing); ok {
@@ -458,7 +461,8 @@
 }
 
 // chooseWithRoom decides like Choose for a model whose requests go where there is room: among the candidates with room
-// if there is one, else among those of the complete group, else to the least bad server.
+// if there is one, else among up to maxWidened servers of the group. Avoided servers come last of
+// those with room. If none has room, the decision names the server with the lowest score and has NoRoom set.
 func (r *Router) chooseWithRoom(now time.Time, req *Request, group []int32) Decision {
 	r.rooms[req.Model].asked(now, req.Rank)
 	accepts := func(c *candidate) bool { return !c.avoided && r.takesRequests(c) && r.hasRoom(now, c, req) }
@@ -510,15 +514,15 @@
 	return least
 }
 
-// Refused records that a server has refused a request without running it. Where room is counted, nothing more is sent
-// there for a moment: what is known of its memory has missed something, and all of a request's sends would be refused.
+// Refused records that a server has refused a request without running it. Where room is counted, the server then counts as
+// full for fullHold or longer, since the known occupancy is too low and further requests would be refused too.
 func (r *Router) Refused(now time.Time, id ID) {
 	s := r.find(id)
 	if s == nil || r.roomOf(s) == nil {
 		return
 	}
 	if now.Before(s.fullUntil) {
-		// It answers a request that was sent before the refusal was known.
+		// The refused request was sent before the previous refusal was known.
 		return
 	}
 	s.fullHold = min(maxFullHold, max(fullHold, 2*s.fullHold))
@@ -530,7 +534,8 @@
 	s.fullHold, s.fullUntil = 0, time.Time{}
 }
 
-// ServerRoom is the memory of an engine as all entries together use it, in tokens. Limit is 0 if it is not counted.
+// ServerRoom is the estimated use of an engine's KV cache by all entries, in tokens, and the number of Requests, copies
+// excluded. Used excludes Backups, the copies that this router placed. Limit is 0 if the memory is not counted.
 type ServerRoom struct {
 	Limit, Used, Backups int
 	Requests             int
--- a/routing/server.go
+++ b/routing/server.go
@@ -112,10 +112,10 @@
 	backupTokens       float64 // KV cache of backups placed by this router, tokens
 	pendingPrefill     float64 // known prompt tokens not yet prefilled at prefillAt
 	prefillAt          time.Time
-	otherRequests      float64   // requests of other entries, from the last report; moved to peerRequests if that tells a slowdown
+	otherRequests      float64   // requests of other entries, from the last report without a slowdown
 	reportedOthers     float64   // requests of other entries at the time of the last report
 	reportMeasuredAt   time.Time // MeasuredAt of the newest load report
-	peerRequests       float64   // requests that peers reported since, as of peerRequestsAt
+	peerRequests       float64   // requests of peers as of peerRequestsAt; a report with a slowdown may set it
 	peerRequestsAt     time.Time
 	gap                decayingMean          // inter-token time in an empty batch, seconds
 	rate               decayingMean          // prefill tokens per second
@@ -288,7 +288,7 @@
 		// An engine's counts are older than the sends that peers report.
 		return
 	}
-	// The requests of others end by and by, like those that peers report.
+	// The estimate of the requests of others decreases with time, like that of those that peers report.
 	s.otherRequests, s.peerRequests, s.peerRequestsAt = 0, others, now
 }
 
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -21,12 +21,12 @@
 const (
 	// DefaultCapacity bounds the requests that wait at once.
 	DefaultCapacity = 512
-	// lowerRankTurn is the number of turns of which less urgent ranks get one.
+	// lowerRankTurn is the number of turns of which one goes to a less urgent rank.
 	lowerRankTurn = 4
 	// turnLearning is the weight of the last turn in the mean time between two turns.
 	turnLearning = 0.25
-	// maxFirstTurn bounds the expected time between turns while none was measured within turnValidity. Requests that come
-	// together must not be refused before it is known how fast room comes.
+	// maxFirstTurn bounds the expected time between turns while none was measured within turnValidity. Requests that arrive
+	// together must not be refused before the time between turns is known.
 	maxFirstTurn = 100 * time.Millisecond
 	turnValidity = 10 * time.Second
 	// waitTolerance is the factor by which the predicted wait of a waiting request may exceed the wait that it allows.
@@ -42,7 +42,7 @@
 	Caller    string
 	// Resume is set if the request has run and was lost.
 	Resume bool
-	// StartBy is when the request must go at the latest; zero means any time.
+	// StartBy is the time by which the request must be admitted; zero means none.
 	StartBy time.Time
 }
 
@@ -75,11 +75,12 @@
 	ranks    map[wigeonfork.Rank]*rankQueue
 	size     int
 	joined   uint64
-	// turns counts the turns taken, and turn is the mean time between two of them.
+	// turns counts the turns taken. meanTurn is the mean time between two of them, 0 if unknown.
 	turns      uint64
-	turn       time.Duration
+	meanTurn   time.Duration
 	lastTurnAt time.Time
-	// lastTurns holds the number of each rank's last turn, also while none of the rank waits.
+	// lastTurns holds the number of the last turn that a waiting request of each rank took. It is kept while none of the
+	// rank waits.
 	lastTurns map[wigeonfork.Rank]uint64
 	// urgentTurns counts the turns in a row of the most urgent rank while others waited.
 	urgentTurns int
@@ -185,7 +186,7 @@
 	return q.ranks[ranks[0]].next()
 }
 
-// isLowerTurn reports whether more urgent requests have had their turns in a row.
+// isLowerTurn reports whether the next turn goes to a less urgent rank, if one waits.
 func (q *Queue) isLowerTurn() bool { return q.urgentTurns >= lowerRankTurn-1 }
 
 // AdmittedDirectly records that a request that did not wait found room, which is a turn if others wait.
@@ -227,10 +228,10 @@
 		q.urgentTurns = 0
 	}
 	passed := now.Sub(q.lastTurnAt)
-	if q.turn == 0 {
-		q.turn = passed
+	if q.meanTurn == 0 {
+		q.meanTurn = passed
 	}
-	q.turn += time.Duration(turnLearning * float64(passed-q.turn))
+	q.meanTurn += time.Duration(turnLearning * float64(passed-q.meanTurn))
 	q.turns++
 	q.lastTurnAt = now
 }
@@ -277,17 +278,17 @@
 // forgetTurns forgets the time between turns if the last one is too long ago.
 func (q *Queue) forgetTurns(now time.Time) {
 	if now.Sub(q.lastTurnAt) >= turnValidity {
-		q.turn = 0
+		q.meanTurn = 0
 	}
 }
 
-// turnTime returns the expected time between two turns: before the first turn roomIn, up to maxFirstTurn. While turns fail
-// to come, it grows.
+// turnTime returns the expected time between two turns: before the first turn roomIn, up to maxFirstTurn. It is at
+// least the time since the last turn while requests wait.
 func (q *Queue) turnTime(now time.Time, roomIn time.Duration) time.Duration {
 	if q.size == 0 {
-		return q.turn
+		return q.meanTurn
 	}
-	turn := q.turn
+	turn := q.meanTurn
 	if turn == 0 {
 		turn = min(roomIn, maxFirstTurn)
 	}
@@ -302,7 +303,7 @@
 	for i := len(ranks) - 1; i >= 0; i-- {
 		r := q.ranks[ranks[i]]
 		for _, t := range r.newestFirst() {
-			if q.isHopeless(now, t, roomIn) {
+			if q.waitsTooLong(now, t, roomIn) {
 				q.Leave(t)
 				refused = append(refused, t)
 			}
@@ -311,8 +312,9 @@
 	return refused
 }
 
-// isHopeless reports whether a waiting request would wait far longer than it allows, or has.
-func (q *Queue) isHopeless(now time.Time, t *Ticket, roomIn time.Duration) bool {
+// waitsTooLong reports whether a waiting request is past its StartBy, or its predicted remaining wait exceeds waitTolerance
+// times the wait that it allowed when it joined.
+func (q *Queue) waitsTooLong(now time.Time, t *Ticket, roomIn time.Duration) bool {
 	if t.StartBy.IsZero() {
 		return false
 	}
--- a/waitqueue/rank.go
+++ b/waitqueue/rank.go
@@ -13,9 +13,10 @@
 	return slices.Sorted(maps.Keys(q.ranks))
 }
 
-// rankQueue holds the waiting requests of one rank. Resumed ones go first. The workspaces of the others take turns: each
-// turn of a workspace moves it back by one, and one that joins begins behind those that go next, so that a single request
-// which rejoins after each turn does not go before a backlog.
+// rankQueue holds the waiting requests of one rank. Resumed ones go first. The workspaces of the others take turns: the
+// one with the least position goes next, and each turn adds one to its position. A workspace that joins gets the least
+// position and goes after the others with it, so that a single request which rejoins after each turn does not go before a
+// backlog.
 type rankQueue struct {
 	resumed    []*Ticket
 	workspaces []*workspaceQueue
@@ -30,6 +31,7 @@
 	position  uint64
 }
 
+// at returns the position, the number by which turns are ordered.
 func (w *workspaceQueue) at() uint64 { return w.position }
 
 // callerQueue holds the waiting requests of one caller, the next one first.
@@ -101,7 +103,7 @@
 	return c.tickets[0]
 }
 
-// served moves the workspace and the caller of a ticket back by one turn.
+// served adds a turn to the positions of the ticket's workspace and caller.
 func (r *rankQueue) served(t *Ticket) {
 	w := r.find(t.Workspace)
 	if w == nil || t.Resume {
