Forget counts without a slowdown once a server tells one

Cause, found by a reader of the code: an engine that told one load without a slowdown, as with a malformed one, kept its count of others' requests for good, since later loads are not taken while peers announce their sends. And a request that did not wait took a turn that was not recorded for its rank.

Measured: TestCountsWithoutASlowdownEndWhenOnesWithASlowdownCome fails before (40 outstanding, 0 expected); go test ./routing ./waitqueue ./gateway passes.

--- a/routing/plain_test.go
+++ b/routing/plain_test.go
@@ -169,3 +169,17 @@
 		So(s.outstanding(now.Add(reportValidity+1), 0), ShouldEqual, 10)
 	})
 }
+
+// Guards against an engine that stays busy for good since one load told no slowdown: later ones, which count less than the
+// peers' sends, must not leave its count standing.
+func TestCountsWithoutASlowdownEndWhenOnesWithASlowdownCome(t *testing.T) {
+	Convey("An engine reports 40 requests without a slowdown, then that it is idle, with one", t, func() {
+		r := New(Options{Seed: 1})
+		r.SetServers(testServers(1))
+		r.SetPeerReports(true)
+		r.Report(start, "b0", backend.LoadReport{Running: 40, Slots: 64, MeasuredAt: start})
+		later := start.Add(time.Second)
+		r.Report(later, "b0", backend.LoadReport{Slots: 64, Slowdown: 1, MeasuredAt: later})
+		So(r.find("b0").outstanding(later, 0), ShouldEqual, 0)
+	})
+}
--- a/routing/server.go
+++ b/routing/server.go
@@ -286,6 +286,7 @@
 	s.capacity.ReadSlowdown(load.MeasuredAt, &s.prior.capacity, load.Slowdown)
 	if peerReports && !s.isPlain() {
 		// An engine's counts are older than the sends that peers report.
+		s.otherRequests = 0
 		return
 	}
 	// The estimate of the requests of others decreases with time, like that of those that peers report.
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -193,6 +193,7 @@
 func (q *Queue) AdmittedDirectly(now time.Time, rank wigeonfork.Rank) {
 	if q.size > 0 {
 		q.countTurn(now, rank)
+		q.lastTurns[rank] = q.turns
 	}
 }
 
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -95,6 +95,9 @@
 	if q.Next() != waiting {
 		t.Error("the less urgent request doesn't go next")
 	}
+	if q.lastTurns[urgent] == 0 {
+		t.Error("the turns of requests that did not wait are not those of their rank")
+	}
 	q.Admit(start.Add(time.Second), waiting)
 	if q.Next().Rank != urgent {
 		t.Error("the urgent request doesn't go after it")
