--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -88,7 +88,7 @@
 	return defaultMaxHead
 }
 
-// callerLimits returns the limits of the configuration, or none before the first one.
+// callerLimits returns the limits of the configuration in force, or the zero value if none has been read yet.
 func (g *Gateway) callerLimits() routetable.Limits {
 	if table := g.config.table(); table != nil {
 		return table.Limits()
@@ -113,7 +113,7 @@
 const connectionCheckInterval = time.Second
 
 // expireCallerConnections closes the connections that callers have kept idle for too long, and refuses heads that take too
-// long while memory for them is short, until the gateway ends.
+// long while memory for heads is short, until the gateway ends.
 func (g *Gateway) expireCallerConnections() {
 	for g.pause(connectionCheckInterval) {
 		limits, now := g.callerLimits(), time.Now()
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -9,7 +9,7 @@
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
-// reportLocked passes the load that an answer tells to the router, and tells the peers what was found out by it.
+// reportLocked passes a server's load report to the router, and sends the peers what it changes in the server's capacity.
 func (f *fleet) reportLocked(now time.Time, id serverID, load *Load) {
 	f.router.Report(now, id, backend.LoadReport{
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown, MeasuredAt: now,
@@ -17,14 +17,14 @@
 	f.shareCapacityLocked(now, id)
 }
 
-// shareCapacityLocked tells the peers what a server takes well, if that is new to them.
+// shareCapacityLocked sends the peers the capacity that was measured of a server, if it has changed since they were told.
 func (f *fleet) shareCapacityLocked(now time.Time, id serverID) {
 	if report, isNew := f.router.CapacityReport(now, id); isNew {
 		f.shareCapacity(loadshare.ServerCapacity{Server: loadshare.HashServer(id), Report: report})
 	}
 }
 
-// peerCapacity takes over what a peer found out of a server.
+// peerCapacity applies the capacity that a peer measured of a server.
 func (f *fleet) peerCapacity(now time.Time, c loadshare.ServerCapacity) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -33,7 +33,7 @@
 	}
 }
 
-// enqueueCapacity queues what was found out of a server for the peers. It never blocks on I/O.
+// enqueueCapacity queues a server's capacity for the peers, and drops it if the queue is full. It never blocks on I/O.
 func (s *gossiper) enqueueCapacity(c loadshare.ServerCapacity) {
 	if s == nil {
 		return
@@ -50,6 +50,7 @@
 	s.pendingCapacity = append(s.pendingCapacity, c)
 }
 
+// flushCapacity sends the queued capacities to the peers in one datagram.
 func (s *gossiper) flushCapacity() {
 	s.mu.Lock()
 	update := &loadshare.CapacityUpdate{Servers: s.pendingCapacity}
@@ -65,7 +66,7 @@
 	s.sendAll(targets, datagram)
 }
 
-// handleCapacityUpdate handles a datagram on what servers take well.
+// handleCapacityUpdate handles a datagram with the capacities that a peer measured.
 func (s *gossiper) handleCapacityUpdate(now time.Time, data []byte, from netip.AddrPort) error {
 	sender, update, err := loadshare.ParseCapacityUpdate(data, from)
 	if err != nil {
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -67,7 +67,7 @@
 // requests that wait, and how many can run at once.
 type Load struct {
 	Running, Waiting, Slots int
-	// Slowdown is the factor by which work takes longer there at this moment than usual; 0 if the server does not
+	// Slowdown is the present duration of work at the server divided by its usual duration; 0 if the server does not
 	// report it.
 	Slowdown float64
 }
@@ -131,9 +131,9 @@
 	// its cache. ReadCache parses the answer.
 	CacheTarget() string
 	ReadCache(body []byte) ([]backend.CacheEvent, error)
-	// MoveCopy returns the request target and the body with which an engine is asked to copy the KV cache of a run to the
-	// engine at an address. ReadCopy parses the answer and returns the copy's handle, at which the engine that made it frees it by
-	// FreeCopyTarget.
+	// MoveCopy returns the target and the body of the POST request that asks an engine to copy the KV cache of a run to
+	// the engine at an address. ReadCopy parses the answer and returns the handle of the copy, which is not empty. A
+	// DELETE request for FreeCopyTarget, sent to the engine that made the copy, frees it.
 	MoveCopy(request wigeonfork.RequestID, to string) (target string, body []byte)
 	ReadCopy(status int, body []byte) (handle string, err error)
 	FreeCopyTarget(handle string) string
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -15,37 +15,40 @@
 )
 
 const (
-	// copyRefresh is the time between two transfers of what a run has made since to its new copy. An engine frees a copy
-	// that gets nothing for some seconds.
+	// copyRefresh is the time between two transfers of a run's KV cache to its new copy. An engine frees a copy that has
+	// received nothing for some seconds.
 	copyRefresh = 1500 * time.Millisecond
 	// copyRetry is the time between two attempts to make a new copy.
 	copyRetry = 400 * time.Millisecond
-	// copyAttempts bounds the attempts in one run that fail.
+	// copyAttempts is the number of failed transfers after which a run gets no more copies.
 	copyAttempts = 6
 )
 
-// copySource is where a copy was made: the address of the server from which it was moved, and its handle there.
+// copySource identifies a copy at the server that made it: the address of that server, and the handle of the copy there.
+// It is zero for the copy that a run's own server keeps at the backup.
 type copySource struct {
 	address, handle string
 }
 
-// copyKeeper replaces the copy of a run's KV cache if the server that holds it is lost before the run ends. Then the
-// next loss, of the run's own server, need not read the prompt again.
+// copyKeeper replaces the copy of a run's KV cache if the server that holds it is lost before the run ends. If
+// the run's own server is lost later, the run resumes from the new copy and its prompt is not processed again.
 type copyKeeper struct {
 	call *streamCall
 	ctx  context.Context
 	from *placement
 
 	mu sync.Mutex
-	// lost is set once the first copy is lost.
+	// lost is set once the server of the first copy is lost.
 	lost bool
-	// at is the server that holds the new copy; nil if there is none. source is where it was made.
+	// at is the server that holds the new copy; nil if there is none. source is zero until the first transfer to it is
+	// complete.
 	at     *directory.Entry
 	source copySource
 	done   sync.WaitGroup
 }
 
-// copyLost starts to make a new copy. It may be called with the fleet's lock held.
+// copyLost starts to make a new copy, unless the run has ended or an earlier call did so. It may be called with the
+// fleet's lock held.
 func (k *copyKeeper) copyLost() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -75,7 +78,7 @@
 
 var errNoServerForCopy = errors.New("no server has room for a copy")
 
-// transfer moves what the run has made to the new copy, which it places first if there is none.
+// transfer copies the run's KV cache to the server of the new copy. It chooses that server if there is none, or if it is lost.
 func (k *copyKeeper) transfer() error {
 	at := k.holder()
 	if at == nil || !k.call.fleet.alive(at.ID) {
@@ -85,36 +88,40 @@
 	if at == nil {
 		return errNoServerForCopy
 	}
-	k.set(at, copySource{})
+	k.setHolder(at)
 	handle, err := k.call.moveCopy(k.ctx, k.from.Entry, k.call.caller.ID, at.Address)
 	if err != nil {
 		return err
 	}
-	k.set(at, copySource{address: k.from.Address, handle: handle})
+	k.setSource(copySource{address: k.from.Address, handle: handle})
 	return nil
 }
 
+// holder returns the server of the new copy; nil if there is none.
 func (k *copyKeeper) holder() *directory.Entry {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.at
 }
 
-// set records the server of the new copy. Without a source the known one is kept: a refresh that does not end leaves the
-// copy as it was.
-func (k *copyKeeper) set(at *directory.Entry, source copySource) {
+// setHolder records the server of the new copy.
+func (k *copyKeeper) setHolder(at *directory.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.at = at
-	if source.handle != "" {
-		if k.source.handle == "" {
-			telemetry.Counter(k.call.options.Metrics, "copies.replaced").Inc(1)
-		}
-		k.source = source
+}
+
+// setSource records the source of the new copy after a complete transfer.
+func (k *copyKeeper) setSource(source copySource) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.source.handle == "" {
+		telemetry.Counter(k.call.options.Metrics, "copies.replaced").Inc(1)
 	}
+	k.source = source
 }
 
-// drop forgets the new copy and releases its memory.
+// drop forgets the new copy and releases the memory that is reserved for it.
 func (k *copyKeeper) drop() {
 	k.mu.Lock()
 	at := k.at
@@ -125,8 +132,9 @@
 	}
 }
 
-// end takes the new copy over into the stream once the run has ended. The run's context must have ended.
-func (k *copyKeeper) end(runEnd runEnd) {
+// end makes the new copy the backup of the stream, or frees it if the stream needs no further run. The run's context must
+// have ended, and the run must not be watched any more.
+func (k *copyKeeper) end(how runEnd) {
 	k.done.Wait()
 	if !k.lost {
 		return
@@ -135,7 +143,7 @@
 	switch {
 	case k.source.handle == "":
 		k.drop()
-	case runEnd == runComplete || runEnd == runCallerGone:
+	case how == runComplete || how == runCallerGone:
 		go k.call.freeCopy(k.from.Entry, k.source.handle)
 		k.drop()
 	default:
@@ -143,7 +151,7 @@
 	}
 }
 
-// sleepIn waits, and returns false if ctx ended first.
+// sleepIn waits for d, and returns false if ctx ended first.
 func sleepIn(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -155,8 +163,8 @@
 	}
 }
 
-// moveCopy has a server copy the KV cache of a run, which goes on, to the server at an address. It returns the handle of
-// the copy.
+// moveCopy asks the server of a run to copy the run's KV cache to the server at an address. The run continues. It returns
+// the handle of the copy.
 func (g *Gateway) moveCopy(ctx context.Context, from directory.Entry, request wigeonfork.RequestID, to string) (string, error) {
 	target, order := g.options.Codec.MoveCopy(request, to)
 	response, body, err := g.exchange(ctx, from, &upstream.Request{Method: http.MethodPost, Target: target, Body: order, HasBody: true})
@@ -166,8 +174,8 @@
 	return g.options.Codec.ReadCopy(response.Status, body)
 }
 
-// freeCopy frees a copy that is not needed, at both ends.
+// freeCopy asks the server that made a copy to free it, there and at the server that holds it.
 func (g *Gateway) freeCopy(from directory.Entry, handle string) {
-	// An engine frees the copy by itself some seconds later.
+	// If this fails, the engine frees the copy by itself some seconds later.
 	_, _, _ = g.exchange(g.background, from, &upstream.Request{Method: http.MethodDelete, Target: g.options.Codec.FreeCopyTarget(handle)})
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -59,7 +59,7 @@
 	identify func(directory.Entry)
 	// announce queues a message to the peers.
 	announce func(loadshare.Message)
-	// shareCapacity queues for the peers what was found out of a server.
+	// shareCapacity queues the measured capacity of a server for the peers.
 	shareCapacity func(loadshare.ServerCapacity)
 
 	mu        sync.Mutex
@@ -77,7 +77,7 @@
 	versions     versionPolicy
 	versionOrder map[wigeonfork.Model][]wigeonfork.Version
 	versionCount map[serviceVersion]int
-	// enginesCrash is set if engines crash without memory.
+	// enginesCrash is set if an engine whose requests exceed its memory crashes.
 	enginesCrash bool
 	// probedAt is when each suspected server was last probed.
 	probedAt map[serverID]time.Time
@@ -214,7 +214,8 @@
 }
 
 // backup returns a server to keep a copy of the KV cache of a run at primary, or nil.
-// It reserves memory there, which the caller must free by releaseBackup. replaces is set if an earlier copy was lost.
+// It reserves memory there, which the caller must free by releaseBackup. replaces is set if the copy replaces one whose
+// server was lost.
 func (f *fleet) backup(now time.Time, primary *placement, work routing.Work, replaces bool) *directory.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/fleet_peers.go
+++ b/gateway/fleet_peers.go
@@ -43,7 +43,8 @@
 	return f.entries[id].Service, true
 }
 
-// announceOccupancy tells the peers of the end of a request, or of a copy of one, where room is counted.
+// announceOccupancy tells the peers that a request has ended at a server, or that the server keeps or has dropped a copy.
+// It does nothing if the memory of the server is not counted.
 func (f *fleet) announceOccupancy(kind loadshare.Kind, id serverID, work *routing.Work) {
 	if !f.router.CountsRoom(id) {
 		return
@@ -55,7 +56,7 @@
 	f.announce(m)
 }
 
-// peerOccupancy applies the end of a peer's request, or what became of a copy of one.
+// peerOccupancy applies a peer's message that a request has ended, or that a copy is kept or was dropped.
 func (f *fleet) peerOccupancy(now time.Time, m loadshare.Message) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -40,7 +40,7 @@
 	registeredAt   time.Time
 	pending        []loadshare.Message
 	flushScheduled bool
-	// pendingCapacity is what was found out of servers and is still to be sent.
+	// pendingCapacity holds the measured capacities that are still to be sent.
 	pendingCapacity []loadshare.ServerCapacity
 }
 
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -18,8 +18,8 @@
 	// heldFraction is the fraction of the memory limit that may hold the bytes of callers and servers. The rest is for
 	// what each connection needs, the garbage between two collections and the buffers of sockets.
 	heldFraction = 0.25
-	// crowdedHeads is the fraction of the quota that heads hold when a refused request is ended at once. Otherwise its body
-	// is read first, for which its head is held.
+	// crowdedHeads is a fraction of the quota. If heads hold more, the body of a refused request is not read, since the
+	// head would be held meanwhile.
 	crowdedHeads = 0.5
 	// unlimitedBytes is the quota of a gateway without a memory limit, in bytes.
 	unlimitedBytes = math.MaxInt64 / 4
@@ -65,7 +65,7 @@
 	}
 }
 
-// headsCrowd reports whether the heads of callers hold so much that none may be held for a request that is refused.
+// headsCrowd reports whether the heads of callers hold more than crowdedHeads of the quota.
 func (g *Gateway) headsCrowd() bool {
 	usage := g.memory.Usage()
 	return float64(usage.ByKind[memquota.CallerHead]) > crowdedHeads*float64(usage.Limit)
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -129,7 +129,8 @@
 	return g.exchange(g.background, entry, &upstream.Request{Method: http.MethodGet, Target: target})
 }
 
-// exchange makes a request on behalf of the gateway itself and reads the answer. The request names method, target and body.
+// exchange makes a request on behalf of the gateway itself and reads the answer. The request holds the
+// method, the target and the body; exchange sets its other fields. It ends after fetchTimeout.
 func (g *Gateway) exchange(ctx context.Context, entry directory.Entry, request *upstream.Request) (*upstream.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -64,23 +64,24 @@
 	ReadRate float64 `json:"prompt_tokens_per_second"`
 	// Room is the memory of the server's engine; nil if it is not counted.
 	Room *RoomState `json:"room,omitempty"`
-	// Capacity is what the server was found to take well; nil if it does not report its slowdown.
+	// Capacity is the measured capacity of the server; nil if it does not report its slowdown.
 	Capacity *CapacityState `json:"capacity,omitempty"`
 }
 
-// CapacityState is what a server was found to take well.
+// CapacityState is the measured capacity of a server.
 type CapacityState struct {
-	// Slowdown is the present factor of the usual time, and SlowdownAgeMs the age of what the server said of it.
+	// Slowdown is the present duration of work divided by its usual duration. SlowdownAgeMs is the age of the server's
+	// last report of it in milliseconds.
 	Slowdown      float64 `json:"slowdown"`
 	SlowdownAgeMs int64   `json:"slowdown_age_ms"`
 	// ServiceMs is the usual time of a request without a prompt in milliseconds; 0 if it is not known.
 	ServiceMs float64 `json:"service_ms"`
-	// Takes is the number of requests without a prompt in flight that the server takes well.
+	// Takes is the number of requests without a prompt that may be in flight before they take much longer than usual.
 	Takes float64 `json:"takes"`
 }
 
-// RoomState is the memory of an engine in tokens, as all entries together use it. Requests is the number of requests that
-// occupy it.
+// RoomState is the memory of an engine in tokens: its size, what the requests of all entries use, and what copies of KV
+// caches use. Requests is the number of requests that use it.
 type RoomState struct {
 	Limit    int `json:"tokens"`
 	Used     int `json:"used_tokens"`
@@ -124,7 +125,7 @@
 		servers = append(servers, ServerState{
 			ID: id, Service: entry.Service, Address: entry.Address, Domain: entry.Domain, Version: entry.Version,
 			State: f.servers.State(id).String(), GapUs: gap.Microseconds(), ReadRate: rate,
-			Room:     f.roomState(now, id),
+			Room:     f.roomLocked(now, id),
 			Capacity: f.capacityLocked(now, id),
 		})
 	}
@@ -132,8 +133,8 @@
 	return f.streams.Len(), servers
 }
 
-// roomState returns the state of a server's memory, or nil if it is not counted.
-func (f *fleet) roomState(now time.Time, id serverID) *RoomState {
+// roomLocked returns the state of a server's memory, or nil if it is not counted.
+func (f *fleet) roomLocked(now time.Time, id serverID) *RoomState {
 	room := f.router.Room(now, id)
 	if room.Limit == 0 {
 		return nil
@@ -141,6 +142,7 @@
 	return &RoomState{Limit: room.Limit, Used: room.Used, Backups: room.Backups, Requests: room.Requests}
 }
 
+// capacityLocked returns what is known of a server's capacity, or nil if the server does not report its slowdown.
 func (f *fleet) capacityLocked(now time.Time, id serverID) *CapacityState {
 	c, ok := f.router.Capacity(now, id)
 	if !ok {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -81,8 +81,8 @@
 // target is the server of the next run of a stream.
 type target struct {
 	place *placement
-	// hasCopy is set if the server holds a copy of the last run's KV cache. If that was moved there, copySource is where
-	// it was made.
+	// hasCopy is set if the server holds a copy of the last run's KV cache. copySource is zero unless a copyKeeper made
+	// that copy.
 	hasCopy    bool
 	copySource copySource
 }
@@ -98,7 +98,7 @@
 	// totalSends counts all sends, including those that did not run.
 	totalSends int
 	// backup is the server that holds a copy of the last run's KV cache.
-	// If that was moved there, backupSource is where it was made.
+	// backupSource is zero unless a copyKeeper made that copy.
 	backup       *directory.Entry
 	backupSource copySource
 	// failure is a server's error answer. It is delivered if no run succeeds.
--- a/gateway/told_configuration.go
+++ b/gateway/told_configuration.go
@@ -10,11 +10,11 @@
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
-// toldGrace is the time that an entry gives its peers to send it a new configuration before
-// it reads that from the store itself.
+// toldGrace is how long an entry that knows of a new configuration waits for a peer to send it
+// before it reads the store itself.
 const toldGrace = 150 * time.Millisecond
 
-// tellConfiguration sends all peers the configuration that this entry has just read for all.
+// tellConfiguration sends the configuration that this entry has just read, so that its peers need not read the store.
 func (g *Gateway) tellConfiguration(change *ConfigurationChange, report loadshare.Message) {
 	if g.gossip == nil || len(change.Content) == 0 {
 		return
@@ -36,7 +36,7 @@
 	g.configFollower.wake()
 }
 
-// relayConfiguration sends an update to the peers that get it from this entry.
+// relayConfiguration sends an update to the peers to which this entry must pass it.
 func (s *gossiper) relayConfiguration(now time.Time, u *loadshare.ConfigurationUpdate) {
 	s.mu.Lock()
 	targets := s.peers.RelayTargets(now, u.Origin)
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -16,19 +16,20 @@
 )
 
 const (
-	// roomPoll is the time between two searches for room by the request that goes next. Each less urgent rank looks less
-	// often by roomPollPerRank, so that more urgent requests at other gateways find free room first.
+	// roomPoll is the time between two searches for room by the request whose turn it is. It is longer by roomPollPerRank
+	// for each less urgent rank, up to maxRoomPoll, so that more urgent requests at other gateways find free room first.
 	roomPoll        = 10 * time.Millisecond
 	roomPollPerRank = 10 * time.Millisecond
 	maxRoomPoll     = 80 * time.Millisecond
-	// waitCheck is the time between two checks of a request that doesn't go next.
+	// waitCheck is the time between two checks of a request whose turn it is not.
 	waitCheck = 100 * time.Millisecond
-	// waitShare is the part of a caller's remaining time that a request may wait for room: 1/waitShare, or the latency
-	// objective if that is longer, but at most 1 - 1/waitShare.
+	// A request with a deadline may wait for room for 1/waitShare of the time that is left until then, or for the latency
+	// objective if that is longer, but must keep 1/waitShare of that time for its run.
 	waitShare = 3
 	// defaultMaxWait is the longest wait of a request without deadline and latency objective.
 	defaultMaxWait = 5 * time.Second
-	// maxResumeWait is the longest wait for room of a request that was sent before. Then it goes to a server without.
+	// maxResumeWait is the longest wait for room of a request that was sent before. Then it goes to a server
+	// that has no room.
 	maxResumeWait = 3 * time.Second
 	// firstRoomIn is the predicted time until a server has room before the router has predicted one.
 	firstRoomIn = 50 * time.Millisecond
@@ -44,14 +45,15 @@
 	services map[wigeonfork.Model]*serviceWaiting
 }
 
-// serviceWaiting holds those of one service. roomIn is the last prediction of when a server has room.
+// serviceWaiting holds the waiting requests of one service. roomIn is the last predicted time until a server has room.
 type serviceWaiting struct {
 	queue   *waitqueue.Queue
 	waiters map[*waitqueue.Ticket]*waiter
 	roomIn  time.Duration
 }
 
-// waiter is a waiting request. Its wake channel holds at most one signal. It is refused once it has lost its place.
+// waiter is a waiting request. Its wake channel holds at most one signal. refused is set if it was removed
+// from the queue without being admitted.
 type waiter struct {
 	ticket  *waitqueue.Ticket
 	wake    chan struct{}
@@ -99,8 +101,8 @@
 	return joined, nil
 }
 
-// isNext reports whether it is a request's turn to look for room, and the time to its next look. refused is set if it
-// waits no longer.
+// isNext reports whether it is a request's turn to look for room, and the time until the next check. refused is set if the
+// request must wait no longer: it was removed from the queue, or it is not its turn by its StartBy.
 func (w *waitingRequests) isNext(now time.Time, service wigeonfork.Model, r *waiter) (next, refused bool, again time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -115,7 +117,7 @@
 	return true, false, min(maxRoomPoll, roomPoll+time.Duration(s.queue.MostUrgent())*roomPollPerRank)
 }
 
-// noRoom records that the request that goes next found no room, and refuses those that would wait too long.
+// noRoom records that the request whose turn it is found no room, and refuses those that would wait too long.
 func (w *waitingRequests) noRoom(now time.Time, service wigeonfork.Model, roomIn time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -147,7 +149,7 @@
 	}
 }
 
-// leave removes a request that waits no longer. It does nothing if the request was admitted.
+// leave removes a request from the queue. It does nothing if the request was admitted.
 func (w *waitingRequests) leave(service wigeonfork.Model, r *waiter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -166,6 +168,7 @@
 	return &waitqueue.TooLongError{Wait: wait, RetryIn: wait}
 }
 
+// refuse marks the waiter of a ticket that is no longer in the queue as refused, and wakes it.
 func (w *waitingRequests) refuse(s *serviceWaiting, t *waitqueue.Ticket) {
 	telemetry.Counter(w.metrics, "waiting.refused_rank_"+strconv.Itoa(int(t.Rank))).Inc(1)
 	if r := s.waiters[t]; r != nil {
@@ -174,7 +177,7 @@
 	}
 }
 
-// changed wakes the request that goes next, and updates the number of waiting requests of a rank.
+// changed wakes the request whose turn it is, and updates the gauge of the waiting requests of a rank.
 func (w *waitingRequests) changed(s *serviceWaiting, rank wigeonfork.Rank) {
 	telemetry.Gauge(w.metrics, "waiting.rank_"+strconv.Itoa(int(rank))).Update(int64(s.queue.Waiting(rank)))
 	if next := s.waiters[s.queue.Next()]; next != nil {
@@ -272,7 +275,7 @@
 	return host
 }
 
-// startBy returns when a new request must have found room.
+// startBy returns the time by which a new request must have found room; see waitShare and defaultMaxWait.
 func (c *call) startBy(now time.Time) time.Time {
 	objective := c.route.LatencyObjective
 	if c.deadline.IsZero() {
--- a/gateway/watched_runs.go
+++ b/gateway/watched_runs.go
@@ -23,8 +23,8 @@
 	ended       bool
 	// suspicion is why the run would have ended if its stream could continue elsewhere, or nil.
 	suspicion error
-	// copyAt is the server that holds the copy of the run's KV cache; empty if there is none. copyLost is called, with the
-	// fleet's lock held, when that is lost.
+	// copyAt is the server that holds the copy of the run's KV cache; empty if it is not watched. copyLost is called, with
+	// the fleet's lock held, when that server is lost or removed.
 	copyAt   serverID
 	copyLost func()
 	// suspectedAt is when the suspicion arose.
@@ -47,7 +47,7 @@
 	f.runs[run].copyAt, f.runs[run].copyLost = at, lost
 }
 
-// copiesLostLocked tells the runs whose copies a lost server holds.
+// copiesLostLocked calls copyLost of the runs whose copies a lost or removed server holds.
 func (f *fleet) copiesLostLocked(id serverID) {
 	for _, run := range f.runs {
 		if run.copyAt == id && run.copyLost != nil {
--- a/httpserver/heads.go
+++ b/httpserver/heads.go
@@ -16,24 +16,25 @@
 )
 
 const (
-	// headByteCost is the number of bytes that are held for each byte of a head, and headLineCost the number of bytes that
-	// are held for each line beside its text.
+	// headByteCost is the number of bytes that are counted in the quota for each byte of a head, and headLineCost the number
+	// that is counted for each line in addition.
 	headByteCost = 2
 	headLineCost = 128
 	// readAhead is the number of bytes that the server may read beyond the end of a head.
 	readAhead = 4 << 10
-	// largeTurns is the number of large heads of which more is read at the same time while memory for heads is short, and
-	// largeTurnTime the time for which each then waits. A head that grows leaves its shorter copies to the garbage collector,
-	// which must keep up.
+	// While memory for heads is short, each read of a head longer than memquota.SmallBytes is followed by a wait of
+	// largeTurnTime. At most largeTurns heads wait at the same time, and the others queue. When the buffer of a head grows,
+	// its old copy becomes garbage: the waits give the garbage collector time to free these.
 	largeTurns    = 8
 	largeTurnTime = time.Millisecond
-	// maxLingering bounds the refused connections that are read on until the caller has sent its request, as one that does not
-	// watch for an early answer does. The others are reset.
+	// maxLingering bounds the number of connections that are still read after a refusal, for callers that read the answer only
+	// after they have sent the whole request. Further connections are closed at once.
 	maxLingering = 16
 	// lingerTime and lingerBytes bound how long, and for how many bytes, such a connection is read.
 	lingerTime  = 5 * time.Second
 	lingerBytes = 16 << 20
-	// lingerPiece bytes are read of it in each lingerPause, so that callers without end don't use up the processor.
+	// lingerPiece bytes are read of it at a time, with lingerPause after each, so that a caller that keeps sending does not
+	// use much processor time.
 	lingerPiece = 32 << 10
 	lingerPause = time.Millisecond
 	// answerTimeout bounds the write of a refusal.
@@ -47,8 +48,8 @@
 const (
 	// HeadTooLarge means that the head exceeds the limit. The answer is 431.
 	HeadTooLarge HeadRefusal = "too_large"
-	// HeadEvicted means that incomplete heads held too many bytes, and that this one had held most for longest. The answer
-	// is 503: the request has not run.
+	// HeadEvicted means that incomplete heads held too many bytes, and that this one had the greatest product of bytes held
+	// and time since its first byte among those of its address. The answer is 503: the request has not run.
 	HeadEvicted HeadRefusal = "evicted"
 	// HeadTooSlow means that the head took too long while memory was short. The answer is 408: the request has not run.
 	HeadTooSlow HeadRefusal = "too_slow"
@@ -141,16 +142,16 @@
 func (g *HeadGuard) EndOverdue(now time.Time, limit time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.refuse(g.heads.EndOverdue(now, limit), HeadTooSlow)
+	g.refuseLocked(g.heads.EndOverdue(now, limit), HeadTooSlow)
 }
 
-// refuse makes the reads of heads fail. The lock must be held.
-func (g *HeadGuard) refuse(heads []*memquota.Head, reason HeadRefusal) {
+// refuseLocked records why heads are refused, and ends the reads that wait for their next bytes. The lock must be held.
+func (g *HeadGuard) refuseLocked(heads []*memquota.Head, reason HeadRefusal) {
 	for _, h := range heads {
 		c := g.conns[h]
 		delete(g.conns, h)
 		c.refused = reason
-		// The read that waits returns, and the reader answers. A connection that is closed needs no answer.
+		// The reader then writes the answer. This fails only if the connection is closed, which needs no answer.
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -184,8 +185,8 @@
 	// hold counts the head until the request ends, and received the bytes of the head.
 	hold     *memquota.Hold
 	received int64
-	// lingers is set once a refusal was written that the caller has to read.
-	lingers atomic.Bool
+	// answered is set once the answer to a refused head was written.
+	answered atomic.Bool
 
 	// head and refused are guarded by the guard's lock. head is nil while no head is incomplete.
 	head    *memquota.Head
@@ -200,11 +201,11 @@
 	return conn
 }
 
-// CloseWrite ends what is sent, if the connection can.
+// CloseWrite closes the sending direction. It returns an error if the connection can't close one direction alone.
 func (c *headConn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
-		return errors.New("the connection has no end of one direction")
+		return errors.New("the connection can't close one direction alone")
 	}
 	return half.CloseWrite()
 }
@@ -232,8 +233,8 @@
 	g.heads.End(c.head)
 	delete(g.conns, c.head)
 	c.head = nil
-	if c.refused != "" && !c.lingers.Load() {
-		// The last byte came before the refusal, so that the request is served.
+	if c.refused != "" && !c.answered.Load() {
+		// The head was complete before the refusal took effect, so the request is served.
 		c.refused = ""
 		_ = c.SetReadDeadline(time.Time{})
 	}
@@ -279,6 +280,7 @@
 	return c.refusal()
 }
 
+// refusal returns why the head was refused, or an empty string.
 func (c *headConn) refusal() HeadRefusal {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
@@ -302,13 +304,14 @@
 		return c.refused
 	}
 	g.conns[c.head] = c
-	g.refuse(g.heads.Grow(c.head, time.Now(), cost), HeadEvicted)
+	g.refuseLocked(g.heads.Grow(c.head, time.Now(), cost), HeadEvicted)
 	return c.refused
 }
 
-// answer writes the answer to a refused head. It returns an error upon which the server writes none of its own.
+// answer writes the answer to a refused head. It returns a net.OpError of a read, upon which http.Server
+// writes no answer of its own.
 func (c *headConn) answer(reason HeadRefusal) error {
-	if !c.lingers.Swap(true) {
+	if !c.answered.Swap(true) {
 		c.guard.onRefused(reason)
 		// A caller that doesn't read its answer, or has left, gets none.
 		_ = c.SetWriteDeadline(time.Now().Add(answerTimeout))
@@ -317,10 +320,10 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errHeadRefused}
 }
 
-// Close implements net.Conn. After a refusal it reads on for a while, since a caller that still sends would otherwise get a
-// reset in place of the answer. It doesn't while memory is short.
+// Close implements net.Conn. After a refusal the connection is read for a while before it is closed, since a caller that
+// still sends would otherwise get a reset in place of the answer. While memory for heads is short it is closed at once.
 func (c *headConn) Close() error {
-	if !c.lingers.Load() || c.guard.isShort() {
+	if !c.answered.Load() || c.guard.isShort() {
 		return c.Conn.Close()
 	}
 	select {
@@ -332,6 +335,7 @@
 	}
 }
 
+// linger reads the connection within lingerTime and lingerBytes, then closes it.
 func (c *headConn) linger() {
 	defer func() { <-c.guard.lingering }()
 	// Errors mean that the caller has left.
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -22,8 +22,8 @@
 	StreamPath = "/stream/"
 	// OncePath is the path of streams that may not continue at another runner.
 	OncePath = "/once/"
-	// UrgentPath and LatePath are the paths of streams that are more and less urgent than those of StreamPath, if
-	// kinds compete.
+	// UrgentPath and LatePath are the paths of streams that are more and less urgent than those of StreamPath. They have
+	// routes only if Options.Competing is set.
 	UrgentPath        = "/urgent/"
 	LatePath          = "/late/"
 	SafePath          = "/safe/"
@@ -59,7 +59,7 @@
 	CrashingParts []string
 	CrashRestart  time.Duration
 	CrashesSilent bool
-	// Competing adds the routes of UrgentPath and LatePath, and the tenant has no priority of its own.
+	// Competing adds the routes of UrgentPath and LatePath, and leaves out the tenant's priority, so that the route's counts.
 	Competing bool
 }
 
@@ -343,7 +343,7 @@
 	d.putOperatorRow("config", value)
 }
 
-// compete adds a route of more urgent and one of less urgent streams.
+// compete adds the routes of more and less urgent streams, and removes the tenant's own priority.
 func compete(c *Configuration, urgent, late object) {
 	urgent["priority"], late["priority"] = 0, 2
 	c.Routes = append(c.Routes, urgent, late)
--- a/standin/runner/memory.go
+++ b/standin/runner/memory.go
@@ -12,19 +12,19 @@
 // DefaultPriority is the priority of a request that names none; 0 is the most urgent.
 const DefaultPriority = 5
 
-// Memory is what a model runner has for its running requests.
+// Memory is the memory of a model runner for its running requests.
 type Memory struct {
-	// Tokens is the number of tokens that fit in; 0 means that they are not counted.
+	// Tokens is the size of the memory in tokens; 0 means that they are not counted.
 	Tokens int
-	// RefuseFull refuses a request that does not fit in, as not executed. Otherwise the request waits, and a more
+	// RefuseFull is set if a request that does not fit is refused as not executed. Otherwise the request waits, and a more
 	// urgent one preempts the newest of the least urgent.
 	RefuseFull bool
 }
 
-// holding is the share of one run in a memory.
+// holding is what one run holds, or waits for, of a memory. A lower priority is more urgent; a lower sequence is older.
 type holding struct {
 	priority, sequence, tokens int
-	// admitted gets a value when the run has its tokens, and preempted when it has lost them again.
+	// admitted receives a value when the run gets its tokens, and preempted when it loses them again.
 	admitted, preempted chan struct{}
 }
 
@@ -65,8 +65,8 @@
 	}
 }
 
-// lost reports whether the run was preempted since the last call.
-func (h *holding) lost() bool {
+// wasPreempted reports whether the run was preempted since the last call.
+func (h *holding) wasPreempted() bool {
 	select {
 	case <-h.preempted:
 		return true
@@ -84,7 +84,8 @@
 	m.admit()
 }
 
-// admit gives tokens to the waiting runs, the most urgent first and the oldest of these.
+// admit gives tokens to the waiting runs, the most urgent first and the oldest of these. It preempts less urgent runs. A
+// run that needs more than the whole memory is admitted alone.
 func (m *memory) admit() {
 	slices.SortFunc(m.waiting, before)
 	for len(m.waiting) > 0 {
@@ -112,7 +113,7 @@
 	}
 	m.remove(last)
 	m.waiting = append(m.waiting, last)
-	// A run that has not noticed that it was admitted waits on.
+	// A run that has not yet received its admission continues to wait; it needs no notice of the preemption.
 	select {
 	case <-last.admitted:
 	default:
@@ -153,7 +154,8 @@
 	return priority
 }
 
-// tokensOf returns the tokens of a request's prompt and of its longest answer; 0 if it does not tell.
+// tokensOf returns the number of tokens of a request's prompt and of its longest answer together; 0 if the request does
+// not state them.
 func tokensOf(q *http.Request) int {
 	in, out, _ := strings.Cut(q.Header.Get("Wigeonfork-Token-Count"), ",")
 	// A count that is missing or malformed is 0.
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -41,9 +41,9 @@
 	// CrashingParts holds the ids of prompt parts that crash each model runner when it would write
 	// the first event of its answer, unless the part is the last of the prompt.
 	CrashingParts map[string]bool
-	// Memory is what a model runner has for its running requests.
+	// Memory is the memory of a model runner for its running requests.
 	Memory Memory
-	// Slowdown is what SetSlowdown sets first.
+	// Slowdown is the initial slowdown, in percent; see SetSlowdown.
 	Slowdown int64
 }
 
@@ -218,7 +218,8 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// SetSlowdown sets how long work takes, in percent of the usual, and lets the load header state it. 0 ends both.
+// SetSlowdown sets how long work takes, in percent of the usual, and makes the load header state it. With 0, work takes as
+// long as usual and the load header does not state it.
 func (r *Runner) SetSlowdown(percent int64) { r.slowdown.Store(percent) }
 
 // work sleeps for the time that work of the usual duration takes now. It returns false if the request ended first.
@@ -229,10 +230,10 @@
 	return loopback.Sleep(q.Context(), usual)
 }
 
-// continues lets a run that was preempted wait for its memory and process its prompt again. It returns false if the
-// request ended first.
-func (r *Runner) continues(q *http.Request, held *holding) bool {
-	return !held.lost() || held.await(q.Context()) && r.work(q, r.options.Prefill)
+// resumePreempted waits, if the run was preempted, until it has its memory again and has processed its prompt again. It
+// returns false if the request ended first.
+func (r *Runner) resumePreempted(q *http.Request, held *holding) bool {
+	return !held.wasPreempted() || held.await(q.Context()) && r.work(q, r.options.Prefill)
 }
 
 // serveMove copies the KV cache of a run to another runner. The run goes on.
@@ -363,11 +364,11 @@
 	if connection := r.currentFaults().Connection; connection != "" {
 		h.Set("Connection", connection)
 	}
-	r.setNotices(w)
+	r.setStateHeaders(w)
 }
 
-// setNotices sets the headers in which the runner says how it is.
-func (r *Runner) setNotices(w http.ResponseWriter) {
+// setStateHeaders sets the headers that state the runner's load and whether it leaves or wants a pause.
+func (r *Runner) setStateHeaders(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set("Wigeonfork-Instance-Load", r.loadText())
 	if leaving := r.currentLeaving(); leaving != "" {
@@ -473,7 +474,7 @@
 	}
 	held := r.memory.enter(q)
 	if held == nil {
-		r.setNotices(w)
+		r.setStateHeaders(w)
 		r.refuse(w, q)
 		return
 	}
@@ -511,7 +512,7 @@
 		if faults.Dribble != nil && id > run.LastEventID+faults.Dribble.Events {
 			r.dribble(w, q, run, faults.Dribble.Text)
 		}
-		if !r.continues(q, held) || !r.work(q, r.options.EventGap) {
+		if !r.resumePreempted(q, held) || !r.work(q, r.options.EventGap) {
 			// Returning normally would end the response as if it were complete.
 			r.shared.endRun(run, true)
 			panic(http.ErrAbortHandler)
--- a/standin/runner/shared.go
+++ b/standin/runner/shared.go
@@ -118,8 +118,8 @@
 	s.moves[request] = to
 }
 
-// MovedTo returns the address to which the KV cache of a request's run was last copied on order; empty if there was no
-// order.
+// MovedTo returns the address to which the gateway last asked to copy the KV cache of a request's run; empty if it did
+// not ask.
 func (s *SharedState) MovedTo(request string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -188,7 +188,7 @@
 }
 
 // stream requests a stream. If an attempt fails, the next one resumes after the last event
-// received. A patient caller waits as long as a refusal asks. It returns whether the stream was complete in the end.
+// received. A patient caller waits at least the Retry-After of a refusal. It returns whether the stream was complete in the end.
 func (c *callerGroup) stream(client *http.Client, r *rand.Rand, path string, patient bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
@@ -207,7 +207,7 @@
 	return false
 }
 
-// streamOnce makes one attempt. It returns whether the stream is complete, and the time that a refusal asks to wait.
+// streamOnce makes one attempt. It returns whether the stream is complete, and the Retry-After of a refusal, or 0.
 func (c *callerGroup) streamOnce(ctx context.Context, client *http.Client, r *rand.Rand, path string, last *uint64) (bool, time.Duration) {
 	i := c.newAttempt(deployment.APIKey, false)
 	request := c.request(ctx, r, i, "POST", path, deployment.APIKey)
--- a/test/soak/kinds.go
+++ b/test/soak/kinds.go
@@ -12,16 +12,16 @@
 )
 
 const (
-	// engineMemory is the memory of a model runner that counts it: two streams of tokenCount fit in.
+	// engineMemory is the memory, in tokens, of a model runner that counts it. Two streams of tokenCount fit.
 	engineMemory = 300
-	// tokenCount names the tokens of a stream's prompt and answer.
+	// tokenCount is the header's value for a stream: the numbers of tokens of its prompt and of its answer.
 	tokenCount = "80,40"
-	// minStreams is the number of streams of a kind from which its share is judged, and shareFactor how much less often
-	// than all a kind may be served.
+	// A kind with at least minStreams streams is checked: the share of its streams that are complete must be at least
+	// 1/shareFactor of that of all kinds together.
 	minStreams  = 10
 	shareFactor = 3
-	// A slow server takes minSlowdown to maxSlowdown percent of the usual time for minSlowTime to maxSlowTime. The next
-	// one turns slow up to slowPause later.
+	// A slow server takes minSlowdown to maxSlowdown percent of the usual time. It stays slow for minSlowTime to
+	// maxSlowTime. The next server becomes slow up to slowPause later. usualSlowdown is the percentage of the others.
 	minSlowdown, maxSlowdown = 150, 500
 	usualSlowdown            = 100
 	minSlowTime, maxSlowTime = time.Second, 3 * time.Second
@@ -37,14 +37,15 @@
 // kinds are the competing kinds, the most urgent first. The least urgent one alone fills the model runners.
 var kinds = []kind{{deployment.UrgentPath, 3}, {deployment.StreamPath, 3}, {deployment.LatePath, 14}}
 
-// load is what makes the load of a seed hard.
+// load describes how a seed makes placement harder: by servers with limited memory, or of uneven speed.
 type load struct {
-	// memory is what the model runners have. If it is counted, kinds compete for it.
+	// memory is the memory of the model runners. If it is counted, kinds compete for it.
 	memory runner.Memory
-	// uneven is set if servers turn slow and state their slowdown.
+	// uneven is set if servers become slow at times and state their slowdown.
 	uneven bool
 }
 
+// drawLoad returns the load of a seed.
 func drawLoad(seed uint64) load {
 	r := rand.New(rand.NewPCG(seed, 7))
 	memories := []runner.Memory{{}, {Tokens: engineMemory, RefuseFull: true}, {Tokens: engineMemory}}
@@ -110,7 +111,7 @@
 	}
 }
 
-// playSlowServers lets one server after another take longer than usual, until end.
+// playSlowServers makes one server after another slow for a while, until end. It returns how often it did so.
 func (s *system) playSlowServers(r *rand.Rand, end time.Time) (slowed int) {
 	for s.load.uneven && time.Now().Add(maxSlowTime).Before(end) {
 		time.Sleep(randomUpTo(r, slowPause))
@@ -125,7 +126,7 @@
 	return slowed
 }
 
-// checkKinds checks that every kind was served at least a shareFactor-th as often as all.
+// checkKinds checks the share of complete streams of every kind; see shareFactor.
 func (s *system) checkKinds(counts map[string]kindCount) {
 	var all kindCount
 	for _, k := range kinds {
@@ -140,11 +141,12 @@
 	}
 }
 
-// checkPriorities checks that no run was told to its runner as more urgent than a run of a more urgent kind, or as
-// equally urgent.
+// checkPriorities checks that each run of a kind reached its runner with a priority that is less urgent, thus a greater
+// number, than that of any run of a more urgent kind.
 func (s *system) checkPriorities(runs []runner.Run) {
 	least, most := map[string]int{}, map[string]int{}
 	for _, run := range runs {
+		// Callers append "x" to the path of the route.
 		path := strings.TrimSuffix(run.Path, "x")
 		priority, err := strconv.Atoi(run.Header.Get("Wigeonfork-Request-Priority"))
 		if err != nil {
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -82,17 +82,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make folder")
 	}
-	hard := drawLoad(seed)
+	drawn := drawLoad(seed)
 	d, err := deployment.Start(deployment.Options{
 		Engines: engines, Plain: plainServers,
-		Engine: hard.apply(engineOptions), PlainServer: hard.apply(plainOptions), Competing: hard.competing(),
+		Engine: drawn.apply(engineOptions), PlainServer: drawn.apply(plainOptions), Competing: drawn.competing(),
 		StreamTimeout: 15 * time.Second, PlainTimeout: 3 * time.Second,
 		CrashingBodies: []string{crashingBody}, CrashDelay: crashDelay, CrashRestart: crashRestart,
 	})
 	if err != nil {
 		return nil, err
 	}
-	s := &system{Deployment: d, options: o, binary: binary, folder: folder, random: rand.New(rand.NewPCG(seed, 1)), violations: &violationList{}, load: hard}
+	s := &system{Deployment: d, options: o, binary: binary, folder: folder, random: rand.New(rand.NewPCG(seed, 1)), violations: &violationList{}, load: drawn}
 	for i := range o.Gateways {
 		n, err := s.newNode(i)
 		if err != nil {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -85,7 +85,7 @@
 }
 
 // unacknowledged returns the number of bytes that were sent and that the peer has not acknowledged. It is 0 if that isn't
-// known. A peer that ends the connection in order has acknowledged what it received.
+// known. A peer that ends the connection without a reset has acknowledged what it received.
 func (c *conn) unacknowledged() int {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -44,10 +44,11 @@
 var ErrAbandoned = errors.New("the request is not wanted any more")
 
 // ErrEndUnknown means that a response ended with its connection although the request had not been sent and received as a
-// whole. The connection may have been reset: whoever writes to it gets the error then, and the reader sees a plain end.
+// whole. The connection may have been reset: the error is then reported to the write, and the read sees an ordinary
+// end of the stream.
 var ErrEndUnknown = errors.New("the connection ended before the request was sent, and with it an answer without a length")
 
-// ErrNoStatus means that the head of a response has a status outside of 100 to 599.
+// ErrNoStatus means that the status in the head of a response is malformed or is not from 100 to 599.
 var ErrNoStatus = errors.New("the answer has no valid status")
 
 // NoIdle as MaxIdle closes the connection after its use.
@@ -61,7 +62,7 @@
 	// ContentLength is -1 if the response gives no length.
 	ContentLength int64
 	// Unframed is set if the response has neither a length nor chunks, so that its body ends with
-	// the connection. Its Read returns ErrEndUnknown if that may be no complete body.
+	// the connection. Read of Body returns ErrEndUnknown if the body may not be complete.
 	Unframed bool
 	Body     io.ReadCloser
 	// Reused is set if the connection came from the pool.
@@ -137,7 +138,7 @@
 	body       io.ReadCloser
 	keepAlive  bool // neither side closes the connection after the response
 	framed     bool // the end of the response is marked by a length or by chunking
-	hasBody    bool // the response has a body, even if it is empty
+	hasBody    bool // the response may have a body, which may be empty
 	complete   bool // the body was read to its end
 	once       sync.Once
 	// sent is closed when the request has been sent. It is nil for a synchronous send.
@@ -174,11 +175,11 @@
 	}
 }
 
-// sentWhole reports whether the complete request was sent and has arrived, at the end of the connection. It ends a send that
-// is still in progress.
+// sentWhole reports whether the complete request was sent and acknowledged. It is called once the server has ended the
+// connection, and ends a send that is still in progress.
 func (x *exchange) sentWhole() bool {
 	if x.sent != nil {
-		// A connection that is closed already has ended the send.
+		// This fails if the connection is closed; then the send has ended.
 		_ = x.conn.SetWriteDeadline(time.Unix(1, 0))
 		<-x.sent
 	}
@@ -207,7 +208,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read the head of the answer")
 		}
-		if !isStatus(response) {
+		if !hasValidStatus(response) {
 			return nil, ErrNoStatus
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
@@ -222,8 +223,9 @@
 	maxStatus = 599
 )
 
-// isStatus reports whether the status of a response is one. Its text is compared too, since a sign may precede the digits.
-func isStatus(response *http.Response) bool {
+// hasValidStatus reports whether the status of a response is well formed and in range. http.ReadResponse also accepts a
+// sign before the digits.
+func hasValidStatus(response *http.Response) bool {
 	return response.StatusCode >= minStatus && response.StatusCode <= maxStatus &&
 		strings.HasPrefix(response.Status, strconv.Itoa(response.StatusCode))
 }
