Keep a replaced copy when bringing it up to date fails

Cause, found by a reader of the code: any failed transfer dropped the new copy. The transfer fails just when the run's own server is lost meanwhile, and the last complete copy was forgotten when it was needed.

Change: a copy that was complete once stays, unless its server is lost.

--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -67,7 +67,7 @@
 		if err := k.transfer(); err != nil {
 			failures++
 			wait = copyRetry
-			k.drop()
+			k.dropIncomplete()
 			k.call.options.Log.Info().Str("request", string(k.call.caller.ID)).Str("server", string(k.from.ID)).Err(err).Msg("copy_failed")
 		}
 		if !sleepIn(k.ctx, wait) {
@@ -132,6 +132,17 @@
 	}
 }
 
+// dropIncomplete drops the new copy unless a transfer to it was complete once. Otherwise it stays, without what the run has
+// made since: the run's own server may be lost now, which is why the last transfer failed.
+func (k *copyKeeper) dropIncomplete() {
+	k.mu.Lock()
+	complete := k.source.handle != ""
+	k.mu.Unlock()
+	if !complete {
+		k.drop()
+	}
+}
+
 // end makes the new copy the backup of the stream, or frees it if the stream needs no further run. The run's context must
 // have ended, and the run must not be watched any more.
 func (k *copyKeeper) end(how runEnd) {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -63,6 +63,8 @@
 	Crash bool
 	// Unframed, if set, makes answers end with their connection.
 	Unframed *Unframed
+	// StallMoves leaves orders to copy a run's memory unanswered.
+	StallMoves bool
 	// Connection is the Connection header of responses; empty for none.
 	Connection string
 	// Dribble, if set, makes streams stall.
@@ -246,6 +248,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r.currentFaults().StallMoves {
+		r.shared.recordStalledMove()
+		<-q.Context().Done()
+		return
+	}
 	handle := "moved-" + order.ID
 	r.shared.storeCopy(r.Address() + "/" + handle)
 	r.shared.recordMove(order.ID, order.To)
--- a/standin/runner/shared.go
+++ b/standin/runner/shared.go
@@ -39,6 +39,7 @@
 	notices map[string][]time.Time
 	copies  map[string]bool   // by backup address/request id
 	moves   map[string]string // destination by request id
+	stalled int               // orders to copy that were left unanswered
 	// missingCopies counts the requests for a copy that is not stored.
 	missingCopies int
 }
@@ -143,3 +144,16 @@
 	defer s.mu.Unlock()
 	return s.missingCopies
 }
+
+func (s *SharedState) recordStalledMove() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stalled++
+}
+
+// StalledMoves returns the number of orders to copy a run's memory that were left unanswered.
+func (s *SharedState) StalledMoves() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stalled
+}
