Notice the loss of a copy's server before the copy is watched

Cause, found by a reader of the code: a server that is lost between the choice of the copy's place and the begin of the watch left the run without a copy, and nobody made another.

Measured: TestCopyLostBeforeItIsWatchedCountsAsLost fails before; go test -race ./gateway passes.

--- a/gateway/watched_runs.go
+++ b/gateway/watched_runs.go
@@ -40,11 +40,15 @@
 	return id
 }
 
-// watchCopy has lost called, with the fleet's lock held, when the server that holds the copy of a run is lost.
+// watchCopy has lost called, with the fleet's lock held, when the server that holds the copy of a run is lost, or at once if
+// it is lost already.
 func (f *fleet) watchCopy(run health.StreamID, at serverID, lost func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.runs[run].copyAt, f.runs[run].copyLost = at, lost
+	if _, known := f.entries[at]; !known || f.servers.State(at) == health.Down {
+		lost()
+	}
 }
 
 // copiesLostLocked calls copyLost of the runs whose copies a lost or removed server holds.
--- a/gateway/watched_runs_test.go
+++ b/gateway/watched_runs_test.go
@@ -141,3 +141,22 @@
 		})
 	})
 }
+
+// Guards against a run without a copy whose loss nobody noticed, since the copy's server was lost before it was watched.
+func TestCopyLostBeforeItIsWatchedCountsAsLost(t *testing.T) {
+	Convey("Given a run at one server and its copy at another that is removed", t, func() {
+		now := time.Unix(1000, 0)
+		movable, ended := false, error(nil)
+		f := watchedFleet(now, &movable, &ended)
+		const run = 1
+		Convey("while it is watched, or before, the loss is told once", func() {
+			losses := 0
+			f.watchCopy(run, "i-2", func() { losses++ })
+			So(losses, ShouldEqual, 0)
+			f.replaceServers(now, []directory.Entry{f.entries["i-1"]})
+			So(losses, ShouldEqual, 1)
+			f.watchCopy(run, "i-2", func() { losses++ })
+			So(losses, ShouldEqual, 2)
+		})
+	})
+}
