Give each run of the hostile callers' test addresses of its own

Cause: its gateways had the same loopback addresses in each process of the test, and fixed ports.

Change: the address depends on the process id. Crowd, settings and bounds stay.

--- a/test/hostile/gateway_test.go
+++ b/test/hostile/gateway_test.go
@@ -44,11 +44,17 @@
 	ended   chan struct{}
 }
 
-// hosts numbers the loopback addresses of the gateways, whose metrics port is fixed.
+// hosts numbers the loopback addresses of the gateways, whose ports are fixed.
 var hosts atomic.Int64
 
+// nextHost returns a loopback address of this test process alone, so that two runs at the same time don't meet.
+func nextHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 201+pid%50, 1+pid/50%250, hosts.Add(1))
+}
+
 func startGateway(t *testing.T, binary, store string, memoryMB int) *gatewayProcess {
-	ip := fmt.Sprintf("127.7.9.%d", hosts.Add(1))
+	ip := nextHost()
 	settings := filepath.Join(t.TempDir(), "settings.toml")
 	text := fmt.Sprintf("node_name = \"g\"\nzone = \"zone-0\"\nip = %q\ninternal_ports = [7680, 7695]\n[listen]\nfront = %q\nready = %q\n[limits]\nmemory_mb = %d\n[platform]\naddress = %q\n",
 		ip, ip+":8603", ip+":8602", memoryMB, store)
