Review case 7: a stream goes on from the memory of another caller's request

Cause: the gateway's own calls to runners take any answer on a pooled connection, so a second answer to one order to copy a run passes for that to the next, with the handle of another run's copy. The case: a script with three runner processes. The one with the copies crashes, another answers at most one in twenty requests twice and then crashes too.

--- a/review/standin-2/severed.go
+++ b/review/standin-2/severed.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net/http"
 	"strconv"
@@ -36,14 +37,7 @@
 // stream sends a stream request that goes on after the event last, and kills its runner once the caller has received some
 // events. It reports whether the answer looked complete without the last event, or lacked or repeated one.
 func (w *world) stream(id string, last, killAfter int) (broken bool, err error) {
-	request, _ := http.NewRequest(http.MethodPost, "http://"+w.gateway+"/stream/2f", strings.NewReader("prompt of "+id))
-	request.Host = callersHost
-	request.Header.Set("Wigeonfork-Request-Id", id)
-	request.Header.Set("Wigeonfork-Deadline-Ms", "25000")
-	request.Header.Set("Wigeonfork-Model", "m")
-	request.Header.Set("Wigeonfork-Token-Count", "1000,200")
-	request.Header.Set("Wigeonfork-Prompt-Prefix", "5c1e07a2:200,91bd3f06:800")
-	request.Header.Set("Authorization", "Bearer "+apiKey)
+	request := w.newRequest(id)
 	if last > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(last))
 	}
@@ -118,3 +112,16 @@
 		}
 	}
 }
+
+// newRequest returns a stream request.
+func (w *world) newRequest(id string) *http.Request {
+	request, _ := http.NewRequest(http.MethodPost, "http://"+w.gateway+"/stream/2f", strings.NewReader("prompt of "+id))
+	request.Host = callersHost
+	request.Header.Set("Wigeonfork-Request-Id", id)
+	request.Header.Set("Wigeonfork-Deadline-Ms", "25000")
+	request.Header.Set("Wigeonfork-Model", "m")
+	request.Header.Set("Wigeonfork-Token-Count", "1000,200")
+	request.Header.Set("Wigeonfork-Prompt-Prefix", fmt.Sprintf("5c1e07a2:200,%x:800", crc32.ChecksumIEEE([]byte(id))))
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	return request
+}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -38,6 +38,8 @@
 	record  *os.File
 	folder  string
 	trouble bool
+	// copies is set if the runners copy the memory of runs.
+	copies  bool
 	store   *rowstore.Store
 	server  *http.Server
 	address string
@@ -48,8 +50,10 @@
 	runners   []*startedRunner
 	processes []*exec.Cmd
 	gateway   string
-	// runsAt holds the runner of the last run of each request.
-	runsAt map[string]string
+	// runsAt holds the runner of the last run of each request, and backupsAt the address of the runner that keeps its copy.
+	runsAt, backupsAt map[string]string
+	// extras counts the second answers of faulty runners.
+	extras int
 }
 
 // startedRunner is the process of a runner.
@@ -61,7 +65,7 @@
 
 // runCase sets the world up, plays a case and ends all processes. A case returns whether the rule was broken.
 func runCase(play func(*world) (broken bool, err error)) int {
-	w := &world{trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), runsAt: make(map[string]string)}
+	w := &world{trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), runsAt: make(map[string]string), backupsAt: make(map[string]string)}
 	var err error
 	if w.record, err = os.Create("record.txt"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -221,7 +225,7 @@
 		"services": []map[string]any{{
 			"name": engineName, "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
 			"engine": map[string]any{
-				"slots": 64, "kv_tokens": 88000, "kv_token_bytes": 327680, "link_mbps": 200000.0, "moves": false, "backups": false,
+				"slots": 64, "kv_tokens": 88000, "kv_token_bytes": 327680, "link_mbps": 200000.0, "moves": w.copies, "backups": w.copies,
 				"stride": 5, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 4.0, "models": []map[string]any{{"name": "m"}},
 			},
 		}},
@@ -332,14 +336,17 @@
 
 // noteRun notes a run of which a runner has printed the beginning.
 func (w *world) noteRun(line string) {
-	var id, server string
+	var id, server, backup string
 	var first int
-	if n, _ := fmt.Sscanf(line, "run %s at %s from event %d", &id, &server, &first); n < 3 {
-		return
-	}
+	n, _ := fmt.Sscanf(line, "run %s at %s from event %d with backup at %s", &id, &server, &first, &backup)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.runsAt[id] = server
+	if strings.HasPrefix(line, "extra answer") {
+		w.extras++
+	}
+	if n >= 3 {
+		w.runsAt[id], w.backupsAt[id] = server, backup
+	}
 }
 
 // runnerOf returns the runner of the last run of a request, or an empty text.
