--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,7 +18,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 runner|severed|foreign")
+		fmt.Fprintln(os.Stderr, "usage: standin-2 runner|severed|foreign|crowded")
 		os.Exit(exitNotRun)
 	}
 	switch os.Args[1] {
@@ -26,6 +26,8 @@
 		serveRunner(os.Args[2:])
 	case "severed":
 		os.Exit(runCase(playSevered))
+	case "crowded":
+		os.Exit(runCase(playCrowded))
 	case "foreign":
 		os.Exit(runCase(playForeign))
 	}
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -36,10 +36,15 @@
 	eventGap time.Duration
 	events   int
 	chunked  bool
+	// slots is the number of requests that run at once, and queue how many more wait; 0 slots is no limit.
+	slots, queue int
 
 	mu sync.Mutex
 	// copies holds the request of each copy of a run's memory that is kept here, by what Kv-From names.
 	copies map[string]string
+	// places holds one value for each request that runs, and held counts those that run or wait.
+	places chan struct{}
+	held   int
 	// extra is set while the runner is faulty. answers counts all its answers, and extras the second ones.
 	extra           bool
 	answers, extras int
@@ -54,6 +59,8 @@
 	gap := flags.Duration("gap", 50*time.Millisecond, "time between two events")
 	events := flags.Int("events", numEvents, "events of a stream")
 	chunked := flags.Bool("chunked", false, "answer in chunks")
+	slots := flags.Int("slots", 0, "requests that run at once; 0 is no limit")
+	queue := flags.Int("queue", 0, "requests that wait beside these")
 	_ = flags.Parse(arguments)
 	listener, err := net.Listen("tcp", *address)
 	if err != nil {
@@ -63,6 +70,7 @@
 	r := &runnerProcess{
 		id: *id, address: listener.Addr().String(), born: time.Now().UnixMilli(), prefill: *prefill, eventGap: *gap,
 		events: *events, chunked: *chunked, copies: make(map[string]string),
+		slots: *slots, queue: *queue, places: make(chan struct{}, *slots),
 	}
 	fmt.Printf("listening %s\n", listener.Addr())
 	for {
@@ -226,9 +234,53 @@
 	if backup := request.Header.Get("Wigeonfork-Kv-Backup"); backup != "" {
 		go sendCopy(backup, backup+"/"+id, id)
 	}
+	if !r.enter() {
+		r.say("refused %s at %s as not executed", id, r.id)
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nWigeonfork-Request-Id: %s\r\nWigeonfork-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+		return true
+	}
+	defer r.leave()
 	return r.stream(conn, request, id, memory, hasCopy)
 }
 
+// enter takes a place for a request, for which it may wait in the queue. It returns false if that is full.
+func (r *runnerProcess) enter() bool {
+	if r.slots == 0 {
+		return true
+	}
+	r.mu.Lock()
+	full := r.held >= r.slots+r.queue
+	if !full {
+		r.held++
+	}
+	r.mu.Unlock()
+	if full {
+		return false
+	}
+	r.places <- struct{}{}
+	return true
+}
+
+func (r *runnerProcess) leave() {
+	if r.slots == 0 {
+		return
+	}
+	<-r.places
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held--
+}
+
+// load returns the load header: the requests that run and wait, and the slots.
+func (r *runnerProcess) load() string {
+	if r.slots == 0 {
+		return "1,0,64"
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", min(r.held, r.slots), max(0, r.held-r.slots), r.slots)
+}
+
 // stream answers with the events after Last-Event-Id, made from the memory of a request. It returns false if the connection
 // ends with the answer.
 func (r *runnerProcess) stream(conn net.Conn, request *http.Request, id, memory string, hasCopy bool) bool {
@@ -238,7 +290,7 @@
 	if r.chunked {
 		out, framing = httputil.NewChunkedWriter(conn), "Transfer-Encoding: chunked"
 	}
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nWigeonfork-Request-Id: %s\r\nWigeonfork-Response-Signature: %s.%s\r\nWigeonfork-Instance-Load: 1,0,64\r\n%s\r\n\r\n", id, r.id, id, framing)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nWigeonfork-Request-Id: %s\r\nWigeonfork-Response-Signature: %s.%s\r\nWigeonfork-Instance-Load: %s\r\n%s\r\n\r\n", id, r.id, id, r.load(), framing)
 	if !hasCopy {
 		time.Sleep(r.prefill)
 	}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -39,7 +39,9 @@
 	folder  string
 	trouble bool
 	// copies is set if the runners copy the memory of runs.
-	copies  bool
+	copies bool
+	// slots is the number of requests that a runner runs at once, as its entry says.
+	slots   int
 	store   *rowstore.Store
 	server  *http.Server
 	address string
@@ -52,8 +54,9 @@
 	gateway   string
 	// runsAt holds the runner of the last run of each request, and backupsAt the address of the runner that keeps its copy.
 	runsAt, backupsAt map[string]string
-	// extras counts the second answers of faulty runners.
-	extras int
+	// extras counts the second answers of faulty runners, and refusals those of runners that are full, by request.
+	extras   int
+	refusals map[string]int
 }
 
 // startedRunner is the process of a runner.
@@ -65,7 +68,7 @@
 
 // runCase sets the world up, plays a case and ends all processes. A case returns whether the rule was broken.
 func runCase(play func(*world) (broken bool, err error)) int {
-	w := &world{trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), runsAt: make(map[string]string), backupsAt: make(map[string]string)}
+	w := &world{slots: 64, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), runsAt: make(map[string]string), backupsAt: make(map[string]string), refusals: make(map[string]int)}
 	var err error
 	if w.record, err = os.Create("record.txt"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -142,11 +145,16 @@
 
 // startRunner starts the process of a runner, and copies what it prints to the record.
 func (w *world) startRunner(id string, arguments []string) error {
+	return w.startRunnerAt(id, net.JoinHostPort(w.host, "0"), arguments)
+}
+
+// startRunnerAt starts the process of a runner at an address.
+func (w *world) startRunnerAt(id, address string, arguments []string) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	all := append([]string{"runner", "-id", id, "-address", net.JoinHostPort(w.host, "0")}, arguments...)
+	all := append([]string{"runner", "-id", id, "-address", address}, arguments...)
 	command := exec.Command(self, all...)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := command.StdoutPipe()
@@ -156,13 +164,17 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	w.mu.Lock()
 	w.processes = append(w.processes, command)
+	w.mu.Unlock()
 	lines := bufio.NewScanner(out)
 	if !lines.Scan() {
 		return errors.New("a runner printed no address")
 	}
 	r := &startedRunner{id: id, command: command, address: strings.TrimPrefix(lines.Text(), "listening ")}
+	w.mu.Lock()
 	w.runners = append(w.runners, r)
+	w.mu.Unlock()
 	w.register(r, 1)
 	go func() {
 		for lines.Scan() {
@@ -176,7 +188,7 @@
 // register writes the entry of a runner.
 func (w *world) register(r *startedRunner, sequence int) {
 	entry, _ := json.Marshal(map[string]any{
-		"service": engineName, "address": r.address, "zone": "zone-a", "version": "v1", "slots": 64, "state": "ready",
+		"service": engineName, "address": r.address, "zone": "zone-a", "version": "v1", "slots": w.slots, "state": "ready",
 		"cold_remaining_ms": 0, "phase": "unified", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
 		"sequence": sequence,
 	})
@@ -225,12 +237,15 @@
 		"services": []map[string]any{{
 			"name": engineName, "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
 			"engine": map[string]any{
-				"slots": 64, "kv_tokens": 88000, "kv_token_bytes": 327680, "link_mbps": 200000.0, "moves": w.copies, "backups": w.copies,
+				"slots": w.slots, "kv_tokens": 88000, "kv_token_bytes": 327680, "link_mbps": 200000.0, "moves": w.copies, "backups": w.copies,
 				"stride": 5, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 4.0, "models": []map[string]any{{"name": "m"}},
 			},
 		}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "tenant-a", "api_keys": []string{apiKey}, "priority": 1}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{
+			{"name": "tenant-a", "api_keys": []string{apiKey}, "priority": 1},
+			{"name": "tenant-b", "api_keys": []string{"key-of-tenant-b"}, "priority": 2},
+		},
 	})
 	w.store.Put("op", "config", configuration)
 }
@@ -344,6 +359,9 @@
 	if strings.HasPrefix(line, "extra answer") {
 		w.extras++
 	}
+	if m, _ := fmt.Sscanf(line, "refused %s at %s as", &id, &server); m == 2 {
+		w.refusals[id]++
+	}
 	if n >= 3 {
 		w.runsAt[id], w.backupsAt[id] = server, backup
 	}
