--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -22,10 +22,11 @@
 	longEvents             = 300
 	// settleTime is the time until all long streams have begun.
 	settleTime = 1500 * time.Millisecond
-	// extraWait bounds the wait for the faulty runner's second answers, and crashDelay is the time from the first one until
-	// that runner crashes.
-	extraWait  = 6 * time.Second
-	crashDelay = 300 * time.Millisecond
+	// crashDelay is the time from the last of awaitedExtras second answers of the faulty runner until that runner crashes, and
+	// extraWait bounds the wait for them.
+	awaitedExtras = 3
+	extraWait     = 6 * time.Second
+	crashDelay    = 300 * time.Millisecond
 )
 
 // playForeign lets the runner crash that keeps the copies of several runs at one other runner, which answers some of the
@@ -70,7 +71,7 @@
 	if err := w.kill(keeper.id); err != nil {
 		return err
 	}
-	for end := time.Now().Add(extraWait); time.Now().Before(end) && w.numExtras() == 0; {
+	for end := time.Now().Add(extraWait); time.Now().Before(end) && w.numExtras() < awaitedExtras; {
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(crashDelay)
