--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	k.setSource(copySource{address: k.from.Address, handle: handle})
+	k.setSource(copySource{address: k.from.Address, handle: handle}, at)
 	return nil
 }
 
@@ -111,14 +111,19 @@
 	k.at = at
 }
 
-// setSource records the source of the new copy after a complete transfer.
-func (k *copyKeeper) setSource(source copySource) {
+// setSource records the source of the new copy after a complete transfer to a server.
+func (k *copyKeeper) setSource(source copySource, at *directory.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.source == source {
+		return
+	}
 	if k.source.handle == "" {
 		telemetry.Counter(k.call.options.Metrics, "copies.replaced").Inc(1)
 	}
 	k.source = source
+	k.call.options.Log.Info().Str("request", string(k.call.caller.ID)).Str("server", string(k.from.ID)).
+		Str("at", string(at.ID)).Str("handle", source.handle).Msg("copy_replaced")
 }
 
 // drop forgets the new copy and releases the memory that is reserved for it.
