Give each of the gateway's own calls a connection of its own

Cause: the answer to a call that the gateway makes on its own account (an order to copy or to free, a report, health, cache events) names no request, and the call used a connection of the callers' pool. A server may send an answer a second time where the answer to the next request is expected. After an order to copy that was the handle of another run, which the gateway kept and resumed from. The real answer came behind it, often after the connection was back in the pool, so that one second answer gave wrong handles to several orders. The check for unread bytes before a request can't see what is sent after it.

Related, found by the second test: the second answer to a survey of the caches was taken for that to a caller's stream on the same connection. The stream ran there, counted as lost and was sent on, to five runners in all.

--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -9,19 +9,12 @@
 
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/health"
+	"github.com/wigeonfork/wigeonfork/infra"
 	"github.com/wigeonfork/wigeonfork/loadshare"
-	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/upstream"
 )
 
-const (
-	// fetchTimeout bounds one request that the gateway itself makes to a server.
-	fetchTimeout = 600 * time.Millisecond
-	// maxFetchBytes bounds the answer to such a request.
-	maxFetchBytes = 256 << 10
-)
-
 // probe checks that a server accepts a connection. It does not use the health
 // endpoint, whose answer may be lost or wrong.
 func (g *Gateway) probe(entry directory.Entry) {
@@ -46,12 +39,11 @@
 // restart at its address under a new id, and respond before the registry lists it.
 func (g *Gateway) checkRecovery(entry directory.Entry) {
 	sentAt := time.Now()
-	if err := g.connect(entry); err != nil {
-		return
-	}
 	id, err := g.identify(entry)
 	now, since := time.Now(), g.fleet.sinceSeen(bootClock(), entry.ID)
 	switch {
+	case err != nil && infra.OutcomeOf(err) == infra.OutcomeNotDone:
+		// Nothing answers there yet.
 	case err != nil:
 		g.options.Log.Info().Str("server", string(entry.ID)).Err(err).Msg("server_not_identified")
 	case id == entry.ID:
@@ -123,30 +115,3 @@
 	}
 	return g.options.Codec.ReadReport(response.Status, body)
 }
-
-// fetch makes a GET request on behalf of the gateway itself and reads the answer.
-func (g *Gateway) fetch(entry directory.Entry, target string) (*upstream.Response, []byte, error) {
-	return g.exchange(g.background, entry, &upstream.Request{Method: http.MethodGet, Target: target})
-}
-
-// exchange makes a request on behalf of the gateway itself and reads the answer. The request holds the
-// method, the target and the body; exchange sets its other fields. It ends after fetchTimeout.
-func (g *Gateway) exchange(ctx context.Context, entry directory.Entry, request *upstream.Request) (*upstream.Response, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	server := upstream.Server{ID: string(entry.ID), Address: entry.Address}
-	request.Host, request.Header, request.MaxIdle = entry.Address, http.Header{}, g.maxIdle(entry.Service)
-	response, err := g.pool.Do(ctx, server, request)
-	if err != nil {
-		return nil, nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	hold := g.memory.Begin(memquota.ServerAnswer, string(entry.ID))
-	defer hold.End()
-	buffer, err := memquota.Gather(response.Body, response.ContentLength, maxFetchBytes, hold)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "read the answer")
-	}
-	body, err := buffer.Bytes(hold)
-	return response, body, errors.Wrap(err, "read the answer")
-}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -65,6 +65,9 @@
 	Unframed *Unframed
 	// StallMoves leaves orders to copy a run's memory unanswered.
 	StallMoves bool
+	// RepeatAnswers sends each answer to a request without an id a second time, where the answer to the next request on
+	// the connection is expected.
+	RepeatAnswers bool
 	// Connection is the Connection header of responses; empty for none.
 	Connection string
 	// Dribble, if set, makes streams stall.
@@ -181,18 +184,12 @@
 }
 
 func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
-	switch q.URL.Path {
-	case "/health":
-		w.Header().Set("Wigeonfork-Instance-Id", r.ID)
-		return
-	case "/report":
-		r.serveReport(w)
-		return
-	case "/kv-events":
-		io.WriteString(w, `{"epoch":1,"next":0,"lost":false,"events":[]}`)
-		return
-	case "/kv-move":
-		r.serveMove(w, q)
+	if serve := r.controlHandler(q.URL.Path); serve != nil {
+		if r.currentFaults().RepeatAnswers {
+			r.serveRepeating(w, q)
+			return
+		}
+		serve(w, q)
 		return
 	}
 	if target := q.Header.Get("Wigeonfork-Target-Instance"); target != "" && target != r.ID {
@@ -213,6 +210,30 @@
 	r.serveRequest(w, q)
 }
 
+// freeTarget, followed by the handle of a copy, is the path that frees it.
+const freeTarget = "/kv-handle/"
+
+// controlHandler returns the handler of a path whose requests have no id, or nil for one of callers' requests.
+func (r *Runner) controlHandler(path string) http.HandlerFunc {
+	switch {
+	case path == "/health":
+		return func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Wigeonfork-Instance-Id", r.ID) }
+	case path == "/report":
+		return r.serveReport
+	case path == "/kv-events":
+		return func(w http.ResponseWriter, _ *http.Request) {
+			io.WriteString(w, `{"epoch":1,"next":0,"lost":false,"events":[]}`)
+		}
+	case path == "/kv-move":
+		return r.serveMove
+	case strings.HasPrefix(path, freeTarget):
+		return func(_ http.ResponseWriter, q *http.Request) {
+			r.shared.freeCopy(r.Address() + "/" + q.URL.Path[len(freeTarget):])
+		}
+	}
+	return nil
+}
+
 // refuse refuses a request as not executed.
 func (r *Runner) refuse(w http.ResponseWriter, q *http.Request) {
 	w.Header().Set("Wigeonfork-Request-Id", q.Header.Get("Wigeonfork-Request-Id"))
@@ -254,12 +275,12 @@
 		return
 	}
 	handle := "moved-" + order.ID
-	r.shared.storeCopy(r.Address() + "/" + handle)
+	r.shared.storeCopy(r.Address()+"/"+handle, order.ID)
 	r.shared.recordMove(order.ID, order.To)
 	fmt.Fprintf(w, `{"handle":%q,"created":0}`, handle)
 }
 
-func (r *Runner) serveReport(w http.ResponseWriter) {
+func (r *Runner) serveReport(w http.ResponseWriter, _ *http.Request) {
 	if !r.options.Engine {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -280,12 +301,13 @@
 		Body: string(body), Header: q.Header.Clone(), ArrivedAt: time.Now(),
 	}
 	if from := q.Header.Get("Kv-From"); from != "" {
-		if !r.shared.takeCopy(from) {
+		request, stored := r.shared.takeCopy(from)
+		if !stored {
 			w.Header().Set("Wigeonfork-Not-Executed", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		run.FromCopy = true
+		run.FromCopy, run.Cached = true, request
 	}
 	if r.options.Engine {
 		r.serveStream(w, q, run)
@@ -474,6 +496,14 @@
 	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", id, request, id)
 }
 
+// cachedRequest returns the id of the request whose KV cache the run's events are made from.
+func (run *Run) cachedRequest() string {
+	if run.FromCopy {
+		return run.Cached
+	}
+	return run.RequestID
+}
+
 func (r *Runner) serveStream(w http.ResponseWriter, q *http.Request, run *Run) {
 	if last := q.Header.Get("Last-Event-Id"); last != "" {
 		// A malformed id starts the stream at its first event.
@@ -499,7 +529,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if backup := q.Header.Get("Wigeonfork-Kv-Backup"); backup != "" {
-		r.shared.storeCopy(backup + "/" + run.RequestID)
+		r.shared.storeCopy(backup+"/"+run.RequestID, run.RequestID)
 	}
 	if faults.RawAnswer != "" {
 		r.shared.endRun(run, false)
@@ -524,7 +554,7 @@
 			r.shared.endRun(run, true)
 			panic(http.ErrAbortHandler)
 		}
-		text := EventText(run.RequestID, id)
+		text := EventText(run.cachedRequest(), id)
 		if faults.Comments {
 			text = Comment + text
 		}
--- a/standin/runner/shared.go
+++ b/standin/runner/shared.go
@@ -1,7 +1,9 @@
 package runner
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -18,8 +20,10 @@
 	Header    http.Header
 	// LastEventID is the last event that the caller already has; 0 means none.
 	LastEventID uint64
-	// FromCopy states whether the run continued from a copy of its KV cache.
+	// FromCopy states whether the run continued from a copy of a KV cache. Cached is the id of the request that the cache
+	// belongs to, which the runner does not compare with that of the run.
 	FromCopy bool
+	Cached   string
 	// Finished is set if the runner completed the run. Cancelled is set if the caller disconnected
 	// or the runner was killed first. Neither is set while the run is in progress or if the Crash
 	// fault ended it.
@@ -37,8 +41,9 @@
 	arrivals map[string][]time.Time
 	// notices holds the times at which each runner said in a response that it leaves or wants a pause.
 	notices map[string][]time.Time
-	copies  map[string]bool   // by backup address/request id
+	copies  map[string]string // request id by address/handle
 	moves   map[string]string // destination by request id
+	orders  map[string]int    // orders to copy that were answered, by request id
 	stalled int               // orders to copy that were left unanswered
 	// missingCopies counts the requests for a copy that is not stored.
 	missingCopies int
@@ -46,7 +51,10 @@
 
 // NewSharedState returns a SharedState without runs or copies.
 func NewSharedState() *SharedState {
-	return &SharedState{copies: make(map[string]bool), moves: make(map[string]string), arrivals: make(map[string][]time.Time), notices: make(map[string][]time.Time)}
+	return &SharedState{
+		copies: make(map[string]string), moves: make(map[string]string), orders: make(map[string]int),
+		arrivals: make(map[string][]time.Time), notices: make(map[string][]time.Time),
+	}
 }
 
 // Runs returns the runs with a request id, or all runs if request is empty.
@@ -107,16 +115,39 @@
 	run.Failed = true
 }
 
-func (s *SharedState) storeCopy(id string) {
+// storeCopy stores a copy of the KV cache of a request's run.
+func (s *SharedState) storeCopy(place, request string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copies[id] = true
+	s.copies[place] = request
+}
+
+// freeCopy deletes a copy.
+func (s *SharedState) freeCopy(place string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.copies, place)
+}
+
+// Copies returns the ids of the requests whose runs' KV caches have a copy, in no order.
+func (s *SharedState) Copies() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.copies))
 }
 
 func (s *SharedState) recordMove(request, to string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.moves[request] = to
+	s.orders[request]++
+}
+
+// MoveOrders returns the number of answered orders to copy the KV cache of a request's run.
+func (s *SharedState) MoveOrders(request string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders[request]
 }
 
 // MovedTo returns the address to which the gateway last asked to copy the KV cache of a request's run; empty if it did
@@ -127,15 +158,16 @@
 	return s.moves[request]
 }
 
-func (s *SharedState) takeCopy(id string) bool {
+// takeCopy deletes a copy and returns the id of the request that it belongs to, and false if there is none.
+func (s *SharedState) takeCopy(place string) (request string, stored bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stored := s.copies[id]
-	delete(s.copies, id)
+	request, stored = s.copies[place]
+	delete(s.copies, place)
 	if !stored {
 		s.missingCopies++
 	}
-	return stored
+	return request, stored
 }
 
 // MissingCopies returns the number of requests for a copy that was not stored.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -26,7 +26,8 @@
 	// HasBody distinguishes an empty body from none.
 	HasBody bool
 	// FreshConnection forbids a connection from the pool. The server may have closed such a
-	// connection, and the request would be lost with an unknown outcome.
+	// connection, and the request would be lost with an unknown outcome. It may also answer an earlier
+	// request on it a second time.
 	FreshConnection bool
 	// MaxIdle bounds the idle connections to the server when this one is returned to the pool.
 	// NoIdle keeps none and 0 selects the pool's bound. The pool's bound is never exceeded.
