--- a/gateway/own_request_test.go
+++ b/gateway/own_request_test.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -15,53 +13,21 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/wigeonfork/wigeonfork/directory"
+	"github.com/wigeonfork/wigeonfork/standin/repeat"
 	"github.com/wigeonfork/wigeonfork/upstream"
 )
 
-// repeatingServer answers each request with its target as body, after delay. Where the answer to a further request on a
-// connection is expected, it first sends that to the one before a second time.
-type repeatingServer struct {
-	delay func(target string) time.Duration
-}
+// echoTarget answers a request with its target.
+func echoTarget(w http.ResponseWriter, q *http.Request) { _, _ = io.WriteString(w, q.RequestURI) }
 
-// start starts the server and returns its directory entry.
-func (s *repeatingServer) start(t *testing.T) directory.Entry {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// startRepeating starts a server that sends each answer twice, and returns its directory entry.
+func startRepeating(t *testing.T, handler http.HandlerFunc) directory.Entry {
+	server, err := repeat.Start(handler)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var wait sync.WaitGroup
-	t.Cleanup(func() { listener.Close(); wait.Wait() })
-	wait.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			wait.Go(func() { s.serve(conn) })
-		}
-	})
-	return directory.Entry{ID: "i-1", Service: "plain", Address: listener.Addr().String(), Domain: "a", Slots: 1}
-}
-
-func (s *repeatingServer) serve(conn net.Conn) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	last := ""
-	for {
-		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
-		request, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		time.Sleep(s.delay(request.RequestURI))
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.RequestURI), request.RequestURI)
-		if _, err := io.WriteString(conn, last+answer); err != nil {
-			return
-		}
-		last = answer
-	}
+	t.Cleanup(server.Close)
+	return directory.Entry{ID: "i-1", Service: "plain", Address: server.Addr(), Domain: "a", Slots: 1}
 }
 
 // ownAnswer makes a call on behalf of the gateway itself and returns an error unless the answer is that to the call.
@@ -82,8 +48,7 @@
 func TestOwnCallsGetTheirOwnAnswers(t *testing.T) {
 	methods := []string{http.MethodGet, http.MethodPost, http.MethodDelete}
 	Convey("Given a server that sends each answer twice", t, func() {
-		entry := (&repeatingServer{delay: func(string) time.Duration { return 0 }}).start(t)
-		g := startPlainServer(t, nil)
+		entry, g := startRepeating(t, echoTarget), startPlainServer(t, nil)
 		Convey("Calls one after another get their own answers", func() {
 			for i := range 20 {
 				method := methods[i%len(methods)]
@@ -114,12 +79,12 @@
 		})
 	})
 	Convey("A call after one that ended before its answer came gets its own answer", t, func() {
-		entry := (&repeatingServer{delay: func(target string) time.Duration {
-			if target == "/slow" {
-				return 50 * time.Millisecond
+		entry := startRepeating(t, func(w http.ResponseWriter, q *http.Request) {
+			if q.RequestURI == "/slow" {
+				time.Sleep(50 * time.Millisecond)
 			}
-			return 0
-		}}).start(t)
+			echoTarget(w, q)
+		})
 		g := startPlainServer(t, nil)
 		for i := range 5 {
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
