Give each call of an agent to its engine a connection of its own

An order that the engine has refused for its old fencing number then counts as done, since the answer before it was a success; a load report without fields reads as an idle engine.

Cause: orders, cancellations, load reports and cache events used kept connections, and their answers name no call.

--- a/backend/httpbackend/engine.go
+++ b/backend/httpbackend/engine.go
@@ -38,9 +38,11 @@
 	MaxEventBytes int
 }
 
-// Engine is the HTTP client of a model engine. It implements backend.Engine.
+// Engine is the HTTP client of a model engine. It implements backend.Engine. Each call uses a new connection: an answer
+// doesn't name the call, and an engine may send one a second time where the answer to the next call is expected.
 type Engine struct {
 	options Options
+	// streams has the connections of streams, whose number is bounded, and control those of all other calls.
 	streams *http.Transport
 	control *http.Transport
 }
@@ -58,9 +60,7 @@
 	base := transportOptions{dialTimeout: options.DialTimeout, headerTimeout: options.HeaderTimeout}
 	streams := base
 	streams.maxConns = options.MaxConnections
-	control := base
-	control.keepAlive = true
-	return &Engine{options: options, streams: newTransport(streams), control: newTransport(control)}
+	return &Engine{options: options, streams: newTransport(streams), control: newTransport(base)}
 }
 
 // Close closes idle connections. Open streams continue.
--- a/backend/httpbackend/transport.go
+++ b/backend/httpbackend/transport.go
@@ -21,8 +21,6 @@
 const (
 	defaultDialTimeout   = 2 * time.Second
 	defaultHeaderTimeout = 10 * time.Second
-	maxIdlePerHost       = 4
-	idleTimeout          = 30 * time.Second
 	// maxErrorBytes bounds the body that is read from a response that is not used.
 	maxErrorBytes = 4 << 10
 )
@@ -31,9 +29,9 @@
 	dialTimeout   time.Duration
 	headerTimeout time.Duration
 	maxConns      int
-	keepAlive     bool
 }
 
+// newTransport returns a transport that uses each connection for one request.
 func newTransport(o transportOptions) *http.Transport {
 	if o.dialTimeout <= 0 {
 		o.dialTimeout = defaultDialTimeout
@@ -41,11 +39,9 @@
 	dialer := &net.Dialer{Timeout: o.dialTimeout}
 	return &http.Transport{
 		DialContext:           dialer.DialContext,
-		DisableKeepAlives:     !o.keepAlive,
+		DisableKeepAlives:     true,
 		DisableCompression:    true,
 		MaxConnsPerHost:       o.maxConns,
-		MaxIdleConnsPerHost:   maxIdlePerHost,
-		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: o.headerTimeout,
 	}
 }
@@ -91,8 +87,7 @@
 	return bytes.NewReader(body)
 }
 
-// drainAndClose reads the rest of a short response, so that its connection can be
-// reused.
+// drainAndClose reads the rest of a short response, so that its connection ends in order.
 func drainAndClose(body io.ReadCloser) {
 	_, _ = io.CopyN(io.Discard, body, maxErrorBytes)
 	_ = body.Close()
