Give each call to the embedded system's services a connection of its own

Cause: the clients of the table, the objects, the weights and the hosts kept connections, and no answer names its call. Change: no connection is kept.

--- a/infra/httpinfra/client.go
+++ b/infra/httpinfra/client.go
@@ -3,6 +3,9 @@
 //
 // A write fails with infra.OutcomeNotDone only if no connection was available for
 // it or the service refused it. A failed read is always infra.OutcomeNotDone.
+//
+// Each call uses a new connection. An answer doesn't name the call, and one that comes a
+// second time would be taken for the answer to the next call on the connection.
 package httpinfra
 
 import (
@@ -25,7 +28,6 @@
 	defaultTimeout        = 5 * time.Second
 	defaultMaxConnections = 32
 	defaultMaxBodyBytes   = 64 << 20
-	idleTimeout           = 30 * time.Second
 	maxErrorBody          = 4 << 10
 )
 
@@ -64,11 +66,10 @@
 	}
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxConnsPerHost:     o.MaxConnections,
-		MaxIdleConnsPerHost: o.MaxConnections,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		MaxConnsPerHost:    o.MaxConnections,
 	}
 	return &client{options: o, transport: transport}
 }
