--- a/gateway/limit_permits_test.go
+++ b/gateway/limit_permits_test.go
@@ -76,3 +76,27 @@
 		So(telemetry.Counter(g.options.Metrics, "limits.unanswered").Count(), ShouldEqual, 1)
 	})
 }
+
+// Guards against a coordinator's grant that comes twice, or after its request has ended, and lets another request go.
+func TestGrantIsUsedOnceAndInTime(t *testing.T) {
+	Convey("Given a request that waits for its grant, and another one", t, func() {
+		g := New(Options{Host: "h", Domain: "a", Bounds: DefaultBounds(), Log: telemetry.Discard(), Metrics: telemetry.NewRegistry()})
+		const id, otherID = 7, 8
+		answer, other := make(chan serverlimit.Grant, 1), make(chan serverlimit.Grant, 1)
+		g.limits.asks[id], g.limits.asks[otherID] = answer, other
+		grant := &loadshare.LimitGrant{ID: id, Granted: true}
+		Convey("A grant that comes twice reaches the first only, once", func() {
+			g.limits.handleGrant(grant)
+			g.limits.handleGrant(grant)
+			So((<-answer).Granted, ShouldBeTrue)
+			So(answer, ShouldBeEmpty)
+			So(other, ShouldBeEmpty)
+		})
+		Convey("A grant that comes after its request has ended reaches nobody", func() {
+			delete(g.limits.asks, id)
+			g.limits.handleGrant(grant)
+			So(answer, ShouldBeEmpty)
+			So(other, ShouldBeEmpty)
+		})
+	})
+}
