Remember dropped losses, so that reports on crashes come to rest

Cause: a report is passed on where it is new; a begin or a completion drops the losses of a request, and a dropped loss was new again with the next copy of its report, as was the begin that then dropped it again.

--- a/quarantine/history.go
+++ b/quarantine/history.go
@@ -47,9 +47,6 @@
 		return h.update(i, loss)
 	}
 	h.losses = insertLoss(h.losses, loss)
-	if len(h.losses) > maxLosses {
-		h.dropOverlapping()
-	}
 	return true
 }
 
@@ -86,9 +83,20 @@
 	return slices.Insert(losses, at, loss)
 }
 
-// dropOverlapping drops the oldest loss that adds nothing to the evidence, since it overlaps with others.
-// The evidence of further losses is then still counted.
-func (h *history) dropOverlapping() {
+// bound drops the oldest loss that adds nothing to the evidence, since it overlaps with others, if there are more than
+// maxLosses. The evidence of further losses is then still counted. It returns what it has dropped.
+func (h *history) bound() []keptLoss {
+	if len(h.losses) <= maxLosses {
+		return nil
+	}
+	i := h.leastNeeded()
+	dropped := h.losses[i]
+	h.losses = slices.Delete(h.losses, i, i+1)
+	return []keptLoss{dropped}
+}
+
+// leastNeeded returns the index of the oldest loss that adds nothing to the evidence, or 0.
+func (h *history) leastNeeded() int {
 	needed := make(map[int]bool)
 	for _, i := range consecutive(h.losses, (*keptLoss).isCounted) {
 		needed[i] = true
@@ -98,18 +106,24 @@
 	}
 	for i := range h.losses {
 		if !needed[i] {
-			h.losses = slices.Delete(h.losses, i, i+1)
-			return
+			return i
 		}
 	}
-	h.losses = slices.Delete(h.losses, 0, 1)
+	return 0
 }
 
-// clear drops the losses for which drop returns true, and returns whether there were any.
-func (h *history) clear(drop func(*keptLoss) bool) bool {
-	before := len(h.losses)
-	h.losses = slices.DeleteFunc(h.losses, func(k keptLoss) bool { return drop(&k) })
-	return len(h.losses) < before
+// clear drops the losses for which drop returns true, and returns them.
+func (h *history) clear(drop func(*keptLoss) bool) []keptLoss {
+	var kept, dropped []keptLoss
+	for i := range h.losses {
+		if drop(&h.losses[i]) {
+			dropped = append(dropped, h.losses[i])
+		} else {
+			kept = append(kept, h.losses[i])
+		}
+	}
+	h.losses = kept
+	return dropped
 }
 
 // countedLosses returns the number of losses that count as crashes.
--- a/quarantine/limiter.go
+++ b/quarantine/limiter.go
@@ -62,11 +62,12 @@
 	// unsettled lists the lost runs without an outcome, oldest first.
 	unsettled []*unsettledRun
 	losses    *lossLog
+	forgotten *forgottenLog
 }
 
 // NewLimiter returns a Limiter without crashes.
 func NewLimiter() *Limiter {
-	return &Limiter{histories: make(map[ContentHash]*history), losses: newLossLog()}
+	return &Limiter{histories: make(map[ContentHash]*history), losses: newLossLog(), forgotten: newForgottenLog()}
 }
 
 // ServerLost records that a server does not respond, however that was detected.
@@ -144,11 +145,13 @@
 	return l.add(now, h, kept)
 }
 
-// add adds a loss to a request and quarantines it at the limit. It returns whether the loss is new.
+// add adds a loss to a request and quarantines it at the limit. It returns whether the loss is new. One that was dropped
+// is not: reports on it would go round among the entries without end.
 func (l *Limiter) add(now time.Time, h *history, loss keptLoss) bool {
-	if !h.add(now, loss) {
+	if l.forgotten.hasLoss(&loss.Crash) || !h.add(now, loss) {
 		return false
 	}
+	l.forgotten.recordLosses(now, h.bound())
 	if l.reachesLimit(h) && loss.At.After(h.quarantinedAt) {
 		h.quarantinedAt = loss.At
 	}
@@ -162,7 +165,7 @@
 		return false
 	}
 	h := l.history(now, q.Content)
-	if h.isQuarantined(now) || !q.Since.After(h.completedAt) {
+	if h.isQuarantined(now) || !q.Since.After(h.completedAt) || l.forgotten.hasQuarantine(q.Content) {
 		return false
 	}
 	h.quarantinedAt, h.changedAt = q.Since, now
@@ -212,14 +215,22 @@
 		return false
 	}
 	h.completedAt, h.changedAt = c.At, c.At
-	cleared := h.clear(func(k *keptLoss) bool { return !k.At.After(c.At) })
+	cleared := l.clear(c.At, h, func(k *keptLoss) bool { return !k.At.After(c.At) })
 	if !h.quarantinedAt.IsZero() && !h.quarantinedAt.After(c.At) {
 		h.quarantinedAt = time.Time{}
+		l.forgotten.recordQuarantine(c.At, c.Content)
 		cleared = true
 	}
 	return cleared
 }
 
+// clear drops the losses of a request for which drop returns true, and returns whether there were any.
+func (l *Limiter) clear(now time.Time, h *history, drop func(*keptLoss) bool) bool {
+	dropped := h.clear(drop)
+	l.forgotten.recordLosses(now, dropped)
+	return len(dropped) > 0
+}
+
 // Begin applies the first event of a run, of this entry or a peer. It shows that the request does not crash
 // servers before it begins to answer, so the losses of runs that had not begun no longer count. It returns
 // whether that cleared losses, so that the peers must be told. It ends no quarantine.
@@ -228,7 +239,7 @@
 	if h == nil || h.isQuarantined(c.At) {
 		return false
 	}
-	return h.clear(func(k *keptLoss) bool { return !k.Begun && !k.At.After(c.At) })
+	return l.clear(c.At, h, func(k *keptLoss) bool { return !k.Begun && !k.At.After(c.At) })
 }
 
 // Quarantines returns the quarantined requests, newest first.
