Bound how often a report that is passed on where it is new is passed on

What happens: two reports that undo each other go round among the gateways for good, for parts of prompts and for the limits that servers name as for crashes: a limit and the one before it, told within some milliseconds.

Change: reports count how often they were passed on and are passed on four times at most. Builds that don't count pass them on as before.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -277,8 +277,7 @@
 	c.g.options.Log.Warn().Hex("content", contentBytes(q.Content)).Str("source", source).Msg("request_quarantined")
 }
 
-// handleUpdate applies a peer's reports, and forwards those that are new here but for losses, which come often and
-// matter for a moment only.
+// handleUpdate applies a peer's reports, and forwards those that are new here and may be passed on.
 func (c *crashGuard) handleUpdate(now time.Time, sender netip.AddrPort, update *loadshare.CrashUpdate) {
 	if update.StateWanted {
 		c.g.gossip.sendCrashReports([]netip.AddrPort{sender}, c.reports(now))
@@ -286,8 +285,11 @@
 	}
 	var news []loadshare.CrashReport
 	for i := range update.Reports {
-		if c.applyReport(now, &update.Reports[i]) && update.Reports[i].Kind != loadshare.ReportLoss {
-			news = append(news, update.Reports[i])
+		if !c.applyReport(now, &update.Reports[i]) {
+			continue
+		}
+		if next, ok := update.Reports[i].PassedOn(); ok {
+			news = append(news, next)
 		}
 	}
 	if len(news) == 0 {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -166,13 +166,16 @@
 	return list[:min(len(list), loadshare.MaxLimitReports)]
 }
 
-// applyReports applies a peer's reports, and forwards those that change something here.
+// applyReports applies a peer's reports, and forwards those that change something here and may be passed on.
 func (l *serverLimits) applyReports(now time.Time, reports []loadshare.LimitReport) {
 	var news []loadshare.LimitReport
 	for i := range reports {
 		r := &reports[i]
-		if l.apply(now, now.Add(-max(r.Age, 0)), r.Server, r.Statement(), "peer") != serverlimit.Unchanged {
-			news = append(news, *r)
+		if l.apply(now, now.Add(-max(r.Age, 0)), r.Server, r.Statement(), "peer") == serverlimit.Unchanged {
+			continue
+		}
+		if next, ok := r.PassedOn(); ok {
+			news = append(news, next)
 		}
 	}
 	if len(news) > 0 {
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -291,15 +291,18 @@
 	}
 }
 
-// handleUpdate applies a peer's reports, and forwards those that are new here.
+// handleUpdate applies a peer's reports, and forwards those that are new here and may be passed on.
 func (p *partGuard) handleUpdate(now time.Time, update *loadshare.PartUpdate) {
 	var news, refutations []loadshare.PartReport
 	for i := range update.Reports {
 		r := &update.Reports[i]
 		isNew, sound := p.apply(now, r)
 		refutations = append(refutations, loadshare.PartBeginOf(now, sound)...)
-		if isNew {
-			news = append(news, *r)
+		if !isNew {
+			continue
+		}
+		if next, ok := r.PassedOn(); ok {
+			news = append(news, next)
 		}
 	}
 	if len(news) > 0 {
--- a/loadshare/crash_update.go
+++ b/loadshare/crash_update.go
@@ -65,6 +65,18 @@
 	Trial bool `cbor:"7,keyasint,omitempty"`
 	// Confirmed is set if the server of a loss is known to be lost.
 	Confirmed bool `cbor:"8,keyasint,omitempty"`
+	// Passes is how often the report was passed on. Builds that don't count leave it out.
+	Passes uint8 `cbor:"9,keyasint,omitempty"`
+}
+
+// PassedOn returns the report as an entry to which it is new passes it on, and false if it must not.
+func (r CrashReport) PassedOn() (CrashReport, bool) {
+	// Losses come often and matter for a moment only.
+	if r.Kind == ReportLoss || !mayPassOn(r.Passes) {
+		return r, false
+	}
+	r.Passes++
+	return r, true
 }
 
 // CrashOf returns the report of a crash.
--- a/loadshare/limit_update.go
+++ b/loadshare/limit_update.go
@@ -42,6 +42,17 @@
 	Rate    float64                    `cbor:"3,keyasint,omitempty"`
 	// Age is the time since the server's answer when the report was sent.
 	Age time.Duration `cbor:"4,keyasint"`
+	// Passes is how often the report was passed on. Builds that don't count leave it out.
+	Passes uint8 `cbor:"5,keyasint,omitempty"`
+}
+
+// PassedOn returns the report as an entry to which it is new passes it on, and false if it must not.
+func (r LimitReport) PassedOn() (LimitReport, bool) {
+	if !mayPassOn(r.Passes) {
+		return r, false
+	}
+	r.Passes++
+	return r, true
 }
 
 // Statement returns what the server said.
--- a/loadshare/part_update.go
+++ b/loadshare/part_update.go
@@ -47,6 +47,17 @@
 	WithOthers bool                   `cbor:"6,keyasint,omitempty"`
 	// Trials is that of a quarantine.
 	Trials int `cbor:"7,keyasint,omitempty"`
+	// Passes is how often the report was passed on. Builds that don't count leave it out.
+	Passes uint8 `cbor:"8,keyasint,omitempty"`
+}
+
+// PassedOn returns the report as an entry to which it is new passes it on, and false if it must not.
+func (r PartReport) PassedOn() (PartReport, bool) {
+	if !mayPassOn(r.Passes) {
+		return r, false
+	}
+	r.Passes++
+	return r, true
 }
 
 // PartCrashOf returns the reports of a crash, several if it has many parts.
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -14,8 +14,15 @@
 	// maxRelayHops bounds how often a message is passed on, also while entries disagree on which are live. It
 	// suffices for more than ten thousand entries.
 	maxRelayHops = 4
+	// maxReportPasses bounds how often a report that is passed on where it is new is passed on. With MaxTargets and
+	// forwardFanout it suffices for more than ten thousand entries.
+	maxReportPasses = 4
 )
 
+// mayPassOn reports whether an entry that received a report may pass it on, which was passed on passes times. What an entry
+// has forgotten is new to it again, so that without a bound copies of two reports that undo each other go round for good.
+func mayPassOn(passes uint8) bool { return passes < maxReportPasses }
+
 // RelayTargets returns the peers to which this entry passes on a message of origin for all entries. The live entries
 // form a tree below origin, on which all agree that agree on which are live: each gets the message once.
 func (p *Peers) RelayTargets(now time.Time, origin netip.AddrPort) []netip.AddrPort {
