--- a/standin/runner/shared.go
+++ b/standin/runner/shared.go
@@ -1,9 +1,7 @@
 package runner
 
 import (
-	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 )
@@ -129,13 +127,6 @@
 	delete(s.copies, place)
 }
 
-// Copies returns the ids of the requests whose runs' KV caches have a copy, in no order.
-func (s *SharedState) Copies() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Values(s.copies))
-}
-
 func (s *SharedState) recordMove(request, to string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
