--- a/gateway/own_request_test.go
+++ b/gateway/own_request_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/wigeonfork/wigeonfork/directory"
@@ -38,7 +39,7 @@
 	}
 	_, body, err := g.exchange(ctx, entry, request)
 	if err == nil && string(body) != target {
-		return fmt.Errorf("%s was answered with %q", target, body)
+		return errors.Newf("%s was answered with %q", target, body)
 	}
 	return err
 }
