Choose the head that ends next without a scan over all of them

What callers saw: nothing yet; a caller with thousands of connections could make others wait. Each byte of a head for which another had to end cost a scan over all incomplete heads, under the lock that all connections take.

Cause: memquota.Heads kept its heads in one map and compared all of them, since the weight of a head, its bytes times its age, changes with time.

Change: eviction.Set keeps items by address, in a heap by what the address holds, and by class in the order in which they came, so that only the first of each class is compared. The class of a head is its size in powers of two: an order by exact bytes is given up for that. The bounds and their tests stay.

--- a/memquota/heads.go
+++ b/memquota/heads.go
@@ -1,6 +1,11 @@
 package memquota
 
-import "time"
+import (
+	"math/bits"
+	"time"
+
+	"github.com/wigeonfork/wigeonfork/eviction"
+)
 
 const (
 	// addressFraction is the fraction of the limit of Heads that one address may hold.
@@ -9,56 +14,47 @@
 	shortFraction = 0.5
 )
 
-// Head is the head of a request that has not arrived completely. Its zero value has no bytes.
+// Head is the head of a request that has not arrived completely. Its zero value is not usable; see NewHead.
 type Head struct {
 	address string
-	bytes   int64
-	// since is when the first bytes arrived.
-	since time.Time
+	item    *eviction.Item[*Head]
 }
 
 // NewHead returns a head without bytes that is received from an address.
-func NewHead(address string) *Head { return &Head{address: address} }
-
-// weight orders heads for eviction: those that have held most, for longest, go first.
-func (h *Head) weight(now time.Time) float64 {
-	return float64(h.bytes) * float64(now.Sub(h.since)+time.Millisecond)
+func NewHead(address string) *Head {
+	h := &Head{address: address}
+	h.item = eviction.NewItem(h, address)
+	return h
 }
 
 // Heads bounds the bytes that are held for heads of requests that are not complete, and decides which of them end if there
 // are too many. It ends heads that are held rather than refuse new ones, since a caller can keep a head incomplete for
-// any time.
+// any time. Those that have held most, for longest, end first; sizes count in powers of two.
 //
 // Invariants: the heads hold at most limit bytes, and those of one address at most addressFraction of it. Either bound may
 // be exceeded by one head that is alone. Heads is a decision type without network, clock or goroutine, and not safe for
 // concurrent use.
 type Heads struct {
-	limit, total int64
-	byAddress    map[string]int64
-	open         map[*Head]struct{}
+	limit int64
+	open  *eviction.Set[*Head]
 }
 
 // NewHeads returns Heads that hold at most limit bytes.
 func NewHeads(limit int64) *Heads {
-	return &Heads{limit: limit, byAddress: make(map[string]int64), open: make(map[*Head]struct{})}
+	return &Heads{limit: limit, open: eviction.NewSet[*Head]()}
 }
 
 // Held returns the bytes that incomplete heads hold.
-func (hs *Heads) Held() int64 { return hs.total }
+func (hs *Heads) Held() int64 { return hs.open.Total() }
 
 // Short reports whether memory for heads is short.
-func (hs *Heads) Short() bool { return float64(hs.total) > shortFraction*float64(hs.limit) }
+func (hs *Heads) Short() bool { return float64(hs.Held()) > shortFraction*float64(hs.limit) }
 
 // Grow counts n more bytes of a head. It returns the heads that must end to keep the bounds; their bytes are no longer
 // counted. The head itself may be among them.
 func (hs *Heads) Grow(h *Head, now time.Time, n int64) []*Head {
-	if h.bytes == 0 {
-		h.since = now
-	}
-	hs.open[h] = struct{}{}
-	h.bytes += n
-	hs.total += n
-	hs.byAddress[h.address] += n
+	size := h.item.Size() + n
+	hs.open.Put(h.item, now, size, eviction.Class(bits.Len64(uint64(size))))
 	var evicted []*Head
 	for {
 		victim := hs.victim(now, h.address)
@@ -72,59 +68,21 @@
 
 // victim returns the head that must end next, or nil. grown is the address whose bytes have grown.
 func (hs *Heads) victim(now time.Time, grown string) *Head {
-	switch {
-	case len(hs.open) < 2:
+	if hs.open.Len() < 2 {
 		return nil
-	case hs.total > hs.limit:
-		return hs.heaviest(now, hs.largestAddress())
-	case float64(hs.byAddress[grown]) > addressFraction*float64(hs.limit):
-		return hs.heaviestOfMany(now, grown)
 	}
-	return nil
-}
-
-// largestAddress returns the address that holds most.
-func (hs *Heads) largestAddress() string {
-	var largest string
-	for address, bytes := range hs.byAddress {
-		if bytes > hs.byAddress[largest] || bytes == hs.byAddress[largest] && address < largest {
-			largest = address
-		}
-	}
-	return largest
-}
-
-// heaviest returns the head of an address that goes first.
-func (hs *Heads) heaviest(now time.Time, address string) *Head {
-	var heaviest *Head
-	for h := range hs.open {
-		if h.address == address && (heaviest == nil || h.weight(now) > heaviest.weight(now)) {
-			heaviest = h
-		}
+	if hs.Held() > hs.limit {
+		return hs.open.Victim(now).Owner
 	}
-	return heaviest
-}
-
-// heaviestOfMany is heaviest, or nil if the address has only one head.
-func (hs *Heads) heaviestOfMany(now time.Time, address string) *Head {
-	heaviest := hs.heaviest(now, address)
-	if heaviest == nil || heaviest.bytes == hs.byAddress[address] {
+	held, heads := hs.open.SizeOf(grown)
+	if heads < 2 || float64(held) <= addressFraction*float64(hs.limit) {
 		return nil
 	}
-	return heaviest
+	return hs.open.VictimOf(grown, now).Owner
 }
 
 // End stops counting a head that is complete or has ended. It does nothing if the head is not counted.
-func (hs *Heads) End(h *Head) {
-	if _, isOpen := hs.open[h]; !isOpen {
-		return
-	}
-	delete(hs.open, h)
-	hs.total -= h.bytes
-	if hs.byAddress[h.address] -= h.bytes; hs.byAddress[h.address] <= 0 {
-		delete(hs.byAddress, h.address)
-	}
-}
+func (hs *Heads) End(h *Head) { hs.open.Remove(h.item) }
 
 // EndOverdue ends the heads whose first bytes arrived longer than limit ago, if memory for heads is short, and returns them.
 func (hs *Heads) EndOverdue(now time.Time, limit time.Duration) []*Head {
@@ -132,13 +90,9 @@
 		return nil
 	}
 	var overdue []*Head
-	for h := range hs.open {
-		if now.Sub(h.since) > limit {
-			overdue = append(overdue, h)
-		}
-	}
-	for _, h := range overdue {
-		hs.End(h)
+	for _, item := range hs.open.HeldBefore(now.Add(-limit)) {
+		overdue = append(overdue, item.Owner)
+		hs.End(item.Owner)
 	}
 	return overdue
 }
--- a/memquota/heads_test.go
+++ b/memquota/heads_test.go
@@ -32,8 +32,8 @@
 			var total int64
 			byAddress, count := make(map[string]int64), make(map[string]int)
 			for h := range open {
-				total += h.bytes
-				byAddress[h.address] += h.bytes
+				total += h.item.Size()
+				byAddress[h.address] += h.item.Size()
 				count[h.address]++
 			}
 			if total != s.Held() {
@@ -49,7 +49,7 @@
 		for h := range open {
 			s.End(h)
 		}
-		if s.Held() != 0 || len(s.byAddress) != 0 {
+		if s.Held() != 0 || s.open.Addresses() != 0 {
 			t.Fatal("bytes are counted that nobody holds")
 		}
 	})
@@ -86,3 +86,20 @@
 		So(s.Held(), ShouldEqual, 200)
 	})
 }
+
+// BenchmarkEvictionOfHeads measures a byte of a head for which another head must end, among many heads.
+func BenchmarkEvictionOfHeads(b *testing.B) {
+	for _, heads := range []int{1000, 8000} {
+		b.Run(fmt.Sprint(heads), func(b *testing.B) {
+			const bytes = 100
+			s, now := NewHeads(bytes*int64(heads)*4/3), time.Unix(1000, 0)
+			for range heads {
+				s.Grow(NewHead("a"), now, bytes)
+			}
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				s.Grow(NewHead("a"), now, bytes)
+			}
+		})
+	}
+}
