--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 	"github.com/wigeonfork/wigeonfork/configuration"
 	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/template"
@@ -43,8 +44,10 @@
 	Objects     infra.Objects
 	Hosts       infra.HostList
 	Credentials peer.Credentials
-	Log         *telemetry.Logger
-	Metrics     telemetry.Registry
+	// Account bounds what entries and peers make the agent hold. If it is nil, nothing bounds that.
+	Account *intake.Account
+	Log     *telemetry.Logger
+	Metrics telemetry.Registry
 	// DrainLimit is the maximum time that a draining agent waits for its
 	// generations and actions.
 	DrainLimit time.Duration
@@ -65,6 +68,7 @@
 	status      *query.Reporter
 	control     *peer.Server
 	server      *http.Server
+	guard       *httpserver.Guard
 	background  context.Context
 	stop        context.CancelFunc
 	wait        sync.WaitGroup
@@ -79,6 +83,9 @@
 	if (options.Engine == nil) == (options.Service == nil) {
 		return nil, errors.New("an agent needs either an engine or a plain service")
 	}
+	if options.Account == nil {
+		options.Account = intake.NewAccount(intake.Limits{}, options.Metrics)
+	}
 	background, stop := context.WithCancel(context.Background())
 	a := &Agent{
 		options:     options,
@@ -93,6 +100,8 @@
 	a.control = peer.NewServer(options.Credentials)
 	a.registerControl()
 	a.server = httpserver.New(a.routes())
+	a.guard = httpserver.NewGuard(options.Account.Guard(intake.Entries), httpserver.DefaultMaxHead)
+	a.guard.Configure(a.server)
 	return a, nil
 }
 
@@ -183,7 +192,7 @@
 
 // Start serves on the two listeners until Stop is called. It does not block.
 func (a *Agent) Start(serve, control net.Listener) {
-	a.wait.Go(func() { httpserver.Serve(a.server, serve, a.options.Log) })
+	a.wait.Go(func() { httpserver.Serve(a.server, a.guard.Listener(serve), a.options.Log) })
 	a.wait.Go(func() { a.logError("control_ended", a.control.Serve(control)) })
 	a.wait.Go(func() { a.status.Run(a.background) })
 	a.wait.Go(a.reapSessions)
--- a/cmd/wigeonfork-agent/main.go
+++ b/cmd/wigeonfork-agent/main.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonfork/wigeonfork/backend/httpbackend"
 	"github.com/wigeonfork/wigeonfork/daemon"
 	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/settings"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -18,12 +19,12 @@
 
 func main() {
 	var s settings.Agent
-	os.Exit(daemon.Main("agent", &s, func(log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
-		return build(&s, log, metrics)
+	os.Exit(daemon.Main("agent", &s, func(account *intake.Account, log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
+		return build(&s, account, log, metrics)
 	}))
 }
 
-func build(s *settings.Agent, log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
+func build(s *settings.Agent, account *intake.Account, log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
 	options := agent.Options{
 		Host:          wigeonfork.HostID(s.Host),
 		Domain:        wigeonfork.FailureDomain(s.Domain),
@@ -32,6 +33,7 @@
 		Objects:       httpinfra.NewObjects(httpinfra.Options{Address: s.ObjectsAddress}),
 		Hosts:         httpinfra.NewHostList(httpinfra.Options{Address: s.HostsAddress}),
 		Credentials:   peer.Credentials{Peer: s.PeerKey, Operator: s.OperatorKey},
+		Account:       account,
 		Log:           log,
 		Metrics:       metrics,
 		DrainLimit:    s.DrainLimit,
--- a/cmd/wigeonfork-entry/main.go
+++ b/cmd/wigeonfork-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonfork/wigeonfork/entry"
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/infra/httpinfra"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/peer"
 	"github.com/wigeonfork/wigeonfork/settings"
 	"github.com/wigeonfork/wigeonfork/telemetry"
@@ -18,8 +19,8 @@
 
 func main() {
 	var s settings.Entry
-	os.Exit(daemon.Main("entry", &s, func(log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
-		return build(&s, log, metrics)
+	os.Exit(daemon.Main("entry", &s, func(account *intake.Account, log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
+		return build(&s, account, log, metrics)
 	}))
 }
 
@@ -30,7 +31,7 @@
 	"register": admission.CairnmarkPolicy(),
 }
 
-func build(s *settings.Entry, log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
+func build(s *settings.Entry, account *intake.Account, log *telemetry.Logger, metrics telemetry.Registry) (daemon.Service, error) {
 	return entry.New(entry.Options{
 		Host:        wigeonfork.HostID(s.Host),
 		Domain:      wigeonfork.FailureDomain(s.Domain),
@@ -42,6 +43,7 @@
 		Credentials: peer.Credentials{Peer: s.PeerKey, Operator: s.OperatorKey},
 		Limits:      generation.DefaultLimits(),
 		Policy:      classPolicies[s.ClassPolicy],
+		Account:     account,
 		Log:         log,
 		Metrics:     metrics,
 		DrainLimit:  s.DrainLimit,
--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -14,18 +14,13 @@
 
 	"github.com/wigeonfork/wigeonfork/gateway"
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/platform"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
-const (
-	// memoryLimitFraction is the fraction of Settings.MemoryLimit that is set as the
-	// soft memory limit of the Go runtime, near which it collects garbage more often.
-	// The rest is left for socket buffers.
-	memoryLimitFraction = 0.6
-	// settingsPollInterval is the time between two checks of the settings file.
-	settingsPollInterval = time.Second
-)
+// settingsPollInterval is the time between two checks of the settings file.
+const settingsPollInterval = time.Second
 
 func main() {
 	signals := make(chan os.Signal, 4)
@@ -49,8 +44,9 @@
 }
 
 func run(path string, settings *platform.Settings, signals <-chan os.Signal, log *telemetry.Logger) error {
-	debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryLimitFraction))
+	debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * intake.SoftLimitFraction))
 	metrics := telemetry.NewRegistry()
+	account := intake.NewAccount(intake.Limits{Memory: settings.MemoryLimit}, metrics)
 	store := platform.NewStore(settings.StoreAddress)
 	peers, err := listenPeers(settings.PeerAddress)
 	if err != nil {
@@ -66,7 +62,7 @@
 		PeerConn:    peers,
 		Quarantines: platform.NewQuarantines(store),
 		Moves:       platform.NewMoves(store),
-		MemoryLimit: settings.MemoryLimit,
+		Account:     account,
 		Log:         log,
 		Metrics:     metrics,
 	})
@@ -83,7 +79,9 @@
 		return errors.Wrap(err, "listen for metrics")
 	}
 	metricsServer := httpserver.New(g.Inspect())
-	go httpserver.Serve(metricsServer, metricsListener, log)
+	metricsGuard := httpserver.NewGuard(account.Guard(intake.Collectors), httpserver.DefaultMaxHead)
+	metricsGuard.Configure(metricsServer)
+	go httpserver.Serve(metricsServer, metricsGuard.Listener(metricsListener), log)
 	g.Start(callers, ready)
 	watcher := &settingsWatcher{path: path, lastModified: modificationTime(path), gateway: g, log: log}
 	watcher.awaitStop(signals)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/settings"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
@@ -34,8 +36,8 @@
 	Stop()
 }
 
-// Build creates the service of a daemon.
-type Build func(log *telemetry.Logger, metrics telemetry.Registry) (Service, error)
+// Build creates the service of a daemon. Its listeners accept through the account.
+type Build func(account *intake.Account, log *telemetry.Logger, metrics telemetry.Registry) (Service, error)
 
 // Settings are the settings of a daemon, including those that all daemons share.
 type Settings interface {
@@ -67,7 +69,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	metrics := telemetry.NewRegistry()
-	service, err := build(log, metrics)
+	debug.SetMemoryLimit(int64(float64(memoryLimit(process)) * intake.SoftLimitFraction))
+	account := intake.NewAccount(intake.Limits{Memory: memoryLimit(process)}, metrics)
+	service, err := build(account, log, metrics)
 	if err != nil {
 		return err
 	}
@@ -76,7 +80,9 @@
 		return err
 	}
 	metricsServer := httpserver.New(telemetry.MetricsHandler(metrics))
-	go httpserver.Serve(metricsServer, listeners.metrics, log)
+	metricsGuard := httpserver.NewGuard(account.Guard(intake.Collectors), httpserver.DefaultMaxHead)
+	metricsGuard.Configure(metricsServer)
+	go httpserver.Serve(metricsServer, metricsGuard.Listener(listeners.metrics), log)
 	service.Start(listeners.serve, listeners.control)
 	printAddresses(listeners)
 	log.Info().Str("signal", (<-signals).String()).Msg("stop_requested")
@@ -90,6 +96,9 @@
 	return closeServer(metricsServer)
 }
 
+// memoryLimit returns the memory limit in bytes.
+func memoryLimit(process *settings.Process) int64 { return process.MemoryLimitMB << 20 }
+
 func closeServer(server *http.Server) error {
 	return errors.Wrap(server.Close(), "close metrics listener")
 }
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -95,6 +95,7 @@
 
 var (
 	metricCall    = regexp.MustCompile(`telemetry\.(?:Counter|Gauge|Histogram)\([^,]+, (.+?)\)(?:\.|$|,)`)
+	gaugeOfCall   = regexp.MustCompile(`telemetry\.GaugeOf\([^,]+, (.+?), `)
 	metricName    = regexp.MustCompile(`^"([^"]+)"(.*)$`)
 	metricConst   = regexp.MustCompile(`(?m)^\s*(Metric\w+)\s*=\s*"([^"]+)"`)
 	leaveCall     = regexp.MustCompile(`\.leave\("([^"]+)"\)`)
@@ -117,10 +118,13 @@
 	}
 	for path, source := range sources {
 		for _, line := range strings.Split(source, "\n") {
-			if !regexp.MustCompile(`telemetry\.(Counter|Gauge|Histogram)\(`).MatchString(line) {
+			if !regexp.MustCompile(`telemetry\.(Counter|Gauge|GaugeOf|Histogram)\(`).MatchString(line) {
 				continue
 			}
 			m := metricCall.FindStringSubmatch(line)
+			if m == nil {
+				m = gaugeOfCall.FindStringSubmatch(line)
+			}
 			switch {
 			case m != nil && metricName.MatchString(m[1]):
 				found[metricName.FindStringSubmatch(m[1])[1]] = true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/wigeonfork/wigeonfork/generation"
 	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/moves"
 	"github.com/wigeonfork/wigeonfork/operator"
 	"github.com/wigeonfork/wigeonfork/peer"
@@ -48,7 +49,9 @@
 	// Limits are the timeouts and retry limits of an answer.
 	Limits generation.Limits
 	// Policy configures the admission and the engine priority of each class.
-	Policy  admission.Policy
+	Policy admission.Policy
+	// Account bounds what callers and peers make the entry hold. If it is nil, nothing bounds that.
+	Account *intake.Account
 	Log     *telemetry.Logger
 	Metrics telemetry.Registry
 	// DrainLimit bounds the time that a leaving entry waits for its requests.
@@ -77,6 +80,7 @@
 	status      *query.Status
 	control     *peer.Server
 	server      *http.Server
+	guard       *httpserver.Guard
 	background  context.Context
 	stop        context.CancelFunc
 	wait        sync.WaitGroup
@@ -105,6 +109,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.Account == nil {
+		options.Account = intake.NewAccount(intake.Limits{}, options.Metrics)
+	}
 	background, stop := context.WithCancel(context.Background())
 	e := &Entry{
 		options:    options,
@@ -124,6 +131,8 @@
 	e.control = peer.NewServer(options.Credentials)
 	e.registerControl()
 	e.server = httpserver.New(e.routes())
+	e.guard = httpserver.NewGuard(options.Account.Guard(intake.Callers), httpserver.DefaultMaxHead)
+	e.guard.Configure(e.server)
 	return e, nil
 }
 
@@ -248,7 +257,7 @@
 		ID: e.options.Host, Role: infra.RoleEntry, State: infra.HostLive, Domain: e.options.Domain,
 		ServeAddress: serve.Addr().String(), ControlAddress: control.Addr().String(),
 	}
-	e.wait.Go(func() { httpserver.Serve(e.server, serve, e.options.Log) })
+	e.wait.Go(func() { httpserver.Serve(e.server, e.guard.Listener(serve), e.options.Log) })
 	e.wait.Go(func() {
 		if err := e.control.Serve(control); err != nil {
 			e.options.Log.Error().Err(err).Msg("control_ended")
--- a/gateway/caller_left_test.go
+++ b/gateway/caller_left_test.go
@@ -9,18 +9,24 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/sockpeek"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 // serveCallers starts a server as the gateway's that handles each request as a call. It returns the server's address.
 func serveCallers(t *testing.T, handle func(*call)) string {
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handle(&call{w: w, r: r}) })}
 	newCallerConnections().configure(server)
+	account := intake.NewAccount(intake.Limits{}, telemetry.NewRegistry())
+	guard := httpserver.NewGuard(account.Guard(intake.Callers), httpserver.DefaultMaxHead)
+	guard.Configure(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(guard.Listener(listener)) }()
 	t.Cleanup(func() { server.Close() })
 	return listener.Addr().String()
 }
@@ -33,8 +39,8 @@
 		type observation struct{ toldByServer, waits bool }
 		handled := make(chan observation, 1)
 		address := serveCallers(t, func(c *call) {
-			conn := c.r.Context().Value(callerConnKey{}).(net.Conn)
-			for end := time.Now().Add(10 * time.Second); sockpeek.Peek(conn) != sockpeek.Ended && time.Now().Before(end); {
+			conn := httpserver.ConnOf(c.r.Context())
+			for end := time.Now().Add(10 * time.Second); sockpeek.Peek(httpserver.Unwrap(conn)) != sockpeek.Ended && time.Now().Before(end); {
 				time.Sleep(time.Millisecond)
 			}
 			handled <- observation{toldByServer: c.r.Context().Err() != nil, waits: c.callerWaits()}
--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -10,7 +9,6 @@
 	"github.com/wigeonfork/wigeonfork/httpserver"
 	"github.com/wigeonfork/wigeonfork/routetable"
 	"github.com/wigeonfork/wigeonfork/sockpeek"
-	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 const (
@@ -20,8 +18,6 @@
 	minHeaderTimeout = 5 * time.Second
 	// defaultMaxHead bounds the head of a request where the configuration sets no limit, or none is known yet, in bytes.
 	defaultMaxHead = 256 << 10
-	// incompleteHeadFraction is the fraction of the memory quota that may hold the heads that are not complete.
-	incompleteHeadFraction = 0.25
 )
 
 // callerConnections tracks the connections on which no complete head of a request has arrived since
@@ -67,17 +63,6 @@
 func (c *callerConnections) configure(server *http.Server) {
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
 	server.ConnState = func(conn net.Conn, state http.ConnState) { c.observe(time.Now(), conn, state) }
-	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, callerConnKey{}, conn)
-	}
-}
-
-// newHeadGuard returns the guard of the heads of callers' requests.
-func (g *Gateway) newHeadGuard() *httpserver.HeadGuard {
-	incomplete := int64(incompleteHeadFraction * float64(g.memory.Usage().Limit))
-	return httpserver.NewHeadGuard(g.memory, incomplete, g.maxHead, func(reason httpserver.HeadRefusal) {
-		telemetry.Counter(g.options.Metrics, "heads.refused_"+string(reason)).Inc(1)
-	})
 }
 
 // maxHead returns the limit on the head of a request in bytes.
@@ -96,17 +81,14 @@
 	return routetable.Limits{}
 }
 
-// callerConnKey is the key of a caller's connection in the context of its requests.
-type callerConnKey struct{}
-
 // callerWaits reports whether the caller still waits for the answer. In a busy process the server may
 // notice the end of the connection only long after it has arrived, so the connection itself is asked.
 func (c *call) callerWaits() bool {
 	if c.r.Context().Err() != nil {
 		return false
 	}
-	conn, ok := c.r.Context().Value(callerConnKey{}).(net.Conn)
-	return !ok || sockpeek.Peek(httpserver.Unwrap(conn)) != sockpeek.Ended
+	conn := httpserver.ConnOf(c.r.Context())
+	return conn == nil || sockpeek.Peek(httpserver.Unwrap(conn)) != sockpeek.Ended
 }
 
 // connectionCheckInterval is the time between two searches for expired connections.
@@ -117,7 +99,7 @@
 func (g *Gateway) expireCallerConnections() {
 	for g.pause(connectionCheckInterval) {
 		limits, now := g.callerLimits(), time.Now()
-		g.callerHeads.EndOverdue(now, max(minHeaderTimeout, limits.HeaderTimeout))
+		g.callerGuard.EndOverdue(now, max(minHeaderTimeout, limits.HeaderTimeout))
 		for _, conn := range g.callerConns.expired(now, limits) {
 			// A connection that fails to close is closed by its own goroutine.
 			_ = conn.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/httpserver"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/upstream"
@@ -42,9 +43,10 @@
 	server    *http.Server
 	// callerConns tracks the idle connections of server.
 	callerConns *callerConnections
-	// callerHeads bounds the heads of requests to server.
-	callerHeads *httpserver.HeadGuard
+	// callerGuard bounds what callers make the gateway hold, and readyGuard what the load balancer does.
+	callerGuard *httpserver.Guard
 	ready       *http.Server
+	readyGuard  *httpserver.Guard
 
 	configFollower  *follower
 	serversFollower *follower
@@ -75,7 +77,10 @@
 func New(options Options) *Gateway {
 	background, stop := context.WithCancel(context.Background())
 	g := &Gateway{options: options, background: background, stop: stop, warm: newLatch(warmReads), restored: newLatch(restoredReads)}
-	g.memory = newMemoryQuota(options.MemoryLimit)
+	if options.Account == nil {
+		options.Account = intake.NewAccount(intake.Limits{}, options.Metrics)
+	}
+	g.memory = options.Account.Memory()
 	if options.Quarantines == nil {
 		g.restored.mark(restoredRequests)
 		g.restored.mark(restoredParts)
@@ -124,12 +129,14 @@
 	g.surveys = newSurveyor(g)
 	g.server = httpserver.New(alice.New().ThenFunc(g.serve))
 	g.callerConns = newCallerConnections()
-	g.callerHeads = g.newHeadGuard()
+	g.callerGuard = httpserver.NewGuard(options.Account.Guard(intake.Callers), g.maxHead)
 	g.callerConns.configure(g.server)
-	g.callerHeads.Configure(g.server)
+	g.callerGuard.Configure(g.server)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", g.serveReady)
 	g.ready = httpserver.New(mux)
+	g.readyGuard = httpserver.NewGuard(options.Account.Guard(intake.Balancer), httpserver.DefaultMaxHead)
+	g.readyGuard.Configure(g.ready)
 	return g
 }
 
@@ -148,8 +155,8 @@
 // Start serves callers and the load balancer's readiness checks until Stop. It does
 // not block.
 func (g *Gateway) Start(callers, ready net.Listener) {
-	g.wait.Go(func() { httpserver.Serve(g.server, g.callerHeads.Listener(callers), g.options.Log) })
-	g.wait.Go(func() { httpserver.Serve(g.ready, ready, g.options.Log) })
+	g.wait.Go(func() { httpserver.Serve(g.server, g.callerGuard.Listener(callers), g.options.Log) })
+	g.wait.Go(func() { httpserver.Serve(g.ready, g.readyGuard.Listener(ready), g.options.Log) })
 	g.wait.Go(g.followConfiguration)
 	g.wait.Go(g.followServers)
 	g.wait.Go(g.sweep)
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"net"
 	"net/http"
 	"time"
@@ -10,31 +9,17 @@
 
 	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/problem"
-	"github.com/wigeonfork/wigeonfork/telemetry"
 	"github.com/wigeonfork/wigeonfork/upstream"
 )
 
 const (
-	// heldFraction is the fraction of the memory limit that may hold the bytes of callers and servers. The rest is for
-	// what each connection needs, the garbage between two collections and the buffers of sockets.
-	heldFraction = 0.25
 	// crowdedHeadsFraction is a fraction of the quota. If heads hold more, the body of a refused request is not read, since the
 	// head would be held meanwhile.
 	crowdedHeadsFraction = 0.5
-	// unlimitedBytes is the quota of a gateway without a memory limit, in bytes.
-	unlimitedBytes = math.MaxInt64 / 4
 	// memoryRetry is the retry delay for callers whose body finds no room.
 	memoryRetry = time.Second
 )
 
-// newMemoryQuota returns the quota of a process with a memory limit in bytes, or without if it is 0.
-func newMemoryQuota(limit int64) *memquota.Quota {
-	if limit <= 0 || limit > unlimitedBytes {
-		return memquota.New(unlimitedBytes)
-	}
-	return memquota.New(int64(heldFraction * float64(limit)))
-}
-
 // MemoryState is the usage of the memory quota in bytes, and how often each kind was refused.
 type MemoryState struct {
 	Limit   int64            `json:"limit_bytes"`
@@ -53,18 +38,6 @@
 	return state
 }
 
-// updateMemoryMetrics updates the metrics of the memory quota.
-func (g *Gateway) updateMemoryMetrics() {
-	state := g.memoryState()
-	telemetry.Gauge(g.options.Metrics, "memory.limit_bytes").Update(state.Limit)
-	telemetry.Gauge(g.options.Metrics, "memory.peak_bytes").Update(state.Peak)
-	telemetry.Gauge(g.options.Metrics, "heads.incomplete_bytes").Update(g.callerHeads.Incomplete())
-	for kind, held := range state.ByKind {
-		telemetry.Gauge(g.options.Metrics, "memory.held_bytes."+kind).Update(held)
-		telemetry.Gauge(g.options.Metrics, "memory.refused."+kind).Update(state.Refused[kind])
-	}
-}
-
 // headsCrowd reports whether the heads of callers hold more than crowdedHeadsFraction of the quota.
 func (g *Gateway) headsCrowd() bool {
 	usage := g.memory.Usage()
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
@@ -71,9 +72,8 @@
 	// Moves keeps the states of moves to other versions. If it is nil, no order is
 	// followed.
 	Moves MoveStore
-	// MemoryLimit is the memory limit of the process in bytes; 0 is none. It bounds what is held for callers and
-	// backend servers.
-	MemoryLimit int64
-	Log         *telemetry.Logger
-	Metrics     telemetry.Registry
+	// Account bounds what is held for callers, the load balancer and backend servers. If it is nil, nothing bounds that.
+	Account *intake.Account
+	Log     *telemetry.Logger
+	Metrics telemetry.Registry
 }
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -54,7 +54,6 @@
 				go g.checkRecovery(entry)
 			}
 			g.pool.Expire(now)
-			g.updateMemoryMetrics()
 			telemetry.Gauge(g.options.Metrics, "configuration.age_ms").Update(g.config.ageMs())
 		}
 	}
--- a/httpserver/heads.go
+++ b/httpserver/heads.go
@@ -3,15 +3,14 @@
 import (
 	"bytes"
 	"io"
-	"math"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/memquota"
 )
 
@@ -41,24 +40,21 @@
 	answerTimeout = 500 * time.Millisecond
 )
 
-// HeadRefusal is why a head was refused before it was complete.
-type HeadRefusal string
-
-// The refusals.
+// Why a head is refused before it is complete.
 const (
 	// HeadTooLarge means that the head exceeds the limit. The answer is 431.
-	HeadTooLarge HeadRefusal = "too_large"
+	HeadTooLarge intake.Refusal = "too_large"
 	// HeadEvicted means that incomplete heads held too many bytes, and that this one had the greatest product of bytes held
 	// and time since its first byte among those of its address. The answer is 503: the request has not run.
-	HeadEvicted HeadRefusal = "evicted"
+	HeadEvicted intake.Refusal = "evicted"
 	// HeadTooSlow means that the head took too long while memory was short. The answer is 408: the request has not run.
-	HeadTooSlow HeadRefusal = "too_slow"
+	HeadTooSlow intake.Refusal = "too_slow"
 	// HeadNoMemory means that the quota had no room for the head. The answer is 503: the request has not run.
-	HeadNoMemory HeadRefusal = "no_memory"
+	HeadNoMemory intake.Refusal = "no_memory"
 )
 
 // refusedAnswers are the answers to refused heads.
-var refusedAnswers = map[HeadRefusal]string{
+var refusedAnswers = map[intake.Refusal]string{
 	HeadTooLarge: "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
 	HeadEvicted:  "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
 	HeadTooSlow:  "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
@@ -68,85 +64,70 @@
 // errHeadRefused ends the read of a head that is refused.
 var errHeadRefused = errors.New("the head of the request is refused")
 
-// HeadGuard counts the heads of callers' requests in a quota from the first byte to the end of the request, and ends those
-// that are too large or hold too much. It takes the place of the limit of http.Server, which can't follow a configuration.
-// Configure must be called for a server before it serves the Listener.
-type HeadGuard struct {
-	quota *memquota.Quota
+// Guard counts the heads of requests to one listener in the account of the process, from the first byte to the end of the request,
+// and ends those that exceed its limits. It takes the place of the
+// limit on heads of http.Server, which can't follow a configuration. Configure must be called for a server before it serves the
+// Listener.
+type Guard struct {
+	intake *intake.Guard
+	quota  *memquota.Quota
 	// maxHead returns the present limit on a head in bytes.
-	maxHead   func() int64
-	onRefused func(HeadRefusal)
+	maxHead func() int64
+	// onRefused is called with the peer's address for each head that is refused.
+	onRefused func(reason intake.Refusal, address string)
 	lingering chan struct{}
 	turns     chan struct{}
 
 	mu    sync.Mutex
 	heads *memquota.Heads
-	conns map[*memquota.Head]*headConn
+	conns map[*memquota.Head]*guardedConn
 }
 
-// NewHeadGuard returns a guard whose incomplete heads hold at most incomplete bytes of the quota.
-func NewHeadGuard(quota *memquota.Quota, incomplete int64, maxHead func() int64, onRefused func(HeadRefusal)) *HeadGuard {
-	return &HeadGuard{
-		quota: quota, maxHead: maxHead, onRefused: onRefused, lingering: make(chan struct{}, maxLingering),
-		turns: make(chan struct{}, largeTurns), heads: memquota.NewHeads(incomplete), conns: make(map[*memquota.Head]*headConn),
+// DefaultMaxHead returns the limit on heads of listeners without a configuration, in bytes.
+func DefaultMaxHead() int64 { return maxHeaderBytes }
+
+// NewGuard returns the guard of a listener. maxHead returns the limit on a head in bytes.
+func NewGuard(of *intake.Guard, maxHead func() int64) *Guard {
+	g := newGuard(of, of.Memory(), of.IncompleteLimit(), maxHead)
+	of.ReportIncomplete(g.Incomplete)
+	return g
+}
+
+// newGuard is NewGuard with a quota, and a number of bytes of it for incomplete heads.
+func newGuard(of *intake.Guard, quota *memquota.Quota, incomplete int64, maxHead func() int64) *Guard {
+	return &Guard{
+		intake: of, quota: quota, maxHead: maxHead, onRefused: of.RefusedHead, lingering: make(chan struct{}, maxLingering),
+		turns: make(chan struct{}, largeTurns), heads: memquota.NewHeads(incomplete), conns: make(map[*memquota.Head]*guardedConn),
 	}
 }
 
 // Listener returns a listener whose connections are guarded.
-func (g *HeadGuard) Listener(inner net.Listener) net.Listener {
-	return &headListener{Listener: inner, guard: g}
+func (g *Guard) Listener(inner net.Listener) net.Listener {
+	return &guardedListener{Listener: g.intake.Listener(inner), guard: g}
 }
 
 // Incomplete returns the bytes that incomplete heads hold.
-func (g *HeadGuard) Incomplete() int64 {
+func (g *Guard) Incomplete() int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.heads.Held()
 }
 
-func (g *HeadGuard) isShort() bool {
+func (g *Guard) isShort() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.heads.Short()
 }
 
-// Configure makes a server leave the limit on heads to the guard, and tell it of its connections.
-func (g *HeadGuard) Configure(server *http.Server) {
-	server.MaxHeaderBytes = math.MaxInt32
-	next := server.ConnState
-	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		g.observe(conn, state)
-		if next != nil {
-			next(conn, state)
-		}
-	}
-}
-
-// observe follows the state of a connection.
-func (g *HeadGuard) observe(conn net.Conn, state http.ConnState) {
-	c, isGuarded := conn.(*headConn)
-	if !isGuarded {
-		return
-	}
-	switch state {
-	case http.StateNew, http.StateIdle:
-		c.beginHead()
-	case http.StateActive:
-		c.completeHead()
-	default:
-		c.endHead()
-	}
-}
-
 // EndOverdue refuses the heads whose first bytes arrived longer than limit ago, if memory for heads is short.
-func (g *HeadGuard) EndOverdue(now time.Time, limit time.Duration) {
+func (g *Guard) EndOverdue(now time.Time, limit time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refuseLocked(g.heads.EndOverdue(now, limit), HeadTooSlow)
 }
 
 // refuseLocked records why heads are refused, and ends the reads that wait for their next bytes. The lock must be held.
-func (g *HeadGuard) refuseLocked(heads []*memquota.Head, reason HeadRefusal) {
+func (g *Guard) refuseLocked(heads []*memquota.Head, reason intake.Refusal) {
 	for _, h := range heads {
 		c := g.conns[h]
 		delete(g.conns, h)
@@ -156,30 +137,25 @@
 	}
 }
 
-// headListener accepts guarded connections.
-type headListener struct {
+// guardedListener accepts guarded connections.
+type guardedListener struct {
 	net.Listener
-	guard *HeadGuard
+	guard *Guard
 }
 
 // Accept implements net.Listener.
-func (l *headListener) Accept() (net.Conn, error) {
+func (l *guardedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	address, _, err := net.SplitHostPort(conn.RemoteAddr().String())
-	if err != nil {
-		address = conn.RemoteAddr().String()
-	}
-	return &headConn{Conn: conn, guard: l.guard, address: address}, nil
+	return &guardedConn{Conn: conn.(*intake.Conn), guard: l.guard}, nil
 }
 
-// headConn is a guarded connection.
-type headConn struct {
-	net.Conn
-	guard   *HeadGuard
-	address string
+// guardedConn is a guarded connection.
+type guardedConn struct {
+	*intake.Conn
+	guard *Guard
 	// reading is set while a head is read.
 	reading atomic.Bool
 	// hold counts the head until the request ends, and received the bytes of the head.
@@ -190,20 +166,23 @@
 
 	// head and refused are guarded by the guard's lock. head is nil while no head is incomplete.
 	head    *memquota.Head
-	refused HeadRefusal
+	refused intake.Refusal
 }
 
-// Unwrap returns the connection below one that a HeadGuard may have accepted.
+// Unwrap returns the connection below one that a Guard may have accepted.
 func Unwrap(conn net.Conn) net.Conn {
-	if c, isGuarded := conn.(*headConn); isGuarded {
-		return c.Conn
+	for {
+		outer, isWrapped := conn.(interface{ NetConn() net.Conn })
+		if !isWrapped {
+			return conn
+		}
+		conn = outer.NetConn()
 	}
-	return conn
 }
 
 // CloseWrite closes the sending direction. It returns an error if the connection can't close one direction alone.
-func (c *headConn) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
+func (c *guardedConn) CloseWrite() error {
+	half, ok := c.NetConn().(interface{ CloseWrite() error })
 	if !ok {
 		return errors.New("the connection can't close one direction alone")
 	}
@@ -211,18 +190,18 @@
 }
 
 // beginHead counts what is read from now on as a head.
-func (c *headConn) beginHead() {
+func (c *guardedConn) beginHead() {
 	c.endHead()
 	c.guard.mu.Lock()
-	c.head = memquota.NewHead(c.address)
+	c.head = memquota.NewHead(c.Address())
 	c.guard.mu.Unlock()
-	c.hold = c.guard.quota.Begin(memquota.CallerHead, c.address)
+	c.hold = c.guard.quota.Begin(memquota.CallerHead, c.Address())
 	c.received = 0
 	c.reading.Store(true)
 }
 
 // completeHead ends the count of what is read. The head is held until the request ends.
-func (c *headConn) completeHead() {
+func (c *guardedConn) completeHead() {
 	c.reading.Store(false)
 	g := c.guard
 	g.mu.Lock()
@@ -241,13 +220,13 @@
 }
 
 // endHead releases the head.
-func (c *headConn) endHead() {
+func (c *guardedConn) endHead() {
 	c.completeHead()
 	c.hold.End()
 }
 
 // Read implements net.Conn.
-func (c *headConn) Read(p []byte) (int, error) {
+func (c *guardedConn) Read(p []byte) (int, error) {
 	if !c.reading.Load() {
 		return c.Conn.Read(p)
 	}
@@ -270,7 +249,7 @@
 
 // awaitTurn slows a large head down while memory for heads is short. It returns why the head was refused meanwhile, or an
 // empty string.
-func (c *headConn) awaitTurn() HeadRefusal {
+func (c *guardedConn) awaitTurn() intake.Refusal {
 	if !c.guard.isShort() {
 		return ""
 	}
@@ -281,14 +260,14 @@
 }
 
 // refusal returns why the head was refused, or an empty string.
-func (c *headConn) refusal() HeadRefusal {
+func (c *guardedConn) refusal() intake.Refusal {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	return c.refused
 }
 
 // count counts bytes of a head. It returns why the head is refused, or an empty string.
-func (c *headConn) count(data []byte) HeadRefusal {
+func (c *guardedConn) count(data []byte) intake.Refusal {
 	c.received += int64(len(data))
 	if c.received > c.guard.maxHead()+readAhead {
 		return HeadTooLarge
@@ -310,9 +289,9 @@
 
 // answer writes the answer to a refused head. It returns a net.OpError of a read, upon which http.Server
 // writes no answer of its own.
-func (c *headConn) answer(reason HeadRefusal) error {
+func (c *guardedConn) answer(reason intake.Refusal) error {
 	if !c.answered.Swap(true) {
-		c.guard.onRefused(reason)
+		c.guard.onRefused(reason, c.Address())
 		// A caller that doesn't read its answer, or has left, gets none.
 		_ = c.SetWriteDeadline(time.Now().Add(answerTimeout))
 		_, _ = io.WriteString(c.Conn, refusedAnswers[reason])
@@ -322,7 +301,7 @@
 
 // Close implements net.Conn. After a refusal the connection is read for a while before it is closed, since a caller that
 // still sends would otherwise get a reset in place of the answer. While memory for heads is short it is closed at once.
-func (c *headConn) Close() error {
+func (c *guardedConn) Close() error {
 	if !c.answered.Load() || c.guard.isShort() {
 		return c.Conn.Close()
 	}
@@ -336,7 +315,7 @@
 }
 
 // linger reads the connection within lingerTime and lingerBytes, then closes it.
-func (c *headConn) linger() {
+func (c *guardedConn) linger() {
 	defer func() { <-c.guard.lingering }()
 	// Errors mean that the caller has left.
 	_ = c.CloseWrite()
--- a/httpserver/heads_test.go
+++ b/httpserver/heads_test.go
@@ -13,25 +13,29 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/memquota"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 // patience bounds each wait for something that must come about.
 const patience = 20 * time.Second
 
-// guarded is a server with a HeadGuard.
+// guarded is a server with a Guard.
 type guarded struct {
 	address string
-	guard   *HeadGuard
+	guard   *Guard
 	quota   *memquota.Quota
 	maxHead atomic.Int64
-	refused chan HeadRefusal
+	refused chan intake.Refusal
 }
 
 func startGuarded(quotaBytes, incomplete int64) *guarded {
-	g := &guarded{quota: memquota.New(quotaBytes), refused: make(chan HeadRefusal, 100)}
+	g := &guarded{quota: memquota.New(quotaBytes), refused: make(chan intake.Refusal, 100)}
 	g.maxHead.Store(16 << 10)
-	g.guard = NewHeadGuard(g.quota, incomplete, g.maxHead.Load, func(r HeadRefusal) { g.refused <- r })
+	account := intake.NewAccount(intake.Limits{}, telemetry.NewRegistry())
+	g.guard = newGuard(account.Guard(intake.Callers), g.quota, incomplete, g.maxHead.Load)
+	g.guard.onRefused = func(r intake.Refusal, _ string) { g.refused <- r }
 	server := New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.URL.Path) }))
 	server.ReadHeaderTimeout = 0
 	g.guard.Configure(server)
@@ -43,8 +47,11 @@
 	return g
 }
 
-func (g *guarded) dial() (net.Conn, *bufio.Reader) {
-	conn, err := net.Dial("tcp", g.address)
+func (g *guarded) dial() (net.Conn, *bufio.Reader) { return dial(g.address) }
+
+// dial connects to a server until the end of the test.
+func dial(address string) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", address)
 	So(err, ShouldBeNil)
 	So(conn.SetDeadline(time.Now().Add(patience)), ShouldBeNil)
 	Reset(func() { conn.Close() })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,7 @@
 	WeightsAddress string        `long:"weights-address" env:"WIGEON_WEIGHTS_ADDRESS" description:"IP address and port of the weight store"`
 	HostsAddress   string        `long:"hosts-address" env:"WIGEON_HOSTS_ADDRESS" description:"IP address and port of the list of hosts" required:"true"`
 	DrainLimit     time.Duration `long:"drain-limit" env:"WIGEON_DRAIN_LIMIT" description:"maximum time to wait for answers in progress when draining" default:"10m"`
+	MemoryLimitMB  int64         `long:"memory-limit-mb" env:"WIGEON_MEMORY_LIMIT_MB" description:"memory that the process may use, in MiB; connections, heads and bodies of its peers get shares of it" default:"1024"`
 	LogLevel       string        `long:"log-level" env:"WIGEON_LOG_LEVEL" value-name:"LEVEL" description:"minimum level of events to log: debug, info, warn or error" default:"info"`
 }
 
@@ -57,6 +58,9 @@
 // maxResumeHold limits the resume hold, since an agent keeps no answer for longer.
 const maxResumeHold = 30 * time.Second
 
+// minMemoryLimitMB is the least memory limit with which a daemon can serve.
+const minMemoryLimitMB = 32
+
 // maxDrainLimit limits the drain limit.
 const maxDrainLimit = 24 * time.Hour
 
@@ -109,6 +113,9 @@
 	if p.DrainLimit < 0 || p.DrainLimit > maxDrainLimit {
 		return errors.Newf("drain-limit must be from 0 to %s", maxDrainLimit)
 	}
+	if p.MemoryLimitMB < minMemoryLimitMB {
+		return errors.Newf("memory-limit-mb must be at least %d", minMemoryLimitMB)
+	}
 	return checkChoice("log-level", p.LogLevel, "debug", "info", "warn", "error")
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -28,6 +28,12 @@
 	return metrics.GetOrRegisterGauge(name, r)
 }
 
+// GaugeOf registers a gauge whose value is read when it is asked for. A name that is registered keeps its first gauge.
+func GaugeOf(r Registry, name string, value func() int64) {
+	// The only error is that the name is registered.
+	_ = metrics.NewRegisteredFunctionalGauge(name, r, value)
+}
+
 // histogramSamples is the number of values that a histogram keeps.
 const histogramSamples = 1028
 
--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -30,6 +31,10 @@
 	// last is sent after these bytes. answers is set if the caller then reads the answer.
 	last    string
 	answers bool
+	// kept is the number of connections that a caller keeps open at the end; 0 means its last one.
+	kept int
+	// isUpload puts the head of an upload to the listener before first.
+	isUpload bool
 }
 
 const requestLine = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n"
@@ -63,53 +68,68 @@
 }
 
 // mixed has callers of each mode.
-var mixed = func() mode {
+var mixed = mix(modes)
+
+func mix(all []mode) mode {
 	m := mode{name: "all of them"}
-	for _, other := range modes {
+	for _, other := range all {
 		m.heads = append(m.heads, other.heads...)
 	}
 	return m
-}()
+}
 
-// crowd is a number of callers. Each keeps its last connection open until all have sent what they send.
+// answered is a request that each HTTP listener answers and after which it keeps the connection.
+const answered = "GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n"
+
+// listenerModes are what the clients of a listener send beside modes.
+var listenerModes = []mode{
+	{"empty lines before a later request", []head{flooding(answered, repeated("\r\n"))}},
+	{"short lines of a later request that stop below the limit", []head{stopping(answered+requestLine, shortLines)}},
+}
+
+// crowd is a number of callers. Each keeps its last connections open until all have sent what they send.
 type crowd struct {
 	callers int
 	address string
-	mode    mode
+	// upload is the head of an upload that the listener takes, without its last lines.
+	upload string
+	mode   mode
 	// arrived is called once all callers have sent what they send, while their last connections are open.
 	arrived func(*testing.T)
 }
 
 func (c *crowd) run(t *testing.T) {
-	conns := make([]net.Conn, c.callers)
+	conns := make([][]net.Conn, c.callers)
 	var wait sync.WaitGroup
 	for i := range conns {
-		wait.Go(func() { conns[i] = c.mode.heads[i%len(c.mode.heads)].send(c.address) })
+		wait.Go(func() { conns[i] = c.mode.heads[i%len(c.mode.heads)].send(c.address, c.upload) })
 	}
 	wait.Wait()
 	c.arrived(t)
-	for _, conn := range conns {
-		if conn != nil {
-			conn.Close()
-		}
+	for _, conn := range slices.Concat(conns...) {
+		conn.Close()
 	}
 }
 
-// send sends the head on each of its connections and returns the last one. A refused connection is one of them.
-func (h head) send(address string) (last net.Conn) {
+// send sends the head on each of its connections and returns those that are open. A refused connection is one of them.
+func (h head) send(address, upload string) (open []net.Conn) {
+	if h.isUpload {
+		h.first = upload + h.first
+	}
 	for range h.connections {
-		if last != nil {
-			awaitEnd(last)
+		if len(open) == max(h.kept, 1) {
+			awaitEnd(open[0])
+			open = open[1:]
 		}
-		conn, err := net.Dial("tcp", address)
+		conn, err := net.DialTimeout("tcp", address, patience)
 		if err != nil {
 			continue
 		}
-		last = conn
-		// The gateway may refuse the head and close.
+		open = append(open, conn)
+		// The process may refuse the head and close.
 		_ = h.write(conn)
 	}
-	return last
+	return open
 }
 
 // awaitEnd ends a connection and waits until the gateway has ended it too. What was written may wait in the buffers of the
--- a/test/hostile/gateway_test.go
+++ b/test/hostile/gateway_test.go
@@ -1,16 +1,10 @@
 package hostile
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -37,13 +31,15 @@
 	return d
 }
 
-// gatewayProcess is a started gateway.
+// gatewayProcess is a started gateway and the addresses of its listeners.
 type gatewayProcess struct {
-	pid     int
-	callers string
-	ended   chan struct{}
+	subject
+	callers, balancer, metrics, peers string
 }
 
+// limits are those in the settings of a process. 0 descriptors are none.
+type limits struct{ memoryMB, descriptors int }
+
 // hosts numbers the loopback addresses of the gateways, whose ports are fixed.
 var hosts atomic.Int64
 
@@ -53,11 +49,11 @@
 	return fmt.Sprintf("127.%d.%d.%d", 201+pid%50, 1+pid/50%250, hosts.Add(1))
 }
 
-func startGateway(t *testing.T, binary, store string, memoryMB int) *gatewayProcess {
+func startGateway(t *testing.T, binary, store string, of limits) *gatewayProcess {
 	ip := nextHost()
 	settings := filepath.Join(t.TempDir(), "settings.toml")
-	text := fmt.Sprintf("node_name = \"g\"\nzone = \"zone-0\"\nip = %q\ninternal_ports = [7680, 7695]\n[listen]\nfront = %q\nready = %q\n[limits]\nmemory_mb = %d\n[platform]\naddress = %q\n",
-		ip, ip+":8603", ip+":8602", memoryMB, store)
+	text := fmt.Sprintf("node_name = \"g\"\nzone = \"zone-0\"\nip = %q\ninternal_ports = [7680, 7695]\n[listen]\nfront = %q\nready = %q\n[limits]\nmemory_mb = %d\nmax_fds = %d\n[platform]\naddress = %q\n",
+		ip, ip+":8603", ip+":8602", of.memoryMB, of.descriptors, store)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -67,102 +63,46 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	g := &gatewayProcess{pid: command.Process.Pid, callers: ip + ":8603", ended: make(chan struct{})}
+	ended := make(chan struct{})
+	g := &gatewayProcess{
+		subject: subject{pid: command.Process.Pid, ended: ended},
+		callers: ip + ":8603", balancer: ip + ":8602", metrics: ip + ":9464", peers: ip + ":7680",
+	}
+	g.order = func() error { return statusError(g.orderWith("")) }
 	go func() {
 		// How the process ended shows in whether it ended.
 		_ = command.Wait()
-		close(g.ended)
+		close(ended)
 	}()
 	t.Cleanup(func() {
 		_ = command.Process.Kill()
-		<-g.ended
+		<-ended
 	})
-	g.awaitReady(t, "http://"+ip+":8602/ready")
+	g.awaitReady(t)
 	return g
 }
 
-func (g *gatewayProcess) awaitReady(t *testing.T, address string) {
+func (g *gatewayProcess) awaitReady(t *testing.T) {
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		response, err := http.Get(address)
-		if err != nil {
-			continue
-		}
-		response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+		if get(g.balancer, "/ready") == nil {
 			return
 		}
 	}
 	t.Fatal("the gateway is not ready")
 }
 
-// requireAlive returns the number of descriptors of the process, which must live.
-func (g *gatewayProcess) requireAlive(t *testing.T) int {
-	select {
-	case <-g.ended:
-		t.Fatal("the process has ended")
-	default:
-	}
-	return g.descriptors(t)
-}
-
-func (g *gatewayProcess) descriptors(t *testing.T) int {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", g.pid))
-	if err != nil {
-		t.Fatalf("the process has ended: %v", err)
+// listeners returns the TCP listeners of the gateway.
+func (g *gatewayProcess) listeners() []listener {
+	upload := "POST " + deployment.SafePath + "x HTTP/1.1\r\nHost: " + deployment.Host + "\r\nWigeonfork-Request-Id: upload\r\nAuthorization: Bearer " + deployment.APIKey + "\r\n"
+	return []listener{
+		{name: "callers", address: g.callers, upload: upload, ordinary: g.order},
+		httpListener("balancer", g.balancer, "/ready"),
+		httpListener("metrics", g.metrics, "/metrics"),
 	}
-	return len(entries)
-}
-
-// awaitDescriptors waits until the process has at most n descriptors.
-func (g *gatewayProcess) awaitDescriptors(t *testing.T, n int) {
-	for end := time.Now().Add(patience); g.descriptors(t) > n; time.Sleep(50 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%d descriptors are open after the callers have left", g.descriptors(t))
-		}
-	}
-}
-
-// peakBytes returns the most resident memory that the process has had.
-func (g *gatewayProcess) peakBytes(t *testing.T) int64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.pid))
-	if err != nil {
-		t.Fatalf("the process has ended: %v", err)
-	}
-	for line := range strings.Lines(string(status)) {
-		fields := strings.Fields(line)
-		if len(fields) < 2 || fields[0] != "VmHWM:" {
-			continue
-		}
-		kib, err := strconv.ParseInt(fields[1], 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return kib << 10
-	}
-	t.Fatal("no peak in the status of the process")
-	return 0
 }
 
 // orderWith sends one ordinary request with more lines in its head, and returns the status of its answer.
 func (g *gatewayProcess) orderWith(lines string) (int, error) {
-	conn, err := net.DialTimeout("tcp", g.callers, patience)
-	if err != nil {
-		return 0, err
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
-		return 0, err
-	}
-	_, err = fmt.Fprintf(conn, "GET %sx HTTP/1.1\r\nHost: %s\r\nWigeonfork-Request-Id: ordinary\r\nAuthorization: Bearer %s\r\n%s\r\n",
-		deployment.SafePath, deployment.Host, deployment.APIKey, lines)
-	if err != nil {
-		return 0, err
-	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, err
-	}
-	defer response.Body.Close()
-	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, err
+	return exchange(g.callers, fmt.Sprintf("GET %sx HTTP/1.1\r\nHost: %s\r\nWigeonfork-Request-Id: ordinary\r\nAuthorization: Bearer %s\r\n%s\r\n",
+		deployment.SafePath, deployment.Host, deployment.APIKey, lines))
 }
--- a/test/hostile/hostile_test.go
+++ b/test/hostile/hostile_test.go
@@ -25,6 +25,8 @@
 	floodConnections = 10
 	// maxFraction is the fraction of the memory limit that the process may have used at its peak.
 	maxFraction = 0.8
+	// maxDescriptors is the limit on the descriptors of a process in the tests of connections.
+	maxDescriptors = 600
 	// ownDescriptors bounds the descriptors of a gateway beside one for each caller's connection.
 	ownDescriptors = 64
 )
@@ -63,35 +65,31 @@
 
 func check(t *testing.T, binary string, s size, m mode) {
 	d := startDeployment(t)
-	g := startGateway(t, binary, d.StoreAddress(), s.memoryMB)
+	g := startGateway(t, binary, d.StoreAddress(), limits{memoryMB: s.memoryMB})
 	beside := 0
 	crowd := &crowd{callers: s.callers, address: g.callers, mode: m, arrived: func(t *testing.T) {
 		beside = g.requireAlive(t)
-		requireAnswer(t, g, "while the callers are there")
+		requireAnswer(t, &g.subject, "while the callers are there")
 	}}
 	crowd.run(t)
-	requireAnswer(t, g, "afterwards")
-	peak := g.peakBytes(t)
-	t.Logf("peak %.1f of %d MB; %d descriptors beside the callers", float64(peak)/(1<<20), s.memoryMB, beside)
-	if float64(peak) > maxFraction*float64(s.memoryMB)*(1<<20) {
-		t.Errorf("the peak is above %.0f%% of the memory limit", 100*maxFraction)
-	}
+	requireAnswer(t, &g.subject, "afterwards")
+	g.requirePeak(t, s.memoryMB, beside)
 	if beside > s.callers+ownDescriptors {
 		t.Errorf("%d descriptors for %d callers", beside, s.callers)
 	}
 	g.awaitDescriptors(t, ownDescriptors)
 }
 
-func requireAnswer(t *testing.T, g *gatewayProcess, when string) {
-	if status, err := g.orderWith(""); err != nil || status != 200 {
-		t.Errorf("an ordinary request was not answered %s: %d, %v", when, status, err)
+func requireAnswer(t *testing.T, s *subject, when string) {
+	if err := s.order(); err != nil {
+		t.Errorf("an ordinary request was not answered %s: %v", when, err)
 	}
 }
 
 // TestHeadsJustInsideTheLimitAreServedInCalm guards against limits that refuse what the configuration allows.
 func TestHeadsJustInsideTheLimitAreServedInCalm(t *testing.T) {
 	d := startDeployment(t)
-	g := startGateway(t, build(t), d.StoreAddress(), smallSize.memoryMB)
+	g := startGateway(t, build(t), d.StoreAddress(), limits{memoryMB: smallSize.memoryMB})
 	heads := map[string]string{
 		"one long line": "X-Long: " + strings.Repeat("x", slowHeadBytes) + "\r\n",
 		"many lines":    strings.Repeat("X-Line: "+strings.Repeat("x", 90)+"\r\n", slowHeadBytes/100),
