Count the bodies that entries and agents read

What callers saw: an entry ended for its memory, and all answers on it with it, when clients without a credential announced bodies, sent most of them and then nothing.

Cause: httpserver.ReadBody bounded each body by 4 MiB and 30 s, and nothing counted them together. The gateway had a reader of its own that counted.

Change: one reader for gateway, entry and agent, httpserver.GatherBody, counts a body in the account of the process until its request ends. What has no room is read and dropped, and refused with 503, Retry-After and no_memory, not run.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -23,8 +23,6 @@
 const (
 	// defaultMaxBody bounds a body where the configuration sets no limit, in bytes.
 	defaultMaxBody = 4 << 20
-	// maxDiscard bounds what is read of the body of a request that is refused, in bytes.
-	maxDiscard = 16 << 20
 	// configurationRetry is the retry delay that callers get from an entry without a
 	// recent configuration. Another entry may have one at once.
 	configurationRetry = 300 * time.Millisecond
@@ -89,7 +87,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	c := &call{Gateway: g, w: w, r: r, began: time.Now(), unread: sendsBody(r), held: g.memory.NewGroup()}
+	c := &call{Gateway: g, w: w, r: r, began: time.Now(), unread: httpserver.SendsBody(r), held: g.memory.NewGroup()}
 	defer c.held.End()
 	defer c.logEnd()
 	defer c.endTrial()
@@ -265,7 +263,7 @@
 	}
 	body, err := c.gatherBody(limit)
 	c.body = body
-	c.unread = c.leavesUnread(err)
+	c.unread = httpserver.LeavesUnread(c.r, err)
 	switch {
 	case errors.Is(err, memquota.ErrTooLarge):
 		return problem.New(problem.CodeTooLarge, problem.RunNot, problem.StepAccept, "body has more than %d bytes", limit)
@@ -277,30 +275,9 @@
 	return nil
 }
 
-// leavesUnread reports whether the caller may be sending the rest of its body after gatherBody. A body of announced length
-// that is refused was not read at all, so that a caller who waits for 100 Continue sends none.
-func (c *call) leavesUnread(err error) bool {
-	if !errors.Is(err, memquota.ErrTooLarge) && !errors.Is(err, memquota.ErrExceeded) {
-		return false
-	}
-	return c.r.ContentLength < 0 || sendsBody(c.r)
-}
-
 // gatherBody reads a body of at most limit bytes, counted for its workspace.
 func (c *call) gatherBody(limit int64) ([]byte, error) {
-	hold := c.held.Begin(memquota.CallerBody, c.bodyOwner())
-	httpserver.BeginBody(c.w)
-	defer httpserver.EndBody(c.w)
-	buffer, err := memquota.Gather(c.r.Body, c.r.ContentLength, limit, hold)
-	if err != nil {
-		return nil, err
-	}
-	return buffer.Bytes(hold)
-}
-
-// sendsBody reports whether the caller sends a body without waiting for 100 Continue.
-func sendsBody(r *http.Request) bool {
-	return r.ContentLength != 0 && r.Header.Get("Expect") == ""
+	return httpserver.GatherBody(c.w, c.r, limit, c.held.Begin(memquota.CallerBody, c.bodyOwner()))
 }
 
 // estimate sets the request's deadline, expected work and content hash.
@@ -367,7 +344,7 @@
 		Str("step", string(refusal.Step)).Hex("content", contentBytes(c.content)).Int("status", c.status).Int64("retry_after_ms", refusal.RetryAfter.Milliseconds()).
 		Str("reason", refusal.Error()).Msg("request_refused")
 	if c.unread && !c.headsCrowd() {
-		httpserver.DiscardBody(c.w, c.r, maxDiscard)
+		httpserver.DiscardBody(c.w, c.r)
 	}
 	c.beginHead()
 	problem.Write(c.w, refusal.For(c.caller.ID))
--- a/httpserver/guard.go
+++ b/httpserver/guard.go
@@ -5,6 +5,8 @@
 	"math"
 	"net"
 	"net/http"
+
+	"github.com/wigeonfork/wigeonfork/memquota"
 )
 
 // connKey is the key of a connection in the context of its requests.
@@ -16,9 +18,16 @@
 	return conn
 }
 
-// Configure makes a server leave its limits to the guard, and tell it of its connections.
+// guardedConnOf returns the guarded connection of a request, or nil.
+func guardedConnOf(r *http.Request) *guardedConn {
+	c, _ := ConnOf(r.Context()).(*guardedConn)
+	return c
+}
+
+// Configure makes a server leave its limits to the guard, and tell it of its connections and requests.
 func (g *Guard) Configure(server *http.Server) {
 	server.MaxHeaderBytes = math.MaxInt32
+	server.Handler = guardRequests(server.Handler)
 	nextState, nextContext := server.ConnState, server.ConnContext
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		g.observe(conn, state)
@@ -49,3 +58,38 @@
 		c.endHead()
 	}
 }
+
+// guardRequests releases what requests hold when they end.
+func guardRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := guardedConnOf(r)
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		defer c.endRequest(w, r)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// endRequest releases what the request holds. The server then reads on to the end of its body.
+func (c *guardedConn) endRequest(w http.ResponseWriter, r *http.Request) {
+	c.body.End()
+	c.body = nil
+	if r.ContentLength != 0 {
+		beginBody(w)
+	}
+}
+
+// bodyHold returns what counts the body of a request until its handler returns. It is nil, which is unbounded, if the server has
+// no Guard.
+func bodyHold(r *http.Request) *memquota.Hold {
+	c := guardedConnOf(r)
+	if c == nil {
+		return nil
+	}
+	if c.body == nil {
+		c.body = c.guard.quota.Begin(memquota.CallerBody, c.Address())
+	}
+	return c.body
+}
--- a/httpserver/heads.go
+++ b/httpserver/heads.go
@@ -64,8 +64,8 @@
 // errHeadRefused ends the read of a head that is refused.
 var errHeadRefused = errors.New("the head of the request is refused")
 
-// Guard counts the heads of requests to one listener in the account of the process, from the first byte to the end of the request,
-// and ends those that exceed its limits. It takes the place of the
+// Guard counts the heads and bodies of requests to one listener in the account of the process, from the first byte to the end of
+// the request, and ends those that exceed its limits. It takes the place of the
 // limit on heads of http.Server, which can't follow a configuration. Configure must be called for a server before it serves the
 // Listener.
 type Guard struct {
@@ -161,6 +161,8 @@
 	// hold counts the head until the request ends, and received the bytes of the head.
 	hold     *memquota.Hold
 	received int64
+	// body counts the body of the request, or is nil. Only the request's handler uses it.
+	body *memquota.Hold
 	// answered is set once the answer to a refused head was written.
 	answered atomic.Bool
 
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -5,12 +5,14 @@
 import (
 	"crypto/subtle"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/problem"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
@@ -22,6 +24,10 @@
 	readBodyTimeout   = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
+	// maxDiscard bounds what is read of the body of a request that is refused, in bytes.
+	maxDiscard = 16 << 20
+	// memoryRetry is the retry delay for clients whose body finds no room.
+	memoryRetry = time.Second
 )
 
 // New returns a server for handler with the limits of every listener.
@@ -58,41 +64,71 @@
 	}
 }
 
-// ReadBody reads a request's body of at most limit bytes within readBodyTimeout.
-// It then clears the read deadline, since streamed answers last for minutes.
+// ReadBody reads a request's body of at most limit bytes within readBodyTimeout, and counts it in the account of the process until
+// the request ends. A body that is refused is read and dropped.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem.Error) {
-	BeginBody(w)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	EndBody(w)
-	var tooLarge *http.MaxBytesError
+	body, err := GatherBody(w, r, limit, bodyHold(r))
+	if LeavesUnread(r, err) {
+		DiscardBody(w, r)
+	}
 	switch {
-	case errors.As(err, &tooLarge):
+	case err == nil:
+		return body, nil
+	case errors.Is(err, memquota.ErrTooLarge):
 		return nil, problem.New(problem.CodeTooLarge, problem.RunNot, problem.StepAccept, "body has more than %d bytes", limit)
-	case err != nil:
+	case errors.Is(err, memquota.ErrExceeded):
+		return nil, problem.New(problem.CodeNoMemory, problem.RunNot, problem.StepAccept, "no room for the body").
+			Because(err).After(memoryRetry/2 + rand.N(memoryRetry))
+	default:
 		return nil, problem.New(problem.CodeInvalidRequest, problem.RunNot, problem.StepAccept, "body could not be read").Because(err)
 	}
-	return body, nil
 }
 
-// BeginBody bounds the time to read a request's body by readBodyTimeout, until EndBody.
-func BeginBody(w http.ResponseWriter) {
-	// Test recorders don't support deadlines; limits on the size still apply.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+// GatherBody reads a request's body of at most limit bytes within readBodyTimeout, and counts it in hold, which may be nil. It then
+// clears the read deadline, since streamed answers last for minutes. It returns the errors of memquota.Gather.
+func GatherBody(w http.ResponseWriter, r *http.Request, limit int64, hold *memquota.Hold) ([]byte, error) {
+	beginBody(w)
+	buffer, err := memquota.Gather(r.Body, r.ContentLength, limit, hold)
+	endBody(w)
+	if err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(hold)
 }
 
-// EndBody clears the deadline of BeginBody, since streamed answers last for minutes.
-func EndBody(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+// SendsBody reports whether the client of a request sends a body without waiting for 100 Continue.
+func SendsBody(r *http.Request) bool {
+	return r.ContentLength != 0 && r.Header.Get("Expect") == ""
+}
+
+// LeavesUnread reports whether the client may be sending the rest of its body after GatherBody, which returned err. A body of
+// announced length that is refused was not read at all, so that a client that waits for 100 Continue sends none.
+func LeavesUnread(r *http.Request, err error) bool {
+	if !errors.Is(err, memquota.ErrTooLarge) && !errors.Is(err, memquota.ErrExceeded) {
+		return false
+	}
+	return r.ContentLength < 0 || SendsBody(r)
 }
 
-// DiscardBody reads and drops up to limit bytes of a request's body within readBodyTimeout. A server
-// that refuses a request without reading its body closes the connection, and a caller that still
+// DiscardBody reads and drops up to maxDiscard bytes of a request's body within readBodyTimeout. A server
+// that refuses a request without reading its body closes the connection, and a client that still
 // sends then gets a reset in place of the refusal.
-func DiscardBody(w http.ResponseWriter, r *http.Request, limit int64) {
-	BeginBody(w)
-	defer EndBody(w)
-	// An error means that the caller has disconnected or is too slow.
-	_, _ = io.CopyN(io.Discard, r.Body, limit)
+func DiscardBody(w http.ResponseWriter, r *http.Request) {
+	beginBody(w)
+	defer endBody(w)
+	// An error means that the client has disconnected or is too slow.
+	_, _ = io.CopyN(io.Discard, r.Body, maxDiscard)
+}
+
+// beginBody bounds the time to read a request's body by readBodyTimeout, until endBody.
+func beginBody(w http.ResponseWriter) {
+	// Test recorders don't support deadlines; limits on the size still apply.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+}
+
+// endBody clears the deadline of beginBody, since streamed answers last for minutes.
+func endBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 }
 
 // deadlineUpdateInterval is the minimum time between two updates of a write deadline.
--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -78,13 +78,25 @@
 	return m
 }
 
+// bodyBytes is the announced size of a body that is held back, and sentBytes is what its caller sends of it.
+const (
+	bodyBytes = 900_000
+	sentBytes = 800_000
+)
+
 // answered is a request that each HTTP listener answers and after which it keeps the connection.
 const answered = "GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n"
 
+func heldBack(first string, next func(int) string) head {
+	return head{isUpload: true, first: first, next: next, bytes: sentBytes, connections: 1}
+}
+
 // listenerModes are what the clients of a listener send beside modes.
 var listenerModes = []mode{
 	{"empty lines before a later request", []head{flooding(answered, repeated("\r\n"))}},
 	{"short lines of a later request that stop below the limit", []head{stopping(answered+requestLine, shortLines)}},
+	{"bodies held back", []head{heldBack(fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes), repeated("x"))}},
+	{"chunks held back", []head{heldBack(fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", bodyBytes), repeated("x"))}},
 }
 
 // crowd is a number of callers. Each keeps its last connections open until all have sent what they send.
--- a/test/hostile/daemons_test.go
+++ b/test/hostile/daemons_test.go
@@ -76,6 +76,7 @@
 	cases := map[string]struct{ lines, padding string }{
 		"one long line in the head": {lines: "X-Long: " + strings.Repeat("x", 30_000) + "\r\n"},
 		"short lines in the head":   {lines: manyShortLines(30_000)},
+		"a large body":              {padding: strings.Repeat(" ", 3_900_000)},
 	}
 	for name, c := range cases {
 		if err := statusError(orderBody(entry, c.lines, c.padding)); err != nil {
