Read only a handshake from strangers at the control listeners

What callers saw: an entry or agent ended for its memory when clients without a credential sent the beginnings of large messages to the listener for peers and operators.

Cause: the limit of a message, 4 MiB, is that of peers, and strangers had it too until the time limit of the handshake, 2 s.

Change: before the handshake a message may have 16 KiB, and a longer one ends the connection before it is read.

--- a/peer/client.go
+++ b/peer/client.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, infra.NewError(infra.OutcomeNotDone, "dial", address, err)
 	}
-	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{})
+	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{maxBytes: func() int { return MaxMessageBytes }})
 	client := &Client{Address: address}
 	client.conn = jsonrpc2.NewConn(context.Background(), stream, notificationHandler{onNotification}, discardLog)
 	if err := client.Call(ctx, MethodHandshake, handshake, nil); err != nil {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -14,6 +14,9 @@
 // MaxMessageBytes is the largest message that a process reads.
 const MaxMessageBytes = 4 << 20
 
+// maxHandshakeBytes is the largest message that a process reads before the handshake.
+const maxHandshakeBytes = 16 << 10
+
 // maxHeaderLines bounds the header lines before a message.
 const maxHeaderLines = 8
 
@@ -22,14 +25,19 @@
 // limitedCodec is the library's header codec with limits on the input from the other side.
 type limitedCodec struct {
 	jsonrpc2.VSCodeObjectCodec
+	// maxBytes returns the size of the largest message at the moment.
+	maxBytes func() int
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (limitedCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (c limitedCodec) ReadObject(stream *bufio.Reader, v any) error {
 	size, err := readLength(stream)
 	if err != nil {
 		return err
 	}
+	if limit := c.maxBytes(); size > limit {
+		return errors.Newf("message of %d bytes, at most %d allowed", size, limit)
+	}
 	body := io.LimitReader(stream, int64(size))
 	if err := json.NewDecoder(body).Decode(v); err != nil {
 		return err
@@ -48,7 +56,7 @@
 		}
 		text := strings.TrimSpace(string(line))
 		if text == "" {
-			return checkLength(size)
+			return size, checkLength(size)
 		}
 		if value, ok := strings.CutPrefix(text, lengthHeader); ok {
 			if size, err = strconv.Atoi(value); err != nil {
@@ -59,11 +67,11 @@
 	return 0, errors.New("message header has too many lines")
 }
 
-func checkLength(size int) (int, error) {
-	if size <= 0 || size > MaxMessageBytes {
-		return 0, errors.Newf("invalid message length: %d bytes", size)
+func checkLength(size int) error {
+	if size <= 0 {
+		return errors.Newf("invalid message length: %d bytes", size)
 	}
-	return size, nil
+	return nil
 }
 
 // discardLogger discards the library's messages about broken connections. Their ends are detected
--- /dev/null
+++ b/peer/limits_test.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// patience bounds each wait for something that must come about.
+const patience = 20 * time.Second
+
+func startServer() (address string) {
+	server := NewServer(Credentials{Peer: "secret of the peers"})
+	Handle(server, "length", RolePeer, func(_ context.Context, _ *Session, text string) (int, error) { return len(text), nil })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	go func() { _ = server.Serve(listener) }()
+	Reset(server.Close)
+	return listener.Addr().String()
+}
+
+func dialPeer(address string) (*Client, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return Dial(ctx, address, Handshake{ID: "peer", Role: RolePeer, Credential: "secret of the peers"}, nil)
+}
+
+// TestStrangersSendAHandshakeOnly guards against strangers that make a process hold messages, and against limits that refuse
+// those of peers.
+func TestStrangersSendAHandshakeOnly(t *testing.T) {
+	Convey("A message that is larger than a handshake ends the connection of a stranger before it is read", t, func() {
+		address := startServer()
+		conn, err := net.Dial("tcp", address)
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n", maxHandshakeBytes+1)
+		So(conn.SetReadDeadline(time.Now().Add(handshakeTimeout/2)), ShouldBeNil)
+		_, err = conn.Read(make([]byte, 1))
+		So(err, ShouldNotBeNil)
+		timeout, isNet := err.(net.Error)
+		So(isNet && timeout.Timeout(), ShouldBeFalse)
+	})
+	Convey("A peer's messages may be larger", t, func() {
+		address := startServer()
+		client, err := dialPeer(address)
+		So(err, ShouldBeNil)
+		defer client.Close()
+		var length int
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		So(client.Call(ctx, "length", strings.Repeat("x", 1<<20), &length), ShouldBeNil)
+		So(length, ShouldEqual, 1<<20)
+	})
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -136,8 +136,8 @@
 	}
 	session := &Session{}
 	ready := make(chan struct{})
-	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{})
 	handler := &connHandler{server: s, session: session, ready: ready}
+	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{maxBytes: handler.maxMessageBytes})
 	session.conn = jsonrpc2.NewConn(context.Background(), stream, handler, discardLog)
 	close(ready)
 	s.conns[session.conn] = struct{}{}
@@ -188,6 +188,14 @@
 	authenticated bool
 }
 
+// maxMessageBytes returns the size of the largest message that is read. Strangers may send a handshake only.
+func (c *connHandler) maxMessageBytes() int {
+	if c.isAuthenticated() {
+		return MaxMessageBytes
+	}
+	return maxHandshakeBytes
+}
+
 func (c *connHandler) isAuthenticated() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -99,6 +99,16 @@
 	{"chunks held back", []head{heldBack(fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", bodyBytes), repeated("x"))}},
 }
 
+// messageModes are what the clients of a listener for control messages send.
+var messageModes = []mode{
+	{"a message held back", []head{heldBack(fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes)+`{"jsonrpc":"2.0","id":1,"method":"hello","params":{"id":"`, repeated("x"))}},
+	{"a field held back that nobody reads", []head{heldBack(fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes)+`{"unknown":[`, repeated("{},"))}},
+	{"lines without end before a message", []head{flooding("", repeated("A: b\r\n"))}},
+	{"one line without end before a message", []head{flooding("", repeated("x"))}},
+	{"empty messages", []head{flooding("", repeated("Content-Length: 2\r\n\r\n{}"))}},
+	{"heads of HTTP requests", []head{stopping(requestLine, shortLines)}},
+}
+
 // crowd is a number of callers. Each keeps its last connections open until all have sent what they send.
 type crowd struct {
 	callers int
--- a/test/hostile/daemons_test.go
+++ b/test/hostile/daemons_test.go
@@ -1,9 +1,11 @@
 package hostile
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/embedded"
@@ -46,6 +48,7 @@
 			name: "callers", address: e.ServeAddress, ordinary: subjectOf(s, e.Process).order,
 			upload: "POST /v1/completions HTTP/1.1\r\nHost: h.example\r\nX-Workspace: " + string(embedded.Workspace) + "\r\n",
 		},
+		controlListener(e.Process),
 		httpListener("metrics", e.MetricsAddress, "/metrics"),
 	}
 }
@@ -57,10 +60,25 @@
 			name: "entries", address: a.ServeAddress, ordinary: subjectOf(s, a.Process).order,
 			upload: "POST " + agentapi.PathGenerate + " HTTP/1.1\r\nHost: h.example\r\n",
 		},
+		controlListener(a.Process),
 		httpListener("metrics", a.MetricsAddress, "/metrics"),
 	}
 }
 
+func controlListener(p *process.Process) listener {
+	return listener{name: "control", address: p.ControlAddress, ordinary: func() error { return dump(p.ControlAddress) }}
+}
+
+// dump reads the state dump of a process. One attempt has a time limit of its own.
+func dump(address string) error {
+	var raw json.RawMessage
+	err := realsystem.Dump(address, &raw)
+	for end := time.Now().Add(patience); err != nil && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		err = realsystem.Dump(address, &raw)
+	}
+	return err
+}
+
 // orderBody sends an ordinary request to an entry, with more lines in its head and more bytes in its body, and returns the
 // status of its answer.
 func orderBody(address, lines, padding string) (int, error) {
--- a/test/hostile/listeners_test.go
+++ b/test/hostile/listeners_test.go
@@ -54,7 +54,7 @@
 	}
 	for _, p := range programs {
 		for index, name := range listenerNames[p.name] {
-			for _, m := range modesOf() {
+			for _, m := range modesOf(name) {
 				t.Run(p.name+"/"+name+"/"+m.name, func(t *testing.T) {
 					s, listeners := p.start(t)
 					size.checkListeners(t, s, listeners[index:index+1], []mode{m})
@@ -67,12 +67,15 @@
 // listenerNames are the listeners of each program, in the order in which they are returned.
 var listenerNames = map[string][]string{
 	"gateway": {"callers", "balancer", "metrics"},
-	"entry":   {"callers", "metrics"},
-	"agent":   {"entries", "metrics"},
+	"entry":   {"callers", "control", "metrics"},
+	"agent":   {"entries", "control", "metrics"},
 }
 
-func modesOf() []mode {
+func modesOf(listener string) []mode {
 	all := slices.Concat(modes, listenerModes)
+	if listener == "control" {
+		all = messageModes
+	}
 	return append(slices.Clone(all), mix(all))
 }
 
