Bound the connections of each kind of peer, and close those that send nothing first

What callers saw: with its descriptors used up by connections that sent nothing, or a part of a head or body, a process answered nobody for minutes, and reached neither backend servers nor the store.

Cause: no code read max_fds, and nothing decided which connections go and how many stay for whom. A connection of which the rest of a refused body was awaited had no time limit at all.

Change: connquota.Quota, a decision type, counts the connections of each kind of peer against a share of the descriptors and of the memory. Beyond it, one goes on which the process waits for the peer, of the address that has most, the longest first; a connection whose request runs is never closed for others, and a request whose connection was closed doesn't run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -97,7 +97,7 @@
 	a.initExecution()
 	a.initConfiguration()
 	a.initStatus()
-	a.control = peer.NewServer(options.Credentials)
+	a.control = peer.NewServer(options.Credentials, options.Account.Guard(intake.Peers))
 	a.registerControl()
 	a.server = httpserver.New(a.routes())
 	a.guard = httpserver.NewGuard(options.Account.Guard(intake.Entries), httpserver.DefaultMaxHead)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,7 +70,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	metrics := telemetry.NewRegistry()
 	debug.SetMemoryLimit(int64(float64(memoryLimit(process)) * intake.SoftLimitFraction))
-	account := intake.NewAccount(intake.Limits{Memory: memoryLimit(process)}, metrics)
+	account := intake.NewAccount(intake.Limits{Memory: memoryLimit(process), Descriptors: connections(process)}, metrics)
 	service, err := build(account, log, metrics)
 	if err != nil {
 		return err
@@ -99,6 +99,18 @@
 // memoryLimit returns the memory limit in bytes.
 func memoryLimit(process *settings.Process) int64 { return process.MemoryLimitMB << 20 }
 
+// fileDescriptors is the number of descriptors that are left for files, pipes and the runtime.
+const fileDescriptors = 64
+
+// connections returns the number of descriptors for connections.
+func connections(process *settings.Process) int {
+	limit := process.MaxDescriptors
+	if limit == 0 {
+		limit = intake.DescriptorLimit()
+	}
+	return max(0, limit-fileDescriptors)
+}
+
 func closeServer(server *http.Server) error {
 	return errors.Wrap(server.Close(), "close metrics listener")
 }
--- a/entry/command/actions.go
+++ b/entry/command/actions.go
@@ -147,8 +147,8 @@
 		w.Header().Set("Content-Type", reply.ContentType)
 	}
 	w.WriteHeader(reply.Status)
-	// A write error means that the caller disconnected.
-	_, _ = w.Write(reply.Body)
+	// A write error means that the caller disconnected, or reads nothing.
+	_, _ = httpserver.NewStreamWriter(w, callerWriteTimeout).Write(reply.Body)
 }
 
 // Dispatcher sends claims to agents.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,7 +128,7 @@
 	e.initHandlers(sealer)
 	e.status = &query.Status{Host: options.Host, Domain: options.Domain, Answers: e.answers, Fleet: e.fleet, Gate: e.gate, Configuration: e.config}
 	e.gossip = newQuarantineGossip(e)
-	e.control = peer.NewServer(options.Credentials)
+	e.control = peer.NewServer(options.Credentials, options.Account.Guard(intake.Peers))
 	e.registerControl()
 	e.server = httpserver.New(e.routes())
 	e.guard = httpserver.NewGuard(options.Account.Guard(intake.Callers), httpserver.DefaultMaxHead)
--- a/experiment/capacity/wire.go
+++ b/experiment/capacity/wire.go
@@ -8,7 +8,9 @@
 	"github.com/wigeonfork/wigeonfork/agentapi"
 	"github.com/wigeonfork/wigeonfork/backend"
 	"github.com/wigeonfork/wigeonfork/infra"
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/peer"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 // Names of the costs of messages between processes.
@@ -78,7 +80,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &loopback{server: peer.NewServer(peer.Credentials{Peer: credential}), listener: &countingListener{Listener: inner}}
+	account := intake.NewAccount(intake.Limits{}, telemetry.NewRegistry())
+	w := &loopback{server: peer.NewServer(peer.Credentials{Peer: credential}, account.Guard(intake.Peers)), listener: &countingListener{Listener: inner}}
 	peer.Handle(w.server, peer.MethodStatusSubscribe, peer.RolePeer,
 		func(context.Context, *peer.Session, peer.None) (agentapi.Status, error) { return w.status, nil })
 	peer.Handle(w.server, peer.MethodRevision, peer.RolePeer,
--- a/httpserver/guard.go
+++ b/httpserver/guard.go
@@ -5,10 +5,14 @@
 	"math"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/wigeonfork/wigeonfork/memquota"
 )
 
+// lastWriteTimeout bounds the write of the last part of an answer.
+const lastWriteTimeout = 10 * time.Second
+
 // connKey is the key of a connection in the context of its requests.
 type connKey struct{}
 
@@ -50,7 +54,11 @@
 		return
 	}
 	switch state {
-	case http.StateNew, http.StateIdle:
+	case http.StateNew:
+		c.beginHead()
+	case http.StateIdle:
+		c.Answered()
+		c.Wait()
 		c.beginHead()
 	case http.StateActive:
 		c.completeHead()
@@ -59,7 +67,7 @@
 	}
 }
 
-// guardRequests releases what requests hold when they end.
+// guardRequests counts what requests hold. A request whose connection was closed to make room doesn't run.
 func guardRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := guardedConnOf(r)
@@ -67,18 +75,25 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if !c.Serve() {
+			panic(http.ErrAbortHandler)
+		}
 		defer c.endRequest(w, r)
 		next.ServeHTTP(w, r)
 	})
 }
 
-// endRequest releases what the request holds. The server then reads on to the end of its body.
+// endRequest releases what the request holds. The server then sends what is left of the answer, and reads on to the end of the
+// request's body, so that the process waits for the client.
 func (c *guardedConn) endRequest(w http.ResponseWriter, r *http.Request) {
 	c.body.End()
 	c.body = nil
 	if r.ContentLength != 0 {
-		beginBody(w)
+		beginBody(w, r)
 	}
+	c.Wait()
+	// Connections of net/http support deadlines.
+	_ = c.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
 }
 
 // bodyHold returns what counts the body of a request until its handler returns. It is nil, which is unbounded, if the server has
--- a/httpserver/guard_test.go
+++ b/httpserver/guard_test.go
@@ -59,6 +59,12 @@
 
 func (s *limited) dial() (net.Conn, *bufio.Reader) { return dial(s.address) }
 
+func (s *limited) awaitUsage(usage intake.Usage) {
+	for end := time.Now().Add(patience); s.guard.Usage() != usage; time.Sleep(time.Millisecond) {
+		So(time.Now(), ShouldHappenBefore, end)
+	}
+}
+
 func (s *limited) heldBodies() int64 { return s.account.Memory().Usage().ByKind[memquota.CallerBody] }
 
 func upload(announced, sent int) string {
@@ -109,3 +115,83 @@
 		So(status(in), ShouldEqual, http.StatusRequestEntityTooLarge)
 	})
 }
+
+// TestConnectionsGiveWay guards against clients that are refused for the connections of others on which nothing comes, and
+// against requests that are cut for them.
+func TestConnectionsGiveWay(t *testing.T) {
+	// 32 descriptors give callers 16 connections.
+	const most = 16
+	limits := intake.Limits{Descriptors: 2 * most}
+	for name, sent := range map[string]string{"nothing": "", "a part of a head": "GET /x HT", "a part of a body": upload(1000, 10)} {
+		Convey("While all connections have sent "+name+", others are served", t, func() {
+			s := startLimited(limits, closedChannel())
+			for range 3 * most {
+				conn, _ := s.dial()
+				fmt.Fprint(conn, sent)
+			}
+			conn, in := s.dial()
+			fmt.Fprint(conn, upload(10, 10))
+			So(status(in), ShouldEqual, http.StatusOK)
+			So(s.guard.Usage().Open, ShouldBeLessThanOrEqualTo, most)
+			So(telemetry.Counter(s.metrics, "connections.closed_callers").Count(), ShouldBeGreaterThan, 0)
+		})
+	}
+	Convey("A connection whose request runs is not closed for others, and counts again once it is idle", t, func() {
+		proceed := make(chan struct{})
+		s := startLimited(limits, proceed)
+		conn, in := s.dial()
+		fmt.Fprint(conn, upload(10, 10))
+		s.awaitUsage(intake.Usage{Open: 1})
+		for range 3 * most {
+			s.dial()
+		}
+		s.awaitUsage(intake.Usage{Open: most, Waiting: most - 1})
+		close(proceed)
+		So(status(in), ShouldEqual, http.StatusOK)
+		s.awaitUsage(intake.Usage{Open: most, Waiting: most})
+		fmt.Fprint(conn, upload(10, 10))
+		So(status(in), ShouldEqual, http.StatusOK)
+	})
+	Convey("Connections that their clients close are no longer counted", t, func() {
+		s := startLimited(limits, closedChannel())
+		conn, _ := s.dial()
+		s.awaitUsage(intake.Usage{Open: 1, Waiting: 1})
+		conn.Close()
+		s.awaitUsage(intake.Usage{})
+	})
+}
+
+// TestUnreadAnswersGiveWay guards against clients that send requests and read no answers, so that their connections serve for ever
+// and others get none.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	answer := strings.Repeat("x", 64<<10)
+	for kind, handle := range map[intake.Kind]http.HandlerFunc{
+		// The answers are blocked after their handlers have returned.
+		intake.Callers: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "refused") },
+		// The handlers are blocked.
+		intake.Collectors: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, answer) },
+	} {
+		Convey("Others are served at the listener for "+string(kind), t, func() {
+			// Callers get 16 connections of 32 descriptors, and each kind gets 16 at least.
+			s := startFor(kind, intake.Limits{Descriptors: 32}, handle)
+			for range 40 {
+				conn, _ := s.dial()
+				sendUnread(conn)
+			}
+			conn, in := s.dial()
+			fmt.Fprint(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+			So(status(in), ShouldEqual, http.StatusOK)
+		})
+	}
+}
+
+// sendUnread sends requests until the server reads no more of them, or has closed the connection.
+func sendUnread(conn net.Conn) {
+	requests := strings.Repeat("GET /x HTTP/1.1\r\nHost: h\r\n\r\n", 1000)
+	for {
+		_ = conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := io.WriteString(conn, requests); err != nil {
+			return
+		}
+	}
+}
--- a/httpserver/heads.go
+++ b/httpserver/heads.go
@@ -64,8 +64,8 @@
 // errHeadRefused ends the read of a head that is refused.
 var errHeadRefused = errors.New("the head of the request is refused")
 
-// Guard counts the heads and bodies of requests to one listener in the account of the process, from the first byte to the end of
-// the request, and ends those that exceed its limits. It takes the place of the
+// Guard counts what the peers of one listener make the process hold, from the first byte to the end of each request: it counts
+// connections, heads and bodies in the account of the process, and ends those that exceed its limits. It takes the place of the
 // limit on heads of http.Server, which can't follow a configuration. Configure must be called for a server before it serves the
 // Listener.
 type Guard struct {
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -84,14 +84,20 @@
 	}
 }
 
+// errConnectionClosed means that the connection of a request was closed to make room for others, while its body was read.
+var errConnectionClosed = errors.New("the connection was closed to make room for others")
+
 // GatherBody reads a request's body of at most limit bytes within readBodyTimeout, and counts it in hold, which may be nil. It then
 // clears the read deadline, since streamed answers last for minutes. It returns the errors of memquota.Gather.
 func GatherBody(w http.ResponseWriter, r *http.Request, limit int64, hold *memquota.Hold) ([]byte, error) {
-	beginBody(w)
+	beginBody(w, r)
 	buffer, err := memquota.Gather(r.Body, r.ContentLength, limit, hold)
-	endBody(w)
-	if err != nil {
+	isOpen := endBody(w, r)
+	switch {
+	case err != nil:
 		return nil, err
+	case !isOpen:
+		return nil, errConnectionClosed
 	}
 	return buffer.Bytes(hold)
 }
@@ -114,21 +120,28 @@
 // that refuses a request without reading its body closes the connection, and a client that still
 // sends then gets a reset in place of the refusal.
 func DiscardBody(w http.ResponseWriter, r *http.Request) {
-	beginBody(w)
-	defer endBody(w)
+	beginBody(w, r)
+	defer endBody(w, r)
 	// An error means that the client has disconnected or is too slow.
 	_, _ = io.CopyN(io.Discard, r.Body, maxDiscard)
 }
 
-// beginBody bounds the time to read a request's body by readBodyTimeout, until endBody.
-func beginBody(w http.ResponseWriter) {
+// beginBody bounds the time to read a request's body by readBodyTimeout, until endBody. The process waits for the client
+// meanwhile, so that the connection may be closed to make room for others.
+func beginBody(w http.ResponseWriter, r *http.Request) {
 	// Test recorders don't support deadlines; limits on the size still apply.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+	if c := guardedConnOf(r); c != nil {
+		c.Wait()
+	}
 }
 
-// endBody clears the deadline of beginBody, since streamed answers last for minutes.
-func endBody(w http.ResponseWriter) {
+// endBody clears the deadline of beginBody, since streamed answers last for minutes. It returns false if the connection was closed
+// to make room for others.
+func endBody(w http.ResponseWriter, r *http.Request) bool {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	c := guardedConnOf(r)
+	return c == nil || c.Serve()
 }
 
 // deadlineUpdateInterval is the minimum time between two updates of a write deadline.
--- a/intake/account.go
+++ b/intake/account.go
@@ -1,4 +1,4 @@
-// Package intake is the account of a process for what its peers make it hold: the heads and bodies of requests.
+// Package intake is the account of a process for what its peers make it hold: connections, and the heads and bodies of requests.
 // All listeners of a process accept through one Account, in which each kind of peer has a share, so that the peers of one
 // listener can't use up what those of another need.
 package intake
@@ -6,6 +6,7 @@
 import (
 	"math"
 
+	"github.com/wigeonfork/wigeonfork/connquota"
 	"github.com/wigeonfork/wigeonfork/memquota"
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
@@ -29,18 +30,26 @@
 
 // share is what one kind of peer may use of a process.
 type share struct {
+	// descriptors is the fraction of the descriptors for its connections.
+	descriptors float64
+	// waiting is the fraction of the memory for its connections on which the process waits for bytes.
+	waiting float64
 	// held is the fraction of the memory for heads and bodies of its requests.
 	held float64
+	// isReadOnly is set if its requests only read the state of the process. Their connections may be closed before they are
+	// answered.
+	isReadOnly bool
 }
 
-// shares are the shares of the kinds. The memory that they leave is for all else: connections, garbage between two collections
-// and the buffers of sockets among it.
+// shares are the shares of the kinds. The descriptors that they leave are for connections that the process opens itself, to
+// backend servers, the store and its peers. The memory that they leave is for all else: garbage between two collections and
+// the buffers of sockets among it.
 var shares = map[Kind]share{
-	Callers:    {held: HeldFraction},
-	Entries:    {held: HeldFraction},
-	Peers:      {held: 1. / 64},
-	Balancer:   {held: 1. / 64},
-	Collectors: {held: 1. / 64},
+	Callers:    {descriptors: 1. / 2, waiting: 1. / 4, held: HeldFraction},
+	Entries:    {descriptors: 1. / 2, waiting: 1. / 4, held: HeldFraction},
+	Peers:      {descriptors: 1. / 4, waiting: 1. / 32, held: 1. / 64},
+	Balancer:   {descriptors: 1. / 32, waiting: 1. / 64, held: 1. / 64, isReadOnly: true},
+	Collectors: {descriptors: 1. / 32, waiting: 1. / 64, held: 1. / 64, isReadOnly: true},
 }
 
 const (
@@ -51,8 +60,11 @@
 	SoftLimitFraction = 0.6
 	// incompleteFraction is the fraction of what a kind may hold that its incomplete heads may hold.
 	incompleteFraction = 0.25
-	// minHeld is the least number of bytes that a kind may hold.
-	minHeld = 2 << 20
+	// minConnections is the least number of connections, and minHeld the least number of bytes, that a kind may hold.
+	minConnections = 16
+	minHeld        = 2 << 20
+	// connectionBytes is the memory that a connection needs without any bytes of its peer.
+	connectionBytes = 20 << 10
 	// unlimited is a limit that is never reached.
 	unlimited = math.MaxInt64 / 4
 )
@@ -61,6 +73,8 @@
 type Limits struct {
 	// Memory is in bytes.
 	Memory int64
+	// Descriptors is the number of descriptors for connections. Those for files are not among them.
+	Descriptors int
 }
 
 // ofMemory returns a fraction of the memory limit in bytes.
@@ -71,6 +85,16 @@
 	return int64(fraction * float64(l.Memory))
 }
 
+// connections returns the limits on the connections of a kind.
+func (l Limits) connections(kind Kind) connquota.Limits {
+	open := int64(math.MaxInt32)
+	if l.Descriptors > 0 {
+		open = int64(shares[kind].descriptors * float64(l.Descriptors))
+	}
+	waiting := min(open, l.ofMemory(shares[kind].waiting)/connectionBytes)
+	return connquota.Limits{Open: int(max(open, minConnections)), Waiting: int(max(waiting, minConnections))}
+}
+
 // Account counts what the peers of a process make it hold.
 type Account struct {
 	limits  Limits
@@ -105,5 +129,11 @@
 	if kind != Callers && kind != Entries {
 		memory = memquota.New(max(a.limits.ofMemory(shares[kind].held), minHeld))
 	}
-	return &Guard{kind: kind, memory: memory, metrics: a.metrics}
+	g := &Guard{
+		kind: kind, memory: memory, metrics: a.metrics,
+		quota: connquota.New(a.limits.connections(kind)), conns: make(map[*connquota.Conn]*Conn),
+	}
+	telemetry.GaugeOf(a.metrics, "connections.open_"+string(kind), func() int64 { return int64(g.Usage().Open) })
+	telemetry.GaugeOf(a.metrics, "connections.waiting_"+string(kind), func() int64 { return int64(g.Usage().Waiting) })
+	return g
 }
--- a/peer/limits_test.go
+++ b/peer/limits_test.go
@@ -9,19 +9,23 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/wigeonfork/wigeonfork/intake"
+	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
 // patience bounds each wait for something that must come about.
 const patience = 20 * time.Second
 
-func startServer() (address string) {
-	server := NewServer(Credentials{Peer: "secret of the peers"})
+func startServer(limits intake.Limits) (address string, guard *intake.Guard) {
+	guard = intake.NewAccount(limits, telemetry.NewRegistry()).Guard(intake.Peers)
+	server := NewServer(Credentials{Peer: "secret of the peers"}, guard)
 	Handle(server, "length", RolePeer, func(_ context.Context, _ *Session, text string) (int, error) { return len(text), nil })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	go func() { _ = server.Serve(listener) }()
 	Reset(server.Close)
-	return listener.Addr().String()
+	return listener.Addr().String(), guard
 }
 
 func dialPeer(address string) (*Client, error) {
@@ -34,7 +38,7 @@
 // those of peers.
 func TestStrangersSendAHandshakeOnly(t *testing.T) {
 	Convey("A message that is larger than a handshake ends the connection of a stranger before it is read", t, func() {
-		address := startServer()
+		address, _ := startServer(intake.Limits{})
 		conn, err := net.Dial("tcp", address)
 		So(err, ShouldBeNil)
 		defer conn.Close()
@@ -46,7 +50,7 @@
 		So(isNet && timeout.Timeout(), ShouldBeFalse)
 	})
 	Convey("A peer's messages may be larger", t, func() {
-		address := startServer()
+		address, _ := startServer(intake.Limits{})
 		client, err := dialPeer(address)
 		So(err, ShouldBeNil)
 		defer client.Close()
@@ -57,3 +61,32 @@
 		So(length, ShouldEqual, 1<<20)
 	})
 }
+
+// TestPeersKeepTheirConnectionsBesideStrangers guards against strangers that use up the connections of peers.
+func TestPeersKeepTheirConnectionsBesideStrangers(t *testing.T) {
+	Convey("Given a peer and more strangers than there may be connections", t, func() {
+		const most = 16
+		address, guard := startServer(intake.Limits{Descriptors: 4 * most})
+		client, err := dialPeer(address)
+		So(err, ShouldBeNil)
+		defer client.Close()
+		for range 3 * most {
+			conn, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			defer conn.Close()
+		}
+		second, err := dialPeer(address)
+		So(err, ShouldBeNil)
+		defer second.Close()
+		Convey("peers old and new are served, and the limit holds", func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			for _, c := range []*Client{client, second} {
+				var length int
+				So(c.Call(ctx, "length", "abc", &length), ShouldBeNil)
+				So(length, ShouldEqual, 3)
+			}
+			So(guard.Usage().Open, ShouldBeLessThanOrEqualTo, most)
+		})
+	})
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/wigeonfork/wigeonfork/intake"
 	"github.com/wigeonfork/wigeonfork/problem"
 )
 
@@ -73,6 +74,7 @@
 // Server serves control messages.
 type Server struct {
 	credentials Credentials
+	guard       *intake.Guard
 	handlers    map[string]handler
 
 	mu       sync.Mutex
@@ -82,10 +84,11 @@
 	wait     sync.WaitGroup
 }
 
-// NewServer returns a server. Register its methods with Handle before Serve.
-func NewServer(credentials Credentials) *Server {
+// NewServer returns a server whose connections the guard counts. Register its methods with Handle before Serve.
+func NewServer(credentials Credentials, guard *intake.Guard) *Server {
 	return &Server{
 		credentials: credentials,
+		guard:       guard,
 		handlers:    map[string]handler{},
 		conns:       map[*jsonrpc2.Conn]struct{}{},
 	}
@@ -109,15 +112,16 @@
 	s.mu.Lock()
 	s.listener = listener
 	s.mu.Unlock()
+	guarded := s.guard.Listener(listener)
 	for {
-		conn, err := listener.Accept()
+		conn, err := guarded.Accept()
 		if err != nil {
 			if s.isClosed() {
 				return nil
 			}
 			return errors.Wrap(err, "accept control connection")
 		}
-		s.startSession(conn)
+		s.startSession(conn.(*intake.Conn))
 	}
 }
 
@@ -127,7 +131,7 @@
 	return s.closed
 }
 
-func (s *Server) startSession(netConn net.Conn) {
+func (s *Server) startSession(netConn *intake.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -136,7 +140,7 @@
 	}
 	session := &Session{}
 	ready := make(chan struct{})
-	handler := &connHandler{server: s, session: session, ready: ready}
+	handler := &connHandler{server: s, session: session, netConn: netConn, ready: ready}
 	stream := jsonrpc2.NewBufferedStream(netConn, limitedCodec{maxBytes: handler.maxMessageBytes})
 	session.conn = jsonrpc2.NewConn(context.Background(), stream, handler, discardLog)
 	close(ready)
@@ -181,6 +185,7 @@
 type connHandler struct {
 	server  *Server
 	session *Session
+	netConn *intake.Conn
 	// ready is closed once session.conn is set.
 	ready chan struct{}
 
@@ -226,6 +231,10 @@
 		reply(ctx, conn, req, nil, problem.New(problem.CodeUnauthorized, problem.RunNot, problem.StepAccept, "credential is not valid for role %q", handshake.Role))
 		return
 	}
+	if !c.netConn.Serve() {
+		// The connection was closed to make room for others.
+		return
+	}
 	c.mu.Lock()
 	c.session.ID = handshake.ID
 	c.session.Role = handshake.Role
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,7 @@
 	HostsAddress   string        `long:"hosts-address" env:"WIGEON_HOSTS_ADDRESS" description:"IP address and port of the list of hosts" required:"true"`
 	DrainLimit     time.Duration `long:"drain-limit" env:"WIGEON_DRAIN_LIMIT" description:"maximum time to wait for answers in progress when draining" default:"10m"`
 	MemoryLimitMB  int64         `long:"memory-limit-mb" env:"WIGEON_MEMORY_LIMIT_MB" description:"memory that the process may use, in MiB; connections, heads and bodies of its peers get shares of it" default:"1024"`
+	MaxDescriptors int           `long:"max-descriptors" env:"WIGEON_MAX_DESCRIPTORS" description:"file descriptors that the process may open; 0 is the limit of the operating system" default:"0"`
 	LogLevel       string        `long:"log-level" env:"WIGEON_LOG_LEVEL" value-name:"LEVEL" description:"minimum level of events to log: debug, info, warn or error" default:"info"`
 }
 
@@ -58,8 +59,11 @@
 // maxResumeHold limits the resume hold, since an agent keeps no answer for longer.
 const maxResumeHold = 30 * time.Second
 
-// minMemoryLimitMB is the least memory limit with which a daemon can serve.
-const minMemoryLimitMB = 32
+// The least limits with which a daemon can serve.
+const (
+	minMemoryLimitMB = 32
+	minDescriptors   = 256
+)
 
 // maxDrainLimit limits the drain limit.
 const maxDrainLimit = 24 * time.Hour
@@ -116,6 +120,9 @@
 	if p.MemoryLimitMB < minMemoryLimitMB {
 		return errors.Newf("memory-limit-mb must be at least %d", minMemoryLimitMB)
 	}
+	if p.MaxDescriptors != 0 && p.MaxDescriptors < minDescriptors {
+		return errors.Newf("max-descriptors must be 0 or at least %d", minDescriptors)
+	}
 	return checkChoice("log-level", p.LogLevel, "debug", "info", "warn", "error")
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -81,7 +81,7 @@
 		So(Parse(&Entry{}, good), ShouldBeNil)
 		for name, value := range map[string]string{
 			"listen": "localhost:1", "control-listen": "1", "metrics-listen": "::1", "table-address": "x:1",
-			"peer-key": "short", "operator-key": "0123456789abcdef", "handle-key": "short", "drain-limit": "25h", "log-level": "loud", "memory-limit-mb": "31",
+			"peer-key": "short", "operator-key": "0123456789abcdef", "handle-key": "short", "drain-limit": "25h", "log-level": "loud", "memory-limit-mb": "31", "max-descriptors": "255",
 		} {
 			err := Parse(&Entry{}, append(append([]string{}, good...), "--"+name+"="+value))
 			So(err, ShouldNotBeNil)
--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -87,6 +87,10 @@
 // answered is a request that each HTTP listener answers and after which it keeps the connection.
 const answered = "GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n"
 
+func silent(sent string) head {
+	return head{first: sent, connections: keptConnections, kept: keptConnections}
+}
+
 func heldBack(first string, next func(int) string) head {
 	return head{isUpload: true, first: first, next: next, bytes: sentBytes, connections: 1}
 }
@@ -97,6 +101,9 @@
 	{"short lines of a later request that stop below the limit", []head{stopping(answered+requestLine, shortLines)}},
 	{"bodies held back", []head{heldBack(fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes), repeated("x"))}},
 	{"chunks held back", []head{heldBack(fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", bodyBytes), repeated("x"))}},
+	{"connections that send nothing", []head{silent("")}},
+	{"half a request line", []head{silent("GET /saf")}},
+	{"short bodies held back", []head{{isUpload: true, first: "Content-Length: 1000\r\n\r\n", connections: keptConnections, kept: keptConnections}}},
 }
 
 // messageModes are what the clients of a listener for control messages send.
@@ -106,6 +113,8 @@
 	{"lines without end before a message", []head{flooding("", repeated("A: b\r\n"))}},
 	{"one line without end before a message", []head{flooding("", repeated("x"))}},
 	{"empty messages", []head{flooding("", repeated("Content-Length: 2\r\n\r\n{}"))}},
+	{"connections that send nothing", []head{silent("")}},
+	{"half a line", []head{silent("Content-Le")}},
 	{"heads of HTTP requests", []head{stopping(requestLine, shortLines)}},
 }
 
--- a/test/hostile/daemons_test.go
+++ b/test/hostile/daemons_test.go
@@ -27,7 +27,10 @@
 func startDaemons(t *testing.T, binaries *process.Binaries, of limits) *realsystem.System {
 	s, err := realsystem.Start(realsystem.Options{
 		Binaries: binaries, Engines: make([]engine.Options, 1),
-		Environment: []string{fmt.Sprintf("WIGEON_MEMORY_LIMIT_MB=%d", of.memoryMB)},
+		Environment: []string{
+			fmt.Sprintf("WIGEON_MEMORY_LIMIT_MB=%d", of.memoryMB),
+			fmt.Sprintf("WIGEON_MAX_DESCRIPTORS=%d", of.descriptors),
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/test/hostile/hostile_test.go
+++ b/test/hostile/hostile_test.go
@@ -25,6 +25,8 @@
 	floodConnections = 10
 	// maxFraction is the fraction of the memory limit that the process may have used at its peak.
 	maxFraction = 0.8
+	// keptConnections is the number of connections that a caller keeps if it sends little on each.
+	keptConnections = 7
 	// maxDescriptors is the limit on the descriptors of a process in the tests of connections.
 	maxDescriptors = 600
 	// ownDescriptors bounds the descriptors of a gateway beside one for each caller's connection.
--- a/test/hostile/listeners_test.go
+++ b/test/hostile/listeners_test.go
@@ -26,7 +26,8 @@
 	return []listenerSize{{300, limits{120, 2870}}, {1000, limits{134, 4100}}, {1000, limits{536, 8192}}}
 }
 
-// TestListenersOutliveCrowds guards against a process that ends for its memory or answers nobody any more, since the clients of any one of its listeners keep to no limits.
+// TestListenersOutliveCrowds guards against a process that ends for its memory, uses up its descriptors or answers nobody any
+// more, since the clients of any one of its listeners keep to no limits.
 func TestListenersOutliveCrowds(t *testing.T) {
 	for _, size := range listenerSizes() {
 		t.Run(fmt.Sprintf("%d clients, %d MB", size.clients, size.limits.memoryMB), func(t *testing.T) { runListeners(t, size) })
@@ -53,6 +54,14 @@
 		}},
 	}
 	for _, p := range programs {
+		t.Run(p.name+"/all listeners at once", func(t *testing.T) {
+			s, listeners := p.start(t)
+			crowds := make([]mode, len(listeners))
+			for index, name := range listenerNames[p.name] {
+				crowds[index] = modesOf(name)[len(modesOf(name))-1]
+			}
+			size.checkListeners(t, s, listeners, crowds)
+		})
 		for index, name := range listenerNames[p.name] {
 			for _, m := range modesOf(name) {
 				t.Run(p.name+"/"+name+"/"+m.name, func(t *testing.T) {
