Bound the connections that a gateway keeps to all its servers

What callers saw: nothing yet. A gateway kept up to 16 connections to each backend server for 5 s after a request; with hundreds of servers these alone could exceed its descriptors beside a crowd of callers.

Cause: the bound was one for each server.

Change: the pool keeps at most an eighth of the descriptors for all servers together; further connections are closed after their answer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,7 +88,7 @@
 	g.ending, g.answerNow = context.WithCancel(background)
 	g.bounds.Store(&options.Bounds)
 	opened := telemetry.Counter(options.Metrics, "upstream.connections")
-	g.pool = upstream.NewPool(upstream.Options{OnOpen: func() { opened.Inc(1) }})
+	g.pool = upstream.NewPool(upstream.Options{MaxIdleTotal: options.Account.IdleConnections(), OnOpen: func() { opened.Inc(1) }})
 	g.crashes = newCrashGuard(g)
 	g.trials = newTrials(g)
 	g.fleet = newFleet(&options, g.pool.CloseIdle)
--- a/intake/account.go
+++ b/intake/account.go
@@ -58,6 +58,8 @@
 	// SoftLimitFraction is the fraction of the memory limit that is set as the soft memory limit of the Go runtime, near which
 	// it collects garbage more often. The rest is left for socket buffers.
 	SoftLimitFraction = 0.6
+	// idleFraction is the fraction of the descriptors for connections to backend servers that are kept for later requests.
+	idleFraction = 1. / 8
 	// incompleteFraction is the fraction of what a kind may hold that its incomplete heads may hold.
 	incompleteFraction = 0.25
 	// minConnections is the least number of connections, and minHeld the least number of bytes, that a kind may hold.
@@ -119,6 +121,15 @@
 	}
 }
 
+// IdleConnections returns the number of connections to backend servers that may be kept for later requests, or 0 if there is no
+// limit.
+func (a *Account) IdleConnections() int {
+	if a.limits.Descriptors <= 0 {
+		return 0
+	}
+	return max(minConnections, int(idleFraction*float64(a.limits.Descriptors)))
+}
+
 // Memory returns the quota of the bytes that are held for callers and backend servers.
 func (a *Account) Memory() *memquota.Quota { return a.memory }
 
--- a/intake/account_test.go
+++ b/intake/account_test.go
@@ -30,7 +30,7 @@
 				descriptors += s.descriptors
 				memory += s.waiting + s.held
 			}
-			SoMsg(program, descriptors, ShouldBeLessThan, 1)
+			SoMsg(program, descriptors+idleFraction, ShouldBeLessThan, 1)
 			SoMsg(program, memory, ShouldBeLessThanOrEqualTo, SoftLimitFraction)
 		}
 	})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -24,6 +24,8 @@
 	IdleTimeout time.Duration
 	// MaxIdle bounds the idle connections kept for each server.
 	MaxIdle int
+	// MaxIdleTotal bounds the idle connections kept for all servers; 0 is no bound.
+	MaxIdleTotal int
 	// OnOpen is called for each connection that is opened.
 	OnOpen func()
 }
@@ -58,6 +60,8 @@
 	dialer  net.Dialer
 	mu      sync.Mutex
 	idle    map[Server][]*conn
+	// idleTotal is the number of connections in idle.
+	idleTotal int
 }
 
 // NewPool returns an empty Pool.
@@ -110,6 +114,7 @@
 	}
 	last := idle[len(idle)-1]
 	p.idle[server] = idle[:len(idle)-1]
+	p.idleTotal--
 	return last
 }
 
@@ -121,11 +126,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[server]
-	if len(idle) >= min(maxIdle, p.options.MaxIdle) {
+	isFull := p.options.MaxIdleTotal > 0 && p.idleTotal >= p.options.MaxIdleTotal
+	if isFull || len(idle) >= min(maxIdle, p.options.MaxIdle) {
 		closeConn(c)
 		return
 	}
 	p.idle[server] = append(idle, c)
+	p.idleTotal++
 }
 
 // CloseIdle closes the idle connections to a server.
@@ -133,6 +140,7 @@
 	p.mu.Lock()
 	idle := p.idle[server]
 	delete(p.idle, server)
+	p.idleTotal -= len(idle)
 	p.mu.Unlock()
 	for _, c := range idle {
 		closeConn(c)
@@ -158,6 +166,7 @@
 			p.idle[server] = keep
 		}
 	}
+	p.idleTotal -= len(expired)
 	p.mu.Unlock()
 	for _, c := range expired {
 		closeConn(c)
