Log what listeners refuse

What operators saw: counters of refused heads, and no address or listener to look for.

Change: intake.Guard logs refused heads and closed connections as peer_refused with the listener, the reason and the address, one line a second for each listener and reason with the number since the last one, so that a crowd doesn't fill the log.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -84,7 +84,7 @@
 		return nil, errors.New("an agent needs either an engine or a plain service")
 	}
 	if options.Account == nil {
-		options.Account = intake.NewAccount(intake.Limits{}, options.Metrics)
+		options.Account = intake.NewAccount(intake.Limits{}, options.Log, options.Metrics)
 	}
 	background, stop := context.WithCancel(context.Background())
 	a := &Agent{
--- a/cmd/wigeonfork-gateway/main.go
+++ b/cmd/wigeonfork-gateway/main.go
@@ -46,7 +46,7 @@
 func run(path string, settings *platform.Settings, signals <-chan os.Signal, log *telemetry.Logger) error {
 	debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * intake.SoftLimitFraction))
 	metrics := telemetry.NewRegistry()
-	account := intake.NewAccount(intake.Limits{Memory: settings.MemoryLimit, Descriptors: settings.Connections}, metrics)
+	account := intake.NewAccount(intake.Limits{Memory: settings.MemoryLimit, Descriptors: settings.Connections}, log, metrics)
 	store := platform.NewStore(settings.StoreAddress)
 	peers, err := listenPeers(settings.PeerAddress)
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,7 +70,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	metrics := telemetry.NewRegistry()
 	debug.SetMemoryLimit(int64(float64(memoryLimit(process)) * intake.SoftLimitFraction))
-	account := intake.NewAccount(intake.Limits{Memory: memoryLimit(process), Descriptors: connections(process)}, metrics)
+	account := intake.NewAccount(intake.Limits{Memory: memoryLimit(process), Descriptors: connections(process)}, log, metrics)
 	service, err := build(account, log, metrics)
 	if err != nil {
 		return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,7 +110,7 @@
 		return nil, err
 	}
 	if options.Account == nil {
-		options.Account = intake.NewAccount(intake.Limits{}, options.Metrics)
+		options.Account = intake.NewAccount(intake.Limits{}, options.Log, options.Metrics)
 	}
 	background, stop := context.WithCancel(context.Background())
 	e := &Entry{
--- a/experiment/capacity/wire.go
+++ b/experiment/capacity/wire.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	account := intake.NewAccount(intake.Limits{}, telemetry.NewRegistry())
+	account := intake.NewAccount(intake.Limits{}, telemetry.Discard(), telemetry.NewRegistry())
 	w := &loopback{server: peer.NewServer(peer.Credentials{Peer: credential}, account.Guard(intake.Peers)), listener: &countingListener{Listener: inner}}
 	peer.Handle(w.server, peer.MethodStatusSubscribe, peer.RolePeer,
 		func(context.Context, *peer.Session, peer.None) (agentapi.Status, error) { return w.status, nil })
--- a/gateway/caller_left_test.go
+++ b/gateway/caller_left_test.go
@@ -19,7 +19,7 @@
 func serveCallers(t *testing.T, handle func(*call)) string {
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handle(&call{w: w, r: r}) })}
 	newCallerConnections().configure(server)
-	account := intake.NewAccount(intake.Limits{}, telemetry.NewRegistry())
+	account := intake.NewAccount(intake.Limits{}, telemetry.Discard(), telemetry.NewRegistry())
 	guard := httpserver.NewGuard(account.Guard(intake.Callers), httpserver.DefaultMaxHead)
 	guard.Configure(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,7 +78,7 @@
 	background, stop := context.WithCancel(context.Background())
 	g := &Gateway{options: options, background: background, stop: stop, warm: newLatch(warmReads), restored: newLatch(restoredReads)}
 	if options.Account == nil {
-		options.Account = intake.NewAccount(intake.Limits{}, options.Metrics)
+		options.Account = intake.NewAccount(intake.Limits{}, options.Log, options.Metrics)
 	}
 	g.memory = options.Account.Memory()
 	if options.Quarantines == nil {
--- a/httpserver/guard_test.go
+++ b/httpserver/guard_test.go
@@ -44,7 +44,7 @@
 // startFor starts a server for a kind of peer.
 func startFor(kind intake.Kind, limits intake.Limits, handle http.HandlerFunc) *limited {
 	s := &limited{metrics: telemetry.NewRegistry()}
-	s.account = intake.NewAccount(limits, s.metrics)
+	s.account = intake.NewAccount(limits, telemetry.Discard(), s.metrics)
 	s.guard = s.account.Guard(kind)
 	guard := NewGuard(s.guard, DefaultMaxHead)
 	server := New(handle)
--- a/httpserver/heads_test.go
+++ b/httpserver/heads_test.go
@@ -33,7 +33,7 @@
 func startGuarded(quotaBytes, incomplete int64) *guarded {
 	g := &guarded{quota: memquota.New(quotaBytes), refused: make(chan intake.Refusal, 100)}
 	g.maxHead.Store(16 << 10)
-	account := intake.NewAccount(intake.Limits{}, telemetry.NewRegistry())
+	account := intake.NewAccount(intake.Limits{}, telemetry.Discard(), telemetry.NewRegistry())
 	g.guard = newGuard(account.Guard(intake.Callers), g.quota, incomplete, g.maxHead.Load)
 	g.guard.onRefused = func(r intake.Refusal, _ string) { g.refused <- r }
 	server := New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.URL.Path) }))
--- a/intake/account.go
+++ b/intake/account.go
@@ -101,12 +101,13 @@
 type Account struct {
 	limits  Limits
 	memory  *memquota.Quota
+	log     *telemetry.Logger
 	metrics telemetry.Registry
 }
 
 // NewAccount returns the account of a process.
-func NewAccount(limits Limits, metrics telemetry.Registry) *Account {
-	a := &Account{limits: limits, memory: memquota.New(limits.ofMemory(HeldFraction)), metrics: metrics}
+func NewAccount(limits Limits, log *telemetry.Logger, metrics telemetry.Registry) *Account {
+	a := &Account{limits: limits, memory: memquota.New(limits.ofMemory(HeldFraction)), log: log, metrics: metrics}
 	a.registerMetrics()
 	return a
 }
@@ -141,8 +142,9 @@
 		memory = memquota.New(max(a.limits.ofMemory(shares[kind].held), minHeld))
 	}
 	g := &Guard{
-		kind: kind, memory: memory, metrics: a.metrics,
+		kind: kind, memory: memory, log: a.log, metrics: a.metrics,
 		quota: connquota.New(a.limits.connections(kind)), conns: make(map[*connquota.Conn]*Conn),
+		refusals: make(map[Refusal]*refusals),
 	}
 	telemetry.GaugeOf(a.metrics, "connections.open_"+string(kind), func() int64 { return int64(g.Usage().Open) })
 	telemetry.GaugeOf(a.metrics, "connections.waiting_"+string(kind), func() int64 { return int64(g.Usage().Waiting) })
--- a/intake/account_test.go
+++ b/intake/account_test.go
@@ -10,7 +10,7 @@
 )
 
 func newTestAccount(limits Limits) *Account {
-	return NewAccount(limits, telemetry.NewRegistry())
+	return NewAccount(limits, telemetry.Discard(), telemetry.NewRegistry())
 }
 
 // TestShares guards against shares that are more than there is, and against a kind of peer without one.
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -10,18 +10,19 @@
 	"github.com/wigeonfork/wigeonfork/telemetry"
 )
 
-// Refusal is why something of a peer was refused before it was a request.
-type Refusal string
-
 // Guard is the guard of one listener. It bounds the connections, and holds the quota of the bytes that are received on them.
 type Guard struct {
 	kind    Kind
 	memory  *memquota.Quota
+	log     *telemetry.Logger
 	metrics telemetry.Registry
 
 	mu    sync.Mutex
 	quota *connquota.Quota
 	conns map[*connquota.Conn]*Conn
+
+	refusalsMu sync.Mutex
+	refusals   map[Refusal]*refusals
 }
 
 // Memory returns the quota of the bytes that are held for the peers of the listener.
@@ -50,11 +51,6 @@
 	}
 }
 
-// RefusedHead counts the refusal of a head.
-func (g *Guard) RefusedHead(reason Refusal, _ string) {
-	telemetry.Counter(g.metrics, "heads.refused_"+string(reason)).Inc(1)
-}
-
 // Listener returns a listener whose connections, of type *Conn, are counted.
 func (g *Guard) Listener(inner net.Listener) net.Listener {
 	return &listener{Listener: inner, guard: g}
@@ -118,6 +114,7 @@
 func (g *Guard) evict(conns []*Conn) {
 	for _, c := range conns {
 		telemetry.Counter(g.metrics, "connections.closed_"+string(g.kind)).Inc(1)
+		g.logRefusal(refusalConnection, c.address)
 		// A connection that fails to close has ended.
 		_ = c.Conn.Close()
 	}
--- a/peer/limits_test.go
+++ b/peer/limits_test.go
@@ -18,7 +18,7 @@
 const patience = 20 * time.Second
 
 func startServer(limits intake.Limits) (address string, guard *intake.Guard) {
-	guard = intake.NewAccount(limits, telemetry.NewRegistry()).Guard(intake.Peers)
+	guard = intake.NewAccount(limits, telemetry.Discard(), telemetry.NewRegistry()).Guard(intake.Peers)
 	server := NewServer(Credentials{Peer: "secret of the peers"}, guard)
 	Handle(server, "length", RolePeer, func(_ context.Context, _ *Session, text string) (int, error) { return len(text), nil })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
