--- a/connquota/connquota.go
+++ b/connquota/connquota.go
@@ -9,7 +9,7 @@
 	"github.com/wigeonfork/wigeonfork/eviction"
 )
 
-// Classes of the connections on which bytes are awaited. A connection that has had an answer stays 64 times as long.
+// Classes of waiting connections. One that has had an answer stays 64 times as long as one that has not.
 const (
 	classAnswered eviction.Class = 0
 	classNew      eviction.Class = 6
@@ -40,8 +40,8 @@
 // IsEvicted reports whether the connection was closed to make room.
 func (c *Conn) IsEvicted() bool { return c.isEvicted }
 
-// Quota counts the connections of one kind of peer. A connection is either waiting, for the head or the body of a request, or
-// serving one. Only waiting connections are evicted: nothing that was asked on them has run.
+// Quota counts the connections of one kind of peer. On each the process either waits for the peer, for a request or for the peer
+// to read an answer, or it serves a request. Only waiting connections are evicted, so that no request is cut while it runs.
 //
 // Invariants: at most Limits.Open connections are open, and at most Limits.Waiting of them wait.
 type Quota struct {
@@ -69,8 +69,8 @@
 	return q.Wait(c, now)
 }
 
-// Wait records that the process waits for bytes of the peer: the next request, or the body of the present one. It returns the
-// connections that must be closed. The given one is among them only if no other waits. Wait does nothing on a connection that
+// Wait records that the process waits for the peer: for the next request, the body of the present one, or the reading of its
+// answer. It returns the connections that must be closed. The given one is among them only if no other waits. Wait does nothing on a connection that
 // is not counted.
 func (q *Quota) Wait(c *Conn, now time.Time) []*Conn {
 	if !c.isOpen {
--- a/intake/account.go
+++ b/intake/account.go
@@ -32,7 +32,7 @@
 type share struct {
 	// descriptors is the fraction of the descriptors for its connections.
 	descriptors float64
-	// waiting is the fraction of the memory for its connections on which the process waits for bytes.
+	// waiting is the fraction of the memory for its connections on which the process waits for the peer.
 	waiting float64
 	// held is the fraction of the memory for heads and bodies of its requests.
 	held float64
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -134,7 +134,7 @@
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Wait records that the process waits for bytes of the peer. The connection may then be closed to make room for others.
+// Wait records that the process waits for the peer. The connection may then be closed to make room for others.
 func (c *Conn) Wait() {
 	g := c.guard
 	g.mu.Lock()
