Check the limit of a stranger's message without a clock

The test waited for half of the handshake's time limit to tell a refused message from a late handshake, which a busy machine could miss. It now reads through the codec, with a reader that fails if it is read beyond the head: as strict, and it also checks that the same message is read once the handshake is done.

--- a/peer/limits_test.go
+++ b/peer/limits_test.go
@@ -1,13 +1,18 @@
 package peer
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/wigeonfork/wigeonfork/intake"
@@ -34,20 +39,24 @@
 	return Dial(ctx, address, Handshake{ID: "peer", Role: RolePeer, Credential: "secret of the peers"}, nil)
 }
 
+// errBodyRead is the error of a reader that must not be read.
+var errBodyRead = errors.New("the message is read")
+
 // TestStrangersSendAHandshakeOnly guards against strangers that make a process hold messages, and against limits that refuse
 // those of peers.
 func TestStrangersSendAHandshakeOnly(t *testing.T) {
-	Convey("A message that is larger than a handshake ends the connection of a stranger before it is read", t, func() {
-		address, _ := startServer(intake.Limits{})
-		conn, err := net.Dial("tcp", address)
-		So(err, ShouldBeNil)
-		defer conn.Close()
-		fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n", maxHandshakeBytes+1)
-		So(conn.SetReadDeadline(time.Now().Add(handshakeTimeout/2)), ShouldBeNil)
-		_, err = conn.Read(make([]byte, 1))
+	Convey("A stranger's message that is larger than a handshake is refused before it is read", t, func() {
+		stranger := &connHandler{}
+		codec := limitedCodec{maxBytes: stranger.maxMessageBytes}
+		head := fmt.Sprintf("Content-Length: %d\r\n\r\n", maxHandshakeBytes+1)
+		var message json.RawMessage
+		// A read beyond the head would return the error of the reader.
+		err := codec.ReadObject(bufio.NewReader(io.MultiReader(strings.NewReader(head), iotest.ErrReader(errBodyRead))), &message)
 		So(err, ShouldNotBeNil)
-		timeout, isNet := err.(net.Error)
-		So(isNet && timeout.Timeout(), ShouldBeFalse)
+		So(errors.Is(err, errBodyRead), ShouldBeFalse)
+		stranger.authenticated = true
+		err = codec.ReadObject(bufio.NewReader(io.MultiReader(strings.NewReader(head), iotest.ErrReader(errBodyRead))), &message)
+		So(errors.Is(err, errBodyRead), ShouldBeTrue)
 	})
 	Convey("A peer's messages may be larger", t, func() {
 		address, _ := startServer(intake.Limits{})
