--- a/review/standin-3/orders/main.go
+++ b/review/standin-3/orders/main.go
@@ -22,6 +22,11 @@
 	finalTimeout = moveDuration + 5*time.Second
 	// calmPause is the pause before the second order without the disruption. The old servers' rows are gone by then.
 	calmPause = 5 * time.Second
+	// drainPause is the time from a roll-back until the new servers drain, and drainTime how long they then serve.
+	drainPause = 2 * time.Second
+	drainTime  = 2500 * time.Millisecond
+	// timeLimit bounds the case.
+	timeLimit = 100 * time.Second
 	// applyTime is the time after which a configuration is in force, with a margin.
 	applyTime = 4 * time.Second
 	// steadyTime is how long the steady state is observed.
@@ -70,6 +75,10 @@
 		fmt.Println(err)
 		return small.ExitNotRun
 	}
+	time.AfterFunc(timeLimit, func() {
+		gateways.Stop()
+		os.Exit(small.ExitNotRun)
+	})
 	w := &world{small: gateways, stand: stand, byPath: make(map[string]*counts)}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -103,8 +112,7 @@
 		fmt.Printf("the bad version is %q at the end of its time\n", state)
 		return small.ExitNotRun
 	}
-	time.Sleep(2 * time.Second)
-	w.stand.RetireVersion(deployment.Plain, "v3")
+	w.drain("v3")
 	w.stand.ConfigureWith(func(c *deployment.Configuration) {
 		added := map[string]any{}
 		for _, route := range c.Routes {
@@ -128,6 +136,19 @@
 	return w.judge()
 }
 
+// drain takes the servers of a version away, as after a roll-back: they report that they drain, go on serving and end.
+func (w *world) drain(version string) {
+	time.Sleep(drainPause)
+	for _, r := range w.stand.Runners(deployment.Plain) {
+		if w.stand.Version(r.ID) == version {
+			w.stand.Drain(r.ID)
+		}
+	}
+	w.small.Note("the servers of %s drain", version)
+	time.Sleep(drainTime)
+	w.stand.RetireVersion(deployment.Plain, version)
+}
+
 func (w *world) setSteady(steady bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
