Log who named the version that a move starts from, and the known servers

The logs show from=v1, but not whether each gateway found that itself or was told, nor which servers it knew, so that a lost completion, a wrong choice and a wrong report look alike.

move_began now has source (own or peer) and servers (versions in the order in which they appeared, known and usable).

--- a/gateway/fleet_versions.go
+++ b/gateway/fleet_versions.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -103,6 +105,20 @@
 	return ""
 }
 
+// versionsKnown describes the versions of a service in the order in which they appeared, each with the
+// number of its known servers and of those that take requests, for example "v1:3/0 v2:3/3".
+func (f *fleet) versionsKnown(service wigeonfork.Model) string {
+	usable := f.usableByVersion(service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	descriptions := make([]string, 0, len(f.versionOrder[service]))
+	for _, version := range f.versionOrder[service] {
+		known := f.versionCount[serviceVersion{service, version}]
+		descriptions = append(descriptions, fmt.Sprintf("%s:%d/%d", version, known, usable[version]))
+	}
+	return strings.Join(descriptions, " ")
+}
+
 // usableByVersion returns the number of servers of a service that take requests, by version.
 func (f *fleet) usableByVersion(service wigeonfork.Model) map[wigeonfork.Version]int {
 	f.mu.Lock()
--- a/gateway/move_reports.go
+++ b/gateway/move_reports.go
@@ -49,7 +49,7 @@
 	rewritten := v.observeOrderLocked(now, order)
 	v.mu.Unlock()
 	if !rewritten {
-		v.begin(now, order, u.From, u.Left, u.Duration-u.Left < historyPeriod && now.Sub(v.startedAt) > historyPeriod)
+		v.begin(now, order, u.From, u.Left, u.Duration-u.Left < historyPeriod && now.Sub(v.startedAt) > historyPeriod, "peer")
 	}
 	v.mu.Lock()
 	move := v.moves[u.Service]
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -117,14 +117,16 @@
 		}
 		// An entry that has just started may have missed the first part of the move.
 		hasHistory := now.Sub(v.startedAt) > historyPeriod
-		if v.begin(now, order, from, order.Duration, hasHistory) {
+		if v.begin(now, order, from, order.Duration, hasHistory, "own") {
 			v.g.wait.Go(func() { v.confirm(order) })
 		}
 	}
 }
 
 // begin begins a move, unless one of the same or a later order exists.
-func (v *versionMoves) begin(now time.Time, order rollout.MoveOrder, from wigeonfork.Version, left time.Duration, hasHistory bool) bool {
+// source says whether the old version was found by this gateway or is that of a peer's report.
+func (v *versionMoves) begin(now time.Time, order rollout.MoveOrder, from wigeonfork.Version, left time.Duration, hasHistory bool, source string) bool {
+	servers := v.g.fleet.versionsKnown(order.Service)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if move := v.moves[order.Service]; move != nil && !order.Position.After(move.Order.Position) {
@@ -135,7 +137,7 @@
 	v.moves[order.Service] = move
 	v.orders[order.Service] = order
 	v.g.options.Log.Info().Str("service", string(order.Service)).Str("from", string(from)).Str("to", string(order.To)).
-		Uint64("order", order.Position.Revision).Uint64("era", order.Position.Era).Int64("left_ms", left.Milliseconds()).Bool("has_history", hasHistory).Msg("move_began")
+		Uint64("order", order.Position.Revision).Uint64("era", order.Position.Era).Int64("left_ms", left.Milliseconds()).Bool("has_history", hasHistory).Str("source", source).Str("servers", servers).Msg("move_began")
 	return true
 }
 
