Separate one step of following and writing moves from its loop

Tests of orders in a row step several gateways in virtual time, with reports and ranks of their own. For that the bodies of the two loops are functions (followOnce, writeOnce), and the way of a report and the rank are fields.

--- a/gateway/move_reports.go
+++ b/gateway/move_reports.go
@@ -35,7 +35,7 @@
 		Left: move.Left(now), Confirmed: move.Confirmed(), Stage: stage, Reason: reason, Source: v.source, Report: move.Report(),
 	}
 	v.mu.Unlock()
-	v.g.gossip.sendMoveUpdate(update)
+	v.send(update)
 }
 
 // moveMemory is the time after the deadline for which peers are told of a move. Entries that start
--- a/gateway/move_states.go
+++ b/gateway/move_states.go
@@ -125,20 +125,28 @@
 
 // writeStates writes the states of the moves at the entries that lead, until the gateway ends.
 func (v *versionMoves) writeStates() {
-	writers := make(map[wigeonfork.Model]*moveWriter)
+	writers := make(moveWriters)
 	for v.g.pause(moveStepInterval) {
-		if !rollout.IsLeader(v.g.readerRank()) {
-			continue
-		}
-		for _, service := range v.services() {
-			order, wanted := v.wantedState(service)
-			w := writers[service]
-			if w == nil || w.order != order {
-				w = &moveWriter{v: v, order: order, store: v.g.newDependency("moves")}
-				writers[service] = w
-			}
-			w.write(wanted)
+		v.writeOnce(writers)
+	}
+}
+
+// moveWriters holds the writer of the newest move of each service.
+type moveWriters map[wigeonfork.Model]*moveWriter
+
+// writeOnce writes the states that are not stored, if this entry leads.
+func (v *versionMoves) writeOnce(writers moveWriters) {
+	if !rollout.IsLeader(v.rank()) {
+		return
+	}
+	for _, service := range v.services() {
+		order, wanted := v.wantedState(service)
+		w := writers[service]
+		if w == nil || w.order != order {
+			w = &moveWriter{v: v, order: order, store: v.g.newDependency("moves")}
+			writers[service] = w
 		}
+		w.write(wanted)
 	}
 }
 
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wigeonfork/wigeonfork"
+	"github.com/wigeonfork/wigeonfork/loadshare"
 	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routetable"
 )
@@ -35,6 +36,9 @@
 // of the fleet, and held over no I/O.
 type versionMoves struct {
 	g *Gateway
+	// send sends a report to the peers, and rank returns this entry's rank as leader.
+	send func(*loadshare.MoveUpdate)
+	rank func() int
 	// source identifies this incarnation in reports.
 	source    string
 	startedAt time.Time
@@ -57,7 +61,9 @@
 
 func newVersionMoves(g *Gateway) *versionMoves {
 	return &versionMoves{
-		g: g, source: strconv.FormatUint(rand.Uint64(), 36), startedAt: time.Now(),
+		g:    g,
+		send: func(u *loadshare.MoveUpdate) { g.gossip.sendMoveUpdate(u) }, rank: g.readerRank,
+		source: strconv.FormatUint(rand.Uint64(), 36), startedAt: time.Now(),
 		orders: make(map[wigeonfork.Model]rollout.MoveOrder), moves: make(map[wigeonfork.Model]*rollout.ServiceMove),
 		rewrites:   newOrderRewrites(),
 		reportedAt: make(map[wigeonfork.Model]time.Time),
@@ -265,19 +271,23 @@
 // follow steps the moves and reports on them until the gateway ends.
 func (v *versionMoves) follow() {
 	for v.g.pause(moveStepInterval) {
-		now := time.Now()
-		v.beginMoves(now)
-		v.countTimed(now)
-		v.step(now)
-		for _, service := range v.services() {
-			v.reportIfDue(now, service)
-		}
+		v.followOnce(time.Now())
+	}
+}
+
+// followOnce steps the moves, and reports on those for which that is due.
+func (v *versionMoves) followOnce(now time.Time) {
+	v.beginMoves(now)
+	v.countTimed(now)
+	v.step(now)
+	for _, service := range v.services() {
+		v.reportIfDue(now, service)
 	}
 }
 
 // step steps all moves, and reports new stages at once.
 func (v *versionMoves) step(now time.Time) {
-	rank := v.g.readerRank()
+	rank := v.rank()
 	for _, service := range v.services() {
 		usable := v.g.fleet.usableByVersion(service)
 		v.mu.Lock()
