Keep which version of a service is in service as a fact with its order

Cause: each gateway guessed the version to move from by the order in which rows had appeared. The rows of servers that end at a completion stay for up to three heartbeats, so that the guess is the version that has just ended. One gateway's report made it the guess of all, and nothing corrected it.

Change: the version in service is that of the last completed move, with the position of its order. It is stored in a row with each state of a move, under the same condition, and reports on moves carry it; the one of the later order holds, so that all gateways agree after the next read or report. A writer whose order is older than the stored one no longer replaces the state.

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -78,7 +78,7 @@
 	Convey("A move under way has the new exposure limits", t, func() {
 		g, bounds := newBoundedGateway()
 		now := time.Now()
-		g.moves.begin(now, rollout.MoveOrder{Service: engines, To: "v2", Duration: 10 * time.Second, Position: storepos.Position{Revision: 1}}, "v1", 10*time.Second, true, "own")
+		g.moves.begin(now, moveBegin{order: rollout.MoveOrder{Service: engines, To: "v2", Duration: 10 * time.Second, Position: storepos.Position{Revision: 1}}, left: 10 * time.Second, hasHistory: true, reportedFrom: "v1"})
 		g.moves.setEntries(1)
 		g.moves.moves[engines].Advance(rollout.StageTrial, "")
 		So(g.moves.preference(engines), ShouldResemble, []wigeonfork.Version{"v1"})
--- a/gateway/fleet_versions.go
+++ b/gateway/fleet_versions.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +9,7 @@
 	"github.com/wigeonfork/wigeonfork"
 	"github.com/wigeonfork/wigeonfork/directory"
 	"github.com/wigeonfork/wigeonfork/health"
+	"github.com/wigeonfork/wigeonfork/rollout"
 	"github.com/wigeonfork/wigeonfork/routing"
 )
 
@@ -92,35 +91,9 @@
 	return routing.Decision{}, err
 }
 
-// establishedVersion returns the version of a service that has had servers for longest, other than
-// the given one. It is empty if there is none.
-func (f *fleet) establishedVersion(service wigeonfork.Model, other wigeonfork.Version) wigeonfork.Version {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, version := range f.versionOrder[service] {
-		if version != other {
-			return version
-		}
-	}
-	return ""
-}
-
-// versionsKnown describes the versions of a service in the order in which they appeared, each with the
-// number of its known servers and of those that take requests, for example "v1:3/0 v2:3/3".
-func (f *fleet) versionsKnown(service wigeonfork.Model) string {
-	usable := f.usableByVersion(service)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	descriptions := make([]string, 0, len(f.versionOrder[service]))
-	for _, version := range f.versionOrder[service] {
-		known := f.versionCount[serviceVersion{service, version}]
-		descriptions = append(descriptions, fmt.Sprintf("%s:%d/%d", version, known, usable[version]))
-	}
-	return strings.Join(descriptions, " ")
-}
-
-// usableByVersion returns the number of servers of a service that take requests, by version.
-func (f *fleet) usableByVersion(service wigeonfork.Model) map[wigeonfork.Version]int {
+// serversByVersion returns the numbers of servers of a service by version, in the order in which the versions
+// appeared.
+func (f *fleet) serversByVersion(service wigeonfork.Model) []rollout.VersionServers {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	usable := make(map[wigeonfork.Version]int)
@@ -129,7 +102,13 @@
 			usable[entry.Version]++
 		}
 	}
-	return usable
+	list := make([]rollout.VersionServers, 0, len(f.versionOrder[service]))
+	for _, version := range f.versionOrder[service] {
+		list = append(list, rollout.VersionServers{
+			Version: version, Known: f.versionCount[serviceVersion{service, version}], Usable: usable[version],
+		})
+	}
+	return list
 }
 
 // leaveVersion ends the runs of streams at servers of a version, unless they can't continue at
--- a/gateway/move_reports.go
+++ b/gateway/move_reports.go
@@ -33,6 +33,7 @@
 	update := &loadshare.MoveUpdate{
 		Service: service, From: move.From, To: move.Order.To, Duration: move.Order.Duration, Revision: move.Order.Position.Revision, Era: move.Order.Position.Era,
 		Left: move.Left(now), Confirmed: move.Confirmed(), Stage: stage, Reason: reason, Source: v.source, Report: move.Report(),
+		InService: v.versionsLocked(service).InService(),
 	}
 	v.mu.Unlock()
 	v.send(update)
@@ -47,9 +48,12 @@
 	order := u.Order()
 	v.mu.Lock()
 	rewritten := v.observeOrderLocked(now, order)
+	v.learnLocked(u.Service, u.InService, "peer")
+	v.recordEndLocked(order, u.Stage, "peer")
 	v.mu.Unlock()
 	if !rewritten {
-		v.begin(now, order, u.From, u.Left, u.Duration-u.Left < historyPeriod && now.Sub(v.startedAt) > historyPeriod, "peer")
+		hasHistory := u.Duration-u.Left < historyPeriod && now.Sub(v.startedAt) > historyPeriod
+		v.begin(now, moveBegin{order: order, left: u.Left, hasHistory: hasHistory, reportedFrom: u.From})
 	}
 	v.mu.Lock()
 	move := v.moves[u.Service]
--- a/gateway/move_states.go
+++ b/gateway/move_states.go
@@ -37,6 +37,8 @@
 	// position Order was given; Order is zero if that is not stored.
 	Now, Began time.Duration
 	Order      storepos.Position
+	// InService is the version in service, which is stored with each state.
+	InService rollout.InService
 }
 
 // isFor reports whether the state is that of the move of an order. After the store has come back
@@ -84,6 +86,7 @@
 	if err != nil {
 		return StoredMove{}, err
 	}
+	v.learnStored(order, &stored)
 	v.agreeOnBegin(sentAt, order, &stored)
 	stage := rollout.StageTrial
 	if stored.isFinalFor(order) {
@@ -96,6 +99,16 @@
 	return stored, nil
 }
 
+// learnStored records what a stored state says of the versions of a service, also if it is that of an earlier move.
+func (v *versionMoves) learnStored(order rollout.MoveOrder, stored *StoredMove) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.learnLocked(order.Service, stored.InService, "store")
+	if stored.State == MoveRolledBack && stored.To != order.To {
+		v.versionsLocked(order.Service).Stop(stored.To, stored.Order)
+	}
+}
+
 // agreeOnBegin corrects the deadline of a move by the stored time of its order, or else sets the time to
 // be stored. sentAt is when the read began.
 func (v *versionMoves) agreeOnBegin(sentAt time.Time, order rollout.MoveOrder, stored *StoredMove) {
@@ -197,12 +210,20 @@
 		// The operator writes the order again; its state belongs after it.
 		return
 	}
-	if wanted == MoveAbsent || w.stored.isFinalFor(w.order) || w.isStored(wanted) {
+	if w.stored.Order.After(w.order.Position) {
+		// The state of a later order's move is stored.
+		return
+	}
+	if w.stored.isFinalFor(w.order) {
+		wanted = w.stored.State
+	}
+	inService := w.v.inServiceWith(w.order, wanted)
+	if wanted == MoveAbsent || w.isStored(wanted) && !inService.Supersedes(w.stored.InService) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(w.v.g.background, storeReadTimeout)
 	defer cancel()
-	wantedMove := StoredMove{State: wanted, To: w.order.To, Order: w.stored.Order, Began: w.stored.Began}
+	wantedMove := StoredMove{State: wanted, To: w.order.To, Order: w.stored.Order, Began: w.stored.Began, InService: inService}
 	err := w.v.g.options.Moves.WriteMove(ctx, w.order.Service, wantedMove, w.stored.Position)
 	w.known = false
 	if err != nil {
@@ -210,12 +231,36 @@
 		return
 	}
 	w.store.recordSuccess(time.Now())
+	w.v.learnWritten(w.order, inService)
 	w.v.g.options.Log.Info().Str("service", string(w.order.Service)).Str("to", string(w.order.To)).Str("state", wanted.String()).Msg("move_stored")
 	if wanted == MoveCompleted {
 		w.v.advance(w.order, rollout.StageCompleted, "completed")
 	}
 }
 
+// inServiceWith returns the version in service to be stored with a state of the move of an order: the new version once
+// the move is completed, else the known one, or the old version of the move if none is known yet.
+func (v *versionMoves) inServiceWith(order rollout.MoveOrder, state MoveState) rollout.InService {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.versionsLocked(order.Service).InService()
+	completed := rollout.InService{Version: order.To, Since: order.Position}
+	if state == MoveCompleted && known.Version != order.To && completed.Supersedes(known) {
+		return completed
+	}
+	if move := v.moves[order.Service]; known.Version == "" && move != nil && move.Order == order {
+		return rollout.InService{Version: move.From}
+	}
+	return known
+}
+
+// learnWritten records the version in service that this entry has stored.
+func (v *versionMoves) learnWritten(order rollout.MoveOrder, inService rollout.InService) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.learnLocked(order.Service, inService, "store")
+}
+
 // isStored reports whether a state is stored for this order.
 func (w *moveWriter) isStored(state MoveState) bool {
 	return w.stored.State == state && w.stored.isFor(w.order)
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -49,6 +50,8 @@
 	rewrites  orderRewrites
 	moves     map[wigeonfork.Model]*rollout.ServiceMove
 	baselines *rollout.Baselines
+	// versions holds what is known of the versions of each service.
+	versions map[wigeonfork.Model]*rollout.ServiceVersions
 	// reportedAt is when each move was last reported to the peers.
 	reportedAt map[wigeonfork.Model]time.Time
 	// waiting holds the runs that are not yet old enough to be known as slow.
@@ -66,6 +69,7 @@
 		source: strconv.FormatUint(rand.Uint64(), 36), startedAt: time.Now(),
 		orders: make(map[wigeonfork.Model]rollout.MoveOrder), moves: make(map[wigeonfork.Model]*rollout.ServiceMove),
 		rewrites:   newOrderRewrites(),
+		versions:   make(map[wigeonfork.Model]*rollout.ServiceVersions),
 		reportedAt: make(map[wigeonfork.Model]time.Time),
 		baselines:  rollout.NewBaselines(), waiting: make(map[*timedRun]struct{}),
 		unrepeatable: make(map[*placement]routetable.Kind),
@@ -117,36 +121,53 @@
 	}
 	v.mu.Unlock()
 	for _, order := range missing {
-		from := v.g.fleet.establishedVersion(order.Service, order.To)
-		if from == "" {
-			continue
-		}
 		// An entry that has just started may have missed the first part of the move.
-		hasHistory := now.Sub(v.startedAt) > historyPeriod
-		if v.begin(now, order, from, order.Duration, hasHistory, "own") {
+		b := moveBegin{order: order, left: order.Duration, hasHistory: now.Sub(v.startedAt) > historyPeriod}
+		if v.begin(now, b) {
 			v.g.wait.Go(func() { v.confirm(order) })
 		}
 	}
 }
 
-// begin begins a move, unless one of the same or a later order exists.
-// source says whether the old version was found by this gateway or is that of a peer's report.
-func (v *versionMoves) begin(now time.Time, order rollout.MoveOrder, from wigeonfork.Version, left time.Duration, hasHistory bool, source string) bool {
-	servers := v.g.fleet.versionsKnown(order.Service)
+// moveBegin is what this entry learns of a move when it begins.
+type moveBegin struct {
+	order rollout.MoveOrder
+	// left is the time to the deadline.
+	left       time.Duration
+	hasHistory bool
+	// reportedFrom is the old version according to a peer, or empty. It is used if this entry knows none.
+	reportedFrom wigeonfork.Version
+}
+
+// begin begins a move, unless one of the same or a later order exists or no old version is known.
+func (v *versionMoves) begin(now time.Time, b moveBegin) bool {
+	service := b.order.Service
+	known := v.g.fleet.serversByVersion(service)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if move := v.moves[order.Service]; move != nil && !order.Position.After(move.Order.Position) {
+	if move := v.moves[service]; move != nil && !b.order.Position.After(move.Order.Position) {
+		return false
+	}
+	from := cmp.Or(v.trustedLocked(b.order, known), b.reportedFrom)
+	if from == "" {
 		return false
 	}
-	move := rollout.NewServiceMove(now, order, from, left, exposureLimits(v.g.bounds.Load()), hasHistory, rand.Float64())
+	move := rollout.NewServiceMove(now, b.order, from, b.left, exposureLimits(v.g.bounds.Load()), b.hasHistory, rand.Float64())
 	move.SetEntries(v.entries)
-	v.moves[order.Service] = move
-	v.orders[order.Service] = order
-	v.g.options.Log.Info().Str("service", string(order.Service)).Str("from", string(from)).Str("to", string(order.To)).
-		Uint64("order", order.Position.Revision).Uint64("era", order.Position.Era).Int64("left_ms", left.Milliseconds()).Bool("has_history", hasHistory).Str("source", source).Str("servers", servers).Msg("move_began")
+	v.moves[service] = move
+	v.orders[service] = b.order
+	v.logBegan(move, &b, known)
 	return true
 }
 
+func (v *versionMoves) logBegan(move *rollout.ServiceMove, b *moveBegin, known []rollout.VersionServers) {
+	order := move.Order
+	v.g.options.Log.Info().Str("service", string(order.Service)).Str("from", string(move.From)).Str("to", string(order.To)).
+		Uint64("order", order.Position.Revision).Uint64("era", order.Position.Era).Int64("left_ms", b.left.Milliseconds()).
+		Bool("has_history", b.hasHistory).Str("reported_from", string(b.reportedFrom)).
+		Str("in_service", v.versionsLocked(order.Service).InService().String()).Str("servers", describeServers(known)).Msg("move_began")
+}
+
 // preference lists the versions that the next request to a service may be sent to, the wanted one
 // first. It is empty if the service is not under a move.
 func (v *versionMoves) preference(service wigeonfork.Model) []wigeonfork.Version {
@@ -155,6 +176,9 @@
 	if move := v.moves[service]; move != nil {
 		return move.Preference(time.Now())
 	}
+	if versions := v.versions[service]; versions != nil && versions.InService().Version != "" {
+		return []wigeonfork.Version{versions.InService().Version, ""}
+	}
 	return nil
 }
 
@@ -289,13 +313,17 @@
 func (v *versionMoves) step(now time.Time) {
 	rank := v.rank()
 	for _, service := range v.services() {
-		usable := v.g.fleet.usableByVersion(service)
+		known := v.g.fleet.serversByVersion(service)
 		v.mu.Lock()
 		move := v.moves[service]
+		completed := v.followVersionsLocked(move, known)
 		result := move.Step(now, rollout.FleetView{
-			OldUsable: usable[move.From], NewUsable: usable[move.Order.To], Rank: rank, Left: v.leftLocked(service, move.From),
+			OldUsable: usableOf(known, move.From), NewUsable: usableOf(known, move.Order.To), Rank: rank, Left: v.leftLocked(service, move.From),
 		})
 		v.mu.Unlock()
+		if completed {
+			v.stageChanged(service, "version in service")
+		}
 		if result.Rose {
 			v.stageChanged(service, "own")
 		}
@@ -351,6 +379,7 @@
 	move := v.moves[service]
 	stage, reason := move.Stage()
 	to, state := move.Order.To, move.State()
+	v.recordEndLocked(move.Order, stage, source)
 	v.mu.Unlock()
 	v.g.options.Log.Info().Str("service", string(service)).Str("to", string(to)).Str("stage", stage.String()).Str("source", source).
 		Str("reason", reason).Str("state", state).Msg("move_stage")
@@ -365,7 +394,7 @@
 	defer v.mu.Unlock()
 	states := make(map[wigeonfork.Model]string, len(v.moves))
 	for service, move := range v.moves {
-		states[service] = move.State()
+		states[service] = move.State() + "; in service " + v.versionsLocked(service).InService().String()
 	}
 	return states
 }
--- a/loadshare/move_update.go
+++ b/loadshare/move_update.go
@@ -30,6 +30,9 @@
 	Report rollout.MoveReport `cbor:"11,keyasint"`
 	// Era is the era of Revision. Builds without eras don't send it.
 	Era uint64 `cbor:"12,keyasint,omitempty"`
+	// InService is the version in service as far as the sender knows. From is what it uses, which differs if the version in
+	// service has no servers that take requests.
+	InService rollout.InService `cbor:"13,keyasint,omitzero"`
 }
 
 // Order returns the order of the move.
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -107,11 +107,14 @@
 // ServiceMove is a deterministic decision type: times are arguments, and it does no I/O. It is not
 // safe for concurrent use.
 type ServiceMove struct {
-	Order    MoveOrder
-	From     wigeonfork.Version
-	limits   ExposureLimits
-	began    time.Time
-	deadline time.Time
+	Order MoveOrder
+	// From is the version for the requests that are not sent to the new one.
+	From wigeonfork.Version
+	// substitute is the version to use after the completion if the new one has no usable servers, and the new one otherwise.
+	substitute wigeonfork.Version
+	limits     ExposureLimits
+	began      time.Time
+	deadline   time.Time
 	// known is the number of entries, 0 if it is not known. An entry without history, that has
 	// started during the move, does not know what was sent before. It assumes that spent, a fraction
 	// of its allowance, was used until createdAt.
@@ -149,7 +152,7 @@
 // this entry has seen the move from its start. random is a random number in [0, 1).
 func NewServiceMove(now time.Time, order MoveOrder, from wigeonfork.Version, left time.Duration, limits ExposureLimits, hasHistory bool, random float64) *ServiceMove {
 	m := &ServiceMove{
-		Order: order, From: from, limits: limits, began: now.Add(left - order.Duration), deadline: now.Add(left),
+		Order: order, From: from, substitute: order.To, limits: limits, began: now.Add(left - order.Duration), deadline: now.Add(left),
 		hasHistory: hasHistory, createdAt: now, offset: random,
 		own: MoveReport{HasHistory: hasHistory, Results: make(map[Route]RouteResults)}, peers: make(map[string]MoveReport),
 		heardAt: make(map[string]time.Time),
@@ -174,6 +177,19 @@
 	}
 }
 
+// SetTrusted replaces the version for the requests that are not sent to the new one, or after the completion the one
+// for all requests, if the new one has lost its servers. The results of the former one are kept. It returns whether that
+// is a change.
+func (m *ServiceMove) SetTrusted(version wigeonfork.Version) bool {
+	trusted := &m.From
+	if m.stage == StageCompleted {
+		trusted = &m.substitute
+	}
+	changed := *trusted != version
+	*trusted = version
+	return changed
+}
+
 // SetEntries sets the number of entries, this one included.
 func (m *ServiceMove) SetEntries(known int) { m.known = known }
 
@@ -204,7 +220,7 @@
 func (m *ServiceMove) Preference(now time.Time) []wigeonfork.Version {
 	switch {
 	case m.stage == StageCompleted:
-		return []wigeonfork.Version{m.Order.To}
+		return m.preferenceCompleted()
 	case m.stage == StageTrial && m.mayTry(now):
 		return []wigeonfork.Version{m.Order.To, m.From}
 	case m.handsOver(now):
@@ -216,6 +232,14 @@
 	return []wigeonfork.Version{m.From}
 }
 
+// preferenceCompleted is Preference after the completion.
+func (m *ServiceMove) preferenceCompleted() []wigeonfork.Version {
+	if m.substitute == m.Order.To {
+		return []wigeonfork.Version{m.Order.To}
+	}
+	return []wigeonfork.Version{m.Order.To, m.substitute}
+}
+
 // mayTry reports whether this entry may send the new version one more request.
 func (m *ServiceMove) mayTry(now time.Time) bool {
 	if !m.confirmed || m.known == 0 {
