--- a/gateway/moves_in_row_test.go
+++ b/gateway/moves_in_row_test.go
@@ -149,7 +149,11 @@
 }
 
 // rowFaults says which faults a schedule draws.
-type rowFaults struct{ kills, freezes, store, losses, replaced bool }
+type rowFaults struct {
+	kills, freezes, store, losses, replaced bool
+	// absences are freezes that last beyond the time for which peers report on a move that has ended.
+	absences bool
+}
 
 // rowWorld plays orders for one service at several gateways in virtual time.
 type rowWorld struct {
@@ -301,7 +305,7 @@
 // ended does what the operator does at the end of a move: the old servers end at once, or the new ones soon.
 func (w *rowWorld) ended(now time.Time, o *rowOrder) {
 	o.ended = true
-	w.calmSince = now
+	w.disturbedUntil(now)
 	version := w.version(o.To)
 	if w.store.state().State == MoveCompleted {
 		if o.bad {
@@ -342,7 +346,7 @@
 	w.orders = append(w.orders, &rowOrder{
 		MoveOrder: rollout.MoveOrder{Service: rowService, To: v.name, Duration: rowDuration, Position: at}, bad: v.bad, givenAt: now,
 	})
-	w.calmSince = now
+	w.disturbedUntil(now)
 }
 
 // disturb begins a fault now and then.
@@ -361,6 +365,9 @@
 			length = 0
 		}
 	case 1:
+		if w.faults.absences {
+			length += rowDuration + moveMemory
+		}
 		if w.faults.freezes {
 			g.frozenUntil = now.Add(length)
 		}
@@ -369,7 +376,14 @@
 			w.cutStore(g.host, length)
 		}
 	}
-	w.calmSince = now.Add(length)
+	w.disturbedUntil(now.Add(length))
+}
+
+// disturbedUntil records that a fault lasts until a time.
+func (w *rowWorld) disturbedUntil(end time.Time) {
+	if end.After(w.calmSince) {
+		w.calmSince = end
+	}
 }
 
 // cutStore cuts one gateway, or half of the times all of them, from the store.
@@ -483,6 +497,7 @@
 		"calm":                         {},
 		"gateways killed":              {kills: true},
 		"gateways frozen":              {freezes: true, losses: true},
+		"gateways frozen for long":     {freezes: true, absences: true},
 		"store away":                   {store: true},
 		"orders replaced":              {replaced: true},
 		"all faults, reports are lost": {kills: true, freezes: true, store: true, losses: true, replaced: true},
