Complete no slow version for want of results of the old one

What callers would see: a slow version put in service, if the servers of the old one are down during its move.

Cause: with no old results three slow requests in four are no evidence, and only failures had a rule for such an end.

Change: with fewer than 8 old results a version that is slow in more than two fifths of its requests is not completed. Whether a request is slow is known from before the move.

Test: TestServiceMoveWithoutResultsOfTheOldVersion, 24 of 32 slow and no old result: on the parent the stage is trial and the move is finished, 1 of 1; passes now.

--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -74,9 +74,11 @@
 	// maxEndSuspicion is the suspicion from which a version is not completed.
 	maxEndSuspicion = 0.4
 	// minOldResults is the number of results of the old version below which they say nothing of what is usual.
-	// A version that then fails more than maxUnmatchedFailures of its requests is not completed.
+	// A version that then fails more than maxUnmatchedFailures of its requests, or is slow in more than maxUnmatchedSlow of
+	// them, is not completed.
 	minOldResults        = 8
 	maxUnmatchedFailures = 0.1
+	maxUnmatchedSlow     = 0.4
 	// maxMoveRoutes bounds the routes judged separately.
 	maxMoveRoutes = 24
 )
@@ -383,6 +385,8 @@
 		return "too few servers"
 	case m.failsUnmatched():
 		return "fails without results of the old version to compare with"
+	case m.slowUnmatched():
+		return "slow without results of the old version to compare with"
 	}
 	return ""
 }
@@ -390,8 +394,18 @@
 // failsUnmatched reports whether the new version fails often while hardly any result of the old one says whether
 // that is usual.
 func (m *ServiceMove) failsUnmatched() bool {
-	f := m.all.Failures
-	return f.OldTotal < minOldResults && float64(f.NewBad) > maxUnmatchedFailures*float64(f.NewTotal)
+	return m.all.Failures.isBadUnmatched(maxUnmatchedFailures)
+}
+
+// slowUnmatched reports whether the new version is often slow by what was usual before the move, while hardly any result
+// of the old one says whether that has changed.
+func (m *ServiceMove) slowUnmatched() bool {
+	return m.all.Slowness.isBadUnmatched(maxUnmatchedSlow)
+}
+
+// isBadUnmatched reports whether more than a fraction of the new results are bad while there are hardly any old ones.
+func (t Totals) isBadUnmatched(fraction float64) bool {
+	return t.OldTotal < minOldResults && float64(t.NewBad) > fraction*float64(t.NewTotal)
 }
 
 // Finished reports whether this entry, as a leader, must complete the move.
--- a/rollout/service_move_cases_test.go
+++ b/rollout/service_move_cases_test.go
@@ -183,4 +183,31 @@
 	Convey("A version that fails like the old one is completed", t, func() {
 		So(play(32, 2, 32).Finished(), ShouldBeTrue)
 	})
+	// playSlow ends a move with results of the new version of which slow are slow, and old results of which as many are
+	// slow, in proportion.
+	playSlow := func(results, slow, oldResults int) *ServiceMove {
+		m := newTestMove(1, 0.5)
+		for i := range results {
+			m.Answered(newVersion, moveRoute, false)
+			m.Timed(newVersion, moveRoute, i < slow)
+		}
+		for i := range oldResults {
+			m.Answered(oldVersion, moveRoute, false)
+			m.Timed(oldVersion, moveRoute, i*results < slow*oldResults)
+		}
+		m.Step(timeUp, manyUsable)
+		m.Step(timeUp.Add(2*maxHandover), manyUsable)
+		return m
+	}
+	Convey("A version that is slow in three quarters of its requests is stopped, also if the old one got none", t, func() {
+		m := playSlow(32, 24, 0)
+		stage, reason := m.Stage()
+		So(stage, ShouldEqual, StageStopped)
+		So(reason, ShouldContainSubstring, "slow without")
+	})
+	Convey("A version that is slow now and then, or as often as the old one, is completed", t, func() {
+		So(playSlow(32, 0, 0).Finished(), ShouldBeTrue)
+		So(playSlow(32, 6, 0).Finished(), ShouldBeTrue)
+		So(playSlow(32, 24, 32).Finished(), ShouldBeTrue)
+	})
 }
