--- a/gateway/move_versions.go
+++ b/gateway/move_versions.go
@@ -56,14 +56,17 @@
 	if v.isInServiceLocked(move) && move.Advance(rollout.StageCompleted, "in service") {
 		return true
 	}
-	before := move.From
 	trusted := v.trustedLocked(move.Order, known)
-	if trusted == "" || !move.SetTrusted(trusted) {
+	if trusted == "" {
+		return false
+	}
+	former, changed := move.SetTrusted(trusted)
+	if !changed {
 		return false
 	}
 	telemetry.Counter(v.g.options.Metrics, "moves.trusted_version_changed").Inc(1)
 	inService := v.versionsLocked(move.Order.Service).InService().String()
-	v.g.options.Log.Info().Str("service", string(move.Order.Service)).Str("from", string(before)).Str("trusted", string(trusted)).
+	v.g.options.Log.Info().Str("service", string(move.Order.Service)).Str("former", string(former)).Str("trusted", string(trusted)).
 		Str("in_service", inService).Str("servers", describeServers(known)).Msg("move_trusted_version")
 	return false
 }
--- a/rollout/in_service.go
+++ b/rollout/in_service.go
@@ -97,10 +97,10 @@
 	})
 }
 
-// Trusted returns the version for the requests that are not sent to the one under trial, which is empty if there is
+// Trusted returns the version for the requests that are not sent to the one under trial; trial is empty if there is
 // none. known lists the versions with servers in the order in which they appeared. The version in service comes first,
 // then those that appeared earlier. A version without usable servers is returned only if no other has any. Stopped
-// versions and the one under trial are never returned. The result is empty if there is no version.
+// versions and the one under trial are never returned. The result is empty if no other version is known.
 func (s *ServiceVersions) Trusted(known []VersionServers, trial wigeonfork.Version) wigeonfork.Version {
 	candidates := make([]VersionServers, 0, len(known)+1)
 	if version := s.inService.Version; version != "" && version != trial {
--- a/rollout/service_move.go
+++ b/rollout/service_move.go
@@ -180,16 +180,15 @@
 }
 
 // SetTrusted replaces the version for the requests that are not sent to the new one, or after the completion the one
-// for all requests, if the new one has lost its servers. The results of the former one are kept. It returns whether that
-// is a change.
-func (m *ServiceMove) SetTrusted(version wigeonfork.Version) bool {
+// for all requests, if the new one has lost its servers. The results of the former one are kept. It returns the former
+// one, and whether the version has changed.
+func (m *ServiceMove) SetTrusted(version wigeonfork.Version) (former wigeonfork.Version, changed bool) {
 	trusted := &m.From
 	if m.stage == StageCompleted {
 		trusted = &m.substitute
 	}
-	changed := *trusted != version
-	*trusted = version
-	return changed
+	former, *trusted = *trusted, version
+	return former, former != version
 }
 
 // SetEntries sets the number of entries, this one included.
