--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -55,9 +55,9 @@
 	mu       sync.Mutex
 	attempts []attempt
 	// outcomes counts the attempts by their outcome: "ok", "cut" (the connection broke), "gave_up" or a status
-	// code. served counts those that ended with "ok".
+	// code. served counts those that ended with "ok", by service.
 	outcomes map[string]int
-	served   int
+	served   map[string]int
 	// kinds counts the streams of the competing kinds by their path.
 	kinds map[string]kindCount
 	// sequence numbers the attempts for their request IDs.
@@ -70,7 +70,7 @@
 const revokedKey = "key-that-goes"
 
 func startCallers(s *system, seed uint64, callers int) *callerGroup {
-	c := &callerGroup{system: s, seed: seed, stop: make(chan struct{}), outcomes: map[string]int{}, kinds: map[string]kindCount{}}
+	c := &callerGroup{system: s, seed: seed, stop: make(chan struct{}), outcomes: map[string]int{}, served: map[string]int{}, kinds: map[string]kindCount{}}
 	for i := range callers {
 		c.wait.Go(func() { c.call(rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
@@ -125,7 +125,7 @@
 	a.refusedNotRun, a.outcome, a.endedAt = refusedNotRun, outcome, time.Now()
 	c.outcomes[outcome]++
 	if outcome == "ok" {
-		c.served++
+		c.served[a.service]++
 	}
 }
 
@@ -284,7 +284,12 @@
 }
 
 func (c *callerGroup) servedCount() int {
+	return c.servedOf(deployment.Plain) + c.servedOf(deployment.Engines)
+}
+
+// servedOf returns the number of requests of a service that were served.
+func (c *callerGroup) servedOf(service string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.served
+	return c.served[service]
 }
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -54,8 +54,8 @@
 	c := startCallers(s, seed, s.options.Callers)
 	revoke := time.AfterFunc(s.options.Length/3, c.revoke)
 	defer revoke.Stop()
-	m := drawMove(seed)
-	r.move, r.load = m, s.load
+	moves := drawMoves(seed, max(1, s.options.Orders))
+	r.moves, r.load = moves, s.load
 	var drills int
 	var played sync.WaitGroup
 	played.Go(func() { drills = s.playDrills(rand.New(rand.NewPCG(seed, 3)), s.options.Length) })
@@ -71,7 +71,7 @@
 	played.Go(func() { slowed = s.playSlowServers(rand.New(rand.NewPCG(seed, 8)), end) })
 	played.Go(func() { notices = s.playNotices(rand.New(rand.NewPCG(seed, 5)), end) })
 	played.Go(func() { silences = s.playSilentStore(rand.New(rand.NewPCG(seed, 6)), end) })
-	r.faults = describe(s.scheduleWithMove(m))
+	r.faults = describe(s.scheduleWithMoves(moves))
 	close(stopServers)
 	played.Wait()
 	s.checkLimits(limits)
@@ -80,10 +80,11 @@
 		"limit:"+strconv.Itoa(len(limits)), "notice:"+strconv.Itoa(len(notices)),
 		"slow_server:"+strconv.Itoa(slowed))
 	s.checkRecovery(c)
+	s.checkServedAfterMoves(c, moves[0].service)
 	s.checkAgreement()
 	close(c.stop)
 	c.wait.Wait()
-	s.checkRuns(c, m)
+	s.checkRuns(c, moves)
 	s.checkPriorities(s.Shared.Runs(""))
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -104,7 +105,7 @@
 
 // checkRuns compares the requests that the backend servers ran with the responses that callers
 // received.
-func (s *system) checkRuns(c *callerGroup, m *versionMove) {
+func (s *system) checkRuns(c *callerGroup, moves []*versionMove) {
 	runs := map[string][]runner.Run{}
 	for _, run := range s.Shared.Runs("") {
 		runs[run.RequestID] = append(runs[run.RequestID], run)
@@ -120,7 +121,9 @@
 	if !s.options.NoSilences {
 		s.checkCuts(c.attempts, runs)
 	}
-	s.checkMove(m, c.attempts, runs)
+	for _, m := range moves {
+		s.checkMove(m, c.attempts, runs)
+	}
 	for id := range runs {
 		if !known[id] {
 			s.violations.add("%s ran, but no caller sent it", id)
--- a/test/soak/doc.go
+++ b/test/soak/doc.go
@@ -3,4 +3,5 @@
 // All random choices are derived from a seed.
 //
 //	go run ./test/soak --seeds 50 --parallel 4
+//	go run ./test/soak --seeds 50 --orders 3
 package main
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -20,6 +20,7 @@
 	Gateways int           `long:"gateways" default:"3" description:"number of gateway processes per seed"`
 	Callers  int           `long:"callers" default:"12" description:"number of callers per seed"`
 	Length   time.Duration `long:"length" default:"12s" description:"duration of the fault injection"`
+	Orders   int           `long:"orders" default:"1" description:"number of orders to move one service, each given when the move before has ended"`
 	// NoSilences leaves out what finds the faults that KNOWN-RED.txt lists for the soak by hand.
 	NoSilences bool `long:"no-silences" description:"no silences of sound runners, no streams that may not run again, and no check of cut answers"`
 
@@ -100,7 +101,7 @@
 	violations []string
 	outcomes   map[string]int
 	faults     []string
-	move       *versionMove
+	moves      []*versionMove
 	load       load
 	kinds      map[string]kindCount
 	logsAt     string
@@ -112,7 +113,7 @@
 	if len(r.violations) > 0 {
 		verdict = "FAILED"
 	}
-	text := fmt.Sprintf("seed %d %s in %v: requests %v, faults %v, %v, %v", r.seed, verdict, r.elapsed.Round(time.Second), r.outcomes, r.faults, r.move, r.load)
+	text := fmt.Sprintf("seed %d %s in %v: requests %v, faults %v, %v, %v", r.seed, verdict, r.elapsed.Round(time.Second), r.outcomes, r.faults, r.moves, r.load)
 	for _, k := range kinds {
 		if n := r.kinds[k.path]; n.asked > 0 {
 			text += fmt.Sprintf(", %s %d of %d", k.path, n.served, n.asked)
--- a/test/soak/moves.go
+++ b/test/soak/moves.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	nextVersion  = "v2"
 	moveDuration = 8 * time.Second
+	// servedAfterMoves is the number of requests that a service must serve after its last move, within recoveryTimeout.
+	servedAfterMoves = 20
 	// exposureShare and exposureSlack are written to the settings of the gateways.
 	exposureShare = 0.1
 	exposureSlack = 50.0
@@ -39,9 +40,11 @@
 	return deployment.Engines
 }
 
-// versionMove is a move of a service to nextVersion that the operator orders during a seed.
+// versionMove is a move of a service to another version that the operator orders during a seed.
 type versionMove struct {
 	service string
+	// from is the version in service before the move, and to the new one.
+	from, to string
 	// quality is "good", "failing" or "slow".
 	quality string
 	// calm is set if the move begins after all faults. Otherwise it begins delay after the first.
@@ -51,11 +54,33 @@
 	// there was none.
 	orderedAt, endedAt time.Time
 	state              string
+	// nextOrderedAt is when the next order for the service was given, zero if there was none.
+	nextOrderedAt time.Time
+}
+
+// drawMoves returns so many moves of one service, each of which is ordered as soon as the one before has ended.
+func drawMoves(seed uint64, orders int) []*versionMove {
+	first := drawMove(seed)
+	moves := []*versionMove{first}
+	r := rand.New(rand.NewPCG(seed, 9))
+	for i := 1; i < orders; i++ {
+		next := &versionMove{service: first.service, to: fmt.Sprintf("v%d", i+2), quality: "good", calm: first.calm}
+		switch r.IntN(4) {
+		case 0:
+			next.quality = "slow"
+		case 1:
+			if first.service == deployment.Plain {
+				next.quality = "failing"
+			}
+		}
+		moves = append(moves, next)
+	}
+	return moves
 }
 
 func drawMove(seed uint64) *versionMove {
 	r := rand.New(rand.NewPCG(seed, 3))
-	m := &versionMove{service: deployment.Engines, quality: "good", calm: r.IntN(2) == 0}
+	m := &versionMove{service: deployment.Engines, from: deployment.FirstVersion, to: "v2", quality: "good", calm: r.IntN(2) == 0}
 	m.delay = time.Duration(r.Int64N(int64(3 * time.Second)))
 	if r.IntN(2) == 0 {
 		m.service = deployment.Plain
@@ -78,7 +103,7 @@
 	if m.calm {
 		when = "after faults"
 	}
-	return fmt.Sprintf("%s move of %s %s: %s after %v", m.quality, m.service, when, m.state, m.endedAt.Sub(m.orderedAt).Round(pollInterval))
+	return fmt.Sprintf("%s move of %s to %s %s: %s after %v", m.quality, m.service, m.to, when, m.state, m.endedAt.Sub(m.orderedAt).Round(pollInterval))
 }
 
 // servers returns the number and the options of the servers of the new version.
@@ -96,53 +121,81 @@
 	return n, options
 }
 
-// scheduleWithMove injects faults and plays a move among or after them. It returns the names of the
+// scheduleWithMoves injects faults and plays moves among or after them. It returns the names of the
 // faults once both have ended.
-func (s *system) scheduleWithMove(m *versionMove) []string {
-	if m.calm {
+func (s *system) scheduleWithMoves(moves []*versionMove) []string {
+	if moves[0].calm {
 		injected := s.schedule(s.options.Length)
 		time.Sleep(settleTime)
-		s.playMove(m)
+		s.playMoves(moves)
 		return injected
 	}
 	var wait sync.WaitGroup
 	wait.Go(func() {
-		time.Sleep(m.delay)
-		s.playMove(m)
+		time.Sleep(moves[0].delay)
+		s.playMoves(moves)
 	})
 	injected := s.schedule(s.options.Length)
 	wait.Wait()
 	return injected
 }
 
-// playMove starts servers of the new version, orders the move, and ends the servers that its final
-// state says are no longer needed.
+// playMoves plays moves one after another, until one has no final state.
+func (s *system) playMoves(moves []*versionMove) {
+	var retired sync.WaitGroup
+	defer retired.Wait()
+	inService := deployment.FirstVersion
+	for i, m := range moves {
+		m.from = inService
+		s.playMove(m)
+		if i > 0 {
+			moves[i-1].nextOrderedAt = m.orderedAt
+		}
+		switch m.state {
+		case "completed":
+			s.RetireVersion(m.service, m.from)
+			inService = m.to
+		case "rolled_back":
+			retired.Go(func() {
+				time.Sleep(retireDelay)
+				s.RetireVersion(m.service, m.to)
+			})
+		default:
+			s.violations.add("the %s move of %s has no final state %v after its deadline", m.quality, m.service, recoveryTimeout)
+			return
+		}
+	}
+	time.Sleep(tellLimit)
+}
+
+// playMove starts servers of the new version, orders the move, and waits for its final state.
 func (s *system) playMove(m *versionMove) {
 	n, options := m.servers()
-	if _, err := s.AddVersion(m.service, nextVersion, n, s.load.apply(options)); err != nil {
+	if _, err := s.AddVersion(m.service, m.to, n, s.load.apply(options)); err != nil {
 		s.violations.add("soak: %v", err)
 		return
 	}
 	time.Sleep(serversKnown)
-	s.OrderMove(m.service, nextVersion, moveDuration)
+	s.OrderMove(m.service, m.to, moveDuration)
 	m.orderedAt = time.Now()
 	for end := m.orderedAt.Add(moveDuration + recoveryTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
-		state := s.MoveState(m.service, nextVersion)
+		state := s.MoveState(m.service, m.to)
 		if state == "completed" || state == "rolled_back" {
 			m.state, m.endedAt = state, time.Now()
 			break
 		}
 	}
-	switch m.state {
-	case "completed":
-		s.RetireVersion(m.service, deployment.FirstVersion)
-		time.Sleep(tellLimit)
-	case "rolled_back":
-		time.Sleep(retireDelay)
-		s.RetireVersion(m.service, nextVersion)
-	default:
-		s.violations.add("the %s move of %s has no final state %v after its deadline", m.quality, m.service, recoveryTimeout)
+}
+
+// checkServedAfterMoves checks that a service is served once its moves and all faults have ended.
+func (s *system) checkServedAfterMoves(c *callerGroup, service string) {
+	before := c.servedOf(service)
+	for end := time.Now().Add(recoveryTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		if c.servedOf(service) >= before+servedAfterMoves {
+			return
+		}
 	}
+	s.violations.add("%d requests of %s served in %v after its last move", c.servedOf(service)-before, service, recoveryTimeout)
 }
 
 // checkMove checks a move with the attempts of all callers and the runs of each.
@@ -176,7 +229,7 @@
 				continue
 			}
 			all++
-			if s.Version(run.RunnerID) == nextVersion {
+			if s.Version(run.RunnerID) == m.to {
 				next = append(next, run)
 			}
 		}
@@ -207,10 +260,15 @@
 	})
 }
 
-// checkNotCut checks that the end of the old servers at the completion cut no answer.
+// checkNotCut checks that the end of the old servers at the completion cut no answer. Requests after the next order may
+// be those that its version fails.
 func (s *system) checkNotCut(m *versionMove, attempts []attempt) {
+	end := m.endedAt.Add(tellLimit)
+	if !m.nextOrderedAt.IsZero() && m.nextOrderedAt.Before(end) {
+		end = m.nextOrderedAt
+	}
 	for _, a := range attempts {
-		overlaps := a.sentAt.Before(m.endedAt.Add(tellLimit)) && a.endedAt.After(m.endedAt)
+		overlaps := a.sentAt.Before(end) && a.endedAt.After(m.endedAt)
 		isCut := a.outcome == "cut" || strings.HasPrefix(a.outcome, "5")
 		if a.service == m.service && !a.crashing && overlaps && isCut {
 			s.violations.add("%s ended with %q %v after the completion of %s", a.id, a.outcome, a.endedAt.Sub(m.endedAt), m.service)
